--- a/crates/kingcuploftd/src/caller_edge/mod.rs
+++ b/crates/kingcuploftd/src/caller_edge/mod.rs
@@ -17,7 +17,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use kingcuploft::dispatcher::Arrival;
-use kingcuploft::manifest::routing::{Route, route};
+use kingcuploft::manifest::routing::Route;
 use kingcuploft::world::contract::Contract;
 use kingcuploft::world::ids::{Caller, RequestId};
 use kingcuploft::world::refusal::{Refusal, RefusalReason};
@@ -112,21 +112,20 @@
     peer: SocketAddr,
 ) -> Result<Reply, Refusal> {
     let arrived = Instant::now();
-    let accepted = shared.accepted.load_full();
-    if accepted.generation == 0 {
+    if shared.accepted.load().generation == 0 {
         return Err(Refusal::not_run(RefusalReason::NotReady));
     }
     let (head, incoming) = request.into_parts();
     let host = head.headers.get("host").and_then(|host| host.to_str().ok());
-    let host = host.unwrap_or_default();
-    let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
-    let route = route(
-        &accepted.manifest,
-        host,
-        head.method.as_str(),
-        head.uri.path(),
-    )
-    .map_err(Refusal::not_run)?;
+    let routes = shared.routes.load();
+    let route = routes
+        .route(
+            host.unwrap_or_default(),
+            head.method.as_str(),
+            head.uri.path(),
+        )
+        .map_err(Refusal::not_run)?;
+    drop(routes);
     let key = key(&route, &head.headers)?;
     let caller = caller(&route, &head.headers, peer);
     let deadline = arrived + deadline(&route, &head.headers);
--- a/crates/kingcuploftd/src/manifest_watch.rs
+++ b/crates/kingcuploftd/src/manifest_watch.rs
@@ -7,7 +7,6 @@
 use kingcuploft_platform::manifest_root::{ROOT_KEY, Root};
 use kingcuploft_platform::{ObjectStore, StoreError};
 
-use crate::message::Message;
 use crate::shared::Shared;
 
 /// How long one watch waits.
@@ -50,6 +49,5 @@
         return;
     }
     tracing::info!("manifest: generation {} is in force.", accepted.generation);
-    shared.accepted.store(Arc::new(accepted.clone()));
-    drop(shared.dispatch.send(Message::Adopted(accepted)));
+    shared.put_in_force(accepted);
 }
--- a/crates/kingcuploftd/src/shared.rs
+++ b/crates/kingcuploftd/src/shared.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwap;
 use crossbeam_channel::Sender;
 use kingcuploft::manifest::Accepted;
+use kingcuploft::manifest::routing::Routes;
 use kingcuploft::world::ids::RequestId;
 use kingcuploft::world::vm::Vm;
 
@@ -22,6 +23,8 @@
     pub vm: Vm,
     /// The manifest in force; generation 0 until one is known.
     pub accepted: ArcSwap<Accepted>,
+    /// The hosts of the manifest in force; empty until one is known.
+    pub routes: ArcSwap<Routes>,
     /// The counters.
     pub metrics: Metrics,
     /// The ring to the dispatch duty.
@@ -38,6 +41,7 @@
             settings,
             vm,
             accepted: ArcSwap::default(),
+            routes: ArcSwap::default(),
             metrics: Metrics::default(),
             dispatch,
             stopping: AtomicBool::new(false),
@@ -46,6 +50,13 @@
         })
     }
 
+    /// Puts a manifest in force on this VM, for callers first and then for the dispatch duty.
+    pub fn put_in_force(&self, accepted: Accepted) {
+        self.routes.store(Arc::new(Routes::new(&accepted.manifest)));
+        self.accepted.store(Arc::new(accepted.clone()));
+        drop(self.dispatch.send(Message::Adopted(accepted)));
+    }
+
     /// Tells whether the platform's balancer may send callers here.
     pub fn ready(&self) -> bool {
         !self.stopping() && self.accepted.load().generation > 0
