--- a/crates/kingcuploft-standins/src/http.rs
+++ b/crates/kingcuploft-standins/src/http.rs
@@ -1,6 +1,5 @@
 //! A small HTTP server for the stand-ins: one runtime, ended when dropped.
 
-use std::convert::Infallible;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
@@ -20,6 +19,22 @@
 /// A response with its whole body.
 pub type WholeResponse = Response<Full<Bytes>>;
 
+/// Marks a response that is not sent: the connection is closed instead.
+#[derive(Clone, Copy, Debug)]
+struct Closed;
+
+/// The error that makes the HTTP library close a connection.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("closed without an answer")]
+struct ClosedWithoutAnswer;
+
+/// Returns the response that closes the connection without an answer.
+pub fn closed() -> WholeResponse {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    response.extensions_mut().insert(Closed);
+    response
+}
+
 /// Answers the requests of a stand-in.
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request.
@@ -76,11 +91,15 @@
 async fn answer<H: Handler>(
     handler: Arc<H>,
     request: Request<Incoming>,
-) -> Result<WholeResponse, Infallible> {
+) -> Result<WholeResponse, ClosedWithoutAnswer> {
     let (head, body) = request.into_parts();
     let body = body
         .collect()
         .await
         .map_or_else(|_| Bytes::new(), |body| body.to_bytes());
-    Ok(handler.handle(Request::from_parts(head, body)).await)
+    let response = handler.handle(Request::from_parts(head, body)).await;
+    match response.extensions().get::<Closed>() {
+        Some(Closed) => Err(ClosedWithoutAnswer),
+        None => Ok(response),
+    }
 }
