feat(experiments): a tool that measures real daemons against stand-ins

One experiment, one file, listed in experiments::ALL.

The backend server stand-in takes its work time from x-work-us where a caller gives it, so that policies are compared on the same work.

--- a/crates/kingcuploft-standins/src/backend_server.rs
+++ b/crates/kingcuploft-standins/src/backend_server.rs
@@ -85,7 +85,9 @@
             let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
             *runs.entry(key.into()).or_default() += 1;
         }
-        tokio::time::sleep(self.time()).await;
+        let asked = header("x-work-us").and_then(|us| us.parse().ok());
+        let time = asked.map_or_else(|| self.time(), Duration::from_micros);
+        tokio::time::sleep(time).await;
         drop(slot);
         let in_flight = self.in_flight.fetch_sub(1, Ordering::Relaxed) - 1;
         let body = format!("{} {}\n", request.method(), request.uri().path());
--- /dev/null
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -0,0 +1,108 @@
+//! Experiments: real daemons in one process against stand-ins on loopback.
+//!
+//! One experiment, one file. Each returns its figures as JSON, a table as text, and every promise
+//! it saw broken.
+
+pub mod tail;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use crate::deployment::{self, Deployment};
+use crate::fleet::FleetError;
+use crate::plot::PlotError;
+
+/// The options that experiments share.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The seed of everything drawn.
+    pub seed: u64,
+    /// How long the load lasts, for each part of the experiment.
+    pub time: Duration,
+    /// How often the parts are repeated, interleaved.
+    pub rounds: usize,
+    /// The load, as a share of what the slots can do.
+    pub load: f64,
+    /// Which deployment of the brief.
+    pub deployment: DeploymentName,
+    /// Where to draw a plot, if anywhere.
+    pub plot: Option<PathBuf>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            time: Duration::from_secs(5),
+            rounds: 1,
+            load: 0.75,
+            deployment: DeploymentName::Teamway,
+            plot: None,
+        }
+    }
+}
+
+/// A deployment of the brief.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DeploymentName {
+    /// Hsinchu Teamway Travel Lab.
+    Teamway,
+    /// Bundesstelle für Versionshinweise.
+    Bern,
+}
+
+impl DeploymentName {
+    /// Returns the plan of the deployment.
+    pub fn plan(self) -> Deployment {
+        match self {
+            Self::Teamway => deployment::teamway(),
+            Self::Bern => deployment::bern(),
+        }
+    }
+}
+
+/// What an experiment found.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// The figures.
+    pub figures: serde_json::Value,
+    /// The same, as a table for a person.
+    pub text: String,
+    /// The promises that were broken.
+    pub broken: Vec<String>,
+}
+
+/// Why an experiment has no figures.
+#[derive(Debug, thiserror::Error)]
+pub enum ExperimentError {
+    /// The fleet failed.
+    #[error(transparent)]
+    Fleet(#[from] FleetError),
+    /// The system failed.
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+    /// The plot failed.
+    #[error(transparent)]
+    Plot(#[from] PlotError),
+    /// The figures can not be written.
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+}
+
+/// An experiment's entry in the tool.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    /// The name on the command line.
+    pub name: &'static str,
+    /// What it measures, in one line.
+    pub about: &'static str,
+    /// Runs it.
+    pub run: fn(&Options) -> Result<Report, ExperimentError>,
+}
+
+/// Every experiment.
+pub const ALL: &[Entry] = &[Entry {
+    name: "tail",
+    about: "tail latency and the cost of measuring, by policy",
+    run: tail::run,
+}];
--- /dev/null
+++ b/crates/kingcuploft-standins/src/fleet.rs
@@ -0,0 +1,237 @@
+//! A running deployment on loopback: the platform, backend servers and real daemons.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use kingcuploft::manifest::reader;
+use kingcuploft_platform::client::Client;
+use kingcuploft_platform::manifest_root::{self, Applied};
+use kingcuploftd::daemon::Daemon;
+use kingcuploftd::settings::Settings;
+use tokio::runtime::Runtime;
+
+use crate::backend_server::{BackendServer, Work};
+use crate::deployment::{Deployment, ServicePlan};
+use crate::platform::Platform;
+
+/// How long a fleet may take to have a manifest in force.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Why a fleet did not start or a manifest was not taken.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetError {
+    /// A stand-in got no port.
+    #[error("a stand-in got no port: {0}")]
+    Port(#[from] std::io::Error),
+    /// A daemon did not start.
+    #[error("a daemon did not start: {0}")]
+    Start(#[from] kingcuploftd::daemon::StartError),
+    /// The settings or the manifest that the plan makes are wrong.
+    #[error("the plan is wrong: {0}")]
+    Plan(String),
+    /// A manifest was not accepted or not in force in time.
+    #[error("the manifest is not in force: {0}")]
+    NotInForce(String),
+}
+
+/// What differs between fleets of the same deployment.
+#[derive(Clone, Debug)]
+pub struct Variant {
+    /// The policy of every service, as YAML in flow style.
+    pub policy: String,
+    /// The mean work time of the backend servers.
+    pub mean: Duration,
+    /// Lines added to every daemon's settings.
+    pub settings: String,
+    /// The seed of the work times.
+    pub seed: u64,
+}
+
+impl Default for Variant {
+    fn default() -> Self {
+        Self {
+            policy: "{}".into(),
+            mean: Duration::from_millis(10),
+            settings: String::new(),
+            seed: 1,
+        }
+    }
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Fleet {
+    /// What was planned.
+    pub deployment: Deployment,
+    /// The platform.
+    pub platform: Platform,
+    /// The backend servers, by service in the plan's order.
+    pub backend_servers: Vec<Vec<BackendServer>>,
+    /// The daemons that run.
+    pub daemons: Vec<Daemon>,
+    /// The runtime of the stand-ins and callers.
+    pub runtime: Arc<Runtime>,
+    variant: Variant,
+    started: usize,
+}
+
+impl Fleet {
+    /// Starts a deployment and waits until its manifest is in force everywhere.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError`]; what had started ends.
+    pub fn start(deployment: Deployment, variant: Variant) -> Result<Self, FleetError> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .enable_all()
+            .build()?;
+        let runtime = Arc::new(runtime);
+        let platform = Platform::start(&runtime)?;
+        let mut backend_servers = Vec::new();
+        for plan in &deployment.services {
+            backend_servers.push(start_backend_servers(&runtime, plan, &variant)?);
+        }
+        let mut fleet = Self {
+            deployment,
+            platform,
+            backend_servers,
+            daemons: Vec::new(),
+            runtime,
+            variant,
+            started: 0,
+        };
+        let generation = fleet.apply(&fleet.manifest(), "start")?;
+        for _ in 0..fleet.deployment.vms {
+            fleet.add_daemon()?;
+        }
+        fleet.wait_in_force(generation)?;
+        Ok(fleet)
+    }
+
+    /// Starts one more daemon under a name of its own.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Start`] or [`FleetError::Plan`].
+    pub fn add_daemon(&mut self) -> Result<(), FleetError> {
+        let index = self.started;
+        let text = format!(
+            "vm: entry-{index}\navailability_zone: {}\nlisten: 127.0.0.1:0\nadmin_listen: 127.0.0.1:0\nplatform: {}\n{}",
+            self.deployment.zone(index),
+            self.platform.address(),
+            self.variant.settings,
+        );
+        let settings: Settings =
+            serde_saphyr::from_str(&text).map_err(|error| FleetError::Plan(error.to_string()))?;
+        self.started += 1;
+        self.daemons.push(Daemon::start(settings)?);
+        Ok(())
+    }
+
+    /// Returns the manifest of the plan, as YAML.
+    pub fn manifest(&self) -> String {
+        let mut text = String::from("services:\n");
+        for (plan, servers) in self.deployment.services.iter().zip(&self.backend_servers) {
+            self.write_service(&mut text, plan, servers);
+        }
+        text
+    }
+
+    fn write_service(&self, text: &mut String, plan: &ServicePlan, servers: &[BackendServer]) {
+        let name = plan.name;
+        let policy = &self.variant.policy;
+        let mut line = |line: std::fmt::Arguments<'_>| {
+            text.write_fmt(line).expect("a string takes all");
+            text.push('\n');
+        };
+        line(format_args!("  - name: {name}"));
+        line(format_args!("    hosts: [{name}.example]"));
+        line(format_args!("    caller_header: x-caller"));
+        line(format_args!("    policy: {policy}"));
+        line(format_args!("    backend_servers:"));
+        for (i, server) in servers.iter().enumerate() {
+            let (address, zone, slots) = (server.address(), self.deployment.zone(i), plan.slots);
+            line(format_args!(
+                "      - {{name: {name}-{i}, address: '{address}', availability_zone: {zone}, slots: {slots}, connections: 220}}"
+            ));
+        }
+        line(format_args!("    rules:"));
+        for rule in plan.rules {
+            line(format_args!("      - {rule}"));
+        }
+    }
+
+    /// Applies a manifest and returns its generation.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Plan`] where it is wrong, [`FleetError::NotInForce`] where it was not accepted.
+    pub fn apply(&self, text: &str, apply_id: &str) -> Result<u64, FleetError> {
+        let manifest =
+            reader::read("plan", text).map_err(|faults| FleetError::Plan(format!("{faults:?}")))?;
+        let client = Client::new(&self.platform.address().to_string());
+        match manifest_root::apply(&client, manifest, apply_id) {
+            Ok(Applied::Accepted(generation)) => Ok(generation),
+            other => Err(FleetError::NotInForce(format!("{other:?}"))),
+        }
+    }
+
+    /// Waits until every daemon has at least this generation in force; returns how long it took.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::NotInForce`] after 20 s.
+    pub fn wait_in_force(&self, generation: u64) -> Result<Duration, FleetError> {
+        let began = Instant::now();
+        let behind = |daemon: &Daemon| daemon.shared().accepted.load().generation < generation;
+        while self.daemons.iter().any(behind) {
+            if began.elapsed() > IN_FORCE_TIMEOUT {
+                let count = self.daemons.iter().filter(|daemon| behind(daemon)).count();
+                return Err(FleetError::NotInForce(format!(
+                    "{count} daemons are behind"
+                )));
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        Ok(began.elapsed())
+    }
+
+    /// Returns where callers connect, a daemon each.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(Daemon::address).collect()
+    }
+
+    /// Returns how often the request with this idempotency key ran, on all backend servers.
+    pub fn runs(&self, key: &str) -> u64 {
+        let servers = self.backend_servers.iter().flatten();
+        servers.map(|server| server.runs(key)).sum()
+    }
+
+    /// Stops every daemon as planned, side by side.
+    pub fn stop(self) {
+        std::thread::scope(|scope| {
+            for daemon in self.daemons {
+                scope.spawn(|| daemon.stop());
+            }
+        });
+    }
+}
+
+fn start_backend_servers(
+    runtime: &Runtime,
+    plan: &ServicePlan,
+    variant: &Variant,
+) -> Result<Vec<BackendServer>, FleetError> {
+    let mut servers = Vec::new();
+    for i in 0..plan.backend_servers {
+        let work = Work {
+            slots: plan.slots as usize,
+            mean: variant.mean,
+            seed: variant.seed.wrapping_mul(1_000).wrapping_add(i as u64),
+        };
+        servers.push(BackendServer::start(runtime, work)?);
+    }
+    Ok(servers)
+}
--- a/crates/kingcuploft-standins/src/lib.rs
+++ b/crates/kingcuploft-standins/src/lib.rs
@@ -1,5 +1,12 @@
-//! Stand-ins for what surrounds the system: the platform's object API and backend servers.
+//! Stand-ins for what surrounds the system, and the tools that measure it against them.
 
 pub mod backend_server;
+pub mod callers;
+pub mod deployment;
+pub mod experiments;
+pub mod fleet;
 pub mod http;
+pub mod load;
 pub mod platform;
+pub mod plot;
+pub mod tally;
--- /dev/null
+++ b/crates/kingcuploft-standins/src/plot.rs
@@ -0,0 +1,79 @@
+//! Plots as SVG.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+/// A line of a plot.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// The name in the legend.
+    pub name: String,
+    /// The points.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// Why a plot could not be drawn.
+#[derive(Debug, thiserror::Error)]
+#[error("the plot could not be drawn: {0}")]
+pub struct PlotError(String);
+
+/// What a plot says.
+#[derive(Clone, Debug)]
+pub struct Labels<'a> {
+    /// The title.
+    pub title: &'a str,
+    /// The x axis, with its unit.
+    pub x: &'a str,
+    /// The y axis, with its unit.
+    pub y: &'a str,
+}
+
+/// Draws lines into an SVG file, from zero upwards.
+///
+/// # Errors
+///
+/// [`PlotError`] where the file can not be written.
+pub fn lines(file: &Path, labels: &Labels<'_>, lines: &[Line]) -> Result<(), PlotError> {
+    let area = SVGBackend::new(file, (860, 480)).into_drawing_area();
+    area.fill(&WHITE).map_err(fault)?;
+    let points = || lines.iter().flat_map(|line| &line.points);
+    let x_max = points()
+        .map(|point| point.0)
+        .fold(f64::MIN_POSITIVE, f64::max);
+    let y_max = points()
+        .map(|point| point.1)
+        .fold(f64::MIN_POSITIVE, f64::max);
+    let mut chart = ChartBuilder::on(&area)
+        .caption(labels.title, ("sans-serif", 20))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..x_max * 1.02, 0.0..y_max * 1.05)
+        .map_err(fault)?;
+    let mut mesh = chart.configure_mesh();
+    mesh.x_desc(labels.x)
+        .y_desc(labels.y)
+        .draw()
+        .map_err(fault)?;
+    for (i, line) in lines.iter().enumerate() {
+        let color = Palette99::pick(i).to_rgba();
+        let series =
+            LineSeries::new(line.points.iter().copied(), color.stroke_width(2)).point_size(3);
+        let drawn = chart.draw_series(series).map_err(fault)?;
+        drawn
+            .label(line.name.clone())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
+    }
+    let mut legend = chart.configure_series_labels();
+    legend
+        .border_style(BLACK)
+        .background_style(WHITE.mix(0.8))
+        .draw()
+        .map_err(fault)?;
+    area.present().map_err(fault)
+}
+
+fn fault(error: impl std::fmt::Display) -> PlotError {
+    PlotError(error.to_string())
+}
