feat(platform): a client with timeouts, a budget of calls and a circuit

A silent store held each call for its timeout and nothing bounded the calls of a VM. Errors say whether a write may have taken effect. The claims and manifest duties share one client, so one budget.

--- a/crates/kingcuploft-platform/src/lib.rs
+++ b/crates/kingcuploft-platform/src/lib.rs
@@ -4,6 +4,9 @@
 //! listing by prefix, a long-polling watch and the VM list. The version of an object is the
 //! store's revision at its last write.
 
+pub mod backoff;
+pub mod budget;
+pub mod circuit;
 pub mod client;
 pub mod manifest_root;
 
@@ -87,14 +90,58 @@
     /// No answer, or not a whole one: a write may have taken effect.
     #[error("no whole answer came: {0}")]
     Silent(String),
+    /// No connection was made: nothing was written.
+    #[error("the store can not be reached: {0}")]
+    NotSent(String),
     /// The store said that it did not do it.
     #[error("the store refused with status {0}")]
     Refused(u16),
+    /// The store counts as down and was not called: nothing was written.
+    #[error("the store is down; it is tried again in {} ms", retry_after.as_millis())]
+    Down {
+        /// When the store is tried again.
+        retry_after: Duration,
+    },
+    /// This VM has spent its calls; the store was not called.
+    #[error("the budget of calls is spent; there is one in {} ms", retry_after.as_millis())]
+    OverBudget {
+        /// When there is a call again.
+        retry_after: Duration,
+    },
     /// The revision asked for is too old to watch from; list again.
     #[error("the watch lapsed")]
     Lapsed,
 }
 
+impl StoreError {
+    /// Tells whether a write that ended so may have taken effect, or may yet.
+    pub fn may_have_taken_effect(&self) -> bool {
+        matches!(self, Self::Silent(_))
+    }
+
+    /// Tells whether the store failed to serve the call.
+    pub fn is_outage(&self) -> bool {
+        match self {
+            Self::Silent(_) | Self::NotSent(_) => true,
+            Self::Refused(status) => *status == 429 || *status >= 500,
+            _ => false,
+        }
+    }
+
+    /// Returns the word that stands in metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Conflict { .. } => "conflict",
+            Self::Silent(_) => "silent",
+            Self::NotSent(_) => "not_sent",
+            Self::Refused(_) => "refused",
+            Self::Down { .. } => "down",
+            Self::OverBudget { .. } => "over_budget",
+            Self::Lapsed => "lapsed",
+        }
+    }
+}
+
 /// The object API, as far as the system uses it: the edge of the process, faked in tests.
 pub trait ObjectStore: Send + Sync {
     /// Reads an object; `None` where it is absent.
--- a/crates/kingcuploftd/src/daemon.rs
+++ b/crates/kingcuploftd/src/daemon.rs
@@ -60,7 +60,7 @@
             incarnation,
         };
         let limits = settings.limits.clone();
-        let platform = settings.platform.clone();
+        let store = Client::with_settings(&settings.platform, settings.store.clone(), incarnation);
         let (to_dispatch, from_all) = bounded(limits.ring);
         let (calls, call_orders) = bounded(limits.ring);
         let (claims, claim_orders) = bounded(limits.ring);
@@ -72,10 +72,10 @@
             let duty = move || backend_edge::run(&shared, &ring, &agent);
             others.push(spawn(&format!("worker-{i}"), duty)?);
         }
-        let (context, store) = (shared.clone(), Client::new(&platform));
-        let duty = move || claims::run(context, &claim_orders, store);
+        let (context, own_store) = (shared.clone(), store.clone());
+        let duty = move || claims::run(context, &claim_orders, own_store);
         others.push(spawn("claims", duty)?);
-        let (context, store) = (shared.clone(), Client::new(&platform));
+        let context = shared.clone();
         let duty = move || manifest_watch::run(&context, &store);
         others.push(spawn("manifest", duty)?);
         let context = shared.clone();
--- a/crates/kingcuploftd/src/settings.rs
+++ b/crates/kingcuploftd/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use kingcuploft_platform::client::ClientSettings;
 use serde::Deserialize;
 
 /// The settings of one daemon.
@@ -25,6 +26,9 @@
     /// How much the daemon takes on.
     #[serde(default)]
     pub limits: Limits,
+    /// How the platform's object API is called.
+    #[serde(default)]
+    pub store: ClientSettings,
 }
 
 /// The form of the log lines.
