--- a/crates/kingcuploft/src/decisions/selection.rs
+++ b/crates/kingcuploft/src/decisions/selection.rs
@@ -57,6 +57,21 @@
             .map_or(Choice::Full, Choice::Send)
     }
 
+    /// Takes over what an earlier manifest's view knows; `old_of` gives the earlier index of each
+    /// backend server, `None` for one that is new.
+    pub fn take_over(&mut self, old: &Self, old_of: &[Option<usize>]) {
+        for (server, old_index) in self.servers.iter_mut().zip(old_of) {
+            if let Some(index) = old_index {
+                server.in_flight = old.servers[*index].in_flight;
+            }
+        }
+    }
+
+    /// Returns how many calls of this VM are in flight to a backend server.
+    pub fn in_flight(&self, server: usize) -> u32 {
+        self.servers[server].in_flight
+    }
+
     /// Notes that a call was handed over.
     pub fn sent(&mut self, _now: Instant, server: usize) {
         self.servers[server].in_flight += 1;
