fix(caller-edge): a planned stop cuts no answer that is still being written

Cause: the edge dropped its LocalSet as soon as the dispatch duty had nothing in flight, while connections were still writing. The test that came first: of a 25,165,824-byte answer to a slow reader 3,919,765 bytes arrived.

Now: not ready first, with the listener open; then the door closes, connections the system had taken are served, kept-alive ones shut down gracefully, and the caller edge ends before the dispatch duty is told to. The whole is bounded by stop_timeout_ms; what is cut there is counted.

After: the whole answer arrives; SIGTERM to the process ends with exit code 0.

--- /dev/null
+++ b/crates/kingcuploft-standins/tests/edges/harness.rs
@@ -0,0 +1,156 @@
+//! A daemon in this process with a manifest in force, and raw callers.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::Child;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use kingcuploft::manifest::{Accepted, Manifest};
+use kingcuploft_standins::platform::Platform;
+use kingcuploftd::daemon::Daemon;
+use kingcuploftd::message::Message;
+use kingcuploftd::settings::Settings;
+use tokio::runtime::Runtime;
+
+/// A daemon with what it needs around it.
+pub(crate) struct Bench {
+    pub(crate) daemon: Daemon,
+    _runtime: Runtime,
+    _platform: Platform,
+}
+
+/// Starts a daemon in front of the backend servers; `limits` is a YAML mapping.
+pub(crate) fn bench(servers: &[SocketAddr], limits: &str) -> Bench {
+    bench_with(servers, limits, "")
+}
+
+/// Starts a daemon; `rule` is more YAML for both rules, such as `, body_limit_bytes: 10`.
+pub(crate) fn bench_with(servers: &[SocketAddr], limits: &str, rule: &str) -> Bench {
+    let runtime = Runtime::new().unwrap();
+    let platform = Platform::start(&runtime).unwrap();
+    let text = format!(
+        "{{vm: entry-1, availability_zone: a, listen: '127.0.0.1:0', admin_listen: '127.0.0.1:0', platform: '{}', limits: {limits}}}",
+        platform.address()
+    );
+    let settings: Settings = serde_saphyr::from_str(&text).unwrap();
+    let daemon = Daemon::start(settings).unwrap();
+    let accepted = Accepted {
+        generation: 1,
+        manifest: Arc::new(manifest(servers, rule)),
+    };
+    let shared = daemon.shared();
+    shared.accepted.store(Arc::new(accepted.clone()));
+    shared.dispatch.send(Message::Adopted(accepted)).unwrap();
+    Bench {
+        daemon,
+        _runtime: runtime,
+        _platform: platform,
+    }
+}
+
+fn manifest(servers: &[SocketAddr], rule: &str) -> Manifest {
+    let servers = servers.iter().enumerate().map(|(i, address)| {
+        format!("{{name: trip-{i}, address: '{address}', availability_zone: a, slots: 64, connections: 220}}")
+    });
+    let servers: Vec<String> = servers.collect();
+    let text = format!(
+        "services:
+  - name: trip
+    hosts: [trip.example]
+    backend_servers: [{}]
+    rules:
+      - {{name: lookup, path_prefix: /, contract: retry_freely, priority: interactive, deadline_ms: 5000{rule}}}
+      - {{name: hold, methods: [POST], path_prefix: /holds, contract: at_most_once, priority: protected, deadline_ms: 5000{rule}}}
+",
+        servers.join(", ")
+    );
+    serde_saphyr::from_str(&text).unwrap()
+}
+
+/// A raw connection to a daemon.
+pub(crate) fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
+    stream
+}
+
+/// Reads one answer's head, without its body.
+pub(crate) fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => break,
+        }
+    }
+    String::from_utf8_lossy(&head).into_owned()
+}
+
+/// Waits until something holds.
+pub(crate) fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(10);
+    while !holds() {
+        assert!(Instant::now() < end, "{what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// A backend server that reads one request a connection, waits, then answers with these bytes.
+pub(crate) fn plain_server(delay: Duration, answer: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let answer = Arc::new(answer);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let answer = Arc::clone(&answer);
+            std::thread::spawn(move || {
+                let mut stream = stream.unwrap();
+                drop(read_head(&mut stream));
+                std::thread::sleep(delay);
+                drop(stream.write_all(&answer));
+            });
+        }
+    });
+    address
+}
+
+/// Returns a whole answer with a body of so many bytes.
+pub(crate) fn answer_of(bytes: usize) -> Vec<u8> {
+    let mut answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {bytes}\r\n\r\n").into_bytes();
+    answer.resize(answer.len() + bytes, b'x');
+    answer
+}
+
+/// A child process that ends with the test.
+pub(crate) struct Ended(pub(crate) Child);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        drop(self.0.kill());
+        drop(self.0.wait());
+    }
+}
+
+/// Returns the path of one of the workspace's programs.
+pub(crate) fn binary(name: &str) -> PathBuf {
+    let mut path = std::env::current_exe().unwrap();
+    path.pop();
+    path.pop();
+    path.join(name)
+}
+
+/// Returns a port that was free a moment ago.
+pub(crate) fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().port()
+}
+
+/// Returns a manifest's text with one lookup rule.
+pub(crate) fn manifest_text(server: SocketAddr) -> String {
+    serde_json::to_string(&manifest(&[server], "")).unwrap()
+}
--- /dev/null
+++ b/crates/kingcuploft-standins/tests/edges/main.rs
@@ -0,0 +1,4 @@
+//! Failure tests of the edges: real daemons on loopback, raw sockets where bytes matter.
+
+mod harness;
+mod stop;
--- /dev/null
+++ b/crates/kingcuploft-standins/tests/edges/stop.rs
@@ -0,0 +1,148 @@
+//! A planned stop cuts no request.
+
+use std::io::{Read, Write};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use kingcuploft_standins::platform::Platform;
+
+use crate::harness::{
+    Ended, answer_of, bench, bench_with, binary, connect, free_port, manifest_text, plain_server,
+    read_head, until,
+};
+
+const LOOKUP: &[u8] = b"GET /itinerary HTTP/1.1\r\nhost: trip.example\r\n\r\n";
+
+/// A school office on a poor link reads a long itinerary while its entry VM is replaced.
+/// Order: the answer is handed to the connection, SIGTERM, the office reads on.
+/// Cause: the edge dropped connections that were still writing; the itinerary ended in its middle.
+#[test]
+fn an_answer_that_is_still_being_written_is_not_cut_by_a_stop() {
+    const BYTES: usize = 24 * 1024 * 1024;
+    let server = plain_server(Duration::ZERO, answer_of(BYTES));
+    let bench = bench_with(&[server], "{}", ", whole_answer_bytes: 50000000");
+    let mut stream = connect(bench.daemon.address());
+    stream.write_all(LOOKUP).unwrap();
+    assert!(read_head(&mut stream).starts_with("HTTP/1.1 200"));
+    let stopped = std::thread::spawn(move || bench.daemon.stop());
+    std::thread::sleep(Duration::from_millis(300));
+    let mut body = Vec::new();
+    drop(stream.read_to_end(&mut body));
+    assert_eq!(body.len(), BYTES);
+    stopped.join().unwrap();
+}
+
+/// A manager's lookup is at a slow backend server when the entry VM is told to stop.
+/// Order: the request is sent on, the stop begins and passes its not-ready time, the answer comes.
+/// The answer must arrive whole and tell the caller that this connection ends.
+#[test]
+fn a_request_in_flight_is_answered_and_its_connection_closed() {
+    let server = plain_server(Duration::from_millis(300), answer_of(10));
+    let bench = bench(&[server], "{not_ready_ms: 20}");
+    let mut stream = connect(bench.daemon.address());
+    stream.write_all(LOOKUP).unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    let stopped = std::thread::spawn(move || bench.daemon.stop());
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert!(answer.ends_with("xxxxxxxxxx"), "{answer}");
+    stopped.join().unwrap();
+}
+
+/// The platform's balancer learns only after some time that a VM is not ready.
+/// Order: the stop begins, `/ready` says 503, the balancer still opens connections.
+/// Within the not-ready time they must be served as ever, and idle kept connections must end.
+#[test]
+fn the_not_ready_time_serves_new_connections_and_ends_idle_ones() {
+    let server = plain_server(Duration::ZERO, answer_of(3));
+    let bench = bench(&[server], "{not_ready_ms: 400}");
+    let address = bench.daemon.address();
+    let admin = bench.daemon.admin_address();
+    let mut idle = connect(address);
+    let mut fresh = connect(address);
+    idle.write_all(LOOKUP).unwrap();
+    assert!(read_head(&mut idle).starts_with("HTTP/1.1 200"));
+    let began = Instant::now();
+    let stopped = std::thread::spawn(move || bench.daemon.stop());
+    until("not ready", || {
+        let mut ready = connect(admin);
+        ready
+            .write_all(b"GET /ready HTTP/1.1\r\nhost: a\r\n\r\n")
+            .unwrap();
+        read_head(&mut ready).starts_with("HTTP/1.1 503")
+    });
+    let mut late = connect(address);
+    late.write_all(LOOKUP).unwrap();
+    assert!(read_head(&mut late).starts_with("HTTP/1.1 200"));
+    assert!(began.elapsed() < Duration::from_millis(400));
+    for stream in [&mut idle, &mut fresh] {
+        let mut rest = Vec::new();
+        drop(stream.read_to_end(&mut rest));
+    }
+    stopped.join().unwrap();
+    assert!(began.elapsed() < Duration::from_secs(5));
+}
+
+/// A caller stops reading in the middle of its answer and never comes back.
+/// Order: a long answer is being written, the stop begins, nothing is read any more.
+/// Cause: without a bound, one dead reader would keep the VM from ever ending.
+#[test]
+fn a_stop_ends_at_its_bound() {
+    let server = plain_server(Duration::ZERO, answer_of(24 * 1024 * 1024));
+    let bench = bench_with(
+        &[server],
+        "{stop_timeout_ms: 300}",
+        ", whole_answer_bytes: 50000000",
+    );
+    let mut stream = connect(bench.daemon.address());
+    stream.write_all(LOOKUP).unwrap();
+    assert!(read_head(&mut stream).starts_with("HTTP/1.1 200"));
+    let began = Instant::now();
+    bench.daemon.stop();
+    assert!(began.elapsed() >= Duration::from_millis(300));
+    assert!(began.elapsed() < Duration::from_secs(5));
+}
+
+/// An operator replaces an entry VM: the platform sends SIGTERM to the process.
+/// Order: a lookup is at a slow backend server, SIGTERM, the answer comes, the process ends.
+/// The caller must get the answer and the platform exit code 0, or it reports a crash.
+#[test]
+fn sigterm_to_the_process_cuts_nothing_and_ends_with_0() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let platform = Platform::start(&runtime).unwrap();
+    let server = plain_server(Duration::from_millis(200), answer_of(10));
+    let folder = tempfile::tempdir().unwrap();
+    let manifest = folder.path().join("manifest.json");
+    std::fs::write(&manifest, manifest_text(server)).unwrap();
+    let (port, admin) = (free_port(), free_port());
+    let settings = folder.path().join("settings.yaml");
+    let text = format!(
+        "vm: entry-1\navailability_zone: a\nlisten: 127.0.0.1:{port}\nadmin_listen: 127.0.0.1:{admin}\nplatform: {}\nlimits: {{not_ready_ms: 50}}\n",
+        platform.address()
+    );
+    std::fs::write(&settings, text).unwrap();
+    let mut apply = Command::new(binary("kingcuploftctl"));
+    apply.arg("--platform").arg(platform.address().to_string());
+    let applied = apply.args(["manifest", "apply"]).arg(&manifest).output();
+    assert!(applied.unwrap().status.success());
+    let mut daemon = Command::new(binary("kingcuploftd"));
+    let mut daemon = Ended(daemon.arg("--settings").arg(&settings).spawn().unwrap());
+    let admin = std::net::SocketAddr::from(([127, 0, 0, 1], admin));
+    until("ready", || {
+        std::net::TcpStream::connect(admin).is_ok_and(|mut ready| {
+            drop(ready.write_all(b"GET /ready HTTP/1.1\r\nhost: a\r\n\r\n"));
+            read_head(&mut ready).starts_with("HTTP/1.1 200")
+        })
+    });
+    let mut stream = connect(([127, 0, 0, 1], port).into());
+    stream.write_all(LOOKUP).unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    let kill = Command::new("kill").arg(daemon.0.id().to_string()).status();
+    assert!(kill.unwrap().success());
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.ends_with("xxxxxxxxxx"), "{answer}");
+    assert_eq!(daemon.0.wait().unwrap().code(), Some(0));
+}
--- a/crates/kingcuploftd/src/caller_edge/mod.rs
+++ b/crates/kingcuploftd/src/caller_edge/mod.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use crossbeam_channel::TrySendError;
+use futures::FutureExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -21,8 +22,8 @@
 use kingcuploft::world::contract::Contract;
 use kingcuploft::world::ids::{Caller, RequestId};
 use kingcuploft::world::refusal::{Refusal, RefusalReason};
-use tokio::sync::{Semaphore, oneshot};
-use tokio::task::LocalSet;
+use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::task::{JoinSet, LocalSet};
 
 use crate::message::{Message, Reply, RequestParts};
 use crate::shared::Shared;
@@ -33,8 +34,8 @@
 /// The most headers of one request.
 const HEADERS: usize = 64;
 
-/// How often the accept loop looks whether to stop.
-const STOP_POLL: Duration = Duration::from_millis(20);
+/// How long an idle connection stays open after the door closed.
+const CLOSE_GRACE: Duration = Duration::from_millis(50);
 
 /// Runs the duty until the daemon ends.
 ///
@@ -51,27 +52,70 @@
 
 async fn serve(shared: &Arc<Shared>, listener: TcpListener) {
     let listener = tokio::net::TcpListener::from_std(listener).expect("a listening socket");
-    let connections = Arc::new(Semaphore::new(shared.settings.limits.connections));
-    while !shared.ended() {
-        let accepted = tokio::time::timeout(STOP_POLL, listener.accept()).await;
-        let Ok(Ok((stream, peer))) = accepted else {
-            continue;
-        };
-        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
-            shared.metrics.refused(RefusalReason::Overloaded);
-            continue;
-        };
-        drop(stream.set_nodelay(true));
-        let shared = Arc::clone(shared);
-        tokio::task::spawn_local(async move {
-            connection(shared, stream, peer).await;
-            drop(permit);
-        });
+    let permits = Arc::new(Semaphore::new(shared.settings.limits.connections));
+    let mut connections = JoinSet::new();
+    let mut closing = shared.closing();
+    let until = loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, peer)) = accepted {
+                    open(shared, &permits, &mut connections, stream, peer);
+                }
+            }
+            Some(_) = connections.join_next() => {}
+            until = closed(&mut closing) => break until,
+        }
+    };
+    // Connections that the system took before the door closed are served too.
+    while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
+        open(shared, &permits, &mut connections, stream, peer);
+    }
+    drop(listener);
+    finish(shared, connections, until).await;
+}
+
+/// Waits until the door closes; returns until when requests may go on.
+async fn closed(closing: &mut watch::Receiver<Option<Instant>>) -> Instant {
+    let until = closing.wait_for(Option::is_some).await;
+    until
+        .ok()
+        .and_then(|until| *until)
+        .unwrap_or_else(Instant::now)
+}
+
+/// Waits for the open connections to end; cuts what is left at the bound.
+async fn finish(shared: &Shared, mut connections: JoinSet<()>, until: Instant) {
+    let all = async { while connections.join_next().await.is_some() {} };
+    if tokio::time::timeout_at(until.into(), all).await.is_err() {
+        let left = connections.len();
+        shared.metrics.cut_by_stop.inc_by(left as u64);
+        tracing::warn!("caller: {left} connections were cut at the bound of the stop.");
     }
 }
 
+/// Serves a new connection, if there is room for one.
+fn open(
+    shared: &Arc<Shared>,
+    permits: &Arc<Semaphore>,
+    connections: &mut JoinSet<()>,
+    stream: tokio::net::TcpStream,
+    peer: SocketAddr,
+) {
+    let Ok(permit) = Arc::clone(permits).try_acquire_owned() else {
+        shared.metrics.refused(RefusalReason::Overloaded);
+        return;
+    };
+    drop(stream.set_nodelay(true));
+    let shared = Arc::clone(shared);
+    connections.spawn_local(async move {
+        connection(shared, stream, peer).await;
+        drop(permit);
+    });
+}
+
 async fn connection(shared: Arc<Shared>, stream: tokio::net::TcpStream, peer: SocketAddr) {
     let header_timeout = Duration::from_millis(shared.settings.limits.header_timeout_ms);
+    let mut closing = shared.closing();
     let service = service_fn(|request| {
         let shared = Arc::clone(&shared);
         async move { Ok::<_, Infallible>(answer(&shared, request, peer).await) }
@@ -81,9 +125,22 @@
         .header_read_timeout(header_timeout)
         .max_buf_size(HEADERS_BYTES)
         .max_headers(HEADERS)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = served {
+        .serve_connection(TokioIo::new(stream), service);
+    let mut served = std::pin::pin!(served);
+    let ended = tokio::select! {
+        ended = served.as_mut() => ended,
+        _ = closed(&mut closing) => {
+            // A request that was on its way when the door closed is still read and answered.
+            match tokio::time::timeout(CLOSE_GRACE, served.as_mut()).await {
+                Ok(ended) => ended,
+                Err(_) => {
+                    served.as_mut().graceful_shutdown();
+                    served.await
+                }
+            }
+        }
+    };
+    if let Err(error) = ended {
         tracing::debug!("caller: a connection ended: {error}.");
     }
 }
--- a/crates/kingcuploftd/src/daemon.rs
+++ b/crates/kingcuploftd/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crossbeam_channel::bounded;
 use kingcuploft::world::vm::Vm;
@@ -21,6 +21,7 @@
     shared: Arc<Shared>,
     address: SocketAddr,
     admin_address: SocketAddr,
+    caller_edge: JoinHandle<()>,
     dispatch: JoinHandle<()>,
     others: Vec<JoinHandle<()>>,
 }
@@ -80,7 +81,7 @@
         others.push(spawn("manifest", duty)?);
         let context = shared.clone();
         let duty = move || caller_edge::run(&context, callers);
-        others.push(spawn("caller-edge", duty)?);
+        let caller_edge = spawn("caller-edge", duty)?;
         let context = shared.clone();
         let duty = move || admin::run(&context, admins);
         others.push(spawn("admin", duty)?);
@@ -92,6 +93,7 @@
             shared,
             address,
             admin_address,
+            caller_edge,
             dispatch,
             others,
         })
@@ -112,18 +114,27 @@
         &self.shared
     }
 
-    /// Stops as planned: not ready first, then what is in flight finishes, then all ends.
+    /// Stops as planned, without cutting a request.
+    ///
+    /// Not ready first, while callers are still served; then the door closes and every
+    /// answer in flight is written whole; then the other duties end. What has not ended within
+    /// `stop_timeout_ms` of the door's closing is cut and counted.
     pub fn stop(self) {
+        let limits = &self.shared.settings.limits;
         self.shared.stop();
         tracing::info!("daemon: {} stops.", self.shared.vm.name);
-        let not_ready_ms = self.shared.settings.limits.not_ready_ms;
-        std::thread::sleep(Duration::from_millis(not_ready_ms));
-        drop(self.shared.dispatch.send(Message::Stop));
+        std::thread::sleep(Duration::from_millis(limits.not_ready_ms));
+        let until = Instant::now() + Duration::from_millis(limits.stop_timeout_ms);
+        self.shared.close(until);
+        // The caller edge ends first: only then can no request arrive at the dispatch duty.
+        drop(self.caller_edge.join());
+        drop(self.shared.dispatch.send(Message::Stop(until)));
         drop(self.dispatch.join());
         self.shared.end();
         for duty in self.others {
             drop(duty.join());
         }
+        tracing::info!("daemon: {} stopped.", self.shared.vm.name);
     }
 }
 
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -56,10 +56,11 @@
         answers: HashMap::default(),
         actions: Vec::new(),
     };
-    let mut stopping = false;
-    while !(stopping && dispatch.dispatcher.in_flight() == 0) {
+    let mut stop: Option<Instant> = None;
+    // A stop that has a bound ends at it even where a request is still in flight.
+    while stop.is_none_or(|until| dispatch.dispatcher.in_flight() > 0 && Instant::now() < until) {
         match ring.recv_timeout(dispatch.sleep()) {
-            Ok(Message::Stop) => stopping = true,
+            Ok(Message::Stop(until)) => stop = Some(until),
             Ok(message) => dispatch.on_message(message),
             Err(RecvTimeoutError::Timeout) => dispatch.on_event(Event::Tick),
             Err(RecvTimeoutError::Disconnected) => return,
@@ -126,7 +127,7 @@
                 self.on_event(Event::Adopted(accepted));
             }
             Message::Draining(service, server) => self.on_event(Event::Draining(service, server)),
-            Message::Stop => {}
+            Message::Stop(_) => {}
         }
     }
 
--- a/crates/kingcuploftd/src/message.rs
+++ b/crates/kingcuploftd/src/message.rs
@@ -1,5 +1,7 @@
 //! The typed messages between the daemon's threads.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd};
@@ -78,8 +80,8 @@
     Adopted(Accepted),
     /// A backend server drains.
     Draining(ServiceName, BackendServerName),
-    /// Finish what is in flight, then end.
-    Stop,
+    /// Finish what is in flight until this time, then end.
+    Stop(Instant),
 }
 
 /// A call for the backend edge.
--- a/crates/kingcuploftd/src/metrics.rs
+++ b/crates/kingcuploftd/src/metrics.rs
@@ -31,6 +31,8 @@
     latency: Family<ServiceLabel, Histogram>,
     /// The generation in force.
     pub generation: Gauge,
+    /// Callers' connections cut because a planned stop reached its bound.
+    pub cut_by_stop: Counter,
 }
 
 /// Upper bounds of the latency histogram, in s.
@@ -47,6 +49,7 @@
             Histogram::new(LATENCY_BOUNDS_S)
         });
         let generation = Gauge::default();
+        let cut_by_stop = Counter::default();
         for reason in RefusalReason::ALL {
             let reason = reason.label();
             drop(refusals.get_or_create(&ReasonLabel { reason }));
@@ -59,12 +62,18 @@
         registry.register("retries", "Requests sent again, by reason", retries.clone());
         registry.register("latency_seconds", "Arrival to answer", latency.clone());
         registry.register("manifest_generation", "In force", generation.clone());
+        registry.register(
+            "connections_cut_by_stop",
+            "Callers' connections cut at the bound of a planned stop",
+            cut_by_stop.clone(),
+        );
         Self {
             registry,
             refusals,
             retries,
             latency,
             generation,
+            cut_by_stop,
         }
     }
 }
--- a/crates/kingcuploftd/src/settings.rs
+++ b/crates/kingcuploftd/src/settings.rs
@@ -50,6 +50,8 @@
     pub ring: usize,
     /// Time from a planned stop until connections are refused, in ms.
     pub not_ready_ms: u64,
+    /// Time for what is in flight to end after that, in ms; what has not ended then is cut.
+    pub stop_timeout_ms: u64,
     /// Time for a caller to send its headers, in ms.
     pub header_timeout_ms: u64,
     /// Time for a caller to send its body, in ms.
@@ -63,6 +65,7 @@
             connections: 8192,
             ring: 4096,
             not_ready_ms: 0,
+            stop_timeout_ms: 30_000,
             header_timeout_ms: 10_000,
             body_timeout_ms: 10_000,
         }
--- a/crates/kingcuploftd/src/shared.rs
+++ b/crates/kingcuploftd/src/shared.rs
@@ -2,12 +2,14 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use crossbeam_channel::Sender;
 use kingcuploft::manifest::Accepted;
 use kingcuploft::world::ids::RequestId;
 use kingcuploft::world::vm::Vm;
+use tokio::sync::watch;
 
 use crate::message::Message;
 use crate::metrics::Metrics;
@@ -27,6 +29,7 @@
     /// The ring to the dispatch duty.
     pub dispatch: Sender<Message>,
     stopping: AtomicBool,
+    closing: watch::Sender<Option<Instant>>,
     ended: AtomicBool,
     last_request: AtomicU64,
 }
@@ -41,6 +44,7 @@
             metrics: Metrics::default(),
             dispatch,
             stopping: AtomicBool::new(false),
+            closing: watch::Sender::new(None),
             ended: AtomicBool::new(false),
             last_request: AtomicU64::new(0),
         })
@@ -61,6 +65,16 @@
         self.stopping.store(true, Ordering::Release);
     }
 
+    /// Closes the door to callers: what is in flight may go on until `until`.
+    pub fn close(&self, until: Instant) {
+        self.closing.send_replace(Some(until));
+    }
+
+    /// Returns a watch on the door: `None` while it is open, else until when requests may go on.
+    pub fn closing(&self) -> watch::Receiver<Option<Instant>> {
+        self.closing.subscribe()
+    }
+
     /// Tells whether nothing is in flight any more and every duty should end.
     pub fn ended(&self) -> bool {
         self.ended.load(Ordering::Acquire)
