--- a/crates/kingcuploftd/src/settings.rs
+++ b/crates/kingcuploftd/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use kingcuploft_platform::client::ClientSettings;
 use serde::Deserialize;
 
 /// The settings of one daemon.
@@ -25,6 +26,9 @@
     /// How much the daemon takes on.
     #[serde(default)]
     pub limits: Limits,
+    /// How the platform's object API is called.
+    #[serde(default)]
+    pub store: ClientSettings,
 }
 
 /// The form of the log lines.
@@ -50,6 +54,8 @@
     pub ring: usize,
     /// Time from a planned stop until connections are refused, in ms.
     pub not_ready_ms: u64,
+    /// Time for what is in flight to end after that, in ms; what has not ended then is cut.
+    pub stop_timeout_ms: u64,
     /// Time for a caller to send its headers, in ms.
     pub header_timeout_ms: u64,
     /// Time for a caller to send its body, in ms.
@@ -63,6 +69,7 @@
             connections: 8192,
             ring: 4096,
             not_ready_ms: 0,
+            stop_timeout_ms: 30_000,
             header_timeout_ms: 10_000,
             body_timeout_ms: 10_000,
         }
