--- a/crates/kingcuploft-standins/tests/edges/harness.rs
+++ b/crates/kingcuploft-standins/tests/edges/harness.rs
@@ -10,7 +10,6 @@
 use kingcuploft::manifest::{Accepted, Manifest};
 use kingcuploft_standins::platform::Platform;
 use kingcuploftd::daemon::Daemon;
-use kingcuploftd::message::Message;
 use kingcuploftd::settings::Settings;
 use tokio::runtime::Runtime;
 
@@ -40,9 +39,7 @@
         generation: 1,
         manifest: Arc::new(manifest(servers, rule)),
     };
-    let shared = daemon.shared();
-    shared.accepted.store(Arc::new(accepted.clone()));
-    shared.dispatch.send(Message::Adopted(accepted)).unwrap();
+    daemon.shared().put_in_force(accepted);
     Bench {
         daemon,
         _runtime: runtime,
