--- /dev/null
+++ b/crates/kingcuploft-standins/src/backend_server/load.rs
@@ -0,0 +1,76 @@
+//! The load of a backend server, now and as its lagging endpoint tells it.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Requests that occupy or wait for a slot.
+#[derive(Debug)]
+pub(super) struct Load {
+    lag: Duration,
+    state: Mutex<LoadState>,
+}
+
+#[derive(Debug)]
+struct LoadState {
+    in_flight: u32,
+    /// Changes younger than the lag, and the last one older than it.
+    changes: VecDeque<(Instant, u32)>,
+}
+
+/// One request in flight, until dropped.
+#[derive(Debug)]
+pub(super) struct InFlight<'a>(&'a Load);
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.change(|in_flight| in_flight - 1);
+    }
+}
+
+impl Load {
+    pub(super) fn new(lag: Duration) -> Self {
+        Self {
+            lag,
+            state: Mutex::new(LoadState {
+                in_flight: 0,
+                changes: VecDeque::from([(Instant::now(), 0)]),
+            }),
+        }
+    }
+
+    /// Returns the load now.
+    pub(super) fn now(&self) -> u32 {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.in_flight
+    }
+
+    /// Returns the load as it was the lag ago.
+    pub(super) fn lagging(&self) -> u32 {
+        self.change(|in_flight| in_flight);
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let oldest = state.changes.front();
+        oldest.map_or(0, |(_, in_flight)| *in_flight)
+    }
+
+    /// Counts one more in flight.
+    pub(super) fn enter(&self) -> InFlight<'_> {
+        self.change(|in_flight| in_flight + 1);
+        InFlight(self)
+    }
+
+    fn change(&self, change: impl FnOnce(u32) -> u32) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        state.in_flight = change(state.in_flight);
+        let in_flight = state.in_flight;
+        state.changes.push_back((now, in_flight));
+        while state
+            .changes
+            .get(1)
+            .is_some_and(|(at, _)| *at + self.lag <= now)
+        {
+            state.changes.pop_front();
+        }
+    }
+}
--- a/crates/kingcuploft-standins/src/fleet.rs
+++ b/crates/kingcuploft-standins/src/fleet.rs
@@ -230,6 +230,7 @@
             slots: plan.slots as usize,
             mean: variant.mean,
             seed: variant.seed.wrapping_mul(1_000).wrapping_add(i as u64),
+            ..Work::default()
         };
         servers.push(BackendServer::start(runtime, work)?);
     }
--- a/crates/kingcuploft-standins/tests/whole_path.rs
+++ b/crates/kingcuploft-standins/tests/whole_path.rs
@@ -36,6 +36,7 @@
         slots: 2,
         mean: Duration::from_millis(1),
         seed: 1,
+        ..Work::default()
     };
     let server = BackendServer::start(&runtime, work).unwrap();
     let folder = tempfile::tempdir().unwrap();
