--- a/crates/kingcuploft-standins/src/lib.rs
+++ b/crates/kingcuploft-standins/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod platform;
 pub mod plot;
 pub mod tally;
+pub mod traffic;
--- a/crates/kingcuploft-standins/src/platform.rs
+++ b/crates/kingcuploft-standins/src/platform.rs
@@ -31,6 +31,13 @@
     pub vms: u64,
 }
 
+impl Calls {
+    /// Returns the calls of all kinds.
+    pub fn total(self) -> u64 {
+        self.gets + self.puts + self.deletes + self.lists + self.watches + self.vms
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     revision: Version,
