--- a/crates/kingcuploft-standins/src/bin/kingcuploft-quickstart.rs
+++ b/crates/kingcuploft-standins/src/bin/kingcuploft-quickstart.rs
@@ -190,7 +190,7 @@
         services: services.collect(),
         protected_actions: traffic.keys.len(),
         duplicate_runs: runs.map(|runs| runs.saturating_sub(1)).sum(),
-        store_calls: fleet.platform.calls().total(),
+        store_calls: fleet.platform.calls().all(),
     };
     (outcome, tallies)
 }
