feat(backend-edge): cancellation, long answers streamed, nothing taken for whole unproved

- Action::Cancel did nothing: a lookup whose caller had gone held its slot to the end.
Calls in flight stand in a registry now; cancelling shuts the socket down, unless the connection already carries another call.
- An answer without length or chunks, or with contradictory ones, is broken; one longer than whole_answer_bytes streams through a bounded ring and a cut closes the caller's connection.
- A connection with left-over bytes read ahead is not reused; connections to a backend server stay within this VM's share and are counted.
- The deadline and request id headers replace the caller's; the id is unique in the fleet.

--- a/crates/kingcuploft-standins/tests/edges/harness.rs
+++ b/crates/kingcuploft-standins/tests/edges/harness.rs
@@ -16,10 +16,23 @@
 /// A daemon with what it needs around it.
 pub(crate) struct Bench {
     pub(crate) daemon: Daemon,
-    _runtime: Runtime,
+    _runtimes: Vec<Runtime>,
     _platform: Platform,
 }
 
+impl Bench {
+    /// Returns a runtime for backend servers.
+    pub(crate) fn runtime() -> Runtime {
+        Runtime::new().unwrap()
+    }
+
+    /// Keeps a runtime as long as the bench.
+    pub(crate) fn with(mut self, runtime: Runtime) -> Self {
+        self._runtimes.push(runtime);
+        self
+    }
+}
+
 /// Starts a daemon in front of the backend servers; `limits` is a YAML mapping.
 pub(crate) fn bench(servers: &[SocketAddr], limits: &str) -> Bench {
     bench_with(servers, limits, "")
@@ -42,7 +55,7 @@
     daemon.shared().put_in_force(accepted);
     Bench {
         daemon,
-        _runtime: runtime,
+        _runtimes: vec![runtime],
         _platform: platform,
     }
 }
@@ -56,6 +69,7 @@
         "services:
   - name: trip
     hosts: [trip.example]
+    policy: {{retry: {{attempts: 1}}}}
     backend_servers: [{}]
     rules:
       - {{name: lookup, path_prefix: /, contract: retry_freely, priority: interactive, deadline_ms: 5000{rule}}}
@@ -151,3 +165,48 @@
 pub(crate) fn manifest_text(server: SocketAddr) -> String {
     serde_json::to_string(&manifest(&[server], "")).unwrap()
 }
+/// Sends bytes on a new connection and reads until the daemon closes it.
+pub(crate) fn exchange(address: SocketAddr, request: &[u8]) -> String {
+    let mut stream = connect(address);
+    stream.write_all(request).unwrap();
+    let mut answer = Vec::new();
+    // A reset after the answer still leaves the answer that was read.
+    drop(stream.read_to_end(&mut answer));
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Reads one answer; its body is `None` where it was cut.
+pub(crate) fn read_answer(stream: &mut TcpStream) -> (String, Option<Vec<u8>>) {
+    let head = read_head(stream);
+    let length = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(": ")?;
+        let found = name.eq_ignore_ascii_case("content-length");
+        found.then(|| value.parse().unwrap())
+    });
+    let Some(length) = length else {
+        return (head, read_chunks(stream));
+    };
+    let mut body = vec![0; length];
+    let whole = stream.read_exact(&mut body).is_ok();
+    (head, whole.then_some(body))
+}
+
+fn read_chunks(stream: &mut TcpStream) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = Vec::new();
+        while !line.ends_with(b"\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).ok()?;
+            line.push(byte[0]);
+        }
+        let size = String::from_utf8(line).ok()?;
+        let size = usize::from_str_radix(size.trim(), 16).ok()?;
+        let mut chunk = vec![0; size + 2];
+        stream.read_exact(&mut chunk).ok()?;
+        if size == 0 {
+            return Some(body);
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
--- /dev/null
+++ b/crates/kingcuploftd/src/backend_edge/exchange.rs
@@ -0,0 +1,206 @@
+//! One request to a backend server and its answer.
+
+use std::io::Read;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use kingcuploft::dispatcher::Call;
+use ureq::http::{HeaderName, HeaderValue};
+use ureq::{Agent, BodyReader};
+
+use super::framing::{Framing, framing};
+use super::registry::BackendConnection;
+use crate::message::{Answer, RequestParts};
+use crate::shared::Shared;
+use crate::stream::{Rest, RestSender, Stalled, rest};
+
+/// How much of a body is read at once.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// Carries the time left to the backend server, in ms.
+const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
+
+/// Why there is no whole answer.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ExchangeError {
+    /// The call was cancelled before it began.
+    #[error("cancelled")]
+    Cancelled,
+    /// The library's error.
+    #[error(transparent)]
+    Http(#[from] ureq::Error),
+    /// The body ended too early.
+    #[error("the body was cut: {0}")]
+    Body(#[from] std::io::Error),
+    /// The answer can not be proved whole.
+    #[error("the answer does not tell where it ends")]
+    NotWhole,
+}
+
+/// An answer, read whole up to the rule's bound.
+pub(super) struct Received {
+    pub(super) answer: Answer,
+    /// What is left of a longer body.
+    pub(super) unread: Option<Unread>,
+}
+
+/// The part of a body above the rule's bound.
+pub(super) struct Unread {
+    reader: BodyReader<'static>,
+    framing: Framing,
+    read_bytes: u64,
+}
+
+/// Why a streamed answer did not reach its caller whole.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum CutError {
+    /// The backend server cut it.
+    #[error("the backend server ended it: {0}")]
+    Backend(#[from] ExchangeError),
+    /// The caller did not take it.
+    #[error("the caller did not take it: {0:?}")]
+    Caller(Stalled),
+}
+
+/// Sends the request and reads its answer.
+///
+/// # Errors
+///
+/// [`ExchangeError`] where no whole answer came.
+pub(super) fn exchange(
+    shared: &Shared,
+    agent: &Agent,
+    call: &Call,
+    parts: RequestParts,
+    now: Instant,
+) -> Result<Received, ExchangeError> {
+    let left = call.deadline.saturating_duration_since(now);
+    let left = left.max(Duration::from_millis(1));
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let method = parts.method.clone();
+    let mut request = ureq::http::Request::builder()
+        .method(parts.method)
+        .uri(format!("http://{}{path}", call.address))
+        .body(&parts.body[..])
+        .map_err(ureq::Error::from)?;
+    *request.headers_mut() = parts.headers;
+    let headers = request.headers_mut();
+    headers.insert(DEADLINE_HEADER, HeaderValue::from(left.as_millis() as u64));
+    let id_header = &call.route.service.signals.request_id_header;
+    let id = HeaderValue::from_str(&shared.request_name(call.request));
+    if let (Ok(name), Ok(id)) = (id_header.parse::<HeaderName>(), id) {
+        headers.insert(name, id);
+    }
+    let request = agent
+        .configure_request(request)
+        .timeout_global(Some(left))
+        .allow_non_standard_methods(true)
+        .build();
+    let (head, body) = agent.run(request)?.into_parts();
+    let framing = framing(&method, head.status, &head.headers);
+    let limit = call.route.rule().whole_answer_bytes;
+    let reader = body.into_reader();
+    let (body, unread) = read(reader, framing, limit)?;
+    let answer = Answer {
+        status: head.status,
+        headers: head.headers,
+        body,
+        rest: None,
+    };
+    Ok(Received { answer, unread })
+}
+
+/// Reads a body up to the bound; what is above it stays unread.
+fn read(
+    mut reader: BodyReader<'static>,
+    framing: Framing,
+    limit: u64,
+) -> Result<(Bytes, Option<Unread>), ExchangeError> {
+    let expected = match framing {
+        Framing::Unprovable => return Err(ExchangeError::NotWhole),
+        Framing::Empty => return Ok((Bytes::new(), None)),
+        Framing::Length(length) if length > limit => 0,
+        Framing::Length(length) => length,
+        Framing::Chunked => limit.saturating_add(1),
+    };
+    let mut body = Vec::new();
+    (&mut reader).take(expected).read_to_end(&mut body)?;
+    let read_bytes = body.len() as u64;
+    let above = match framing {
+        Framing::Length(length) => length > limit,
+        _ => read_bytes > limit,
+    };
+    if above {
+        let unread = Unread {
+            reader,
+            framing,
+            read_bytes,
+        };
+        return Ok((body.into(), Some(unread)));
+    }
+    finish(&mut reader, framing, read_bytes)?;
+    Ok((body.into(), None))
+}
+
+/// Reads to the body's end, which frees the connection, and checks that it is whole.
+fn finish(
+    reader: &mut BodyReader<'static>,
+    framing: Framing,
+    read_bytes: u64,
+) -> Result<(), ExchangeError> {
+    let mut byte = [0];
+    let more = reader.read(&mut byte)? as u64;
+    match framing {
+        Framing::Length(length) if length != read_bytes + more => Err(ExchangeError::NotWhole),
+        _ => Ok(()),
+    }
+}
+
+/// A longer answer's unread part, with the ring to the caller edge.
+pub(super) struct Remainder {
+    unread: Unread,
+    sender: RestSender,
+}
+
+impl Remainder {
+    /// Opens the ring for an unread part. Its connection carries no further call, so that it may
+    /// be shut down at any moment when the caller goes away.
+    pub(super) fn of(
+        unread: Option<Unread>,
+        connection: Option<Arc<BackendConnection>>,
+    ) -> Option<(Rest, Self)> {
+        let unread = unread?;
+        if let Some(connection) = &connection {
+            connection.retire();
+        }
+        let (sender, rest) = rest(connection);
+        Some((rest, Self { unread, sender }))
+    }
+
+    /// Passes the unread part on to the caller edge.
+    ///
+    /// # Errors
+    ///
+    /// [`CutError`]; the ring then closes without its end, which cuts the caller's connection.
+    pub(super) fn pass_on(self, deadline: Instant) -> Result<(), CutError> {
+        let Self { mut unread, sender } = self;
+        let mut buffer = vec![0; CHUNK_BYTES];
+        loop {
+            let read = unread.reader.read(&mut buffer);
+            let read = read.map_err(ExchangeError::from)?;
+            if read == 0 {
+                break;
+            }
+            unread.read_bytes += read as u64;
+            let data = Bytes::copy_from_slice(&buffer[..read]);
+            sender.send(data, deadline).map_err(CutError::Caller)?;
+        }
+        match unread.framing {
+            Framing::Length(length) if length != unread.read_bytes => {
+                Err(ExchangeError::NotWhole.into())
+            }
+            _ => sender.end(deadline).map_err(CutError::Caller),
+        }
+    }
+}
--- a/crates/kingcuploftd/src/backend_edge/mod.rs
+++ b/crates/kingcuploftd/src/backend_edge/mod.rs
@@ -1,9 +1,15 @@
 //! The backend edge: worker threads that call backend servers.
+//!
+//! A worker sends a request once and never again by itself: whether it may be sent again is the
+//! dispatcher's decision, on the report of how the call ended.
 
+mod exchange;
+mod framing;
+mod registry;
 mod transport;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crossbeam_channel::Receiver;
 use kingcuploft::manifest::Signals;
@@ -13,19 +19,30 @@
 
 use crate::message::{Answer, CallOrder, Message};
 use crate::shared::Shared;
+use exchange::{ExchangeError, Received, Remainder};
+
+pub use registry::{BackendConnection, CallRegistry};
+
+/// The most idle connections that are kept to all backend servers.
+const IDLE_CONNECTIONS: usize = 4096;
+
+/// The most idle connections that are kept to one backend server.
+const IDLE_CONNECTIONS_EACH: usize = 64;
 
 /// Runs one worker until the dispatch duty ends.
 pub fn run(shared: &Arc<Shared>, ring: &Receiver<CallOrder>, agent: &Agent) {
     for order in ring {
-        let (report, answer) = call(agent, &order);
-        let message = Message::Ended {
-            attempt: order.call.attempt,
-            report,
-            answer: answer.map(Box::new),
-        };
+        let deadline = order.call.deadline;
+        let (message, remainder) = call(shared, agent, order);
         if shared.dispatch.send(message).is_err() {
             return;
         }
+        if let Some(remainder) = remainder
+            && let Err(error) = remainder.pass_on(deadline)
+        {
+            shared.metrics.streams_cut.inc();
+            tracing::debug!("backend: a streamed answer was cut: {error}.");
+        }
     }
 }
 
@@ -39,8 +56,8 @@
         .user_agent("")
         .accept("")
         .accept_encoding("")
-        .max_idle_connections(1024)
-        .max_idle_connections_per_host(32)
+        .max_idle_connections(IDLE_CONNECTIONS)
+        .max_idle_connections_per_host(IDLE_CONNECTIONS_EACH)
         .build();
     Agent::with_parts(
         config,
@@ -49,75 +66,54 @@
     )
 }
 
-/// Calls a backend server and reads its whole answer.
-fn call(agent: &Agent, order: &CallOrder) -> (CallReport, Option<Answer>) {
+/// Calls a backend server; returns what the dispatch duty is told, and what is left to read.
+fn call(shared: &Arc<Shared>, agent: &Agent, order: CallOrder) -> (Message, Option<Remainder>) {
     let began = Instant::now();
-    transport::begin_call();
-    let result = exchange(agent, order, began);
-    let latency = began.elapsed();
-    let signals = &order.call.route.service.signals;
-    match result {
-        Ok(answer) => {
-            let end = end_of(&answer, order);
-            let report = CallReport {
-                end,
-                latency,
-                load: load(signals, &answer.headers),
-                draining: answer.headers.contains_key(&signals.drain_header),
-            };
-            (report, Some(answer))
-        }
-        Err(error) => {
-            let report = CallReport {
-                end: end_of_error(&error),
-                latency,
-                load: None,
-                draining: false,
-            };
-            (report, None)
+    let call = order.call;
+    let attempt = call.attempt;
+    transport::begin_call(shared, attempt, shared.connections_to(&call));
+    let result = match shared.calls.cancelled(attempt) {
+        true => Err(ExchangeError::Cancelled),
+        false => exchange::exchange(shared, agent, &call, order.parts, began),
+    };
+    let cancelled = shared.calls.cancelled(attempt);
+    let connection = shared.calls.ended(attempt);
+    let signals = &call.route.service.signals;
+    let (end, received) = match result {
+        Ok(received) => {
+            let own_id = shared.request_name(call.request);
+            (end_of(&received.answer, signals, &own_id), Some(received))
         }
-    }
+        Err(_) if cancelled => (CallEnd::Cancelled, None),
+        Err(error) => (end_of_error(&error), None),
+    };
+    let headers = received.as_ref().map(|received| &received.answer.headers);
+    let report = CallReport {
+        end,
+        latency: began.elapsed(),
+        load: headers.and_then(|headers| load(signals, headers)),
+        draining: headers.is_some_and(|headers| headers.contains_key(&signals.drain_header)),
+    };
+    // Only an answer that is this request's own is handed on, and only then its rest.
+    let received = received.filter(|_| matches!(end, CallEnd::Answered { .. }));
+    let (answer, remainder) = received.map_or((None, None), |received| {
+        let Received { answer, unread } = received;
+        let (rest, remainder) = Remainder::of(unread, connection).unzip();
+        let answer = Answer { rest, ..answer };
+        (Some(Box::new(answer)), remainder)
+    });
+    let ended = Message::Ended {
+        attempt,
+        report,
+        answer,
+    };
+    (ended, remainder)
 }
 
-fn exchange(agent: &Agent, order: &CallOrder, now: Instant) -> Result<Answer, ureq::Error> {
-    let parts = &order.parts;
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let uri = format!("http://{}{path}", order.call.address);
-    let mut request = ureq::http::Request::builder()
-        .method(parts.method.clone())
-        .uri(uri);
-    for (name, value) in &parts.headers {
-        request = request.header(name, value);
-    }
-    let left = order.call.deadline.saturating_duration_since(now);
-    let id_header = &order.call.route.service.signals.request_id_header;
-    let request = request
-        .header("x-deadline-ms", left.as_millis().to_string())
-        .header(id_header, order.call.request.to_string())
-        .body(&parts.body[..])?;
-    let left = left.max(Duration::from_millis(1));
-    let request = agent
-        .configure_request(request)
-        .timeout_global(Some(left))
-        .allow_non_standard_methods(true)
-        .build();
-    let response = agent.run(request)?;
-    let (head, mut body) = response.into_parts();
-    let limit = order.call.route.rule().whole_answer_bytes;
-    let body = body.with_config().limit(limit).read_to_vec()?;
-    Ok(Answer {
-        status: head.status,
-        headers: head.headers,
-        body: body.into(),
-    })
-}
-
-/// Tells what a whole answer means; a crossed one is not this request's.
-fn end_of(answer: &Answer, order: &CallOrder) -> CallEnd {
-    let signals = &order.call.route.service.signals;
+/// Tells what an answer means; a crossed one is not this request's.
+fn end_of(answer: &Answer, signals: &Signals, own_id: &str) -> CallEnd {
     let echoed = answer.headers.get(&signals.request_id_header);
-    let own = order.call.request.to_string();
-    if echoed.is_some_and(|echoed| echoed.as_bytes() != own.as_bytes()) {
+    if echoed.is_some_and(|echoed| echoed.as_bytes() != own_id.as_bytes()) {
         return CallEnd::Broken;
     }
     let refused = answer.headers.contains_key(&signals.refused_header);
@@ -130,14 +126,16 @@
 }
 
 /// Tells what an error means: the transport's witness knows whether a byte was handed over.
-fn end_of_error(error: &ureq::Error) -> CallEnd {
+fn end_of_error(error: &ExchangeError) -> CallEnd {
     if !transport::was_sent() {
         return CallEnd::NeverSent;
     }
     match error {
-        ureq::Error::Timeout(_) => CallEnd::TimedOut,
-        ureq::Error::BodyExceedsLimit(_) => CallEnd::TooLarge,
-        _ => CallEnd::Broken,
+        ExchangeError::Http(ureq::Error::Timeout(_)) => CallEnd::TimedOut,
+        ExchangeError::Cancelled => CallEnd::Cancelled,
+        ExchangeError::Http(_) | ExchangeError::Body(_) | ExchangeError::NotWhole => {
+            CallEnd::Broken
+        }
     }
 }
 
--- a/crates/kingcuploftd/src/backend_edge/transport.rs
+++ b/crates/kingcuploftd/src/backend_edge/transport.rs
@@ -4,27 +4,46 @@
 //! without saying whether it had begun to write, so its transport is wrapped: the first write of
 //! a call sets a flag of the worker's thread, on which the whole call runs.
 
-use std::cell::Cell;
-use std::io::{Read, Write};
+use std::cell::RefCell;
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
 
+use kingcuploft::world::ids::AttemptId;
 use ureq::Error;
 use ureq::unversioned::transport::{
     Buffers, ConnectionDetails, Connector, LazyBuffers, NextTimeout, Transport,
 };
 
+use super::registry::{BackendConnection, CountedConnection};
+use crate::shared::Shared;
+
+/// The call that runs on this thread.
+struct Current {
+    shared: Arc<Shared>,
+    attempt: AttemptId,
+    connections: usize,
+    sent: bool,
+}
+
 thread_local! {
-    static SENT: Cell<bool> = const { Cell::new(false) };
+    static CURRENT: RefCell<Option<Current>> = const { RefCell::new(None) };
 }
 
-/// Begins a call on this thread.
-pub(super) fn begin_call() {
-    SENT.set(false);
+/// Begins a call on this thread; `connections` bounds those to its backend server.
+pub(super) fn begin_call(shared: &Arc<Shared>, attempt: AttemptId, connections: usize) {
+    let current = Current {
+        shared: Arc::clone(shared),
+        attempt,
+        connections,
+        sent: false,
+    };
+    CURRENT.set(Some(current));
 }
 
 /// Tells whether a byte of this thread's call was handed to a connection.
 pub(super) fn was_sent() -> bool {
-    SENT.get()
+    CURRENT.with_borrow(|current| current.as_ref().is_some_and(|current| current.sent))
 }
 
 /// Connects over TCP.
@@ -42,6 +61,20 @@
         let Some(address) = details.addrs.first() else {
             return Err(Error::HostNotFound);
         };
+        let counted = CURRENT.with_borrow(|current| {
+            let current = current.as_ref()?;
+            let shared = &current.shared;
+            let counted = shared.calls.open(*address, current.connections);
+            if counted.is_none() {
+                shared.metrics.backend_connection_limit.inc();
+            } else {
+                shared.metrics.backend_connections_opened.inc();
+            }
+            counted
+        });
+        let Some(counted) = counted else {
+            return Err(Error::Io(ErrorKind::QuotaExceeded.into()));
+        };
         let stream = match details.timeout.not_zero() {
             Some(left) => TcpStream::connect_timeout(address, *left)?,
             None => TcpStream::connect(address)?,
@@ -49,15 +82,40 @@
         stream.set_nodelay(true)?;
         let config = &details.config;
         let buffers = LazyBuffers::new(config.input_buffer_size(), config.output_buffer_size());
-        Ok(Some(WitnessTransport { stream, buffers }))
+        Ok(Some(WitnessTransport {
+            connection: Arc::new(BackendConnection::new(stream)),
+            buffers,
+            _counted: counted,
+        }))
     }
 }
 
 /// A TCP connection with the witness.
 #[derive(Debug)]
 pub(super) struct WitnessTransport {
-    stream: TcpStream,
+    connection: Arc<BackendConnection>,
     buffers: LazyBuffers,
+    _counted: CountedConnection,
+}
+
+impl WitnessTransport {
+    /// Notes, before the first byte of a call goes out, that it is on this connection.
+    fn witness(&self) -> Result<(), Error> {
+        CURRENT.with_borrow_mut(|current| {
+            let Some(current) = current else {
+                return Ok(());
+            };
+            if current.sent {
+                return Ok(());
+            }
+            let calls = &current.shared.calls;
+            if !calls.running(current.attempt, &self.connection) {
+                return Err(Error::Io(ErrorKind::ConnectionAborted.into()));
+            }
+            current.sent = true;
+            Ok(())
+        })
+    }
 }
 
 impl Transport for WitnessTransport {
@@ -66,46 +124,50 @@
     }
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
-        self.stream
+        self.connection
+            .tcp()
             .set_write_timeout(timeout.not_zero().map(|left| *left))?;
-        SENT.set(true);
+        self.witness()?;
         let output = &self.buffers.output()[..amount];
-        self.stream
+        let mut stream = self.connection.tcp();
+        stream
             .write_all(output)
             .map_err(|error| timed(error, timeout))
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        self.stream
+        self.connection
+            .tcp()
             .set_read_timeout(timeout.not_zero().map(|left| *left))?;
         let input = self.buffers.input_append_buf();
-        let amount = self
-            .stream
-            .read(input)
-            .map_err(|error| timed(error, timeout))?;
+        let mut stream = self.connection.tcp();
+        let amount = stream.read(input).map_err(|error| timed(error, timeout))?;
         self.buffers.input_appended(amount);
         Ok(amount > 0)
     }
 
     /// Tells whether a kept connection may carry the next request: one that the backend server
-    /// closed, or on which an answer arrived too late, may not.
+    /// closed, or on which an answer arrived too late or twice, may not. Its next caller would be
+    /// given another's answer; the bytes that wait in the socket or were read ahead betray it.
     fn is_open(&mut self) -> bool {
+        if self.connection.retired() || !self.buffers.input().is_empty() {
+            return false;
+        }
         let mut byte = [0];
-        if self.stream.set_nonblocking(true).is_err() {
+        let stream = self.connection.tcp();
+        if stream.set_nonblocking(true).is_err() {
             return false;
         }
-        let peeked = self.stream.peek(&mut byte);
-        let quiet = matches!(&peeked, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
-        quiet && self.stream.set_nonblocking(false).is_ok()
+        let peeked = stream.peek(&mut byte);
+        let quiet = matches!(&peeked, Err(e) if e.kind() == ErrorKind::WouldBlock);
+        quiet && stream.set_nonblocking(false).is_ok()
     }
 }
 
 /// Turns the socket's timeout into the library's.
 fn timed(error: std::io::Error, timeout: NextTimeout) -> Error {
     match error.kind() {
-        std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut => {
-            Error::Timeout(timeout.reason)
-        }
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => Error::Timeout(timeout.reason),
         _ => Error::Io(error),
     }
 }
--- a/crates/kingcuploftd/src/caller_edge/mod.rs
+++ b/crates/kingcuploftd/src/caller_edge/mod.rs
@@ -2,20 +2,19 @@
 
 mod body;
 mod reply;
+mod reply_body;
 
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use crossbeam_channel::TrySendError;
 use futures::FutureExt;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use kingcuploft::dispatcher::Arrival;
 use kingcuploft::manifest::routing::Route;
@@ -25,8 +24,10 @@
 use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::task::{JoinSet, LocalSet};
 
+use crate::hop_by_hop::end_to_end;
 use crate::message::{Message, Reply, RequestParts};
 use crate::shared::Shared;
+use reply_body::ReplyBody;
 
 /// The longest headers of one request, in bytes.
 const HEADERS_BYTES: usize = 32 * 1024;
@@ -149,8 +150,9 @@
     shared: &Arc<Shared>,
     request: Request<Incoming>,
     peer: SocketAddr,
-) -> Response<Full<Bytes>> {
+) -> Response<ReplyBody> {
     let id = shared.next_request();
+    let head_only = request.method() == Method::HEAD;
     let reply = match admit(shared, id, request, peer).await {
         Ok(reply) => reply,
         Err(refusal) => Reply::Refused(refusal),
@@ -158,7 +160,7 @@
     if let Reply::Refused(refusal) = &reply {
         shared.metrics.refused(refusal.reason);
     }
-    reply::response(shared, id, reply)
+    reply::response(shared, id, head_only, reply)
 }
 
 /// Reads a request whole, passes it on and waits for its reply.
@@ -190,7 +192,7 @@
     let parts = RequestParts {
         method: head.method,
         uri: head.uri,
-        headers: reply::end_to_end(head.headers),
+        headers: end_to_end(head.headers),
         body,
     };
     let arrival = Arrival {
--- a/crates/kingcuploftd/src/caller_edge/reply.rs
+++ b/crates/kingcuploftd/src/caller_edge/reply.rs
@@ -1,60 +1,29 @@
 //! Turns replies into HTTP.
 
 use bytes::Bytes;
-use http::header::{
-    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
-};
-use http::{HeaderMap, Response, StatusCode};
-use http_body_util::Full;
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
 use kingcuploft::world::ids::RequestId;
 use kingcuploft::world::refusal::{Refusal, RefusalReason};
 
-use crate::message::Reply;
+use super::reply_body::ReplyBody;
+use crate::hop_by_hop::end_to_end;
+use crate::message::{Answer, Reply};
 use crate::shared::Shared;
-
-/// Headers that end at the next hop.
-const HOP_BY_HOP: [HeaderName; 6] = [
-    CONNECTION,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-    CONTENT_LENGTH,
-];
-
-/// Keeps the end-to-end headers; the length is set anew from the whole body.
-pub(super) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in HOP_BY_HOP {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-    headers.remove("proxy-connection");
-    headers
-}
+use crate::stream::Rest;
 
 /// Builds the HTTP response of a reply.
-pub(super) fn response(shared: &Shared, id: RequestId, reply: Reply) -> Response<Full<Bytes>> {
+pub(super) fn response(
+    shared: &Shared,
+    id: RequestId,
+    head_only: bool,
+    reply: Reply,
+) -> Response<ReplyBody> {
+    let own_id = shared.request_name(id);
     let mut response = match reply {
-        Reply::Answer(answer) => {
-            let mut response = Response::new(Full::new(answer.body));
-            *response.status_mut() = answer.status;
-            *response.headers_mut() = end_to_end(answer.headers);
-            response
-        }
-        Reply::Refused(refusal) => refused(id, refusal),
+        Reply::Answer(answer) => answered(answer, head_only),
+        Reply::Refused(refusal) => refused(&own_id, refusal),
     };
-    let own_id = format!("{}-{id}", shared.vm.name);
     if let Ok(value) = HeaderValue::from_str(&own_id) {
         response.headers_mut().insert("x-request-id", value);
     }
@@ -65,15 +34,30 @@
     response
 }
 
-fn refused(id: RequestId, refusal: Refusal) -> Response<Full<Bytes>> {
+/// Passes a backend server's answer on. The length is told where it is known although the body
+/// does not go out with it: for a streamed answer, and for the head of one.
+fn answered(answer: Answer, head_only: bool) -> Response<ReplyBody> {
+    let length = answer.headers.get(CONTENT_LENGTH).cloned();
+    let rest = answer.rest.as_ref().and_then(Rest::take);
+    let tell_length = head_only || rest.is_some();
+    let mut response = Response::new(ReplyBody::new(answer.body, rest));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = end_to_end(answer.headers);
+    if let Some(length) = length.filter(|_| tell_length) {
+        response.headers_mut().insert(CONTENT_LENGTH, length);
+    }
+    response
+}
+
+fn refused(own_id: &str, refusal: Refusal) -> Response<ReplyBody> {
     let retry_after_ms = refusal.retry_after.map(|after| after.as_millis() as u64);
     let body = serde_json::json!({
         "reason": refusal.reason.label(),
         "outcome": refusal.outcome.label(),
         "retry_after_ms": retry_after_ms,
-        "request_id": id.to_string(),
+        "request_id": own_id,
     });
-    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    let mut response = Response::new(ReplyBody::new(Bytes::from(body.to_string()), None));
     *response.status_mut() = status(refusal.reason);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- /dev/null
+++ b/crates/kingcuploftd/src/caller_edge/reply_body.rs
@@ -0,0 +1,67 @@
+//! The body of a reply: whole, or streamed from a backend worker.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+
+use crate::stream::{Chunks, NextChunk};
+
+/// A streamed answer was cut: the HTTP library closes the caller's connection, so that the caller
+/// can not take the part it has for the whole.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the backend server cut its answer")]
+pub(super) struct Cut;
+
+/// A reply's body.
+#[derive(Debug)]
+pub(super) struct ReplyBody {
+    beginning: Option<Bytes>,
+    rest: Option<Chunks>,
+}
+
+impl ReplyBody {
+    /// Builds a body; it is whole where there is no rest.
+    pub(super) fn new(beginning: Bytes, rest: Option<Chunks>) -> Self {
+        let beginning = Some(beginning).filter(|bytes| !bytes.is_empty());
+        Self { beginning, rest }
+    }
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if let Some(beginning) = self.beginning.take() {
+            return Poll::Ready(Some(Ok(Frame::data(beginning))));
+        }
+        let Some(rest) = &mut self.rest else {
+            return Poll::Ready(None);
+        };
+        rest.poll_next(context).map(|next| match next {
+            NextChunk::Data(data) => Some(Ok(Frame::data(data))),
+            NextChunk::Cut => Some(Err(Cut)),
+            NextChunk::End => {
+                self.rest = None;
+                None
+            }
+        })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.beginning.is_none() && self.rest.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let beginning = self.beginning.as_ref().map_or(0, Bytes::len) as u64;
+        match self.rest {
+            None => SizeHint::with_exact(beginning),
+            Some(_) => SizeHint::default(),
+        }
+    }
+}
--- a/crates/kingcuploftd/src/claims.rs
+++ b/crates/kingcuploftd/src/claims.rs
@@ -111,6 +111,7 @@
             status,
             headers: http::HeaderMap::new(),
             body: answer.body.into(),
+            rest: None,
         };
         (ClaimEnd::Replayed, Some(answer))
     }
--- a/crates/kingcuploftd/src/daemon.rs
+++ b/crates/kingcuploftd/src/daemon.rs
@@ -130,6 +130,8 @@
         drop(self.caller_edge.join());
         drop(self.shared.dispatch.send(Message::Stop(until)));
         drop(self.dispatch.join());
+        // What is still at a backend server passed the bound of the stop.
+        self.shared.calls.cancel_all();
         self.shared.end();
         for duty in self.others {
             drop(duty.join());
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -153,7 +153,7 @@
                 });
             }
             Action::Call(call) => self.call(call),
-            Action::Cancel(_attempt) => {}
+            Action::Cancel(attempt) => self.shared.calls.cancel(attempt),
             Action::Answer(request, attempt) => {
                 if let Some(answer) = self.answers.get(&attempt).cloned() {
                     self.reply(request, Reply::Answer(answer));
@@ -196,6 +196,7 @@
             call,
             parts: (*pending.parts).clone(),
         };
+        self.shared.calls.ordered(order.call.attempt);
         match self.rings.calls.try_send(order) {
             Ok(()) => {}
             Err(TrySendError::Full(order) | TrySendError::Disconnected(order)) => {
--- a/crates/kingcuploftd/src/message.rs
+++ b/crates/kingcuploftd/src/message.rs
@@ -11,6 +11,8 @@
 use kingcuploft::world::refusal::Refusal;
 use tokio::sync::oneshot;
 
+use crate::stream::Rest;
+
 /// A request's HTTP parts, kept until it is answered.
 #[derive(Clone, Debug)]
 pub struct RequestParts {
@@ -24,15 +26,17 @@
     pub body: Bytes,
 }
 
-/// A backend server's whole answer.
+/// A backend server's answer: whole, or its beginning and the ring with the rest.
 #[derive(Clone, Debug)]
 pub struct Answer {
     /// The status.
     pub status: StatusCode,
     /// The end-to-end headers.
     pub headers: HeaderMap,
-    /// The whole body.
+    /// The whole body, or its beginning where there is a rest.
     pub body: Bytes,
+    /// The rest of a body that is longer than the rule's `whole_answer_bytes`.
+    pub rest: Option<Rest>,
 }
 
 /// What the caller edge sends to its caller.
--- a/crates/kingcuploftd/src/metrics.rs
+++ b/crates/kingcuploftd/src/metrics.rs
@@ -33,6 +33,12 @@
     pub generation: Gauge,
     /// Callers' connections cut because a planned stop reached its bound.
     pub cut_by_stop: Counter,
+    /// Connections opened to backend servers.
+    pub backend_connections_opened: Counter,
+    /// Calls that found this VM's share of a backend server's connections in use.
+    pub backend_connection_limit: Counter,
+    /// Streamed answers that did not reach their caller whole.
+    pub streams_cut: Counter,
 }
 
 /// Upper bounds of the latency histogram, in s.
@@ -67,6 +73,24 @@
             "Callers' connections cut at the bound of a planned stop",
             cut_by_stop.clone(),
         );
+        let backend_connections_opened = Counter::default();
+        registry.register(
+            "backend_connections_opened",
+            "Connections opened to backend servers",
+            backend_connections_opened.clone(),
+        );
+        let backend_connection_limit = Counter::default();
+        registry.register(
+            "backend_connection_limit",
+            "Calls that found the share of a backend server's connections in use",
+            backend_connection_limit.clone(),
+        );
+        let streams_cut = Counter::default();
+        registry.register(
+            "streams_cut",
+            "Streamed answers that did not reach their caller whole",
+            streams_cut.clone(),
+        );
         Self {
             registry,
             refusals,
@@ -74,6 +98,9 @@
             latency,
             generation,
             cut_by_stop,
+            backend_connections_opened,
+            backend_connection_limit,
+            streams_cut,
         }
     }
 }
--- a/crates/kingcuploftd/src/settings.rs
+++ b/crates/kingcuploftd/src/settings.rs
@@ -50,6 +50,8 @@
     pub workers: usize,
     /// Open connections from callers.
     pub connections: usize,
+    /// Entry VMs that share a backend server's connections, until the VM list tells.
+    pub vms: usize,
     /// Messages that wait in a ring.
     pub ring: usize,
     /// Time from a planned stop until connections are refused, in ms.
@@ -67,6 +69,7 @@
         Self {
             workers: 64,
             connections: 8192,
+            vms: 14,
             ring: 4096,
             not_ready_ms: 0,
             stop_timeout_ms: 30_000,
--- a/crates/kingcuploftd/src/shared.rs
+++ b/crates/kingcuploftd/src/shared.rs
@@ -1,17 +1,19 @@
 //! The daemon's one context: built once, passed by reference to every duty.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use crossbeam_channel::Sender;
+use kingcuploft::dispatcher::Call;
 use kingcuploft::manifest::Accepted;
 use kingcuploft::manifest::routing::Routes;
 use kingcuploft::world::ids::RequestId;
 use kingcuploft::world::vm::Vm;
 use tokio::sync::watch;
 
+use crate::backend_edge::CallRegistry;
 use crate::message::Message;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -31,6 +33,9 @@
     pub metrics: Metrics,
     /// The ring to the dispatch duty.
     pub dispatch: Sender<Message>,
+    /// The calls in flight and the connections to backend servers.
+    pub calls: CallRegistry,
+    live_vms: AtomicUsize,
     stopping: AtomicBool,
     closing: watch::Sender<Option<Instant>>,
     ended: AtomicBool,
@@ -40,6 +45,7 @@
 impl Shared {
     /// Builds the context.
     pub fn new(settings: Settings, vm: Vm, dispatch: Sender<Message>) -> Arc<Self> {
+        let live_vms = settings.limits.vms;
         Arc::new(Self {
             settings,
             vm,
@@ -47,6 +53,8 @@
             routes: ArcSwap::default(),
             metrics: Metrics::default(),
             dispatch,
+            calls: CallRegistry::default(),
+            live_vms: AtomicUsize::new(live_vms),
             stopping: AtomicBool::new(false),
             closing: watch::Sender::new(None),
             ended: AtomicBool::new(false),
@@ -100,4 +108,23 @@
     pub fn next_request(&self) -> RequestId {
         self.last_request.fetch_add(1, Ordering::Relaxed) + 1
     }
+
+    /// Returns a request's name, unique in the fleet and over this VM's lives.
+    pub fn request_name(&self, request: RequestId) -> String {
+        let vm = &self.vm;
+        format!("{}-{:x}-{request}", vm.name, vm.incarnation)
+    }
+
+    /// Tells how many entry VMs are live, this one included.
+    pub fn set_live_vms(&self, live_vms: usize) {
+        self.live_vms.store(live_vms.max(1), Ordering::Relaxed);
+    }
+
+    /// Returns this VM's share of the connections that a call's backend server accepts.
+    pub fn connections_to(&self, call: &Call) -> usize {
+        let servers = &call.route.service.backend_servers;
+        let server = servers.iter().find(|s| s.name == call.backend_server);
+        let connections = server.map_or(1, |server| server.connections as usize);
+        (connections / self.live_vms.load(Ordering::Relaxed)).max(1)
+    }
 }
--- /dev/null
+++ b/crates/kingcuploftd/src/stream.rs
@@ -0,0 +1,138 @@
+//! The rest of an answer that is too long to be read whole: a bounded ring of chunks from a
+//! backend worker to the caller edge.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+
+use crate::backend_edge::BackendConnection;
+
+/// How many chunks wait in the ring.
+const CHUNKS: usize = 8;
+
+/// How long the worker pauses while the ring is full.
+const FULL_PAUSE: Duration = Duration::from_millis(1);
+
+/// A piece of a body.
+#[derive(Debug)]
+enum Chunk {
+    Data(Bytes),
+    /// The body is whole; a ring that closes without it was cut.
+    End,
+}
+
+/// The worker's end of the ring.
+#[derive(Debug)]
+pub struct RestSender(Sender<Chunk>);
+
+/// The rest of an answer; clones share it, and the first to take it has it.
+#[derive(Clone, Debug)]
+pub struct Rest(Arc<Mutex<Option<Chunks>>>);
+
+/// The caller edge's end of the ring.
+#[derive(Debug)]
+pub struct Chunks {
+    receiver: Receiver<Chunk>,
+    /// The connection the body comes from.
+    source: Option<Arc<BackendConnection>>,
+    ended: bool,
+}
+
+/// What comes next of a body.
+#[derive(Debug)]
+pub enum NextChunk {
+    /// More of it.
+    Data(Bytes),
+    /// Nothing: it is whole.
+    End,
+    /// Nothing: it was cut.
+    Cut,
+}
+
+/// Why a body was not passed on to its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stalled {
+    /// The caller went away.
+    CallerLeft,
+    /// The caller did not take it before the deadline.
+    DeadlinePassed,
+}
+
+/// Opens a ring for a body that comes from a connection.
+pub fn rest(source: Option<Arc<BackendConnection>>) -> (RestSender, Rest) {
+    let (sender, receiver) = channel(CHUNKS);
+    let chunks = Chunks {
+        receiver,
+        source,
+        ended: false,
+    };
+    (RestSender(sender), Rest(Arc::new(Mutex::new(Some(chunks)))))
+}
+
+impl RestSender {
+    /// Passes a piece on, waiting for room until the deadline.
+    ///
+    /// # Errors
+    ///
+    /// [`Stalled`] where nobody takes it.
+    pub fn send(&self, data: Bytes, deadline: Instant) -> Result<(), Stalled> {
+        self.send_chunk(Chunk::Data(data), deadline)
+    }
+
+    /// Says that the body is whole.
+    ///
+    /// # Errors
+    ///
+    /// [`Stalled`] where nobody takes it.
+    pub fn end(self, deadline: Instant) -> Result<(), Stalled> {
+        self.send_chunk(Chunk::End, deadline)
+    }
+
+    fn send_chunk(&self, mut chunk: Chunk, deadline: Instant) -> Result<(), Stalled> {
+        loop {
+            chunk = match self.0.try_send(chunk) {
+                Ok(()) => return Ok(()),
+                Err(TrySendError::Closed(_)) => return Err(Stalled::CallerLeft),
+                Err(TrySendError::Full(chunk)) => chunk,
+            };
+            if Instant::now() >= deadline {
+                return Err(Stalled::DeadlinePassed);
+            }
+            std::thread::sleep(FULL_PAUSE);
+        }
+    }
+}
+
+impl Rest {
+    /// Takes the ring's end; `None` where it was taken before.
+    pub fn take(&self) -> Option<Chunks> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+}
+
+impl Chunks {
+    /// Returns what comes next, once it is there.
+    pub fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<NextChunk> {
+        self.receiver.poll_recv(context).map(|chunk| match chunk {
+            Some(Chunk::Data(data)) => NextChunk::Data(data),
+            Some(Chunk::End) => {
+                self.ended = true;
+                NextChunk::End
+            }
+            None => NextChunk::Cut,
+        })
+    }
+}
+
+impl Drop for Chunks {
+    /// Ends the call whose body nobody wants any more: its worker may be blocked in a read.
+    fn drop(&mut self) {
+        if let Some(source) = self.source.take().filter(|_| !self.ended) {
+            source.shut_down();
+        }
+    }
+}
