feat(virtual-fleet): the daemon's dispatchers in virtual time

The decisions need a place where a policy, a fault and the same seeded work can be tried in milliseconds and give the same verdict every time. N dispatchers run as the daemon runs them, with fake backend servers, links, claims and callers at their interface; `ideal` runs the same work through one central queue. The naive policies come with it as a closed enum.

--- a/crates/kingcuploft-standins/src/lib.rs
+++ b/crates/kingcuploft-standins/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod backend_server;
 pub mod http;
 pub mod platform;
+pub mod virtual_fleet;
--- /dev/null
+++ b/crates/kingcuploft-standins/src/virtual_fleet/changes.rs
@@ -0,0 +1,146 @@
+//! Carries out the changes of a run.
+
+use std::sync::Arc;
+
+use kingcuploft::dispatcher::Event;
+use kingcuploft::manifest::Manifest;
+use kingcuploft::world::backend_server::{CallEnd, CallReport};
+use kingcuploft::world::ids::BackendServerName;
+
+use super::change::Change;
+use super::fleet::{Fleet, Happening};
+use super::server::Health;
+
+/// The size of a word to a peer that a backend server drains, in bytes, headers included.
+const DRAIN_NOTE_BYTES: u64 = 64;
+
+impl Fleet<'_> {
+    pub(super) fn change(&mut self, step: usize) {
+        let run = self.run;
+        match &run.steps[step].change {
+            // The spells were added before the run began.
+            Change::Slow { .. } => {}
+            Change::ColdStart { servers, .. } => {
+                servers.iter().for_each(|&server| self.reset(server));
+            }
+            Change::Health { servers, health } => {
+                for &server in servers {
+                    self.servers[server].health = *health;
+                    self.apply_health(server);
+                }
+            }
+            Change::Report { servers, report } => {
+                servers
+                    .iter()
+                    .for_each(|&s| self.servers[s].report = *report);
+            }
+            Change::Shed { servers, above } => {
+                servers
+                    .iter()
+                    .for_each(|&s| self.servers[s].shed_above = *above);
+            }
+            Change::ReplyDraining { servers, draining } => {
+                servers
+                    .iter()
+                    .for_each(|&s| self.servers[s].draining = *draining);
+            }
+            Change::Drain { servers } => {
+                let node = (0..self.nodes.len()).find(|&n| self.nodes[n].accepts);
+                for &server in servers {
+                    node.into_iter()
+                        .for_each(|node| self.drain_heard(node, server));
+                }
+            }
+            Change::ManifestDraining { servers } => self.adopt_draining(servers),
+            Change::ReplaceVms { share } => self.replace_vms(*share),
+            Change::LoseZone { zone } => self.lose_zone(*zone),
+        }
+    }
+
+    fn apply_health(&mut self, server: usize) {
+        match self.servers[server].health {
+            Health::Working | Health::FailsFast => {}
+            Health::Refuses => self.reset(server),
+            Health::Gone => drop(self.servers[server].drop_all()),
+        }
+    }
+
+    /// Drops every job and connection of a server; the VMs see their calls break.
+    fn reset(&mut self, server: usize) {
+        for job in self.servers[server].drop_all() {
+            let Some(call) = self.calls.get(&job) else {
+                continue;
+            };
+            let at = self.now + self.one_way(call.node, server);
+            let broken = CallReport {
+                end: CallEnd::Broken,
+                latency: self.now - call.sent,
+                load: None,
+                draining: false,
+            };
+            self.push(at, Happening::ReachVm(job, broken));
+        }
+    }
+
+    fn adopt_draining(&mut self, draining: &[usize]) {
+        let mut service = self.run.deployment.service.clone();
+        for (i, server) in service.backend_servers.iter_mut().enumerate() {
+            server.draining = draining.contains(&i);
+        }
+        self.generation += 1;
+        self.manifest = Arc::new(Manifest {
+            services: vec![Arc::new(service)],
+        });
+        (0..self.nodes.len()).for_each(|node| self.adopt(node));
+    }
+
+    fn replace_vms(&mut self, share: f64) {
+        let accepting: Vec<usize> = (0..self.nodes.len())
+            .filter(|&n| self.nodes[n].accepts)
+            .collect();
+        let count = (accepting.len() as f64 * share).round() as usize;
+        for &node in &accepting[..count] {
+            self.nodes[node].accepts = false;
+            self.start_vm();
+        }
+    }
+
+    fn lose_zone(&mut self, zone: usize) {
+        let zone = self.run.deployment.zones[zone].clone();
+        for node in self.nodes.iter_mut().filter(|node| node.zone == zone) {
+            node.accepts = false;
+            node.runs = false;
+        }
+        let servers = &self.run.deployment.service.backend_servers;
+        for (i, _) in servers
+            .iter()
+            .enumerate()
+            .filter(|(_, s)| s.availability_zone == zone)
+        {
+            self.servers[i].health = Health::Gone;
+            self.apply_health(i);
+        }
+    }
+
+    /// Sends a word to every peer that a backend server drains.
+    pub(super) fn tell_draining(&mut self, node: usize, server: &BackendServerName) {
+        let servers = &self.run.deployment.service.backend_servers;
+        let Some(server) = servers.iter().position(|s| s.name == *server) else {
+            return;
+        };
+        for peer in (0..self.nodes.len()).filter(|&peer| peer != node) {
+            self.cost.note_bytes += DRAIN_NOTE_BYTES;
+            let links = self.run.deployment.links;
+            if self.rng.f64() >= links.peer_loss_share {
+                let at = self.now + links.between_zones;
+                self.push(at, Happening::DrainHeard(peer, server));
+            }
+        }
+    }
+
+    pub(super) fn drain_heard(&mut self, node: usize, server: usize) {
+        let service = &self.run.deployment.service;
+        let server = service.backend_servers[server].name.clone();
+        self.tell(node, Event::Draining(service.name.clone(), server));
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-standins/src/virtual_fleet/ideal.rs
@@ -0,0 +1,65 @@
+//! The limit: one central queue that knows everything at once, over the same arrivals and work.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use super::deployment::HOLD;
+use super::outcome::{Cost, End, Outcome, Record};
+use super::run::Run;
+use super::server::FakeServer;
+
+/// Runs a run's work through one perfect central queue: no links, first come first served, each
+/// job on the free backend server that is fastest when it starts. Slow spells hit it as well.
+pub fn run(run: &Run) -> Outcome {
+    let servers = run.servers();
+    let mut free: Vec<usize> = servers.iter().map(|s| s.slots).collect();
+    let mut ready: Vec<(Duration, usize)> =
+        (0..run.asks.len()).map(|i| (ready_at(run, i), i)).collect();
+    ready.sort_unstable();
+    let mut arrivals = ready.into_iter().peekable();
+    let mut ends: BinaryHeap<Reverse<(Duration, usize, usize)>> = BinaryHeap::new();
+    let mut queue: VecDeque<usize> = VecDeque::new();
+    let mut records: Vec<Record> = (0..run.asks.len()).map(|i| run.record(i)).collect();
+    loop {
+        let arrival = arrivals.peek().map(|&(at, _)| at);
+        let end = ends.peek().map(|&Reverse((at, _, _))| at);
+        let now = match (arrival, end) {
+            (None, None) => break,
+            (Some(arrival), Some(end)) if end <= arrival => end,
+            (Some(arrival), _) => arrival,
+            (None, Some(end)) => end,
+        };
+        if end == Some(now) {
+            let Some(Reverse((_, server, ask))) = ends.pop() else {
+                break;
+            };
+            free[server] += 1;
+            records[ask].end = End::Answered;
+            records[ask].took = now - run.asks[ask].at;
+        } else if let Some((_, ask)) = arrivals.next() {
+            queue.push_back(ask);
+        }
+        while let Some(server) = fastest(&servers, &free, now) {
+            let Some(ask) = queue.pop_front() else { break };
+            free[server] -= 1;
+            let done = servers[server].done_at(now, run.asks[ask].work);
+            ends.push(Reverse((done, server, ask)));
+        }
+    }
+    run.outcome(records, Cost::default(), 0)
+}
+
+/// Returns when a request may start: a hold waits for its claim.
+fn ready_at(run: &Run, ask: usize) -> Duration {
+    let ask = &run.asks[ask];
+    match ask.rule {
+        HOLD => ask.at + run.deployment.claim,
+        _ => ask.at,
+    }
+}
+
+fn fastest(servers: &[FakeServer], free: &[usize], now: Duration) -> Option<usize> {
+    let with_room = (0..servers.len()).filter(|&i| free[i] > 0);
+    with_room.min_by(|&a, &b| servers[a].factor(now).total_cmp(&servers[b].factor(now)))
+}
--- /dev/null
+++ b/crates/kingcuploft-standins/src/virtual_fleet/workload.rs
@@ -0,0 +1,169 @@
+//! What callers ask for, drawn from the seed before the run.
+
+use std::time::Duration;
+
+use kingcuploft::world::ids::{Caller, IdempotencyKey};
+use serde::{Deserialize, Serialize};
+
+use super::deployment::{Deployment, HOLD, LOOKUP, SEARCH};
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// When it arrives at an entry VM.
+    pub at: Duration,
+    /// Who asks.
+    pub caller: Caller,
+    /// The rule it falls under.
+    pub rule: usize,
+    /// The idempotency key, for holds.
+    pub key: Option<IdempotencyKey>,
+    /// The slot time it takes on a steady backend server.
+    pub work: Duration,
+    /// Chooses the VM: a number in `0.0..1.0` over the VMs that accept callers.
+    pub vm: f64,
+}
+
+/// The work times of a stream: short jobs, and long ones among them.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Work {
+    /// The mean of the short jobs, which are exponential, in ms.
+    pub short_ms: f64,
+    /// The share of long jobs.
+    pub long_share: f64,
+    /// The shortest long job, in ms.
+    pub long_from_ms: f64,
+    /// The longest long job, in ms.
+    pub long_until_ms: f64,
+}
+
+impl Default for Work {
+    /// Returns a mix with a mean of 10 ms.
+    fn default() -> Self {
+        Self {
+            short_ms: 7.2,
+            long_share: 0.03,
+            long_from_ms: 80.0,
+            long_until_ms: 120.0,
+        }
+    }
+}
+
+impl Work {
+    /// Returns the mean work time in ms.
+    pub fn mean_ms(&self) -> f64 {
+        let long_ms = f64::midpoint(self.long_from_ms, self.long_until_ms);
+        (1.0 - self.long_share) * self.short_ms + self.long_share * long_ms
+    }
+
+    fn draw(&self, rng: &mut fastrand::Rng) -> Duration {
+        let (long, uniform) = (rng.f64() < self.long_share, rng.f64());
+        let ms = if long {
+            self.long_from_ms + uniform * (self.long_until_ms - self.long_from_ms)
+        } else {
+            -self.short_ms * (1.0 - uniform).ln()
+        };
+        Duration::from_secs_f64(ms.max(0.05) / 1000.0)
+    }
+}
+
+/// A stream of requests at a steady rate.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Stream {
+    /// When it begins, in ms.
+    pub from_ms: u64,
+    /// When it ends, in ms; the end of the run where absent.
+    pub until_ms: Option<u64>,
+    /// Its share of all slots' time; 1.0 would fill every slot.
+    pub load: f64,
+    /// The callers' common name.
+    pub caller: String,
+    /// How many callers send it, evenly; each gets a number after the name.
+    pub callers: u32,
+    /// The share of holds.
+    pub hold_share: f64,
+    /// The share of searches; the rest are lookups.
+    pub search_share: f64,
+    /// The one idempotency key of all holds; each has its own where absent.
+    pub key: Option<String>,
+    /// The work times.
+    pub work: Work,
+}
+
+impl Default for Stream {
+    fn default() -> Self {
+        Self {
+            from_ms: 0,
+            until_ms: None,
+            load: 0.75,
+            caller: "caller".into(),
+            callers: 40,
+            hold_share: 0.1,
+            search_share: 0.1,
+            key: None,
+            work: Work::default(),
+        }
+    }
+}
+
+impl Stream {
+    fn draw(
+        &self,
+        deployment: &Deployment,
+        duration: Duration,
+        number: usize,
+        seed: u64,
+    ) -> Vec<Ask> {
+        let mut rng =
+            fastrand::Rng::with_seed(seed ^ (number as u64 + 1).wrapping_mul(0x9e37_79b9));
+        let per_ms = self.load * f64::from(deployment.slots()) / self.work.mean_ms();
+        let end_ms = duration.as_secs_f64() * 1000.0;
+        let end_ms = self
+            .until_ms
+            .map_or(end_ms, |until| end_ms.min(until as f64));
+        let mut at_ms = self.from_ms as f64;
+        let mut asks = Vec::new();
+        loop {
+            at_ms -= (1.0 - rng.f64()).ln() / per_ms;
+            if at_ms.is_nan() || at_ms >= end_ms {
+                return asks;
+            }
+            asks.push(self.ask(at_ms, number, asks.len(), &mut rng));
+        }
+    }
+
+    fn ask(&self, at_ms: f64, number: usize, nth: usize, rng: &mut fastrand::Rng) -> Ask {
+        let kind = rng.f64();
+        let rule = match kind {
+            kind if kind < self.hold_share => HOLD,
+            kind if kind < self.hold_share + self.search_share => SEARCH,
+            _ => LOOKUP,
+        };
+        let own_key = || format!("key-{number}-{nth}");
+        let key = (rule == HOLD).then(|| self.key.clone().unwrap_or_else(own_key));
+        Ask {
+            at: Duration::from_secs_f64(at_ms / 1000.0),
+            caller: format!("{}-{}", self.caller, rng.u32(0..self.callers.max(1))).into(),
+            rule,
+            key: key.map(Into::into),
+            work: self.work.draw(rng),
+            vm: rng.f64(),
+        }
+    }
+}
+
+/// Draws every request of a run, in the order of arrival.
+pub fn draw(
+    deployment: &Deployment,
+    streams: &[Stream],
+    duration: Duration,
+    seed: u64,
+) -> Vec<Ask> {
+    let streams = streams.iter().enumerate();
+    let asks = streams.flat_map(|(i, stream)| stream.draw(deployment, duration, i, seed));
+    let mut asks: Vec<Ask> = asks.collect();
+    asks.sort_by_key(|ask| ask.at);
+    asks
+}
--- a/crates/kingcuploft/src/decisions/selection.rs
+++ b/crates/kingcuploft/src/decisions/selection.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use crate::manifest::Service;
+use crate::settings::selection::{SelectionPolicy, SelectionSettings};
 use crate::world::backend_server::CallReport;
 use crate::world::ids::AvailabilityZone;
 
@@ -20,7 +21,10 @@
 /// What one VM knows of the backend servers of one service.
 #[derive(Debug)]
 pub struct Selection {
+    settings: SelectionSettings,
     servers: Vec<Server>,
+    /// Where `round_robin` goes on.
+    next: usize,
 }
 
 #[derive(Debug)]
@@ -37,7 +41,9 @@
             slots: s.slots,
         });
         Self {
+            settings: service.policy.selection.clone(),
             servers: servers.collect(),
+            next: 0,
         }
     }
 
@@ -45,16 +51,39 @@
     pub fn choose(
         &mut self,
         _now: Instant,
-        _rng: &mut fastrand::Rng,
+        rng: &mut fastrand::Rng,
         takes_work: impl Fn(usize) -> bool,
     ) -> Choice {
-        let usable = || (0..self.servers.len()).filter(|&i| takes_work(i));
-        if usable().next().is_none() {
+        let usable: Vec<usize> = (0..self.servers.len()).filter(|&i| takes_work(i)).collect();
+        if usable.is_empty() {
             return Choice::NoneLeft;
         }
-        let free = usable().filter(|&i| self.servers[i].in_flight < self.servers[i].slots);
-        free.min_by_key(|&i| self.servers[i].in_flight)
-            .map_or(Choice::Full, Choice::Send)
+        match self.settings.policy {
+            SelectionPolicy::Random => Choice::Send(usable[rng.usize(0..usable.len())]),
+            SelectionPolicy::RoundRobin => {
+                self.next = self.next.wrapping_add(1);
+                Choice::Send(usable[self.next % usable.len()])
+            }
+            SelectionPolicy::LeastInFlight => self.least_in_flight(&usable, rng),
+            SelectionPolicy::Adaptive => self.adaptive(&usable, rng),
+        }
+    }
+
+    fn least_in_flight(&self, usable: &[usize], rng: &mut fastrand::Rng) -> Choice {
+        let least = usable.iter().map(|&i| self.servers[i].in_flight).min();
+        let has_least = |&&i: &&usize| Some(self.servers[i].in_flight) == least;
+        let count = usable.iter().filter(has_least).count();
+        let nth = rng.usize(0..count);
+        let chosen = usable.iter().filter(has_least).nth(nth);
+        chosen.map_or(Choice::NoneLeft, |&i| Choice::Send(i))
+    }
+
+    fn adaptive(&self, usable: &[usize], rng: &mut fastrand::Rng) -> Choice {
+        let has_room = |&i: &usize| self.servers[i].in_flight < self.servers[i].slots;
+        if !usable.iter().any(has_room) {
+            return Choice::Full;
+        }
+        self.least_in_flight(usable, rng)
     }
 
     /// Notes that a call was handed over.
