--- a/crates/kingcuploftd/src/shared.rs
+++ b/crates/kingcuploftd/src/shared.rs
@@ -2,12 +2,15 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use crossbeam_channel::Sender;
 use kingcuploft::manifest::Accepted;
+use kingcuploft::manifest::routing::Routes;
 use kingcuploft::world::ids::RequestId;
 use kingcuploft::world::vm::Vm;
+use tokio::sync::watch;
 
 use crate::message::Message;
 use crate::metrics::Metrics;
@@ -22,11 +25,14 @@
     pub vm: Vm,
     /// The manifest in force; generation 0 until one is known.
     pub accepted: ArcSwap<Accepted>,
+    /// The hosts of the manifest in force; empty until one is known.
+    pub routes: ArcSwap<Routes>,
     /// The counters.
     pub metrics: Metrics,
     /// The ring to the dispatch duty.
     pub dispatch: Sender<Message>,
     stopping: AtomicBool,
+    closing: watch::Sender<Option<Instant>>,
     ended: AtomicBool,
     last_request: AtomicU64,
 }
@@ -38,14 +44,23 @@
             settings,
             vm,
             accepted: ArcSwap::default(),
+            routes: ArcSwap::default(),
             metrics: Metrics::default(),
             dispatch,
             stopping: AtomicBool::new(false),
+            closing: watch::Sender::new(None),
             ended: AtomicBool::new(false),
             last_request: AtomicU64::new(0),
         })
     }
 
+    /// Puts a manifest in force on this VM, for callers first and then for the dispatch duty.
+    pub fn put_in_force(&self, accepted: Accepted) {
+        self.routes.store(Arc::new(Routes::new(&accepted.manifest)));
+        self.accepted.store(Arc::new(accepted.clone()));
+        drop(self.dispatch.send(Message::Adopted(accepted)));
+    }
+
     /// Tells whether the platform's balancer may send callers here.
     pub fn ready(&self) -> bool {
         !self.stopping() && self.accepted.load().generation > 0
@@ -61,6 +76,16 @@
         self.stopping.store(true, Ordering::Release);
     }
 
+    /// Closes the door to callers: what is in flight may go on until `until`.
+    pub fn close(&self, until: Instant) {
+        self.closing.send_replace(Some(until));
+    }
+
+    /// Returns a watch on the door: `None` while it is open, else until when requests may go on.
+    pub fn closing(&self) -> watch::Receiver<Option<Instant>> {
+        self.closing.subscribe()
+    }
+
     /// Tells whether nothing is in flight any more and every duty should end.
     pub fn ended(&self) -> bool {
         self.ended.load(Ordering::Acquire)
