fix(dispatcher): nothing is lost, leaked or told wrongly across manifests, retries and deadlines

Cause: a new manifest threw away queues and in-flight counts (underflow at the next call's end); only a worker's report ended a request in flight; a refusal after a cut attempt said not_run; a retry went to the backend server that just failed; a refused-by-all request waited; a call that did not fit the ring was reported through a ring that could be full too.

--- a/crates/kingcuploft/src/decisions/admission.rs
+++ b/crates/kingcuploft/src/decisions/admission.rs
@@ -5,7 +5,7 @@
 
 use crate::manifest::Service;
 use crate::world::contract::Priority;
-use crate::world::ids::{Caller, IdempotencyKey, RequestId};
+use crate::world::ids::{Caller, IdempotencyKey, RequestId, RuleName};
 use crate::world::refusal::{Refusal, RefusalReason};
 
 /// A request that waits for a backend server.
@@ -13,10 +13,14 @@
 pub struct Waiting {
     /// The request.
     pub request: RequestId,
-    /// The index of its rule within the service.
-    pub rule: usize,
+    /// Its rule.
+    pub rule: RuleName,
     /// Its order among waiting requests.
     pub priority: Priority,
+    /// How many requests of its rule may wait.
+    pub queue_limit: u32,
+    /// The largest share of the queue that its caller may hold.
+    pub caller_share: f64,
     /// Who sent it.
     pub caller: Caller,
     /// Its idempotency key, if it has one.
@@ -32,6 +36,8 @@
 pub enum Offer {
     /// It waits.
     Queued,
+    /// It waits, and this request, which waited, is refused in its stead.
+    QueuedInsteadOf(RequestId, Refusal),
     /// It is refused at the door.
     Refused(Refusal),
 }
@@ -42,7 +48,7 @@
     /// This one.
     Serve(Waiting),
     /// This one can not be answered in time any more and is refused.
-    Expired(Waiting),
+    GivenUp(Waiting, Refusal),
     /// Nothing waits.
     Empty,
 }
@@ -52,6 +58,7 @@
 pub struct Admission {
     queue: VecDeque<Waiting>,
     limit: usize,
+    claiming: usize,
 }
 
 impl Admission {
@@ -59,13 +66,34 @@
     pub fn new(service: &Service) -> Self {
         Self {
             queue: VecDeque::new(),
-            limit: service.rules.iter().map(|r| r.queue_limit as usize).sum(),
+            limit: limit(service),
+            claiming: 0,
         }
     }
 
+    /// Goes on under a new manifest; what waits stays.
+    pub fn adopt(&mut self, service: &Service) {
+        self.limit = limit(service);
+    }
+
+    /// Sets how many requests have their claims asked for; they have their place in the queue.
+    pub fn set_claiming(&mut self, claiming: usize) {
+        self.claiming = claiming;
+    }
+
+    /// Notes that a claim is asked for.
+    pub fn claim_asked(&mut self) {
+        self.claiming += 1;
+    }
+
+    /// Notes that a claim was settled.
+    pub fn claim_settled(&mut self) {
+        self.claiming = self.claiming.saturating_sub(1);
+    }
+
     /// Judges a request at the door without queueing it.
     pub fn check(&self, _now: Instant, _waiting: &Waiting) -> Offer {
-        if self.queue.len() >= self.limit {
+        if self.queue.len() + self.claiming >= self.limit {
             return Offer::Refused(Refusal::not_run(RefusalReason::QueueFull));
         }
         Offer::Queued
@@ -84,17 +112,13 @@
     pub fn next(&mut self, now: Instant) -> Next {
         match self.queue.pop_front() {
             None => Next::Empty,
-            Some(waiting) if waiting.deadline <= now => Next::Expired(waiting),
+            Some(waiting) if waiting.deadline <= now => {
+                Next::GivenUp(waiting, Refusal::not_run(RefusalReason::DeadlinePassed))
+            }
             Some(waiting) => Next::Serve(waiting),
         }
     }
 
-    /// Takes a request whose deadline passed off the queue.
-    pub fn expired(&mut self, now: Instant) -> Option<Waiting> {
-        let at = self.queue.iter().position(|w| w.deadline <= now)?;
-        self.queue.remove(at)
-    }
-
     /// Takes a request off the queue whose caller left; tells whether it waited.
     pub fn remove(&mut self, request: RequestId) -> bool {
         let before = self.queue.len();
@@ -102,11 +126,6 @@
         self.queue.len() < before
     }
 
-    /// Returns when the next waiting request expires.
-    pub fn next_deadline(&self) -> Option<Instant> {
-        self.queue.iter().map(|w| w.deadline).min()
-    }
-
     /// Returns how many requests wait.
     pub fn len(&self) -> usize {
         self.queue.len()
@@ -116,4 +135,13 @@
     pub fn is_empty(&self) -> bool {
         self.queue.is_empty()
     }
+
+    /// Returns every request that waits.
+    pub fn into_requests(self) -> Vec<RequestId> {
+        self.queue.into_iter().map(|w| w.request).collect()
+    }
+}
+
+fn limit(service: &Service) -> usize {
+    service.rules.iter().map(|r| r.queue_limit as usize).sum()
 }
--- a/crates/kingcuploft/src/decisions/retry.rs
+++ b/crates/kingcuploft/src/decisions/retry.rs
@@ -1,6 +1,6 @@
 //! When a request is sent again.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::settings::retry::RetrySettings;
 use crate::world::backend_server::{CallEnd, CallReport};
@@ -38,11 +38,29 @@
     /// Pass the answer on.
     Answer,
     /// Send the request again.
-    Retry(RetryReason),
+    Retry {
+        /// Why.
+        reason: RetryReason,
+        /// How long to wait first.
+        after: Duration,
+    },
     /// Refuse the request.
     Refuse(Refusal),
 }
 
+impl Verdict {
+    /// Decides where no attempt may follow, as the service is gone.
+    pub fn without_retry(contract: Contract, end: CallEnd) -> Self {
+        match end {
+            CallEnd::Answered { .. } => Self::Answer,
+            end => Self::Refuse(last_word(end, contract)),
+        }
+    }
+}
+
+/// When to ask again after every backend server has refused.
+const REFUSED_BY_ALL: Duration = Duration::from_millis(100);
+
 /// The retries that recent successes have earned, for one service on one VM.
 #[derive(Debug)]
 pub struct Retry {
@@ -83,7 +101,20 @@
             return Verdict::Refuse(last_word(report.end, contract));
         }
         self.budget -= 1.0;
-        Verdict::Retry(reason)
+        Verdict::Retry {
+            reason,
+            after: Duration::ZERO,
+        }
+    }
+
+    /// Goes on under new settings with what was earned.
+    pub fn adopt(&mut self, settings: &RetrySettings) {
+        self.settings = settings.clone();
+    }
+
+    /// Returns when to ask again after every backend server has refused.
+    pub fn refused_by_all(&self) -> Duration {
+        REFUSED_BY_ALL
     }
 }
 
--- /dev/null
+++ b/crates/kingcuploft/src/dispatcher/attempts.rs
@@ -0,0 +1,163 @@
+//! Attempts: begun, ended, cancelled, given up.
+
+use std::time::{Duration, Instant};
+
+use super::request::{Attempt, Claim};
+use super::{Action, Call, Dispatcher};
+use crate::decisions::retry::Verdict;
+use crate::world::backend_server::{CallEnd, CallReport};
+use crate::world::ids::{AttemptId, RequestId};
+
+/// How long after the deadline an attempt may still report before its slot is counted as free.
+///
+/// A worker that hangs never reports; without the grace its slot would be lost until a restart.
+/// It is well above the time in which a worker's own timeout, set to the deadline, reports.
+const ATTEMPT_GRACE: Duration = Duration::from_secs(1);
+
+impl Dispatcher {
+    /// Begins an attempt at a backend server of the service in force.
+    pub(super) fn call(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        server: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(state) = self.services.get_mut(request.service()) else {
+            return;
+        };
+        self.last_attempt += 1;
+        let attempt = self.last_attempt;
+        let backend_server = state.sent(now, server);
+        request.attempts += 1;
+        request.live.push(attempt);
+        request.tried.push(backend_server.name.clone());
+        let give_up_at = request.deadline + ATTEMPT_GRACE;
+        self.attempt_timers.insert(give_up_at, attempt);
+        self.attempts.insert(
+            attempt,
+            Attempt {
+                request: id,
+                service: request.service().clone(),
+                backend_server: backend_server.name.clone(),
+                address: backend_server.address,
+                give_up_at,
+            },
+        );
+        actions.push(Action::Call(Call {
+            request: id,
+            attempt,
+            route: request.route.clone(),
+            address: backend_server.address,
+            backend_server: backend_server.name.clone(),
+            deadline: request.deadline,
+        }));
+    }
+
+    /// Takes the end of an attempt in; an attempt that was given up is not known any more.
+    pub(super) fn ended(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        report: &CallReport,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(attempt) = self.attempts.remove(&id) else {
+            return;
+        };
+        self.attempt_timers.remove(attempt.give_up_at, id);
+        if let Some(state) = self.services.get_mut(&attempt.service)
+            && state.ended(now, &attempt, report)
+        {
+            let server = attempt.backend_server.clone();
+            actions.push(Action::TellDraining(attempt.service.clone(), server));
+        }
+        self.settle(now, id, &attempt, report, actions);
+        self.pump(now, &attempt.service, actions);
+    }
+
+    /// Counts attempts as ended that never reported.
+    pub(super) fn give_up_attempts(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        while let Some(id) = self.attempt_timers.pop_due(now) {
+            let report = CallReport {
+                end: CallEnd::Cancelled,
+                latency: ATTEMPT_GRACE,
+                load: None,
+                draining: false,
+            };
+            self.ended(now, id, &report, actions);
+        }
+    }
+
+    /// Decides what the end of an attempt means for its request.
+    fn settle(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        attempt: &Attempt,
+        report: &CallReport,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&attempt.request) else {
+            return;
+        };
+        request.attempt_ended(id, report.end);
+        if request.told {
+            return self.record_untold(attempt.request, id, report.end, actions);
+        }
+        let verdict = match self.services.get_mut(&attempt.service) {
+            Some(state) => state.after(now, request, report),
+            None => Verdict::without_retry(request.contract(), report.end),
+        };
+        match verdict {
+            Verdict::Answer => self.answer(attempt.request, id, actions),
+            // Another attempt at the request is still in flight and may bring the answer.
+            Verdict::Retry { .. } | Verdict::Refuse(_) if !request.live.is_empty() => {}
+            Verdict::Retry { reason, after } => {
+                actions.push(Action::Retried(attempt.service.clone(), reason));
+                let waiting = request.waiting(attempt.request);
+                let tried = request.tried.clone();
+                if let Some(state) = self.services.get_mut(&attempt.service) {
+                    state.retry_at(now + after, waiting, tried, report.end);
+                }
+            }
+            Verdict::Refuse(refusal) => self.refuse(attempt.request, refusal, actions),
+        }
+    }
+
+    /// Passes an answer on; the other attempts at the request have lost.
+    fn answer(&mut self, id: RequestId, attempt: AttemptId, actions: &mut Vec<Action>) {
+        let Some(request) = self.forget(id) else {
+            return;
+        };
+        actions.push(Action::Answer(id, attempt));
+        if request.claim == Claim::Held {
+            actions.push(Action::Acknowledge(id, Some(attempt)));
+        }
+        actions.extend(request.live.into_iter().map(Action::Cancel));
+    }
+
+    /// Records how a protected request ended whose caller left or was told at its deadline.
+    fn record_untold(
+        &mut self,
+        id: RequestId,
+        attempt: AttemptId,
+        end: CallEnd,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.forget(id) else {
+            return;
+        };
+        if request.claim != Claim::Held {
+            return;
+        }
+        let answered = matches!(end, CallEnd::Answered { .. });
+        actions.push(match request.may_have_run() {
+            true => Action::Acknowledge(id, answered.then_some(attempt)),
+            false => Action::Release(id),
+        });
+    }
+}
--- a/crates/kingcuploft/src/dispatcher/mod.rs
+++ b/crates/kingcuploft/src/dispatcher/mod.rs
@@ -3,27 +3,31 @@
 //! Events come in with the time they happened, actions come out. The daemon's dispatch thread and
 //! the scenario tests run the very same code.
 
+mod adoption;
+mod attempts;
+mod ending;
 mod request;
+mod retry_queue;
 mod service_state;
+mod timers;
 
-use std::sync::Arc;
 use std::time::Instant;
 
-use crate::decisions::admission::Waiting;
+use crate::decisions::admission::{Offer, Waiting};
 use crate::decisions::retry::RetryReason;
 use crate::manifest::Accepted;
 use crate::manifest::routing::Route;
 use crate::utils::HashMap;
 use crate::world::backend_server::CallReport;
-use crate::world::contract::Contract;
 use crate::world::ids::{
     AttemptId, BackendServerName, Caller, IdempotencyKey, RequestId, ServiceName,
 };
 use crate::world::refusal::{Refusal, RefusalReason};
 use crate::world::vm::Vm;
 
-use request::{Attempt, Request};
+use request::{Attempt, Claim, Request};
 use service_state::{Pick, ServiceState};
+use timers::Timers;
 
 /// A request as the caller edge hands it in, its route found and its body read.
 #[derive(Clone, Debug)]
@@ -121,6 +125,12 @@
     services: HashMap<ServiceName, ServiceState>,
     requests: HashMap<RequestId, Request>,
     attempts: HashMap<AttemptId, Attempt>,
+    /// When each request that is not answered is due.
+    timers: Timers,
+    /// When each attempt that does not report is given up.
+    attempt_timers: Timers,
+    /// The time of the last event.
+    now: Option<Instant>,
     last_attempt: AttemptId,
 }
 
@@ -133,12 +143,16 @@
             services: HashMap::default(),
             requests: HashMap::default(),
             attempts: HashMap::default(),
+            timers: Timers::default(),
+            attempt_timers: Timers::default(),
+            now: None,
             last_attempt: 0,
         }
     }
 
     /// Takes one event in and appends what to do next.
     pub fn on_event(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        self.now = Some(now);
         match event {
             Event::Arrived(arrival) => self.arrived(now, arrival, actions),
             Event::Claimed(request, end) => self.claimed(now, request, end, actions),
@@ -152,223 +166,103 @@
 
     /// Returns when the next [`Event::Tick`] is due at the latest.
     pub fn next_tick(&self) -> Option<Instant> {
-        let services = self.services.values();
-        services.filter_map(ServiceState::next_deadline).min()
+        let now = self.now?;
+        let retries = self.services.values();
+        let retries = retries.filter_map(|state| state.next_due(now));
+        let timers = [self.timers.next(), self.attempt_timers.next()];
+        timers.into_iter().flatten().chain(retries).min()
     }
 
-    /// Returns how many requests wait or are in flight.
+    /// Returns how many requests wait, are in flight, or run on to be recorded.
     pub fn in_flight(&self) -> usize {
         self.requests.len()
     }
 
+    /// Returns how many calls have not ended.
+    pub fn calls_in_flight(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Returns how many calls to a backend server of a service are counted as in flight.
+    pub fn calls_at(&self, service: &ServiceName, server: &BackendServerName) -> u32 {
+        let state = self.services.get(service);
+        state.map_or(0, |state| state.calls_at(server))
+    }
+
     fn arrived(&mut self, now: Instant, arrival: Arrival, actions: &mut Vec<Action>) {
         let id = arrival.request;
-        let Some(state) = self.services.get_mut(&arrival.route.service.name) else {
+        let request = Request::new(arrival);
+        let waiting = request.waiting(id);
+        let Some(state) = self.services.get_mut(request.service()) else {
             let refusal = Refusal::not_run(RefusalReason::NoSuchService);
             return actions.push(Action::Refuse(id, refusal));
         };
-        let protected = arrival.route.rule().contract == Contract::AtMostOnce;
-        let claims = protected && arrival.key.is_some();
-        let request = Request::new(arrival);
-        let waiting = request.waiting(id);
+        let claims = request.claim == Claim::Asked;
+        if claims && let Some(refusal) = state.check(now, &waiting) {
+            return actions.push(Action::Refuse(id, refusal));
+        }
+        let service = request.service().clone();
+        self.timers.insert(request.deadline, id);
+        self.requests.insert(id, request);
         if claims {
-            if let Some(refusal) = state.check(now, &waiting) {
-                return actions.push(Action::Refuse(id, refusal));
-            }
-            self.requests.insert(id, request);
             return actions.push(Action::Claim(id));
         }
-        let service = request.route.service.name.clone();
-        self.requests.insert(id, request);
         self.enqueue(now, waiting, actions);
         self.pump(now, &service, actions);
     }
 
+    /// Takes the end of a claim in. One that comes after its request has ended (its caller left,
+    /// or its deadline passed) is given back, as nothing was sent.
     fn claimed(&mut self, now: Instant, id: RequestId, end: ClaimEnd, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get_mut(&id) else {
+        let asked = self.requests.get_mut(&id);
+        let Some(request) = asked.filter(|request| request.claim == Claim::Asked) else {
             if end == ClaimEnd::Held {
                 actions.push(Action::Release(id));
             }
             return;
         };
-        if end != ClaimEnd::Held {
-            self.requests.remove(&id);
-            return;
-        }
-        request.claim_held = true;
         let waiting = request.waiting(id);
-        let service = request.route.service.name.clone();
-        self.enqueue(now, waiting, actions);
+        let service = request.service().clone();
+        match end {
+            ClaimEnd::Held => {
+                request.claim = Claim::Held;
+                if let Some(state) = self.services.get_mut(&service) {
+                    state.claim_settled();
+                }
+                self.enqueue(now, waiting, actions);
+            }
+            ClaimEnd::Refused(refusal) => self.refuse(id, refusal, actions),
+            ClaimEnd::Replayed => drop(self.forget(id)),
+        }
         self.pump(now, &service, actions);
     }
 
     /// Queues a request whose claim, if it needs one, is held.
     fn enqueue(&mut self, now: Instant, waiting: Waiting, actions: &mut Vec<Action>) {
         let id = waiting.request;
-        let service = &self.requests[&id].route.service.name;
-        let refusal = match self.services.get_mut(service) {
+        let service = self.requests[&id].service();
+        let offer = match self.services.get_mut(service) {
             Some(state) => state.offer(now, waiting),
-            None => Some(Refusal::not_run(RefusalReason::NoSuchService)),
+            None => Offer::Refused(Refusal::not_run(RefusalReason::NoSuchService)),
         };
-        if let Some(refusal) = refusal {
-            self.refuse(id, refusal, actions);
+        match offer {
+            Offer::Queued => {}
+            Offer::QueuedInsteadOf(other, refusal) => self.refuse(other, refusal, actions),
+            Offer::Refused(refusal) => self.refuse(id, refusal, actions),
         }
     }
 
-    /// Ends a request with a refusal; a claim is released only where nothing was sent.
-    fn refuse(&mut self, id: RequestId, refusal: Refusal, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.remove(&id) else {
-            return;
-        };
-        if request.claim_held {
-            actions.push(match refusal.outcome {
-                crate::world::refusal::Outcome::NotRun => Action::Release(id),
-                _ => Action::Acknowledge(id, None),
-            });
-        }
-        actions.push(Action::Refuse(id, refusal));
-    }
-
     /// Sends waiting requests while there is room.
     fn pump(&mut self, now: Instant, service: &ServiceName, actions: &mut Vec<Action>) {
         while let Some(state) = self.services.get_mut(service) {
             match state.pick(now, &mut self.rng) {
                 Pick::Idle => return,
                 Pick::Refuse(id, refusal) => self.refuse(id, refusal, actions),
-                Pick::Send(waiting, server) => self.call(now, waiting.request, server, actions),
-            }
-        }
-    }
-
-    fn call(&mut self, now: Instant, id: RequestId, server: usize, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let Some(state) = self.services.get_mut(&request.route.service.name) else {
-            return;
-        };
-        self.last_attempt += 1;
-        let attempt = self.last_attempt;
-        let backend_server = state.sent(now, server);
-        request.attempts += 1;
-        request.in_flight = Some(attempt);
-        self.attempts.insert(
-            attempt,
-            Attempt {
-                request: id,
-                service: request.route.service.name.clone(),
-                backend_server: backend_server.name.clone(),
-            },
-        );
-        actions.push(Action::Call(Call {
-            request: id,
-            attempt,
-            route: request.route.clone(),
-            address: backend_server.address,
-            backend_server: backend_server.name.clone(),
-            deadline: request.deadline,
-        }));
-    }
-
-    fn ended(
-        &mut self,
-        now: Instant,
-        id: AttemptId,
-        report: &CallReport,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(attempt) = self.attempts.remove(&id) else {
-            return;
-        };
-        if let Some(state) = self.services.get_mut(&attempt.service)
-            && state.ended(now, &attempt.backend_server, report)
-        {
-            let server = attempt.backend_server.clone();
-            actions.push(Action::TellDraining(attempt.service.clone(), server));
-        }
-        self.settle(now, id, &attempt, report, actions);
-        self.pump(now, &attempt.service, actions);
-    }
-
-    /// Decides what the end of an attempt means for its request.
-    fn settle(
-        &mut self,
-        now: Instant,
-        id: AttemptId,
-        attempt: &Attempt,
-        report: &CallReport,
-        actions: &mut Vec<Action>,
-    ) {
-        use crate::decisions::retry::Verdict;
-
-        let Some(request) = self.requests.get_mut(&attempt.request) else {
-            return;
-        };
-        request.in_flight = None;
-        let verdict = match self.services.get_mut(&attempt.service) {
-            Some(state) => state.after(now, request, report),
-            None => request.verdict_without_retry(report),
-        };
-        match verdict {
-            Verdict::Answer => {
-                let claim_held = request.claim_held;
-                self.requests.remove(&attempt.request);
-                actions.push(Action::Answer(attempt.request, id));
-                if claim_held {
-                    actions.push(Action::Acknowledge(attempt.request, Some(id)));
-                }
+                Pick::Send(id, server) => self.call(now, id, server, actions),
             }
-            Verdict::Retry(reason) => {
-                let waiting = request.waiting(attempt.request);
-                actions.push(Action::Retried(attempt.service.clone(), reason));
-                self.enqueue(now, waiting, actions);
-            }
-            Verdict::Refuse(refusal) => self.refuse(attempt.request, refusal, actions),
         }
     }
 
-    /// Forgets a request nobody waits for: a lookup is cancelled, a protected action runs on, so
-    /// that its end can be recorded for the caller's next try.
-    fn caller_left(&mut self, now: Instant, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let service = request.route.service.name.clone();
-        let protected = request.route.rule().contract == Contract::AtMostOnce;
-        match request.in_flight {
-            Some(_) if protected => return,
-            Some(attempt) => {
-                self.requests.remove(&id);
-                actions.push(Action::Cancel(attempt));
-            }
-            None => {
-                if let Some(state) = self.services.get_mut(&service) {
-                    state.remove(id);
-                }
-                let held = self.requests.remove(&id).is_some_and(|r| r.claim_held);
-                if held {
-                    actions.push(Action::Release(id));
-                }
-            }
-        }
-        self.pump(now, &service, actions);
-    }
-
-    fn adopted(&mut self, now: Instant, accepted: &Accepted, actions: &mut Vec<Action>) {
-        let mut old = std::mem::take(&mut self.services);
-        for service in &accepted.manifest.services {
-            let state = ServiceState::new(Arc::clone(service), &self.vm, old.remove(&service.name));
-            self.services.insert(service.name.clone(), state);
-        }
-        for gone in old.into_values() {
-            for id in gone.waiting() {
-                let refusal = Refusal::not_run(RefusalReason::NoSuchService);
-                self.refuse(id, refusal, actions);
-            }
-        }
-        self.pump_all(now, actions);
-    }
-
     fn draining(
         &mut self,
         service: &ServiceName,
@@ -383,17 +277,6 @@
         }
     }
 
-    fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let mut expired = Vec::new();
-        for state in self.services.values_mut() {
-            expired.extend(std::iter::from_fn(|| state.expired(now)));
-        }
-        for (id, refusal) in expired {
-            self.refuse(id, refusal, actions);
-        }
-        self.pump_all(now, actions);
-    }
-
     fn pump_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let names: Vec<ServiceName> = self.services.keys().cloned().collect();
         for name in names {
--- a/crates/kingcuploft/src/dispatcher/request.rs
+++ b/crates/kingcuploft/src/dispatcher/request.rs
@@ -1,50 +1,90 @@
 //! A request and an attempt at it, from arrival to answer.
 
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use super::Arrival;
 use crate::decisions::admission::Waiting;
-use crate::decisions::retry::{Retry, Verdict};
 use crate::manifest::routing::Route;
-use crate::settings::retry::RetrySettings;
-use crate::world::backend_server::CallReport;
+use crate::world::backend_server::CallEnd;
+use crate::world::contract::Contract;
 use crate::world::ids::{
     AttemptId, BackendServerName, Caller, IdempotencyKey, RequestId, ServiceName,
 };
+use crate::world::refusal::{Outcome, Refusal};
 
-/// A request that waits, claims or is in flight.
+/// A request that claims, waits or is in flight.
 #[derive(Debug)]
 pub(super) struct Request {
     pub(super) route: Route,
-    pub(super) arrived: Instant,
     pub(super) deadline: Instant,
+    /// How many attempts were begun.
     pub(super) attempts: u32,
-    pub(super) in_flight: Option<AttemptId>,
-    pub(super) claim_held: bool,
+    /// The attempts that have not ended.
+    pub(super) live: Vec<AttemptId>,
+    /// The backend servers that were tried.
+    pub(super) tried: Vec<BackendServerName>,
+    pub(super) claim: Claim,
+    /// Whether the caller has its final answer or has left.
+    pub(super) told: bool,
+    /// Whether an attempt that ended may have run the request.
+    may_have_run: bool,
+    arrived: Instant,
     caller: Caller,
     key: Option<IdempotencyKey>,
 }
 
+/// Where the claim of a request stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Claim {
+    /// None is needed.
+    NotNeeded,
+    /// It is asked for.
+    Asked,
+    /// It is held.
+    Held,
+}
+
 impl Request {
     pub(super) fn new(arrival: Arrival) -> Self {
+        let protected = arrival.route.rule().contract == Contract::AtMostOnce;
+        let claims = protected && arrival.key.is_some();
         Self {
             route: arrival.route,
-            arrived: arrival.arrived,
             deadline: arrival.deadline,
             attempts: 0,
-            in_flight: None,
-            claim_held: false,
+            live: Vec::new(),
+            tried: Vec::new(),
+            claim: if claims {
+                Claim::Asked
+            } else {
+                Claim::NotNeeded
+            },
+            told: false,
+            may_have_run: false,
+            arrived: arrival.arrived,
             caller: arrival.caller,
             key: arrival.key,
         }
     }
 
+    pub(super) fn contract(&self) -> Contract {
+        self.route.rule().contract
+    }
+
+    pub(super) fn service(&self) -> &ServiceName {
+        &self.route.service.name
+    }
+
     /// Returns what the queue needs to know of the request.
     pub(super) fn waiting(&self, id: RequestId) -> Waiting {
+        let rule = self.route.rule();
         Waiting {
             request: id,
-            rule: self.route.rule,
-            priority: self.route.rule().priority,
+            rule: rule.name.clone(),
+            priority: rule.priority,
+            queue_limit: rule.queue_limit,
+            caller_share: rule.caller_share,
             caller: self.caller.clone(),
             key: self.key.clone(),
             arrived: self.arrived,
@@ -52,14 +92,29 @@
         }
     }
 
-    /// Returns the verdict where the service is gone: no attempt follows this one.
-    pub(super) fn verdict_without_retry(&self, report: &CallReport) -> Verdict {
-        let none = RetrySettings {
-            attempts: 0,
-            ..RetrySettings::default()
-        };
-        let contract = self.route.rule().contract;
-        Retry::new(&none).decide(self.deadline, contract, 1, self.deadline, report)
+    /// Notes the end of an attempt.
+    pub(super) fn attempt_ended(&mut self, attempt: AttemptId, end: CallEnd) {
+        self.live.retain(|&live| live != attempt);
+        self.may_have_run |= end.may_have_run();
+    }
+
+    /// Tells whether a backend server may have run the request, or may be running it.
+    ///
+    /// This guards against the lie that a request was not run: a lookup whose first attempt was
+    /// cut may wait for its second when it is refused. Every refusal's outcome passes here.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.may_have_run || !self.live.is_empty()
+    }
+
+    /// Returns the refusal with an outcome that is true for this request.
+    pub(super) fn truthful(&self, refusal: Refusal) -> Refusal {
+        match refusal.outcome {
+            Outcome::NotRun if self.may_have_run() => Refusal {
+                outcome: Outcome::Unknown,
+                ..refusal
+            },
+            _ => refusal,
+        }
     }
 }
 
@@ -69,4 +124,7 @@
     pub(super) request: RequestId,
     pub(super) service: ServiceName,
     pub(super) backend_server: BackendServerName,
+    pub(super) address: SocketAddr,
+    /// When the dispatcher counts it as ended without a report.
+    pub(super) give_up_at: Instant,
 }
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -3,26 +3,30 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use super::request::Request;
+use super::request::{Attempt, Request};
+use super::retry_queue::{RetryQueue, Waits};
 use crate::decisions::admission::{Admission, Next, Offer, Waiting};
 use crate::decisions::drain::Drain;
 use crate::decisions::retry::{Retry, Verdict};
 use crate::decisions::selection::{Choice, Selection};
 use crate::manifest::{BackendServer, Service};
 use crate::utils::HashMap;
-use crate::world::backend_server::CallReport;
+use crate::world::backend_server::{CallEnd, CallReport};
 use crate::world::ids::{BackendServerName, RequestId};
 use crate::world::refusal::{Refusal, RefusalReason};
 use crate::world::vm::Vm;
 
-/// What to do with the head of the queue.
+/// How many retries that are due are looked at for one free slot.
+const RETRIES_LOOKED_AT: usize = 8;
+
+/// What to do next for the requests that wait.
 pub(super) enum Pick {
     /// Nothing can be sent now.
     Idle,
     /// Refuse this request.
     Refuse(RequestId, Refusal),
     /// Send this request to the backend server with this index.
-    Send(Waiting, usize),
+    Send(RequestId, usize),
 }
 
 /// One service on one VM.
@@ -31,6 +35,7 @@
     service: Arc<Service>,
     by_name: HashMap<BackendServerName, usize>,
     admission: Admission,
+    retries: RetryQueue,
     selection: Selection,
     drain: Drain,
     retry: Retry,
@@ -38,28 +43,95 @@
 
 impl ServiceState {
     /// Builds the state under a new manifest, taking over what still holds of the old one.
-    pub(super) fn new(service: Arc<Service>, vm: &Vm, _old: Option<Self>) -> Self {
+    ///
+    /// A backend server is the same one where its name and address are. `attempts` are the calls
+    /// of the service in flight: those at a backend server that the old manifest did not have
+    /// (it was taken out and put back) are counted again, so that their ends find their count.
+    pub(super) fn new<'a>(
+        service: Arc<Service>,
+        vm: &Vm,
+        old: Option<Self>,
+        now: Instant,
+        attempts: impl Iterator<Item = &'a Attempt>,
+    ) -> Self {
+        let mut selection = Selection::new(&service, &vm.availability_zone);
+        let mut drain = Drain::new(&service);
+        let old_of = old_indices(&service, old.as_ref());
+        let (admission, retries, retry) = match old {
+            None => (
+                Admission::new(&service),
+                RetryQueue::default(),
+                Retry::new(&service.policy.retry),
+            ),
+            Some(mut old) => {
+                selection.take_over(&old.selection, &old_of);
+                drain.take_over(&old.drain, &old_of);
+                old.admission.adopt(&service);
+                old.retry.adopt(&service.policy.retry);
+                (old.admission, old.retries, old.retry)
+            }
+        };
         let names = service.backend_servers.iter().map(|s| s.name.clone());
-        Self {
+        let mut state = Self {
             by_name: names.enumerate().map(|(i, name)| (name, i)).collect(),
-            admission: Admission::new(&service),
-            selection: Selection::new(&service, &vm.availability_zone),
-            drain: Drain::new(&service),
-            retry: Retry::new(&service.policy.retry),
+            admission,
+            retries,
+            selection,
+            drain,
+            retry,
             service,
+        };
+        for attempt in attempts {
+            if let Some(server) = state.server_of(attempt)
+                && old_of[server].is_none()
+            {
+                state.selection.sent(now, server);
+            }
+        }
+        state
+    }
+
+    /// Returns the index of the backend server that an attempt went to, if it is still there.
+    fn server_of(&self, attempt: &Attempt) -> Option<usize> {
+        let &server = self.by_name.get(&attempt.backend_server)?;
+        let same = self.service.backend_servers[server].address == attempt.address;
+        same.then_some(server)
+    }
+
+    pub(super) fn calls_at(&self, server: &BackendServerName) -> u32 {
+        let server = self.by_name.get(server);
+        server.map_or(0, |&server| self.selection.in_flight(server))
+    }
+
+    pub(super) fn set_claiming(&mut self, claiming: usize) {
+        self.admission.set_claiming(claiming);
+    }
+
+    /// Judges a protected request at the door, before its claim is asked for.
+    pub(super) fn check(&mut self, now: Instant, waiting: &Waiting) -> Option<Refusal> {
+        match self.admission.check(now, waiting) {
+            Offer::Refused(refusal) => Some(refusal),
+            Offer::Queued | Offer::QueuedInsteadOf(..) => {
+                self.admission.claim_asked();
+                None
+            }
         }
     }
 
-    pub(super) fn check(&self, now: Instant, waiting: &Waiting) -> Option<Refusal> {
-        refusal(self.admission.check(now, waiting))
+    pub(super) fn claim_settled(&mut self) {
+        self.admission.claim_settled();
     }
 
-    pub(super) fn offer(&mut self, now: Instant, waiting: Waiting) -> Option<Refusal> {
-        refusal(self.admission.offer(now, waiting))
+    pub(super) fn offer(&mut self, now: Instant, waiting: Waiting) -> Offer {
+        self.admission.offer(now, waiting)
     }
 
-    /// Takes the next request and the backend server it goes to.
+    /// Takes the next request and the backend server it goes to; retries go first, as they have
+    /// waited longest.
     pub(super) fn pick(&mut self, now: Instant, rng: &mut fastrand::Rng) -> Pick {
+        if let Some(pick) = self.pick_retry(now, rng) {
+            return pick;
+        }
         if self.admission.is_empty() {
             return Pick::Idle;
         }
@@ -70,14 +142,11 @@
         }
         let waiting = match self.admission.next(now) {
             Next::Empty => return Pick::Idle,
-            Next::Expired(waiting) => {
-                let refusal = Refusal::not_run(RefusalReason::DeadlinePassed);
-                return Pick::Refuse(waiting.request, refusal);
-            }
+            Next::GivenUp(waiting, refusal) => return Pick::Refuse(waiting.request, refusal),
             Next::Serve(waiting) => waiting,
         };
         match choice {
-            Choice::Send(server) => Pick::Send(waiting, server),
+            Choice::Send(server) => Pick::Send(waiting.request, server),
             Choice::Full | Choice::NoneLeft => {
                 let refusal = Refusal::not_run(RefusalReason::NoBackendServer);
                 Pick::Refuse(waiting.request, refusal)
@@ -85,19 +154,64 @@
         }
     }
 
+    /// Looks for a retry that is due and whose next backend server has room.
+    fn pick_retry(&mut self, now: Instant, rng: &mut fastrand::Rng) -> Option<Pick> {
+        for at in 0..self.retries.due(now).min(RETRIES_LOOKED_AT) {
+            let waits = self.retries.get(at);
+            let (tried, last_end) = (self.indices(&waits.tried), waits.last_end);
+            match (self.choose_untried(now, rng, &tried), last_end) {
+                (Choice::Full, _) => {}
+                (Choice::Send(server), _) => {
+                    let waits = self.retries.take(at);
+                    return Some(Pick::Send(waits.request, server));
+                }
+                (Choice::NoneLeft, CallEnd::Refused) => return Some(self.refused_by_all(at)),
+                (Choice::NoneLeft, _) => match self.choose_untried(now, rng, &[]) {
+                    Choice::Full => {}
+                    Choice::Send(server) => {
+                        let waits = self.retries.take(at);
+                        return Some(Pick::Send(waits.request, server));
+                    }
+                    Choice::NoneLeft => {
+                        let waits = self.retries.take(at);
+                        let refusal = Refusal::not_run(RefusalReason::NoBackendServer);
+                        return Some(Pick::Refuse(waits.request, refusal));
+                    }
+                },
+            }
+        }
+        None
+    }
+
+    fn indices(&self, names: &[BackendServerName]) -> Vec<usize> {
+        let indices = names.iter().filter_map(|name| self.by_name.get(name));
+        indices.copied().collect()
+    }
+
+    fn choose_untried(&mut self, now: Instant, rng: &mut fastrand::Rng, tried: &[usize]) -> Choice {
+        let drain = &self.drain;
+        let takes_work = |i| drain.takes_work(i) && !tried.contains(&i);
+        self.selection.choose(now, rng, takes_work)
+    }
+
+    /// Ends a request that every backend server which takes work has refused.
+    fn refused_by_all(&mut self, at: usize) -> Pick {
+        let waits = self.retries.take(at);
+        let refusal = Refusal::not_run(RefusalReason::BackendServerRefused);
+        Pick::Refuse(
+            waits.request,
+            refusal.retry_after(self.retry.refused_by_all()),
+        )
+    }
+
     pub(super) fn sent(&mut self, now: Instant, server: usize) -> &BackendServer {
         self.selection.sent(now, server);
         &self.service.backend_servers[server]
     }
 
     /// Notes the end of an attempt; tells whether it brought news of a drain.
-    pub(super) fn ended(
-        &mut self,
-        now: Instant,
-        server: &BackendServerName,
-        report: &CallReport,
-    ) -> bool {
-        let Some(&server) = self.by_name.get(server) else {
+    pub(super) fn ended(&mut self, now: Instant, attempt: &Attempt, report: &CallReport) -> bool {
+        let Some(server) = self.server_of(attempt) else {
             return false;
         };
         self.selection.ended(now, server, report);
@@ -110,9 +224,29 @@
         request: &Request,
         report: &CallReport,
     ) -> Verdict {
-        let contract = request.route.rule().contract;
-        self.retry
-            .decide(now, contract, request.attempts, request.deadline, report)
+        self.retry.decide(
+            now,
+            request.contract(),
+            request.attempts,
+            request.deadline,
+            report,
+        )
+    }
+
+    /// Lets a request wait for its next attempt.
+    pub(super) fn retry_at(
+        &mut self,
+        not_before: Instant,
+        waiting: Waiting,
+        tried: Vec<BackendServerName>,
+        last_end: CallEnd,
+    ) {
+        self.retries.insert(Waits {
+            not_before,
+            request: waiting.request,
+            tried,
+            last_end,
+        });
     }
 
     pub(super) fn draining(&mut self, server: &BackendServerName) -> bool {
@@ -120,30 +254,33 @@
         server.is_some_and(|&server| self.drain.evidence(server))
     }
 
-    pub(super) fn expired(&mut self, now: Instant) -> Option<(RequestId, Refusal)> {
-        let waiting = self.admission.expired(now)?;
-        let refusal = Refusal::not_run(RefusalReason::DeadlinePassed);
-        Some((waiting.request, refusal))
-    }
-
+    /// Takes a request that no longer waits off the queues.
     pub(super) fn remove(&mut self, request: RequestId) {
-        self.admission.remove(request);
+        if !self.admission.remove(request) {
+            self.retries.remove(request);
+        }
     }
 
-    pub(super) fn next_deadline(&self) -> Option<Instant> {
-        self.admission.next_deadline()
+    /// Returns when the next retry is due that is not yet.
+    pub(super) fn next_due(&self, now: Instant) -> Option<Instant> {
+        self.retries.next_due(now)
     }
 
-    pub(super) fn waiting(mut self) -> Vec<RequestId> {
-        let far = Instant::now() + std::time::Duration::from_secs(86_400);
-        let waiting = std::iter::from_fn(|| self.admission.expired(far));
-        waiting.map(|w| w.request).collect()
+    /// Returns every request that waits.
+    pub(super) fn into_waiting(self) -> Vec<RequestId> {
+        let mut waiting = self.admission.into_requests();
+        waiting.extend(self.retries.into_requests());
+        waiting
     }
 }
 
-fn refusal(offer: Offer) -> Option<Refusal> {
-    match offer {
-        Offer::Queued => None,
-        Offer::Refused(refusal) => Some(refusal),
-    }
+/// Returns, for each backend server of the new manifest, its index in the old one.
+fn old_indices(service: &Service, old: Option<&ServiceState>) -> Vec<Option<usize>> {
+    let old_index = |server: &BackendServer| {
+        let old = old?;
+        let &index = old.by_name.get(&server.name)?;
+        let same = old.service.backend_servers[index].address == server.address;
+        same.then_some(index)
+    };
+    service.backend_servers.iter().map(old_index).collect()
 }
--- a/crates/kingcuploft/src/world/backend_server.rs
+++ b/crates/kingcuploft/src/world/backend_server.rs
@@ -31,6 +31,13 @@
     Cancelled,
 }
 
+impl CallEnd {
+    /// Tells whether the backend server may have run the request.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Self::NeverSent | Self::Refused)
+    }
+}
+
 /// What one call told about its backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallReport {
--- /dev/null
+++ b/crates/kingcuploft/tests/dispatcher/main.rs
@@ -0,0 +1,7 @@
+//! The dispatcher under faults: what every caller receives, and what is never sent twice.
+
+mod adoption;
+mod deadlines;
+mod orders;
+mod retries;
+mod world;
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use kingcuploft::dispatcher::{Action, Call, Dispatcher, Event};
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::backend_server::{CallEnd, CallReport};
@@ -43,6 +43,8 @@
     /// Answers of attempts, between their end and what the dispatcher makes of them.
     answers: HashMap<AttemptId, Answer>,
     actions: Vec<Action>,
+    /// Attempts that could not be handed to the backend edge.
+    not_handed_over: Vec<AttemptId>,
 }
 
 /// Runs the duty until a stop has been asked for and nothing is in flight.
@@ -55,6 +57,7 @@
         pending: HashMap::default(),
         answers: HashMap::default(),
         actions: Vec::new(),
+        not_handed_over: Vec::new(),
     };
     let mut stop: Option<Instant> = None;
     // A stop that has a bound ends at it even where a request is still in flight.
@@ -95,7 +98,10 @@
                 self.pending.insert(id, pending);
                 self.on_event(Event::Arrived(arrival));
             }
-            Message::CallerLeft(id) => self.on_event(Event::CallerLeft(id)),
+            Message::CallerLeft(id) => {
+                self.pending.remove(&id);
+                self.on_event(Event::CallerLeft(id));
+            }
             Message::Ended {
                 attempt,
                 report,
@@ -110,12 +116,8 @@
                 end,
                 recorded,
             } => {
-                match (end, recorded) {
-                    (kingcuploft::dispatcher::ClaimEnd::Refused(refusal), _) => {
-                        self.refuse(request, refusal);
-                    }
-                    (_, Some(answer)) => self.reply(request, Reply::Answer(*answer)),
-                    (_, None) => {}
+                if let Some(answer) = recorded {
+                    self.reply(request, Reply::Answer(*answer));
                 }
                 self.on_event(Event::Claimed(request, end));
             }
@@ -132,6 +134,19 @@
     }
 
     fn on_event(&mut self, event: Event) {
+        self.take_event(event);
+        while let Some(attempt) = self.not_handed_over.pop() {
+            let report = CallReport {
+                end: CallEnd::NeverSent,
+                latency: Duration::ZERO,
+                load: None,
+                draining: false,
+            };
+            self.take_event(Event::Ended(attempt, report));
+        }
+    }
+
+    fn take_event(&mut self, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
         self.dispatcher
             .on_event(Instant::now(), event, &mut actions);
@@ -188,30 +203,19 @@
         drop(self.rings.claims.send(order));
     }
 
+    /// Hands a call to the backend edge. Where the ring is full the call was never sent, and the
+    /// dispatcher is told so at once.
     fn call(&mut self, call: Call) {
+        let attempt = call.attempt;
         let Some(pending) = self.pending.get(&call.request) else {
-            return;
+            return self.not_handed_over.push(attempt);
         };
         let order = CallOrder {
             call,
             parts: (*pending.parts).clone(),
         };
-        match self.rings.calls.try_send(order) {
-            Ok(()) => {}
-            Err(TrySendError::Full(order) | TrySendError::Disconnected(order)) => {
-                let report = CallReport {
-                    end: CallEnd::NeverSent,
-                    latency: Duration::ZERO,
-                    load: None,
-                    draining: false,
-                };
-                let ended = Message::Ended {
-                    attempt: order.call.attempt,
-                    report,
-                    answer: None,
-                };
-                drop(self.shared.dispatch.try_send(ended));
-            }
+        if self.rings.calls.try_send(order).is_err() {
+            self.not_handed_over.push(attempt);
         }
     }
 
