--- a/crates/kingcuploftd/src/backend_edge/registry.rs
+++ b/crates/kingcuploftd/src/backend_edge/registry.rs
@@ -111,7 +111,7 @@
     }
 
     /// Forgets a call that ended; returns the connection it was on.
-    pub(super) fn ended(&self, attempt: AttemptId) -> Option<Arc<BackendConnection>> {
+    pub fn ended(&self, attempt: AttemptId) -> Option<Arc<BackendConnection>> {
         match self.calls().remove(&attempt)? {
             InFlight::Running(connection) => Some(connection),
             InFlight::Waiting | InFlight::Cancelled => None,
