feat(caller-edge): one reading of a request or none, slow callers told from idle ones

- The HTTP library took two equal lengths, let a coding win over a length, took bare line feeds, targets with another host and a second Host header (each seen as 200 on a raw socket).
An inspector follows the same framing and such requests get 400 and their connection closed.
- 413 before a byte of a long body is read, 431 for long heads (40,000 bytes passed before), 408 for slow bodies.
- A kept-alive connection that was merely idle was closed after header_timeout_ms, in the moment of which a balancer's request is lost; idle_timeout_ms is told apart now.
- A connection above the limit gets a 503 and a counter in place of silence; a lack of file descriptors pauses the accept loop in place of spinning.

--- a/crates/kingcuploft-standins/tests/edges/main.rs
+++ b/crates/kingcuploft-standins/tests/edges/main.rs
@@ -2,4 +2,5 @@
 
 mod backend;
 mod harness;
+mod malformed;
 mod stop;
--- a/crates/kingcuploft/src/world/refusal.rs
+++ b/crates/kingcuploft/src/world/refusal.rs
@@ -52,6 +52,10 @@
 refusal_reasons! {
     /// The request is not well-formed HTTP, or is ambiguous.
     BadRequest => "bad_request",
+    /// The headers are longer than this VM takes.
+    HeadersTooLarge => "headers_too_large",
+    /// The body did not come in time.
+    BodyTimeout => "body_timeout",
     /// The body is longer than the rule's limit.
     BodyTooLarge => "body_too_large",
     /// No service has this host.
--- /dev/null
+++ b/crates/kingcuploftd/src/caller_edge/activity.rs
@@ -0,0 +1,183 @@
+//! What a connection is doing, and since when: the grounds for closing a slow or idle one.
+//!
+//! The HTTP library has one timeout for the time until a head is whole, which also ends kept-alive
+//! connections that are merely idle. A balancer keeps its connections for longer, and a request
+//! it sends in the moment of closing is lost. So a slow head and an idle connection are told apart.
+
+use std::cell::{Cell, RefCell};
+use std::io::IoSlice;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::inspector::{Inspector, Verdict};
+use crate::settings::Limits;
+
+#[derive(Clone, Copy, Debug)]
+enum State {
+    /// No byte of a request has come; `first` before the first request of the connection.
+    Waiting { first: bool },
+    /// A head is coming in.
+    Head,
+    /// A request is read, worked on or answered.
+    Busy,
+}
+
+/// What one connection is doing.
+#[derive(Debug)]
+pub(super) struct Activity {
+    state: Cell<State>,
+    since: Cell<Instant>,
+    inspector: RefCell<Inspector>,
+}
+
+/// A request is worked on or answered until this is dropped.
+#[derive(Debug)]
+pub(super) struct Busy(Rc<Activity>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.turn(State::Waiting { first: false });
+    }
+}
+
+impl Activity {
+    pub(super) fn new(head_bytes: usize) -> Rc<Self> {
+        Rc::new(Self {
+            state: Cell::new(State::Waiting { first: true }),
+            since: Cell::new(Instant::now()),
+            inspector: RefCell::new(Inspector::new(head_bytes)),
+        })
+    }
+
+    /// Notes that a request's head is whole; returns the verdict on it.
+    pub(super) fn begin(self: &Rc<Self>) -> (Busy, Verdict) {
+        self.turn(State::Busy);
+        let verdict = self.inspector.borrow_mut().verdict();
+        (Busy(Rc::clone(self)), verdict)
+    }
+
+    /// Waits until the connection has been slow or idle for too long; tells whether it was slow.
+    pub(super) async fn overdue(&self, limits: &Limits) -> bool {
+        let step = Duration::from_millis(limits.header_timeout_ms);
+        loop {
+            let now = Instant::now();
+            let due = self.due(limits);
+            if let Some((due, slow)) = due
+                && due <= now
+            {
+                return slow;
+            }
+            // A head may begin while an idle connection's later end is waited for.
+            let due = due.map_or(now + step, |(due, _)| due.min(now + step));
+            tokio::time::sleep_until(due).await;
+        }
+    }
+
+    /// Returns when the connection is overdue, and whether it is then slow.
+    fn due(&self, limits: &Limits) -> Option<(Instant, bool)> {
+        let (ms, slow) = match self.state.get() {
+            State::Busy => return None,
+            State::Head | State::Waiting { first: true } => (limits.header_timeout_ms, true),
+            State::Waiting { first: false } => (limits.idle_timeout_ms, false),
+        };
+        Some((self.since.get() + Duration::from_millis(ms), slow))
+    }
+
+    fn turn(&self, state: State) {
+        self.state.set(state);
+        self.since.set(Instant::now());
+    }
+
+    fn on_read(&self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        self.inspector.borrow_mut().feed(bytes);
+        if matches!(self.state.get(), State::Waiting { .. }) {
+            self.turn(State::Head);
+        }
+    }
+
+    fn on_write(&self) {
+        // An answer that its caller still takes is not idle.
+        if matches!(self.state.get(), State::Waiting { .. }) {
+            self.since.set(Instant::now());
+        }
+    }
+}
+
+/// A caller's connection whose activity is noted.
+#[derive(Debug)]
+pub(super) struct WatchedStream {
+    stream: TcpStream,
+    activity: Rc<Activity>,
+}
+
+impl WatchedStream {
+    pub(super) fn new(stream: TcpStream, activity: Rc<Activity>) -> Self {
+        Self { stream, activity }
+    }
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.activity.on_read(&buffer.filled()[before..]);
+        read
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if written.is_ready() {
+            self.activity.on_write();
+        }
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, bytes);
+        if written.is_ready() {
+            self.activity.on_write();
+        }
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/kingcuploftd/src/caller_edge/body.rs
+++ b/crates/kingcuploftd/src/caller_edge/body.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use kingcuploft::manifest::routing::Route;
 use kingcuploft::world::refusal::{Refusal, RefusalReason};
 
@@ -22,6 +22,10 @@
     body: Incoming,
 ) -> Result<Bytes, Refusal> {
     let limit = usize::try_from(route.rule().body_limit_bytes).unwrap_or(usize::MAX);
+    // A body that says itself that it is too long is not read, nor asked for by 100 Continue.
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Refusal::not_run(RefusalReason::BodyTooLarge));
+    }
     let timeout = Duration::from_millis(shared.settings.limits.body_timeout_ms);
     let collected = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
     match collected {
@@ -29,6 +33,7 @@
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             Err(Refusal::not_run(RefusalReason::BodyTooLarge))
         }
-        Ok(Err(_)) | Err(_) => Err(Refusal::not_run(RefusalReason::BadRequest)),
+        Ok(Err(_)) => Err(Refusal::not_run(RefusalReason::BadRequest)),
+        Err(_) => Err(Refusal::not_run(RefusalReason::BodyTimeout)),
     }
 }
--- a/crates/kingcuploftd/src/caller_edge/mod.rs
+++ b/crates/kingcuploftd/src/caller_edge/mod.rs
@@ -1,11 +1,15 @@
 //! The caller edge: one thread that accepts connections and passes whole requests on.
 
+mod activity;
 mod body;
+pub mod inspector;
+mod refuse;
 mod reply;
 mod reply_body;
 
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,19 +18,22 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Method, Request, Response, Uri};
+use hyper_util::rt::TokioIo;
 use kingcuploft::dispatcher::Arrival;
 use kingcuploft::manifest::routing::Route;
 use kingcuploft::world::contract::Contract;
 use kingcuploft::world::ids::{Caller, RequestId};
 use kingcuploft::world::refusal::{Refusal, RefusalReason};
+use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::task::{JoinSet, LocalSet};
 
 use crate::hop_by_hop::end_to_end;
 use crate::message::{Message, Reply, RequestParts};
 use crate::shared::Shared;
+use activity::{Activity, WatchedStream};
+use inspector::Verdict;
 use reply_body::ReplyBody;
 
 /// The longest headers of one request, in bytes.
@@ -35,6 +42,18 @@
 /// The most headers of one request.
 const HEADERS: usize = 64;
 
+/// The most bytes that the HTTP library holds of one connection.
+const BUFFER_BYTES: usize = 128 * 1024;
+
+/// The pause after a connection could not be taken.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// The longest idempotency key, in bytes.
+const KEY_BYTES: usize = 256;
+
+/// The longest name of a caller, in bytes; one with a longer name is told by its address.
+const CALLER_BYTES: usize = 256;
+
 /// How long an idle connection stays open after the door closed.
 const CLOSE_GRACE: Duration = Duration::from_millis(50);
 
@@ -53,26 +72,32 @@
 
 async fn serve(shared: &Arc<Shared>, listener: TcpListener) {
     let listener = tokio::net::TcpListener::from_std(listener).expect("a listening socket");
-    let permits = Arc::new(Semaphore::new(shared.settings.limits.connections));
-    let mut connections = JoinSet::new();
+    let mut door = Door::new(shared);
     let mut closing = shared.closing();
     let until = loop {
         tokio::select! {
-            accepted = listener.accept() => {
-                if let Ok((stream, peer)) = accepted {
-                    open(shared, &permits, &mut connections, stream, peer);
-                }
-            }
-            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => door.open(stream, peer),
+                Err(error) => pause(shared, &error).await,
+            },
+            Some(_) = door.connections.join_next() => {}
             until = closed(&mut closing) => break until,
         }
     };
     // Connections that the system took before the door closed are served too.
     while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
-        open(shared, &permits, &mut connections, stream, peer);
+        door.open(stream, peer);
     }
     drop(listener);
-    finish(shared, connections, until).await;
+    finish(shared, door.connections, until).await;
+}
+
+/// Pauses after a connection could not be taken: where the system has no file descriptors left,
+/// trying again at once would keep the thread from serving the connections it has.
+async fn pause(shared: &Shared, error: &std::io::Error) {
+    shared.metrics.accept_errors.inc();
+    tracing::warn!("caller: no connection could be taken: {error}.");
+    tokio::time::sleep(ACCEPT_PAUSE).await;
 }
 
 /// Waits until the door closes; returns until when requests may go on.
@@ -94,42 +119,70 @@
     }
 }
 
-/// Serves a new connection, if there is room for one.
-fn open(
-    shared: &Arc<Shared>,
-    permits: &Arc<Semaphore>,
-    connections: &mut JoinSet<()>,
-    stream: tokio::net::TcpStream,
-    peer: SocketAddr,
-) {
-    let Ok(permit) = Arc::clone(permits).try_acquire_owned() else {
+/// The open connections and the room for more.
+struct Door {
+    shared: Arc<Shared>,
+    connections: JoinSet<()>,
+    room: Arc<Semaphore>,
+    refusals: Arc<Semaphore>,
+}
+
+impl Door {
+    fn new(shared: &Arc<Shared>) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            connections: JoinSet::new(),
+            room: Arc::new(Semaphore::new(shared.settings.limits.connections)),
+            refusals: Arc::new(Semaphore::new(refuse::REFUSALS_AT_ONCE)),
+        }
+    }
+
+    /// Serves a new connection, or refuses it where there is no room.
+    fn open(&mut self, stream: TcpStream, peer: SocketAddr) {
+        drop(stream.set_nodelay(true));
+        let shared = Arc::clone(&self.shared);
+        if let Ok(room) = Arc::clone(&self.room).try_acquire_owned() {
+            self.connections.spawn_local(async move {
+                connection(shared, stream, peer).await;
+                drop(room);
+            });
+            return;
+        }
         shared.metrics.refused(RefusalReason::Overloaded);
-        return;
-    };
-    drop(stream.set_nodelay(true));
-    let shared = Arc::clone(shared);
-    connections.spawn_local(async move {
-        connection(shared, stream, peer).await;
-        drop(permit);
-    });
+        shared.metrics.connections_refused.inc();
+        if let Ok(refusal) = Arc::clone(&self.refusals).try_acquire_owned() {
+            self.connections.spawn_local(async move {
+                refuse::refuse(shared, stream).await;
+                drop(refusal);
+            });
+        }
+    }
 }
 
-async fn connection(shared: Arc<Shared>, stream: tokio::net::TcpStream, peer: SocketAddr) {
-    let header_timeout = Duration::from_millis(shared.settings.limits.header_timeout_ms);
+/// Serves one connection until its caller, its slowness or the door's closing ends it.
+async fn connection(shared: Arc<Shared>, stream: TcpStream, peer: SocketAddr) {
+    let limits = &shared.settings.limits;
+    let activity = Activity::new(HEADERS_BYTES);
     let mut closing = shared.closing();
     let service = service_fn(|request| {
-        let shared = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(answer(&shared, request, peer).await) }
+        let (shared, activity) = (Arc::clone(&shared), Rc::clone(&activity));
+        async move { Ok::<_, Infallible>(answer(&shared, &activity, request, peer).await) }
     });
+    let stream = WatchedStream::new(stream, Rc::clone(&activity));
     let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(header_timeout)
-        .max_buf_size(HEADERS_BYTES)
+        .header_read_timeout(None)
+        .max_buf_size(BUFFER_BYTES)
         .max_headers(HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     let mut served = std::pin::pin!(served);
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
+        slow = activity.overdue(limits) => {
+            if slow {
+                shared.metrics.slow_callers.inc();
+            }
+            return;
+        }
         _ = closed(&mut closing) => {
             // A request that was on its way when the door closed is still read and answered.
             match tokio::time::timeout(CLOSE_GRACE, served.as_mut()).await {
@@ -142,25 +195,45 @@
         }
     };
     if let Err(error) = ended {
+        if error.is_parse() {
+            // The HTTP library has answered 400 or 431 by itself.
+            shared.metrics.refused(RefusalReason::BadRequest);
+        }
         tracing::debug!("caller: a connection ended: {error}.");
     }
 }
 
 async fn answer(
     shared: &Arc<Shared>,
+    activity: &Rc<Activity>,
     request: Request<Incoming>,
     peer: SocketAddr,
 ) -> Response<ReplyBody> {
+    let (busy, verdict) = activity.begin();
     let id = shared.next_request();
     let head_only = request.method() == Method::HEAD;
-    let reply = match admit(shared, id, request, peer).await {
-        Ok(reply) => reply,
-        Err(refusal) => Reply::Refused(refusal),
+    let admitted = match inspected(verdict, request.uri()) {
+        Ok(()) => admit(shared, id, request, peer).await,
+        Err(refusal) => Err(refusal),
     };
+    let reply = admitted.unwrap_or_else(Reply::Refused);
     if let Reply::Refused(refusal) = &reply {
         shared.metrics.refused(refusal.reason);
     }
-    reply::response(shared, id, head_only, reply)
+    reply::response(shared, id, head_only, reply).map(|body| body.until_written(busy))
+}
+
+/// Refuses a request whose head has no single reading; a target with an authority is a second
+/// host beside the header.
+fn inspected(verdict: Verdict, uri: &Uri) -> Result<(), Refusal> {
+    match verdict {
+        Verdict::TooLarge => Err(Refusal::not_run(RefusalReason::HeadersTooLarge)),
+        Verdict::Ambiguous => Err(Refusal::not_run(RefusalReason::BadRequest)),
+        Verdict::Fine if uri.authority().is_some() => {
+            Err(Refusal::not_run(RefusalReason::BadRequest))
+        }
+        Verdict::Fine => Ok(()),
+    }
 }
 
 /// Reads a request whole, passes it on and waits for its reply.
@@ -187,7 +260,7 @@
     drop(routes);
     let key = key(&route, &head.headers)?;
     let caller = caller(&route, &head.headers, peer);
-    let deadline = arrived + deadline(&route, &head.headers);
+    let deadline = arrived + deadline(&route, &head.headers)?;
     let body = body::read(shared, &route, incoming).await?;
     let parts = RequestParts {
         method: head.method,
@@ -245,9 +318,11 @@
     if rule.contract == Contract::RetryFreely {
         return Ok(None);
     }
-    match headers.get(&rule.idempotency.header) {
+    let mut keys = headers.get_all(&rule.idempotency.header).iter();
+    match keys.next() {
+        Some(_) if keys.next().is_some() => Err(Refusal::not_run(RefusalReason::KeyInvalid)),
         Some(value) => match value.to_str() {
-            Ok(key) if !key.is_empty() && key.len() <= 256 => Ok(Some(key.into())),
+            Ok(key) if !key.is_empty() && key.len() <= KEY_BYTES => Ok(Some(key.into())),
             _ => Err(Refusal::not_run(RefusalReason::KeyInvalid)),
         },
         None if rule.idempotency.required => Err(Refusal::not_run(RefusalReason::KeyMissing)),
@@ -255,16 +330,25 @@
     }
 }
 
+/// Returns who sent a request: by the service's header, else by the peer's address.
 fn caller(route: &Route, headers: &http::HeaderMap, peer: SocketAddr) -> Caller {
     let named = route.service.caller_header.as_ref();
     let named = named.and_then(|name| headers.get(name)?.to_str().ok());
+    let named = named.filter(|name| !name.is_empty() && name.len() <= CALLER_BYTES);
     named.map_or_else(|| peer.ip().to_string().into(), Into::into)
 }
 
 /// Returns the caller's deadline, capped by the rule's.
-fn deadline(route: &Route, headers: &http::HeaderMap) -> Duration {
+fn deadline(route: &Route, headers: &http::HeaderMap) -> Result<Duration, Refusal> {
     let rule = route.rule().deadline();
-    let asked = headers.get("x-deadline-ms");
-    let asked = asked.and_then(|value| value.to_str().ok()?.parse().ok());
-    asked.map_or(rule, |ms| Duration::from_millis(ms).min(rule))
+    let mut asked = headers.get_all("x-deadline-ms").iter();
+    let (Some(ms), None) = (asked.next(), asked.next()) else {
+        return match headers.contains_key("x-deadline-ms") {
+            true => Err(Refusal::not_run(RefusalReason::BadRequest)),
+            false => Ok(rule),
+        };
+    };
+    let ms = ms.to_str().ok().and_then(|ms| ms.parse().ok());
+    let ms = ms.ok_or(Refusal::not_run(RefusalReason::BadRequest))?;
+    Ok(Duration::from_millis(ms).min(rule))
 }
--- /dev/null
+++ b/crates/kingcuploftd/src/caller_edge/refuse.rs
@@ -0,0 +1,43 @@
+//! Refuses a connection above the limit with an answer, not with silence.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kingcuploft::world::refusal::{Refusal, RefusalReason};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::reply;
+use crate::shared::Shared;
+
+/// How many connections are refused with an answer at once; more are closed without one.
+pub(super) const REFUSALS_AT_ONCE: usize = 256;
+
+/// How long a refused caller may take to send its request, and then to read its answer.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// Answers the first request of a connection with 503 and closes it.
+pub(super) async fn refuse(shared: Arc<Shared>, mut stream: TcpStream) {
+    let refusal = Refusal::not_run(RefusalReason::Overloaded).retry_after(reply::OVERLOADED_PAUSE);
+    let id = shared.request_name(shared.next_request());
+    let body = reply::refusal_body(&id, &refusal);
+    let answer = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: {}\r\nretry-after: 1\r\nx-kingcuploft-reason: {}\r\nx-kingcuploft-outcome: {}\r\nx-kingcuploft-retry-after-ms: {}\r\nx-request-id: {id}\r\n\r\n{body}",
+        body.len(),
+        refusal.reason.label(),
+        refusal.outcome.label(),
+        reply::OVERLOADED_PAUSE.as_millis(),
+    );
+    let mut request = [0; 4096];
+    let exchange = async {
+        // A client that has not sent its request yet may take an early answer for nonsense.
+        let read = stream.read(&mut request).await;
+        if !read.is_ok_and(|read| read > 0) || stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+        drop(stream.shutdown().await);
+        // Closing with unread bytes would reset the connection before the answer is read.
+        while stream.read(&mut request).await.is_ok_and(|read| read > 0) {}
+    };
+    drop(tokio::time::timeout(PATIENCE, exchange).await);
+}
--- a/crates/kingcuploftd/src/caller_edge/reply.rs
+++ b/crates/kingcuploftd/src/caller_edge/reply.rs
@@ -1,7 +1,11 @@
 //! Turns replies into HTTP.
 
+use std::time::Duration;
+
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER,
+};
 use http::{Response, StatusCode};
 use kingcuploft::world::ids::RequestId;
 use kingcuploft::world::refusal::{Refusal, RefusalReason};
@@ -12,6 +16,13 @@
 use crate::shared::Shared;
 use crate::stream::Rest;
 
+/// After which pause a caller whom this VM has no room for may come back.
+pub(super) const OVERLOADED_PAUSE: Duration = Duration::from_secs(1);
+
+const REASON_HEADER: HeaderName = HeaderName::from_static("x-kingcuploft-reason");
+const OUTCOME_HEADER: HeaderName = HeaderName::from_static("x-kingcuploft-outcome");
+const RETRY_AFTER_MS_HEADER: HeaderName = HeaderName::from_static("x-kingcuploft-retry-after-ms");
+
 /// Builds the HTTP response of a reply.
 pub(super) fn response(
     shared: &Shared,
@@ -49,38 +60,70 @@
     response
 }
 
-fn refused(own_id: &str, refusal: Refusal) -> Response<ReplyBody> {
-    let retry_after_ms = refusal.retry_after.map(|after| after.as_millis() as u64);
+/// Returns the JSON body of the system's own answer.
+pub(super) fn refusal_body(own_id: &str, refusal: &Refusal) -> String {
     let body = serde_json::json!({
         "reason": refusal.reason.label(),
         "outcome": refusal.outcome.label(),
-        "retry_after_ms": retry_after_ms,
+        "retry_after_ms": refusal.retry_after.map(|after| after.as_millis() as u64),
         "request_id": own_id,
     });
-    let mut response = Response::new(ReplyBody::new(Bytes::from(body.to_string()), None));
+    body.to_string()
+}
+
+fn refused(own_id: &str, refusal: Refusal) -> Response<ReplyBody> {
+    let refusal = with_pause(refusal);
+    let body = Bytes::from(refusal_body(own_id, &refusal));
+    let mut response = Response::new(ReplyBody::new(body, None));
     *response.status_mut() = status(refusal.reason);
     let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    headers.insert(
-        "x-kingcuploft-reason",
-        HeaderValue::from_static(refusal.reason.label()),
-    );
-    headers.insert(
-        "x-kingcuploft-outcome",
-        HeaderValue::from_static(refusal.outcome.label()),
-    );
-    if let Some(ms) = retry_after_ms {
+    let label = HeaderValue::from_static;
+    headers.insert(CONTENT_TYPE, label("application/json"));
+    headers.insert(REASON_HEADER, label(refusal.reason.label()));
+    headers.insert(OUTCOME_HEADER, label(refusal.outcome.label()));
+    if let Some(after) = refusal.retry_after {
+        let ms = after.as_millis() as u64;
         headers.insert(RETRY_AFTER, HeaderValue::from(ms.div_ceil(1000)));
+        headers.insert(RETRY_AFTER_MS_HEADER, HeaderValue::from(ms));
+    }
+    if ends_connection(refusal.reason) {
+        headers.insert(CONNECTION, label("close"));
     }
     response
 }
 
+/// Adds when to come back where only this VM lacks room: its caller should try another one.
+fn with_pause(refusal: Refusal) -> Refusal {
+    let no_room = matches!(
+        refusal.reason,
+        RefusalReason::Overloaded | RefusalReason::NotReady | RefusalReason::ShuttingDown
+    );
+    match refusal.retry_after {
+        None if no_room => refusal.retry_after(OVERLOADED_PAUSE),
+        _ => refusal,
+    }
+}
+
+/// Tells whether nothing more can be read after a refusal: what follows a request that has no
+/// single reading, or whose body was left unread, is not known to be a request.
+fn ends_connection(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::BadRequest
+            | RefusalReason::HeadersTooLarge
+            | RefusalReason::BodyTooLarge
+            | RefusalReason::BodyTimeout
+    )
+}
+
 fn status(reason: RefusalReason) -> StatusCode {
     match reason {
         RefusalReason::BadRequest | RefusalReason::KeyMissing | RefusalReason::KeyInvalid => {
             StatusCode::BAD_REQUEST
         }
         RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        RefusalReason::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        RefusalReason::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
         RefusalReason::NoSuchService | RefusalReason::NoSuchRule => StatusCode::NOT_FOUND,
         RefusalReason::CallerShare | RefusalReason::KeyShare => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/kingcuploftd/src/caller_edge/reply_body.rs
+++ b/crates/kingcuploftd/src/caller_edge/reply_body.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
+use super::activity::Busy;
 use crate::stream::{Chunks, NextChunk};
 
 /// A streamed answer was cut: the HTTP library closes the caller's connection, so that the caller
@@ -19,13 +20,26 @@
 pub(super) struct ReplyBody {
     beginning: Option<Bytes>,
     rest: Option<Chunks>,
+    _busy: Option<Busy>,
 }
 
 impl ReplyBody {
     /// Builds a body; it is whole where there is no rest.
     pub(super) fn new(beginning: Bytes, rest: Option<Chunks>) -> Self {
         let beginning = Some(beginning).filter(|bytes| !bytes.is_empty());
-        Self { beginning, rest }
+        Self {
+            beginning,
+            rest,
+            _busy: None,
+        }
+    }
+
+    /// Lets the connection be busy until the body has been handed over.
+    pub(super) fn until_written(self, busy: Busy) -> Self {
+        Self {
+            _busy: Some(busy),
+            ..self
+        }
     }
 }
 
--- a/crates/kingcuploftd/src/metrics.rs
+++ b/crates/kingcuploftd/src/metrics.rs
@@ -39,6 +39,12 @@
     pub backend_connection_limit: Counter,
     /// Streamed answers that did not reach their caller whole.
     pub streams_cut: Counter,
+    /// Callers' connections refused at the limit.
+    pub connections_refused: Counter,
+    /// Callers' connections closed because their headers came too slowly.
+    pub slow_callers: Counter,
+    /// Connections that the system could not give.
+    pub accept_errors: Counter,
 }
 
 /// Upper bounds of the latency histogram, in s.
@@ -55,7 +61,6 @@
             Histogram::new(LATENCY_BOUNDS_S)
         });
         let generation = Gauge::default();
-        let cut_by_stop = Counter::default();
         for reason in RefusalReason::ALL {
             let reason = reason.label();
             drop(refusals.get_or_create(&ReasonLabel { reason }));
@@ -68,28 +73,40 @@
         registry.register("retries", "Requests sent again, by reason", retries.clone());
         registry.register("latency_seconds", "Arrival to answer", latency.clone());
         registry.register("manifest_generation", "In force", generation.clone());
-        registry.register(
+        let cut_by_stop = counter(
+            &mut registry,
             "connections_cut_by_stop",
             "Callers' connections cut at the bound of a planned stop",
-            cut_by_stop.clone(),
         );
-        let backend_connections_opened = Counter::default();
-        registry.register(
+        let backend_connections_opened = counter(
+            &mut registry,
             "backend_connections_opened",
             "Connections opened to backend servers",
-            backend_connections_opened.clone(),
         );
-        let backend_connection_limit = Counter::default();
-        registry.register(
+        let backend_connection_limit = counter(
+            &mut registry,
             "backend_connection_limit",
             "Calls that found the share of a backend server's connections in use",
-            backend_connection_limit.clone(),
         );
-        let streams_cut = Counter::default();
-        registry.register(
+        let streams_cut = counter(
+            &mut registry,
             "streams_cut",
             "Streamed answers that did not reach their caller whole",
-            streams_cut.clone(),
+        );
+        let connections_refused = counter(
+            &mut registry,
+            "connections_refused",
+            "Callers' connections refused at the limit",
+        );
+        let slow_callers = counter(
+            &mut registry,
+            "slow_callers",
+            "Callers' connections closed because their headers came too slowly",
+        );
+        let accept_errors = counter(
+            &mut registry,
+            "accept_errors",
+            "Connections that the system could not give",
         );
         Self {
             registry,
@@ -101,6 +118,9 @@
             backend_connections_opened,
             backend_connection_limit,
             streams_cut,
+            connections_refused,
+            slow_callers,
+            accept_errors,
         }
     }
 }
@@ -140,3 +160,10 @@
         }
     }
 }
+
+/// Registers a counter that starts at zero.
+fn counter(registry: &mut Registry, name: &str, help: &str) -> Counter {
+    let counter = Counter::default();
+    registry.register(name, help, counter.clone());
+    counter
+}
--- a/crates/kingcuploftd/src/settings.rs
+++ b/crates/kingcuploftd/src/settings.rs
@@ -58,6 +58,8 @@
     pub not_ready_ms: u64,
     /// Time for what is in flight to end after that, in ms; what has not ended then is cut.
     pub stop_timeout_ms: u64,
+    /// Time for which a kept-alive connection may be idle, in ms; longer than the balancer's.
+    pub idle_timeout_ms: u64,
     /// Time for a caller to send its headers, in ms.
     pub header_timeout_ms: u64,
     /// Time for a caller to send its body, in ms.
@@ -73,6 +75,7 @@
             ring: 4096,
             not_ready_ms: 0,
             stop_timeout_ms: 30_000,
+            idle_timeout_ms: 75_000,
             header_timeout_ms: 10_000,
             body_timeout_ms: 10_000,
         }
