--- a/crates/kingcuploft/src/decisions/admission.rs
+++ b/crates/kingcuploft/src/decisions/admission.rs
@@ -1,13 +1,35 @@
 //! Whom to serve, who waits, who is refused.
+//!
+//! **Load pattern:** bursts and overload: more requests than the slots can answer in time.
+//! **Without it** every request waits until its deadline, most answers come too late, and slots
+//! work for callers who have gone. **Grounds:** a request is admitted where its expected wait (the
+//! requests served before it, at the measured pace) and a high quantile of its service time end
+//! before its deadline; a refusal in a millisecond beats an answer after the deadline. Whoever
+//! can not be served in time any more is told at once and when to come back: it is not kept
+//! waiting for a deadline that it will miss.
 
-use std::collections::VecDeque;
-use std::time::Instant;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
 
+use super::fair_queue::{FairQueue, Place};
+use super::pace::{Pace, ServiceTime};
+use super::turns::{self, PRIORITIES, Turns};
 use crate::manifest::Service;
+use crate::settings::admission::AdmissionSettings;
+use crate::utils::HashMap;
 use crate::world::contract::Priority;
 use crate::world::ids::{Caller, IdempotencyKey, RequestId, RuleName};
 use crate::world::refusal::{Refusal, RefusalReason};
 
+/// The shortest and the longest time after which a caller is asked to come back.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(10));
+
+/// How long a duplicate of a key that is being worked on is asked to wait.
+const KEY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// The slot time that a request is charged with before any was measured, in µs.
+const UNMEASURED_COST_US: u64 = 1_000;
+
 /// A request that waits for a backend server.
 #[derive(Clone, Debug)]
 pub struct Waiting {
@@ -19,7 +41,7 @@
     pub priority: Priority,
     /// How many requests of its rule may wait.
     pub queue_limit: u32,
-    /// The largest share of the queue that its caller may hold.
+    /// The largest share of the queue that its caller may hold while others wait.
     pub caller_share: f64,
     /// Who sent it.
     pub caller: Caller,
@@ -47,101 +69,361 @@
 pub enum Next {
     /// This one.
     Serve(Waiting),
-    /// This one can not be answered in time any more and is refused.
-    GivenUp(Waiting, Refusal),
     /// Nothing waits.
     Empty,
 }
 
+/// What a request can expect, as things stand.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Outlook {
+    /// How many requests are served before it.
+    pub ahead: usize,
+    /// How long it waits.
+    pub wait: Duration,
+    /// The service time that nine of ten requests of its rule stay under.
+    pub service_time: Duration,
+}
+
+/// The load of one rule.
+#[derive(Debug, Default)]
+struct RuleLoad {
+    waiting: usize,
+    claiming: usize,
+    service_time: ServiceTime,
+}
+
+/// Where a waiting request stands.
+#[derive(Clone, Copy, Debug)]
+struct Standing {
+    priority: usize,
+    place: Place,
+    cost_us: u64,
+    /// When it can not be answered in time any more.
+    hopeless_at: Instant,
+}
+
 /// The waiting requests of one service on one VM.
 #[derive(Debug)]
 pub struct Admission {
-    queue: VecDeque<Waiting>,
-    limit: usize,
-    claiming: usize,
+    settings: AdmissionSettings,
+    queues: [FairQueue; PRIORITIES],
+    turns: Turns,
+    standings: HashMap<RequestId, Standing>,
+    hopeless: BTreeSet<(Instant, RequestId)>,
+    rules: HashMap<RuleName, RuleLoad>,
+    keys: HashMap<IdempotencyKey, u32>,
+    pace: Pace,
 }
 
 impl Admission {
     /// Builds an empty queue for a service.
     pub fn new(service: &Service) -> Self {
+        let settings = service.policy.admission.clone();
+        let queue = || FairQueue::new(settings.fair_share, settings.callers_remembered);
         Self {
-            queue: VecDeque::new(),
-            limit: limit(service),
-            claiming: 0,
+            queues: [queue(), queue(), queue()],
+            turns: Turns::new(&settings),
+            standings: HashMap::default(),
+            hopeless: BTreeSet::new(),
+            rules: HashMap::default(),
+            keys: HashMap::default(),
+            pace: Pace::default(),
+            settings,
         }
     }
 
     /// Goes on under a new manifest; what waits stays.
     pub fn adopt(&mut self, service: &Service) {
-        self.limit = limit(service);
+        self.settings = service.policy.admission.clone();
+        let AdmissionSettings {
+            fair_share,
+            callers_remembered,
+            ..
+        } = self.settings;
+        for queue in &mut self.queues {
+            queue.adopt(fair_share, callers_remembered);
+        }
+        self.turns.adopt(&self.settings);
+        let kept = |rule: &RuleName| service.rules.iter().any(|r| r.name == *rule);
+        self.rules
+            .retain(|rule, load| kept(rule) || load.waiting + load.claiming > 0);
     }
 
-    /// Sets how many requests have their claims asked for; they have their place in the queue.
-    pub fn set_claiming(&mut self, claiming: usize) {
-        self.claiming = claiming;
+    /// Tells what a new request can expect.
+    pub fn outlook(&self, now: Instant, waiting: &Waiting) -> Outlook {
+        let priority = self.priority(waiting);
+        let ahead = self.queues[priority].ahead_of(&waiting.caller);
+        self.outlook_at(now, priority, ahead, &waiting.rule)
     }
 
-    /// Notes that a claim is asked for.
-    pub fn claim_asked(&mut self) {
-        self.claiming += 1;
+    fn outlook_at(&self, now: Instant, priority: usize, ahead: usize, rule: &RuleName) -> Outlook {
+        let turns = self.turns.turns_for_one(priority, |i| self.waits(i));
+        let ahead = (ahead as f64 * turns).ceil() as usize;
+        let ahead = ahead.min(self.len());
+        let gap = self.pace.gap().unwrap_or_default();
+        let wait = match ahead {
+            0 => Duration::ZERO,
+            _ => gap.mul_f64(ahead as f64) + self.pace.stalled(now),
+        };
+        Outlook {
+            ahead,
+            wait,
+            service_time: self.service_time(rule).high(),
+        }
     }
 
-    /// Notes that a claim was settled.
-    pub fn claim_settled(&mut self) {
-        self.claiming = self.claiming.saturating_sub(1);
+    /// Judges a request at the door without queueing it.
+    pub fn check(&self, now: Instant, waiting: &Waiting) -> Offer {
+        if let Some(refusal) = self.refusal_by_key(waiting) {
+            return Offer::Refused(refusal);
+        }
+        let outlook = self.outlook(now, waiting);
+        let left = waiting.deadline.saturating_duration_since(now);
+        let contended = outlook.ahead > 0;
+        if self.settings.deadline_aware && contended && outlook.wait + outlook.service_time > left {
+            return Offer::Refused(self.unreachable(waiting.request, outlook.wait));
+        }
+        self.room(waiting, outlook.wait)
     }
 
-    /// Judges a request at the door without queueing it.
-    pub fn check(&self, _now: Instant, _waiting: &Waiting) -> Offer {
-        if self.queue.len() + self.claiming >= self.limit {
-            return Offer::Refused(Refusal::not_run(RefusalReason::QueueFull));
+    /// Refuses duplicates of a key beyond its share. They are not said to have "not run": the
+    /// request with that key which is being worked on may run.
+    fn refusal_by_key(&self, waiting: &Waiting) -> Option<Refusal> {
+        let held = *self.keys.get(waiting.key.as_ref()?)?;
+        let refusal = Refusal::unknown(RefusalReason::KeyShare).retry_after(KEY_RETRY_AFTER);
+        (held >= self.settings.key_limit).then_some(refusal)
+    }
+
+    /// Judges by the rule's and the caller's share of the queue.
+    fn room(&self, waiting: &Waiting, wait: Duration) -> Offer {
+        let load = self.rules.get(&waiting.rule);
+        let held = load.map_or(0, |load| load.waiting + load.claiming);
+        let limit = waiting.queue_limit as usize;
+        let full = held >= limit;
+        if !self.settings.fair_share {
+            return match full {
+                true => Offer::Refused(refused(RefusalReason::QueueFull, waiting.request, wait)),
+                false => Offer::Queued,
+            };
+        }
+        let queue = &self.queues[self.priority(waiting)];
+        let own = queue.of_caller(&waiting.caller);
+        let share = (waiting.caller_share * f64::from(waiting.queue_limit)) as usize;
+        let others_wait = queue.len() > own;
+        if others_wait && own >= share.max(1) {
+            let reason = RefusalReason::CallerShare;
+            return Offer::Refused(refused(reason, waiting.request, wait));
+        }
+        if !full {
+            return Offer::Queued;
+        }
+        let heaviest = queue.heaviest_above(own + 1);
+        match heaviest.filter(|heaviest| heaviest.rule == waiting.rule) {
+            Some(heaviest) => {
+                let reason = RefusalReason::CallerShare;
+                let refusal = refused(reason, heaviest.request, wait);
+                Offer::QueuedInsteadOf(heaviest.request, refusal)
+            }
+            None => Offer::Refused(refused(RefusalReason::QueueFull, waiting.request, wait)),
         }
-        Offer::Queued
     }
 
     /// Queues a request, or refuses it.
     pub fn offer(&mut self, now: Instant, waiting: Waiting) -> Offer {
         let offer = self.check(now, &waiting);
-        if offer == Offer::Queued {
-            self.queue.push_back(waiting);
+        match offer {
+            Offer::Refused(_) => return offer,
+            Offer::QueuedInsteadOf(other, _) => drop(self.remove(other)),
+            Offer::Queued => {}
         }
+        self.push(now, waiting);
         offer
     }
 
+    fn push(&mut self, now: Instant, waiting: Waiting) {
+        if self.is_empty() {
+            self.pace.begins(now);
+        }
+        let request = waiting.request;
+        let priority = self.priority(&waiting);
+        let load = self.rules.entry(waiting.rule.clone()).or_default();
+        load.waiting += 1;
+        let mean = load.service_time.mean();
+        let cost_us = mean.map_or(UNMEASURED_COST_US, |mean| mean.as_micros() as u64);
+        let hopeless_at = match self.settings.deadline_aware {
+            true => waiting.deadline - load.service_time.median(),
+            false => waiting.deadline,
+        };
+        let place = self.queues[priority].push(waiting, cost_us);
+        self.hopeless.insert((hopeless_at, request));
+        self.standings.insert(
+            request,
+            Standing {
+                priority,
+                place,
+                cost_us,
+                hopeless_at,
+            },
+        );
+    }
+
     /// Takes the next request off the queue.
     pub fn next(&mut self, now: Instant) -> Next {
-        match self.queue.pop_front() {
-            None => Next::Empty,
-            Some(waiting) if waiting.deadline <= now => {
-                Next::GivenUp(waiting, Refusal::not_run(RefusalReason::DeadlinePassed))
-            }
-            Some(waiting) => Next::Serve(waiting),
+        let Some(priority) = self.turns.next(|i| self.waits(i)) else {
+            return Next::Empty;
+        };
+        let Some(waiting) = self.queues[priority].pop() else {
+            return Next::Empty;
+        };
+        self.turns.served(priority);
+        self.left_queue(&waiting);
+        self.pace.served(now, !self.is_empty());
+        Next::Serve(waiting)
+    }
+
+    /// Takes a request off the queue that can not be answered in time any more.
+    ///
+    /// That is one whose time left is shorter than the median service time, or the last of a
+    /// priority where the queue has slowed down so much that its turn comes too late.
+    pub fn give_up(&mut self, now: Instant) -> Option<(RequestId, Refusal)> {
+        let &(at, request) = self.hopeless.first()?;
+        if at <= now {
+            let wait = self.pace.gap().unwrap_or_default();
+            self.remove(request);
+            return Some((request, self.unreachable(request, wait)));
+        }
+        if !self.settings.deadline_aware {
+            return None;
         }
+        (0..PRIORITIES).find_map(|priority| self.give_up_last(now, priority))
     }
 
-    /// Takes a request off the queue whose caller left; tells whether it waited.
+    fn give_up_last(&mut self, now: Instant, priority: usize) -> Option<(RequestId, Refusal)> {
+        let queue = &self.queues[priority];
+        let last = queue.last()?;
+        let ahead = queue.len() - 1;
+        let outlook = self.outlook_at(now, priority, ahead, &last.rule);
+        let left = last.deadline.saturating_duration_since(now);
+        if outlook.wait + self.service_time(&last.rule).median() <= left {
+            return None;
+        }
+        let request = last.request;
+        self.remove(request);
+        Some((request, self.unreachable(request, outlook.wait)))
+    }
+
+    /// Takes a request off the queue that is not served; tells whether it waited.
     pub fn remove(&mut self, request: RequestId) -> bool {
-        let before = self.queue.len();
-        self.queue.retain(|w| w.request != request);
-        self.queue.len() < before
+        let Some(standing) = self.standings.get(&request).copied() else {
+            return false;
+        };
+        let queue = &mut self.queues[standing.priority];
+        let Some(waiting) = queue.remove(standing.place, standing.cost_us) else {
+            return false;
+        };
+        self.left_queue(&waiting);
+        if self.is_empty() {
+            self.pace.emptied();
+        }
+        true
+    }
+
+    fn left_queue(&mut self, waiting: &Waiting) {
+        if let Some(standing) = self.standings.remove(&waiting.request) {
+            let hopeless = (standing.hopeless_at, waiting.request);
+            self.hopeless.remove(&hopeless);
+        }
+        if let Some(load) = self.rules.get_mut(&waiting.rule) {
+            load.waiting -= 1;
+        }
+    }
+
+    /// Notes that a request's claim is asked for: it has its place in the queue, and its key is
+    /// being worked on until [`Self::key_ended`].
+    pub fn claim_asked(&mut self, rule: &RuleName, key: Option<&IdempotencyKey>) {
+        self.rules.entry(rule.clone()).or_default().claiming += 1;
+        if let Some(key) = key {
+            *self.keys.entry(key.clone()).or_default() += 1;
+        }
+    }
+
+    /// Notes that a claim was settled.
+    pub fn claim_settled(&mut self, rule: &RuleName) {
+        if let Some(load) = self.rules.get_mut(rule) {
+            load.claiming = load.claiming.saturating_sub(1);
+        }
+    }
+
+    /// Notes that a request with this key has ended.
+    pub fn key_ended(&mut self, key: &IdempotencyKey) {
+        if let Some(held) = self.keys.get_mut(key) {
+            *held -= 1;
+            if *held == 0 {
+                self.keys.remove(key);
+            }
+        }
+    }
+
+    /// Takes in how long a request of a rule took from sending to answer.
+    pub fn measured(&mut self, rule: &RuleName, service_time: Duration) {
+        let load = self.rules.entry(rule.clone()).or_default();
+        load.service_time.sample(service_time);
+    }
+
+    /// Returns what was measured of a rule.
+    pub fn service_time(&self, rule: &RuleName) -> ServiceTime {
+        let load = self.rules.get(rule);
+        load.map(|load| load.service_time).unwrap_or_default()
+    }
+
+    /// Returns when the next request is given up at the latest.
+    pub fn next_hopeless(&self) -> Option<Instant> {
+        self.hopeless.first().map(|&(at, _)| at)
     }
 
     /// Returns how many requests wait.
     pub fn len(&self) -> usize {
-        self.queue.len()
+        self.standings.len()
     }
 
     /// Tells whether nothing waits.
     pub fn is_empty(&self) -> bool {
-        self.queue.is_empty()
+        self.standings.is_empty()
+    }
+
+    /// Returns how many callers are held in memory.
+    pub fn callers_held(&self) -> usize {
+        self.queues.iter().map(FairQueue::callers_held).sum()
     }
 
     /// Returns every request that waits.
     pub fn into_requests(self) -> Vec<RequestId> {
-        self.queue.into_iter().map(|w| w.request).collect()
+        self.standings.into_keys().collect()
+    }
+
+    fn waits(&self, priority: usize) -> bool {
+        !self.queues[priority].is_empty()
+    }
+
+    fn priority(&self, waiting: &Waiting) -> usize {
+        match self.settings.priorities {
+            true => turns::index(waiting.priority),
+            false => 0,
+        }
+    }
+
+    fn unreachable(&self, request: RequestId, wait: Duration) -> Refusal {
+        refused(RefusalReason::DeadlineUnreachable, request, wait)
     }
 }
 
-fn limit(service: &Service) -> usize {
-    service.rules.iter().map(|r| r.queue_limit as usize).sum()
+/// Builds a refusal that asks the caller to come back when the queue has moved on.
+///
+/// The time is spread by a quarter to each side, by the request's number, so that callers who
+/// were refused together do not come back together.
+fn refused(reason: RefusalReason, request: RequestId, wait: Duration) -> Refusal {
+    let (shortest, longest) = RETRY_AFTER;
+    let spread = (request.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 56) as f64 / 256.0;
+    let after = wait.max(shortest).mul_f64(0.75 + spread / 2.0);
+    Refusal::not_run(reason).retry_after(after.min(longest))
 }
--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -3,6 +3,9 @@
 
 pub mod admission;
 pub mod drain;
+pub mod fair_queue;
 pub mod measuring;
+pub mod pace;
 pub mod retry;
 pub mod selection;
+pub mod turns;
--- /dev/null
+++ b/crates/kingcuploft/src/decisions/turns.rs
@@ -0,0 +1,80 @@
+//! Which priority is served next.
+//!
+//! **Load pattern:** holds, reads and archive searches wait for the same slots. **Without it**
+//! a burst of searches delays a hold; with a strict order a long burst of reads would starve the
+//! searches. **Grounds:** weighted turns: a priority that waits gets at least its weight's share
+//! of service (a search one in 25 by default), and what a priority leaves unused goes to the
+//! others. One that was idle does not save up turns, and goes first when it begins to wait.
+
+use crate::settings::admission::AdmissionSettings;
+use crate::world::contract::Priority;
+
+/// How many priorities there are.
+pub const PRIORITIES: usize = 3;
+
+/// One turn of a priority with weight 1; large enough that integer division loses nothing
+/// noticeable.
+const TURN: u64 = 1 << 20;
+
+/// The turns of the priorities of one service.
+#[derive(Clone, Copy, Debug)]
+pub struct Turns {
+    weights: [u32; PRIORITIES],
+    next: [u64; PRIORITIES],
+    now: u64,
+}
+
+impl Turns {
+    /// Begins with nobody having had a turn.
+    pub fn new(settings: &AdmissionSettings) -> Self {
+        Self {
+            weights: weights(settings),
+            next: [0; PRIORITIES],
+            now: 0,
+        }
+    }
+
+    /// Goes on with other weights.
+    pub fn adopt(&mut self, settings: &AdmissionSettings) {
+        self.weights = weights(settings);
+    }
+
+    /// Returns the priority to serve next among those that wait.
+    pub fn next(&self, waits: impl Fn(usize) -> bool) -> Option<usize> {
+        let waiting = (0..PRIORITIES).filter(|&i| waits(i));
+        waiting.min_by_key(|&i| self.next[i].max(self.now))
+    }
+
+    /// Notes that a priority was served.
+    pub fn served(&mut self, priority: usize) {
+        let start = self.next[priority].max(self.now);
+        self.now = start;
+        self.next[priority] = start + TURN / u64::from(self.weights[priority]);
+    }
+
+    /// Returns how many turns pass for each one of `priority` while those that wait are served.
+    pub fn turns_for_one(&self, priority: usize, waits: impl Fn(usize) -> bool) -> f64 {
+        let waiting = (0..PRIORITIES).filter(|&i| i == priority || waits(i));
+        let total: u32 = waiting.map(|i| self.weights[i]).sum();
+        f64::from(total) / f64::from(self.weights[priority])
+    }
+}
+
+/// Returns the index of a priority.
+pub fn index(priority: Priority) -> usize {
+    match priority {
+        Priority::Protected => 0,
+        Priority::Interactive => 1,
+        Priority::Background => 2,
+    }
+}
+
+fn weights(settings: &AdmissionSettings) -> [u32; PRIORITIES] {
+    let AdmissionSettings {
+        protected_weight,
+        interactive_weight,
+        background_weight,
+        ..
+    } = settings;
+    [*protected_weight, *interactive_weight, *background_weight].map(|weight| weight.max(1))
+}
--- a/crates/kingcuploft/src/dispatcher/adoption.rs
+++ b/crates/kingcuploft/src/dispatcher/adoption.rs
@@ -37,11 +37,6 @@
     ) -> ServiceState {
         let attempts = self.attempts.values();
         let attempts = attempts.filter(|attempt| attempt.service == service.name);
-        let mut state = ServiceState::new(Arc::clone(service), &self.vm, old, now, attempts);
-        let claiming = self.requests.values().filter(|request| {
-            request.claim == super::request::Claim::Asked && *request.service() == service.name
-        });
-        state.set_claiming(claiming.count());
-        state
+        ServiceState::new(Arc::clone(service), &self.vm, old, now, attempts)
     }
 }
--- a/crates/kingcuploft/src/dispatcher/attempts.rs
+++ b/crates/kingcuploft/src/dispatcher/attempts.rs
@@ -42,6 +42,7 @@
             Attempt {
                 request: id,
                 service: request.service().clone(),
+                rule: request.route.rule().name.clone(),
                 backend_server: backend_server.name.clone(),
                 address: backend_server.address,
                 give_up_at,
--- a/crates/kingcuploft/src/dispatcher/ending.rs
+++ b/crates/kingcuploft/src/dispatcher/ending.rs
@@ -57,10 +57,18 @@
     pub(super) fn forget(&mut self, id: RequestId) -> Option<Request> {
         let request = self.requests.remove(&id)?;
         self.timers.remove(request.deadline, id);
-        if request.claim == Claim::Asked
-            && let Some(state) = self.services.get_mut(request.service())
+        let Some(state) = self.services.get_mut(request.service()) else {
+            return Some(request);
+        };
+        if request.claim == Claim::Asked {
+            state.claim_settled(&request.route.rule().name);
+        }
+        if let Some(key) = request
+            .key
+            .as_ref()
+            .filter(|_| request.claim != Claim::NotNeeded)
         {
-            state.claim_settled();
+            state.key_ended(key);
         }
         Some(request)
     }
--- a/crates/kingcuploft/src/dispatcher/mod.rs
+++ b/crates/kingcuploft/src/dispatcher/mod.rs
@@ -227,7 +227,7 @@
             ClaimEnd::Held => {
                 request.claim = Claim::Held;
                 if let Some(state) = self.services.get_mut(&service) {
-                    state.claim_settled();
+                    state.claim_settled(&waiting.rule);
                 }
                 self.enqueue(now, waiting, actions);
             }
--- a/crates/kingcuploft/src/dispatcher/request.rs
+++ b/crates/kingcuploft/src/dispatcher/request.rs
@@ -9,7 +9,7 @@
 use crate::world::backend_server::CallEnd;
 use crate::world::contract::Contract;
 use crate::world::ids::{
-    AttemptId, BackendServerName, Caller, IdempotencyKey, RequestId, ServiceName,
+    AttemptId, BackendServerName, Caller, IdempotencyKey, RequestId, RuleName, ServiceName,
 };
 use crate::world::refusal::{Outcome, Refusal};
 
@@ -31,7 +31,7 @@
     may_have_run: bool,
     arrived: Instant,
     caller: Caller,
-    key: Option<IdempotencyKey>,
+    pub(super) key: Option<IdempotencyKey>,
 }
 
 /// Where the claim of a request stands.
@@ -123,6 +123,7 @@
 pub(super) struct Attempt {
     pub(super) request: RequestId,
     pub(super) service: ServiceName,
+    pub(super) rule: RuleName,
     pub(super) backend_server: BackendServerName,
     pub(super) address: SocketAddr,
     /// When the dispatcher counts it as ended without a report.
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -12,7 +12,7 @@
 use crate::manifest::{BackendServer, Service};
 use crate::utils::HashMap;
 use crate::world::backend_server::{CallEnd, CallReport};
-use crate::world::ids::{BackendServerName, RequestId};
+use crate::world::ids::{BackendServerName, IdempotencyKey, RequestId, RuleName};
 use crate::world::refusal::{Refusal, RefusalReason};
 use crate::world::vm::Vm;
 
@@ -103,23 +103,24 @@
         server.map_or(0, |&server| self.selection.in_flight(server))
     }
 
-    pub(super) fn set_claiming(&mut self, claiming: usize) {
-        self.admission.set_claiming(claiming);
-    }
-
     /// Judges a protected request at the door, before its claim is asked for.
     pub(super) fn check(&mut self, now: Instant, waiting: &Waiting) -> Option<Refusal> {
         match self.admission.check(now, waiting) {
             Offer::Refused(refusal) => Some(refusal),
             Offer::Queued | Offer::QueuedInsteadOf(..) => {
-                self.admission.claim_asked();
+                let key = waiting.key.as_ref();
+                self.admission.claim_asked(&waiting.rule, key);
                 None
             }
         }
     }
 
-    pub(super) fn claim_settled(&mut self) {
-        self.admission.claim_settled();
+    pub(super) fn claim_settled(&mut self, rule: &RuleName) {
+        self.admission.claim_settled(rule);
+    }
+
+    pub(super) fn key_ended(&mut self, key: &IdempotencyKey) {
+        self.admission.key_ended(key);
     }
 
     pub(super) fn offer(&mut self, now: Instant, waiting: Waiting) -> Offer {
@@ -129,6 +130,9 @@
     /// Takes the next request and the backend server it goes to; retries go first, as they have
     /// waited longest.
     pub(super) fn pick(&mut self, now: Instant, rng: &mut fastrand::Rng) -> Pick {
+        if let Some((request, refusal)) = self.admission.give_up(now) {
+            return Pick::Refuse(request, refusal);
+        }
         if let Some(pick) = self.pick_retry(now, rng) {
             return pick;
         }
@@ -142,7 +146,6 @@
         }
         let waiting = match self.admission.next(now) {
             Next::Empty => return Pick::Idle,
-            Next::GivenUp(waiting, refusal) => return Pick::Refuse(waiting.request, refusal),
             Next::Serve(waiting) => waiting,
         };
         match choice {
@@ -211,6 +214,9 @@
 
     /// Notes the end of an attempt; tells whether it brought news of a drain.
     pub(super) fn ended(&mut self, now: Instant, attempt: &Attempt, report: &CallReport) -> bool {
+        if matches!(report.end, CallEnd::Answered { .. } | CallEnd::TimedOut) {
+            self.admission.measured(&attempt.rule, report.latency);
+        }
         let Some(server) = self.server_of(attempt) else {
             return false;
         };
@@ -261,9 +267,13 @@
         }
     }
 
-    /// Returns when the next retry is due that is not yet.
+    /// Returns when something is next due: a retry, or giving a request up.
     pub(super) fn next_due(&self, now: Instant) -> Option<Instant> {
-        self.retries.next_due(now)
+        let retry = self.retries.next_due(now);
+        retry
+            .into_iter()
+            .chain(self.admission.next_hopeless())
+            .min()
     }
 
     /// Returns every request that waits.
--- /dev/null
+++ b/crates/kingcuploft/tests/admission/naive.rs
@@ -0,0 +1,196 @@
+//! The naive version: one vector, scanned for every answer.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use kingcuploft::decisions::admission::Waiting;
+use kingcuploft::decisions::pace::{Pace, ServiceTime};
+use kingcuploft::decisions::turns::{self, Turns};
+use kingcuploft::settings::admission::AdmissionSettings;
+use kingcuploft::world::ids::{Caller, RequestId, RuleName};
+use kingcuploft::world::refusal::RefusalReason;
+
+struct Item {
+    waiting: Waiting,
+    priority: usize,
+    place: (u64, u64),
+    cost_us: u64,
+    hopeless_at: Instant,
+}
+
+/// What an offer came to.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) enum Verdict {
+    Queued,
+    InsteadOf(RequestId),
+    Refused(RefusalReason),
+}
+
+pub(crate) struct Naive {
+    items: Vec<Item>,
+    turns: Turns,
+    pace: Pace,
+    times: BTreeMap<RuleName, ServiceTime>,
+    next_start: BTreeMap<(usize, Caller), u64>,
+    now_us: [u64; 3],
+    arrivals: u64,
+}
+
+impl Naive {
+    pub(crate) fn new(settings: &AdmissionSettings) -> Self {
+        Self {
+            items: Vec::new(),
+            turns: Turns::new(settings),
+            pace: Pace::default(),
+            times: BTreeMap::new(),
+            next_start: BTreeMap::new(),
+            now_us: [0; 3],
+            arrivals: 0,
+        }
+    }
+
+    fn time(&self, rule: &RuleName) -> ServiceTime {
+        self.times.get(rule).copied().unwrap_or_default()
+    }
+
+    fn in_priority(&self, priority: usize) -> impl Iterator<Item = &Item> {
+        self.items.iter().filter(move |i| i.priority == priority)
+    }
+
+    fn wait(&self, now: Instant, priority: usize, ahead: usize) -> Duration {
+        let waits = |p| self.in_priority(p).next().is_some();
+        let turns = self.turns.turns_for_one(priority, waits);
+        let ahead = ((ahead as f64 * turns).ceil() as usize).min(self.items.len());
+        if ahead == 0 {
+            return Duration::ZERO;
+        }
+        let gap = self.pace.gap().unwrap_or_default();
+        gap.mul_f64(ahead as f64) + self.pace.stalled(now)
+    }
+
+    pub(crate) fn offer(&mut self, now: Instant, waiting: Waiting) -> Verdict {
+        let priority = turns::index(waiting.priority);
+        let own = |caller: &Caller| {
+            let items = self.in_priority(priority);
+            items.filter(|i| i.waiting.caller == *caller).count()
+        };
+        let mut callers: Vec<&Caller> = self
+            .in_priority(priority)
+            .map(|i| &i.waiting.caller)
+            .collect();
+        callers.sort();
+        callers.dedup();
+        let (mine, len) = (own(&waiting.caller), self.in_priority(priority).count());
+        let wait = self.wait(now, priority, len.min((mine + 1) * callers.len()));
+        let left = waiting.deadline - now;
+        if wait > Duration::ZERO && wait + self.time(&waiting.rule).high() > left {
+            return Verdict::Refused(RefusalReason::DeadlineUnreachable);
+        }
+        let limit = waiting.queue_limit as usize;
+        let share = (waiting.caller_share * f64::from(waiting.queue_limit)) as usize;
+        if len > mine && mine >= share.max(1) {
+            return Verdict::Refused(RefusalReason::CallerShare);
+        }
+        let of_rule = self.items.iter().filter(|i| i.waiting.rule == waiting.rule);
+        let mut verdict = Verdict::Queued;
+        if of_rule.count() >= limit {
+            let heaviest = callers.into_iter().max_by_key(|c| (own(c), (*c).clone()));
+            let heaviest = heaviest.filter(|c| own(c) > mine + 1);
+            let last = heaviest.and_then(|caller| {
+                let items = self.in_priority(priority);
+                let items = items.filter(|i| i.waiting.caller == *caller);
+                items.max_by_key(|i| i.place)
+            });
+            match last.filter(|last| last.waiting.rule == waiting.rule) {
+                None => return Verdict::Refused(RefusalReason::QueueFull),
+                Some(last) => verdict = Verdict::InsteadOf(last.waiting.request),
+            }
+        }
+        if let Verdict::InsteadOf(other) = verdict {
+            self.remove(other);
+        }
+        self.push(now, priority, waiting);
+        verdict
+    }
+
+    fn push(&mut self, now: Instant, priority: usize, waiting: Waiting) {
+        if self.items.is_empty() {
+            self.pace.begins(now);
+        }
+        self.arrivals += 1;
+        let time = self.time(&waiting.rule);
+        let cost_us = time
+            .mean()
+            .map_or(1_000, |mean| mean.as_micros() as u64)
+            .max(1);
+        let next = self.next_start.entry((priority, waiting.caller.clone()));
+        let next = next.or_default();
+        let start = (*next).max(self.now_us[priority]);
+        *next = start + cost_us;
+        self.items.push(Item {
+            priority,
+            place: (start, self.arrivals),
+            cost_us,
+            hopeless_at: waiting.deadline - time.median(),
+            waiting,
+        });
+    }
+
+    pub(crate) fn next(&mut self, now: Instant) -> Option<RequestId> {
+        let waits = |p| self.in_priority(p).next().is_some();
+        let priority = self.turns.next(waits)?;
+        let at = (0..self.items.len()).filter(|&i| self.items[i].priority == priority);
+        let at = at.min_by_key(|&i| self.items[i].place)?;
+        let item = self.items.remove(at);
+        self.turns.served(priority);
+        self.now_us[priority] = self.now_us[priority].max(item.place.0);
+        self.pace.served(now, !self.items.is_empty());
+        Some(item.waiting.request)
+    }
+
+    pub(crate) fn give_up(&mut self, now: Instant) -> Option<RequestId> {
+        let first = self
+            .items
+            .iter()
+            .min_by_key(|i| (i.hopeless_at, i.waiting.request))?;
+        if first.hopeless_at <= now {
+            let request = first.waiting.request;
+            self.remove(request);
+            return Some(request);
+        }
+        let late = (0..3).find_map(|priority| {
+            let last = self.in_priority(priority).max_by_key(|i| i.place)?;
+            let wait = self.wait(now, priority, self.in_priority(priority).count() - 1);
+            let needed = wait + self.time(&last.waiting.rule).median();
+            (needed > last.waiting.deadline - now).then_some(last.waiting.request)
+        })?;
+        self.remove(late);
+        Some(late)
+    }
+
+    pub(crate) fn remove(&mut self, request: RequestId) -> bool {
+        let at = self.items.iter().position(|i| i.waiting.request == request);
+        let Some(at) = at else {
+            return false;
+        };
+        let item = self.items.remove(at);
+        let next = self
+            .next_start
+            .get_mut(&(item.priority, item.waiting.caller));
+        if let Some(next) = next {
+            *next = next.saturating_sub(item.cost_us);
+        }
+        if self.items.is_empty() {
+            self.pace.emptied();
+        }
+        true
+    }
+
+    pub(crate) fn measured(&mut self, rule: &RuleName, time: Duration) {
+        self.times.entry(rule.clone()).or_default().sample(time);
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.items.len()
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft/tests/admission/shares.rs
@@ -0,0 +1,141 @@
+//! Who is served how much when callers and priorities compete.
+
+use std::time::{Duration, Instant};
+
+use kingcuploft::decisions::admission::{Admission, Next, Offer};
+use kingcuploft::settings::admission::AdmissionSettings;
+use kingcuploft::world::contract::Priority;
+use kingcuploft::world::refusal::RefusalReason;
+
+use crate::{service, waiting};
+
+fn unfair() -> AdmissionSettings {
+    AdmissionSettings {
+        fair_share: false,
+        ..AdmissionSettings::default()
+    }
+}
+
+/// Serves the next `count` requests and counts those of a caller.
+fn served(admission: &mut Admission, now: Instant, count: usize, caller: &str) -> usize {
+    let served = (0..count).filter_map(|_| match admission.next(now) {
+        Next::Serve(waiting) => Some(waiting),
+        Next::Empty => None,
+    });
+    served.filter(|waiting| &*waiting.caller == caller).count()
+}
+
+/// One office's script sends 40 requests at once, then a squad sends one. The squad is next.
+fn place_behind_a_burst(settings: AdmissionSettings) -> usize {
+    let mut admission = Admission::new(&service(settings));
+    let now = Instant::now();
+    for request in 0..40 {
+        let burst = waiting(request, "script", Priority::Interactive, now);
+        assert_eq!(admission.offer(now, burst), Offer::Queued);
+    }
+    admission.next(now);
+    let one = waiting(100, "squad", Priority::Interactive, now);
+    assert_eq!(admission.offer(now, one), Offer::Queued);
+    let place = (1..).find(|_| served(&mut admission, now, 1, "squad") == 1);
+    place.unwrap()
+}
+
+#[test]
+fn a_caller_does_not_wait_behind_another_ones_burst() {
+    assert_eq!(place_behind_a_burst(AdmissionSettings::default()), 1);
+    assert_eq!(place_behind_a_burst(unfair()), 40);
+}
+
+/// A script has filled the queue when a squad's request comes. The script's last request makes
+/// room; with no other caller waiting, the script was free to use the whole queue.
+#[test]
+fn a_full_queue_makes_room_at_the_hot_callers_cost() {
+    let mut admission = Admission::new(&service(AdmissionSettings::default()));
+    let now = Instant::now();
+    for request in 0..64 {
+        let burst = waiting(request, "script", Priority::Interactive, now);
+        assert_eq!(admission.offer(now, burst), Offer::Queued);
+    }
+    let one = waiting(100, "squad", Priority::Interactive, now);
+    let Offer::QueuedInsteadOf(63, refusal) = admission.offer(now, one) else {
+        panic!("the squad is turned away");
+    };
+    assert_eq!(refusal.reason, RefusalReason::CallerShare);
+    assert!(refusal.retry_after.is_some());
+    let more = waiting(101, "script", Priority::Interactive, now);
+    let Offer::Refused(refusal) = admission.offer(now, more) else {
+        panic!("the script has more than its share");
+    };
+    assert_eq!(refusal.reason, RefusalReason::CallerShare);
+}
+
+/// Long jobs and short ones wait. Callers get slot time in equal parts, not requests.
+#[test]
+fn callers_share_slot_time() {
+    let mut admission = Admission::new(&service(AdmissionSettings::default()));
+    let now = Instant::now();
+    admission.measured(&"Interactive".into(), Duration::from_millis(10));
+    admission.measured(&"export".into(), Duration::from_millis(100));
+    for request in 0..60 {
+        let caller = if request % 2 == 0 { "short" } else { "long" };
+        let mut waiting = waiting(request, caller, Priority::Interactive, now);
+        waiting.caller_share = 1.0;
+        if caller == "long" {
+            waiting.rule = "export".into();
+        }
+        assert_eq!(admission.offer(now, waiting), Offer::Queued);
+    }
+    let long = served(&mut admission, now, 22, "long");
+    assert!((2..=3).contains(&long), "{long} long jobs among 22");
+}
+
+/// Reads arrive faster than they can be served, and searches wait. Holds come first, and a search
+/// is still served for every 25 turns or sooner.
+#[test]
+fn protected_goes_first_and_background_is_not_starved() {
+    let mut admission = Admission::new(&service(AdmissionSettings::default()));
+    let now = Instant::now();
+    let mut request = 0;
+    let mut offer = |admission: &mut Admission, priority| {
+        request += 1;
+        let caller = format!("{priority:?}");
+        drop(admission.offer(now, waiting(request, &caller, priority, now)));
+    };
+    for _ in 0..40 {
+        offer(&mut admission, Priority::Background);
+        offer(&mut admission, Priority::Interactive);
+    }
+    let mut searches = 0;
+    for turn in 0..250 {
+        offer(&mut admission, Priority::Interactive);
+        if turn % 10 == 5 {
+            offer(&mut admission, Priority::Protected);
+            let hold = served(&mut admission, now, 1, "Protected");
+            assert_eq!(hold, 1, "the hold goes first");
+        }
+        searches += served(&mut admission, now, 1, "Background");
+    }
+    assert!(
+        (10..=40).contains(&searches),
+        "{searches} searches in 250 turns"
+    );
+}
+
+/// Every request comes from a caller never seen before. Memory stays bounded.
+#[test]
+fn callers_without_number_take_bounded_memory() {
+    let settings = AdmissionSettings {
+        callers_remembered: 100,
+        ..AdmissionSettings::default()
+    };
+    let mut admission = Admission::new(&service(settings));
+    let now = Instant::now();
+    for request in 0..20_000 {
+        let caller = format!("caller-{request}");
+        drop(admission.offer(now, waiting(request, &caller, Priority::Interactive, now)));
+        if request % 2 == 0 {
+            admission.next(now);
+        }
+    }
+    assert!(admission.callers_held() <= 100 + 64);
+}
