--- a/crates/kingcuploft/benches/admission.rs
+++ b/crates/kingcuploft/benches/admission.rs
@@ -1,7 +1,5 @@
 //! What one offer, service or removal costs with 10 to 100,000 requests and callers waiting.
 
-#![expect(missing_docs, reason = "a bench has no users")]
-
 use std::time::{Duration, Instant};
 
 use divan::{Bencher, black_box};
--- a/crates/kingcuploft/tests/admission/naive.rs
+++ b/crates/kingcuploft/tests/admission/naive.rs
@@ -57,10 +57,13 @@
         self.items.iter().filter(move |i| i.priority == priority)
     }
 
-    fn wait(&self, now: Instant, priority: usize, ahead: usize) -> Duration {
+    fn ahead(&self, priority: usize, ahead: usize) -> usize {
         let waits = |p| self.in_priority(p).next().is_some();
         let turns = self.turns.turns_for_one(priority, waits);
-        let ahead = ((ahead as f64 * turns).ceil() as usize).min(self.items.len());
+        ((ahead as f64 * turns).ceil() as usize).min(self.items.len())
+    }
+
+    fn wait(&self, now: Instant, ahead: usize) -> Duration {
         if ahead == 0 {
             return Duration::ZERO;
         }
@@ -81,9 +84,10 @@
         callers.sort();
         callers.dedup();
         let (mine, len) = (own(&waiting.caller), self.in_priority(priority).count());
-        let wait = self.wait(now, priority, len.min((mine + 1) * callers.len()));
+        let ahead = self.ahead(priority, len.min((mine + 1) * callers.len()));
+        let wait = self.wait(now, ahead);
         let left = waiting.deadline - now;
-        if wait > Duration::ZERO && wait + self.time(&waiting.rule).high() > left {
+        if ahead > 0 && wait + self.time(&waiting.rule).high() > left {
             return Verdict::Refused(RefusalReason::DeadlineUnreachable);
         }
         let limit = waiting.queue_limit as usize;
@@ -160,8 +164,8 @@
         }
         let late = (0..3).find_map(|priority| {
             let last = self.in_priority(priority).max_by_key(|i| i.place)?;
-            let wait = self.wait(now, priority, self.in_priority(priority).count() - 1);
-            let needed = wait + self.time(&last.waiting.rule).median();
+            let ahead = self.ahead(priority, self.in_priority(priority).count() - 1);
+            let needed = self.wait(now, ahead) + self.time(&last.waiting.rule).median();
             (needed > last.waiting.deadline - now).then_some(last.waiting.request)
         })?;
         self.remove(late);
--- a/crates/kingcuploft/tests/admission/shares.rs
+++ b/crates/kingcuploft/tests/admission/shares.rs
@@ -99,7 +99,7 @@
     let mut offer = |admission: &mut Admission, priority| {
         request += 1;
         let caller = format!("{priority:?}");
-        drop(admission.offer(now, waiting(request, &caller, priority, now)));
+        admission.offer(now, waiting(request, &caller, priority, now));
     };
     for _ in 0..40 {
         offer(&mut admission, Priority::Background);
@@ -132,7 +132,7 @@
     let now = Instant::now();
     for request in 0..20_000 {
         let caller = format!("caller-{request}");
-        drop(admission.offer(now, waiting(request, &caller, Priority::Interactive, now)));
+        admission.offer(now, waiting(request, &caller, Priority::Interactive, now));
         if request % 2 == 0 {
             admission.next(now);
         }
