fix(admission): a free slot is never kept from the only request that waits

Cause: after a few timeouts the measured median passed the callers' deadline, every request was given up on arrival, and no answer could lower the median again.

--- a/crates/kingcuploft/src/decisions/admission.rs
+++ b/crates/kingcuploft/src/decisions/admission.rs
@@ -69,6 +69,8 @@
 pub enum Next {
     /// This one.
     Serve(Waiting),
+    /// None yet: this one can not be answered in time any more and is refused.
+    GivenUp(RequestId, Refusal),
     /// Nothing waits.
     Empty,
 }
@@ -267,11 +269,18 @@
         );
     }
 
-    /// Takes the next request off the queue.
+    /// Takes the next request off the queue, for a slot that is free.
+    ///
+    /// A request that is too late is given up in favour of another that waits. The only one that
+    /// waits is served whatever was measured: a slot that is free costs nothing, and where a slow
+    /// spell has made every request look too late, its answer is the one sample that ends that.
     pub fn next(&mut self, now: Instant) -> Next {
         let Some(priority) = self.turns.next(|i| self.waits(i)) else {
             return Next::Empty;
         };
+        if let Some(refusal) = self.first_too_late(now, priority) {
+            return refusal;
+        }
         let Some(waiting) = self.queues[priority].pop() else {
             return Next::Empty;
         };
@@ -281,7 +290,21 @@
         Next::Serve(waiting)
     }
 
-    /// Takes a request off the queue that can not be answered in time any more.
+    fn first_too_late(&mut self, now: Instant, priority: usize) -> Option<Next> {
+        let first = self.queues[priority].first()?;
+        let (request, overdue) = (first.request, first.deadline <= now);
+        let hopeless = self.standings.get(&request)?.hopeless_at <= now;
+        let others_wait = self.len() > 1;
+        if !overdue && (!hopeless || !others_wait) {
+            return None;
+        }
+        self.remove(request);
+        let wait = self.pace.gap().unwrap_or_default();
+        Some(Next::GivenUp(request, self.unreachable(request, wait)))
+    }
+
+    /// Takes a request off the queue that can not be answered in time any more, while no slot is
+    /// free.
     ///
     /// That is one whose time left is shorter than the median service time, or the last of a
     /// priority where the queue has slowed down so much that its turn comes too late.
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -130,9 +130,6 @@
     /// Takes the next request and the backend server it goes to; retries go first, as they have
     /// waited longest.
     pub(super) fn pick(&mut self, now: Instant, rng: &mut fastrand::Rng) -> Pick {
-        if let Some((request, refusal)) = self.admission.give_up(now) {
-            return Pick::Refuse(request, refusal);
-        }
         if let Some(pick) = self.pick_retry(now, rng) {
             return pick;
         }
@@ -142,10 +139,12 @@
         let drain = &self.drain;
         let choice = self.selection.choose(now, rng, |i| drain.takes_work(i));
         if choice == Choice::Full {
-            return Pick::Idle;
+            let given_up = self.admission.give_up(now);
+            return given_up.map_or(Pick::Idle, |(id, refusal)| Pick::Refuse(id, refusal));
         }
         let waiting = match self.admission.next(now) {
             Next::Empty => return Pick::Idle,
+            Next::GivenUp(id, refusal) => return Pick::Refuse(id, refusal),
             Next::Serve(waiting) => waiting,
         };
         match choice {
--- a/crates/kingcuploft/tests/admission/differential.rs
+++ b/crates/kingcuploft/tests/admission/differential.rs
@@ -51,7 +51,8 @@
             }
             5 | 6 => {
                 let served = match admission.next(now) {
-                    Next::Serve(waiting) => Some(waiting.request),
+                    Next::Serve(waiting) => Some((waiting.request, true)),
+                    Next::GivenUp(request, _) => Some((request, false)),
                     Next::Empty => None,
                 };
                 assert_eq!(served, naive.next(now));
@@ -68,7 +69,7 @@
             }
             _ => now += Duration::from_millis(u.int_in_range(0..=30)?),
         }
-        loop {
+        while u.ratio(1, 2)? {
             let given_up = admission.give_up(now).map(|(request, _)| request);
             assert_eq!(given_up, naive.give_up(now));
             if given_up.is_none() {
--- a/crates/kingcuploft/tests/admission/door.rs
+++ b/crates/kingcuploft/tests/admission/door.rs
@@ -90,3 +90,19 @@
     admission.key_ended(&"squad-7".into());
     assert_eq!(admission.check(now, &hold), Offer::Queued);
 }
+
+/// A slow spell makes a rule's answers take longer than its callers allow. Had the door refused
+/// them all, nothing would be measured any more and the rule stay shut for good after the spell.
+#[test]
+fn a_slow_spell_does_not_shut_the_door_for_good() {
+    let mut admission = Admission::new(&service(AdmissionSettings::default()));
+    let now = Instant::now();
+    for _ in 0..100 {
+        admission.measured(&"Interactive".into(), Duration::from_secs(5));
+    }
+    for request in 0..3 {
+        let alone = waiting(request, "squad", Priority::Interactive, now);
+        assert_eq!(admission.offer(now, alone), Offer::Queued);
+        assert!(matches!(admission.next(now), Next::Serve(_)));
+    }
+}
--- a/crates/kingcuploft/tests/admission/naive.rs
+++ b/crates/kingcuploft/tests/admission/naive.rs
@@ -140,16 +140,24 @@
         });
     }
 
-    pub(crate) fn next(&mut self, now: Instant) -> Option<RequestId> {
+    /// Returns the next request and whether it is served.
+    pub(crate) fn next(&mut self, now: Instant) -> Option<(RequestId, bool)> {
         let waits = |p| self.in_priority(p).next().is_some();
         let priority = self.turns.next(waits)?;
         let at = (0..self.items.len()).filter(|&i| self.items[i].priority == priority);
         let at = at.min_by_key(|&i| self.items[i].place)?;
+        let first = &self.items[at];
+        let hopeless = first.hopeless_at <= now && self.items.len() > 1;
+        if hopeless || first.waiting.deadline <= now {
+            let request = first.waiting.request;
+            self.remove(request);
+            return Some((request, false));
+        }
         let item = self.items.remove(at);
         self.turns.served(priority);
         self.now_us[priority] = self.now_us[priority].max(item.place.0);
         self.pace.served(now, !self.items.is_empty());
-        Some(item.waiting.request)
+        Some((item.waiting.request, true))
     }
 
     pub(crate) fn give_up(&mut self, now: Instant) -> Option<RequestId> {
--- a/crates/kingcuploft/tests/admission/shares.rs
+++ b/crates/kingcuploft/tests/admission/shares.rs
@@ -20,7 +20,7 @@
 fn served(admission: &mut Admission, now: Instant, count: usize, caller: &str) -> usize {
     let served = (0..count).filter_map(|_| match admission.next(now) {
         Next::Serve(waiting) => Some(waiting),
-        Next::Empty => None,
+        Next::GivenUp(..) | Next::Empty => None,
     });
     served.filter(|waiting| &*waiting.caller == caller).count()
 }
