--- a/crates/kingcuploft-standins/src/backend_server/connection.rs
+++ b/crates/kingcuploft-standins/src/backend_server/connection.rs
@@ -182,7 +182,10 @@
         expired();
         return Answer::new(503, "the deadline passed\n").header("x-not-run", "1");
     };
-    state.began(request.header("idempotency-key"));
+    state.began(
+        request.header("idempotency-key"),
+        request.header("x-call-id"),
+    );
     let asked = request.header("x-work-us").and_then(|us| us.parse().ok());
     let time = state.slowed(asked.map_or(drawn.time, Duration::from_micros));
     let began = Instant::now();
--- a/crates/kingcuploft-standins/src/backend_server/mod.rs
+++ b/crates/kingcuploft-standins/src/backend_server/mod.rs
@@ -59,6 +59,11 @@
         self.state.runs(key)
     }
 
+    /// Returns how often the call with this `x-call-id` ran.
+    pub fn call_runs(&self, call: &str) -> u64 {
+        self.state.call_runs(call)
+    }
+
     /// Returns the counts so far.
     pub fn counts(&self) -> Counts {
         self.state.counts()
--- a/crates/kingcuploft-standins/src/backend_server/state.rs
+++ b/crates/kingcuploft-standins/src/backend_server/state.rs
@@ -58,6 +58,7 @@
     started: Instant,
     counts: Counts,
     runs: FxHashMap<String, u64>,
+    call_runs: FxHashMap<String, u64>,
     last_answer: Option<(String, String)>,
 }
 
@@ -86,6 +87,7 @@
                 started: Instant::now(),
                 counts: Counts::default(),
                 runs: FxHashMap::default(),
+                call_runs: FxHashMap::default(),
                 last_answer: None,
             }),
             work,
@@ -131,13 +133,20 @@
         time.mul_f64(factor)
     }
 
-    /// Counts a run: the work begins.
-    pub(super) fn began(&self, key: Option<&str>) {
+    /// Counts a run, for its idempotency key and for the one call: the work begins.
+    pub(super) fn began(&self, key: Option<&str>, call: Option<&str>) {
         let mut inner = self.lock();
         inner.counts.runs += 1;
         if let Some(key) = key {
             *inner.runs.entry(key.into()).or_default() += 1;
         }
+        if let Some(call) = call {
+            *inner.call_runs.entry(call.into()).or_default() += 1;
+        }
+    }
+
+    pub(super) fn call_runs(&self, call: &str) -> u64 {
+        self.lock().call_runs.get(call).copied().unwrap_or_default()
     }
 
     /// Remembers an answer, for those that cross.
--- a/crates/kingcuploft-standins/src/bin/kingcuploft-quickstart.rs
+++ b/crates/kingcuploft-standins/src/bin/kingcuploft-quickstart.rs
@@ -8,7 +8,7 @@
 
 use kingcuploft_standins::deployment;
 use kingcuploft_standins::fleet::{Fleet, Variant};
-use kingcuploft_standins::load;
+use kingcuploft_standins::load::{self, DueCall};
 use kingcuploft_standins::plot::{self, Labels, Line};
 use kingcuploft_standins::tally::{Figures, Tally};
 use kingcuploft_standins::traffic::{self, Traffic};
@@ -164,9 +164,10 @@
     let ended = std::sync::atomic::AtomicBool::new(false);
     std::thread::scope(|scope| {
         scope.spawn(|| progress(&done, total, time, &ended));
+        let to = fleet.addresses();
         load::run_with(
             &fleet.runtime,
-            &fleet.addresses(),
+            move |call: &DueCall| to[call.to % to.len()],
             traffic.calls,
             move |call, got, latency| {
                 counter.fetch_add(1, Ordering::Relaxed);
--- a/crates/kingcuploft-standins/src/experiments/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -3,6 +3,7 @@
 //! One experiment, one file. Each returns its figures as JSON, a table as text, and every promise
 //! it saw broken.
 
+pub mod promises;
 pub mod tail;
 
 use std::path::PathBuf;
@@ -101,8 +102,15 @@
 }
 
 /// Every experiment.
-pub const ALL: &[Entry] = &[Entry {
-    name: "tail",
-    about: "tail latency and the cost of measuring, by policy",
-    run: tail::run,
-}];
+pub const ALL: &[Entry] = &[
+    Entry {
+        name: "promises",
+        about: "daemon processes under mixed faults, every call checked",
+        run: promises::run,
+    },
+    Entry {
+        name: "tail",
+        about: "tail latency and the cost of measuring, by policy",
+        run: tail::run,
+    },
+];
--- /dev/null
+++ b/crates/kingcuploft-standins/src/experiments/promises/entry.rs
@@ -0,0 +1,302 @@
+//! The entry VMs of a run: daemon processes that are paused, killed and replaced.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::runtime::Runtime;
+
+use super::check::{Awake, Reading};
+use crate::link::{Link, LinkState};
+use crate::process::{DaemonProcess, Ports};
+
+/// How long a new daemon may take to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// How long a planned stop may take.
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long a stopping daemon says that it is not ready before it refuses.
+const NOT_READY_MS: u64 = 150;
+
+/// How often the balancer and the observer look.
+const POLL: Duration = Duration::from_millis(25);
+
+/// One place for an entry VM, and the daemon that lives there now.
+#[derive(Debug)]
+struct Place {
+    process: DaemonProcess,
+    life: usize,
+    ports: Ports,
+    in_rotation: bool,
+    awake_since: Option<Duration>,
+}
+
+/// What the observer noted.
+#[derive(Clone, Debug, Default)]
+pub struct Observed {
+    /// Generations read.
+    pub readings: Vec<Reading>,
+    /// Times during which a daemon should follow.
+    pub awake: Vec<Awake>,
+    /// Lives that were asked to stop as planned, and when.
+    pub stopped: Vec<(usize, Duration)>,
+    /// Lives that were paused or killed.
+    pub disturbed: Vec<usize>,
+    /// Planned stops that did not end in time or not with success.
+    pub failed_stops: u64,
+}
+
+/// The entry VMs.
+#[derive(Debug)]
+pub struct Entries {
+    began: Instant,
+    folder: PathBuf,
+    platform_links: Vec<Link>,
+    peer_links: Vec<Mutex<Link>>,
+    places: Vec<Mutex<Place>>,
+    observed: Mutex<Observed>,
+    lives: Mutex<usize>,
+    runtime: std::sync::Arc<Runtime>,
+}
+
+impl Entries {
+    /// Starts `count` daemons and waits until they are ready.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where a port, a file or a process is not to be had.
+    pub fn start(
+        runtime: std::sync::Arc<Runtime>,
+        platform: SocketAddr,
+        folder: PathBuf,
+        count: usize,
+    ) -> std::io::Result<Self> {
+        let mut entries = Self {
+            began: Instant::now(),
+            folder,
+            platform_links: Vec::new(),
+            peer_links: Vec::new(),
+            places: Vec::new(),
+            observed: Mutex::default(),
+            lives: Mutex::new(0),
+            runtime,
+        };
+        let mut ports = Vec::new();
+        for _ in 0..count {
+            let own = Ports::free()?;
+            entries
+                .platform_links
+                .push(Link::start(&entries.runtime, platform)?);
+            let link = Link::start(&entries.runtime, own.peers)?;
+            entries.peer_links.push(Mutex::new(link));
+            ports.push(own);
+        }
+        for (vm, ports) in ports.into_iter().enumerate() {
+            let (process, life) = entries.launch(vm, ports)?;
+            let place = Place {
+                process,
+                life,
+                ports,
+                in_rotation: false,
+                awake_since: None,
+            };
+            entries.places.push(Mutex::new(place));
+        }
+        for place in &entries.places {
+            let mut place = lock(place);
+            if !place.process.wait_ready(READY_TIMEOUT) {
+                return Err(std::io::Error::other("a daemon is not ready"));
+            }
+            place.in_rotation = true;
+            place.awake_since = Some(Duration::ZERO);
+        }
+        entries.began = Instant::now();
+        Ok(entries)
+    }
+
+    /// Returns when the run began.
+    pub fn began(&self) -> Instant {
+        self.began
+    }
+
+    /// Returns the address and life of a VM that the platform's balancer would choose.
+    pub fn choose(&self, draw: usize) -> (SocketAddr, usize) {
+        let count = self.places.len();
+        let order = (0..count).map(|i| (draw + i) % count);
+        let mut fallback = None;
+        for place in order {
+            // A place whose VM is being replaced is locked for long: the balancer passes it by.
+            let Ok(place) = self.places[place].try_lock() else {
+                continue;
+            };
+            let found = (place.ports.callers, place.life);
+            if place.in_rotation {
+                return found;
+            }
+            fallback = Some(found);
+        }
+        fallback.unwrap_or((SocketAddr::from(([127, 0, 0, 1], 9)), usize::MAX))
+    }
+
+    /// Looks at every VM once: readiness for the balancer, the generation for the check.
+    pub fn observe(&self) {
+        for place in &self.places {
+            let Ok(mut place) = place.try_lock() else {
+                continue;
+            };
+            place.in_rotation = place.process.page("ready").is_some();
+            let Some(generation) = place.process.generation() else {
+                continue;
+            };
+            let reading = Reading {
+                life: place.life,
+                at: self.began.elapsed(),
+                generation,
+            };
+            lock(&self.observed).readings.push(reading);
+        }
+    }
+
+    /// Pauses a VM for a time; whoever looks at it meanwhile passes it by.
+    pub fn pause(&self, vm: usize, time: Duration) {
+        let mut place = lock(&self.places[vm]);
+        self.sleep_begins(&mut place);
+        lock(&self.observed).disturbed.push(place.life);
+        place.process.pause();
+        drop(place);
+        std::thread::sleep(time);
+        let mut place = lock(&self.places[vm]);
+        place.process.resume();
+        place.awake_since = Some(self.began.elapsed());
+    }
+
+    /// Kills a VM and replaces it.
+    pub fn kill(&self, vm: usize) {
+        let mut place = lock(&self.places[vm]);
+        self.sleep_begins(&mut place);
+        lock(&self.observed).disturbed.push(place.life);
+        place.process.kill();
+        self.replace(vm, &mut place);
+    }
+
+    /// Stops a VM as planned and replaces it; the balancer goes on looking meanwhile.
+    pub fn stop(&self, vm: usize) {
+        {
+            let mut place = lock(&self.places[vm]);
+            self.sleep_begins(&mut place);
+            let stopped = (place.life, self.began.elapsed());
+            lock(&self.observed).stopped.push(stopped);
+            place.process.terminate();
+        }
+        std::thread::sleep(Duration::from_millis(NOT_READY_MS));
+        let mut place = lock(&self.places[vm]);
+        let ended = place.process.wait_ended(STOP_TIMEOUT);
+        if !ended.is_some_and(|status| status.success()) {
+            lock(&self.observed).failed_stops += 1;
+        }
+        self.replace(vm, &mut place);
+    }
+
+    /// Cuts a VM's link to the platform for a time.
+    pub fn cut_platform(&self, vm: usize, time: Duration) {
+        self.platform_links[vm].set(LinkState::Cut);
+        std::thread::sleep(time);
+        self.platform_links[vm].set(LinkState::Open);
+    }
+
+    /// Cuts the links by which peers reach a VM for a time.
+    pub fn cut_peers(&self, vm: usize, time: Duration) {
+        lock(&self.peer_links[vm]).set(LinkState::Cut);
+        std::thread::sleep(time);
+        lock(&self.peer_links[vm]).set(LinkState::Open);
+    }
+
+    /// Opens every link.
+    pub fn mend(&self) {
+        self.platform_links
+            .iter()
+            .for_each(|link| link.set(LinkState::Open));
+        self.peer_links
+            .iter()
+            .for_each(|link| lock(link).set(LinkState::Open));
+    }
+
+    /// Returns what was observed, every daemon awake until now.
+    pub fn finish(&self) -> Observed {
+        for place in &self.places {
+            self.sleep_begins(&mut lock(place));
+        }
+        lock(&self.observed).clone()
+    }
+
+    fn sleep_begins(&self, place: &mut Place) {
+        if let Some(from) = place.awake_since.take() {
+            let until = self.began.elapsed();
+            let life = place.life;
+            lock(&self.observed).awake.push(Awake { life, from, until });
+        }
+        place.in_rotation = false;
+    }
+
+    fn replace(&self, vm: usize, place: &mut Place) {
+        // A replaced VM has a new address; its peers learn it from the platform's list.
+        let Ok(ports) = Ports::free() else {
+            return;
+        };
+        if let Ok(link) = Link::start(&self.runtime, ports.peers) {
+            *lock(&self.peer_links[vm]) = link;
+        }
+        let Ok((process, life)) = self.launch(vm, ports) else {
+            return;
+        };
+        place.process = process;
+        place.life = life;
+        place.ports = ports;
+        if place.process.wait_ready(READY_TIMEOUT) {
+            place.awake_since = Some(self.began.elapsed());
+        }
+    }
+
+    fn launch(&self, vm: usize, ports: Ports) -> std::io::Result<(DaemonProcess, usize)> {
+        let mut lives = lock(&self.lives);
+        *lives += 1;
+        let life = *lives;
+        let name = format!("entry-{vm}-{life}");
+        let peers: Vec<String> = self
+            .peer_links
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != vm)
+            .map(|(_, link)| format!("'{}'", lock(link).address()))
+            .collect();
+        let settings = format!(
+            "vm: {name}\navailability_zone: zone-{}\nlisten: {}\nadmin_listen: {}\nplatform: {}\n{}limits: {{workers: 32, not_ready_ms: {NOT_READY_MS}}}\n",
+            vm % 3,
+            ports.callers,
+            ports.admin,
+            self.platform_links[vm].address(),
+            peer_settings(ports, &peers),
+        );
+        let process = DaemonProcess::start(&self.folder, &name, ports, &settings)?;
+        Ok((process, life))
+    }
+}
+
+/// Returns the settings of the peer links, once the daemon has them.
+fn peer_settings(_ports: Ports, _peers: &[String]) -> String {
+    String::new()
+}
+
+/// Observes until told to end.
+pub fn observe_until(entries: &Entries, ended: &std::sync::atomic::AtomicBool) {
+    while !ended.load(std::sync::atomic::Ordering::Relaxed) {
+        entries.observe();
+        std::thread::sleep(POLL);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/kingcuploft-standins/src/experiments/promises/mod.rs
@@ -0,0 +1,127 @@
+//! `promises`: real daemon processes under mixed faults drawn from the seed, every call checked
+//! against the stand-ins' own counts.
+
+pub mod chaos;
+pub mod check;
+pub mod entry;
+pub mod record;
+pub mod run;
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use self::check::{Broken, Counted};
+use self::run::Protection;
+use super::{ExperimentError, Options, Report};
+
+/// The longest time until an accepted manifest is in force.
+const IN_FORCE: Duration = Duration::from_secs(5);
+
+/// The longest time until a leaving backend server gets no new work.
+const NO_NEW_WORK: Duration = Duration::from_secs(3);
+
+/// The figures of one run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Figures {
+    /// The seed.
+    pub seed: u64,
+    /// What was counted.
+    #[serde(flatten)]
+    pub counted: Counted,
+    /// The promises about answers and actions.
+    #[serde(flatten)]
+    pub broken: Broken,
+    /// Readings of a generation below an earlier one of the same daemon.
+    pub manifest_reverts: u64,
+    /// The longest time until an accepted manifest was in force on a daemon that was awake.
+    pub in_force_ms_max: u64,
+    /// The longest time from a backend server's leaving to the last new work it got.
+    pub new_work_after_leave_ms_max: u64,
+    /// Calls cut by a planned stop.
+    pub cut_in_flight: u64,
+    /// Planned stops that did not end as planned.
+    pub failed_stops: u64,
+    /// Writes to the store for each protected action.
+    pub store_writes_per_action: f64,
+}
+
+/// Runs the experiment, one run for each round, with seeds that follow one another.
+///
+/// # Errors
+///
+/// [`ExperimentError`] where a deployment did not start.
+pub fn run(options: &Options) -> Result<Report, ExperimentError> {
+    let mut report = Report::default();
+    let mut all = Vec::new();
+    for round in 0..options.rounds as u64 {
+        let seed = options.seed + round;
+        let figures = one(seed, options.time, Protection::Full)?;
+        let faults = faults(&figures);
+        report
+            .broken
+            .extend(faults.iter().map(|fault| format!("seed {seed}: {fault}")));
+        report.text += &serde_json::to_string(&figures)?;
+        report.text.push('\n');
+        all.push(figures);
+    }
+    report.figures = serde_json::to_value(all)?;
+    Ok(report)
+}
+
+/// Runs one seed and returns its figures.
+///
+/// # Errors
+///
+/// [`ExperimentError`] where the deployment did not start.
+pub fn one(seed: u64, time: Duration, protection: Protection) -> Result<Figures, ExperimentError> {
+    let trace = run::run(seed, time, protection)?;
+    let (broken, counted) = check::check(&trace.records, &trace);
+    let observed = &trace.observed;
+    let in_force =
+        check::longest_until_in_force(&trace.accepted, &observed.awake, &observed.readings);
+    let actions = counted.actions.max(1) as f64;
+    Ok(Figures {
+        seed,
+        broken,
+        manifest_reverts: check::reverts(&observed.readings),
+        in_force_ms_max: in_force.as_millis() as u64,
+        new_work_after_leave_ms_max: trace.new_work_after_leave.as_millis() as u64,
+        cut_in_flight: run::cut_in_flight(&trace),
+        failed_stops: observed.failed_stops,
+        store_writes_per_action: trace.store_writes as f64 / actions,
+        counted,
+    })
+}
+
+/// Names the promises that a run broke.
+pub fn faults(figures: &Figures) -> Vec<String> {
+    let broken = &figures.broken;
+    let counts = [
+        ("duplicate_runs", broken.duplicate_runs),
+        ("false_not_run", broken.false_not_run),
+        ("false_ran", broken.false_ran),
+        ("wrong_answers", broken.wrong_answers),
+        ("partial_answers", broken.partial_answers),
+        ("manifest_reverts", figures.manifest_reverts),
+        ("cut_in_flight", figures.cut_in_flight),
+        ("failed_stops", figures.failed_stops),
+    ];
+    let counted = counts.iter().filter(|(_, count)| *count > 0);
+    let mut faults: Vec<String> = counted
+        .map(|(name, count)| format!("{name} {count}"))
+        .collect();
+    let times = [
+        ("in_force_ms_max", figures.in_force_ms_max, IN_FORCE),
+        (
+            "new_work_after_leave_ms_max",
+            figures.new_work_after_leave_ms_max,
+            NO_NEW_WORK,
+        ),
+    ];
+    let late = times
+        .iter()
+        .filter(|(_, ms, most)| u128::from(*ms) > most.as_millis());
+    faults.extend(late.map(|(name, ms, _)| format!("{name} {ms}")));
+    faults
+}
--- a/crates/kingcuploft-standins/src/load.rs
+++ b/crates/kingcuploft-standins/src/load.rs
@@ -43,7 +43,9 @@
     let tallies = vec![Tally::default(); groups];
     let tallies = Arc::new(Mutex::new(tallies));
     let counted = Arc::clone(&tallies);
-    run_with(runtime, to, calls, move |call, received, latency| {
+    let to = to.to_vec();
+    let address = move |call: &DueCall| to[call.to % to.len()];
+    run_with(runtime, address, calls, move |call, received, latency| {
         let mut tallies = counted.lock().unwrap_or_else(PoisonError::into_inner);
         tallies[call.group].add(&received, latency, call.deadline);
     });
@@ -55,7 +57,7 @@
 /// it was due; returns when the last one has ended.
 pub fn run_with(
     runtime: &Runtime,
-    to: &[SocketAddr],
+    address: impl Fn(&DueCall) -> SocketAddr,
     calls: Vec<DueCall>,
     received: impl Fn(&DueCall, Received, Duration) + Send + Sync + 'static,
 ) {
@@ -66,7 +68,7 @@
         let mut tasks = Vec::with_capacity(calls.len());
         for call in calls {
             tokio::time::sleep_until(began + call.at).await;
-            let address = to[call.to % to.len()];
+            let address = address(&call);
             let (callers, received) = (Arc::clone(&callers), Arc::clone(&received));
             tasks.push(tokio::spawn(async move {
                 let patience = call.deadline * 2 + Duration::from_secs(1);
