--- a/crates/kingcuploft-standins/src/lib.rs
+++ b/crates/kingcuploft-standins/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod process;
 pub mod tally;
 pub mod traffic;
+pub mod virtual_fleet;
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -168,7 +168,7 @@
                 });
             }
             Action::Call(call) => self.call(call),
-            Action::Cancel(_attempt) => {}
+            Action::Cancel(attempt) => self.shared.calls.cancel(attempt),
             Action::Answer(request, attempt) => {
                 if let Some(answer) = self.answers.get(&attempt).cloned() {
                     self.reply(request, Reply::Answer(answer));
@@ -214,7 +214,9 @@
             call,
             parts: (*pending.parts).clone(),
         };
+        self.shared.calls.ordered(attempt);
         if self.rings.calls.try_send(order).is_err() {
+            drop(self.shared.calls.ended(attempt));
             self.not_handed_over.push(attempt);
         }
     }
