--- a/crates/kingcuploft-standins/src/experiments/promises/run.rs
+++ b/crates/kingcuploft-standins/src/experiments/promises/run.rs
@@ -129,12 +129,8 @@
             .enable_all()
             .build()?,
     );
-    let folder = std::env::temp_dir().join(format!(
-        "kingcuploft-promises-{}-{seed}",
-        std::process::id()
-    ));
-    std::fs::create_dir_all(&folder)?;
-    let world = start(&runtime, &folder, seed, protection)?;
+    let folder = tempfile::tempdir()?;
+    let world = start(&runtime, folder.path(), seed, protection)?;
     let ended = AtomicBool::new(false);
     let records = std::thread::scope(|scope| {
         scope.spawn(|| entry::observe_until(&world.entries, &ended));
@@ -170,7 +166,6 @@
         _runtime: runtime,
     };
     drop(world.entries);
-    std::fs::remove_dir_all(&folder)?;
     Ok(trace)
 }
 
--- /dev/null
+++ b/crates/kingcuploft-standins/tests/promises_checker.rs
@@ -0,0 +1,170 @@
+//! The checker of the experiment `promises`, proved with traces in which each promise is broken.
+
+use std::time::Duration;
+
+use kingcuploft_standins::callers::Received;
+use kingcuploft_standins::experiments::promises;
+use kingcuploft_standins::experiments::promises::check::{
+    Awake, Broken, Reading, Runs, check, longest_until_in_force, reverts,
+};
+use kingcuploft_standins::experiments::promises::record::Record;
+use kingcuploft_standins::experiments::promises::run::Protection;
+
+/// Runs of the one action and of each call.
+struct Ran {
+    key: u64,
+    calls: Vec<u64>,
+}
+
+impl Runs for Ran {
+    fn of_key(&self, _key: &str) -> u64 {
+        self.key
+    }
+
+    fn of_call(&self, call: usize) -> u64 {
+        self.calls.get(call).copied().unwrap_or_default()
+    }
+}
+
+fn action(call: usize, received: Received) -> Record {
+    Record {
+        call,
+        key: Some("squad-7".into()),
+        expected: "POST /holds\n".into(),
+        life: 1,
+        sent: Duration::ZERO,
+        ended: Duration::from_millis(5),
+        received,
+    }
+}
+
+fn answer(body: &'static str) -> Received {
+    Received::Answer {
+        status: 200,
+        body: body.into(),
+    }
+}
+
+fn refused(outcome: &str) -> Received {
+    Received::Refused {
+        status: 503,
+        reason: "any".into(),
+        outcome: outcome.into(),
+    }
+}
+
+fn broken(records: &[Record], key: u64, calls: &[u64]) -> Broken {
+    let ran = Ran {
+        key,
+        calls: calls.to_vec(),
+    };
+    check(records, &ran).0
+}
+
+#[test]
+fn a_replayed_answer_and_a_truthful_refusal_break_nothing() {
+    let calls = [
+        action(0, answer("POST /holds\n")),
+        action(1, answer("POST /holds\n")),
+        action(2, refused("unknown")),
+        action(3, refused("not_run")),
+    ];
+    assert_eq!(broken(&calls, 1, &[1]), Broken::default());
+}
+
+#[test]
+fn a_second_run_is_found() {
+    let found = broken(&[action(0, answer("POST /holds\n"))], 2, &[2]);
+    assert_eq!(found.duplicate_runs, 1);
+}
+
+#[test]
+fn a_call_told_not_run_that_ran_is_found() {
+    let calls = [
+        action(0, refused("not_run")),
+        action(1, answer("POST /holds\n")),
+    ];
+    assert_eq!(broken(&calls, 1, &[1, 0]).false_not_run, 1);
+}
+
+#[test]
+fn an_action_of_which_every_call_is_told_not_run_though_it_ran_is_found() {
+    assert_eq!(
+        broken(&[action(0, refused("not_run"))], 1, &[]).false_not_run,
+        1
+    );
+}
+
+#[test]
+fn a_success_without_a_run_is_found() {
+    assert_eq!(
+        broken(&[action(0, answer("POST /holds\n"))], 0, &[]).false_ran,
+        1
+    );
+    assert_eq!(broken(&[action(0, refused("ran"))], 0, &[]).false_ran, 1);
+}
+
+#[test]
+fn a_crossed_and_a_cut_answer_are_found() {
+    let crossed = broken(&[action(0, answer("GET /another\n"))], 1, &[1]);
+    assert_eq!((crossed.wrong_answers, crossed.partial_answers), (1, 0));
+    let cut = broken(&[action(0, answer("POST /ho"))], 1, &[1]);
+    assert_eq!((cut.wrong_answers, cut.partial_answers), (0, 1));
+}
+
+fn reading(life: usize, ms: u64, generation: u64) -> Reading {
+    Reading {
+        life,
+        at: Duration::from_millis(ms),
+        generation,
+    }
+}
+
+#[test]
+fn a_daemon_that_goes_back_to_an_older_generation_is_found() {
+    let forward = [reading(1, 0, 4), reading(2, 1, 3), reading(1, 2, 5)];
+    assert_eq!(reverts(&forward), 0);
+    let back = [reading(1, 0, 4), reading(1, 1, 3), reading(1, 2, 4)];
+    assert_eq!(reverts(&back), 1);
+}
+
+#[test]
+fn the_last_daemon_to_have_a_generation_in_force_sets_the_time() {
+    let accepted = [(5, Duration::from_millis(100))];
+    let awake = |life, from, until| Awake {
+        life,
+        from: Duration::from_millis(from),
+        until: Duration::from_millis(until),
+    };
+    let readings = [reading(1, 130, 5), reading(2, 150, 4), reading(2, 900, 5)];
+    let spans = [awake(1, 0, 2000), awake(2, 0, 2000)];
+    let longest = longest_until_in_force(&accepted, &spans, &readings);
+    assert_eq!(longest, Duration::from_millis(800));
+    let never = longest_until_in_force(&accepted, &[awake(3, 0, 2000)], &readings);
+    assert_eq!(never, Duration::from_millis(1900));
+}
+
+/// A manager sends a hold again after a broken answer, through another VM. The system does not
+/// see the caller's key, so it claims nothing, and the school is billed twice.
+#[test]
+fn without_claims_the_experiment_finds_duplicate_runs() {
+    let figures = promises::one(7, Duration::from_secs(2), Protection::NoClaims).unwrap();
+    assert!(figures.broken.duplicate_runs > 0, "{figures:?}");
+}
+
+/// A hold's answer is cut on the way back. The rule wrongly says that it may be retried, so the
+/// VM sends it to another backend server at once, and it runs there too.
+#[test]
+fn with_sent_requests_retried_the_experiment_finds_duplicate_runs() {
+    let figures = promises::one(7, Duration::from_secs(2), Protection::RetrySent).unwrap();
+    assert!(figures.broken.duplicate_runs > 0, "{figures:?}");
+}
+
+/// The same faults with the rule as it should be: nothing runs twice, and nobody is told wrongly.
+#[test]
+fn with_full_protection_the_experiment_finds_nothing_told_wrongly() {
+    let figures = promises::one(7, Duration::from_secs(2), Protection::Full).unwrap();
+    assert_eq!(figures.broken, Broken::default(), "{figures:?}");
+    assert_eq!(figures.manifest_reverts, 0);
+    assert!(figures.counted.actions > 50, "{figures:?}");
+}
