--- a/crates/kingcuploft-platform/src/manifest_root.rs
+++ b/crates/kingcuploft-platform/src/manifest_root.rs
@@ -1,33 +1,56 @@
-//! The manifest in the store: one root object, swapped by conditional update.
+//! The manifest in the store: service objects first, then the root by conditional update.
+//!
+//! Only the swap of the root makes a manifest accepted. It is conditional on the version that was
+//! read, so of two operators one wins, and it can be sent again after a lost answer: either it
+//! takes effect once, or it meets the version that another write, perhaps its own, left behind.
 
-use std::sync::Arc;
-
-use kingcuploft::manifest::{Accepted, Manifest};
+use kingcuploft::manifest::root::{
+    ContentHash, PAST_APPLIES, PastApply, Root, ServiceChange, ServiceObject, ServiceRef, objects,
+};
+use kingcuploft::manifest::{Manifest, Service};
+use kingcuploft::utils::HashSet;
 use kingcuploft::world::ids::Generation;
 
-use crate::{Expect, ObjectStore, StoreError};
+use crate::{Expect, Object, ObjectStore, StoreError, Version};
 
 /// The key of the root object.
 pub const ROOT_KEY: &str = "manifest/root";
 
-/// The root object's value.
-#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
-pub struct Root {
-    /// The generation; it only grows.
-    pub generation: Generation,
-    /// The id of the apply that wrote it, to settle a lost answer.
-    pub apply_id: String,
-    /// The manifest.
-    pub manifest: Arc<Manifest>,
-}
+/// Where service objects stand, by hash.
+pub const SERVICES_PREFIX: &str = "manifest/services/";
 
-impl From<Root> for Accepted {
-    fn from(root: Root) -> Self {
-        Self {
-            generation: root.generation,
-            manifest: root.manifest,
-        }
-    }
+/// Where earlier roots stand, by generation.
+pub const HISTORY_PREFIX: &str = "manifest/history/";
+
+/// How many earlier roots are kept.
+pub const HISTORY_KEPT: u64 = 32;
+
+/// After how many generations old roots and unused service objects are deleted.
+const PRUNE_EVERY: u64 = 16;
+
+/// The longest value of an object, in bytes.
+const VALUE_BYTES: usize = 1_000_000;
+
+/// How often a write without an answer is sent again.
+const RETRIES: usize = 3;
+
+/// What to apply, by whom.
+#[derive(Clone, Debug)]
+pub struct Apply {
+    /// The manifest.
+    pub manifest: Manifest,
+    /// The id of this apply, unique.
+    pub apply_id: String,
+    /// Who applies it.
+    pub author: String,
+    /// When, in ms since 1970.
+    pub applied_ms: u64,
+    /// The generation that must be the accepted one; any where absent.
+    pub base: Option<Generation>,
+    /// The generation that the new one must be above, after the store was reset.
+    pub above: Generation,
+    /// Whether unchanged service objects are read and mended too.
+    pub verify: bool,
 }
 
 /// How an apply ended.
@@ -35,58 +58,329 @@
 pub enum Applied {
     /// Accepted under this generation.
     Accepted(Generation),
-    /// Another operator's apply came first, with this generation.
-    Lost(Generation),
-    /// Whether it took effect is not known.
+    /// Accepted under this generation, and another apply came after it.
+    Superseded {
+        /// The generation.
+        generation: Generation,
+        /// The newest generation.
+        by: Generation,
+    },
+    /// Another operator's apply came first; nothing of this one is in force.
+    Lost {
+        /// The generation that stands.
+        generation: Generation,
+        /// Who applied it.
+        author: String,
+        /// What it changed, seen from the generation this apply was based on.
+        changes: Vec<ServiceChange>,
+    },
+    /// Whether it took effect is not known: the write may still arrive.
     Unknown(String),
 }
 
-/// Swaps the root object for a new manifest.
+/// Why a manifest was not applied; nothing is in force.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum ApplyError {
+    /// The store did not do it.
+    #[error("nothing was put in force: {0}")]
+    Store(#[from] StoreError),
+    /// An object would be longer than the store holds.
+    #[error("{what} takes {bytes} bytes, expected at most {VALUE_BYTES}")]
+    TooLarge {
+        /// The service, or the root.
+        what: String,
+        /// The bytes.
+        bytes: usize,
+    },
+    /// The object in the store can not be read.
+    #[error("the root object is corrupt: {0}")]
+    CorruptRoot(String),
+}
+
+/// Applies a manifest under an id, by an author without a name.
 ///
 /// # Errors
 ///
-/// The store's error where it is certain that nothing was written.
+/// [`ApplyError`] where it is certain that nothing was put in force.
 pub fn apply(
     store: &dyn ObjectStore,
     manifest: Manifest,
     apply_id: &str,
-) -> Result<Applied, StoreError> {
-    let found = store.get(ROOT_KEY)?;
-    let (expect, before) = match &found {
-        None => (Expect::Absent, 0),
-        Some(object) => (Expect::Version(object.version), generation(&object.value)),
-    };
-    let root = Root {
-        generation: before + 1,
+) -> Result<Applied, ApplyError> {
+    let apply = Apply {
+        manifest,
         apply_id: apply_id.into(),
-        manifest: Arc::new(manifest),
+        author: String::new(),
+        applied_ms: 0,
+        base: None,
+        above: 0,
+        verify: false,
     };
-    let value = serde_json::to_string(&root).map_err(|e| StoreError::Silent(e.to_string()))?;
-    match store.put(ROOT_KEY, &value, expect) {
-        Ok(_) => Ok(Applied::Accepted(root.generation)),
-        Err(StoreError::Refused(status)) => Err(StoreError::Refused(status)),
-        Err(_) => settle(store, apply_id, before),
-    }
+    apply.run(store)
 }
 
-/// Reads back whether the apply with this id took effect.
-fn settle(
-    store: &dyn ObjectStore,
-    apply_id: &str,
-    before: Generation,
-) -> Result<Applied, StoreError> {
-    let found = match store.get(ROOT_KEY) {
-        Ok(found) => found,
-        Err(error) => return Ok(Applied::Unknown(error.to_string())),
+/// Reads the root; `None` where no manifest was ever accepted.
+///
+/// # Errors
+///
+/// [`ApplyError::Store`] or [`ApplyError::CorruptRoot`].
+pub fn read_root(store: &dyn ObjectStore) -> Result<Option<(Version, Root)>, ApplyError> {
+    let Some(object) = store.get(ROOT_KEY)? else {
+        return Ok(None);
     };
-    let root = found.and_then(|object| serde_json::from_str::<Root>(&object.value).ok());
-    Ok(match root {
-        Some(root) if root.apply_id == apply_id => Applied::Accepted(root.generation),
-        Some(root) if root.generation > before => Applied::Lost(root.generation),
-        _ => Applied::Unknown("the write may still arrive".into()),
-    })
+    let root = parse(&object)?;
+    Ok(Some((object.version, root)))
+}
+
+/// Reads the roots before the accepted one, oldest first.
+///
+/// # Errors
+///
+/// [`ApplyError::Store`]; a corrupt one is left out.
+pub fn read_history(store: &dyn ObjectStore) -> Result<Vec<Root>, ApplyError> {
+    let listed = store.list(HISTORY_PREFIX)?;
+    let values = listed.changes.into_iter().filter_map(|change| change.value);
+    let roots = values.filter_map(|value| serde_json::from_str(&value).ok());
+    let mut roots: Vec<Root> = roots.collect();
+    roots.sort_by_key(|root| root.generation);
+    Ok(roots)
 }
 
-fn generation(value: &str) -> Generation {
-    serde_json::from_str::<Root>(value).map_or(0, |root| root.generation)
+/// Reads the services of a root.
+///
+/// # Errors
+///
+/// [`ApplyError::Store`], or [`ApplyError::CorruptRoot`] where an object is missing or corrupt.
+pub fn read_manifest(store: &dyn ObjectStore, root: &Root) -> Result<Manifest, ApplyError> {
+    let mut manifest = Manifest::default();
+    for part in &root.services {
+        let object = store.get(&service_key(&part.hash))?;
+        let text = object.map(|object| object.value);
+        let text = text.filter(|text| ContentHash::of(text) == part.hash);
+        let service = text.and_then(|text| serde_json::from_str::<Service>(&text).ok());
+        let Some(service) = service else {
+            let why = format!("the object of service {} is missing or corrupt", part.name);
+            return Err(ApplyError::CorruptRoot(why));
+        };
+        manifest.services.push(service.into());
+    }
+    Ok(manifest)
+}
+
+/// Returns the key of a service object.
+pub fn service_key(hash: &ContentHash) -> String {
+    format!("{SERVICES_PREFIX}{hash}")
+}
+
+fn history_key(generation: Generation) -> String {
+    format!("{HISTORY_PREFIX}{generation:020}")
+}
+
+fn parse(object: &Object) -> Result<Root, ApplyError> {
+    serde_json::from_str(&object.value).map_err(|e| ApplyError::CorruptRoot(e.to_string()))
+}
+
+impl Apply {
+    /// Writes the service objects, then swaps the root.
+    ///
+    /// # Errors
+    ///
+    /// [`ApplyError`] where it is certain that nothing was put in force.
+    pub fn run(&self, store: &dyn ObjectStore) -> Result<Applied, ApplyError> {
+        let found = read_root(store)?;
+        let (expect, before) = match found {
+            None => (Expect::Absent, Root::default()),
+            Some((version, root)) => (Expect::Version(version), root),
+        };
+        if self.base.is_some_and(|base| base != before.generation) {
+            return Ok(lost(&before, &[]));
+        }
+        let objects = objects(&self.manifest);
+        let root = self.root(&before, &objects);
+        let text = root.text();
+        for (what, bytes) in sizes(&objects, &text) {
+            if bytes > VALUE_BYTES {
+                return Err(ApplyError::TooLarge { what, bytes });
+            }
+        }
+        if before.generation > 0 {
+            write_absent(store, &history_key(before.generation), &before.text())?;
+        }
+        for object in &objects {
+            let known = before.services.iter().any(|part| part.hash == object.hash);
+            if self.verify || !known {
+                write_object(store, object)?;
+            }
+        }
+        let applied = self.swap(store, &text, expect, &before)?;
+        if let (Applied::Accepted(generation), true) = (&applied, self.prunes(&root)) {
+            // Pruning is only thrift: a failure leaves objects that the next one deletes.
+            drop(prune(store, *generation));
+        }
+        Ok(applied)
+    }
+
+    fn root(&self, before: &Root, objects: &[ServiceObject]) -> Root {
+        let mut past = before.past.clone();
+        if before.generation > 0 {
+            past.insert(
+                0,
+                PastApply {
+                    generation: before.generation,
+                    apply_id: before.apply_id.clone(),
+                },
+            );
+        }
+        past.truncate(PAST_APPLIES);
+        let services = objects.iter().map(|object| ServiceRef {
+            name: object.name.clone(),
+            hash: object.hash.clone(),
+        });
+        Root {
+            generation: before.generation.max(self.above) + 1,
+            apply_id: self.apply_id.clone(),
+            author: self.author.clone(),
+            applied_ms: self.applied_ms,
+            services: services.collect(),
+            past,
+        }
+    }
+
+    /// Swaps the root. A write without an answer is sent again under the same condition, so it
+    /// takes effect at most once however often it arrives.
+    fn swap(
+        &self,
+        store: &dyn ObjectStore,
+        text: &str,
+        expect: Expect,
+        before: &Root,
+    ) -> Result<Applied, ApplyError> {
+        let mut silent = None;
+        for _ in 0..=RETRIES {
+            match store.put(ROOT_KEY, text, expect) {
+                Ok(_) => return Ok(Applied::Accepted(before.generation.max(self.above) + 1)),
+                Err(StoreError::Conflict { .. }) => return Ok(self.settle(store, before)),
+                Err(StoreError::Silent(why)) => silent = Some(why),
+                // The store refused this try; an earlier one may still arrive.
+                Err(error) => match silent {
+                    None => return Err(error.into()),
+                    Some(why) => return Ok(Applied::Unknown(why)),
+                },
+            }
+        }
+        Ok(self.settle(store, before))
+    }
+
+    /// Reads back whether this apply took effect; a stale read tells nothing and is done again.
+    fn settle(&self, store: &dyn ObjectStore, before: &Root) -> Applied {
+        let mut last = Applied::Unknown("the write may still arrive".into());
+        for _ in 0..=RETRIES {
+            last = match read_root(store) {
+                Ok(Some((_, root))) => self.told_by(&root, before),
+                Ok(None) => Applied::Unknown("the write may still arrive".into()),
+                Err(error) => Applied::Unknown(error.to_string()),
+            };
+            if !matches!(last, Applied::Unknown(_)) {
+                break;
+            }
+        }
+        last
+    }
+
+    /// Returns what a root read back tells of this apply.
+    pub fn told_by(&self, root: &Root, before: &Root) -> Applied {
+        if root.apply_id == self.apply_id {
+            return Applied::Accepted(root.generation);
+        }
+        let past = root.past.iter().find(|past| past.apply_id == self.apply_id);
+        if let Some(past) = past {
+            return Applied::Superseded {
+                generation: past.generation,
+                by: root.generation,
+            };
+        }
+        match root.generation > before.generation {
+            true => lost(root, &before.services),
+            false => Applied::Unknown("the write may still arrive".into()),
+        }
+    }
+
+    fn prunes(&self, root: &Root) -> bool {
+        root.generation.is_multiple_of(PRUNE_EVERY)
+    }
+}
+
+fn lost(root: &Root, before: &[ServiceRef]) -> Applied {
+    Applied::Lost {
+        generation: root.generation,
+        author: root.author.clone(),
+        changes: root.changes_since(before),
+    }
+}
+
+fn sizes(objects: &[ServiceObject], root: &str) -> Vec<(String, usize)> {
+    let objects = objects.iter();
+    let objects = objects.map(|object| (format!("service {}", object.name), object.text.len()));
+    let root = ("the root".into(), root.len());
+    objects.chain([root]).collect()
+}
+
+/// Writes a value whose content follows from its key, so that any number of tries is one.
+fn write_absent(store: &dyn ObjectStore, key: &str, value: &str) -> Result<(), StoreError> {
+    let mut last = Ok(());
+    for _ in 0..=RETRIES {
+        match store.put(key, value, Expect::Absent) {
+            Ok(_) | Err(StoreError::Conflict { .. }) => return Ok(()),
+            Err(StoreError::Silent(why)) => last = Err(StoreError::Silent(why)),
+            Err(error) => return Err(error),
+        }
+    }
+    last
+}
+
+/// Writes a service object. One that is there already is written again: its new version keeps a
+/// prune that runs beside this apply from deleting it, and a corrupt one is mended.
+fn write_object(store: &dyn ObjectStore, object: &ServiceObject) -> Result<(), StoreError> {
+    let key = service_key(&object.hash);
+    let mut expect = Expect::Absent;
+    let mut last = Ok(());
+    for _ in 0..=RETRIES {
+        match store.put(&key, &object.text, expect) {
+            Ok(_) => return Ok(()),
+            Err(StoreError::Conflict { found: Some(found) }) => expect = Expect::Version(found),
+            Err(StoreError::Conflict { found: None }) => expect = Expect::Absent,
+            Err(StoreError::Silent(why)) => last = Err(StoreError::Silent(why)),
+            Err(error) => return Err(error),
+        }
+    }
+    last
+}
+
+/// Deletes earlier roots beyond those kept, and service objects that no kept root names.
+///
+/// An apply that runs beside this one writes its objects after it read the root, so an object that
+/// is older than the root and not named by it is not on its way into a newer one.
+fn prune(store: &dyn ObjectStore, generation: Generation) -> Result<(), ApplyError> {
+    let Some((version, root)) = read_root(store)? else {
+        return Ok(());
+    };
+    if root.generation != generation {
+        return Ok(());
+    }
+    let oldest = history_key(generation.saturating_sub(HISTORY_KEPT));
+    let history = store.list(HISTORY_PREFIX)?.changes;
+    let (dropped, kept): (Vec<_>, Vec<_>) = history.into_iter().partition(|c| c.key < oldest);
+    for change in dropped {
+        drop(store.delete(&change.key, change.version));
+    }
+    let kept = kept.into_iter().filter_map(|change| change.value);
+    let kept = kept.filter_map(|value| serde_json::from_str::<Root>(&value).ok());
+    let named = kept.chain([root]).flat_map(|root| root.services);
+    let named: HashSet<String> = named.map(|part| service_key(&part.hash)).collect();
+    for change in store.list(SERVICES_PREFIX)?.changes {
+        if change.version < version && !named.contains(&change.key) {
+            drop(store.delete(&change.key, change.version));
+        }
+    }
+    Ok(())
 }
--- a/crates/kingcuploft/src/manifest/mod.rs
+++ b/crates/kingcuploft/src/manifest/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 mod located;
 pub mod reader;
+pub mod root;
 pub mod routing;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/kingcuploft/src/manifest/root.rs
@@ -0,0 +1,211 @@
+//! The root of an accepted manifest: which service objects it consists of.
+//!
+//! A service object is the JSON text of one service, addressed by the hash of that text. The root
+//! names them all, so a VM can tell a missing or corrupt part before anything is in force, and a
+//! change of one service moves one object and the root.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Manifest, Service};
+use crate::utils::HashMap;
+use crate::world::ids::{Generation, ServiceName};
+
+/// How many earlier applies a root remembers, to settle an answer that was lost long ago.
+pub const PAST_APPLIES: usize = 32;
+
+/// The blake3 hash of a text, in hex.
+#[derive(
+    Clone, Debug, derive_more::Display, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct ContentHash(String);
+
+impl ContentHash {
+    /// Returns the hash of a text.
+    pub fn of(text: &str) -> Self {
+        Self(blake3::hash(text.as_bytes()).to_hex().to_string())
+    }
+
+    /// Returns the hash that this word spells, if it is one.
+    pub fn parse(word: &str) -> Option<Self> {
+        let hex = word.len() == 64 && word.bytes().all(|b| b.is_ascii_hexdigit());
+        hex.then(|| Self(word.to_ascii_lowercase()))
+    }
+
+    /// Returns the first eight bytes, to compare two hashes cheaply.
+    pub fn short(&self) -> u64 {
+        let head = self.0.get(..16).unwrap_or_default();
+        u64::from_str_radix(head, 16).unwrap_or_default()
+    }
+}
+
+/// One service of a root.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceRef {
+    /// The service's name.
+    pub name: ServiceName,
+    /// The hash of its object.
+    pub hash: ContentHash,
+}
+
+/// An earlier accepted apply.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PastApply {
+    /// The generation it was accepted under.
+    pub generation: Generation,
+    /// Its id.
+    pub apply_id: String,
+}
+
+/// The root object's value.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Root {
+    /// The generation; it only grows.
+    pub generation: Generation,
+    /// The id of the apply that wrote it, to settle a lost answer.
+    pub apply_id: String,
+    /// Who applied it.
+    pub author: String,
+    /// When it was applied by the author's clock, in ms since 1970.
+    pub applied_ms: u64,
+    /// The services, in the manifest's order.
+    pub services: Vec<ServiceRef>,
+    /// The applies before this one, newest first.
+    pub past: Vec<PastApply>,
+}
+
+impl Root {
+    /// Returns the text that stands in the store and is hashed.
+    pub fn text(&self) -> String {
+        serde_json::to_string(self).expect("a root has no map with keys other than texts")
+    }
+
+    /// Returns what differs from an earlier root's services.
+    pub fn changes_since(&self, earlier: &[ServiceRef]) -> Vec<ServiceChange> {
+        let before: HashMap<_, _> = earlier.iter().map(|s| (&s.name, &s.hash)).collect();
+        let after: HashMap<_, _> = self.services.iter().map(|s| (&s.name, &s.hash)).collect();
+        let mut changes = Vec::new();
+        for service in &self.services {
+            let name = service.name.clone();
+            match before.get(&service.name) {
+                None => changes.push(ServiceChange::Added(name)),
+                Some(hash) if **hash != service.hash => changes.push(ServiceChange::Changed(name)),
+                Some(_) => {}
+            }
+        }
+        let removed = earlier.iter().filter(|s| !after.contains_key(&s.name));
+        changes.extend(removed.map(|s| ServiceChange::Removed(s.name.clone())));
+        changes
+    }
+}
+
+/// How one service differs between two roots.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServiceChange {
+    /// The service is new.
+    Added(ServiceName),
+    /// The service has another content.
+    Changed(ServiceName),
+    /// The service is gone.
+    Removed(ServiceName),
+}
+
+impl fmt::Display for ServiceChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Added(name) => write!(f, "+ {name}"),
+            Self::Changed(name) => write!(f, "~ {name}"),
+            Self::Removed(name) => write!(f, "- {name}"),
+        }
+    }
+}
+
+/// A service as an object of the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceObject {
+    /// The service's name.
+    pub name: ServiceName,
+    /// The hash of the text.
+    pub hash: ContentHash,
+    /// The text.
+    pub text: String,
+}
+
+impl ServiceObject {
+    /// Builds the object of a service.
+    pub fn new(service: &Service) -> Self {
+        let text = serde_json::to_string(service).expect("a service's keys are texts");
+        Self {
+            name: service.name.clone(),
+            hash: ContentHash::of(&text),
+            text,
+        }
+    }
+}
+
+/// Returns the objects of a manifest, in its order.
+pub fn objects(manifest: &Manifest) -> Vec<ServiceObject> {
+    let services = manifest.services.iter();
+    services
+        .map(|service| ServiceObject::new(service))
+        .collect()
+}
+
+/// What a VM that knows a root tells one that knows an earlier generation: the root without the
+/// services that did not change.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RootDelta {
+    /// The generation whose services the listed ones replace; 0 where all are listed.
+    pub since: Generation,
+    /// The root, with only the services that changed since then.
+    pub root: Root,
+    /// The names of all services in order, where the set or order of names changed.
+    pub order: Option<Vec<ServiceName>>,
+    /// The hash of the whole root's text.
+    pub hash: ContentHash,
+}
+
+impl RootDelta {
+    /// Builds the difference; all services are listed where the earlier ones are not known.
+    pub fn between(earlier: Option<&Root>, later: &Root) -> Self {
+        let known = earlier.map_or(&[][..], |root| &root.services);
+        let names = |services: &[ServiceRef]| -> Vec<ServiceName> {
+            services.iter().map(|s| s.name.clone()).collect()
+        };
+        let changed = later.services.iter().filter(|s| !known.contains(s));
+        let order = names(&later.services);
+        Self {
+            since: earlier.map_or(0, |root| root.generation),
+            root: Root {
+                services: changed.cloned().collect(),
+                ..later.clone()
+            },
+            order: (order != names(known)).then_some(order),
+            hash: ContentHash::of(&later.text()),
+        }
+    }
+
+    /// Returns the whole root; `None` where it does not follow from `earlier` or is corrupt.
+    pub fn apply(&self, earlier: Option<&Root>) -> Option<Root> {
+        let known = match self.since {
+            0 => &[][..],
+            since => &earlier.filter(|root| root.generation == since)?.services,
+        };
+        let both = known.iter().chain(&self.root.services);
+        let hashes: HashMap<_, _> = both.map(|s| (&s.name, &s.hash)).collect();
+        let same_order = || known.iter().map(|s| s.name.clone()).collect();
+        let order = self.order.clone().unwrap_or_else(same_order);
+        let services = order.into_iter().map(|name| {
+            let hash = (*hashes.get(&name)?).clone();
+            Some(ServiceRef { name, hash })
+        });
+        let root = Root {
+            services: services.collect::<Option<_>>()?,
+            ..self.root.clone()
+        };
+        (ContentHash::of(&root.text()) == self.hash).then_some(root)
+    }
+}
