feat(manifest): content-addressed objects, one conditional root, adoption that only goes forward

A lost answer was settled only if nobody applied after it, a race told the loser nothing, and a VM put whatever root it read in force. The adoption is a state machine explored exhaustively; a broken variant is found.

--- a/crates/kingcuploft/src/decisions/adoption.rs
+++ b/crates/kingcuploft/src/decisions/adoption.rs
@@ -63,6 +63,9 @@
     /// An object's text has another hash than its name says.
     #[error("service object {0} is corrupt: its text has another hash")]
     WrongHash(ContentHash),
+    /// A source does not have an object.
+    #[error("service object {0} is missing")]
+    Missing(ContentHash),
     /// An object's text has the right hash but can not be read.
     #[error("service object {hash} can not be read: {why}")]
     Unreadable {
@@ -185,6 +188,18 @@
         Ok(self.step())
     }
 
+    /// Notes that a source lacks a service object that its root names.
+    ///
+    /// # Errors
+    ///
+    /// [`AdoptionError::Missing`], which the status then tells.
+    pub fn service_missing(&mut self, hash: &ContentHash) -> Result<Step, AdoptionError> {
+        match self.awaits(hash) && !self.services.contains_key(hash) {
+            true => self.failed(AdoptionError::Missing(hash.clone())),
+            false => Ok(Step::Keep),
+        }
+    }
+
     /// Returns what is missing.
     pub fn need(&self) -> Need {
         let newest = self.newest_root().map_or(0, |root| root.generation);
--- /dev/null
+++ b/crates/kingcuploft/tests/adoption.rs
@@ -0,0 +1,368 @@
+//! Adoption: the generation only grows, nothing half applied, explored exhaustively.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+
+use kingcuploft::decisions::adoption::{Adoption, AdoptionError, Need, Step};
+use kingcuploft::manifest::root::{ContentHash, Root, RootDelta, ServiceObject, ServiceRef};
+use kingcuploft::manifest::{Accepted, Service};
+use pathfinding::directed::bfs::bfs_reach;
+
+fn object(name: &str, deadline_ms: u64) -> ServiceObject {
+    let text = format!(
+        "{{name: {name}, hosts: [{name}.example], backend_servers: [], rules: [{{name: r, path_prefix: /, contract: retry_freely, priority: interactive, deadline_ms: {deadline_ms}}}]}}"
+    );
+    let service: Service = serde_saphyr::from_str(&text).unwrap();
+    ServiceObject::new(&service)
+}
+
+fn root(generation: u64, objects: &[&ServiceObject]) -> Root {
+    let parts = objects.iter().map(|o| ServiceRef {
+        name: o.name.clone(),
+        hash: o.hash.clone(),
+    });
+    Root {
+        generation,
+        apply_id: format!("apply-{generation}"),
+        services: parts.collect(),
+        ..Root::default()
+    }
+}
+
+/// Three generations: the second changes `trip`, the third changes `venue` and adds `archive`.
+struct World {
+    objects: Vec<ServiceObject>,
+    roots: Vec<Root>,
+}
+
+impl World {
+    fn new() -> Self {
+        let objects = vec![
+            object("trip", 1),
+            object("venue", 1),
+            object("trip", 2),
+            object("venue", 3),
+            object("archive", 3),
+        ];
+        let of = |g, parts: &[usize]| {
+            let parts: Vec<_> = parts.iter().map(|&i| &objects[i]).collect();
+            root(g, &parts)
+        };
+        let roots = vec![of(1, &[0, 1]), of(2, &[2, 1]), of(3, &[2, 3, 4])];
+        Self { objects, roots }
+    }
+
+    fn is_whole(&self, accepted: &Accepted) -> bool {
+        let root = &self.roots[accepted.generation as usize - 1];
+        let found = accepted.manifest.services.iter();
+        let found: Vec<_> = found.map(|s| ServiceObject::new(s).hash).collect();
+        let meant: Vec<_> = root.services.iter().map(|part| part.hash.clone()).collect();
+        found == meant
+    }
+}
+
+#[test]
+fn a_manifest_is_in_force_only_when_whole_and_only_forward() {
+    let world = World::new();
+    let mut adoption = Adoption::default();
+    let step = adoption.root_text(&world.roots[1].text()).unwrap();
+    assert!(matches!(step, Step::Fetch));
+    let Need::Services(missing) = adoption.need() else {
+        panic!("services are missing");
+    };
+    assert_eq!(missing.len(), 2);
+    adoption
+        .service_text(&missing[0], &world.objects[2].text)
+        .unwrap();
+    let step = adoption.service_text(&missing[1], &world.objects[1].text);
+    assert!(matches!(step, Ok(Step::InForce(_))));
+    let stale = adoption.root_text(&world.roots[0].text()).unwrap();
+    assert!(matches!(stale, Step::Keep));
+    assert_eq!(adoption.generation(), 2);
+    assert_eq!(adoption.need(), Need::Nothing);
+}
+
+#[test]
+fn a_replaced_vm_does_not_start_from_an_older_manifest_than_a_peer_has() {
+    // A user would see a service that operators removed an hour ago: a VM is replaced, its first
+    // read of the store is stale, and a peer has already told it of the newer generation.
+    let world = World::new();
+    let mut adoption = Adoption::default();
+    adoption.heard(2);
+    adoption.root_text(&world.roots[0].text()).unwrap();
+    for object in &world.objects[..2] {
+        let step = adoption.service_text(&object.hash, &object.text).unwrap();
+        assert!(matches!(step, Step::Fetch | Step::Keep));
+    }
+    assert_eq!(adoption.generation(), 0);
+    let need = adoption.need();
+    let wanted = Need::Root {
+        generation: 2,
+        since: 1,
+    };
+    assert_eq!(need, wanted);
+    adoption.root_text(&world.roots[1].text()).unwrap();
+    let trip = &world.objects[2];
+    let step = adoption.service_text(&trip.hash, &trip.text).unwrap();
+    assert!(matches!(step, Step::InForce(accepted) if accepted.generation == 2));
+}
+
+#[test]
+fn a_corrupt_part_keeps_the_old_manifest_and_is_told() {
+    let world = World::new();
+    let mut adoption = Adoption::default();
+    adoption.root_text(&world.roots[0].text()).unwrap();
+    for object in &world.objects[..2] {
+        adoption.service_text(&object.hash, &object.text).unwrap();
+    }
+    adoption.root_text(&world.roots[1].text()).unwrap();
+    let trip = &world.objects[2];
+    let wrong = adoption.service_text(&trip.hash, &world.objects[0].text);
+    assert_eq!(
+        wrong.unwrap_err(),
+        AdoptionError::WrongHash(trip.hash.clone())
+    );
+    assert!(adoption.root_text("{\"generation\": 9").is_err());
+    let status = adoption.status();
+    assert_eq!((status.in_force, status.heard, status.missing), (1, 2, 1));
+    assert!(status.fault.is_some());
+    let step = adoption.service_text(&trip.hash, &trip.text).unwrap();
+    assert!(matches!(step, Step::InForce(_)));
+    assert_eq!(adoption.status().fault, None);
+}
+
+#[test]
+fn a_generation_with_two_contents_is_not_taken() {
+    let world = World::new();
+    let mut adoption = Adoption::default();
+    adoption.root_text(&world.roots[0].text()).unwrap();
+    for object in &world.objects[..2] {
+        adoption.service_text(&object.hash, &object.text).unwrap();
+    }
+    let other = root(1, &[&world.objects[0]]);
+    let step = adoption.root_text(&other.text());
+    assert_eq!(step.unwrap_err(), AdoptionError::TwoContents(1));
+}
+
+#[test]
+fn a_difference_gives_the_whole_root_or_nothing() {
+    let world = World::new();
+    let [first, second, third] = &world.roots[..] else {
+        panic!("three roots");
+    };
+    for (earlier, later) in [(first, second), (second, third), (first, third)] {
+        let delta = RootDelta::between(Some(earlier), later);
+        assert_eq!(delta.apply(Some(earlier)).as_ref(), Some(later));
+        assert_eq!(delta.apply(Some(third)).filter(|_| earlier != third), None);
+        assert_eq!(delta.apply(None), None);
+    }
+    assert_eq!(
+        RootDelta::between(Some(first), second).root.services.len(),
+        1
+    );
+    let mut bent = RootDelta::between(Some(first), second);
+    bent.root.services[0].hash = ContentHash::of("other");
+    assert_eq!(bent.apply(Some(first)), None);
+}
+
+/// What an entry VM's adoption does with news, for the real one and for broken ones.
+trait Machine: Clone {
+    fn root(&mut self, root: &Root) -> Option<Accepted>;
+    fn service(&mut self, object: &ServiceObject, text: &str) -> Option<Accepted>;
+    fn heard(&mut self, generation: u64);
+    /// Everything that its next steps depend on.
+    fn key(&self, world: &World) -> (u64, u64, usize, u64, Vec<bool>);
+}
+
+fn in_force(step: Result<Step, AdoptionError>) -> Option<Accepted> {
+    match step {
+        Ok(Step::InForce(accepted)) => Some(accepted),
+        _ => None,
+    }
+}
+
+impl Machine for Adoption {
+    fn root(&mut self, root: &Root) -> Option<Accepted> {
+        in_force(self.root_text(&root.text()))
+    }
+
+    fn service(&mut self, object: &ServiceObject, text: &str) -> Option<Accepted> {
+        in_force(self.service_text(&object.hash, text))
+    }
+
+    fn heard(&mut self, generation: u64) {
+        Self::heard(self, generation);
+    }
+
+    fn key(&self, world: &World) -> (u64, u64, usize, u64, Vec<bool>) {
+        let status = self.status();
+        let awaited = match self.need() {
+            Need::Nothing => 0,
+            Need::Root { since, .. } => 10 + since,
+            Need::Services(missing) => {
+                let objects = world.objects.iter().enumerate();
+                let bits = objects.map(|(i, o)| u64::from(missing.contains(&o.hash)) << i);
+                100 + bits.sum::<u64>()
+            }
+        };
+        let held = world.objects.iter();
+        let held = held.map(|o| self.service(&o.hash).is_some()).collect();
+        (status.in_force, status.heard, status.missing, awaited, held)
+    }
+}
+
+/// A broken adoption: it takes whatever root it is told last, and skips parts that are missing.
+#[derive(Clone, Default)]
+struct LastTold {
+    root: Option<Root>,
+    parts: Vec<ServiceObject>,
+}
+
+impl LastTold {
+    fn take(&self) -> Option<Accepted> {
+        let root = self.root.as_ref()?;
+        let parts = root.services.iter();
+        let parts = parts.filter_map(|part| self.parts.iter().find(|o| o.hash == part.hash));
+        let services = parts.map(|o| serde_json::from_str(&o.text).map(Arc::new).ok());
+        Some(Accepted {
+            generation: root.generation,
+            manifest: Arc::new(kingcuploft::manifest::Manifest {
+                services: services.collect::<Option<_>>()?,
+            }),
+        })
+    }
+}
+
+impl Machine for LastTold {
+    fn root(&mut self, root: &Root) -> Option<Accepted> {
+        self.root = Some(root.clone());
+        self.take()
+    }
+
+    fn service(&mut self, object: &ServiceObject, text: &str) -> Option<Accepted> {
+        if text == object.text && !self.parts.contains(object) {
+            self.parts.push(object.clone());
+        }
+        self.take()
+    }
+
+    fn heard(&mut self, _generation: u64) {}
+
+    fn key(&self, world: &World) -> (u64, u64, usize, u64, Vec<bool>) {
+        let generation = self.root.as_ref().map_or(0, |root| root.generation);
+        let held = world.objects.iter().map(|o| self.parts.contains(o));
+        (generation, 0, 0, 0, held.collect())
+    }
+}
+
+/// One VM, the newest generation the store has, and what the VM last put in force.
+#[derive(Clone)]
+struct State<M> {
+    machine: M,
+    accepted: u64,
+    in_force: u64,
+    told: u64,
+    key: (u64, u64, usize, u64, Vec<bool>),
+}
+
+impl<M> State<M> {
+    fn identity(&self) -> (u64, u64, u64, &(u64, u64, usize, u64, Vec<bool>)) {
+        (self.accepted, self.in_force, self.told, &self.key)
+    }
+}
+
+impl<M> PartialEq for State<M> {
+    fn eq(&self, other: &Self) -> bool {
+        self.identity() == other.identity()
+    }
+}
+
+impl<M> Eq for State<M> {}
+
+impl<M> Hash for State<M> {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.identity().hash(state);
+    }
+}
+
+/// Explores every order of: an apply; a read of any root up to the accepted one (a stale read, a
+/// late watch, a lagging peer); a service object whole, corrupt or of another name; a heartbeat
+/// with any accepted generation; the VM's replacement. Returns the number of states and the kinds
+/// of broken promises.
+fn explore<M: Machine + Default>() -> (usize, BTreeSet<&'static str>) {
+    let world = World::new();
+    let broken = RefCell::new(BTreeSet::new());
+    let start = State {
+        machine: M::default(),
+        accepted: 1,
+        in_force: 0,
+        told: 0,
+        key: M::default().key(&world),
+    };
+    let next = |state: &State<M>| {
+        let mut states = Vec::new();
+        let mut step = |change: &dyn Fn(&mut State<M>) -> Option<Accepted>| {
+            let mut next = state.clone();
+            if let Some(accepted) = change(&mut next) {
+                let mut broken = broken.borrow_mut();
+                if accepted.generation < state.in_force {
+                    broken.insert("reverted");
+                }
+                if state.in_force == 0 && accepted.generation < state.told {
+                    broken.insert("older than a peer told");
+                }
+                if !world.is_whole(&accepted) {
+                    broken.insert("half applied");
+                }
+                next.in_force = accepted.generation;
+            }
+            next.key = next.machine.key(&world);
+            states.push(next);
+        };
+        if state.accepted < 3 {
+            step(&|s| {
+                s.accepted += 1;
+                None
+            });
+        }
+        for root in &world.roots[..state.accepted as usize] {
+            step(&|s| s.machine.root(root));
+            step(&|s| {
+                s.machine.heard(root.generation);
+                s.told = s.told.max(root.generation);
+                None
+            });
+        }
+        for (i, object) in world.objects.iter().enumerate() {
+            let other = &world.objects[(i + 1) % world.objects.len()].text;
+            step(&|s| s.machine.service(object, &object.text));
+            step(&|s| s.machine.service(object, other));
+            step(&|s| s.machine.service(object, &object.text[1..]));
+        }
+        step(&|s| {
+            s.machine = M::default();
+            (s.in_force, s.told) = (0, 0);
+            None
+        });
+        states
+    };
+    let states = bfs_reach(start, next).count();
+    (states, broken.into_inner())
+}
+
+#[test]
+fn no_order_of_news_reverts_or_halves_a_manifest() {
+    let (states, broken) = explore::<Adoption>();
+    assert_eq!(broken, BTreeSet::new());
+    println!("{states} states explored");
+    assert!(states > 100, "{states}");
+}
+
+#[test]
+fn the_exploration_finds_a_broken_adoption() {
+    let (_, broken) = explore::<LastTold>();
+    let all = ["half applied", "older than a peer told", "reverted"];
+    assert_eq!(broken, BTreeSet::from(all));
+}
--- a/crates/kingcuploftctl/src/apply.rs
+++ b/crates/kingcuploftctl/src/apply.rs
@@ -16,8 +16,8 @@
     #[error("{0}")]
     Invalid(String),
     /// The store did not do it.
-    #[error("nothing was written: {0}")]
-    Store(#[from] kingcuploft_platform::StoreError),
+    #[error("{0}")]
+    Store(#[from] manifest_root::ApplyError),
 }
 
 /// Reads, checks and applies a manifest file.
--- a/crates/kingcuploftctl/src/main.rs
+++ b/crates/kingcuploftctl/src/main.rs
@@ -56,7 +56,11 @@
             println!("accepted as generation {generation}");
             ExitCode::SUCCESS
         }
-        Ok(Applied::Lost(generation)) => {
+        Ok(Applied::Superseded { generation, by }) => {
+            println!("accepted as generation {generation}, then replaced by {by}");
+            ExitCode::SUCCESS
+        }
+        Ok(Applied::Lost { generation, .. }) => {
             eprintln!("not accepted: another apply came first, with generation {generation}");
             ExitCode::from(3)
         }
--- /dev/null
+++ b/crates/kingcuploftd/src/manifest_keeper.rs
@@ -0,0 +1,75 @@
+//! Keeps what this VM knows of the manifest, for the duties that learn of it and tell of it.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use kingcuploft::decisions::adoption::{Adoption, AdoptionError, Step};
+use kingcuploft::world::ids::Generation;
+use tokio::sync::watch;
+
+use crate::shared::Shared;
+
+/// What this VM knows of the manifest.
+#[derive(Debug)]
+pub struct ManifestKeeper {
+    adoption: Mutex<Adoption>,
+    in_force: watch::Sender<Generation>,
+}
+
+impl Default for ManifestKeeper {
+    fn default() -> Self {
+        Self {
+            adoption: Mutex::default(),
+            in_force: watch::Sender::new(0),
+        }
+    }
+}
+
+impl ManifestKeeper {
+    /// Returns what a look at the adoption gives.
+    pub fn read<T>(&self, look: impl FnOnce(&Adoption) -> T) -> T {
+        look(&self.lock())
+    }
+
+    /// Takes something learnt from a source and puts a manifest in force that has become whole.
+    ///
+    /// The lock is held until the manifest is handed on, so two duties that complete two
+    /// generations at once hand them on in order.
+    pub fn learn(
+        &self,
+        shared: &Shared,
+        source: &str,
+        teach: impl FnOnce(&mut Adoption) -> Result<Step, AdoptionError>,
+    ) -> bool {
+        let mut adoption = self.lock();
+        let taught = teach(&mut adoption);
+        let learnt = match taught {
+            Ok(Step::InForce(accepted)) => {
+                let generation = accepted.generation;
+                tracing::info!("manifest: generation {generation} is in force, from {source}.");
+                shared.put_in_force(accepted);
+                self.in_force.send_replace(generation);
+                true
+            }
+            Ok(Step::Keep | Step::Fetch) => true,
+            Err(error) => {
+                shared.metrics.fleet.manifest_faults.inc();
+                tracing::warn!("manifest: a part from {source} was not taken: {error}.");
+                false
+            }
+        };
+        let status = adoption.status();
+        let metrics = &shared.metrics.fleet;
+        metrics.manifest_heard.set(status.heard.cast_signed());
+        metrics.manifest_missing.set(status.missing as i64);
+        learnt
+    }
+
+    /// Returns a watch on the generation in force.
+    pub fn subscribe(&self) -> watch::Receiver<Generation> {
+        self.in_force.subscribe()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Adoption> {
+        self.adoption.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/kingcuploftd/src/manifest_watch.rs
+++ b/crates/kingcuploftd/src/manifest_watch.rs
@@ -1,53 +1,158 @@
-//! The manifest duty: learns the manifest from the store and hands newer ones on.
+//! The manifest duty: learns the manifest from the store and fetches what is missing of it.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use kingcuploft::manifest::Accepted;
-use kingcuploft_platform::manifest_root::{ROOT_KEY, Root};
-use kingcuploft_platform::{ObjectStore, StoreError};
+use kingcuploft::decisions::adoption::Need;
+use kingcuploft::manifest::root::ContentHash;
+use kingcuploft_platform::manifest_root::{ROOT_KEY, service_key};
+use kingcuploft_platform::{ObjectStore, StoreError, Version};
 
 use crate::shared::Shared;
 
-/// How long one watch waits.
-const WATCH_WAIT: Duration = Duration::from_secs(1);
+/// How long one watch waits; a waiting watch is one call, so a watching VM makes one in 2 s.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 
-/// The pause after the store did not answer.
+/// After how many watches the root is listed again: a watch that answers but misses a change is
+/// noticed within 8 s even where no peer tells of it.
+const WATCHES_PER_LIST: u32 = 4;
+
+/// The pause after the store did not answer or an object was missing.
 const PAUSE: Duration = Duration::from_millis(200);
 
+/// The longest pause while the same thing goes on failing.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// How often a VM that leaves the watch to others reads the root, before jitter.
+const POLL: Duration = Duration::from_secs(5);
+
+/// How often a wait looks whether it is still right to wait.
+const LOOK: Duration = Duration::from_millis(20);
+
 /// Runs the duty until the daemon ends.
 pub fn run(shared: &Arc<Shared>, store: &dyn ObjectStore) {
-    let mut after = 0;
+    let mut duty = ManifestWatch {
+        shared,
+        store,
+        after: 0,
+        watches: 0,
+        pause: PAUSE,
+    };
     while !shared.ended() {
-        let seen = match after {
-            0 => store.list(ROOT_KEY),
-            _ => store.watch(ROOT_KEY, after, WATCH_WAIT),
-        };
-        match seen {
-            Ok(seen) => {
-                after = seen.version;
-                let values = seen.changes.into_iter().filter_map(|change| change.value);
-                values.for_each(|value| adopt(shared, &value));
+        match duty.turn() {
+            Ok(()) => duty.pause = PAUSE,
+            Err(why) => {
+                tracing::warn!("manifest: {why}.");
+                duty.wait_at_most(duty.pause);
+                duty.pause = (duty.pause * 2).min(LONGEST_PAUSE);
             }
-            Err(StoreError::Lapsed) => after = 0,
+        }
+    }
+}
+
+struct ManifestWatch<'a> {
+    shared: &'a Shared,
+    store: &'a dyn ObjectStore,
+    after: Version,
+    watches: u32,
+    pause: Duration,
+}
+
+impl ManifestWatch<'_> {
+    /// Reads the root by watch, listing or poll, then fetches what is missing.
+    fn turn(&mut self) -> Result<(), String> {
+        let incomplete = self.need() != Need::Nothing;
+        let none = self.shared.accepted.load().generation == 0;
+        let root = match self.shared.watches_store() || incomplete || none {
+            true => self.watch(incomplete),
+            false => self.poll(),
+        };
+        match root {
+            Ok(values) => values.iter().for_each(|text| self.learn_root(text)),
+            Err(StoreError::Lapsed) => self.after = 0,
             Err(error) => {
-                tracing::warn!("manifest: the store does not answer: {error}.");
-                std::thread::sleep(PAUSE);
+                // A watch that stalls shows as silence: the next read is a listing, which does not
+                // depend on the watch.
+                self.after = 0;
+                return Err(format!("the store does not answer: {error}"));
             }
         }
+        self.fetch()
     }
-}
 
-/// Puts a root object in force if its generation is newer.
-fn adopt(shared: &Shared, value: &str) {
-    let root: Root = match serde_json::from_str(value) {
-        Ok(root) => root,
-        Err(error) => return tracing::warn!("manifest: the root object is corrupt: {error}."),
-    };
-    let accepted = Accepted::from(root);
-    if accepted.generation <= shared.accepted.load().generation {
-        return;
+    fn watch(&mut self, incomplete: bool) -> Result<Vec<String>, StoreError> {
+        self.watches += 1;
+        let lists = self.after == 0 || self.watches.is_multiple_of(WATCHES_PER_LIST);
+        if incomplete && self.watches > 1 {
+            // A listing does not wait: without a pause this would be a busy loop while a part is
+            // missing.
+            self.wait_at_most(PAUSE);
+        }
+        let seen = match lists || incomplete {
+            true => self.store.list(ROOT_KEY)?,
+            false => self.store.watch(ROOT_KEY, self.after, WATCH_WAIT)?,
+        };
+        self.after = seen.version;
+        Ok(seen.changes.into_iter().filter_map(|c| c.value).collect())
+    }
+
+    /// Reads the root after a while, unless a peer tells of a newer one first.
+    fn poll(&mut self) -> Result<Vec<String>, StoreError> {
+        self.after = 0;
+        self.wait_at_most(POLL.mul_f64(0.5 + fastrand::f64()));
+        let found = self.store.get(ROOT_KEY)?;
+        Ok(found.into_iter().map(|object| object.value).collect())
+    }
+
+    /// Waits until the time has passed, the daemon ends or a part is missing that was not before.
+    fn wait_at_most(&self, time: Duration) {
+        let before = self.need();
+        let mut left = time;
+        while left > Duration::ZERO && !self.shared.ended() && self.need() == before {
+            std::thread::sleep(left.min(LOOK));
+            left = left.saturating_sub(LOOK);
+        }
+    }
+
+    fn learn_root(&self, text: &str) {
+        let keeper = &self.shared.manifest;
+        keeper.learn(self.shared, "the store", |adoption| {
+            adoption.root_text(text)
+        });
+    }
+
+    /// Fetches the missing service objects from the store.
+    fn fetch(&self) -> Result<(), String> {
+        let Need::Services(missing) = self.need() else {
+            return Ok(());
+        };
+        for hash in &missing {
+            self.fetch_service(hash)?;
+        }
+        Ok(())
+    }
+
+    fn fetch_service(&self, hash: &ContentHash) -> Result<(), String> {
+        let keeper = &self.shared.manifest;
+        match self.store.get(&service_key(hash)) {
+            Ok(Some(object)) => {
+                let taken = keeper.learn(self.shared, "the store", |adoption| {
+                    adoption.service_text(hash, &object.value)
+                });
+                let corrupt = || format!("service object {hash} is corrupt in the store");
+                taken.then_some(()).ok_or_else(corrupt)
+            }
+            Ok(None) => {
+                keeper.learn(self.shared, "the store", |adoption| {
+                    adoption.service_missing(hash)
+                });
+                Err(format!("service object {hash} is missing in the store"))
+            }
+            Err(error) => Err(format!("the store does not answer: {error}")),
+        }
+    }
+
+    fn need(&self) -> Need {
+        self.shared.manifest.read(|adoption| adoption.need())
     }
-    tracing::info!("manifest: generation {} is in force.", accepted.generation);
-    shared.put_in_force(accepted);
 }
--- a/crates/kingcuploftd/src/metrics.rs
+++ b/crates/kingcuploftd/src/metrics.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::metrics_fleet::FleetMetrics;
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ReasonLabel {
     reason: &'static str,
@@ -33,6 +35,8 @@
     pub generation: Gauge,
     /// Callers' connections cut because a planned stop reached its bound.
     pub cut_by_stop: Counter,
+    /// The manifest, peers and fleet.
+    pub fleet: FleetMetrics,
 }
 
 /// Upper bounds of the latency histogram, in s.
@@ -67,8 +71,10 @@
             "Callers' connections cut at the bound of a planned stop",
             cut_by_stop.clone(),
         );
+        let fleet = FleetMetrics::register(&mut registry);
         Self {
             registry,
+            fleet,
             refusals,
             retries,
             latency,
--- /dev/null
+++ b/crates/kingcuploftd/src/metrics_fleet.rs
@@ -0,0 +1,79 @@
+//! What the daemon counts of the manifest, its peers and the fleet.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Labels a count by its kind.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct KindLabel {
+    kind: &'static str,
+}
+
+/// Counts by kind.
+pub type ByKind = Family<KindLabel, Counter>;
+
+/// The metrics of the manifest, peers and fleet.
+#[derive(Clone, Debug, Default)]
+pub struct FleetMetrics {
+    /// The newest generation any source told of.
+    pub manifest_heard: Gauge,
+    /// Service objects of a newer manifest that are missing here.
+    pub manifest_missing: Gauge,
+    /// Roots and service objects that were corrupt or did not fit.
+    pub manifest_faults: Counter,
+    /// Live links to peers, in both directions.
+    pub peer_links: Gauge,
+    /// Bytes of peer links, by direction.
+    pub peer_bytes: ByKind,
+    /// Peer links that failed or ended, by cause.
+    pub peer_link_ends: ByKind,
+    /// Messages to peers that the byte budget did not allow.
+    pub peer_over_budget: Counter,
+    /// Members of the fleet, by state.
+    pub members: Family<KindLabel, Gauge>,
+}
+
+impl FleetMetrics {
+    /// Builds the metrics and makes them part of a registry.
+    pub fn register(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        let m = metrics.clone();
+        registry.register("manifest_heard", "Newest told of", m.manifest_heard);
+        registry.register("manifest_missing_objects", "Missing", m.manifest_missing);
+        registry.register("manifest_faults", "Corrupt parts", m.manifest_faults);
+        registry.register("peer_links", "Live links", m.peer_links);
+        registry.register("peer_bytes", "Bytes of peer links", m.peer_bytes);
+        registry.register("peer_link_ends", "Links that ended", m.peer_link_ends);
+        registry.register("peer_over_budget", "Not sent", m.peer_over_budget);
+        registry.register("members", "Members of the fleet", m.members);
+        metrics
+    }
+
+    /// Counts bytes of peer links.
+    pub fn count_peer_bytes(&self, kind: &'static str, bytes: u64) {
+        self.peer_bytes
+            .get_or_create(&KindLabel { kind })
+            .inc_by(bytes);
+    }
+
+    /// Returns the bytes of peer links so far, both directions.
+    pub fn all_peer_bytes(&self) -> u64 {
+        let kinds = ["sent", "received"].into_iter();
+        let counts = kinds.map(|kind| self.peer_bytes.get_or_create(&KindLabel { kind }).get());
+        counts.sum()
+    }
+
+    /// Counts the end of a peer link.
+    pub fn count_link_end(&self, kind: &'static str) {
+        self.peer_link_ends.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Sets the number of members in a state.
+    pub fn set_members(&self, kind: &'static str, count: usize) {
+        let gauge = self.members.get_or_create(&KindLabel { kind });
+        gauge.set(count as i64);
+    }
+}
--- a/crates/kingcuploftd/src/shared.rs
+++ b/crates/kingcuploftd/src/shared.rs
@@ -12,6 +12,7 @@
 use kingcuploft::world::vm::Vm;
 use tokio::sync::watch;
 
+use crate::manifest_keeper::ManifestKeeper;
 use crate::message::Message;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -27,6 +28,8 @@
     pub accepted: ArcSwap<Accepted>,
     /// The hosts of the manifest in force; empty until one is known.
     pub routes: ArcSwap<Routes>,
+    /// What is known of the manifest, in force or not.
+    pub manifest: ManifestKeeper,
     /// The counters.
     pub metrics: Metrics,
     /// The ring to the dispatch duty.
@@ -45,6 +48,7 @@
             vm,
             accepted: ArcSwap::default(),
             routes: ArcSwap::default(),
+            manifest: ManifestKeeper::default(),
             metrics: Metrics::default(),
             dispatch,
             stopping: AtomicBool::new(false),
@@ -61,6 +65,11 @@
         drop(self.dispatch.send(Message::Adopted(accepted)));
     }
 
+    /// Tells whether this VM is one of those that watch the store for manifests.
+    pub fn watches_store(&self) -> bool {
+        true
+    }
+
     /// Tells whether the platform's balancer may send callers here.
     pub fn ready(&self) -> bool {
         !self.stopping() && self.accepted.load().generation > 0
