--- a/crates/kingcuploft-standins/src/lib.rs
+++ b/crates/kingcuploft-standins/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod plot;
 pub mod tally;
 pub mod traffic;
+pub mod virtual_fleet;
