--- a/crates/kingcuploft/tests/adoption.rs
+++ b/crates/kingcuploft/tests/adoption.rs
@@ -167,13 +167,15 @@
     assert_eq!(bent.apply(Some(first)), None);
 }
 
+/// Everything that an adoption's next steps depend on.
+type Key = (u64, u64, usize, u64, Vec<bool>);
+
 /// What an entry VM's adoption does with news, for the real one and for broken ones.
 trait Machine: Clone {
     fn root(&mut self, root: &Root) -> Option<Accepted>;
     fn service(&mut self, object: &ServiceObject, text: &str) -> Option<Accepted>;
     fn heard(&mut self, generation: u64);
-    /// Everything that its next steps depend on.
-    fn key(&self, world: &World) -> (u64, u64, usize, u64, Vec<bool>);
+    fn key(&self, world: &World) -> Key;
 }
 
 fn in_force(step: Result<Step, AdoptionError>) -> Option<Accepted> {
@@ -196,7 +198,7 @@
         Self::heard(self, generation);
     }
 
-    fn key(&self, world: &World) -> (u64, u64, usize, u64, Vec<bool>) {
+    fn key(&self, world: &World) -> Key {
         let status = self.status();
         let awaited = match self.need() {
             Need::Nothing => 0,
@@ -250,7 +252,7 @@
 
     fn heard(&mut self, _generation: u64) {}
 
-    fn key(&self, world: &World) -> (u64, u64, usize, u64, Vec<bool>) {
+    fn key(&self, world: &World) -> Key {
         let generation = self.root.as_ref().map_or(0, |root| root.generation);
         let held = world.objects.iter().map(|o| self.parts.contains(o));
         (generation, 0, 0, 0, held.collect())
@@ -264,11 +266,11 @@
     accepted: u64,
     in_force: u64,
     told: u64,
-    key: (u64, u64, usize, u64, Vec<bool>),
+    key: Key,
 }
 
 impl<M> State<M> {
-    fn identity(&self) -> (u64, u64, u64, &(u64, u64, usize, u64, Vec<bool>)) {
+    fn identity(&self) -> (u64, u64, u64, &Key) {
         (self.accepted, self.in_force, self.told, &self.key)
     }
 }
