--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -2,7 +2,11 @@
 //! changes. One decision, one file; its settings stand in the twin file in [`crate::settings`].
 
 pub mod admission;
+pub mod adoption;
 pub mod drain;
+pub mod fair_queue;
 pub mod measuring;
+pub mod pace;
 pub mod retry;
 pub mod selection;
+pub mod turns;
--- a/crates/kingcuploftd/src/metrics.rs
+++ b/crates/kingcuploftd/src/metrics.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::metrics_fleet::FleetMetrics;
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ReasonLabel {
     reason: &'static str,
@@ -33,6 +35,8 @@
     pub generation: Gauge,
     /// Callers' connections cut because a planned stop reached its bound.
     pub cut_by_stop: Counter,
+    /// The manifest, peers and fleet.
+    pub fleet: FleetMetrics,
     /// Connections opened to backend servers.
     pub backend_connections_opened: Counter,
     /// Calls that found this VM's share of a backend server's connections in use.
@@ -78,6 +82,7 @@
             "connections_cut_by_stop",
             "Callers' connections cut at the bound of a planned stop",
         );
+        let fleet = FleetMetrics::register(&mut registry);
         let backend_connections_opened = counter(
             &mut registry,
             "backend_connections_opened",
@@ -110,6 +115,7 @@
         );
         Self {
             registry,
+            fleet,
             refusals,
             retries,
             latency,
