--- a/crates/kingcuploft-standins/src/backend_server/connection.rs
+++ b/crates/kingcuploft-standins/src/backend_server/connection.rs
@@ -55,7 +55,7 @@
         drop(buffer.split_to(request.length));
         let answer = tokio::select! {
             biased;
-            answer = respond(state, &request, &drawn) => answer,
+            answer = respond_over_link(state, &request, &drawn) => answer,
             () = closed(&mut stream, &mut buffer) => {
                 state.count(|counts| counts.cancelled += 1);
                 return;
@@ -119,6 +119,20 @@
     true
 }
 
+/// Works on a request after the link's delay and lets the answer pass it too.
+async fn respond_over_link(state: &State, request: &Request, drawn: &Drawn) -> Answer {
+    pass_link(state).await;
+    let answer = respond(state, request, drawn).await;
+    pass_link(state).await;
+    answer
+}
+
+async fn pass_link(state: &State) {
+    if !state.work.link_delay.is_zero() {
+        tokio::time::sleep(state.work.link_delay).await;
+    }
+}
+
 /// Works on a request.
 async fn respond(state: &State, request: &Request, drawn: &Drawn) -> Answer {
     let path = request.path.split('?').next().unwrap_or_default();
--- a/crates/kingcuploft-standins/src/backend_server/work.rs
+++ b/crates/kingcuploft-standins/src/backend_server/work.rs
@@ -15,6 +15,8 @@
     pub long_share: f64,
     /// The mean of a long job's work time.
     pub long_mean: Duration,
+    /// The delay of the link to the entry VMs, one way.
+    pub link_delay: Duration,
     /// How many connections it keeps open at once; more are closed at once.
     pub connections: usize,
     /// The time until a new connection's first request is read.
@@ -37,6 +39,7 @@
             seed: 1,
             long_share: 0.0,
             long_mean: Duration::from_millis(200),
+            link_delay: Duration::ZERO,
             connections: 220,
             connect_cost: Duration::from_millis(1),
             probe_cost: Duration::from_millis(6),
--- a/crates/kingcuploft-standins/src/deployment.rs
+++ b/crates/kingcuploft-standins/src/deployment.rs
@@ -1,5 +1,7 @@
 //! The deployments of the brief, as plans that a [`crate::fleet::Fleet`] starts.
 
+use crate::virtual_fleet::deployment::Place;
+
 /// What to start: entry VMs, availability zones and services.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -76,6 +78,26 @@
     }
 }
 
+const RUN_RULES: &[&str] = &[
+    "{name: lookup, methods: [GET], path_prefix: /lookup, contract: retry_freely, priority: interactive, deadline_ms: 1000}",
+    "{name: hold, methods: [POST], path_prefix: /hold, contract: at_most_once, priority: protected, deadline_ms: 2000}",
+    "{name: search, methods: [GET], path_prefix: /search, contract: retry_freely, priority: background, deadline_ms: 3000}",
+];
+
+/// Returns the service of the virtual fleet with its rules, at the brief's sizes.
+pub fn virtual_twin(place: Place) -> Deployment {
+    match place {
+        Place::Teamway => Deployment {
+            services: vec![service("trip", 11, 2, RUN_RULES, 0.01)],
+            ..teamway()
+        },
+        Place::Bern => Deployment {
+            services: vec![service("notes", 11, 4, RUN_RULES, 0.005)],
+            ..bern()
+        },
+    }
+}
+
 /// Returns a small deployment for the quickstart.
 pub fn quickstart() -> Deployment {
     Deployment {
--- a/crates/kingcuploft-standins/src/experiments/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -3,7 +3,9 @@
 //! One experiment, one file. Each returns its figures as JSON, a table as text, and every promise
 //! it saw broken.
 
+pub mod overload;
 pub mod promises;
+pub mod real_run;
 pub mod tail;
 
 use std::path::PathBuf;
@@ -12,6 +14,7 @@
 use crate::deployment::{self, Deployment};
 use crate::fleet::FleetError;
 use crate::plot::PlotError;
+use crate::virtual_fleet::deployment::Place;
 
 /// The options that experiments share.
 #[derive(Clone, Debug)]
@@ -53,6 +56,14 @@
 }
 
 impl DeploymentName {
+    /// Returns the deployment's twin in the virtual fleet.
+    pub fn place(self) -> Place {
+        match self {
+            Self::Teamway => Place::Teamway,
+            Self::Bern => Place::Bern,
+        }
+    }
+
     /// Returns the plan of the deployment.
     pub fn plan(self) -> Deployment {
         match self {
@@ -103,6 +114,11 @@
 
 /// Every experiment.
 pub const ALL: &[Entry] = &[
+    Entry {
+        name: "overload",
+        about: "what callers receive under overload, with a hot caller",
+        run: overload::run,
+    },
     Entry {
         name: "promises",
         about: "daemon processes under mixed faults, every call checked",
--- /dev/null
+++ b/crates/kingcuploft-standins/src/experiments/overload.rs
@@ -0,0 +1,120 @@
+//! `overload`: what callers receive when more is asked than the slots can do, with one hot caller.
+
+use kingcuploft::world::contract::Priority;
+use serde::Serialize;
+
+use super::{ExperimentError, Options, Report, real_run};
+use crate::virtual_fleet::outcome::{End, Record};
+use crate::virtual_fleet::workload::Stream;
+use crate::virtual_fleet::{Deployment, Outcome, Run};
+
+/// The callers that send alike.
+const CALLERS: u32 = 40;
+
+/// How many times the others' share the hot caller sends.
+const HOT: f64 = 10.0;
+
+#[derive(Debug, Serialize)]
+struct Figures {
+    load: f64,
+    goodput_share: f64,
+    answered_in_time: u64,
+    late_answers: u64,
+    late_share: f64,
+    refused: u64,
+    lost: u64,
+    refusal_p99_ms: f64,
+    protected_answered_share: f64,
+    background_answered_share: f64,
+    others_answered_share: f64,
+    others_answered_share_without_hot_caller: f64,
+    hot_caller_share: f64,
+    duplicate_runs: u64,
+}
+
+/// Runs the experiment: first without, then with the hot caller, for each round.
+///
+/// # Errors
+///
+/// [`ExperimentError`] where a fleet did not start.
+pub fn run(options: &Options) -> Result<Report, ExperimentError> {
+    let mut report = Report::default();
+    let mut all = Vec::new();
+    for round in 0..options.rounds as u64 {
+        let seed = options.seed + round;
+        let without = outcome(options, seed, 0.0)?;
+        let with = outcome(options, seed, HOT)?;
+        let figures = figures(options, &with, &without);
+        if figures.duplicate_runs > 0 {
+            report.broken.push(format!(
+                "seed {seed}: {} duplicate runs",
+                figures.duplicate_runs
+            ));
+        }
+        report.text += &format!("{}\n", serde_json::to_string_pretty(&figures)?);
+        all.push(figures);
+    }
+    report.figures = serde_json::to_value(all)?;
+    Ok(report)
+}
+
+fn outcome(options: &Options, seed: u64, hot: f64) -> Result<Outcome, ExperimentError> {
+    let share = options.load / (f64::from(CALLERS) + HOT);
+    let mut streams = vec![Stream {
+        load: share * f64::from(CALLERS),
+        callers: CALLERS,
+        ..Stream::default()
+    }];
+    if hot > 0.0 {
+        streams.push(Stream {
+            load: share * hot,
+            caller: "hot".into(),
+            callers: 1,
+            ..Stream::default()
+        });
+    }
+    let deployment = Deployment::new(options.deployment.place());
+    let run = Run::new(deployment, &streams, options.time, seed);
+    real_run::run(&run, "{}".into())
+}
+
+fn figures(options: &Options, with: &Outcome, without: &Outcome) -> Figures {
+    let all = with.summary(|_| true);
+    let answered: u64 = all.answered + all.late;
+    Figures {
+        load: options.load,
+        goodput_share: all.goodput_share,
+        answered_in_time: all.answered,
+        late_answers: all.late,
+        late_share: all.late as f64 / answered.max(1) as f64,
+        refused: all.refused.values().sum(),
+        lost: all.lost,
+        refusal_p99_ms: refusal_p99_ms(with),
+        protected_answered_share: share(with, |r| r.priority == Priority::Protected),
+        background_answered_share: share(with, |r| r.priority == Priority::Background),
+        others_answered_share: share(with, |r| !is_hot(r)),
+        others_answered_share_without_hot_caller: share(without, |r| !is_hot(r)),
+        hot_caller_share: share(with, is_hot),
+        duplicate_runs: with.double_runs + without.double_runs,
+    }
+}
+
+fn is_hot(record: &Record) -> bool {
+    record.caller.starts_with("hot")
+}
+
+/// Returns the share of the kept records that were answered in time.
+fn share(outcome: &Outcome, keep: impl Fn(&Record) -> bool) -> f64 {
+    let kept: Vec<&Record> = outcome.records.iter().filter(|r| keep(r)).collect();
+    let in_time = kept.iter().filter(|r| r.in_time()).count();
+    in_time as f64 / kept.len().max(1) as f64
+}
+
+fn refusal_p99_ms(outcome: &Outcome) -> f64 {
+    let refused = outcome
+        .records
+        .iter()
+        .filter(|r| matches!(r.end, End::Refused(..)));
+    let latency = crate::virtual_fleet::outcome::latency(refused.map(|r| r.took));
+    latency.value_at_quantile(0.99) as f64 / 1000.0
+}
--- /dev/null
+++ b/crates/kingcuploft-standins/src/experiments/real_run.rs
@@ -0,0 +1,179 @@
+//! A run of the virtual fleet's work on real daemons: the same arrivals, work times and slow
+//! spells, so that its outcome is read like a virtual one.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::Method;
+use kingcuploft::world::refusal::{Outcome as Ran, RefusalReason};
+use kingcuploftd::daemon::Daemon;
+
+use super::ExperimentError;
+use crate::backend_server::BackendServer;
+use crate::callers::{CallPlan, Received};
+use crate::deployment;
+use crate::fleet::{Fleet, Variant};
+use crate::load::{self, DueCall};
+use crate::virtual_fleet::deployment::{HOLD, SEARCH};
+use crate::virtual_fleet::outcome::{Cost, End, Record};
+use crate::virtual_fleet::server::FakeServer;
+use crate::virtual_fleet::{Outcome, Run};
+
+/// The mean delay of the links between VMs and backend servers, one way.
+const LINK_DELAY: Duration = Duration::from_micros(800);
+
+/// How often the slow spells are looked at.
+const SPELL_POLL: Duration = Duration::from_millis(2);
+
+/// Runs the work on real daemons under a policy, as YAML in flow style.
+///
+/// # Errors
+///
+/// [`ExperimentError`] where the fleet did not start.
+pub fn run(run: &Run, policy: String) -> Result<Outcome, ExperimentError> {
+    let variant = Variant {
+        policy,
+        link_delay: LINK_DELAY,
+        settings: "limits: {workers: 48}\n".into(),
+        seed: run.seed,
+        ..Variant::default()
+    };
+    let fleet = Fleet::start(deployment::virtual_twin(run.deployment.place), variant)?;
+    let records: Vec<Record> = (0..run.asks.len()).map(|ask| run.record(ask)).collect();
+    let records = Arc::new(Mutex::new(records));
+    let ended = AtomicBool::new(false);
+    let control_before = control_bytes(&fleet.daemons);
+    let began = Instant::now();
+    std::thread::scope(|scope| {
+        scope.spawn(|| follow_spells(&fleet.backend_servers[0], &run.servers(), &ended));
+        let to = fleet.addresses();
+        let noted = Arc::clone(&records);
+        let address = move |call: &DueCall| to[call.to % to.len()];
+        load::run_with(
+            &fleet.runtime,
+            address,
+            calls(run),
+            move |call, received, took| {
+                let mut records = noted.lock().unwrap_or_else(PoisonError::into_inner);
+                records[call.group].end = end(&received);
+                records[call.group].took = took;
+            },
+        );
+        ended.store(true, Ordering::Relaxed);
+    });
+    let sent_s = began.elapsed().as_secs_f64() / run.duration.as_secs_f64();
+    let mut cost = cost(&fleet);
+    let control = control_bytes(&fleet.daemons) - control_before;
+    // The rate is taken over the sending time, as the virtual fleet's is.
+    cost.note_bytes = (control as f64 / sent_s) as u64;
+    let keys = run.asks.iter().filter_map(|ask| ask.key.as_ref());
+    let double_runs = keys.map(|key| fleet.runs(key).saturating_sub(1)).sum();
+    fleet.stop();
+    let records = records
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    Ok(run.outcome(records, cost, double_runs))
+}
+
+fn calls(run: &Run) -> Vec<DueCall> {
+    let vms = run.deployment.vms as f64;
+    let asks = run.asks.iter().enumerate();
+    let calls = asks.map(|(i, ask)| {
+        let (method, path) = match ask.rule {
+            HOLD => (Method::POST, "hold"),
+            SEARCH => (Method::GET, "search"),
+            _ => (Method::GET, "lookup"),
+        };
+        let mut headers = vec![
+            ("x-work-us", ask.work.as_micros().to_string()),
+            ("x-caller", ask.caller.to_string()),
+        ];
+        headers.extend(
+            ask.key
+                .as_ref()
+                .map(|key| ("idempotency-key", key.to_string())),
+        );
+        DueCall {
+            at: ask.at,
+            to: (ask.vm * vms) as usize,
+            plan: CallPlan {
+                method,
+                host: format!("{}.example", run.deployment.service.name),
+                path: format!("/{path}/{i}"),
+                headers,
+                body: Bytes::new(),
+            },
+            deadline: run.deployment.service.rules[ask.rule].deadline(),
+            group: i,
+        }
+    });
+    calls.collect()
+}
+
+/// Makes the stand-ins as slow as the virtual backend servers are at each time.
+fn follow_spells(servers: &[BackendServer], spells: &[FakeServer], ended: &AtomicBool) {
+    let began = Instant::now();
+    let mut factors = vec![1.0; servers.len()];
+    while !ended.load(Ordering::Relaxed) {
+        for (i, server) in servers.iter().enumerate() {
+            let factor = spells[i].factor(began.elapsed());
+            if factor != factors[i] {
+                factors[i] = factor;
+                server.change(|faults| faults.slow_factor = factor);
+            }
+        }
+        std::thread::sleep(SPELL_POLL);
+    }
+}
+
+fn end(received: &Received) -> End {
+    match received {
+        Received::Answer { status, .. } if *status < 500 => End::Answered,
+        Received::Answer { .. } => End::Failed,
+        Received::Nothing => End::Lost,
+        Received::Refused {
+            reason, outcome, ..
+        } => {
+            let reason = RefusalReason::ALL
+                .iter()
+                .find(|known| known.label() == reason);
+            let ran = match outcome.as_str() {
+                "ran" => Ran::Ran,
+                "not_run" => Ran::NotRun,
+                _ => Ran::Unknown,
+            };
+            reason.map_or(End::Lost, |reason| End::Refused(*reason, ran))
+        }
+    }
+}
+
+fn cost(fleet: &Fleet) -> Cost {
+    let mut cost = Cost::default();
+    for server in fleet.backend_servers.iter().flatten() {
+        let counts = server.counts();
+        cost.calls += counts.requests - counts.probes;
+        cost.probes += counts.probes;
+        cost.probe_time += Duration::from_micros(counts.probe_us);
+        cost.busy += Duration::from_micros(counts.work_us + counts.probe_us);
+    }
+    let hedges = |daemon: &Daemon| metric(daemon, "kingcuploft_hedges_total");
+    cost.hedges = fleet.daemons.iter().map(hedges).sum();
+    cost
+}
+
+/// Returns the bytes that the daemons sent to their peers.
+fn control_bytes(daemons: &[Daemon]) -> u64 {
+    let sent = |daemon: &Daemon| metric(daemon, "kingcuploft_peer_bytes_sent_total");
+    daemons.iter().map(sent).sum()
+}
+
+/// Returns the sum of a counter's samples.
+pub fn metric(daemon: &Daemon, name: &str) -> u64 {
+    let text = daemon.shared().metrics.text();
+    let samples = text.lines().filter(|line| line.starts_with(name));
+    let values = samples.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+    values.sum::<f64>() as u64
+}
--- a/crates/kingcuploft-standins/src/experiments/tail.rs
+++ b/crates/kingcuploft-standins/src/experiments/tail.rs
@@ -1,25 +1,31 @@
 //! `tail`: tail latency and the cost of measuring of each policy, interleaved on the same work.
 
-use std::time::Duration;
+use std::fmt::Write;
 
-use bytes::Bytes;
-use hyper::Method;
+use kingcuploft::settings::selection::SelectionPolicy;
 use serde::Serialize;
 
-use super::{ExperimentError, Options, Report};
-use crate::callers::CallPlan;
-use crate::fleet::{Fleet, Variant};
-use crate::load::{self, DueCall};
-use crate::tally::{Figures, Tally};
+use super::{ExperimentError, Options, Report, real_run};
+use crate::virtual_fleet::outcome::Summary;
+use crate::virtual_fleet::workload::Stream;
+use crate::virtual_fleet::{Deployment, Outcome, Run, ideal};
 
-/// The mean work time of a call, in ms.
-const MEAN_MS: f64 = 10.0;
-
-#[derive(Debug, Serialize)]
+/// The figures of one policy, each the median over the rounds, with the least and greatest p99.
+#[derive(Clone, Debug, Serialize)]
 struct Row {
     policy: &'static str,
-    #[serde(flatten)]
-    figures: Figures,
+    p50_ms: f64,
+    p99_ms: f64,
+    p99_ms_least: f64,
+    p99_ms_greatest: f64,
+    p999_ms: f64,
+    answered: u64,
+    late_answers: u64,
+    refused: u64,
+    lost: u64,
+    probe_share: f64,
+    hedge_share: f64,
+    control_bytes_per_second_per_node: f64,
 }
 
 /// Runs the experiment.
@@ -28,53 +34,111 @@
 ///
 /// [`ExperimentError`] where a fleet did not start.
 pub fn run(options: &Options) -> Result<Report, ExperimentError> {
-    let mut tally = Tally::default();
+    let mut summaries: Vec<Vec<Summary>> = vec![Vec::new(); SelectionPolicy::ALL.len() + 1];
+    let mut report = Report::default();
     for round in 0..options.rounds as u64 {
-        tally.merge(&one(options, options.seed + round)?);
+        let seed = options.seed + round;
+        let run = drawn(options, seed);
+        summaries[0].push(ideal::run(&run).summary(|_| true));
+        for (i, policy) in SelectionPolicy::ALL.iter().enumerate() {
+            let outcome = real_run::run(
+                &run,
+                yaml(
+                    *policy,
+                    run.deployment.service.policy.measuring.budget_share,
+                ),
+            )?;
+            note_broken(&mut report, seed, *policy, &outcome);
+            summaries[i + 1].push(outcome.summary(|_| true));
+        }
     }
-    let row = Row {
-        policy: "adaptive",
-        figures: tally.figures(),
-    };
-    Ok(Report {
-        text: format!("{row:#?}"),
-        figures: serde_json::to_value([row])?,
-        broken: Vec::new(),
-    })
+    let names = std::iter::once("ideal").chain(SelectionPolicy::ALL.iter().map(|p| p.label()));
+    let rows: Vec<Row> = names
+        .zip(&summaries)
+        .map(|(name, s)| row(name, s))
+        .collect();
+    report.text = table(&rows);
+    report.figures = serde_json::to_value(rows)?;
+    Ok(report)
+}
+
+fn drawn(options: &Options, seed: u64) -> Run {
+    let streams = [Stream {
+        load: options.load,
+        ..Stream::default()
+    }];
+    let deployment = Deployment::new(options.deployment.place());
+    Run::new(deployment, &streams, options.time, seed)
 }
 
-fn one(options: &Options, seed: u64) -> Result<Tally, ExperimentError> {
-    let deployment = options.deployment.plan().first_service();
-    let fleet = Fleet::start(deployment, Variant::default())?;
-    let calls = calls(options, &fleet, seed);
-    let tally = load::run(&fleet.runtime, &fleet.addresses(), calls, 1);
-    fleet.stop();
-    Ok(tally[0].clone())
+fn yaml(policy: SelectionPolicy, budget_share: f64) -> String {
+    let policy = policy.label();
+    format!("{{selection: {{policy: {policy}}}, measuring: {{budget_share: {budget_share}}}}}")
 }
 
-fn calls(options: &Options, fleet: &Fleet, seed: u64) -> Vec<DueCall> {
-    let mut rng = fastrand::Rng::with_seed(seed);
-    let plan = &fleet.deployment.services[0];
-    let slots = plan.backend_servers as f64 * f64::from(plan.slots);
-    let per_second = options.load * slots * 1000.0 / MEAN_MS;
-    let arrivals = load::arrivals(&mut rng, per_second, options.time);
-    let due = arrivals.into_iter().enumerate().map(|(i, at)| DueCall {
-        at,
-        to: rng.usize(..),
-        plan: CallPlan {
-            method: Method::GET,
-            host: format!("{}.example", plan.name),
-            path: format!("/lookup/{i}"),
-            headers: vec![("x-work-us", work_us(&mut rng).to_string())],
-            body: Bytes::new(),
-        },
-        deadline: Duration::from_secs(2),
-        group: 0,
-    });
-    due.collect()
+fn note_broken(report: &mut Report, seed: u64, policy: SelectionPolicy, outcome: &Outcome) {
+    if outcome.double_runs > 0 {
+        let (policy, runs) = (policy.label(), outcome.double_runs);
+        let broken = format!("seed {seed}, {policy}: {runs} duplicate runs");
+        report.broken.push(broken);
+    }
 }
 
-fn work_us(rng: &mut fastrand::Rng) -> u64 {
-    let uniform = rng.f64().max(f64::MIN_POSITIVE);
-    (-uniform.ln() * MEAN_MS * 1000.0) as u64
+fn row(policy: &'static str, summaries: &[Summary]) -> Row {
+    let by = |figure: fn(&Summary) -> f64| {
+        let mut figures: Vec<f64> = summaries.iter().map(figure).collect();
+        figures.sort_by(f64::total_cmp);
+        figures
+    };
+    let median = |figure: fn(&Summary) -> f64| {
+        let figures = by(figure);
+        figures.get(figures.len() / 2).copied().unwrap_or_default()
+    };
+    let p99 = by(|s| s.p99_ms);
+    let sum = |figure: fn(&Summary) -> u64| summaries.iter().map(figure).sum();
+    Row {
+        policy,
+        p50_ms: median(|s| s.p50_ms),
+        p99_ms: median(|s| s.p99_ms),
+        p99_ms_least: p99.first().copied().unwrap_or_default(),
+        p99_ms_greatest: p99.last().copied().unwrap_or_default(),
+        p999_ms: median(|s| s.p999_ms),
+        answered: sum(|s| s.answered),
+        late_answers: sum(|s| s.late),
+        refused: sum(|s| s.refused.values().sum()),
+        lost: sum(|s| s.lost),
+        probe_share: median(|s| s.probe_share),
+        hedge_share: median(|s| s.hedge_share),
+        control_bytes_per_second_per_node: median(|s| s.notes_bytes_per_second_per_node),
+    }
+}
+
+fn table(rows: &[Row]) -> String {
+    let mut text = format!(
+        "{:<16} {:>7} {:>8} {:>17} {:>8} {:>9} {:>5} {:>8} {:>5} {:>7} {:>7} {:>9}\n",
+        "policy",
+        "p50 ms",
+        "p99 ms",
+        "p99 least-most",
+        "p99.9 ms",
+        "answered",
+        "late",
+        "refused",
+        "lost",
+        "probes",
+        "hedges",
+        "ctl B/s/n"
+    );
+    for row in rows {
+        let spread = format!("{:.0}-{:.0}", row.p99_ms_least, row.p99_ms_greatest);
+        writeln!(
+            text,
+            "{:<16} {:>7.1} {:>8.1} {:>17} {:>8.1} {:>9} {:>5} {:>8} {:>5} {:>6.2}% {:>6.2}% {:>9.0}",
+            row.policy, row.p50_ms, row.p99_ms, spread, row.p999_ms, row.answered, row.late_answers,
+            row.refused, row.lost, row.probe_share * 100.0, row.hedge_share * 100.0,
+            row.control_bytes_per_second_per_node
+        )
+        .expect("a string takes all");
+    }
+    text
 }
--- a/crates/kingcuploft-standins/src/fleet.rs
+++ b/crates/kingcuploft-standins/src/fleet.rs
@@ -43,6 +43,8 @@
     pub policy: String,
     /// The mean work time of the backend servers.
     pub mean: Duration,
+    /// The delay of the links to the backend servers, one way.
+    pub link_delay: Duration,
     /// Lines added to every daemon's settings.
     pub settings: String,
     /// The seed of the work times.
@@ -54,6 +56,7 @@
         Self {
             policy: "{}".into(),
             mean: Duration::from_millis(10),
+            link_delay: Duration::ZERO,
             settings: String::new(),
             seed: 1,
         }
@@ -229,6 +232,7 @@
         let work = Work {
             slots: plan.slots as usize,
             mean: variant.mean,
+            link_delay: variant.link_delay,
             seed: variant.seed.wrapping_mul(1_000).wrapping_add(i as u64),
             ..Work::default()
         };
