--- /dev/null
+++ b/crates/kingcuploft/src/decisions/claim/mod.rs
@@ -0,0 +1,69 @@
+//! Claims of protected actions: at most one run per idempotency key, whatever fails.
+//!
+//! Load pattern: callers resend holds and publications through any VM while the store loses
+//! answers, delays writes and serves old reads, and VMs pause or die at any point. Without a claim
+//! that is decided before the first byte goes out, two VMs run the same action.
+//!
+//! Keys hash to partitions. One object of a partition, its [`ledger::Head`], decides: a claim is
+//! held only once a conditional update of the head with it has taken effect. Whoever writes with
+//! an older version loses, so a paused VM or a late write can't undo a decision, and no lease is
+//! needed. All claims and ends that came while a write was under way share the next one, so the
+//! writes grow with the number of writers and not with that of the actions.
+//!
+//! * A write without an answer decides nothing: it may still arrive. It is settled by the next
+//!   conditional write that succeeds or by a read of a greater version, since the late write then
+//!   finds another version than it expects.
+//! * A claim that is given up before that is refused as `not_run`, which is true since nothing is
+//!   sent; it is taken back as soon as it is found in the head.
+//! * Nobody but its claimant releases or ends a claim, and nobody takes one over: it may be running.
+//! * Settled entries are sealed into segments that never change, and segments are put under
+//!   indexes; both are named by the head, so that one conditional update still decides everything.
+//!
+//! The figures of [`crate::settings::claim`] come from the experiment `claims`.
+
+pub mod ledger;
+pub mod message;
+mod partition;
+mod read;
+mod seal;
+mod write;
+
+pub use self::partition::{Partition, Time};
+
+use std::time::Duration;
+
+use crate::world::refusal::{Outcome, Refusal, RefusalReason};
+use message::Verdict;
+
+/// When to ask again for the end of an action that may be running.
+const IN_PROGRESS_RETRY: Duration = Duration::from_millis(500);
+
+/// When to ask again where the partition is full.
+const FULL_RETRY: Duration = Duration::from_secs(5);
+
+/// Returns the partition that decides a key.
+pub fn partition_of(key: ledger::KeyHash, partitions: u16) -> u16 {
+    (key % u128::from(partitions.max(1))) as u16
+}
+
+/// Returns the truthful refusal of a verdict; `None` where the request goes on or is answered.
+pub fn refusal(verdict: &Verdict) -> Option<Refusal> {
+    let refusal = match verdict {
+        Verdict::Held | Verdict::Replay(_) => return None,
+        Verdict::AlreadyRan => Refusal {
+            reason: RefusalReason::KeyAlreadyRan,
+            outcome: Outcome::Ran,
+            retry_after: None,
+        },
+        Verdict::InProgress => {
+            Refusal::unknown(RefusalReason::KeyInProgress).retry_after(IN_PROGRESS_RETRY)
+        }
+        Verdict::EndUnknown => Refusal::unknown(RefusalReason::KeyInProgress),
+        Verdict::Reused => Refusal::not_run(RefusalReason::KeyReused),
+        Verdict::Unavailable { retry_after } => {
+            Refusal::not_run(RefusalReason::StoreUnavailable).retry_after(*retry_after)
+        }
+        Verdict::Full => Refusal::not_run(RefusalReason::Overloaded).retry_after(FULL_RETRY),
+    };
+    Some(refusal)
+}
--- /dev/null
+++ b/crates/kingcuploft/src/decisions/claim/partition.rs
@@ -0,0 +1,452 @@
+//! One partition as one VM sees it: orders and store answers in, store calls and verdicts out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::ledger::{
+    Claimant, EntryState, Fingerprint, Head, KeyHash, SegmentNumber, SegmentRef, Version,
+};
+use super::message::{
+    Claim, ClaimId, Counted, Failure, Operation, Order, Output, StoreAnswer, Verdict,
+};
+use super::seal::{Garbage, Staged};
+use crate::settings::claim::ClaimSettings;
+
+/// The time and the random source of one event.
+#[derive(Debug)]
+pub struct Time<'a> {
+    /// The monotonic time.
+    pub now: Instant,
+    /// The wall clock, in ms since 1970.
+    pub unix_ms: u64,
+    /// Draws the jitter of pauses.
+    pub rng: &'a mut fastrand::Rng,
+}
+
+/// The head as last read or written.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Known {
+    /// The version; 0 where the object was absent.
+    pub(super) version: Version,
+    pub(super) head: Arc<Head>,
+}
+
+/// A claim that is not decided yet.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Waiting {
+    pub(super) claim: Claim,
+    pub(super) since: Instant,
+    /// Whether a write with it was ever called for.
+    pub(super) tried: bool,
+    /// Whether the head was read since it came.
+    pub(super) fresh: bool,
+}
+
+/// A release or an acknowledgement that is not written yet.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct End {
+    pub(super) key: KeyHash,
+    pub(super) claimant: Claimant,
+    /// The settled state; `None` gives the claim back.
+    pub(super) state: Option<EntryState>,
+    pub(super) since: Instant,
+}
+
+/// A claim that was refused although a write may have carried it.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Abandoned {
+    pub(super) key: KeyHash,
+    pub(super) claimant: Claimant,
+}
+
+/// What the open call to the store is for.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) enum Open {
+    Head,
+    /// Learn the keys of a sealed object.
+    Load(String),
+    /// Find the answers of sealed keys.
+    Lookup(SegmentNumber),
+    Write {
+        head: Arc<Head>,
+        claims: Vec<ClaimId>,
+        ends: usize,
+    },
+    Stage,
+    FindGarbage,
+    DeleteGarbage,
+}
+
+/// The sealed keys of the partition.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub(super) struct Sealed {
+    pub(super) keys: BTreeMap<KeyHash, SegmentNumber>,
+    pub(super) segments: BTreeMap<SegmentNumber, SegmentRef>,
+    /// The names of the sealed objects whose keys are known.
+    pub(super) loaded: BTreeSet<String>,
+}
+
+/// One partition of the ledger.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Partition {
+    pub(super) number: u16,
+    /// Makes the names of this VM's sealed objects its own.
+    pub(super) owner: u64,
+    pub(super) settings: Arc<ClaimSettings>,
+    pub(super) known: Option<Known>,
+    /// The store is known to hold at least this version of the head.
+    pub(super) least_version: Version,
+    pub(super) must_read: bool,
+    /// Whether other VMs write to the partition, so that a read before a write saves a write.
+    pub(super) contended: bool,
+    /// Whether the head may name sealed objects whose keys are not known yet.
+    pub(super) behind: bool,
+    pub(super) sealed: Sealed,
+    pub(super) waiting: BTreeMap<ClaimId, Waiting>,
+    pub(super) held: BTreeMap<ClaimId, (KeyHash, Claimant)>,
+    /// The keys of claims that wait or are held, and the content they were claimed for.
+    pub(super) local: BTreeMap<KeyHash, Fingerprint>,
+    pub(super) ends: Vec<End>,
+    pub(super) abandoned: Vec<Abandoned>,
+    pub(super) staged: Option<Staged>,
+    pub(super) garbage: Vec<Garbage>,
+    pub(super) names: u64,
+    pub(super) open: Option<(Open, Instant)>,
+    started: Instant,
+    hurried: bool,
+    last_write: Option<Instant>,
+    last_answer: Option<Instant>,
+    pause_until: Option<Instant>,
+    /// While the store is down: when it is probed.
+    down_until: Option<Instant>,
+    failures: u32,
+}
+
+/// The most often that a pause doubles.
+const DOUBLINGS: u32 = 8;
+
+/// The pause between probes where the store gives none.
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
+
+impl Partition {
+    /// Builds a partition of which nothing is known; `owner` is another for each life of a VM.
+    pub fn new(number: u16, owner: u64, settings: Arc<ClaimSettings>, now: Instant) -> Self {
+        Self {
+            number,
+            owner,
+            settings,
+            known: None,
+            least_version: 0,
+            must_read: false,
+            contended: false,
+            behind: false,
+            sealed: Sealed::default(),
+            waiting: BTreeMap::new(),
+            held: BTreeMap::new(),
+            local: BTreeMap::new(),
+            ends: Vec::new(),
+            abandoned: Vec::new(),
+            staged: None,
+            garbage: Vec::new(),
+            names: 0,
+            open: None,
+            started: now,
+            hurried: false,
+            last_write: None,
+            last_answer: None,
+            pause_until: None,
+            down_until: None,
+            failures: 0,
+        }
+    }
+
+    /// Returns the key of the object that decides a partition.
+    pub fn head_name(number: u16) -> String {
+        format!("claims/{number:03}/head")
+    }
+
+    /// Takes an order in.
+    pub fn order(&mut self, time: &mut Time<'_>, order: Order, out: &mut Vec<Output>) {
+        match order {
+            Order::Claim(id, claim) => self.claim(time, id, claim, out),
+            Order::Release(id) => self.end(time.now, id, None),
+            Order::Acknowledge(id, state) => self.end(time.now, id, Some(state)),
+        }
+        self.step(time, out);
+    }
+
+    /// Takes the answer to the open call in.
+    pub fn answered(&mut self, time: &mut Time<'_>, answer: StoreAnswer, out: &mut Vec<Output>) {
+        let Some((open, _)) = self.open.take() else {
+            return;
+        };
+        self.last_answer = Some(time.now);
+        match answer {
+            StoreAnswer::Failed(failure) => self.failed(time, &open, failure, out),
+            answer => {
+                self.down_until = None;
+                self.closed(time, open, answer, out);
+            }
+        }
+        self.step(time, out);
+    }
+
+    /// Refuses claims whose time is over and calls the store where that is due.
+    pub fn tick(&mut self, time: &mut Time<'_>, out: &mut Vec<Output>) {
+        let over = self.waiting.iter();
+        let over = over.filter(|(_, waiting)| waiting.claim.give_up <= time.now);
+        let over: Vec<ClaimId> = over.map(|(id, _)| *id).collect();
+        for id in over {
+            self.give_up(id, PROBE_PAUSE, out);
+        }
+        self.step(time, out);
+    }
+
+    /// Tells when the next tick is due.
+    pub fn next_due(&self) -> Option<Instant> {
+        let give_up = self.waiting.values().map(|waiting| waiting.claim.give_up);
+        self.work_due().into_iter().chain(give_up).min()
+    }
+
+    /// Tells whether nothing is left to write.
+    pub fn is_idle(&self) -> bool {
+        self.open.is_none()
+            && self.waiting.is_empty()
+            && self.ends.is_empty()
+            && self.abandoned.is_empty()
+    }
+
+    /// Writes without waiting for others from now on: the VM stops.
+    pub fn hurry(&mut self) {
+        self.hurried = true;
+    }
+
+    /// Returns how many claims are held.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    fn claim(&mut self, time: &Time<'_>, id: ClaimId, claim: Claim, out: &mut Vec<Output>) {
+        if let Some(verdict) = self.known_verdict(time, &claim) {
+            return out.push(Output::Verdict(id, verdict));
+        }
+        self.local.insert(claim.key, claim.fingerprint);
+        let waiting = Waiting {
+            claim,
+            since: time.now,
+            tried: false,
+            fresh: false,
+        };
+        self.waiting.insert(id, waiting);
+    }
+
+    /// Decides a claim without the store, where what is known can't change any more.
+    fn known_verdict(&self, time: &Time<'_>, claim: &Claim) -> Option<Verdict> {
+        if let Some(fingerprint) = self.local.get(&claim.key) {
+            return Some(match *fingerprint == claim.fingerprint {
+                true => Verdict::InProgress,
+                false => Verdict::Reused,
+            });
+        }
+        if let Some(known) = &self.known
+            && let Some(entry) = known.head.entries.get(&claim.key)
+            && entry.expires_ms > time.unix_ms
+        {
+            let end = self.ends.iter().find(|end| end.claimant == entry.claimant);
+            let state = end.map_or(Some(&entry.state), |end| end.state.as_ref());
+            if let Some(state) = state
+                && state.is_settled()
+            {
+                return Some(settled_verdict(entry.fingerprint, state, claim));
+            }
+        }
+        if let Some(at) = self.down_until {
+            let retry_after = at.saturating_duration_since(time.now).max(PROBE_PAUSE);
+            return Some(self.undecided(claim, retry_after));
+        }
+        let began = self.open.as_ref().map(|(_, began)| *began);
+        let slow = |began| time.now.saturating_duration_since(began) > self.settings.slow_store();
+        let slow = began.is_some_and(slow);
+        slow.then(|| self.undecided(claim, PROBE_PAUSE))
+    }
+
+    /// Returns the verdict on a claim that the store did not decide. A key that was seen claimed by
+    /// an earlier request may have run: "not run" is said only of one that was not seen.
+    fn undecided(&self, claim: &Claim, retry_after: Duration) -> Verdict {
+        let entries = self.known.iter().map(|known| &known.head.entries);
+        let mut entries = entries.filter_map(|entries| entries.get(&claim.key));
+        let seen = entries.any(|entry| entry.claimant != claim.claimant);
+        match seen || self.sealed.keys.contains_key(&claim.key) {
+            true => Verdict::InProgress,
+            false => Verdict::Unavailable { retry_after },
+        }
+    }
+
+    fn end(&mut self, now: Instant, id: ClaimId, state: Option<EntryState>) {
+        let Some((key, claimant)) = self.held.remove(&id) else {
+            return;
+        };
+        self.local.remove(&key);
+        self.ends.push(End {
+            key,
+            claimant,
+            state,
+            since: now,
+        });
+    }
+
+    /// Decides a waiting claim.
+    pub(super) fn decide(&mut self, id: ClaimId, verdict: Verdict, out: &mut Vec<Output>) {
+        let Some(waiting) = self.waiting.remove(&id) else {
+            return;
+        };
+        match verdict {
+            Verdict::Held => {
+                let claim = waiting.claim;
+                self.held.insert(id, (claim.key, claim.claimant));
+            }
+            _ => drop(self.local.remove(&waiting.claim.key)),
+        }
+        out.push(Output::Verdict(id, verdict));
+    }
+
+    /// Refuses a claim for want of a decision. Nothing was sent and nothing will be, so "not run"
+    /// is true; but where a write may have carried the claim, it is taken back once it is found.
+    /// Without that, a resend through any VM would be told "in progress" for the whole window.
+    fn give_up(&mut self, id: ClaimId, retry_after: Duration, out: &mut Vec<Output>) {
+        let Some(waiting) = self.waiting.get(&id) else {
+            return;
+        };
+        let verdict = self.undecided(&waiting.claim, retry_after);
+        if waiting.tried {
+            self.abandoned.push(Abandoned {
+                key: waiting.claim.key,
+                claimant: waiting.claim.claimant.clone(),
+            });
+            out.push(Output::Count(Counted::Abandoned));
+        }
+        self.decide(id, verdict, out);
+    }
+
+    pub(super) fn pause(&mut self, time: &mut Time<'_>) {
+        let longest_ms = self.settings.longest_retry_pause_ms;
+        let bound_ms = self.settings.retry_pause_ms << self.failures.min(DOUBLINGS);
+        self.failures = (self.failures + 1).min(DOUBLINGS);
+        let bound = Duration::from_millis(bound_ms.min(longest_ms));
+        self.pause_until = Some(time.now + bound.mul_f64(time.rng.f64()));
+        // The pace holds between writes that took effect, not before the next try of one.
+        self.last_write = None;
+    }
+
+    pub(super) fn succeeded(&mut self) {
+        self.failures = 0;
+        self.pause_until = None;
+    }
+
+    fn failed(
+        &mut self,
+        time: &mut Time<'_>,
+        open: &Open,
+        failure: Failure,
+        out: &mut Vec<Output>,
+    ) {
+        match open {
+            Open::Write { .. } if failure == Failure::Silent => {
+                self.must_read = true;
+                out.push(Output::Count(Counted::ReadBack));
+            }
+            Open::Stage => self.stage_failed(),
+            Open::DeleteGarbage => drop(self.garbage.pop()),
+            _ => {}
+        }
+        match failure {
+            Failure::Silent | Failure::NotDone if self.down_until.is_none() => self.pause(time),
+            Failure::OverBudget { retry_after } => self.pause_until = Some(time.now + retry_after),
+            Failure::Down { retry_after } => self.went_down(time.now, retry_after, out),
+            Failure::Silent | Failure::NotDone | Failure::Corrupt => {
+                self.went_down(time.now, PROBE_PAUSE, out);
+            }
+        }
+    }
+
+    /// Refuses all that waits: the store is probed, and nothing waits for the probe.
+    fn went_down(&mut self, now: Instant, retry_after: Duration, out: &mut Vec<Output>) {
+        self.down_until = Some(now + retry_after);
+        let ids: Vec<ClaimId> = self.waiting.keys().copied().collect();
+        for id in ids {
+            self.give_up(id, retry_after.max(PROBE_PAUSE), out);
+        }
+    }
+
+    /// Tells when the store should be called next.
+    fn work_due(&self) -> Option<Instant> {
+        if self.open.is_some() {
+            return None;
+        }
+        if let Some(probe) = self.down_until {
+            return Some(probe.max(self.pause_until.unwrap_or(probe)));
+        }
+        let settings = &self.settings;
+        let claims = self.waiting.values().map(|w| w.since + settings.linger());
+        let ends = self
+            .ends
+            .iter()
+            .map(|end| end.since + settings.end_linger());
+        let chores = self.known.is_none()
+            || self.behind
+            || !self.abandoned.is_empty()
+            || !self.garbage.is_empty();
+        let chores = chores.then_some(self.last_answer.unwrap_or(self.started));
+        let due = claims.chain(ends).chain(chores).min()?;
+        if self.hurried {
+            return Some(self.pause_until.unwrap_or(self.started));
+        }
+        let paced = self.last_write.map(|last| last + settings.pace());
+        Some(
+            due.max(paced.unwrap_or(due))
+                .max(self.pause_until.unwrap_or(due)),
+        )
+    }
+
+    fn step(&mut self, time: &mut Time<'_>, out: &mut Vec<Output>) {
+        if self.open.is_some() || self.work_due().is_none_or(|due| due > time.now) {
+            return;
+        }
+        if let Some((open, operation)) = self.next(time, out) {
+            if matches!(open, Open::Write { .. }) {
+                self.last_write = Some(time.now);
+            }
+            self.open = Some((open, time.now));
+            out.push(Output::Store(operation));
+        }
+    }
+
+    fn next(&mut self, time: &mut Time<'_>, out: &mut Vec<Output>) -> Option<(Open, Operation)> {
+        if self.must_read || self.known.is_none() || self.down_until.is_some() {
+            return Some(self.read_head());
+        }
+        self.missing()
+            .or_else(|| self.decide_known(time, out))
+            .or_else(|| self.stage(time))
+            .or_else(|| self.write(time, out))
+            .or_else(|| self.collect_garbage())
+    }
+}
+
+/// Returns what a settled entry means for a later claim of its key.
+pub(super) fn settled_verdict(
+    fingerprint: Fingerprint,
+    state: &EntryState,
+    claim: &Claim,
+) -> Verdict {
+    if fingerprint != claim.fingerprint {
+        return Verdict::Reused;
+    }
+    match state {
+        EntryState::Claimed => Verdict::InProgress,
+        EntryState::EndUnknown => Verdict::EndUnknown,
+        EntryState::Ran => Verdict::AlreadyRan,
+        EntryState::Answered(record) => Verdict::Replay(Arc::clone(record)),
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft/src/decisions/claim/seal.rs
@@ -0,0 +1,271 @@
+//! Settled entries leave the head: into segments that never change, and indexes over them.
+//!
+//! Without sealing, a head would grow past 1 MB within minutes and be rewritten whole with each
+//! claim. Without indexes, a VM that starts would read every segment of the window. Names belong to
+//! one VM's life, so two VMs that seal at once never write the same object; the head's conditional
+//! update decides which of the two counts, and the other is deleted.
+
+use std::sync::Arc;
+
+use super::ledger::{
+    Entry, Head, Index, IndexRef, IndexedSegment, KeyHash, Segment, SegmentNumber, SegmentRef,
+    Version,
+};
+use super::message::{Operation, Precondition, StoreAnswer, Stored, StoredKind};
+use super::partition::{Known, Open, Partition, Sealed, Time};
+
+/// A sealed object that is written, and not yet named by the head.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Staged {
+    name: String,
+    what: What,
+    expires_ms: u64,
+    /// The object's version, once it is written.
+    version: Option<Version>,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+enum What {
+    Segment(Arc<Segment>),
+    Index(Vec<SegmentNumber>),
+}
+
+/// An object that no head names any more.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Garbage {
+    name: String,
+    /// The version; `None` where the write had no answer.
+    version: Option<Version>,
+}
+
+impl Sealed {
+    /// Learns the keys of a segment; a key that was claimed again after its window stays with the
+    /// later segment.
+    pub(super) fn learn(&mut self, segment: SegmentRef, keys: impl Iterator<Item = KeyHash>) {
+        for key in keys {
+            let number = self.keys.entry(key).or_default();
+            *number = segment.number.max(*number);
+        }
+        self.loaded.insert(segment.name.clone());
+        self.segments.insert(segment.number, segment);
+    }
+}
+
+impl Partition {
+    /// Writes a segment or an index where the head has grown; the head names it afterwards. Each
+    /// VM draws its own threshold, so that seldom two seal at once.
+    pub(super) fn stage(&mut self, time: &mut Time<'_>) -> Option<(Open, Operation)> {
+        if self.staged.is_some() || (self.waiting.is_empty() && self.ends.is_empty()) {
+            return None;
+        }
+        let head = Arc::clone(&self.known.as_ref()?.head);
+        let threshold = 1.0 + time.rng.f64();
+        let bytes = self.settings.seal_bytes as f64 * threshold;
+        let segments = self.settings.segments_per_index as f64 * threshold;
+        let (what, value, expires_ms) = if head.segments.len() as f64 >= segments {
+            self.index(&head)
+        } else if head.bytes() as f64 >= bytes {
+            segment(&head)?
+        } else {
+            return None;
+        };
+        self.names += 1;
+        let name = format!(
+            "claims/{:03}/sealed-{:016x}-{}",
+            self.number, self.owner, self.names
+        );
+        self.staged = Some(Staged {
+            name: name.clone(),
+            what,
+            expires_ms,
+            version: None,
+        });
+        let put = Operation::Put {
+            name,
+            value,
+            when: Precondition::Absent,
+        };
+        Some((Open::Stage, put))
+    }
+
+    fn index(&self, head: &Head) -> (What, Stored, u64) {
+        let numbers: Vec<SegmentNumber> = head.segments.iter().map(|s| s.number).collect();
+        let mut segments: Vec<IndexedSegment> = head
+            .segments
+            .iter()
+            .map(|segment| IndexedSegment {
+                segment: segment.clone(),
+                keys: Vec::new(),
+            })
+            .collect();
+        for (key, number) in &self.sealed.keys {
+            if let Ok(at) = numbers.binary_search(number) {
+                segments[at].keys.push(*key);
+            }
+        }
+        let expires_ms = head.segments.iter().map(|segment| segment.expires_ms).max();
+        let index = Stored::Index(Arc::new(Index { segments }));
+        (What::Index(numbers), index, expires_ms.unwrap_or_default())
+    }
+
+    pub(super) fn stage_closed(&mut self, answer: &StoreAnswer) {
+        match (answer, &mut self.staged) {
+            (StoreAnswer::Written(version), Some(staged)) => staged.version = Some(*version),
+            _ => self.stage_failed(),
+        }
+    }
+
+    /// Gives a staged object up; a write without an answer may have left it behind.
+    pub(super) fn stage_failed(&mut self) {
+        if let Some(staged) = self.staged.take() {
+            self.garbage.push(Garbage {
+                name: staged.name,
+                version: staged.version,
+            });
+        }
+    }
+
+    /// Names the staged object in a new head, if what it seals is still there.
+    pub(super) fn apply_staged(&mut self, head: &mut Head) {
+        let Some(staged) = &self.staged else {
+            return;
+        };
+        let named = head
+            .segments
+            .iter()
+            .any(|segment| segment.name == staged.name);
+        if named || head.indexes.iter().any(|index| index.name == staged.name) {
+            // A write without an answer had named it.
+            self.staged = None;
+            return;
+        }
+        let applied = staged.version.is_some_and(|version| match &staged.what {
+            What::Segment(segment) => apply_segment(head, staged, version, segment),
+            What::Index(numbers) => apply_index(head, staged, version, numbers),
+        });
+        if !applied {
+            self.stage_failed();
+        }
+    }
+
+    /// Notes that the head now names the staged object.
+    pub(super) fn stage_written(&mut self, known: &Known) {
+        let Some(staged) = self.staged.take() else {
+            return;
+        };
+        let mut segments = known.head.segments.iter();
+        let segment = segments.find(|segment| segment.name == staged.name);
+        match (staged.what, segment) {
+            (What::Segment(content), Some(segment)) => {
+                let keys = content.entries.keys().copied();
+                self.sealed.learn(segment.clone(), keys);
+            }
+            _ => drop(self.sealed.loaded.insert(staged.name)),
+        }
+    }
+
+    /// Drops what has expired from a head, and marks its objects for deletion. Only the VM whose
+    /// write drops them deletes them; they are then named by no head.
+    pub(super) fn expire(&mut self, head: &mut Head, unix_ms: u64) {
+        head.entries.retain(|_, entry| entry.expires_ms > unix_ms);
+        head.segments.retain(|segment| segment.expires_ms > unix_ms);
+        head.indexes.retain(|index| index.expires_ms > unix_ms);
+    }
+
+    /// Marks the objects that a newer head of this VM's own does not name any more.
+    pub(super) fn mark_expired(&mut self, before: &Head, after: &Head) {
+        let indexes = before.indexes.iter();
+        for index in indexes.filter(|index| !after.indexes.contains(index)) {
+            self.garbage.push(Garbage {
+                name: index.name.clone(),
+                version: Some(index.version),
+            });
+        }
+        let segments = self.sealed.segments.values();
+        let gone = segments.filter(|segment| !after.covers(segment.number));
+        self.garbage.extend(gone.map(|segment| Garbage {
+            name: segment.name.clone(),
+            version: Some(segment.version),
+        }));
+    }
+
+    /// Deletes one object that no head names, when nothing else is to do.
+    pub(super) fn collect_garbage(&mut self) -> Option<(Open, Operation)> {
+        let garbage = self.garbage.last()?;
+        let name = garbage.name.clone();
+        Some(match garbage.version {
+            Some(version) => (Open::DeleteGarbage, Operation::Delete { name, version }),
+            None => {
+                let kind = StoredKind::Segment;
+                (Open::FindGarbage, Operation::Get { name, kind })
+            }
+        })
+    }
+
+    pub(super) fn garbage_found(&mut self, found: Option<(Version, Stored)>) {
+        match (found, self.garbage.last_mut()) {
+            (Some((version, _)), Some(garbage)) => garbage.version = Some(version),
+            _ => drop(self.garbage.pop()),
+        }
+    }
+}
+
+/// Cuts the settled entries off a head; `None` where there is none.
+fn segment(head: &Head) -> Option<(What, Stored, u64)> {
+    let settled = head
+        .entries
+        .values()
+        .filter(|entry| entry.state.is_settled());
+    let entries: Vec<&Entry> = settled.collect();
+    let expires_ms = entries.iter().map(|entry| entry.expires_ms).max()?;
+    let entries = entries.into_iter();
+    let segment = Arc::new(Segment {
+        entries: entries.map(|entry| (entry.key, entry.clone())).collect(),
+    });
+    let value = Stored::Segment(Arc::clone(&segment));
+    Some((What::Segment(segment), value, expires_ms))
+}
+
+fn apply_segment(head: &mut Head, staged: &Staged, version: Version, segment: &Segment) -> bool {
+    // Another VM may have sealed the same entries, or a key may have expired and been claimed
+    // anew: then this segment must not take them out of the head.
+    let mut sealed = segment.entries.iter();
+    if !sealed.all(|(key, entry)| head.entries.get(key) == Some(entry)) {
+        return false;
+    }
+    head.entries
+        .retain(|key, _| !segment.entries.contains_key(key));
+    head.segments.push(SegmentRef {
+        number: head.next_segment,
+        name: staged.name.clone(),
+        version,
+        expires_ms: staged.expires_ms,
+    });
+    head.next_segment += 1;
+    true
+}
+
+fn apply_index(
+    head: &mut Head,
+    staged: &Staged,
+    version: Version,
+    numbers: &[SegmentNumber],
+) -> bool {
+    let (Some(first), Some(last)) = (numbers.first(), numbers.last()) else {
+        return false;
+    };
+    let named = |number| head.segments.iter().any(|segment| segment.number == number);
+    if !numbers.iter().all(|number| named(*number)) {
+        return false;
+    }
+    head.segments
+        .retain(|segment| !numbers.contains(&segment.number));
+    head.indexes.push(IndexRef {
+        first: *first,
+        last: *last,
+        name: staged.name.clone(),
+        version,
+        expires_ms: staged.expires_ms,
+    });
+    true
+}
--- /dev/null
+++ b/crates/kingcuploft/src/decisions/claim/write.rs
@@ -0,0 +1,104 @@
+//! One conditional update of the head that carries all that waits.
+
+use std::sync::Arc;
+
+use super::ledger::{Entry, EntryState, Head};
+use super::message::{ClaimId, Operation, Output, Precondition, Stored, Verdict};
+use super::partition::{End, Open, Partition, Time};
+
+impl Partition {
+    /// Builds the write that carries all ends and claims; `None` where there is nothing to write.
+    pub(super) fn write(
+        &mut self,
+        time: &Time<'_>,
+        out: &mut Vec<Output>,
+    ) -> Option<(Open, Operation)> {
+        let known = self.known.clone()?;
+        let mut head = (*known.head).clone();
+        self.expire(&mut head, time.unix_ms);
+        self.ends.retain(|end| applies(end, &head));
+        for end in &self.ends {
+            apply(end, &mut head, self.settings.object_bytes);
+        }
+        self.apply_staged(&mut head);
+        let claims = self.apply_claims(time, &mut head, out);
+        // A refused claim that a lost write may have carried needs a write that decides it.
+        if claims.is_empty() && self.ends.is_empty() && self.abandoned.is_empty() {
+            return None;
+        }
+        let head = Arc::new(head);
+        let put = Operation::Put {
+            name: Self::head_name(self.number),
+            value: Stored::Head(Arc::clone(&head)),
+            when: match known.version {
+                0 => Precondition::Absent,
+                version => Precondition::Version(version),
+            },
+        };
+        let open = Open::Write {
+            head,
+            claims,
+            ends: self.ends.len(),
+        };
+        Some((open, put))
+    }
+
+    fn apply_claims(
+        &mut self,
+        time: &Time<'_>,
+        head: &mut Head,
+        out: &mut Vec<Output>,
+    ) -> Vec<ClaimId> {
+        let slack_ms = self.settings.clock_slack_s * 1000;
+        let mut bytes = head.bytes();
+        let mut claims = Vec::with_capacity(self.waiting.len());
+        let mut full = Vec::new();
+        for (id, waiting) in &mut self.waiting {
+            let claim = &waiting.claim;
+            let window_ms = claim.window.as_millis() as u64;
+            let entry = Entry {
+                key: claim.key,
+                fingerprint: claim.fingerprint,
+                claimant: claim.claimant.clone(),
+                claimed_ms: time.unix_ms,
+                expires_ms: time.unix_ms + window_ms + slack_ms,
+                state: EntryState::Claimed,
+            };
+            bytes += entry.bytes();
+            if bytes > self.settings.object_bytes {
+                full.push(*id);
+                continue;
+            }
+            waiting.tried = true;
+            head.entries.insert(entry.key, entry);
+            claims.push(*id);
+        }
+        for id in full {
+            self.decide(id, Verdict::Full, out);
+        }
+        claims
+    }
+}
+
+/// Tells whether an end is still to be written: a write without an answer may have carried it.
+fn applies(end: &End, head: &Head) -> bool {
+    let entry = head.entries.get(&end.key);
+    entry.is_some_and(|entry| entry.claimant == end.claimant && !entry.state.is_settled())
+}
+
+/// Applies an end. An answer that would take the object over its bound is not kept: a duplicate is
+/// then told that the action ran, which is true.
+fn apply(end: &End, head: &mut Head, object_bytes: usize) {
+    let Some(state) = &end.state else {
+        head.entries.remove(&end.key);
+        return;
+    };
+    let bytes = head.bytes();
+    let Some(entry) = head.entries.get_mut(&end.key) else {
+        return;
+    };
+    entry.state = match state {
+        EntryState::Answered(record) if bytes + record.bytes() > object_bytes => EntryState::Ran,
+        state => state.clone(),
+    };
+}
--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -2,6 +2,7 @@
 //! changes. One decision, one file; its settings stand in the twin file in [`crate::settings`].
 
 pub mod admission;
+pub mod claim;
 pub mod drain;
 pub mod measuring;
 pub mod retry;
--- a/crates/kingcuploft/src/settings/mod.rs
+++ b/crates/kingcuploft/src/settings/mod.rs
@@ -2,6 +2,7 @@
 //! [`crate::decisions`].
 
 pub mod admission;
+pub mod claim;
 pub mod drain;
 pub mod measuring;
 pub mod retry;
