--- a/crates/kingcuploft-standins/src/lib.rs
+++ b/crates/kingcuploft-standins/src/lib.rs
@@ -10,3 +10,5 @@
 pub mod platform;
 pub mod plot;
 pub mod tally;
+pub mod traffic;
+pub mod virtual_fleet;
