feat(claims): the daemon claims through the ledger, in groups

The claims duty made one blocking call after the other, an object and two writes for each action, and deadlocked with the dispatch duty where both rings were full (each waited in a send). Now the pure ledger decides, calls to the store run on threads of their own, a partition has one open, and all claims and ends that came meanwhile share the next write. The dispatch duty never waits for the claims duty: a claim that finds a full ring is refused, an end is kept. Recorded answers keep their bytes and the headers that describe the body; a longer or streamed one is recorded as ran. Claims, verdicts, conflicts, read-backs, group sizes and store calls by kind and result are counted.

--- a/crates/kingcuploft/src/decisions/claim/read.rs
+++ b/crates/kingcuploft/src/decisions/claim/read.rs
@@ -113,7 +113,9 @@
         if let Some(before) = self.known.take() {
             self.mark_expired(&before.head, &known.head);
         }
-        self.stage_written(&known);
+        if self.stage_written(&known) {
+            out.push(Output::Count(Counted::Sealed));
+        }
         self.adopt(time, known);
         for id in claims {
             self.decide(*id, Verdict::Held, out);
--- a/crates/kingcuploft/src/decisions/claim/seal.rs
+++ b/crates/kingcuploft/src/decisions/claim/seal.rs
@@ -148,10 +148,10 @@
         }
     }
 
-    /// Notes that the head now names the staged object.
-    pub(super) fn stage_written(&mut self, known: &Known) {
+    /// Notes that the head now names the staged object; tells whether there was one.
+    pub(super) fn stage_written(&mut self, known: &Known) -> bool {
         let Some(staged) = self.staged.take() else {
-            return;
+            return false;
         };
         let mut segments = known.head.segments.iter();
         let segment = segments.find(|segment| segment.name == staged.name);
@@ -162,6 +162,7 @@
             }
             _ => drop(self.sealed.loaded.insert(staged.name)),
         }
+        true
     }
 
     /// Drops what has expired from a head, and marks its objects for deletion. Only the VM whose
--- /dev/null
+++ b/crates/kingcuploftd/src/claims/calls.rs
@@ -0,0 +1,114 @@
+//! The ledger's calls to the store, made from threads of their own.
+
+use std::sync::Arc;
+
+use crossbeam_channel::{Receiver, Sender};
+use kingcuploft::decisions::claim::ledger::Version;
+use kingcuploft::decisions::claim::message::{
+    Failure, Operation, Precondition, StoreAnswer, Stored, StoredKind,
+};
+use kingcuploft_platform::{Expect, ObjectStore, StoreError};
+
+use super::metrics::{CallKind, ClaimMetrics};
+
+/// A call of one partition.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) partition: u16,
+    pub(super) operation: Operation,
+}
+
+/// How a call of one partition ended.
+#[derive(Debug)]
+pub(super) struct CallAnswer {
+    pub(super) partition: u16,
+    pub(super) answer: StoreAnswer,
+}
+
+/// Makes calls until the claims duty ends.
+pub(super) fn run(
+    store: &dyn ObjectStore,
+    metrics: &ClaimMetrics,
+    calls: &Receiver<Call>,
+    answers: &Sender<CallAnswer>,
+) {
+    for call in calls {
+        let answer = CallAnswer {
+            partition: call.partition,
+            answer: make(store, metrics, call.operation),
+        };
+        if answers.send(answer).is_err() {
+            return;
+        }
+    }
+}
+
+fn make(store: &dyn ObjectStore, metrics: &ClaimMetrics, operation: Operation) -> StoreAnswer {
+    let (kind, answer) = match operation {
+        Operation::Get { name, kind } => (CallKind::Get, get(store, &name, kind)),
+        Operation::Put { name, value, when } => (CallKind::Put, put(store, &name, &value, when)),
+        Operation::Delete { name, version } => {
+            let deleted = store.delete(&name, version);
+            (CallKind::Delete, deleted.map(|()| StoreAnswer::Deleted))
+        }
+    };
+    metrics.called(kind, answer.as_ref().err());
+    answer.unwrap_or_else(|error| failed(&error))
+}
+
+fn get(store: &dyn ObjectStore, name: &str, kind: StoredKind) -> Result<StoreAnswer, StoreError> {
+    let Some(object) = store.get(name)? else {
+        return Ok(StoreAnswer::Found(None));
+    };
+    Ok(match parse(&object.value, kind) {
+        Ok(stored) => StoreAnswer::Found(Some((object.version as Version, stored))),
+        Err(error) => {
+            tracing::error!("claims: {name} can not be read, its keys are refused: {error}.");
+            StoreAnswer::Failed(Failure::Corrupt)
+        }
+    })
+}
+
+fn parse(text: &str, kind: StoredKind) -> Result<Stored, serde_json::Error> {
+    Ok(match kind {
+        StoredKind::Head => Stored::Head(Arc::new(serde_json::from_str(text)?)),
+        StoredKind::Segment => Stored::Segment(Arc::new(serde_json::from_str(text)?)),
+        StoredKind::Index => Stored::Index(Arc::new(serde_json::from_str(text)?)),
+    })
+}
+
+fn put(
+    store: &dyn ObjectStore,
+    name: &str,
+    value: &Stored,
+    when: Precondition,
+) -> Result<StoreAnswer, StoreError> {
+    let text = match value {
+        Stored::Head(head) => serde_json::to_string(head.as_ref()),
+        Stored::Segment(segment) => serde_json::to_string(segment.as_ref()),
+        Stored::Index(index) => serde_json::to_string(index.as_ref()),
+    };
+    let Ok(text) = text else {
+        return Ok(StoreAnswer::Failed(Failure::NotDone));
+    };
+    let expect = match when {
+        Precondition::Absent => Expect::Absent,
+        Precondition::Version(version) => Expect::Version(version),
+    };
+    store.put(name, &text, expect).map(StoreAnswer::Written)
+}
+
+/// Turns the client's error into what it proves.
+fn failed(error: &StoreError) -> StoreAnswer {
+    StoreAnswer::Failed(match error {
+        StoreError::Conflict { found } => return StoreAnswer::Conflict { found: *found },
+        StoreError::Silent(_) => Failure::Silent,
+        StoreError::Down { retry_after } => Failure::Down {
+            retry_after: *retry_after,
+        },
+        StoreError::OverBudget { retry_after } => Failure::OverBudget {
+            retry_after: *retry_after,
+        },
+        StoreError::NotSent(_) | StoreError::Refused(_) | StoreError::Lapsed => Failure::NotDone,
+    })
+}
--- /dev/null
+++ b/crates/kingcuploftd/src/claims/layout.rs
@@ -0,0 +1,89 @@
+//! How many partitions the ledger has: kept in the store, decided once.
+
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use kingcuploft::decisions::claim::message::Verdict;
+use kingcuploft_platform::{Expect, ObjectStore, StoreError};
+use serde::{Deserialize, Serialize};
+
+use super::records;
+use crate::message::{ClaimOrder, Message};
+use crate::shared::Shared;
+
+/// The key of the layout.
+const LAYOUT_KEY: &str = "claims/layout";
+
+/// The pause between tries to read the layout.
+const PAUSE: Duration = Duration::from_millis(300);
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+struct Layout {
+    partitions: u16,
+}
+
+/// Returns the number of partitions, once it is known; `None` where the daemon ends before.
+///
+/// Two VMs with different numbers would look for one key in two places and run it twice. So the
+/// settings only decide what the first VM ever writes; every VM goes by what is stored, and claims
+/// are refused until it is read.
+pub(super) fn partitions(
+    shared: &Shared,
+    ring: &Receiver<ClaimOrder>,
+    store: &dyn ObjectStore,
+) -> Option<u16> {
+    let wanted = shared.settings.claims.partitions.max(1);
+    loop {
+        match find(store, wanted) {
+            Ok(found) => {
+                if found != wanted {
+                    tracing::warn!("claims: the ledger has {found} partitions, not {wanted}.");
+                }
+                return Some(found);
+            }
+            Err(error) => tracing::warn!("claims: the layout can not be read: {error}."),
+        }
+        if !refuse_for(shared, ring, PAUSE) {
+            return None;
+        }
+    }
+}
+
+fn find(store: &dyn ObjectStore, wanted: u16) -> Result<u16, StoreError> {
+    if let Some(object) = store.get(LAYOUT_KEY)? {
+        let layout = serde_json::from_str::<Layout>(&object.value);
+        let layout = layout.map_err(|error| StoreError::Silent(error.to_string()))?;
+        return Ok(layout.partitions.max(1));
+    }
+    let layout = Layout { partitions: wanted };
+    let value = serde_json::to_string(&layout);
+    let value = value.map_err(|error| StoreError::Silent(error.to_string()))?;
+    match store.put(LAYOUT_KEY, &value, Expect::Absent) {
+        Ok(_) => Ok(wanted),
+        // Another VM came first, or an earlier write without an answer: what stands there counts.
+        Err(StoreError::Conflict { found: Some(_) }) => find(store, wanted),
+        Err(error) => Err(error),
+    }
+}
+
+/// Refuses claims for a while; tells whether the daemon goes on.
+fn refuse_for(shared: &Shared, ring: &Receiver<ClaimOrder>, time: Duration) -> bool {
+    let until = Instant::now() + time;
+    loop {
+        match ring.recv_deadline(until) {
+            Ok(ClaimOrder::Claim { request, .. }) => {
+                let verdict = Verdict::Unavailable { retry_after: PAUSE };
+                shared.metrics.claims.decided(&verdict);
+                let (end, _) = records::claim_end(&verdict);
+                drop(shared.dispatch.send(Message::Claimed {
+                    request,
+                    end,
+                    recorded: None,
+                }));
+            }
+            Ok(_) => {}
+            Err(RecvTimeoutError::Timeout) => return true,
+            Err(RecvTimeoutError::Disconnected) => return false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcuploftd/src/claims/mod.rs
@@ -0,0 +1,257 @@
+//! The claims duty: claims, releases and records protected actions in the store.
+//!
+//! The decisions stand in [`kingcuploft::decisions::claim`]; this duty gives them orders, time and
+//! the store's answers. The store is called from threads of their own, so that a slow call delays
+//! nothing but its own partition.
+
+mod calls;
+mod layout;
+pub mod metrics;
+mod records;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crossbeam_channel::{Receiver, Sender, bounded, select};
+use kingcuploft::decisions::claim::ledger::Claimant;
+use kingcuploft::decisions::claim::message::{Claim, Order, Output, Verdict};
+use kingcuploft::decisions::claim::{Partition, Time, partition_of};
+use kingcuploft::utils::HashMap;
+use kingcuploft::world::ids::RequestId;
+use kingcuploft_platform::ObjectStore;
+
+use self::calls::{Call, CallAnswer};
+use crate::message::{ClaimOrder, Message};
+use crate::shared::Shared;
+
+pub use self::records::{fingerprint, key_hash};
+
+/// The longest sleep without an event.
+const LONGEST_SLEEP: Duration = Duration::from_millis(200);
+
+/// How long a stopping daemon tries to write the last ends.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The most threads that call the store.
+const THREADS: u16 = 8;
+
+/// Where a request's claim is, and how long a recorded answer may be.
+#[derive(Clone, Copy, Debug)]
+struct Placed {
+    partition: u16,
+    record_bytes: u64,
+}
+
+struct Claims {
+    shared: Arc<Shared>,
+    partitions: Vec<Partition>,
+    calls: Sender<Call>,
+    placed: HashMap<RequestId, Placed>,
+    rng: fastrand::Rng,
+    out: Vec<Output>,
+}
+
+/// Runs the duty until the dispatch duty ends and the last ends are written.
+pub fn run<S: ObjectStore>(shared: Arc<Shared>, ring: &Receiver<ClaimOrder>, store: S) {
+    let Some(count) = layout::partitions(&shared, ring, &store) else {
+        return;
+    };
+    // One call per partition is open at most: neither ring is ever full.
+    let room = usize::from(count);
+    let (calls, call_orders) = bounded(room);
+    let (answers, call_answers) = bounded(room);
+    std::thread::scope(|scope| {
+        for _ in 0..count.min(THREADS) {
+            let (store, calls, answers) = (&store, call_orders.clone(), answers.clone());
+            let metrics = &shared.metrics.claims;
+            scope.spawn(move || calls::run(store, metrics, &calls, &answers));
+        }
+        drop(answers);
+        Claims::new(Arc::clone(&shared), count, calls).run(ring, &call_answers);
+    });
+}
+
+impl Claims {
+    fn new(shared: Arc<Shared>, count: u16, calls: Sender<Call>) -> Self {
+        let settings = Arc::new(shared.settings.claims.clone());
+        let owner = records::owner(&shared.vm);
+        let now = Instant::now();
+        let partition = |number| Partition::new(number, owner, Arc::clone(&settings), now);
+        Self {
+            partitions: (0..count).map(partition).collect(),
+            calls,
+            placed: HashMap::default(),
+            rng: fastrand::Rng::with_seed(owner),
+            out: Vec::new(),
+            shared,
+        }
+    }
+
+    fn run(mut self, ring: &Receiver<ClaimOrder>, answers: &Receiver<CallAnswer>) {
+        loop {
+            select! {
+                recv(ring) -> order => match order {
+                    Ok(order) => self.order(order),
+                    Err(_) => break,
+                },
+                recv(answers) -> answer => if let Ok(answer) = answer {
+                    self.answered(answer);
+                },
+                default(self.sleep()) => {}
+            }
+            self.tick();
+        }
+        self.finish(answers);
+    }
+
+    /// Writes what is left, so that a planned stop loses no recorded answer.
+    fn finish(mut self, answers: &Receiver<CallAnswer>) {
+        let until = Instant::now() + STOP_TIMEOUT;
+        self.partitions.iter_mut().for_each(Partition::hurry);
+        self.tick();
+        while !self.partitions.iter().all(Partition::is_idle) {
+            if Instant::now() > until {
+                tracing::warn!("claims: the last ends could not be written; they stay unknown.");
+                return;
+            }
+            if let Ok(answer) = answers.recv_timeout(self.sleep()) {
+                self.answered(answer);
+            }
+            self.tick();
+        }
+    }
+
+    fn sleep(&self) -> Duration {
+        let due = self.partitions.iter().filter_map(Partition::next_due).min();
+        let left = due.map(|due| due.saturating_duration_since(Instant::now()));
+        left.map_or(LONGEST_SLEEP, |left| left.min(LONGEST_SLEEP))
+    }
+
+    fn order(&mut self, order: ClaimOrder) {
+        match order {
+            ClaimOrder::Claim {
+                request,
+                key,
+                fingerprint,
+                deadline,
+                window,
+                record_bytes,
+            } => {
+                let partition = partition_of(key, self.partitions.len() as u16);
+                let placed = Placed {
+                    partition,
+                    record_bytes,
+                };
+                self.placed.insert(request, placed);
+                let vm = &self.shared.vm;
+                let give_up = Instant::now() + self.shared.settings.claims.timeout();
+                let claim = Claim {
+                    key,
+                    fingerprint,
+                    claimant: Claimant {
+                        vm: vm.name.clone(),
+                        incarnation: vm.incarnation,
+                        nonce: request,
+                    },
+                    window,
+                    give_up: give_up.min(deadline),
+                };
+                self.feed(partition, |partition, time, out| {
+                    partition.order(time, Order::Claim(request, claim), out);
+                });
+            }
+            ClaimOrder::Release { request } => {
+                if let Some(placed) = self.placed.remove(&request) {
+                    self.feed(placed.partition, |partition, time, out| {
+                        partition.order(time, Order::Release(request), out);
+                    });
+                }
+            }
+            ClaimOrder::Acknowledge { request, answer } => {
+                if let Some(placed) = self.placed.remove(&request) {
+                    let end = records::end(answer.as_deref(), placed.record_bytes);
+                    self.feed(placed.partition, |partition, time, out| {
+                        partition.order(time, Order::Acknowledge(request, end), out);
+                    });
+                }
+            }
+        }
+    }
+
+    fn answered(&mut self, answer: CallAnswer) {
+        let CallAnswer { partition, answer } = answer;
+        self.feed(partition, |partition, time, out| {
+            partition.answered(time, answer, out);
+        });
+    }
+
+    fn tick(&mut self) {
+        let now = Instant::now();
+        for number in 0..self.partitions.len() {
+            if self.partitions[number]
+                .next_due()
+                .is_some_and(|due| due <= now)
+            {
+                self.feed(number as u16, |partition, time, out| {
+                    partition.tick(time, out)
+                });
+            }
+        }
+        let held = self.partitions.iter().map(Partition::held).sum::<usize>();
+        self.shared.metrics.claims.held.set(held as i64);
+    }
+
+    fn feed(
+        &mut self,
+        number: u16,
+        event: impl FnOnce(&mut Partition, &mut Time<'_>, &mut Vec<Output>),
+    ) {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let mut time = Time {
+            now: Instant::now(),
+            unix_ms: since.map_or(0, |since| since.as_millis() as u64),
+            rng: &mut self.rng,
+        };
+        let mut out = std::mem::take(&mut self.out);
+        event(
+            &mut self.partitions[usize::from(number)],
+            &mut time,
+            &mut out,
+        );
+        for output in out.drain(..) {
+            self.act(number, output);
+        }
+        self.out = out;
+    }
+
+    fn act(&mut self, partition: u16, output: Output) {
+        match output {
+            Output::Store(operation) => {
+                let call = Call {
+                    partition,
+                    operation,
+                };
+                if self.calls.try_send(call).is_err() {
+                    tracing::error!("claims: partition {partition} has more than one call open.");
+                }
+            }
+            Output::Verdict(request, verdict) => self.verdict(request, &verdict),
+            Output::Count(counted) => self.shared.metrics.claims.count(counted),
+        }
+    }
+
+    fn verdict(&mut self, request: RequestId, verdict: &Verdict) {
+        self.shared.metrics.claims.decided(verdict);
+        if *verdict != Verdict::Held {
+            self.placed.remove(&request);
+        }
+        let (end, recorded) = records::claim_end(verdict);
+        let message = Message::Claimed {
+            request,
+            end,
+            recorded: recorded.map(Box::new),
+        };
+        // The dispatch duty never waits for this one, so this wait ends.
+        drop(self.shared.dispatch.send(message));
+    }
+}
--- /dev/null
+++ b/crates/kingcuploftd/src/claims/records.rs
@@ -0,0 +1,106 @@
+//! Between HTTP and the ledger: keys, fingerprints and recorded answers.
+
+use std::sync::Arc;
+
+use http::header::{
+    CACHE_CONTROL, CONTENT_ENCODING, CONTENT_LANGUAGE, CONTENT_TYPE, ETAG, HeaderName,
+    LAST_MODIFIED, LOCATION,
+};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use kingcuploft::decisions::claim::ledger::{EntryState, Fingerprint, KeyHash, Record};
+use kingcuploft::decisions::claim::message::Verdict;
+use kingcuploft::decisions::claim::refusal;
+use kingcuploft::dispatcher::ClaimEnd;
+use kingcuploft::world::ids::ServiceName;
+use kingcuploft::world::vm::Vm;
+
+use crate::message::{Answer, RequestParts};
+
+/// The headers that are replayed: those that say what the body is.
+const RECORDED_HEADERS: [HeaderName; 7] = [
+    CONTENT_TYPE,
+    CONTENT_ENCODING,
+    CONTENT_LANGUAGE,
+    CACHE_CONTROL,
+    ETAG,
+    LAST_MODIFIED,
+    LOCATION,
+];
+
+/// Returns the hash of an idempotency key; the same key of another service is another action.
+pub fn key_hash(service: &ServiceName, key: &str) -> KeyHash {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(service.len() as u64).to_le_bytes());
+    hasher.update(service.as_bytes());
+    hasher.update(key.as_bytes());
+    first_half(&hasher)
+}
+
+/// Tells one request's content from another's under the same idempotency key.
+pub fn fingerprint(parts: &RequestParts) -> Fingerprint {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(parts.method.as_str().as_bytes());
+    hasher.update(b"\0");
+    hasher.update(parts.uri.to_string().as_bytes());
+    hasher.update(b"\0");
+    hasher.update(&parts.body);
+    first_half(&hasher)
+}
+
+/// Returns a number that no other life of a VM has.
+pub(super) fn owner(vm: &Vm) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(vm.name.as_bytes());
+    hasher.update(&vm.incarnation.to_le_bytes());
+    first_half(&hasher) as u64
+}
+
+fn first_half(hasher: &blake3::Hasher) -> u128 {
+    let mut half = [0; 16];
+    half.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    u128::from_le_bytes(half)
+}
+
+/// Returns what is recorded of an action's end: its answer, where it is whole and short enough.
+pub(super) fn end(answer: Option<&Answer>, record_bytes: u64) -> EntryState {
+    let Some(answer) = answer else {
+        return EntryState::EndUnknown;
+    };
+    if answer.rest.is_some() || answer.body.len() as u64 > record_bytes {
+        return EntryState::Ran;
+    }
+    let header = |name: &HeaderName| {
+        let value = answer.headers.get(name)?.to_str().ok()?;
+        Some((name.to_string(), value.to_owned()))
+    };
+    EntryState::Answered(Arc::new(Record {
+        status: answer.status.as_u16(),
+        headers: RECORDED_HEADERS.iter().filter_map(header).collect(),
+        body: answer.body.to_vec(),
+    }))
+}
+
+/// Returns what a verdict means for the dispatcher, and the answer to replay.
+pub(super) fn claim_end(verdict: &Verdict) -> (ClaimEnd, Option<Answer>) {
+    match (verdict, refusal(verdict)) {
+        (Verdict::Replay(record), _) => (ClaimEnd::Replayed, Some(answer(record))),
+        (_, Some(refusal)) => (ClaimEnd::Refused(refusal), None),
+        (_, None) => (ClaimEnd::Held, None),
+    }
+}
+
+fn answer(record: &Record) -> Answer {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &record.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            headers.insert(name, value);
+        }
+    }
+    Answer {
+        status: StatusCode::from_u16(record.status).unwrap_or_default(),
+        headers,
+        body: record.body.clone().into(),
+        rest: None,
+    }
+}
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -1,16 +1,18 @@
 //! The dispatch duty: runs the library's dispatcher on events from the other duties.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
-use kingcuploft::dispatcher::{Action, Call, Dispatcher, Event};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
+use kingcuploft::dispatcher::{Action, Arrival, Call, ClaimEnd, Dispatcher, Event};
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::backend_server::{CallEnd, CallReport};
 use kingcuploft::world::ids::{AttemptId, RequestId, ServiceName};
-use kingcuploft::world::refusal::Refusal;
+use kingcuploft::world::refusal::{Refusal, RefusalReason};
 use tokio::sync::oneshot;
 
+use crate::claims;
 use crate::message::{Answer, CallOrder, ClaimOrder, Message, Reply, RequestParts};
 use crate::shared::Shared;
 
@@ -30,7 +32,8 @@
 struct Pending {
     service: ServiceName,
     arrived: Instant,
-    claim: Option<(String, String)>,
+    /// How its key is claimed, where it has one.
+    claim: Option<ClaimOrder>,
     parts: Box<RequestParts>,
     reply: oneshot::Sender<Reply>,
 }
@@ -45,6 +48,10 @@
     actions: Vec<Action>,
     /// Attempts that could not be handed to the backend edge.
     not_handed_over: Vec<AttemptId>,
+    /// Claims that could not be handed to the claims duty.
+    not_claimed: Vec<RequestId>,
+    /// Releases and acknowledgements that its ring had no room for, oldest first.
+    late_claim_ends: VecDeque<ClaimOrder>,
 }
 
 /// Runs the duty until a stop has been asked for and nothing is in flight.
@@ -58,6 +65,8 @@
         answers: HashMap::default(),
         actions: Vec::new(),
         not_handed_over: Vec::new(),
+        not_claimed: Vec::new(),
+        late_claim_ends: VecDeque::new(),
     };
     let mut stop: Option<Instant> = None;
     // A stop that has a bound ends at it even where a request is still in flight.
@@ -66,8 +75,13 @@
             Ok(Message::Stop(until)) => stop = Some(until),
             Ok(message) => dispatch.on_message(message),
             Err(RecvTimeoutError::Timeout) => dispatch.on_event(Event::Tick),
-            Err(RecvTimeoutError::Disconnected) => return,
+            Err(RecvTimeoutError::Disconnected) => break,
         }
+        dispatch.hand_over_late_claim_ends();
+    }
+    // The claims duty ends only after this one: it takes all that is left.
+    for order in dispatch.late_claim_ends {
+        drop(dispatch.rings.claims.send(order));
     }
 }
 
@@ -86,8 +100,7 @@
                 reply,
             } => {
                 let id = arrival.request;
-                let claim = arrival.key.as_ref();
-                let claim = claim.map(|key| (key.to_string(), fingerprint(&parts)));
+                let claim = claim_order(&arrival, &parts);
                 let pending = Pending {
                     service: arrival.route.service.name.clone(),
                     arrived: arrival.arrived,
@@ -135,15 +148,25 @@
 
     fn on_event(&mut self, event: Event) {
         self.take_event(event);
-        while let Some(attempt) = self.not_handed_over.pop() {
+        while let Some(event) = self.failed_hand_over() {
+            self.take_event(event);
+        }
+    }
+
+    /// Returns what the dispatcher is told of an order that found a full ring.
+    fn failed_hand_over(&mut self) -> Option<Event> {
+        if let Some(attempt) = self.not_handed_over.pop() {
             let report = CallReport {
                 end: CallEnd::NeverSent,
                 latency: Duration::ZERO,
                 load: None,
                 draining: false,
             };
-            self.take_event(Event::Ended(attempt, report));
+            return Some(Event::Ended(attempt, report));
         }
+        let request = self.not_claimed.pop()?;
+        let refusal = Refusal::not_run(RefusalReason::Overloaded);
+        Some(Event::Claimed(request, ClaimEnd::Refused(refusal)))
     }
 
     fn take_event(&mut self, event: Event) {
@@ -159,10 +182,10 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Claim(request) => self.claim(request),
-            Action::Release(request) => self.order_claim(ClaimOrder::Release { request }),
+            Action::Release(request) => self.end_claim(ClaimOrder::Release { request }),
             Action::Acknowledge(request, attempt) => {
                 let answer = attempt.and_then(|attempt| self.answers.get(&attempt).cloned());
-                self.order_claim(ClaimOrder::Acknowledge {
+                self.end_claim(ClaimOrder::Acknowledge {
                     request,
                     answer: answer.map(Box::new),
                 });
@@ -182,25 +205,31 @@
         }
     }
 
+    /// Hands a claim to the claims duty. Where its ring is full the dispatcher is told so at once:
+    /// this duty never waits for the claims duty, which waits for this one to take its verdicts.
     fn claim(&mut self, request: RequestId) {
-        let Some(pending) = self.pending.get(&request) else {
-            return;
-        };
-        let Some((key, fingerprint)) = pending.claim.clone() else {
-            return;
+        let pending = self.pending.get_mut(&request);
+        let Some(order) = pending.and_then(|pending| pending.claim.take()) else {
+            return self.not_claimed.push(request);
         };
-        self.order_claim(ClaimOrder::Claim {
-            request,
-            service: pending.service.clone(),
-            key,
-            fingerprint,
-        });
+        if self.rings.claims.try_send(order).is_err() {
+            self.not_claimed.push(request);
+        }
+    }
+
+    /// Hands the end of a claim to the claims duty. A lost one would leave its key blocked, so it
+    /// is kept until there is room; there are never more than requests in flight.
+    fn end_claim(&mut self, order: ClaimOrder) {
+        self.late_claim_ends.push_back(order);
+        self.hand_over_late_claim_ends();
     }
 
-    fn order_claim(&self, order: ClaimOrder) {
-        // The claims duty's ring is as long as the dispatch ring, so it is full only where the
-        // store has been slow for long; the dispatch duty then waits with it.
-        drop(self.rings.claims.send(order));
+    fn hand_over_late_claim_ends(&mut self) {
+        while let Some(order) = self.late_claim_ends.pop_front() {
+            if let Err(TrySendError::Full(order)) = self.rings.claims.try_send(order) {
+                return self.late_claim_ends.push_front(order);
+            }
+        }
     }
 
     /// Hands a call to the backend edge. Where the ring is full the call was never sent, and the
@@ -235,13 +264,16 @@
     }
 }
 
-/// Tells one request's content from another's under the same idempotency key.
-fn fingerprint(parts: &RequestParts) -> String {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(parts.method.as_str().as_bytes());
-    hasher.update(b"\0");
-    hasher.update(parts.uri.to_string().as_bytes());
-    hasher.update(b"\0");
-    hasher.update(&parts.body);
-    hasher.finalize().to_hex()[..32].to_string()
+/// Returns the order that claims a request's key, where it has one.
+fn claim_order(arrival: &Arrival, parts: &RequestParts) -> Option<ClaimOrder> {
+    let key = arrival.key.as_ref()?;
+    let idempotency = &arrival.route.rule().idempotency;
+    Some(ClaimOrder::Claim {
+        request: arrival.request,
+        key: claims::key_hash(&arrival.route.service.name, key),
+        fingerprint: claims::fingerprint(parts),
+        deadline: arrival.deadline,
+        window: Duration::from_secs(idempotency.window_s),
+        record_bytes: idempotency.record_bytes,
+    })
 }
--- a/crates/kingcuploftd/src/message.rs
+++ b/crates/kingcuploftd/src/message.rs
@@ -1,9 +1,10 @@
 //! The typed messages between the daemon's threads.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, Uri};
+use kingcuploft::decisions::claim::ledger::{Fingerprint, KeyHash};
 use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd};
 use kingcuploft::manifest::Accepted;
 use kingcuploft::world::backend_server::CallReport;
@@ -104,12 +105,16 @@
     Claim {
         /// The request.
         request: RequestId,
-        /// The service, part of the key.
-        service: ServiceName,
-        /// The caller's idempotency key.
-        key: String,
+        /// The hash of the service and the caller's idempotency key.
+        key: KeyHash,
         /// Tells this request's content from another's.
-        fingerprint: String,
+        fingerprint: Fingerprint,
+        /// When the request's answer is due.
+        deadline: Instant,
+        /// How long the key is remembered.
+        window: Duration,
+        /// The longest answer that is recorded, in bytes.
+        record_bytes: u64,
     },
     /// Give a claim back: nothing was sent.
     Release {
--- a/crates/kingcuploftd/src/metrics.rs
+++ b/crates/kingcuploftd/src/metrics.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::claims::metrics::ClaimMetrics;
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ReasonLabel {
     reason: &'static str,
@@ -29,6 +31,8 @@
     refusals: Family<ReasonLabel, Counter>,
     retries: Family<ReasonLabel, Counter>,
     latency: Family<ServiceLabel, Histogram>,
+    /// What the claims duty counts.
+    pub claims: ClaimMetrics,
     /// The generation in force.
     pub generation: Gauge,
     /// Callers' connections cut because a planned stop reached its bound.
@@ -91,7 +95,9 @@
             "Streamed answers that did not reach their caller whole",
             streams_cut.clone(),
         );
+        let claims = ClaimMetrics::register(&mut registry);
         Self {
+            claims,
             registry,
             refusals,
             retries,
--- a/crates/kingcuploftd/src/settings.rs
+++ b/crates/kingcuploftd/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use kingcuploft::settings::claim::ClaimSettings;
 use kingcuploft_platform::client::ClientSettings;
 use serde::Deserialize;
 
@@ -29,6 +30,9 @@
     /// How the platform's object API is called.
     #[serde(default)]
     pub store: ClientSettings,
+    /// How protected actions are claimed.
+    #[serde(default)]
+    pub claims: ClaimSettings,
 }
 
 /// The form of the log lines.
