--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -2,8 +2,12 @@
 //! changes. One decision, one file; its settings stand in the twin file in [`crate::settings`].
 
 pub mod admission;
+pub mod adoption;
 pub mod claim;
 pub mod drain;
+pub mod fair_queue;
 pub mod measuring;
+pub mod pace;
 pub mod retry;
 pub mod selection;
+pub mod turns;
--- a/crates/kingcuploftd/src/metrics.rs
+++ b/crates/kingcuploftd/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::claims::metrics::ClaimMetrics;
+use crate::metrics_fleet::FleetMetrics;
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ReasonLabel {
@@ -37,6 +38,8 @@
     pub generation: Gauge,
     /// Callers' connections cut because a planned stop reached its bound.
     pub cut_by_stop: Counter,
+    /// The manifest, peers and fleet.
+    pub fleet: FleetMetrics,
     /// Connections opened to backend servers.
     pub backend_connections_opened: Counter,
     /// Calls that found this VM's share of a backend server's connections in use.
@@ -77,6 +80,7 @@
             "Callers' connections cut at the bound of a planned stop",
             cut_by_stop.clone(),
         );
+        let fleet = FleetMetrics::register(&mut registry);
         let backend_connections_opened = Counter::default();
         registry.register(
             "backend_connections_opened",
@@ -99,6 +103,7 @@
         Self {
             claims,
             registry,
+            fleet,
             refusals,
             retries,
             latency,
