--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -3,7 +3,11 @@
 
 pub mod admission;
 pub mod adoption;
+pub mod claim;
 pub mod drain;
+pub mod fair_queue;
 pub mod measuring;
+pub mod pace;
 pub mod retry;
 pub mod selection;
+pub mod turns;
