--- a/crates/kingcuploftd/src/metrics.rs
+++ b/crates/kingcuploftd/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::claims::metrics::ClaimMetrics;
 use crate::metrics_fleet::FleetMetrics;
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
@@ -31,6 +32,8 @@
     refusals: Family<ReasonLabel, Counter>,
     retries: Family<ReasonLabel, Counter>,
     latency: Family<ServiceLabel, Histogram>,
+    /// What the claims duty counts.
+    pub claims: ClaimMetrics,
     /// The generation in force.
     pub generation: Gauge,
     /// Callers' connections cut because a planned stop reached its bound.
@@ -113,7 +116,9 @@
             "accept_errors",
             "Connections that the system could not give",
         );
+        let claims = ClaimMetrics::register(&mut registry);
         Self {
+            claims,
             registry,
             fleet,
             refusals,
