feat(experiments): connections and overhead; the caller port's backlog is 4,096

Cause: the standard library listens with a backlog of 128; above it the system drops a caller's first packet, which comes again after a second.

--- a/crates/kingcuploft-standins/src/experiments/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -3,6 +3,8 @@
 //! One experiment, one file. Each returns its figures as JSON, a table as text, and every promise
 //! it saw broken.
 
+pub mod connections;
+pub mod overhead;
 pub mod overload;
 pub mod promises;
 pub mod real_run;
@@ -114,6 +116,16 @@
 
 /// Every experiment.
 pub const ALL: &[Entry] = &[
+    Entry {
+        name: "connections",
+        about: "bursts of callers and slow senders, at rouille and at the daemon",
+        run: connections::run,
+    },
+    Entry {
+        name: "overhead",
+        about: "what one daemon adds to a call, interleaved with calls straight to the server",
+        run: overhead::run,
+    },
     Entry {
         name: "overload",
         about: "what callers receive under overload, with a hot caller",
--- a/crates/kingcuploft-standins/src/lib.rs
+++ b/crates/kingcuploft-standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod platform;
 pub mod plot;
 pub mod process;
+pub mod raw_caller;
 pub mod tally;
 pub mod traffic;
 pub mod virtual_fleet;
--- a/crates/kingcuploftd/src/daemon.rs
+++ b/crates/kingcuploftd/src/daemon.rs
@@ -8,6 +8,7 @@
 use crossbeam_channel::bounded;
 use kingcuploft::world::vm::Vm;
 use kingcuploft_platform::client::Client;
+use socket2::{Domain, Socket, Type};
 
 use crate::dispatch::Rings;
 use crate::message::Message;
@@ -140,11 +141,22 @@
     }
 }
 
+/// How many connections the system takes before the daemon does. The standard library's 128 are
+/// fewer than the callers that connect at once when an entry VM comes back behind the platform's
+/// balancer: the system drops the others' first packets, and they wait a second or three.
+const BACKLOG: i32 = 4096;
+
 fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
-    let listener = TcpListener::bind(address);
-    let listener = listener.map_err(|error| StartError::Listen { address, error })?;
-    listener.set_nonblocking(true).map_err(StartError::Thread)?;
-    Ok(listener)
+    bind(address).map_err(|error| StartError::Listen { address, error })
+}
+
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
 }
 
 fn spawn(name: &str, duty: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, StartError> {
