--- a/crates/kingcuploft/src/decisions/adoption.rs
+++ b/crates/kingcuploft/src/decisions/adoption.rs
@@ -117,9 +117,30 @@
     services: HashMap<ContentHash, KnownService>,
     earlier: VecDeque<Root>,
     fault: Option<String>,
+    gathers: bool,
 }
 
 impl Adoption {
+    /// Builds the adoption of a VM that just started: it puts nothing in force before enough
+    /// sources were asked, for the first that answers may be a peer that was cut off for an hour.
+    pub fn gathering() -> Self {
+        Self {
+            gathers: true,
+            ..Self::default()
+        }
+    }
+
+    /// Tells whether sources are still being asked for a first manifest.
+    pub fn gathers(&self) -> bool {
+        self.gathers
+    }
+
+    /// Notes that enough sources were asked: the store answered, or peers had the time to.
+    pub fn gathered(&mut self) -> Step {
+        self.gathers = false;
+        self.step()
+    }
+
     /// Returns the generation in force; 0 for none.
     pub fn generation(&self) -> Generation {
         self.in_force
@@ -270,7 +291,7 @@
         // A first manifest must be the newest that any source told of; a later one is progress
         // even where a still newer one is known of.
         let first_is_stale = self.in_force.is_none() && awaited.root.generation < self.heard;
-        if first_is_stale {
+        if first_is_stale || self.gathers {
             return Step::Fetch;
         }
         let mut services = Vec::new();
--- /dev/null
+++ b/crates/kingcuploft/src/decisions/membership.rs
@@ -0,0 +1,579 @@
+//! Who is in the fleet, as far as one VM can tell.
+//!
+//! Load pattern: 30 VMs fail on an ordinary day, 940 are restarted, zones lose each other, and the
+//! platform's VM list lags behind all of it. Without this module a VM would tell news to the dead,
+//! leave out the new, and each would watch the store.
+//!
+//! The view decides only costs: whom to link with, who watches the store, over how many VMs a
+//! backend server's connections are shared. A wrong view never breaks a promise.
+//!
+//! Heartbeats go to a fixed number of neighbours, so a VM's bytes do not grow with the fleet: the
+//! successor on a ring of hashed names, by which every VM has someone who watches it, and the best
+//! by rendezvous hash, half from the own availability zone. Of the others only changes are told,
+//! a bounded number of times each. Each line of news carries the incarnation and the beat it was
+//! seen at; lines are ordered by these, so all VMs converge whatever the order of arrival, and a
+//! suspicion ends with the next beat of the suspected. Heartbeats carry a digest of the view; a
+//! difference that lasts is mended by reading one neighbour's whole list.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::settings::membership::MembershipSettings;
+use crate::utils::{HashMap, HashSet};
+use crate::world::ids::{AvailabilityZone, Incarnation, VmName};
+
+/// The pause after a candidate was first tried in vain; it doubles with each try.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Whether a member is thought to run.
+#[derive(
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberState {
+    /// It was heard.
+    Live,
+    /// Its neighbours do not hear it.
+    Suspect,
+    /// It has not been heard for long.
+    Gone,
+    /// It said that it stops.
+    Leaving,
+}
+
+impl MemberState {
+    /// Every state, for metrics.
+    pub const ALL: [Self; 4] = [Self::Live, Self::Suspect, Self::Gone, Self::Leaving];
+
+    /// Returns the word that stands in metrics and status.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Live => "live",
+            Self::Suspect => "suspect",
+            Self::Gone => "gone",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
+/// What is told of a member.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Member {
+    /// Its name.
+    pub name: VmName,
+    /// Where it stands.
+    pub availability_zone: AvailabilityZone,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+    /// Its life; a later one replaces an earlier.
+    pub incarnation: Incarnation,
+    /// How many heartbeats it had sent when this was seen.
+    pub beat: u32,
+    /// Whether it is thought to run.
+    pub state: MemberState,
+}
+
+impl Member {
+    /// Orders news of one member: the greater is the newer. A stop that was announced goes before
+    /// any beat of the same life.
+    fn order(&self) -> (Incarnation, bool, u32, MemberState) {
+        let leaving = self.state == MemberState::Leaving;
+        (self.incarnation, leaving, self.beat, self.state)
+    }
+}
+
+/// A member with what this VM itself knows of it.
+#[derive(Clone, Debug)]
+struct Known {
+    member: Member,
+    /// When it was heard on a link of this VM, or its news last changed.
+    heard: Instant,
+    /// Whether it is heard on a link of this VM.
+    direct: bool,
+    /// Since when this VM should hear it as a neighbour; `None` while it is none.
+    watched: Option<Instant>,
+    /// The hashes of its name, computed once.
+    hashes: Hashes,
+}
+
+/// The hashes by which a member is chosen for one thing or another.
+#[derive(Clone, Copy, Debug)]
+struct Hashes {
+    /// As a neighbour of this VM: the same for both ends, so that two VMs rather share one link
+    /// than have two.
+    affinity: u64,
+    /// Its place on the ring.
+    place: u64,
+    /// As a watcher of the store.
+    watch: u64,
+    /// Its part of the digest.
+    life: u64,
+}
+
+impl Hashes {
+    fn new(own: &VmName, member: &Member) -> Self {
+        let name = &member.name;
+        Self {
+            affinity: rendezvous(own.min(name), own.max(name)),
+            place: rendezvous("ring", name),
+            watch: rendezvous("watch", name),
+            life: rendezvous(name, &member.incarnation.to_string()),
+        }
+    }
+}
+
+/// An address that the settings or the VM list name and nobody has heard from.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    /// When it may be tried (again).
+    not_before: Instant,
+    /// How often it was tried.
+    tries: u32,
+}
+
+/// A VM to keep a link with.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Neighbour {
+    /// Its name; `None` where only the address is known.
+    pub name: Option<VmName>,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+}
+
+/// One VM's view of the fleet.
+#[derive(Debug)]
+pub struct Membership {
+    own: Member,
+    own_hashes: Hashes,
+    settings: MembershipSettings,
+    members: HashMap<VmName, Known>,
+    candidates: HashMap<SocketAddr, Candidate>,
+    news: VecDeque<(VmName, u32)>,
+    last_tick: Option<Instant>,
+    /// Since when a neighbour's digest has differed from this VM's.
+    differs_since: Option<Instant>,
+    last_pull: Option<Instant>,
+}
+
+impl Membership {
+    /// Builds the view of a VM that knows only itself.
+    pub fn new(own: Member, settings: MembershipSettings) -> Self {
+        Self {
+            own_hashes: Hashes::new(&own.name, &own),
+            own,
+            settings,
+            members: HashMap::default(),
+            candidates: HashMap::default(),
+            news: VecDeque::new(),
+            last_tick: None,
+            differs_since: None,
+            last_pull: None,
+        }
+    }
+
+    /// Returns what this VM tells of itself.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Sets where this VM listens for peers, once that is known.
+    pub fn listens_at(&mut self, address: SocketAddr) {
+        self.own.address = address;
+    }
+
+    /// Counts a heartbeat of this VM.
+    pub fn beat(&mut self) -> u32 {
+        self.own.beat += 1;
+        self.own.beat
+    }
+
+    /// Notes that this VM stops; told to the peers like any news.
+    pub fn leave(&mut self) {
+        self.own.state = MemberState::Leaving;
+        self.spread(self.own.name.clone());
+    }
+
+    /// Notes addresses that the settings or the platform's VM list name. The list lags: it only
+    /// adds whom to try.
+    pub fn listed(&mut self, now: Instant, addresses: impl IntoIterator<Item = SocketAddr>) {
+        for address in addresses {
+            let known = |known: &Known| {
+                known.member.address == address && known.member.state != MemberState::Gone
+            };
+            if address != self.own.address && !self.members.values().any(known) {
+                let candidate = Candidate {
+                    not_before: now,
+                    tries: 0,
+                };
+                self.candidates.entry(address).or_insert(candidate);
+            }
+        }
+    }
+
+    /// Notes that an address could not be linked with; a candidate is left alone for a while.
+    pub fn unreachable(&mut self, now: Instant, address: SocketAddr) {
+        if let Some(candidate) = self.candidates.get_mut(&address) {
+            let pause = FIRST_PAUSE * (1 << candidate.tries.min(16));
+            candidate.not_before = now + pause.min(self.settings.forget());
+            candidate.tries += 1;
+        }
+    }
+
+    /// Takes what a member said of itself on a link; tells whether it may stay linked. An earlier
+    /// life of a member that is known in a later one may not: it was replaced.
+    pub fn heard(&mut self, now: Instant, member: &Member) -> bool {
+        if member.name == self.own.name {
+            return false;
+        }
+        let later = |known: &Known| known.member.incarnation > member.incarnation;
+        if self.members.get(&member.name).is_some_and(later) {
+            return false;
+        }
+        self.candidates.remove(&member.address);
+        self.replaced(now, member);
+        self.take(now, member, true);
+        true
+    }
+
+    /// Takes a heartbeat of a member that is linked.
+    pub fn heard_beat(&mut self, now: Instant, name: &VmName, beat: u32) {
+        let Some(known) = self.members.get_mut(name) else {
+            return;
+        };
+        known.heard = now;
+        known.direct = true;
+        let suspected = matches!(known.member.state, MemberState::Suspect | MemberState::Gone);
+        if beat > known.member.beat {
+            known.member.beat = beat;
+            if suspected {
+                known.member.state = MemberState::Live;
+                self.spread(name.clone());
+            }
+        }
+    }
+
+    /// Notes that the link with a member ended.
+    pub fn unlinked(&mut self, name: &VmName) {
+        if let Some(known) = self.members.get_mut(name) {
+            known.direct = false;
+        }
+    }
+
+    /// Takes news that a peer passes on.
+    pub fn told(&mut self, now: Instant, member: &Member) {
+        if member.name == self.own.name {
+            // Someone suspects this VM: the next beat of this life ends that everywhere.
+            if member.incarnation == self.own.incarnation && member.state != self.own.state {
+                self.spread(self.own.name.clone());
+            }
+            return;
+        }
+        if member.state == MemberState::Live {
+            self.candidates.remove(&member.address);
+        }
+        self.take(now, member, false);
+    }
+
+    /// Takes a peer's whole list. Its lines are not passed on as news: who has them long told the
+    /// others.
+    pub fn read(&mut self, now: Instant, list: &[Member]) {
+        let news = self.news.clone();
+        list.iter().for_each(|member| self.told(now, member));
+        self.news = news;
+    }
+
+    /// Takes a peer's whole list where views have differed for long.
+    ///
+    /// A member that the peer has forgotten stands in no line. Where this VM does not hear it
+    /// either, its last news was missed here: it is suspected, until it is heard of again.
+    pub fn mend(&mut self, now: Instant, list: &[Member]) {
+        self.read(now, list);
+        let listed: HashSet<&VmName> = list.iter().map(|member| &member.name).collect();
+        for (name, known) in &mut self.members {
+            let missed = !known.direct && !listed.contains(name);
+            if missed && known.member.state == MemberState::Live {
+                (known.member.state, known.heard) = (MemberState::Suspect, now);
+            }
+        }
+    }
+
+    /// Suspects and forgets members that have been silent; returns whether the view changed.
+    pub fn tick(&mut self, now: Instant) -> bool {
+        let paused = self.was_paused(now);
+        let mut changed = Vec::new();
+        let settings = &self.settings;
+        let watched: Vec<VmName> = self
+            .neighbours(now)
+            .into_iter()
+            .filter_map(|n| n.name)
+            .collect();
+        for (name, known) in &mut self.members {
+            if paused {
+                known.heard = now;
+                continue;
+            }
+            let silent = now.saturating_duration_since(known.heard);
+            let state = known.member.state;
+            // Only who should hear a member may suspect it; the others learn it as news. One that
+            // has just become a neighbour gets the time to be heard.
+            known.watched = match watched.contains(name) {
+                true => Some(known.watched.unwrap_or(now)),
+                false => None,
+            };
+            let long = |since| now.saturating_duration_since(since) > settings.suspect();
+            let watches = known.direct || known.watched.is_some_and(long);
+            let next = match state {
+                MemberState::Live if watches && silent > settings.suspect() => MemberState::Suspect,
+                MemberState::Suspect if silent > settings.gone() => MemberState::Gone,
+                _ => continue,
+            };
+            known.member.state = next;
+            known.direct = false;
+            changed.push(name.clone());
+        }
+        for name in &changed {
+            self.spread(name.clone());
+        }
+        let before = self.members.len();
+        let forget = self.settings.forget();
+        self.members.retain(|_, known| {
+            let out = matches!(known.member.state, MemberState::Gone | MemberState::Leaving);
+            !out || now.saturating_duration_since(known.heard) <= forget
+        });
+        !changed.is_empty() || before != self.members.len()
+    }
+
+    /// Returns the news for one heartbeat: the least often told first, a few lines at most.
+    pub fn news(&mut self, most: usize) -> Vec<Member> {
+        let mut told = Vec::new();
+        for _ in 0..most.min(self.news.len()) {
+            let Some((name, left)) = self.news.pop_front() else {
+                break;
+            };
+            told.extend(self.member(&name).cloned());
+            if left > 1 {
+                self.news.push_back((name, left - 1));
+            }
+        }
+        told
+    }
+
+    /// Returns a number that two VMs have in common while they count the same lives as live.
+    pub fn digest(&self) -> u32 {
+        let members = self.members.values();
+        let live = members.filter(|known| known.member.state == MemberState::Live);
+        let lives = live.map(|known| known.hashes.life);
+        lives.fold(self.own_hashes.life, u64::wrapping_add) as u32
+    }
+
+    /// Takes a neighbour's digest; tells whether to read its whole list of members.
+    ///
+    /// News is told a bounded number of times, so some may miss a VM when many change at once. A
+    /// difference that lasts is mended by reading one neighbour's list, and not more often than
+    /// once in the time after which a silent member counts as gone.
+    pub fn differs(&mut self, now: Instant, digest: u32) -> bool {
+        if digest == self.digest() {
+            self.differs_since = None;
+            return false;
+        }
+        let since = *self.differs_since.get_or_insert(now);
+        let lasts = now.saturating_duration_since(since) >= self.settings.suspect();
+        let gone = self.settings.gone();
+        let waited = |last: Instant| now.saturating_duration_since(last) >= gone;
+        if !lasts || !self.last_pull.is_none_or(waited) {
+            return false;
+        }
+        self.last_pull = Some(now);
+        self.differs_since = None;
+        true
+    }
+
+    /// Returns every member that is known, this VM included, in the order of names.
+    pub fn members(&self) -> Vec<Member> {
+        let members = self.members.values().map(|known| known.member.clone());
+        let mut members: Vec<Member> = members.chain([self.own.clone()]).collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        members
+    }
+
+    /// Returns how many VMs share the backend servers: the members that take callers, and this VM.
+    pub fn sharing(&self) -> usize {
+        let mut members = self.members.values();
+        let shares = |known: &Known| known.member.state != MemberState::Gone;
+        members.by_ref().filter(|known| shares(known)).count() + 1
+    }
+
+    /// Returns the VMs to keep a link with.
+    pub fn neighbours(&self, now: Instant) -> Vec<Neighbour> {
+        let fits = |state| matches!(state, MemberState::Live | MemberState::Suspect);
+        let members = self.members.values();
+        let mut fitting: Vec<&Known> = members.filter(|k| fits(k.member.state)).collect();
+        fitting.sort_by_key(|known| std::cmp::Reverse(known.hashes.affinity));
+        let successor = self.successor(&fitting);
+        let fitting = fitting.iter().map(|known| &known.member);
+        let mut chosen: Vec<&Member> = successor.into_iter().collect();
+        let in_zone = |m: &&Member| m.availability_zone == self.own.availability_zone;
+        let mut near = fitting.clone().filter(in_zone);
+        let mut far = fitting.filter(|m| !in_zone(m));
+        while chosen.len() < self.settings.neighbours {
+            let (near, far) = (near.next(), far.next());
+            if near.is_none() && far.is_none() {
+                break;
+            }
+            for member in [far, near].into_iter().flatten() {
+                let new = chosen.iter().all(|other| other.name != member.name);
+                if new && chosen.len() < self.settings.neighbours {
+                    chosen.push(member);
+                }
+            }
+        }
+        let chosen = chosen.into_iter().map(|member| Neighbour {
+            name: Some(member.name.clone()),
+            address: member.address,
+        });
+        chosen.chain(self.tried(now)).collect()
+    }
+
+    /// Tells whether this VM is one of the few of its availability zone that watch the store.
+    pub fn watches_store(&self) -> bool {
+        let zone = &self.own.availability_zone;
+        let rivals = self.members.values().filter(|known| {
+            let member = &known.member;
+            member.state == MemberState::Live && member.availability_zone == *zone
+        });
+        let own = self.own_hashes.watch;
+        let better = rivals.filter(|rival| rival.hashes.watch > own).count();
+        better < self.settings.watchers_per_zone
+    }
+
+    /// Returns the next member on the ring of hashed names.
+    fn successor<'a>(&self, fitting: &[&'a Known]) -> Option<&'a Member> {
+        let own = self.own_hashes.place;
+        let distance = |known: &&&Known| known.hashes.place.wrapping_sub(own);
+        let next = fitting.iter().min_by_key(distance);
+        next.map(|known| &known.member)
+    }
+
+    /// Returns a few candidates to try.
+    fn tried(&self, now: Instant) -> Vec<Neighbour> {
+        let candidates = self.candidates.iter();
+        let due = candidates.filter(|(_, candidate)| candidate.not_before <= now);
+        let mut due: Vec<SocketAddr> = due.map(|(address, _)| *address).collect();
+        due.sort_by_key(|address| rendezvous(&self.own.name, &address.to_string()));
+        due.truncate(self.settings.neighbours);
+        let tried = due.into_iter().map(|address| Neighbour {
+            name: None,
+            address,
+        });
+        tried.collect()
+    }
+
+    /// A new VM answers at the address of another one: that one is gone.
+    fn replaced(&mut self, now: Instant, member: &Member) {
+        let mut replaced = Vec::new();
+        for known in self.members.values_mut() {
+            let old = &mut known.member;
+            let same_place = old.address == member.address && old.name != member.name;
+            if same_place && old.state != MemberState::Gone {
+                (old.state, known.heard, known.direct) = (MemberState::Gone, now, false);
+                replaced.push(old.name.clone());
+            }
+        }
+        replaced.into_iter().for_each(|name| self.spread(name));
+    }
+
+    fn take(&mut self, now: Instant, member: &Member, direct: bool) {
+        match self.members.get_mut(&member.name) {
+            None => {
+                // News of someone who is gone already is no news.
+                if !direct && member.state == MemberState::Gone {
+                    return;
+                }
+                let known = Known {
+                    member: member.clone(),
+                    heard: now,
+                    direct,
+                    watched: None,
+                    hashes: Hashes::new(&self.own.name, member),
+                };
+                self.members.insert(member.name.clone(), known);
+            }
+            Some(known) => {
+                known.direct |= direct;
+                if direct {
+                    known.heard = now;
+                }
+                if known.member.order() >= member.order() {
+                    return;
+                }
+                // A suspicion does not end the grace that leads to "gone".
+                if member.state == MemberState::Live || member.state == MemberState::Leaving {
+                    known.heard = now;
+                }
+                let quiet = known.member.state == member.state
+                    && known.member.incarnation == member.incarnation;
+                if known.member.incarnation != member.incarnation {
+                    known.hashes = Hashes::new(&self.own.name, member);
+                }
+                known.member = member.clone();
+                if quiet {
+                    return;
+                }
+            }
+        }
+        self.spread(member.name.clone());
+    }
+
+    /// Puts a member's line on the list of news: each is told a number of times that grows with
+    /// the logarithm of the fleet, enough for it to reach every VM with high probability.
+    fn spread(&mut self, name: VmName) {
+        self.news.retain(|(known, _)| *known != name);
+        let log2 = usize::BITS - (self.members.len() + 1).leading_zeros();
+        self.news.push_front((name, log2 + 2));
+    }
+
+    fn member(&self, name: &VmName) -> Option<&Member> {
+        match *name == self.own.name {
+            true => Some(&self.own),
+            false => self.members.get(name).map(|known| &known.member),
+        }
+    }
+
+    /// A process that was paused would take everyone's silence for death, while it is its own.
+    fn was_paused(&mut self, now: Instant) -> bool {
+        let last = self.last_tick.replace(now);
+        let pause = self.settings.beat() * 2;
+        last.is_some_and(|last| now.saturating_duration_since(last) > pause)
+    }
+}
+
+/// Returns a number that depends on both texts alike on every VM.
+fn rendezvous(a: &str, b: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher
+        .update(a.as_bytes())
+        .update(b"\0")
+        .update(b.as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+impl MembershipSettings {
+    fn beat(&self) -> Duration {
+        Duration::from_millis(self.beat_ms)
+    }
+
+    fn suspect(&self) -> Duration {
+        Duration::from_millis(self.suspect_ms)
+    }
+
+    fn gone(&self) -> Duration {
+        Duration::from_millis(self.gone_ms)
+    }
+
+    fn forget(&self) -> Duration {
+        Duration::from_millis(self.forget_ms)
+    }
+}
--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -5,5 +5,6 @@
 pub mod adoption;
 pub mod drain;
 pub mod measuring;
+pub mod membership;
 pub mod retry;
 pub mod selection;
--- a/crates/kingcuploft/src/settings/mod.rs
+++ b/crates/kingcuploft/src/settings/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod drain;
 pub mod measuring;
+pub mod membership;
 pub mod retry;
 pub mod selection;
 
--- /dev/null
+++ b/crates/kingcuploft/tests/membership.rs
@@ -0,0 +1,286 @@
+//! Membership in virtual time: everyone converges, whoever is cut off, paused or replaced.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use kingcuploft::decisions::membership::{Member, MemberState, Membership, Neighbour};
+use kingcuploft::settings::membership::MembershipSettings;
+use kingcuploft::utils::HashSet;
+use kingcuploft::world::ids::VmName;
+
+/// A fleet in which heartbeats take no time; links may be cut.
+struct Fleet {
+    now: Instant,
+    views: Vec<Option<Membership>>,
+    cut: Vec<(usize, usize)>,
+    links: HashSet<(usize, usize)>,
+    before: HashSet<(usize, usize)>,
+    lines: usize,
+    beats: usize,
+}
+
+const BEAT: Duration = Duration::from_secs(2);
+
+fn name(index: usize) -> VmName {
+    format!("entry-{index}").into()
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7400))
+}
+
+fn member(index: usize, incarnation: u64) -> Member {
+    Member {
+        name: name(index),
+        availability_zone: format!("zone-{}", index % 4).into(),
+        address: address(index),
+        incarnation,
+        beat: 0,
+        state: MemberState::Live,
+    }
+}
+
+impl Fleet {
+    /// Starts VMs that know the first one's address.
+    fn new(size: usize) -> Self {
+        let now = Instant::now();
+        let mut fleet = Self {
+            now,
+            views: Vec::new(),
+            cut: Vec::new(),
+            links: HashSet::default(),
+            before: HashSet::default(),
+            lines: 0,
+            beats: 0,
+        };
+        for index in 0..size {
+            let mut view = Membership::new(member(index, 1), MembershipSettings::default());
+            view.listed(now, [address(0)]);
+            fleet.views.push(Some(view));
+        }
+        fleet
+    }
+
+    fn linked(&self, a: usize, b: usize) -> bool {
+        a != b && !self.cut.contains(&(a, b)) && !self.cut.contains(&(b, a))
+    }
+
+    /// Lets every VM send one heartbeat to each neighbour.
+    fn round(&mut self) {
+        self.now += BEAT;
+        self.before = std::mem::take(&mut self.links);
+        for from in 0..self.views.len() {
+            let Some(view) = &self.views[from] else {
+                continue;
+            };
+            for neighbour in view.neighbours(self.now) {
+                let position = (0..self.views.len()).find(|&i| address(i) == neighbour.address);
+                match position {
+                    Some(to) if self.views[to].is_some() && self.linked(from, to) => {
+                        self.exchange(from, to);
+                    }
+                    _ => self.failed(from, &neighbour),
+                }
+            }
+        }
+        for (a, b) in self.before.difference(&self.links) {
+            if let Some(view) = &mut self.views[*a] {
+                view.unlinked(&name(*b));
+            }
+        }
+        for view in self.views.iter_mut().flatten() {
+            view.tick(self.now);
+        }
+    }
+
+    fn failed(&mut self, from: usize, to: &Neighbour) {
+        if let Some(view) = &mut self.views[from] {
+            view.unreachable(self.now, to.address);
+        }
+    }
+
+    fn exchange(&mut self, from: usize, to: usize) {
+        self.links.extend([(from, to), (to, from)]);
+        for (a, b) in [(from, to), (to, from)] {
+            let Some(sender) = &mut self.views[a] else {
+                continue;
+            };
+            let beat = sender.beat();
+            let own = sender.own().clone();
+            let news = sender.news(4);
+            self.lines += news.len();
+            self.beats += 1;
+            let Some(receiver) = &mut self.views[b] else {
+                continue;
+            };
+            receiver.heard(self.now, &own);
+            receiver.heard_beat(self.now, &own.name, beat);
+            news.iter().for_each(|line| receiver.told(self.now, line));
+        }
+        self.mend(from, to);
+    }
+
+    /// Reads the whole list of the other end at the start of a link, or where views differ long.
+    fn mend(&mut self, from: usize, to: usize) {
+        let Some(list) = self.views[to].as_ref().map(|v| (v.digest(), v.members())) else {
+            return;
+        };
+        let begins = !self.before.contains(&(from, to));
+        let Some(view) = &mut self.views[from] else {
+            return;
+        };
+        if begins {
+            view.read(self.now, &list.1);
+        } else if view.differs(self.now, list.0) {
+            view.mend(self.now, &list.1);
+        }
+    }
+
+    fn rounds(&mut self, count: usize) {
+        (0..count).for_each(|_| self.round());
+    }
+
+    /// How many live members each running VM sees, itself included.
+    fn live(&self) -> Vec<usize> {
+        let views = self.views.iter().flatten();
+        let live = |view: &Membership| {
+            let members = view.members();
+            members
+                .iter()
+                .filter(|m| m.state == MemberState::Live)
+                .count()
+        };
+        views.map(live).collect()
+    }
+}
+
+#[test]
+fn all_learn_of_all_from_one_address_with_bounded_news() {
+    for size in [14, 60] {
+        let mut fleet = Fleet::new(size);
+        let all = |fleet: &Fleet| fleet.live().iter().all(|n| *n == size);
+        let rounds = (0..100).find(|_| {
+            fleet.round();
+            all(&fleet)
+        });
+        println!("{size} VMs know each other after {rounds:?} rounds");
+        assert!(rounds.is_some(), "{size}: {:?}", fleet.live());
+        // Once all are known there is nothing to tell: the bytes of a heartbeat do not grow with
+        // the fleet.
+        fleet.rounds(60);
+        fleet.lines = 0;
+        fleet.beats = 0;
+        fleet.rounds(10);
+        assert_eq!(fleet.lines, 0, "{size}");
+        let per_vm = fleet.beats as f64 / (size * 10) as f64;
+        assert!(
+            per_vm <= 7.0,
+            "{size}: {per_vm} heartbeats sent by a VM in a round"
+        );
+    }
+}
+
+#[test]
+fn a_dead_vm_is_noticed_by_all_and_a_later_life_is_taken_back() {
+    let mut fleet = Fleet::new(14);
+    fleet.rounds(20);
+    fleet.views[5] = None;
+    fleet.rounds(10);
+    assert!(fleet.live().iter().all(|n| *n == 13), "{:?}", fleet.live());
+    let mut view = Membership::new(member(5, 2), MembershipSettings::default());
+    view.listed(fleet.now, [address(1)]);
+    fleet.views[5] = Some(view);
+    fleet.rounds(20);
+    assert!(fleet.live().iter().all(|n| *n == 14), "{:?}", fleet.live());
+    // The dead life's late words are not believed.
+    let view = fleet.views[1].as_mut().unwrap();
+    assert!(!view.heard(fleet.now, &member(5, 1)));
+}
+
+#[test]
+fn one_bad_link_makes_nobody_dead() {
+    // Two VMs do not reach each other while everyone else reaches both. Were each to tell the fleet
+    // that the other is dead, both would be left out.
+    let mut fleet = Fleet::new(14);
+    fleet.rounds(20);
+    fleet.cut = (0..14)
+        .map(|i| (3, i))
+        .filter(|(_, i)| i % 4 != 1 && *i != 3)
+        .collect();
+    fleet.rounds(15);
+    for view in fleet.views.iter().flatten() {
+        let members = view.members();
+        let third = members.iter().find(|m| m.name == name(3));
+        let state = third.map(|m| m.state);
+        assert_ne!(state, Some(MemberState::Gone), "{}", view.own().name);
+    }
+}
+
+#[test]
+fn a_partition_heals() {
+    let mut fleet = Fleet::new(16);
+    fleet.rounds(20);
+    let halves = (0..16).flat_map(|a| (0..16).map(move |b| (a, b)));
+    fleet.cut = halves.filter(|(a, b)| a % 2 != b % 2).collect();
+    fleet.rounds(25);
+    assert!(fleet.live().iter().all(|n| *n == 8), "{:?}", fleet.live());
+    fleet.cut.clear();
+    // The settings' and the VM list's addresses are what finds the other half again.
+    for _ in 0..12 {
+        for view in fleet.views.iter_mut().flatten() {
+            view.listed(fleet.now, (0..16).map(address));
+        }
+        fleet.rounds(5);
+    }
+    assert!(fleet.live().iter().all(|n| *n == 16), "{:?}", fleet.live());
+}
+
+#[test]
+fn a_paused_vm_suspects_nobody_when_it_wakes() {
+    let mut fleet = Fleet::new(14);
+    fleet.rounds(20);
+    let mut paused = fleet.views[7].take().unwrap();
+    fleet.rounds(30);
+    paused.tick(fleet.now);
+    let seen = paused.members();
+    assert!(seen.iter().all(|m| m.state == MemberState::Live));
+    fleet.views[7] = Some(paused);
+    fleet.rounds(30);
+    assert!(fleet.live().iter().all(|n| *n == 14), "{:?}", fleet.live());
+}
+
+#[test]
+fn a_new_vm_at_an_old_address_ends_the_old_one() {
+    let now = Instant::now();
+    let mut view = Membership::new(member(0, 1), MembershipSettings::default());
+    view.heard(now, &member(1, 1));
+    let mut new = member(2, 1);
+    new.address = address(1);
+    view.heard(now, &new);
+    let members = view.members();
+    let state = |name: &str| members.iter().find(|m| &*m.name == name).map(|m| m.state);
+    assert_eq!(state("entry-1"), Some(MemberState::Gone));
+    assert_eq!(state("entry-2"), Some(MemberState::Live));
+}
+
+#[test]
+fn each_zone_has_its_few_watchers_of_the_store() {
+    let mut fleet = Fleet::new(50);
+    fleet.rounds(40);
+    for zone in 0..4 {
+        let views = fleet.views.iter().flatten();
+        let of_zone = views.filter(|v| *v.own().availability_zone == *format!("zone-{zone}"));
+        assert_eq!(of_zone.filter(|v| v.watches_store()).count(), 2);
+    }
+    // All watchers of a zone die at once: others take over.
+    for view in &mut fleet.views {
+        let dies = |v: &Membership| &*v.own().availability_zone == "zone-1" && v.watches_store();
+        if view.as_ref().is_some_and(dies) {
+            *view = None;
+        }
+    }
+    fleet.rounds(12);
+    let views = fleet.views.iter().flatten();
+    let of_zone = views.filter(|v| &*v.own().availability_zone == "zone-1");
+    assert_eq!(of_zone.filter(|v| v.watches_store()).count(), 2);
+}
--- a/crates/kingcuploftd/src/daemon.rs
+++ b/crates/kingcuploftd/src/daemon.rs
@@ -11,9 +11,12 @@
 
 use crate::dispatch::Rings;
 use crate::message::Message;
+use crate::peer_link::{Keys, PeerSettings};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{admin, backend_edge, caller_edge, claims, dispatch, manifest_watch};
+use crate::{
+    admin, backend_edge, caller_edge, claims, dispatch, manifest_watch, membership_duty, peer_link,
+};
 
 /// A running daemon.
 #[derive(Debug)]
@@ -21,6 +24,7 @@
     shared: Arc<Shared>,
     address: SocketAddr,
     admin_address: SocketAddr,
+    peer_address: Option<SocketAddr>,
     caller_edge: JoinHandle<()>,
     dispatch: JoinHandle<()>,
     others: Vec<JoinHandle<()>>,
@@ -37,6 +41,9 @@
         /// Why.
         error: std::io::Error,
     },
+    /// The peer links can not be made safely.
+    #[error("peer links: {0}")]
+    Peers(String),
     /// A thread could not be started.
     #[error("cannot start a thread: {0}")]
     Thread(std::io::Error),
@@ -51,6 +58,7 @@
     pub fn start(settings: Settings) -> Result<Self, StartError> {
         let callers = listen(settings.listen)?;
         let admins = listen(settings.admin_listen)?;
+        let peers = Peers::open(&settings.peer)?;
         let address = callers.local_addr().map_err(StartError::Thread)?;
         let admin_address = admins.local_addr().map_err(StartError::Thread)?;
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -61,7 +69,8 @@
             incarnation,
         };
         let limits = settings.limits.clone();
-        let store = Client::with_settings(&settings.platform, settings.store.clone(), incarnation);
+        let platform = settings.platform.clone();
+        let store = Client::with_settings(&platform, settings.store.clone(), incarnation);
         let (to_dispatch, from_all) = bounded(limits.ring);
         let (calls, call_orders) = bounded(limits.ring);
         let (claims, claim_orders) = bounded(limits.ring);
@@ -76,10 +85,28 @@
         let (context, own_store) = (shared.clone(), store.clone());
         let duty = move || claims::run(context, &claim_orders, own_store);
         others.push(spawn("claims", duty)?);
-        let context = shared.clone();
-        let duty = move || manifest_watch::run(&context, &store);
+        // Manifests and membership have connections, a budget and a circuit of their own: a burst
+        // of claims must not hold up a manifest.
+        let fleet_settings = shared.settings.store.clone();
+        let fleet_store = Client::with_settings(&platform, fleet_settings, incarnation ^ 1);
+        let (context, own_store) = (shared.clone(), fleet_store.clone());
+        let duty = move || manifest_watch::run(&context, &own_store);
         others.push(spawn("manifest", duty)?);
         let context = shared.clone();
+        let duty = move || membership_duty::run(&context, &fleet_store);
+        others.push(spawn("membership", duty)?);
+        let context = shared.clone();
+        let duty = move || membership_duty::run_ticks(&context);
+        others.push(spawn("silence", duty)?);
+        let peer_address = peers.as_ref().map(|peers| peers.address);
+        if let Some(peers) = peers {
+            let shown = shared.settings.peer.address.unwrap_or(peers.address);
+            shared.fleet.membership().listens_at(shown);
+            let context = shared.clone();
+            let duty = move || peer_link::run(&context, peers.listener, peers.keys);
+            others.push(spawn("peers", duty)?);
+        }
+        let context = shared.clone();
         let duty = move || caller_edge::run(&context, callers);
         let caller_edge = spawn("caller-edge", duty)?;
         let context = shared.clone();
@@ -93,6 +120,7 @@
             shared,
             address,
             admin_address,
+            peer_address,
             caller_edge,
             dispatch,
             others,
@@ -109,6 +137,11 @@
         self.admin_address
     }
 
+    /// Returns where other VMs connect; `None` without links.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.peer_address
+    }
+
     /// Returns the daemon's context.
     pub fn shared(&self) -> &Arc<Shared> {
         &self.shared
@@ -140,6 +173,32 @@
     }
 }
 
+/// What the peer duty starts with.
+struct Peers {
+    listener: TcpListener,
+    address: SocketAddr,
+    keys: Keys,
+}
+
+impl Peers {
+    fn open(settings: &PeerSettings) -> Result<Option<Self>, StartError> {
+        let Some(address) = settings.listen else {
+            return Ok(None);
+        };
+        if let Some(fault) = settings.fault() {
+            return Err(StartError::Peers(fault.into()));
+        }
+        let keys = Keys::read(settings).map_err(StartError::Peers)?;
+        let listener = listen(address)?;
+        let address = listener.local_addr().map_err(StartError::Thread)?;
+        Ok(Some(Self {
+            listener,
+            address,
+            keys,
+        }))
+    }
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     let listener = TcpListener::bind(address);
     let listener = listener.map_err(|error| StartError::Listen { address, error })?;
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -11,6 +11,7 @@
 use kingcuploft::world::refusal::Refusal;
 use tokio::sync::oneshot;
 
+use crate::fleet_keeper;
 use crate::message::{Answer, CallOrder, ClaimOrder, Message, Reply, RequestParts};
 use crate::shared::Shared;
 
@@ -177,6 +178,9 @@
             Action::Refuse(request, refusal) => self.refuse(request, refusal),
             Action::TellDraining(service, server) => {
                 tracing::info!("drain: {server} of {service} takes no new work.");
+                if let Some(notice) = fleet_keeper::notice(&self.shared, &service, &server) {
+                    self.shared.fleet.drain_seen(&self.shared, notice);
+                }
             }
             Action::Retried(_, reason) => self.shared.metrics.retried(reason),
         }
--- a/crates/kingcuploftd/src/manifest_keeper.rs
+++ b/crates/kingcuploftd/src/manifest_keeper.rs
@@ -18,7 +18,7 @@
 impl Default for ManifestKeeper {
     fn default() -> Self {
         Self {
-            adoption: Mutex::default(),
+            adoption: Mutex::new(Adoption::gathering()),
             in_force: watch::Sender::new(0),
         }
     }
--- a/crates/kingcuploftd/src/manifest_watch.rs
+++ b/crates/kingcuploftd/src/manifest_watch.rs
@@ -1,7 +1,7 @@
 //! The manifest duty: learns the manifest from the store and fetches what is missing of it.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use kingcuploft::decisions::adoption::Need;
 use kingcuploft::manifest::root::ContentHash;
@@ -26,11 +26,16 @@
 /// How often a VM that leaves the watch to others reads the root, before jitter.
 const POLL: Duration = Duration::from_secs(5);
 
+/// How long a VM without a manifest waits for the store before it takes a peer's word that a
+/// generation is the newest; peers answer within this time too.
+const GATHER: Duration = Duration::from_secs(1);
+
 /// How often a wait looks whether it is still right to wait.
 const LOOK: Duration = Duration::from_millis(20);
 
 /// Runs the duty until the daemon ends.
 pub fn run(shared: &Arc<Shared>, store: &dyn ObjectStore) {
+    let started = Instant::now();
     let mut duty = ManifestWatch {
         shared,
         store,
@@ -39,6 +44,9 @@
         pause: PAUSE,
     };
     while !shared.ended() {
+        if started.elapsed() > GATHER {
+            duty.gathered("the peers");
+        }
         match duty.turn() {
             Ok(()) => duty.pause = PAUSE,
             Err(why) => {
@@ -50,6 +58,14 @@
     }
 }
 
+/// Why a service object was not fetched.
+enum Unfetched {
+    /// It is missing or corrupt.
+    Object(String),
+    /// The store does not answer.
+    Store(StoreError),
+}
+
 struct ManifestWatch<'a> {
     shared: &'a Shared,
     store: &'a dyn ObjectStore,
@@ -68,7 +84,10 @@
             false => self.poll(),
         };
         match root {
-            Ok(values) => values.iter().for_each(|text| self.learn_root(text)),
+            Ok(values) => {
+                values.iter().for_each(|text| self.learn_root(text));
+                self.gathered("the store");
+            }
             Err(StoreError::Lapsed) => self.after = 0,
             Err(error) => {
                 // A watch that stalls shows as silence: the next read is a listing, which does not
@@ -114,6 +133,14 @@
         }
     }
 
+    /// Notes that enough sources were asked for a first manifest.
+    fn gathered(&self, source: &str) {
+        let keeper = &self.shared.manifest;
+        if keeper.read(|adoption| adoption.gathers()) {
+            keeper.learn(self.shared, source, |adoption| Ok(adoption.gathered()));
+        }
+    }
+
     fn learn_root(&self, text: &str) {
         let keeper = &self.shared.manifest;
         keeper.learn(self.shared, "the store", |adoption| {
@@ -126,13 +153,21 @@
         let Need::Services(missing) = self.need() else {
             return Ok(());
         };
+        let mut last = Ok(());
         for hash in &missing {
-            self.fetch_service(hash)?;
+            match self.fetch_service(hash) {
+                Ok(()) => {}
+                // One object that is missing or corrupt says nothing of the others.
+                Err(Unfetched::Object(why)) => last = Err(why),
+                Err(Unfetched::Store(error)) => {
+                    return Err(format!("the store does not answer: {error}"));
+                }
+            }
         }
-        Ok(())
+        last
     }
 
-    fn fetch_service(&self, hash: &ContentHash) -> Result<(), String> {
+    fn fetch_service(&self, hash: &ContentHash) -> Result<(), Unfetched> {
         let keeper = &self.shared.manifest;
         match self.store.get(&service_key(hash)) {
             Ok(Some(object)) => {
@@ -140,15 +175,18 @@
                     adoption.service_text(hash, &object.value)
                 });
                 let corrupt = || format!("service object {hash} is corrupt in the store");
-                taken.then_some(()).ok_or_else(corrupt)
+                taken
+                    .then_some(())
+                    .ok_or_else(|| Unfetched::Object(corrupt()))
             }
             Ok(None) => {
                 keeper.learn(self.shared, "the store", |adoption| {
                     adoption.service_missing(hash)
                 });
-                Err(format!("service object {hash} is missing in the store"))
+                let why = format!("service object {hash} is missing in the store");
+                Err(Unfetched::Object(why))
             }
-            Err(error) => Err(format!("the store does not answer: {error}")),
+            Err(error) => Err(Unfetched::Store(error)),
         }
     }
 
--- /dev/null
+++ b/crates/kingcuploftd/src/membership_duty.rs
@@ -0,0 +1,119 @@
+//! The membership duty: reads the platform's VM list and the operators' drains, watches silence.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use kingcuploft::world::ids::{BackendServerName, ServiceName};
+use kingcuploft_platform::{Change, ListedVm, ObjectStore, StoreError, Version, VmState};
+
+use crate::fleet_keeper::{DrainNotice, notice};
+use crate::shared::Shared;
+
+/// Where the operators' drains stand, as `drains/SERVICE/BACKEND_SERVER`.
+pub const DRAINS_PREFIX: &str = "drains/";
+
+/// How long one watch of the drains waits.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
+/// How often a VM that leaves the watch to others reads the VM list and drains, before jitter.
+const POLL: Duration = Duration::from_secs(10);
+
+/// How often silence is looked at.
+const TICK: Duration = Duration::from_millis(200);
+
+/// The pause after the store did not answer.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Watches for silent members until the daemon ends.
+pub fn run_ticks(shared: &Arc<Shared>) {
+    while !shared.ended() {
+        let changed = shared.fleet.membership().tick(Instant::now());
+        if changed {
+            tracing::info!("membership: the view of the fleet changed.");
+        }
+        shared.fleet.show(shared);
+        std::thread::sleep(TICK);
+    }
+}
+
+/// Reads the VM list and the drains until the daemon ends.
+pub fn run(shared: &Arc<Shared>, store: &dyn ObjectStore) {
+    let mut after = 0;
+    while !shared.ended() {
+        let read = read(shared, store, &mut after);
+        let pause = match (read, shared.watches_store()) {
+            (Ok(()), true) => continue,
+            (Ok(()), false) => POLL.mul_f64(0.5 + fastrand::f64()),
+            (Err(error), _) => {
+                after = 0;
+                tracing::debug!("membership: the store does not answer: {error}.");
+                PAUSE
+            }
+        };
+        let end = Instant::now() + pause;
+        while Instant::now() < end && !shared.ended() {
+            std::thread::sleep(TICK.min(pause));
+        }
+    }
+}
+
+fn read(shared: &Shared, store: &dyn ObjectStore, after: &mut Version) -> Result<(), StoreError> {
+    take_vms(shared, &store.vms()?);
+    let drains = match *after {
+        0 => store.list(DRAINS_PREFIX)?,
+        _ if shared.watches_store() => match store.watch(DRAINS_PREFIX, *after, WATCH_WAIT) {
+            Err(StoreError::Lapsed) => store.list(DRAINS_PREFIX)?,
+            watched => watched?,
+        },
+        _ => store.list(DRAINS_PREFIX)?,
+    };
+    *after = drains.version;
+    for change in drains.changes {
+        match drain_of(&change) {
+            Some(notice) => shared.fleet.drain(shared, notice),
+            None => tracing::debug!("membership: {} tells no drain.", change.key),
+        }
+    }
+    Ok(())
+}
+
+/// Returns the drain that an object tells; `None` where it was deleted or is corrupt.
+fn drain_of(change: &Change) -> Option<DrainNotice> {
+    serde_json::from_str(change.value.as_ref()?).ok()
+}
+
+/// Takes the VM list: entry VMs to link with, and backend servers that leave.
+fn take_vms(shared: &Shared, vms: &[ListedVm]) {
+    let accepted = shared.accepted.load_full();
+    let mut entries = Vec::new();
+    for vm in vms {
+        let Ok(address) = vm.address.parse::<SocketAddr>() else {
+            continue;
+        };
+        let mut found = Vec::new();
+        for service in &accepted.manifest.services {
+            let mut servers = service.backend_servers.iter();
+            let server = servers.find(|server| server.address == address);
+            found.extend(server.map(|server| (&service.name, &server.name)));
+        }
+        if found.is_empty() && vm.state == VmState::Live {
+            entries.push(address);
+        }
+        if vm.state == VmState::Leaving {
+            found
+                .into_iter()
+                .for_each(|(service, server)| leaving(shared, service, server));
+        }
+    }
+    // Before a manifest is known a backend server can not be told from an entry VM.
+    if accepted.generation > 0 {
+        shared.fleet.membership().listed(Instant::now(), entries);
+    }
+}
+
+fn leaving(shared: &Shared, service: &ServiceName, server: &BackendServerName) {
+    if let Some(notice) = notice(shared, service, server) {
+        shared.fleet.drain(shared, notice);
+    }
+}
--- /dev/null
+++ b/crates/kingcuploftd/src/peer_link/link.rs
@@ -0,0 +1,246 @@
+//! One link, from its first byte to its end.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use kingcuploft::decisions::membership::Neighbour;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use super::counted::Counted;
+use super::node::{Link, Node, in_time, push_beat, tell_drains};
+use super::peer_capnp::peer;
+use super::server::PeerServer;
+use super::wire::{Beat, read_member, write_member};
+
+/// How long a connection, a TLS handshake or a greeting may take.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The longest message, in words of 8 bytes: 32 service objects of ordinary size, or a root of 740
+/// services, fit many times.
+const MESSAGE_WORDS: usize = 512 * 1024;
+
+/// The deepest nesting of a message; the schema needs 5.
+const NESTING: i32 = 16;
+
+/// The members asked for in one call.
+pub(super) const MEMBERS_PER_PAGE: usize = 64;
+
+/// Why a link ended.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum LinkEnd {
+    /// No connection was made.
+    #[error("no connection: {0}")]
+    Unreachable(String),
+    /// The other end did not prove who it is, or this one could not.
+    #[error("no TLS: {0}")]
+    Tls(String),
+    /// The other end did not greet as an entry VM does.
+    #[error("no greeting: {0}")]
+    Greeting(String),
+    /// The other end is an earlier life of a VM, or this VM itself.
+    #[error("the other end was replaced")]
+    Replaced,
+    /// The other end was silent for too long.
+    #[error("the other end is silent")]
+    Silent,
+    /// The connection was lost.
+    #[error("the connection was lost")]
+    Lost,
+    /// The other end is not a neighbour any more, or there is another link with it.
+    #[error("it is not needed")]
+    NotNeeded,
+}
+
+impl LinkEnd {
+    /// Returns the word that stands in metrics.
+    pub(super) fn label(&self) -> &'static str {
+        match self {
+            Self::Unreachable(_) => "unreachable",
+            Self::Tls(_) => "tls",
+            Self::Greeting(_) => "greeting",
+            Self::Replaced => "replaced",
+            Self::Silent => "silent",
+            Self::Lost => "lost",
+            Self::NotNeeded => "not_needed",
+        }
+    }
+
+    /// Tells whether the other end had greeted.
+    pub(super) fn was_linked(&self) -> bool {
+        matches!(self, Self::Silent | Self::Lost | Self::NotNeeded)
+    }
+}
+
+/// Opens a link with a neighbour and keeps it until it ends.
+pub(super) async fn dial(node: &Rc<Node>, neighbour: &Neighbour) -> LinkEnd {
+    match open(node, neighbour).await {
+        Ok(end) | Err(end) => end,
+    }
+}
+
+async fn open(node: &Rc<Node>, neighbour: &Neighbour) -> Result<LinkEnd, LinkEnd> {
+    let connect = TcpStream::connect(neighbour.address);
+    let stream = match tokio::time::timeout(OPEN_TIMEOUT, connect).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(LinkEnd::Unreachable(error.to_string())),
+        Err(_) => return Err(LinkEnd::Unreachable("timeout".into())),
+    };
+    drop(stream.set_nodelay(true));
+    match &node.tls {
+        None => dialled(node, stream).await,
+        Some(tls) => {
+            let handshake = tls.connect(neighbour.address.ip(), stream);
+            match tokio::time::timeout(OPEN_TIMEOUT, handshake).await {
+                Ok(Ok(stream)) => dialled(node, stream).await,
+                Ok(Err(why)) => Err(LinkEnd::Tls(why)),
+                Err(_) => Err(LinkEnd::Tls("timeout".into())),
+            }
+        }
+    }
+}
+
+/// Serves a link that another VM opened.
+pub(super) async fn accept(node: &Rc<Node>, stream: TcpStream) -> Result<(), LinkEnd> {
+    drop(stream.set_nodelay(true));
+    match &node.tls {
+        None => accepted(node, stream).await,
+        Some(tls) => match tokio::time::timeout(OPEN_TIMEOUT, tls.accept(stream)).await {
+            Ok(Ok(stream)) => accepted(node, stream).await,
+            Ok(Err(why)) => Err(LinkEnd::Tls(why)),
+            Err(_) => Err(LinkEnd::Tls("timeout".into())),
+        },
+    }
+}
+
+/// A connection on which both ends offer a [`peer::Client`].
+struct Connection {
+    server: Rc<PeerServer>,
+    peer: peer::Client,
+    rpc: JoinHandle<Result<(), capnp::Error>>,
+}
+
+impl Connection {
+    fn new<S>(node: &Rc<Node>, stream: S, side: Side, other: Side) -> Self
+    where
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
+        let stream = Counted::new(stream, node.shared.clone());
+        let (reader, writer) = tokio::io::split(stream);
+        let writer = futures::io::BufWriter::new(writer.compat_write());
+        let mut options = ReaderOptions::new();
+        options.traversal_limit_in_words(Some(MESSAGE_WORDS));
+        options.nesting_limit(NESTING);
+        let network = VatNetwork::new(reader.compat(), writer, side, options);
+        let server = Rc::new(PeerServer::new(Rc::clone(node)));
+        let own: peer::Client = capnp_rpc::new_client_from_rc(Rc::clone(&server));
+        let mut rpc = RpcSystem::new(Box::new(network), Some(own.client));
+        let peer: peer::Client = rpc.bootstrap(other);
+        server.set_peer(peer.clone());
+        Self {
+            server,
+            peer,
+            rpc: tokio::task::spawn_local(rpc),
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.rpc.abort();
+        self.server.close();
+    }
+}
+
+async fn dialled<S>(node: &Rc<Node>, stream: S) -> Result<LinkEnd, LinkEnd>
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
+    let mut connection = Connection::new(node, stream, Side::Client, Side::Server);
+    let link = greet(node, &connection).await?;
+    connection.server.set_link(Rc::clone(&link));
+    node.linked(Rc::clone(&link));
+    if let Err(error) = node.read_fleet(&link, false).await {
+        tracing::debug!("peer: {} does not tell its members: {error}.", link.name);
+    }
+    let drains = node.shared.fleet.drains();
+    if !drains.is_empty() {
+        tell_drains(&link, &drains);
+    }
+    Ok(keep(node, &link, &mut connection).await)
+}
+
+/// Says who this VM is and learns who the other end is.
+async fn greet(node: &Rc<Node>, connection: &Connection) -> Result<Rc<Link>, LinkEnd> {
+    let mut request = connection.peer.hello_request();
+    let own = node.shared.fleet.membership().own().clone();
+    write_member(&own, request.get().init_self());
+    node.beat().write(request.get().init_beat());
+    let greeting = |error: capnp::Error| LinkEnd::Greeting(error.to_string());
+    let answer = in_time(request.send().promise).await.map_err(greeting)?;
+    let answer = answer.get().map_err(greeting)?;
+    let member = answer.get_self().and_then(read_member).map_err(greeting)?;
+    let beat = answer.get_beat().and_then(Beat::read).map_err(greeting)?;
+    let now = Instant::now();
+    if !node.shared.fleet.membership().heard(now, &member) {
+        return Err(LinkEnd::Replaced);
+    }
+    let link = Rc::new(Link {
+        name: member.name,
+        peer: connection.peer.clone(),
+        knows: Cell::new(beat.generation),
+        heard: Cell::new(now),
+    });
+    node.heard(&link, &beat);
+    Ok(link)
+}
+
+/// Sends heartbeats until the link ends.
+async fn keep(node: &Rc<Node>, link: &Rc<Link>, connection: &mut Connection) -> LinkEnd {
+    let settings = &node.shared.settings.peer.membership;
+    loop {
+        let pause = Duration::from_millis(settings.beat_ms).mul_f64(0.9 + 0.2 * fastrand::f64());
+        tokio::select! {
+            _ = &mut connection.rpc => return LinkEnd::Lost,
+            () = tokio::time::sleep(pause) => {}
+        }
+        if node.is_spare(link) {
+            return LinkEnd::NotNeeded;
+        }
+        push_beat(node, std::slice::from_ref(link)).await;
+        if link.heard.get().elapsed() > Duration::from_millis(settings.suspect_ms) {
+            return LinkEnd::Silent;
+        }
+    }
+}
+
+async fn accepted<S>(node: &Rc<Node>, stream: S) -> Result<(), LinkEnd>
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
+    let mut connection = Connection::new(node, stream, Side::Server, Side::Client);
+    let settings = &node.shared.settings.peer.membership;
+    let silence = Duration::from_millis(settings.suspect_ms);
+    let mut wait = OPEN_TIMEOUT;
+    loop {
+        tokio::select! {
+            _ = &mut connection.rpc => return Err(LinkEnd::Lost),
+            () = tokio::time::sleep(wait) => {}
+        }
+        let Some(link) = connection.server.link() else {
+            return Err(LinkEnd::Greeting("timeout".into()));
+        };
+        let silent = link.heard.get().elapsed();
+        if silent > silence {
+            return Err(LinkEnd::Silent);
+        }
+        wait = silence.saturating_sub(silent) + Duration::from_millis(1);
+    }
+}
--- /dev/null
+++ b/crates/kingcuploftd/src/peer_link/mod.rs
@@ -0,0 +1,117 @@
+//! The peer duty: links with a few other entry VMs, on one thread.
+//!
+//! Over a link go heartbeats, news of members, the root and service objects of a manifest, drains
+//! and notes. Either side of a link offers the same interface, so whichever learns something first
+//! tells the other. Nothing that comes in here is taken on trust: sizes and nesting are bounded,
+//! service objects are checked against their hashes, generations only grow.
+
+mod counted;
+mod link;
+mod node;
+#[expect(
+    missing_docs,
+    clippy::pedantic,
+    reason = "generated from schema/peer.capnp, see docs/features/peer_link.md"
+)]
+#[rustfmt::skip]
+pub mod peer_capnp;
+mod server;
+pub mod settings;
+mod tls;
+mod wire;
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::Semaphore;
+use tokio::task::LocalSet;
+
+use crate::shared::Shared;
+use node::Node;
+pub use settings::PeerSettings;
+use tls::Tls;
+
+/// How often the loops look whether to stop.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// How often the neighbours are chosen anew.
+const CHOOSE: Duration = Duration::from_millis(100);
+
+/// Links that others may open to this VM; at 200 VMs with 3 neighbours each, a handful do.
+const ACCEPTED_LINKS: usize = 128;
+
+/// The keys of the links, read at start.
+#[derive(Debug)]
+pub struct Keys(Option<Tls>);
+
+impl Keys {
+    /// Reads the files that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Which file can not be used and why.
+    pub fn read(settings: &PeerSettings) -> Result<Self, String> {
+        Ok(Self(settings.tls.clone().map(Tls::new).transpose()?))
+    }
+}
+
+/// Runs the duty until the daemon ends.
+///
+/// # Panics
+///
+/// Panics where the system gives no event queue at start.
+pub fn run(shared: &Arc<Shared>, listener: TcpListener, keys: Keys) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("an event queue at start");
+    LocalSet::new().block_on(&runtime, serve(shared, listener, keys));
+}
+
+async fn serve(shared: &Arc<Shared>, listener: TcpListener, keys: Keys) {
+    let listener = tokio::net::TcpListener::from_std(listener).expect("a listening socket");
+    let node = Rc::new(Node::new(Arc::clone(shared), keys.0));
+    let seeds = shared.settings.peer.peers.clone();
+    shared.fleet.membership().listed(Instant::now(), seeds);
+    tokio::task::spawn_local(node::tell_peers(Rc::clone(&node)));
+    tokio::task::spawn_local(node::follow_manifest(Rc::clone(&node)));
+    tokio::task::spawn_local(choose_links(Rc::clone(&node)));
+    let accepted_links = Arc::new(Semaphore::new(ACCEPTED_LINKS));
+    while !shared.ended() {
+        let accepted = tokio::time::timeout(STOP_POLL, listener.accept()).await;
+        let Ok(Ok((stream, _))) = accepted else {
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&accepted_links).try_acquire_owned() else {
+            shared.metrics.fleet.count_link_end("too_many");
+            continue;
+        };
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move {
+            if let Err(end) = link::accept(&node, stream).await {
+                node.ended(end);
+            }
+            drop(permit);
+        });
+    }
+    node.say_goodbye().await;
+}
+
+/// Keeps a link to each neighbour that the membership names.
+async fn choose_links(node: Rc<Node>) {
+    while !node.shared.ended() {
+        let neighbours = node.shared.fleet.membership().neighbours(Instant::now());
+        for neighbour in neighbours {
+            if node.begin_dial(&neighbour) {
+                let node = Rc::clone(&node);
+                tokio::task::spawn_local(async move {
+                    let end = link::dial(&node, &neighbour).await;
+                    node.end_dial(&neighbour, end);
+                });
+            }
+        }
+        tokio::time::sleep(CHOOSE).await;
+    }
+}
--- /dev/null
+++ b/crates/kingcuploftd/src/peer_link/node.rs
@@ -0,0 +1,485 @@
+//! This VM among its links: who is linked, what each knows, what is to be told.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use kingcuploft::decisions::adoption::Need;
+use kingcuploft::decisions::membership::Neighbour;
+use kingcuploft::manifest::root::ContentHash;
+use kingcuploft::utils::{HashMap, HashSet};
+use kingcuploft::world::ids::{Generation, VmName};
+use kingcuploft_platform::backoff::Backoff;
+
+use super::link::{LinkEnd, MEMBERS_PER_PAGE};
+use super::peer_capnp::peer;
+use super::tls::Tls;
+use super::wire::{Beat, read_drain, read_member, write_drain};
+use crate::fleet_keeper::{DrainNotice, PeerNews};
+use crate::shared::Shared;
+
+/// The most lines of news on one heartbeat.
+const NEWS: usize = 4;
+
+/// The most pages of members that are read from one peer.
+const MEMBER_PAGES: u32 = 64;
+
+/// The most service objects asked for in one call.
+const SERVICES_PER_CALL: usize = 32;
+
+/// How long a call to a peer may take; a link that is slower is cut.
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The pause before a failed pull is tried again, here or by another link's heartbeat.
+const PULL_PAUSE: Duration = Duration::from_millis(100);
+
+/// A link whose other end has said who it is.
+pub(super) struct Link {
+    pub(super) name: VmName,
+    pub(super) peer: peer::Client,
+    /// The newest generation the other end is known to have in force.
+    pub(super) knows: Cell<Generation>,
+    /// When the other end was last heard.
+    pub(super) heard: Cell<Instant>,
+}
+
+/// Tries to reach one address.
+struct Dial {
+    running: bool,
+    not_before: Instant,
+    backoff: Backoff,
+}
+
+/// This VM among its links.
+pub(super) struct Node {
+    pub(super) shared: Arc<Shared>,
+    links: RefCell<Vec<Rc<Link>>>,
+    dials: RefCell<HashMap<SocketAddr, Dial>>,
+    /// The keys of the links; none for plain TCP.
+    pub(super) tls: Option<Tls>,
+    pulling: Cell<bool>,
+    budget: RefCell<ByteBudget>,
+}
+
+impl Node {
+    pub(super) fn new(shared: Arc<Shared>, tls: Option<Tls>) -> Self {
+        let budget = ByteBudget::new(&shared);
+        Self {
+            shared,
+            links: RefCell::default(),
+            dials: RefCell::default(),
+            tls,
+            pulling: Cell::new(false),
+            budget: RefCell::new(budget),
+        }
+    }
+
+    /// Returns the heartbeat to send now.
+    pub(super) fn beat(&self) -> Beat {
+        let (generation, root_hash) = self.shared.manifest.read(|adoption| {
+            let hash = adoption.root_hash().map_or(0, ContentHash::short);
+            (adoption.generation(), hash)
+        });
+        let room = self.has_budget();
+        let mut membership = self.shared.fleet.membership();
+        Beat {
+            generation,
+            root_hash,
+            beat: membership.beat(),
+            digest: membership.digest(),
+            news: membership.news(if room { NEWS } else { 0 }),
+        }
+    }
+
+    /// Takes a heartbeat from a link.
+    pub(super) fn heard(self: &Rc<Self>, link: &Rc<Link>, beat: &Beat) {
+        let now = Instant::now();
+        link.heard.set(now);
+        link.knows.set(link.knows.get().max(beat.generation));
+        let mut membership = self.shared.fleet.membership();
+        membership.heard_beat(now, &link.name, beat.beat);
+        for member in &beat.news {
+            membership.told(now, member);
+        }
+        let differs = membership.differs(now, beat.digest);
+        drop(membership);
+        if differs {
+            let (node, link) = (Rc::clone(self), Rc::clone(link));
+            tokio::task::spawn_local(async move { drop(node.read_fleet(&link, true).await) });
+        }
+        self.compare(link, beat);
+    }
+
+    /// Pulls a newer manifest, and notices the same generation with another content.
+    fn compare(self: &Rc<Self>, link: &Rc<Link>, beat: &Beat) {
+        let keeper = &self.shared.manifest;
+        let own = keeper.read(|adoption| {
+            let hash = adoption.root_hash().map_or(0, ContentHash::short);
+            (adoption.generation(), hash)
+        });
+        if beat.generation == own.0 && beat.root_hash != own.1 {
+            self.shared.metrics.fleet.manifest_faults.inc();
+            let (name, generation) = (&link.name, own.0);
+            tracing::error!("manifest: {name} has another content of generation {generation}.");
+        }
+        if beat.generation > own.0 {
+            keeper.learn(&self.shared, "a peer", |adoption| {
+                adoption.heard(beat.generation);
+                Ok(kingcuploft::decisions::adoption::Step::Keep)
+            });
+            self.pull(link);
+        }
+    }
+
+    /// Starts to pull what is missing from a link, unless a pull runs.
+    fn pull(self: &Rc<Self>, link: &Rc<Link>) {
+        if self.pulling.replace(true) {
+            return;
+        }
+        let (node, link) = (Rc::clone(self), Rc::clone(link));
+        tokio::task::spawn_local(async move {
+            if let Err(error) = node.pull_all(&link).await {
+                let name = &link.name;
+                tracing::warn!("manifest: a pull from {name} failed: {error}.");
+                // Another link's heartbeat, or this one's next, tries again.
+                tokio::time::sleep(PULL_PAUSE).await;
+            }
+            node.pulling.set(false);
+        });
+    }
+
+    async fn pull_all(&self, link: &Link) -> capnp::Result<()> {
+        loop {
+            match self.shared.manifest.read(|adoption| adoption.need()) {
+                Need::Nothing => return Ok(()),
+                Need::Root { since, .. } => self.pull_root(link, since).await?,
+                Need::Services(missing) => self.pull_services(link, &missing).await?,
+            }
+        }
+    }
+
+    async fn pull_root(&self, link: &Link, since: Generation) -> capnp::Result<()> {
+        let mut request = link.peer.root_request();
+        request.get().set_since(since);
+        let answer = in_time(request.send().promise).await?;
+        let text = answer.get()?.get_delta()?.to_str()?;
+        let delta = serde_json::from_str(text);
+        let delta = delta.map_err(|e| capnp::Error::failed(format!("no difference: {e}")))?;
+        let source = &link.name;
+        let taken = self
+            .shared
+            .manifest
+            .learn(&self.shared, source, |adoption| adoption.root_delta(&delta));
+        taken
+            .then_some(())
+            .ok_or_else(|| failed("its root was not taken"))
+    }
+
+    async fn pull_services(&self, link: &Link, missing: &[ContentHash]) -> capnp::Result<()> {
+        let wanted = &missing[..missing.len().min(SERVICES_PER_CALL)];
+        let mut request = link.peer.services_request();
+        let mut hashes = request.get().init_hashes(wanted.len() as u32);
+        for (i, hash) in wanted.iter().enumerate() {
+            hashes.set(i as u32, hash.to_string());
+        }
+        let answer = in_time(request.send().promise).await?;
+        let texts = answer.get()?.get_texts()?;
+        let mut taken = 0;
+        for (hash, text) in wanted.iter().zip(texts.iter()) {
+            let text = text?.to_str()?;
+            if text.is_empty() {
+                continue;
+            }
+            let source = &link.name;
+            taken += usize::from(
+                self.shared
+                    .manifest
+                    .learn(&self.shared, source, |adoption| {
+                        adoption.service_text(hash, text)
+                    }),
+            );
+        }
+        match taken {
+            0 => Err(failed("it has none of the missing service objects")),
+            _ => Ok(()),
+        }
+    }
+
+    /// Reads all members and drains that the other end knows, as a VM that just started or was cut off
+    /// needs them.
+    pub(super) async fn read_fleet(&self, link: &Link, mends: bool) -> capnp::Result<()> {
+        let mut list = Vec::new();
+        for page in 0..MEMBER_PAGES {
+            let from = page * MEMBERS_PER_PAGE as u32;
+            let mut request = link.peer.members_request();
+            request.get().set_from(from);
+            let answer = in_time(request.send().promise).await?;
+            let answer = answer.get()?;
+            let members = answer.get_members()?;
+            for member in members {
+                list.push(read_member(member)?);
+            }
+            for drain in answer.get_drains()? {
+                self.shared.fleet.drain(&self.shared, read_drain(drain)?);
+            }
+            if members.len() < MEMBERS_PER_PAGE as u32 {
+                break;
+            }
+        }
+        let mut membership = self.shared.fleet.membership();
+        match mends {
+            true => membership.mend(Instant::now(), &list),
+            false => membership.read(Instant::now(), &list),
+        }
+        Ok(())
+    }
+
+    /// Adds a link that has said who it is.
+    pub(super) fn linked(&self, link: Rc<Link>) {
+        self.links.borrow_mut().push(link);
+        self.show_links();
+    }
+
+    /// Takes a link out.
+    pub(super) fn unlinked(&self, link: &Rc<Link>) {
+        let mut links = self.links.borrow_mut();
+        links.retain(|other| !Rc::ptr_eq(other, link));
+        let left = links.iter().any(|other| other.name == link.name);
+        drop(links);
+        if !left {
+            self.shared.fleet.membership().unlinked(&link.name);
+        }
+        self.show_links();
+    }
+
+    fn show_links(&self) {
+        let links = self.links.borrow().len();
+        self.shared.metrics.fleet.peer_links.set(links as i64);
+    }
+
+    /// Returns the links as they stand.
+    pub(super) fn links(&self) -> Vec<Rc<Link>> {
+        self.links.borrow().clone()
+    }
+
+    /// Tells whether there is a link with this VM.
+    fn has_link(&self, name: &VmName) -> bool {
+        self.links.borrow().iter().any(|link| link.name == *name)
+    }
+
+    /// Tells whether to begin to dial a neighbour now, and notes that it is being done.
+    pub(super) fn begin_dial(&self, neighbour: &Neighbour) -> bool {
+        if neighbour
+            .name
+            .as_ref()
+            .is_some_and(|name| self.has_link(name))
+        {
+            return false;
+        }
+        let now = Instant::now();
+        let mut dials = self.dials.borrow_mut();
+        let dial = dials.entry(neighbour.address).or_insert_with(|| Dial {
+            running: false,
+            not_before: now,
+            backoff: Backoff::new(Duration::from_millis(200), Duration::from_secs(5)),
+        });
+        if dial.running || dial.not_before > now {
+            return false;
+        }
+        dial.running = true;
+        true
+    }
+
+    /// Notes how a dial ended.
+    pub(super) fn end_dial(&self, neighbour: &Neighbour, end: LinkEnd) {
+        let now = Instant::now();
+        let mut dials = self.dials.borrow_mut();
+        if let Some(dial) = dials.get_mut(&neighbour.address) {
+            dial.running = false;
+            if end.was_linked() {
+                dial.backoff.reset();
+            }
+            dial.not_before = now + dial.backoff.pause(&mut fastrand::Rng::new());
+        }
+        // Addresses of long ago would pile up with each replaced VM.
+        dials.retain(|_, dial| dial.running || now < dial.not_before + Duration::from_secs(60));
+        drop(dials);
+        if !end.was_linked() {
+            let mut membership = self.shared.fleet.membership();
+            membership.unreachable(now, neighbour.address);
+        }
+        self.ended(end);
+    }
+
+    /// Tells whether a link that this VM opened may end: the other end is no neighbour any more,
+    /// or both opened a link and this one is the one that both give up.
+    pub(super) fn is_spare(&self, link: &Rc<Link>) -> bool {
+        let twin = |other: &Rc<Link>| other.name == link.name && !Rc::ptr_eq(other, link);
+        let gives_up = self.shared.vm.name > link.name;
+        if gives_up && self.links.borrow().iter().any(twin) {
+            return true;
+        }
+        let neighbours = self.shared.fleet.membership().neighbours(Instant::now());
+        !neighbours
+            .iter()
+            .any(|n| n.name.as_ref() == Some(&link.name))
+    }
+
+    /// Takes a batch of notes from a link.
+    pub(super) fn take_notes(&self, link: &Link, batch: Bytes) {
+        tracing::trace!("peer: {} bytes of notes from {}.", batch.len(), link.name);
+    }
+
+    /// Counts the end of a link.
+    pub(super) fn ended(&self, end: LinkEnd) {
+        let label = end.label();
+        self.shared.metrics.fleet.count_link_end(label);
+        tracing::debug!("peer: a link ended: {end}.");
+    }
+
+    /// Tells whether the byte budget allows what can be left out.
+    pub(super) fn has_budget(&self) -> bool {
+        self.budget.borrow_mut().has_room(&self.shared)
+    }
+
+    /// Tells the neighbours that this VM stops.
+    pub(super) async fn say_goodbye(self: &Rc<Self>) {
+        self.shared.fleet.membership().leave();
+        push_beat(self, &self.links()).await;
+    }
+}
+
+/// Sends a heartbeat to some links at once, and takes their answers.
+pub(super) async fn push_beat(node: &Rc<Node>, links: &[Rc<Link>]) {
+    let pushes = links.iter().map(|link| async {
+        let mut request = link.peer.beat_request();
+        node.beat().write(request.get().init_beat());
+        let Ok(answer) = in_time(request.send().promise).await else {
+            return;
+        };
+        let beat = answer.get().and_then(|a| a.get_beat()).and_then(Beat::read);
+        if let Ok(beat) = beat {
+            node.heard(link, &beat);
+        }
+    });
+    futures::future::join_all(pushes).await;
+}
+
+/// Tells a manifest that has come in force on: to the links that do not have it yet, and to the
+/// drains that wait for it.
+pub(super) async fn follow_manifest(node: Rc<Node>) {
+    let mut in_force = node.shared.manifest.subscribe();
+    while in_force.changed().await.is_ok() {
+        let generation = *in_force.borrow_and_update();
+        let manifest = Arc::clone(&node.shared.accepted.load().manifest);
+        node.shared.fleet.manifest_in_force(&node.shared, &manifest);
+        let behind = node
+            .links()
+            .into_iter()
+            .filter(|l| l.knows.get() < generation);
+        let behind: Vec<_> = behind.collect();
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move { push_beat(&node, &behind).await });
+    }
+}
+
+/// Tells the peers what other duties want told. Drains are always told; notes only within the byte
+/// budget, for they are worth little when late.
+pub(super) async fn tell_peers(node: Rc<Node>) {
+    let Some(mut inbox) = node.shared.fleet.take_inbox() else {
+        return;
+    };
+    while let Some(first) = inbox.recv().await {
+        let mut drains = HashSet::default();
+        let mut notes = Vec::new();
+        let mut next = Some(first);
+        while let Some(news) = next {
+            match news {
+                PeerNews::Draining(notice) => drop(drains.insert(notice)),
+                PeerNews::Notes(batch) => notes.push(batch),
+            }
+            next = inbox.try_recv().ok();
+        }
+        let drains: Vec<DrainNotice> = drains.into_iter().collect();
+        for link in node.links() {
+            if !drains.is_empty() {
+                tell_drains(&link, &drains);
+            }
+            for batch in &notes {
+                match node.has_budget() {
+                    true => tell_notes(&link, batch),
+                    false => drop(node.shared.metrics.fleet.peer_over_budget.inc()),
+                }
+            }
+        }
+    }
+}
+
+/// Sends drains on a link without waiting; where it fails the link ends, and the drains are read
+/// again with the members when the next one begins.
+pub(super) fn tell_drains(link: &Link, drains: &[DrainNotice]) {
+    let mut request = link.peer.drains_request();
+    let mut list = request.get().init_drains(drains.len() as u32);
+    for (i, notice) in drains.iter().enumerate() {
+        write_drain(notice, list.reborrow().get(i as u32));
+    }
+    let promise = request.send().promise;
+    tokio::task::spawn_local(async move { drop(in_time(promise).await) });
+}
+
+fn tell_notes(link: &Link, batch: &[u8]) {
+    let mut request = link.peer.notes_request();
+    request.get().set_batch(batch);
+    let promise = request.send().promise;
+    tokio::task::spawn_local(async move { drop(in_time(promise).await) });
+}
+
+/// Waits for a peer's answer, but not for long: a half-open link never answers.
+pub(super) async fn in_time<T>(
+    promise: impl Future<Output = capnp::Result<T>>,
+) -> capnp::Result<T> {
+    match tokio::time::timeout(CALL_TIMEOUT, promise).await {
+        Ok(answer) => answer,
+        Err(_) => Err(failed("no answer in time")),
+    }
+}
+
+fn failed(why: &str) -> capnp::Error {
+    capnp::Error::failed(why.into())
+}
+
+/// The byte budget: it refills steadily and pays for every byte that the links carry.
+struct ByteBudget {
+    bytes_per_s: f64,
+    burst: f64,
+    left: f64,
+    counted: u64,
+    at: Instant,
+}
+
+impl ByteBudget {
+    fn new(shared: &Shared) -> Self {
+        let budget = &shared.settings.peer.budget;
+        let burst = budget.burst_bytes as f64;
+        Self {
+            bytes_per_s: budget.bytes_per_s as f64,
+            burst,
+            left: burst,
+            counted: 0,
+            at: Instant::now(),
+        }
+    }
+
+    fn has_room(&mut self, shared: &Shared) -> bool {
+        let now = Instant::now();
+        let counted = shared.metrics.fleet.all_peer_bytes();
+        let spent = counted.saturating_sub(self.counted) as f64;
+        let refill = now.saturating_duration_since(self.at).as_secs_f64() * self.bytes_per_s;
+        self.left = (self.left - spent + refill).min(self.burst);
+        (self.counted, self.at) = (counted, now);
+        self.left > 0.0
+    }
+}
--- /dev/null
+++ b/crates/kingcuploftd/src/peer_link/tls.rs
@@ -0,0 +1,141 @@
+//! Mutual TLS of the peer links, with files that may change while the daemon runs.
+//!
+//! Each VM's certificate is signed by the fleet's authority and names the VM's IP address. The
+//! files are looked at when a link is opened, at most once a second; a set that can not be read is
+//! told in the log and the last good one stays in use.
+
+use std::net::IpAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use tokio::net::TcpStream;
+use tokio_rustls::rustls::crypto::ring;
+use tokio_rustls::rustls::server::WebPkiClientVerifier;
+use tokio_rustls::rustls::{ClientConfig, RootCertStore, ServerConfig};
+use tokio_rustls::{TlsAcceptor, TlsConnector, client, server};
+
+use super::settings::TlsFiles;
+
+/// How often the files are looked at.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// The keys of this VM's links.
+#[derive(Debug)]
+pub(super) struct Tls {
+    files: TlsFiles,
+    loaded: Mutex<Loaded>,
+}
+
+#[derive(Clone, Debug)]
+struct Loaded {
+    client: Arc<ClientConfig>,
+    server: Arc<ServerConfig>,
+    changed: [Option<SystemTime>; 3],
+    looked: Instant,
+}
+
+impl Tls {
+    /// Reads the files.
+    pub(super) fn new(files: TlsFiles) -> Result<Self, String> {
+        let loaded = load(&files)?;
+        Ok(Self {
+            files,
+            loaded: Mutex::new(loaded),
+        })
+    }
+
+    /// Opens TLS towards a VM at this address.
+    pub(super) async fn connect(
+        &self,
+        address: IpAddr,
+        stream: TcpStream,
+    ) -> Result<client::TlsStream<TcpStream>, String> {
+        let connector = TlsConnector::from(self.current().client);
+        let name = ServerName::IpAddress(address.into());
+        let stream = connector.connect(name, stream).await;
+        stream.map_err(|error| error.to_string())
+    }
+
+    /// Opens TLS towards a VM that connected.
+    pub(super) async fn accept(
+        &self,
+        stream: TcpStream,
+    ) -> Result<server::TlsStream<TcpStream>, String> {
+        let acceptor = TlsAcceptor::from(self.current().server);
+        let stream = acceptor.accept(stream).await;
+        stream.map_err(|error| error.to_string())
+    }
+
+    /// Returns the keys, read again if the files changed.
+    fn current(&self) -> Loaded {
+        let mut loaded = self.loaded.lock().unwrap_or_else(PoisonError::into_inner);
+        if loaded.looked.elapsed() < LOOK {
+            return loaded.clone();
+        }
+        loaded.looked = Instant::now();
+        if loaded.changed != changed(&self.files) {
+            match load(&self.files) {
+                Ok(fresh) => {
+                    tracing::info!("peer: the TLS files were read again.");
+                    *loaded = fresh;
+                }
+                Err(why) => tracing::error!("peer: the TLS files can not be read: {why}."),
+            }
+        }
+        loaded.clone()
+    }
+}
+
+fn changed(files: &TlsFiles) -> [Option<SystemTime>; 3] {
+    [&files.certificate, &files.key, &files.ca].map(|path| {
+        let data = std::fs::metadata(path).ok()?;
+        data.modified().ok()
+    })
+}
+
+fn load(files: &TlsFiles) -> Result<Loaded, String> {
+    let changed = changed(files);
+    let mut roots = RootCertStore::empty();
+    for certificate in certificates(&files.ca)? {
+        let added = roots.add(certificate);
+        added.map_err(|error| format!("{}: {error}", files.ca.display()))?;
+    }
+    let chain = certificates(&files.certificate)?;
+    let key = PrivateKeyDer::from_pem_file(&files.key);
+    let key = key.map_err(|error| format!("{}: {error}", files.key.display()))?;
+    let provider = Arc::new(ring::default_provider());
+    let roots = Arc::new(roots);
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone());
+    let verifier = verifier.build().map_err(|error| error.to_string())?;
+    let server = ServerConfig::builder_with_provider(provider.clone())
+        .with_safe_default_protocol_versions()
+        .and_then(|builder| {
+            let builder = builder.with_client_cert_verifier(verifier);
+            builder.with_single_cert(chain.clone(), key.clone_key())
+        });
+    let client = ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .and_then(|builder| {
+            let builder = builder.with_root_certificates(roots);
+            builder.with_client_auth_cert(chain, key)
+        });
+    Ok(Loaded {
+        client: Arc::new(client.map_err(|error| error.to_string())?),
+        server: Arc::new(server.map_err(|error| error.to_string())?),
+        changed,
+        looked: Instant::now(),
+    })
+}
+
+fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, String> {
+    let told = |error| format!("{}: {error}", path.display());
+    let read = CertificateDer::pem_file_iter(path).map_err(told)?;
+    let read: Vec<_> = read.collect::<Result<_, _>>().map_err(told)?;
+    match read.is_empty() {
+        true => Err(format!("{}: no certificate found", path.display())),
+        false => Ok(read),
+    }
+}
--- /dev/null
+++ b/crates/kingcuploftd/src/peer_link/wire.rs
@@ -0,0 +1,111 @@
+//! Between the types of the schema and those of the decisions.
+
+use std::net::SocketAddr;
+
+use kingcuploft::decisions::membership::{Member, MemberState};
+use kingcuploft::world::ids::Generation;
+
+use super::peer_capnp::{beat, drain, member};
+use crate::fleet_keeper::DrainNotice;
+
+/// The longest name or zone that is taken, in bytes.
+const NAME_BYTES: usize = 256;
+
+/// A heartbeat.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Beat {
+    /// The generation in force; 0 for none.
+    pub(super) generation: Generation,
+    /// The first bytes of its root's hash.
+    pub(super) root_hash: u64,
+    /// How many heartbeats the sender has sent.
+    pub(super) beat: u32,
+    /// A digest of the members that the sender counts as live.
+    pub(super) digest: u32,
+    /// News of members.
+    pub(super) news: Vec<Member>,
+}
+
+impl Beat {
+    pub(super) fn write(&self, mut to: beat::Builder<'_>) {
+        to.set_generation(self.generation);
+        to.set_root_hash(self.root_hash);
+        to.set_beat(self.beat);
+        to.set_digest(self.digest);
+        if self.news.is_empty() {
+            return;
+        }
+        let mut news = to.init_news(self.news.len() as u32);
+        for (i, member) in self.news.iter().enumerate() {
+            write_member(member, news.reborrow().get(i as u32));
+        }
+    }
+
+    pub(super) fn read(from: beat::Reader<'_>) -> capnp::Result<Self> {
+        let news = from.get_news()?.iter().map(read_member);
+        Ok(Self {
+            generation: from.get_generation(),
+            root_hash: from.get_root_hash(),
+            beat: from.get_beat(),
+            digest: from.get_digest(),
+            news: news.collect::<capnp::Result<_>>()?,
+        })
+    }
+}
+
+pub(super) fn write_member(member: &Member, mut to: member::Builder<'_>) {
+    to.set_name(&*member.name);
+    to.set_zone(&*member.availability_zone);
+    to.set_address(member.address.to_string());
+    to.set_incarnation(member.incarnation);
+    to.set_beat(member.beat);
+    to.set_state(match member.state {
+        MemberState::Live => member::State::Live,
+        MemberState::Suspect => member::State::Suspect,
+        MemberState::Leaving => member::State::Leaving,
+        MemberState::Gone => member::State::Gone,
+    });
+}
+
+pub(super) fn read_member(from: member::Reader<'_>) -> capnp::Result<Member> {
+    Ok(Member {
+        name: text(from.get_name()?)?.into(),
+        availability_zone: text(from.get_zone()?)?.into(),
+        address: address(from.get_address()?)?,
+        incarnation: from.get_incarnation(),
+        beat: from.get_beat(),
+        state: match from.get_state()? {
+            member::State::Live => MemberState::Live,
+            member::State::Suspect => MemberState::Suspect,
+            member::State::Leaving => MemberState::Leaving,
+            member::State::Gone => MemberState::Gone,
+        },
+    })
+}
+
+pub(super) fn write_drain(notice: &DrainNotice, mut to: drain::Builder<'_>) {
+    to.set_service(&*notice.service);
+    to.set_backend_server(&*notice.backend_server);
+    to.set_address(notice.address.to_string());
+}
+
+pub(super) fn read_drain(from: drain::Reader<'_>) -> capnp::Result<DrainNotice> {
+    Ok(DrainNotice {
+        service: text(from.get_service()?)?.into(),
+        backend_server: text(from.get_backend_server()?)?.into(),
+        address: address(from.get_address()?)?,
+    })
+}
+
+fn text(from: capnp::text::Reader<'_>) -> capnp::Result<&str> {
+    let text = from.to_str()?;
+    match text.len() <= NAME_BYTES && !text.is_empty() {
+        true => Ok(text),
+        false => Err(capnp::Error::failed("a name is empty or too long".into())),
+    }
+}
+
+fn address(from: capnp::text::Reader<'_>) -> capnp::Result<SocketAddr> {
+    let parsed = text(from)?.parse();
+    parsed.map_err(|_| capnp::Error::failed("an address is malformed".into()))
+}
--- a/crates/kingcuploftd/src/settings.rs
+++ b/crates/kingcuploftd/src/settings.rs
@@ -6,6 +6,8 @@
 use kingcuploft_platform::client::ClientSettings;
 use serde::Deserialize;
 
+use crate::peer_link::PeerSettings;
+
 /// The settings of one daemon.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -23,6 +25,9 @@
     /// The form of the log lines.
     #[serde(default)]
     pub log_format: LogFormat,
+    /// How this VM links with others.
+    #[serde(default)]
+    pub peer: PeerSettings,
     /// How much the daemon takes on.
     #[serde(default)]
     pub limits: Limits,
--- a/crates/kingcuploftd/src/shared.rs
+++ b/crates/kingcuploftd/src/shared.rs
@@ -1,11 +1,13 @@
 //! The daemon's one context: built once, passed by reference to every duty.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use crossbeam_channel::Sender;
+use kingcuploft::decisions::membership::{Member, MemberState, Membership};
 use kingcuploft::dispatcher::Call;
 use kingcuploft::manifest::Accepted;
 use kingcuploft::manifest::routing::Routes;
@@ -14,6 +16,7 @@
 use tokio::sync::watch;
 
 use crate::backend_edge::CallRegistry;
+use crate::fleet_keeper::FleetKeeper;
 use crate::manifest_keeper::ManifestKeeper;
 use crate::message::Message;
 use crate::metrics::Metrics;
@@ -32,6 +35,8 @@
     pub routes: ArcSwap<Routes>,
     /// What is known of the manifest, in force or not.
     pub manifest: ManifestKeeper,
+    /// What is known of the fleet.
+    pub fleet: FleetKeeper,
     /// The counters.
     pub metrics: Metrics,
     /// The ring to the dispatch duty.
@@ -49,12 +54,14 @@
     /// Builds the context.
     pub fn new(settings: Settings, vm: Vm, dispatch: Sender<Message>) -> Arc<Self> {
         let live_vms = settings.limits.vms;
+        let fleet = FleetKeeper::new(membership(&settings, &vm));
         Arc::new(Self {
             settings,
             vm,
             accepted: ArcSwap::default(),
             routes: ArcSwap::default(),
             manifest: ManifestKeeper::default(),
+            fleet,
             metrics: Metrics::default(),
             dispatch,
             calls: CallRegistry::default(),
@@ -75,7 +82,7 @@
 
     /// Tells whether this VM is one of those that watch the store for manifests.
     pub fn watches_store(&self) -> bool {
-        true
+        self.fleet.membership().watches_store()
     }
 
     /// Tells whether the platform's balancer may send callers here.
@@ -137,3 +144,17 @@
         (connections / self.live_vms.load(Ordering::Relaxed)).max(1)
     }
 }
+
+/// Builds the view of a VM that knows only itself.
+fn membership(settings: &Settings, vm: &Vm) -> Membership {
+    let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
+    let own = Member {
+        name: vm.name.clone(),
+        availability_zone: vm.availability_zone.clone(),
+        address: settings.peer.address.unwrap_or(unspecified),
+        incarnation: vm.incarnation,
+        beat: 0,
+        state: MemberState::Live,
+    };
+    Membership::new(own, settings.peer.membership.clone())
+}
