--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -3,8 +3,12 @@
 
 pub mod admission;
 pub mod adoption;
+pub mod claim;
 pub mod drain;
+pub mod fair_queue;
 pub mod measuring;
 pub mod membership;
+pub mod pace;
 pub mod retry;
 pub mod selection;
+pub mod turns;
--- a/crates/kingcuploftd/src/settings.rs
+++ b/crates/kingcuploftd/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use kingcuploft::settings::claim::ClaimSettings;
 use kingcuploft_platform::client::ClientSettings;
 use serde::Deserialize;
 
@@ -34,6 +35,9 @@
     /// How the platform's object API is called.
     #[serde(default)]
     pub store: ClientSettings,
+    /// How protected actions are claimed.
+    #[serde(default)]
+    pub claims: ClaimSettings,
 }
 
 /// The form of the log lines.
@@ -63,6 +67,8 @@
     pub not_ready_ms: u64,
     /// Time for what is in flight to end after that, in ms; what has not ended then is cut.
     pub stop_timeout_ms: u64,
+    /// Time for which a kept-alive connection may be idle, in ms; longer than the balancer's.
+    pub idle_timeout_ms: u64,
     /// Time for a caller to send its headers, in ms.
     pub header_timeout_ms: u64,
     /// Time for a caller to send its body, in ms.
@@ -78,6 +84,7 @@
             ring: 4096,
             not_ready_ms: 0,
             stop_timeout_ms: 30_000,
+            idle_timeout_ms: 75_000,
             header_timeout_ms: 10_000,
             body_timeout_ms: 10_000,
         }
