feat(kingcuploftctl): every command, with documented exit codes; decisions kept for explain

The tool could only apply. It now checks, shows, compares and lists manifests, tells each VM's state, explains refusals from a bounded log without paths or keys, drains through the store or a VM, and hands an accepted manifest to a few VMs so that a store that dies at once does not stop it. A service object whose write stayed without an answer is read back before the apply gives up.

--- a/crates/kingcuploft-platform/src/manifest_root.rs
+++ b/crates/kingcuploft-platform/src/manifest_root.rs
@@ -335,7 +335,15 @@
             Err(error) => return Err(error),
         }
     }
-    last
+    stands(store, key, value).or(last)
+}
+
+/// Tells whether an object stands as it was to be written, though no answer said so.
+fn stands(store: &dyn ObjectStore, key: &str, value: &str) -> Result<(), StoreError> {
+    match store.get(key)? {
+        Some(object) if object.value == value => Ok(()),
+        _ => Err(StoreError::Silent("the write may still arrive".into())),
+    }
 }
 
 /// Writes a service object. One that is there already is written again: its new version keeps a
@@ -353,7 +361,7 @@
             Err(error) => return Err(error),
         }
     }
-    last
+    stands(store, &key, &object.text).or(last)
 }
 
 /// Deletes earlier roots beyond those kept, and service objects that no kept root names.
--- a/crates/kingcuploft-standins/src/experiments/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -4,7 +4,9 @@
 //! it saw broken.
 
 pub mod overload;
+pub mod peer_slope;
 pub mod promises;
+pub mod propagation;
 pub mod real_run;
 pub mod tail;
 
@@ -119,11 +121,21 @@
         about: "what callers receive under overload, with a hot caller",
         run: overload::run,
     },
+    Entry {
+        name: "peer_slope",
+        about: "bytes and time of the peer links at 14, 50 and 200 light nodes",
+        run: peer_slope::run,
+    },
     Entry {
         name: "promises",
         about: "daemon processes under mixed faults, every call checked",
         run: promises::run,
     },
+    Entry {
+        name: "propagation",
+        about: "time until a manifest is in force everywhere, the store dying or not",
+        run: propagation::run,
+    },
     Entry {
         name: "tail",
         about: "tail latency and the cost of measuring, by policy",
--- a/crates/kingcuploft/src/decisions/claim/mod.rs
+++ b/crates/kingcuploft/src/decisions/claim/mod.rs
@@ -32,6 +32,7 @@
 
 use std::time::Duration;
 
+use crate::world::ids::ServiceName;
 use crate::world::refusal::{Outcome, Refusal, RefusalReason};
 use message::Verdict;
 
@@ -41,6 +42,17 @@
 /// When to ask again where the partition is full.
 const FULL_RETRY: Duration = Duration::from_secs(5);
 
+/// Returns the hash of an idempotency key; the same key of another service is another action.
+pub fn key_hash(service: &ServiceName, key: &str) -> ledger::KeyHash {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(service.len() as u64).to_le_bytes());
+    hasher.update(service.as_bytes());
+    hasher.update(key.as_bytes());
+    let mut half = [0; 16];
+    half.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    u128::from_le_bytes(half)
+}
+
 /// Returns the partition that decides a key.
 pub fn partition_of(key: ledger::KeyHash, partitions: u16) -> u16 {
     (key % u128::from(partitions.max(1))) as u16
--- a/crates/kingcuploft/src/decisions/membership.rs
+++ b/crates/kingcuploft/src/decisions/membership.rs
@@ -389,6 +389,11 @@
         true
     }
 
+    /// Tells whether all news was told.
+    pub fn is_quiet(&self) -> bool {
+        self.news.is_empty()
+    }
+
     /// Returns every member that is known, this VM included, in the order of names.
     pub fn members(&self) -> Vec<Member> {
         let members = self.members.values().map(|known| known.member.clone());
--- a/crates/kingcuploft/src/manifest/mod.rs
+++ b/crates/kingcuploft/src/manifest/mod.rs
@@ -25,6 +25,33 @@
     pub services: Vec<Arc<Service>>,
 }
 
+/// How large a manifest is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct ServiceFigures {
+    /// Its services.
+    pub services: usize,
+    /// The backend servers of all services.
+    pub backend_servers: usize,
+    /// The slots of all backend servers.
+    pub slots: u64,
+    /// The rules of all services.
+    pub rules: usize,
+}
+
+impl ServiceFigures {
+    /// Counts a manifest.
+    pub fn of(manifest: &Manifest) -> Self {
+        let services = &manifest.services;
+        let servers = || services.iter().flat_map(|service| &service.backend_servers);
+        Self {
+            services: services.len(),
+            backend_servers: servers().count(),
+            slots: servers().map(|server| u64::from(server.slots)).sum(),
+            rules: services.iter().map(|service| service.rules.len()).sum(),
+        }
+    }
+}
+
 /// An accepted manifest and the generation under which it was accepted.
 #[derive(Clone, Debug, Default)]
 pub struct Accepted {
--- a/crates/kingcuploft/src/manifest/routing.rs
+++ b/crates/kingcuploft/src/manifest/routing.rs
@@ -46,6 +46,13 @@
         Self { by_host }
     }
 
+    /// Finds the service of a host, with or without a port.
+    pub fn service(&self, host: &str) -> Option<&Arc<Service>> {
+        let name = host.split(':').next().unwrap_or_default();
+        let name = name.strip_suffix('.').unwrap_or(name);
+        self.by_host.get(&name.to_ascii_lowercase())
+    }
+
     /// Finds the route of a request; among matching rules the longest path prefix wins, then one
     /// that names the method.
     ///
@@ -54,12 +61,7 @@
     /// The reason to refuse with where no service has the host, no rule matches or the path is
     /// ambiguous.
     pub fn route(&self, host: &str, method: &str, path: &str) -> Result<Route, RefusalReason> {
-        let name = host.split(':').next().unwrap_or_default();
-        let name = name.strip_suffix('.').unwrap_or(name);
-        let service = self
-            .by_host
-            .get(&name.to_ascii_lowercase())
-            .ok_or(RefusalReason::NoSuchService)?;
+        let service = self.service(host).ok_or(RefusalReason::NoSuchService)?;
         let path = plain_path(path).ok_or(RefusalReason::BadRequest)?;
         let rule = (0..service.rules.len())
             .filter(|&i| matches(&service.rules[i], method, &path))
--- a/crates/kingcuploftctl/src/apply.rs
+++ b/crates/kingcuploftctl/src/apply.rs
@@ -1,43 +1,150 @@
-//! Applies a manifest: the accepted generation, or truthfully that it is not known.
-
-use std::path::Path;
-
-use kingcuploft::manifest::reader;
-use kingcuploft_platform::client::Client;
-use kingcuploft_platform::manifest_root::{self, Applied};
-
-/// Why a manifest was not accepted.
-#[derive(Debug, thiserror::Error)]
-pub enum ApplyError {
-    /// The file could not be read.
-    #[error("{0}")]
-    Unreadable(String),
-    /// The manifest is wrong.
-    #[error("{0}")]
-    Invalid(String),
-    /// The store did not do it.
-    #[error("{0}")]
-    Store(#[from] manifest_root::ApplyError),
-}
+//! `manifest apply`: the accepted generation, or truthfully that it is not known.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use kingcuploft::manifest::Manifest;
+use kingcuploft::manifest::root::objects;
+use kingcuploft_platform::ObjectStore;
+use kingcuploft_platform::manifest_root::{self, Applied, Apply, ApplyError};
+
+use crate::args::ApplyArgs;
+use crate::context::Context;
+use crate::exit::{Code, Ending};
+use crate::manifest;
 
-/// Reads, checks and applies a manifest file.
+/// How many VMs are handed an accepted manifest; they pass it on.
+const HANDED_TO: usize = 3;
+
+/// Checks and applies a manifest file.
 ///
 /// # Errors
 ///
-/// [`ApplyError`] where it is certain that nothing was written.
-pub fn apply(platform: &str, file: &Path) -> Result<Applied, ApplyError> {
-    let name = file.display().to_string();
-    let text = std::fs::read_to_string(file)
-        .map_err(|error| ApplyError::Unreadable(format!("{name}: {error}")))?;
-    let manifest = reader::read(&name, &text).map_err(|faults| {
-        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        ApplyError::Invalid(lines.join("\n"))
+/// An ending that tells why it is not in force.
+pub fn apply(context: &Context<'_>, args: &ApplyArgs) -> Result<Ending, Ending> {
+    let checked = manifest::read(context, &args.file)?;
+    let store = context.store()?;
+    let apply = Apply {
+        manifest: checked.manifest,
+        apply_id: apply_id(),
+        author: args.author.clone().unwrap_or_else(author),
+        applied_ms: now_ms(),
+        base: args.base,
+        above: args.above,
+        verify: args.verify,
+    };
+    let applied = apply.run(&store).map_err(|error| match error {
+        ApplyError::TooLarge { .. } => Ending::because(Code::Wrong, error.to_string()),
+        other => manifest::failed(other),
     })?;
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let id = format!(
-        "{}-{}",
-        std::process::id(),
-        now.map_or(0, |now| now.as_nanos())
-    );
-    Ok(manifest_root::apply(&Client::new(platform), manifest, &id)?)
+    let mut ending = told(context, &apply.apply_id, &applied);
+    if let Applied::Accepted(_) = applied {
+        ending.err += &hand_on(context, &store, &apply.manifest);
+    }
+    for warning in checked.warnings {
+        ending.err += &format!("warning: {warning}\n");
+    }
+    Ok(ending)
+}
+
+/// Says how an apply ended.
+pub fn told(context: &Context<'_>, apply_id: &str, applied: &Applied) -> Ending {
+    let (code, text, json) = match applied {
+        Applied::Accepted(generation) => (
+            Code::Done,
+            format!("accepted as generation {generation}"),
+            serde_json::json!({ "outcome": "accepted", "generation": generation }),
+        ),
+        Applied::Superseded { generation, by } => (
+            Code::Done,
+            format!("accepted as generation {generation}, then replaced by generation {by}"),
+            serde_json::json!({
+                "outcome": "accepted", "generation": generation, "replaced_by": by,
+            }),
+        ),
+        Applied::Lost {
+            generation,
+            author,
+            changes,
+        } => {
+            let lines: Vec<String> = changes.iter().map(|c| format!("\n    {c}")).collect();
+            let by = match author.is_empty() {
+                true => String::new(),
+                false => format!(" by {author}"),
+            };
+            (
+                Code::Lost,
+                format!(
+                    "not accepted: generation {generation}{by} came first; it changed:{}",
+                    lines.concat()
+                ),
+                serde_json::json!({
+                    "outcome": "lost", "generation": generation, "author": author,
+                    "changes": changes,
+                }),
+            )
+        }
+        Applied::Unknown(why) => (
+            Code::Unknown,
+            format!(
+                "not known whether it was accepted: {why}\nlook for apply {apply_id} in \
+                 `kingcuploftctl manifest history`; while it is not there it may still arrive, \
+                 and applying the same file again is safe"
+            ),
+            serde_json::json!({ "outcome": "unknown", "why": why }),
+        ),
+    };
+    let mut ending = Ending::with(code, format!("{text}\n"));
+    if context.json() {
+        let mut json = json;
+        json["apply_id"] = apply_id.into();
+        ending.out = format!("{json}\n");
+    } else if code != Code::Done {
+        ending.err = std::mem::take(&mut ending.out);
+    }
+    ending
+}
+
+/// Hands the accepted manifest to a few VMs, where VMs were named: should the store go down before
+/// any VM has read it, they pass it on. Returns what is worth saying.
+fn hand_on(context: &Context<'_>, store: &dyn ObjectStore, manifest: &Manifest) -> String {
+    if !context.has_vms() {
+        return String::new();
+    }
+    let vms = match context.vms() {
+        Ok(vms) => vms,
+        Err(ending) => return format!("not handed to a VM: {}\n", ending.err),
+    };
+    let root = match manifest_root::read_root(store) {
+        Ok(Some((_, root))) => root,
+        _ => return "not handed to a VM: the root can not be read back\n".into(),
+    };
+    let services: Vec<String> = objects(manifest).into_iter().map(|o| o.text).collect();
+    let body = serde_json::json!({ "root": root.text(), "services": services }).to_string();
+    let mut handed = 0;
+    for vm in &vms {
+        handed += usize::from(
+            vm.post::<serde_json::Value>("/fleet/manifest", &body)
+                .is_ok(),
+        );
+        if handed == HANDED_TO {
+            break;
+        }
+    }
+    match handed {
+        0 => "not handed to a VM: none took it; the VMs read it from the store\n".into(),
+        _ => String::new(),
+    }
+}
+
+fn apply_id() -> String {
+    format!("{:016x}{:016x}", fastrand::u64(..), now_ms())
+}
+
+fn author() -> String {
+    std::env::var("USER").unwrap_or_default()
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
 }
--- /dev/null
+++ b/crates/kingcuploftctl/src/context.rs
@@ -0,0 +1,98 @@
+//! Where a command finds the platform and the VMs.
+
+use kingcuploft_platform::ObjectStore;
+use kingcuploft_platform::client::{Client, ClientSettings};
+
+use crate::admin_client::AdminClient;
+use crate::args::Args;
+use crate::exit::{Code, Ending};
+
+/// The seed of the client's pauses; one command makes few calls.
+const SEED: u64 = 1;
+
+/// Where a command finds the platform and the VMs.
+#[derive(Debug)]
+pub struct Context<'a> {
+    args: &'a Args,
+}
+
+impl<'a> Context<'a> {
+    /// Builds the context of a command line.
+    pub fn new(args: &'a Args) -> Self {
+        Self { args }
+    }
+
+    /// Tells whether to print JSON.
+    pub fn json(&self) -> bool {
+        self.args.json
+    }
+
+    /// Returns the client of the platform.
+    ///
+    /// # Errors
+    ///
+    /// An ending with code 2 where no address was given.
+    pub fn store(&self) -> Result<Client, Ending> {
+        let Some(platform) = &self.args.platform else {
+            let why = "--platform HOST:PORT is needed for this command";
+            return Err(Ending::because(Code::Wrong, why));
+        };
+        // A person waits: longer than a VM would, and no circuit between the tries.
+        let settings = ClientSettings {
+            call_timeout_ms: 5000,
+            failures_to_open: u32::MAX,
+            calls_burst: 100_000.0,
+            ..ClientSettings::default()
+        };
+        Ok(Client::with_settings(platform, settings, SEED))
+    }
+
+    /// Tells whether VMs were named.
+    pub fn has_vms(&self) -> bool {
+        !self.args.vms.is_empty() || self.args.admin_port.is_some()
+    }
+
+    /// Returns the clients of the VMs' admin ports.
+    ///
+    /// # Errors
+    ///
+    /// An ending where none was named, the token can not be read or the VM list is needed and the
+    /// platform does not answer.
+    pub fn vms(&self) -> Result<Vec<AdminClient>, Ending> {
+        let mut addresses = self.args.vms.clone();
+        if let Some(port) = self.args.admin_port {
+            let listed = self.store()?.vms();
+            let listed = listed.map_err(|error| {
+                let why = format!("the VM list can not be read: {error}; name VMs with --vm");
+                Ending::because(Code::Failed, why)
+            })?;
+            let hosts = listed.iter().filter_map(|vm| vm.address.rsplit_once(':'));
+            let mut hosts: Vec<&str> = hosts.map(|(host, _)| host).collect();
+            hosts.sort_unstable();
+            hosts.dedup();
+            addresses.extend(hosts.iter().map(|host| format!("{host}:{port}")));
+        }
+        if addresses.is_empty() {
+            let why = "--vm HOST:PORT,... or --platform with --admin-port is needed";
+            return Err(Ending::because(Code::Wrong, why));
+        }
+        let token = self.token()?;
+        let clients = addresses
+            .iter()
+            .map(|address| AdminClient::new(address, token.clone()));
+        Ok(clients.collect())
+    }
+
+    fn token(&self) -> Result<Option<String>, Ending> {
+        let Some(file) = &self.args.token else {
+            return Ok(None);
+        };
+        match std::fs::read_to_string(file) {
+            Ok(token) => Ok(Some(token.trim().to_owned())),
+            Err(error) => {
+                let why = format!("{}: {error}", file.display());
+                Err(Ending::because(Code::Wrong, why))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcuploftctl/src/drain.rs
@@ -0,0 +1,115 @@
+//! `drain`: a backend server gets no new work, also while the store is down.
+
+use kingcuploft_platform::{Expect, ObjectStore, StoreError, manifest_root};
+use serde_json::Value;
+
+use crate::admin_client::AdminClient;
+use crate::context::Context;
+use crate::exit::{Code, Ending};
+use crate::manifest;
+
+/// How many VMs are told; they tell the others.
+const TOLD: usize = 2;
+
+/// How often a write without an answer is sent again.
+const RETRIES: usize = 2;
+
+/// Drains a backend server: through the store, so that it lasts, and through VMs, so that it does
+/// not wait for the store. Either is enough.
+///
+/// # Errors
+///
+/// An ending with code 1 where neither took it.
+pub fn drain(context: &Context<'_>, service: &str, server: &str) -> Result<Ending, Ending> {
+    let mut told = Vec::new();
+    let mut why = Vec::new();
+    if context.has_vms() {
+        match context.vms() {
+            Ok(vms) => tell(&vms, service, server, &mut told, &mut why),
+            Err(ending) => why.push(ending.err),
+        }
+    }
+    let stored = match context.store() {
+        Ok(store) => match write(&store, service, server) {
+            Ok(()) => true,
+            Err(ending) => {
+                why.push(ending.err);
+                false
+            }
+        },
+        Err(ending) if !context.has_vms() => return Err(ending),
+        Err(_) => false,
+    };
+    if told.is_empty() && !stored {
+        return Err(Ending::because(Code::Failed, why.join("\n")));
+    }
+    let mut ending = Ending::done(match context.json() {
+        true => format!(
+            "{}\n",
+            serde_json::json!({ "told": told, "stored": stored })
+        ),
+        false => format!("{server} of {service} gets no new work\n"),
+    });
+    if !stored {
+        ending.err =
+            "not written to the store: VMs that all start anew at once will not know it".to_owned();
+    }
+    Ok(ending)
+}
+
+fn tell(
+    vms: &[AdminClient],
+    service: &str,
+    server: &str,
+    told: &mut Vec<String>,
+    why: &mut Vec<String>,
+) {
+    for vm in vms {
+        let path = format!("/fleet/drain/{service}/{server}");
+        match vm.post::<Value>(&path, "") {
+            Ok(_) => told.push(vm.address().to_owned()),
+            Err(error) => why.push(format!("{}: {error}", vm.address())),
+        }
+        if told.len() == TOLD {
+            return;
+        }
+    }
+}
+
+/// Writes the drain's object, at the place where the accepted manifest has the backend server.
+fn write(store: &dyn ObjectStore, service: &str, server: &str) -> Result<(), Ending> {
+    let root = manifest::root(store, None)?;
+    let accepted = manifest_root::read_manifest(store, &root).map_err(manifest::failed)?;
+    let found = accepted.services.iter().find(|s| &*s.name == service);
+    let mut servers = found.iter().flat_map(|s| &s.backend_servers);
+    let Some(found) = servers.find(|s| &*s.name == server) else {
+        let why = format!("the accepted manifest has no backend server {server} of {service}");
+        return Err(Ending::because(Code::Failed, why));
+    };
+    let value = serde_json::json!({
+        "service": service, "backend_server": server, "address": found.address,
+    });
+    put(
+        store,
+        &format!("drains/{service}/{server}"),
+        &value.to_string(),
+    )
+    .map_err(|error| Ending::because(Code::Failed, format!("the store: {error}")))
+}
+
+/// Writes an object whatever is there: of two drains of one backend server either may stand.
+fn put(store: &dyn ObjectStore, key: &str, value: &str) -> Result<(), StoreError> {
+    let mut expect = Expect::Absent;
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        match store.put(key, value, expect) {
+            Ok(_) => return Ok(()),
+            Err(StoreError::Conflict { found: Some(found) }) if tries <= RETRIES => {
+                expect = Expect::Version(found);
+            }
+            Err(StoreError::Silent(_)) if tries <= RETRIES => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
--- a/crates/kingcuploftctl/src/lib.rs
+++ b/crates/kingcuploftctl/src/lib.rs
@@ -1,3 +1,16 @@
 //! The command-line tool's commands, for its `main` and for tests.
 
+pub mod admin_client;
 pub mod apply;
+pub mod args;
+pub mod claim;
+pub mod context;
+pub mod diff;
+pub mod drain;
+pub mod exit;
+pub mod explain;
+pub mod help;
+pub mod list;
+pub mod manifest;
+pub mod run;
+pub mod status;
--- /dev/null
+++ b/crates/kingcuploftctl/src/manifest.rs
@@ -0,0 +1,166 @@
+//! `manifest check`, `show` and `history`.
+
+use std::path::Path;
+
+use kingcuploft::manifest::reader::{self, Checked};
+use kingcuploft::manifest::root::Root;
+use kingcuploft::manifest::{Manifest, ServiceFigures};
+use kingcuploft::world::ids::Generation;
+use kingcuploft_platform::ObjectStore;
+use kingcuploft_platform::manifest_root::{self, ApplyError};
+
+use crate::context::Context;
+use crate::exit::{Code, Ending};
+
+/// Checks a manifest file.
+///
+/// # Errors
+///
+/// An ending with code 2 that tells every fault.
+pub fn check(context: &Context<'_>, file: &Path) -> Result<Ending, Ending> {
+    let checked = read(context, file)?;
+    let figures = ServiceFigures::of(&checked.manifest);
+    let warnings: Vec<String> = checked.warnings.iter().map(ToString::to_string).collect();
+    if context.json() {
+        let out = serde_json::json!({ "faults": [], "warnings": warnings, "figures": figures });
+        return Ok(Ending::done(format!("{out}\n")));
+    }
+    let mut out = String::new();
+    for warning in warnings {
+        out += &format!("warning: {warning}\n");
+    }
+    out += &format!(
+        "{}: good: {} services, {} backend servers, {} slots, {} rules\n",
+        file.display(),
+        figures.services,
+        figures.backend_servers,
+        figures.slots,
+        figures.rules
+    );
+    Ok(Ending::done(out))
+}
+
+/// Reads and checks a manifest file.
+///
+/// # Errors
+///
+/// An ending with code 2.
+pub fn read(context: &Context<'_>, file: &Path) -> Result<Checked, Ending> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| Ending::because(Code::Wrong, format!("{name}: {error}")))?;
+    reader::read_checked(&name, &text).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        let mut ending = Ending::because(Code::Wrong, lines.join("\n"));
+        if context.json() {
+            ending.out = format!("{}\n", serde_json::json!({ "faults": lines }));
+        }
+        ending
+    })
+}
+
+/// Prints a manifest.
+///
+/// # Errors
+///
+/// An ending with code 1 where it is not to be had.
+pub fn show(context: &Context<'_>, generation: Option<Generation>) -> Result<Ending, Ending> {
+    let store = context.store()?;
+    let root = root(&store, generation)?;
+    let manifest = manifest_root::read_manifest(&store, &root).map_err(failed)?;
+    if context.json() {
+        let out = serde_json::json!({ "root": root, "manifest": manifest });
+        return Ok(Ending::done(format!("{out}\n")));
+    }
+    let text = yaml(&manifest)?;
+    let title = title(&root);
+    Ok(Ending::done(format!("# {title}\n{text}")))
+}
+
+fn yaml(manifest: &Manifest) -> Result<String, Ending> {
+    serde_saphyr::to_string(manifest)
+        .map_err(|error| Ending::because(Code::Failed, error.to_string()))
+}
+
+/// Prints who applied what, newest first.
+///
+/// # Errors
+///
+/// An ending with code 1 where the store does not answer.
+pub fn history(context: &Context<'_>) -> Result<Ending, Ending> {
+    let store = context.store()?;
+    let roots = roots(&store)?;
+    if context.json() {
+        let lines = roots.iter().map(|root| {
+            serde_json::json!({
+                "generation": root.generation,
+                "apply_id": root.apply_id,
+                "author": root.author,
+                "applied_ms": root.applied_ms,
+                "services": root.services.len(),
+            })
+        });
+        let lines: Vec<_> = lines.collect();
+        return Ok(Ending::done(format!("{}\n", serde_json::json!(lines))));
+    }
+    let mut out = String::new();
+    for (i, root) in roots.iter().enumerate() {
+        out += &title(root);
+        out.push('\n');
+        if let Some(earlier) = roots.get(i + 1) {
+            for change in root.changes_since(&earlier.services) {
+                out += &format!("    {change}\n");
+            }
+        }
+    }
+    Ok(Ending::done(out))
+}
+
+/// Returns a line about a root.
+pub fn title(root: &Root) -> String {
+    let mut title = format!("generation {}", root.generation);
+    if !root.author.is_empty() {
+        title += &format!(" by {}", root.author);
+    }
+    if root.applied_ms > 0 {
+        title += &format!(" at {} s", root.applied_ms / 1000);
+    }
+    title += &format!(
+        ", {} services, apply {}",
+        root.services.len(),
+        root.apply_id
+    );
+    title
+}
+
+/// Returns the root of a generation, or the accepted one.
+///
+/// # Errors
+///
+/// An ending with code 1 where it is not to be had.
+pub fn root(store: &dyn ObjectStore, generation: Option<Generation>) -> Result<Root, Ending> {
+    let mut roots = roots(store)?.into_iter();
+    let found = match generation {
+        None => roots.next(),
+        Some(generation) => roots.find(|root| root.generation == generation),
+    };
+    found.ok_or_else(|| {
+        let what = generation.map_or("manifest".into(), |g| format!("generation {g}"));
+        Ending::because(Code::Failed, format!("no {what} is in the store"))
+    })
+}
+
+/// Returns the roots that the store has, newest first.
+fn roots(store: &dyn ObjectStore) -> Result<Vec<Root>, Ending> {
+    let accepted = manifest_root::read_root(store).map_err(failed)?;
+    let mut roots = manifest_root::read_history(store).map_err(failed)?;
+    roots.extend(accepted.map(|(_, root)| root));
+    roots.dedup_by_key(|root| root.generation);
+    roots.reverse();
+    Ok(roots)
+}
+
+/// Turns an error of the store into an ending.
+pub fn failed(error: ApplyError) -> Ending {
+    Ending::because(Code::Failed, error.to_string())
+}
--- a/crates/kingcuploftd/src/admin.rs
+++ b/crates/kingcuploftd/src/admin.rs
@@ -7,12 +7,14 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 
 use crate::shared::Shared;
+use crate::{admin_fleet, status};
 
 /// How often the accept loop looks whether to stop.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -39,9 +41,9 @@
         };
         let shared = Arc::clone(shared);
         tokio::task::spawn_local(async move {
-            let service = service_fn(|request: hyper::Request<_>| {
-                let response = answer(&shared, request.uri().path());
-                async move { Ok::<_, Infallible>(response) }
+            let service = service_fn(|request| {
+                let shared = Arc::clone(&shared);
+                async move { Ok::<_, Infallible>(answer(&shared, request).await) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             drop(connection.await);
@@ -49,27 +51,17 @@
     }
 }
 
-fn answer(shared: &Shared, path: &str) -> Response<Full<Bytes>> {
-    let (status, body) = match path {
+async fn answer(shared: &Shared, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, body) = match request.uri().path() {
+        path if path.starts_with(admin_fleet::PREFIX) => admin_fleet::answer(shared, request).await,
         "/live" => (StatusCode::OK, "live\n".into()),
         "/ready" if shared.ready() => (StatusCode::OK, "ready\n".into()),
         "/ready" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
         "/metrics" => (StatusCode::OK, shared.metrics.text()),
-        "/status" => (StatusCode::OK, status(shared)),
+        "/status" => (StatusCode::OK, status::text(shared)),
         _ => (StatusCode::NOT_FOUND, "no such page\n".into()),
     };
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
     response
 }
-
-fn status(shared: &Shared) -> String {
-    let status = serde_json::json!({
-        "vm": &*shared.vm.name,
-        "availability_zone": &*shared.vm.availability_zone,
-        "generation": shared.accepted.load().generation,
-        "ready": shared.ready(),
-        "stopping": shared.stopping(),
-    });
-    status.to_string()
-}
--- /dev/null
+++ b/crates/kingcuploftd/src/admin_fleet.rs
@@ -0,0 +1,106 @@
+//! The admin pages about the fleet: members, manifest, drains and decisions, and what operators may
+//! hand in while the store is down.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use kingcuploft::decisions::adoption::{AdoptionError, Step};
+use kingcuploft::manifest::root::ContentHash;
+use serde::{Deserialize, Serialize};
+
+use crate::fleet_keeper;
+use crate::shared::Shared;
+
+/// Where these pages begin.
+pub const PREFIX: &str = "/fleet/";
+
+/// The longest body, in bytes: an accepted manifest with every service object.
+const BODY_BYTES: usize = 32 * 1024 * 1024;
+
+/// An accepted manifest, handed to a VM by who applied it: should the store go down before any VM
+/// has read it, the VMs pass it on all the same.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct HandedManifest {
+    /// The root object's text.
+    pub root: String,
+    /// The service objects' texts; those that the VM has may be left out.
+    pub services: Vec<String>,
+}
+
+/// An answer of the admin port.
+pub type Page = (StatusCode, String);
+
+/// Answers a request whose path begins with [`PREFIX`].
+pub async fn answer(shared: &Shared, request: Request<Incoming>) -> Page {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let parts: Vec<&str> = path.trim_start_matches(PREFIX).split('/').collect();
+    match (&method, &parts[..]) {
+        (&Method::GET, ["members"]) => json(&shared.fleet.members()),
+        (&Method::GET, ["drains"]) => json(&shared.fleet.drains()),
+        (&Method::GET, ["manifest"]) => json(&shared.manifest.read(|a| a.status())),
+        (&Method::GET, ["root"]) => match shared.manifest.read(|a| a.delta_since(0)) {
+            Some(delta) => json(&delta.root),
+            None => (StatusCode::NOT_FOUND, "no manifest is in force\n".into()),
+        },
+        (&Method::GET, ["decisions"]) => json(&shared.decisions.found(&query)),
+        (&Method::POST, ["drain", service, server]) => drain(shared, service, server),
+        (&Method::POST, ["manifest"]) => {
+            let body = Limited::new(request.into_body(), BODY_BYTES)
+                .collect()
+                .await;
+            match body {
+                Ok(body) => handed(shared, &body.to_bytes()),
+                Err(_) => (
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    "the body is too long\n".into(),
+                ),
+            }
+        }
+        _ => (StatusCode::NOT_FOUND, "no such page\n".into()),
+    }
+}
+
+fn drain(shared: &Shared, service: &str, server: &str) -> Page {
+    match fleet_keeper::notice(shared, &service.into(), &server.into()) {
+        Some(notice) => {
+            shared.fleet.drain(shared, notice.clone());
+            json(&notice)
+        }
+        None => {
+            let why = format!("no backend server {server} of service {service} is in force here\n");
+            (StatusCode::NOT_FOUND, why)
+        }
+    }
+}
+
+/// Takes an accepted manifest as from any other source: by hash, and only forward.
+fn handed(shared: &Shared, body: &Bytes) -> Page {
+    let handed: HandedManifest = match serde_json::from_slice(body) {
+        Ok(handed) => handed,
+        Err(error) => return (StatusCode::BAD_REQUEST, format!("{error}\n")),
+    };
+    let source = "an operator";
+    let learn = |teach: &mut dyn FnMut(&mut _) -> Result<Step, AdoptionError>| {
+        shared
+            .manifest
+            .learn(shared, source, |adoption| teach(adoption))
+    };
+    if !learn(&mut |adoption| adoption.root_text(&handed.root)) {
+        return (StatusCode::BAD_REQUEST, "the root was not taken\n".into());
+    }
+    for text in &handed.services {
+        learn(&mut |adoption| adoption.service_text(&ContentHash::of(text), text));
+    }
+    learn(&mut |adoption| Ok(adoption.gathered()));
+    json(&shared.manifest.read(|a| a.status()))
+}
+
+fn json<T: Serialize>(value: &T) -> Page {
+    match serde_json::to_string(value) {
+        Ok(text) => (StatusCode::OK, text + "\n"),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+    }
+}
--- a/crates/kingcuploftd/src/caller_edge/mod.rs
+++ b/crates/kingcuploftd/src/caller_edge/mod.rs
@@ -29,6 +29,7 @@
 use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::task::{JoinSet, LocalSet};
 
+use crate::decision_log::Decided;
 use crate::hop_by_hop::end_to_end;
 use crate::message::{Message, Reply, RequestParts};
 use crate::shared::Shared;
@@ -36,6 +37,9 @@
 use inspector::Verdict;
 use reply_body::ReplyBody;
 
+/// The longest host that is kept for operators, in characters.
+const HOST_CHARS: usize = 64;
+
 /// The longest headers of one request, in bytes.
 const HEADERS_BYTES: usize = 32 * 1024;
 
@@ -212,6 +216,7 @@
     let (busy, verdict) = activity.begin();
     let id = shared.next_request();
     let head_only = request.method() == Method::HEAD;
+    let asked = Asked::of(&request);
     let admitted = match inspected(verdict, request.uri()) {
         Ok(()) => admit(shared, id, request, peer).await,
         Err(refusal) => Err(refusal),
@@ -219,6 +224,7 @@
     let reply = admitted.unwrap_or_else(Reply::Refused);
     if let Reply::Refused(refusal) = &reply {
         shared.metrics.refused(refusal.reason);
+        note(shared, id, &asked, refusal);
     }
     reply::response(shared, id, head_only, reply).map(|body| body.until_written(busy))
 }
@@ -236,6 +242,44 @@
     }
 }
 
+/// What a caller asked for, as far as an operator is told it later: no path, query or header, which
+/// may hold a caller's secrets.
+struct Asked {
+    method: String,
+    host: String,
+}
+
+impl Asked {
+    fn of<T>(request: &Request<T>) -> Self {
+        let host = request.headers().get("host");
+        let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+        Self {
+            method: request.method().to_string(),
+            host: host.chars().take(HOST_CHARS).collect(),
+        }
+    }
+}
+
+/// Keeps a refusal for operators who ask why.
+fn note(shared: &Shared, id: RequestId, asked: &Asked, refusal: &Refusal) {
+    let routes = shared.routes.load();
+    let service = routes.service(&asked.host);
+    let service = service.map_or("", |service| &service.name);
+    let retry_after = refusal
+        .retry_after
+        .map_or("never".into(), |after| format!("{after:?}"));
+    let inputs = format!(
+        "{} {}, {}, ask again: {retry_after}",
+        asked.method,
+        asked.host,
+        refusal.outcome.label()
+    );
+    let request = shared.request_name(id);
+    let reason = refusal.reason.label();
+    let decisions = &shared.decisions;
+    decisions.note(Decided::Refused, reason, service, &request, inputs);
+}
+
 /// Reads a request whole, passes it on and waits for its reply.
 async fn admit(
     shared: &Arc<Shared>,
--- a/crates/kingcuploftd/src/claims/mod.rs
+++ b/crates/kingcuploftd/src/claims/mod.rs
@@ -24,7 +24,8 @@
 use crate::message::{ClaimOrder, Message};
 use crate::shared::Shared;
 
-pub use self::records::{fingerprint, key_hash};
+pub use self::records::fingerprint;
+pub use kingcuploft::decisions::claim::key_hash;
 
 /// The longest sleep without an event.
 const LONGEST_SLEEP: Duration = Duration::from_millis(200);
--- a/crates/kingcuploftd/src/daemon.rs
+++ b/crates/kingcuploftd/src/daemon.rs
@@ -95,9 +95,6 @@
         let context = shared.clone();
         let duty = move || membership_duty::run(&context, &fleet_store);
         others.push(spawn("membership", duty)?);
-        let context = shared.clone();
-        let duty = move || membership_duty::run_ticks(&context);
-        others.push(spawn("silence", duty)?);
         let peer_address = peers.as_ref().map(|peers| peers.address);
         if let Some(peers) = peers {
             let shown = shared.settings.peer.address.unwrap_or(peers.address);
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 
 use crate::claims;
+use crate::decision_log::Decided;
 use crate::fleet_keeper;
 use crate::message::{Answer, CallOrder, ClaimOrder, Message, Reply, RequestParts};
 use crate::shared::Shared;
@@ -201,11 +202,23 @@
             Action::Refuse(request, refusal) => self.refuse(request, refusal),
             Action::TellDraining(service, server) => {
                 tracing::info!("drain: {server} of {service} takes no new work.");
+                let decisions = &self.shared.decisions;
+                decisions.note(Decided::Drained, "drain", &service, "", server.to_string());
                 if let Some(notice) = fleet_keeper::notice(&self.shared, &service, &server) {
                     self.shared.fleet.drain_seen(&self.shared, notice);
                 }
             }
-            Action::Retried(_, reason) => self.shared.metrics.retried(reason),
+            Action::Retried(service, reason) => {
+                self.shared.metrics.retried(reason);
+                let decisions = &self.shared.decisions;
+                decisions.note(
+                    Decided::Retried,
+                    reason.label(),
+                    &service,
+                    "",
+                    String::new(),
+                );
+            }
         }
     }
 
--- a/crates/kingcuploftd/src/lib.rs
+++ b/crates/kingcuploftd/src/lib.rs
@@ -1,10 +1,12 @@
 //! The daemon: the edges of an entry VM, a thread for each duty, joined by bounded rings.
 
 pub mod admin;
+pub mod admin_fleet;
 pub mod backend_edge;
 pub mod caller_edge;
 pub mod claims;
 pub mod daemon;
+pub mod decision_log;
 pub mod dispatch;
 pub mod fleet_keeper;
 pub mod hop_by_hop;
@@ -18,4 +20,5 @@
 pub mod peer_link;
 pub mod settings;
 pub mod shared;
+pub mod status;
 pub mod stream;
--- a/crates/kingcuploftd/src/membership_duty.rs
+++ b/crates/kingcuploftd/src/membership_duty.rs
@@ -1,4 +1,4 @@
-//! The membership duty: reads the platform's VM list and the operators' drains, watches silence.
+//! The membership duty: reads the platform's VM list and the operators' drains.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,24 +19,12 @@
 /// How often a VM that leaves the watch to others reads the VM list and drains, before jitter.
 const POLL: Duration = Duration::from_secs(10);
 
-/// How often silence is looked at.
+/// How often a pause looks whether it is still right to wait.
 const TICK: Duration = Duration::from_millis(200);
 
 /// The pause after the store did not answer.
 const PAUSE: Duration = Duration::from_millis(500);
 
-/// Watches for silent members until the daemon ends.
-pub fn run_ticks(shared: &Arc<Shared>) {
-    while !shared.ended() {
-        let changed = shared.fleet.membership().tick(Instant::now());
-        if changed {
-            tracing::info!("membership: the view of the fleet changed.");
-        }
-        shared.fleet.show(shared);
-        std::thread::sleep(TICK);
-    }
-}
-
 /// Reads the VM list and the drains until the daemon ends.
 pub fn run(shared: &Arc<Shared>, store: &dyn ObjectStore) {
     let mut after = 0;
--- a/crates/kingcuploftd/src/peer_link/mod.rs
+++ b/crates/kingcuploftd/src/peer_link/mod.rs
@@ -39,6 +39,9 @@
 /// How often the neighbours are chosen anew.
 const CHOOSE: Duration = Duration::from_millis(100);
 
+/// How often silence is looked at.
+const TICK: Duration = Duration::from_millis(200);
+
 /// Links that others may open to this VM; at 200 VMs with 3 neighbours each, a handful do.
 const ACCEPTED_LINKS: usize = 128;
 
@@ -78,6 +81,7 @@
     tokio::task::spawn_local(node::tell_peers(Rc::clone(&node)));
     tokio::task::spawn_local(node::follow_manifest(Rc::clone(&node)));
     tokio::task::spawn_local(choose_links(Rc::clone(&node)));
+    tokio::task::spawn_local(watch_silence(Rc::clone(&node)));
     let accepted_links = Arc::new(Semaphore::new(ACCEPTED_LINKS));
     while !shared.ended() {
         let accepted = tokio::time::timeout(STOP_POLL, listener.accept()).await;
@@ -99,6 +103,19 @@
     node.say_goodbye().await;
 }
 
+/// Looks for members that have fallen silent.
+async fn watch_silence(node: Rc<Node>) {
+    let fleet = &node.shared.fleet;
+    while !node.shared.ended() {
+        let changed = fleet.membership().tick(Instant::now());
+        if changed {
+            tracing::info!("membership: the view of the fleet changed.");
+        }
+        fleet.show(&node.shared);
+        tokio::time::sleep(TICK).await;
+    }
+}
+
 /// Keeps a link to each neighbour that the membership names.
 async fn choose_links(node: Rc<Node>) {
     while !node.shared.ended() {
--- a/crates/kingcuploftd/src/shared.rs
+++ b/crates/kingcuploftd/src/shared.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 
 use crate::backend_edge::CallRegistry;
+use crate::decision_log::DecisionLog;
 use crate::fleet_keeper::FleetKeeper;
 use crate::manifest_keeper::ManifestKeeper;
 use crate::message::Message;
@@ -37,6 +38,8 @@
     pub manifest: ManifestKeeper,
     /// What is known of the fleet.
     pub fleet: FleetKeeper,
+    /// The last decisions, for operators.
+    pub decisions: DecisionLog,
     /// The counters.
     pub metrics: Metrics,
     /// The ring to the dispatch duty.
@@ -62,6 +65,7 @@
             routes: ArcSwap::default(),
             manifest: ManifestKeeper::default(),
             fleet,
+            decisions: DecisionLog::default(),
             metrics: Metrics::default(),
             dispatch,
             calls: CallRegistry::default(),
