feat(selection): send by estimated load, hold what has no room, notes between VMs

Cause: with the fewest own calls in flight a VM is blind to the other thirteen. Now a call goes to the server that costs it least: own calls exactly, the others' from the last report, drifting to their mean within 7 ms; own calls older than 30 ms as evidence of a slow spell; failures as calls; contradicted and frozen reports ignored; distance, new connections and a ramp. At most 16 servers are looked at.

Membership and notes are events and actions of the dispatcher; the peer link does not carry them yet.

--- a/crates/kingcuploft-standins/src/virtual_fleet/changes.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/changes.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
-use kingcuploft::dispatcher::Event;
+use kingcuploft::decisions::notes::message_bytes;
+use kingcuploft::dispatcher::{Event, PeerNotes};
 use kingcuploft::manifest::Manifest;
 use kingcuploft::world::backend_server::{CallEnd, CallReport};
-use kingcuploft::world::ids::BackendServerName;
+use kingcuploft::world::ids::{BackendServerName, VmName};
 
 use super::change::Change;
 use super::fleet::{Fleet, Happening};
@@ -103,6 +104,39 @@
             self.nodes[node].accepts = false;
             self.start_vm();
         }
+        self.tell_membership();
+    }
+
+    /// Tells every VM which VMs are live.
+    pub(super) fn tell_membership(&mut self) {
+        let live = self.nodes.iter().filter(|node| node.accepts);
+        let live: Vec<VmName> = live.map(|node| node.name.clone()).collect();
+        for node in 0..self.nodes.len() {
+            self.tell(node, Event::Membership(live.clone()));
+        }
+    }
+
+    /// Sends notes to every live peer; the links may lose them.
+    pub(super) fn tell_peers(&mut self, node: usize, notes: &PeerNotes) {
+        let links = self.run.deployment.links;
+        for peer in 0..self.nodes.len() {
+            if peer == node || !self.nodes[peer].accepts {
+                continue;
+            }
+            self.cost.note_bytes += message_bytes(notes.notes.len()) as u64;
+            if self.rng.f64() < links.peer_loss_share {
+                continue;
+            }
+            let near = self.nodes[peer].zone == self.nodes[node].zone;
+            let one_way = match near {
+                true => links.within_zone,
+                false => links.between_zones,
+            };
+            self.push(
+                self.now + one_way,
+                Happening::NotesHeard(peer, notes.clone()),
+            );
+        }
     }
 
     fn lose_zone(&mut self, zone: usize) {
@@ -120,6 +154,7 @@
             self.servers[i].health = Health::Gone;
             self.apply_health(i);
         }
+        self.tell_membership();
     }
 
     /// Sends a word to every peer that a backend server drains.
--- a/crates/kingcuploft-standins/src/virtual_fleet/deployment.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/deployment.rs
@@ -127,7 +127,7 @@
             slow_spells: Some(SlowSpells {
                 every: Duration::from_secs(4),
                 lasting: (Duration::from_millis(50), Duration::from_millis(300)),
-                factor: 5.0,
+                factor: 10.0,
             }),
             probe: Duration::from_millis(6),
             claim: Duration::from_millis(4),
--- a/crates/kingcuploft-standins/src/virtual_fleet/fleet.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/fleet.rs
@@ -5,12 +5,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use kingcuploft::dispatcher::{Action, Arrival, ClaimEnd, Dispatcher, Event};
+use kingcuploft::dispatcher::{Action, Arrival, ClaimEnd, Dispatcher, Event, PeerNotes};
 use kingcuploft::manifest::routing::Route;
 use kingcuploft::manifest::{Accepted, Manifest};
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::backend_server::CallReport;
-use kingcuploft::world::ids::{AttemptId, AvailabilityZone, Generation, IdempotencyKey, RequestId};
+use kingcuploft::world::ids::{
+    AttemptId, AvailabilityZone, Generation, IdempotencyKey, RequestId, VmName,
+};
 use kingcuploft::world::vm::Vm;
 
 use super::calls::BackendCall;
@@ -31,6 +33,7 @@
     CancelAtServer(usize, JobId),
     Ended(usize, AttemptId, CallReport),
     DrainHeard(usize, usize),
+    NotesHeard(usize, PeerNotes),
     Tick(usize),
 }
 
@@ -63,6 +66,7 @@
 
 /// One entry VM.
 pub(super) struct Node {
+    pub(super) name: VmName,
     pub(super) zone: AvailabilityZone,
     pub(super) dispatcher: Dispatcher,
     /// Whether callers are sent to it.
@@ -149,6 +153,7 @@
         for _ in 0..run.deployment.vms {
             fleet.start_vm();
         }
+        fleet.tell_membership();
         for (i, step) in run.steps.iter().enumerate() {
             fleet.push(step.at(), Happening::Step(i));
         }
@@ -176,6 +181,7 @@
         };
         let seed = self.run.seed.wrapping_add(number as u64 * 7919);
         self.nodes.push(Node {
+            name: vm.name.clone(),
             zone,
             dispatcher: Dispatcher::new(vm, seed),
             accepts: true,
@@ -262,6 +268,7 @@
                 self.tell(node, Event::Ended(attempt, report));
             }
             Happening::DrainHeard(node, server) => self.drain_heard(node, server),
+            Happening::NotesHeard(node, notes) => self.tell(node, Event::Told(notes)),
             Happening::Tick(node) => {
                 if self.nodes[node].tick.is_some_and(|tick| tick <= self.now) {
                     self.nodes[node].tick = None;
@@ -291,6 +298,7 @@
                 self.end(node, request, End::Refused(refusal.reason, refusal.outcome));
             }
             Action::TellDraining(_, server) => self.tell_draining(node, &server),
+            Action::TellPeers(notes) => self.tell_peers(node, &notes),
             Action::Retried(_, _) => self.cost.retries += 1,
         }
     }
--- a/crates/kingcuploft-standins/src/virtual_fleet/policies.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/policies.rs
@@ -4,17 +4,43 @@
 
 use kingcuploft::settings::selection::SelectionPolicy;
 use serde::Serialize;
+use serde_json::{Value, json};
 
 use super::deployment::{Deployment, Place};
-use super::outcome::{Outcome, Summary};
+use super::outcome::Summary;
 use super::run::Run;
+use super::scenario::with;
 use super::workload::Stream;
 
-/// The figures of one policy at one seed.
+/// What is run: the ideal, or a fleet under some settings.
+#[derive(Clone, Debug)]
+pub struct Variant {
+    /// The name in tables.
+    pub name: String,
+    /// The settings that differ from the deployment's; `None` is the ideal.
+    pub settings: Option<Value>,
+}
+
+impl Variant {
+    /// Returns the ideal and every policy.
+    pub fn policies() -> Vec<Self> {
+        let ideal = Self {
+            name: "ideal".into(),
+            settings: None,
+        };
+        let policies = SelectionPolicy::ALL.iter().map(|policy| Self {
+            name: policy.label().into(),
+            settings: Some(json!({ "selection": { "policy": policy.label() } })),
+        });
+        std::iter::once(ideal).chain(policies).collect()
+    }
+}
+
+/// The figures of one variant at one seed.
 #[derive(Clone, Debug, Serialize)]
 pub struct Row {
-    /// The policy, or `ideal`.
-    pub policy: &'static str,
+    /// The variant's name.
+    pub policy: String,
     /// The seed.
     pub seed: u64,
     /// The figures.
@@ -22,32 +48,64 @@
     pub summary: Summary,
 }
 
+/// Where, how full and how long.
+#[derive(Clone, Copy, Debug)]
+pub struct Trial {
+    /// The deployment.
+    pub place: Place,
+    /// The share of all slots' time that is asked for.
+    pub load: f64,
+    /// How long callers send requests.
+    pub duration: Duration,
+}
+
 /// Runs every policy and the ideal on the same work, for each seed.
 pub fn policies(place: Place, load: f64, duration: Duration, seeds: &[u64]) -> Vec<Row> {
-    seeds
-        .iter()
-        .flat_map(|&seed| rows(place, load, duration, seed))
-        .collect()
+    let trial = Trial {
+        place,
+        load,
+        duration,
+    };
+    rows(trial, &Variant::policies(), seeds)
 }
 
-fn rows(place: Place, load: f64, duration: Duration, seed: u64) -> Vec<Row> {
+/// Runs variants on the same work, for each seed; the seeds run side by side.
+///
+/// # Panics
+///
+/// Panics where a variant's settings name a field that does not exist.
+pub fn rows(trial: Trial, variants: &[Variant], seeds: &[u64]) -> Vec<Row> {
+    std::thread::scope(|scope| {
+        let play = |&seed: &u64| scope.spawn(move || seed_rows(trial, variants, seed));
+        let plays: Vec<_> = seeds.iter().map(play).collect();
+        let plays = plays.into_iter();
+        plays
+            .flat_map(|play| play.join().expect("A run ends."))
+            .collect()
+    })
+}
+
+fn seed_rows(trial: Trial, variants: &[Variant], seed: u64) -> Vec<Row> {
     let streams = [Stream {
-        load,
+        load: trial.load,
         ..Stream::default()
     }];
-    let mut run = Run::new(Deployment::new(place), &streams, duration, seed);
-    let mut rows = vec![row("ideal", seed, &super::ideal::run(&run))];
-    for policy in SelectionPolicy::ALL {
-        run.deployment.service.policy.selection.policy = *policy;
-        rows.push(row(policy.label(), seed, &super::run(&run)));
-    }
-    rows
-}
-
-fn row(policy: &'static str, seed: u64, outcome: &Outcome) -> Row {
-    Row {
-        policy,
-        seed,
-        summary: outcome.summary(|_| true),
-    }
+    let deployment = Deployment::new(trial.place);
+    let base = deployment.service.policy.clone();
+    let mut run = Run::new(deployment, &streams, trial.duration, seed);
+    let rows = variants.iter().map(|variant| {
+        let outcome = match &variant.settings {
+            None => super::ideal::run(&run),
+            Some(settings) => {
+                run.deployment.service.policy = with(&base, settings);
+                super::run(&run)
+            }
+        };
+        Row {
+            policy: variant.name.clone(),
+            seed,
+            summary: outcome.summary(|_| true),
+        }
+    });
+    rows.collect()
 }
--- a/crates/kingcuploft/src/decisions/selection.rs
+++ b/crates/kingcuploft/src/decisions/selection.rs
@@ -1,12 +1,31 @@
 //! Where work goes.
+//!
+//! Load pattern: load on small backend servers shifts within milliseconds, by other VMs' calls, long
+//! jobs and slow spells, and every report of it is stale. Without this module, calls wait behind long
+//! jobs on one server while another has a free slot: by chance at random, by blindness to the other
+//! VMs with the fewest own calls in flight.
+//!
+//! Each call goes to the server that costs it least (`server_view`) among a bounded sample,
+//! so that a choice costs the same among ten thousand servers as among sixteen. While every server
+//! looked at has its slots and the allowance full, calls wait at the entry, where they can still go
+//! to whichever server turns free first. The figures come from the rounds in
+//! `docs/decisions/0301-selection.md`.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use super::server_view::ServerView;
 use crate::manifest::Service;
 use crate::settings::selection::{SelectionPolicy, SelectionSettings};
 use crate::world::backend_server::CallReport;
 use crate::world::ids::AvailabilityZone;
 
+/// Weight of one report in the typical load that stands for reports that are ignored.
+const TYPICAL_WEIGHT: f64 = 0.01;
+/// How soon calls that wait at the entry look for room again, as estimates drift.
+const LOOK_AGAIN: Duration = Duration::from_millis(1);
+/// Breaks ties between servers that cost the same, in ms.
+const TIE_MS: f64 = 0.01;
+
 /// Which backend server gets the next call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice {
@@ -22,35 +41,144 @@
 #[derive(Debug)]
 pub struct Selection {
     settings: SelectionSettings,
-    servers: Vec<Server>,
+    servers: Vec<ServerView>,
+    /// The others' calls for each slot, over all servers whose reports are believed.
+    typical_others: f64,
     /// Where `round_robin` goes on.
     next: usize,
-}
-
-#[derive(Debug)]
-struct Server {
-    in_flight: u32,
-    slots: u32,
+    look_again: Option<Instant>,
 }
 
 impl Selection {
     /// Builds the view of a VM that has not called any backend server yet.
-    pub fn new(service: &Service, _own_zone: &AvailabilityZone) -> Self {
-        let servers = service.backend_servers.iter().map(|s| Server {
-            in_flight: 0,
-            slots: s.slots,
+    pub fn new(service: &Service, own_zone: &AvailabilityZone) -> Self {
+        let settings = service.policy.selection.clone();
+        let distance = Duration::from_secs_f64(settings.zone_distance_ms / 1000.0);
+        let servers = service.backend_servers.iter().map(|s| {
+            let near = s.availability_zone == *own_zone;
+            ServerView::new(s.slots, if near { Duration::ZERO } else { distance })
         });
         Self {
-            settings: service.policy.selection.clone(),
             servers: servers.collect(),
+            settings,
+            typical_others: 0.5,
             next: 0,
+            look_again: None,
+        }
+    }
+
+    /// Takes over what an earlier manifest's view knows; `old_of` gives the earlier index of each
+    /// backend server, `None` for one that is new.
+    pub fn take_over(&mut self, old: &Self, old_of: &[Option<usize>]) {
+        self.typical_others = old.typical_others;
+        for (server, old_index) in self.servers.iter_mut().zip(old_of) {
+            if let Some(index) = old_index {
+                let (slots, rtt) = (server.slots, server.rtt);
+                server.clone_from(&old.servers[*index]);
+                (server.slots, server.rtt) = (slots, rtt);
+            }
         }
     }
 
     /// Chooses a backend server that `takes_work` for the next call.
     pub fn choose(
         &mut self,
-        _now: Instant,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+        takes_work: impl Fn(usize) -> bool,
+    ) -> Choice {
+        let choice = match self.settings.policy {
+            SelectionPolicy::Adaptive => self.adaptive(now, rng, takes_work),
+            policy => self.naive(policy, rng, takes_work),
+        };
+        self.look_again = (choice == Choice::Full).then(|| now + LOOK_AGAIN);
+        choice
+    }
+
+    /// Returns when calls that found no room should look again.
+    pub fn look_again(&self) -> Option<Instant> {
+        self.look_again
+    }
+
+    /// Returns how many calls of this VM are in flight to a backend server.
+    pub fn in_flight(&self, server: usize) -> u32 {
+        self.servers[server].load.own()
+    }
+
+    /// Notes that a call was handed over.
+    pub fn sent(&mut self, now: Instant, server: usize) {
+        self.servers[server].sent(now);
+    }
+
+    /// Notes how a call ended.
+    pub fn ended(&mut self, now: Instant, server: usize, report: &CallReport) {
+        let view = &mut self.servers[server];
+        view.ended(now, report, &self.settings);
+        if report.load.is_some() && !view.load.doubted() {
+            let others = view.load.mean_others() / view.slots;
+            self.typical_others += TYPICAL_WEIGHT * (others - self.typical_others);
+        }
+    }
+
+    /// Takes in what a peer learnt of a backend server's load.
+    pub fn told(&mut self, now: Instant, server: usize, in_flight: u32) {
+        if let Some(view) = self.servers.get_mut(server) {
+            view.load.told(now, in_flight);
+        }
+    }
+
+    /// Chooses the server that costs a call least among those with room.
+    fn adaptive(
+        &self,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+        takes_work: impl Fn(usize) -> bool,
+    ) -> Choice {
+        let count = self.servers.len();
+        let sample = self.settings.sample as usize;
+        let mut best = Best::default();
+        if count <= sample {
+            let all = (0..count).filter(|&i| takes_work(i));
+            all.for_each(|i| self.weigh(now, i, rng, &mut best));
+            return best.choice();
+        }
+        for _ in 0..sample {
+            let i = rng.usize(0..count);
+            if takes_work(i) {
+                self.weigh(now, i, rng, &mut best);
+            }
+        }
+        if best.seen {
+            return best.choice();
+        }
+        // Nearly none takes work: the first that does is found by a walk, which is rare.
+        let from = rng.usize(0..count);
+        let walk = (from..count).chain(0..from);
+        let usable = walk.into_iter().find(|&i| takes_work(i));
+        usable.map_or(Choice::NoneLeft, Choice::Send)
+    }
+
+    fn weigh(&self, now: Instant, i: usize, rng: &mut fastrand::Rng, best: &mut Best) {
+        best.seen = true;
+        let server = &self.servers[i];
+        let ageing = Duration::from_secs_f64(self.settings.ageing_ms / 1000.0);
+        let typical = self.typical_others * server.slots;
+        let total = server.load.total(now, ageing, typical);
+        let full_of_own = f64::from(server.load.own()) >= server.slots;
+        if full_of_own || total >= server.slots + self.settings.allowance {
+            return;
+        }
+        let cost_ms = server.cost_ms(now, total, &self.settings) + rng.f64() * TIE_MS;
+        if best.server.is_none() || cost_ms < best.cost_ms {
+            best.server = Some(i);
+            best.cost_ms = cost_ms;
+        }
+    }
+
+    /// The policies that the adaptive one is measured against.
+    fn naive(
+        &mut self,
+        policy: SelectionPolicy,
         rng: &mut fastrand::Rng,
         takes_work: impl Fn(usize) -> bool,
     ) -> Choice {
@@ -58,56 +186,42 @@
         if usable.is_empty() {
             return Choice::NoneLeft;
         }
-        match self.settings.policy {
+        match policy {
             SelectionPolicy::Random => Choice::Send(usable[rng.usize(0..usable.len())]),
             SelectionPolicy::RoundRobin => {
                 self.next = self.next.wrapping_add(1);
                 Choice::Send(usable[self.next % usable.len()])
             }
-            SelectionPolicy::LeastInFlight => self.least_in_flight(&usable, rng),
-            SelectionPolicy::Adaptive => self.adaptive(&usable, rng),
+            SelectionPolicy::LeastInFlight | SelectionPolicy::Adaptive => {
+                self.least_in_flight(&usable, rng)
+            }
         }
     }
 
     fn least_in_flight(&self, usable: &[usize], rng: &mut fastrand::Rng) -> Choice {
-        let least = usable.iter().map(|&i| self.servers[i].in_flight).min();
-        let has_least = |&&i: &&usize| Some(self.servers[i].in_flight) == least;
+        let least = usable.iter().map(|&i| self.in_flight(i)).min();
+        let has_least = |&&i: &&usize| Some(self.in_flight(i)) == least;
         let count = usable.iter().filter(has_least).count();
-        let nth = rng.usize(0..count);
-        let chosen = usable.iter().filter(has_least).nth(nth);
+        let chosen = usable.iter().filter(has_least).nth(rng.usize(0..count));
         chosen.map_or(Choice::NoneLeft, |&i| Choice::Send(i))
     }
+}
 
-    fn adaptive(&self, usable: &[usize], rng: &mut fastrand::Rng) -> Choice {
-        let has_room = |&i: &usize| self.servers[i].in_flight < self.servers[i].slots;
-        if !usable.iter().any(has_room) {
-            return Choice::Full;
-        }
-        self.least_in_flight(usable, rng)
-    }
+/// The best server so far.
+#[derive(Debug, Default)]
+struct Best {
+    /// Whether any server that takes work was looked at.
+    seen: bool,
+    server: Option<usize>,
+    cost_ms: f64,
+}
 
-    /// Takes over what an earlier manifest's view knows; `old_of` gives the earlier index of each
-    /// backend server, `None` for one that is new.
-    pub fn take_over(&mut self, old: &Self, old_of: &[Option<usize>]) {
-        for (server, old_index) in self.servers.iter_mut().zip(old_of) {
-            if let Some(index) = old_index {
-                server.in_flight = old.servers[*index].in_flight;
-            }
+impl Best {
+    fn choice(&self) -> Choice {
+        match (self.seen, self.server) {
+            (false, _) => Choice::NoneLeft,
+            (true, None) => Choice::Full,
+            (true, Some(server)) => Choice::Send(server),
         }
     }
-
-    /// Returns how many calls of this VM are in flight to a backend server.
-    pub fn in_flight(&self, server: usize) -> u32 {
-        self.servers[server].in_flight
-    }
-
-    /// Notes that a call was handed over.
-    pub fn sent(&mut self, _now: Instant, server: usize) {
-        self.servers[server].in_flight += 1;
-    }
-
-    /// Notes how a call ended.
-    pub fn ended(&mut self, _now: Instant, server: usize, _report: &CallReport) {
-        self.servers[server].in_flight -= 1;
-    }
 }
--- a/crates/kingcuploft/src/dispatcher/adoption.rs
+++ b/crates/kingcuploft/src/dispatcher/adoption.rs
@@ -15,6 +15,7 @@
     /// wherever that now stands in the manifest. Requests of a service that is gone are told so;
     /// its calls in flight still get their answers.
     pub(super) fn adopted(&mut self, now: Instant, accepted: &Accepted, actions: &mut Vec<Action>) {
+        self.generation = accepted.generation;
         let mut old = std::mem::take(&mut self.services);
         for service in &accepted.manifest.services {
             let state = self.state_under(now, service, old.remove(&service.name));
--- a/crates/kingcuploft/src/dispatcher/mod.rs
+++ b/crates/kingcuploft/src/dispatcher/mod.rs
@@ -9,6 +9,7 @@
 mod request;
 mod retry_queue;
 mod service_state;
+mod telling;
 mod timers;
 
 use std::time::Instant;
@@ -20,13 +21,15 @@
 use crate::utils::HashMap;
 use crate::world::backend_server::CallReport;
 use crate::world::ids::{
-    AttemptId, BackendServerName, Caller, IdempotencyKey, RequestId, ServiceName,
+    AttemptId, BackendServerName, Caller, Generation, IdempotencyKey, RequestId, ServiceName,
+    VmName,
 };
 use crate::world::refusal::{Refusal, RefusalReason};
 use crate::world::vm::Vm;
 
 use request::{Attempt, Claim, Request};
 use service_state::{Pick, ServiceState};
+pub use telling::PeerNotes;
 use timers::Timers;
 
 /// A request as the caller edge hands it in, its route found and its body read.
@@ -73,6 +76,10 @@
     Adopted(Accepted),
     /// A backend server drains, by the word of a peer, the VM list or an operator.
     Draining(ServiceName, BackendServerName),
+    /// These VMs are live, this one among them; it decides only costs.
+    Membership(Vec<VmName>),
+    /// A peer told its notes.
+    Told(PeerNotes),
     /// Time passed.
     Tick,
 }
@@ -96,6 +103,8 @@
     Refuse(RequestId, Refusal),
     /// Tell the peers that a backend server drains.
     TellDraining(ServiceName, BackendServerName),
+    /// Tell every live peer these notes.
+    TellPeers(PeerNotes),
     /// Count a retry.
     Retried(ServiceName, RetryReason),
 }
@@ -121,6 +130,10 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     vm: Vm,
+    /// The generation of the manifest in force.
+    generation: Generation,
+    /// The live VMs, as far as is known.
+    live: Vec<VmName>,
     rng: fastrand::Rng,
     services: HashMap<ServiceName, ServiceState>,
     requests: HashMap<RequestId, Request>,
@@ -139,6 +152,8 @@
     pub fn new(vm: Vm, seed: u64) -> Self {
         Self {
             vm,
+            generation: 0,
+            live: Vec::new(),
             rng: fastrand::Rng::with_seed(seed),
             services: HashMap::default(),
             requests: HashMap::default(),
@@ -160,8 +175,11 @@
             Event::CallerLeft(request) => self.caller_left(now, request, actions),
             Event::Adopted(accepted) => self.adopted(now, &accepted, actions),
             Event::Draining(service, server) => self.draining(&service, &server, actions),
+            Event::Membership(live) => self.membership(live),
+            Event::Told(notes) => self.notes_heard(now, &notes),
             Event::Tick => self.tick(now, actions),
         }
+        self.tell_notes(now, actions);
     }
 
     /// Returns when the next [`Event::Tick`] is due at the latest.
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -7,6 +7,7 @@
 use super::retry_queue::{RetryQueue, Waits};
 use crate::decisions::admission::{Admission, Next, Offer, Waiting};
 use crate::decisions::drain::Drain;
+use crate::decisions::notes::{Note, Notes};
 use crate::decisions::retry::{Retry, Verdict};
 use crate::decisions::selection::{Choice, Selection};
 use crate::manifest::{BackendServer, Service};
@@ -38,6 +39,7 @@
     retries: RetryQueue,
     selection: Selection,
     drain: Drain,
+    notes: Notes,
     retry: Retry,
 }
 
@@ -78,6 +80,10 @@
             retries,
             selection,
             drain,
+            notes: Notes::new(
+                &service.policy.notes,
+                service.backend_servers.iter().map(|s| s.slots),
+            ),
             retry,
             service,
         };
@@ -220,6 +226,9 @@
             return false;
         };
         self.selection.ended(now, server, report);
+        if let Some(load) = report.load {
+            self.notes.reported(now, server, load.in_flight);
+        }
         report.draining && self.drain.evidence(server)
     }
 
@@ -266,13 +275,30 @@
         }
     }
 
-    /// Returns when something is next due: a retry, or giving a request up.
+    /// Returns when something is next due: a retry, giving a request up, notes, or another look
+    /// for room.
     pub(super) fn next_due(&self, now: Instant) -> Option<Instant> {
-        let retry = self.retries.next_due(now);
-        retry
-            .into_iter()
-            .chain(self.admission.next_hopeless())
-            .min()
+        let waits = !self.admission.is_empty() || self.retries.due(now) > 0;
+        let look_again = self.selection.look_again().filter(|_| waits);
+        let due = [
+            self.retries.next_due(now),
+            self.admission.next_hopeless(),
+            self.notes.due(),
+            look_again,
+        ];
+        due.into_iter().flatten().min()
+    }
+
+    /// Takes the notes that are due.
+    pub(super) fn take_notes(&mut self, now: Instant, peers: usize) -> Option<Vec<Note>> {
+        self.notes.take(now, peers)
+    }
+
+    /// Takes a peer's note in.
+    pub(super) fn heard(&mut self, now: Instant, note: Note) {
+        self.notes.heard(note);
+        let (server, in_flight) = (usize::from(note.server), u32::from(note.in_flight));
+        self.selection.told(now, server, in_flight);
     }
 
     /// Returns every request that waits.
--- a/crates/kingcuploft/src/settings/mod.rs
+++ b/crates/kingcuploft/src/settings/mod.rs
@@ -6,6 +6,7 @@
 pub mod drain;
 pub mod measuring;
 pub mod membership;
+pub mod notes;
 pub mod retry;
 pub mod selection;
 
@@ -22,6 +23,8 @@
     pub selection: selection::SelectionSettings,
     /// What measuring may cost.
     pub measuring: measuring::MeasuringSettings,
+    /// What VMs tell each other about full backend servers.
+    pub notes: notes::NotesSettings,
     /// When a request is sent again.
     pub retry: retry::RetrySettings,
     /// How a leaving backend server is treated.
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -219,6 +219,8 @@
                     String::new(),
                 );
             }
+            // The peer link is not there yet.
+            Action::TellPeers(_) => {}
         }
     }
 
