--- a/crates/kingcuploft-standins/src/virtual_fleet/fleet.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/fleet.rs
@@ -191,6 +191,7 @@
             generation: self.generation,
             manifest: Arc::clone(&self.manifest),
         };
+        self.tell(node, Event::LiveVms(self.run.deployment.vms as u32));
         self.tell(node, Event::Adopted(accepted));
     }
 
--- a/crates/kingcuploft/src/decisions/admission.rs
+++ b/crates/kingcuploft/src/decisions/admission.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use super::fair_queue::{FairQueue, Place};
+use super::fair_queue::{FairQueue, Place, Shares};
 use super::pace::{Pace, ServiceTime};
 use super::turns::{self, PRIORITIES, Turns};
 use crate::manifest::Service;
@@ -109,27 +109,28 @@
 pub struct Admission {
     settings: AdmissionSettings,
     queues: [FairQueue; PRIORITIES],
+    paces: [Pace; PRIORITIES],
+    shares: Shares,
     turns: Turns,
     standings: HashMap<RequestId, Standing>,
     hopeless: BTreeSet<(Instant, RequestId)>,
     rules: HashMap<RuleName, RuleLoad>,
     keys: HashMap<IdempotencyKey, u32>,
-    pace: Pace,
 }
 
 impl Admission {
     /// Builds an empty queue for a service.
     pub fn new(service: &Service) -> Self {
         let settings = service.policy.admission.clone();
-        let queue = || FairQueue::new(settings.fair_share, settings.callers_remembered);
         Self {
-            queues: [queue(), queue(), queue()],
+            queues: Default::default(),
+            paces: Default::default(),
+            shares: Shares::new(settings.callers_remembered),
             turns: Turns::new(&settings),
             standings: HashMap::default(),
             hopeless: BTreeSet::new(),
             rules: HashMap::default(),
             keys: HashMap::default(),
-            pace: Pace::default(),
             settings,
         }
     }
@@ -137,14 +138,7 @@
     /// Goes on under a new manifest; what waits stays.
     pub fn adopt(&mut self, service: &Service) {
         self.settings = service.policy.admission.clone();
-        let AdmissionSettings {
-            fair_share,
-            callers_remembered,
-            ..
-        } = self.settings;
-        for queue in &mut self.queues {
-            queue.adopt(fair_share, callers_remembered);
-        }
+        self.shares.adopt(self.settings.callers_remembered);
         self.turns.adopt(&self.settings);
         let kept = |rule: &RuleName| service.rules.iter().any(|r| r.name == *rule);
         self.rules
@@ -154,19 +148,16 @@
     /// Tells what a new request can expect.
     pub fn outlook(&self, now: Instant, waiting: &Waiting) -> Outlook {
         let priority = self.priority(waiting);
-        let ahead = self.queues[priority].ahead_of(&waiting.caller);
+        let queue = &self.queues[priority];
+        let ahead = match self.settings.fair_share {
+            true => queue.ahead_of(&waiting.caller),
+            false => queue.len(),
+        };
         self.outlook_at(now, priority, ahead, &waiting.rule)
     }
 
     fn outlook_at(&self, now: Instant, priority: usize, ahead: usize, rule: &RuleName) -> Outlook {
-        let turns = self.turns.turns_for_one(priority, |i| self.waits(i));
-        let ahead = (ahead as f64 * turns).ceil() as usize;
-        let ahead = ahead.min(self.len());
-        let gap = self.pace.gap().unwrap_or_default();
-        let wait = match ahead {
-            0 => Duration::ZERO,
-            _ => gap.mul_f64(ahead as f64) + self.pace.stalled(now),
-        };
+        let wait = self.paces[priority].gap_now(now).mul_f64(ahead as f64);
         Outlook {
             ahead,
             wait,
@@ -182,12 +173,27 @@
         let outlook = self.outlook(now, waiting);
         let left = waiting.deadline.saturating_duration_since(now);
         let contended = outlook.ahead > 0;
-        if self.settings.deadline_aware && contended && outlook.wait + outlook.service_time > left {
+        let too_late = outlook.wait + outlook.service_time > left;
+        let too_long = outlook.wait > self.longest_wait(now, waiting, left);
+        if self.settings.deadline_aware && contended && (too_late || too_long) {
             return Offer::Refused(self.unreachable(waiting.request, outlook.wait));
         }
         self.room(waiting, outlook.wait)
     }
 
+    /// Returns how long a new request may wait.
+    ///
+    /// A burst may use the whole deadline: it ends, and then everybody was served. A queue that
+    /// stands is overload: however long it is, the slots do the same work, and a longer one only
+    /// makes every answer later and more of them too late.
+    fn longest_wait(&self, now: Instant, waiting: &Waiting, left: Duration) -> Duration {
+        let standing_after = Duration::from_millis(self.settings.standing_after_ms);
+        match self.paces[self.priority(waiting)].stands_for(now) > standing_after {
+            true => left.mul_f64(self.settings.standing_wait_share),
+            false => left,
+        }
+    }
+
     /// Refuses duplicates of a key beyond its share. They are not said to have "not run": the
     /// request with that key which is being worked on may run.
     fn refusal_by_key(&self, waiting: &Waiting) -> Option<Refusal> {
@@ -219,7 +225,8 @@
         if !full {
             return Offer::Queued;
         }
-        let heaviest = queue.heaviest_above(own + 1);
+        // Twice as many, so that chance alone does not turn out who waits already.
+        let heaviest = queue.heaviest_above(2 * (own + 1));
         match heaviest.filter(|heaviest| heaviest.rule == waiting.rule) {
             Some(heaviest) => {
                 let reason = RefusalReason::CallerShare;
@@ -243,11 +250,11 @@
     }
 
     fn push(&mut self, now: Instant, waiting: Waiting) {
-        if self.is_empty() {
-            self.pace.begins(now);
-        }
         let request = waiting.request;
         let priority = self.priority(&waiting);
+        if self.queues[priority].is_empty() {
+            self.paces[priority].begins(now);
+        }
         let load = self.rules.entry(waiting.rule.clone()).or_default();
         load.waiting += 1;
         let mean = load.service_time.mean();
@@ -256,7 +263,11 @@
             true => waiting.deadline - load.service_time.median(),
             false => waiting.deadline,
         };
-        let place = self.queues[priority].push(waiting, cost_us);
+        let start_us = match self.settings.fair_share {
+            true => self.shares.charge(&waiting.caller, cost_us),
+            false => 0,
+        };
+        let place = self.queues[priority].push(waiting, start_us);
         self.hopeless.insert((hopeless_at, request));
         self.standings.insert(
             request,
@@ -281,12 +292,14 @@
         if let Some(refusal) = self.first_too_late(now, priority) {
             return refusal;
         }
-        let Some(waiting) = self.queues[priority].pop() else {
+        let Some((waiting, start_us)) = self.queues[priority].pop() else {
             return Next::Empty;
         };
         self.turns.served(priority);
         self.left_queue(&waiting);
-        self.pace.served(now, !self.is_empty());
+        self.paces[priority].served(now, self.waits(priority));
+        let starts = self.queues.iter().filter_map(FairQueue::first_start_us);
+        self.shares.advance(starts.min().unwrap_or(start_us));
         Next::Serve(waiting)
     }
 
@@ -299,7 +312,7 @@
             return None;
         }
         self.remove(request);
-        let wait = self.pace.gap().unwrap_or_default();
+        let wait = self.paces[priority].gap().unwrap_or_default();
         Some(Next::GivenUp(request, self.unreachable(request, wait)))
     }
 
@@ -311,7 +324,8 @@
     pub fn give_up(&mut self, now: Instant) -> Option<(RequestId, Refusal)> {
         let &(at, request) = self.hopeless.first()?;
         if at <= now {
-            let wait = self.pace.gap().unwrap_or_default();
+            let priority = self.standings.get(&request)?.priority;
+            let wait = self.paces[priority].gap().unwrap_or_default();
             self.remove(request);
             return Some((request, self.unreachable(request, wait)));
         }
@@ -341,12 +355,13 @@
             return false;
         };
         let queue = &mut self.queues[standing.priority];
-        let Some(waiting) = queue.remove(standing.place, standing.cost_us) else {
+        let Some(waiting) = queue.remove(standing.place) else {
             return false;
         };
+        self.shares.give_back(&waiting.caller, standing.cost_us);
         self.left_queue(&waiting);
-        if self.is_empty() {
-            self.pace.emptied();
+        if !self.waits(standing.priority) {
+            self.paces[standing.priority].emptied();
         }
         true
     }
@@ -416,7 +431,8 @@
 
     /// Returns how many callers are held in memory.
     pub fn callers_held(&self) -> usize {
-        self.queues.iter().map(FairQueue::callers_held).sum()
+        let waiting: usize = self.queues.iter().map(FairQueue::callers).sum();
+        waiting + self.shares.len()
     }
 
     /// Returns every request that waits.
--- /dev/null
+++ b/crates/kingcuploft/src/decisions/concurrency.rs
@@ -0,0 +1,139 @@
+//! How many calls of one VM may be in flight to the backend servers of a service.
+//!
+//! **Load pattern:** 14 VMs share 22 slots. **Without it** each VM under overload fills every slot
+//! that it believes free, 14 times over: requests wait at the backend servers, where no priority,
+//! share or deadline is heeded, and answers come late. **Grounds:** a limit that rises a little
+//! for each reply of a backend server where nothing waits, while requests wait here, and falls for
+//! each reply of one where requests wait. At rest a share `rise / (rise + fall)` of the replies
+//! tells of waiting, enough to keep slots busy between two calls. It never falls below this VM's
+//! even share of the slots (all slots over the live VMs), so that no VM is pushed out by others,
+//! and never rises above all slots.
+
+use std::time::Duration;
+
+use super::pace::ServiceTime;
+use crate::manifest::Service;
+use crate::settings::concurrency::ConcurrencySettings;
+use crate::world::backend_server::{CallEnd, CallReport};
+
+/// How many times the usual latency a reply without a load report takes where requests wait.
+const WAITING_FACTOR: f64 = 2.0;
+
+/// How fast the usual latency is forgotten, by sample: a service that became slower for good is
+/// taken as usual after some thousand replies.
+const FORGET_SHARE: f64 = 0.001;
+
+/// The limit of one service on one VM.
+#[derive(Clone, Debug)]
+pub struct Concurrency {
+    settings: ConcurrencySettings,
+    slots: f64,
+    live_vms: u32,
+    limit: f64,
+    in_flight: usize,
+    usual_s: Option<f64>,
+}
+
+impl Concurrency {
+    /// Builds a limit that begins at the even share, where live VMs are known, else at all slots.
+    pub fn new(service: &Service, live_vms: Option<u32>) -> Self {
+        let mut concurrency = Self {
+            settings: service.policy.concurrency.clone(),
+            slots: slots(service),
+            live_vms: live_vms.unwrap_or(u32::MAX),
+            limit: 0.0,
+            in_flight: 0,
+            usual_s: None,
+        };
+        concurrency.limit = match live_vms {
+            Some(_) => concurrency.floor(),
+            None => concurrency.slots,
+        };
+        concurrency
+    }
+
+    /// Goes on under a new manifest.
+    pub fn adopt(&mut self, service: &Service) {
+        self.settings = service.policy.concurrency.clone();
+        self.slots = slots(service);
+        self.limit = self.limit.clamp(self.floor(), self.ceiling());
+    }
+
+    /// Takes in how many VMs are live.
+    pub fn live_vms(&mut self, live_vms: u32) {
+        self.live_vms = live_vms.max(1);
+        self.limit = self.limit.clamp(self.floor(), self.ceiling());
+    }
+
+    /// Sets how many calls are in flight.
+    pub fn set_in_flight(&mut self, in_flight: usize) {
+        self.in_flight = in_flight;
+    }
+
+    /// Tells whether another call may be sent.
+    pub fn has_room(&self) -> bool {
+        !self.settings.adaptive || self.in_flight < self.limit()
+    }
+
+    /// Returns the limit in whole calls.
+    pub fn limit(&self) -> usize {
+        self.limit.round().max(1.0) as usize
+    }
+
+    /// Returns how many calls are in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight
+    }
+
+    /// Notes that a call was sent.
+    pub fn sent(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Notes that a call ended; `slots` are its backend server's, `requests_wait` tells of this VM.
+    pub fn ended(
+        &mut self,
+        report: &CallReport,
+        slots: u32,
+        usual: ServiceTime,
+        requests_wait: bool,
+    ) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let waiting_there = match (report.end, report.load) {
+            (CallEnd::Refused, _) => true,
+            (CallEnd::Answered { .. }, Some(load)) => {
+                f64::from(load.in_flight) > f64::from(slots) * self.settings.full_at
+            }
+            (CallEnd::Answered { .. }, None) => self.slower_than_usual(report.latency, usual),
+            _ => return,
+        };
+        let (rise, fall) = (self.settings.rise, self.settings.fall);
+        let limit = match (waiting_there, requests_wait) {
+            (true, _) => self.limit - fall,
+            (false, true) => self.limit + rise / self.limit,
+            (false, false) => return,
+        };
+        self.limit = limit.clamp(self.floor(), self.ceiling());
+    }
+
+    /// Compares a latency with the lowest median of late.
+    fn slower_than_usual(&mut self, latency: Duration, now: ServiceTime) -> bool {
+        let median_s = now.median().as_secs_f64();
+        let usual_s = self.usual_s.get_or_insert(median_s);
+        *usual_s = (*usual_s * (1.0 + FORGET_SHARE)).min(median_s);
+        latency.as_secs_f64() > *usual_s * WAITING_FACTOR
+    }
+
+    fn floor(&self) -> f64 {
+        (self.slots / f64::from(self.live_vms)).max(1.0)
+    }
+
+    fn ceiling(&self) -> f64 {
+        self.slots.max(1.0)
+    }
+}
+
+fn slots(service: &Service) -> f64 {
+    let servers = service.backend_servers.iter();
+    servers.map(|s| f64::from(s.slots)).sum()
+}
--- a/crates/kingcuploft/src/decisions/fair_queue.rs
+++ b/crates/kingcuploft/src/decisions/fair_queue.rs
@@ -23,51 +23,80 @@
     arrival: u64,
 }
 
-/// The waiting requests of one priority.
+/// The slot time that recent callers were given, in all priorities together: a caller that has
+/// its fill of one priority is not given as much again of the next.
 #[derive(Debug)]
-pub struct FairQueue {
-    /// Whether callers are told apart; first come, first served where not.
-    fair: bool,
-    order: BTreeMap<Place, Waiting>,
-    callers: BTreeMap<Caller, BTreeSet<Place>>,
-    heaviest: BTreeSet<(usize, Caller)>,
+pub struct Shares {
     /// Where the next request of a recent caller starts.
     next_start_us: LruCache<Caller, u64>,
-    /// Where the request served last started; who was idle starts here, not at zero.
+    /// Where the first of those that wait starts; who was idle starts here, not at zero.
     now_us: u64,
-    arrivals: u64,
 }
 
-impl FairQueue {
-    /// Builds an empty queue.
-    pub fn new(fair: bool, callers_remembered: u32) -> Self {
+impl Shares {
+    /// Begins with nobody having been given anything.
+    pub fn new(callers_remembered: u32) -> Self {
         Self {
-            fair,
-            order: BTreeMap::new(),
-            callers: BTreeMap::new(),
-            heaviest: BTreeSet::new(),
             next_start_us: LruCache::new(capacity(callers_remembered)),
             now_us: 0,
-            arrivals: 0,
         }
     }
 
-    /// Goes on under new settings; what waits keeps its place.
-    pub fn adopt(&mut self, fair: bool, callers_remembered: u32) {
-        self.fair = fair;
+    /// Goes on under new settings.
+    pub fn adopt(&mut self, callers_remembered: u32) {
         self.next_start_us.resize(capacity(callers_remembered));
     }
 
-    /// Queues a request that will take about `cost_us` of slot time.
-    pub fn push(&mut self, waiting: Waiting, cost_us: u64) -> Place {
+    /// Charges a caller for a request and returns where that starts.
+    pub fn charge(&mut self, caller: &Caller, cost_us: u64) -> u64 {
+        let next = self.next_start_us.get(caller).copied();
+        let start_us = next.unwrap_or_default().max(self.now_us);
+        self.next_start_us
+            .put(caller.clone(), start_us + cost_us.max(1));
+        start_us
+    }
+
+    /// Takes a charge back for a request that is not served.
+    pub fn give_back(&mut self, caller: &Caller, cost_us: u64) {
+        if let Some(next) = self.next_start_us.peek_mut(caller) {
+            *next = next.saturating_sub(cost_us.max(1));
+        }
+    }
+
+    /// Notes where the first of those that wait starts.
+    pub fn advance(&mut self, start_us: u64) {
+        self.now_us = self.now_us.max(start_us);
+    }
+
+    /// Returns how many callers are remembered.
+    pub fn len(&self) -> usize {
+        self.next_start_us.len()
+    }
+
+    /// Tells whether no caller is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.next_start_us.is_empty()
+    }
+}
+
+/// The waiting requests of one priority.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    order: BTreeMap<Place, Waiting>,
+    callers: BTreeMap<Caller, BTreeSet<Place>>,
+    heaviest: BTreeSet<(usize, Caller)>,
+    arrivals: u64,
+}
+
+impl FairQueue {
+    /// Queues a request that starts at a caller's share.
+    pub fn push(&mut self, waiting: Waiting, start_us: u64) -> Place {
         self.arrivals += 1;
         let caller = waiting.caller.clone();
         let place = Place {
-            start_us: if self.fair { self.start(&caller) } else { 0 },
+            start_us,
             arrival: self.arrivals,
         };
-        self.next_start_us
-            .put(caller.clone(), place.start_us + cost_us.max(1));
         self.order.insert(place, waiting);
         self.weigh(caller, |places| {
             places.insert(place);
@@ -75,29 +104,27 @@
         place
     }
 
-    fn start(&mut self, caller: &Caller) -> u64 {
-        let next = self.next_start_us.get(caller).copied();
-        next.unwrap_or_default().max(self.now_us)
-    }
-
-    /// Takes the next request off.
-    pub fn pop(&mut self) -> Option<Waiting> {
+    /// Takes the next request off, and where it starts.
+    pub fn pop(&mut self) -> Option<(Waiting, u64)> {
         let (place, waiting) = self.order.pop_first()?;
-        self.now_us = self.now_us.max(place.start_us);
         self.forget(&waiting.caller, place);
-        Some(waiting)
+        Some((waiting, place.start_us))
     }
 
-    /// Takes one request off that is not served; its caller's share is not charged for it.
-    pub fn remove(&mut self, place: Place, cost_us: u64) -> Option<Waiting> {
+    /// Takes one request off that is not served.
+    pub fn remove(&mut self, place: Place) -> Option<Waiting> {
         let waiting = self.order.remove(&place)?;
         self.forget(&waiting.caller, place);
-        if let Some(next) = self.next_start_us.peek_mut(&waiting.caller) {
-            *next = next.saturating_sub(cost_us.max(1));
-        }
         Some(waiting)
     }
 
+    /// Returns where the next request starts.
+    pub fn first_start_us(&self) -> Option<u64> {
+        self.order
+            .first_key_value()
+            .map(|(place, _)| place.start_us)
+    }
+
     fn forget(&mut self, caller: &Caller, place: Place) {
         self.weigh(caller.clone(), |places| {
             places.remove(&place);
@@ -139,14 +166,15 @@
         self.callers.get(caller).map_or(0, BTreeSet::len)
     }
 
-    /// Returns how many requests are served before a new one of a caller, as things stand: each
-    /// caller that waits has at most one served for each of this caller's, the new one included.
+    /// Returns how many requests are served before a new one of a caller, as things stand.
+    ///
+    /// Each caller that waits has about one served for each of this caller's, the new one
+    /// included; of the last round about half start before it.
     pub fn ahead_of(&self, caller: &Caller) -> usize {
-        if !self.fair {
-            return self.order.len();
-        }
-        let rounds = self.of_caller(caller) + 1;
-        self.order.len().min(rounds * self.callers.len())
+        let half_rounds = 2 * self.of_caller(caller) + 1;
+        self.order
+            .len()
+            .min((half_rounds * self.callers.len()).div_ceil(2))
     }
 
     /// Returns how many requests wait.
@@ -159,9 +187,9 @@
         self.order.is_empty()
     }
 
-    /// Returns how many callers are held in memory, waiting or remembered.
-    pub fn callers_held(&self) -> usize {
-        self.callers.len().max(self.next_start_us.len())
+    /// Returns how many callers wait.
+    pub fn callers(&self) -> usize {
+        self.callers.len()
     }
 }
 
--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod adoption;
+pub mod concurrency;
 pub mod drain;
 pub mod fair_queue;
 pub mod measuring;
--- a/crates/kingcuploft/src/decisions/pace.rs
+++ b/crates/kingcuploft/src/decisions/pace.rs
@@ -73,6 +73,8 @@
     gap_s: Option<f64>,
     /// When a request was last taken off, if the queue has not been empty since.
     last_served: Option<Instant>,
+    /// Since when the queue has not been empty.
+    waits_since: Option<Instant>,
 }
 
 impl Pace {
@@ -84,16 +86,25 @@
             *mean_s += (gap_s - *mean_s) * SAMPLE_WEIGHT;
         }
         self.last_served = others_wait.then_some(now);
+        self.waits_since = self.waits_since.filter(|_| others_wait);
     }
 
     /// Notes that a request begins to wait in an empty queue.
     pub fn begins(&mut self, now: Instant) {
         self.last_served = Some(now);
+        self.waits_since = Some(now);
     }
 
     /// Notes that the queue ran empty other than by service.
     pub fn emptied(&mut self) {
         self.last_served = None;
+        self.waits_since = None;
+    }
+
+    /// Returns for how long the queue has not been empty.
+    pub fn stands_for(&self, now: Instant) -> Duration {
+        let since = self.waits_since.map(|since| now - since.min(now));
+        since.unwrap_or_default()
     }
 
     /// Returns the mean time between two requests taken off, if it was measured.
@@ -101,10 +112,15 @@
         self.gap_s.map(Duration::from_secs_f64)
     }
 
-    /// Returns how much longer than a usual gap nothing has been taken off.
-    pub fn stalled(&self, now: Instant) -> Duration {
-        let since = self.last_served.map(|last| now - last.min(now));
-        let usual = self.gap().unwrap_or_default();
-        since.unwrap_or_default().saturating_sub(usual)
+    /// Returns the gap to reckon with: the mean, with the one that is still open counted as a
+    /// sample once it is longer.
+    ///
+    /// A single long job on this VM's few slots opens a long gap and must not empty the queue; a
+    /// queue that stands still for good must.
+    pub fn gap_now(&self, now: Instant) -> Duration {
+        let gap = self.gap().unwrap_or_default();
+        let open = self.last_served.map(|last| now - last.min(now));
+        let longer = open.unwrap_or_default().saturating_sub(gap);
+        gap + longer.mul_f64(SAMPLE_WEIGHT)
     }
 }
--- a/crates/kingcuploft/src/decisions/turns.rs
+++ b/crates/kingcuploft/src/decisions/turns.rs
@@ -51,13 +51,6 @@
         self.now = start;
         self.next[priority] = start + TURN / u64::from(self.weights[priority]);
     }
-
-    /// Returns how many turns pass for each one of `priority` while those that wait are served.
-    pub fn turns_for_one(&self, priority: usize, waits: impl Fn(usize) -> bool) -> f64 {
-        let waiting = (0..PRIORITIES).filter(|&i| i == priority || waits(i));
-        let total: u32 = waiting.map(|i| self.weights[i]).sum();
-        f64::from(total) / f64::from(self.weights[priority])
-    }
 }
 
 /// Returns the index of a priority.
--- a/crates/kingcuploft/src/dispatcher/adoption.rs
+++ b/crates/kingcuploft/src/dispatcher/adoption.rs
@@ -37,6 +37,7 @@
     ) -> ServiceState {
         let attempts = self.attempts.values();
         let attempts = attempts.filter(|attempt| attempt.service == service.name);
-        ServiceState::new(Arc::clone(service), &self.vm, old, now, attempts)
+        let live_vms = self.live_vms;
+        ServiceState::new(Arc::clone(service), &self.vm, live_vms, old, now, attempts)
     }
 }
--- a/crates/kingcuploft/src/dispatcher/mod.rs
+++ b/crates/kingcuploft/src/dispatcher/mod.rs
@@ -73,6 +73,8 @@
     Adopted(Accepted),
     /// A backend server drains, by the word of a peer, the VM list or an operator.
     Draining(ServiceName, BackendServerName),
+    /// So many entry VMs are live, this one included.
+    LiveVms(u32),
     /// Time passed.
     Tick,
 }
@@ -129,6 +131,8 @@
     timers: Timers,
     /// When each attempt that does not report is given up.
     attempt_timers: Timers,
+    /// How many entry VMs are live, once that is known.
+    live_vms: Option<u32>,
     /// The time of the last event.
     now: Option<Instant>,
     last_attempt: AttemptId,
@@ -145,6 +149,7 @@
             attempts: HashMap::default(),
             timers: Timers::default(),
             attempt_timers: Timers::default(),
+            live_vms: None,
             now: None,
             last_attempt: 0,
         }
@@ -160,6 +165,12 @@
             Event::CallerLeft(request) => self.caller_left(now, request, actions),
             Event::Adopted(accepted) => self.adopted(now, &accepted, actions),
             Event::Draining(service, server) => self.draining(&service, &server, actions),
+            Event::LiveVms(live_vms) => {
+                self.live_vms = Some(live_vms);
+                let states = self.services.values_mut();
+                states.for_each(|state| state.live_vms(live_vms));
+                self.pump_all(now, actions);
+            }
             Event::Tick => self.tick(now, actions),
         }
     }
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -6,6 +6,7 @@
 use super::request::{Attempt, Request};
 use super::retry_queue::{RetryQueue, Waits};
 use crate::decisions::admission::{Admission, Next, Offer, Waiting};
+use crate::decisions::concurrency::Concurrency;
 use crate::decisions::drain::Drain;
 use crate::decisions::retry::{Retry, Verdict};
 use crate::decisions::selection::{Choice, Selection};
@@ -36,6 +37,7 @@
     by_name: HashMap<BackendServerName, usize>,
     admission: Admission,
     retries: RetryQueue,
+    concurrency: Concurrency,
     selection: Selection,
     drain: Drain,
     retry: Retry,
@@ -50,6 +52,7 @@
     pub(super) fn new<'a>(
         service: Arc<Service>,
         vm: &Vm,
+        live_vms: Option<u32>,
         old: Option<Self>,
         now: Instant,
         attempts: impl Iterator<Item = &'a Attempt>,
@@ -57,25 +60,30 @@
         let mut selection = Selection::new(&service, &vm.availability_zone);
         let mut drain = Drain::new(&service);
         let old_of = old_indices(&service, old.as_ref());
-        let (admission, retries, retry) = match old {
+        let (admission, retries, mut concurrency, retry) = match old {
             None => (
                 Admission::new(&service),
                 RetryQueue::default(),
+                Concurrency::new(&service, live_vms),
                 Retry::new(&service.policy.retry),
             ),
             Some(mut old) => {
                 selection.take_over(&old.selection, &old_of);
                 drain.take_over(&old.drain, &old_of);
                 old.admission.adopt(&service);
+                old.concurrency.adopt(&service);
                 old.retry.adopt(&service.policy.retry);
-                (old.admission, old.retries, old.retry)
+                (old.admission, old.retries, old.concurrency, old.retry)
             }
         };
+        let attempts: Vec<&Attempt> = attempts.collect();
+        concurrency.set_in_flight(attempts.len());
         let names = service.backend_servers.iter().map(|s| s.name.clone());
         let mut state = Self {
             by_name: names.enumerate().map(|(i, name)| (name, i)).collect(),
             admission,
             retries,
+            concurrency,
             selection,
             drain,
             retry,
@@ -115,6 +123,10 @@
         }
     }
 
+    pub(super) fn live_vms(&mut self, live_vms: u32) {
+        self.concurrency.live_vms(live_vms);
+    }
+
     pub(super) fn claim_settled(&mut self, rule: &RuleName) {
         self.admission.claim_settled(rule);
     }
@@ -136,8 +148,7 @@
         if self.admission.is_empty() {
             return Pick::Idle;
         }
-        let drain = &self.drain;
-        let choice = self.selection.choose(now, rng, |i| drain.takes_work(i));
+        let choice = self.choose(now, rng, &[]);
         if choice == Choice::Full {
             let given_up = self.admission.give_up(now);
             return given_up.map_or(Pick::Idle, |(id, refusal)| Pick::Refuse(id, refusal));
@@ -161,14 +172,14 @@
         for at in 0..self.retries.due(now).min(RETRIES_LOOKED_AT) {
             let waits = self.retries.get(at);
             let (tried, last_end) = (self.indices(&waits.tried), waits.last_end);
-            match (self.choose_untried(now, rng, &tried), last_end) {
+            match (self.choose(now, rng, &tried), last_end) {
                 (Choice::Full, _) => {}
                 (Choice::Send(server), _) => {
                     let waits = self.retries.take(at);
                     return Some(Pick::Send(waits.request, server));
                 }
                 (Choice::NoneLeft, CallEnd::Refused) => return Some(self.refused_by_all(at)),
-                (Choice::NoneLeft, _) => match self.choose_untried(now, rng, &[]) {
+                (Choice::NoneLeft, _) => match self.choose(now, rng, &[]) {
                     Choice::Full => {}
                     Choice::Send(server) => {
                         let waits = self.retries.take(at);
@@ -190,10 +201,14 @@
         indices.copied().collect()
     }
 
-    fn choose_untried(&mut self, now: Instant, rng: &mut fastrand::Rng, tried: &[usize]) -> Choice {
+    /// Chooses a backend server that was not tried, while this VM may have more calls in flight.
+    fn choose(&mut self, now: Instant, rng: &mut fastrand::Rng, tried: &[usize]) -> Choice {
         let drain = &self.drain;
         let takes_work = |i| drain.takes_work(i) && !tried.contains(&i);
-        self.selection.choose(now, rng, takes_work)
+        match self.selection.choose(now, rng, takes_work) {
+            Choice::Send(_) if !self.concurrency.has_room() => Choice::Full,
+            choice => choice,
+        }
     }
 
     /// Ends a request that every backend server which takes work has refused.
@@ -208,6 +223,7 @@
 
     pub(super) fn sent(&mut self, now: Instant, server: usize) -> &BackendServer {
         self.selection.sent(now, server);
+        self.concurrency.sent();
         &self.service.backend_servers[server]
     }
 
@@ -216,7 +232,12 @@
         if matches!(report.end, CallEnd::Answered { .. } | CallEnd::TimedOut) {
             self.admission.measured(&attempt.rule, report.latency);
         }
-        let Some(server) = self.server_of(attempt) else {
+        let server = self.server_of(attempt);
+        let slots = server.map_or(u32::MAX, |i| self.service.backend_servers[i].slots);
+        let usual = self.admission.service_time(&attempt.rule);
+        let requests_wait = !self.admission.is_empty();
+        self.concurrency.ended(report, slots, usual, requests_wait);
+        let Some(server) = server else {
             return false;
         };
         self.selection.ended(now, server, report);
--- a/crates/kingcuploft/src/settings/admission.rs
+++ b/crates/kingcuploft/src/settings/admission.rs
@@ -21,6 +21,10 @@
     pub interactive_weight: u32,
     /// The share of service of waiting background requests, against the other weights.
     pub background_weight: u32,
+    /// How long a queue may stand before it is taken for overload rather than a burst, in ms.
+    pub standing_after_ms: u64,
+    /// The share of a request's deadline that it may wait while a queue stands.
+    pub standing_wait_share: f64,
     /// How many requests with one idempotency key one VM takes in at a time.
     pub key_limit: u32,
 }
@@ -35,6 +39,8 @@
             protected_weight: 16,
             interactive_weight: 8,
             background_weight: 1,
+            standing_after_ms: 300,
+            standing_wait_share: 0.1,
             key_limit: 4,
         }
     }
--- /dev/null
+++ b/crates/kingcuploft/src/settings/concurrency.rs
@@ -0,0 +1,29 @@
+//! The settings of [`crate::decisions::concurrency`].
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// How many calls of one VM may be in flight.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ConcurrencySettings {
+    /// Whether the limit follows what replies tell; all slots are the limit where not.
+    pub adaptive: bool,
+    /// How many times its slots a backend server reports in flight where too much waits there.
+    pub full_at: f64,
+    /// How far the limit rises for a reply from a backend server where nothing waits.
+    pub rise: f64,
+    /// How far the limit falls for a reply from a backend server where requests wait.
+    pub fall: f64,
+}
+
+impl Default for ConcurrencySettings {
+    fn default() -> Self {
+        Self {
+            adaptive: true,
+            full_at: 8.0,
+            rise: 4.0,
+            fall: 0.2,
+        }
+    }
+}
--- a/crates/kingcuploft/src/settings/mod.rs
+++ b/crates/kingcuploft/src/settings/mod.rs
@@ -2,6 +2,7 @@
 //! [`crate::decisions`].
 
 pub mod admission;
+pub mod concurrency;
 pub mod drain;
 pub mod measuring;
 pub mod retry;
@@ -16,6 +17,8 @@
 pub struct Policy {
     /// Whom to serve, who waits, who is refused.
     pub admission: admission::AdmissionSettings,
+    /// How many calls of one VM may be in flight.
+    pub concurrency: concurrency::ConcurrencySettings,
     /// Where work goes.
     pub selection: selection::SelectionSettings,
     /// What measuring may cost.
