--- a/crates/kingcuploft/src/settings/mod.rs
+++ b/crates/kingcuploft/src/settings/mod.rs
@@ -2,9 +2,11 @@
 //! [`crate::decisions`].
 
 pub mod admission;
+pub mod claim;
 pub mod concurrency;
 pub mod drain;
 pub mod measuring;
+pub mod membership;
 pub mod retry;
 pub mod selection;
 
