--- a/crates/kingcuploft/src/dispatcher/mod.rs
+++ b/crates/kingcuploft/src/dispatcher/mod.rs
@@ -80,6 +80,8 @@
     Membership(Vec<VmName>),
     /// A peer told its notes.
     Told(PeerNotes),
+    /// So many entry VMs are live, this one included.
+    LiveVms(u32),
     /// Time passed.
     Tick,
 }
@@ -142,6 +144,8 @@
     timers: Timers,
     /// When each attempt that does not report is given up.
     attempt_timers: Timers,
+    /// How many entry VMs are live, once that is known.
+    live_vms: Option<u32>,
     /// The time of the last event.
     now: Option<Instant>,
     last_attempt: AttemptId,
@@ -160,6 +164,7 @@
             attempts: HashMap::default(),
             timers: Timers::default(),
             attempt_timers: Timers::default(),
+            live_vms: None,
             now: None,
             last_attempt: 0,
         }
@@ -177,6 +182,12 @@
             Event::Draining(service, server) => self.draining(&service, &server, actions),
             Event::Membership(live) => self.membership(live),
             Event::Told(notes) => self.notes_heard(now, &notes),
+            Event::LiveVms(live_vms) => {
+                self.live_vms = Some(live_vms);
+                let states = self.services.values_mut();
+                states.for_each(|state| state.live_vms(live_vms));
+                self.pump_all(now, actions);
+            }
             Event::Tick => self.tick(now, actions),
         }
         self.tell_notes(now, actions);
