feat(claims): a pace for the whole fleet, stories of failures, claim lookup, two experiments

A VM sees in the head how often all VMs write and stretches the time between its own writes, so that all together aim at 45 writes a second. Tests tell what callers see over a store that loses, delays, lies and is down; the experiments claims and store_outage measure writes per action and the return after an outage.

--- /dev/null
+++ b/crates/kingcuploft-platform/src/claim_lookup.rs
@@ -0,0 +1,103 @@
+//! What the ledger holds of one idempotency key, for operators.
+
+use kingcuploft::decisions::claim::ledger::{
+    Entry, Head, Index, KeyHash, LAYOUT_KEY, Layout, Segment, key_hash,
+};
+use kingcuploft::decisions::claim::{Partition, partition_of};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::{ObjectStore, StoreError};
+
+/// What the ledger holds of a key.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct FoundClaim {
+    /// The partition that decides the key.
+    pub partition: u16,
+    /// The object that the entry stands in; `None` where the key is not claimed.
+    pub object: Option<String>,
+    /// The entry; `None` where the key is not claimed, was released, or its window is over.
+    pub entry: Option<Entry>,
+}
+
+/// Why a key could not be looked up.
+#[derive(Debug, thiserror::Error)]
+pub enum ClaimLookupError {
+    /// The store failed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// An object can not be read.
+    #[error("{object} can not be read: {error}")]
+    Corrupt {
+        /// The object's key.
+        object: String,
+        /// Why.
+        error: serde_json::Error,
+    },
+}
+
+/// Looks up what the ledger holds of a key. It reads the partition's head, and where the key is
+/// not there the indexes and the segments it names.
+///
+/// # Errors
+///
+/// [`ClaimLookupError`] where the store fails or an object can not be read.
+pub fn find(
+    store: &dyn ObjectStore,
+    service: &str,
+    key: &str,
+) -> Result<FoundClaim, ClaimLookupError> {
+    let layout = read::<Layout>(store, LAYOUT_KEY)?;
+    let partitions = layout.map_or(1, |layout| layout.partitions);
+    let key = key_hash(service, key);
+    let partition = partition_of(key, partitions);
+    let head_name = Partition::head_name(partition);
+    let head = read::<Head>(store, &head_name)?.unwrap_or_default();
+    let found = match head.entries.get(&key) {
+        Some(entry) => Some((head_name, entry.clone())),
+        None => find_sealed(store, &head, key)?,
+    };
+    let (object, entry) = found.unzip();
+    Ok(FoundClaim {
+        partition,
+        object,
+        entry,
+    })
+}
+
+fn find_sealed(
+    store: &dyn ObjectStore,
+    head: &Head,
+    key: KeyHash,
+) -> Result<Option<(String, Entry)>, ClaimLookupError> {
+    let mut names: Vec<String> = Vec::new();
+    for index in &head.indexes {
+        let index = read::<Index>(store, &index.name)?;
+        let segments = index.into_iter().flat_map(|index| index.segments);
+        let holding = segments.filter(|segment| segment.keys.contains(&key));
+        names.extend(holding.map(|segment| segment.segment.name));
+    }
+    names.extend(head.segments.iter().map(|segment| segment.name.clone()));
+    // The last one counts: a key may be claimed anew after its window.
+    for name in names.into_iter().rev() {
+        let segment = read::<Segment>(store, &name)?;
+        if let Some(entry) = segment.and_then(|mut segment| segment.entries.remove(&key)) {
+            return Ok(Some((name, entry)));
+        }
+    }
+    Ok(None)
+}
+
+fn read<T: DeserializeOwned>(
+    store: &dyn ObjectStore,
+    name: &str,
+) -> Result<Option<T>, ClaimLookupError> {
+    let Some(object) = store.get(name)? else {
+        return Ok(None);
+    };
+    let value = serde_json::from_str(&object.value);
+    value.map(Some).map_err(|error| ClaimLookupError::Corrupt {
+        object: name.into(),
+        error,
+    })
+}
--- a/crates/kingcuploft-platform/src/lib.rs
+++ b/crates/kingcuploft-platform/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backoff;
 pub mod budget;
 pub mod circuit;
+pub mod claim_lookup;
 pub mod client;
 pub mod manifest_root;
 
--- /dev/null
+++ b/crates/kingcuploft-standins/src/experiments/claims/mod.rs
@@ -0,0 +1,304 @@
+//! `claims`: what a protected action costs the store and its caller, by ledger and by rate.
+//!
+//! Each VM is a real claims duty with a platform client of its own over loopback HTTP; orders are
+//! handed to it as the dispatch duty would. The action itself takes 10 ms. The baseline writes an
+//! object for each action, two writes each, with sixteen calls side by side on each VM.
+
+pub(super) mod ledger_vm;
+mod per_action;
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use kingcuploft::settings::claim::ClaimSettings;
+use kingcuploftd::settings::Settings;
+use serde::Serialize;
+use tokio::runtime::Runtime;
+
+use self::ledger_vm::LedgerVm;
+use self::per_action::PerActionVm;
+use super::{ExperimentError, Options, Report};
+use crate::load::arrivals;
+use crate::platform::Platform;
+
+/// How many VMs claim.
+pub(super) const VMS: usize = 14;
+
+/// The rates, in actions a second over all VMs.
+const RATES: [f64; 4] = [10.0, 100.0, 400.0, 1000.0];
+
+/// The time of one call to the platform.
+const STORE_DELAY: Duration = Duration::from_millis(2);
+
+/// The time of one action at its backend server.
+const RUN: Duration = Duration::from_millis(10);
+
+/// How claims are written.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    /// An object for each action.
+    PerAction,
+    /// The ledger: any VM writes.
+    AnyVm {
+        partitions: u16,
+        linger_ms: u64,
+        /// The writes in a second that all VMs aim at.
+        aim: u64,
+    },
+    /// The ledger: one VM writes for each partition, as if peers forwarded to it at no cost.
+    OneWriter {
+        partitions: u16,
+        linger_ms: u64,
+        /// The writes in a second that all VMs aim at.
+        aim: u64,
+    },
+}
+
+const WAYS: [(&str, Way); 8] = [
+    ("object per action", Way::PerAction),
+    ("any VM, 16 partitions, no aim", any(16, 3, NO_AIM)),
+    ("any VM, 1 partition, no aim", any(1, 3, NO_AIM)),
+    ("any VM, 1 partition, aim 200 writes/s", any(1, 3, 200)),
+    ("any VM, 1 partition, aim 90 writes/s", any(1, 3, 90)),
+    ("any VM, 1 partition, aim 45 writes/s", any(1, 3, 45)),
+    ("one writer, 1 partition, aim 45 writes/s", one(1, 3, 45)),
+    ("one writer, 4 partitions, aim 45 writes/s", one(4, 3, 45)),
+];
+
+/// An aim that is never met.
+const NO_AIM: u64 = 1_000_000;
+
+const fn any(partitions: u16, linger_ms: u64, aim: u64) -> Way {
+    Way::AnyVm {
+        partitions,
+        linger_ms,
+        aim,
+    }
+}
+
+const fn one(partitions: u16, linger_ms: u64, aim: u64) -> Way {
+    Way::OneWriter {
+        partitions,
+        linger_ms,
+        aim,
+    }
+}
+
+/// One decided claim.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Decided {
+    pub(super) began: Instant,
+    pub(super) latency: Duration,
+    pub(super) held: bool,
+}
+
+/// What one VM's claims came to.
+#[derive(Debug)]
+pub(super) struct Claimed {
+    latency_us: Histogram<u64>,
+    held: u64,
+    refused: u64,
+    pub(super) decided: Vec<Decided>,
+}
+
+impl Default for Claimed {
+    fn default() -> Self {
+        Self {
+            latency_us: Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds that fit"),
+            held: 0,
+            refused: 0,
+            decided: Vec::new(),
+        }
+    }
+}
+
+impl Claimed {
+    fn add(&mut self, began: Instant, held: bool) {
+        let latency = began.elapsed();
+        self.decided.push(Decided {
+            began,
+            latency,
+            held,
+        });
+        match held {
+            true => {
+                self.held += 1;
+                self.latency_us
+                    .saturating_record(latency.as_micros() as u64);
+            }
+            false => self.refused += 1,
+        }
+    }
+}
+
+/// One line of the table.
+#[derive(Debug, Serialize)]
+struct Row {
+    way: &'static str,
+    actions_per_s: f64,
+    actions: u64,
+    refused: u64,
+    writes_per_s: f64,
+    writes_per_action: f64,
+    conflicts_per_action: f64,
+    reads_per_s: f64,
+    p50_ms: f64,
+    p99_ms: f64,
+}
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// [`ExperimentError`] where a stand-in did not start.
+pub fn run(options: &Options) -> Result<Report, ExperimentError> {
+    let mut rows = Vec::new();
+    for rate in RATES {
+        for (name, way) in WAYS {
+            rows.push(measure(options, name, way, rate)?);
+        }
+    }
+    Ok(Report {
+        text: table(&rows),
+        figures: serde_json::to_value(&rows)?,
+        broken: Vec::new(),
+    })
+}
+
+/// A VM that claims.
+enum ClaimVm {
+    Ledger(LedgerVm),
+    PerAction(PerActionVm),
+}
+
+impl ClaimVm {
+    fn claim(&self, action: u64) {
+        match self {
+            Self::Ledger(vm) => vm.claim(action),
+            Self::PerAction(vm) => vm.claim(action),
+        }
+    }
+
+    fn finish(self) -> Claimed {
+        match self {
+            Self::Ledger(vm) => vm.finish(),
+            Self::PerAction(vm) => vm.finish(),
+        }
+    }
+}
+
+fn measure(
+    options: &Options,
+    name: &'static str,
+    way: Way,
+    rate: f64,
+) -> Result<Row, ExperimentError> {
+    let runtime = Runtime::new()?;
+    let platform = Platform::start(&runtime)?;
+    platform.change_faults(|faults| faults.delay = STORE_DELAY);
+    let vms = start(&platform, way)?;
+    // The first reads of the ledger are not part of the cost of an action.
+    std::thread::sleep(Duration::from_millis(200));
+    let before = platform.calls();
+    let mut rng = fastrand::Rng::with_seed(options.seed);
+    let began = Instant::now();
+    let due = arrivals(&mut rng, rate, options.time);
+    for (action, at) in due.iter().enumerate() {
+        std::thread::sleep((began + *at).saturating_duration_since(Instant::now()));
+        vms[writer(way, action, &mut rng)].claim(action as u64);
+    }
+    let mut all = Claimed::default();
+    for vm in vms {
+        let claimed = vm.finish();
+        all.held += claimed.held;
+        all.refused += claimed.refused;
+        all.latency_us.add(&claimed.latency_us).expect("alike");
+    }
+    let seconds = options.time.as_secs_f64();
+    let after = platform.calls();
+    let writes = (after.writes() - before.writes()) as f64;
+    let ms = |quantile| all.latency_us.value_at_quantile(quantile) as f64 / 1000.0;
+    Ok(Row {
+        way: name,
+        actions_per_s: rate,
+        actions: due.len() as u64,
+        refused: all.refused,
+        writes_per_s: writes / seconds,
+        writes_per_action: writes / due.len() as f64,
+        conflicts_per_action: (after.conflicts - before.conflicts) as f64 / due.len() as f64,
+        reads_per_s: (after.gets - before.gets) as f64 / seconds,
+        p50_ms: ms(0.5),
+        p99_ms: ms(0.99),
+    })
+}
+
+fn start(platform: &Platform, way: Way) -> Result<Vec<ClaimVm>, ExperimentError> {
+    let (partitions, linger_ms, aim) = match way {
+        Way::PerAction => {
+            let vm = |i| ClaimVm::PerAction(PerActionVm::start(platform, i));
+            return Ok((0..VMS).map(vm).collect());
+        }
+        Way::AnyVm {
+            partitions,
+            linger_ms,
+            aim,
+        }
+        | Way::OneWriter {
+            partitions,
+            linger_ms,
+            aim,
+        } => (partitions, linger_ms, aim),
+    };
+    let claims = ClaimSettings {
+        partitions,
+        linger_ms,
+        fleet_writes_per_s: aim,
+        ..ClaimSettings::default()
+    };
+    let settings = settings(platform, claims)?;
+    let vm = |i| ClaimVm::Ledger(LedgerVm::start(settings.clone(), i));
+    Ok((0..VMS).map(vm).collect())
+}
+
+pub(super) fn settings(
+    platform: &Platform,
+    claims: ClaimSettings,
+) -> Result<Settings, ExperimentError> {
+    let text = format!(
+        "vm: entry\navailability_zone: a\nlisten: 127.0.0.1:0\nadmin_listen: 127.0.0.1:0\nplatform: {}\n",
+        platform.address()
+    );
+    let settings: Settings = serde_saphyr::from_str(&text)
+        .map_err(|error| crate::fleet::FleetError::Plan(error.to_string()))?;
+    Ok(Settings { claims, ..settings })
+}
+
+/// Returns the VM that writes the claim of an action.
+fn writer(way: Way, action: usize, rng: &mut fastrand::Rng) -> usize {
+    match way {
+        Way::OneWriter { partitions, .. } => action % usize::from(partitions),
+        _ => rng.usize(0..VMS),
+    }
+}
+
+fn table(rows: &[Row]) -> String {
+    let mut text = String::new();
+    let heads =
+        "actions/s  writes/s  writes/action  conflicts/action  reads/s  p50 ms  p99 ms  refused";
+    text += &format!("{:<44}{heads}\n", "way");
+    for row in rows {
+        text += &format!(
+            "{:<44}{:>9.0}{:>10.1}{:>15.2}{:>18.3}{:>9.1}{:>8.1}{:>8.1}{:>9}\n",
+            row.way,
+            row.actions_per_s,
+            row.writes_per_s,
+            row.writes_per_action,
+            row.conflicts_per_action,
+            row.reads_per_s,
+            row.p50_ms,
+            row.p99_ms,
+            row.refused,
+        );
+    }
+    text
+}
--- a/crates/kingcuploft-standins/src/experiments/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -3,7 +3,9 @@
 //! One experiment, one file. Each returns its figures as JSON, a table as text, and every promise
 //! it saw broken.
 
+pub mod claims;
 pub mod promises;
+pub mod store_outage;
 pub mod tail;
 
 use std::path::PathBuf;
@@ -103,11 +105,21 @@
 
 /// Every experiment.
 pub const ALL: &[Entry] = &[
+    Entry {
+        name: "claims",
+        about: "store writes and added latency of protected actions, by ledger and rate",
+        run: claims::run,
+    },
     Entry {
         name: "promises",
         about: "daemon processes under mixed faults, every call checked",
         run: promises::run,
     },
+    Entry {
+        name: "store_outage",
+        about: "protected actions while the store is down, and the calls after its return",
+        run: store_outage::run,
+    },
     Entry {
         name: "tail",
         about: "tail latency and the cost of measuring, by policy",
--- a/crates/kingcuploft/src/decisions/claim/ledger.rs
+++ b/crates/kingcuploft/src/decisions/claim/ledger.rs
@@ -19,6 +19,27 @@
 /// Numbers the sealed segments of a partition.
 pub type SegmentNumber = u32;
 
+/// The key of the layout.
+pub const LAYOUT_KEY: &str = "claims/layout";
+
+/// How many partitions the ledger has; written once, and the same for every VM.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Layout {
+    /// The number of partitions.
+    pub partitions: u16,
+}
+
+/// Returns the hash of an idempotency key; the same key of another service is another action.
+pub fn key_hash(service: &str, key: &str) -> KeyHash {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(service.len() as u64).to_le_bytes());
+    hasher.update(service.as_bytes());
+    hasher.update(key.as_bytes());
+    let mut half = [0; 16];
+    half.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    u128::from_le_bytes(half)
+}
+
 /// Who claimed a key: only this very claim may be released or acknowledged.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Claimant {
@@ -137,6 +158,8 @@
 /// The object that decides a partition: each claim is a conditional update of it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Head {
+    /// How often the head was written: by it each VM sees how much all of them write.
+    pub writes: u64,
     /// The number of the next sealed segment.
     pub next_segment: SegmentNumber,
     /// The indexes, oldest first.
--- a/crates/kingcuploft/src/decisions/claim/mod.rs
+++ b/crates/kingcuploft/src/decisions/claim/mod.rs
@@ -23,6 +23,7 @@
 
 pub mod ledger;
 pub mod message;
+mod pace;
 mod partition;
 mod read;
 mod seal;
--- a/crates/kingcuploft/src/decisions/claim/partition.rs
+++ b/crates/kingcuploft/src/decisions/claim/partition.rs
@@ -10,6 +10,7 @@
 use super::message::{
     Claim, ClaimId, Counted, Failure, Operation, Order, Output, StoreAnswer, Verdict,
 };
+use super::pace::Pace;
 use super::seal::{Garbage, Staged};
 use crate::settings::claim::ClaimSettings;
 
@@ -113,6 +114,7 @@
     pub(super) garbage: Vec<Garbage>,
     pub(super) names: u64,
     pub(super) open: Option<(Open, Instant)>,
+    pub(super) pace: Pace,
     started: Instant,
     hurried: bool,
     last_write: Option<Instant>,
@@ -151,6 +153,7 @@
             garbage: Vec::new(),
             names: 0,
             open: None,
+            pace: Pace::default(),
             started: now,
             hurried: false,
             last_write: None,
@@ -402,7 +405,7 @@
         if self.hurried {
             return Some(self.pause_until.unwrap_or(self.started));
         }
-        let paced = self.last_write.map(|last| last + settings.pace());
+        let paced = self.last_write.map(|last| last + self.pace.pause(settings));
         Some(
             due.max(paced.unwrap_or(due))
                 .max(self.pause_until.unwrap_or(due)),
--- a/crates/kingcuploft/src/decisions/claim/write.rs
+++ b/crates/kingcuploft/src/decisions/claim/write.rs
@@ -26,6 +26,7 @@
         if claims.is_empty() && self.ends.is_empty() && self.abandoned.is_empty() {
             return None;
         }
+        head.writes += 1;
         let head = Arc::new(head);
         let put = Operation::Put {
             name: Self::head_name(self.number),
--- a/crates/kingcuploft/src/settings/claim.rs
+++ b/crates/kingcuploft/src/settings/claim.rs
@@ -15,8 +15,13 @@
     pub linger_ms: u64,
     /// How long the end of an action waits to share a write, in ms.
     pub end_linger_ms: u64,
+    /// How many writes in a second all VMs together aim at for one partition; each VM sees the
+    /// writes of all and stretches the time between its own.
+    pub fleet_writes_per_s: u64,
     /// The least time between two writes of one VM to one partition, in ms.
-    pub pace_ms: u64,
+    pub shortest_pace_ms: u64,
+    /// The longest time between two writes of one VM that wait for others, in ms.
+    pub longest_pace_ms: u64,
     /// The longest time for a claim, in ms; the request's deadline may end it earlier.
     pub timeout_ms: u64,
     /// A call to the store that takes longer makes new claims be refused at once, in ms.
@@ -41,7 +46,9 @@
             partitions: 1,
             linger_ms: 3,
             end_linger_ms: 500,
-            pace_ms: 250,
+            fleet_writes_per_s: 45,
+            shortest_pace_ms: 10,
+            longest_pace_ms: 500,
             timeout_ms: 800,
             slow_store_ms: 300,
             clock_slack_s: 60,
@@ -65,11 +72,6 @@
         Duration::from_millis(self.end_linger_ms)
     }
 
-    /// Returns the least time between two writes.
-    pub fn pace(&self) -> Duration {
-        Duration::from_millis(self.pace_ms)
-    }
-
     /// Returns the longest time for a claim.
     pub fn timeout(&self) -> Duration {
         Duration::from_millis(self.timeout_ms)
--- a/crates/kingcuploft/tests/claim_model.rs
+++ b/crates/kingcuploft/tests/claim_model.rs
@@ -81,7 +81,7 @@
         let settings = Arc::new(ClaimSettings {
             linger_ms: 0,
             end_linger_ms: 0,
-            pace_ms: 0,
+            shortest_pace_ms: 0,
             retry_pause_ms: 0,
             longest_retry_pause_ms: 0,
             seal_bytes: if self.bounds.seals { 1 } else { usize::MAX },
--- /dev/null
+++ b/crates/kingcuploft/tests/claims/world.rs
@@ -0,0 +1,224 @@
+//! Some VMs' partitions over one store, in virtual time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use kingcuploft::decisions::claim::ledger::{Claimant, EntryState, Record, Version};
+use kingcuploft::decisions::claim::message::{
+    Claim, ClaimId, Counted, Failure, Operation, Order, Output, Precondition, StoreAnswer, Stored,
+    Verdict,
+};
+use kingcuploft::decisions::claim::{Partition, Time};
+use kingcuploft::settings::claim::ClaimSettings;
+
+pub(crate) const WINDOW: Duration = Duration::from_secs(600);
+const START_MS: u64 = 1_000_000_000;
+
+struct Vm {
+    partition: Partition,
+    call: Option<Operation>,
+    skew_ms: i64,
+}
+
+pub(crate) struct World {
+    vms: Vec<Vm>,
+    pub(crate) objects: BTreeMap<String, (Version, Stored)>,
+    pub(crate) writes: u64,
+    pub(crate) conflicts: u64,
+    pub(crate) verdicts: BTreeMap<ClaimId, Verdict>,
+    pub(crate) counted: Vec<Counted>,
+    pub(crate) outage: Option<Failure>,
+    revision: Version,
+    start: Instant,
+    pub(crate) elapsed: Duration,
+    settings: Arc<ClaimSettings>,
+    rng: fastrand::Rng,
+}
+
+impl World {
+    pub(crate) fn new(vms: usize, settings: ClaimSettings) -> Self {
+        let mut world = Self {
+            vms: Vec::new(),
+            objects: BTreeMap::new(),
+            writes: 0,
+            conflicts: 0,
+            verdicts: BTreeMap::new(),
+            counted: Vec::new(),
+            outage: None,
+            revision: 0,
+            start: Instant::now(),
+            elapsed: Duration::ZERO,
+            settings: Arc::new(settings),
+            rng: fastrand::Rng::with_seed(11),
+        };
+        for _ in 0..vms {
+            world.add_vm(0);
+        }
+        world
+    }
+
+    pub(crate) fn add_vm(&mut self, skew_ms: i64) -> usize {
+        let owner = self.vms.len() as u64;
+        let now = self.now();
+        self.vms.push(Vm {
+            partition: Partition::new(0, owner, Arc::clone(&self.settings), now),
+            call: None,
+            skew_ms,
+        });
+        self.vms.len() - 1
+    }
+
+    fn now(&self) -> Instant {
+        self.start + self.elapsed
+    }
+
+    pub(crate) fn order(&mut self, vm: usize, order: Order) {
+        self.feed(vm, |partition, time, out| partition.order(time, order, out));
+    }
+
+    /// Claims a key on a VM; the claim's id is its nonce.
+    pub(crate) fn claim(&mut self, vm: usize, id: ClaimId, key: u128) {
+        self.claim_content(vm, id, key, 1);
+    }
+
+    pub(crate) fn claim_content(&mut self, vm: usize, id: ClaimId, key: u128, fingerprint: u128) {
+        let claim = Claim {
+            key,
+            fingerprint,
+            claimant: Claimant {
+                vm: format!("entry-{vm}").as_str().into(),
+                incarnation: 1,
+                nonce: id,
+            },
+            window: WINDOW,
+            give_up: self.now() + self.settings.timeout(),
+        };
+        self.order(vm, Order::Claim(id, claim));
+    }
+
+    pub(crate) fn answer(&mut self, vm: usize, id: ClaimId, body: &[u8]) {
+        let state = EntryState::Answered(Arc::new(record(body)));
+        self.order(vm, Order::Acknowledge(id, state));
+    }
+
+    /// Lets time pass in steps of 1 ms, each with at most one call of each VM.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let until = self.elapsed + time;
+        while self.elapsed < until {
+            self.step();
+        }
+    }
+
+    /// Lets time pass until every VM has written all.
+    pub(crate) fn settle(&mut self) {
+        for _ in 0..20_000 {
+            self.step();
+            if self.vms.iter().all(|vm| vm.partition.is_idle()) {
+                return;
+            }
+        }
+        panic!("the partitions do not settle");
+    }
+
+    /// Lets time pass at once.
+    pub(crate) fn jump(&mut self, time: Duration) {
+        self.elapsed += time;
+    }
+
+    fn step(&mut self) {
+        self.elapsed += Duration::from_millis(1);
+        let mut order: Vec<usize> = (0..self.vms.len()).collect();
+        self.rng.shuffle(&mut order);
+        for vm in order {
+            if let Some(call) = self.vms[vm].call.take() {
+                let answer = match self.outage {
+                    Some(failure) => StoreAnswer::Failed(failure),
+                    None => self.apply(&call),
+                };
+                self.feed(vm, |partition, time, out| {
+                    partition.answered(time, answer, out);
+                });
+            }
+            self.feed(vm, |partition, time, out| partition.tick(time, out));
+        }
+    }
+
+    fn feed(
+        &mut self,
+        vm: usize,
+        event: impl FnOnce(&mut Partition, &mut Time<'_>, &mut Vec<Output>),
+    ) {
+        let unix_ms = START_MS + self.elapsed.as_millis() as u64;
+        let now = self.now();
+        let vm = &mut self.vms[vm];
+        let mut time = Time {
+            now,
+            unix_ms: unix_ms.saturating_add_signed(vm.skew_ms),
+            rng: &mut self.rng,
+        };
+        let mut out = Vec::new();
+        event(&mut vm.partition, &mut time, &mut out);
+        for output in out {
+            match output {
+                Output::Store(call) => vm.call = Some(call),
+                Output::Verdict(id, verdict) => {
+                    let before = self.verdicts.insert(id, verdict);
+                    assert_eq!(before, None, "claim {id} is decided twice");
+                }
+                Output::Count(counted) => self.counted.push(counted),
+            }
+        }
+    }
+
+    fn apply(&mut self, call: &Operation) -> StoreAnswer {
+        match call {
+            Operation::Get { name, .. } => StoreAnswer::Found(self.objects.get(name).cloned()),
+            Operation::Put { name, value, when } => {
+                self.writes += 1;
+                let found = self.objects.get(name).map(|(version, _)| *version);
+                let holds = match when {
+                    Precondition::Absent => found.is_none(),
+                    Precondition::Version(version) => found == Some(*version),
+                };
+                if !holds {
+                    self.conflicts += 1;
+                    return StoreAnswer::Conflict { found };
+                }
+                let bytes = bytes(value);
+                assert!(bytes < 1_000_000, "{name} has {bytes} bytes");
+                self.revision += 1;
+                let stored = (self.revision, value.clone());
+                self.objects.insert(name.clone(), stored);
+                StoreAnswer::Written(self.revision)
+            }
+            Operation::Delete { name, version } => {
+                self.writes += 1;
+                let found = self.objects.get(name).map(|(version, _)| *version);
+                if found != Some(*version) {
+                    return StoreAnswer::Conflict { found };
+                }
+                self.objects.remove(name);
+                StoreAnswer::Deleted
+            }
+        }
+    }
+}
+
+/// Returns the length of an object as it stands in the store.
+pub(crate) fn bytes(value: &Stored) -> usize {
+    let text = match value {
+        Stored::Head(head) => serde_json::to_string(head.as_ref()),
+        Stored::Segment(segment) => serde_json::to_string(segment.as_ref()),
+        Stored::Index(index) => serde_json::to_string(index.as_ref()),
+    };
+    text.unwrap().len()
+}
+
+pub(crate) fn record(body: &[u8]) -> Record {
+    Record {
+        status: 200,
+        headers: vec![("content-type".into(), "text/plain".into())],
+        body: body.to_vec(),
+    }
+}
--- a/crates/kingcuploftd/src/claims/layout.rs
+++ b/crates/kingcuploftd/src/claims/layout.rs
@@ -2,26 +2,17 @@
 
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Receiver, RecvTimeoutError};
-use kingcuploft::decisions::claim::message::Verdict;
-use kingcuploft_platform::{Expect, ObjectStore, StoreError};
-use serde::{Deserialize, Serialize};
-
 use super::records;
 use crate::message::{ClaimOrder, Message};
 use crate::shared::Shared;
-
-/// The key of the layout.
-const LAYOUT_KEY: &str = "claims/layout";
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use kingcuploft::decisions::claim::ledger::{LAYOUT_KEY, Layout};
+use kingcuploft::decisions::claim::message::Verdict;
+use kingcuploft_platform::{Expect, ObjectStore, StoreError};
 
 /// The pause between tries to read the layout.
 const PAUSE: Duration = Duration::from_millis(300);
 
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-struct Layout {
-    partitions: u16,
-}
-
 /// Returns the number of partitions, once it is known; `None` where the daemon ends before.
 ///
 /// Two VMs with different numbers would look for one key in two places and run it twice. So the
--- a/crates/kingcuploftd/src/claims/mod.rs
+++ b/crates/kingcuploftd/src/claims/mod.rs
@@ -24,7 +24,7 @@
 use crate::message::{ClaimOrder, Message};
 use crate::shared::Shared;
 
-pub use self::records::{fingerprint, key_hash};
+pub use self::records::fingerprint;
 
 /// The longest sleep without an event.
 const LONGEST_SLEEP: Duration = Duration::from_millis(200);
--- a/crates/kingcuploftd/src/claims/records.rs
+++ b/crates/kingcuploftd/src/claims/records.rs
@@ -7,11 +7,10 @@
     LAST_MODIFIED, LOCATION,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
-use kingcuploft::decisions::claim::ledger::{EntryState, Fingerprint, KeyHash, Record};
+use kingcuploft::decisions::claim::ledger::{EntryState, Fingerprint, Record};
 use kingcuploft::decisions::claim::message::Verdict;
 use kingcuploft::decisions::claim::refusal;
 use kingcuploft::dispatcher::ClaimEnd;
-use kingcuploft::world::ids::ServiceName;
 use kingcuploft::world::vm::Vm;
 
 use crate::message::{Answer, RequestParts};
@@ -27,15 +26,6 @@
     LOCATION,
 ];
 
-/// Returns the hash of an idempotency key; the same key of another service is another action.
-pub fn key_hash(service: &ServiceName, key: &str) -> KeyHash {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&(service.len() as u64).to_le_bytes());
-    hasher.update(service.as_bytes());
-    hasher.update(key.as_bytes());
-    first_half(&hasher)
-}
-
 /// Tells one request's content from another's under the same idempotency key.
 pub fn fingerprint(parts: &RequestParts) -> Fingerprint {
     let mut hasher = blake3::Hasher::new();
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
+use kingcuploft::decisions::claim::ledger::key_hash;
 use kingcuploft::dispatcher::{Action, Arrival, Call, ClaimEnd, Dispatcher, Event};
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::backend_server::{CallEnd, CallReport};
@@ -270,7 +271,7 @@
     let idempotency = &arrival.route.rule().idempotency;
     Some(ClaimOrder::Claim {
         request: arrival.request,
-        key: claims::key_hash(&arrival.route.service.name, key),
+        key: key_hash(&arrival.route.service.name, key),
         fingerprint: claims::fingerprint(parts),
         deadline: arrival.deadline,
         window: Duration::from_secs(idempotency.window_s),
