--- a/crates/kingcuploft-platform/src/claim_lookup.rs
+++ b/crates/kingcuploft-platform/src/claim_lookup.rs
@@ -1,9 +1,10 @@
 //! What the ledger holds of one idempotency key, for operators.
 
 use kingcuploft::decisions::claim::ledger::{
-    Entry, Head, Index, KeyHash, LAYOUT_KEY, Layout, Segment, key_hash,
+    Entry, Head, Index, KeyHash, LAYOUT_KEY, Layout, Segment,
 };
-use kingcuploft::decisions::claim::{Partition, partition_of};
+use kingcuploft::decisions::claim::{Partition, key_hash, partition_of};
+use kingcuploft::world::ids::ServiceName;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -44,7 +45,7 @@
 /// [`ClaimLookupError`] where the store fails or an object can not be read.
 pub fn find(
     store: &dyn ObjectStore,
-    service: &str,
+    service: &ServiceName,
     key: &str,
 ) -> Result<FoundClaim, ClaimLookupError> {
     let layout = read::<Layout>(store, LAYOUT_KEY)?;
--- a/crates/kingcuploft-standins/src/experiments/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -4,7 +4,11 @@
 //! it saw broken.
 
 pub mod claims;
+pub mod overload;
+pub mod peer_slope;
 pub mod promises;
+pub mod propagation;
+pub mod real_run;
 pub mod store_outage;
 pub mod tail;
 
@@ -14,6 +18,7 @@
 use crate::deployment::{self, Deployment};
 use crate::fleet::FleetError;
 use crate::plot::PlotError;
+use crate::virtual_fleet::deployment::Place;
 
 /// The options that experiments share.
 #[derive(Clone, Debug)]
@@ -55,6 +60,14 @@
 }
 
 impl DeploymentName {
+    /// Returns the deployment's twin in the virtual fleet.
+    pub fn place(self) -> Place {
+        match self {
+            Self::Teamway => Place::Teamway,
+            Self::Bern => Place::Bern,
+        }
+    }
+
     /// Returns the plan of the deployment.
     pub fn plan(self) -> Deployment {
         match self {
@@ -110,11 +123,26 @@
         about: "store writes and added latency of protected actions, by ledger and rate",
         run: claims::run,
     },
+    Entry {
+        name: "overload",
+        about: "what callers receive under overload, with a hot caller",
+        run: overload::run,
+    },
+    Entry {
+        name: "peer_slope",
+        about: "bytes and time of the peer links at 14, 50 and 200 light nodes",
+        run: peer_slope::run,
+    },
     Entry {
         name: "promises",
         about: "daemon processes under mixed faults, every call checked",
         run: promises::run,
     },
+    Entry {
+        name: "propagation",
+        about: "time until a manifest is in force everywhere, the store dying or not",
+        run: propagation::run,
+    },
     Entry {
         name: "store_outage",
         about: "protected actions while the store is down, and the calls after its return",
--- a/crates/kingcuploft/src/decisions/claim/ledger.rs
+++ b/crates/kingcuploft/src/decisions/claim/ledger.rs
@@ -29,17 +29,6 @@
     pub partitions: u16,
 }
 
-/// Returns the hash of an idempotency key; the same key of another service is another action.
-pub fn key_hash(service: &str, key: &str) -> KeyHash {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&(service.len() as u64).to_le_bytes());
-    hasher.update(service.as_bytes());
-    hasher.update(key.as_bytes());
-    let mut half = [0; 16];
-    half.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
-    u128::from_le_bytes(half)
-}
-
 /// Who claimed a key: only this very claim may be released or acknowledged.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Claimant {
--- a/crates/kingcuploft/src/decisions/claim/pace.rs
+++ b/crates/kingcuploft/src/decisions/claim/pace.rs
@@ -16,34 +16,54 @@
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub(super) struct Pace {
     pause: Duration,
+    /// The head's count of writes at the last look, and when that was.
     seen: Option<(u64, Instant)>,
+    written: u32,
+    lost: u32,
 }
 
 impl Pace {
     /// Returns the least time between two writes.
     pub(super) fn pause(&self, settings: &ClaimSettings) -> Duration {
-        self.pause
-            .max(Duration::from_millis(settings.shortest_pace_ms))
+        let shortest = Duration::from_millis(settings.shortest_pace_ms);
+        self.pause.max(shortest)
+    }
+
+    /// Notes a write of this VM that took effect.
+    pub(super) fn written(&mut self) {
+        self.written = self.written.saturating_add(1);
+    }
+
+    /// Notes a write of this VM that lost: the store counts it too.
+    pub(super) fn lost(&mut self) {
+        self.lost = self.lost.saturating_add(1);
     }
 
     /// Notes how often the head had been written by now.
     pub(super) fn see(&mut self, now: Instant, writes: u64, settings: &ClaimSettings) {
-        let Some((before, since)) = self.seen else {
-            self.seen = Some((writes, now));
-            return;
-        };
+        let (before, since) = *self.seen.get_or_insert((writes, now));
         let time = now.saturating_duration_since(since);
         if time < WINDOW {
             return;
         }
-        self.seen = Some((writes, now));
+        let own = f64::from(self.written.max(1));
+        // The others lose about as many of their writes as this VM does.
+        let calls = writes.saturating_sub(before) as f64 * (1.0 + f64::from(self.lost) / own);
         let aim = settings.fleet_writes_per_s as f64 * time.as_secs_f64();
-        let seen = writes.saturating_sub(before) as f64;
-        // The pause grows by an eighth of what is missing, so that VMs do not swing together.
-        let factor = (seen / aim.max(1.0)).clamp(0.5, 2.0);
-        let step = Duration::from_millis(20);
-        let wanted = (self.pause + step).mul_f64(factor).saturating_sub(step);
+        // If all VMs stretch the time between their writes by this, they meet the aim.
+        let stretch = calls / aim.max(1.0) - 1.0;
+        let between = time.div_f64(own);
         let longest = Duration::from_millis(settings.longest_pace_ms);
-        self.pause = ((self.pause * 3 + wanted) / 4).min(longest);
+        // Half of the way at a time, so that the VMs do not swing together.
+        self.pause = match stretch > 0.0 {
+            true => self.pause + between.mul_f64(stretch.min(4.0) / 2.0),
+            false => self.pause.saturating_sub(between.mul_f64(-stretch / 2.0)),
+        }
+        .min(longest);
+        *self = Self {
+            pause: self.pause,
+            seen: Some((writes, now)),
+            ..Self::default()
+        };
     }
 }
--- a/crates/kingcuploft/src/decisions/claim/read.rs
+++ b/crates/kingcuploft/src/decisions/claim/read.rs
@@ -103,6 +103,7 @@
         out: &mut Vec<Output>,
     ) {
         self.succeeded();
+        self.pace.written();
         out.push(Output::Count(Counted::Group(claims.len() + ends)));
         for end in self.ends.drain(..ends) {
             out.push(Output::Count(match end.state {
@@ -126,6 +127,7 @@
     /// Another VM's write came first, or an earlier one of this VM's own without an answer.
     fn lost(&mut self, time: &mut Time<'_>, found: Option<Version>, out: &mut Vec<Output>) {
         out.push(Output::Count(Counted::Conflict));
+        self.pace.lost();
         self.contended = true;
         self.must_read = true;
         let known = self.known.as_ref().map_or(0, |known| known.version);
--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -7,6 +7,7 @@
 pub mod drain;
 pub mod fair_queue;
 pub mod measuring;
+pub mod membership;
 pub mod pace;
 pub mod retry;
 pub mod selection;
--- a/crates/kingcuploft/src/settings/mod.rs
+++ b/crates/kingcuploft/src/settings/mod.rs
@@ -5,6 +5,7 @@
 pub mod claim;
 pub mod drain;
 pub mod measuring;
+pub mod membership;
 pub mod retry;
 pub mod selection;
 
--- a/crates/kingcuploft/tests/claims/main.rs
+++ b/crates/kingcuploft/tests/claims/main.rs
@@ -55,6 +55,8 @@
     let settings = ClaimSettings {
         seal_bytes: 4_000,
         segments_per_index: 4,
+        // Each claim is looked at 30 ms later, so none may wait for the pace.
+        fleet_writes_per_s: 1_000_000,
         ..ClaimSettings::default()
     };
     let slack = Duration::from_secs(settings.clock_slack_s);
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
-use kingcuploft::decisions::claim::ledger::key_hash;
 use kingcuploft::dispatcher::{Action, Arrival, Call, ClaimEnd, Dispatcher, Event};
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::backend_server::{CallEnd, CallReport};
@@ -14,6 +13,8 @@
 use tokio::sync::oneshot;
 
 use crate::claims;
+use crate::decision_log::Decided;
+use crate::fleet_keeper;
 use crate::message::{Answer, CallOrder, ClaimOrder, Message, Reply, RequestParts};
 use crate::shared::Shared;
 
@@ -201,8 +202,23 @@
             Action::Refuse(request, refusal) => self.refuse(request, refusal),
             Action::TellDraining(service, server) => {
                 tracing::info!("drain: {server} of {service} takes no new work.");
+                let decisions = &self.shared.decisions;
+                decisions.note(Decided::Drained, "drain", &service, "", server.to_string());
+                if let Some(notice) = fleet_keeper::notice(&self.shared, &service, &server) {
+                    self.shared.fleet.drain_seen(&self.shared, notice);
+                }
+            }
+            Action::Retried(service, reason) => {
+                self.shared.metrics.retried(reason);
+                let decisions = &self.shared.decisions;
+                decisions.note(
+                    Decided::Retried,
+                    reason.label(),
+                    &service,
+                    "",
+                    String::new(),
+                );
             }
-            Action::Retried(_, reason) => self.shared.metrics.retried(reason),
         }
     }
 
@@ -271,7 +287,7 @@
     let idempotency = &arrival.route.rule().idempotency;
     Some(ClaimOrder::Claim {
         request: arrival.request,
-        key: key_hash(&arrival.route.service.name, key),
+        key: claims::key_hash(&arrival.route.service.name, key),
         fingerprint: claims::fingerprint(parts),
         deadline: arrival.deadline,
         window: Duration::from_secs(idempotency.window_s),
