--- a/crates/kingcuploft-standins/src/virtual_fleet/scenario.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/scenario.rs
@@ -36,6 +36,9 @@
     /// The share of messages between VMs that is lost.
     #[serde(default)]
     pub peer_loss_share: f64,
+    /// Time from a claim to its settlement, in ms; the deployment's where absent.
+    #[serde(default)]
+    pub claim_ms: Option<u64>,
     /// What callers must receive.
     pub expect: Vec<Expectation>,
     /// The settings that switch off the part that answers this; the scenario must fail under them.
@@ -141,6 +144,9 @@
         *policy = with(policy, &self.policy);
         *policy = with(policy, settings);
         deployment.links.peer_loss_share = self.peer_loss_share;
+        if let Some(claim_ms) = self.claim_ms {
+            deployment.claim = Duration::from_millis(claim_ms);
+        }
         let duration = Duration::from_millis(self.duration_ms);
         let mut run = Run::new(deployment, &self.streams, duration, self.seed);
         run.steps.clone_from(&self.steps);
