--- a/crates/kingcuploft-standins/src/experiments/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -3,11 +3,13 @@
 //! One experiment, one file. Each returns its figures as JSON, a table as text, and every promise
 //! it saw broken.
 
+pub mod claims;
 pub mod overload;
 pub mod peer_slope;
 pub mod promises;
 pub mod propagation;
 pub mod real_run;
+pub mod store_outage;
 pub mod tail;
 
 use std::path::PathBuf;
@@ -116,6 +118,11 @@
 
 /// Every experiment.
 pub const ALL: &[Entry] = &[
+    Entry {
+        name: "claims",
+        about: "store writes and added latency of protected actions, by ledger and rate",
+        run: claims::run,
+    },
     Entry {
         name: "overload",
         about: "what callers receive under overload, with a hot caller",
@@ -136,6 +143,11 @@
         about: "time until a manifest is in force everywhere, the store dying or not",
         run: propagation::run,
     },
+    Entry {
+        name: "store_outage",
+        about: "protected actions while the store is down, and the calls after its return",
+        run: store_outage::run,
+    },
     Entry {
         name: "tail",
         about: "tail latency and the cost of measuring, by policy",
--- a/crates/kingcuploft/src/decisions/claim/read.rs
+++ b/crates/kingcuploft/src/decisions/claim/read.rs
@@ -77,6 +77,7 @@
     /// Takes over a newer head: every earlier write of this VM is decided by it.
     fn adopt(&mut self, time: &Time<'_>, known: Known) {
         self.least_version = known.version;
+        self.pace.see(time.now, known.head.writes, &self.settings);
         for abandoned in std::mem::take(&mut self.abandoned) {
             let entry = known.head.entries.get(&abandoned.key);
             if entry.is_some_and(|entry| entry.claimant == abandoned.claimant) {
@@ -102,6 +103,7 @@
         out: &mut Vec<Output>,
     ) {
         self.succeeded();
+        self.pace.written();
         out.push(Output::Count(Counted::Group(claims.len() + ends)));
         for end in self.ends.drain(..ends) {
             out.push(Output::Count(match end.state {
@@ -125,6 +127,7 @@
     /// Another VM's write came first, or an earlier one of this VM's own without an answer.
     fn lost(&mut self, time: &mut Time<'_>, found: Option<Version>, out: &mut Vec<Output>) {
         out.push(Output::Count(Counted::Conflict));
+        self.pace.lost();
         self.contended = true;
         self.must_read = true;
         let known = self.known.as_ref().map_or(0, |known| known.version);
