--- a/crates/kingcuploft-standins/src/experiments/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -3,11 +3,15 @@
 //! One experiment, one file. Each returns its figures as JSON, a table as text, and every promise
 //! it saw broken.
 
+pub mod claims;
 pub mod connections;
 pub mod overhead;
 pub mod overload;
+pub mod peer_slope;
 pub mod promises;
+pub mod propagation;
 pub mod real_run;
+pub mod store_outage;
 pub mod tail;
 
 use std::path::PathBuf;
@@ -126,16 +130,36 @@
         about: "what one daemon adds to a call, interleaved with calls straight to the server",
         run: overhead::run,
     },
+    Entry {
+        name: "claims",
+        about: "store writes and added latency of protected actions, by ledger and rate",
+        run: claims::run,
+    },
     Entry {
         name: "overload",
         about: "what callers receive under overload, with a hot caller",
         run: overload::run,
     },
+    Entry {
+        name: "peer_slope",
+        about: "bytes and time of the peer links at 14, 50 and 200 light nodes",
+        run: peer_slope::run,
+    },
     Entry {
         name: "promises",
         about: "daemon processes under mixed faults, every call checked",
         run: promises::run,
     },
+    Entry {
+        name: "propagation",
+        about: "time until a manifest is in force everywhere, the store dying or not",
+        run: propagation::run,
+    },
+    Entry {
+        name: "store_outage",
+        about: "protected actions while the store is down, and the calls after its return",
+        run: store_outage::run,
+    },
     Entry {
         name: "tail",
         about: "tail latency and the cost of measuring, by policy",
--- a/crates/kingcuploft/src/dispatcher/adoption.rs
+++ b/crates/kingcuploft/src/dispatcher/adoption.rs
@@ -15,6 +15,7 @@
     /// wherever that now stands in the manifest. Requests of a service that is gone are told so;
     /// its calls in flight still get their answers.
     pub(super) fn adopted(&mut self, now: Instant, accepted: &Accepted, actions: &mut Vec<Action>) {
+        self.generation = accepted.generation;
         let mut old = std::mem::take(&mut self.services);
         for service in &accepted.manifest.services {
             let state = self.state_under(now, service, old.remove(&service.name));
@@ -37,6 +38,7 @@
     ) -> ServiceState {
         let attempts = self.attempts.values();
         let attempts = attempts.filter(|attempt| attempt.service == service.name);
-        ServiceState::new(Arc::clone(service), &self.vm, old, now, attempts)
+        let live_vms = self.live_vms;
+        ServiceState::new(Arc::clone(service), &self.vm, live_vms, old, now, attempts)
     }
 }
--- a/crates/kingcuploft/src/settings/mod.rs
+++ b/crates/kingcuploft/src/settings/mod.rs
@@ -3,8 +3,11 @@
 
 pub mod admission;
 pub mod claim;
+pub mod concurrency;
 pub mod drain;
 pub mod measuring;
+pub mod membership;
+pub mod notes;
 pub mod retry;
 pub mod selection;
 
@@ -17,10 +20,14 @@
 pub struct Policy {
     /// Whom to serve, who waits, who is refused.
     pub admission: admission::AdmissionSettings,
+    /// How many calls of one VM may be in flight.
+    pub concurrency: concurrency::ConcurrencySettings,
     /// Where work goes.
     pub selection: selection::SelectionSettings,
     /// What measuring may cost.
     pub measuring: measuring::MeasuringSettings,
+    /// What VMs tell each other about full backend servers.
+    pub notes: notes::NotesSettings,
     /// When a request is sent again.
     pub retry: retry::RetrySettings,
     /// How a leaving backend server is treated.
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -13,6 +13,8 @@
 use tokio::sync::oneshot;
 
 use crate::claims;
+use crate::decision_log::Decided;
+use crate::fleet_keeper;
 use crate::message::{Answer, CallOrder, ClaimOrder, Message, Reply, RequestParts};
 use crate::shared::Shared;
 
@@ -48,6 +50,10 @@
     actions: Vec<Action>,
     /// Attempts that could not be handed to the backend edge.
     not_handed_over: Vec<AttemptId>,
+    /// How many VMs share the backend servers, as was last seen.
+    sharing: usize,
+    /// When to look at that again.
+    next_look: Instant,
     /// Claims that could not be handed to the claims duty.
     not_claimed: Vec<RequestId>,
     /// Releases and acknowledgements that its ring had no room for, oldest first.
@@ -65,6 +71,8 @@
         answers: HashMap::default(),
         actions: Vec::new(),
         not_handed_over: Vec::new(),
+        sharing: 0,
+        next_look: Instant::now(),
         not_claimed: Vec::new(),
         late_claim_ends: VecDeque::new(),
     };
@@ -74,9 +82,10 @@
         match ring.recv_timeout(dispatch.sleep()) {
             Ok(Message::Stop(until)) => stop = Some(until),
             Ok(message) => dispatch.on_message(message),
-            Err(RecvTimeoutError::Timeout) => dispatch.on_event(Event::Tick),
+            Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => break,
         }
+        dispatch.pass_time();
         dispatch.hand_over_late_claim_ends();
     }
     // The claims duty ends only after this one: it takes all that is left.
@@ -92,6 +101,25 @@
         left.map_or(LONGEST_SLEEP, |left| left.min(LONGEST_SLEEP))
     }
 
+    /// Tells the dispatcher of the time where something is due.
+    ///
+    /// This is done after each message too: under load the ring is never empty, and deadlines
+    /// would pass unseen if only an empty ring let time pass.
+    fn pass_time(&mut self) {
+        let now = Instant::now();
+        if now >= self.next_look {
+            self.next_look = now + LONGEST_SLEEP;
+            let sharing = self.shared.fleet.membership().sharing();
+            if sharing != self.sharing {
+                self.sharing = sharing;
+                self.on_event(Event::LiveVms(u32::try_from(sharing).unwrap_or(u32::MAX)));
+            }
+        }
+        if self.dispatcher.next_tick().is_some_and(|due| due <= now) {
+            self.on_event(Event::Tick);
+        }
+    }
+
     fn on_message(&mut self, message: Message) {
         match message {
             Message::Arrived {
@@ -200,8 +228,25 @@
             Action::Refuse(request, refusal) => self.refuse(request, refusal),
             Action::TellDraining(service, server) => {
                 tracing::info!("drain: {server} of {service} takes no new work.");
+                let decisions = &self.shared.decisions;
+                decisions.note(Decided::Drained, "drain", &service, "", server.to_string());
+                if let Some(notice) = fleet_keeper::notice(&self.shared, &service, &server) {
+                    self.shared.fleet.drain_seen(&self.shared, notice);
+                }
+            }
+            Action::Retried(service, reason) => {
+                self.shared.metrics.retried(reason);
+                let decisions = &self.shared.decisions;
+                decisions.note(
+                    Decided::Retried,
+                    reason.label(),
+                    &service,
+                    "",
+                    String::new(),
+                );
             }
-            Action::Retried(_, reason) => self.shared.metrics.retried(reason),
+            // The peer link is not there yet.
+            Action::TellPeers(_) => {}
         }
     }
 
