feat(settings): every fault of a file at once, with line and field; the admin port by token

- The reader stopped at the first fault and took zero limits, equal ports, empty names and a platform without a port.
Faults are now noted, put right and read past; meaning is checked as well.
- admin_token_file: a bearer token, read again when it changes, needed where admin_listen is no loopback address; /live and /ready stay open for the balancer.
The admin port has bounds on connections and head time.

--- a/crates/kingcuploft/src/manifest/located.rs
+++ b/crates/kingcuploft/src/manifest/located.rs
@@ -12,16 +12,16 @@
 
 /// A value and the line it begins on.
 #[derive(Clone, Debug)]
-pub(super) struct Located {
+pub struct Located {
     /// The line, from 1; 0 where the parser knows none.
-    pub(super) line: usize,
+    pub line: usize,
     /// The value.
-    pub(super) node: Node,
+    pub node: Node,
 }
 
 /// A value whose parts know their lines.
 #[derive(Clone, Debug)]
-pub(super) enum Node {
+pub enum Node {
     /// A number, text, truth value or nothing.
     Scalar(Value),
     /// A list.
@@ -32,7 +32,7 @@
 
 impl Located {
     /// Returns the member of a mapping.
-    pub(super) fn member(&self, name: &str) -> Option<&Self> {
+    pub fn member(&self, name: &str) -> Option<&Self> {
         let Node::Map(members) = &self.node else {
             return None;
         };
@@ -41,7 +41,7 @@
     }
 
     /// Returns the items of a list.
-    pub(super) fn items(&self) -> &[Self] {
+    pub fn items(&self) -> &[Self] {
         match &self.node {
             Node::List(items) => items,
             Node::Scalar(_) | Node::Map(_) => &[],
@@ -50,7 +50,7 @@
 
     /// Returns the line of the field at a path such as `services[0].rules[1].deadline_ms`, or of
     /// its nearest container that the text has.
-    pub(super) fn line_of(&self, path: &str) -> usize {
+    pub fn line_of(&self, path: &str) -> usize {
         let mut at = self;
         let steps = path.split(['.', '[', ']']).filter(|step| !step.is_empty());
         for step in steps {
@@ -67,7 +67,7 @@
     }
 
     /// Returns the value without its lines.
-    pub(super) fn value(&self) -> Value {
+    pub fn value(&self) -> Value {
         match &self.node {
             Node::Scalar(value) => value.clone(),
             Node::List(items) => items.iter().map(Self::value).collect(),
@@ -80,7 +80,7 @@
     }
 
     /// Tells whether the nesting stays within what is followed.
-    pub(super) fn is_shallow(&self) -> bool {
+    pub fn is_shallow(&self) -> bool {
         self.depth_within(MAX_DEPTH)
     }
 
--- a/crates/kingcuploft/src/manifest/mod.rs
+++ b/crates/kingcuploft/src/manifest/mod.rs
@@ -1,7 +1,7 @@
 //! The manifest: services, their backend servers and rules, as a build pipeline generates it.
 
 pub mod check;
-mod located;
+pub mod located;
 pub mod reader;
 pub mod root;
 pub mod routing;
--- a/crates/kingcuploft/src/manifest/reader.rs
+++ b/crates/kingcuploft/src/manifest/reader.rs
@@ -83,7 +83,11 @@
 }
 
 /// Parses the text alone, with bounds on size, nesting and aliases.
-fn parse(file: &str, text: &str) -> Result<Located, ManifestError> {
+///
+/// # Errors
+///
+/// The first place where the text is no YAML, or passes a bound.
+pub fn parse(file: &str, text: &str) -> Result<Located, ManifestError> {
     let fault = |line, expected| ManifestError {
         file: file.into(),
         line,
--- a/crates/kingcuploftd/src/admin.rs
+++ b/crates/kingcuploftd/src/admin.rs
@@ -2,23 +2,33 @@
 
 use std::convert::Infallible;
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::{HeaderValue, WWW_AUTHENTICATE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::sync::Semaphore;
 
+use crate::admin_token::AdminToken;
 use crate::shared::Shared;
 use crate::{admin_fleet, status};
 
 /// How often the accept loop looks whether to stop.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// The most connections at once; a reader of pages needs one.
+const CONNECTIONS: usize = 256;
+
+/// Time for a head, and for which a connection may be idle.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Runs the duty until the daemon ends.
 ///
 /// # Panics
@@ -34,23 +44,56 @@
 
 async fn serve(shared: &Arc<Shared>, listener: TcpListener) {
     let listener = tokio::net::TcpListener::from_std(listener).expect("a listening socket");
+    let room = Arc::new(Semaphore::new(CONNECTIONS));
+    let token = shared.settings.admin_token_file.clone();
+    let token = token.map(AdminToken::new).map(Rc::new);
     while !shared.ended() {
         let accepted = tokio::time::timeout(STOP_POLL, listener.accept()).await;
-        let Ok(Ok((stream, _))) = accepted else {
+        let stream = match accepted {
+            Ok(Ok((stream, _))) => stream,
+            Ok(Err(_)) => {
+                tokio::time::sleep(STOP_POLL).await;
+                continue;
+            }
+            Err(_) => continue,
+        };
+        let Ok(place) = Arc::clone(&room).try_acquire_owned() else {
             continue;
         };
-        let shared = Arc::clone(shared);
+        let (shared, token) = (Arc::clone(shared), token.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
-                let shared = Arc::clone(&shared);
-                async move { Ok::<_, Infallible>(answer(&shared, request).await) }
+                let (shared, token) = (Arc::clone(&shared), token.clone());
+                async move { Ok::<_, Infallible>(guarded(&shared, token.as_deref(), request).await) }
             });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEADER_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
             drop(connection.await);
+            drop(place);
         });
     }
 }
 
+/// Answers a request that may have its page. The two pages that the platform's balancer reads
+/// need no token: they tell one bit.
+async fn guarded(
+    shared: &Shared,
+    token: Option<&AdminToken>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let open = matches!(request.uri().path(), "/live" | "/ready");
+    if open || token.is_none_or(|token| token.is_in(request.headers())) {
+        return answer(shared, request).await;
+    }
+    let mut response = Response::new(Full::new(Bytes::from("a bearer token is needed\n")));
+    *response.status_mut() = StatusCode::UNAUTHORIZED;
+    let bearer = HeaderValue::from_static("Bearer");
+    response.headers_mut().insert(WWW_AUTHENTICATE, bearer);
+    response
+}
+
 async fn answer(shared: &Shared, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (status, body) = match request.uri().path() {
         path if path.starts_with(admin_fleet::PREFIX) => admin_fleet::answer(shared, request).await,
--- a/crates/kingcuploftd/src/lib.rs
+++ b/crates/kingcuploftd/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod admin_fleet;
+pub mod admin_token;
 pub mod backend_edge;
 pub mod caller_edge;
 pub mod claims;
--- a/crates/kingcuploftd/src/settings.rs
+++ b/crates/kingcuploftd/src/settings.rs
@@ -1,7 +1,10 @@
 //! The daemon's settings, read strictly from YAML.
 
+mod check;
+mod reader;
+
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::PathBuf;
 
 use kingcuploft::settings::claim::ClaimSettings;
 use kingcuploft_platform::client::ClientSettings;
@@ -9,6 +12,8 @@
 
 use crate::peer_link::PeerSettings;
 
+pub use reader::{Fault, SettingsError, parse, read};
+
 /// The settings of one daemon.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -21,6 +26,9 @@
     pub listen: SocketAddr,
     /// Where the platform's balancer and operators connect.
     pub admin_listen: SocketAddr,
+    /// The file with the bearer token of the admin port; needed where that is no loopback address.
+    #[serde(default)]
+    pub admin_token_file: Option<PathBuf>,
     /// The platform's object API, as `host:port`.
     pub platform: String,
     /// The form of the log lines.
@@ -90,44 +98,3 @@
         }
     }
 }
-
-/// What is wrong with a settings file.
-#[derive(Debug, thiserror::Error)]
-pub enum SettingsError {
-    /// The file could not be read.
-    #[error("{file}: {error}")]
-    Unreadable {
-        /// The file.
-        file: String,
-        /// Why.
-        error: std::io::Error,
-    },
-    /// A field is wrong.
-    #[error("{file}:{line}: {expected}")]
-    Invalid {
-        /// The file.
-        file: String,
-        /// The line, from 1.
-        line: usize,
-        /// What was found and what was expected.
-        expected: String,
-    },
-}
-
-/// Reads and checks a settings file.
-///
-/// # Errors
-///
-/// The first fault found, with file, line and field.
-pub fn read(path: &Path) -> Result<Settings, SettingsError> {
-    let file = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
-        file: file.clone(),
-        error,
-    })?;
-    serde_saphyr::from_str(&text).map_err(|error| SettingsError::Invalid {
-        line: error.location().map_or(0, |at| at.line() as usize),
-        file,
-        expected: error.to_string(),
-    })
-}
--- /dev/null
+++ b/crates/kingcuploftd/src/settings/reader.rs
@@ -0,0 +1,230 @@
+//! Reads a settings file strictly and reports every fault of it at once.
+//!
+//! The text becomes a tree that knows its lines. The reader of the types stops at its first fault;
+//! so that one does not hide the next, the faulty field is noted, taken out or put right, and the
+//! rest is read again.
+
+use std::path::Path;
+
+use derive_more::Display;
+use kingcuploft::manifest::located::Located;
+use kingcuploft::manifest::reader as yaml;
+use serde_json::{Map, Value, json};
+
+use super::{Settings, check};
+
+/// The longest settings file, in bytes.
+const TEXT_BYTES: usize = 1024 * 1024;
+
+/// The most faults that are reported at once.
+const MOST_FAULTS: usize = 50;
+
+/// One fault of a settings file.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("{file}:{line}: {field}: {expected}")]
+pub struct Fault {
+    /// The file.
+    pub file: String,
+    /// The line, from 1; of the nearest container where the field is missing.
+    pub line: usize,
+    /// The path of the field, such as `limits.workers`.
+    pub field: String,
+    /// What was found and what was expected.
+    pub expected: String,
+}
+
+/// What is wrong with a settings file.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file could not be read.
+    #[error("{file}: {error}")]
+    Unreadable {
+        /// The file.
+        file: String,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// Fields are wrong.
+    #[error("{}", lines(.0))]
+    Invalid(Vec<Fault>),
+}
+
+fn lines(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Every fault found, with file, line and field.
+pub fn read(path: &Path) -> Result<Settings, SettingsError> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
+        file: file.clone(),
+        error,
+    })?;
+    let settings = parse(&file, &text).map_err(SettingsError::Invalid)?;
+    let Some(token) = &settings.admin_token_file else {
+        return Ok(settings);
+    };
+    match std::fs::read_to_string(token) {
+        Ok(token) if !token.trim().is_empty() => Ok(settings),
+        found => {
+            let expected = match found {
+                Ok(_) => "the file is empty, expected a token".into(),
+                Err(error) => format!("{}: {error}", token.display()),
+            };
+            let tree = yaml::parse(&file, &text).ok();
+            let line = tree.map_or(0, |tree| tree.line_of("admin_token_file"));
+            Err(SettingsError::Invalid(vec![Fault {
+                file,
+                line,
+                field: "admin_token_file".into(),
+                expected,
+            }]))
+        }
+    }
+}
+
+/// Reads and checks the text of a settings file, without a look at any other file.
+///
+/// # Errors
+///
+/// Every fault found, in the order of the text.
+pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Fault>> {
+    if text.len() > TEXT_BYTES {
+        let expected = format!("{} bytes found, expected at most {TEXT_BYTES}", text.len());
+        return Err(vec![fault(file, 0, "(text)", expected)]);
+    }
+    let tree = yaml::parse(file, text)
+        .map_err(|error| vec![fault(file, error.line, &error.field, error.expected)])?;
+    let mut reader = Reader {
+        file,
+        tree: &tree,
+        found: Vec::new(),
+    };
+    let settings = reader.settings();
+    if let Some(settings) = &settings {
+        for (field, expected) in check::faults(settings) {
+            // A field that was put right to read on is not judged as well.
+            if !reader.found.iter().any(|fault| fault.field == field) {
+                reader.add(field, expected);
+            }
+        }
+    }
+    let mut found = reader.found;
+    found.sort_by_key(|fault| fault.line);
+    match settings {
+        Some(settings) if found.is_empty() => Ok(settings),
+        _ => Err(found),
+    }
+}
+
+fn fault(file: &str, line: usize, field: &str, expected: String) -> Fault {
+    Fault {
+        file: file.into(),
+        line,
+        field: field.into(),
+        expected,
+    }
+}
+
+/// Values that stand in for required fields that are missing or wrong, to read on.
+fn stand_ins() -> Value {
+    json!({
+        "vm": "vm",
+        "availability_zone": "zone",
+        "listen": "127.0.0.1:0",
+        "admin_listen": "127.0.0.1:0",
+        "platform": "127.0.0.1:1",
+    })
+}
+
+struct Reader<'a> {
+    file: &'a str,
+    tree: &'a Located,
+    found: Vec<Fault>,
+}
+
+impl Reader<'_> {
+    fn add(&mut self, field: &str, expected: String) {
+        let line = self.tree.line_of(field);
+        self.found.push(fault(self.file, line, field, expected));
+    }
+
+    /// Reads the settings; `None` where a fault could not be read past.
+    fn settings(&mut self) -> Option<Settings> {
+        let mut value = self.tree.value();
+        if !value.is_object() {
+            self.add("(text)", "expected a mapping of settings".into());
+            return None;
+        }
+        while self.found.len() < MOST_FAULTS {
+            let error = match serde_path_to_error::deserialize::<_, Settings>(&value) {
+                Ok(settings) => return Some(settings),
+                Err(error) => error,
+            };
+            let path = error.path().to_string();
+            let message = error.into_inner().to_string();
+            let field = field(&path, &message);
+            self.add(&field, message);
+            if !put_right(&mut value, &field) {
+                return None;
+            }
+        }
+        None
+    }
+}
+
+/// Returns the path of the field that an error is about; the error of a missing or unknown field
+/// stands at its container and names it.
+fn field(path: &str, message: &str) -> String {
+    let path = if path == "." { "" } else { path };
+    let named = ["missing field `", "unknown field `"];
+    let named = named.iter().find_map(|start| message.strip_prefix(start));
+    let named = named.and_then(|rest| rest.split('`').next());
+    match (path, named) {
+        (path, Some(name)) if path.rsplit('.').next() == Some(name) => path.into(),
+        ("", Some(name)) => name.into(),
+        (path, Some(name)) => format!("{path}.{name}"),
+        ("", None) => "(text)".into(),
+        (path, None) => path.into(),
+    }
+}
+
+/// Puts a stand-in in the place of a field, or takes it out; tells whether anything changed.
+fn put_right(value: &mut Value, field: &str) -> bool {
+    let (parents, name) = field.rsplit_once('.').unwrap_or(("", field));
+    let mut at = value;
+    for step in parents.split('.').filter(|step| !step.is_empty()) {
+        if at.get(step).is_none() {
+            return take_out(at, step);
+        }
+        at = &mut at[step];
+    }
+    let Some(object) = at.as_object_mut() else {
+        return false;
+    };
+    let stand_in = stand_ins()
+        .get(name)
+        .cloned()
+        .filter(|_| parents.is_empty());
+    match stand_in {
+        Some(stand_in) => object.insert(name.into(), stand_in.clone()) != Some(stand_in),
+        None => remove(object, name),
+    }
+}
+
+/// Takes out the list or member that a path such as `peer.peers[1]` leads through.
+fn take_out(at: &mut Value, step: &str) -> bool {
+    let name = step.split('[').next().unwrap_or(step);
+    at.as_object_mut()
+        .is_some_and(|object| remove(object, name))
+}
+
+fn remove(object: &mut Map<String, Value>, name: &str) -> bool {
+    let name = name.split('[').next().unwrap_or(name);
+    object.remove(name).is_some()
+}
