feat(retry): a budget earned by successes, error answers that may be retried, jittered pauses

Cause: a fail-fast 5xx earned retries; 502/503/504 to lookups were final; later attempts came at once.

--- a/crates/kingcuploft/src/dispatcher/attempts.rs
+++ b/crates/kingcuploft/src/dispatcher/attempts.rs
@@ -110,8 +110,8 @@
             return self.record_untold(attempt.request, id, report.end, actions);
         }
         let verdict = match self.services.get_mut(&attempt.service) {
-            Some(state) => state.after(now, request, report),
-            None => Verdict::without_retry(request.contract(), report.end),
+            Some(state) => state.after(now, &mut self.rng, request, report),
+            None => Verdict::without_retry(report.end),
         };
         match verdict {
             Verdict::Answer => self.answer(attempt.request, id, actions),
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -8,7 +8,7 @@
 use crate::decisions::admission::{Admission, Next, Offer, Waiting};
 use crate::decisions::concurrency::Concurrency;
 use crate::decisions::drain::Drain;
-use crate::decisions::retry::{Retry, Verdict};
+use crate::decisions::retry::{Ended, Retry, Verdict};
 use crate::decisions::selection::{Choice, Selection};
 use crate::manifest::{BackendServer, Service};
 use crate::utils::HashMap;
@@ -244,19 +244,21 @@
         report.draining && self.drain.evidence(server)
     }
 
+    /// Decides what follows an attempt that ended.
     pub(super) fn after(
         &mut self,
         now: Instant,
+        rng: &mut fastrand::Rng,
         request: &Request,
         report: &CallReport,
     ) -> Verdict {
-        self.retry.decide(
-            now,
-            request.contract(),
-            request.attempts,
-            request.deadline,
+        let ended = Ended {
+            contract: request.contract(),
+            attempts: request.attempts,
+            deadline: request.deadline,
             report,
-        )
+        };
+        self.retry.decide(now, rng, &ended)
     }
 
     /// Lets a request wait for its next attempt.
--- a/crates/kingcuploft/src/settings/retry.rs
+++ b/crates/kingcuploft/src/settings/retry.rs
@@ -9,15 +9,24 @@
 pub struct RetrySettings {
     /// Retries allowed for each successful call, on average.
     pub budget_share: f64,
+    /// Retries allowed before anything has succeeded.
+    pub budget_at_start: u32,
+    /// The most retries that successes can save up.
+    pub budget_most: u32,
     /// The most attempts for one request, the first included.
     pub attempts: u32,
+    /// The pause before the third attempt, in ms; it doubles for each one after, give or take half.
+    pub backoff_ms: u64,
 }
 
 impl Default for RetrySettings {
     fn default() -> Self {
         Self {
             budget_share: 0.1,
+            budget_at_start: 2,
+            budget_most: 10,
             attempts: 3,
+            backoff_ms: 10,
         }
     }
 }
--- a/crates/kingcuploft/tests/dispatcher/main.rs
+++ b/crates/kingcuploft/tests/dispatcher/main.rs
@@ -4,4 +4,5 @@
 mod deadlines;
 mod orders;
 mod retries;
+mod storm;
 mod world;
