--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -7,6 +7,7 @@
 pub mod concurrency;
 pub mod drain;
 pub mod fair_queue;
+pub mod hedge;
 pub mod measuring;
 pub mod membership;
 pub mod pace;
--- a/crates/kingcuploft/src/decisions/pace.rs
+++ b/crates/kingcuploft/src/decisions/pace.rs
@@ -18,12 +18,16 @@
 /// The quantile that a request can be expected to stay under.
 const HIGH_QUANTILE: f64 = 0.9;
 
+/// The quantile beyond which a request is slower than nearly all.
+const TAIL_QUANTILE: f64 = 0.98;
+
 /// The measured time from sending to answer, of one rule.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServiceTime {
     mean_s: Option<f64>,
     median_s: f64,
     high_s: f64,
+    tail_s: f64,
 }
 
 impl ServiceTime {
@@ -34,11 +38,13 @@
             self.mean_s = Some(time_s);
             self.median_s = time_s;
             self.high_s = time_s;
+            self.tail_s = time_s;
             return;
         };
         *mean_s += (time_s - *mean_s) * SAMPLE_WEIGHT;
         self.median_s = step(self.median_s, time_s, 0.5);
         self.high_s = step(self.high_s, time_s, HIGH_QUANTILE);
+        self.tail_s = step(self.tail_s, time_s, TAIL_QUANTILE);
     }
 
     /// Returns the mean, if anything was measured.
@@ -55,6 +61,11 @@
     pub fn high(&self) -> Duration {
         Duration::from_secs_f64(self.high_s.max(self.median_s))
     }
+
+    /// Returns the time that 98 of 100 requests stay under; zero while nothing was measured.
+    pub fn tail(&self) -> Duration {
+        Duration::from_secs_f64(self.tail_s).max(self.high())
+    }
 }
 
 /// Moves an estimate of a quantile towards one sample: up by the quantile's share of a step, down
--- a/crates/kingcuploft/src/decisions/retry.rs
+++ b/crates/kingcuploft/src/decisions/retry.rs
@@ -116,9 +116,11 @@
     }
 
     /// Decides what follows an attempt that ended.
+    ///
+    /// A backend server that fails fast answers, but its errors do not pay for more calls.
     pub fn decide(&mut self, now: Instant, rng: &mut fastrand::Rng, ended: &Ended<'_>) -> Verdict {
         let end = ended.report.end;
-        if succeeded(end) {
+        if end.succeeded() {
             let earned = (self.settings.budget_share * TOKEN as f64) as u64;
             self.budget = (self.budget + earned).min(self.most());
         }
@@ -159,12 +161,6 @@
     }
 }
 
-/// Tells whether a call earns a part of a retry. A backend server that fails fast answers, but
-/// its errors must not pay for more calls.
-fn succeeded(end: CallEnd) -> bool {
-    matches!(end, CallEnd::Answered { status } if status < 500)
-}
-
 /// Returns why a request may be sent again after an attempt ended so, if it may.
 ///
 /// Of the errors that a backend server answers, those count that say "not now": 502, 503 and 504.
--- a/crates/kingcuploft/src/dispatcher/attempts.rs
+++ b/crates/kingcuploft/src/dispatcher/attempts.rs
@@ -4,6 +4,7 @@
 
 use super::request::{Attempt, Claim};
 use super::{Action, Call, Dispatcher};
+use crate::decisions::hedge::HedgeStep;
 use crate::decisions::retry::Verdict;
 use crate::world::backend_server::{CallEnd, CallReport};
 use crate::world::ids::{AttemptId, RequestId};
@@ -46,6 +47,9 @@
                 backend_server: backend_server.name.clone(),
                 address: backend_server.address,
                 give_up_at,
+                sent_at: now,
+                look_at: None,
+                is_hedge: false,
             },
         );
         actions.push(Action::Call(Call {
@@ -56,6 +60,7 @@
             backend_server: backend_server.name.clone(),
             deadline: request.deadline,
         }));
+        self.plan_look(now, attempt);
     }
 
     /// Takes the end of an attempt in; an attempt that was given up is not known any more.
@@ -70,6 +75,7 @@
             return;
         };
         self.attempt_timers.remove(attempt.give_up_at, id);
+        self.forget_look(id, attempt.look_at);
         if let Some(state) = self.services.get_mut(&attempt.service)
             && state.ended(now, &attempt, report)
         {
@@ -109,14 +115,17 @@
         if request.told {
             return self.record_untold(attempt.request, id, report.end, actions);
         }
+        // Another attempt at the request is still in flight and may bring a better answer; the
+        // retry budget is not touched for it.
+        if !request.live.is_empty() && !report.end.succeeded() {
+            return;
+        }
         let verdict = match self.services.get_mut(&attempt.service) {
             Some(state) => state.after(now, &mut self.rng, request, report),
             None => Verdict::without_retry(report.end),
         };
         match verdict {
-            Verdict::Answer => self.answer(attempt.request, id, actions),
-            // Another attempt at the request is still in flight and may bring the answer.
-            Verdict::Retry { .. } | Verdict::Refuse(_) if !request.live.is_empty() => {}
+            Verdict::Answer => self.answer(attempt.request, id, attempt, actions),
             Verdict::Retry { reason, after } => {
                 actions.push(Action::Retried(attempt.service.clone(), reason));
                 let waiting = request.waiting(attempt.request);
@@ -130,14 +139,27 @@
     }
 
     /// Passes an answer on; the other attempts at the request have lost.
-    fn answer(&mut self, id: RequestId, attempt: AttemptId, actions: &mut Vec<Action>) {
+    fn answer(
+        &mut self,
+        id: RequestId,
+        winner: AttemptId,
+        won: &Attempt,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(request) = self.forget(id) else {
             return;
         };
-        actions.push(Action::Answer(id, attempt));
+        actions.push(Action::Answer(id, winner));
         if request.claim == Claim::Held {
-            actions.push(Action::Acknowledge(id, Some(attempt)));
+            actions.push(Action::Acknowledge(id, Some(winner)));
+        }
+        let service = &won.service;
+        if won.is_hedge {
+            actions.push(Action::Hedged(service.clone(), HedgeStep::Won));
         }
+        let lost = request.live.iter().filter_map(|id| self.attempts.get(id));
+        let lost = lost.filter(|attempt| attempt.is_hedge);
+        actions.extend(lost.map(|_| Action::Hedged(service.clone(), HedgeStep::Lost)));
         actions.extend(request.live.into_iter().map(Action::Cancel));
     }
 
--- a/crates/kingcuploft/src/dispatcher/ending.rs
+++ b/crates/kingcuploft/src/dispatcher/ending.rs
@@ -87,6 +87,7 @@
             self.refuse(id, Refusal::not_run(RefusalReason::DeadlinePassed), actions);
         }
         self.give_up_attempts(now, actions);
+        self.look_at_attempts(now, actions);
         self.pump_all(now, actions);
     }
 }
--- a/crates/kingcuploft/src/dispatcher/mod.rs
+++ b/crates/kingcuploft/src/dispatcher/mod.rs
@@ -6,6 +6,7 @@
 mod adoption;
 mod attempts;
 mod ending;
+mod hedging;
 mod request;
 mod retry_queue;
 mod service_state;
@@ -14,6 +15,7 @@
 use std::time::Instant;
 
 use crate::decisions::admission::{Offer, Waiting};
+use crate::decisions::hedge::HedgeStep;
 use crate::decisions::retry::RetryReason;
 use crate::manifest::Accepted;
 use crate::manifest::routing::Route;
@@ -100,6 +102,8 @@
     TellDraining(ServiceName, BackendServerName),
     /// Count a retry.
     Retried(ServiceName, RetryReason),
+    /// Count what became of a hedge.
+    Hedged(ServiceName, HedgeStep),
 }
 
 /// A call to a backend server.
@@ -131,6 +135,8 @@
     timers: Timers,
     /// When each attempt that does not report is given up.
     attempt_timers: Timers,
+    /// When each lookup in flight is looked at, whether to hedge it.
+    look_timers: Timers,
     /// How many entry VMs are live, once that is known.
     live_vms: Option<u32>,
     /// The time of the last event.
@@ -149,6 +155,7 @@
             attempts: HashMap::default(),
             timers: Timers::default(),
             attempt_timers: Timers::default(),
+            look_timers: Timers::default(),
             live_vms: None,
             now: None,
             last_attempt: 0,
@@ -180,7 +187,11 @@
         let now = self.now?;
         let retries = self.services.values();
         let retries = retries.filter_map(|state| state.next_due(now));
-        let timers = [self.timers.next(), self.attempt_timers.next()];
+        let timers = [
+            self.timers.next(),
+            self.attempt_timers.next(),
+            self.look_timers.next(),
+        ];
         timers.into_iter().flatten().chain(retries).min()
     }
 
--- a/crates/kingcuploft/src/dispatcher/request.rs
+++ b/crates/kingcuploft/src/dispatcher/request.rs
@@ -128,4 +128,9 @@
     pub(super) address: SocketAddr,
     /// When the dispatcher counts it as ended without a report.
     pub(super) give_up_at: Instant,
+    pub(super) sent_at: Instant,
+    /// When it is looked at, whether to hedge it.
+    pub(super) look_at: Option<Instant>,
+    /// Whether it was sent while another attempt was in flight.
+    pub(super) is_hedge: bool,
 }
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -1,13 +1,15 @@
 //! The decisions of one service on one VM, joined.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use super::hedging::HedgePick;
 use super::request::{Attempt, Request};
 use super::retry_queue::{RetryQueue, Waits};
 use crate::decisions::admission::{Admission, Next, Offer, Waiting};
 use crate::decisions::concurrency::Concurrency;
 use crate::decisions::drain::Drain;
+use crate::decisions::hedge::{Hedge, HedgeStep, Judgement, Look};
 use crate::decisions::retry::{Ended, Retry, Verdict};
 use crate::decisions::selection::{Choice, Selection};
 use crate::manifest::{BackendServer, Service};
@@ -41,6 +43,7 @@
     selection: Selection,
     drain: Drain,
     retry: Retry,
+    hedge: Hedge,
 }
 
 impl ServiceState {
@@ -60,12 +63,13 @@
         let mut selection = Selection::new(&service, &vm.availability_zone);
         let mut drain = Drain::new(&service);
         let old_of = old_indices(&service, old.as_ref());
-        let (admission, retries, mut concurrency, retry) = match old {
+        let (admission, retries, mut concurrency, retry, hedge) = match old {
             None => (
                 Admission::new(&service),
                 RetryQueue::default(),
                 Concurrency::new(&service, live_vms),
                 Retry::new(&service.policy.retry),
+                Hedge::new(&service.policy.hedge),
             ),
             Some(mut old) => {
                 selection.take_over(&old.selection, &old_of);
@@ -73,7 +77,15 @@
                 old.admission.adopt(&service);
                 old.concurrency.adopt(&service);
                 old.retry.adopt(&service.policy.retry);
-                (old.admission, old.retries, old.concurrency, old.retry)
+                let kept = |name: &_| service.backend_servers.iter().any(|s| s.name == *name);
+                old.hedge.adopt(&service.policy.hedge, kept);
+                (
+                    old.admission,
+                    old.retries,
+                    old.concurrency,
+                    old.retry,
+                    old.hedge,
+                )
             }
         };
         let attempts: Vec<&Attempt> = attempts.collect();
@@ -87,6 +99,7 @@
             selection,
             drain,
             retry,
+            hedge,
             service,
         };
         for attempt in attempts {
@@ -211,6 +224,45 @@
         }
     }
 
+    /// Notes that a lookup was sent, and returns after which time to look at it.
+    pub(super) fn lookup_sent(&mut self, rule: &RuleName) -> Option<Duration> {
+        self.hedge.sent(&self.admission.service_time(rule))
+    }
+
+    /// Judges a lookup's first attempt that takes long.
+    pub(super) fn pick_hedge(
+        &mut self,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+        request: &Request,
+        attempt: &Attempt,
+    ) -> HedgePick {
+        let look = Look {
+            elapsed: now - attempt.sent_at.min(now),
+            left: request.deadline.saturating_duration_since(now),
+            usual: self.admission.service_time(&attempt.rule),
+            requests_wait: !self.admission.is_empty() || self.retries.due(now) > 0,
+        };
+        let reason = match self.hedge.judge(&attempt.backend_server, &look) {
+            Judgement::Leave => return HedgePick::Leave,
+            Judgement::LookAgain(after) => return HedgePick::LookAgain(now + after),
+            Judgement::Hedge(reason) => reason,
+        };
+        let tried = self.indices(&request.tried);
+        match self.choose(now, rng, &tried) {
+            Choice::Send(server) if !self.in_slow_spell(server) => {
+                self.hedge.spend();
+                HedgePick::Send(server, HedgeStep::Sent(reason))
+            }
+            _ => HedgePick::Leave,
+        }
+    }
+
+    fn in_slow_spell(&self, server: usize) -> bool {
+        let server = &self.service.backend_servers[server];
+        self.hedge.in_slow_spell(&server.name)
+    }
+
     /// Ends a request that every backend server which takes work has refused.
     fn refused_by_all(&mut self, at: usize) -> Pick {
         let waits = self.retries.take(at);
@@ -230,6 +282,9 @@
     /// Notes the end of an attempt; tells whether it brought news of a drain.
     pub(super) fn ended(&mut self, now: Instant, attempt: &Attempt, report: &CallReport) -> bool {
         if matches!(report.end, CallEnd::Answered { .. } | CallEnd::TimedOut) {
+            let usual = self.admission.service_time(&attempt.rule);
+            self.hedge
+                .measured(&attempt.backend_server, report.latency, &usual);
             self.admission.measured(&attempt.rule, report.latency);
         }
         let server = self.server_of(attempt);
--- a/crates/kingcuploft/src/settings/mod.rs
+++ b/crates/kingcuploft/src/settings/mod.rs
@@ -5,6 +5,7 @@
 pub mod claim;
 pub mod concurrency;
 pub mod drain;
+pub mod hedge;
 pub mod measuring;
 pub mod membership;
 pub mod retry;
@@ -27,6 +28,8 @@
     pub measuring: measuring::MeasuringSettings,
     /// When a request is sent again.
     pub retry: retry::RetrySettings,
+    /// When a lookup is sent a second time while the first attempt is in flight.
+    pub hedge: hedge::HedgeSettings,
     /// How a leaving backend server is treated.
     pub drain: drain::DrainSettings,
 }
--- a/crates/kingcuploft/src/world/backend_server.rs
+++ b/crates/kingcuploft/src/world/backend_server.rs
@@ -32,6 +32,11 @@
 }
 
 impl CallEnd {
+    /// Tells whether the backend server answered, and not with an error of its own.
+    pub fn succeeded(self) -> bool {
+        matches!(self, Self::Answered { status } if status < 500)
+    }
+
     /// Tells whether the backend server may have run the request.
     pub fn may_have_run(self) -> bool {
         !matches!(self, Self::NeverSent | Self::Refused)
