--- a/crates/kingcuploft-standins/src/virtual_fleet/fleet.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/fleet.rs
@@ -293,6 +293,7 @@
             }
             Action::TellDraining(_, server) => self.tell_draining(node, &server),
             Action::Retried(_, _) => self.cost.retries += 1,
+            Action::Hedged(..) => {}
         }
     }
 
--- a/crates/kingcuploft/src/dispatcher/attempts.rs
+++ b/crates/kingcuploft/src/dispatcher/attempts.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::explain::{Decided, SentBecause};
 use super::request::{Attempt, Claim};
 use super::{Action, Call, Dispatcher};
 use crate::decisions::hedge::HedgeStep;
@@ -59,8 +60,29 @@
             address: backend_server.address,
             backend_server: backend_server.name.clone(),
             deadline: request.deadline,
+            waited: now.saturating_duration_since(request.arrived),
         }));
         self.plan_look(now, attempt);
+        self.explain_call(now, id, attempt);
+    }
+
+    fn explain_call(&mut self, now: Instant, id: RequestId, attempt: AttemptId) {
+        let (Some(request), Some(sent)) = (self.requests.remove(&id), self.attempts.get(&attempt))
+        else {
+            return;
+        };
+        let why = match request.retry {
+            _ if request.live.len() > 1 => SentBecause::Hedge,
+            Some(reason) => reason.into(),
+            None => SentBecause::Turn,
+        };
+        let decided = Decided::Sent {
+            attempt,
+            backend_server: sent.backend_server.clone(),
+            why,
+        };
+        self.explain(now, id, &request, decided);
+        self.requests.insert(id, request);
     }
 
     /// Takes the end of an attempt in; an attempt that was given up is not known any more.
@@ -128,6 +150,7 @@
             Verdict::Answer => self.answer(attempt.request, id, attempt, actions),
             Verdict::Retry { reason, after } => {
                 actions.push(Action::Retried(attempt.service.clone(), reason));
+                request.retry = Some(reason);
                 let waiting = request.waiting(attempt.request);
                 let tried = request.tried.clone();
                 if let Some(state) = self.services.get_mut(&attempt.service) {
--- a/crates/kingcuploft/src/dispatcher/ending.rs
+++ b/crates/kingcuploft/src/dispatcher/ending.rs
@@ -22,6 +22,10 @@
             return;
         }
         let refusal = request.truthful(refusal);
+        if let (Some(now), Some(request)) = (self.now, self.requests.remove(&id)) {
+            self.explain(now, id, &request, refusal.into());
+            self.requests.insert(id, request);
+        }
         actions.push(Action::Refuse(id, refusal));
         self.leave(id, actions);
     }
--- a/crates/kingcuploft/src/dispatcher/mod.rs
+++ b/crates/kingcuploft/src/dispatcher/mod.rs
@@ -6,6 +6,7 @@
 mod adoption;
 mod attempts;
 mod ending;
+pub mod explain;
 mod hedging;
 mod request;
 mod retry_queue;
@@ -27,6 +28,7 @@
 use crate::world::refusal::{Refusal, RefusalReason};
 use crate::world::vm::Vm;
 
+use explain::{Decided, Explained, Explanation, LoadSeen, Query};
 use request::{Attempt, Claim, Request};
 use service_state::{Pick, ServiceState};
 use timers::Timers;
@@ -121,6 +123,8 @@
     pub address: std::net::SocketAddr,
     /// When the answer is due.
     pub deadline: Instant,
+    /// Time from the request's arrival until this attempt.
+    pub waited: std::time::Duration,
 }
 
 /// The state of one entry VM.
@@ -142,6 +146,7 @@
     /// The time of the last event.
     now: Option<Instant>,
     last_attempt: AttemptId,
+    explained: Explained,
 }
 
 impl Dispatcher {
@@ -159,6 +164,7 @@
             live_vms: None,
             now: None,
             last_attempt: 0,
+            explained: Explained::default(),
         }
     }
 
@@ -211,6 +217,34 @@
         state.map_or(0, |state| state.calls_at(server))
     }
 
+    /// Returns the last decisions that fit, newest first.
+    pub fn explained(&self, now: Instant, query: &Query) -> Vec<Explanation> {
+        self.explained.find(now, query)
+    }
+
+    /// Returns the load of each service.
+    pub fn loads(&self) -> impl Iterator<Item = (&ServiceName, LoadSeen)> {
+        let services = self.services.iter();
+        services.map(|(name, state)| (name, state.load()))
+    }
+
+    /// Keeps a decision for who asks why.
+    fn explain(&mut self, now: Instant, id: RequestId, request: &Request, decided: Decided) {
+        let state = self.services.get(request.service());
+        let load = state.map(|state| state.load_for(now, &request.waiting(id)));
+        let explanation = Explanation {
+            ago_ms: 0,
+            request: id,
+            service: request.service().clone(),
+            rule: request.route.rule().name.clone(),
+            caller: request.caller.clone(),
+            waited_ms: explain::ms(now.saturating_duration_since(request.arrived)),
+            load: load.unwrap_or_default(),
+            decided,
+        };
+        self.explained.keep(now, explanation);
+    }
+
     fn arrived(&mut self, now: Instant, arrival: Arrival, actions: &mut Vec<Action>) {
         let id = arrival.request;
         let request = Request::new(arrival);
@@ -221,6 +255,7 @@
         };
         let claims = request.claim == Claim::Asked;
         if claims && let Some(refusal) = state.check(now, &waiting) {
+            self.explain(now, id, &request, refusal.into());
             return actions.push(Action::Refuse(id, refusal));
         }
         let service = request.service().clone();
--- a/crates/kingcuploft/src/dispatcher/request.rs
+++ b/crates/kingcuploft/src/dispatcher/request.rs
@@ -5,6 +5,7 @@
 
 use super::Arrival;
 use crate::decisions::admission::Waiting;
+use crate::decisions::retry::RetryReason;
 use crate::manifest::routing::Route;
 use crate::world::backend_server::CallEnd;
 use crate::world::contract::Contract;
@@ -29,8 +30,10 @@
     pub(super) told: bool,
     /// Whether an attempt that ended may have run the request.
     may_have_run: bool,
-    arrived: Instant,
-    caller: Caller,
+    /// Why the next attempt is made, where it is a retry.
+    pub(super) retry: Option<RetryReason>,
+    pub(super) arrived: Instant,
+    pub(super) caller: Caller,
     pub(super) key: Option<IdempotencyKey>,
 }
 
@@ -62,6 +65,7 @@
             },
             told: false,
             may_have_run: false,
+            retry: None,
             arrived: arrival.arrived,
             caller: arrival.caller,
             key: arrival.key,
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::explain::{LoadSeen, ms};
 use super::hedging::HedgePick;
 use super::request::{Attempt, Request};
 use super::retry_queue::{RetryQueue, Waits};
@@ -124,6 +125,27 @@
         server.map_or(0, |&server| self.selection.in_flight(server))
     }
 
+    /// Returns the load as this VM sees it.
+    pub(super) fn load(&self) -> LoadSeen {
+        LoadSeen {
+            waiting: self.admission.len(),
+            in_flight: self.concurrency.in_flight(),
+            limit: self.concurrency.limit(),
+            retry_budget: self.retry.budget(),
+            ..LoadSeen::default()
+        }
+    }
+
+    /// Returns the load as one request finds it.
+    pub(super) fn load_for(&self, now: Instant, waiting: &Waiting) -> LoadSeen {
+        let outlook = self.admission.outlook(now, waiting);
+        LoadSeen {
+            expected_wait_ms: ms(outlook.wait),
+            service_time_ms: ms(outlook.service_time),
+            ..self.load()
+        }
+    }
+
     /// Judges a protected request at the door, before its claim is asked for.
     pub(super) fn check(&mut self, now: Instant, waiting: &Waiting) -> Option<Refusal> {
         match self.admission.check(now, waiting) {
--- a/crates/kingcuploftd/src/admin.rs
+++ b/crates/kingcuploftd/src/admin.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 
 use crate::shared::Shared;
-use crate::{admin_fleet, status};
+use crate::{admin_fleet, explain, status};
 
 /// How often the accept loop looks whether to stop.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -54,6 +54,7 @@
 async fn answer(shared: &Shared, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (status, body) = match request.uri().path() {
         path if path.starts_with(admin_fleet::PREFIX) => admin_fleet::answer(shared, request).await,
+        "/explain" => explain::answer(shared, request.uri().query().unwrap_or_default()).await,
         "/live" => (StatusCode::OK, "live\n".into()),
         "/ready" if shared.ready() => (StatusCode::OK, "ready\n".into()),
         "/ready" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -109,6 +109,9 @@
         let now = Instant::now();
         if now >= self.next_look {
             self.next_look = now + LONGEST_SLEEP;
+            let metrics = &self.shared.metrics.service;
+            let loads = self.dispatcher.loads();
+            loads.for_each(|(service, load)| metrics.loaded(service, &load));
             let sharing = self.shared.fleet.membership().sharing();
             if sharing != self.sharing {
                 self.sharing = sharing;
@@ -170,6 +173,11 @@
                 self.on_event(Event::Adopted(accepted));
             }
             Message::Draining(service, server) => self.on_event(Event::Draining(service, server)),
+            Message::Explain(query, reply) => {
+                let found = self.dispatcher.explained(Instant::now(), &query);
+                // Who asked may have gone.
+                drop(reply.send(found));
+            }
             Message::Stop(_) => {}
         }
     }
@@ -234,6 +242,7 @@
                     self.shared.fleet.drain_seen(&self.shared, notice);
                 }
             }
+            Action::Hedged(service, step) => self.shared.metrics.service.hedged(&service, step),
             Action::Retried(service, reason) => {
                 self.shared.metrics.retried(reason);
                 let decisions = &self.shared.decisions;
@@ -279,6 +288,8 @@
     /// dispatcher is told so at once.
     fn call(&mut self, call: Call) {
         let attempt = call.attempt;
+        let metrics = &self.shared.metrics.service;
+        metrics.waited(&call.route.service.name, call.waited);
         let Some(pending) = self.pending.get(&call.request) else {
             return self.not_handed_over.push(attempt);
         };
@@ -294,6 +305,10 @@
     }
 
     fn refuse(&mut self, request: RequestId, refusal: Refusal) {
+        if let Some(pending) = self.pending.get(&request) {
+            let metrics = &self.shared.metrics.service;
+            metrics.refused(&pending.service, refusal.reason);
+        }
         self.reply(request, Reply::Refused(refusal));
     }
 
--- a/crates/kingcuploftd/src/message.rs
+++ b/crates/kingcuploftd/src/message.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use kingcuploft::decisions::claim::ledger::{Fingerprint, KeyHash};
+use kingcuploft::dispatcher::explain::{Explanation, Query};
 use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd};
 use kingcuploft::manifest::Accepted;
 use kingcuploft::world::backend_server::CallReport;
@@ -85,6 +86,8 @@
     Adopted(Accepted),
     /// A backend server drains.
     Draining(ServiceName, BackendServerName),
+    /// An operator asks why.
+    Explain(Query, oneshot::Sender<Vec<Explanation>>),
     /// Finish what is in flight until this time, then end.
     Stop(Instant),
 }
--- a/crates/kingcuploftd/src/metrics.rs
+++ b/crates/kingcuploftd/src/metrics.rs
@@ -14,6 +14,7 @@
 
 use crate::claims::metrics::ClaimMetrics;
 use crate::metrics_fleet::FleetMetrics;
+use crate::metrics_service::ServiceMetrics;
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ReasonLabel {
@@ -38,6 +39,8 @@
     pub generation: Gauge,
     /// Callers' connections cut because a planned stop reached its bound.
     pub cut_by_stop: Counter,
+    /// Queues, limits, hedges and refusals by service.
+    pub service: ServiceMetrics,
     /// The manifest, peers and fleet.
     pub fleet: FleetMetrics,
     /// Connections opened to backend servers.
@@ -117,8 +120,10 @@
             "Connections that the system could not give",
         );
         let claims = ClaimMetrics::register(&mut registry);
+        let service = ServiceMetrics::register(&mut registry);
         Self {
             claims,
+            service,
             registry,
             fleet,
             refusals,
