--- a/crates/kingcuploft/src/settings/mod.rs
+++ b/crates/kingcuploft/src/settings/mod.rs
@@ -8,6 +8,7 @@
 pub mod hedge;
 pub mod measuring;
 pub mod membership;
+pub mod notes;
 pub mod retry;
 pub mod selection;
 
@@ -26,6 +27,8 @@
     pub selection: selection::SelectionSettings,
     /// What measuring may cost.
     pub measuring: measuring::MeasuringSettings,
+    /// What VMs tell each other about full backend servers.
+    pub notes: notes::NotesSettings,
     /// When a request is sent again.
     pub retry: retry::RetrySettings,
     /// When a lookup is sent a second time while the first attempt is in flight.
