--- a/crates/kingcuploft/src/dispatcher/attempts.rs
+++ b/crates/kingcuploft/src/dispatcher/attempts.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use super::explain::{Decided, SentBecause};
 use super::request::{Attempt, Claim};
 use super::{Action, Call, Dispatcher};
+use crate::decisions::hedge::HedgeStep;
 use crate::decisions::retry::Verdict;
 use crate::world::backend_server::{CallEnd, CallReport};
 use crate::world::ids::{AttemptId, RequestId};
@@ -46,6 +48,9 @@
                 backend_server: backend_server.name.clone(),
                 address: backend_server.address,
                 give_up_at,
+                sent_at: now,
+                look_at: None,
+                is_hedge: false,
             },
         );
         actions.push(Action::Call(Call {
@@ -55,7 +60,29 @@
             address: backend_server.address,
             backend_server: backend_server.name.clone(),
             deadline: request.deadline,
+            waited: now.saturating_duration_since(request.arrived),
         }));
+        self.plan_look(now, attempt);
+        self.explain_call(now, id, attempt);
+    }
+
+    fn explain_call(&mut self, now: Instant, id: RequestId, attempt: AttemptId) {
+        let (Some(request), Some(sent)) = (self.requests.remove(&id), self.attempts.get(&attempt))
+        else {
+            return;
+        };
+        let why = match request.retry {
+            _ if request.live.len() > 1 => SentBecause::Hedge,
+            Some(reason) => reason.into(),
+            None => SentBecause::Turn,
+        };
+        let decided = Decided::Sent {
+            attempt,
+            backend_server: sent.backend_server.clone(),
+            why,
+        };
+        self.explain(now, id, &request, decided);
+        self.requests.insert(id, request);
     }
 
     /// Takes the end of an attempt in; an attempt that was given up is not known any more.
@@ -70,6 +97,7 @@
             return;
         };
         self.attempt_timers.remove(attempt.give_up_at, id);
+        self.forget_look(id, attempt.look_at);
         if let Some(state) = self.services.get_mut(&attempt.service)
             && state.ended(now, &attempt, report)
         {
@@ -109,16 +137,20 @@
         if request.told {
             return self.record_untold(attempt.request, id, report.end, actions);
         }
+        // Another attempt at the request is still in flight and may bring a better answer; the
+        // retry budget is not touched for it.
+        if !request.live.is_empty() && !report.end.succeeded() {
+            return;
+        }
         let verdict = match self.services.get_mut(&attempt.service) {
-            Some(state) => state.after(now, request, report),
-            None => Verdict::without_retry(request.contract(), report.end),
+            Some(state) => state.after(now, &mut self.rng, request, report),
+            None => Verdict::without_retry(report.end),
         };
         match verdict {
-            Verdict::Answer => self.answer(attempt.request, id, actions),
-            // Another attempt at the request is still in flight and may bring the answer.
-            Verdict::Retry { .. } | Verdict::Refuse(_) if !request.live.is_empty() => {}
+            Verdict::Answer => self.answer(attempt.request, id, attempt, actions),
             Verdict::Retry { reason, after } => {
                 actions.push(Action::Retried(attempt.service.clone(), reason));
+                request.retry = Some(reason);
                 let waiting = request.waiting(attempt.request);
                 let tried = request.tried.clone();
                 if let Some(state) = self.services.get_mut(&attempt.service) {
@@ -130,14 +162,27 @@
     }
 
     /// Passes an answer on; the other attempts at the request have lost.
-    fn answer(&mut self, id: RequestId, attempt: AttemptId, actions: &mut Vec<Action>) {
+    fn answer(
+        &mut self,
+        id: RequestId,
+        winner: AttemptId,
+        won: &Attempt,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(request) = self.forget(id) else {
             return;
         };
-        actions.push(Action::Answer(id, attempt));
+        actions.push(Action::Answer(id, winner));
         if request.claim == Claim::Held {
-            actions.push(Action::Acknowledge(id, Some(attempt)));
+            actions.push(Action::Acknowledge(id, Some(winner)));
+        }
+        let service = &won.service;
+        if won.is_hedge {
+            actions.push(Action::Hedged(service.clone(), HedgeStep::Won));
         }
+        let lost = request.live.iter().filter_map(|id| self.attempts.get(id));
+        let lost = lost.filter(|attempt| attempt.is_hedge);
+        actions.extend(lost.map(|_| Action::Hedged(service.clone(), HedgeStep::Lost)));
         actions.extend(request.live.into_iter().map(Action::Cancel));
     }
 
