fix(caller-edge): a stop takes what waits in the backlog, also on a busy machine

Cause: the backlog was asked through the event queue, which on a busy machine has not seen a connection yet that the system has taken; closing reset it. Seen once as 'connection reset' of a request sent before the stop, with 16 test runs side by side (that many also met the machine's bound on threads; the other failures of those runs were that).

--- a/crates/kingcuploftd/src/caller_edge/mod.rs
+++ b/crates/kingcuploftd/src/caller_edge/mod.rs
@@ -14,7 +14,6 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::TrySendError;
-use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -88,14 +87,26 @@
             until = closed(&mut closing) => break until,
         }
     };
-    // Connections that the system took before the door closed are served too.
-    while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
-        door.open(stream, peer);
-    }
-    drop(listener);
+    take_backlog(listener, &mut door);
     finish(shared, door.connections, until).await;
 }
 
+/// Takes the connections that the system took before the door closed, then closes it.
+///
+/// Asked directly and not through the event queue: on a busy machine a connection can wait here
+/// of which no event was seen yet. Closing would reset it, and its request be lost.
+fn take_backlog(listener: tokio::net::TcpListener, door: &mut Door) {
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, peer)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        if let Ok(stream) = stream.and_then(TcpStream::from_std) {
+            door.open(stream, peer);
+        }
+    }
+}
+
 /// Pauses after a connection could not be taken: where the system has no file descriptors left,
 /// trying again at once would keep the thread from serving the connections it has.
 async fn pause(shared: &Shared, error: &std::io::Error) {
