perf(backend-edge): fewer system calls for each call to a backend server

Cause: two socket timeouts were set and the socket was switched to non-blocking and back for each call.

--- a/crates/kingcuploftd/src/backend_edge/transport.rs
+++ b/crates/kingcuploftd/src/backend_edge/transport.rs
@@ -6,10 +6,13 @@
 
 use std::cell::RefCell;
 use std::io::{ErrorKind, Read, Write};
+use std::mem::MaybeUninit;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use kingcuploft::world::ids::AttemptId;
+use socket2::SockRef;
 use ureq::Error;
 use ureq::unversioned::transport::{
     Buffers, ConnectionDetails, Connector, LazyBuffers, NextTimeout, Transport,
@@ -18,6 +21,9 @@
 use super::registry::{BackendConnection, CountedConnection};
 use crate::shared::Shared;
 
+/// The shortest timeout that is set on a socket; none of zero can be.
+const SHORTEST_TIMEOUT: Duration = Duration::from_millis(1);
+
 /// The call that runs on this thread.
 struct Current {
     shared: Arc<Shared>,
@@ -85,6 +91,8 @@
         Ok(Some(WitnessTransport {
             connection: Arc::new(BackendConnection::new(stream)),
             buffers,
+            read_timeout: SetTimeout::default(),
+            write_timeout: SetTimeout::default(),
             _counted: counted,
         }))
     }
@@ -95,6 +103,8 @@
 pub(super) struct WitnessTransport {
     connection: Arc<BackendConnection>,
     buffers: LazyBuffers,
+    read_timeout: SetTimeout,
+    write_timeout: SetTimeout,
     _counted: CountedConnection,
 }
 
@@ -124,26 +134,49 @@
     }
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
-        self.connection
-            .tcp()
-            .set_write_timeout(timeout.not_zero().map(|left| *left))?;
         self.witness()?;
-        let output = &self.buffers.output()[..amount];
+        let left = timeout.not_zero().map(|left| *left);
+        let due = left.map(|left| Instant::now() + left);
         let mut stream = self.connection.tcp();
-        stream
-            .write_all(output)
-            .map_err(|error| timed(error, timeout))
+        let mut output = &self.buffers.output()[..amount];
+        self.write_timeout
+            .at_most(left, |left| stream.set_write_timeout(left))?;
+        while !output.is_empty() {
+            match stream.write(output) {
+                Ok(0) => return Err(Error::Io(ErrorKind::WriteZero.into())),
+                Ok(written) => output = &output[written..],
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if is_early(&error, due) => {
+                    let left = due.map(|due| due.saturating_duration_since(Instant::now()));
+                    self.write_timeout
+                        .exactly(left, |left| stream.set_write_timeout(left))?;
+                }
+                Err(error) => return Err(timed(error, timeout)),
+            }
+        }
+        Ok(())
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        self.connection
-            .tcp()
-            .set_read_timeout(timeout.not_zero().map(|left| *left))?;
-        let input = self.buffers.input_append_buf();
+        let left = timeout.not_zero().map(|left| *left);
+        let due = left.map(|left| Instant::now() + left);
         let mut stream = self.connection.tcp();
-        let amount = stream.read(input).map_err(|error| timed(error, timeout))?;
-        self.buffers.input_appended(amount);
-        Ok(amount > 0)
+        self.read_timeout
+            .at_most(left, |left| stream.set_read_timeout(left))?;
+        loop {
+            match stream.read(self.buffers.input_append_buf()) {
+                Ok(amount) => {
+                    self.buffers.input_appended(amount);
+                    return Ok(amount > 0);
+                }
+                Err(error) if is_early(&error, due) => {
+                    let left = due.map(|due| due.saturating_duration_since(Instant::now()));
+                    self.read_timeout
+                        .exactly(left, |left| stream.set_read_timeout(left))?;
+                }
+                Err(error) => return Err(timed(error, timeout)),
+            }
+        }
     }
 
     /// Tells whether a kept connection may carry the next request: one that the backend server
@@ -153,15 +186,56 @@
         if self.connection.retired() || !self.buffers.input().is_empty() {
             return false;
         }
-        let mut byte = [0];
-        let stream = self.connection.tcp();
-        if stream.set_nonblocking(true).is_err() {
-            return false;
+        let mut byte = [MaybeUninit::uninit()];
+        let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
+        let socket = SockRef::from(self.connection.tcp());
+        let peeked = socket.recv_with_flags(&mut byte, flags);
+        matches!(&peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+/// The timeout that a socket has, so that it is set anew only where it has to be.
+///
+/// The time left to a deadline differs with each call by less than matters. A timeout that is a
+/// little too short is kept; where it ends a wait early, the wait goes on for the exact rest.
+#[derive(Debug, Default)]
+struct SetTimeout(Option<Duration>);
+
+impl SetTimeout {
+    /// Sees to a timeout that is no longer than the time left, and not much shorter.
+    fn at_most(
+        &mut self,
+        left: Option<Duration>,
+        set: impl FnOnce(Option<Duration>) -> std::io::Result<()>,
+    ) -> std::io::Result<()> {
+        let fits = match (self.0, left) {
+            (Some(has), Some(left)) => has <= left && has * 2 >= left,
+            (None, None) => true,
+            _ => false,
+        };
+        if fits {
+            return Ok(());
         }
-        let peeked = stream.peek(&mut byte);
-        let quiet = matches!(&peeked, Err(e) if e.kind() == ErrorKind::WouldBlock);
-        quiet && stream.set_nonblocking(false).is_ok()
+        let shorter = left.map(|left| left * 7 / 8);
+        self.exactly(shorter, set)
     }
+
+    fn exactly(
+        &mut self,
+        left: Option<Duration>,
+        set: impl FnOnce(Option<Duration>) -> std::io::Result<()>,
+    ) -> std::io::Result<()> {
+        let left = left.map(|left| left.max(SHORTEST_TIMEOUT));
+        set(left)?;
+        self.0 = left;
+        Ok(())
+    }
+}
+
+/// Tells whether a socket's timeout ended a wait before it was due.
+fn is_early(error: &std::io::Error, due: Option<Instant>) -> bool {
+    let timeout = matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
+    timeout && due.is_none_or(|due| Instant::now() + SHORTEST_TIMEOUT < due)
 }
 
 /// Turns the socket's timeout into the library's.
