--- a/crates/kingcuploft-standins/src/experiments/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -6,6 +6,7 @@
 pub mod overload;
 pub mod promises;
 pub mod real_run;
+pub mod slopes;
 pub mod tail;
 
 use std::path::PathBuf;
@@ -124,6 +125,11 @@
         about: "daemon processes under mixed faults, every call checked",
         run: promises::run,
     },
+    Entry {
+        name: "slopes",
+        about: "what one daemon costs as the deployment grows",
+        run: slopes::run,
+    },
     Entry {
         name: "tail",
         about: "tail latency and the cost of measuring, by policy",
--- a/crates/kingcuploft-standins/src/process.rs
+++ b/crates/kingcuploft-standins/src/process.rs
@@ -12,6 +12,9 @@
 /// How often a condition is looked at while waiting for it.
 const POLL: Duration = Duration::from_millis(5);
 
+/// The unit of processor times under `/proc`, in ms.
+const TICK_MS: u64 = 10;
+
 /// Where a daemon listens.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Ports {
@@ -110,6 +113,29 @@
         status.get("generation")?.as_u64()
     }
 
+    /// Returns the processor time that it used so far.
+    pub fn cpu(&self) -> Duration {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.unwrap_or_default();
+        // The fields after the name in brackets: state is the first, user and system time the
+        // 12th and 13th, in ticks of 10 ms.
+        let fields = stat.rsplit(") ").next().unwrap_or_default().split(' ');
+        let ticks = fields
+            .skip(11)
+            .take(2)
+            .filter_map(|field| field.parse::<u64>().ok());
+        Duration::from_millis(ticks.sum::<u64>() * TICK_MS)
+    }
+
+    /// Returns its resident memory in KB.
+    pub fn resident_kb(&self) -> f64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        number.unwrap_or_default()
+    }
+
     /// Pauses it.
     pub fn pause(&self) {
         self.signal(SIGSTOP);
