--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -4,11 +4,15 @@
 pub mod admission;
 pub mod adoption;
 pub mod claim;
+pub mod concurrency;
 pub mod drain;
 pub mod fair_queue;
+pub mod load_estimate;
 pub mod measuring;
 pub mod membership;
+pub mod notes;
 pub mod pace;
 pub mod retry;
 pub mod selection;
+mod server_view;
 pub mod turns;
--- /dev/null
+++ b/crates/kingcuploftctl/src/claim.rs
@@ -0,0 +1,54 @@
+//! `claim show`: what is known of a protected action.
+
+use kingcuploft::decisions::claim::ledger::EntryState;
+use kingcuploft_platform::claim_lookup;
+
+use crate::context::Context;
+use crate::exit::{Code, Ending};
+
+/// Prints what the ledger knows of an idempotency key.
+///
+/// # Errors
+///
+/// An ending with code 1 where the store does not answer or knows no such key.
+pub fn show(context: &Context<'_>, service: &str, key: &str) -> Result<Ending, Ending> {
+    let store = context.store()?;
+    let found = claim_lookup::find(&store, &service.into(), key)
+        .map_err(|error| Ending::because(Code::Failed, error.to_string()))?;
+    let partition = found.partition;
+    let Some(entry) = found.entry else {
+        let why = format!(
+            "no claim of this key of {service}: it never ran, or its window is over (partition \
+             {partition})"
+        );
+        return Err(Ending::because(Code::Failed, why));
+    };
+    let (state, means) = match &entry.state {
+        EntryState::Claimed => ("claimed", "it may be running, have run, or never run"),
+        EntryState::EndUnknown => ("end_unknown", "it was sent, and how it ended is not known"),
+        EntryState::Ran => ("ran", "it ran, and its answer was not kept"),
+        EntryState::Answered(_) => ("answered", "it ran, and its answer is given again"),
+    };
+    let status = match &entry.state {
+        EntryState::Answered(record) => Some(record.status),
+        _ => None,
+    };
+    let claimant = &entry.claimant;
+    if context.json() {
+        let out = serde_json::json!({
+            "service": service, "partition": partition, "state": state, "status": status,
+            "claimed_ms": entry.claimed_ms, "expires_ms": entry.expires_ms,
+            "vm": claimant.vm, "incarnation": claimant.incarnation,
+        });
+        return Ok(Ending::done(format!("{out}\n")));
+    }
+    let status = status.map_or(String::new(), |status| format!(", status {status}"));
+    Ok(Ending::done(format!(
+        "{state}{status}: {means}\nclaimed by {} (life {}) at {} s, remembered until {} s, \
+         partition {partition}\n",
+        claimant.vm,
+        claimant.incarnation,
+        entry.claimed_ms / 1000,
+        entry.expires_ms / 1000,
+    )))
+}
