--- a/crates/kingcuploft-standins/src/experiments/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -4,6 +4,8 @@
 //! it saw broken.
 
 pub mod claims;
+pub mod connections;
+pub mod overhead;
 pub mod overload;
 pub mod peer_slope;
 pub mod promises;
@@ -119,6 +121,16 @@
 
 /// Every experiment.
 pub const ALL: &[Entry] = &[
+    Entry {
+        name: "connections",
+        about: "bursts of callers and slow senders, at rouille and at the daemon",
+        run: connections::run,
+    },
+    Entry {
+        name: "overhead",
+        about: "what one daemon adds to a call, interleaved with calls straight to the server",
+        run: overhead::run,
+    },
     Entry {
         name: "claims",
         about: "store writes and added latency of protected actions, by ledger and rate",
