--- a/crates/kingcuploft/src/dispatcher/ending.rs
+++ b/crates/kingcuploft/src/dispatcher/ending.rs
@@ -22,6 +22,10 @@
             return;
         }
         let refusal = request.truthful(refusal);
+        if let (Some(now), Some(request)) = (self.now, self.requests.remove(&id)) {
+            self.explain(now, id, &request, refusal.into());
+            self.requests.insert(id, request);
+        }
         actions.push(Action::Refuse(id, refusal));
         self.leave(id, actions);
     }
@@ -87,6 +91,7 @@
             self.refuse(id, Refusal::not_run(RefusalReason::DeadlinePassed), actions);
         }
         self.give_up_attempts(now, actions);
+        self.look_at_attempts(now, actions);
         self.pump_all(now, actions);
     }
 }
--- a/crates/kingcuploftd/src/lib.rs
+++ b/crates/kingcuploftd/src/lib.rs
@@ -2,12 +2,14 @@
 
 pub mod admin;
 pub mod admin_fleet;
+pub mod admin_token;
 pub mod backend_edge;
 pub mod caller_edge;
 pub mod claims;
 pub mod daemon;
 pub mod decision_log;
 pub mod dispatch;
+pub mod explain;
 pub mod fleet_keeper;
 pub mod hop_by_hop;
 pub mod logs;
@@ -17,6 +19,7 @@
 pub mod message;
 pub mod metrics;
 pub mod metrics_fleet;
+pub mod metrics_service;
 pub mod peer_link;
 pub mod settings;
 pub mod shared;
