--- a/crates/kingcuploft-standins/tests/whole_path.rs
+++ b/crates/kingcuploft-standins/tests/whole_path.rs
@@ -123,5 +123,26 @@
         assert_eq!(held.body_mut().read_to_string().unwrap(), "POST /holds\n");
     }
     assert_eq!(server.runs("squad-7"), 1);
+
+    // The store goes down: lookups go on, and a protected action is refused at once, with the
+    // word that nothing is known of earlier requests under its key.
+    platform.set_down(true);
+    let looked = agent
+        .get(format!("{base}/itinerary"))
+        .header("host", "trip.example")
+        .call()
+        .unwrap();
+    assert_eq!(looked.status(), 200);
+    let refused = agent
+        .post(format!("{base}/holds"))
+        .header("host", "trip.example")
+        .header("idempotency-key", "squad-8")
+        .send("beds")
+        .unwrap();
+    let header = |name| refused.headers().get(name).unwrap().to_str().unwrap();
+    assert_eq!(header("x-kingcuploft-reason"), "store_unavailable");
+    assert_eq!(header("x-kingcuploft-outcome"), "not_run");
+    assert_eq!(header("x-kingcuploft-earlier"), "not_checked");
+    assert_eq!(server.runs("squad-8"), 0);
     drop(daemon);
 }
--- a/crates/kingcuploft/src/world/refusal.rs
+++ b/crates/kingcuploft/src/world/refusal.rs
@@ -134,6 +134,26 @@
         }
     }
 
+    /// Tells whether this says nothing of earlier requests with the same idempotency key.
+    ///
+    /// A caller sends a hold, hears nothing, and sends it again through another VM while the store
+    /// is down. That VM proves that the second request did not run, but can not know whether the
+    /// first one did; without a word about it `not_run` would read as if the hold had not run.
+    pub fn leaves_earlier_open(&self) -> bool {
+        let before_the_ledger = matches!(
+            self.reason,
+            RefusalReason::StoreUnavailable
+                | RefusalReason::QueueFull
+                | RefusalReason::DeadlineUnreachable
+                | RefusalReason::CallerShare
+                | RefusalReason::KeyShare
+                | RefusalReason::Overloaded
+                | RefusalReason::NotReady
+                | RefusalReason::ShuttingDown
+        );
+        self.outcome == Outcome::NotRun && before_the_ledger
+    }
+
     /// Adds when to ask again.
     pub fn retry_after(self, retry_after: Duration) -> Self {
         Self {
--- a/crates/kingcuploftd/src/caller_edge/reply.rs
+++ b/crates/kingcuploftd/src/caller_edge/reply.rs
@@ -21,6 +21,10 @@
 
 const REASON_HEADER: HeaderName = HeaderName::from_static("x-kingcuploft-reason");
 const OUTCOME_HEADER: HeaderName = HeaderName::from_static("x-kingcuploft-outcome");
+/// Tells what is known of earlier requests with the same idempotency key.
+const EARLIER_HEADER: HeaderName = HeaderName::from_static("x-kingcuploft-earlier");
+/// The value where the ledger was not read.
+const NOT_CHECKED: &str = "not_checked";
 const RETRY_AFTER_MS_HEADER: HeaderName = HeaderName::from_static("x-kingcuploft-retry-after-ms");
 
 /// Builds the HTTP response of a reply.
@@ -66,6 +70,7 @@
         "reason": refusal.reason.label(),
         "outcome": refusal.outcome.label(),
         "retry_after_ms": refusal.retry_after.map(|after| after.as_millis() as u64),
+        "earlier": refusal.leaves_earlier_open().then_some(NOT_CHECKED),
         "request_id": own_id,
     });
     body.to_string()
@@ -86,6 +91,9 @@
         headers.insert(RETRY_AFTER, HeaderValue::from(ms.div_ceil(1000)));
         headers.insert(RETRY_AFTER_MS_HEADER, HeaderValue::from(ms));
     }
+    if refusal.leaves_earlier_open() {
+        headers.insert(EARLIER_HEADER, label(NOT_CHECKED));
+    }
     if ends_connection(refusal.reason) {
         headers.insert(CONNECTION, label("close"));
     }
