--- a/crates/kingcuploft-standins/src/experiments/claims/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/claims/mod.rs
@@ -30,6 +30,9 @@
 /// The time of one call to the platform.
 const STORE_DELAY: Duration = Duration::from_millis(2);
 
+/// Time of the same load before anything is counted.
+const WARM_UP: Duration = Duration::from_secs(3);
+
 /// The time of one action at its backend server.
 const RUN: Duration = Duration::from_millis(10);
 
@@ -120,11 +123,14 @@
             latency,
             held,
         });
-        match held {
+    }
+
+    fn count(&mut self, claim: Decided) {
+        match claim.held {
             true => {
                 self.held += 1;
-                self.latency_us
-                    .saturating_record(latency.as_micros() as u64);
+                let us = claim.latency.as_micros() as u64;
+                self.latency_us.saturating_record(us);
             }
             false => self.refused += 1,
         }
@@ -197,35 +203,39 @@
     let platform = Platform::start(&runtime)?;
     platform.change_faults(|faults| faults.delay = STORE_DELAY);
     let vms = start(&platform, way)?;
-    // The first reads of the ledger are not part of the cost of an action.
-    std::thread::sleep(Duration::from_millis(200));
-    let before = platform.calls();
     let mut rng = fastrand::Rng::with_seed(options.seed);
     let began = Instant::now();
-    let due = arrivals(&mut rng, rate, options.time);
+    let due = arrivals(&mut rng, rate, WARM_UP + options.time);
+    let warm = due.iter().filter(|at| **at < WARM_UP).count();
+    let mut before = platform.calls();
     for (action, at) in due.iter().enumerate() {
         std::thread::sleep((began + *at).saturating_duration_since(Instant::now()));
+        if action == warm {
+            before = platform.calls();
+        }
         vms[writer(way, action, &mut rng)].claim(action as u64);
     }
+    let after = platform.calls();
+    let measured = began + WARM_UP;
     let mut all = Claimed::default();
     for vm in vms {
-        let claimed = vm.finish();
-        all.held += claimed.held;
-        all.refused += claimed.refused;
-        all.latency_us.add(&claimed.latency_us).expect("alike");
+        let decided = vm.finish().decided.into_iter();
+        decided
+            .filter(|claim| claim.began >= measured)
+            .for_each(|claim| all.count(claim));
     }
+    let actions = (due.len() - warm) as f64;
     let seconds = options.time.as_secs_f64();
-    let after = platform.calls();
     let writes = (after.writes() - before.writes()) as f64;
     let ms = |quantile| all.latency_us.value_at_quantile(quantile) as f64 / 1000.0;
     Ok(Row {
         way: name,
         actions_per_s: rate,
-        actions: due.len() as u64,
+        actions: actions as u64,
         refused: all.refused,
         writes_per_s: writes / seconds,
-        writes_per_action: writes / due.len() as f64,
-        conflicts_per_action: (after.conflicts - before.conflicts) as f64 / due.len() as f64,
+        writes_per_action: writes / actions,
+        conflicts_per_action: (after.conflicts - before.conflicts) as f64 / actions,
         reads_per_s: (after.gets - before.gets) as f64 / seconds,
         p50_ms: ms(0.5),
         p99_ms: ms(0.99),
--- a/crates/kingcuploft-standins/src/experiments/claims/per_action.rs
+++ b/crates/kingcuploft-standins/src/experiments/claims/per_action.rs
@@ -55,9 +55,7 @@
         let mut all = Claimed::default();
         for thread in self.threads {
             let claimed = thread.join().unwrap_or_default();
-            all.held += claimed.held;
-            all.refused += claimed.refused;
-            all.latency_us.add(&claimed.latency_us).expect("alike");
+            all.decided.extend(claimed.decided);
         }
         all
     }
--- a/crates/kingcuploft/src/decisions/claim/ledger.rs
+++ b/crates/kingcuploft/src/decisions/claim/ledger.rs
@@ -149,6 +149,10 @@
 pub struct Head {
     /// How often the head was written: by it each VM sees how much all of them write.
     pub writes: u64,
+    /// The pause that every VM keeps between its writes, in ms.
+    pub pace_ms: u64,
+    /// The count of writes at which the pause was last adjusted.
+    pub paced_at: u64,
     /// The number of the next sealed segment.
     pub next_segment: SegmentNumber,
     /// The indexes, oldest first.
--- a/crates/kingcuploft/src/decisions/claim/pace.rs
+++ b/crates/kingcuploft/src/decisions/claim/pace.rs
@@ -1,34 +1,43 @@
-//! How often a VM writes, so that all VMs together write a given number of times a second.
+//! How often each VM writes, so that all VMs together write a given number of times a second.
+//!
+//! Load pattern: many VMs claim a little each. Their groups stay small, so the store sees nearly a
+//! write for each claim, and the more of them there are the more conflict. The head carries a count
+//! of its writes and the pause that every VM keeps between its own; whoever writes and sees more
+//! calls than the aim makes the pause longer, or shorter where there are fewer. At few actions a
+//! second nobody waits; at many, groups grow in place of writes. One pause for all keeps a VM from
+//! waiting for the others' sake.
 
 use std::time::{Duration, Instant};
 
+use super::ledger::Head;
 use crate::settings::claim::ClaimSettings;
 
 /// The least time over which the fleet's writes are counted.
 const WINDOW: Duration = Duration::from_millis(200);
 
-/// The time between two writes of this VM.
-///
-/// Load pattern: many VMs claim a little each. Their groups stay small, so the store sees nearly a
-/// write for each claim, and the more of them there are the more conflict. The head counts its
-/// writes; a VM that sees more than the aim waits longer between its own, one that sees fewer waits
-/// less. At few actions a second nobody waits; at many, groups grow in place of writes.
+/// The most that a pause may be stretched by at once, as a multiple of the time between writes.
+const STRETCH: f64 = 4.0;
+
+/// What one VM has seen of the fleet's writes.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub(super) struct Pace {
-    pause: Duration,
     /// The head's count of writes at the last look, and when that was.
     seen: Option<(u64, Instant)>,
     written: u32,
     lost: u32,
+    observed: Option<Observed>,
 }
 
-impl Pace {
-    /// Returns the least time between two writes.
-    pub(super) fn pause(&self, settings: &ClaimSettings) -> Duration {
-        let shortest = Duration::from_millis(settings.shortest_pace_ms);
-        self.pause.max(shortest)
-    }
+/// What was seen over the last window.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+struct Observed {
+    /// Writes of all VMs in 1,000 s, those that lost included.
+    calls_per_ks: u64,
+    /// The time between two writes of this VM.
+    between: Duration,
+}
 
+impl Pace {
     /// Notes a write of this VM that took effect.
     pub(super) fn written(&mut self) {
         self.written = self.written.saturating_add(1);
@@ -40,7 +49,7 @@
     }
 
     /// Notes how often the head had been written by now.
-    pub(super) fn see(&mut self, now: Instant, writes: u64, settings: &ClaimSettings) {
+    pub(super) fn see(&mut self, now: Instant, writes: u64) {
         let (before, since) = *self.seen.get_or_insert((writes, now));
         let time = now.saturating_duration_since(since);
         if time < WINDOW {
@@ -49,21 +58,31 @@
         let own = f64::from(self.written.max(1));
         // The others lose about as many of their writes as this VM does.
         let calls = writes.saturating_sub(before) as f64 * (1.0 + f64::from(self.lost) / own);
-        let aim = settings.fleet_writes_per_s as f64 * time.as_secs_f64();
-        // If all VMs stretch the time between their writes by this, they meet the aim.
-        let stretch = calls / aim.max(1.0) - 1.0;
-        let between = time.div_f64(own);
-        let longest = Duration::from_millis(settings.longest_pace_ms);
-        // Half of the way at a time, so that the VMs do not swing together.
-        self.pause = match stretch > 0.0 {
-            true => self.pause + between.mul_f64(stretch.min(4.0) / 2.0),
-            false => self.pause.saturating_sub(between.mul_f64(-stretch / 2.0)),
-        }
-        .min(longest);
         *self = Self {
-            pause: self.pause,
             seen: Some((writes, now)),
+            observed: Some(Observed {
+                calls_per_ks: (calls * 1000.0 / time.as_secs_f64()) as u64,
+                between: time.div_f64(own),
+            }),
             ..Self::default()
         };
     }
+
+    /// Adjusts the pause in a head that is about to be written, once in half a second's writes.
+    pub(super) fn adjust(&self, head: &mut Head, settings: &ClaimSettings) {
+        let Some(observed) = self.observed else {
+            return;
+        };
+        if head.writes < head.paced_at + settings.fleet_writes_per_s.div_ceil(2) {
+            return;
+        }
+        let aim_per_ks = (settings.fleet_writes_per_s * 1000).max(1);
+        // If all VMs stretch the time between their writes by this, they meet the aim; half of
+        // the way at a time, since what is seen is of the past.
+        let stretch = observed.calls_per_ks as f64 / aim_per_ks as f64 - 1.0;
+        let between_ms = observed.between.as_millis() as f64;
+        let pause_ms = head.pace_ms as f64 + between_ms * stretch.min(STRETCH) / 2.0;
+        head.pace_ms = (pause_ms.max(0.0) as u64).min(settings.longest_pace_ms);
+        head.paced_at = head.writes;
+    }
 }
--- a/crates/kingcuploft/src/decisions/claim/partition.rs
+++ b/crates/kingcuploft/src/decisions/claim/partition.rs
@@ -405,7 +405,9 @@
         if self.hurried {
             return Some(self.pause_until.unwrap_or(self.started));
         }
-        let paced = self.last_write.map(|last| last + self.pace.pause(settings));
+        let pace_ms = self.known.as_ref().map_or(0, |known| known.head.pace_ms);
+        let pause = Duration::from_millis(pace_ms.max(settings.shortest_pace_ms));
+        let paced = self.last_write.map(|last| last + pause);
         Some(
             due.max(paced.unwrap_or(due))
                 .max(self.pause_until.unwrap_or(due)),
--- a/crates/kingcuploft/src/decisions/claim/read.rs
+++ b/crates/kingcuploft/src/decisions/claim/read.rs
@@ -77,7 +77,7 @@
     /// Takes over a newer head: every earlier write of this VM is decided by it.
     fn adopt(&mut self, time: &Time<'_>, known: Known) {
         self.least_version = known.version;
-        self.pace.see(time.now, known.head.writes, &self.settings);
+        self.pace.see(time.now, known.head.writes);
         for abandoned in std::mem::take(&mut self.abandoned) {
             let entry = known.head.entries.get(&abandoned.key);
             if entry.is_some_and(|entry| entry.claimant == abandoned.claimant) {
--- a/crates/kingcuploft/src/decisions/claim/write.rs
+++ b/crates/kingcuploft/src/decisions/claim/write.rs
@@ -27,6 +27,7 @@
             return None;
         }
         head.writes += 1;
+        self.pace.adjust(&mut head, &self.settings);
         let head = Arc::new(head);
         let put = Operation::Put {
             name: Self::head_name(self.number),
