--- a/crates/kingcuploft-standins/src/virtual_fleet/fleet.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/fleet.rs
@@ -301,6 +301,7 @@
             Action::TellDraining(_, server) => self.tell_draining(node, &server),
             Action::TellPeers(notes) => self.tell_peers(node, &notes),
             Action::Retried(_, _) => self.cost.retries += 1,
+            Action::Hedged(..) => {}
         }
     }
 
