--- a/crates/kingcuploft-standins/src/experiments/peer_slope.rs
+++ b/crates/kingcuploft-standins/src/experiments/peer_slope.rs
@@ -82,6 +82,12 @@
         let (dispatch, from_all) = crossbeam_channel::bounded(64);
         let shared = Shared::new(settings, vm, dispatch);
         shared.fleet.membership().listens_at(address);
+        // There is no store to wait for before a peer's first manifest is taken.
+        shared.manifest.learn(
+            &shared,
+            "the experiment",
+            |adoption| Ok(adoption.gathered()),
+        );
         let keys = Keys::read(&shared.settings.peer).map_err(std::io::Error::other)?;
         let context = Arc::clone(&shared);
         let peers = std::thread::spawn(move || peer_link::run(&context, listener, keys));
@@ -120,7 +126,6 @@
     fn learn(&self, root: &Root, objects: &[ServiceObject]) {
         let keeper = &self.shared.manifest;
         keeper.learn(&self.shared, "the experiment", |adoption| {
-            adoption.gathered();
             adoption.root_text(&root.text())
         });
         for object in objects {
