--- a/crates/kingcuploft/src/decisions/claim/ledger.rs
+++ b/crates/kingcuploft/src/decisions/claim/ledger.rs
@@ -19,6 +19,16 @@
 /// Numbers the sealed segments of a partition.
 pub type SegmentNumber = u32;
 
+/// The key of the layout.
+pub const LAYOUT_KEY: &str = "claims/layout";
+
+/// How many partitions the ledger has; written once, and the same for every VM.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Layout {
+    /// The number of partitions.
+    pub partitions: u16,
+}
+
 /// Who claimed a key: only this very claim may be released or acknowledged.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Claimant {
@@ -137,6 +147,8 @@
 /// The object that decides a partition: each claim is a conditional update of it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Head {
+    /// How often the head was written: by it each VM sees how much all of them write.
+    pub writes: u64,
     /// The number of the next sealed segment.
     pub next_segment: SegmentNumber,
     /// The indexes, oldest first.
--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod adoption;
 pub mod claim;
+pub mod concurrency;
 pub mod drain;
 pub mod fair_queue;
 pub mod measuring;
