--- a/crates/kingcuploft/tests/manifest_options.rs
+++ b/crates/kingcuploft/tests/manifest_options.rs
@@ -46,10 +46,18 @@
 
 /// Returns the table of a closed set of words.
 fn words(name: &str, part: &Value) -> String {
-    let mut text = format!("\n### {name}\n\n{}\n\n| word | meaning |\n|---|---|\n", line(part));
+    let mut text = format!(
+        "\n### {name}\n\n{}\n\n| word | meaning |\n|---|---|\n",
+        line(part)
+    );
     for word in part["oneOf"].as_array().into_iter().flatten() {
         let (value, meaning) = (&word["const"], line(word));
-        writeln!(text, "| `{}` | {meaning} |", value.as_str().unwrap_or_default()).unwrap();
+        writeln!(
+            text,
+            "| `{}` | {meaning} |",
+            value.as_str().unwrap_or_default()
+        )
+        .unwrap();
     }
     text
 }
@@ -62,7 +70,10 @@
     let words = match &property["type"] {
         Value::String(word) => word.clone(),
         Value::Array(words) => {
-            let words = words.iter().filter_map(Value::as_str).filter(|w| *w != "null");
+            let words = words
+                .iter()
+                .filter_map(Value::as_str)
+                .filter(|w| *w != "null");
             words.collect::<Vec<_>>().join(" or ")
         }
         _ => "any".into(),
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -109,7 +109,7 @@
         let now = Instant::now();
         if now >= self.next_look {
             self.next_look = now + LONGEST_SLEEP;
-            let sharing = self.shared.fleet.membership().sharing();
+            let sharing = self.shared.fleet.sharing(&self.shared);
             if sharing != self.sharing {
                 self.sharing = sharing;
                 self.on_event(Event::LiveVms(u32::try_from(sharing).unwrap_or(u32::MAX)));
--- a/crates/kingcuploftd/src/fleet_keeper.rs
+++ b/crates/kingcuploftd/src/fleet_keeper.rs
@@ -142,10 +142,18 @@
             let count = members.iter().filter(|m| m.state == state).count();
             metrics.set_members(state.label(), count);
         }
-        // A VM that hears nobody has lost its links rather than its fleet: taking the whole of
-        // every backend server's connections would be the costlier mistake.
-        if members.len() > 1 {
-            shared.set_live_vms(membership.sharing());
+        drop(membership);
+        shared.set_live_vms(self.sharing(shared));
+    }
+
+    /// Returns how many VMs share the backend servers.
+    ///
+    /// A VM that hears nobody has lost its links rather than its fleet: it goes by the number in
+    /// its settings. To take the whole of every backend server would be the costlier mistake.
+    pub fn sharing(&self, shared: &Shared) -> usize {
+        match self.membership().sharing() {
+            1 => shared.settings.limits.vms,
+            sharing => sharing,
         }
     }
 
--- a/crates/kingcuploftd/src/peer_link/node.rs
+++ b/crates/kingcuploftd/src/peer_link/node.rs
@@ -478,7 +478,9 @@
         let counted = shared.metrics.fleet.all_peer_bytes();
         let spent = counted.saturating_sub(self.counted) as f64;
         let refill = now.saturating_duration_since(self.at).as_secs_f64() * self.bytes_per_s;
-        self.left = (self.left - spent + refill).min(self.burst);
+        // A manifest that was pulled may cost more than minutes of budget: news must not wait for
+        // it for longer than a second.
+        self.left = (self.left - spent + refill).clamp(-self.bytes_per_s, self.burst);
         (self.counted, self.at) = (counted, now);
         self.left > 0.0
     }
--- a/crates/kingcuploftd/src/settings.rs
+++ b/crates/kingcuploftd/src/settings.rs
@@ -125,9 +125,21 @@
         file: file.clone(),
         error,
     })?;
-    serde_saphyr::from_str(&text).map_err(|error| SettingsError::Invalid {
-        line: error.location().map_or(0, |at| at.line() as usize),
-        file,
-        expected: error.to_string(),
-    })
+    let settings: Settings =
+        serde_saphyr::from_str(&text).map_err(|error| SettingsError::Invalid {
+            line: error.location().map_or(0, |at| at.line() as usize),
+            file: file.clone(),
+            expected: error.to_string(),
+        })?;
+    match settings.peer.fault() {
+        None => Ok(settings),
+        Some(fault) => {
+            let place = text.lines().position(|line| line.starts_with("peer:"));
+            Err(SettingsError::Invalid {
+                line: place.map_or(0, |index| index + 1),
+                file,
+                expected: fault.into(),
+            })
+        }
+    }
 }
