--- a/crates/kingcuploftd/tests/settings_peer.rs
+++ b/crates/kingcuploftd/tests/settings_peer.rs
@@ -50,9 +50,9 @@
     let options = |text: &str| {
         let error = serde_saphyr::from_str::<PeerSettings>(text).unwrap_err();
         let error = error.to_string();
-        let named = error.split_once("expected one of").unwrap().1.to_owned();
-        let names = named.split('`').skip(1).step_by(2);
-        names.map(str::to_owned).collect::<Vec<_>>()
+        let first = error.lines().next().unwrap();
+        let (_, named) = first.split_once("expected one of ").unwrap();
+        named.split(", ").map(str::to_owned).collect::<Vec<_>>()
     };
     for (text, page) in [
         ("{nonsense: 1}", &links),
