feat(peer-link): notes on full backend servers between VMs; a drain names the place the dispatcher knows

Notes go to the linked peers within the byte budget and are counted. A drain that the dispatch duty saw was told with the address of the manifest in force, which may be newer than the one it goes by: a backend server that had come back elsewhere was drained too (seen once under load in a_drain_ends_when_the_backend_server_comes_back_elsewhere).

--- a/crates/kingcuploft-standins/src/experiments/peer_slope.rs
+++ b/crates/kingcuploft-standins/src/experiments/peer_slope.rs
@@ -169,15 +169,17 @@
         let seeds: Vec<SocketAddr> = nodes.iter().take(3).map(|node| node.address).collect();
         nodes.push(LightNode::start(index, &seeds)?);
     }
-    wait("members", || nodes.iter().all(|node| node.live() == size))?;
+    wait(size, "members", || {
+        nodes.iter().all(|node| node.live() == size)
+    })?;
     let known_after_s = began.elapsed().as_secs_f64();
     // A first manifest, whole, and time for all to be quiet.
     let mut objects = services(0);
     nodes[0].learn(&root(1, &objects), &objects);
-    wait("a manifest", || {
+    wait(size, "a manifest", || {
         nodes.iter().all(|node| node.generation() == 1)
     })?;
-    wait("quiet", || {
+    wait(size, "quiet", || {
         nodes.iter().all(|n| n.shared.fleet.membership().is_quiet())
     })?;
     let (idle, cpu) = spent(&nodes, || std::thread::sleep(time));
@@ -194,7 +196,7 @@
         let (bytes, _) = spent(&nodes, || {
             let began = Instant::now();
             nodes[0].learn(&root, std::slice::from_ref(&objects[7]));
-            waited = wait("a change", || {
+            waited = wait(size, "a change", || {
                 nodes.iter().all(|n| n.generation() == generation)
             });
             took = began.elapsed();
@@ -262,11 +264,11 @@
     values.iter().sum::<f64>() / values.len() as f64
 }
 
-fn wait(what: &str, holds: impl Fn() -> bool) -> Result<(), ExperimentError> {
+fn wait(nodes: usize, what: &str, holds: impl Fn() -> bool) -> Result<(), ExperimentError> {
     let end = Instant::now() + PATIENCE;
     while !holds() {
         if Instant::now() > end {
-            let why = format!("{what}: not within {PATIENCE:?}");
+            let why = format!("{nodes} nodes: {what}: not within {PATIENCE:?}");
             return Err(std::io::Error::other(why).into());
         }
         std::thread::sleep(Duration::from_millis(2));
--- a/crates/kingcuploft-standins/tests/fleet/manifest.rs
+++ b/crates/kingcuploft-standins/tests/fleet/manifest.rs
@@ -132,8 +132,14 @@
     until(IN_FORCE, || faults() > 0, || "no fault told".into());
     assert_eq!(bench.generations(), [0]);
     assert!(!bench.daemons[fresh].shared().ready());
-    let status = bench.daemons[fresh].shared().manifest.read(|a| a.status());
-    assert_eq!((status.in_force, status.heard, status.missing), (0, new, 1));
+    // All but the corrupt one is fetched.
+    let status = || bench.daemons[fresh].shared().manifest.read(|a| a.status());
+    until(
+        IN_FORCE,
+        || status().missing == 1,
+        || format!("{:?}", status()),
+    );
+    assert_eq!((status().in_force, status().heard), (0, new));
     bench.platform.overwrite(key, &good);
     bench.in_force(new);
     bench.stop();
--- a/crates/kingcuploft-standins/tests/fleet/members.rs
+++ b/crates/kingcuploft-standins/tests/fleet/members.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use kingcuploft::decisions::membership::MemberState;
+use kingcuploft::decisions::notes::Note;
+use kingcuploft::dispatcher::PeerNotes;
 use kingcuploft_platform::{ListedVm, ObjectStore, VmState};
-use kingcuploftd::fleet_keeper::DrainNotice;
+use kingcuploftd::fleet_keeper::{DrainNotice, PeerNews};
 
 use crate::harness::{Bench, IN_FORCE, start_daemon, until};
 
@@ -157,3 +159,39 @@
     );
     bench.stop();
 }
+
+#[test]
+fn notes_reach_the_linked_peers_within_the_budget() {
+    // Backend servers turn full and free faster than the links may carry it. What is over the
+    // budget is dropped and counted; heartbeats go on, so nobody is taken for dead.
+    let mut bench = Bench::start(1);
+    let first = bench.peers()[0];
+    bench.add_with(&format!(
+        "peers: ['{first}'], budget: {{bytes_per_s: 1, burst_bytes: 20000}}"
+    ));
+    bench.live(2);
+    let [hears, tells] = [0, 1].map(|i| bench.daemons[i].shared());
+    for round in 0..400 {
+        let notes = PeerNotes {
+            service: "trip".into(),
+            generation: 1,
+            notes: vec![Note {
+                server: round,
+                in_flight: 9,
+            }],
+        };
+        tells.fleet.tell(tells, PeerNews::Notes(notes));
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let heard = || hears.metrics.fleet.notes("received");
+    let sent = || tells.metrics.fleet.notes("sent");
+    until(
+        IN_FORCE,
+        || heard() > 0 && heard() == sent(),
+        || format!("{} of {}", heard(), sent()),
+    );
+    assert!(tells.metrics.fleet.peer_over_budget.get() > 0);
+    assert!(sent() < 400);
+    bench.live(2);
+    bench.stop();
+}
--- a/crates/kingcuploftd/src/admin_fleet.rs
+++ b/crates/kingcuploftd/src/admin_fleet.rs
@@ -1,6 +1,8 @@
 //! The admin pages about the fleet: members, manifest, drains and decisions, and what operators may
 //! hand in while the store is down.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -64,7 +66,8 @@
 }
 
 fn drain(shared: &Shared, service: &str, server: &str) -> Page {
-    match fleet_keeper::notice(shared, &service.into(), &server.into()) {
+    let manifest = Arc::clone(&shared.accepted.load().manifest);
+    match fleet_keeper::notice(&manifest, &service.into(), &server.into()) {
         Some(notice) => {
             shared.fleet.drain(shared, notice.clone());
             json(&notice)
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -6,6 +6,7 @@
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
 use kingcuploft::dispatcher::{Action, Arrival, Call, ClaimEnd, Dispatcher, Event};
+use kingcuploft::manifest::Manifest;
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::backend_server::{CallEnd, CallReport};
 use kingcuploft::world::ids::{AttemptId, RequestId, ServiceName};
@@ -14,7 +15,7 @@
 
 use crate::claims;
 use crate::decision_log::Decided;
-use crate::fleet_keeper;
+use crate::fleet_keeper::{self, PeerNews};
 use crate::message::{Answer, CallOrder, ClaimOrder, Message, Reply, RequestParts};
 use crate::shared::Shared;
 
@@ -50,6 +51,8 @@
     actions: Vec<Action>,
     /// Attempts that could not be handed to the backend edge.
     not_handed_over: Vec<AttemptId>,
+    /// The manifest that the dispatcher goes by, which may be older than the one in force.
+    manifest: Arc<Manifest>,
     /// How many VMs share the backend servers, as was last seen.
     sharing: usize,
     /// When to look at that again.
@@ -71,6 +74,7 @@
         answers: HashMap::default(),
         actions: Vec::new(),
         not_handed_over: Vec::new(),
+        manifest: Arc::default(),
         sharing: 0,
         next_look: Instant::now(),
         not_claimed: Vec::new(),
@@ -167,8 +171,10 @@
                     .metrics
                     .generation
                     .set(accepted.generation as i64);
+                self.manifest = Arc::clone(&accepted.manifest);
                 self.on_event(Event::Adopted(accepted));
             }
+            Message::Told(notes) => self.on_event(Event::Told(notes)),
             Message::Draining(service, server) => self.on_event(Event::Draining(service, server)),
             Message::Stop(_) => {}
         }
@@ -230,7 +236,7 @@
                 tracing::info!("drain: {server} of {service} takes no new work.");
                 let decisions = &self.shared.decisions;
                 decisions.note(Decided::Drained, "drain", &service, "", server.to_string());
-                if let Some(notice) = fleet_keeper::notice(&self.shared, &service, &server) {
+                if let Some(notice) = fleet_keeper::notice(&self.manifest, &service, &server) {
                     self.shared.fleet.drain_seen(&self.shared, notice);
                 }
             }
@@ -246,7 +252,10 @@
                 );
             }
             // The peer link is not there yet.
-            Action::TellPeers(_) => {}
+            Action::TellPeers(notes) => {
+                let fleet = &self.shared.fleet;
+                fleet.tell(&self.shared, PeerNews::Notes(notes));
+            }
         }
     }
 
--- a/crates/kingcuploftd/src/fleet_keeper.rs
+++ b/crates/kingcuploftd/src/fleet_keeper.rs
@@ -4,8 +4,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use kingcuploft::decisions::membership::{Member, MemberState, Membership};
+use kingcuploft::dispatcher::PeerNotes;
 use kingcuploft::manifest::Manifest;
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::ids::{BackendServerName, ServiceName};
@@ -39,8 +39,8 @@
 pub enum PeerNews {
     /// A backend server drains.
     Draining(DrainNotice),
-    /// Notes between decisions, opaque to the links.
-    Notes(Bytes),
+    /// Backend servers turned full or free.
+    Notes(PeerNotes),
 }
 
 /// What this VM knows of the fleet.
@@ -176,18 +176,13 @@
     known
 }
 
-/// Returns the place of a backend server in the manifest in force.
+/// Returns the place of a backend server in a manifest.
 pub fn notice(
-    shared: &Shared,
+    manifest: &Manifest,
     service: &ServiceName,
     server: &BackendServerName,
 ) -> Option<DrainNotice> {
-    let accepted = shared.accepted.load();
-    let found = accepted
-        .manifest
-        .services
-        .iter()
-        .find(|s| s.name == *service)?;
+    let found = manifest.services.iter().find(|s| s.name == *service)?;
     let server = found.backend_servers.iter().find(|s| s.name == *server)?;
     Some(DrainNotice {
         service: service.clone(),
--- a/crates/kingcuploftd/src/membership_duty.rs
+++ b/crates/kingcuploftd/src/membership_duty.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use kingcuploft::manifest::Manifest;
 use kingcuploft::world::ids::{BackendServerName, ServiceName};
 use kingcuploft_platform::{Change, ListedVm, ObjectStore, StoreError, Version, VmState};
 
@@ -91,7 +92,7 @@
         if vm.state == VmState::Leaving {
             found
                 .into_iter()
-                .for_each(|(service, server)| leaving(shared, service, server));
+                .for_each(|(service, server)| leaving(shared, &accepted.manifest, service, server));
         }
     }
     // Before a manifest is known a backend server can not be told from an entry VM.
@@ -100,8 +101,13 @@
     }
 }
 
-fn leaving(shared: &Shared, service: &ServiceName, server: &BackendServerName) {
-    if let Some(notice) = notice(shared, service, server) {
+fn leaving(
+    shared: &Shared,
+    manifest: &Manifest,
+    service: &ServiceName,
+    server: &BackendServerName,
+) {
+    if let Some(notice) = notice(manifest, service, server) {
         shared.fleet.drain(shared, notice);
     }
 }
--- a/crates/kingcuploftd/src/message.rs
+++ b/crates/kingcuploftd/src/message.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use kingcuploft::decisions::claim::ledger::{Fingerprint, KeyHash};
-use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd};
+use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd, PeerNotes};
 use kingcuploft::manifest::Accepted;
 use kingcuploft::world::backend_server::CallReport;
 use kingcuploft::world::ids::{AttemptId, BackendServerName, RequestId, ServiceName};
@@ -83,6 +83,8 @@
     },
     /// A newer manifest is known.
     Adopted(Accepted),
+    /// A peer told of backend servers that turned full or free.
+    Told(PeerNotes),
     /// A backend server drains.
     Draining(ServiceName, BackendServerName),
     /// Finish what is in flight until this time, then end.
--- a/crates/kingcuploftd/src/metrics_fleet.rs
+++ b/crates/kingcuploftd/src/metrics_fleet.rs
@@ -30,6 +30,8 @@
     pub peer_bytes: ByKind,
     /// Peer links that failed or ended, by cause.
     pub peer_link_ends: ByKind,
+    /// Notes on backend servers, by direction.
+    pub peer_notes: ByKind,
     /// Messages to peers that the byte budget did not allow.
     pub peer_over_budget: Counter,
     /// Members of the fleet, by state.
@@ -47,6 +49,7 @@
         registry.register("peer_links", "Live links", m.peer_links);
         registry.register("peer_bytes", "Bytes of peer links", m.peer_bytes);
         registry.register("peer_link_ends", "Links that ended", m.peer_link_ends);
+        registry.register("peer_notes", "Notes on servers", m.peer_notes);
         registry.register("peer_over_budget", "Not sent", m.peer_over_budget);
         registry.register("members", "Members of the fleet", m.members);
         metrics
@@ -66,6 +69,17 @@
         counts.sum()
     }
 
+    /// Counts notes on backend servers.
+    pub fn count_notes(&self, kind: &'static str, notes: usize) {
+        let counter = self.peer_notes.get_or_create(&KindLabel { kind });
+        counter.inc_by(notes as u64);
+    }
+
+    /// Returns the notes on backend servers so far, in one direction.
+    pub fn notes(&self, kind: &'static str) -> u64 {
+        self.peer_notes.get_or_create(&KindLabel { kind }).get()
+    }
+
     /// Counts the end of a peer link.
     pub fn count_link_end(&self, kind: &'static str) {
         self.peer_link_ends.get_or_create(&KindLabel { kind }).inc();
--- a/crates/kingcuploftd/src/peer_link/mod.rs
+++ b/crates/kingcuploftd/src/peer_link/mod.rs
@@ -18,7 +18,7 @@
 mod server;
 pub mod settings;
 mod tls;
-mod wire;
+pub mod wire;
 
 use std::net::TcpListener;
 use std::rc::Rc;
--- a/crates/kingcuploftd/src/peer_link/node.rs
+++ b/crates/kingcuploftd/src/peer_link/node.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use kingcuploft::decisions::adoption::Need;
 use kingcuploft::decisions::membership::Neighbour;
+use kingcuploft::dispatcher::PeerNotes;
 use kingcuploft::manifest::root::ContentHash;
 use kingcuploft::utils::{HashMap, HashSet};
 use kingcuploft::world::ids::{Generation, VmName};
@@ -17,8 +17,9 @@
 use super::link::{LinkEnd, MEMBERS_PER_PAGE};
 use super::peer_capnp::peer;
 use super::tls::Tls;
-use super::wire::{Beat, read_drain, read_member, write_drain};
+use super::wire::{Beat, read_drain, read_member, write_drain, write_notes};
 use crate::fleet_keeper::{DrainNotice, PeerNews};
+use crate::message::Message;
 use crate::shared::Shared;
 
 /// The most lines of news on one heartbeat.
@@ -328,9 +329,13 @@
             .any(|n| n.name.as_ref() == Some(&link.name))
     }
 
-    /// Takes a batch of notes from a link.
-    pub(super) fn take_notes(&self, link: &Link, batch: Bytes) {
-        tracing::trace!("peer: {} bytes of notes from {}.", batch.len(), link.name);
+    /// Hands a peer's notes to the dispatch duty; where its ring is full they are worth least.
+    pub(super) fn take_notes(&self, notes: PeerNotes) {
+        let metrics = &self.shared.metrics.fleet;
+        metrics.count_notes("received", notes.notes.len());
+        if self.shared.dispatch.try_send(Message::Told(notes)).is_err() {
+            self.shared.metrics.fleet.peer_over_budget.inc();
+        }
     }
 
     /// Counts the end of a link.
@@ -410,7 +415,11 @@
             }
             for batch in &notes {
                 match node.has_budget() {
-                    true => tell_notes(&link, batch),
+                    true => {
+                        let metrics = &node.shared.metrics.fleet;
+                        metrics.count_notes("sent", batch.notes.len());
+                        tell_notes(&link, batch);
+                    }
                     false => drop(node.shared.metrics.fleet.peer_over_budget.inc()),
                 }
             }
@@ -430,9 +439,9 @@
     tokio::task::spawn_local(async move { drop(in_time(promise).await) });
 }
 
-fn tell_notes(link: &Link, batch: &[u8]) {
+fn tell_notes(link: &Link, notes: &PeerNotes) {
     let mut request = link.peer.notes_request();
-    request.get().set_batch(batch);
+    write_notes(notes, request.get());
     let promise = request.send().promise;
     tokio::task::spawn_local(async move { drop(in_time(promise).await) });
 }
--- a/crates/kingcuploftd/src/peer_link/peer_capnp.rs
+++ b/crates/kingcuploftd/src/peer_link/peer_capnp.rs
@@ -3396,18 +3396,30 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_batch(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_batch(&self) -> bool {
+            pub fn has_service(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_generation(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_entries(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u32>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_entries(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3458,21 +3470,45 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_batch(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_batch(&mut self, value: ::capnp::data::Reader<'_>)  {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
-            pub fn init_batch(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
+            pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn has_batch(&self) -> bool {
+            pub fn has_service(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_generation(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_generation(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_entries(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u32>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_entries(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_entries(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u32> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            }
+            #[inline]
+            pub fn has_entries(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3484,43 +3520,80 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(192, 191, 52, 87, 21, 71, 192, 202),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(110, 111, 116, 101, 115, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(98, 97, 116, 99, 104, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
+                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3534,9 +3607,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
             pub(crate) const TYPE_ID: u64 = 0xcac0_4715_5734_bfc0;
         }
     }
--- a/crates/kingcuploftd/src/peer_link/schema/peer.capnp
+++ b/crates/kingcuploftd/src/peer_link/schema/peer.capnp
@@ -48,8 +48,9 @@
   drains @4 (drains :List(Drain));
   # Backend servers that drain; passed on where it is news.
 
-  notes @5 (batch :Data);
-  # Notes between decisions, opaque here.
+  notes @5 (service :Text, generation :UInt64, entries :List(UInt32));
+  # Backend servers that turned full or free: an entry is the server's number in the manifest of
+  # the generation, times 256, plus its load.
 
   members @6 (from :UInt32) -> (members :List(Member), drains :List(Drain));
   # All members that are known, in pages, and the drains: for a VM that just started.
--- a/crates/kingcuploftd/src/peer_link/server.rs
+++ b/crates/kingcuploftd/src/peer_link/server.rs
@@ -4,20 +4,16 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use bytes::Bytes;
 use kingcuploft::manifest::root::ContentHash;
 
 use super::link::MEMBERS_PER_PAGE;
 use super::node::{Link, Node};
 use super::peer_capnp::peer;
-use super::wire::{Beat, read_drain, read_member, write_drain, write_member};
+use super::wire::{Beat, read_drain, read_member, read_notes, write_drain, write_member};
 
 /// The most bytes of service objects in one answer; the rest is asked for again.
 const SERVICES_BYTES: usize = 1024 * 1024;
 
-/// The longest batch of notes that is taken, in bytes.
-const NOTES_BYTES: usize = 4096;
-
 /// This VM's end of one link.
 pub(super) struct PeerServer {
     node: Rc<Node>,
@@ -166,12 +162,9 @@
         params: peer::NotesParams,
         _: peer::NotesResults,
     ) -> Result<(), capnp::Error> {
-        let link = self.greeted()?;
-        let batch = params.get()?.get_batch()?;
-        if batch.len() > NOTES_BYTES {
-            return Err(refused("a batch of notes is too long"));
-        }
-        self.node.take_notes(&link, Bytes::copy_from_slice(batch));
+        self.greeted()?;
+        let notes = read_notes(params.get()?)?;
+        self.node.take_notes(notes);
         Ok(())
     }
 
--- a/crates/kingcuploftd/src/peer_link/wire.rs
+++ b/crates/kingcuploftd/src/peer_link/wire.rs
@@ -3,31 +3,37 @@
 use std::net::SocketAddr;
 
 use kingcuploft::decisions::membership::{Member, MemberState};
+use kingcuploft::decisions::notes::Note;
+use kingcuploft::dispatcher::PeerNotes;
 use kingcuploft::world::ids::Generation;
 
-use super::peer_capnp::{beat, drain, member};
+use super::peer_capnp::{beat, drain, member, peer};
 use crate::fleet_keeper::DrainNotice;
 
 /// The longest name or zone that is taken, in bytes.
 const NAME_BYTES: usize = 256;
 
+/// The most notes that are taken in one message.
+const NOTES: u32 = 1024;
+
 /// A heartbeat.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Beat {
+pub struct Beat {
     /// The generation in force; 0 for none.
-    pub(super) generation: Generation,
+    pub generation: Generation,
     /// The first bytes of its root's hash.
-    pub(super) root_hash: u64,
+    pub root_hash: u64,
     /// How many heartbeats the sender has sent.
-    pub(super) beat: u32,
+    pub beat: u32,
     /// A digest of the members that the sender counts as live.
-    pub(super) digest: u32,
+    pub digest: u32,
     /// News of members.
-    pub(super) news: Vec<Member>,
+    pub news: Vec<Member>,
 }
 
 impl Beat {
-    pub(super) fn write(&self, mut to: beat::Builder<'_>) {
+    /// Writes it into a message.
+    pub fn write(&self, mut to: beat::Builder<'_>) {
         to.set_generation(self.generation);
         to.set_root_hash(self.root_hash);
         to.set_beat(self.beat);
@@ -41,7 +47,12 @@
         }
     }
 
-    pub(super) fn read(from: beat::Reader<'_>) -> capnp::Result<Self> {
+    /// Reads it from a message.
+    ///
+    /// # Errors
+    ///
+    /// The library's error, or one of a field that is malformed or too long.
+    pub fn read(from: beat::Reader<'_>) -> capnp::Result<Self> {
         let news = from.get_news()?.iter().map(read_member);
         Ok(Self {
             generation: from.get_generation(),
@@ -97,6 +108,32 @@
     })
 }
 
+pub(super) fn write_notes(notes: &PeerNotes, mut to: peer::notes_params::Builder<'_>) {
+    to.set_service(&*notes.service);
+    to.set_generation(notes.generation);
+    let mut entries = to.init_entries(notes.notes.len() as u32);
+    for (i, note) in notes.notes.iter().enumerate() {
+        let entry = u32::from(note.server) << 8 | u32::from(note.in_flight);
+        entries.set(i as u32, entry);
+    }
+}
+
+pub(super) fn read_notes(from: peer::notes_params::Reader<'_>) -> capnp::Result<PeerNotes> {
+    let entries = from.get_entries()?;
+    if entries.len() > NOTES {
+        return Err(capnp::Error::failed("too many notes".into()));
+    }
+    let notes = entries.iter().map(|entry| Note {
+        server: (entry >> 8) as u16,
+        in_flight: entry as u8,
+    });
+    Ok(PeerNotes {
+        service: text(from.get_service()?)?.into(),
+        generation: from.get_generation(),
+        notes: notes.collect(),
+    })
+}
+
 fn text(from: capnp::text::Reader<'_>) -> capnp::Result<&str> {
     let text = from.to_str()?;
     match text.len() <= NAME_BYTES && !text.is_empty() {
