--- a/crates/kingcuploft/src/dispatcher/mod.rs
+++ b/crates/kingcuploft/src/dispatcher/mod.rs
@@ -6,6 +6,8 @@
 mod adoption;
 mod attempts;
 mod ending;
+pub mod explain;
+mod hedging;
 mod request;
 mod retry_queue;
 mod service_state;
@@ -15,6 +17,7 @@
 use std::time::Instant;
 
 use crate::decisions::admission::{Offer, Waiting};
+use crate::decisions::hedge::HedgeStep;
 use crate::decisions::retry::RetryReason;
 use crate::manifest::Accepted;
 use crate::manifest::routing::Route;
@@ -27,6 +30,7 @@
 use crate::world::refusal::{Refusal, RefusalReason};
 use crate::world::vm::Vm;
 
+use explain::{Decided, Explained, Explanation, LoadSeen, Query};
 use request::{Attempt, Claim, Request};
 use service_state::{Pick, ServiceState};
 pub use telling::PeerNotes;
@@ -109,6 +113,8 @@
     TellPeers(PeerNotes),
     /// Count a retry.
     Retried(ServiceName, RetryReason),
+    /// Count what became of a hedge.
+    Hedged(ServiceName, HedgeStep),
 }
 
 /// A call to a backend server.
@@ -126,6 +132,8 @@
     pub address: std::net::SocketAddr,
     /// When the answer is due.
     pub deadline: Instant,
+    /// Time from the request's arrival until this attempt.
+    pub waited: std::time::Duration,
 }
 
 /// The state of one entry VM.
@@ -144,11 +152,14 @@
     timers: Timers,
     /// When each attempt that does not report is given up.
     attempt_timers: Timers,
+    /// When each lookup in flight is looked at, whether to hedge it.
+    look_timers: Timers,
     /// How many entry VMs are live, once that is known.
     live_vms: Option<u32>,
     /// The time of the last event.
     now: Option<Instant>,
     last_attempt: AttemptId,
+    explained: Explained,
 }
 
 impl Dispatcher {
@@ -164,9 +175,11 @@
             attempts: HashMap::default(),
             timers: Timers::default(),
             attempt_timers: Timers::default(),
+            look_timers: Timers::default(),
             live_vms: None,
             now: None,
             last_attempt: 0,
+            explained: Explained::default(),
         }
     }
 
@@ -198,7 +211,11 @@
         let now = self.now?;
         let retries = self.services.values();
         let retries = retries.filter_map(|state| state.next_due(now));
-        let timers = [self.timers.next(), self.attempt_timers.next()];
+        let timers = [
+            self.timers.next(),
+            self.attempt_timers.next(),
+            self.look_timers.next(),
+        ];
         timers.into_iter().flatten().chain(retries).min()
     }
 
@@ -218,6 +235,34 @@
         state.map_or(0, |state| state.calls_at(server))
     }
 
+    /// Returns the last decisions that fit, newest first.
+    pub fn explained(&self, now: Instant, query: &Query) -> Vec<Explanation> {
+        self.explained.find(now, query)
+    }
+
+    /// Returns the load of each service.
+    pub fn loads(&self) -> impl Iterator<Item = (&ServiceName, LoadSeen)> {
+        let services = self.services.iter();
+        services.map(|(name, state)| (name, state.load()))
+    }
+
+    /// Keeps a decision for who asks why.
+    fn explain(&mut self, now: Instant, id: RequestId, request: &Request, decided: Decided) {
+        let state = self.services.get(request.service());
+        let load = state.map(|state| state.load_for(now, &request.waiting(id)));
+        let explanation = Explanation {
+            ago_ms: 0,
+            request: id,
+            service: request.service().clone(),
+            rule: request.route.rule().name.clone(),
+            caller: request.caller.clone(),
+            waited_ms: explain::ms(now.saturating_duration_since(request.arrived)),
+            load: load.unwrap_or_default(),
+            decided,
+        };
+        self.explained.keep(now, explanation);
+    }
+
     fn arrived(&mut self, now: Instant, arrival: Arrival, actions: &mut Vec<Action>) {
         let id = arrival.request;
         let request = Request::new(arrival);
@@ -228,6 +273,7 @@
         };
         let claims = request.claim == Claim::Asked;
         if claims && let Some(refusal) = state.check(now, &waiting) {
+            self.explain(now, id, &request, refusal.into());
             return actions.push(Action::Refuse(id, refusal));
         }
         let service = request.service().clone();
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -1,15 +1,18 @@
 //! The decisions of one service on one VM, joined.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use super::explain::{LoadSeen, ms};
+use super::hedging::HedgePick;
 use super::request::{Attempt, Request};
 use super::retry_queue::{RetryQueue, Waits};
 use crate::decisions::admission::{Admission, Next, Offer, Waiting};
 use crate::decisions::concurrency::Concurrency;
 use crate::decisions::drain::Drain;
+use crate::decisions::hedge::{Hedge, HedgeStep, Judgement, Look};
 use crate::decisions::notes::{Note, Notes};
-use crate::decisions::retry::{Retry, Verdict};
+use crate::decisions::retry::{Ended, Retry, Verdict};
 use crate::decisions::selection::{Choice, Selection};
 use crate::manifest::{BackendServer, Service};
 use crate::utils::HashMap;
@@ -43,6 +46,7 @@
     drain: Drain,
     notes: Notes,
     retry: Retry,
+    hedge: Hedge,
 }
 
 impl ServiceState {
@@ -62,12 +66,13 @@
         let mut selection = Selection::new(&service, &vm.availability_zone);
         let mut drain = Drain::new(&service);
         let old_of = old_indices(&service, old.as_ref());
-        let (admission, retries, mut concurrency, retry) = match old {
+        let (admission, retries, mut concurrency, retry, hedge) = match old {
             None => (
                 Admission::new(&service),
                 RetryQueue::default(),
                 Concurrency::new(&service, live_vms),
                 Retry::new(&service.policy.retry),
+                Hedge::new(&service.policy.hedge),
             ),
             Some(mut old) => {
                 selection.take_over(&old.selection, &old_of);
@@ -75,7 +80,15 @@
                 old.admission.adopt(&service);
                 old.concurrency.adopt(&service);
                 old.retry.adopt(&service.policy.retry);
-                (old.admission, old.retries, old.concurrency, old.retry)
+                let kept = |name: &_| service.backend_servers.iter().any(|s| s.name == *name);
+                old.hedge.adopt(&service.policy.hedge, kept);
+                (
+                    old.admission,
+                    old.retries,
+                    old.concurrency,
+                    old.retry,
+                    old.hedge,
+                )
             }
         };
         let attempts: Vec<&Attempt> = attempts.collect();
@@ -93,6 +106,7 @@
                 service.backend_servers.iter().map(|s| s.slots),
             ),
             retry,
+            hedge,
             service,
         };
         for attempt in attempts {
@@ -117,6 +131,27 @@
         server.map_or(0, |&server| self.selection.in_flight(server))
     }
 
+    /// Returns the load as this VM sees it.
+    pub(super) fn load(&self) -> LoadSeen {
+        LoadSeen {
+            waiting: self.admission.len(),
+            in_flight: self.concurrency.in_flight(),
+            limit: self.concurrency.limit(),
+            retry_budget: self.retry.budget(),
+            ..LoadSeen::default()
+        }
+    }
+
+    /// Returns the load as one request finds it.
+    pub(super) fn load_for(&self, now: Instant, waiting: &Waiting) -> LoadSeen {
+        let outlook = self.admission.outlook(now, waiting);
+        LoadSeen {
+            expected_wait_ms: ms(outlook.wait),
+            service_time_ms: ms(outlook.service_time),
+            ..self.load()
+        }
+    }
+
     /// Judges a protected request at the door, before its claim is asked for.
     pub(super) fn check(&mut self, now: Instant, waiting: &Waiting) -> Option<Refusal> {
         match self.admission.check(now, waiting) {
@@ -217,6 +252,45 @@
         }
     }
 
+    /// Notes that a lookup was sent, and returns after which time to look at it.
+    pub(super) fn lookup_sent(&mut self, rule: &RuleName) -> Option<Duration> {
+        self.hedge.sent(&self.admission.service_time(rule))
+    }
+
+    /// Judges a lookup's first attempt that takes long.
+    pub(super) fn pick_hedge(
+        &mut self,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+        request: &Request,
+        attempt: &Attempt,
+    ) -> HedgePick {
+        let look = Look {
+            elapsed: now - attempt.sent_at.min(now),
+            left: request.deadline.saturating_duration_since(now),
+            usual: self.admission.service_time(&attempt.rule),
+            requests_wait: !self.admission.is_empty() || self.retries.due(now) > 0,
+        };
+        let reason = match self.hedge.judge(&attempt.backend_server, &look) {
+            Judgement::Leave => return HedgePick::Leave,
+            Judgement::LookAgain(after) => return HedgePick::LookAgain(now + after),
+            Judgement::Hedge(reason) => reason,
+        };
+        let tried = self.indices(&request.tried);
+        match self.choose(now, rng, &tried) {
+            Choice::Send(server) if !self.in_slow_spell(server) => {
+                self.hedge.spend();
+                HedgePick::Send(server, HedgeStep::Sent(reason))
+            }
+            _ => HedgePick::Leave,
+        }
+    }
+
+    fn in_slow_spell(&self, server: usize) -> bool {
+        let server = &self.service.backend_servers[server];
+        self.hedge.in_slow_spell(&server.name)
+    }
+
     /// Ends a request that every backend server which takes work has refused.
     fn refused_by_all(&mut self, at: usize) -> Pick {
         let waits = self.retries.take(at);
@@ -236,6 +310,9 @@
     /// Notes the end of an attempt; tells whether it brought news of a drain.
     pub(super) fn ended(&mut self, now: Instant, attempt: &Attempt, report: &CallReport) -> bool {
         if matches!(report.end, CallEnd::Answered { .. } | CallEnd::TimedOut) {
+            let usual = self.admission.service_time(&attempt.rule);
+            self.hedge
+                .measured(&attempt.backend_server, report.latency, &usual);
             self.admission.measured(&attempt.rule, report.latency);
         }
         let server = self.server_of(attempt);
@@ -253,19 +330,21 @@
         report.draining && self.drain.evidence(server)
     }
 
+    /// Decides what follows an attempt that ended.
     pub(super) fn after(
         &mut self,
         now: Instant,
+        rng: &mut fastrand::Rng,
         request: &Request,
         report: &CallReport,
     ) -> Verdict {
-        self.retry.decide(
-            now,
-            request.contract(),
-            request.attempts,
-            request.deadline,
+        let ended = Ended {
+            contract: request.contract(),
+            attempts: request.attempts,
+            deadline: request.deadline,
             report,
-        )
+        };
+        self.retry.decide(now, rng, &ended)
     }
 
     /// Lets a request wait for its next attempt.
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -114,6 +114,10 @@
         if now >= self.next_look {
             self.next_look = now + LONGEST_SLEEP;
             let sharing = self.shared.fleet.sharing(&self.shared);
+            let metrics = &self.shared.metrics.service;
+            let loads = self.dispatcher.loads();
+            loads.for_each(|(service, load)| metrics.loaded(service, &load));
+            let sharing = self.shared.fleet.membership().sharing();
             if sharing != self.sharing {
                 self.sharing = sharing;
                 self.on_event(Event::LiveVms(u32::try_from(sharing).unwrap_or(u32::MAX)));
@@ -176,6 +180,11 @@
             }
             Message::Told(notes) => self.on_event(Event::Told(notes)),
             Message::Draining(service, server) => self.on_event(Event::Draining(service, server)),
+            Message::Explain(query, reply) => {
+                let found = self.dispatcher.explained(Instant::now(), &query);
+                // Who asked may have gone.
+                drop(reply.send(found));
+            }
             Message::Stop(_) => {}
         }
     }
@@ -240,6 +249,7 @@
                     self.shared.fleet.drain_seen(&self.shared, notice);
                 }
             }
+            Action::Hedged(service, step) => self.shared.metrics.service.hedged(&service, step),
             Action::Retried(service, reason) => {
                 self.shared.metrics.retried(reason);
                 let decisions = &self.shared.decisions;
@@ -290,6 +300,8 @@
     /// dispatcher is told so at once.
     fn call(&mut self, call: Call) {
         let attempt = call.attempt;
+        let metrics = &self.shared.metrics.service;
+        metrics.waited(&call.route.service.name, call.waited);
         let Some(pending) = self.pending.get(&call.request) else {
             return self.not_handed_over.push(attempt);
         };
@@ -305,6 +317,10 @@
     }
 
     fn refuse(&mut self, request: RequestId, refusal: Refusal) {
+        if let Some(pending) = self.pending.get(&request) {
+            let metrics = &self.shared.metrics.service;
+            metrics.refused(&pending.service, refusal.reason);
+        }
         self.reply(request, Reply::Refused(refusal));
     }
 
--- a/crates/kingcuploftd/src/settings.rs
+++ b/crates/kingcuploftd/src/settings.rs
@@ -1,7 +1,10 @@
 //! The daemon's settings, read strictly from YAML.
 
+mod check;
+mod reader;
+
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::PathBuf;
 
 use kingcuploft::settings::claim::ClaimSettings;
 use kingcuploft_platform::client::ClientSettings;
@@ -9,6 +12,8 @@
 
 use crate::peer_link::PeerSettings;
 
+pub use reader::{Fault, SettingsError, parse, read};
+
 /// The settings of one daemon.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -21,6 +26,9 @@
     pub listen: SocketAddr,
     /// Where the platform's balancer and operators connect.
     pub admin_listen: SocketAddr,
+    /// The file with the bearer token of the admin port; needed where that is no loopback address.
+    #[serde(default)]
+    pub admin_token_file: Option<PathBuf>,
     /// The platform's object API, as `host:port`.
     pub platform: String,
     /// The form of the log lines.
