--- a/crates/kingcuploft/src/decisions/membership.rs
+++ b/crates/kingcuploft/src/decisions/membership.rs
@@ -149,6 +149,8 @@
     settings: MembershipSettings,
     members: HashMap<VmName, Known>,
     candidates: HashMap<SocketAddr, Candidate>,
+    /// Members that this VM counts as live and a peer does not know: they are tried.
+    doubted: HashSet<VmName>,
     news: VecDeque<(VmName, u32)>,
     last_tick: Option<Instant>,
     /// Since when a neighbour's digest has differed from this VM's.
@@ -165,6 +167,7 @@
             settings,
             members: HashMap::default(),
             candidates: HashMap::default(),
+            doubted: HashSet::default(),
             news: VecDeque::new(),
             last_tick: None,
             differs_since: None,
@@ -211,8 +214,19 @@
         }
     }
 
-    /// Notes that an address could not be linked with; a candidate is left alone for a while.
+    /// Notes that an address could not be linked with; a candidate is left alone for a while, and
+    /// a member that was in doubt is suspected.
     pub fn unreachable(&mut self, now: Instant, address: SocketAddr) {
+        let mut suspected = Vec::new();
+        for (name, known) in &mut self.members {
+            let member = &mut known.member;
+            let doubted = member.address == address && self.doubted.remove(name);
+            if doubted && member.state == MemberState::Live && !known.direct {
+                (member.state, known.heard) = (MemberState::Suspect, now);
+                suspected.push(name.clone());
+            }
+        }
+        suspected.into_iter().for_each(|name| self.spread(name));
         if let Some(candidate) = self.candidates.get_mut(&address) {
             let pause = FIRST_PAUSE * (1 << candidate.tries.min(16));
             candidate.not_before = now + pause.min(self.settings.forget());
@@ -233,6 +247,9 @@
         self.candidates.remove(&member.address);
         self.replaced(now, member);
         self.take(now, member, true);
+        if self.doubted.remove(&member.name) {
+            self.spread(member.name.clone());
+        }
         true
     }
 
@@ -285,15 +302,17 @@
 
     /// Takes a peer's whole list where views have differed for long.
     ///
-    /// A member that the peer has forgotten stands in no line. Where this VM does not hear it
-    /// either, its last news was missed here: it is suspected, until it is heard of again.
+    /// A member that the peer has forgotten stands in no line, as does one that it has not heard of
+    /// yet. Where this VM does not hear the member either, it tries the member itself and then
+    /// tells what it found. To suspect it without a try would be wrong half of the time, and would
+    /// stand against every line of the same beat.
     pub fn mend(&mut self, now: Instant, list: &[Member]) {
         self.read(now, list);
         let listed: HashSet<&VmName> = list.iter().map(|member| &member.name).collect();
-        for (name, known) in &mut self.members {
+        for (name, known) in &self.members {
             let missed = !known.direct && !listed.contains(name);
             if missed && known.member.state == MemberState::Live {
-                (known.member.state, known.heard) = (MemberState::Suspect, now);
+                self.doubted.insert(name.clone());
             }
         }
     }
@@ -335,6 +354,8 @@
         for name in &changed {
             self.spread(name.clone());
         }
+        let members = &self.members;
+        self.doubted.retain(|name| members.contains_key(name));
         let before = self.members.len();
         let forget = self.settings.forget();
         self.members.retain(|_, known| {
@@ -437,7 +458,17 @@
             name: Some(member.name.clone()),
             address: member.address,
         });
-        chosen.chain(self.tried(now)).collect()
+        let doubted = self
+            .doubted
+            .iter()
+            .filter_map(|name| self.members.get(name));
+        let doubted = doubted
+            .take(self.settings.neighbours)
+            .map(|known| Neighbour {
+                name: Some(known.member.name.clone()),
+                address: known.member.address,
+            });
+        chosen.chain(doubted).chain(self.tried(now)).collect()
     }
 
     /// Tells whether this VM is one of the few of its availability zone that watch the store.
--- a/crates/kingcuploft/tests/membership.rs
+++ b/crates/kingcuploft/tests/membership.rs
@@ -284,3 +284,34 @@
     let of_zone = views.filter(|v| &*v.own().availability_zone == "zone-1");
     assert_eq!(of_zone.filter(|v| v.watches_store()).count(), 2);
 }
+
+#[test]
+fn a_member_that_a_peer_does_not_know_is_tried_before_it_is_suspected() {
+    // Fifty VMs start at once, and for minutes some count a live VM as gone: a peer that had not
+    // heard of it yet was believed, and no line of the same beat could take that back.
+    let now = Instant::now();
+    let doubtful = member(1, 1);
+    let doubts = || {
+        let mut view = Membership::new(member(0, 1), MembershipSettings::default());
+        view.told(now, &doubtful);
+        while !view.news(8).is_empty() {}
+        view.mend(now, &[member(2, 1)]);
+        assert!(
+            view.members().contains(&doubtful),
+            "it still counts as live"
+        );
+        let mut tried = view.neighbours(now).into_iter();
+        assert!(tried.any(|neighbour| neighbour.address == address(1)));
+        view
+    };
+    let mut view = doubts();
+    let mut heard = doubtful.clone();
+    heard.beat = 4;
+    assert!(view.heard(now, &heard));
+    assert_eq!(view.news(8), [heard], "the others are told that it lives");
+    let mut view = doubts();
+    view.unreachable(now, address(1));
+    let told = view.news(8);
+    assert_eq!(told.len(), 1);
+    assert_eq!(told[0].state, MemberState::Suspect);
+}
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -113,11 +113,10 @@
         let now = Instant::now();
         if now >= self.next_look {
             self.next_look = now + LONGEST_SLEEP;
-            let sharing = self.shared.fleet.sharing(&self.shared);
             let metrics = &self.shared.metrics.service;
             let loads = self.dispatcher.loads();
             loads.for_each(|(service, load)| metrics.loaded(service, &load));
-            let sharing = self.shared.fleet.membership().sharing();
+            let sharing = self.shared.fleet.sharing(&self.shared);
             if sharing != self.sharing {
                 self.sharing = sharing;
                 self.on_event(Event::LiveVms(u32::try_from(sharing).unwrap_or(u32::MAX)));
@@ -261,7 +260,6 @@
                     String::new(),
                 );
             }
-            // The peer link is not there yet.
             Action::TellPeers(notes) => {
                 let fleet = &self.shared.fleet;
                 fleet.tell(&self.shared, PeerNews::Notes(notes));
--- a/crates/kingcuploftd/src/message.rs
+++ b/crates/kingcuploftd/src/message.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use kingcuploft::decisions::claim::ledger::{Fingerprint, KeyHash};
 use kingcuploft::dispatcher::explain::{Explanation, Query};
-use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd};
+
 use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd, PeerNotes};
 use kingcuploft::manifest::Accepted;
 use kingcuploft::world::backend_server::CallReport;
