--- a/crates/kingcuploft-standins/tests/fleet/manifest.rs
+++ b/crates/kingcuploft-standins/tests/fleet/manifest.rs
@@ -136,6 +136,13 @@
     until(IN_FORCE, one_missing, || format!("{:?}", status().missing));
     assert_eq!(bench.generations(), [0]);
     assert!(!bench.daemons[fresh].shared().ready());
+    // All but the corrupt one is fetched.
+    let status = || bench.daemons[fresh].shared().manifest.read(|a| a.status());
+    until(
+        IN_FORCE,
+        || status().missing == 1,
+        || format!("{:?}", status()),
+    );
     assert_eq!((status().in_force, status().heard), (0, new));
     bench.platform.overwrite(key, &good);
     bench.in_force(new);
--- a/crates/kingcuploftd/src/message.rs
+++ b/crates/kingcuploftd/src/message.rs
@@ -6,7 +6,8 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use kingcuploft::decisions::claim::ledger::{Fingerprint, KeyHash};
 use kingcuploft::dispatcher::explain::{Explanation, Query};
-use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd};
+
+use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd, PeerNotes};
 use kingcuploft::manifest::Accepted;
 use kingcuploft::world::backend_server::CallReport;
 use kingcuploft::world::ids::{AttemptId, BackendServerName, RequestId, ServiceName};
@@ -84,6 +85,8 @@
     },
     /// A newer manifest is known.
     Adopted(Accepted),
+    /// A peer told of backend servers that turned full or free.
+    Told(PeerNotes),
     /// A backend server drains.
     Draining(ServiceName, BackendServerName),
     /// An operator asks why.
