--- a/crates/kingcuploft-standins/tests/tool.rs
+++ b/crates/kingcuploft-standins/tests/tool.rs
@@ -251,6 +251,11 @@
         Code::Differs,
         "a VM that does not answer is told"
     );
+    assert!(
+        tool(&format!("{vms} status"))
+            .out
+            .contains("trip: 0 waiting, 0 of ")
+    );
     let services = json(&bench.tool("--json service list"));
     assert_eq!(services[0]["slots"], 2);
     assert!(bench.tool("service list").out.contains("trip.example"));
@@ -272,6 +277,17 @@
     let reason = reason.unwrap_or_else(|| panic!("{answer}\n{why}"));
     assert!(answer.contains(reason), "{answer}\n{why}");
     assert_eq!(why[0]["decision"]["service"], "trip");
+    // What the dispatcher saw when it decided stands beside it.
+    let dispatch = why
+        .as_array()
+        .unwrap()
+        .iter()
+        .find_map(|line| line.get("dispatch"));
+    let seen = dispatch.unwrap_or_else(|| panic!("{why}"));
+    assert_eq!(seen["rule"], "lookup");
+    assert!(seen["load"]["limit"].is_number(), "{seen}");
+    let text = tool(&format!("{vms} explain --request {id}"));
+    assert!(text.out.contains("ms ago"), "{text:?}");
     let none = tool(&format!("{vms} explain --service venue"));
     assert_eq!((none.code, none.out.as_str()), (Code::Done, ""));
     daemons.into_iter().for_each(Daemon::stop);
--- a/crates/kingcuploftctl/src/explain.rs
+++ b/crates/kingcuploftctl/src/explain.rs
@@ -2,6 +2,7 @@
 
 use serde_json::Value;
 
+use crate::admin_client::AdminClient;
 use crate::args::ExplainArgs;
 use crate::context::Context;
 use crate::exit::{Code, Ending};
@@ -37,22 +38,68 @@
         return Err(Ending::because(Code::Failed, why.join("\n")));
     }
     found.sort_by_key(|(_, decision)| std::cmp::Reverse(decision["at_ms"].as_u64()));
+    let inputs = inputs(&vms, wanted);
     let mut ending = Ending::done(match context.json() {
         true => {
-            let lines = found
+            let decisions = found.iter();
+            let decisions = decisions.map(|(vm, d)| serde_json::json!({ "vm": vm, "decision": d }));
+            let inputs = inputs.iter();
+            let inputs = inputs.map(|(vm, d)| serde_json::json!({ "vm": vm, "dispatch": d }));
+            format!("{}\n", Value::Array(decisions.chain(inputs).collect()))
+        }
+        false => {
+            let decisions = found.iter().map(|(vm, decision)| line(vm, decision));
+            let inputs = inputs
                 .iter()
-                .map(|(vm, d)| serde_json::json!({ "vm": vm, "decision": d }));
-            format!("{}\n", Value::Array(lines.collect()))
+                .map(|(vm, decision)| dispatch_line(vm, decision));
+            decisions.chain(inputs).collect()
         }
-        false => found
-            .iter()
-            .map(|(vm, decision)| line(vm, decision))
-            .collect(),
     });
     ending.err = why.join("\n");
     Ok(ending)
 }
 
+/// Returns what the dispatchers decided and saw: the queue, the limit, the expected wait.
+fn inputs<'a>(vms: &'a [AdminClient], wanted: &ExplainArgs) -> Vec<(&'a str, Value)> {
+    if wanted.reason.is_some() {
+        return Vec::new();
+    }
+    let fields = [("service", &wanted.service), ("request", &wanted.request)];
+    let given = fields
+        .iter()
+        .filter_map(|(name, value)| Some((name, value.as_ref()?)));
+    let query: Vec<String> = given
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    let path = format!("/explain?{}", query.join("&"));
+    let mut found = Vec::new();
+    for vm in vms {
+        // A VM that did not make the request refuses its id: it has nothing to say of it.
+        let decisions = vm.get::<Vec<Value>>(&path).unwrap_or_default();
+        found.extend(
+            decisions
+                .into_iter()
+                .map(|decision| (vm.address(), decision)),
+        );
+    }
+    found
+}
+
+fn dispatch_line(vm: &str, decision: &Value) -> String {
+    let text = |name: &str| decision[name].as_str().unwrap_or_default();
+    format!(
+        "{} ms ago {vm} {} {} request {} of {} waited {} ms: {}; it saw {}\n",
+        decision["ago_ms"],
+        text("service"),
+        text("rule"),
+        decision["request"],
+        text("caller"),
+        decision["waited_ms"],
+        decision["decided"],
+        decision["load"],
+    )
+}
+
 fn line(vm: &str, decision: &Value) -> String {
     let text = |name: &str| decision[name].as_str().unwrap_or_default();
     format!(
--- a/crates/kingcuploftctl/src/status.rs
+++ b/crates/kingcuploftctl/src/status.rs
@@ -73,6 +73,15 @@
         status["live_members"].as_u64().unwrap_or_default(),
         status["drains"].as_array().map_or(0, Vec::len),
     );
+    for (service, load) in status["services"].as_object().into_iter().flatten() {
+        let (queue, in_flight, limit) = (&load["queue"], &load["in_flight"], &load["limit"]);
+        line += &format!("    {service}: {queue} waiting, {in_flight} of {limit} in flight\n");
+    }
+    for drain in status["drains"].as_array().into_iter().flatten() {
+        let text = |name: &str| drain[name].as_str().unwrap_or_default();
+        let (service, server) = (text("service"), text("backend_server"));
+        line += &format!("    {server} of {service} drains\n");
+    }
     if let Some(fault) = status["manifest"]["fault"].as_str() {
         line += &format!("    manifest: {fault}\n");
     }
--- a/crates/kingcuploftd/src/metrics_service.rs
+++ b/crates/kingcuploftd/src/metrics_service.rs
@@ -93,6 +93,12 @@
         histogram.observe(wait.as_secs_f64());
     }
 
+    /// Returns a service's queue length, calls in flight and limit, as they were last shown.
+    pub fn load(&self, service: &ServiceName) -> [i64; 3] {
+        let gauges = [&self.queue_length, &self.in_flight, &self.limit];
+        gauges.map(|gauges| gauges.get_or_create(&of(service)).get())
+    }
+
     /// Shows the load of a service.
     pub fn loaded(&self, service: &ServiceName, load: &LoadSeen) {
         let label = of(service);
--- a/crates/kingcuploftd/src/status.rs
+++ b/crates/kingcuploftd/src/status.rs
@@ -27,10 +27,23 @@
         "peer_bytes": metrics.fleet.all_peer_bytes(),
         "drains": shared.fleet.drains(),
         "refusals": refusals(shared),
+        "services": services(shared),
     });
     status.to_string()
 }
 
+/// Returns the queue, the calls in flight and the limit of each service in force.
+fn services(shared: &Shared) -> BTreeMap<String, serde_json::Value> {
+    let accepted = shared.accepted.load();
+    let services = accepted.manifest.services.iter();
+    let loads = services.map(|service| {
+        let [queue, in_flight, limit] = shared.metrics.service.load(&service.name);
+        let load = serde_json::json!({ "queue": queue, "in_flight": in_flight, "limit": limit });
+        (service.name.to_string(), load)
+    });
+    loads.collect()
+}
+
 /// Returns how often each reason was counted, for those that were.
 fn refusals(shared: &Shared) -> BTreeMap<&'static str, u64> {
     let counted = RefusalReason::ALL.iter();
