refactor(claims): a partition's state in a file of its own; fix(platform): a budget of nothing

A rate of 0 calls a second gave a wait that no clock can add, which would have ended the claims duty; it is now a minute at most.

--- a/crates/kingcuploft-platform/src/budget.rs
+++ b/crates/kingcuploft-platform/src/budget.rs
@@ -2,6 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+/// The longest wait that is told.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
 /// The calls that a VM may still make.
 ///
 /// The platform counts each call and its rates grow more slowly than the fleet. Without a bound, a
@@ -40,6 +43,8 @@
             return Ok(());
         }
         let missing_s = (1.0 - self.tokens) / self.calls_per_s;
-        Err(Duration::try_from_secs_f64(missing_s).unwrap_or(Duration::MAX))
+        // A rate of nothing would give a time that no clock can add.
+        let missing = Duration::try_from_secs_f64(missing_s).unwrap_or(LONGEST_WAIT);
+        Err(missing.min(LONGEST_WAIT))
     }
 }
--- a/crates/kingcuploft-standins/tests/platform_client.rs
+++ b/crates/kingcuploft-standins/tests/platform_client.rs
@@ -107,6 +107,8 @@
     assert_eq!((0..20).filter(|_| taken(0)).count(), 5);
     let in_a_second = (1..=1000).filter(|&ms| taken(ms)).count();
     assert!((9..=10).contains(&in_a_second), "{in_a_second}");
+    let mut nothing = CallBudget::new(0.0, 0.0);
+    assert_eq!(nothing.take(start), Err(Duration::from_secs(60)));
     let runtime = Runtime::new().unwrap();
     let platform = Platform::start(&runtime).unwrap();
     let settings = ClientSettings {
--- a/crates/kingcuploft/src/decisions/claim/mod.rs
+++ b/crates/kingcuploft/src/decisions/claim/mod.rs
@@ -27,6 +27,7 @@
 mod partition;
 mod read;
 mod seal;
+mod state;
 mod write;
 
 pub use self::partition::{Partition, Time};
--- a/crates/kingcuploft/src/decisions/claim/read.rs
+++ b/crates/kingcuploft/src/decisions/claim/read.rs
@@ -6,7 +6,8 @@
 use super::message::{
     ClaimId, Counted, Operation, Output, StoreAnswer, Stored, StoredKind, Verdict,
 };
-use super::partition::{End, Known, Open, Partition, Time, settled_verdict};
+use super::partition::{Partition, Time, settled_verdict};
+use super::state::{End, Known, Open};
 
 impl Partition {
     pub(super) fn read_head(&self) -> (Open, Operation) {
--- a/crates/kingcuploft/src/decisions/claim/seal.rs
+++ b/crates/kingcuploft/src/decisions/claim/seal.rs
@@ -12,7 +12,8 @@
     Version,
 };
 use super::message::{Operation, Precondition, StoreAnswer, Stored, StoredKind};
-use super::partition::{Known, Open, Partition, Sealed, Time};
+use super::partition::{Partition, Time};
+use super::state::{Known, Open, Sealed};
 
 /// A sealed object that is written, and not yet named by the head.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
--- /dev/null
+++ b/crates/kingcuploft/src/decisions/claim/state.rs
@@ -0,0 +1,71 @@
+//! What a partition keeps between events.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::ledger::{Claimant, EntryState, Head, KeyHash, SegmentNumber, SegmentRef, Version};
+use super::message::{Claim, ClaimId};
+
+/// The head as last read or written.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Known {
+    /// The version; 0 where the object was absent.
+    pub(super) version: Version,
+    pub(super) head: Arc<Head>,
+}
+
+/// A claim that is not decided yet.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Waiting {
+    pub(super) claim: Claim,
+    pub(super) since: Instant,
+    /// Whether a write with it was ever called for.
+    pub(super) tried: bool,
+    /// Whether the head was read since it came.
+    pub(super) fresh: bool,
+}
+
+/// A release or an acknowledgement that is not written yet.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct End {
+    pub(super) key: KeyHash,
+    pub(super) claimant: Claimant,
+    /// The settled state; `None` gives the claim back.
+    pub(super) state: Option<EntryState>,
+    pub(super) since: Instant,
+}
+
+/// A claim that was refused although a write may have carried it.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Abandoned {
+    pub(super) key: KeyHash,
+    pub(super) claimant: Claimant,
+}
+
+/// What the open call to the store is for.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) enum Open {
+    Head,
+    /// Learn the keys of a sealed object.
+    Load(String),
+    /// Find the answers of sealed keys.
+    Lookup(SegmentNumber),
+    Write {
+        head: Arc<Head>,
+        claims: Vec<ClaimId>,
+        ends: usize,
+    },
+    Stage,
+    FindGarbage,
+    DeleteGarbage,
+}
+
+/// The sealed keys of the partition.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub(super) struct Sealed {
+    pub(super) keys: BTreeMap<KeyHash, SegmentNumber>,
+    pub(super) segments: BTreeMap<SegmentNumber, SegmentRef>,
+    /// The names of the sealed objects whose keys are known.
+    pub(super) loaded: BTreeSet<String>,
+}
--- a/crates/kingcuploft/src/decisions/claim/write.rs
+++ b/crates/kingcuploft/src/decisions/claim/write.rs
@@ -4,7 +4,8 @@
 
 use super::ledger::{Entry, EntryState, Head};
 use super::message::{ClaimId, Operation, Output, Precondition, Stored, Verdict};
-use super::partition::{End, Open, Partition, Time};
+use super::partition::{Partition, Time};
+use super::state::{End, Open};
 
 impl Partition {
     /// Builds the write that carries all ends and claims; `None` where there is nothing to write.
--- a/crates/kingcuploftd/src/claims/mod.rs
+++ b/crates/kingcuploftd/src/claims/mod.rs
@@ -138,47 +138,50 @@
                 window,
                 record_bytes,
             } => {
-                let partition = partition_of(key, self.partitions.len() as u16);
                 let placed = Placed {
-                    partition,
+                    partition: partition_of(key, self.partitions.len() as u16),
                     record_bytes,
                 };
                 self.placed.insert(request, placed);
-                let vm = &self.shared.vm;
                 let give_up = Instant::now() + self.shared.settings.claims.timeout();
                 let claim = Claim {
                     key,
                     fingerprint,
-                    claimant: Claimant {
-                        vm: vm.name.clone(),
-                        incarnation: vm.incarnation,
-                        nonce: request,
-                    },
+                    claimant: self.claimant(request),
                     window,
                     give_up: give_up.min(deadline),
                 };
-                self.feed(partition, |partition, time, out| {
-                    partition.order(time, Order::Claim(request, claim), out);
-                });
+                self.pass(placed, Order::Claim(request, claim));
             }
             ClaimOrder::Release { request } => {
                 if let Some(placed) = self.placed.remove(&request) {
-                    self.feed(placed.partition, |partition, time, out| {
-                        partition.order(time, Order::Release(request), out);
-                    });
+                    self.pass(placed, Order::Release(request));
                 }
             }
             ClaimOrder::Acknowledge { request, answer } => {
                 if let Some(placed) = self.placed.remove(&request) {
                     let end = records::end(answer.as_deref(), placed.record_bytes);
-                    self.feed(placed.partition, |partition, time, out| {
-                        partition.order(time, Order::Acknowledge(request, end), out);
-                    });
+                    self.pass(placed, Order::Acknowledge(request, end));
                 }
             }
         }
     }
 
+    fn claimant(&self, request: RequestId) -> Claimant {
+        let vm = &self.shared.vm;
+        Claimant {
+            vm: vm.name.clone(),
+            incarnation: vm.incarnation,
+            nonce: request,
+        }
+    }
+
+    fn pass(&mut self, placed: Placed, order: Order) {
+        self.feed(placed.partition, |partition, time, out| {
+            partition.order(time, order, out);
+        });
+    }
+
     fn answered(&mut self, answer: CallAnswer) {
         let CallAnswer { partition, answer } = answer;
         self.feed(partition, |partition, time, out| {
