fix(backend-edge): a call that is overdue when its worker takes it is not sent

Cause: a call whose deadline had passed still got 1 ms, so a VM paused between claim and call could send a protected action after its end had been told as unknown.

--- a/crates/kingcuploft-standins/tests/edges/main.rs
+++ b/crates/kingcuploft-standins/tests/edges/main.rs
@@ -3,4 +3,5 @@
 mod backend;
 mod harness;
 mod malformed;
+mod overdue;
 mod stop;
--- /dev/null
+++ b/crates/kingcuploft-standins/tests/edges/overdue.rs
@@ -0,0 +1,55 @@
+//! Calls whose deadline has passed.
+
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::bounded;
+use kingcuploft::dispatcher::Call;
+use kingcuploft::manifest::routing::route;
+use kingcuploft_standins::backend_server::{BackendServer, Work};
+use kingcuploftd::backend_edge;
+use kingcuploftd::message::{CallOrder, RequestParts};
+
+use crate::harness::{Bench, bench};
+
+/// A VM is paused after it claimed a hold and before its worker sent it. Its caller is told that
+/// the end is not known and asks the desk, which books by hand. The VM goes on after the pause,
+/// and the worker finds the call in its ring: it must not be sent any more.
+#[test]
+fn a_call_that_is_overdue_when_the_worker_takes_it_is_not_sent() {
+    let runtime = Bench::runtime();
+    let server = BackendServer::start(&runtime, Work::default()).unwrap();
+    let bench = bench(&[server.address()], "{workers: 1}");
+    let (orders, ring) = bounded(2);
+    let due = Instant::now() + Duration::from_secs(5);
+    orders
+        .send(order(&bench, &server, 1, Instant::now()))
+        .unwrap();
+    orders.send(order(&bench, &server, 2, due)).unwrap();
+    drop(orders);
+    backend_edge::run(bench.daemon.shared(), &ring, &backend_edge::agent());
+    assert_eq!(server.call_runs("1"), 0);
+    assert_eq!(server.call_runs("2"), 1);
+    drop(bench.with(runtime));
+}
+
+fn order(bench: &Bench, server: &BackendServer, number: u64, deadline: Instant) -> CallOrder {
+    let mut headers = http::HeaderMap::new();
+    headers.insert("x-call-id", number.to_string().parse().unwrap());
+    let parts = RequestParts {
+        method: http::Method::POST,
+        uri: "/holds".parse().unwrap(),
+        headers,
+        body: "beds".into(),
+    };
+    let manifest = bench.daemon.shared().accepted.load().manifest.clone();
+    let call = Call {
+        request: number,
+        attempt: 1_000_000 + number,
+        route: route(&manifest, "trip.example", "POST", "/holds").unwrap(),
+        backend_server: "trip-0".into(),
+        address: server.address(),
+        deadline,
+        waited: Duration::ZERO,
+    };
+    CallOrder { call, parts }
+}
--- a/crates/kingcuploftd/src/backend_edge/exchange.rs
+++ b/crates/kingcuploftd/src/backend_edge/exchange.rs
@@ -27,6 +27,9 @@
     /// The call was cancelled before it began.
     #[error("cancelled")]
     Cancelled,
+    /// The deadline passed before the call began.
+    #[error("the deadline has passed")]
+    Overdue,
     /// The library's error.
     #[error(transparent)]
     Http(#[from] ureq::Error),
@@ -63,6 +66,9 @@
     Caller(Stalled),
 }
 
+/// With less time than this left to the deadline a call is not begun.
+const SHORTEST_CALL: Duration = Duration::from_millis(1);
+
 /// Sends the request and reads its answer.
 ///
 /// # Errors
@@ -76,7 +82,11 @@
     now: Instant,
 ) -> Result<Received, ExchangeError> {
     let left = call.deadline.saturating_duration_since(now);
-    let left = left.max(Duration::from_millis(1));
+    // A VM that was paused between the claim and this call would otherwise send a protected action
+    // long after its caller was told that the end is not known, perhaps after its claim expired.
+    if left < SHORTEST_CALL {
+        return Err(ExchangeError::Overdue);
+    }
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let method = parts.method.clone();
     let mut request = ureq::http::Request::builder()
--- a/crates/kingcuploftd/src/backend_edge/mod.rs
+++ b/crates/kingcuploftd/src/backend_edge/mod.rs
@@ -133,9 +133,10 @@
     match error {
         ExchangeError::Http(ureq::Error::Timeout(_)) => CallEnd::TimedOut,
         ExchangeError::Cancelled => CallEnd::Cancelled,
-        ExchangeError::Http(_) | ExchangeError::Body(_) | ExchangeError::NotWhole => {
-            CallEnd::Broken
-        }
+        ExchangeError::Overdue
+        | ExchangeError::Http(_)
+        | ExchangeError::Body(_)
+        | ExchangeError::NotWhole => CallEnd::Broken,
     }
 }
 
