feat(measuring): probes under a fleet-wide budget, ejection, drains that stick; scenarios

Cause: an idle or failed backend server tells nothing on replies, a fail-fast one attracts work, and a drain was forgotten by the next manifest's view. One prober a server by rendezvous hash over the live VMs, earning half of the budget for its own servers only, from an empty bucket; ejection after three failures in a row that leaves keep_share in use; a drain holds for a name at an address until a newer manifest takes back its own. The daemon has a measuring duty; the library's dispatcher asks it by Action::Probe and hears Event::Probed.

The virtual fleet ends its ticks five seconds after the last request; before, a dispatcher that always has a next tick kept a run going for ever.

--- a/crates/kingcuploft-standins/src/virtual_fleet/calls.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/calls.rs
@@ -130,6 +130,9 @@
         if let Some((next, at)) = next {
             self.push(at, Happening::Finish(server, next));
         }
+        if let Some(node) = self.probes.remove(&job) {
+            self.probe_ends(node, server);
+        }
         if let Some(call) = self.calls.get(&job).cloned() {
             self.reply(job, &call, self.now, CallEnd::Answered { status: 200 });
         }
--- a/crates/kingcuploft-standins/src/virtual_fleet/fleet.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/fleet.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use kingcuploft::dispatcher::{Action, Arrival, ClaimEnd, Dispatcher, Event, PeerNotes};
+use kingcuploft::dispatcher::{Action, Arrival, ClaimEnd, Dispatcher, Event, PeerNotes, Probed};
 use kingcuploft::manifest::routing::Route;
 use kingcuploft::manifest::{Accepted, Manifest};
 use kingcuploft::utils::HashMap;
@@ -34,6 +34,8 @@
     Ended(usize, AttemptId, CallReport),
     DrainHeard(usize, usize),
     NotesHeard(usize, PeerNotes),
+    ProbeReaches(usize, usize, JobId),
+    Probed(usize, Probed),
     Tick(usize),
 }
 
@@ -92,6 +94,8 @@
     pub(super) status: u16,
     pub(super) jobs: HashMap<(usize, AttemptId), JobId>,
     pub(super) last_job: JobId,
+    /// Who waits for each probe that is at its server.
+    pub(super) probes: HashMap<JobId, usize>,
     pub(super) generation: Generation,
     pub(super) manifest: Arc<Manifest>,
     pub(super) records: Vec<Record>,
@@ -100,6 +104,9 @@
     pub(super) rng: fastrand::Rng,
 }
 
+/// How long a run goes on after its last request: longer than any deadline.
+const AFTER: Duration = Duration::from_secs(5);
+
 /// Runs the fleet until every caller has its answer.
 pub fn run(run: &Run) -> Outcome {
     let mut fleet = Fleet::new(run);
@@ -113,6 +120,7 @@
                 fleet.now = at;
                 asks.next().into_iter().for_each(|ask| fleet.arrive(ask));
             }
+            (None, Some(due)) if due > run.duration + AFTER => break,
             _ => {
                 let Some(Reverse(due)) = fleet.heap.pop() else {
                     break;
@@ -143,6 +151,7 @@
             status: 0,
             jobs: HashMap::default(),
             last_job: 0,
+            probes: HashMap::default(),
             generation: 1,
             manifest: Arc::new(run.deployment.manifest()),
             records: (0..run.asks.len()).map(|i| run.record(i)).collect(),
@@ -269,6 +278,8 @@
                 self.tell(node, Event::Ended(attempt, report));
             }
             Happening::DrainHeard(node, server) => self.drain_heard(node, server),
+            Happening::ProbeReaches(node, server, job) => self.probe_reaches(node, server, job),
+            Happening::Probed(node, probed) => self.tell(node, Event::Probed(probed)),
             Happening::NotesHeard(node, notes) => self.tell(node, Event::Told(notes)),
             Happening::Tick(node) => {
                 if self.nodes[node].tick.is_some_and(|tick| tick <= self.now) {
@@ -299,6 +310,7 @@
                 self.end(node, request, End::Refused(refusal.reason, refusal.outcome));
             }
             Action::TellDraining(_, server) => self.tell_draining(node, &server),
+            Action::Probe(probe) => self.send_probe(node, &probe),
             Action::TellPeers(notes) => self.tell_peers(node, &notes),
             Action::Retried(_, _) => self.cost.retries += 1,
         }
--- a/crates/kingcuploft-standins/src/virtual_fleet/mod.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/mod.rs
@@ -14,6 +14,7 @@
 pub mod ideal;
 pub mod outcome;
 pub mod policies;
+mod probes;
 mod run;
 pub mod scenario;
 pub mod server;
--- a/crates/kingcuploft-standins/src/virtual_fleet/scenario.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/scenario.rs
@@ -173,7 +173,8 @@
         })
     }
 
-    fn value(&self, outcome: &Outcome) -> f64 {
+    /// Returns the figure.
+    pub fn value(&self, outcome: &Outcome) -> f64 {
         let summary = outcome.summary(|record| self.keeps(record));
         let kept: Vec<&Record> = outcome.records.iter().filter(|r| self.keeps(r)).collect();
         let share = |count: u64| count as f64 / kept.len() as f64;
--- a/crates/kingcuploft/src/decisions/mod.rs
+++ b/crates/kingcuploft/src/decisions/mod.rs
@@ -11,6 +11,7 @@
 pub mod measuring;
 pub mod membership;
 pub mod notes;
+pub mod outlier;
 pub mod pace;
 pub mod retry;
 pub mod selection;
--- a/crates/kingcuploft/src/dispatcher/adoption.rs
+++ b/crates/kingcuploft/src/dispatcher/adoption.rs
@@ -39,6 +39,9 @@
         let attempts = self.attempts.values();
         let attempts = attempts.filter(|attempt| attempt.service == service.name);
         let live_vms = self.live_vms;
-        ServiceState::new(Arc::clone(service), &self.vm, live_vms, old, now, attempts)
+        let mut state =
+            ServiceState::new(Arc::clone(service), &self.vm, live_vms, old, now, attempts);
+        state.membership(now, &self.vm.name, &self.live);
+        state
     }
 }
--- a/crates/kingcuploft/src/dispatcher/mod.rs
+++ b/crates/kingcuploft/src/dispatcher/mod.rs
@@ -6,6 +6,7 @@
 mod adoption;
 mod attempts;
 mod ending;
+mod probing;
 mod request;
 mod retry_queue;
 mod service_state;
@@ -27,6 +28,7 @@
 use crate::world::refusal::{Refusal, RefusalReason};
 use crate::world::vm::Vm;
 
+pub use probing::{Probe, Probed};
 use request::{Attempt, Claim, Request};
 use service_state::{Pick, ServiceState};
 pub use telling::PeerNotes;
@@ -80,6 +82,8 @@
     Membership(Vec<VmName>),
     /// A peer told its notes.
     Told(PeerNotes),
+    /// A probe came back, or failed.
+    Probed(Probed),
     /// So many entry VMs are live, this one included.
     LiveVms(u32),
     /// Time passed.
@@ -107,6 +111,8 @@
     TellDraining(ServiceName, BackendServerName),
     /// Tell every live peer these notes.
     TellPeers(PeerNotes),
+    /// Probe a backend server.
+    Probe(Probe),
     /// Count a retry.
     Retried(ServiceName, RetryReason),
 }
@@ -180,7 +186,8 @@
             Event::CallerLeft(request) => self.caller_left(now, request, actions),
             Event::Adopted(accepted) => self.adopted(now, &accepted, actions),
             Event::Draining(service, server) => self.draining(&service, &server, actions),
-            Event::Membership(live) => self.membership(live),
+            Event::Membership(live) => self.membership(now, live),
+            Event::Probed(probed) => self.probed(now, &probed, actions),
             Event::Told(notes) => self.notes_heard(now, &notes),
             Event::LiveVms(live_vms) => {
                 self.live_vms = Some(live_vms);
@@ -191,6 +198,7 @@
             Event::Tick => self.tick(now, actions),
         }
         self.tell_notes(now, actions);
+        self.probe(now, actions);
     }
 
     /// Returns when the next [`Event::Tick`] is due at the latest.
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -1,20 +1,23 @@
 //! The decisions of one service on one VM, joined.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use super::probing::{Probe, Probed};
 use super::request::{Attempt, Request};
 use super::retry_queue::{RetryQueue, Waits};
 use crate::decisions::admission::{Admission, Next, Offer, Waiting};
 use crate::decisions::concurrency::Concurrency;
 use crate::decisions::drain::Drain;
+use crate::decisions::measuring::Measuring;
 use crate::decisions::notes::{Note, Notes};
+use crate::decisions::outlier::Outlier;
 use crate::decisions::retry::{Retry, Verdict};
 use crate::decisions::selection::{Choice, Selection};
 use crate::manifest::{BackendServer, Service};
 use crate::utils::HashMap;
 use crate::world::backend_server::{CallEnd, CallReport};
-use crate::world::ids::{BackendServerName, IdempotencyKey, RequestId, RuleName};
+use crate::world::ids::{BackendServerName, IdempotencyKey, RequestId, RuleName, VmName};
 use crate::world::refusal::{Refusal, RefusalReason};
 use crate::world::vm::Vm;
 
@@ -42,6 +45,8 @@
     selection: Selection,
     drain: Drain,
     notes: Notes,
+    outlier: Outlier,
+    measuring: Measuring,
     retry: Retry,
 }
 
@@ -61,6 +66,12 @@
     ) -> Self {
         let mut selection = Selection::new(&service, &vm.availability_zone);
         let mut drain = Drain::new(&service);
+        let mut measuring = Measuring::new(&service);
+        let mut outlier = Outlier::new(
+            &service.policy.outlier,
+            service.policy.drain.keep_share,
+            service.backend_servers.len(),
+        );
         let old_of = old_indices(&service, old.as_ref());
         let (admission, retries, mut concurrency, retry) = match old {
             None => (
@@ -72,6 +83,8 @@
             Some(mut old) => {
                 selection.take_over(&old.selection, &old_of);
                 drain.take_over(&old.drain, &old_of);
+                measuring.take_over(&old.measuring, &old_of);
+                outlier.take_over(&old.outlier, &old_of);
                 old.admission.adopt(&service);
                 old.concurrency.adopt(&service);
                 old.retry.adopt(&service.policy.retry);
@@ -92,6 +105,8 @@
                 &service.policy.notes,
                 service.backend_servers.iter().map(|s| s.slots),
             ),
+            outlier,
+            measuring,
             retry,
             service,
         };
@@ -209,8 +224,9 @@
 
     /// Chooses a backend server that was not tried, while this VM may have more calls in flight.
     fn choose(&mut self, now: Instant, rng: &mut fastrand::Rng, tried: &[usize]) -> Choice {
-        let drain = &self.drain;
-        let takes_work = |i| drain.takes_work(i) && !tried.contains(&i);
+        let (drain, outlier) = (&self.drain, &self.outlier);
+        let takes_work =
+            |i| drain.takes_work(i) && outlier.takes_work(now, i) && !tried.contains(&i);
         match self.selection.choose(now, rng, takes_work) {
             Choice::Send(_) if !self.concurrency.has_room() => Choice::Full,
             choice => choice,
@@ -247,7 +263,10 @@
             return false;
         };
         self.selection.ended(now, server, report);
+        let working = self.drain.working();
+        self.outlier.ended(now, server, report.end, working);
         if let Some(load) = report.load {
+            self.measuring.told(now, server);
             self.notes.reported(now, server, load.in_flight);
         }
         report.draining && self.drain.evidence(server)
@@ -305,11 +324,50 @@
             self.retries.next_due(now),
             self.admission.next_hopeless(),
             self.notes.due(),
+            self.measuring.due(),
             look_again,
         ];
         due.into_iter().flatten().min()
     }
 
+    /// Takes the live VMs in, `own` among them.
+    pub(super) fn membership(&mut self, now: Instant, own: &VmName, live: &[VmName]) {
+        self.measuring.membership(now, own, live);
+    }
+
+    /// Returns the next probe, if one is due.
+    pub(super) fn next_probe(&mut self, now: Instant) -> Option<Probe> {
+        let server = self.measuring.next(now)?;
+        let backend_server = &self.service.backend_servers[server];
+        let timeout_ms = self.service.policy.measuring.timeout_ms;
+        Some(Probe {
+            service: self.service.name.clone(),
+            backend_server: backend_server.name.clone(),
+            address: backend_server.address,
+            signals: self.service.signals.clone(),
+            timeout: Duration::from_millis(timeout_ms),
+        })
+    }
+
+    /// Takes what a probe brought in; tells whether it brought news of a drain.
+    pub(super) fn probed(&mut self, now: Instant, probed: &Probed) -> bool {
+        let Some(&server) = self.by_name.get(&probed.backend_server) else {
+            return false;
+        };
+        self.measuring.probed(now, server);
+        if let Some(load) = probed.load {
+            self.selection.told(now, server, load.in_flight);
+            self.notes.reported(now, server, load.in_flight);
+        }
+        let end = match probed.healthy || probed.draining {
+            true => CallEnd::Answered { status: 200 },
+            false => CallEnd::Answered { status: 503 },
+        };
+        let working = self.drain.working();
+        self.outlier.ended(now, server, end, working);
+        probed.draining && self.drain.evidence(server)
+    }
+
     /// Takes the notes that are due.
     pub(super) fn take_notes(&mut self, now: Instant, peers: usize) -> Option<Vec<Note>> {
         self.notes.take(now, peers)
--- a/crates/kingcuploft/src/dispatcher/telling.rs
+++ b/crates/kingcuploft/src/dispatcher/telling.rs
@@ -44,7 +44,10 @@
     }
 
     /// Takes the live VMs in.
-    pub(super) fn membership(&mut self, live: Vec<VmName>) {
+    pub(super) fn membership(&mut self, now: Instant, live: Vec<VmName>) {
         self.live = live;
+        for state in self.services.values_mut() {
+            state.membership(now, &self.vm.name, &self.live);
+        }
     }
 }
--- a/crates/kingcuploft/src/settings/drain.rs
+++ b/crates/kingcuploft/src/settings/drain.rs
@@ -9,10 +9,19 @@
 pub struct DrainSettings {
     /// The smallest share of backend servers that ejection leaves in use.
     pub keep_share: f64,
+    /// Whether the word of replies, peers, operators and the VM list starts a drain; the manifest's
+    /// always does.
+    pub heed_evidence: bool,
+    /// Whether peers are told of a drain that this VM learnt of.
+    pub tell_peers: bool,
 }
 
 impl Default for DrainSettings {
     fn default() -> Self {
-        Self { keep_share: 0.5 }
+        Self {
+            keep_share: 0.5,
+            heed_evidence: true,
+            tell_peers: true,
+        }
     }
 }
--- a/crates/kingcuploft/src/settings/mod.rs
+++ b/crates/kingcuploft/src/settings/mod.rs
@@ -8,6 +8,7 @@
 pub mod measuring;
 pub mod membership;
 pub mod notes;
+pub mod outlier;
 pub mod retry;
 pub mod selection;
 
@@ -30,6 +31,8 @@
     pub notes: notes::NotesSettings,
     /// When a request is sent again.
     pub retry: retry::RetrySettings,
+    /// When a failing backend server gets no work for a while.
+    pub outlier: outlier::OutlierSettings,
     /// How a leaving backend server is treated.
     pub drain: drain::DrainSettings,
 }
--- a/crates/kingcuploftd/src/daemon.rs
+++ b/crates/kingcuploftd/src/daemon.rs
@@ -15,9 +15,13 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::{
-    admin, backend_edge, caller_edge, claims, dispatch, manifest_watch, membership_duty, peer_link,
+    admin, backend_edge, caller_edge, claims, dispatch, manifest_watch, measure, membership_duty,
+    peer_link,
 };
 
+/// Probes that wait for the measuring duty; more would be old before they run.
+const PROBES_WAITING: usize = 16;
+
 /// A running daemon.
 #[derive(Debug)]
 pub struct Daemon {
@@ -74,6 +78,7 @@
         let (to_dispatch, from_all) = bounded(limits.ring);
         let (calls, call_orders) = bounded(limits.ring);
         let (claims, claim_orders) = bounded(limits.ring);
+        let (probes, probe_orders) = bounded(PROBES_WAITING);
         let shared = Shared::new(settings, vm, to_dispatch);
         let mut others = Vec::new();
         let agent = backend_edge::agent();
@@ -110,7 +115,15 @@
         let duty = move || admin::run(&context, admins);
         others.push(spawn("admin", duty)?);
         let context = shared.clone();
-        let duty = move || dispatch::run(context, &from_all, Rings { calls, claims }, incarnation);
+        let duty = move || measure::run(&context, &probe_orders);
+        others.push(spawn("measure", duty)?);
+        let context = shared.clone();
+        let rings = Rings {
+            calls,
+            probes,
+            claims,
+        };
+        let duty = move || dispatch::run(context, &from_all, rings, incarnation);
         let dispatch = spawn("dispatch", duty)?;
         tracing::info!("daemon: {} listens on {address}.", shared.vm.name);
         Ok(Self {
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError};
-use kingcuploft::dispatcher::{Action, Arrival, Call, ClaimEnd, Dispatcher, Event};
+use kingcuploft::decisions::membership::MemberState;
+use kingcuploft::dispatcher::{Action, Arrival, Call, ClaimEnd, Dispatcher, Event, Probe};
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::backend_server::{CallEnd, CallReport};
-use kingcuploft::world::ids::{AttemptId, RequestId, ServiceName};
+use kingcuploft::world::ids::{AttemptId, RequestId, ServiceName, VmName};
 use kingcuploft::world::refusal::{Refusal, RefusalReason};
 use tokio::sync::oneshot;
 
@@ -26,6 +27,8 @@
 pub struct Rings {
     /// To the backend edge.
     pub calls: Sender<CallOrder>,
+    /// To the measuring duty.
+    pub probes: Sender<Probe>,
     /// To the claims duty.
     pub claims: Sender<ClaimOrder>,
 }
@@ -52,7 +55,9 @@
     not_handed_over: Vec<AttemptId>,
     /// How many VMs share the backend servers, as was last seen.
     sharing: usize,
-    /// When to look at that again.
+    /// The live VMs, as were last seen.
+    live: Vec<VmName>,
+    /// When to look at these again.
     next_look: Instant,
     /// Claims that could not be handed to the claims duty.
     not_claimed: Vec<RequestId>,
@@ -72,6 +77,7 @@
         actions: Vec::new(),
         not_handed_over: Vec::new(),
         sharing: 0,
+        live: Vec::new(),
         next_look: Instant::now(),
         not_claimed: Vec::new(),
         late_claim_ends: VecDeque::new(),
@@ -109,6 +115,7 @@
         let now = Instant::now();
         if now >= self.next_look {
             self.next_look = now + LONGEST_SLEEP;
+            self.look_at_membership();
             let sharing = self.shared.fleet.membership().sharing();
             if sharing != self.sharing {
                 self.sharing = sharing;
@@ -120,6 +127,17 @@
         }
     }
 
+    /// Tells the dispatcher which VMs are live, where that changed.
+    fn look_at_membership(&mut self) {
+        let members = self.shared.fleet.members();
+        let live = members.into_iter().filter(|m| m.state == MemberState::Live);
+        let live: Vec<VmName> = live.map(|member| member.name).collect();
+        if live != self.live {
+            self.live.clone_from(&live);
+            self.on_event(Event::Membership(live));
+        }
+    }
+
     fn on_message(&mut self, message: Message) {
         match message {
             Message::Arrived {
@@ -169,6 +187,7 @@
                     .set(accepted.generation as i64);
                 self.on_event(Event::Adopted(accepted));
             }
+            Message::Probed(probed) => self.on_event(Event::Probed(probed)),
             Message::Draining(service, server) => self.on_event(Event::Draining(service, server)),
             Message::Stop(_) => {}
         }
@@ -247,6 +266,7 @@
             }
             // The peer link is not there yet.
             Action::TellPeers(_) => {}
+            Action::Probe(probe) => self.probe(probe),
         }
     }
 
@@ -295,6 +315,14 @@
         }
     }
 
+    /// Hands a probe over; where the ring is full the probe is lost, and its budget with it.
+    fn probe(&mut self, probe: Probe) {
+        if let Err(error) = self.rings.probes.try_send(probe) {
+            tracing::debug!("measure: a probe is dropped: {error}.");
+            self.shared.metrics.probes_dropped.inc();
+        }
+    }
+
     fn refuse(&mut self, request: RequestId, refusal: Refusal) {
         self.reply(request, Reply::Refused(refusal));
     }
--- a/crates/kingcuploftd/src/lib.rs
+++ b/crates/kingcuploftd/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod logs;
 pub mod manifest_keeper;
 pub mod manifest_watch;
+pub mod measure;
 pub mod membership_duty;
 pub mod message;
 pub mod metrics;
--- /dev/null
+++ b/crates/kingcuploftd/src/measure.rs
@@ -0,0 +1,98 @@
+//! The measuring duty: probes backend servers when the dispatcher asks for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam_channel::Receiver;
+use kingcuploft::dispatcher::{Probe, Probed};
+use kingcuploft::world::backend_server::LoadReport;
+use serde::Deserialize;
+use ureq::Agent;
+
+use crate::message::Message;
+use crate::shared::Shared;
+
+/// The longest answer of a load endpoint that is read, in bytes.
+const LOAD_BYTES: u64 = 4096;
+
+/// The answer of a load endpoint; what else it holds is ignored.
+#[derive(Debug, Deserialize)]
+struct Load {
+    in_flight: u32,
+}
+
+/// What the health endpoint said.
+#[derive(Clone, Copy, Debug, Default)]
+struct Health {
+    healthy: bool,
+    draining: bool,
+}
+
+/// Runs the duty until the dispatch duty ends.
+pub fn run(shared: &Arc<Shared>, ring: &Receiver<Probe>) {
+    let agent = agent();
+    for probe in ring {
+        shared.metrics.probes.inc();
+        let probed = measure(&agent, &probe);
+        if !probed.healthy {
+            tracing::debug!("measure: {} is not healthy.", probe.backend_server);
+        }
+        if shared.dispatch.send(Message::Probed(probed)).is_err() {
+            return;
+        }
+    }
+}
+
+fn agent() -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .proxy(None)
+        .build();
+    Agent::new_with_config(config)
+}
+
+/// Asks for health first, as a server that takes no work is not to be asked for its load.
+fn measure(agent: &Agent, probe: &Probe) -> Probed {
+    let health = health(agent, probe).unwrap_or_default();
+    let load = match health.healthy {
+        true => load(agent, probe).ok(),
+        false => None,
+    };
+    Probed {
+        service: probe.service.clone(),
+        backend_server: probe.backend_server.clone(),
+        healthy: health.healthy,
+        draining: health.draining,
+        load,
+    }
+}
+
+fn health(agent: &Agent, probe: &Probe) -> Result<Health, ureq::Error> {
+    let url = format!("http://{}{}", probe.address, probe.signals.health_path);
+    let response = within(agent.get(url), probe.timeout).call()?;
+    let draining = response.headers();
+    let draining = draining.contains_key(&probe.signals.drain_header);
+    Ok(Health {
+        healthy: response.status().is_success() && !draining,
+        draining,
+    })
+}
+
+fn load(agent: &Agent, probe: &Probe) -> Result<LoadReport, ureq::Error> {
+    let url = format!("http://{}{}", probe.address, probe.signals.load_path);
+    let mut response = within(agent.get(url), probe.timeout).call()?;
+    let body = response.body_mut().with_config().limit(LOAD_BYTES);
+    let load: Load = body.read_json()?;
+    Ok(LoadReport {
+        in_flight: load.in_flight,
+    })
+}
+
+fn within(
+    request: ureq::RequestBuilder<ureq::typestate::WithoutBody>,
+    timeout: Duration,
+) -> ureq::RequestBuilder<ureq::typestate::WithoutBody> {
+    request.config().timeout_global(Some(timeout)).build()
+}
--- a/crates/kingcuploftd/src/message.rs
+++ b/crates/kingcuploftd/src/message.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use kingcuploft::decisions::claim::ledger::{Fingerprint, KeyHash};
-use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd};
+use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd, Probed};
 use kingcuploft::manifest::Accepted;
 use kingcuploft::world::backend_server::CallReport;
 use kingcuploft::world::ids::{AttemptId, BackendServerName, RequestId, ServiceName};
@@ -85,6 +85,8 @@
     Adopted(Accepted),
     /// A backend server drains.
     Draining(ServiceName, BackendServerName),
+    /// A probe came back, or failed.
+    Probed(Probed),
     /// Finish what is in flight until this time, then end.
     Stop(Instant),
 }
--- a/crates/kingcuploftd/src/metrics.rs
+++ b/crates/kingcuploftd/src/metrics.rs
@@ -40,6 +40,10 @@
     pub cut_by_stop: Counter,
     /// The manifest, peers and fleet.
     pub fleet: FleetMetrics,
+    /// Probes of backend servers.
+    pub probes: Counter,
+    /// Probes that the measuring duty had no room for.
+    pub probes_dropped: Counter,
     /// Connections opened to backend servers.
     pub backend_connections_opened: Counter,
     /// Calls that found this VM's share of a backend server's connections in use.
@@ -86,6 +90,12 @@
             "Callers' connections cut at the bound of a planned stop",
         );
         let fleet = FleetMetrics::register(&mut registry);
+        let probes = counter(&mut registry, "probes", "Probes of backend servers");
+        let probes_dropped = counter(
+            &mut registry,
+            "probes_dropped",
+            "Probes that the measuring duty had no room for",
+        );
         let backend_connections_opened = counter(
             &mut registry,
             "backend_connections_opened",
@@ -125,6 +135,8 @@
             retries,
             latency,
             generation,
+            probes,
+            probes_dropped,
             cut_by_stop,
             backend_connections_opened,
             backend_connection_limit,
