--- a/crates/kingcuploft-standins/src/experiments/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -4,11 +4,14 @@
 //! it saw broken.
 
 pub mod claims;
+pub mod connections;
+pub mod overhead;
 pub mod overload;
 pub mod peer_slope;
 pub mod promises;
 pub mod propagation;
 pub mod real_run;
+pub mod slopes;
 pub mod store_outage;
 pub mod tail;
 
@@ -118,6 +121,16 @@
 
 /// Every experiment.
 pub const ALL: &[Entry] = &[
+    Entry {
+        name: "connections",
+        about: "bursts of callers and slow senders, at rouille and at the daemon",
+        run: connections::run,
+    },
+    Entry {
+        name: "overhead",
+        about: "what one daemon adds to a call, interleaved with calls straight to the server",
+        run: overhead::run,
+    },
     Entry {
         name: "claims",
         about: "store writes and added latency of protected actions, by ledger and rate",
@@ -148,6 +161,11 @@
         about: "protected actions while the store is down, and the calls after its return",
         run: store_outage::run,
     },
+    Entry {
+        name: "slopes",
+        about: "what one daemon costs as the deployment grows",
+        run: slopes::run,
+    },
     Entry {
         name: "tail",
         about: "tail latency and the cost of measuring, by policy",
--- a/crates/kingcuploft-standins/src/virtual_fleet/fleet.rs
+++ b/crates/kingcuploft-standins/src/virtual_fleet/fleet.rs
@@ -313,6 +313,7 @@
             Action::Probe(probe) => self.send_probe(node, &probe),
             Action::TellPeers(notes) => self.tell_peers(node, &notes),
             Action::Retried(_, _) => self.cost.retries += 1,
+            Action::Hedged(..) => {}
         }
     }
 
--- a/crates/kingcuploft/src/decisions/measuring.rs
+++ b/crates/kingcuploft/src/decisions/measuring.rs
@@ -98,7 +98,8 @@
             self.settled = Some(now + Duration::from_millis(self.settings.settle_ms));
             self.own = own;
         }
-        self.look_at = Some(now);
+        // Nothing is due before that, so the dispatcher need not wake.
+        self.look_at = self.settled.map(|settled| settled.max(now));
     }
 
     /// Notes that a reply told of a server.
--- a/crates/kingcuploft/src/dispatcher/mod.rs
+++ b/crates/kingcuploft/src/dispatcher/mod.rs
@@ -6,6 +6,8 @@
 mod adoption;
 mod attempts;
 mod ending;
+pub mod explain;
+mod hedging;
 mod probing;
 mod request;
 mod retry_queue;
@@ -16,6 +18,7 @@
 use std::time::Instant;
 
 use crate::decisions::admission::{Offer, Waiting};
+use crate::decisions::hedge::HedgeStep;
 use crate::decisions::retry::RetryReason;
 use crate::manifest::Accepted;
 use crate::manifest::routing::Route;
@@ -28,6 +31,7 @@
 use crate::world::refusal::{Refusal, RefusalReason};
 use crate::world::vm::Vm;
 
+use explain::{Decided, Explained, Explanation, LoadSeen, Query};
 pub use probing::{Probe, Probed};
 use request::{Attempt, Claim, Request};
 use service_state::{Pick, ServiceState};
@@ -115,6 +119,8 @@
     Probe(Probe),
     /// Count a retry.
     Retried(ServiceName, RetryReason),
+    /// Count what became of a hedge.
+    Hedged(ServiceName, HedgeStep),
 }
 
 /// A call to a backend server.
@@ -132,6 +138,8 @@
     pub address: std::net::SocketAddr,
     /// When the answer is due.
     pub deadline: Instant,
+    /// Time from the request's arrival until this attempt.
+    pub waited: std::time::Duration,
 }
 
 /// The state of one entry VM.
@@ -150,11 +158,14 @@
     timers: Timers,
     /// When each attempt that does not report is given up.
     attempt_timers: Timers,
+    /// When each lookup in flight is looked at, whether to hedge it.
+    look_timers: Timers,
     /// How many entry VMs are live, once that is known.
     live_vms: Option<u32>,
     /// The time of the last event.
     now: Option<Instant>,
     last_attempt: AttemptId,
+    explained: Explained,
 }
 
 impl Dispatcher {
@@ -170,9 +181,11 @@
             attempts: HashMap::default(),
             timers: Timers::default(),
             attempt_timers: Timers::default(),
+            look_timers: Timers::default(),
             live_vms: None,
             now: None,
             last_attempt: 0,
+            explained: Explained::default(),
         }
     }
 
@@ -206,7 +219,11 @@
         let now = self.now?;
         let retries = self.services.values();
         let retries = retries.filter_map(|state| state.next_due(now));
-        let timers = [self.timers.next(), self.attempt_timers.next()];
+        let timers = [
+            self.timers.next(),
+            self.attempt_timers.next(),
+            self.look_timers.next(),
+        ];
         timers.into_iter().flatten().chain(retries).min()
     }
 
@@ -226,6 +243,34 @@
         state.map_or(0, |state| state.calls_at(server))
     }
 
+    /// Returns the last decisions that fit, newest first.
+    pub fn explained(&self, now: Instant, query: &Query) -> Vec<Explanation> {
+        self.explained.find(now, query)
+    }
+
+    /// Returns the load of each service.
+    pub fn loads(&self) -> impl Iterator<Item = (&ServiceName, LoadSeen)> {
+        let services = self.services.iter();
+        services.map(|(name, state)| (name, state.load()))
+    }
+
+    /// Keeps a decision for who asks why.
+    fn explain(&mut self, now: Instant, id: RequestId, request: &Request, decided: Decided) {
+        let state = self.services.get(request.service());
+        let load = state.map(|state| state.load_for(now, &request.waiting(id)));
+        let explanation = Explanation {
+            ago_ms: 0,
+            request: id,
+            service: request.service().clone(),
+            rule: request.route.rule().name.clone(),
+            caller: request.caller.clone(),
+            waited_ms: explain::ms(now.saturating_duration_since(request.arrived)),
+            load: load.unwrap_or_default(),
+            decided,
+        };
+        self.explained.keep(now, explanation);
+    }
+
     fn arrived(&mut self, now: Instant, arrival: Arrival, actions: &mut Vec<Action>) {
         let id = arrival.request;
         let request = Request::new(arrival);
@@ -236,6 +281,7 @@
         };
         let claims = request.claim == Claim::Asked;
         if claims && let Some(refusal) = state.check(now, &waiting) {
+            self.explain(now, id, &request, refusal.into());
             return actions.push(Action::Refuse(id, refusal));
         }
         let service = request.service().clone();
--- a/crates/kingcuploft/src/settings/mod.rs
+++ b/crates/kingcuploft/src/settings/mod.rs
@@ -5,6 +5,7 @@
 pub mod claim;
 pub mod concurrency;
 pub mod drain;
+pub mod hedge;
 pub mod measuring;
 pub mod membership;
 pub mod notes;
@@ -33,6 +34,8 @@
     pub retry: retry::RetrySettings,
     /// When a failing backend server gets no work for a while.
     pub outlier: outlier::OutlierSettings,
+    /// When a lookup is sent a second time while the first attempt is in flight.
+    pub hedge: hedge::HedgeSettings,
     /// How a leaving backend server is treated.
     pub drain: drain::DrainSettings,
 }
--- a/crates/kingcuploftd/src/dispatch.rs
+++ b/crates/kingcuploftd/src/dispatch.rs
@@ -116,6 +116,9 @@
         if now >= self.next_look {
             self.next_look = now + LONGEST_SLEEP;
             self.look_at_membership();
+            let metrics = &self.shared.metrics.service;
+            let loads = self.dispatcher.loads();
+            loads.for_each(|(service, load)| metrics.loaded(service, &load));
             let sharing = self.shared.fleet.membership().sharing();
             if sharing != self.sharing {
                 self.sharing = sharing;
@@ -189,6 +192,11 @@
             }
             Message::Probed(probed) => self.on_event(Event::Probed(probed)),
             Message::Draining(service, server) => self.on_event(Event::Draining(service, server)),
+            Message::Explain(query, reply) => {
+                let found = self.dispatcher.explained(Instant::now(), &query);
+                // Who asked may have gone.
+                drop(reply.send(found));
+            }
             Message::Stop(_) => {}
         }
     }
@@ -253,6 +261,7 @@
                     self.shared.fleet.drain_seen(&self.shared, notice);
                 }
             }
+            Action::Hedged(service, step) => self.shared.metrics.service.hedged(&service, step),
             Action::Retried(service, reason) => {
                 self.shared.metrics.retried(reason);
                 let decisions = &self.shared.decisions;
@@ -301,6 +310,8 @@
     /// dispatcher is told so at once.
     fn call(&mut self, call: Call) {
         let attempt = call.attempt;
+        let metrics = &self.shared.metrics.service;
+        metrics.waited(&call.route.service.name, call.waited);
         let Some(pending) = self.pending.get(&call.request) else {
             return self.not_handed_over.push(attempt);
         };
@@ -324,6 +335,10 @@
     }
 
     fn refuse(&mut self, request: RequestId, refusal: Refusal) {
+        if let Some(pending) = self.pending.get(&request) {
+            let metrics = &self.shared.metrics.service;
+            metrics.refused(&pending.service, refusal.reason);
+        }
         self.reply(request, Reply::Refused(refusal));
     }
 
--- a/crates/kingcuploftd/src/message.rs
+++ b/crates/kingcuploftd/src/message.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use kingcuploft::decisions::claim::ledger::{Fingerprint, KeyHash};
+use kingcuploft::dispatcher::explain::{Explanation, Query};
 use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd, Probed};
 use kingcuploft::manifest::Accepted;
 use kingcuploft::world::backend_server::CallReport;
@@ -87,6 +88,8 @@
     Draining(ServiceName, BackendServerName),
     /// A probe came back, or failed.
     Probed(Probed),
+    /// An operator asks why.
+    Explain(Query, oneshot::Sender<Vec<Explanation>>),
     /// Finish what is in flight until this time, then end.
     Stop(Instant),
 }
