--- a/crates/kingcuploftd/src/fleet_keeper.rs
+++ b/crates/kingcuploftd/src/fleet_keeper.rs
@@ -4,8 +4,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use kingcuploft::decisions::membership::{Member, MemberState, Membership};
+use kingcuploft::dispatcher::PeerNotes;
 use kingcuploft::manifest::Manifest;
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::ids::{BackendServerName, ServiceName};
@@ -39,8 +39,8 @@
 pub enum PeerNews {
     /// A backend server drains.
     Draining(DrainNotice),
-    /// Notes between decisions, opaque to the links.
-    Notes(Bytes),
+    /// Backend servers turned full or free.
+    Notes(PeerNotes),
 }
 
 /// What this VM knows of the fleet.
@@ -142,10 +142,18 @@
             let count = members.iter().filter(|m| m.state == state).count();
             metrics.set_members(state.label(), count);
         }
-        // A VM that hears nobody has lost its links rather than its fleet: taking the whole of
-        // every backend server's connections would be the costlier mistake.
-        if members.len() > 1 {
-            shared.set_live_vms(membership.sharing());
+        drop(membership);
+        shared.set_live_vms(self.sharing(shared));
+    }
+
+    /// Returns how many VMs share the backend servers.
+    ///
+    /// A VM that hears nobody has lost its links rather than its fleet: it goes by the number in
+    /// its settings. To take the whole of every backend server would be the costlier mistake.
+    pub fn sharing(&self, shared: &Shared) -> usize {
+        match self.membership().sharing() {
+            1 => shared.settings.limits.vms,
+            sharing => sharing,
         }
     }
 
@@ -168,18 +176,13 @@
     known
 }
 
-/// Returns the place of a backend server in the manifest in force.
+/// Returns the place of a backend server in a manifest.
 pub fn notice(
-    shared: &Shared,
+    manifest: &Manifest,
     service: &ServiceName,
     server: &BackendServerName,
 ) -> Option<DrainNotice> {
-    let accepted = shared.accepted.load();
-    let found = accepted
-        .manifest
-        .services
-        .iter()
-        .find(|s| s.name == *service)?;
+    let found = manifest.services.iter().find(|s| s.name == *service)?;
     let server = found.backend_servers.iter().find(|s| s.name == *server)?;
     Some(DrainNotice {
         service: service.clone(),
