--- a/crates/kingcuploft/src/settings/mod.rs
+++ b/crates/kingcuploft/src/settings/mod.rs
@@ -9,6 +9,7 @@
 pub mod measuring;
 pub mod membership;
 pub mod notes;
+pub mod outlier;
 pub mod retry;
 pub mod selection;
 
@@ -31,6 +32,8 @@
     pub notes: notes::NotesSettings,
     /// When a request is sent again.
     pub retry: retry::RetrySettings,
+    /// When a failing backend server gets no work for a while.
+    pub outlier: outlier::OutlierSettings,
     /// When a lookup is sent a second time while the first attempt is in flight.
     pub hedge: hedge::HedgeSettings,
     /// How a leaving backend server is treated.
--- a/crates/kingcuploftd/src/message.rs
+++ b/crates/kingcuploftd/src/message.rs
@@ -6,8 +6,7 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use kingcuploft::decisions::claim::ledger::{Fingerprint, KeyHash};
 use kingcuploft::dispatcher::explain::{Explanation, Query};
-
-use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd, PeerNotes};
+use kingcuploft::dispatcher::{Arrival, Call, ClaimEnd, PeerNotes, Probed};
 use kingcuploft::manifest::Accepted;
 use kingcuploft::world::backend_server::CallReport;
 use kingcuploft::world::ids::{AttemptId, BackendServerName, RequestId, ServiceName};
@@ -89,6 +88,8 @@
     Told(PeerNotes),
     /// A backend server drains.
     Draining(ServiceName, BackendServerName),
+    /// A probe came back, or failed.
+    Probed(Probed),
     /// An operator asks why.
     Explain(Query, oneshot::Sender<Vec<Explanation>>),
     /// Finish what is in flight until this time, then end.
