--- a/crates/kingcuploft/src/decisions/hedge.rs
+++ b/crates/kingcuploft/src/decisions/hedge.rs
@@ -4,8 +4,8 @@
 //! **Without it** each of those calls takes the whole spell, though the others answer in
 //! milliseconds. **Grounds:** a hedge doubles the work of its request, so it needs a reason (the
 //! backend server's latest answers were several times slower than usual, or the attempt takes
-//! longer than 98 of 100 do) and room: nothing waits on this VM, and another backend server is
-//! believed to have a free slot. Hedging every long job at high load made the tail worse in the
+//! longer than 98 of 100 do, where the manifest asks for that) and room: nothing has waited on this VM for a while, and another
+//! backend server is believed to have a free slot. Hedging every long job at high load made the tail worse in the
 //! first estimates. A budget of a fiftieth of the lookups bounds what a wrong reason costs.
 
 use std::time::Duration;
@@ -64,8 +64,8 @@
     pub left: Duration,
     /// How long requests of its rule take.
     pub usual: ServiceTime,
-    /// Whether requests wait on this VM.
-    pub requests_wait: bool,
+    /// How long ago a request of this VM last waited for a slot, if one ever did.
+    pub calm_for: Option<Duration>,
 }
 
 /// What to do with an attempt that was looked at.
@@ -123,12 +123,15 @@
     }
 
     /// Takes in how long a backend server took to answer.
+    ///
+    /// One long job counts for no more than twice what a slow spell does, so that it takes
+    /// several slow answers to tell of a spell.
     pub fn measured(&mut self, server: &BackendServerName, took: Duration, usual: &ServiceTime) {
         let median_s = usual.median().as_secs_f64();
         if median_s <= 0.0 {
             return;
         }
-        let sample = took.as_secs_f64() / median_s;
+        let sample = (took.as_secs_f64() / median_s).min(2.0 * self.settings.slow_factor);
         let slowness = self.slowness.entry(server.clone()).or_insert(1.0);
         *slowness += (sample - *slowness) * SAMPLE_WEIGHT;
     }
@@ -136,7 +139,9 @@
     /// Judges an attempt that is in flight for longer than most.
     pub fn judge(&self, server: &BackendServerName, look: &Look) -> Judgement {
         let hopeless = look.left < look.usual.median();
-        if look.requests_wait || hopeless || self.budget < TOKEN {
+        let calm = Duration::from_millis(self.settings.calm_ms);
+        let waited = look.calm_for.is_some_and(|calm_for| calm_for < calm);
+        if waited || hopeless || self.budget < TOKEN {
             return Judgement::Leave;
         }
         if self.in_slow_spell(server) {
@@ -144,6 +149,7 @@
         }
         let late = look.usual.tail().max(self.shortest());
         match late.checked_sub(look.elapsed) {
+            None | Some(Duration::ZERO) if !self.settings.late => Judgement::Leave,
             None | Some(Duration::ZERO) => Judgement::Hedge(HedgeReason::Late),
             Some(more) => Judgement::LookAgain(more),
         }
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -47,6 +47,8 @@
     notes: Notes,
     retry: Retry,
     hedge: Hedge,
+    /// When a request last waited because all was full.
+    last_full: Option<Instant>,
 }
 
 impl ServiceState {
@@ -107,6 +109,7 @@
             ),
             retry,
             hedge,
+            last_full: None,
             service,
         };
         for attempt in attempts {
@@ -191,6 +194,7 @@
         }
         let choice = self.choose(now, rng, &[]);
         if choice == Choice::Full {
+            self.last_full = Some(now);
             let given_up = self.admission.give_up(now);
             return given_up.map_or(Pick::Idle, |(id, refusal)| Pick::Refuse(id, refusal));
         }
@@ -269,7 +273,7 @@
             elapsed: now - attempt.sent_at.min(now),
             left: request.deadline.saturating_duration_since(now),
             usual: self.admission.service_time(&attempt.rule),
-            requests_wait: !self.admission.is_empty() || self.retries.due(now) > 0,
+            calm_for: self.last_full.map(|at| now - at.min(now)),
         };
         let reason = match self.hedge.judge(&attempt.backend_server, &look) {
             Judgement::Leave => return HedgePick::Leave,
--- a/crates/kingcuploft/src/settings/hedge.rs
+++ b/crates/kingcuploft/src/settings/hedge.rs
@@ -13,6 +13,10 @@
     pub budget_most: u32,
     /// How many times longer than usual a backend server takes in what counts as a slow spell.
     pub slow_factor: f64,
+    /// Whether an attempt that takes longer than 98 of 100 is reason enough.
+    pub late: bool,
+    /// How long nothing must have waited for a slot, in ms.
+    pub calm_ms: u64,
     /// The shortest time that an attempt is left alone, in ms.
     pub after_ms: u64,
 }
@@ -23,6 +27,8 @@
             budget_share: 0.02,
             budget_most: 5,
             slow_factor: 3.0,
+            late: false,
+            calm_ms: 200,
             after_ms: 5,
         }
     }
--- a/crates/kingcuploft/tests/dispatcher/main.rs
+++ b/crates/kingcuploft/tests/dispatcher/main.rs
@@ -2,6 +2,8 @@
 
 mod adoption;
 mod deadlines;
+mod explained;
+mod hedging;
 mod orders;
 mod retries;
 mod storm;
