--- a/crates/kingcuploft-standins/src/experiments/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/mod.rs
@@ -11,6 +11,7 @@
 pub mod promises;
 pub mod propagation;
 pub mod real_run;
+pub mod slopes;
 pub mod store_outage;
 pub mod tail;
 
@@ -160,6 +161,11 @@
         about: "protected actions while the store is down, and the calls after its return",
         run: store_outage::run,
     },
+    Entry {
+        name: "slopes",
+        about: "what one daemon costs as the deployment grows",
+        run: slopes::run,
+    },
     Entry {
         name: "tail",
         about: "tail latency and the cost of measuring, by policy",
