--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -52,6 +52,8 @@
     measuring: Measuring,
     retry: Retry,
     hedge: Hedge,
+    /// When a request last waited because all was full.
+    last_full: Option<Instant>,
 }
 
 impl ServiceState {
@@ -122,6 +124,7 @@
             measuring,
             retry,
             hedge,
+            last_full: None,
             service,
         };
         for attempt in attempts {
@@ -206,6 +209,7 @@
         }
         let choice = self.choose(now, rng, &[]);
         if choice == Choice::Full {
+            self.last_full = Some(now);
             let given_up = self.admission.give_up(now);
             return given_up.map_or(Pick::Idle, |(id, refusal)| Pick::Refuse(id, refusal));
         }
@@ -285,7 +289,7 @@
             elapsed: now - attempt.sent_at.min(now),
             left: request.deadline.saturating_duration_since(now),
             usual: self.admission.service_time(&attempt.rule),
-            requests_wait: !self.admission.is_empty() || self.retries.due(now) > 0,
+            calm_for: self.last_full.map(|at| now - at.min(now)),
         };
         let reason = match self.hedge.judge(&attempt.backend_server, &look) {
             Judgement::Leave => return HedgePick::Leave,
