fix(standins): work takes the time it was given, and holds are paced by deployment

Cause: the experiment tail measured adaptive at p50 24 ms, p99 344 ms where the virtual fleet gives 11 and 121. Two parts of the tool, not of the product, were found: (1) the runtime's timer rounds every work time and link delay up to a whole ms, so load 0.75 was really above 0.83; (2) 165 holds/s waited for the claims' default pace of 45 writes/s, a setting meant for Bern. Ruled out: processor load (load average 2.5).

--- a/crates/kingcuploft-standins/src/backend_server/connection.rs
+++ b/crates/kingcuploft-standins/src/backend_server/connection.rs
@@ -10,6 +10,7 @@
 use super::answer::{self, Answer, Next};
 use super::faults::AnswerFault;
 use super::state::{Drawn, State};
+use crate::precise_sleep;
 
 /// The most headers of a request.
 const HEADERS: usize = 96;
@@ -129,7 +130,7 @@
 
 async fn pass_link(state: &State) {
     if !state.work.link_delay.is_zero() {
-        tokio::time::sleep(state.work.link_delay).await;
+        precise_sleep::sleep(state.work.link_delay).await;
     }
 }
 
@@ -156,7 +157,7 @@
     state.count(|counts| counts.probes += 1);
     let _in_flight = state.load.enter();
     let slot = state.slots.acquire().await;
-    tokio::time::sleep(state.work.probe_cost).await;
+    precise_sleep::sleep(state.work.probe_cost).await;
     drop(slot);
     state.count(|counts| counts.probe_us += state.work.probe_cost.as_micros() as u64);
     let told = answer::told_load(state, state.load.lagging());
@@ -205,7 +206,7 @@
     let began = Instant::now();
     let done = match time.is_zero() {
         true => Ok(()),
-        false => before(deadline, tokio::time::sleep(time)).await,
+        false => before(deadline, precise_sleep::sleep(time)).await,
     };
     drop(slot);
     state.count(|counts| counts.work_us += began.elapsed().as_micros() as u64);
--- a/crates/kingcuploft-standins/src/experiments/real_run.rs
+++ b/crates/kingcuploft-standins/src/experiments/real_run.rs
@@ -16,7 +16,7 @@
 use crate::deployment;
 use crate::fleet::{Fleet, Variant};
 use crate::load::{self, DueCall};
-use crate::virtual_fleet::deployment::{HOLD, SEARCH};
+use crate::virtual_fleet::deployment::{HOLD, Place, SEARCH};
 use crate::virtual_fleet::outcome::{Cost, End, Record};
 use crate::virtual_fleet::server::FakeServer;
 use crate::virtual_fleet::{Outcome, Run};
@@ -36,7 +36,7 @@
     let variant = Variant {
         policy,
         link_delay: LINK_DELAY,
-        settings: "limits: {workers: 48}\n".into(),
+        settings: format!("limits: {{workers: 48}}\n{}", claims(run.deployment.place)),
         seed: run.seed,
         ..Variant::default()
     };
@@ -78,6 +78,15 @@
     Ok(run.outcome(records, cost, double_runs))
 }
 
+/// Returns the claims' settings of a deployment, as its example has them: Teamway pays writes for
+/// quick holds, Bern saves them.
+fn claims(place: Place) -> &'static str {
+    match place {
+        Place::Teamway => "claims: {fleet_writes_per_s: 200}\n",
+        Place::Bern => "",
+    }
+}
+
 fn calls(run: &Run) -> Vec<DueCall> {
     let vms = run.deployment.vms as f64;
     let asks = run.asks.iter().enumerate();
--- a/crates/kingcuploft-standins/src/experiments/tail.rs
+++ b/crates/kingcuploft-standins/src/experiments/tail.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 
 use kingcuploft::settings::selection::SelectionPolicy;
+use kingcuploft::world::contract::Priority;
 use serde::Serialize;
 
 use super::{ExperimentError, Options, Report, real_run};
@@ -19,6 +20,10 @@
     p99_ms_least: f64,
     p99_ms_greatest: f64,
     p999_ms: f64,
+    lookup_p50_ms: f64,
+    lookup_p99_ms: f64,
+    hold_p50_ms: f64,
+    hold_p99_ms: f64,
     answered: u64,
     late_answers: u64,
     refused: u64,
@@ -28,18 +33,36 @@
     control_bytes_per_second_per_node: f64,
 }
 
+/// The figures of one run: of all requests, and of two priorities apart.
+#[derive(Clone, Debug)]
+struct Summaries {
+    all: Summary,
+    lookups: Summary,
+    holds: Summary,
+}
+
+impl Summaries {
+    fn of(outcome: &Outcome) -> Self {
+        Self {
+            all: outcome.summary(|_| true),
+            lookups: outcome.summary(|r| r.priority == Priority::Interactive),
+            holds: outcome.summary(|r| r.priority == Priority::Protected),
+        }
+    }
+}
+
 /// Runs the experiment.
 ///
 /// # Errors
 ///
 /// [`ExperimentError`] where a fleet did not start.
 pub fn run(options: &Options) -> Result<Report, ExperimentError> {
-    let mut summaries: Vec<Vec<Summary>> = vec![Vec::new(); SelectionPolicy::ALL.len() + 1];
+    let mut summaries: Vec<Vec<Summaries>> = vec![Vec::new(); SelectionPolicy::ALL.len() + 1];
     let mut report = Report::default();
     for round in 0..options.rounds as u64 {
         let seed = options.seed + round;
         let run = drawn(options, seed);
-        summaries[0].push(ideal::run(&run).summary(|_| true));
+        summaries[0].push(Summaries::of(&ideal::run(&run)));
         for (i, policy) in SelectionPolicy::ALL.iter().enumerate() {
             let outcome = real_run::run(
                 &run,
@@ -49,7 +72,7 @@
                 ),
             )?;
             note_broken(&mut report, seed, *policy, &outcome);
-            summaries[i + 1].push(outcome.summary(|_| true));
+            summaries[i + 1].push(Summaries::of(&outcome));
         }
     }
     let names = std::iter::once("ideal").chain(SelectionPolicy::ALL.iter().map(|p| p.label()));
@@ -84,43 +107,49 @@
     }
 }
 
-fn row(policy: &'static str, summaries: &[Summary]) -> Row {
-    let by = |figure: fn(&Summary) -> f64| {
+fn row(policy: &'static str, summaries: &[Summaries]) -> Row {
+    let by = |figure: fn(&Summaries) -> f64| {
         let mut figures: Vec<f64> = summaries.iter().map(figure).collect();
         figures.sort_by(f64::total_cmp);
         figures
     };
-    let median = |figure: fn(&Summary) -> f64| {
+    let median = |figure: fn(&Summaries) -> f64| {
         let figures = by(figure);
         figures.get(figures.len() / 2).copied().unwrap_or_default()
     };
-    let p99 = by(|s| s.p99_ms);
-    let sum = |figure: fn(&Summary) -> u64| summaries.iter().map(figure).sum();
+    let p99 = by(|s| s.all.p99_ms);
+    let sum = |figure: fn(&Summaries) -> u64| summaries.iter().map(figure).sum();
     Row {
         policy,
-        p50_ms: median(|s| s.p50_ms),
-        p99_ms: median(|s| s.p99_ms),
+        p50_ms: median(|s| s.all.p50_ms),
+        p99_ms: median(|s| s.all.p99_ms),
         p99_ms_least: p99.first().copied().unwrap_or_default(),
         p99_ms_greatest: p99.last().copied().unwrap_or_default(),
-        p999_ms: median(|s| s.p999_ms),
-        answered: sum(|s| s.answered),
-        late_answers: sum(|s| s.late),
-        refused: sum(|s| s.refused.values().sum()),
-        lost: sum(|s| s.lost),
-        probe_share: median(|s| s.probe_share),
-        hedge_share: median(|s| s.hedge_share),
-        control_bytes_per_second_per_node: median(|s| s.notes_bytes_per_second_per_node),
+        p999_ms: median(|s| s.all.p999_ms),
+        lookup_p50_ms: median(|s| s.lookups.p50_ms),
+        lookup_p99_ms: median(|s| s.lookups.p99_ms),
+        hold_p50_ms: median(|s| s.holds.p50_ms),
+        hold_p99_ms: median(|s| s.holds.p99_ms),
+        answered: sum(|s| s.all.answered),
+        late_answers: sum(|s| s.all.late),
+        refused: sum(|s| s.all.refused.values().sum()),
+        lost: sum(|s| s.all.lost),
+        probe_share: median(|s| s.all.probe_share),
+        hedge_share: median(|s| s.all.hedge_share),
+        control_bytes_per_second_per_node: median(|s| s.all.notes_bytes_per_second_per_node),
     }
 }
 
 fn table(rows: &[Row]) -> String {
     let mut text = format!(
-        "{:<16} {:>7} {:>8} {:>17} {:>8} {:>9} {:>5} {:>8} {:>5} {:>7} {:>7} {:>9}\n",
+        "{:<16} {:>7} {:>8} {:>14} {:>8} {:>13} {:>13} {:>9} {:>5} {:>8} {:>5} {:>7} {:>7} {:>9}\n",
         "policy",
         "p50 ms",
         "p99 ms",
         "p99 least-most",
         "p99.9 ms",
+        "lookup 50/99",
+        "hold 50/99",
         "answered",
         "late",
         "refused",
@@ -133,8 +162,11 @@
         let spread = format!("{:.0}-{:.0}", row.p99_ms_least, row.p99_ms_greatest);
         writeln!(
             text,
-            "{:<16} {:>7.1} {:>8.1} {:>17} {:>8.1} {:>9} {:>5} {:>8} {:>5} {:>6.2}% {:>6.2}% {:>9.0}",
-            row.policy, row.p50_ms, row.p99_ms, spread, row.p999_ms, row.answered, row.late_answers,
+            "{:<16} {:>7.1} {:>8.1} {:>14} {:>8.1} {:>13} {:>13} {:>9} {:>5} {:>8} {:>5} {:>6.2}% {:>6.2}% {:>9.0}",
+            row.policy, row.p50_ms, row.p99_ms, spread, row.p999_ms,
+            format!("{:.0}/{:.0}", row.lookup_p50_ms, row.lookup_p99_ms),
+            format!("{:.0}/{:.0}", row.hold_p50_ms, row.hold_p99_ms),
+            row.answered, row.late_answers,
             row.refused, row.lost, row.probe_share * 100.0, row.hedge_share * 100.0,
             row.control_bytes_per_second_per_node
         )
--- a/crates/kingcuploft-standins/src/lib.rs
+++ b/crates/kingcuploft-standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod platform;
 pub mod plot;
+pub mod precise_sleep;
 pub mod process;
 pub mod raw_caller;
 pub mod tally;
--- a/crates/kingcuploft-standins/src/load.rs
+++ b/crates/kingcuploft-standins/src/load.rs
@@ -4,10 +4,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use std::time::Instant;
 use tokio::runtime::Runtime;
-use tokio::time::Instant;
 
 use crate::callers::{CallPlan, Callers, Received};
+use crate::precise_sleep;
 use crate::tally::Tally;
 
 /// A call and when it is due.
@@ -67,7 +68,7 @@
         let began = Instant::now();
         let mut tasks = Vec::with_capacity(calls.len());
         for call in calls {
-            tokio::time::sleep_until(began + call.at).await;
+            precise_sleep::sleep_until(began + call.at).await;
             let address = address(&call);
             let (callers, received) = (Arc::clone(&callers), Arc::clone(&received));
             tasks.push(tokio::spawn(async move {
