--- a/crates/kingcuploft-standins/src/precise_sleep.rs
+++ b/crates/kingcuploft-standins/src/precise_sleep.rs
@@ -82,7 +82,7 @@
             sleepers.due.pop();
             if let Some(waker) = sleepers.wakers.remove(&number) {
                 // A sleeper that was dropped has no use for it.
-                drop(waker.send(()));
+                let _ = waker.send(());
             }
         }
         let next = sleepers.due.peek().map(|Reverse((due, _))| *due);
