--- a/crates/kingcuploft-standins/src/experiments/overload.rs
+++ b/crates/kingcuploft-standins/src/experiments/overload.rs
@@ -1,6 +1,10 @@
 //! `overload`: what callers receive when more is asked than the slots can do, with one hot caller.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
 use kingcuploft::world::contract::Priority;
+use kingcuploft::world::refusal::RefusalReason;
 use serde::Serialize;
 
 use super::{ExperimentError, Options, Report, real_run};
@@ -22,6 +26,7 @@
     late_answers: u64,
     late_share: f64,
     refused: u64,
+    refused_by_reason: BTreeMap<&'static str, ReasonFigures>,
     lost: u64,
     refusal_p99_ms: f64,
     protected_answered_share: f64,
@@ -32,6 +37,13 @@
     duplicate_runs: u64,
 }
 
+/// How often and how late callers were refused for one reason.
+#[derive(Debug, Serialize)]
+struct ReasonFigures {
+    refused: u64,
+    p99_ms: f64,
+}
+
 /// Runs the experiment: first without, then with the hot caller, for each round.
 ///
 /// # Errors
@@ -88,6 +100,7 @@
         late_answers: all.late,
         late_share: all.late as f64 / answered.max(1) as f64,
         refused: all.refused.values().sum(),
+        refused_by_reason: by_reason(with),
         lost: all.lost,
         refusal_p99_ms: refusal_p99_ms(with),
         protected_answered_share: share(with, |r| r.priority == Priority::Protected),
@@ -111,10 +124,35 @@
 }
 
 fn refusal_p99_ms(outcome: &Outcome) -> f64 {
-    let refused = outcome
+    p99_ms(refusals(outcome).map(|(_, took)| took))
+}
+
+fn by_reason(outcome: &Outcome) -> BTreeMap<&'static str, ReasonFigures> {
+    let mut times: BTreeMap<&'static str, Vec<Duration>> = BTreeMap::new();
+    for (reason, took) in refusals(outcome) {
+        times.entry(reason.label()).or_default().push(took);
+    }
+    let figures = times.into_iter().map(|(reason, times)| {
+        let figures = ReasonFigures {
+            refused: times.len() as u64,
+            p99_ms: p99_ms(times.into_iter()),
+        };
+        (reason, figures)
+    });
+    figures.collect()
+}
+
+fn refusals(outcome: &Outcome) -> impl Iterator<Item = (RefusalReason, Duration)> {
+    outcome
         .records
         .iter()
-        .filter(|r| matches!(r.end, End::Refused(..)));
-    let latency = crate::virtual_fleet::outcome::latency(refused.map(|r| r.took));
+        .filter_map(|record| match record.end {
+            End::Refused(reason, _) => Some((reason, record.took)),
+            _ => None,
+        })
+}
+
+fn p99_ms(times: impl Iterator<Item = Duration>) -> f64 {
+    let latency = crate::virtual_fleet::outcome::latency(times);
     latency.value_at_quantile(0.99) as f64 / 1000.0
 }
--- a/crates/kingcuploft-standins/src/experiments/real_run.rs
+++ b/crates/kingcuploft-standins/src/experiments/real_run.rs
@@ -168,8 +168,9 @@
         cost.probe_time += Duration::from_micros(counts.probe_us);
         cost.busy += Duration::from_micros(counts.work_us + counts.probe_us);
     }
-    let hedges = |daemon: &Daemon| metric(daemon, "kingcuploft_hedges_total");
-    cost.hedges = fleet.daemons.iter().map(hedges).sum();
+    let sent = |step| move |daemon: &Daemon| labelled(daemon, "kingcuploft_hedges_total", step);
+    let hedges = |step| fleet.daemons.iter().map(sent(step)).sum::<u64>();
+    cost.hedges = hedges("sent_slow_spell") + hedges("sent_late");
     cost
 }
 
@@ -180,9 +181,16 @@
 }
 
 /// Returns the sum of a counter's samples.
-pub fn metric(daemon: &Daemon, name: &str) -> u64 {
+fn metric(daemon: &Daemon, name: &str) -> u64 {
+    labelled(daemon, name, "")
+}
+
+/// Returns the sum of a counter's samples that have this word among their labels.
+fn labelled(daemon: &Daemon, name: &str, label: &str) -> u64 {
     let text = daemon.shared().metrics.text();
-    let samples = text.lines().filter(|line| line.starts_with(name));
+    let samples = text
+        .lines()
+        .filter(|line| line.starts_with(name) && line.contains(label));
     let values = samples.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
     values.sum::<f64>() as u64
 }
--- a/crates/kingcuploft/src/decisions/measuring.rs
+++ b/crates/kingcuploft/src/decisions/measuring.rs
@@ -19,6 +19,7 @@
 
 use crate::manifest::Service;
 use crate::settings::measuring::MeasuringSettings;
+use crate::utils::rendezvous::rendezvous;
 use crate::world::ids::VmName;
 
 /// The share of the budget that a prober earns: two probers of one server then stay within it.
@@ -163,15 +164,5 @@
 /// Returns the prober of a server among the live VMs; the same on every VM with the same view.
 pub fn prober<'a>(live: &'a [VmName], server: &str) -> Option<&'a VmName> {
     live.iter()
-        .max_by_key(|vm| (weight(vm, server), (*vm).clone()))
-}
-
-fn weight(vm: &str, server: &str) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(vm.as_bytes());
-    hasher.update(b"\0");
-    hasher.update(server.as_bytes());
-    let mut weight = [0; 8];
-    weight.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(weight)
+        .max_by_key(|vm| (rendezvous(vm, server), (*vm).clone()))
 }
--- a/crates/kingcuploft/src/decisions/membership.rs
+++ b/crates/kingcuploft/src/decisions/membership/mod.rs
@@ -15,132 +15,22 @@
 //! suspicion ends with the next beat of the suspected. Heartbeats carry a digest of the view; a
 //! difference that lasts is mended by reading one neighbour's whole list.
 
+mod member;
+mod neighbours;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use self::member::{Candidate, Hashes, Known};
+pub use self::member::{Member, MemberState, Neighbour};
 use crate::settings::membership::MembershipSettings;
 use crate::utils::{HashMap, HashSet};
-use crate::world::ids::{AvailabilityZone, Incarnation, VmName};
+use crate::world::ids::VmName;
 
 /// The pause after a candidate was first tried in vain; it doubles with each try.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 
-/// Whether a member is thought to run.
-#[derive(
-    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
-)]
-#[serde(rename_all = "snake_case")]
-pub enum MemberState {
-    /// It was heard.
-    Live,
-    /// Its neighbours do not hear it.
-    Suspect,
-    /// It has not been heard for long.
-    Gone,
-    /// It said that it stops.
-    Leaving,
-}
-
-impl MemberState {
-    /// Every state, for metrics.
-    pub const ALL: [Self; 4] = [Self::Live, Self::Suspect, Self::Gone, Self::Leaving];
-
-    /// Returns the word that stands in metrics and status.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::Live => "live",
-            Self::Suspect => "suspect",
-            Self::Gone => "gone",
-            Self::Leaving => "leaving",
-        }
-    }
-}
-
-/// What is told of a member.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Member {
-    /// Its name.
-    pub name: VmName,
-    /// Where it stands.
-    pub availability_zone: AvailabilityZone,
-    /// Where it listens for peers.
-    pub address: SocketAddr,
-    /// Its life; a later one replaces an earlier.
-    pub incarnation: Incarnation,
-    /// How many heartbeats it had sent when this was seen.
-    pub beat: u32,
-    /// Whether it is thought to run.
-    pub state: MemberState,
-}
-
-impl Member {
-    /// Orders news of one member: the greater is the newer. A stop that was announced goes before
-    /// any beat of the same life.
-    fn order(&self) -> (Incarnation, bool, u32, MemberState) {
-        let leaving = self.state == MemberState::Leaving;
-        (self.incarnation, leaving, self.beat, self.state)
-    }
-}
-
-/// A member with what this VM itself knows of it.
-#[derive(Clone, Debug)]
-struct Known {
-    member: Member,
-    /// When it was heard on a link of this VM, or its news last changed.
-    heard: Instant,
-    /// Whether it is heard on a link of this VM.
-    direct: bool,
-    /// Since when this VM should hear it as a neighbour; `None` while it is none.
-    watched: Option<Instant>,
-    /// The hashes of its name, computed once.
-    hashes: Hashes,
-}
-
-/// The hashes by which a member is chosen for one thing or another.
-#[derive(Clone, Copy, Debug)]
-struct Hashes {
-    /// As a neighbour of this VM: the same for both ends, so that two VMs rather share one link
-    /// than have two.
-    affinity: u64,
-    /// Its place on the ring.
-    place: u64,
-    /// As a watcher of the store.
-    watch: u64,
-    /// Its part of the digest.
-    life: u64,
-}
-
-impl Hashes {
-    fn new(own: &VmName, member: &Member) -> Self {
-        let name = &member.name;
-        Self {
-            affinity: rendezvous(own.min(name), own.max(name)),
-            place: rendezvous("ring", name),
-            watch: rendezvous("watch", name),
-            life: rendezvous(name, &member.incarnation.to_string()),
-        }
-    }
-}
-
-/// An address that the settings or the VM list name and nobody has heard from.
-#[derive(Clone, Copy, Debug)]
-struct Candidate {
-    /// When it may be tried (again).
-    not_before: Instant,
-    /// How often it was tried.
-    tries: u32,
-}
-
-/// A VM to keep a link with.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct Neighbour {
-    /// Its name; `None` where only the address is known.
-    pub name: Option<VmName>,
-    /// Where it listens for peers.
-    pub address: SocketAddr,
-}
-
 /// One VM's view of the fleet.
 #[derive(Debug)]
 pub struct Membership {
@@ -428,88 +318,6 @@
         members
     }
 
-    /// Returns how many VMs share the backend servers: the members that take callers, and this VM.
-    pub fn sharing(&self) -> usize {
-        let mut members = self.members.values();
-        let shares = |known: &Known| known.member.state != MemberState::Gone;
-        members.by_ref().filter(|known| shares(known)).count() + 1
-    }
-
-    /// Returns the VMs to keep a link with.
-    pub fn neighbours(&self, now: Instant) -> Vec<Neighbour> {
-        let fits = |state| matches!(state, MemberState::Live | MemberState::Suspect);
-        let members = self.members.values();
-        let mut fitting: Vec<&Known> = members.filter(|k| fits(k.member.state)).collect();
-        fitting.sort_by_key(|known| std::cmp::Reverse(known.hashes.affinity));
-        let successor = self.successor(&fitting);
-        let fitting = fitting.iter().map(|known| &known.member);
-        let mut chosen: Vec<&Member> = successor.into_iter().collect();
-        let in_zone = |m: &&Member| m.availability_zone == self.own.availability_zone;
-        let mut near = fitting.clone().filter(in_zone);
-        let mut far = fitting.filter(|m| !in_zone(m));
-        while chosen.len() < self.settings.neighbours {
-            let (near, far) = (near.next(), far.next());
-            if near.is_none() && far.is_none() {
-                break;
-            }
-            for member in [far, near].into_iter().flatten() {
-                let new = chosen.iter().all(|other| other.name != member.name);
-                if new && chosen.len() < self.settings.neighbours {
-                    chosen.push(member);
-                }
-            }
-        }
-        let chosen = chosen.into_iter().map(|member| Neighbour {
-            name: Some(member.name.clone()),
-            address: member.address,
-        });
-        let doubted = self
-            .doubted
-            .iter()
-            .filter_map(|name| self.members.get(name));
-        let doubted = doubted
-            .take(self.settings.neighbours)
-            .map(|known| Neighbour {
-                name: Some(known.member.name.clone()),
-                address: known.member.address,
-            });
-        chosen.chain(doubted).chain(self.tried(now)).collect()
-    }
-
-    /// Tells whether this VM is one of the few of its availability zone that watch the store.
-    pub fn watches_store(&self) -> bool {
-        let zone = &self.own.availability_zone;
-        let rivals = self.members.values().filter(|known| {
-            let member = &known.member;
-            member.state == MemberState::Live && member.availability_zone == *zone
-        });
-        let own = self.own_hashes.watch;
-        let better = rivals.filter(|rival| rival.hashes.watch > own).count();
-        better < self.settings.watchers_per_zone
-    }
-
-    /// Returns the next member on the ring of hashed names.
-    fn successor<'a>(&self, fitting: &[&'a Known]) -> Option<&'a Member> {
-        let own = self.own_hashes.place;
-        let distance = |known: &&&Known| known.hashes.place.wrapping_sub(own);
-        let next = fitting.iter().min_by_key(distance);
-        next.map(|known| &known.member)
-    }
-
-    /// Returns a few candidates to try.
-    fn tried(&self, now: Instant) -> Vec<Neighbour> {
-        let candidates = self.candidates.iter();
-        let due = candidates.filter(|(_, candidate)| candidate.not_before <= now);
-        let mut due: Vec<SocketAddr> = due.map(|(address, _)| *address).collect();
-        due.sort_by_key(|address| rendezvous(&self.own.name, &address.to_string()));
-        due.truncate(self.settings.neighbours);
-        let tried = due.into_iter().map(|address| Neighbour {
-            name: None,
-            address,
-        });
-        tried.collect()
-    }
-
     /// A new VM answers at the address of another one: that one is gone.
     fn replaced(&mut self, now: Instant, member: &Member) {
         let mut replaced = Vec::new();
@@ -589,18 +397,6 @@
     }
 }
 
-/// Returns a number that depends on both texts alike on every VM.
-fn rendezvous(a: &str, b: &str) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher
-        .update(a.as_bytes())
-        .update(b"\0")
-        .update(b.as_bytes());
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(first)
-}
-
 impl MembershipSettings {
     fn beat(&self) -> Duration {
         Duration::from_millis(self.beat_ms)
--- a/crates/kingcuploft/src/utils/mod.rs
+++ b/crates/kingcuploft/src/utils/mod.rs
@@ -1,5 +1,7 @@
 //! Small helpers that more than one module needs.
 
+pub mod rendezvous;
+
 /// A hash map with a fast hasher; not for keys an attacker picks without a bound on their number.
 pub type HashMap<K, V> = rustc_hash::FxHashMap<K, V>;
 
