--- a/crates/kingcuploft-standins/src/experiments/overload.rs
+++ b/crates/kingcuploft-standins/src/experiments/overload.rs
@@ -28,7 +28,9 @@
     refused: u64,
     refused_by_reason: BTreeMap<&'static str, ReasonFigures>,
     lost: u64,
+    refusal_p50_ms: f64,
     refusal_p99_ms: f64,
+    others_refusal_p99_ms: f64,
     protected_answered_share: f64,
     background_answered_share: f64,
     others_answered_share: f64,
@@ -102,7 +104,9 @@
         refused: all.refused.values().sum(),
         refused_by_reason: by_reason(with),
         lost: all.lost,
-        refusal_p99_ms: refusal_p99_ms(with),
+        refusal_p50_ms: refusal_ms(with, 0.5, |_| true),
+        refusal_p99_ms: refusal_ms(with, 0.99, |_| true),
+        others_refusal_p99_ms: refusal_ms(with, 0.99, |r| !is_hot(r)),
         protected_answered_share: share(with, |r| r.priority == Priority::Protected),
         background_answered_share: share(with, |r| r.priority == Priority::Background),
         others_answered_share: share(with, |r| !is_hot(r)),
@@ -123,8 +127,10 @@
     in_time as f64 / kept.len().max(1) as f64
 }
 
-fn refusal_p99_ms(outcome: &Outcome) -> f64 {
-    p99_ms(refusals(outcome).map(|(_, took)| took))
+fn refusal_ms(outcome: &Outcome, quantile: f64, keep: impl Fn(&Record) -> bool) -> f64 {
+    let kept = outcome.records.iter().filter(|record| keep(record));
+    let refused = kept.filter(|record| matches!(record.end, End::Refused(..)));
+    quantile_ms(refused.map(|record| record.took), quantile)
 }
 
 fn by_reason(outcome: &Outcome) -> BTreeMap<&'static str, ReasonFigures> {
@@ -135,7 +141,7 @@
     let figures = times.into_iter().map(|(reason, times)| {
         let figures = ReasonFigures {
             refused: times.len() as u64,
-            p99_ms: p99_ms(times.into_iter()),
+            p99_ms: quantile_ms(times.into_iter(), 0.99),
         };
         (reason, figures)
     });
@@ -152,7 +158,7 @@
         })
 }
 
-fn p99_ms(times: impl Iterator<Item = Duration>) -> f64 {
+fn quantile_ms(times: impl Iterator<Item = Duration>, quantile: f64) -> f64 {
     let latency = crate::virtual_fleet::outcome::latency(times);
-    latency.value_at_quantile(0.99) as f64 / 1000.0
+    latency.value_at_quantile(quantile) as f64 / 1000.0
 }
--- a/crates/kingcuploft-standins/src/experiments/promises/entry.rs
+++ b/crates/kingcuploft-standins/src/experiments/promises/entry.rs
@@ -106,9 +106,13 @@
             };
             entries.places.push(Mutex::new(place));
         }
-        for place in &entries.places {
-            let mut place = lock(place);
+        for vm in 0..count {
+            let mut place = lock(&entries.places[vm]);
             if !place.process.wait_ready(READY_TIMEOUT) {
+                // Another process may have taken one of the free ports before the daemon did.
+                entries.replace(vm, &mut place);
+            }
+            if place.process.page("ready").is_none() {
                 return Err(std::io::Error::other("a daemon is not ready"));
             }
             place.in_rotation = true;
@@ -198,6 +202,8 @@
             self.sleep_begins(&mut place);
             let stopped = (place.life, self.began.elapsed());
             lock(&self.observed).stopped.push(stopped);
+            // A paused process can not stop; its pause, which waits for this place, ends here.
+            place.process.resume();
             place.process.terminate();
             place.life
         };
--- a/crates/kingcuploft-standins/src/experiments/slopes/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/slopes/mod.rs
@@ -253,7 +253,7 @@
         ports.admin,
         platform.address()
     );
-    let daemon = DaemonProcess::start(folder, "entry-0", ports, &settings)?;
+    let mut daemon = DaemonProcess::start(folder, "entry-0", ports, &settings)?;
     match daemon.wait_ready(TIMEOUT) {
         true => Ok(daemon),
         false => Err(FleetError::NotInForce("the daemon is not ready".into()).into()),
--- a/crates/kingcuploft-standins/src/process.rs
+++ b/crates/kingcuploft-standins/src/process.rs
@@ -87,10 +87,10 @@
         self.ports
     }
 
-    /// Waits until it is ready; tells whether it was in time.
-    pub fn wait_ready(&self, timeout: Duration) -> bool {
+    /// Waits until it is ready; tells whether it was in time and did not end before.
+    pub fn wait_ready(&mut self, timeout: Duration) -> bool {
         let until = Instant::now() + timeout;
-        while Instant::now() < until {
+        while Instant::now() < until && !self.has_ended() {
             if self.page("ready").is_some() {
                 return true;
             }
@@ -99,6 +99,10 @@
         false
     }
 
+    fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Reads a page of its admin port; `None` where it does not answer 200.
     pub fn page(&self, name: &str) -> Option<String> {
         let url = format!("http://{}/{name}", self.ports.admin);
