--- a/crates/kingcuploft-standins/src/experiments/connections.rs
+++ b/crates/kingcuploft-standins/src/experiments/connections.rs
@@ -13,8 +13,7 @@
 use tokio::time::Instant;
 
 use super::{ExperimentError, Options, Report};
-use crate::deployment::{Deployment, ServicePlan};
-use crate::fleet::{Fleet, Variant};
+use crate::fleet::Fleet;
 
 /// A caller without a first answer after this is starved.
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -121,24 +120,7 @@
 /// A burst at a daemon in front of one backend server.
 fn at_daemon(options: &Options, callers: usize, beside: Beside) -> Result<Row, ExperimentError> {
     let runtime = runtime()?;
-    let deployment = Deployment {
-        name: "connections",
-        vms: 1,
-        availability_zones: &["a"],
-        services: vec![ServicePlan {
-            name: "trip",
-            backend_servers: 1,
-            slots: 64,
-            rules: RULES,
-            measuring_share: 0.0,
-        }],
-    };
-    let variant = Variant {
-        settings: "limits: {vms: 1}\n".into(),
-        seed: options.seed,
-        ..Variant::default()
-    };
-    let fleet = Fleet::start(deployment, variant)?;
+    let fleet = Fleet::start_single("connections", RULES, options.seed)?;
     let address = fleet.addresses()[0];
     let row = burst(
         &runtime,
--- a/crates/kingcuploft-standins/src/experiments/overhead.rs
+++ b/crates/kingcuploft-standins/src/experiments/overhead.rs
@@ -9,8 +9,7 @@
 use serde::Serialize;
 
 use super::{ExperimentError, Options, Report};
-use crate::deployment::{Deployment, ServicePlan};
-use crate::fleet::{Fleet, Variant};
+use crate::fleet::Fleet;
 use crate::raw_caller::RawCaller;
 
 /// The connections to each side, a thread each; a thread makes one call at a time.
@@ -93,7 +92,7 @@
 ///
 /// [`ExperimentError`] where the daemon or the backend server did not start.
 pub fn run(options: &Options) -> Result<Report, ExperimentError> {
-    let fleet = start(options)?;
+    let fleet = Fleet::start_single("overhead", RULES, options.seed)?;
     let server = fleet.backend_servers[0][0].address();
     let daemon = fleet.daemons[0].address();
     let (straight, through) = (Side::new(), Side::new());
@@ -128,28 +127,6 @@
     })
 }
 
-/// Starts one daemon in front of one backend server with room for all.
-fn start(options: &Options) -> Result<Fleet, ExperimentError> {
-    let deployment = Deployment {
-        name: "overhead",
-        vms: 1,
-        availability_zones: &["a"],
-        services: vec![ServicePlan {
-            name: "trip",
-            backend_servers: 1,
-            slots: 64,
-            rules: RULES,
-            measuring_share: 0.0,
-        }],
-    };
-    let variant = Variant {
-        settings: "limits: {vms: 1}\n".into(),
-        seed: options.seed,
-        ..Variant::default()
-    };
-    Ok(Fleet::start(deployment, variant)?)
-}
-
 /// Makes one thread's calls at a seeded pace, each straight and through, in a drawn order.
 fn paced(
     options: &Options,
--- a/crates/kingcuploft-standins/src/fleet.rs
+++ b/crates/kingcuploft-standins/src/fleet.rs
@@ -113,6 +113,36 @@
         Ok(fleet)
     }
 
+    /// Starts one daemon in front of one backend server with room for all.
+    ///
+    /// # Errors
+    ///
+    /// As [`Fleet::start`].
+    pub fn start_single(
+        name: &'static str,
+        rules: &'static [&'static str],
+        seed: u64,
+    ) -> Result<Self, FleetError> {
+        let deployment = Deployment {
+            name,
+            vms: 1,
+            availability_zones: &["a"],
+            services: vec![ServicePlan {
+                name: "trip",
+                backend_servers: 1,
+                slots: 64,
+                rules,
+                measuring_share: 0.0,
+            }],
+        };
+        let variant = Variant {
+            settings: "limits: {vms: 1}\n".into(),
+            seed,
+            ..Variant::default()
+        };
+        Self::start(deployment, variant)
+    }
+
     /// Starts one more daemon under a name of its own.
     ///
     /// # Errors
