--- a/crates/kingcuploft-standins/src/deployment.rs
+++ b/crates/kingcuploft-standins/src/deployment.rs
@@ -26,8 +26,6 @@
     pub slots: u32,
     /// The rules, as YAML lines of the manifest.
     pub rules: &'static [&'static str],
-    /// The budget of measuring, as a share of slot time.
-    pub measuring_share: f64,
 }
 
 const TRIP_RULES: &[&str] = &[
@@ -59,8 +57,8 @@
         vms: 14,
         availability_zones: TEAMWAY_ZONES,
         services: vec![
-            service("trip", 11, 2, TRIP_RULES, 0.01),
-            service("venue", 16, 2, VENUE_RULES, 0.01),
+            service("trip", 11, 2, TRIP_RULES),
+            service("venue", 16, 2, VENUE_RULES),
         ],
     }
 }
@@ -72,8 +70,8 @@
         vms: 13,
         availability_zones: BERN_ZONES,
         services: vec![
-            service("notes", 11, 4, NOTES_RULES, 0.005),
-            service("archive", 13, 4, ARCHIVE_RULES, 0.005),
+            service("notes", 11, 4, NOTES_RULES),
+            service("archive", 13, 4, ARCHIVE_RULES),
         ],
     }
 }
@@ -88,11 +86,11 @@
 pub fn virtual_twin(place: Place) -> Deployment {
     match place {
         Place::Teamway => Deployment {
-            services: vec![service("trip", 11, 2, RUN_RULES, 0.01)],
+            services: vec![service("trip", 11, 2, RUN_RULES)],
             ..teamway()
         },
         Place::Bern => Deployment {
-            services: vec![service("notes", 11, 4, RUN_RULES, 0.005)],
+            services: vec![service("notes", 11, 4, RUN_RULES)],
             ..bern()
         },
     }
@@ -105,8 +103,8 @@
         vms: 3,
         availability_zones: &["a", "b", "c"],
         services: vec![
-            service("trip", 4, 2, TRIP_RULES, 0.01),
-            service("venue", 3, 2, VENUE_RULES, 0.01),
+            service("trip", 4, 2, TRIP_RULES),
+            service("venue", 3, 2, VENUE_RULES),
         ],
     }
 }
@@ -129,13 +127,11 @@
     backend_servers: usize,
     slots: u32,
     rules: &'static [&'static str],
-    measuring_share: f64,
 ) -> ServicePlan {
     ServicePlan {
         name,
         backend_servers,
         slots,
         rules,
-        measuring_share,
     }
 }
--- a/crates/kingcuploft-standins/src/fleet.rs
+++ b/crates/kingcuploft-standins/src/fleet.rs
@@ -132,7 +132,6 @@
                 backend_servers: 1,
                 slots: 64,
                 rules,
-                measuring_share: 0.0,
             }],
         };
         let variant = Variant {
--- a/crates/kingcuploft-standins/tests/claims/entry.rs
+++ b/crates/kingcuploft-standins/tests/claims/entry.rs
@@ -29,7 +29,6 @@
         backend_servers: 2,
         slots: 4,
         rules: RULES,
-        measuring_share: 0.01,
     };
     let deployment = Deployment {
         name: "claims",
--- a/crates/kingcuploftctl/src/explain.rs
+++ b/crates/kingcuploftctl/src/explain.rs
@@ -18,13 +18,7 @@
         ("reason", &wanted.reason),
         ("request", &wanted.request),
     ];
-    let given = fields
-        .iter()
-        .filter_map(|(name, value)| Some((name, value.as_ref()?)));
-    let query: Vec<String> = given
-        .map(|(name, value)| format!("{name}={value}"))
-        .collect();
-    let path = format!("/fleet/decisions?{}", query.join("&"));
+    let path = format!("/fleet/decisions?{}", query(&fields));
     let mut found = Vec::new();
     let mut why = Vec::new();
     let vms = context.vms()?;
@@ -59,19 +53,21 @@
     Ok(ending)
 }
 
+/// Returns the query of the fields that were given.
+fn query(fields: &[(&str, &Option<String>)]) -> String {
+    let given = fields
+        .iter()
+        .filter_map(|(name, value)| Some(format!("{name}={}", value.as_ref()?)));
+    given.collect::<Vec<_>>().join("&")
+}
+
 /// Returns what the dispatchers decided and saw: the queue, the limit, the expected wait.
 fn inputs<'a>(vms: &'a [AdminClient], wanted: &ExplainArgs) -> Vec<(&'a str, Value)> {
     if wanted.reason.is_some() {
         return Vec::new();
     }
     let fields = [("service", &wanted.service), ("request", &wanted.request)];
-    let given = fields
-        .iter()
-        .filter_map(|(name, value)| Some((name, value.as_ref()?)));
-    let query: Vec<String> = given
-        .map(|(name, value)| format!("{name}={value}"))
-        .collect();
-    let path = format!("/explain?{}", query.join("&"));
+    let path = format!("/explain?{}", query(&fields));
     let mut found = Vec::new();
     for vm in vms {
         // A VM that did not make the request refuses its id: it has nothing to say of it.
