--- /dev/null
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -0,0 +1,211 @@
+//! What all tasks of one entry VM share, built once and passed by reference.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::backend_servers::{BackendServers, Change};
+use kingcuploft::entry::configuration::{Configuration, Dealer, Destination, Route};
+use kingcuploft::entry::repeats::Repeats;
+use kingcuploft::entry::service_time::ServiceTime;
+use kingcuploft::utils::HashMap;
+use kingcuploft::world::ids::{BackendServerName, RuleName, ServiceName};
+use tokio::sync::Notify;
+
+use crate::settings::{EntrySettings, Vocabulary};
+use crate::upstream::Upstream;
+
+/// What happened so far, counted.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Probes that ended.
+    pub probes: Cell<u64>,
+    /// Requests that were read.
+    pub requests: Cell<u64>,
+    /// Calls to the platform's store.
+    pub store_calls: Cell<u64>,
+}
+
+/// What all tasks share.
+#[derive(Debug)]
+pub struct Context {
+    /// The settings.
+    pub settings: EntrySettings,
+    /// The names of headers and paths.
+    pub vocabulary: Vocabulary,
+    /// Wakes whoever waits for readings.
+    pub readings: Notify,
+    /// Wakes whoever waits for the stop.
+    pub stop: Notify,
+    /// What happened so far.
+    pub counters: Counters,
+    /// How many VMs share the allowance of repeats.
+    pub vms: Cell<usize>,
+    /// Open connections of callers.
+    pub callers: Cell<usize>,
+    stopping: Cell<Option<Instant>>,
+    closes_idle: Cell<bool>,
+    configuration: RefCell<Option<Arc<Configuration>>>,
+    servers: RefCell<BackendServers>,
+    servers_listed: Cell<bool>,
+    upstreams: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
+    dealers: RefCell<HashMap<RuleName, Dealer>>,
+    service_times: RefCell<HashMap<(RuleName, ServiceName), ServiceTime>>,
+    repeats: RefCell<HashMap<ServiceName, Repeats>>,
+}
+
+impl Context {
+    /// Builds the context of a VM that knows nothing yet.
+    pub fn new(settings: EntrySettings, vocabulary: Vocabulary) -> Self {
+        Self {
+            vms: Cell::new(settings.most_vms),
+            settings,
+            vocabulary,
+            readings: Notify::new(),
+            stop: Notify::new(),
+            counters: Counters::default(),
+            callers: Cell::new(0),
+            stopping: Cell::new(None),
+            closes_idle: Cell::new(false),
+            configuration: RefCell::default(),
+            servers: RefCell::default(),
+            servers_listed: Cell::new(false),
+            upstreams: RefCell::default(),
+            dealers: RefCell::default(),
+            service_times: RefCell::default(),
+            repeats: RefCell::default(),
+        }
+    }
+
+    /// Returns the configuration in force, if one is known.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Puts a configuration in force if it is newer than the one that is.
+    pub fn adopt(&self, configuration: Configuration) -> bool {
+        let mut current = self.configuration.borrow_mut();
+        let newer = current
+            .as_ref()
+            .is_none_or(|current| configuration.version > current.version);
+        if newer {
+            *current = Some(Arc::new(configuration));
+        }
+        newer
+    }
+
+    /// Returns whether the VM can serve: it knows a configuration and servers, and is not stopping.
+    pub fn is_ready(&self) -> bool {
+        let knows = self.configuration.borrow().is_some() && self.servers_listed.get();
+        knows && !self.is_stopping()
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get().is_some()
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_stop(&self, now: Instant) {
+        self.stopping.set(Some(now));
+        self.stop.notify_waiters();
+    }
+
+    /// Returns whether idle connections of callers are closed.
+    pub fn closes_idle(&self) -> bool {
+        self.closes_idle.get()
+    }
+
+    /// Closes the idle connections of callers, now and from now on.
+    pub fn close_idle(&self) {
+        self.closes_idle.set(true);
+        self.stop.notify_waiters();
+    }
+
+    /// Takes news of the servers in.
+    pub fn servers<T>(&self, news: impl FnOnce(&mut BackendServers) -> T) -> T {
+        news(&mut self.servers.borrow_mut())
+    }
+
+    /// Takes note that all servers there are have been listed once.
+    pub fn servers_listed(&self) {
+        self.servers_listed.set(true);
+    }
+
+    /// Follows a change of the servers: connections and readings come and go with them.
+    pub fn apply(&self, now: Instant, change: &Change) {
+        match change {
+            Change::Joined(name) => {
+                self.remove_upstream(name);
+                self.add_upstream(now, name);
+            }
+            Change::Left(name) => self.remove_upstream(name),
+            Change::Updated(_) | Change::Lapsed(_) => {}
+        }
+    }
+
+    fn add_upstream(&self, now: Instant, name: &BackendServerName) {
+        let servers = self.servers.borrow();
+        let Some(server) = servers.get(name) else {
+            return;
+        };
+        let near = server.zone == self.settings.zone;
+        let upstream = Rc::new(Upstream::new(server.clone(), near, now));
+        let mut upstreams = self.upstreams.borrow_mut();
+        let of_service = upstreams.entry(server.service.clone()).or_default();
+        of_service.push(upstream);
+    }
+
+    fn remove_upstream(&self, name: &BackendServerName) {
+        for of_service in self.upstreams.borrow_mut().values_mut() {
+            of_service.retain(|upstream| upstream.server.name != *name);
+        }
+    }
+
+    /// Returns the servers of a service that may be sent work.
+    pub fn upstreams(&self, service: &ServiceName) -> Vec<Rc<Upstream>> {
+        let upstreams = self.upstreams.borrow();
+        upstreams.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Returns the destination of the next request of a route.
+    pub fn deal(&self, route: &Route) -> Option<Destination> {
+        let mut dealers = self.dealers.borrow_mut();
+        let dealer = dealers
+            .entry(route.name.clone())
+            .or_insert_with(|| Dealer::new(fastrand::f64()));
+        dealer.deal(&route.destinations).cloned()
+    }
+
+    /// Returns the work of a route at a service on a server of usual speed, in milliseconds.
+    pub fn work_ms(&self, route: &Route, service: &ServiceName) -> f64 {
+        let times = self.service_times.borrow();
+        let time = times.get(&(route.name.clone(), service.clone()));
+        time.copied().unwrap_or_default().work_ms(route.target)
+    }
+
+    /// Takes in how long an answer took.
+    pub fn measured(&self, route: &Route, service: &ServiceName, took: Duration, slowness: f64) {
+        let mut times = self.service_times.borrow_mut();
+        let key = (route.name.clone(), service.clone());
+        times.entry(key).or_default().measured(took, slowness);
+    }
+
+    /// Counts a request for a service.
+    pub fn arrived(&self, now: Instant, service: &ServiceName) {
+        let mut repeats = self.repeats.borrow_mut();
+        repeats.entry(service.clone()).or_default().arrived(now);
+    }
+
+    /// Takes one repeat from the budget, if it has room.
+    pub fn take_repeat(&self, now: Instant, service: &ServiceName) -> bool {
+        let mut repeats = self.repeats.borrow_mut();
+        let of_service = repeats.entry(service.clone()).or_default();
+        let room = of_service.has_room(now, &self.settings.repeats, self.vms.get());
+        if room {
+            of_service.repeated(now);
+        }
+        room
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/src/edge/answer.rs
@@ -0,0 +1,135 @@
+//! Answers to callers: a server's own, or one of this VM.
+
+use std::time::Duration;
+
+use super::request::Request;
+use crate::http::client::Response;
+use crate::http::headers::write_header;
+use crate::settings::Vocabulary;
+
+/// An answer, without the headers of its connection.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// Its header lines.
+    head: Vec<u8>,
+    /// Its body.
+    body: Vec<u8>,
+    /// Whether the caller asked for the head only.
+    head_only: bool,
+    /// Whether the connection must close behind it.
+    pub close: bool,
+}
+
+impl Answer {
+    /// Passes a server's answer on.
+    pub fn of_server(request: &Request, response: Response) -> Self {
+        let mut head = Vec::with_capacity(256);
+        for (name, value) in response.head.headers.end_to_end() {
+            write_header(&mut head, name, value);
+        }
+        Self {
+            status: response.head.status,
+            head,
+            body: response.body,
+            head_only: request.head.method == "HEAD",
+            close: !request.head.keep_alive,
+        }
+    }
+
+    /// Builds an own answer to a request.
+    pub fn own(
+        request: &Request,
+        vocabulary: &Vocabulary,
+        status: u16,
+        reason: &str,
+        retry_after: Option<Duration>,
+    ) -> Self {
+        let mut answer = Self::unreadable(status, reason);
+        if let Some(id) = &request.id {
+            write_header(&mut answer.head, vocabulary.request_id, id.as_bytes());
+        }
+        if let Some(after) = retry_after {
+            let seconds = format!("{:.3}", after.as_secs_f64());
+            write_header(&mut answer.head, "Retry-After", seconds.as_bytes());
+        }
+        answer.head_only = request.head.method == "HEAD";
+        answer.close = !request.head.keep_alive;
+        answer
+    }
+
+    /// Builds an own answer to what could not be read; the connection closes behind it.
+    pub fn unreadable(status: u16, reason: &str) -> Self {
+        let mut head = Vec::with_capacity(128);
+        write_header(&mut head, "Content-Type", b"text/plain");
+        Self {
+            status,
+            head,
+            body: format!("{reason}\n").into_bytes(),
+            head_only: false,
+            close: true,
+        }
+    }
+
+    /// Builds the interim answer that lets the caller send its body.
+    pub fn interim() -> Self {
+        Self {
+            status: 100,
+            head: Vec::new(),
+            body: Vec::new(),
+            head_only: false,
+            close: false,
+        }
+    }
+
+    /// Returns whether another answer follows to the same request.
+    pub fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+
+    /// Writes the answer as it goes onto the connection.
+    pub fn to_bytes(&self, close: bool) -> Vec<u8> {
+        let mut out = Vec::with_capacity(self.head.len() + self.body.len() + 96);
+        let line = format!(
+            "HTTP/1.1 {} {}\r\n",
+            self.status,
+            reason_phrase(self.status)
+        );
+        out.extend_from_slice(line.as_bytes());
+        out.extend_from_slice(&self.head);
+        if self.status >= 200 && self.status != 204 && self.status != 304 {
+            let length = self.body.len().to_string();
+            write_header(&mut out, "Content-Length", length.as_bytes());
+        }
+        if close {
+            write_header(&mut out, "Connection", b"close");
+        }
+        out.extend_from_slice(b"\r\n");
+        if !self.head_only {
+            out.extend_from_slice(&self.body);
+        }
+        out
+    }
+}
+
+fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        100 => "Continue",
+        200 => "OK",
+        201 => "Created",
+        204 => "No Content",
+        400 => "Bad Request",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -0,0 +1,347 @@
+//! One caller's connection.
+//!
+//! Requests are read and served as they come, also while earlier ones are unanswered, and answered
+//! in their order. A caller that closes is noticed at once, and what only it waits for is cancelled.
+//! At a planned stop, requests that were read are answered; the last answer says that the connection
+//! closes, and what comes behind it is not read.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{Notify, mpsc, oneshot};
+
+use super::answer::Answer;
+use super::dispatch;
+use super::request::Request;
+use crate::context::Context;
+use crate::http::body::{BodyError, BodyReader};
+use crate::http::head::{self, RequestHead};
+use kingcuploft::entry::configuration::Limits;
+
+/// The most requests of one connection that are served at once; later ones stay unread.
+const MOST_PIPELINED: usize = 32;
+
+/// The bytes read at once.
+const READ_BYTES: usize = 4096;
+
+/// How much longer than allowed a connection may be idle, so that a request that leaves its caller
+/// within the time is not met by a close.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+
+/// How long a closing connection is drained: what the caller sent meanwhile must not reset the
+/// connection before the last answer has reached it.
+const LINGER: Duration = Duration::from_millis(1000);
+
+/// The standing of a connection, shared by its reader and its writer.
+#[derive(Debug, Default)]
+struct Standing {
+    /// No further request is taken.
+    closing: Cell<bool>,
+    /// Requests that are not answered.
+    open: Cell<usize>,
+    /// Wakes the reader when the connection closes.
+    wake: Notify,
+}
+
+impl Standing {
+    fn opened(&self) {
+        self.open.set(self.open.get() + 1);
+    }
+
+    fn answered(&self) {
+        self.open.set(self.open.get() - 1);
+    }
+
+    fn close(&self) {
+        self.closing.set(true);
+        self.wake.notify_waiters();
+    }
+}
+
+/// Whether the caller has left.
+#[derive(Debug, Default)]
+pub struct Gone {
+    left: Cell<bool>,
+    wake: Notify,
+}
+
+impl Gone {
+    /// Returns whether the caller has left.
+    pub fn is_set(&self) -> bool {
+        self.left.get()
+    }
+
+    /// Takes note that the caller has left.
+    pub fn set(&self) {
+        self.left.set(true);
+        self.wake.notify_waiters();
+    }
+
+    /// Returns when the caller has left.
+    pub async fn wait(&self) {
+        let woken = self.wake.notified();
+        if !self.left.get() {
+            woken.await;
+        }
+    }
+}
+
+/// Serves one connection until it ends.
+pub async fn serve(context: Rc<Context>, stream: TcpStream) {
+    context.callers.set(context.callers.get() + 1);
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let (answers, queue) = mpsc::channel(MOST_PIPELINED);
+    let standing = Rc::new(Standing::default());
+    let writing = write_answers(context.clone(), writer, queue, standing.clone());
+    let writing = tokio::task::spawn_local(writing);
+    let mut reading = Reading {
+        context: context.clone(),
+        reader,
+        buffer: BytesMut::new(),
+        standing,
+        answers,
+        gone: Rc::default(),
+    };
+    let end = reading.read_requests().await;
+    match end {
+        End::CallerLeft => {
+            reading.gone.set();
+            writing.abort();
+        }
+        End::Closing => reading.drain().await,
+    }
+    drop(reading);
+    let _ = writing.await;
+    context.callers.set(context.callers.get() - 1);
+}
+
+enum End {
+    CallerLeft,
+    Closing,
+}
+
+struct Reading {
+    context: Rc<Context>,
+    reader: OwnedReadHalf,
+    buffer: BytesMut,
+    standing: Rc<Standing>,
+    answers: mpsc::Sender<oneshot::Receiver<Answer>>,
+    gone: Rc<Gone>,
+}
+
+enum Read {
+    Some,
+    CallerLeft,
+    Idle,
+    Stopping,
+}
+
+impl Reading {
+    async fn read_requests(&mut self) -> End {
+        loop {
+            let limits = self.limits();
+            let parsed = head::request(&self.buffer);
+            match parsed {
+                Ok(Some((_, length))) if length > limits.header_bytes => {
+                    return self.refuse(431, "the head is too long").await;
+                }
+                Ok(Some((head, length))) => {
+                    let _ = self.buffer.split_to(length);
+                    if let Some(end) = self.read_body_and_serve(head, &limits).await {
+                        return end;
+                    }
+                }
+                Ok(None) if self.buffer.len() > limits.header_bytes => {
+                    return self.refuse(431, "the head is too long").await;
+                }
+                Ok(None) => {
+                    if let Some(end) = self.read_head_bytes(&limits).await {
+                        return end;
+                    }
+                }
+                Err(error) => return self.refuse(400, &error.to_string()).await,
+            }
+        }
+    }
+
+    fn limits(&self) -> Limits {
+        let configuration = self.context.configuration();
+        configuration.map(|c| c.limits).unwrap_or_default()
+    }
+
+    /// Reads more of a head, or waits for one.
+    async fn read_head_bytes(&mut self, limits: &Limits) -> Option<End> {
+        let between = self.buffer.is_empty();
+        let patience = match between {
+            true => limits.idle_timeout + IDLE_MARGIN,
+            false => limits.header_timeout,
+        };
+        match self.read(patience, between).await {
+            Read::Some => None,
+            Read::CallerLeft => Some(End::CallerLeft),
+            Read::Stopping => Some(End::Closing),
+            Read::Idle if between && self.standing.open.get() > 0 => None,
+            Read::Idle if between => Some(End::Closing),
+            Read::Idle => Some(self.refuse(408, "the head took too long").await),
+        }
+    }
+
+    /// Reads more bytes; between requests, a stop of the VM ends the wait.
+    async fn read(&mut self, patience: Duration, between: bool) -> Read {
+        if between && self.closes_now() {
+            return Read::Stopping;
+        }
+        self.buffer.reserve(READ_BYTES);
+        let stop = self.context.stop.notified();
+        let wake = self.standing.wake.notified();
+        let reading = self.reader.read_buf(&mut self.buffer);
+        tokio::select! {
+            biased;
+            read = reading => match read {
+                Ok(0) | Err(_) => Read::CallerLeft,
+                Ok(_) => Read::Some,
+            },
+            () = stop, if between => Read::Some,
+            () = wake, if between => Read::Some,
+            () = tokio::time::sleep(patience) => Read::Idle,
+        }
+    }
+
+    /// Returns whether no further request is to be read: the last answer said so, or the VM's stop
+    /// has come to its idle connections.
+    fn closes_now(&self) -> bool {
+        let idle = self.standing.open.get() == 0;
+        self.standing.closing.get() || (idle && self.context.closes_idle())
+    }
+
+    async fn read_body_and_serve(&mut self, head: RequestHead, limits: &Limits) -> Option<End> {
+        if self.standing.closing.get() {
+            return Some(End::Closing);
+        }
+        let mut reader = match BodyReader::new(head.framing, limits.body_bytes) {
+            Ok(reader) => reader,
+            Err(_) => return Some(self.refuse(413, "the body is too long").await),
+        };
+        let expects = head.headers.lists("expect", "100-continue");
+        if expects && self.buffer.is_empty() {
+            self.tell_continue().await;
+        }
+        loop {
+            match reader.read(&mut self.buffer) {
+                Ok(true) => break,
+                Ok(false) => {}
+                Err(BodyError::TooLong) => {
+                    return Some(self.refuse(413, "the body is too long").await);
+                }
+                Err(error) => return Some(self.refuse(400, &error.to_string()).await),
+            }
+            match self.read(limits.idle_timeout, false).await {
+                Read::CallerLeft => return Some(End::CallerLeft),
+                Read::Idle => return Some(self.refuse(408, "the body took too long").await),
+                Read::Some | Read::Stopping => {}
+            }
+        }
+        let request = Request::new(head, reader.into_body(), &self.context.vocabulary);
+        self.serve_request(request).await
+    }
+
+    async fn serve_request(&mut self, request: Request) -> Option<End> {
+        let (answer, pending) = oneshot::channel();
+        let last = !request.head.keep_alive;
+        self.standing.opened();
+        let (context, gone) = (self.context.clone(), self.gone.clone());
+        tokio::task::spawn_local(dispatch::serve(context, request, gone, answer));
+        if self.answers.send(pending).await.is_err() {
+            return Some(End::CallerLeft);
+        }
+        if last {
+            self.standing.closing.set(true);
+        }
+        None
+    }
+
+    /// Tells the caller to go on with its body. The writer is idle then, as callers that expect this
+    /// wait for it; where it is not, the body comes without.
+    async fn tell_continue(&mut self) {
+        let (answer, pending) = oneshot::channel();
+        self.standing.opened();
+        if self.answers.send(pending).await.is_ok() {
+            let _ = answer.send(Answer::interim());
+        }
+    }
+
+    async fn refuse(&mut self, status: u16, reason: &str) -> End {
+        tracing::info!(event = "unreadable_request", status, reason);
+        let (answer, pending) = oneshot::channel();
+        self.standing.opened();
+        if self.answers.send(pending).await.is_ok() {
+            let _ = answer.send(Answer::unreadable(status, reason));
+        }
+        End::Closing
+    }
+
+    /// Reads on until the caller has closed, without taking any request.
+    async fn drain(&mut self) {
+        self.standing.closing.set(true);
+        let (sender, _) = mpsc::channel(1);
+        drop(std::mem::replace(&mut self.answers, sender));
+        loop {
+            self.buffer.clear();
+            let patience = match self.standing.open.get() {
+                0 => LINGER,
+                _ => Duration::from_secs(30),
+            };
+            self.buffer.reserve(READ_BYTES);
+            let reading = self.reader.read_buf(&mut self.buffer);
+            match tokio::time::timeout(patience, reading).await {
+                Ok(Ok(read)) if read > 0 => {}
+                Ok(_) if self.standing.open.get() > 0 => {
+                    self.gone.set();
+                    return;
+                }
+                _ => return,
+            }
+        }
+    }
+}
+
+/// Writes answers in the order of their requests.
+async fn write_answers(
+    context: Rc<Context>,
+    mut writer: OwnedWriteHalf,
+    mut queue: mpsc::Receiver<oneshot::Receiver<Answer>>,
+    standing: Rc<Standing>,
+) {
+    while let Some(pending) = queue.recv().await {
+        let Ok(answer) = pending.await else {
+            break;
+        };
+        if answer.is_interim() {
+            standing.answered();
+            if writer.write_all(&answer.to_bytes(false)).await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let last = standing.open.get() == 1;
+        let closes = answer.close || (last && (standing.closing.get() || context.is_stopping()));
+        if closes {
+            standing.closing.set(true);
+        }
+        if writer.write_all(&answer.to_bytes(closes)).await.is_err() {
+            return;
+        }
+        standing.answered();
+        if closes {
+            break;
+        }
+    }
+    let _ = writer.shutdown().await;
+    standing.close();
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/src/edge/readiness.rs
@@ -0,0 +1,59 @@
+//! The platform's question whether this VM takes new connections.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::context::Context;
+use crate::http::head;
+
+/// How long one question may take to arrive.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// The most bytes of a question.
+const MOST_BYTES: usize = 8 * 1024;
+
+/// Answers questions until the process ends.
+pub async fn serve(context: Rc<Context>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let context = context.clone();
+                tokio::task::spawn_local(async move {
+                    let _ = tokio::time::timeout(PATIENCE, answer(&context, stream)).await;
+                });
+            }
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn answer(context: &Context, mut stream: TcpStream) -> std::io::Result<()> {
+    let mut bytes = Vec::with_capacity(512);
+    loop {
+        match head::request(&bytes) {
+            Ok(Some((request, _))) => {
+                let path = request.target.split('?').next().unwrap_or_default();
+                let status = match (path == context.vocabulary.ready_path, context.is_ready()) {
+                    (true, true) => "200 OK",
+                    (true, false) => "503 Service Unavailable",
+                    (false, _) => "404 Not Found",
+                };
+                let answer =
+                    format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+                stream.write_all(answer.as_bytes()).await?;
+                return stream.shutdown().await;
+            }
+            Ok(None) if bytes.len() < MOST_BYTES => {}
+            Ok(None) | Err(_) => return Ok(()),
+        }
+        if stream.read_buf(&mut bytes).await? == 0 {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/src/edge/request.rs
@@ -0,0 +1,39 @@
+//! A request as it was read.
+
+use std::time::{Duration, Instant};
+
+use crate::http::head::RequestHead;
+use crate::settings::Vocabulary;
+
+/// A whole request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The caller's id of this attempt.
+    pub id: Option<String>,
+    /// Its head.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// When its last byte was read.
+    pub arrived: Instant,
+}
+
+impl Request {
+    /// Builds a request that has just been read.
+    pub fn new(head: RequestHead, body: Vec<u8>, vocabulary: &Vocabulary) -> Self {
+        Self {
+            id: head.headers.get(vocabulary.request_id).map(str::to_owned),
+            head,
+            body,
+            arrived: Instant::now(),
+        }
+    }
+
+    /// Returns how long the caller waits from the arrival on, if it says so.
+    pub fn patience(&self, vocabulary: &Vocabulary) -> Option<Duration> {
+        let value = self.head.headers.get(vocabulary.deadline_ms)?;
+        let millis: f64 = value.parse().ok()?;
+        let valid = millis.is_finite() && millis >= 0.0;
+        valid.then(|| Duration::from_secs_f64(millis / 1000.0))
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/src/http/body.rs
@@ -0,0 +1,163 @@
+//! Bodies: by length, in chunks, or until the connection ends.
+
+use bytes::{Buf, BytesMut};
+
+/// How a body ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    /// After so many bytes.
+    Length(usize),
+    /// With an empty chunk.
+    Chunked,
+    /// With its connection.
+    UntilClose,
+}
+
+/// The longest line that gives a chunk's length.
+const LONGEST_CHUNK_LINE: usize = 256;
+
+/// Why a body can't be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum BodyError {
+    /// A chunk is malformed.
+    #[error("a chunk of the body is malformed")]
+    Malformed,
+    /// The body is longer than allowed.
+    #[error("the body is too long")]
+    TooLong,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    Length(usize),
+    ChunkLine,
+    Chunk(usize),
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+    Done,
+}
+
+/// Reads one body piece by piece.
+#[derive(Debug)]
+pub struct BodyReader {
+    state: State,
+    most: usize,
+    body: Vec<u8>,
+}
+
+impl BodyReader {
+    /// Begins a body of at most `most` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError::TooLong`] if its announced length is greater.
+    pub fn new(framing: Framing, most: usize) -> Result<Self, BodyError> {
+        let state = match framing {
+            Framing::Length(length) if length > most => return Err(BodyError::TooLong),
+            Framing::Length(0) => State::Done,
+            Framing::Length(length) => State::Length(length),
+            Framing::Chunked => State::ChunkLine,
+            Framing::UntilClose => State::UntilClose,
+        };
+        Ok(Self {
+            state,
+            most,
+            body: Vec::new(),
+        })
+    }
+
+    /// Takes what it can from `bytes`; returns whether the body is whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for a malformed chunk or a body that is too long.
+    pub fn read(&mut self, bytes: &mut BytesMut) -> Result<bool, BodyError> {
+        while self.state != State::Done {
+            if !self.step(bytes)? {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// Takes the end of the connection in; returns whether the body is whole.
+    pub fn closed(&mut self) -> bool {
+        matches!(self.state, State::UntilClose | State::Done)
+    }
+
+    /// Returns the body.
+    pub fn into_body(self) -> Vec<u8> {
+        self.body
+    }
+
+    /// Takes one step; returns whether more can be done with the bytes at hand.
+    fn step(&mut self, bytes: &mut BytesMut) -> Result<bool, BodyError> {
+        match self.state {
+            State::Done => Ok(false),
+            State::Length(left) => {
+                let left = self.take(bytes, left)?;
+                self.state = match left {
+                    0 => State::Done,
+                    left => State::Length(left),
+                };
+                Ok(left == 0)
+            }
+            State::Chunk(left) => {
+                let left = self.take(bytes, left)?;
+                self.state = match left {
+                    0 => State::ChunkEnd,
+                    left => State::Chunk(left),
+                };
+                Ok(left == 0)
+            }
+            State::UntilClose => {
+                self.take(bytes, usize::MAX)?;
+                Ok(false)
+            }
+            State::ChunkLine | State::ChunkEnd | State::Trailer => self.line(bytes),
+        }
+    }
+
+    fn take(&mut self, bytes: &mut BytesMut, left: usize) -> Result<usize, BodyError> {
+        let taken = left.min(bytes.len());
+        if self.body.len() + taken > self.most {
+            return Err(BodyError::TooLong);
+        }
+        self.body.extend_from_slice(&bytes[..taken]);
+        bytes.advance(taken);
+        Ok(left - taken)
+    }
+
+    fn line(&mut self, bytes: &mut BytesMut) -> Result<bool, BodyError> {
+        let Some(end) = bytes.windows(2).position(|pair| pair == b"\r\n") else {
+            return match bytes.len() > LONGEST_CHUNK_LINE {
+                true => Err(BodyError::Malformed),
+                false => Ok(false),
+            };
+        };
+        let line = bytes.split_to(end + 2);
+        let line = &line[..end];
+        self.state = match self.state {
+            State::ChunkEnd if line.is_empty() => State::ChunkLine,
+            State::ChunkEnd => return Err(BodyError::Malformed),
+            State::ChunkLine => match chunk_length(line)? {
+                0 => State::Trailer,
+                length => State::Chunk(length),
+            },
+            State::Trailer if line.is_empty() => State::Done,
+            other => other,
+        };
+        Ok(true)
+    }
+}
+
+fn chunk_length(line: &[u8]) -> Result<usize, BodyError> {
+    let digits = line.split(|&b| b == b';').next().unwrap_or_default();
+    let text = std::str::from_utf8(digits).map_err(|_| BodyError::Malformed)?;
+    let text = text.trim();
+    if text.is_empty() || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return Err(BodyError::Malformed);
+    }
+    usize::from_str_radix(text, 16).map_err(|_| BodyError::Malformed)
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/src/http/client.rs
@@ -0,0 +1,215 @@
+//! Connections to backend servers and to the platform's store.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::body::BodyReader;
+use super::head::{self, ResponseHead};
+
+/// How long a connection may take to be opened: many round trips of a region, and less than the
+/// second after which a lost opening packet is sent again.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long sent bytes may stay unacknowledged before a connection is given up: a peer without power
+/// does not answer at all.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
+
+/// How long a silent connection is trusted before its peer is asked for a sign of life.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// The most bytes of a response's head.
+const MOST_HEAD_BYTES: usize = 64 * 1024;
+
+/// The bytes read at once; most responses fit.
+const READ_BYTES: usize = 4096;
+
+/// A whole response.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// Its head.
+    pub head: ResponseHead,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// Why a request could not be sent.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// Nothing of it left this process.
+    #[error("nothing was sent: {0}")]
+    Unsent(std::io::Error),
+    /// Some of it may have arrived.
+    #[error("the connection broke while sending: {0}")]
+    Broke(std::io::Error),
+}
+
+/// Why no response came.
+#[derive(Debug, thiserror::Error)]
+pub enum ReceiveError {
+    /// The connection ended before a response began.
+    #[error("the connection ended without a response")]
+    Closed,
+    /// The connection ended within a response.
+    #[error("the connection ended within a response")]
+    Truncated,
+    /// The connection failed.
+    #[error("the connection failed: {0}")]
+    Failed(std::io::Error),
+    /// What came is no response.
+    #[error("what came is no response")]
+    Malformed,
+}
+
+/// An open connection, used for one request at a time.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    buffer: BytesMut,
+    used: Instant,
+    keep_idle: Option<Duration>,
+    reusable: bool,
+    spoiled: bool,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error, or a timeout.
+    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let stream = connecting
+            .await
+            .map_err(|_| std::io::Error::from(ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+        let keepalive = socket2::TcpKeepalive::new()
+            .with_time(KEEPALIVE)
+            .with_interval(KEEPALIVE)
+            .with_retries(2);
+        socket.set_tcp_keepalive(&keepalive)?;
+        Ok(Self {
+            stream,
+            buffer: BytesMut::new(),
+            used: Instant::now(),
+            keep_idle: None,
+            reusable: true,
+            spoiled: false,
+        })
+    }
+
+    /// Returns whether the connection can carry another request: nothing unasked has come, the
+    /// server has not closed it, and it was used lately.
+    pub fn is_reusable(&mut self, now: Instant, longest_idle: Duration) -> bool {
+        let idle = now.saturating_duration_since(self.used);
+        let longest = self.keep_idle.map_or(longest_idle, |k| k.min(longest_idle));
+        if self.spoiled || !self.reusable || idle > longest || !self.buffer.is_empty() {
+            return false;
+        }
+        let mut byte = [0; 1];
+        matches!(self.stream.try_read(&mut byte), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Takes note that the connection can't be trusted with another request.
+    pub fn spoil(&mut self) {
+        self.spoiled = true;
+    }
+
+    /// Sends a request.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether any byte may have left.
+    pub async fn send(&mut self, bytes: &[u8]) -> Result<(), SendError> {
+        let first = self.stream.write(bytes).await.map_err(SendError::Unsent)?;
+        let rest = self.stream.write_all(&bytes[first..]).await;
+        rest.map_err(SendError::Broke)
+    }
+
+    /// Receives the response to a request with this method, skipping interim ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no whole response comes.
+    pub async fn receive(&mut self, method: &str, most: usize) -> Result<Response, ReceiveError> {
+        loop {
+            let head = self.receive_head(method).await?;
+            if head.status >= 200 {
+                return self.receive_body(head, most).await;
+            }
+        }
+    }
+
+    async fn receive_head(&mut self, method: &str) -> Result<ResponseHead, ReceiveError> {
+        loop {
+            let parsed = head::response(&self.buffer, method);
+            match parsed.map_err(|_| ReceiveError::Malformed)? {
+                Some((head, length)) => {
+                    let _ = self.buffer.split_to(length);
+                    return Ok(head);
+                }
+                None if self.buffer.len() > MOST_HEAD_BYTES => return Err(ReceiveError::Malformed),
+                None => {}
+            }
+            let begun = !self.buffer.is_empty();
+            match (self.read().await?, begun) {
+                (0, true) => return Err(ReceiveError::Truncated),
+                (0, false) => return Err(ReceiveError::Closed),
+                _ => {}
+            }
+        }
+    }
+
+    async fn receive_body(
+        &mut self,
+        head: ResponseHead,
+        most: usize,
+    ) -> Result<Response, ReceiveError> {
+        let reader = BodyReader::new(head.framing, most);
+        let mut reader = reader.map_err(|_| ReceiveError::Malformed)?;
+        loop {
+            let whole = reader.read(&mut self.buffer);
+            if whole.map_err(|_| ReceiveError::Malformed)? {
+                break;
+            }
+            if self.read().await? == 0 {
+                match reader.closed() {
+                    true => break,
+                    false => return Err(ReceiveError::Truncated),
+                }
+            }
+        }
+        self.used = Instant::now();
+        self.keep_idle = keep_idle(&head);
+        self.reusable = head.keep_alive && self.buffer.is_empty();
+        if self.buffer.is_empty() {
+            // Hundreds of connections are kept; their buffers are not.
+            self.buffer = BytesMut::new();
+        }
+        let body = reader.into_body();
+        Ok(Response { head, body })
+    }
+
+    async fn read(&mut self) -> Result<usize, ReceiveError> {
+        self.buffer.reserve(READ_BYTES);
+        let read = self.stream.read_buf(&mut self.buffer).await;
+        read.map_err(ReceiveError::Failed)
+    }
+}
+
+/// Returns how long the server keeps the connection, with a margin for the way: four fifths.
+fn keep_idle(head: &ResponseHead) -> Option<Duration> {
+    let value = head.headers.get("keep-alive")?;
+    let timeout = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let seconds: f64 = timeout.trim().parse().ok()?;
+    Some(Duration::from_secs_f64(seconds.clamp(0.0, 3600.0) * 0.8))
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/src/http/headers.rs
@@ -0,0 +1,74 @@
+//! The headers of a message.
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+];
+
+/// Headers in the order they came.
+#[derive(Clone, Debug, Default)]
+pub struct Headers {
+    list: Vec<(String, Vec<u8>)>,
+}
+
+impl Headers {
+    /// Appends a header.
+    pub fn push(&mut self, name: impl Into<String>, value: impl Into<Vec<u8>>) {
+        self.list.push((name.into(), value.into()));
+    }
+
+    /// Returns the first value of a header, if it is text.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let named = |(n, _): &&(String, Vec<u8>)| n.eq_ignore_ascii_case(name);
+        let (_, first) = self.list.iter().find(named)?;
+        std::str::from_utf8(first).ok().map(str::trim)
+    }
+
+    /// Returns all values of a header.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let named = self
+            .list
+            .iter()
+            .filter(move |(n, _)| n.eq_ignore_ascii_case(name));
+        named.map(|(_, value)| value.as_slice())
+    }
+
+    /// Returns whether a header is there.
+    pub fn has(&self, name: &str) -> bool {
+        self.all(name).next().is_some()
+    }
+
+    /// Returns whether a header with a list of words holds a word.
+    pub fn lists(&self, name: &str, word: &str) -> bool {
+        let values = self.all(name).filter_map(|v| std::str::from_utf8(v).ok());
+        let mut words = values.flat_map(|value| value.split(','));
+        words.any(|w| w.trim().eq_ignore_ascii_case(word))
+    }
+
+    /// Returns the headers that are passed on: all but those of one connection.
+    pub fn end_to_end(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        let kept = self.list.iter().filter(|(name, _)| {
+            let hop = HOP_BY_HOP.iter().any(|hop| name.eq_ignore_ascii_case(hop));
+            !hop && !self.lists("connection", name)
+        });
+        kept.map(|(name, value)| (name.as_str(), value.as_slice()))
+    }
+}
+
+/// Appends a header line.
+pub fn write_header(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -0,0 +1,15 @@
+//! The event-driven entry VM: one thread, sockets and timers around the decisions of `kingcuploft`.
+//!
+//! Callers come in at [`edge`], backend servers are dealt with in [`upstream`], and [`keeper`] holds
+//! what the platform's store says. Names of headers, paths and store entries come from outside, by
+//! [`settings::Vocabulary`] and [`store::Store`].
+
+pub mod context;
+pub mod edge;
+pub mod http;
+pub mod keeper;
+pub mod logs;
+pub mod run;
+pub mod settings;
+pub mod store;
+pub mod upstream;
--- /dev/null
+++ b/crates/kingcuploft-entry/src/logs.rs
@@ -0,0 +1,84 @@
+//! Structured logs on standard output: one JSON object a line.
+//!
+//! A reader that does not read must not stop requests: lines go over a bounded ring to a thread of
+//! their own, and lines that find it full are counted and left out.
+
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+
+/// How many lines wait for the writer at most: some seconds of failures of one VM.
+const RING_LINES: usize = 512;
+
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
+/// Starts writing logs from this level on.
+pub fn start(level: tracing::Level) {
+    let (ring, lines) = sync_channel(RING_LINES);
+    let writer = std::thread::Builder::new()
+        .name("logs".into())
+        .stack_size(64 * 1024);
+    if writer.spawn(move || write_lines(&lines)).is_err() {
+        return;
+    }
+    let subscriber = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_current_span(false)
+        .with_span_list(false)
+        .with_max_level(level)
+        .with_writer(move || Line {
+            ring: ring.clone(),
+            bytes: Vec::new(),
+        });
+    let _ = subscriber.try_init();
+}
+
+/// Returns how many lines were left out.
+pub fn left_out() -> u64 {
+    LEFT_OUT.load(Ordering::Relaxed)
+}
+
+struct Line {
+    ring: SyncSender<Vec<u8>>,
+    bytes: Vec<u8>,
+}
+
+impl Write for Line {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.bytes.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        let line = std::mem::take(&mut self.bytes);
+        if !line.is_empty() && self.ring.try_send(line).is_err() {
+            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn write_lines(lines: &Receiver<Vec<u8>>) {
+    let mut told = 0;
+    let mut output = std::io::stdout();
+    while let Ok(line) = lines.recv() {
+        if output.write_all(&line).is_err() {
+            return;
+        }
+        let left_out = left_out();
+        if left_out > told {
+            let line = format!("{{\"event\":\"lines_left_out\",\"count\":{left_out}}}\n");
+            told = left_out;
+            if output.write_all(line.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -0,0 +1,112 @@
+//! Starts one entry VM and stops it as planned.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::context::Context;
+use crate::edge::{connection, readiness};
+use crate::keeper;
+use crate::settings::{EntrySettings, Vocabulary};
+use crate::store::{Collection, Store};
+
+/// New connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// How long new connections are taken after the stop began: the platform asks every second, and
+/// takes the VM out after two misses.
+const TAKE_CONNECTIONS: Duration = Duration::from_millis(2600);
+
+/// How long before the end of the allowed time the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(300);
+
+/// How often a stopping VM looks whether all connections are closed.
+const STOP_STEP: Duration = Duration::from_millis(20);
+
+/// Why a VM could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address can't be listened on.
+    #[error("can't listen on {0}: {1}")]
+    Listen(SocketAddr, std::io::Error),
+    /// Signals can't be received.
+    #[error("can't receive signals: {0}")]
+    Signals(std::io::Error),
+}
+
+/// Runs a VM until its planned stop is done.
+///
+/// # Errors
+///
+/// Returns an error if it can't start.
+pub async fn run<S: Store + 'static>(
+    settings: EntrySettings,
+    vocabulary: Vocabulary,
+    store: S,
+) -> Result<(), StartError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
+    let callers = listen(settings.callers)?;
+    let ready = listen(settings.readiness)?;
+    tracing::info!(event = "started", vm = %settings.vm, zone = %settings.zone);
+    let context = Rc::new(Context::new(settings, vocabulary));
+    let store = Rc::new(store);
+    tokio::task::spawn_local(readiness::serve(context.clone(), ready));
+    for collection in [Collection::Configuration, Collection::BackendServers] {
+        let following = keeper::follow(context.clone(), store.clone(), collection);
+        tokio::task::spawn_local(following);
+    }
+    tokio::task::spawn_local(keeper::expire(context.clone()));
+    let accepting = tokio::task::spawn_local(accept(context.clone(), callers));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => tracing::info!(event = "reload", outcome = "nothing changed"),
+        }
+    }
+    stop(&context, accepting).await;
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let open = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|error| StartError::Listen(address, error))
+}
+
+async fn accept(context: Rc<Context>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection::serve(context.clone(), stream));
+            }
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Stops as planned: not ready at once; new connections are taken while the platform may still send
+/// them; then idle connections close, and what was read is answered.
+async fn stop(context: &Rc<Context>, accepting: tokio::task::JoinHandle<()>) {
+    let begun = Instant::now();
+    let last = begun + context.settings.stop_within.saturating_sub(END_MARGIN);
+    context.begin_stop(begun);
+    tracing::info!(event = "stopping", callers = context.callers.get());
+    tokio::time::sleep(TAKE_CONNECTIONS).await;
+    accepting.abort();
+    context.close_idle();
+    while context.callers.get() > 0 && Instant::now() < last {
+        tokio::time::sleep(STOP_STEP).await;
+    }
+    tracing::info!(event = "stopped", callers_left = context.callers.get());
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/src/settings.rs
@@ -0,0 +1,51 @@
+//! What one entry VM is told at its start.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kingcuploft::entry::repeats::RepeatBounds;
+use kingcuploft::world::ids::{AvailabilityZone, VmName};
+
+/// The settings of one entry VM.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Its name.
+    pub vm: VmName,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether it is ready.
+    pub readiness: SocketAddr,
+    /// Where the VMs talk to each other; `None` for a VM that stays alone.
+    pub peers: Option<SocketAddr>,
+    /// Where the platform's store answers.
+    pub store: SocketAddr,
+    /// How long a stop may take.
+    pub stop_within: Duration,
+    /// The bounds on repeats.
+    pub repeats: RepeatBounds,
+    /// The most VMs that share the allowance of repeats, until they are counted.
+    pub most_vms: usize,
+}
+
+/// The names of headers and paths that callers, servers and the platform use.
+#[derive(Clone, Copy, Debug)]
+pub struct Vocabulary {
+    /// Identifies a caller's attempt; servers echo it.
+    pub request_id: &'static str,
+    /// How long the caller waits, in milliseconds.
+    pub deadline_ms: &'static str,
+    /// Marks an answer as the server's own.
+    pub signature: &'static str,
+    /// Names the server that a request is meant for.
+    pub meant_for: &'static str,
+    /// What a server says of its load.
+    pub load: &'static str,
+    /// Marks an answer to a request that did not run.
+    pub not_run: &'static str,
+    /// The path at which the platform asks for readiness.
+    pub ready_path: &'static str,
+    /// Reads a load header's value.
+    pub read_load: fn(&str) -> Option<kingcuploft::entry::placement::Reading>,
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -0,0 +1,114 @@
+//! What the platform's store says, in the product's words. The adapter of a platform implements
+//! [`Store`].
+
+use std::future::Future;
+use std::time::Duration;
+
+use kingcuploft::entry::backend_servers::BackendServer;
+use kingcuploft::entry::configuration::Configuration;
+use kingcuploft::world::ids::VmName;
+
+/// A moment in the store's history; greater is later.
+pub type Revision = u64;
+
+/// What is kept in the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Collection {
+    /// The configuration.
+    Configuration,
+    /// The backend servers.
+    BackendServers,
+    /// The entry VMs.
+    Vms,
+}
+
+impl Collection {
+    /// Returns the name used in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::BackendServers => "backend_servers",
+            Self::Vms => "vms",
+        }
+    }
+}
+
+/// One entry of the store.
+#[derive(Clone, Debug)]
+pub enum Record {
+    /// A configuration.
+    Configuration(Box<Configuration>),
+    /// A backend server.
+    BackendServer(BackendServer),
+    /// An entry VM.
+    Vm(VmName),
+    /// An entry that can't be read, with its name and why.
+    Unreadable(String, String),
+    /// An entry that is not for this collection's readers.
+    Other,
+}
+
+/// A change in the store.
+#[derive(Clone, Debug)]
+pub enum StoreChange {
+    /// An entry was written.
+    Written(Record),
+    /// The entry of this name is gone.
+    Gone(String),
+}
+
+/// Entries of a collection.
+#[derive(Clone, Debug)]
+pub struct Page {
+    /// The entries, with their names.
+    pub records: Vec<(String, Record)>,
+    /// The name to go on after, if there are more.
+    pub next: Option<String>,
+    /// The moment at which this was true.
+    pub revision: Revision,
+}
+
+/// Changes of a collection.
+#[derive(Clone, Debug)]
+pub struct Changes {
+    /// The changes, in their order.
+    pub changes: Vec<StoreChange>,
+    /// The moment up to which these are all.
+    pub revision: Revision,
+}
+
+/// Why a call to the store failed.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The history from the asked moment on is gone: list again.
+    #[error("the store forgot its history")]
+    HistoryGone,
+    /// The store said no, for now.
+    #[error("the store refused with status {0}")]
+    Refused(u16),
+    /// No answer came; a write may have been done or be done later.
+    #[error("the store did not answer: {0}")]
+    NoAnswer(String),
+    /// The answer can't be read.
+    #[error("the store's answer can't be read: {0}")]
+    Unreadable(String),
+}
+
+/// The platform's store.
+pub trait Store {
+    /// Lists a collection from behind a name on.
+    fn list(
+        &self,
+        collection: Collection,
+        after: Option<&str>,
+        stale: bool,
+    ) -> impl Future<Output = Result<Page, StoreError>>;
+
+    /// Waits for changes behind a moment.
+    fn watch(
+        &self,
+        collection: Collection,
+        from: Revision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Changes, StoreError>>;
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -0,0 +1,170 @@
+//! The backend servers as this VM deals with them: connections, readings, own requests in flight.
+
+pub mod exchange;
+pub mod probe;
+
+use std::cell::{Cell, RefCell};
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::backend_servers::BackendServer;
+use kingcuploft::entry::failures::Failures;
+use kingcuploft::entry::placement::{Candidate, Reading};
+
+use crate::http::client::Connection;
+
+/// The most idle connections kept to one server: VMs share a server's connections, and one VM
+/// rarely has more than two requests at one server.
+const MOST_IDLE: usize = 3;
+
+/// How long a connection may be idle and still be used, where the server says nothing: servers
+/// close after 10 s at both sites.
+const LONGEST_IDLE: Duration = Duration::from_secs(7);
+
+/// How old a reading may be to choose by it. Speeds are redrawn every 150 ms; a reading of 25 ms is
+/// wrong for one in six draws, and saves most probes of a burst.
+pub const READING_LIFE: Duration = Duration::from_millis(25);
+
+/// How long after its answer a probe's failure keeps a server from being asked again, first.
+const FIRST_MUTE: Duration = Duration::from_millis(60);
+
+/// The longest such pause: a server that returns is seen within it.
+const LONGEST_MUTE: Duration = Duration::from_millis(800);
+
+/// One backend server as this VM deals with it.
+#[derive(Debug)]
+pub struct Upstream {
+    /// What the platform's store says of it.
+    pub server: BackendServer,
+    /// Whether it is in this VM's zone.
+    pub near: bool,
+    cold_until: Instant,
+    idle: RefCell<Vec<Connection>>,
+    reading: Cell<Option<(Instant, Reading)>>,
+    asking: Cell<bool>,
+    mute: Cell<Option<(Instant, Duration)>>,
+    in_flight: RefCell<Vec<Instant>>,
+    failures: RefCell<Failures>,
+}
+
+impl Upstream {
+    /// Begins to deal with a server.
+    pub fn new(server: BackendServer, near: bool, now: Instant) -> Self {
+        Self {
+            cold_until: now + server.cold_for,
+            server,
+            near,
+            idle: RefCell::default(),
+            reading: Cell::new(None),
+            asking: Cell::new(false),
+            mute: Cell::new(None),
+            in_flight: RefCell::default(),
+            failures: RefCell::default(),
+        }
+    }
+
+    /// Takes an idle connection that can be used.
+    pub fn take_idle(&self) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        while let Some(mut connection) = idle.pop() {
+            if connection.is_reusable(now, LONGEST_IDLE) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for later.
+    pub fn keep(&self, mut connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MOST_IDLE && connection.is_reusable(Instant::now(), LONGEST_IDLE) {
+            idle.push(connection);
+        }
+    }
+
+    /// Takes in what the server said of its load.
+    pub fn told(&self, now: Instant, reading: Reading) {
+        self.reading.set(Some((now, reading)));
+        self.mute.set(None);
+    }
+
+    /// Returns the last reading and its age.
+    pub fn reading(&self, now: Instant) -> Option<(Duration, Reading)> {
+        let (at, reading) = self.reading.get()?;
+        Some((now.saturating_duration_since(at), reading))
+    }
+
+    /// Returns whether the last reading is young enough to choose by.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        self.reading(now).is_some_and(|(age, _)| age < READING_LIFE)
+    }
+
+    /// Returns whether a probe is on its way.
+    pub fn is_asked(&self) -> bool {
+        self.asking.get()
+    }
+
+    /// Returns whether the server did not answer the last probe and is not to be asked yet.
+    pub fn is_mute(&self, now: Instant) -> bool {
+        self.mute.get().is_some_and(|(until, _)| now < until)
+    }
+
+    fn probe_failed(&self, now: Instant) {
+        let pause = self.mute.get().map_or(FIRST_MUTE, |(_, pause)| pause * 2);
+        let pause = pause.min(LONGEST_MUTE);
+        self.mute.set(Some((now + pause, pause)));
+        self.reading.set(None);
+    }
+
+    /// Takes in how a call ended.
+    pub fn ended(&self, now: Instant, failed: bool) {
+        self.failures.borrow_mut().ended(now, failed);
+    }
+
+    /// Counts an own request as in flight until the guard is dropped.
+    pub fn sent(self: &std::rc::Rc<Self>, now: Instant) -> InFlight {
+        self.in_flight.borrow_mut().push(now);
+        InFlight {
+            upstream: self.clone(),
+            sent: now,
+        }
+    }
+
+    /// Returns the server as a request sees it.
+    pub fn candidate(&self, now: Instant, tried: bool) -> Candidate {
+        let reading = self.reading.get();
+        let reading = reading.filter(|(at, _)| now.saturating_duration_since(*at) < READING_LIFE);
+        let own = self.in_flight.borrow();
+        let unseen = match reading {
+            Some((at, _)) => own.iter().filter(|sent| **sent >= at).count(),
+            None => own.len(),
+        };
+        Candidate {
+            near: self.near,
+            reading: reading.map(|(_, reading)| reading),
+            asked: self.asking.get(),
+            unseen: unseen as u32,
+            own: own.len() as u32,
+            slots: self.server.slots,
+            cold: now < self.cold_until,
+            failures: self.failures.borrow().share(now),
+            tried,
+        }
+    }
+}
+
+/// An own request in flight at a server.
+#[derive(Debug)]
+pub struct InFlight {
+    upstream: std::rc::Rc<Upstream>,
+    sent: Instant,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut in_flight = self.upstream.in_flight.borrow_mut();
+        if let Some(at) = in_flight.iter().position(|sent| *sent == self.sent) {
+            in_flight.swap_remove(at);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -0,0 +1,187 @@
+//! Which backend servers may be sent work, by what the platform's store says of them.
+//!
+//! Failures: a server leaves and must get no new work; an old report of a leaving server arrives
+//! after its notice and would bring it back; entries lapse while the store is away though their
+//! servers are well. The guards: a leaving server stays out for good, until the platform tells of a
+//! later start under its name; entries that lapse around an outage of the store are kept in use for
+//! a short grace after its return, and only then count as gone.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::utils::HashMap;
+use crate::world::ids::{AvailabilityZone, BackendServerName, ServiceName};
+
+/// When a server's process started, as far as the platform tells; greater is later.
+pub type StartedAt = u64;
+
+/// One backend server, as the platform's store tells of it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BackendServer {
+    /// Its name, new with each start.
+    pub name: BackendServerName,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// How much longer it is slow after its start.
+    pub cold_for: Duration,
+    /// When it started, if that is told.
+    pub started_at: Option<StartedAt>,
+}
+
+/// How long entries that lapsed around an outage are still used after the store's return: the
+/// platform brings the entries of live servers back within about 2 s.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(1900);
+
+/// How long after its return the store still counts as just returned.
+const JUST_RETURNED: Duration = Duration::from_millis(2000);
+
+/// What a piece of news changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The server is new, or another life under a known name.
+    Joined(BackendServerName),
+    /// Something of a usable server changed.
+    Updated(BackendServerName),
+    /// The server gets no new work from now on.
+    Left(BackendServerName),
+    /// The server's entry lapsed; it is used until the grace ends.
+    Lapsed(BackendServerName),
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    server: BackendServer,
+    standing: Standing,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Standing {
+    InUse,
+    LapsesAt(Instant),
+    Draining,
+    Gone,
+}
+
+/// All backend servers heard of.
+#[derive(Debug, Default)]
+pub struct BackendServers {
+    known: HashMap<BackendServerName, Known>,
+    returned: Option<Instant>,
+}
+
+impl BackendServers {
+    /// Takes note that the store answers again after it did not.
+    pub fn store_returned(&mut self, now: Instant) {
+        self.returned = Some(now);
+    }
+
+    /// Takes an entry in.
+    pub fn told(&mut self, server: BackendServer) -> Option<Change> {
+        let name = server.name.clone();
+        let Some(known) = self.known.get_mut(&name) else {
+            let standing = standing_of(&server);
+            self.known.insert(name.clone(), Known { server, standing });
+            return (standing == Standing::InUse).then_some(Change::Joined(name));
+        };
+        let is_later_start = server.started_at > known.server.started_at;
+        if known.standing == Standing::Draining && !is_later_start {
+            return None;
+        }
+        let before = known.standing;
+        let moved = known.server.address != server.address || is_later_start;
+        let same = known.server == server;
+        known.standing = standing_of(&server);
+        known.server = server;
+        match (before, known.standing) {
+            (Standing::Gone, Standing::InUse) => Some(Change::Joined(name)),
+            (_, Standing::InUse) if moved => Some(Change::Joined(name)),
+            (Standing::InUse, Standing::InUse) if same => None,
+            (_, Standing::InUse) => Some(Change::Updated(name)),
+            (Standing::Gone, _) => None,
+            _ => Some(Change::Left(name)),
+        }
+    }
+
+    /// Takes in that an entry is gone.
+    pub fn gone(&mut self, now: Instant, name: &str) -> Option<Change> {
+        let just_returned = self
+            .returned
+            .is_some_and(|at| now.saturating_duration_since(at) < JUST_RETURNED);
+        let known = self.known.get_mut(name)?;
+        match known.standing {
+            Standing::InUse if just_returned => {
+                let until = self.returned.unwrap_or(now) + LAPSE_GRACE;
+                known.standing = Standing::LapsesAt(until);
+                Some(Change::Lapsed(known.server.name.clone()))
+            }
+            Standing::InUse => {
+                known.standing = Standing::Gone;
+                Some(Change::Left(known.server.name.clone()))
+            }
+            Standing::LapsesAt(_) | Standing::Draining | Standing::Gone => None,
+        }
+    }
+
+    /// Takes in which entries there are at all; the others are gone.
+    pub fn all_told<'a>(
+        &mut self,
+        now: Instant,
+        names: impl Iterator<Item = &'a str>,
+    ) -> Vec<Change> {
+        let present: crate::utils::HashSet<&str> = names.collect();
+        let known = self.known.keys().cloned();
+        let missing: Vec<_> = known
+            .filter(|name| !present.contains(name.as_ref()))
+            .collect();
+        missing
+            .iter()
+            .filter_map(|name| self.gone(now, name))
+            .collect()
+    }
+
+    /// Ends the graces that are over.
+    pub fn expire(&mut self, now: Instant) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for known in self.known.values_mut() {
+            if matches!(known.standing, Standing::LapsesAt(at) if at <= now) {
+                known.standing = Standing::Gone;
+                changes.push(Change::Left(known.server.name.clone()));
+            }
+        }
+        changes
+    }
+
+    /// Returns whether a server may be sent work now.
+    pub fn takes_work(&self, name: &str) -> bool {
+        let known = self.known.get(name);
+        known.is_some_and(|k| matches!(k.standing, Standing::InUse | Standing::LapsesAt(_)))
+    }
+
+    /// Returns a server that is known.
+    pub fn get(&self, name: &str) -> Option<&BackendServer> {
+        self.known.get(name).map(|known| &known.server)
+    }
+
+    /// Returns how many servers may be sent work.
+    pub fn in_use(&self) -> usize {
+        let standings = self.known.values().map(|known| known.standing);
+        standings
+            .filter(|s| matches!(s, Standing::InUse | Standing::LapsesAt(_)))
+            .count()
+    }
+}
+
+fn standing_of(server: &BackendServer) -> Standing {
+    match server.draining {
+        true => Standing::Draining,
+        false => Standing::InUse,
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft/src/entry/configuration.rs
@@ -0,0 +1,164 @@
+//! The configuration in force: which request goes to which service, and within which bounds.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::utils::HashMap;
+use crate::world::contract::Contract;
+use crate::world::ids::{RuleName, ServiceName};
+
+/// Numbers the configurations; a greater one is newer.
+pub type ConfigurationVersion = u64;
+
+/// One configuration, whole.
+#[derive(Clone, Debug, Default)]
+pub struct Configuration {
+    /// Its version.
+    pub version: ConfigurationVersion,
+    /// The routes of each host, longest path prefix first.
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+    /// The services, by name.
+    pub services: HashMap<ServiceName, Service>,
+    /// What callers may send, and how long they may take.
+    pub limits: Limits,
+}
+
+/// What is known of a service beside its backend servers.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// The path that tells health and load.
+    pub health_path: String,
+    /// How many connections one backend server accepts from all callers together.
+    pub most_connections: u32,
+}
+
+/// Bounds on what callers send.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// The most bytes of a request's head.
+    pub header_bytes: usize,
+    /// The most bytes of a request's body.
+    pub body_bytes: usize,
+    /// How long a request's head may take.
+    pub header_timeout: Duration,
+    /// How long a connection may stay idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 1024 * 1024,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One route.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Its name.
+    pub name: RuleName,
+    /// The host it belongs to, in lower case.
+    pub host: String,
+    /// The prefix of the paths it takes.
+    pub path_prefix: String,
+    /// Whether its requests may run more than once.
+    pub contract: Contract,
+    /// The time within which an answer is worth its full value.
+    pub target: Duration,
+    /// The longest time a caller is kept waiting.
+    pub timeout: Duration,
+    /// The most backend servers that one request may be sent to.
+    pub most_attempts: u32,
+    /// Its rank, 0 is the highest.
+    pub priority: u32,
+    /// Where its requests go, with weights.
+    pub destinations: Vec<Destination>,
+}
+
+/// A service that takes a share of a route's requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Destination {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share, relative to the other destinations'.
+    pub weight: u32,
+}
+
+impl Configuration {
+    /// Builds a configuration of its parts.
+    pub fn new(
+        version: ConfigurationVersion,
+        routes: Vec<Route>,
+        services: HashMap<ServiceName, Service>,
+        limits: Limits,
+    ) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::default();
+        for route in routes {
+            let of_host = hosts.entry(route.host.clone()).or_default();
+            of_host.push(Arc::new(route));
+        }
+        for of_host in hosts.values_mut() {
+            of_host.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        Self {
+            version,
+            hosts,
+            services,
+            limits,
+        }
+    }
+
+    /// Finds the route of a request: of its host, the one with the longest prefix of its path.
+    pub fn route(&self, host: &str, target: &str) -> Option<&Arc<Route>> {
+        let host = host.trim().to_ascii_lowercase();
+        let name = host
+            .rsplit_once(':')
+            .map_or(host.as_str(), |(name, _)| name);
+        let of_host = self.hosts.get(&host).or_else(|| self.hosts.get(name))?;
+        let path = target.split(['?', '#']).next().unwrap_or(target);
+        of_host
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// Returns how many routes there are.
+    pub fn route_count(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+}
+
+/// The fraction of the golden ratio: its multiples, modulo 1, fill the unit interval evenly from
+/// the first few on.
+const GOLDEN: f64 = 0.618_033_988_749_894_9;
+
+/// Deals the requests of a route to its destinations by weight.
+///
+/// Load pattern: a VM sees a few requests a second of a route. Drawn at random, the shares of 300
+/// requests are off by 0.03 and more; a sequence that fills the interval evenly is off by 0.01.
+#[derive(Clone, Copy, Debug)]
+pub struct Dealer {
+    at: f64,
+}
+
+impl Dealer {
+    /// Begins at a point of the unit interval that differs between VMs.
+    pub fn new(from: f64) -> Self {
+        Self { at: from.fract() }
+    }
+
+    /// Returns the destination of the next request.
+    pub fn deal<'a>(&mut self, destinations: &'a [Destination]) -> Option<&'a Destination> {
+        let total: u64 = destinations.iter().map(|d| u64::from(d.weight)).sum();
+        self.at = (self.at + GOLDEN).fract();
+        let mut left = self.at * total as f64;
+        let dealt = destinations.iter().find(|destination| {
+            left -= f64::from(destination.weight);
+            left < 0.0
+        });
+        dealt.or(destinations.iter().rfind(|d| d.weight > 0))
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -0,0 +1,12 @@
+//! What one entry VM decides for each request, without socket, thread or clock of its own.
+//!
+//! The event-driven entry (`kingcuploft-entry`) asks these modules what to do next and does it; the
+//! tests ask the same modules.
+
+pub mod backend_servers;
+pub mod configuration;
+pub mod failures;
+pub mod placement;
+pub mod repeats;
+pub mod service_time;
+pub mod verdict;
--- a/crates/kingcuploft/src/lib.rs
+++ b/crates/kingcuploft/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod decisions;
 pub mod dispatcher;
+pub mod entry;
 pub mod manifest;
 pub mod settings;
 pub mod utils;
