fix(entry): a sign of life from the store, so that a silent store costs no configuration

Ruled out: shorter waits (a call of full price a VM and second). Now: a stale read of nothing every second, a tenth of the price, ends and resumes the watches; changes are gathered for 600 ms.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -128,6 +128,12 @@
         news(&mut self.servers.borrow_mut())
     }
 
+    /// Takes note that the store answers again.
+    pub fn store_returned(&self) {
+        tracing::info!(event = "store_back");
+        self.servers(|servers| servers.store_returned(Instant::now()));
+    }
+
     /// Takes note that all servers there are have been listed once.
     pub fn servers_listed(&self) {
         self.servers_listed.set(true);
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -10,6 +10,7 @@
 use kingcuploft::entry::backend_servers::Change;
 
 use crate::context::Context;
+use crate::pulse::Pulse;
 use crate::store::{Changes, Collection, Page, Record, Revision, Store, StoreChange, StoreError};
 
 /// How long a watch waits for a change.
@@ -23,23 +24,31 @@
 
 /// The pause between two watches that brought something: changes come in bursts, and a server that
 /// leaves must be known within 2 s.
-const GATHER: Duration = Duration::from_millis(200);
+const GATHER: Duration = Duration::from_millis(600);
 
 /// How often graces of lapsed entries are looked at.
 const EXPIRE_EVERY: Duration = Duration::from_millis(100);
 
 /// Follows one collection until the process ends.
-pub async fn follow<S: Store>(context: Rc<Context>, store: Rc<S>, collection: Collection) {
+pub async fn follow<S: Store>(
+    context: Rc<Context>,
+    store: Rc<S>,
+    pulse: Rc<Pulse>,
+    collection: Collection,
+) {
     let mut pauses = Pauses::default();
     let mut from = None;
     loop {
-        let told = match from {
-            None => list_all(&context, &*store, collection).await,
-            Some(revision) => watch(&context, &*store, collection, revision).await,
+        let told = tokio::select! {
+            told = next(&context, &*store, collection, from) => told,
+            () = pulse.away() => {
+                pulse.there().await;
+                continue;
+            }
         };
         match told {
             Ok(revision) => {
-                pauses.answered(&context, collection);
+                pauses.answered(&context);
                 from = Some(revision);
             }
             Err(StoreError::HistoryGone) => {
@@ -51,6 +60,18 @@
     }
 }
 
+async fn next<S: Store>(
+    context: &Context,
+    store: &S,
+    collection: Collection,
+    from: Option<Revision>,
+) -> Result<Revision, StoreError> {
+    match from {
+        None => list_all(context, store, collection).await,
+        Some(revision) => watch(context, store, collection, revision).await,
+    }
+}
+
 /// Ends the graces of lapsed entries as they run out.
 pub async fn expire(context: Rc<Context>) {
     loop {
@@ -69,17 +90,16 @@
 }
 
 impl Pauses {
-    fn answered(&mut self, context: &Context, collection: Collection) {
+    fn answered(&mut self, context: &Context) {
         if self.failures > 0 {
-            tracing::info!(event = "store_back", collection = collection.label());
-            context.servers(|servers| servers.store_returned(Instant::now()));
+            context.store_returned();
         }
         self.failures = 0;
     }
 
     fn failed(&mut self, collection: Collection, error: &StoreError) -> Duration {
         if self.failures == 0 {
-            tracing::warn!(event = "store_away", collection = collection.label(), %error);
+            tracing::warn!(event = "store_call_failed", collection = collection.label(), %error);
         }
         self.failures += 1;
         let pause = FIRST_PAUSE * self.failures.min(8);
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod keeper;
 pub mod logs;
+pub mod pulse;
 pub mod run;
 pub mod settings;
 pub mod store;
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -10,6 +10,7 @@
 use crate::context::Context;
 use crate::edge::{connection, readiness};
 use crate::keeper;
+use crate::pulse::{self, Pulse};
 use crate::settings::{EntrySettings, Vocabulary};
 use crate::store::{Collection, Store};
 
@@ -54,9 +55,13 @@
     tracing::info!(event = "started", vm = %settings.vm, zone = %settings.zone);
     let context = Rc::new(Context::new(settings, vocabulary));
     let store = Rc::new(store);
+    let pulse = Rc::new(Pulse::default());
+    let feeling = pulse::feel(context.clone(), store.clone(), pulse.clone());
+    tokio::task::spawn_local(feeling);
     tokio::task::spawn_local(readiness::serve(context.clone(), ready));
     for collection in [Collection::Configuration, Collection::BackendServers] {
-        let following = keeper::follow(context.clone(), store.clone(), collection);
+        let (context, store) = (context.clone(), store.clone());
+        let following = keeper::follow(context, store, pulse.clone(), collection);
         tokio::task::spawn_local(following);
     }
     tokio::task::spawn_local(keeper::expire(context.clone()));
--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -104,6 +104,9 @@
         stale: bool,
     ) -> impl Future<Output = Result<Page, StoreError>>;
 
+    /// Asks for a sign of life, as cheaply as the store allows.
+    fn sign_of_life(&self) -> impl Future<Output = Result<(), StoreError>>;
+
     /// Waits for changes behind a moment.
     fn watch(
         &self,
