feat(entry): one VM of a zone reads the store, the others follow; a bounded number of servers asked

Now: links within a zone (JSON lines), a VM that loses its reader reads at once; six servers asked first in an own order, 16 at most; a probe budget shared by the VMs counted in the store. Ruled out: hints with stale reads (a tenth of the price, but bytes between zones for every VM).

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -7,15 +7,23 @@
 
 use kingcuploft::entry::backend_servers::{BackendServers, Change};
 use kingcuploft::entry::configuration::{Configuration, Dealer, Destination, Route};
+use kingcuploft::entry::probe_budget::ProbeBudget;
+use kingcuploft::entry::readers::Readers;
 use kingcuploft::entry::repeats::Repeats;
 use kingcuploft::entry::service_time::ServiceTime;
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::ids::{BackendServerName, RuleName, ServiceName};
 use tokio::sync::Notify;
 
+use crate::peers::reader::Followers;
 use crate::settings::{EntrySettings, Vocabulary};
+use crate::store::{Collection, Revision};
 use crate::upstream::Upstream;
 
+/// How many VMs are assumed to share what all may use together, until they are counted: more than
+/// there are, so that a VM that cannot count them uses next to nothing of it.
+const VMS_UNCOUNTED: usize = 1000;
+
 /// What happened so far, counted.
 #[derive(Debug, Default)]
 pub struct Counters {
@@ -42,8 +50,13 @@
     pub counters: Counters,
     /// How many VMs share the allowance of repeats.
     pub vms: Cell<usize>,
+    /// The other VMs.
+    pub readers: RefCell<Readers>,
+    /// The VMs that follow this one.
+    pub followers: Followers,
     /// Open connections of callers.
     pub callers: Cell<usize>,
+    positions: RefCell<HashMap<Collection, Revision>>,
     stopping: Cell<Option<Instant>>,
     closes_idle: Cell<bool>,
     configuration: RefCell<Option<Arc<Configuration>>>,
@@ -53,18 +66,22 @@
     dealers: RefCell<HashMap<RuleName, Dealer>>,
     service_times: RefCell<HashMap<(RuleName, ServiceName), ServiceTime>>,
     repeats: RefCell<HashMap<ServiceName, Repeats>>,
+    probing: RefCell<ProbeBudget>,
 }
 
 impl Context {
     /// Builds the context of a VM that knows nothing yet.
     pub fn new(settings: EntrySettings, vocabulary: Vocabulary) -> Self {
         Self {
-            vms: Cell::new(settings.most_vms),
+            vms: Cell::new(VMS_UNCOUNTED),
             settings,
             vocabulary,
             readings: Notify::new(),
             stop: Notify::new(),
             counters: Counters::default(),
+            readers: RefCell::default(),
+            followers: Followers::default(),
+            positions: RefCell::default(),
             callers: Cell::new(0),
             stopping: Cell::new(None),
             closes_idle: Cell::new(false),
@@ -75,6 +92,7 @@
             dealers: RefCell::default(),
             service_times: RefCell::default(),
             repeats: RefCell::default(),
+            probing: RefCell::default(),
         }
     }
 
@@ -128,10 +146,18 @@
         news(&mut self.servers.borrow_mut())
     }
 
-    /// Takes note that the store answers again.
-    pub fn store_returned(&self) {
-        tracing::info!(event = "store_back");
-        self.servers(|servers| servers.store_returned(Instant::now()));
+    /// Returns up to which moment a collection is known.
+    pub fn position(&self, collection: Collection) -> Option<Revision> {
+        self.positions.borrow().get(&collection).copied()
+    }
+
+    /// Takes note up to which moment a collection is known; `None` where it has to be listed anew.
+    pub fn set_position(&self, collection: Collection, revision: Option<Revision>) {
+        let mut positions = self.positions.borrow_mut();
+        match revision {
+            Some(revision) => positions.insert(collection, revision),
+            None => positions.remove(&collection),
+        };
     }
 
     /// Takes note that all servers there are have been listed once.
@@ -157,10 +183,11 @@
             return;
         };
         let near = server.zone == self.settings.zone;
-        let upstream = Rc::new(Upstream::new(server.clone(), near, now));
+        let upstream = Rc::new(Upstream::new(server.clone(), &self.settings.vm, near, now));
         let mut upstreams = self.upstreams.borrow_mut();
         let of_service = upstreams.entry(server.service.clone()).or_default();
         of_service.push(upstream);
+        of_service.sort_by_key(|upstream| (!upstream.near, upstream.rank));
     }
 
     fn remove_upstream(&self, name: &BackendServerName) {
@@ -169,7 +196,10 @@
         }
     }
 
-    /// Returns the servers of a service that may be sent work.
+    /// Returns the servers of a service that may be sent work, those of the own zone first.
+    ///
+    /// Each VM has its own order within a zone. It asks the first few, so that its connections stay in
+    /// use, and the VMs together ask all.
     pub fn upstreams(&self, service: &ServiceName) -> Vec<Rc<Upstream>> {
         let upstreams = self.upstreams.borrow();
         upstreams.get(service).cloned().unwrap_or_default()
@@ -204,6 +234,15 @@
         repeats.entry(service.clone()).or_default().arrived(now);
     }
 
+    /// Takes one probe from the budget, if it has room.
+    pub fn take_probe(&self, now: Instant) -> bool {
+        let servers = self.servers.borrow().in_use();
+        let bound = self.settings.probes_per_server_s;
+        self.probing
+            .borrow_mut()
+            .take(now, bound, servers, self.vms.get())
+    }
+
     /// Takes one repeat from the budget, if it has room.
     pub fn take_repeat(&self, now: Instant, service: &ServiceName) -> bool {
         let mut repeats = self.repeats.borrow_mut();
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -22,6 +22,14 @@
 /// How long readings are waited for before looking again whether they suffice.
 const AWAIT_STEP: Duration = Duration::from_millis(2);
 
+/// How many servers are asked at first: one in four is slow at any moment, and among six there is
+/// nearly always one that is fast and free.
+const MOST_ASKED_FIRST: usize = 6;
+
+/// How many servers are asked in all where none of the first is good: all of a service of today, and
+/// a bounded number of one with hundreds.
+const MOST_ASKED: usize = 16;
+
 /// When a refused caller is told to come back, where nothing better is known: several draws of the
 /// servers' speeds later.
 const COME_BACK: Duration = Duration::from_millis(250);
@@ -180,8 +188,8 @@
                 return Chosen::CallerLeft;
             }
             let now = Instant::now();
-            let upstreams = self.usable(now);
-            self.ask(&upstreams, far_asked);
+            let upstreams = self.usable(now, far_asked);
+            self.ask(&upstreams);
             let candidates: Vec<Candidate> = upstreams
                 .iter()
                 .map(|u| u.candidate(now, self.was_tried(u)))
@@ -207,23 +215,30 @@
         self.tried.iter().any(|tried| Rc::ptr_eq(tried, upstream))
     }
 
-    /// Returns the servers to choose among: those that answer probes, or all if none does.
-    fn usable(&self, now: Instant) -> Vec<Rc<Upstream>> {
-        let all = self.context.upstreams(&self.service);
+    /// Returns the servers to choose among: the first of those that answer probes, or of all if none
+    /// does.
+    fn usable(&self, now: Instant, far: bool) -> Vec<Rc<Upstream>> {
+        let mut all = self.context.upstreams(&self.service);
         let untried = all.iter().filter(|u| !self.was_tried(u));
         let audible: Vec<_> = untried.filter(|u| !u.is_mute(now)).cloned().collect();
-        match audible.is_empty() {
-            true => all,
-            false => audible,
+        if !audible.is_empty() {
+            all = audible;
         }
+        let near = all.iter().filter(|u| u.near).count();
+        all.truncate(match far {
+            true => MOST_ASKED,
+            false => near.clamp(1, MOST_ASKED_FIRST),
+        });
+        all
     }
 
-    fn ask(&self, upstreams: &[Rc<Upstream>], far: bool) {
+    fn ask(&self, upstreams: &[Rc<Upstream>]) {
         let Some(service) = self.configuration.services.get(&self.service) else {
             return;
         };
-        let asked = upstreams.iter().filter(|u| far || u.near);
-        asked.for_each(|upstream| probe::ask(self.context, upstream, &service.health_path));
+        let health_path = &service.health_path;
+        let asked = upstreams.iter();
+        asked.for_each(|upstream| probe::ask(self.context, upstream, health_path));
     }
 
     fn need(&self, now: Instant, look_begun: Instant, far_asked: bool) -> Need {
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -1,15 +1,20 @@
 //! Keeps what this VM believes of the platform's store: the configuration and the backend servers.
 //!
-//! Each collection is listed once and then watched. A watch that fails is asked again from where it
-//! stood; where the store forgot its history, the collection is listed anew, and what is not in the
-//! list is gone. While the store is away, the VM serves by what it knows.
+//! A VM that reads the store lists each collection once and then watches it. A watch that fails is
+//! asked again from where it stood; where the store forgot its history, the collection is listed
+//! anew, and what is not in the list is gone. A VM that follows another learns the same from it. While
+//! the store is away, the VM serves by what it knows.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use kingcuploft::entry::backend_servers::Change;
+use kingcuploft::entry::backend_servers::{BackendServer, Change};
+use kingcuploft::entry::configuration::Configuration;
+use kingcuploft::entry::readers::VmEntry;
 
 use crate::context::Context;
+use crate::peers::frame::Frame;
+use crate::peers::reader::standing;
 use crate::pulse::Pulse;
 use crate::store::{Changes, Collection, Page, Record, Revision, Store, StoreChange, StoreError};
 
@@ -37,23 +42,23 @@
     collection: Collection,
 ) {
     let mut pauses = Pauses::default();
-    let mut from = None;
     loop {
+        pulse.open().await;
         let told = tokio::select! {
-            told = next(&context, &*store, collection, from) => told,
-            () = pulse.away() => {
-                pulse.there().await;
-                continue;
-            }
+            told = next(&context, &*store, collection) => told,
+            () = pulse.shut() => continue,
+            () = pulse.again() => continue,
         };
         match told {
             Ok(revision) => {
                 pauses.answered(&context);
-                from = Some(revision);
+                context.set_position(collection, Some(revision));
+                let standing = standing(&context, &pulse);
+                context.followers.tell(&Frame::Standing(standing));
             }
             Err(StoreError::HistoryGone) => {
                 tracing::info!(event = "history_gone", collection = collection.label());
-                from = None;
+                context.set_position(collection, None);
             }
             Err(error) => tokio::time::sleep(pauses.failed(collection, &error)).await,
         }
@@ -64,9 +69,8 @@
     context: &Context,
     store: &S,
     collection: Collection,
-    from: Option<Revision>,
 ) -> Result<Revision, StoreError> {
-    match from {
+    match context.position(collection) {
         None => list_all(context, store, collection).await,
         Some(revision) => watch(context, store, collection, revision).await,
     }
@@ -92,7 +96,7 @@
 impl Pauses {
     fn answered(&mut self, context: &Context) {
         if self.failures > 0 {
-            context.store_returned();
+            store_returned(context);
         }
         self.failures = 0;
     }
@@ -128,26 +132,15 @@
             names.push(name);
         }
         if next.is_none() {
-            listed(context, collection, &names);
+            if collection == Collection::BackendServers {
+                all_servers(context, Instant::now(), &names);
+            }
             return Ok(first);
         }
         after = next;
     }
 }
 
-fn listed(context: &Context, collection: Collection, names: &[String]) {
-    if collection != Collection::BackendServers {
-        return;
-    }
-    let now = Instant::now();
-    let names = names.iter().map(String::as_str);
-    let changes = context.servers(|servers| servers.all_told(now, names));
-    changes
-        .iter()
-        .for_each(|change| apply(context, now, change));
-    context.servers_listed();
-}
-
 async fn watch<S: Store>(
     context: &Context,
     store: &S,
@@ -155,34 +148,27 @@
     from: Revision,
 ) -> Result<Revision, StoreError> {
     let Changes { changes, revision } = store.watch(collection, from, WATCH_WAIT).await?;
-    let some = !changes.is_empty();
+    if changes.is_empty() {
+        return Ok(revision);
+    }
     for change in changes {
         match change {
             StoreChange::Written(record) => written(context, record),
-            StoreChange::Gone(name) => gone(context, collection, &name),
+            StoreChange::Gone(name) if collection == Collection::BackendServers => {
+                server_gone(context, Instant::now(), &name);
+            }
+            StoreChange::Gone(_) => {}
         }
     }
-    if some {
-        tokio::time::sleep(GATHER).await;
-    }
+    context.set_position(collection, Some(revision));
+    tokio::time::sleep(GATHER).await;
     Ok(revision)
 }
 
 fn written(context: &Context, record: Record) {
     match record {
-        Record::Configuration(configuration) => {
-            let (version, routes) = (configuration.version, configuration.route_count());
-            if context.adopt(*configuration) {
-                tracing::info!(event = "configuration_adopted", version, routes);
-            }
-        }
-        Record::BackendServer(server) => {
-            let now = Instant::now();
-            let change = context.servers(|servers| servers.told(server));
-            if let Some(change) = change {
-                apply(context, now, &change);
-            }
-        }
+        Record::Configuration(told) => configuration(context, *told),
+        Record::BackendServer(told) => server(context, Instant::now(), told),
         Record::Vm(_) | Record::Other => {}
         Record::Unreadable(name, why) => {
             tracing::warn!(event = "entry_unreadable", name, why);
@@ -190,16 +176,65 @@
     }
 }
 
-fn gone(context: &Context, collection: Collection, name: &str) {
-    if collection != Collection::BackendServers {
-        return;
+/// Takes a configuration in and passes it on.
+pub fn configuration(context: &Context, configuration: Configuration) {
+    let (version, routes) = (configuration.version, configuration.route_count());
+    if context.adopt(configuration) {
+        tracing::info!(event = "configuration_adopted", version, routes);
+        if let Some(adopted) = context
+            .configuration()
+            .filter(|_| !context.followers.is_empty())
+        {
+            let frame = Frame::Configuration(Box::new((*adopted).clone()));
+            context.followers.tell(&frame);
+        }
+    }
+}
+
+/// Takes in what is said of a backend server, and passes it on.
+pub fn server(context: &Context, now: Instant, server: BackendServer) {
+    context.followers.tell(&Frame::Server(server.clone()));
+    let change = context.servers(|servers| servers.told(server));
+    if let Some(change) = change {
+        apply(context, now, &change);
     }
-    let now = Instant::now();
+}
+
+/// Takes in that a backend server's entry is gone, and passes it on.
+pub fn server_gone(context: &Context, now: Instant, name: &str) {
+    context.followers.tell(&Frame::ServerGone(name.to_owned()));
     if let Some(change) = context.servers(|servers| servers.gone(now, name)) {
         apply(context, now, &change);
     }
 }
 
+/// Takes in which backend servers have entries at all, and passes it on.
+pub fn all_servers(context: &Context, now: Instant, names: &[String]) {
+    context.followers.tell(&Frame::AllServers(names.to_vec()));
+    let present = names.iter().map(String::as_str);
+    let changes = context.servers(|servers| servers.all_told(now, present));
+    changes
+        .iter()
+        .for_each(|change| apply(context, now, change));
+    context.servers_listed();
+}
+
+/// Takes in that the store answers again, and passes it on.
+pub fn store_returned(context: &Context) {
+    tracing::info!(event = "store_back");
+    context.followers.tell(&Frame::StoreReturned);
+    context.servers(|servers| servers.store_returned(Instant::now()));
+}
+
+/// Takes in which VMs there are, and passes it on.
+pub fn vms(context: &Context, vms: Vec<VmEntry>) {
+    context.vms.set(vms.len().max(1));
+    let news = context.readers.borrow_mut().told(vms.clone());
+    if news {
+        context.followers.tell(&Frame::Vms(vms));
+    }
+}
+
 fn apply(context: &Context, now: Instant, change: &Change) {
     let (what, name) = match change {
         Change::Joined(name) => ("joined", name),
--- /dev/null
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -0,0 +1,6 @@
+//! The links between the VMs of an availability zone: what one VM reads of the platform's store, it
+//! passes on to those that follow it.
+
+pub mod follower;
+pub mod frame;
+pub mod reader;
--- /dev/null
+++ b/crates/kingcuploft-entry/src/peers/reader.rs
@@ -0,0 +1,133 @@
+//! The reader's side of a link: tells its followers what it hears.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+use super::frame::{Frame, Standing};
+use crate::context::Context;
+use crate::pulse::Pulse;
+use crate::store::Collection;
+
+/// How many frames may wait for one follower; one that is so far behind is better off alone.
+const MOST_WAITING: usize = 256;
+
+/// The time between two heartbeats. A follower that misses two and a bit reads by itself.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+
+/// How long one frame may take to be written.
+const WRITE_PATIENCE: Duration = Duration::from_secs(1);
+
+type Line = Rc<Vec<u8>>;
+
+/// The VMs that follow this one.
+#[derive(Debug, Default)]
+pub struct Followers {
+    queues: RefCell<Vec<mpsc::Sender<Line>>>,
+}
+
+impl Followers {
+    /// Tells all followers; one that does not keep up is dropped.
+    pub fn tell(&self, frame: &Frame) {
+        if self.is_empty() {
+            return;
+        }
+        let line = Rc::new(frame.to_line());
+        let mut queues = self.queues.borrow_mut();
+        queues.retain(|queue| queue.try_send(line.clone()).is_ok());
+    }
+
+    /// Returns whether nobody follows.
+    pub fn is_empty(&self) -> bool {
+        self.queues.borrow().is_empty()
+    }
+
+    /// Returns how many VMs follow.
+    pub fn len(&self) -> usize {
+        self.queues.borrow().len()
+    }
+
+    fn add(&self) -> mpsc::Receiver<Line> {
+        let (sender, receiver) = mpsc::channel(MOST_WAITING);
+        self.queues.borrow_mut().push(sender);
+        receiver
+    }
+}
+
+/// Returns how far this VM knows the store.
+pub fn standing(context: &Context, pulse: &Pulse) -> Standing {
+    Standing {
+        configuration: context.position(Collection::Configuration),
+        servers: context.position(Collection::BackendServers),
+        store_there: pulse.is_reading() && pulse.is_there(),
+    }
+}
+
+/// Takes followers until the process ends.
+pub async fn serve(context: Rc<Context>, pulse: Rc<Pulse>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (context, pulse) = (context.clone(), pulse.clone());
+                tokio::task::spawn_local(async move {
+                    let _ = lead(&context, &pulse, stream).await;
+                });
+            }
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Beats until the process ends.
+pub async fn beat(context: Rc<Context>, pulse: Rc<Pulse>) {
+    loop {
+        tokio::time::sleep(HEARTBEAT).await;
+        context
+            .followers
+            .tell(&Frame::Standing(standing(&context, &pulse)));
+    }
+}
+
+async fn lead(context: &Rc<Context>, pulse: &Pulse, mut stream: TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    // From here on changes queue up, so that none falls between the account and what follows it.
+    let mut queue = context.followers.add();
+    write(&mut stream, &account(context, pulse)).await?;
+    while let Some(line) = queue.recv().await {
+        write(&mut stream, &line).await?;
+    }
+    Ok(())
+}
+
+async fn write(stream: &mut TcpStream, line: &[u8]) -> std::io::Result<()> {
+    let written = tokio::time::timeout(WRITE_PATIENCE, stream.write_all(line)).await;
+    written.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
+}
+
+/// Writes all that this VM knows.
+fn account(context: &Context, pulse: &Pulse) -> Vec<u8> {
+    let mut out = Frame::Standing(standing(context, pulse)).to_line();
+    if let Some(configuration) = context.configuration() {
+        let configuration = Box::new((*configuration).clone());
+        out.extend(Frame::Configuration(configuration).to_line());
+    }
+    let (mut names, mut lines) = (Vec::new(), Vec::new());
+    context.servers(|servers| {
+        for server in servers.present() {
+            names.push(server.name.to_string());
+            lines.extend(Frame::Server(server.clone()).to_line());
+        }
+    });
+    out.extend(lines);
+    out.extend(Frame::AllServers(names).to_line());
+    out.extend(Frame::Vms(context.readers.borrow().vms().to_vec()).to_line());
+    out.extend(Frame::Told.to_line());
+    out
+}
--- a/crates/kingcuploft-entry/src/pulse.rs
+++ b/crates/kingcuploft-entry/src/pulse.rs
@@ -1,86 +1,173 @@
-//! Whether the platform's store answers.
+//! Whether this VM reads the platform's store, and whether the store answers.
 //!
 //! Failure: the store falls silent, or its connection does, while a watch waits; a watch that waits
 //! for a change looks the same as one that is lost, and the VM would miss a new configuration or a
-//! leaving server until the wait ends. The guard: a cheap sign of life is asked for every second. When
-//! it fails, the watches are given up; when it is back, they go on from where they stood.
+//! leaving server until the wait ends. The guard: a cheap sign of life is asked for. When it fails,
+//! the watches are given up; when it is back, they go on from where they stood. It also tells a
+//! moment that the store has reached: watches that stay behind that moment are asked again.
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
 
 use crate::context::Context;
-use crate::store::Store;
+use crate::keeper;
+use crate::store::{Collection, Revision, Store};
 
 /// The time between two signs of life. With [`PATIENCE`] and [`WHILE_AWAY`], a change is known within
 /// 2 s of the store's return, which is what a leaving server allows.
 const WHILE_THERE: Duration = Duration::from_millis(1000);
 
+/// The same for a VM that others follow: they must not wait longer for its loss than for their own.
+const WHILE_FOLLOWED: Duration = Duration::from_millis(400);
+
 /// The time between two tries while the store is away.
 const WHILE_AWAY: Duration = Duration::from_millis(250);
 
 /// How long a sign of life is waited for: twice the slowest answer of a store that is slow, not away.
 const PATIENCE: Duration = Duration::from_millis(800);
 
-/// Whether the store answers, as last seen.
+/// How long the watches may stay behind the store before they are asked again. Changes are gathered
+/// for most of this time.
+const BEHIND: Duration = Duration::from_millis(900);
+
+/// Whether this VM reads the store, and whether the store answers, as last seen.
 #[derive(Debug)]
 pub struct Pulse {
+    reading: Cell<bool>,
     there: Cell<bool>,
     changed: Notify,
+    again: Notify,
 }
 
 impl Default for Pulse {
     fn default() -> Self {
         Self {
+            reading: Cell::new(true),
             there: Cell::new(true),
             changed: Notify::new(),
+            again: Notify::new(),
         }
     }
 }
 
 impl Pulse {
-    /// Returns once the store answers.
-    pub async fn there(&self) {
+    /// Returns whether this VM reads the store itself.
+    pub fn is_reading(&self) -> bool {
+        self.reading.get()
+    }
+
+    /// Returns whether the store answers.
+    pub fn is_there(&self) -> bool {
+        self.there.get()
+    }
+
+    /// Returns once the store is to be read and answers.
+    pub async fn open(&self) {
         self.wait_for(true).await;
     }
 
-    /// Returns once the store does not answer.
-    pub async fn away(&self) {
+    /// Returns once the store is not to be read, or does not answer.
+    pub async fn shut(&self) {
         self.wait_for(false).await;
     }
 
-    async fn wait_for(&self, there: bool) {
+    /// Returns once the watches have to be asked again.
+    pub async fn again(&self) {
+        self.again.notified().await;
+    }
+
+    /// Begins or ends reading the store.
+    pub fn set_reading(&self, reading: bool) {
+        if self.reading.replace(reading) != reading {
+            self.there.set(true);
+            self.changed.notify_waiters();
+        }
+    }
+
+    fn set_there(&self, there: bool) -> bool {
+        let changed = self.there.replace(there) != there;
+        if changed {
+            self.changed.notify_waiters();
+        }
+        changed
+    }
+
+    async fn wait_for(&self, open: bool) {
         loop {
             let changed = self.changed.notified();
-            if self.there.get() == there {
+            if (self.reading.get() && self.there.get()) == open {
                 return;
             }
             changed.await;
         }
     }
 
-    fn set(&self, there: bool) -> bool {
-        let changed = self.there.replace(there) != there;
-        if changed {
-            self.changed.notify_waiters();
+    async fn reading(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.reading.get() {
+                return;
+            }
+            changed.await;
         }
-        changed
     }
 }
 
-/// Watches over the store until the process ends.
+/// Watches over the store while this VM reads it, until the process ends.
 pub async fn feel<S: Store>(context: Rc<Context>, store: Rc<S>, pulse: Rc<Pulse>) {
+    let mut lag = Lag::default();
     loop {
+        pulse.reading().await;
         let asked = tokio::time::timeout(PATIENCE, store.sign_of_life()).await;
-        let there = matches!(asked, Ok(Ok(())));
-        if pulse.set(there) {
-            match there {
-                true => context.store_returned(),
-                false => tracing::warn!(event = "store_away"),
+        let reached = asked.ok().and_then(Result::ok);
+        if pulse.set_there(reached.is_some()) {
+            match reached {
+                Some(_) => keeper::store_returned(&context),
+                None => tracing::warn!(event = "store_away"),
             }
         }
-        tokio::time::sleep(if there { WHILE_THERE } else { WHILE_AWAY }).await;
+        if reached.is_some_and(|reached| lag.is_too_long(Instant::now(), reached, &context)) {
+            tracing::info!(event = "watches_behind", reached);
+            pulse.again.notify_waiters();
+        }
+        let pause = match (reached.is_some(), context.followers.is_empty()) {
+            (false, _) => WHILE_AWAY,
+            (true, true) => WHILE_THERE,
+            (true, false) => WHILE_FOLLOWED,
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// How long the watches have been behind the store.
+#[derive(Debug, Default)]
+struct Lag {
+    since: Option<(Revision, Instant)>,
+    settled: Revision,
+}
+
+impl Lag {
+    /// Takes in a moment that the store has reached; returns whether the watches have been behind it
+    /// for too long. A moment is complained of once: other collections move the store on as well.
+    fn is_too_long(&mut self, now: Instant, reached: Revision, context: &Context) -> bool {
+        let watched = [Collection::Configuration, Collection::BackendServers];
+        let known = watched
+            .into_iter()
+            .filter_map(|c| context.position(c))
+            .max();
+        if known.is_none_or(|known| known >= reached) || reached <= self.settled {
+            self.since = None;
+            return false;
+        }
+        let (behind, since) = *self.since.get_or_insert((reached, now));
+        if now.saturating_duration_since(since) < BEHIND {
+            return false;
+        }
+        self.settled = behind;
+        self.since = None;
+        true
     }
 }
--- /dev/null
+++ b/crates/kingcuploft-entry/src/roster.rs
@@ -0,0 +1,101 @@
+//! Makes this VM known to the others, and follows the one that reads the store for its zone.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::readers::{Source, VmEntry};
+
+use crate::context::Context;
+use crate::keeper;
+use crate::peers::follower::{self, LinkError};
+use crate::pulse::Pulse;
+use crate::store::{Collection, Record, Store, StoreError};
+
+/// How long the first list is put off where all machines start together: they do so within 0.3 s, and
+/// each takes some tenths to be known.
+const ALL_ANNOUNCED: Duration = Duration::from_millis(1200);
+
+/// The time between two lists of the VMs by one that reads the store. VMs come and go by the minute.
+const LIST_EVERY: Duration = Duration::from_secs(10);
+
+/// How often a VM that reads the store looks whether it may follow another.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// How long a reader that is behind is given: two VMs that both read hear of a change within half a
+/// second of each other, and this VM goes on reading meanwhile.
+const CATCH_UP: Duration = Duration::from_millis(170);
+
+/// The pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Makes the VM known, until the store has said that it is.
+pub async fn announce<S: Store>(store: Rc<S>, own: VmEntry) {
+    while let Err(error) = store.announce(&own).await {
+        tracing::warn!(event = "announce_failed", %error);
+        tokio::time::sleep(PAUSE.mul_f64(1.0 + fastrand::f64())).await;
+    }
+    tracing::info!(event = "announced");
+}
+
+/// Keeps the list of VMs, and follows a reader while there is one.
+pub async fn keep<S: Store>(context: Rc<Context>, store: Rc<S>, pulse: Rc<Pulse>) {
+    let settings = &context.settings;
+    if settings.all_start {
+        tokio::time::sleep(ALL_ANNOUNCED).await;
+    }
+    let mut listed: Option<Instant> = None;
+    loop {
+        let now = Instant::now();
+        let old = listed.is_none_or(|at| now.saturating_duration_since(at) >= LIST_EVERY);
+        if old && list(&context, &*store).await {
+            listed = Some(now);
+        }
+        let source = context
+            .readers
+            .borrow()
+            .source(now, &settings.vm, &settings.zone);
+        let Source::Reader(reader) = source else {
+            tokio::time::sleep(LOOK_EVERY).await;
+            continue;
+        };
+        let ended = follower::follow(&context, &pulse, &reader).await;
+        if matches!(ended, LinkError::Behind) {
+            tokio::time::sleep(CATCH_UP).await;
+            continue;
+        }
+        tracing::info!(event = "reader_lost", reader = %reader.name, why = %ended);
+        let mut readers = context.readers.borrow_mut();
+        readers.failed(Instant::now(), &reader.name);
+    }
+}
+
+async fn list<S: Store>(context: &Context, store: &S) -> bool {
+    match list_all(store).await {
+        Ok(vms) => {
+            keeper::vms(context, vms);
+            true
+        }
+        Err(error) => {
+            tracing::warn!(event = "vms_not_listed", %error);
+            tokio::time::sleep(PAUSE.mul_f64(1.0 + fastrand::f64())).await;
+            false
+        }
+    }
+}
+
+async fn list_all<S: Store>(store: &S) -> Result<Vec<VmEntry>, StoreError> {
+    let mut vms = Vec::new();
+    let mut after: Option<String> = None;
+    loop {
+        let page = store.list(Collection::Vms, after.as_deref(), true).await?;
+        let entries = page.records.into_iter().map(|(_, record)| record);
+        vms.extend(entries.filter_map(|record| match record {
+            Record::Vm(vm) => Some(vm),
+            _ => None,
+        }));
+        after = page.next;
+        if after.is_none() {
+            return Ok(vms);
+        }
+    }
+}
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -4,13 +4,16 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use kingcuploft::entry::readers::VmEntry;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::context::Context;
 use crate::edge::{connection, readiness};
 use crate::keeper;
+use crate::peers::reader;
 use crate::pulse::{self, Pulse};
+use crate::roster;
 use crate::settings::{EntrySettings, Vocabulary};
 use crate::store::{Collection, Store};
 
@@ -65,6 +68,9 @@
         tokio::task::spawn_local(following);
     }
     tokio::task::spawn_local(keeper::expire(context.clone()));
+    if let Some(address) = context.settings.peers {
+        join(&context, &store, &pulse, address)?;
+    }
     let accepting = tokio::task::spawn_local(accept(context.clone(), callers));
     loop {
         tokio::select! {
@@ -76,6 +82,26 @@
     Ok(())
 }
 
+/// Joins the other VMs.
+fn join<S: Store + 'static>(
+    context: &Rc<Context>,
+    store: &Rc<S>,
+    pulse: &Rc<Pulse>,
+    address: SocketAddr,
+) -> Result<(), StartError> {
+    let listener = listen(address)?;
+    let own = VmEntry {
+        name: context.settings.vm.clone(),
+        zone: context.settings.zone.clone(),
+        address,
+    };
+    tokio::task::spawn_local(reader::serve(context.clone(), pulse.clone(), listener));
+    tokio::task::spawn_local(reader::beat(context.clone(), pulse.clone()));
+    tokio::task::spawn_local(roster::announce(store.clone(), own));
+    tokio::task::spawn_local(roster::keep(context.clone(), store.clone(), pulse.clone()));
+    Ok(())
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     let open = || {
         let socket = TcpSocket::new_v4()?;
--- a/crates/kingcuploft-entry/src/settings.rs
+++ b/crates/kingcuploft-entry/src/settings.rs
@@ -21,12 +21,14 @@
     pub peers: Option<SocketAddr>,
     /// Where the platform's store answers.
     pub store: SocketAddr,
+    /// Whether all VMs start now, for the first time.
+    pub all_start: bool,
     /// How long a stop may take.
     pub stop_within: Duration,
     /// The bounds on repeats.
     pub repeats: RepeatBounds,
-    /// The most VMs that share the allowance of repeats, until they are counted.
-    pub most_vms: usize,
+    /// How often a backend server may be probed in a second, by all VMs together.
+    pub probes_per_server_s: f64,
 }
 
 /// The names of headers and paths that callers, servers and the platform use.
--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -6,13 +6,13 @@
 
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::Configuration;
-use kingcuploft::world::ids::VmName;
+use kingcuploft::entry::readers::VmEntry;
 
 /// A moment in the store's history; greater is later.
 pub type Revision = u64;
 
 /// What is kept in the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Collection {
     /// The configuration.
     Configuration,
@@ -41,7 +41,7 @@
     /// A backend server.
     BackendServer(BackendServer),
     /// An entry VM.
-    Vm(VmName),
+    Vm(VmEntry),
     /// An entry that can't be read, with its name and why.
     Unreadable(String, String),
     /// An entry that is not for this collection's readers.
@@ -104,8 +104,12 @@
         stale: bool,
     ) -> impl Future<Output = Result<Page, StoreError>>;
 
-    /// Asks for a sign of life, as cheaply as the store allows.
-    fn sign_of_life(&self) -> impl Future<Output = Result<(), StoreError>>;
+    /// Asks for a sign of life, as cheaply as the store allows; returns a moment that the store had
+    /// reached, possibly seconds ago.
+    fn sign_of_life(&self) -> impl Future<Output = Result<Revision, StoreError>>;
+
+    /// Makes a VM known to the others.
+    fn announce(&self, vm: &VmEntry) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Waits for changes behind a moment.
     fn watch(
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -9,6 +9,8 @@
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::failures::Failures;
 use kingcuploft::entry::placement::{Candidate, Reading};
+use kingcuploft::utils::rendezvous::rendezvous;
+use kingcuploft::world::ids::VmName;
 
 use crate::http::client::Connection;
 
@@ -37,6 +39,8 @@
     pub server: BackendServer,
     /// Whether it is in this VM's zone.
     pub near: bool,
+    /// Its place in this VM's order of the servers; other VMs order them otherwise.
+    pub rank: u64,
     cold_until: Instant,
     idle: RefCell<Vec<Connection>>,
     reading: Cell<Option<(Instant, Reading)>>,
@@ -48,8 +52,9 @@
 
 impl Upstream {
     /// Begins to deal with a server.
-    pub fn new(server: BackendServer, near: bool, now: Instant) -> Self {
+    pub fn new(server: BackendServer, vm: &VmName, near: bool, now: Instant) -> Self {
         Self {
+            rank: rendezvous(vm, &server.name),
             cold_until: now + server.cold_for,
             server,
             near,
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -21,6 +21,9 @@
     if upstream.is_asked() || upstream.is_fresh(now) || upstream.is_mute(now) {
         return;
     }
+    if !context.take_probe(now) {
+        return;
+    }
     upstream.asking.set(true);
     let (context, upstream) = (context.clone(), upstream.clone());
     let request = request(&upstream, health_path);
--- a/crates/kingcuploft/src/entry/backend_servers.rs
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -9,6 +9,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use crate::utils::HashMap;
 use crate::world::ids::{AvailabilityZone, BackendServerName, ServiceName};
 
@@ -16,7 +18,7 @@
 pub type StartedAt = u64;
 
 /// One backend server, as the platform's store tells of it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BackendServer {
     /// Its name, new with each start.
     pub name: BackendServerName,
@@ -43,6 +45,10 @@
 /// How long after its return the store still counts as just returned.
 const JUST_RETURNED: Duration = Duration::from_millis(2000);
 
+/// How long a server that is gone is remembered, so that a late report of it does not bring it back:
+/// far longer than any such report is late.
+const REMEMBER_GONE: Duration = Duration::from_secs(300);
+
 /// What a piece of news changed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -60,6 +66,8 @@
 struct Known {
     server: BackendServer,
     standing: Standing,
+    /// When its entry went, if it did.
+    gone_at: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -88,9 +96,15 @@
         let name = server.name.clone();
         let Some(known) = self.known.get_mut(&name) else {
             let standing = standing_of(&server);
-            self.known.insert(name.clone(), Known { server, standing });
+            let known = Known {
+                server,
+                standing,
+                gone_at: None,
+            };
+            self.known.insert(name.clone(), known);
             return (standing == Standing::InUse).then_some(Change::Joined(name));
         };
+        known.gone_at = None;
         let is_later_start = server.started_at > known.server.started_at;
         if known.standing == Standing::Draining && !is_later_start {
             return None;
@@ -116,6 +130,7 @@
             .returned
             .is_some_and(|at| now.saturating_duration_since(at) < JUST_RETURNED);
         let known = self.known.get_mut(name)?;
+        known.gone_at.get_or_insert(now);
         match known.standing {
             Standing::InUse if just_returned => {
                 let until = self.returned.unwrap_or(now) + LAPSE_GRACE;
@@ -156,6 +171,11 @@
                 changes.push(Change::Left(known.server.name.clone()));
             }
         }
+        let forgotten = |at: Instant| now.saturating_duration_since(at) > REMEMBER_GONE;
+        self.known.retain(|_, known| match known.standing {
+            Standing::Draining | Standing::Gone => !known.gone_at.is_some_and(forgotten),
+            Standing::InUse | Standing::LapsesAt(_) => true,
+        });
         changes
     }
 
@@ -170,6 +190,12 @@
         self.known.get(name).map(|known| &known.server)
     }
 
+    /// Returns the servers whose entries are there.
+    pub fn present(&self) -> impl Iterator<Item = &BackendServer> {
+        let present = self.known.values().filter(|known| known.gone_at.is_none());
+        present.map(|known| &known.server)
+    }
+
     /// Returns how many servers may be sent work.
     pub fn in_use(&self) -> usize {
         let standings = self.known.values().map(|known| known.standing);
--- a/crates/kingcuploft/src/entry/configuration.rs
+++ b/crates/kingcuploft/src/entry/configuration.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::utils::HashMap;
 use crate::world::contract::Contract;
 use crate::world::ids::{RuleName, ServiceName};
@@ -11,7 +13,8 @@
 pub type ConfigurationVersion = u64;
 
 /// One configuration, whole.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(from = "Parts", into = "Parts")]
 pub struct Configuration {
     /// Its version.
     pub version: ConfigurationVersion,
@@ -24,7 +27,7 @@
 }
 
 /// What is known of a service beside its backend servers.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Service {
     /// The path that tells health and load.
     pub health_path: String,
@@ -33,7 +36,7 @@
 }
 
 /// Bounds on what callers send.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Limits {
     /// The most bytes of a request's head.
     pub header_bytes: usize,
@@ -57,7 +60,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Route {
     /// Its name.
     pub name: RuleName,
@@ -80,7 +83,7 @@
 }
 
 /// A service that takes a share of a route's requests.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Destination {
     /// The service.
     pub service: ServiceName,
@@ -131,6 +134,33 @@
     }
 }
 
+/// A configuration as the VMs tell it each other.
+#[derive(Deserialize, Serialize)]
+struct Parts {
+    version: ConfigurationVersion,
+    routes: Vec<Route>,
+    services: HashMap<ServiceName, Service>,
+    limits: Limits,
+}
+
+impl From<Parts> for Configuration {
+    fn from(parts: Parts) -> Self {
+        Self::new(parts.version, parts.routes, parts.services, parts.limits)
+    }
+}
+
+impl From<Configuration> for Parts {
+    fn from(configuration: Configuration) -> Self {
+        let routes = configuration.hosts.values().flatten();
+        Self {
+            version: configuration.version,
+            routes: routes.map(|route| Route::clone(route)).collect(),
+            services: configuration.services,
+            limits: configuration.limits,
+        }
+    }
+}
+
 /// The fraction of the golden ratio: its multiples, modulo 1, fill the unit interval evenly from
 /// the first few on.
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -7,6 +7,8 @@
 pub mod configuration;
 pub mod failures;
 pub mod placement;
+pub mod probe_budget;
+pub mod readers;
 pub mod repeats;
 pub mod service_time;
 pub mod verdict;
--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -60,7 +60,7 @@
     pub deadline_left_ms: f64,
     /// How long readings have been waited for in this look, in milliseconds.
     pub looked_ms: f64,
-    /// Whether the far servers were asked in this look.
+    /// Whether more than the nearest servers were asked.
     pub far_asked: bool,
 }
 
@@ -71,7 +71,7 @@
     Send(usize),
     /// Wait for the readings asked for.
     Await,
-    /// Ask the servers of the other zones.
+    /// Ask more servers, those of the other zones among them.
     AskFar,
     /// All are slow or full: look again after this time.
     LookAgain(Duration),
@@ -157,11 +157,9 @@
     let near_open = candidates.iter().any(|c| c.near && c.asked);
     let far_open = candidates.iter().any(|c| !c.near && c.asked);
     if !need.far_asked {
-        let any_far = candidates.iter().any(|c| !c.near);
         return match near_open && need.looked_ms < NEAR_PATIENCE_MS {
             true => Step::Await,
-            false if any_far => Step::AskFar,
-            false => settle(need, candidates, best),
+            false => Step::AskFar,
         };
     }
     if (near_open || far_open) && need.looked_ms < FAR_PATIENCE_MS {
--- /dev/null
+++ b/crates/kingcuploft/src/entry/probe_budget.rs
@@ -0,0 +1,42 @@
+//! How often this VM may ask backend servers for their load.
+//!
+//! Load pattern: every request asks several servers, and one that finds all of them busy asks again. A
+//! probe takes slot time from work, 6 ms at one of the sites; without a bound, the probes of an
+//! overload make it worse. All VMs together may ask each server so often a second; a VM takes an
+//! equal part of that without asking the others, as the platform's balancer gives each a share of the
+//! callers.
+
+use std::time::Instant;
+
+/// The part of the bound that is used: VMs are counted some seconds late, and the bound is also kept
+/// while some of them are not counted.
+const GUARD: f64 = 0.7;
+
+/// For how many seconds a VM may save what it does not use: bursts last a few.
+const SAVED_S: f64 = 4.0;
+
+/// What a VM may still ask.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ProbeBudget {
+    saved: f64,
+    at: Option<Instant>,
+}
+
+impl ProbeBudget {
+    /// Takes one probe, if there is room: each of `servers` may be asked `bound` times a second by
+    /// `vms` together.
+    pub fn take(&mut self, now: Instant, bound: f64, servers: usize, vms: usize) -> bool {
+        let per_s = GUARD * bound * servers as f64 / vms.max(1) as f64;
+        let most = per_s * SAVED_S;
+        let since = self.at.replace(now);
+        let earned = since.map_or(most, |at| {
+            per_s * now.saturating_duration_since(at).as_secs_f64()
+        });
+        self.saved = (self.saved + earned).min(most);
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
