feat(entry): readings and sent requests told within a zone; the probe budget at 0.85 of its bound

Kept: sharing, for the probes it saves. Ruled out: shorter reading life, longer pause before looking again.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -1,6 +1,7 @@
 //! What all tasks of one entry VM share, built once and passed by reference.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,7 +9,7 @@
 use kingcuploft::entry::backend_servers::{BackendServers, Change};
 use kingcuploft::entry::configuration::{Configuration, Dealer, Destination, Route};
 use kingcuploft::entry::probe_budget::ProbeBudget;
-use kingcuploft::entry::readers::Readers;
+use kingcuploft::entry::readers::{Readers, VmEntry};
 use kingcuploft::entry::repeats::Repeats;
 use kingcuploft::entry::service_time::ServiceTime;
 use kingcuploft::utils::HashMap;
@@ -16,6 +17,7 @@
 use tokio::sync::Notify;
 
 use crate::peers::reader::Followers;
+use crate::peers::readings::Readings;
 use crate::settings::{EntrySettings, Vocabulary};
 use crate::store::{Collection, Revision};
 use crate::upstream::Upstream;
@@ -52,11 +54,17 @@
     pub vms: Cell<usize>,
     /// The other VMs.
     pub readers: RefCell<Readers>,
+    /// The socket to the other VMs of the zone.
+    pub peer_readings: OnceCell<Readings>,
+    /// Where the other VMs of the zone are.
+    pub zone_peers: RefCell<Vec<SocketAddr>>,
     /// The VMs that follow this one.
     pub followers: Followers,
     /// Open connections of callers.
     pub callers: Cell<usize>,
     positions: RefCell<HashMap<Collection, Revision>>,
+    /// The VM that this one follows.
+    pub followed: RefCell<Option<VmEntry>>,
     stopping: Cell<Option<Instant>>,
     closes_idle: Cell<bool>,
     configuration: RefCell<Option<Arc<Configuration>>>,
@@ -80,8 +88,11 @@
             stop: Notify::new(),
             counters: Counters::default(),
             readers: RefCell::default(),
+            peer_readings: OnceCell::new(),
+            zone_peers: RefCell::default(),
             followers: Followers::default(),
             positions: RefCell::default(),
+            followed: RefCell::default(),
             callers: Cell::new(0),
             stopping: Cell::new(None),
             closes_idle: Cell::new(false),
@@ -151,13 +162,10 @@
         self.positions.borrow().get(&collection).copied()
     }
 
-    /// Takes note up to which moment a collection is known; `None` where it has to be listed anew.
-    pub fn set_position(&self, collection: Collection, revision: Option<Revision>) {
+    /// Takes note up to which moment a collection is known.
+    pub fn set_position(&self, collection: Collection, revision: Revision) {
         let mut positions = self.positions.borrow_mut();
-        match revision {
-            Some(revision) => positions.insert(collection, revision),
-            None => positions.remove(&collection),
-        };
+        positions.insert(collection, revision);
     }
 
     /// Takes note that all servers there are have been listed once.
@@ -205,6 +213,13 @@
         upstreams.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns a server that may be sent work.
+    pub fn upstream(&self, name: &str) -> Option<Rc<Upstream>> {
+        let upstreams = self.upstreams.borrow();
+        let mut all = upstreams.values().flatten();
+        all.find(|upstream| *upstream.server.name == *name).cloned()
+    }
+
     /// Returns the destination of the next request of a route.
     pub fn deal(&self, route: &Route) -> Option<Destination> {
         let mut dealers = self.dealers.borrow_mut();
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -42,23 +42,26 @@
     collection: Collection,
 ) {
     let mut pauses = Pauses::default();
+    let mut forgotten = false;
     loop {
         pulse.open().await;
+        let from = context.position(collection).filter(|_| !forgotten);
         let told = tokio::select! {
-            told = next(&context, &*store, collection) => told,
+            told = next(&context, &*store, collection, from) => told,
             () = pulse.shut() => continue,
             () = pulse.again() => continue,
         };
         match told {
             Ok(revision) => {
                 pauses.answered(&context);
-                context.set_position(collection, Some(revision));
+                forgotten = false;
+                context.set_position(collection, revision);
                 let standing = standing(&context, &pulse);
                 context.followers.tell(&Frame::Standing(standing));
             }
             Err(StoreError::HistoryGone) => {
                 tracing::info!(event = "history_gone", collection = collection.label());
-                context.set_position(collection, None);
+                forgotten = true;
             }
             Err(error) => tokio::time::sleep(pauses.failed(collection, &error)).await,
         }
@@ -69,8 +72,9 @@
     context: &Context,
     store: &S,
     collection: Collection,
+    from: Option<Revision>,
 ) -> Result<Revision, StoreError> {
-    match context.position(collection) {
+    match from {
         None => list_all(context, store, collection).await,
         Some(revision) => watch(context, store, collection, revision).await,
     }
@@ -160,7 +164,7 @@
             StoreChange::Gone(_) => {}
         }
     }
-    context.set_position(collection, Some(revision));
+    context.set_position(collection, revision);
     tokio::time::sleep(GATHER).await;
     Ok(revision)
 }
@@ -191,9 +195,13 @@
     }
 }
 
-/// Takes in what is said of a backend server, and passes it on.
+/// Takes in what is said of a backend server, and passes it on if it is news: a list repeats what
+/// is known, and hundreds of lines at once are more than a follower's queue holds.
 pub fn server(context: &Context, now: Instant, server: BackendServer) {
-    context.followers.tell(&Frame::Server(server.clone()));
+    let news = context.servers(|servers| !servers.is_known(&server));
+    if news {
+        context.followers.tell(&Frame::Server(server.clone()));
+    }
     let change = context.servers(|servers| servers.told(server));
     if let Some(change) = change {
         apply(context, now, &change);
@@ -229,6 +237,9 @@
 /// Takes in which VMs there are, and passes it on.
 pub fn vms(context: &Context, vms: Vec<VmEntry>) {
     context.vms.set(vms.len().max(1));
+    let (own, zone) = (&context.settings.vm, &context.settings.zone);
+    let others = vms.iter().filter(|vm| vm.zone == *zone && vm.name != *own);
+    *context.zone_peers.borrow_mut() = others.map(|vm| vm.address).collect();
     let news = context.readers.borrow_mut().told(vms.clone());
     if news {
         context.followers.tell(&Frame::Vms(vms));
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
 use kingcuploft::entry::readers::VmEntry;
@@ -39,6 +39,9 @@
     /// The reader does not read the store, or has lost it.
     #[error("the reader does not read the store")]
     CannotLead,
+    /// The VM follows another one.
+    #[error("the VM follows {}", .0.name)]
+    Elsewhere(VmEntry),
     /// The reader has not heard yet what this VM knows.
     #[error("the reader is behind")]
     Behind,
@@ -51,6 +54,7 @@
 /// telling, this VM does not read the store.
 pub async fn follow(context: &Rc<Context>, pulse: &Pulse, reader: &VmEntry) -> LinkError {
     let ended = run(context, pulse, reader).await;
+    context.followed.borrow_mut().take();
     pulse.set_reading(true);
     match ended {
         Ok(()) => LinkError::Closed,
@@ -60,7 +64,10 @@
 
 async fn run(context: &Rc<Context>, pulse: &Pulse, reader: &VmEntry) -> Result<(), LinkError> {
     let connecting = tokio::time::timeout(CONNECT_PATIENCE, TcpStream::connect(reader.address));
-    let stream = connecting.await.map_err(|_| LinkError::Silent)??;
+    let mut stream = connecting.await.map_err(|_| LinkError::Silent)??;
+    stream
+        .write_all(&Frame::Standing(own(context)).to_line())
+        .await?;
     let mut lines = BufReader::with_capacity(BUFFER_BYTES, stream);
     let mut line = Vec::new();
     let mut led = None;
@@ -84,11 +91,13 @@
                     None => pending = Some(standing),
                 }
             }
+            Frame::Elsewhere(reader) => return Err(LinkError::Elsewhere(reader)),
             Frame::Told => {
                 if let Some(standing) = pending.take() {
                     take_position(context, &standing);
                 }
                 led = Some(());
+                *context.followed.borrow_mut() = Some(reader.clone());
                 pulse.set_reading(false);
                 tracing::info!(event = "following", reader = %reader.name);
             }
@@ -106,8 +115,12 @@
 }
 
 fn take_position(context: &Context, standing: &Standing) {
-    context.set_position(Collection::Configuration, standing.configuration);
-    context.set_position(Collection::BackendServers, standing.servers);
+    if let Some(revision) = standing.configuration {
+        context.set_position(Collection::Configuration, revision);
+    }
+    if let Some(revision) = standing.servers {
+        context.set_position(Collection::BackendServers, revision);
+    }
 }
 
 fn take(context: &Context, frame: Frame) {
@@ -119,6 +132,6 @@
         Frame::AllServers(names) => keeper::all_servers(context, now, &names),
         Frame::Vms(vms) => keeper::vms(context, vms),
         Frame::StoreReturned => keeper::store_returned(context),
-        Frame::Standing(_) | Frame::Told => {}
+        Frame::Standing(_) | Frame::Elsewhere(_) | Frame::Told => {}
     }
 }
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -10,8 +10,11 @@
 /// One line.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Frame {
-    /// How far the sender knows the store; sent first, after each change, and as a heartbeat.
+    /// How far the sender knows the store; sent first by both sides, and by the reader after each
+    /// change and as a heartbeat.
     Standing(Standing),
+    /// The sender does not read the store, but follows this VM.
+    Elsewhere(VmEntry),
     /// The configuration in force.
     Configuration(Box<Configuration>),
     /// What the store says of a backend server.
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -4,3 +4,4 @@
 pub mod follower;
 pub mod frame;
 pub mod reader;
+pub mod readings;
--- a/crates/kingcuploft-entry/src/peers/reader.rs
+++ b/crates/kingcuploft-entry/src/peers/reader.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -22,6 +22,9 @@
 /// How long one frame may take to be written.
 const WRITE_PATIENCE: Duration = Duration::from_secs(1);
 
+/// The bytes read at once of a follower's first line.
+const HELLO_BYTES: usize = 256;
+
 type Line = Rc<Vec<u8>>;
 
 /// The VMs that follow this one.
@@ -97,9 +100,27 @@
 
 async fn lead(context: &Rc<Context>, pulse: &Pulse, mut stream: TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
+    let mut hello = Vec::new();
+    let reading = async {
+        let mut lines = BufReader::with_capacity(HELLO_BYTES, &mut stream);
+        lines.read_until(b'\n', &mut hello).await
+    };
+    let read = tokio::time::timeout(WRITE_PATIENCE, reading).await;
+    read.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    let Ok(Frame::Standing(theirs)) = serde_json::from_slice(&hello) else {
+        return Ok(());
+    };
+    let elsewhere = context
+        .followed
+        .borrow()
+        .clone()
+        .filter(|_| !pulse.is_reading());
+    if let Some(reader) = elsewhere {
+        return write(&mut stream, &Frame::Elsewhere(reader).to_line()).await;
+    }
     // From here on changes queue up, so that none falls between the account and what follows it.
     let mut queue = context.followers.add();
-    write(&mut stream, &account(context, pulse)).await?;
+    write(&mut stream, &account(context, pulse, &theirs)).await?;
     while let Some(line) = queue.recv().await {
         write(&mut stream, &line).await?;
     }
@@ -111,9 +132,15 @@
     written.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
 }
 
-/// Writes all that this VM knows.
-fn account(context: &Context, pulse: &Pulse) -> Vec<u8> {
-    let mut out = Frame::Standing(standing(context, pulse)).to_line();
+/// Writes all that this VM knows and the follower does not.
+fn account(context: &Context, pulse: &Pulse, theirs: &Standing) -> Vec<u8> {
+    let own = standing(context, pulse);
+    let mut out = Frame::Standing(own).to_line();
+    out.extend(Frame::Vms(context.readers.borrow().vms().to_vec()).to_line());
+    if (own.configuration, own.servers) == (theirs.configuration, theirs.servers) {
+        out.extend(Frame::Told.to_line());
+        return out;
+    }
     if let Some(configuration) = context.configuration() {
         let configuration = Box::new((*configuration).clone());
         out.extend(Frame::Configuration(configuration).to_line());
@@ -127,7 +154,6 @@
     });
     out.extend(lines);
     out.extend(Frame::AllServers(names).to_line());
-    out.extend(Frame::Vms(context.readers.borrow().vms().to_vec()).to_line());
     out.extend(Frame::Told.to_line());
     out
 }
--- a/crates/kingcuploft-entry/src/roster.rs
+++ b/crates/kingcuploft-entry/src/roster.rs
@@ -25,22 +25,16 @@
 /// second of each other, and this VM goes on reading meanwhile.
 const CATCH_UP: Duration = Duration::from_millis(170);
 
+/// How many VMs are asked in a row, each of which names another as its reader.
+const MOST_HOPS: usize = 3;
+
 /// The pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(500);
 
-/// Makes the VM known, until the store has said that it is.
-pub async fn announce<S: Store>(store: Rc<S>, own: VmEntry) {
-    while let Err(error) = store.announce(&own).await {
-        tracing::warn!(event = "announce_failed", %error);
-        tokio::time::sleep(PAUSE.mul_f64(1.0 + fastrand::f64())).await;
-    }
-    tracing::info!(event = "announced");
-}
-
-/// Keeps the list of VMs, and follows a reader while there is one.
-pub async fn keep<S: Store>(context: Rc<Context>, store: Rc<S>, pulse: Rc<Pulse>) {
-    let settings = &context.settings;
-    if settings.all_start {
+/// Keeps this VM known to the others, and follows a reader while there is one.
+pub async fn keep<S: Store>(context: Rc<Context>, store: Rc<S>, pulse: Rc<Pulse>, own: VmEntry) {
+    if context.settings.all_start {
+        announce(&*store, &own).await;
         tokio::time::sleep(ALL_ANNOUNCED).await;
     }
     let mut listed: Option<Instant> = None;
@@ -49,26 +43,51 @@
         let old = listed.is_none_or(|at| now.saturating_duration_since(at) >= LIST_EVERY);
         if old && list(&context, &*store).await {
             listed = Some(now);
+            let known = context.readers.borrow().vms().contains(&own);
+            if !known {
+                announce(&*store, &own).await;
+            }
         }
-        let source = context
-            .readers
-            .borrow()
-            .source(now, &settings.vm, &settings.zone);
-        let Source::Reader(reader) = source else {
-            tokio::time::sleep(LOOK_EVERY).await;
-            continue;
+        let reader = match context.readers.borrow().source(now, &own.name, &own.zone) {
+            // Those that follow this VM would have to look for another reader.
+            Source::Reader(reader) if context.followers.is_empty() => Some(reader),
+            Source::Reader(_) | Source::Store => None,
         };
-        let ended = follower::follow(&context, &pulse, &reader).await;
-        if matches!(ended, LinkError::Behind) {
-            tokio::time::sleep(CATCH_UP).await;
-            continue;
+        match reader {
+            Some(reader) => follow(&context, &pulse, reader).await,
+            None => tokio::time::sleep(LOOK_EVERY).await,
         }
-        tracing::info!(event = "reader_lost", reader = %reader.name, why = %ended);
-        let mut readers = context.readers.borrow_mut();
-        readers.failed(Instant::now(), &reader.name);
     }
 }
 
+/// Follows a reader, or the one that it follows itself, until the link ends.
+async fn follow(context: &Rc<Context>, pulse: &Pulse, first: VmEntry) {
+    let mut reader = first;
+    for _ in 0..MOST_HOPS {
+        let ended = follower::follow(context, pulse, &reader).await;
+        match ended {
+            LinkError::Elsewhere(other) if other.name != context.settings.vm => reader = other,
+            LinkError::Elsewhere(_) => break,
+            LinkError::Behind => return tokio::time::sleep(CATCH_UP).await,
+            ended => {
+                tracing::info!(event = "reader_lost", reader = %reader.name, why = %ended);
+                break;
+            }
+        }
+    }
+    let mut readers = context.readers.borrow_mut();
+    readers.failed(Instant::now(), &reader.name);
+}
+
+/// Makes the VM known, until the store has said that it is.
+async fn announce<S: Store>(store: &S, own: &VmEntry) {
+    while let Err(error) = store.announce(own).await {
+        tracing::warn!(event = "announce_failed", %error);
+        tokio::time::sleep(PAUSE.mul_f64(1.0 + fastrand::f64())).await;
+    }
+    tracing::info!(event = "announced");
+}
+
 async fn list<S: Store>(context: &Context, store: &S) -> bool {
     match list_all(store).await {
         Ok(vms) => {
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -7,11 +7,13 @@
 use kingcuploft::entry::readers::VmEntry;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinHandle;
 
 use crate::context::Context;
 use crate::edge::{connection, readiness};
 use crate::keeper;
 use crate::peers::reader;
+use crate::peers::readings::{self, Readings};
 use crate::pulse::{self, Pulse};
 use crate::roster;
 use crate::settings::{EntrySettings, Vocabulary};
@@ -41,7 +43,19 @@
     Signals(std::io::Error),
 }
 
-/// Runs a VM until its planned stop is done.
+/// A VM that runs.
+#[derive(Debug)]
+pub struct Running {
+    /// What its tasks share.
+    pub context: Rc<Context>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether it is ready.
+    pub readiness: SocketAddr,
+    accepting: JoinHandle<()>,
+}
+
+/// Runs a VM until a signal ends it, by a planned stop.
 ///
 /// # Errors
 ///
@@ -53,8 +67,34 @@
 ) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
+    let running = start(settings, vocabulary, store).await?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => tracing::info!(event = "reload", outcome = "nothing changed"),
+        }
+    }
+    running.stop().await;
+    Ok(())
+}
+
+/// Starts a VM; its tasks run in the current `LocalSet`.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be listened on.
+pub async fn start<S: Store + 'static>(
+    settings: EntrySettings,
+    vocabulary: Vocabulary,
+    store: S,
+) -> Result<Running, StartError> {
     let callers = listen(settings.callers)?;
     let ready = listen(settings.readiness)?;
+    let at = |listener: &TcpListener, asked| listener.local_addr().unwrap_or(asked);
+    let addresses = (
+        at(&callers, settings.callers),
+        at(&ready, settings.readiness),
+    );
     tracing::info!(event = "started", vm = %settings.vm, zone = %settings.zone);
     let context = Rc::new(Context::new(settings, vocabulary));
     let store = Rc::new(store);
@@ -69,27 +109,48 @@
     }
     tokio::task::spawn_local(keeper::expire(context.clone()));
     if let Some(address) = context.settings.peers {
-        join(&context, &store, &pulse, address)?;
+        join(&context, &store, &pulse, address).await?;
     }
     let accepting = tokio::task::spawn_local(accept(context.clone(), callers));
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => tracing::info!(event = "reload", outcome = "nothing changed"),
+    Ok(Running {
+        context,
+        callers: addresses.0,
+        readiness: addresses.1,
+        accepting,
+    })
+}
+
+impl Running {
+    /// Stops as planned: not ready at once; new connections are taken while the platform may still
+    /// send them; then idle connections close, and what was read is answered.
+    pub async fn stop(self) {
+        let context = &self.context;
+        let begun = Instant::now();
+        let last = begun + context.settings.stop_within.saturating_sub(END_MARGIN);
+        context.begin_stop(begun);
+        tracing::info!(event = "stopping", callers = context.callers.get());
+        tokio::time::sleep(TAKE_CONNECTIONS).await;
+        self.accepting.abort();
+        context.close_idle();
+        while context.callers.get() > 0 && Instant::now() < last {
+            tokio::time::sleep(STOP_STEP).await;
         }
+        tracing::info!(event = "stopped", callers_left = context.callers.get());
     }
-    stop(&context, accepting).await;
-    Ok(())
 }
 
 /// Joins the other VMs.
-fn join<S: Store + 'static>(
+async fn join<S: Store + 'static>(
     context: &Rc<Context>,
     store: &Rc<S>,
     pulse: &Rc<Pulse>,
     address: SocketAddr,
 ) -> Result<(), StartError> {
     let listener = listen(address)?;
+    let opened = Readings::open(address).await;
+    let opened = opened.map_err(|error| StartError::Listen(address, error))?;
+    let _ = context.peer_readings.set(opened);
+    tokio::task::spawn_local(readings::receive(context.clone()));
     let own = VmEntry {
         name: context.settings.vm.clone(),
         zone: context.settings.zone.clone(),
@@ -97,8 +158,8 @@
     };
     tokio::task::spawn_local(reader::serve(context.clone(), pulse.clone(), listener));
     tokio::task::spawn_local(reader::beat(context.clone(), pulse.clone()));
-    tokio::task::spawn_local(roster::announce(store.clone(), own));
-    tokio::task::spawn_local(roster::keep(context.clone(), store.clone(), pulse.clone()));
+    let keeping = roster::keep(context.clone(), store.clone(), pulse.clone(), own);
+    tokio::task::spawn_local(keeping);
     Ok(())
 }
 
@@ -125,19 +186,3 @@
         }
     }
 }
-
-/// Stops as planned: not ready at once; new connections are taken while the platform may still send
-/// them; then idle connections close, and what was read is answered.
-async fn stop(context: &Rc<Context>, accepting: tokio::task::JoinHandle<()>) {
-    let begun = Instant::now();
-    let last = begun + context.settings.stop_within.saturating_sub(END_MARGIN);
-    context.begin_stop(begun);
-    tracing::info!(event = "stopping", callers = context.callers.get());
-    tokio::time::sleep(TAKE_CONNECTIONS).await;
-    accepting.abort();
-    context.close_idle();
-    while context.callers.get() > 0 && Instant::now() < last {
-        tokio::time::sleep(STOP_STEP).await;
-    }
-    tracing::info!(event = "stopped", callers_left = context.callers.get());
-}
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -10,6 +10,7 @@
 use crate::edge::request::Request;
 use crate::http::client::{Connection, ReceiveError, Response, SendError};
 use crate::http::headers::write_header;
+use crate::peers::readings;
 
 /// The most bytes of an answer that is passed on.
 const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -51,6 +52,7 @@
 ) -> Ended {
     let begun = Instant::now();
     let _in_flight = upstream.sent(begun);
+    readings::tell_sent(context, &upstream.server.name);
     let ended = tokio::time::timeout(left, run(context, upstream, request, left, begun)).await;
     let timed_out = || Ended::without_answer(AttemptEnd::TimedOut, "deadline passed", begun);
     let ended = ended.unwrap_or_else(|_| timed_out());
@@ -92,6 +94,7 @@
     let load = response.head.headers.get(context.vocabulary.load);
     if let Some(reading) = load.and_then(context.vocabulary.read_load) {
         upstream.told(Instant::now(), reading);
+        readings::tell(context, &upstream.server.name, reading);
     }
     upstream.keep(connection);
     let (end, detail) = judge(context, &response);
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -47,6 +47,7 @@
     asking: Cell<bool>,
     mute: Cell<Option<(Instant, Duration)>>,
     in_flight: RefCell<Vec<Instant>>,
+    others_sent: RefCell<Vec<Instant>>,
     failures: RefCell<Failures>,
 }
 
@@ -63,6 +64,7 @@
             asking: Cell::new(false),
             mute: Cell::new(None),
             in_flight: RefCell::default(),
+            others_sent: RefCell::default(),
             failures: RefCell::default(),
         }
     }
@@ -126,6 +128,13 @@
         self.failures.borrow_mut().ended(now, failed);
     }
 
+    /// Takes in that another VM of the zone has just sent a request there.
+    pub fn others_sent(&self, now: Instant) {
+        let mut sent = self.others_sent.borrow_mut();
+        sent.retain(|at| now.saturating_duration_since(*at) < READING_LIFE);
+        sent.push(now);
+    }
+
     /// Counts an own request as in flight until the guard is dropped.
     pub fn sent(self: &std::rc::Rc<Self>, now: Instant) -> InFlight {
         self.in_flight.borrow_mut().push(now);
@@ -141,7 +150,13 @@
         let reading = reading.filter(|(at, _)| now.saturating_duration_since(*at) < READING_LIFE);
         let own = self.in_flight.borrow();
         let unseen = match reading {
-            Some((at, _)) => own.iter().filter(|sent| **sent >= at).count(),
+            Some((at, _)) => {
+                let others = self.others_sent.borrow();
+                own.iter()
+                    .chain(&*others)
+                    .filter(|sent| **sent >= at)
+                    .count()
+            }
             None => own.len(),
         };
         Candidate {
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -7,6 +7,7 @@
 use crate::context::Context;
 use crate::http::client::{Connection, Response};
 use crate::http::headers::write_header;
+use crate::peers::readings;
 
 /// How long a probe may take: the longest round trip of a region, many times over.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
@@ -43,7 +44,10 @@
             Ok(None) | Err(_) => None,
         };
         match reading {
-            Some(reading) => upstream.told(now, reading),
+            Some(reading) => {
+                upstream.told(now, reading);
+                readings::tell(&context, &upstream.server.name, reading);
+            }
             None => {
                 upstream.probe_failed(now);
                 tracing::debug!(event = "probe_failed", server = %upstream.server.name);
--- a/crates/kingcuploft/src/entry/backend_servers.rs
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -185,6 +185,12 @@
         known.is_some_and(|k| matches!(k.standing, Standing::InUse | Standing::LapsesAt(_)))
     }
 
+    /// Returns whether this is what is known of a server already.
+    pub fn is_known(&self, server: &BackendServer) -> bool {
+        let known = self.known.get(&server.name);
+        known.is_some_and(|known| known.gone_at.is_none() && known.server == *server)
+    }
+
     /// Returns a server that is known.
     pub fn get(&self, name: &str) -> Option<&BackendServer> {
         self.known.get(name).map(|known| &known.server)
--- a/crates/kingcuploft/src/entry/probe_budget.rs
+++ b/crates/kingcuploft/src/entry/probe_budget.rs
@@ -10,7 +10,7 @@
 
 /// The part of the bound that is used: VMs are counted some seconds late, and the bound is also kept
 /// while some of them are not counted.
-const GUARD: f64 = 0.7;
+const GUARD: f64 = 0.85;
 
 /// For how many seconds a VM may save what it does not use: bursts last a few.
 const SAVED_S: f64 = 4.0;
