test(entry): a VM between scripted servers, a store with faults and callers; fix(keeper): a pause behind lost history

Cause, found by what_changed_while_the_store_forgot_is_known_from_a_new_list: a store that forgets faster than it is read was listed again without a pause, and the VM's only thread served nobody (100% of a core, endless).

--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -62,6 +62,8 @@
             Err(StoreError::HistoryGone) => {
                 tracing::info!(event = "history_gone", collection = collection.label());
                 forgotten = true;
+                // A store that forgets faster than it is read must not be asked without a pause.
+                tokio::time::sleep(FIRST_PAUSE).await;
             }
             Err(error) => tokio::time::sleep(pauses.failed(collection, &error)).await,
         }
--- a/crates/kingcuploft-entry/src/peers/reader.rs
+++ b/crates/kingcuploft-entry/src/peers/reader.rs
@@ -54,6 +54,11 @@
         self.queues.borrow().len()
     }
 
+    /// Forgets the followers without closing their links, as a VM that froze does.
+    pub fn fall_silent(&self) {
+        std::mem::forget(self.queues.take());
+    }
+
     fn add(&self) -> mpsc::Receiver<Line> {
         let (sender, receiver) = mpsc::channel(MOST_WAITING);
         self.queues.borrow_mut().push(sender);
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -147,6 +147,7 @@
     address: SocketAddr,
 ) -> Result<(), StartError> {
     let listener = listen(address)?;
+    let address = listener.local_addr().unwrap_or(address);
     let opened = Readings::open(address).await;
     let opened = opened.map_err(|error| StartError::Listen(address, error))?;
     let _ = context.peer_readings.set(opened);
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/entry/answers.rs
@@ -0,0 +1,90 @@
+//! Every caller gets the whole answer to its own request, or a truthful failure.
+
+use std::time::{Duration, Instant};
+
+use crate::server::Act;
+use crate::world::{World, look, play, until};
+
+#[test]
+fn an_answer_is_passed_on_whole() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        let answer = world.ask(&look("r1")).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "hello"));
+        assert!(answer.has("x-signed: s") && answer.has("x-id: r1"));
+        let seen = world.servers[0].seen.borrow()[0].clone();
+        assert!(seen.text.starts_with("GET /look/a HTTP/1.1"));
+        assert_eq!(seen.header("x-meant-for"), Some("s0"));
+        let left: u64 = seen.header("x-deadline-ms").unwrap().parse().unwrap();
+        assert!((1..=4000).contains(&left), "{left}");
+    });
+}
+
+/// A server breaks off in the middle of a lookup's answer. Passed on as it came, a manager would read
+/// half an itinerary; the lookup is asked of another server instead.
+#[test]
+fn a_broken_answer_to_a_lookup_is_replaced_by_another_servers() {
+    for fault in [Act::Truncate, Act::LoseAnswer, Act::Unsigned, Act::Fail] {
+        play(async move {
+            let world = World::with(&[fault, Act::Answer]).await;
+            let mut caller = world.caller().await;
+            for id in 0..6 {
+                caller.send(&look(&format!("r{id}"))).await;
+                let answer = caller.answer().await.unwrap();
+                assert_eq!(
+                    (answer.status, answer.body.as_str()),
+                    (200, "hello"),
+                    "{fault:?}"
+                );
+            }
+        });
+    }
+}
+
+/// A server gives one answer too many to an earlier request. Read as the answer to the next one, a
+/// caller would get another caller's booking.
+#[test]
+fn a_crossed_answer_is_skipped() {
+    play(async {
+        let world = World::with(&[Act::CrossedFirst]).await;
+        let answer = world.ask(&look("mine")).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "hello"));
+        assert!(answer.has("x-id: mine"));
+    });
+}
+
+#[test]
+fn a_failure_of_all_servers_is_passed_on_as_the_server_gave_it() {
+    play(async {
+        let world = World::with(&[Act::Fail, Act::Fail]).await;
+        let answer = world.ask(&look("r1")).await;
+        assert_eq!(answer.status, 500);
+        assert!(answer.has("x-signed: s"));
+        assert_eq!(world.runs(), 2, "tried as often as the route allows");
+    });
+}
+
+/// A server never answers. The caller must not wait beyond what the operator allows for the route,
+/// and the server must not go on working for nobody.
+#[test]
+fn the_routes_timeout_ends_a_request_and_its_work() {
+    play(async {
+        let world = World::with(&[Act::Hang]).await;
+        let begun = Instant::now();
+        let request = look("r1").replace("/look/", "/short/");
+        let answer = world.ask(&request).await;
+        assert_eq!(answer.status, 504);
+        assert!(begun.elapsed() < Duration::from_millis(800));
+        until(|| world.servers[0].cancelled.get() == 1).await;
+    });
+}
+
+#[test]
+fn paths_without_a_route_are_not_found() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        let answer = world.ask(&look("r1").replace("/look/", "/none/")).await;
+        assert_eq!(answer.status, 404);
+        assert_eq!(world.runs(), 0);
+    });
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -0,0 +1,115 @@
+//! Callers' connections: pipelined, chunked, ambiguous, left.
+
+use std::time::Duration;
+
+use crate::server::Act;
+use crate::world::{World, look, play, until};
+
+/// A page sends three lookups at once on one connection. Served one after another, the last would
+/// wait for two others' work and be given up.
+#[test]
+fn pipelined_requests_are_served_together_and_answered_in_order() {
+    play(async {
+        let slow = Act::After(Duration::from_millis(300));
+        let world = World::with(&[slow]).await;
+        let mut caller = world.caller().await;
+        let three = [look("r1"), look("r2"), look("r3")].concat();
+        caller.send(&three).await;
+        until(|| world.runs() == 3).await;
+        for id in ["r1", "r2", "r3"] {
+            let answer = caller.answer().await.unwrap();
+            assert!(answer.has(&format!("x-id: {id}")), "{id}: {}", answer.head);
+        }
+    });
+}
+
+/// A caller gives up. The server must not work on for nobody.
+#[test]
+fn the_work_of_a_caller_that_left_is_cancelled() {
+    play(async {
+        let world = World::with(&[Act::After(Duration::from_secs(8))]).await;
+        let mut caller = world.caller().await;
+        caller.send(&look("r1")).await;
+        until(|| world.runs() == 1).await;
+        drop(caller);
+        until(|| world.servers[0].cancelled.get() == 1).await;
+        assert_eq!(world.seen(), 1);
+    });
+}
+
+#[test]
+fn a_body_in_chunks_reaches_the_server_whole() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        let request = "POST /book/a HTTP/1.1\r\nHost: a.example\r\nx-id: c1\r\n\
+             Transfer-Encoding: chunked\r\n\r\n3\r\nbed\r\n4;x=y\r\ntime\r\n0\r\n\r\n";
+        let answer = world.ask(request).await;
+        assert_eq!(answer.status, 200);
+        let seen = world.servers[0].seen.borrow()[0].clone();
+        assert!(seen.text.ends_with("\r\n\r\nbedtime"), "{}", seen.text);
+    });
+}
+
+/// A request whose length can be read in two ways carries a second one past a proxy.
+#[test]
+fn ambiguous_requests_are_refused_and_reach_no_server() {
+    let head = "POST /book/a HTTP/1.1\r\nHost: a.example\r\n";
+    let bad = [
+        format!("{head}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+        format!("{head}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"),
+        format!("{head}Content-Length: +3\r\n\r\nabc"),
+        format!("{head}Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n"),
+        format!("{head}Host: b.example\r\n\r\n"),
+        "GET /look/a HTTP/1.1\r\n\r\n".to_owned(),
+        "nonsense\r\n\r\n".to_owned(),
+    ];
+    play(async move {
+        let world = World::with(&[Act::Answer]).await;
+        for request in &bad {
+            let answer = world.ask(request).await;
+            assert_eq!(answer.status, 400, "{request}");
+            assert!(answer.has("connection: close"));
+        }
+        assert_eq!(world.seen(), 0);
+    });
+}
+
+#[test]
+fn a_head_that_is_too_long_is_refused() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        let filler = "x".repeat(20_000);
+        let request = format!("GET /look/a HTTP/1.1\r\nHost: a.example\r\nx-f: {filler}\r\n\r\n");
+        let mut caller = world.caller().await;
+        caller.send(&request).await;
+        assert_eq!(caller.answer().await.unwrap().status, 431);
+    });
+}
+
+#[test]
+fn a_connection_closes_behind_the_answer_if_the_caller_asks_for_it() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        let mut caller = world.caller().await;
+        let last = look("r1").replace("x-id", "Connection: close\r\nx-id");
+        caller.send(&last).await;
+        let answer = caller.answer().await.unwrap();
+        assert_eq!(answer.status, 200);
+        assert!(answer.has("connection: close"));
+        assert!(caller.answer().await.is_none());
+    });
+}
+
+#[test]
+fn a_caller_that_waits_for_leave_to_send_its_body_gets_it() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        let mut caller = world.caller().await;
+        let head = "POST /book/a HTTP/1.1\r\nHost: a.example\r\nx-id: e1\r\n\
+             Expect: 100-continue\r\nContent-Length: 3\r\n\r\n";
+        caller.send(head).await;
+        assert_eq!(caller.answer().await.unwrap().status, 100);
+        caller.send("bed").await;
+        assert_eq!(caller.answer().await.unwrap().status, 200);
+    });
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -0,0 +1,83 @@
+//! One VM of a zone reads the store for the others.
+
+use std::time::Duration;
+
+use kingcuploft_entry::run::{self, Running};
+use kingcuploft_entry::settings::EntrySettings;
+
+use crate::server::{Act, TestServer};
+use crate::store::TestStore;
+use crate::world::{WORDS, configuration, entry, play, settings, until};
+
+async fn start_in_zone(name: &str, store: &TestStore) -> Running {
+    let settings = EntrySettings {
+        peers: Some(([127, 0, 0, 1], 0).into()),
+        ..settings(name)
+    };
+    let vm = run::start(settings, WORDS, store.clone()).await.unwrap();
+    until(|| vm.context.is_ready()).await;
+    vm
+}
+
+fn followers(vms: &[Running]) -> usize {
+    vms.iter().map(|vm| vm.context.followers.len()).sum()
+}
+
+async fn zone_of(count: usize, store: &TestStore) -> Vec<Running> {
+    let mut vms = Vec::new();
+    for at in 0..count {
+        vms.push(start_in_zone(&format!("vm-{at}"), store).await);
+    }
+    vms
+}
+
+/// Each VM that watches costs a call for each change. With three VMs in a zone, one watches, and the
+/// others hear of a new configuration and a new server from it.
+#[test]
+fn the_vms_of_a_zone_hear_of_changes_from_one_that_watches() {
+    play(async {
+        let store = TestStore::default();
+        store.0.configure(configuration(1));
+        let vms = zone_of(3, &store).await;
+        until(|| followers(&vms) == 2).await;
+        let watches = store.0.watches.get();
+        let server = TestServer::start(Act::Answer).await;
+        store.0.configure(configuration(2));
+        store.0.serve(entry(0, &server));
+        let version = |vm: &Running| vm.context.configuration().map(|c| c.version);
+        until(|| vms.iter().all(|vm| version(vm) == Some(2))).await;
+        until(|| vms.iter().all(|vm| vm.context.upstream("s0").is_some())).await;
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        let woken = store.0.watches.get() - watches;
+        assert!(woken <= 4, "{woken} watches for two changes");
+    });
+}
+
+/// The VM that reads for its zone is gone from one moment to the next, and a server leaves right
+/// after. The others must know within two seconds.
+#[test]
+fn vms_whose_reader_is_gone_read_by_themselves() {
+    play(async {
+        let store = TestStore::default();
+        store.0.configure(configuration(1));
+        let server = TestServer::start(Act::Answer).await;
+        store.0.serve(entry(0, &server));
+        let vms = zone_of(3, &store).await;
+        until(|| followers(&vms) == 2).await;
+        let at = vms.iter().position(|vm| !vm.context.followers.is_empty());
+        let reader = &vms[at.unwrap()];
+        reader.context.followers.fall_silent();
+        store.0.remove("s0");
+        tokio::time::sleep(Duration::from_millis(1900)).await;
+        for vm in vms
+            .iter()
+            .filter(|vm| vm.context.settings.vm != reader.context.settings.vm)
+        {
+            assert!(
+                vm.context.upstream("s0").is_none(),
+                "{}",
+                vm.context.settings.vm
+            );
+        }
+    });
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -0,0 +1,11 @@
+//! One entry VM between callers, backend servers and a store, judged by what they see.
+
+mod answers;
+mod callers;
+mod following;
+mod protected;
+mod server;
+mod stopping;
+mod store;
+mod store_faults;
+mod world;
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/entry/store.rs
@@ -0,0 +1,156 @@
+//! A store in memory, with faults.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcuploft::entry::backend_servers::BackendServer;
+use kingcuploft::entry::configuration::Configuration;
+use kingcuploft::entry::readers::VmEntry;
+use kingcuploft_entry::store::{
+    Changes, Collection, Page, Record, Revision, Store, StoreChange, StoreError,
+};
+use tokio::sync::Notify;
+
+/// What the store holds, shared with the test.
+#[derive(Default)]
+pub(crate) struct Held {
+    pub(crate) configuration: RefCell<Option<Configuration>>,
+    pub(crate) servers: RefCell<Vec<BackendServer>>,
+    pub(crate) vms: RefCell<Vec<VmEntry>>,
+    /// Calls hang, those that wait already as well, even after the fault has ended.
+    pub(crate) silent: Cell<bool>,
+    /// Watches are answered with "history gone" up to this revision.
+    pub(crate) forgotten: Cell<Revision>,
+    pub(crate) watches: Cell<u32>,
+    pub(crate) lists: Cell<u32>,
+    changes: RefCell<Vec<(Revision, Collection, StoreChange)>>,
+    revision: Cell<Revision>,
+    changed: Notify,
+}
+
+impl Held {
+    pub(crate) fn configure(&self, configuration: Configuration) {
+        *self.configuration.borrow_mut() = Some(configuration.clone());
+        let record = Record::Configuration(Box::new(configuration));
+        self.change(Collection::Configuration, StoreChange::Written(record));
+    }
+
+    pub(crate) fn serve(&self, server: BackendServer) {
+        let mut servers = self.servers.borrow_mut();
+        servers.retain(|known| known.name != server.name);
+        servers.push(server.clone());
+        drop(servers);
+        let record = Record::BackendServer(server);
+        self.change(Collection::BackendServers, StoreChange::Written(record));
+    }
+
+    pub(crate) fn remove(&self, name: &str) {
+        let mut servers = self.servers.borrow_mut();
+        servers.retain(|known| &*known.name != name);
+        drop(servers);
+        self.change(Collection::BackendServers, StoreChange::Gone(name.into()));
+    }
+
+    fn change(&self, collection: Collection, change: StoreChange) {
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        self.changes
+            .borrow_mut()
+            .push((revision, collection, change));
+        self.changed.notify_waiters();
+    }
+
+    fn since(&self, collection: Collection, from: Revision) -> Vec<StoreChange> {
+        let changes = self.changes.borrow();
+        let newer = changes
+            .iter()
+            .filter(|(r, c, _)| *r > from && *c == collection);
+        newer.map(|(_, _, change)| change.clone()).collect()
+    }
+
+    async fn hang_if_silent(&self) {
+        if self.silent.get() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// A client of the store.
+#[derive(Clone, Default)]
+pub(crate) struct TestStore(pub(crate) Rc<Held>);
+
+impl Store for TestStore {
+    async fn list(
+        &self,
+        collection: Collection,
+        _after: Option<&str>,
+        _stale: bool,
+    ) -> Result<Page, StoreError> {
+        let held = &self.0;
+        held.hang_if_silent().await;
+        held.lists.set(held.lists.get() + 1);
+        let records = match collection {
+            Collection::Configuration => {
+                let configuration = held.configuration.borrow().clone();
+                let records = configuration.into_iter();
+                let records = records.map(|c| Record::Configuration(Box::new(c)));
+                records.map(|record| ("main".into(), record)).collect()
+            }
+            Collection::BackendServers => {
+                let servers = held.servers.borrow().clone().into_iter();
+                let records = servers.map(|s| (s.name.to_string(), Record::BackendServer(s)));
+                records.collect()
+            }
+            Collection::Vms => {
+                let vms = held.vms.borrow().clone().into_iter();
+                vms.map(|vm| (vm.name.to_string(), Record::Vm(vm)))
+                    .collect()
+            }
+        };
+        Ok(Page {
+            records,
+            next: None,
+            revision: held.revision.get(),
+        })
+    }
+
+    async fn sign_of_life(&self) -> Result<Revision, StoreError> {
+        self.0.hang_if_silent().await;
+        Ok(self.0.revision.get())
+    }
+
+    async fn announce(&self, vm: &VmEntry) -> Result<(), StoreError> {
+        self.0.hang_if_silent().await;
+        self.0.vms.borrow_mut().push(vm.clone());
+        Ok(())
+    }
+
+    async fn watch(
+        &self,
+        collection: Collection,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        let held = &self.0;
+        held.hang_if_silent().await;
+        held.watches.set(held.watches.get() + 1);
+        if from < held.forgotten.get() {
+            return Err(StoreError::HistoryGone);
+        }
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = held.changed.notified();
+            // A watch that waited through silence hears nothing any more.
+            held.hang_if_silent().await;
+            let changes = held.since(collection, from);
+            if !changes.is_empty() || tokio::time::Instant::now() >= until {
+                return Ok(Changes {
+                    changes,
+                    revision: held.revision.get(),
+                });
+            }
+            let _ = tokio::time::timeout_at(until, changed).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/entry/store_faults.rs
@@ -0,0 +1,107 @@
+//! The store is silent, forgets, or is away; what it says is kept.
+
+use std::time::Duration;
+
+use kingcuploft::entry::backend_servers::BackendServer;
+use kingcuploft_entry::run;
+
+use crate::server::Act;
+use crate::store::TestStore;
+use crate::world::{World, configuration, entry, look, play, play_in_virtual_time, start, until};
+
+fn version(vm: &run::Running) -> u64 {
+    vm.context.configuration().map_or(0, |c| c.version)
+}
+
+/// The store falls silent while a watch waits, and a new configuration is accepted right after its
+/// return. A watch that waited through the silence never hears of it: requests would follow the old
+/// routes for twenty seconds.
+#[test]
+fn a_configuration_after_a_silent_spell_is_in_force_within_two_seconds() {
+    play_in_virtual_time(async {
+        let store = TestStore::default();
+        store.0.configure(configuration(1));
+        let vm = start("vm", &store).await;
+        store.0.silent.set(true);
+        // Wakes the waiting watches, which then hang for good, as on a connection gone silent.
+        store.0.configure(configuration(2));
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        assert_eq!(version(&vm), 1);
+        store.0.silent.set(false);
+        store.0.configure(configuration(3));
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(version(&vm), 3);
+    });
+}
+
+/// The store forgets its history while a server leaves. Watching on from an old moment would never
+/// tell of it.
+#[test]
+fn what_changed_while_the_store_forgot_is_known_from_a_new_list() {
+    play(async {
+        let world = World::with(&[Act::Answer, Act::Answer]).await;
+        world.store.forgotten.set(1000);
+        world.store.remove("s0");
+        until(|| world.store.lists.get() >= 3).await;
+        until(|| world.vm.context.upstream("s0").is_none()).await;
+        assert!(world.vm.context.upstream("s1").is_some());
+    });
+}
+
+/// An old configuration reaches the store's readers after a newer one.
+#[test]
+fn a_configuration_never_goes_back() {
+    play_in_virtual_time(async {
+        let store = TestStore::default();
+        store.0.configure(configuration(5));
+        let vm = start("vm", &store).await;
+        store.0.configure(configuration(4));
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        assert_eq!(version(&vm), 5);
+    });
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_work_within_two_seconds() {
+    play(async {
+        let world = World::with(&[Act::Answer, Act::Answer]).await;
+        let leaving = BackendServer {
+            draining: true,
+            ..entry(0, &world.servers[0])
+        };
+        world.store.serve(leaving);
+        tokio::time::sleep(Duration::from_millis(1800)).await;
+        let before = world.servers[0].seen.borrow().len();
+        for id in 0..10 {
+            assert_eq!(world.ask(&look(&format!("r{id}"))).await.status, 200);
+        }
+        assert_eq!(world.servers[0].seen.borrow().len(), before);
+    });
+}
+
+#[test]
+fn requests_are_served_while_the_store_is_away() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        world.store.silent.set(true);
+        tokio::time::sleep(Duration::from_millis(2500)).await;
+        assert_eq!(world.ask(&look("r1")).await.status, 200);
+        assert!(world.vm.context.is_ready());
+    });
+}
+
+#[test]
+fn a_vm_that_knows_no_configuration_refuses_and_is_not_ready() {
+    play(async {
+        let store = TestStore::default();
+        let started = run::start(crate::world::settings("vm"), crate::world::WORDS, store);
+        let vm = started.await.unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!vm.context.is_ready());
+        let mut caller = crate::world::Caller::connect(vm.callers).await;
+        caller.send(&look("r1")).await;
+        let answer = caller.answer().await.unwrap();
+        assert_eq!(answer.status, 503);
+        assert!(answer.has("retry-after"));
+    });
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/entry/world.rs
@@ -0,0 +1,265 @@
+//! A VM with its servers, its store and a caller.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcuploft::entry::backend_servers::BackendServer;
+use kingcuploft::entry::configuration::{Configuration, Destination, Limits, Route, Service};
+use kingcuploft::entry::placement::Reading;
+use kingcuploft::entry::repeats::RepeatBounds;
+use kingcuploft::utils::HashMap;
+use kingcuploft::world::contract::Contract;
+use kingcuploft_entry::run::{self, Running};
+use kingcuploft_entry::settings::{EntrySettings, Vocabulary};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::server::{Act, TestServer};
+use crate::store::{Held, TestStore};
+
+/// The names that this world uses.
+pub(crate) const WORDS: Vocabulary = Vocabulary {
+    request_id: "x-id",
+    deadline_ms: "x-deadline-ms",
+    signature: "x-signed",
+    meant_for: "x-meant-for",
+    load: "x-load",
+    not_run: "x-not-run",
+    ready_path: "/ready",
+    read_load,
+};
+
+fn read_load(value: &str) -> Option<Reading> {
+    let mut figures = value.split(',').map(|figure| figure.parse::<u32>().ok());
+    Some(Reading {
+        running: figures.next()??,
+        waiting: figures.next()??,
+        slots: figures.next()??,
+        slowness: 1.0,
+    })
+}
+
+/// A VM with servers that act as told.
+pub(crate) struct World {
+    pub(crate) vm: Running,
+    pub(crate) store: Rc<Held>,
+    pub(crate) servers: Vec<TestServer>,
+}
+
+impl World {
+    /// Starts servers that act like this, and a VM in front of them.
+    pub(crate) async fn with(acts: &[Act]) -> Self {
+        let store = TestStore::default();
+        store.0.configure(configuration(1));
+        let mut servers = Vec::new();
+        for (at, act) in acts.iter().enumerate() {
+            let server = TestServer::start(*act).await;
+            store.0.serve(entry(at, &server));
+            servers.push(server);
+        }
+        let vm = start("vm", &store).await;
+        Self {
+            vm,
+            store: store.0,
+            servers,
+        }
+    }
+
+    pub(crate) async fn caller(&self) -> Caller {
+        Caller::connect(self.vm.callers).await
+    }
+
+    /// Sends one request on a connection of its own and returns its answer.
+    pub(crate) async fn ask(&self, request: &str) -> Answer {
+        let mut caller = self.caller().await;
+        caller.send(request).await;
+        caller.answer().await.expect("an answer")
+    }
+
+    pub(crate) fn runs(&self) -> u32 {
+        self.servers.iter().map(|server| server.runs.get()).sum()
+    }
+
+    pub(crate) fn seen(&self) -> usize {
+        self.servers
+            .iter()
+            .map(|server| server.seen.borrow().len())
+            .sum()
+    }
+}
+
+/// Starts a VM that knows the store's configuration and servers.
+pub(crate) async fn start(name: &str, store: &TestStore) -> Running {
+    let vm = run::start(settings(name), WORDS, store.clone())
+        .await
+        .unwrap();
+    until(|| vm.context.is_ready()).await;
+    vm
+}
+
+pub(crate) fn settings(name: &str) -> EntrySettings {
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    EntrySettings {
+        vm: name.into(),
+        zone: "thun".into(),
+        callers: any,
+        readiness: any,
+        peers: None,
+        store: any,
+        all_start: false,
+        stop_within: Duration::from_secs(6),
+        repeats: RepeatBounds {
+            ratio: 0.2,
+            allowance: 20_000.0,
+            window: Duration::from_secs(10),
+        },
+        probes_per_server_s: 60_000.0,
+    }
+}
+
+/// Waits until something holds; fails after many times the time it should take.
+pub(crate) async fn until(mut holds: impl FnMut() -> bool) {
+    for _ in 0..2000 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("it did not come to hold");
+}
+
+/// Lookups under /look/, bookings under /book/, lookups of 300 ms at most under /short/.
+pub(crate) fn configuration(version: u64) -> Configuration {
+    let routes = vec![
+        route("look", "/look/", Contract::RetryFreely, 5000),
+        route("book", "/book/", Contract::AtMostOnce, 5000),
+        route("short", "/short/", Contract::RetryFreely, 300),
+    ];
+    let service = Service {
+        health_path: "/health".into(),
+        most_connections: 100,
+    };
+    let services: HashMap<_, _> = [("trip".into(), service)].into_iter().collect();
+    Configuration::new(version, routes, services, Limits::default())
+}
+
+fn route(name: &str, prefix: &str, contract: Contract, timeout_ms: u64) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        path_prefix: prefix.into(),
+        contract,
+        target: Duration::from_millis(timeout_ms / 2),
+        timeout: Duration::from_millis(timeout_ms),
+        most_attempts: 2,
+        priority: 1,
+        destinations: vec![Destination {
+            service: "trip".into(),
+            weight: 1,
+        }],
+    }
+}
+
+pub(crate) fn entry(at: usize, server: &TestServer) -> BackendServer {
+    BackendServer {
+        name: format!("s{at}").into(),
+        service: "trip".into(),
+        address: server.address,
+        zone: "thun".into(),
+        slots: 4,
+        draining: false,
+        cold_for: Duration::ZERO,
+        started_at: None,
+    }
+}
+
+pub(crate) fn look(id: &str) -> String {
+    format!("GET /look/a HTTP/1.1\r\nHost: a.example\r\nx-id: {id}\r\nx-deadline-ms: 4000\r\n\r\n")
+}
+
+pub(crate) fn book(id: &str) -> String {
+    format!(
+        "POST /book/a HTTP/1.1\r\nHost: a.example\r\nx-id: {id}\r\nx-deadline-ms: 4000\r\n\
+         Content-Length: 3\r\n\r\nbed"
+    )
+}
+
+/// An answer as a caller reads it.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+}
+
+impl Answer {
+    pub(crate) fn has(&self, line: &str) -> bool {
+        self.head
+            .to_ascii_lowercase()
+            .contains(&line.to_ascii_lowercase())
+    }
+}
+
+/// A caller's connection.
+pub(crate) struct Caller {
+    pub(crate) stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl Caller {
+    pub(crate) async fn connect(address: SocketAddr) -> Self {
+        Self {
+            stream: TcpStream::connect(address).await.unwrap(),
+            bytes: Vec::new(),
+        }
+    }
+
+    pub(crate) async fn send(&mut self, request: &str) {
+        self.stream.write_all(request.as_bytes()).await.unwrap();
+    }
+
+    /// Returns the next answer, or `None` if the connection ends first.
+    pub(crate) async fn answer(&mut self) -> Option<Answer> {
+        loop {
+            if let Some(answer) = self.parse() {
+                return Some(answer);
+            }
+            let read = self.stream.read_buf(&mut self.bytes);
+            let read = tokio::time::timeout(Duration::from_secs(10), read).await;
+            if read.expect("an answer in 10 s").ok()? == 0 {
+                return None;
+            }
+        }
+    }
+
+    fn parse(&mut self) -> Option<Answer> {
+        let end = self.bytes.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
+        let head = String::from_utf8(self.bytes[..end].to_vec()).ok()?;
+        let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+        let length = lines.find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+        let length: usize = length.map_or(0, |(_, value)| value.parse().unwrap());
+        if self.bytes.len() < end + length {
+            return None;
+        }
+        let body = String::from_utf8(self.bytes[end..end + length].to_vec()).ok()?;
+        self.bytes.drain(..end + length);
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        Some(Answer { status, head, body })
+    }
+}
+
+/// Runs a test on one thread.
+pub(crate) fn play<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    tokio::task::LocalSet::new().block_on(&runtime.unwrap(), test);
+}
+
+/// Runs a test in virtual time: waits take none.
+pub(crate) fn play_in_virtual_time<F: Future<Output = ()>>(test: F) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&runtime.unwrap(), test);
+}
--- /dev/null
+++ b/crates/kingcuploft/tests/entry/backend_servers.rs
@@ -0,0 +1,111 @@
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::backend_servers::{BackendServer, BackendServers, Change, LAPSE_GRACE};
+
+fn server(name: &str) -> BackendServer {
+    BackendServer {
+        name: name.into(),
+        service: "trip".into(),
+        address: ([127, 0, 0, 1], 8080).into(),
+        zone: "hsinchu".into(),
+        slots: 2,
+        draining: false,
+        cold_for: Duration::ZERO,
+        started_at: None,
+    }
+}
+
+fn leaving(name: &str) -> BackendServer {
+    BackendServer {
+        draining: true,
+        ..server(name)
+    }
+}
+
+/// A server says that it leaves; then an old report arrives that calls it ready. Sent there, work
+/// would be cut when the server ends.
+#[test]
+fn a_leaving_server_is_not_brought_back_by_an_old_report() {
+    let mut servers = BackendServers::default();
+    assert_eq!(servers.told(server("a")), Some(Change::Joined("a".into())));
+    assert_eq!(servers.told(leaving("a")), Some(Change::Left("a".into())));
+    assert_eq!(servers.told(server("a")), None);
+    assert!(!servers.takes_work("a"));
+}
+
+#[test]
+fn a_server_that_starts_again_under_its_name_is_used_again() {
+    let mut servers = BackendServers::default();
+    servers.told(server("a"));
+    servers.told(leaving("a"));
+    let again = BackendServer {
+        started_at: Some(1_770_000_000_000),
+        ..server("a")
+    };
+    assert_eq!(servers.told(again), Some(Change::Joined("a".into())));
+    assert!(servers.takes_work("a"));
+}
+
+#[test]
+fn a_server_whose_entry_goes_gets_no_new_work() {
+    let mut servers = BackendServers::default();
+    servers.told(server("a"));
+    assert_eq!(
+        servers.gone(Instant::now(), "a"),
+        Some(Change::Left("a".into()))
+    );
+    assert!(!servers.takes_work("a"));
+}
+
+/// The store was away for longer than three heartbeats, and all entries lapsed though their servers
+/// are well. Taken at face value, the list after its return leaves no server to use; entries that are
+/// not back after two seconds are really gone.
+#[test]
+fn entries_that_lapsed_in_an_outage_are_used_until_they_could_be_back() {
+    let (mut servers, now) = (BackendServers::default(), Instant::now());
+    servers.told(server("a"));
+    servers.told(server("b"));
+    servers.store_returned(now);
+    let changes = servers.all_told(now, std::iter::empty());
+    assert_eq!(changes.len(), 2);
+    assert!(servers.takes_work("a") && servers.takes_work("b"));
+    assert_eq!(servers.told(server("a")), Some(Change::Updated("a".into())));
+    let over = now + LAPSE_GRACE;
+    assert_eq!(servers.expire(over), vec![Change::Left("b".into())]);
+    assert!(servers.takes_work("a") && !servers.takes_work("b"));
+}
+
+/// A leaving server's entry lapses in the same outage. It must not get the grace of the others.
+#[test]
+fn a_leaving_server_gets_no_grace() {
+    let (mut servers, now) = (BackendServers::default(), Instant::now());
+    servers.told(server("a"));
+    servers.told(leaving("a"));
+    servers.store_returned(now);
+    assert_eq!(servers.gone(now, "a"), None);
+    assert!(!servers.takes_work("a"));
+}
+
+#[test]
+fn servers_that_are_gone_for_long_are_forgotten() {
+    let (mut servers, now) = (BackendServers::default(), Instant::now());
+    servers.told(server("a"));
+    servers.told(leaving("a"));
+    servers.gone(now, "a");
+    servers.expire(now + Duration::from_secs(10));
+    assert!(servers.get("a").is_some(), "a late report may still come");
+    servers.expire(now + Duration::from_secs(3600));
+    assert!(servers.get("a").is_none());
+}
+
+#[test]
+fn news_is_what_is_not_known_yet() {
+    let mut servers = BackendServers::default();
+    servers.told(server("a"));
+    assert!(servers.is_known(&server("a")));
+    assert!(!servers.is_known(&leaving("a")));
+    servers.gone(Instant::now(), "a");
+    assert!(!servers.is_known(&server("a")), "its return is news");
+    assert_eq!(servers.present().count(), 0);
+    assert_eq!(servers.in_use(), 0);
+}
--- /dev/null
+++ b/crates/kingcuploft/tests/entry/configuration.rs
@@ -0,0 +1,87 @@
+use std::time::Duration;
+
+use kingcuploft::entry::configuration::{Configuration, Dealer, Destination, Limits, Route};
+use kingcuploft::utils::HashMap;
+use kingcuploft::world::contract::Contract;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "trips.example".into(),
+        path_prefix: prefix.into(),
+        contract: Contract::RetryFreely,
+        target: Duration::from_millis(200),
+        timeout: Duration::from_millis(500),
+        most_attempts: 2,
+        priority: 2,
+        destinations: vec![to("trip", 1)],
+    }
+}
+
+fn to(service: &str, weight: u32) -> Destination {
+    Destination {
+        service: service.into(),
+        weight,
+    }
+}
+
+fn configuration() -> Configuration {
+    let routes = vec![route("all", "/"), route("holds", "/holds/")];
+    Configuration::new(3, routes, HashMap::default(), Limits::default())
+}
+
+fn found(host: &str, target: &str) -> Option<String> {
+    let configuration = configuration();
+    let route = configuration.route(host, target)?;
+    Some(route.name.to_string())
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    assert_eq!(found("trips.example", "/holds/7"), Some("holds".into()));
+    assert_eq!(found("trips.example", "/holdsX"), Some("all".into()));
+    assert_eq!(
+        found("TRIPS.example:8080", "/holds/7?q=1"),
+        Some("holds".into())
+    );
+}
+
+#[test]
+fn an_unknown_host_has_no_route() {
+    assert_eq!(found("other.example", "/holds/7"), None);
+}
+
+#[test]
+fn a_query_is_not_part_of_the_path() {
+    assert_eq!(found("trips.example", "/x?to=/holds/"), Some("all".into()));
+}
+
+/// Operators move a tenth of the bookings to a new service. With a few hundred requests, each part must
+/// have its share, on every VM, wherever its sequence begins.
+#[test]
+fn each_destination_gets_its_share_of_a_few_hundred_requests() {
+    for start in [0.0, 0.31, 0.77] {
+        let (destinations, mut dealer) = ([to("old", 90), to("new", 10)], Dealer::new(start));
+        let dealt = (0..300).filter_map(|_| dealer.deal(&destinations));
+        let new = dealt.filter(|d| &*d.service == "new").count();
+        assert!((27..=33).contains(&new), "{new} of 300 from {start}");
+    }
+}
+
+#[test]
+fn a_destination_without_weight_gets_nothing() {
+    let (destinations, mut dealer) = ([to("old", 1), to("new", 0)], Dealer::new(0.9));
+    let all_old = (0..50).all(|_| dealer.deal(&destinations) == Some(&destinations[0]));
+    assert!(all_old);
+    assert_eq!(dealer.deal(&[to("none", 0)]), None);
+}
+
+#[test]
+fn a_configuration_told_to_another_vm_is_the_same_there() {
+    let told = serde_json::to_vec(&configuration()).unwrap();
+    let heard: Configuration = serde_json::from_slice(&told).unwrap();
+    assert_eq!(heard.version, 3);
+    assert_eq!(heard.route_count(), 2);
+    let route = heard.route("trips.example", "/holds/1").unwrap();
+    assert_eq!(&*route.name, "holds");
+}
--- /dev/null
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -0,0 +1,9 @@
+//! The decisions of one entry VM, judged by what callers and backend servers would see.
+
+mod backend_servers;
+mod configuration;
+mod placement;
+mod probing;
+mod readers;
+mod repeats;
+mod verdict;
--- /dev/null
+++ b/crates/kingcuploft/tests/entry/placement.rs
@@ -0,0 +1,228 @@
+use std::time::Duration;
+
+use kingcuploft::entry::failures::Failures;
+use kingcuploft::entry::placement::{Candidate, Need, Reading, Step, place};
+use kingcuploft::entry::service_time::ServiceTime;
+use std::time::Instant;
+
+/// A request with 60 ms of work, 200 ms until its answer is late and 500 ms until nobody waits.
+fn need() -> Need {
+    Need {
+        work_ms: 60.0,
+        target_left_ms: 200.0,
+        deadline_left_ms: 500.0,
+        looked_ms: 0.0,
+        far_asked: false,
+    }
+}
+
+/// A near server of two slots that says it is idle and fast.
+fn idle() -> Candidate {
+    Candidate {
+        near: true,
+        reading: Some(Reading {
+            running: 0,
+            waiting: 0,
+            slots: 2,
+            slowness: 1.0,
+        }),
+        asked: false,
+        unseen: 0,
+        own: 0,
+        slots: 2,
+        cold: false,
+        failures: 0.0,
+        tried: false,
+    }
+}
+
+fn with_load(running: u32, waiting: u32, slowness: f64) -> Candidate {
+    Candidate {
+        reading: Some(Reading {
+            running,
+            waiting,
+            slots: 2,
+            slowness,
+        }),
+        ..idle()
+    }
+}
+
+fn unread(asked: bool) -> Candidate {
+    Candidate {
+        reading: None,
+        asked,
+        ..idle()
+    }
+}
+
+fn step(need: &Need, candidates: &[Candidate]) -> Step {
+    place(need, candidates, || 0.0)
+}
+
+#[test]
+fn the_fast_one_of_two_idle_servers_gets_the_request() {
+    let servers = [with_load(0, 0, 5.0), idle()];
+    assert_eq!(step(&need(), &servers), Step::Send(1));
+}
+
+#[test]
+fn a_server_with_a_free_slot_goes_before_a_full_one() {
+    let servers = [with_load(2, 0, 1.0), with_load(1, 0, 1.0)];
+    assert_eq!(
+        step(
+            &Need {
+                far_asked: true,
+                ..need()
+            },
+            &servers
+        ),
+        Step::Send(1)
+    );
+}
+
+/// Two requests come in the same millisecond. The reading of the idle server is older than the first
+/// of them; by the reading alone, both would go there, and one would wait behind the other.
+#[test]
+fn an_own_request_that_the_reading_does_not_count_counts() {
+    let sent_to = Candidate {
+        unseen: 2,
+        ..idle()
+    };
+    assert_eq!(step(&need(), &[sent_to, idle()]), Step::Send(1));
+}
+
+#[test]
+fn a_reading_that_is_on_its_way_is_waited_for() {
+    let servers = [with_load(0, 0, 5.0), unread(true)];
+    assert_eq!(step(&need(), &servers), Step::Await);
+}
+
+#[test]
+fn more_servers_are_asked_when_no_near_one_is_good() {
+    let servers = [with_load(0, 0, 5.0), with_load(2, 1, 1.0)];
+    assert_eq!(step(&need(), &servers), Step::AskFar);
+}
+
+/// All servers are slow at this moment, and speeds are drawn anew every 150 ms. A request sent now
+/// would be late for sure; one that looks again in 20 ms can still be in time.
+#[test]
+fn a_request_waits_for_a_fast_server_while_that_can_be_in_time() {
+    let asked = Need {
+        far_asked: true,
+        ..need()
+    };
+    let slow = [with_load(0, 0, 5.0)];
+    assert!(matches!(step(&asked, &slow), Step::LookAgain(_)));
+    let late_anyway = Need {
+        target_left_ms: 70.0,
+        ..asked
+    };
+    assert_eq!(step(&late_anyway, &slow), Step::Send(0));
+}
+
+/// A caller would wait until its deadline and get nothing: no server can answer before.
+#[test]
+fn a_request_that_no_server_can_answer_in_time_is_refused_at_once() {
+    let hopeless = Need {
+        target_left_ms: -200.0,
+        deadline_left_ms: 70.0,
+        far_asked: true,
+        ..need()
+    };
+    assert_eq!(step(&hopeless, &[with_load(2, 4, 5.0)]), Step::Refuse);
+    assert_eq!(step(&hopeless, &[]), Step::Refuse);
+}
+
+#[test]
+fn a_server_that_was_tried_is_not_tried_again() {
+    let tried = Candidate {
+        tried: true,
+        ..idle()
+    };
+    assert_eq!(step(&need(), &[tried, with_load(1, 0, 1.0)]), Step::Send(1));
+}
+
+/// A server sheds half of what it gets and is always idle for it. By load alone it gets everything.
+#[test]
+fn a_server_that_fails_half_of_its_calls_goes_last() {
+    let now = Instant::now();
+    let mut failures = Failures::default();
+    for call in 0..8 {
+        failures.ended(now, call % 2 == 0);
+    }
+    let grey = Candidate {
+        failures: failures.share(now),
+        ..idle()
+    };
+    assert_eq!(step(&need(), &[grey, with_load(1, 0, 1.0)]), Step::Send(1));
+    let later = now + Duration::from_secs(20);
+    let mended = Candidate {
+        failures: failures.share(later),
+        ..idle()
+    };
+    assert_eq!(
+        step(&need(), &[mended, with_load(1, 0, 1.0)]),
+        Step::Send(0)
+    );
+}
+
+#[test]
+fn without_readings_the_server_with_fewest_own_requests_gets_it() {
+    let busy = Candidate {
+        own: 2,
+        ..unread(false)
+    };
+    let asked = Need {
+        far_asked: true,
+        looked_ms: 10.0,
+        ..need()
+    };
+    assert_eq!(step(&asked, &[busy, unread(false)]), Step::Send(1));
+}
+
+/// Plays requests against servers of which a quarter is five times slower, another quarter every
+/// 150 ms, and returns the share that a choice answers within 200 ms.
+fn share_in_time(choose: impl Fn(&[f64], &mut fastrand::Rng) -> usize) -> f64 {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let (mut in_time, requests) = (0, 4000);
+    for _ in 0..requests {
+        let speeds: Vec<f64> = (0..6)
+            .map(|_| if rng.f64() < 0.25 { 5.0 } else { 1.0 })
+            .collect();
+        let chosen = choose(&speeds, &mut rng);
+        let took_ms = 60.0 * speeds[chosen];
+        in_time += u32::from(took_ms <= 200.0);
+    }
+    f64::from(in_time) / f64::from(requests)
+}
+
+#[test]
+fn readings_answer_in_time_what_a_random_choice_answers_late() {
+    let naive = share_in_time(|speeds, rng| rng.usize(0..speeds.len()));
+    let by_readings = share_in_time(|speeds, _| {
+        let servers: Vec<Candidate> = speeds.iter().map(|s| with_load(0, 0, *s)).collect();
+        let asked = Need {
+            far_asked: true,
+            target_left_ms: 70.0,
+            ..need()
+        };
+        match step(&asked, &servers) {
+            Step::Send(at) => at,
+            other => panic!("expected a choice, got {other:?}"),
+        }
+    });
+    assert!(naive < 0.80, "random choice was in time for {naive}");
+    assert!(by_readings > 0.99, "choice by readings: {by_readings}");
+}
+
+#[test]
+fn the_work_of_a_route_is_measured_apart_from_the_servers_speed() {
+    let mut time = ServiceTime::default();
+    let target = Duration::from_millis(200);
+    assert!((time.work_ms(target) - 70.0).abs() < 0.1);
+    for _ in 0..50 {
+        time.measured(Duration::from_millis(300), 5.0);
+    }
+    assert!((time.work_ms(target) - 60.0).abs() < 0.1);
+}
--- /dev/null
+++ b/crates/kingcuploft/tests/entry/probing.rs
@@ -0,0 +1,32 @@
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::probe_budget::ProbeBudget;
+
+/// Overload: every request of 14 VMs finds all 27 servers busy and asks again every few
+/// milliseconds. Without a budget the probes, 6 ms of a slot each, would take the servers' last
+/// slots; with it they stay within the bound of 60 a server and second, and are still asked.
+#[test]
+fn all_vms_together_probe_within_the_bound_under_overload() {
+    let (start, vms, servers, bound) = (Instant::now(), 14, 27, 60.0);
+    let mut fleet = vec![ProbeBudget::default(); vms];
+    let mut probes = 0u32;
+    for millis in 0..30_000 {
+        let now = start + Duration::from_millis(millis);
+        for budget in &mut fleet {
+            probes += u32::from(budget.take(now, bound, servers, vms));
+        }
+    }
+    let per_server_s = f64::from(probes) / servers as f64 / 30.0;
+    assert!(per_server_s > 0.8 * bound, "{per_server_s}");
+    assert!(per_server_s <= bound, "{per_server_s}");
+}
+
+#[test]
+fn a_vm_that_has_not_counted_the_others_asks_next_to_nothing() {
+    let now = Instant::now();
+    let mut budget = ProbeBudget::default();
+    let taken = (0..100)
+        .filter(|_| budget.take(now, 60.0, 27, 1000))
+        .count();
+    assert!(taken < 10, "{taken}");
+}
--- /dev/null
+++ b/crates/kingcuploft/tests/entry/verdict.rs
@@ -0,0 +1,65 @@
+use kingcuploft::entry::verdict::{AttemptEnd, Attempts, Verdict};
+use kingcuploft::world::contract::Contract;
+
+const ENDS: [AttemptEnd; 7] = [
+    AttemptEnd::Succeeded,
+    AttemptEnd::Failed,
+    AttemptEnd::NotRun,
+    AttemptEnd::Unsent,
+    AttemptEnd::Lost,
+    AttemptEnd::Broken,
+    AttemptEnd::TimedOut,
+];
+
+/// A hold confirmation is sent, the server runs it, and its answer is lost. Sent again, it would bill
+/// a school twice.
+#[test]
+fn a_protected_request_is_sent_again_only_on_proof_that_it_did_not_run() {
+    for end in ENDS {
+        let mut attempts = Attempts::new(Contract::AtMostOnce, 3);
+        attempts.sending();
+        let verdict = attempts.ended(end);
+        let proved = matches!(end, AttemptEnd::NotRun | AttemptEnd::Unsent);
+        assert_eq!(verdict == Verdict::TryAgain, proved, "{end:?}");
+        assert_eq!(attempts.may_send(0), proved, "{end:?}");
+        assert!(!attempts.may_send(1), "{end:?}: one is still in flight");
+    }
+}
+
+/// A caller is told "not run" and books elsewhere. Any history in which an attempt may have run must
+/// not end in that promise.
+#[test]
+fn not_run_is_promised_only_when_no_attempt_may_have_run() {
+    arbtest::arbtest(|u| {
+        let contract = match u.arbitrary::<bool>()? {
+            true => Contract::AtMostOnce,
+            false => Contract::RetryFreely,
+        };
+        let mut attempts = Attempts::new(contract, u.int_in_range(1..=4)?);
+        let mut may_have_run = false;
+        for _ in 0..u.int_in_range(0..=4)? {
+            let end = *u.choose(&ENDS)?;
+            attempts.sending();
+            may_have_run |= end.may_have_run();
+            attempts.ended(end);
+        }
+        let timed_out = u.arbitrary()?;
+        let status = attempts.refusal_status(timed_out);
+        assert_eq!(status == 503, !may_have_run);
+        Ok(())
+    });
+}
+
+#[test]
+fn a_lookup_goes_to_at_most_as_many_servers_as_its_route_allows() {
+    let mut attempts = Attempts::new(Contract::RetryFreely, 2);
+    assert_eq!(attempts.ended(AttemptEnd::Lost), Verdict::TryAgain);
+    assert_eq!(attempts.ended(AttemptEnd::Lost), Verdict::GiveUp);
+}
+
+#[test]
+fn a_server_that_did_not_run_a_request_does_not_use_up_its_attempts() {
+    let mut attempts = Attempts::new(Contract::RetryFreely, 1);
+    assert_eq!(attempts.ended(AttemptEnd::NotRun), Verdict::TryAgain);
+    assert_eq!(attempts.ended(AttemptEnd::Failed), Verdict::Answer);
+}
