feat(probe_budget): readings live the shorter the more may be asked

Now 6 ms with a full budget, 40 ms with an empty one. Ruled out: one fixed limit, 12 to 40 ms, within noise of each other.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -262,6 +262,11 @@
             .take(now, bound, servers, self.vms.get())
     }
 
+    /// Returns how old a reading may be to choose by it.
+    pub fn reading_life(&self) -> Duration {
+        self.probing.borrow().reading_life()
+    }
+
     /// Takes one repeat from the budget, if it has room.
     pub fn take_repeat(&self, now: Instant, service: &ServiceName) -> bool {
         let mut repeats = self.repeats.borrow_mut();
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -198,9 +198,10 @@
             let now = Instant::now();
             let upstreams = self.usable(now, far_asked);
             self.ask(&upstreams);
+            let life = self.context.reading_life().max(now - look_begun) + AWAIT_STEP;
             let candidates: Vec<Candidate> = upstreams
                 .iter()
-                .map(|u| u.candidate(now, self.was_tried(u)))
+                .map(|u| u.candidate(now, life, self.was_tried(u)))
                 .collect();
             let need = self.need(now, look_begun, far_asked);
             match place(&need, &candidates, fastrand::f64) {
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -22,9 +22,9 @@
 /// close after 10 s at both sites.
 const LONGEST_IDLE: Duration = Duration::from_secs(7);
 
-/// How old a reading may be to choose by it. Speeds are redrawn every 150 ms; a reading of 25 ms is
-/// wrong for one in six draws, and saves most probes of a burst.
-pub const READING_LIFE: Duration = Duration::from_millis(25);
+/// How long it is remembered that another VM has sent a request to a server: longer than any reading
+/// is chosen by.
+const SENT_LIFE: Duration = Duration::from_millis(50);
 
 /// How long after its answer a probe's failure keeps a server from being asked again, first.
 const FIRST_MUTE: Duration = Duration::from_millis(60);
@@ -102,8 +102,8 @@
     }
 
     /// Returns whether the last reading is young enough to choose by.
-    pub fn is_fresh(&self, now: Instant) -> bool {
-        self.reading(now).is_some_and(|(age, _)| age < READING_LIFE)
+    pub fn is_fresh(&self, now: Instant, life: Duration) -> bool {
+        self.reading(now).is_some_and(|(age, _)| age < life)
     }
 
     /// Returns whether a probe is on its way.
@@ -131,7 +131,7 @@
     /// Takes in that another VM of the zone has just sent a request there.
     pub fn others_sent(&self, now: Instant) {
         let mut sent = self.others_sent.borrow_mut();
-        sent.retain(|at| now.saturating_duration_since(*at) < READING_LIFE);
+        sent.retain(|at| now.saturating_duration_since(*at) < SENT_LIFE);
         sent.push(now);
     }
 
@@ -145,9 +145,9 @@
     }
 
     /// Returns the server as a request sees it.
-    pub fn candidate(&self, now: Instant, tried: bool) -> Candidate {
+    pub fn candidate(&self, now: Instant, life: Duration, tried: bool) -> Candidate {
         let reading = self.reading.get();
-        let reading = reading.filter(|(at, _)| now.saturating_duration_since(*at) < READING_LIFE);
+        let reading = reading.filter(|(at, _)| now.saturating_duration_since(*at) < life);
         let own = self.in_flight.borrow();
         let unseen = match reading {
             Some((at, _)) => {
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -19,7 +19,8 @@
 /// not answer lately.
 pub fn ask(context: &Rc<Context>, upstream: &Rc<Upstream>, health_path: &str) {
     let now = Instant::now();
-    if upstream.is_asked() || upstream.is_fresh(now) || upstream.is_mute(now) {
+    let fresh = upstream.is_fresh(now, context.reading_life());
+    if upstream.is_asked() || fresh || upstream.is_mute(now) {
         return;
     }
     if !context.take_probe(now) {
--- a/crates/kingcuploft/src/entry/probe_budget.rs
+++ b/crates/kingcuploft/src/entry/probe_budget.rs
@@ -6,7 +6,7 @@
 //! equal part of that without asking the others, as the platform's balancer gives each a share of the
 //! callers.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The part of the bound that is used: VMs are counted some seconds late, and the bound is also kept
 /// while some of them are not counted.
@@ -15,10 +15,18 @@
 /// For how many seconds a VM may save what it does not use: bursts last a few.
 const SAVED_S: f64 = 4.0;
 
+/// How old a reading may be to choose by it while the budget is full. Speeds are redrawn every 150 ms,
+/// and each 15 ms of age send one request in forty to a server that has turned slow.
+const SHORTEST_LIFE: Duration = Duration::from_millis(6);
+
+/// The same while the budget is empty: an old reading is better than none.
+const LONGEST_LIFE: Duration = Duration::from_millis(40);
+
 /// What a VM may still ask.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ProbeBudget {
     saved: f64,
+    most: f64,
     at: Option<Instant>,
 }
 
@@ -28,6 +36,7 @@
     pub fn take(&mut self, now: Instant, bound: f64, servers: usize, vms: usize) -> bool {
         let per_s = GUARD * bound * servers as f64 / vms.max(1) as f64;
         let most = per_s * SAVED_S;
+        self.most = most;
         let since = self.at.replace(now);
         let earned = since.map_or(most, |at| {
             per_s * now.saturating_duration_since(at).as_secs_f64()
@@ -39,4 +48,10 @@
         self.saved -= 1.0;
         true
     }
+
+    /// Returns how old a reading may be to choose by it: short while there is room to ask again.
+    pub fn reading_life(&self) -> Duration {
+        let full = (self.saved / self.most.max(1.0)).clamp(0.0, 1.0);
+        SHORTEST_LIFE + (LONGEST_LIFE - SHORTEST_LIFE).mul_f64(1.0 - full)
+    }
 }
--- a/crates/kingcuploft/tests/entry/probing.rs
+++ b/crates/kingcuploft/tests/entry/probing.rs
@@ -21,6 +21,20 @@
     assert!(per_server_s <= bound, "{per_server_s}");
 }
 
+/// Asking costs slots and asking less costs late answers: a VM with budget to spare chooses by fresh
+/// readings only, one without chooses by older ones rather than blindly.
+#[test]
+fn readings_live_longer_the_less_may_be_asked() {
+    let now = Instant::now();
+    let mut budget = ProbeBudget::default();
+    assert!(budget.take(now, 60.0, 27, 14));
+    let rich = budget.reading_life();
+    while budget.take(now, 60.0, 27, 14) {}
+    let poor = budget.reading_life();
+    assert!(rich < Duration::from_millis(8), "{rich:?}");
+    assert!(poor > Duration::from_millis(35), "{poor:?}");
+}
+
 #[test]
 fn a_vm_that_has_not_counted_the_others_asks_next_to_nothing() {
     let now = Instant::now();
