feat(metrics): counters and histograms of the entry VM; fix(reload): bounds of the settings file are read again

Cause: the hangup signal logged that nothing had changed without reading the file. Now the file is read at the signal and every 5 s; changed bounds hold at once, a broken file changes nothing.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -16,9 +16,10 @@
 use kingcuploft::world::ids::{BackendServerName, RuleName, ServiceName};
 use tokio::sync::Notify;
 
+use crate::metrics::Metrics;
 use crate::peers::reader::Followers;
 use crate::peers::readings::Readings;
-use crate::settings::{EntrySettings, Vocabulary};
+use crate::settings::{Bounds, EntrySettings, Vocabulary};
 use crate::store::{Collection, Revision};
 use crate::upstream::Upstream;
 
@@ -26,17 +27,6 @@
 /// there are, so that a VM that cannot count them uses next to nothing of it.
 const VMS_UNCOUNTED: usize = 1000;
 
-/// What happened so far, counted.
-#[derive(Debug, Default)]
-pub struct Counters {
-    /// Probes that ended.
-    pub probes: Cell<u64>,
-    /// Requests that were read.
-    pub requests: Cell<u64>,
-    /// Calls to the platform's store.
-    pub store_calls: Cell<u64>,
-}
-
 /// What all tasks share.
 #[derive(Debug)]
 pub struct Context {
@@ -51,7 +41,9 @@
     /// Wakes whoever waits for the stop.
     pub stop: Notify,
     /// What happened so far.
-    pub counters: Counters,
+    pub metrics: Metrics,
+    /// What may change while the VM runs.
+    pub bounds: Cell<Bounds>,
     /// How many VMs share the allowance of repeats.
     pub vms: Cell<usize>,
     /// The other VMs.
@@ -84,12 +76,13 @@
     pub fn new(settings: EntrySettings, vocabulary: Vocabulary) -> Self {
         Self {
             vms: Cell::new(VMS_UNCOUNTED),
+            bounds: Cell::new(settings.bounds),
             settings,
             vocabulary,
             readings: Notify::new(),
             configured: Notify::new(),
             stop: Notify::new(),
-            counters: Counters::default(),
+            metrics: Metrics::default(),
             readers: RefCell::default(),
             peer_readings: OnceCell::new(),
             zone_peers: RefCell::default(),
@@ -128,6 +121,19 @@
         newer
     }
 
+    /// Writes all counters as text.
+    pub fn metrics_text(&self) -> String {
+        let version = self.configuration().map_or(0, |c| c.version);
+        self.metrics.configuration.set(version as i64);
+        let servers = self.servers.borrow().in_use();
+        self.metrics.servers.set(servers as i64);
+        self.metrics.followers.set(self.followers.len() as i64);
+        self.metrics
+            .log_lines_left_out
+            .set(crate::logs::left_out() as i64);
+        self.metrics.to_text()
+    }
+
     /// Returns whether the VM can serve: it knows a configuration and servers, and is not stopping.
     pub fn is_ready(&self) -> bool {
         let knows = self.configuration.borrow().is_some() && self.servers_listed.get();
@@ -256,7 +262,7 @@
     /// Takes one probe from the budget, if it has room.
     pub fn take_probe(&self, now: Instant) -> bool {
         let servers = self.servers.borrow().in_use();
-        let bound = self.settings.probes_per_server_s;
+        let bound = self.bounds.get().probes_per_server_s;
         self.probing
             .borrow_mut()
             .take(now, bound, servers, self.vms.get())
@@ -271,7 +277,7 @@
     pub fn take_repeat(&self, now: Instant, service: &ServiceName) -> bool {
         let mut repeats = self.repeats.borrow_mut();
         let of_service = repeats.entry(service.clone()).or_default();
-        let room = of_service.has_room(now, &self.settings.repeats, self.vms.get());
+        let room = of_service.has_room(now, &self.bounds.get().repeats, self.vms.get());
         if room {
             of_service.repeated(now);
         }
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -48,10 +48,7 @@
     gone: Rc<Gone>,
     answer: oneshot::Sender<Answer>,
 ) {
-    context
-        .counters
-        .requests
-        .set(context.counters.requests.get() + 1);
+    context.metrics.requests.inc();
     if context.configuration().is_none() {
         let configured = context.configured.notified();
         let _ = tokio::time::timeout(HOLD_UNREADY, configured).await;
@@ -67,6 +64,9 @@
             Contract::AtMostOnce => flight.run(&gone).await,
         },
     };
+    context
+        .metrics
+        .answered(answered.status, request.arrived.elapsed());
     let _ = answer.send(answered);
 }
 
@@ -97,7 +97,8 @@
 
 impl<'a> Flight<'a> {
     fn begin(context: &'a Rc<Context>, request: &'a Request) -> Begun<'a> {
-        let refuse = |status, reason: &str, after| {
+        let refuse = |status, reason: &'static str, after| {
+            context.metrics.failure(reason);
             tracing::info!(event = "refused", request = request.id, status, reason);
             let words = &context.vocabulary;
             Begun::Refused(Answer::own(request, words, status, reason, after))
@@ -140,6 +141,7 @@
             match self.attempts.ended(ended.end) {
                 Verdict::Answer => return self.pass_on(ended),
                 Verdict::TryAgain if self.may_try_again(gone) => {
+                    self.context.metrics.repeat(ended.end.label());
                     self.last_failure = ended.response.filter(|_| ended.end == AttemptEnd::Failed);
                     self.tried.push(upstream);
                 }
@@ -164,6 +166,7 @@
         let slowness = reading.map_or(1.0, |(_, reading)| reading.slowness);
         let left = self.deadline.saturating_duration_since(now);
         let ended = exchange::attempt(self.context, upstream, self.request, left).await;
+        self.context.metrics.attempt(ended.end.label());
         tracing::info!(
             event = "attempt",
             request = self.request.id,
@@ -272,7 +275,8 @@
         }
     }
 
-    fn give_up(&mut self, reason: &str) -> Answer {
+    fn give_up(&mut self, reason: &'static str) -> Answer {
+        self.context.metrics.failure(reason);
         if let Some(response) = self.last_failure.take() {
             return Answer::of_server(self.request, response);
         }
--- a/crates/kingcuploft-entry/src/edge/readiness.rs
+++ b/crates/kingcuploft-entry/src/edge/readiness.rs
@@ -1,4 +1,4 @@
-//! The platform's question whether this VM takes new connections.
+//! The platform's question whether this VM takes new connections, and the counters.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +12,9 @@
 /// How long one question may take to arrive.
 const PATIENCE: Duration = Duration::from_secs(5);
 
+/// Where counters are read.
+const METRICS_PATH: &str = "/metrics";
+
 /// The most bytes of a question.
 const MOST_BYTES: usize = 8 * 1024;
 
@@ -39,13 +42,18 @@
         match head::request(&bytes) {
             Ok(Some((request, _))) => {
                 let path = request.target.split('?').next().unwrap_or_default();
-                let status = match (path == context.vocabulary.ready_path, context.is_ready()) {
-                    (true, true) => "200 OK",
-                    (true, false) => "503 Service Unavailable",
-                    (false, _) => "404 Not Found",
+                let (status, body) = match path {
+                    METRICS_PATH => ("200 OK", context.metrics_text()),
+                    path if path != context.vocabulary.ready_path => {
+                        ("404 Not Found", String::new())
+                    }
+                    _ if context.is_ready() => ("200 OK", String::new()),
+                    _ => ("503 Service Unavailable", String::new()),
                 };
-                let answer =
-                    format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+                let length = body.len();
+                let answer = format!(
+                    "HTTP/1.1 {status}\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+                );
                 stream.write_all(answer.as_bytes()).await?;
                 return stream.shutdown().await;
             }
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -177,6 +177,7 @@
         Record::BackendServer(told) => server(context, Instant::now(), told),
         Record::Vm(_) | Record::Other => {}
         Record::Unreadable(name, why) => {
+            context.metrics.unreadable_entries.inc();
             tracing::warn!(event = "entry_unreadable", name, why);
         }
     }
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod keeper;
 pub mod logs;
+pub mod metrics;
 pub mod peers;
 pub mod pulse;
 pub mod roster;
--- /dev/null
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -0,0 +1,157 @@
+//! What the VM counts, by `prometheus-client`. Label sets are closed, whatever the number of servers.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of the latency histogram, in seconds: from a refusal at once to the longest route.
+const LATENCY_BOUNDS_S: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
+
+/// Why something was counted.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Reason {
+    reason: &'static str,
+}
+
+/// The VM's counters.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    attempts: Family<Reason, Counter>,
+    repeats: Family<Reason, Counter>,
+    failures: Family<Reason, Counter>,
+    probes: Family<Reason, Counter>,
+    readers: Family<Reason, Counter>,
+    answers: Family<Reason, Histogram>,
+    /// Requests that were read.
+    pub requests: Counter,
+    /// Store entries that could not be read.
+    pub unreadable_entries: Counter,
+    /// The version of the configuration in force.
+    pub configuration: Gauge,
+    /// Backend servers that may be sent work.
+    pub servers: Gauge,
+    /// VMs that follow this one.
+    pub followers: Gauge,
+    /// Log lines left out.
+    pub log_lines_left_out: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("kingcuploft_entry"),
+            attempts: Family::default(),
+            repeats: Family::default(),
+            failures: Family::default(),
+            probes: Family::default(),
+            readers: Family::default(),
+            answers: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S)),
+            requests: Counter::default(),
+            unreadable_entries: Counter::default(),
+            configuration: Gauge::default(),
+            servers: Gauge::default(),
+            followers: Gauge::default(),
+            log_lines_left_out: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "attempts",
+            "Attempts by how they ended",
+            self.attempts.clone(),
+        );
+        registry.register(
+            "repeats",
+            "Repeated attempts by what failed",
+            self.repeats.clone(),
+        );
+        registry.register("failures", "Own failures by reason", self.failures.clone());
+        registry.register("probes", "Probes by how they ended", self.probes.clone());
+        registry.register(
+            "readers_lost",
+            "Links to a reader by why they ended",
+            self.readers.clone(),
+        );
+        registry.register(
+            "answer_seconds",
+            "Time to an answer, by status class",
+            self.answers.clone(),
+        );
+        registry.register("requests", "Requests that were read", self.requests.clone());
+        let help = "Store entries that could not be read";
+        registry.register("unreadable_entries", help, self.unreadable_entries.clone());
+        let help = "The version of the configuration in force";
+        registry.register("configuration_version", help, self.configuration.clone());
+        registry.register(
+            "servers",
+            "Backend servers that may be sent work",
+            self.servers.clone(),
+        );
+        registry.register(
+            "followers",
+            "VMs that follow this one",
+            self.followers.clone(),
+        );
+        let help = "Log lines left out since the writer was behind";
+        registry.register("log_lines_left_out", help, self.log_lines_left_out.clone());
+    }
+
+    /// Counts an attempt by how it ended.
+    pub fn attempt(&self, reason: &'static str) {
+        self.attempts.get_or_create(&Reason { reason }).inc();
+    }
+
+    /// Counts a repeat by what failed before it.
+    pub fn repeat(&self, reason: &'static str) {
+        self.repeats.get_or_create(&Reason { reason }).inc();
+    }
+
+    /// Counts an own failure or refusal.
+    pub fn failure(&self, reason: &'static str) {
+        self.failures.get_or_create(&Reason { reason }).inc();
+    }
+
+    /// Counts a probe by how it ended.
+    pub fn probe(&self, reason: &'static str) {
+        self.probes.get_or_create(&Reason { reason }).inc();
+    }
+
+    /// Counts a link to a reader by why it ended.
+    pub fn reader_lost(&self, reason: &'static str) {
+        self.readers.get_or_create(&Reason { reason }).inc();
+    }
+
+    /// Counts an answer with its time.
+    pub fn answered(&self, status: u16, took: Duration) {
+        let reason = match status {
+            200..300 => "success",
+            300..400 => "redirect",
+            400..500 => "refused",
+            503 => "not_run",
+            _ => "failed",
+        };
+        let histogram = self.answers.get_or_create(&Reason { reason });
+        histogram.observe(took.as_secs_f64());
+    }
+
+    /// Writes all counters as text.
+    pub fn to_text(&self) -> String {
+        let mut out = String::new();
+        match text::encode(&mut out, &self.registry) {
+            Ok(()) => out,
+            Err(error) => format!("# the counters can't be written: {error}\n"),
+        }
+    }
+}
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -54,6 +54,21 @@
     Unreadable(#[from] serde_json::Error),
 }
 
+impl LinkError {
+    /// Returns the name used in counters.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Failed(_) => "failed",
+            Self::Closed => "closed",
+            Self::Silent => "silent",
+            Self::StoreAway => "store_away",
+            Self::Elsewhere(_) => "elsewhere",
+            Self::Behind => "behind",
+            Self::Unreadable(_) => "unreadable",
+        }
+    }
+}
+
 /// Follows a reader until the link ends. While all that it knows has been told and it goes on
 /// telling, this VM does not read the store.
 pub async fn follow(context: &Rc<Context>, pulse: &Pulse, reader: &VmEntry) -> LinkError {
--- a/crates/kingcuploft-entry/src/roster.rs
+++ b/crates/kingcuploft-entry/src/roster.rs
@@ -73,6 +73,7 @@
             LinkError::Behind => return tokio::time::sleep(CATCH_UP).await,
             LinkError::StoreAway if !pulse.read_if_there().await => return,
             ended => {
+                context.metrics.reader_lost(ended.label());
                 tracing::info!(event = "reader_lost", reader = %reader.name, why = %ended);
                 break;
             }
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -29,6 +29,9 @@
 /// How long before the end of the allowed time the process ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(300);
 
+/// How often the settings file is read again: it may change without a signal.
+const REREAD_EVERY: Duration = Duration::from_secs(5);
+
 /// How often a stopping VM looks whether all connections are closed.
 const STOP_STEP: Duration = Duration::from_millis(20);
 
@@ -55,7 +58,8 @@
     accepting: JoinHandle<()>,
 }
 
-/// Runs a VM until a signal ends it, by a planned stop.
+/// Runs a VM until a signal ends it, by a planned stop. Settings are read again by `reread` at a
+/// hangup signal and every few seconds; bounds that changed hold from then on.
 ///
 /// # Errors
 ///
@@ -64,6 +68,7 @@
     settings: EntrySettings,
     vocabulary: Vocabulary,
     store: S,
+    reread: impl Fn() -> Result<EntrySettings, String>,
 ) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
@@ -71,7 +76,8 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => tracing::info!(event = "reload", outcome = "nothing changed"),
+            _ = hangup.recv() => running.reload(&reread),
+            () = tokio::time::sleep(REREAD_EVERY) => running.reload(&reread),
         }
     }
     running.stop().await;
@@ -102,6 +108,10 @@
     let feeling = pulse::feel(context.clone(), store.clone(), pulse.clone());
     tokio::task::spawn_local(feeling);
     tokio::task::spawn_local(readiness::serve(context.clone(), ready));
+    if let Some(address) = context.settings.metrics {
+        let listener = listen(address)?;
+        tokio::task::spawn_local(readiness::serve(context.clone(), listener));
+    }
     for collection in [Collection::Configuration, Collection::BackendServers] {
         let (context, store) = (context.clone(), store.clone());
         let following = keeper::follow(context, store, pulse.clone(), collection);
@@ -121,12 +131,25 @@
 }
 
 impl Running {
+    /// Reads the settings again and takes over what may change while the VM runs.
+    pub fn reload(&self, reread: &impl Fn() -> Result<EntrySettings, String>) {
+        let old = self.context.bounds.get();
+        match reread() {
+            Ok(settings) if settings.bounds == old => {}
+            Ok(settings) => {
+                self.context.bounds.set(settings.bounds);
+                tracing::info!(event = "reload", bounds = ?settings.bounds);
+            }
+            Err(error) => tracing::warn!(event = "reload_failed", error),
+        }
+    }
+
     /// Stops as planned: not ready at once; new connections are taken while the platform may still
     /// send them; then idle connections close, and what was read is answered.
     pub async fn stop(self) {
         let context = &self.context;
         let begun = Instant::now();
-        let last = begun + context.settings.stop_within.saturating_sub(END_MARGIN);
+        let last = begun + context.bounds.get().stop_within.saturating_sub(END_MARGIN);
         context.begin_stop(begun);
         tracing::info!(event = "stopping", callers = context.callers.get());
         tokio::time::sleep(TAKE_CONNECTIONS).await;
--- a/crates/kingcuploft-entry/src/settings.rs
+++ b/crates/kingcuploft-entry/src/settings.rs
@@ -15,6 +15,8 @@
     pub zone: AvailabilityZone,
     /// Where callers connect.
     pub callers: SocketAddr,
+    /// Where counters are read; `None` for a VM that shows none.
+    pub metrics: Option<SocketAddr>,
     /// Where the platform asks whether it is ready.
     pub readiness: SocketAddr,
     /// Where the VMs talk to each other; `None` for a VM that stays alone.
@@ -25,6 +27,13 @@
     pub cpu_milli: u32,
     /// Whether all VMs start now, for the first time.
     pub all_start: bool,
+    /// What may change while the VM runs.
+    pub bounds: Bounds,
+}
+
+/// What may change while the VM runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
     /// How long a stop may take.
     pub stop_within: Duration,
     /// The bounds on repeats.
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -24,6 +24,7 @@
         return;
     }
     if !context.take_probe(now) {
+        context.metrics.probe("no_budget");
         return;
     }
     upstream.asking.set(true);
@@ -33,10 +34,6 @@
         let asked = tokio::time::timeout(PROBE_TIMEOUT, exchange(&upstream, &request)).await;
         upstream.asking.set(false);
         let now = Instant::now();
-        context
-            .counters
-            .probes
-            .set(context.counters.probes.get() + 1);
         let reading = match asked {
             Ok(Some(response)) => {
                 let load = response.head.headers.get(context.vocabulary.load);
@@ -46,10 +43,12 @@
         };
         match reading {
             Some(reading) => {
+                context.metrics.probe("answered");
                 upstream.told(now, reading);
                 readings::tell(&context, &upstream.server.name, reading);
             }
             None => {
+                context.metrics.probe("failed");
                 upstream.probe_failed(now);
                 tracing::debug!(event = "probe_failed", server = %upstream.server.name);
             }
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod following;
+mod operating;
 mod protected;
 mod server;
 mod stopping;
--- a/crates/kingcuploft-entry/tests/entry/world.rs
+++ b/crates/kingcuploft-entry/tests/entry/world.rs
@@ -11,7 +11,7 @@
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::contract::Contract;
 use kingcuploft_entry::run::{self, Running};
-use kingcuploft_entry::settings::{EntrySettings, Vocabulary};
+use kingcuploft_entry::settings::{Bounds, EntrySettings, Vocabulary};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -109,13 +109,16 @@
         store: any,
         cpu_milli: 200,
         all_start: false,
-        stop_within: Duration::from_secs(6),
-        repeats: RepeatBounds {
-            ratio: 0.2,
-            allowance: 20_000.0,
-            window: Duration::from_secs(10),
+        metrics: None,
+        bounds: Bounds {
+            stop_within: Duration::from_secs(6),
+            repeats: RepeatBounds {
+                ratio: 0.2,
+                allowance: 20_000.0,
+                window: Duration::from_secs(10),
+            },
+            probes_per_server_s: 60_000.0,
         },
-        probes_per_server_s: 60_000.0,
     }
 }
 
--- a/crates/kingcuploft/src/entry/repeats.rs
+++ b/crates/kingcuploft/src/entry/repeats.rs
@@ -14,7 +14,7 @@
 const GUARD: f64 = 0.8;
 
 /// The bounds on repeats.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatBounds {
     /// Repeats allowed for each request.
     pub ratio: f64,
