--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -268,6 +268,11 @@
             .take(now, bound, servers, self.vms.get())
     }
 
+    /// Returns which part of the probe budget is there to be used, from 0 to 1.
+    pub fn probes_left(&self) -> f64 {
+        self.probing.borrow().fill()
+    }
+
     /// Returns how old a reading may be to choose by it.
     pub fn reading_life(&self) -> Duration {
         self.probing.borrow().reading_life()
--- /dev/null
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -0,0 +1,108 @@
+//! The server of a request's next attempt: readings asked for, waited for, and weighed.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::placement::{Candidate, Need, Step, place};
+
+use super::connection::Gone;
+use super::dispatch::Flight;
+use crate::upstream::{Upstream, probe};
+
+/// How long readings are waited for before looking again whether they suffice.
+pub(super) const AWAIT_STEP: Duration = Duration::from_millis(2);
+
+/// How many servers are asked at first: one in four is slow at any moment, and among six there is
+/// nearly always one that is fast and free.
+const MOST_ASKED_FIRST: usize = 6;
+
+/// How many servers are asked in all where none of the first is good: all of a service of today, and
+/// a bounded number of one with hundreds.
+const MOST_ASKED: usize = 16;
+
+/// What choosing came to.
+pub(super) enum Chosen {
+    Upstream(Rc<Upstream>),
+    Refuse,
+    CallerLeft,
+}
+
+impl Flight<'_> {
+    /// Finds the server for the next attempt.
+    pub(super) async fn choose(&mut self, gone: &Gone) -> Chosen {
+        let mut look_begun = Instant::now();
+        let mut far_asked = false;
+        loop {
+            if gone.is_set() {
+                return Chosen::CallerLeft;
+            }
+            let now = Instant::now();
+            let upstreams = self.usable(now, far_asked);
+            self.ask(&upstreams);
+            let life = self.context.reading_life().max(now - look_begun) + AWAIT_STEP;
+            let candidates: Vec<Candidate> = upstreams
+                .iter()
+                .map(|u| u.candidate(now, life, self.was_tried(u)))
+                .collect();
+            let need = self.need(now, look_begun, far_asked);
+            match place(&need, &candidates, fastrand::f64) {
+                Step::Send(at) => return Chosen::Upstream(upstreams[at].clone()),
+                Step::Refuse => return Chosen::Refuse,
+                Step::AskFar => far_asked = true,
+                Step::Await => {
+                    let told = self.context.readings.notified();
+                    let _ = tokio::time::timeout(AWAIT_STEP, told).await;
+                }
+                Step::LookAgain(after) => {
+                    tokio::time::sleep(after).await;
+                    look_begun = Instant::now();
+                }
+            }
+        }
+    }
+
+    pub(super) fn was_tried(&self, upstream: &Rc<Upstream>) -> bool {
+        self.tried.iter().any(|tried| Rc::ptr_eq(tried, upstream))
+    }
+
+    /// Returns the servers to choose among: the first of those that answer probes, or of all if none
+    /// does.
+    pub(super) fn usable(&self, now: Instant, far: bool) -> Vec<Rc<Upstream>> {
+        let mut all = self.context.upstreams(&self.service);
+        let untried = all.iter().filter(|u| !self.was_tried(u));
+        let audible: Vec<_> = untried.filter(|u| !u.is_mute(now)).cloned().collect();
+        if !audible.is_empty() {
+            all = audible;
+        }
+        let near = all.iter().filter(|u| u.near).count();
+        all.truncate(match far {
+            true => MOST_ASKED,
+            false => near.clamp(1, MOST_ASKED_FIRST),
+        });
+        all
+    }
+
+    pub(super) fn ask(&self, upstreams: &[Rc<Upstream>]) {
+        let Some(service) = self.configuration.services.get(&self.service) else {
+            return;
+        };
+        let health_path = &service.health_path;
+        let asked = upstreams.iter();
+        asked.for_each(|upstream| probe::ask(self.context, upstream, health_path));
+    }
+
+    pub(super) fn need(&self, now: Instant, look_begun: Instant, far_asked: bool) -> Need {
+        let millis = |d: Duration| d.as_secs_f64() * 1000.0;
+        let left = |until: Instant| match until >= now {
+            true => millis(until - now),
+            false => -millis(now - until),
+        };
+        Need {
+            work_ms: self.context.work_ms(&self.route, &self.service),
+            target_left_ms: left(self.target),
+            deadline_left_ms: left(self.deadline),
+            looked_ms: millis(now - look_begun),
+            far_asked,
+        }
+    }
+}
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -5,30 +5,19 @@
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::configuration::{Configuration, Route};
-use kingcuploft::entry::placement::{Candidate, Need, Step, place};
 use kingcuploft::entry::verdict::{AttemptEnd, Attempts, Verdict};
 use kingcuploft::world::contract::Contract;
 use kingcuploft::world::ids::ServiceName;
 use tokio::sync::oneshot;
 
 use super::answer::Answer;
+use super::choosing::Chosen;
 use super::connection::Gone;
 use super::request::Request;
 use crate::context::Context;
 use crate::http::client::Response;
+use crate::upstream::Upstream;
 use crate::upstream::exchange::{self, Ended};
-use crate::upstream::{Upstream, probe};
-
-/// How long readings are waited for before looking again whether they suffice.
-const AWAIT_STEP: Duration = Duration::from_millis(2);
-
-/// How many servers are asked at first: one in four is slow at any moment, and among six there is
-/// nearly always one that is fast and free.
-const MOST_ASKED_FIRST: usize = 6;
-
-/// How many servers are asked in all where none of the first is good: all of a service of today, and
-/// a bounded number of one with hundreds.
-const MOST_ASKED: usize = 16;
 
 /// When a refused caller is told to come back, where nothing better is known: several draws of the
 /// servers' speeds later.
@@ -76,23 +65,17 @@
 }
 
 /// One request under way.
-struct Flight<'a> {
-    context: &'a Rc<Context>,
-    request: &'a Request,
-    configuration: Arc<Configuration>,
-    route: Arc<Route>,
-    service: ServiceName,
-    deadline: Instant,
-    target: Instant,
-    attempts: Attempts,
-    tried: Vec<Rc<Upstream>>,
-    last_failure: Option<Response>,
-}
-
-enum Chosen {
-    Upstream(Rc<Upstream>),
-    Refuse,
-    CallerLeft,
+pub(super) struct Flight<'a> {
+    pub(super) context: &'a Rc<Context>,
+    pub(super) request: &'a Request,
+    pub(super) configuration: Arc<Configuration>,
+    pub(super) route: Arc<Route>,
+    pub(super) service: ServiceName,
+    pub(super) deadline: Instant,
+    pub(super) target: Instant,
+    pub(super) attempts: Attempts,
+    pub(super) tried: Vec<Rc<Upstream>>,
+    pub(super) last_failure: Option<Response>,
 }
 
 impl<'a> Flight<'a> {
@@ -137,7 +120,21 @@
                 Chosen::Refuse => return self.give_up("no server can answer in time"),
                 Chosen::CallerLeft => return self.give_up("the caller left"),
             };
-            let ended = self.attempt(&upstream).await;
+            self.attempts.sending();
+            let ended = match self.route.contract {
+                Contract::RetryFreely => {
+                    let (ended, other) = self.attempt_with_second_look(&upstream).await;
+                    if let Some(other) = other {
+                        // The send that lost may have run; it counts among those that the route
+                        // allows.
+                        self.attempts.sending();
+                        self.attempts.ended(AttemptEnd::TimedOut);
+                        self.tried.push(other);
+                    }
+                    ended
+                }
+                Contract::AtMostOnce => self.attempt(&upstream).await,
+            };
             match self.attempts.ended(ended.end) {
                 Verdict::Answer => return self.pass_on(ended),
                 Verdict::TryAgain if self.may_try_again(gone) => {
@@ -159,8 +156,7 @@
         left && self.context.take_repeat(now, &self.service)
     }
 
-    async fn attempt(&mut self, upstream: &Rc<Upstream>) -> Ended {
-        self.attempts.sending();
+    pub(super) async fn attempt(&self, upstream: &Rc<Upstream>) -> Ended {
         let now = Instant::now();
         let reading = upstream.reading(now);
         let slowness = reading.map_or(1.0, |(_, reading)| reading.slowness);
@@ -190,84 +186,6 @@
         ended
     }
 
-    /// Finds the server for the next attempt.
-    async fn choose(&mut self, gone: &Gone) -> Chosen {
-        let mut look_begun = Instant::now();
-        let mut far_asked = false;
-        loop {
-            if gone.is_set() {
-                return Chosen::CallerLeft;
-            }
-            let now = Instant::now();
-            let upstreams = self.usable(now, far_asked);
-            self.ask(&upstreams);
-            let life = self.context.reading_life().max(now - look_begun) + AWAIT_STEP;
-            let candidates: Vec<Candidate> = upstreams
-                .iter()
-                .map(|u| u.candidate(now, life, self.was_tried(u)))
-                .collect();
-            let need = self.need(now, look_begun, far_asked);
-            match place(&need, &candidates, fastrand::f64) {
-                Step::Send(at) => return Chosen::Upstream(upstreams[at].clone()),
-                Step::Refuse => return Chosen::Refuse,
-                Step::AskFar => far_asked = true,
-                Step::Await => {
-                    let told = self.context.readings.notified();
-                    let _ = tokio::time::timeout(AWAIT_STEP, told).await;
-                }
-                Step::LookAgain(after) => {
-                    tokio::time::sleep(after).await;
-                    look_begun = Instant::now();
-                }
-            }
-        }
-    }
-
-    fn was_tried(&self, upstream: &Rc<Upstream>) -> bool {
-        self.tried.iter().any(|tried| Rc::ptr_eq(tried, upstream))
-    }
-
-    /// Returns the servers to choose among: the first of those that answer probes, or of all if none
-    /// does.
-    fn usable(&self, now: Instant, far: bool) -> Vec<Rc<Upstream>> {
-        let mut all = self.context.upstreams(&self.service);
-        let untried = all.iter().filter(|u| !self.was_tried(u));
-        let audible: Vec<_> = untried.filter(|u| !u.is_mute(now)).cloned().collect();
-        if !audible.is_empty() {
-            all = audible;
-        }
-        let near = all.iter().filter(|u| u.near).count();
-        all.truncate(match far {
-            true => MOST_ASKED,
-            false => near.clamp(1, MOST_ASKED_FIRST),
-        });
-        all
-    }
-
-    fn ask(&self, upstreams: &[Rc<Upstream>]) {
-        let Some(service) = self.configuration.services.get(&self.service) else {
-            return;
-        };
-        let health_path = &service.health_path;
-        let asked = upstreams.iter();
-        asked.for_each(|upstream| probe::ask(self.context, upstream, health_path));
-    }
-
-    fn need(&self, now: Instant, look_begun: Instant, far_asked: bool) -> Need {
-        let millis = |d: Duration| d.as_secs_f64() * 1000.0;
-        let left = |until: Instant| match until >= now {
-            true => millis(until - now),
-            false => -millis(now - until),
-        };
-        Need {
-            work_ms: self.context.work_ms(&self.route, &self.service),
-            target_left_ms: left(self.target),
-            deadline_left_ms: left(self.deadline),
-            looked_ms: millis(now - look_begun),
-            far_asked,
-        }
-    }
-
     fn pass_on(&mut self, ended: Ended) -> Answer {
         match ended.response {
             Some(response) => Answer::of_server(self.request, response),
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -1,7 +1,9 @@
 //! Where callers come in: connections, requests as they come, answers in their order.
 
 pub mod answer;
+mod choosing;
 pub mod connection;
 pub mod dispatch;
 pub mod readiness;
 pub mod request;
+mod second_look;
--- /dev/null
+++ b/crates/kingcuploft-entry/src/edge/second_look.rs
@@ -0,0 +1,112 @@
+//! A second look at a lookup that takes long.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::placement::{Candidate, Step, place};
+use kingcuploft::entry::second_look::{self, Look};
+use kingcuploft::entry::verdict::AttemptEnd;
+
+use super::choosing::AWAIT_STEP;
+use super::dispatch::Flight;
+use crate::upstream::exchange::Ended;
+use crate::upstream::{Upstream, probe};
+
+/// How long a reading is waited for in a second look: a round trip to another zone, and some.
+const SECOND_LOOK_PATIENCE: Duration = Duration::from_millis(5);
+
+/// The send that has not ended.
+enum Rest {
+    First,
+    Second,
+}
+
+/// Any reading is younger.
+const LONG_AGO: Duration = Duration::from_secs(3600);
+
+impl Flight<'_> {
+    /// Sends a lookup, and looks at it again when it takes long: a server that has fallen silent, or is
+    /// late while others are free, is not waited for alone. The first whole answer counts; the other
+    /// send is cancelled.
+    pub(super) async fn attempt_with_second_look(
+        &self,
+        upstream: &Rc<Upstream>,
+    ) -> (Ended, Option<Rc<Upstream>>) {
+        let expected_ms = self.expected_ms(upstream);
+        let mut first = std::pin::pin!(self.attempt(upstream));
+        tokio::select! {
+            ended = &mut first => return (ended, None),
+            () = tokio::time::sleep(second_look::look_after(expected_ms)) => {}
+        }
+        let second = tokio::select! {
+            ended = &mut first => return (ended, None),
+            second = self.second(upstream) => second,
+        };
+        let Some(other) = second else {
+            return (first.await, None);
+        };
+        let mut second = std::pin::pin!(self.attempt(&other));
+        let (ended, rest) = tokio::select! {
+            ended = &mut first => (ended, Rest::Second),
+            ended = &mut second => (ended, Rest::First),
+        };
+        let ended = match (ended.end, rest) {
+            (AttemptEnd::Succeeded, _) => ended,
+            (_, Rest::First) => first.await,
+            (_, Rest::Second) => second.await,
+        };
+        (ended, Some(other.clone()))
+    }
+
+    /// Returns the server for a second send of a lookup that takes long, if there should be one.
+    async fn second(&self, upstream: &Rc<Upstream>) -> Option<Rc<Upstream>> {
+        let service = self.configuration.services.get(&self.service)?;
+        let asked_at = Instant::now();
+        probe::ask(self.context, upstream, &service.health_path);
+        tokio::time::sleep(SECOND_LOOK_PATIENCE).await;
+        let now = Instant::now();
+        let age = upstream.reading(now).map(|(age, _)| age);
+        let need = self.need(now, now, true);
+        let look = Look {
+            answers: age.is_some_and(|age| age <= now - asked_at + self.context.reading_life()),
+            probes_left: self.context.probes_left(),
+            left_ms: need.deadline_left_ms,
+            work_ms: need.work_ms,
+        };
+        if !second_look::wants_second(&look) || !self.attempts.may_send(1) {
+            return None;
+        }
+        let others: Vec<_> = self.usable(now, true);
+        let others: Vec<_> = others
+            .into_iter()
+            .filter(|u| !Rc::ptr_eq(u, upstream))
+            .collect();
+        self.ask(&others);
+        tokio::time::sleep(SECOND_LOOK_PATIENCE).await;
+        let now = Instant::now();
+        let life = self.context.reading_life() + SECOND_LOOK_PATIENCE + AWAIT_STEP;
+        let seen = others
+            .iter()
+            .map(|u| u.candidate(now, life, self.was_tried(u)));
+        let candidates: Vec<Candidate> = seen.collect();
+        let need = self.need(now, now, false);
+        let Step::Send(at) = place(&need, &candidates, fastrand::f64) else {
+            return None;
+        };
+        if !self.context.take_repeat(now, &self.service) {
+            return None;
+        }
+        self.context
+            .metrics
+            .repeat(if look.answers { "late" } else { "silent" });
+        others.get(at).cloned()
+    }
+
+    fn expected_ms(&self, upstream: &Upstream) -> f64 {
+        let now = Instant::now();
+        let work_ms = self.context.work_ms(&self.route, &self.service);
+        upstream
+            .candidate(now, LONG_AGO, false)
+            .expected_ms(work_ms)
+    }
+}
--- a/crates/kingcuploft-entry/tests/entry/answers.rs
+++ b/crates/kingcuploft-entry/tests/entry/answers.rs
@@ -88,3 +88,19 @@
         assert_eq!(world.runs(), 0);
     });
 }
+
+/// A server falls silent while it works on a lookup; it still answers probes. The caller would wait for
+/// its timeout, though the other server is free.
+#[test]
+fn a_lookup_at_a_silent_server_is_answered_by_another() {
+    play(async {
+        let world = World::with(&[Act::Hang, Act::Answer]).await;
+        for id in 0..6 {
+            let request = look(&format!("r{id}")).replace("/look/", "/short/");
+            assert_eq!(world.ask(&request).await.status, 200, "r{id}");
+        }
+        let silent = &world.servers[0];
+        assert!(silent.runs.get() > 0, "the silent server was never met");
+        until(|| silent.cancelled.get() == silent.runs.get()).await;
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/protected.rs
+++ b/crates/kingcuploft-entry/tests/entry/protected.rs
@@ -63,3 +63,14 @@
         assert_eq!(answer.status, 503);
     });
 }
+
+/// A server falls silent while it works on a booking. It may have run; no other server gets it.
+#[test]
+fn a_booking_at_a_silent_server_gets_no_second_look() {
+    play(async {
+        let world = World::with(&[Act::Hang, Act::Hang]).await;
+        let answer = world.ask(&book("b1").replace("4000", "900")).await;
+        assert_eq!(answer.status, 504);
+        assert_eq!(world.runs(), 1);
+    });
+}
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -10,5 +10,6 @@
 pub mod probe_budget;
 pub mod readers;
 pub mod repeats;
+pub mod second_look;
 pub mod service_time;
 pub mod verdict;
--- a/crates/kingcuploft/src/entry/probe_budget.rs
+++ b/crates/kingcuploft/src/entry/probe_budget.rs
@@ -51,7 +51,11 @@
 
     /// Returns how old a reading may be to choose by it: short while there is room to ask again.
     pub fn reading_life(&self) -> Duration {
-        let full = (self.saved / self.most.max(1.0)).clamp(0.0, 1.0);
-        SHORTEST_LIFE + (LONGEST_LIFE - SHORTEST_LIFE).mul_f64(1.0 - full)
+        SHORTEST_LIFE + (LONGEST_LIFE - SHORTEST_LIFE).mul_f64(1.0 - self.fill())
+    }
+
+    /// Returns which part of what can be saved is there to be used, from 0 to 1.
+    pub fn fill(&self) -> f64 {
+        (self.saved / self.most.max(1.0)).clamp(0.0, 1.0)
     }
 }
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -6,4 +6,5 @@
 mod probing;
 mod readers;
 mod repeats;
+mod second_look;
 mod verdict;
