feat(kingcuploftctl): trace prints a request's way from the logs of several VMs

Cause: on-call engineers had to search each VM's log and put the lines in order by hand. Now one command reads logs or a merged stream, and says what is missing.

--- a/crates/kingcuploftctl/src/args.rs
+++ b/crates/kingcuploftctl/src/args.rs
@@ -55,6 +55,8 @@
     Drain(String, String),
     /// Print what is known of a protected action.
     Claim(String, String),
+    /// Print a request's way, from log files or the standard input.
+    Trace(String, Vec<PathBuf>),
 }
 
 /// How to apply a manifest.
@@ -209,6 +211,10 @@
             }
             ["drain", service, server] => (Command::Drain(service.into(), server.into()), &[]),
             ["claim", "show", service, key] => (Command::Claim(service.into(), key.into()), &[]),
+            ["trace", request, ref files @ ..] => {
+                let files = files.iter().map(PathBuf::from).collect();
+                (Command::Trace(request.into(), files), &[])
+            }
             [] => return Err("a command is needed".into()),
             _ => return Err(format!("the command `{}` is not known", words.join(" ")).into()),
         };
--- a/crates/kingcuploftctl/src/help.rs
+++ b/crates/kingcuploftctl/src/help.rs
@@ -26,6 +26,7 @@
   backend-server list [SERVICE]  the backend servers, with their drains
   drain SERVICE BACKEND_SERVER   give it no new work; also while the store is down
   claim show SERVICE KEY         what is known of a protected action
+  trace REQUEST [LOG...]         a request's way, from the logs of kingcuploft-front (or stdin)
 
 Options
   --platform HOST:PORT  the platform's object API
--- a/crates/kingcuploftctl/src/lib.rs
+++ b/crates/kingcuploftctl/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod manifest;
 pub mod run;
 pub mod status;
+pub mod trace;
--- a/crates/kingcuploftctl/src/run.rs
+++ b/crates/kingcuploftctl/src/run.rs
@@ -3,7 +3,7 @@
 use crate::args::{Args, Command};
 use crate::context::Context;
 use crate::exit::Ending;
-use crate::{apply, claim, diff, drain, explain, help, list, manifest, status};
+use crate::{apply, claim, diff, drain, explain, help, list, manifest, status, trace};
 
 /// Runs the command of a command line.
 pub fn run(args: &Args) -> Ending {
@@ -26,6 +26,7 @@
         Command::BackendServers(service) => list::backend_servers(&context, service.as_deref()),
         Command::Drain(service, server) => drain::drain(&context, service, server),
         Command::Claim(service, key) => claim::show(&context, service, key),
+        Command::Trace(request, files) => trace::trace(request, files),
     };
     ended.unwrap_or_else(|ending| ending)
 }
--- /dev/null
+++ b/crates/kingcuploftctl/src/trace.rs
@@ -0,0 +1,137 @@
+//! `trace`: a request's way, from the logs of entry VMs.
+//!
+//! Reads the JSON lines that `kingcuploft-front` writes, of one VM or of several merged; whatever
+//! stands before the `{` of a line, such as a collector's VM name, is kept as the line's origin.
+
+use std::io::Read;
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+use crate::exit::{Code, Ending};
+
+/// One log line that has to do with the request.
+struct Line {
+    timestamp: String,
+    origin: String,
+    fields: Value,
+}
+
+/// Prints the way of a request, from these files, or from the standard input if there are none.
+///
+/// # Errors
+///
+/// Returns an ending that says which file can't be read.
+pub fn trace(request: &str, files: &[PathBuf]) -> Result<Ending, Ending> {
+    let mut texts = Vec::new();
+    for file in files {
+        let text = std::fs::read(file).map_err(|error| unreadable(&file.display(), &error))?;
+        texts.push((file.display().to_string(), text));
+    }
+    if files.is_empty() {
+        let mut text = Vec::new();
+        let read = std::io::stdin().read_to_end(&mut text);
+        read.map_err(|error| unreadable(&"standard input", &error))?;
+        texts.push((String::new(), text));
+    }
+    Ok(trace_texts(request, &texts))
+}
+
+fn unreadable(name: &dyn std::fmt::Display, error: &std::io::Error) -> Ending {
+    Ending::because(Code::Failed, format!("kingcuploftctl: {name}: {error}"))
+}
+
+/// Prints the way of a request from logs, each with its name.
+pub fn trace_texts(request: &str, logs: &[(String, Vec<u8>)]) -> Ending {
+    let (mut lines, mut left_out) = (Vec::new(), 0);
+    for (name, bytes) in logs {
+        let text = String::from_utf8_lossy(bytes);
+        let parsed = text.lines().filter_map(|line| parse(name, line));
+        for line in parsed {
+            match field(&line.fields, "event") {
+                "lines_left_out" => left_out += 1,
+                _ if field(&line.fields, "request") == request => lines.push(line),
+                _ => {}
+            }
+        }
+    }
+    lines.sort_by(|a, b| a.timestamp.cmp(&b.timestamp));
+    let mut out: String = lines.iter().map(sentence).collect();
+    out.push_str(conclusion(&lines));
+    if left_out > 0 {
+        out.push_str("Some lines were left out of these logs: the writer was behind.\n");
+    }
+    match lines.is_empty() {
+        true => Ending::with(Code::Failed, out),
+        false => Ending::done(out),
+    }
+}
+
+fn parse(name: &str, line: &str) -> Option<Line> {
+    let begin = line.find('{')?;
+    let fields: Value = serde_json::from_str(&line[begin..]).ok()?;
+    let before = line[..begin].trim();
+    Some(Line {
+        timestamp: field(&fields, "timestamp").to_owned(),
+        origin: match before.is_empty() {
+            true => name.to_owned(),
+            false => before.to_owned(),
+        },
+        fields,
+    })
+}
+
+fn field<'a>(fields: &'a Value, name: &str) -> &'a str {
+    fields.get(name).and_then(Value::as_str).unwrap_or_default()
+}
+
+fn shown(fields: &Value, name: &str) -> String {
+    match fields.get(name) {
+        None | Some(Value::Null) => "unknown".into(),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
+}
+
+fn sentence(line: &Line) -> String {
+    let show = |name| shown(&line.fields, name);
+    let what = match field(&line.fields, "event") {
+        "attempt" => format!(
+            "sent to {} after {} ms, its reading {} ms old: running {}, waiting {}, slowness {}; {} after {} ms: {}",
+            show("server"),
+            show("waited_ms"),
+            show("age_ms"),
+            show("running"),
+            show("waiting"),
+            show("slowness"),
+            show("end"),
+            show("took_ms"),
+            show("detail"),
+        ),
+        "gave_up" => format!(
+            "answered {} after {} ms and {} attempts: {}",
+            show("status"),
+            show("held_ms"),
+            show("attempts"),
+            show("reason"),
+        ),
+        "refused" => format!("answered {} at once: {}", show("status"), show("reason")),
+        "caller_left" => format!("the caller left after {} ms", show("held_ms")),
+        "crossed_answer" => format!("skipped an answer to request {}", show("answer")),
+        other => format!("{other}: {}", line.fields),
+    };
+    format!("{} {}  {what}\n", line.timestamp, line.origin)
+}
+
+fn conclusion(lines: &[Line]) -> &'static str {
+    let Some(last) = lines.last() else {
+        return "No line has this id: it reached another VM, was not read, or was left out.\n";
+    };
+    match (field(&last.fields, "event"), field(&last.fields, "end")) {
+        ("attempt", "succeeded") => "The server's answer was passed on.\n",
+        ("attempt", "failed") => "The server's own failure was passed on.\n",
+        ("attempt", _) => "No final line: the VM ended, or the line was left out.\n",
+        ("crossed_answer", _) => "No line of the attempt's end: it was cancelled or left out.\n",
+        _ => "",
+    }
+}
--- /dev/null
+++ b/crates/kingcuploftctl/tests/trace.rs
@@ -0,0 +1,52 @@
+//! A request's way, from the logs of entry VMs.
+
+use kingcuploftctl::args::{Command, parse};
+use kingcuploftctl::exit::Code;
+use kingcuploftctl::trace::trace_texts;
+
+const LOST: &str = r#"{"timestamp":"2026-03-24T20:25:40.748383Z","level":"INFO","event":"attempt","request":"0d16","route":"r-1","server":"i-16","near":false,"age_ms":8,"running":0,"waiting":0,"slowness":1.0,"waited_ms":1,"took_ms":6,"left_ms":581,"end":"lost","detail":"connection failed"}"#;
+const GAVE_UP: &str = r#"{"timestamp":"2026-03-24T20:25:40.748511Z","level":"INFO","event":"gave_up","request":"0d16","route":"r-1","status":502,"reason":"connection failed","attempts":1,"held_ms":7}"#;
+const OTHER: &str = r#"{"timestamp":"2026-03-24T20:25:40.1Z","event":"refused","request":"ffff","status":404,"reason":"no such route"}"#;
+
+fn logs(texts: &[(&str, &[&str])]) -> Vec<(String, Vec<u8>)> {
+    let logs = texts.iter();
+    logs.map(|(name, lines)| ((*name).to_owned(), lines.join("\n").into_bytes()))
+        .collect()
+}
+
+/// A school asks why its confirmation failed. Its request's lines lie in the log of one VM among
+/// others', out of order, behind a collector's prefix.
+#[test]
+fn a_lost_confirmation_is_told_in_order_with_what_decided_it() {
+    let (prefixed, noise) = (format!("0.74 front-c-3 {GAVE_UP}"), "not a log line {");
+    let logs = logs(&[("a.log", &[OTHER, noise]), ("b.log", &[&prefixed, LOST])]);
+    let ending = trace_texts("0d16", &logs);
+    assert_eq!(ending.code, Code::Done);
+    let lines: Vec<&str> = ending.out.lines().collect();
+    assert_eq!(lines.len(), 2, "{}", ending.out);
+    assert!(lines[0].contains("b.log  sent to i-16 after 1 ms, its reading 8 ms old"));
+    assert!(lines[0].ends_with("lost after 6 ms: connection failed"));
+    assert!(lines[1].contains("0.74 front-c-3  answered 502 after 7 ms and 1 attempts"));
+}
+
+#[test]
+fn a_request_without_lines_is_said_to_have_none() {
+    let ending = trace_texts("none", &logs(&[("a.log", &[OTHER])]));
+    assert_eq!(ending.code, Code::Failed);
+    assert!(ending.out.contains("No line has this id"));
+}
+
+#[test]
+fn a_missing_end_and_lines_left_out_are_told() {
+    let left_out = r#"{"event":"lines_left_out","count":3}"#;
+    let ending = trace_texts("0d16", &logs(&[("a.log", &[LOST, left_out])]));
+    assert!(ending.out.contains("No final line"));
+    assert!(ending.out.contains("Some lines were left out"));
+}
+
+#[test]
+fn the_command_line_names_a_request_and_logs() {
+    let args = parse(["trace", "0d16", "a.log", "b.log"].map(Into::into)).unwrap();
+    let files = vec!["a.log".into(), "b.log".into()];
+    assert_eq!(args.command, Command::Trace("0d16".into(), files));
+}
