--- a/crates/kingcuploftd/src/caller_edge/mod.rs
+++ b/crates/kingcuploftd/src/caller_edge/mod.rs
@@ -2,6 +2,7 @@
 
 mod activity;
 mod body;
+mod headers;
 pub mod inspector;
 mod refuse;
 mod reply;
@@ -20,9 +21,7 @@
 use hyper::{Method, Request, Response, Uri};
 use hyper_util::rt::TokioIo;
 use kingcuploft::dispatcher::Arrival;
-use kingcuploft::manifest::routing::Route;
-use kingcuploft::world::contract::Contract;
-use kingcuploft::world::ids::{Caller, RequestId};
+use kingcuploft::world::ids::RequestId;
 use kingcuploft::world::refusal::{Refusal, RefusalReason};
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, oneshot, watch};
@@ -33,6 +32,7 @@
 use crate::message::{Message, Reply, RequestParts};
 use crate::shared::Shared;
 use activity::{Activity, WatchedStream};
+use headers::{caller, deadline, key};
 use inspector::Verdict;
 use reply_body::ReplyBody;
 
@@ -51,12 +51,6 @@
 /// The pause after a connection could not be taken.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// The longest idempotency key, in bytes.
-const KEY_BYTES: usize = 256;
-
-/// The longest name of a caller, in bytes; one with a longer name is told by its address.
-const CALLER_BYTES: usize = 256;
-
 /// How long an idle connection stays open after the door closed.
 const CLOSE_GRACE: Duration = Duration::from_millis(50);
 
@@ -367,43 +361,3 @@
         }
     }
 }
-
-fn key(route: &Route, headers: &http::HeaderMap) -> Result<Option<std::sync::Arc<str>>, Refusal> {
-    let rule = route.rule();
-    if rule.contract == Contract::RetryFreely {
-        return Ok(None);
-    }
-    let mut keys = headers.get_all(&rule.idempotency.header).iter();
-    match keys.next() {
-        Some(_) if keys.next().is_some() => Err(Refusal::not_run(RefusalReason::KeyInvalid)),
-        Some(value) => match value.to_str() {
-            Ok(key) if !key.is_empty() && key.len() <= KEY_BYTES => Ok(Some(key.into())),
-            _ => Err(Refusal::not_run(RefusalReason::KeyInvalid)),
-        },
-        None if rule.idempotency.required => Err(Refusal::not_run(RefusalReason::KeyMissing)),
-        None => Ok(None),
-    }
-}
-
-/// Returns who sent a request: by the service's header, else by the peer's address.
-fn caller(route: &Route, headers: &http::HeaderMap, peer: SocketAddr) -> Caller {
-    let named = route.service.caller_header.as_ref();
-    let named = named.and_then(|name| headers.get(name)?.to_str().ok());
-    let named = named.filter(|name| !name.is_empty() && name.len() <= CALLER_BYTES);
-    named.map_or_else(|| peer.ip().to_string().into(), Into::into)
-}
-
-/// Returns the caller's deadline, capped by the rule's.
-fn deadline(route: &Route, headers: &http::HeaderMap) -> Result<Duration, Refusal> {
-    let rule = route.rule().deadline();
-    let mut asked = headers.get_all("x-deadline-ms").iter();
-    let (Some(ms), None) = (asked.next(), asked.next()) else {
-        return match headers.contains_key("x-deadline-ms") {
-            true => Err(Refusal::not_run(RefusalReason::BadRequest)),
-            false => Ok(rule),
-        };
-    };
-    let ms = ms.to_str().ok().and_then(|ms| ms.parse().ok());
-    let ms = ms.ok_or(Refusal::not_run(RefusalReason::BadRequest))?;
-    Ok(Duration::from_millis(ms).min(rule))
-}
--- a/crates/kingcuploftd/src/peer_link/link.rs
+++ b/crates/kingcuploftd/src/peer_link/link.rs
@@ -15,9 +15,10 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::counted::Counted;
-use super::node::{Link, Node, in_time, push_beat, tell_drains};
+use super::node::{Link, Node, in_time};
 use super::peer_capnp::peer;
 use super::server::PeerServer;
+use super::telling::{push_beat, tell_drains};
 use super::wire::{Beat, read_member, write_member};
 
 /// How long a connection, a TLS handshake or a greeting may take.
--- a/crates/kingcuploftd/src/peer_link/mod.rs
+++ b/crates/kingcuploftd/src/peer_link/mod.rs
@@ -5,6 +5,7 @@
 //! tells the other. Nothing that comes in here is taken on trust: sizes and nesting are bounded,
 //! service objects are checked against their hashes, generations only grow.
 
+mod budget;
 mod counted;
 mod link;
 mod node;
@@ -17,6 +18,7 @@
 pub mod peer_capnp;
 mod server;
 pub mod settings;
+mod telling;
 mod tls;
 pub mod wire;
 
@@ -78,8 +80,8 @@
     let node = Rc::new(Node::new(Arc::clone(shared), keys.0));
     let seeds = shared.settings.peer.peers.clone();
     shared.fleet.membership().listed(Instant::now(), seeds);
-    tokio::task::spawn_local(node::tell_peers(Rc::clone(&node)));
-    tokio::task::spawn_local(node::follow_manifest(Rc::clone(&node)));
+    tokio::task::spawn_local(telling::tell_peers(Rc::clone(&node)));
+    tokio::task::spawn_local(telling::follow_manifest(Rc::clone(&node)));
     tokio::task::spawn_local(choose_links(Rc::clone(&node)));
     tokio::task::spawn_local(watch_silence(Rc::clone(&node)));
     let accepted_links = Arc::new(Semaphore::new(ACCEPTED_LINKS));
--- a/crates/kingcuploftd/src/peer_link/node.rs
+++ b/crates/kingcuploftd/src/peer_link/node.rs
@@ -10,15 +10,16 @@
 use kingcuploft::decisions::membership::Neighbour;
 use kingcuploft::dispatcher::PeerNotes;
 use kingcuploft::manifest::root::ContentHash;
-use kingcuploft::utils::{HashMap, HashSet};
+use kingcuploft::utils::HashMap;
 use kingcuploft::world::ids::{Generation, VmName};
 use kingcuploft_platform::backoff::Backoff;
 
+use super::budget::ByteBudget;
 use super::link::{LinkEnd, MEMBERS_PER_PAGE};
 use super::peer_capnp::peer;
+use super::telling::push_beat;
 use super::tls::Tls;
-use super::wire::{Beat, read_drain, read_member, write_drain, write_notes};
-use crate::fleet_keeper::{DrainNotice, PeerNews};
+use super::wire::{Beat, read_drain, read_member};
 use crate::message::Message;
 use crate::shared::Shared;
 
@@ -357,95 +358,6 @@
     }
 }
 
-/// Sends a heartbeat to some links at once, and takes their answers.
-pub(super) async fn push_beat(node: &Rc<Node>, links: &[Rc<Link>]) {
-    let pushes = links.iter().map(|link| async {
-        let mut request = link.peer.beat_request();
-        node.beat().write(request.get().init_beat());
-        let Ok(answer) = in_time(request.send().promise).await else {
-            return;
-        };
-        let beat = answer.get().and_then(|a| a.get_beat()).and_then(Beat::read);
-        if let Ok(beat) = beat {
-            node.heard(link, &beat);
-        }
-    });
-    futures::future::join_all(pushes).await;
-}
-
-/// Tells a manifest that has come in force on: to the links that do not have it yet, and to the
-/// drains that wait for it.
-pub(super) async fn follow_manifest(node: Rc<Node>) {
-    let mut in_force = node.shared.manifest.subscribe();
-    while in_force.changed().await.is_ok() {
-        let generation = *in_force.borrow_and_update();
-        let manifest = Arc::clone(&node.shared.accepted.load().manifest);
-        node.shared.fleet.manifest_in_force(&node.shared, &manifest);
-        let behind = node
-            .links()
-            .into_iter()
-            .filter(|l| l.knows.get() < generation);
-        let behind: Vec<_> = behind.collect();
-        let node = Rc::clone(&node);
-        tokio::task::spawn_local(async move { push_beat(&node, &behind).await });
-    }
-}
-
-/// Tells the peers what other duties want told. Drains are always told; notes only within the byte
-/// budget, for they are worth little when late.
-pub(super) async fn tell_peers(node: Rc<Node>) {
-    let Some(mut inbox) = node.shared.fleet.take_inbox() else {
-        return;
-    };
-    while let Some(first) = inbox.recv().await {
-        let mut drains = HashSet::default();
-        let mut notes = Vec::new();
-        let mut next = Some(first);
-        while let Some(news) = next {
-            match news {
-                PeerNews::Draining(notice) => drop(drains.insert(notice)),
-                PeerNews::Notes(batch) => notes.push(batch),
-            }
-            next = inbox.try_recv().ok();
-        }
-        let drains: Vec<DrainNotice> = drains.into_iter().collect();
-        for link in node.links() {
-            if !drains.is_empty() {
-                tell_drains(&link, &drains);
-            }
-            for batch in &notes {
-                match node.has_budget() {
-                    true => {
-                        let metrics = &node.shared.metrics.fleet;
-                        metrics.count_notes("sent", batch.notes.len());
-                        tell_notes(&link, batch);
-                    }
-                    false => drop(node.shared.metrics.fleet.peer_over_budget.inc()),
-                }
-            }
-        }
-    }
-}
-
-/// Sends drains on a link without waiting; where it fails the link ends, and the drains are read
-/// again with the members when the next one begins.
-pub(super) fn tell_drains(link: &Link, drains: &[DrainNotice]) {
-    let mut request = link.peer.drains_request();
-    let mut list = request.get().init_drains(drains.len() as u32);
-    for (i, notice) in drains.iter().enumerate() {
-        write_drain(notice, list.reborrow().get(i as u32));
-    }
-    let promise = request.send().promise;
-    tokio::task::spawn_local(async move { drop(in_time(promise).await) });
-}
-
-fn tell_notes(link: &Link, notes: &PeerNotes) {
-    let mut request = link.peer.notes_request();
-    write_notes(notes, request.get());
-    let promise = request.send().promise;
-    tokio::task::spawn_local(async move { drop(in_time(promise).await) });
-}
-
 /// Waits for a peer's answer, but not for long: a half-open link never answers.
 pub(super) async fn in_time<T>(
     promise: impl Future<Output = capnp::Result<T>>,
@@ -459,38 +371,3 @@
 fn failed(why: &str) -> capnp::Error {
     capnp::Error::failed(why.into())
 }
-
-/// The byte budget: it refills steadily and pays for every byte that the links carry.
-struct ByteBudget {
-    bytes_per_s: f64,
-    burst: f64,
-    left: f64,
-    counted: u64,
-    at: Instant,
-}
-
-impl ByteBudget {
-    fn new(shared: &Shared) -> Self {
-        let budget = &shared.settings.peer.budget;
-        let burst = budget.burst_bytes as f64;
-        Self {
-            bytes_per_s: budget.bytes_per_s as f64,
-            burst,
-            left: burst,
-            counted: 0,
-            at: Instant::now(),
-        }
-    }
-
-    fn has_room(&mut self, shared: &Shared) -> bool {
-        let now = Instant::now();
-        let counted = shared.metrics.fleet.all_peer_bytes();
-        let spent = counted.saturating_sub(self.counted) as f64;
-        let refill = now.saturating_duration_since(self.at).as_secs_f64() * self.bytes_per_s;
-        // A manifest that was pulled may cost more than minutes of budget: news must not wait for
-        // it for longer than a second.
-        self.left = (self.left - spent + refill).clamp(-self.bytes_per_s, self.burst);
-        (self.counted, self.at) = (counted, now);
-        self.left > 0.0
-    }
-}
--- /dev/null
+++ b/crates/kingcuploftd/src/peer_link/telling.rs
@@ -0,0 +1,100 @@
+//! What a node tells its peers: heartbeats, a manifest in force, drains and notes.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use kingcuploft::dispatcher::PeerNotes;
+use kingcuploft::utils::HashSet;
+
+use super::node::{Link, Node, in_time};
+use super::wire::{Beat, write_drain, write_notes};
+use crate::fleet_keeper::{DrainNotice, PeerNews};
+
+/// Sends a heartbeat to some links at once, and takes their answers.
+pub(super) async fn push_beat(node: &Rc<Node>, links: &[Rc<Link>]) {
+    let pushes = links.iter().map(|link| async {
+        let mut request = link.peer.beat_request();
+        node.beat().write(request.get().init_beat());
+        let Ok(answer) = in_time(request.send().promise).await else {
+            return;
+        };
+        let beat = answer.get().and_then(|a| a.get_beat()).and_then(Beat::read);
+        if let Ok(beat) = beat {
+            node.heard(link, &beat);
+        }
+    });
+    futures::future::join_all(pushes).await;
+}
+
+/// Tells a manifest that has come in force on: to the links that do not have it yet, and to the
+/// drains that wait for it.
+pub(super) async fn follow_manifest(node: Rc<Node>) {
+    let mut in_force = node.shared.manifest.subscribe();
+    while in_force.changed().await.is_ok() {
+        let generation = *in_force.borrow_and_update();
+        let manifest = Arc::clone(&node.shared.accepted.load().manifest);
+        node.shared.fleet.manifest_in_force(&node.shared, &manifest);
+        let behind = node
+            .links()
+            .into_iter()
+            .filter(|l| l.knows.get() < generation);
+        let behind: Vec<_> = behind.collect();
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move { push_beat(&node, &behind).await });
+    }
+}
+
+/// Tells the peers what other duties want told. Drains are always told; notes only within the byte
+/// budget, for they are worth little when late.
+pub(super) async fn tell_peers(node: Rc<Node>) {
+    let Some(mut inbox) = node.shared.fleet.take_inbox() else {
+        return;
+    };
+    while let Some(first) = inbox.recv().await {
+        let mut drains = HashSet::default();
+        let mut notes = Vec::new();
+        let mut next = Some(first);
+        while let Some(news) = next {
+            match news {
+                PeerNews::Draining(notice) => drop(drains.insert(notice)),
+                PeerNews::Notes(batch) => notes.push(batch),
+            }
+            next = inbox.try_recv().ok();
+        }
+        let drains: Vec<DrainNotice> = drains.into_iter().collect();
+        for link in node.links() {
+            if !drains.is_empty() {
+                tell_drains(&link, &drains);
+            }
+            for batch in &notes {
+                match node.has_budget() {
+                    true => {
+                        let metrics = &node.shared.metrics.fleet;
+                        metrics.count_notes("sent", batch.notes.len());
+                        tell_notes(&link, batch);
+                    }
+                    false => drop(node.shared.metrics.fleet.peer_over_budget.inc()),
+                }
+            }
+        }
+    }
+}
+
+/// Sends drains on a link without waiting; where it fails the link ends, and the drains are read
+/// again with the members when the next one begins.
+pub(super) fn tell_drains(link: &Link, drains: &[DrainNotice]) {
+    let mut request = link.peer.drains_request();
+    let mut list = request.get().init_drains(drains.len() as u32);
+    for (i, notice) in drains.iter().enumerate() {
+        write_drain(notice, list.reborrow().get(i as u32));
+    }
+    let promise = request.send().promise;
+    tokio::task::spawn_local(async move { drop(in_time(promise).await) });
+}
+
+fn tell_notes(link: &Link, notes: &PeerNotes) {
+    let mut request = link.peer.notes_request();
+    write_notes(notes, request.get());
+    let promise = request.send().promise;
+    tokio::task::spawn_local(async move { drop(in_time(promise).await) });
+}
