--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use kingcuploft::entry::placement::{Candidate, Need, Step, place};
+use kingcuploft::entry::placement::{Candidate, Need, Step, asked, place};
 
 use super::connection::Gone;
 use super::dispatch::Flight;
@@ -12,14 +12,6 @@
 /// How long readings are waited for before looking again whether they suffice.
 pub(super) const AWAIT_STEP: Duration = Duration::from_millis(2);
 
-/// How many servers are asked at first: one in four is slow at any moment, and among six there is
-/// nearly always one that is fast and free.
-const MOST_ASKED_FIRST: usize = 6;
-
-/// How many servers are asked in all where none of the first is good: all of a service of today, and
-/// a bounded number of one with hundreds.
-const MOST_ASKED: usize = 16;
-
 /// What choosing came to.
 pub(super) enum Chosen {
     Upstream(Rc<Upstream>),
@@ -74,12 +66,12 @@
         if !audible.is_empty() {
             all = audible;
         }
-        let near = all.iter().filter(|u| u.near).count();
-        all.truncate(match far {
-            true => MOST_ASKED,
-            false => near.clamp(1, MOST_ASKED_FIRST),
-        });
-        all
+        let (mut near, mut others): (Vec<_>, Vec<_>) = all.into_iter().partition(|u| u.near);
+        let asked = asked(near.len(), others.len(), far);
+        near.truncate(asked.near);
+        others.truncate(asked.far);
+        near.append(&mut others);
+        near
     }
 
     pub(super) fn ask(&self, upstreams: &[Rc<Upstream>]) {
--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -111,6 +111,40 @@
 /// The way to another zone and back, in milliseconds.
 const FAR_MS: f64 = 2.0;
 
+/// How many servers are asked at first: one in four is slow at any moment, and among six there is
+/// nearly always one that is fast and free.
+const MOST_ASKED_FIRST: usize = 6;
+
+/// How many servers are asked in all where none of the first is good: all of a service of today, and
+/// a bounded number of one with hundreds.
+const MOST_ASKED: usize = 16;
+
+/// How many servers are asked, of the own zone and of the others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Asked {
+    /// Of the own zone.
+    pub near: usize,
+    /// Of the other zones.
+    pub far: usize,
+}
+
+/// Returns how many of these servers are asked, at first and when none of the first was good.
+///
+/// Load pattern: callers move to one zone, whose servers are all full while those of the other zones
+/// have room. A zone with more servers than are asked in all must not keep its requests to itself.
+pub fn asked(near: usize, far: usize, more: bool) -> Asked {
+    let near = near.min(MOST_ASKED_FIRST);
+    let most_far = match (more, near) {
+        (true, _) => MOST_ASKED - near,
+        (false, 0) => MOST_ASKED_FIRST,
+        (false, _) => 0,
+    };
+    Asked {
+        near,
+        far: far.min(most_far),
+    }
+}
+
 impl Candidate {
     /// Returns when an answer is expected, in milliseconds.
     pub fn expected_ms(&self, work_ms: f64) -> f64 {
--- a/crates/kingcuploft/tests/entry/placement.rs
+++ b/crates/kingcuploft/tests/entry/placement.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use kingcuploft::entry::failures::Failures;
-use kingcuploft::entry::placement::{Candidate, Need, Reading, Step, place};
+use kingcuploft::entry::placement::{Candidate, Need, Reading, Step, asked, place};
 use kingcuploft::entry::service_time::ServiceTime;
 use std::time::Instant;
 
@@ -181,6 +181,21 @@
     assert_eq!(step(&asked, &[busy, unread(false)]), Step::Send(1));
 }
 
+/// Callers move to one zone of a large site. Its forty servers are full, and the others' hundred and
+/// sixty have room; asked by nearness alone, sixteen near ones would be all that its VMs ever see.
+#[test]
+fn a_zone_with_many_servers_asks_those_of_other_zones_as_well() {
+    let counts = |near, far, more| {
+        let asked = asked(near, far, more);
+        (asked.near, asked.far)
+    };
+    assert_eq!(counts(40, 160, false), (6, 0));
+    assert_eq!(counts(40, 160, true), (6, 10));
+    assert_eq!(counts(3, 8, false), (3, 0));
+    assert_eq!(counts(3, 8, true), (3, 8));
+    assert_eq!(counts(0, 11, false), (0, 6));
+}
+
 /// Plays requests against servers of which a quarter is five times slower, another quarter every
 /// 150 ms, and returns the share that a choice answers within 200 ms.
 fn share_in_time(choose: impl Fn(&[f64], &mut fastrand::Rng) -> usize) -> f64 {
