--- a/crates/kingcuploft-standins/tests/edges/harness.rs
+++ b/crates/kingcuploft-standins/tests/edges/harness.rs
@@ -26,7 +26,7 @@
         Runtime::new().unwrap()
     }
 
-    /// Keeps a runtime as long as the bench.
+    /// Keeps the runtime alive as long as the servers and callers on it.
     pub(crate) fn with(mut self, runtime: Runtime) -> Self {
         self._runtimes.push(runtime);
         self
