fix(roster): a VM new to the store serves while the store refuses its writes

Cause: a new VM announced itself before it read or followed, and tried until the store took it. With reads answered and writes refused (429 beyond the writing rate) it never read, was never ready. Ruled out: giving up after a bound; the VM would stay unknown and its reader could not be followed. After: ready at once, known as soon as the store takes writes. Conclusion: announcing runs beside the loop, one at a time.

--- a/crates/kingcuploft-entry/src/roster.rs
+++ b/crates/kingcuploft-entry/src/roster.rs
@@ -1,5 +1,6 @@
 //! Makes this VM known to the others, and follows the one that reads the store for its zone.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -32,9 +33,10 @@
 const PAUSE: Duration = Duration::from_millis(500);
 
 /// Keeps this VM known to the others, and follows a reader while there is one.
-pub async fn keep<S: Store>(context: Rc<Context>, store: Rc<S>, pulse: Rc<Pulse>, own: VmEntry) {
+pub async fn keep<S: Store + 'static>(context: Rc<Context>, store: Rc<S>, pulse: Rc<Pulse>, own: VmEntry) {
+    let announcing = Announcing::default();
     if context.settings.all_start {
-        announce(&*store, &own).await;
+        announcing.begin(&store, &own);
         tokio::time::sleep(ALL_ANNOUNCED).await;
     }
     let mut listed: Option<Instant> = None;
@@ -45,7 +47,7 @@
             listed = Some(now);
             let known = context.readers.borrow().vms().contains(&own);
             if !known {
-                announce(&*store, &own).await;
+                announcing.begin(&store, &own);
             }
         }
         let reader = match context.readers.borrow().source(now, &own.name, &own.zone) {
@@ -84,6 +86,27 @@
     readers.failed(Instant::now(), &reader.name);
 }
 
+/// Makes this VM known beside all else: a store that refuses writes may still be read, and a VM that
+/// only waited to be known would serve nobody.
+#[derive(Default)]
+struct Announcing {
+    runs: Rc<Cell<bool>>,
+}
+
+impl Announcing {
+    /// Begins, unless it is being done.
+    fn begin<S: Store + 'static>(&self, store: &Rc<S>, own: &VmEntry) {
+        if self.runs.replace(true) {
+            return;
+        }
+        let (runs, store, own) = (self.runs.clone(), store.clone(), own.clone());
+        tokio::task::spawn_local(async move {
+            announce(&*store, &own).await;
+            runs.set(false);
+        });
+    }
+}
+
 /// Makes the VM known, until the store has said that it is.
 async fn announce<S: Store>(store: &S, own: &VmEntry) {
     while let Err(error) = store.announce(own).await {
--- a/crates/kingcuploft-entry/tests/entry/store.rs
+++ b/crates/kingcuploft-entry/tests/entry/store.rs
@@ -20,6 +20,8 @@
     pub(crate) vms: RefCell<Vec<VmEntry>>,
     /// Calls hang, those that wait already as well, even after the fault has ended.
     pub(crate) silent: Cell<bool>,
+    /// Writes are refused.
+    pub(crate) refuses_writes: Cell<bool>,
     /// Watches are answered with "history gone" up to this revision.
     pub(crate) forgotten: Cell<Revision>,
     pub(crate) watches: Cell<u32>,
@@ -122,6 +124,9 @@
 
     async fn announce(&self, vm: &VmEntry) -> Result<(), StoreError> {
         self.0.hang_if_silent().await;
+        if self.0.refuses_writes.get() {
+            return Err(StoreError::Refused(429));
+        }
         self.0.vms.borrow_mut().push(vm.clone());
         Ok(())
     }
--- a/crates/kingcuploft-entry/tests/entry/store_faults.rs
+++ b/crates/kingcuploft-entry/tests/entry/store_faults.rs
@@ -4,10 +4,13 @@
 
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft_entry::run;
+use kingcuploft_entry::settings::EntrySettings;
 
 use crate::server::Act;
 use crate::store::TestStore;
-use crate::world::{World, configuration, entry, look, play, play_in_virtual_time, start, until};
+use crate::world::{
+    WORDS, World, configuration, entry, look, play, play_in_virtual_time, settings, start, until,
+};
 
 fn version(vm: &run::Running) -> u64 {
     vm.context.configuration().map_or(0, |c| c.version)
@@ -94,7 +97,7 @@
 fn a_vm_that_knows_no_configuration_refuses_and_is_not_ready() {
     play(async {
         let store = TestStore::default();
-        let started = run::start(crate::world::settings("vm"), crate::world::WORDS, store);
+        let started = run::start(settings("vm"), WORDS, store);
         let vm = started.await.unwrap();
         tokio::time::sleep(Duration::from_millis(100)).await;
         assert!(!vm.context.is_ready());
@@ -105,3 +108,22 @@
         assert!(answer.has("retry-after"));
     });
 }
+
+/// A VM is added while the store turns writes away and answers reads, as beyond its writing rate. It
+/// could not make itself known, read nothing meanwhile, and refused its callers.
+#[test]
+fn a_new_vm_serves_while_the_store_refuses_writes() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        let store = TestStore(world.store.clone());
+        store.0.refuses_writes.set(true);
+        let settings = EntrySettings {
+            peers: Some(([127, 0, 0, 1], 0).into()),
+            ..settings("added")
+        };
+        let added = run::start(settings, WORDS, store).await.unwrap();
+        until(|| added.context.is_ready()).await;
+        world.store.refuses_writes.set(false);
+        until(|| !world.store.vms.borrow().is_empty()).await;
+    });
+}
