--- a/crates/kingcuploft/src/entry/configuration.rs
+++ b/crates/kingcuploft/src/entry/configuration.rs
@@ -128,6 +128,11 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flatten().map(AsRef::as_ref)
+    }
+
     /// Returns how many routes there are.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
@@ -151,10 +156,9 @@
 
 impl From<Configuration> for Parts {
     fn from(configuration: Configuration) -> Self {
-        let routes = configuration.hosts.values().flatten();
         Self {
             version: configuration.version,
-            routes: routes.map(|route| Route::clone(route)).collect(),
+            routes: configuration.routes().cloned().collect(),
             services: configuration.services,
             limits: configuration.limits,
         }
