--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -15,7 +15,8 @@
 /// What choosing came to.
 pub(super) enum Chosen {
     Upstream(Rc<Upstream>),
-    Refuse,
+    /// No server can answer in time; the caller may come back after this time.
+    Refuse(Duration),
     CallerLeft,
 }
 
@@ -39,7 +40,7 @@
             let need = self.need(now, look_begun, far_asked);
             match place(&need, &candidates, fastrand::f64) {
                 Step::Send(at) => return Chosen::Upstream(upstreams[at].clone()),
-                Step::Refuse => return Chosen::Refuse,
+                Step::Refuse(come_back) => return Chosen::Refuse(come_back),
                 Step::AskFar => far_asked = true,
                 Step::Await => {
                     let told = self.context.readings.notified();
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -79,6 +79,8 @@
     pub(super) attempts: Attempts,
     pub(super) tried: Vec<Rc<Upstream>>,
     pub(super) last_failure: Option<Response>,
+    /// When the caller may come back, should the request be refused.
+    come_back: Duration,
 }
 
 impl<'a> Flight<'a> {
@@ -113,6 +115,7 @@
             service: destination.service,
             tried: Vec::new(),
             last_failure: None,
+            come_back: COME_BACK,
         })
     }
 
@@ -120,7 +123,10 @@
         loop {
             let upstream = match self.choose(gone).await {
                 Chosen::Upstream(upstream) => upstream,
-                Chosen::Refuse => return self.give_up("no server can answer in time"),
+                Chosen::Refuse(come_back) => {
+                    self.come_back = come_back;
+                    return self.give_up("no server can answer in time");
+                }
                 Chosen::CallerLeft => return self.give_up("the caller left"),
             };
             self.attempts.sending();
@@ -220,7 +226,7 @@
         }
         let timed_out = Instant::now() >= self.deadline;
         let status = self.attempts.refusal_status(timed_out);
-        let after = (status == 503).then_some(COME_BACK);
+        let after = (status == 503).then_some(self.come_back);
         tracing::info!(
             event = "gave_up",
             request = self.request.id,
@@ -229,6 +235,7 @@
             reason,
             attempts = self.attempts.sent(),
             held_ms = self.request.arrived.elapsed().as_millis() as u64,
+            come_back_ms = after.map(|after| after.as_millis() as u64),
         );
         Answer::own(
             self.request,
--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -75,10 +75,20 @@
     AskFar,
     /// All are slow or full: look again after this time.
     LookAgain(Duration),
-    /// No server can answer in time.
-    Refuse,
+    /// No server can answer in time. The caller may come back after this time.
+    Refuse(Duration),
 }
 
+/// When a refused caller comes back if no server told its load: most pauses after a failed probe are
+/// over by then.
+const COME_BACK_UNKNOWN: Duration = Duration::from_millis(250);
+
+/// The soonest that a refused caller comes back: one draw of the speeds later, or it finds the same.
+const COME_BACK_SOONEST: Duration = Duration::from_millis(150);
+
+/// The latest: readings are some milliseconds old, and say nothing of the next seconds.
+const COME_BACK_LATEST: Duration = Duration::from_secs(2);
+
 /// How long a near server's reading is waited for: its round trip is 0.2 ms.
 const NEAR_PATIENCE_MS: f64 = 2.0;
 
@@ -162,8 +172,7 @@
             true => COLD,
             false => 1.0,
         };
-        let ahead = (busy + 1.0 - slots).max(0.0) / slots;
-        let wait_ms = ahead * work_ms * slowness;
+        let wait_ms = line_ms(busy, slots, work_ms * slowness);
         let distance_ms = match self.near {
             true => 0.0,
             false => FAR_MS,
@@ -172,12 +181,25 @@
         (run_ms + wait_ms) * (1.0 + FAILURE * self.failures) + distance_ms
     }
 
+    /// Returns when a request that is sent now would begin to run, in milliseconds.
+    fn wait_ms(&self, reading: &Reading, work_ms: f64) -> f64 {
+        let slots = f64::from(reading.slots.max(1));
+        let busy = f64::from(reading.running + reading.waiting + self.unseen);
+        line_ms(busy, slots, work_ms * reading.slowness)
+    }
+
     fn is_full(&self) -> bool {
         let reading = self.reading;
         reading.is_some_and(|r| r.running + r.waiting + self.unseen >= r.slots.max(1))
     }
 }
 
+/// Returns how long a request waits for a slot behind `busy` others that take `run_ms` each.
+fn line_ms(busy: f64, slots: f64, run_ms: f64) -> f64 {
+    let ahead = (busy + 1.0 - slots).max(0.0) / slots;
+    ahead * run_ms
+}
+
 /// Says what to do next with a request. `chance` breaks ties, so that the VMs do not all choose the
 /// same of several equal servers.
 pub fn place(need: &Need, candidates: &[Candidate], mut chance: impl FnMut() -> f64) -> Step {
@@ -209,7 +231,7 @@
     let Some((at, expected_ms)) = best else {
         return match need.deadline_left_ms > usual_ms + again_ms {
             true => Step::LookAgain(LOOK_AGAIN),
-            false => Step::Refuse,
+            false => Step::Refuse(come_back(need, candidates)),
         };
     };
     let in_time = expected_ms * MARGIN <= need.target_left_ms;
@@ -222,7 +244,19 @@
     match expected_ms <= need.deadline_left_ms {
         true => Step::Send(at),
         false if need.deadline_left_ms > usual_ms + again_ms => Step::LookAgain(LOOK_AGAIN),
-        false => Step::Refuse,
+        false => Step::Refuse(come_back(need, candidates)),
+    }
+}
+
+/// Returns when a slot is likely to be free: at the server whose line ends first.
+fn come_back(need: &Need, candidates: &[Candidate]) -> Duration {
+    let told = candidates.iter().filter_map(|c| Some((c, c.reading?)));
+    let waits = told.map(|(c, reading)| c.wait_ms(&reading, need.work_ms));
+    match waits.min_by(f64::total_cmp) {
+        Some(wait_ms) => Duration::try_from_secs_f64(wait_ms / 1000.0)
+            .unwrap_or(COME_BACK_LATEST)
+            .clamp(COME_BACK_SOONEST, COME_BACK_LATEST),
+        None => COME_BACK_UNKNOWN,
     }
 }
 
--- a/crates/kingcuploft/tests/entry/placement.rs
+++ b/crates/kingcuploft/tests/entry/placement.rs
@@ -130,8 +130,30 @@
         far_asked: true,
         ..need()
     };
-    assert_eq!(step(&hopeless, &[with_load(2, 4, 5.0)]), Step::Refuse);
-    assert_eq!(step(&hopeless, &[]), Step::Refuse);
+    let refused = |servers: &[Candidate]| matches!(step(&hopeless, servers), Step::Refuse(_));
+    assert!(refused(&[with_load(2, 4, 5.0)]));
+    assert!(refused(&[]));
+}
+
+/// Overload: a refused caller that returns at once finds the same lines and is refused again, one that
+/// returns late finds its time used up. The line that ends first says when.
+#[test]
+fn a_refused_caller_is_told_when_the_first_line_ends() {
+    let hopeless = Need {
+        target_left_ms: -200.0,
+        deadline_left_ms: 70.0,
+        far_asked: true,
+        ..need()
+    };
+    let told_ms = |servers: &[Candidate]| match step(&hopeless, servers) {
+        Step::Refuse(come_back) => come_back.as_millis(),
+        other => panic!("{other:?}"),
+    };
+    // Five and three requests ahead of it at two slots, of 300 ms each.
+    let (longer, shorter) = (with_load(2, 4, 5.0), with_load(2, 2, 5.0));
+    assert_eq!(told_ms(&[longer]), 750);
+    assert_eq!(told_ms(&[longer, shorter]), 450);
+    assert_eq!(told_ms(&[]), 250, "nothing is known");
 }
 
 #[test]
--- a/crates/kingcuploftctl/src/trace.rs
+++ b/crates/kingcuploftctl/src/trace.rs
@@ -109,11 +109,12 @@
             show("detail"),
         ),
         "gave_up" => format!(
-            "answered {} after {} ms and {} attempts: {}",
+            "answered {} after {} ms and {} attempts: {}; to come back after {} ms",
             show("status"),
             show("held_ms"),
             show("attempts"),
             show("reason"),
+            show("come_back_ms"),
         ),
         "repeat" if line.fields.get("room") == Some(&Value::Bool(true)) => {
             format!(
