--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -79,12 +79,9 @@
     Refuse(Duration),
 }
 
-/// When a refused caller comes back if no server told its load: most pauses after a failed probe are
-/// over by then.
-const COME_BACK_UNKNOWN: Duration = Duration::from_millis(250);
-
-/// The soonest that a refused caller comes back: one draw of the speeds later, or it finds the same.
-const COME_BACK_SOONEST: Duration = Duration::from_millis(150);
+/// The soonest that a refused caller comes back: speeds have been redrawn by then, and most pauses after
+/// a failed probe are over.
+const COME_BACK_SOONEST: Duration = Duration::from_millis(250);
 
 /// The latest: readings are some milliseconds old, and say nothing of the next seconds.
 const COME_BACK_LATEST: Duration = Duration::from_secs(2);
@@ -256,7 +253,7 @@
         Some(wait_ms) => Duration::try_from_secs_f64(wait_ms / 1000.0)
             .unwrap_or(COME_BACK_LATEST)
             .clamp(COME_BACK_SOONEST, COME_BACK_LATEST),
-        None => COME_BACK_UNKNOWN,
+        None => COME_BACK_SOONEST,
     }
 }
 
