feat(upstream): each VM keeps to its part of a server's connections

Cause: a VM opened as many connections as it had requests and probes; a server that hangs collects them from every VM, and resets those beyond what it accepts, whatever they carry. Ruled out: telling each other how many are open; the part follows from the number of VMs, as for probes.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -8,6 +8,7 @@
 
 use kingcuploft::entry::backend_servers::{BackendServers, Change};
 use kingcuploft::entry::configuration::{Configuration, Dealer, Destination, Route};
+use kingcuploft::entry::connections;
 use kingcuploft::entry::log_budget::{LogBudget, Ordinary};
 use kingcuploft::entry::probe_budget::ProbeBudget;
 use kingcuploft::entry::readers::{Readers, VmEntry};
@@ -235,6 +236,20 @@
         upstreams.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns how many connections this VM may have to one server of a service; any number until the
+    /// VMs are counted.
+    pub fn connection_share(&self, service: &ServiceName) -> usize {
+        let configuration = self.configuration.borrow();
+        let services = configuration.as_ref().map(|c| &c.services);
+        let service = services.and_then(|services| services.get(service));
+        match (service, self.vms.get()) {
+            (Some(service), vms) if vms != VMS_UNCOUNTED => {
+                connections::share(service.most_connections, vms)
+            }
+            _ => usize::MAX,
+        }
+    }
+
     /// Returns a server that may be sent work.
     pub fn upstream(&self, name: &str) -> Option<Rc<Upstream>> {
         let upstreams = self.upstreams.borrow();
--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -62,6 +62,8 @@
     /// does.
     pub(super) fn usable(&self, now: Instant, far: bool) -> Vec<Rc<Upstream>> {
         let mut all = self.context.upstreams(&self.service);
+        let share = self.context.connection_share(&self.service);
+        all.retain(|upstream| upstream.has_room(share));
         let untried = all.iter().filter(|u| !self.was_tried(u));
         let audible: Vec<_> = untried.filter(|u| !u.is_mute(now)).cloned().collect();
         if !audible.is_empty() {
--- a/crates/kingcuploft-entry/src/http/client.rs
+++ b/crates/kingcuploft-entry/src/http/client.rs
@@ -1,7 +1,9 @@
 //! Connections to backend servers and to the platform's store.
 
+use std::cell::Cell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
@@ -65,9 +67,28 @@
     Malformed,
 }
 
+/// Counts one open connection until it is dropped.
+#[derive(Debug)]
+pub struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    /// Counts one more.
+    pub fn of(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
 /// An open connection, used for one request at a time.
 #[derive(Debug)]
 pub struct Connection {
+    counted: Option<Counted>,
     stream: TcpStream,
     buffer: BytesMut,
     used: Instant,
@@ -96,6 +117,7 @@
             .with_retries(2);
         socket.set_tcp_keepalive(&keepalive)?;
         Ok(Self {
+            counted: None,
             stream,
             buffer: BytesMut::new(),
             used: Instant::now(),
@@ -105,6 +127,17 @@
         })
     }
 
+    /// Opens a connection that is counted from the attempt on.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::open`].
+    pub async fn open_counted(address: SocketAddr, counted: Counted) -> std::io::Result<Self> {
+        let mut connection = Self::open(address).await?;
+        connection.counted = Some(counted);
+        Ok(connection)
+    }
+
     /// Returns whether the connection can carry another request: nothing unasked has come, the
     /// server has not closed it, and it was used lately.
     pub fn is_reusable(&mut self, now: Instant, longest_idle: Duration) -> bool {
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -68,12 +68,8 @@
     left: Duration,
     begun: Instant,
 ) -> Ended {
-    let mut connection = match upstream.take_idle() {
-        Some(connection) => connection,
-        None => match Connection::open(upstream.server.address).await {
-            Ok(connection) => connection,
-            Err(_) => return Ended::without_answer(AttemptEnd::Unsent, "no connection", begun),
-        },
+    let Ok(mut connection) = upstream.connect().await else {
+        return Ended::without_answer(AttemptEnd::Unsent, "no connection", begun);
     };
     let left = left.saturating_sub(begun.elapsed());
     let bytes = write_request(context, upstream, request, left);
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -12,7 +12,7 @@
 use kingcuploft::utils::rendezvous::rendezvous;
 use kingcuploft::world::ids::VmName;
 
-use crate::http::client::Connection;
+use crate::http::client::{Connection, Counted};
 
 /// The most idle connections kept to one server: VMs share a server's connections, and one VM
 /// rarely has more than two requests at one server.
@@ -43,6 +43,7 @@
     pub rank: u64,
     cold_until: Instant,
     idle: RefCell<Vec<Connection>>,
+    open: std::rc::Rc<Cell<usize>>,
     reading: Cell<Option<(Instant, Reading)>>,
     asking: Cell<bool>,
     mute: Cell<Option<(Instant, Duration)>>,
@@ -60,6 +61,7 @@
             server,
             near,
             idle: RefCell::default(),
+            open: std::rc::Rc::default(),
             reading: Cell::new(None),
             asking: Cell::new(false),
             mute: Cell::new(None),
@@ -69,8 +71,26 @@
         }
     }
 
+    /// Returns whether a call can have a connection of those that this VM may have.
+    pub fn has_room(&self, share: usize) -> bool {
+        self.open.get() < share || !self.idle.borrow().is_empty()
+    }
+
+    /// Returns a connection: an idle one, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error, or a timeout.
+    pub async fn connect(&self) -> std::io::Result<Connection> {
+        if let Some(connection) = self.take_idle() {
+            return Ok(connection);
+        }
+        let counted = Counted::of(&self.open);
+        Connection::open_counted(self.server.address, counted).await
+    }
+
     /// Takes an idle connection that can be used.
-    pub fn take_idle(&self) -> Option<Connection> {
+    fn take_idle(&self) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         while let Some(mut connection) = idle.pop() {
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -5,7 +5,7 @@
 
 use super::Upstream;
 use crate::context::Context;
-use crate::http::client::{Connection, Response};
+use crate::http::client::Response;
 use crate::http::headers::write_header;
 use crate::peers::readings;
 
@@ -23,6 +23,10 @@
     if upstream.is_asked() || fresh || upstream.is_mute(now) {
         return;
     }
+    if !upstream.has_room(context.connection_share(&upstream.server.service)) {
+        context.metrics.probe("no_connection");
+        return;
+    }
     if !context.take_probe(now) {
         context.metrics.probe("no_budget");
         return;
@@ -58,10 +62,7 @@
 }
 
 async fn exchange(upstream: &Upstream, request: &[u8]) -> Option<Response> {
-    let mut connection = match upstream.take_idle() {
-        Some(connection) => connection,
-        None => Connection::open(upstream.server.address).await.ok()?,
-    };
+    let mut connection = upstream.connect().await.ok()?;
     connection.send(request).await.ok()?;
     let response = connection.receive("GET", MOST_PROBE_BYTES).await.ok()?;
     upstream.keep(connection);
--- a/crates/kingcuploft-entry/tests/entry/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -113,3 +113,26 @@
         assert_eq!(caller.answer().await.unwrap().status, 200);
     });
 }
+
+/// The only server hangs, and forty callers come at once. It accepts twenty connections from all VMs
+/// together and resets those beyond, whatever they carry; a VM that knows it is alone takes sixteen at
+/// most.
+#[test]
+fn a_server_that_hangs_gets_no_more_connections_than_its_share() {
+    play(async {
+        let world = World::with(&[Act::Hang]).await;
+        world.vm.context.vms.set(1);
+        let mut callers = Vec::new();
+        for id in 0..40 {
+            let mut caller = world.caller().await;
+            caller.send(&look(&format!("r{id}"))).await;
+            callers.push(caller);
+        }
+        for caller in &mut callers {
+            let status = caller.answer().await.unwrap().status;
+            assert!(matches!(status, 503 | 504), "{status}");
+        }
+        let most = world.servers[0].most_connections.get();
+        assert!((1..=16).contains(&most), "{most}");
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -59,6 +59,9 @@
     /// Requests whose connection closed while it ran them.
     pub(crate) cancelled: Rc<Cell<u32>>,
     pub(crate) probes: Rc<Cell<u32>>,
+    connections: Rc<Cell<u32>>,
+    /// The most connections at one time.
+    pub(crate) most_connections: Rc<Cell<u32>>,
 }
 
 impl TestServer {
@@ -71,12 +74,20 @@
             runs: Rc::default(),
             cancelled: Rc::default(),
             probes: Rc::default(),
+            connections: Rc::default(),
+            most_connections: Rc::default(),
         };
         let serving = server.clone();
         tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let server = serving.clone();
-                tokio::task::spawn_local(async move { server.serve(stream).await });
+                tokio::task::spawn_local(async move {
+                    let open = server.connections.get() + 1;
+                    server.connections.set(open);
+                    server.most_connections.update(|most| most.max(open));
+                    server.serve(stream).await;
+                    server.connections.update(|open| open - 1);
+                });
             }
         });
         server
--- a/crates/kingcuploft-entry/tests/entry/world.rs
+++ b/crates/kingcuploft-entry/tests/entry/world.rs
@@ -40,6 +40,9 @@
     })
 }
 
+/// How many connections a server accepts from all VMs together.
+pub(crate) const MOST_CONNECTIONS: u32 = 20;
+
 /// A VM with servers that act as told.
 pub(crate) struct World {
     pub(crate) vm: Running,
@@ -142,7 +145,7 @@
     ];
     let service = Service {
         health_path: "/health".into(),
-        most_connections: 100,
+        most_connections: MOST_CONNECTIONS,
     };
     let services: HashMap<_, _> = [("trip".into(), service)].into_iter().collect();
     Configuration::new(version, routes, services, Limits::default())
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod backend_servers;
 pub mod configuration;
+pub mod connections;
 pub mod failures;
 pub mod log_budget;
 pub mod placement;
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod backend_servers;
 mod configuration;
+mod connections;
 mod log_budget;
 mod placement;
 mod probing;
