feat(edge): bodies of requests have a bounded part of the memory

Cause: each body was bounded, all of them together were not; callers that send long bodies slowly could drive the VM over its memory, where it is killed with every request that it has. Ruled out: reading slower when memory is short: a caller that stands still would hold the others up. After: refused with 503 and a time to come back, the next request served, the memory given back when the caller leaves.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -18,6 +18,7 @@
 use kingcuploft::world::ids::{BackendServerName, RuleName, ServiceName};
 use tokio::sync::Notify;
 
+use crate::edge::room::Room;
 use crate::metrics::Metrics;
 use crate::peers::reader::Followers;
 use crate::peers::readings::Readings;
@@ -56,6 +57,8 @@
     pub zone_peers: RefCell<Vec<SocketAddr>>,
     /// The VMs that follow this one.
     pub followers: Followers,
+    /// The memory for bodies of requests.
+    pub body_room: Room,
     /// Open connections of callers.
     pub callers: Cell<usize>,
     positions: RefCell<HashMap<Collection, Revision>>,
@@ -81,6 +84,7 @@
         Self {
             vms: Cell::new(VMS_UNCOUNTED),
             bounds: Cell::new(settings.bounds),
+            body_room: Room::of(settings.memory_bytes),
             settings,
             vocabulary,
             readings: Notify::new(),
--- a/crates/kingcuploft-entry/src/edge/answer.rs
+++ b/crates/kingcuploft-entry/src/edge/answer.rs
@@ -7,6 +7,10 @@
 use crate::http::headers::write_header;
 use crate::settings::Vocabulary;
 
+/// When a caller comes back whose body found no memory, in seconds: those held are answered by then, as
+/// a rule.
+const COME_BACK_S: &str = "0.5";
+
 /// An answer, without the headers of its connection.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -63,6 +67,9 @@
     pub fn unreadable(status: u16, reason: &str) -> Self {
         let mut head = Vec::with_capacity(128);
         write_header(&mut head, "Content-Type", b"text/plain");
+        if status == 503 {
+            write_header(&mut head, "Retry-After", COME_BACK_S.as_bytes());
+        }
         Self {
             status,
             head,
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -232,8 +232,13 @@
         if expects && self.buffer.is_empty() {
             self.tell_continue().await;
         }
+        let mut held = self.context.body_room.hold();
         loop {
-            match reader.read(&mut self.buffer) {
+            let whole = reader.read(&mut self.buffer);
+            if !held.grow_to(reader.bytes_read()) {
+                return Some(self.refuse(503, "no memory for the body").await);
+            }
+            match whole {
                 Ok(true) => break,
                 Ok(false) => {}
                 Err(BodyError::TooLong) => {
@@ -247,7 +252,7 @@
                 Read::Some | Read::Stopping => {}
             }
         }
-        let request = Request::new(head, reader.into_body(), &self.context.vocabulary);
+        let request = Request::new(head, reader.into_body(), held, &self.context.vocabulary);
         self.serve_request(request).await
     }
 
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -6,4 +6,5 @@
 pub mod dispatch;
 pub mod readiness;
 pub mod request;
+pub mod room;
 mod second_look;
--- a/crates/kingcuploft-entry/src/edge/request.rs
+++ b/crates/kingcuploft-entry/src/edge/request.rs
@@ -2,11 +2,12 @@
 
 use std::time::{Duration, Instant};
 
+use super::room::Held;
 use crate::http::head::RequestHead;
 use crate::settings::Vocabulary;
 
 /// A whole request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Request {
     /// The caller's id of this attempt.
     pub id: Option<String>,
@@ -14,17 +15,20 @@
     pub head: RequestHead,
     /// Its body.
     pub body: Vec<u8>,
+    /// The memory that its body takes.
+    _held: Held,
     /// When its last byte was read.
     pub arrived: Instant,
 }
 
 impl Request {
     /// Builds a request that has just been read.
-    pub fn new(head: RequestHead, body: Vec<u8>, vocabulary: &Vocabulary) -> Self {
+    pub fn new(head: RequestHead, body: Vec<u8>, held: Held, vocabulary: &Vocabulary) -> Self {
         Self {
             id: head.headers.get(vocabulary.request_id).map(str::to_owned),
             head,
             body,
+            _held: held,
             arrived: Instant::now(),
         }
     }
--- a/crates/kingcuploft-entry/src/http/body.rs
+++ b/crates/kingcuploft-entry/src/http/body.rs
@@ -86,6 +86,11 @@
         matches!(self.state, State::UntilClose | State::Done)
     }
 
+    /// Returns how many bytes of the body have been read.
+    pub fn bytes_read(&self) -> usize {
+        self.body.len()
+    }
+
     /// Returns the body.
     pub fn into_body(self) -> Vec<u8> {
         self.body
--- a/crates/kingcuploft-entry/src/settings.rs
+++ b/crates/kingcuploft-entry/src/settings.rs
@@ -25,6 +25,8 @@
     pub store: SocketAddr,
     /// Its processor, in thousandths of a core.
     pub cpu_milli: u32,
+    /// Its memory, in bytes.
+    pub memory_bytes: usize,
     /// Whether all VMs start now, for the first time.
     pub all_start: bool,
     /// What may change while the VM runs.
--- a/crates/kingcuploft-entry/tests/entry/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::server::Act;
-use crate::world::{World, look, play, until};
+use crate::world::{World, book, look, play, until};
 
 /// A page sends three lookups at once on one connection. Served one after another, the last would
 /// wait for two others' work and be given up.
@@ -136,3 +136,29 @@
         assert!((1..=16).contains(&most), "{most}");
     });
 }
+
+/// Callers begin long bodies and stand still, more than the VM has memory for. It must refuse the next
+/// one as not run, and go on serving, rather than be killed with all that it has.
+#[test]
+fn bodies_beyond_the_memory_are_refused_and_others_served() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        let (whole, held) = (900_000, 300_000);
+        let begin = |id: &str| {
+            let head = book(id).replace("Content-Length: 3", &format!("Content-Length: {whole}"));
+            head.replace("bed", &"b".repeat(held))
+        };
+        let mut first = world.caller().await;
+        first.send(&begin("r1")).await;
+        until(|| world.vm.context.body_room.taken() == held).await;
+        let mut second = world.caller().await;
+        second.send(&begin("r2")).await;
+        let refused = second.answer().await.unwrap();
+        assert_eq!(refused.status, 503);
+        assert!(refused.has("retry-after: "));
+        assert_eq!(world.ask(&book("r3")).await.status, 200);
+        assert_eq!(world.runs(), 1);
+        drop(first);
+        until(|| world.vm.context.body_room.taken() == 0).await;
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/world.rs
+++ b/crates/kingcuploft-entry/tests/entry/world.rs
@@ -40,6 +40,9 @@
     })
 }
 
+/// The memory of a VM: a hundredth of the smallest that there is.
+pub(crate) const MEMORY_BYTES: usize = 1_600_000;
+
 /// How many connections a server accepts from all VMs together.
 pub(crate) const MOST_CONNECTIONS: u32 = 20;
 
@@ -111,6 +114,7 @@
         peers: None,
         store: any,
         cpu_milli: 200,
+        memory_bytes: MEMORY_BYTES,
         all_start: false,
         metrics: None,
         bounds: Bounds {
