--- /dev/null
+++ b/crates/kingcuploft/tests/fleet/scenarios.rs
@@ -0,0 +1,228 @@
+//! One scenario for each part of the product: callers get what they should, and less with the part
+//! switched off.
+
+use crate::fleet::play;
+use crate::world::{
+    Choose, Outcome, PROBES_PER_S, Parts, REPEAT_ALLOWANCE, REPEAT_RATIO, Trouble, WHOLE, World,
+};
+
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
+
+/// Returns the mean over some seeds of what a figure of the outcome is.
+fn mean(world: impl Fn(u64) -> World, figure: impl Fn(&Outcome) -> f64) -> f64 {
+    let figures: Vec<f64> = SEEDS.map(|seed| figure(&play(&world(seed)))).collect();
+    figures.iter().sum::<f64>() / figures.len() as f64
+}
+
+fn random() -> Parts {
+    Parts {
+        choose: Choose::Random,
+        ..WHOLE
+    }
+}
+
+fn least_own() -> Parts {
+    Parts {
+        choose: Choose::LeastOwn,
+        ..WHOLE
+    }
+}
+
+/// Speeds change several times a second and every reply is old by the next choice. Callers of a calm day
+/// are answered in time by readings taken at the moment of choice, and a quarter of them late without.
+#[test]
+fn callers_of_a_calm_day_are_answered_in_time() {
+    let in_time = |parts| mean(|seed| World::calm(seed).with(parts), Outcome::in_time_share);
+    assert!(in_time(WHOLE) > 0.98, "{}", in_time(WHOLE));
+    assert!(in_time(random()) < 0.80, "{}", in_time(random()));
+    assert!(in_time(least_own()) < 0.80, "{}", in_time(least_own()));
+}
+
+/// At and beyond what the servers can do, where probes cost no slot time. Never worse than choosing
+/// blindly, up to three times the load.
+#[test]
+fn callers_of_an_overload_get_no_less_than_by_naive_choices() {
+    for times in [0.8, 1.0, 1.5, 3.0] {
+        let share = |parts| {
+            let world = |seed| World {
+                probe_cost_ms: 0.0,
+                ..World::overload(seed, times).with(parts)
+            };
+            mean(world, Outcome::in_time_share)
+        };
+        let (own, naive) = (share(WHOLE), share(random()).max(share(least_own())));
+        // At three times the load all servers are full, and no choice is better than another.
+        assert!(own > naive - 0.02, "at {times}: {own} against {naive}");
+        let far_better = times > 1.0 || own > naive + 0.2;
+        assert!(far_better, "at {times}: {own} against {naive}");
+    }
+}
+
+/// A burst fills every server for some milliseconds. A request that waits for a good one is answered in
+/// time; sent at once to any, it stands in a line behind slow work.
+#[test]
+fn requests_that_wait_for_a_good_server_are_answered_sooner() {
+    let in_time = |waits| {
+        let parts = Parts { waits, ..WHOLE };
+        let world = |seed| World {
+            probe_cost_ms: 0.0,
+            ..World::overload(seed, 1.2).with(parts)
+        };
+        mean(world, Outcome::in_time_share)
+    };
+    let (waiting, at_once) = (in_time(true), in_time(false));
+    assert!(waiting > at_once + 0.05, "{waiting} against {at_once}");
+}
+
+/// What can't be answered is refused while its caller can still come back, and never held to its deadline.
+#[test]
+fn refusals_of_an_overload_come_before_the_deadline() {
+    for seed in SEEDS {
+        let world = World::overload(seed, 3.0);
+        let outcome = play(&world);
+        assert!(outcome.refused > 1000, "{outcome:?}");
+        let latest_ms = world.deadline_ms - world.work_ms;
+        assert!(outcome.longest_refusal_ms < latest_ms, "{outcome:?}");
+    }
+}
+
+/// Every request of an overload finds its servers busy and asks again. Without a budget the probes take
+/// the slots that requests need.
+#[test]
+fn probes_stay_in_their_budget_and_leave_slots_to_requests() {
+    let world = |parts| move |seed| World::overload(seed, 0.8).with(parts);
+    let unbounded = Parts {
+        probe_budget: false,
+        ..WHOLE
+    };
+    let probes = mean(world(WHOLE), |outcome| outcome.probes_per_s);
+    // What was saved before the begin counts as well.
+    assert!(probes <= PROBES_PER_S * 1.05, "{probes}");
+    let bounded = mean(world(WHOLE), Outcome::served_share);
+    let spent = mean(world(unbounded), Outcome::served_share);
+    assert!(bounded > 0.9 && spent < 0.5, "{bounded} against {spent}");
+}
+
+/// A quarter of the servers fall silent while they work, and come back. Lookups that they hold are sent
+/// to a second server before their callers give up.
+#[test]
+fn lookups_held_by_silent_servers_are_answered_elsewhere() {
+    let failed = |second_look| {
+        let parts = Parts {
+            second_look,
+            ..WHOLE
+        };
+        let world = |seed| World::calm(seed).trouble(4, Trouble::Silent).with(parts);
+        mean(world, |outcome| f64::from(outcome.failed))
+    };
+    let (with, without) = (failed(true), failed(false));
+    assert!(with < 1.0 && without >= 2.0, "{with} against {without}");
+}
+
+/// A quarter of the servers fail half of their requests and look idle for it, so that they draw the work
+/// of all. Failures seen count against them.
+#[test]
+fn servers_that_fail_get_less_work_though_they_look_idle() {
+    let repeats = |avoids_failing| {
+        let parts = Parts {
+            avoids_failing,
+            ..WHOLE
+        };
+        let grey = Trouble::Grey(0.5);
+        let world = |seed| World::calm(seed).trouble(4, grey).with(parts);
+        mean(world, |outcome| f64::from(outcome.repeats))
+    };
+    let (avoided, drawn) = (repeats(true), repeats(false));
+    assert!(avoided < 0.8 * drawn, "{avoided} against {drawn}");
+}
+
+/// Six of sixteen servers turn eight times slower for eight seconds.
+#[test]
+fn servers_that_turn_slow_are_left_to_the_others() {
+    let in_time = |parts| {
+        let world = |seed| World::calm(seed).trouble(6, Trouble::Slow(8.0)).with(parts);
+        mean(world, Outcome::in_time_share)
+    };
+    let (own, naive) = (in_time(WHOLE), in_time(least_own()));
+    assert!(own > 0.92 && naive < 0.75, "{own} against {naive}");
+}
+
+/// A quarter of the servers leave while callers keep the others busy for two thirds of their time. None of
+/// them gets a request once its VM knows, and the others carry the load.
+#[test]
+fn leaving_servers_get_no_new_work_under_load() {
+    for seed in SEEDS {
+        let leaving = World::calm(seed).trouble(4, Trouble::Leaves);
+        let outcome = play(&leaving);
+        assert_eq!(outcome.after_leaving, 0);
+        assert!(outcome.served_share() > 0.97, "{outcome:?}");
+    }
+}
+
+/// One request in thirty takes ten times as long. Short ones don't stand behind it.
+#[test]
+fn short_requests_are_not_held_up_by_long_ones() {
+    let short_in_time = |parts| {
+        let world = |seed| World {
+            long_share: 0.03,
+            per_s: 60.0,
+            ..World::calm(seed).with(parts)
+        };
+        mean(world, |outcome| {
+            f64::from(outcome.short_in_time) / f64::from(outcome.short_requests)
+        })
+    };
+    let (own, naive) = (short_in_time(WHOLE), short_in_time(least_own()));
+    assert!(own > 0.97 && naive < 0.80, "{own} against {naive}");
+}
+
+/// Half of the VMs are lost and their callers come to the others, which go on counting the lost ones for a
+/// while. Budgets divided by too many VMs cost something, and break nothing.
+#[test]
+fn callers_of_lost_vms_are_served_by_the_others() {
+    for seed in SEEDS {
+        let lost = World {
+            lost_vms: Some((5_000_000, 7)),
+            vms_believed: Some(14),
+            ..World::calm(seed)
+        };
+        let outcome = play(&lost);
+        assert!(outcome.served_share() > 0.99, "{outcome:?}");
+        assert!(outcome.in_time_share() > 0.90, "{outcome:?}");
+    }
+}
+
+/// Half of the servers fail half of what they get, for eight seconds, and every failure may be repeated.
+/// All VMs together stay in the budget, whatever they see of each other.
+#[test]
+fn repeats_stay_in_the_budget_of_all_vms() {
+    for seed in SEEDS {
+        let failing = World {
+            per_s: 200.0,
+            ..World::calm(seed).trouble(8, Trouble::Grey(0.5))
+        };
+        let outcome = play(&failing);
+        // Two windows of ten seconds.
+        let most = REPEAT_RATIO * f64::from(outcome.requests) + 2.0 * REPEAT_ALLOWANCE;
+        assert!(f64::from(outcome.repeats) <= most, "{outcome:?}");
+        assert!(outcome.repeats > 50, "{outcome:?}");
+    }
+}
+
+/// The way to another zone costs time and bytes. On a calm day nearly all requests stay in theirs.
+#[test]
+fn requests_of_a_calm_day_stay_in_their_zone() {
+    let far = |parts| {
+        let world = |seed| World::calm(seed).with(parts);
+        mean(world, |o| f64::from(o.far) / f64::from(o.arrivals))
+    };
+    assert!(far(WHOLE) < 0.06, "{}", far(WHOLE));
+    assert!(far(random()) > 0.6, "{}", far(random()));
+}
+
+#[test]
+fn a_seed_plays_the_same_day_each_time() {
+    let text = |seed| format!("{:?}", play(&World::overload(seed, 1.0)));
+    assert_eq!(text(5), text(5));
+    assert_ne!(text(5), text(6));
+}
--- /dev/null
+++ b/crates/kingcuploft/tests/fleet/vm.rs
@@ -0,0 +1,339 @@
+//! The VM's side of the fleet: its view of the servers, and each decision asked of the product.
+
+use std::time::Duration;
+
+use kingcuploft::entry::placement::{Candidate, Need, Step, asked, place};
+use kingcuploft::entry::repeats::RepeatBounds;
+use kingcuploft::entry::second_look::{Look, look_after, wants_second};
+use kingcuploft::entry::verdict::{AttemptEnd, Verdict};
+
+use crate::fleet::{Event, Fleet};
+use crate::world::{
+    Choose, Micros, NEAR, PROBES_PER_S, REPEAT_ALLOWANCE, REPEAT_RATIO, REPEAT_WINDOW, Trouble,
+};
+
+/// How long readings are waited for at a time.
+const AWAIT: Micros = 2_000;
+
+/// How long a probe may take, and how long a server that did not answer is left alone.
+const PROBE_TIMEOUT: Micros = 60_000;
+const MUTE: Micros = 400_000;
+
+/// How long a second look waits for readings.
+const SECOND_LOOK: Micros = 5_000;
+
+impl Fleet<'_> {
+    pub(crate) fn probe_answers(&mut self, vm: usize, server: usize) {
+        let (now, reading) = (self.now, self.reading(server));
+        let view = &mut self.vms[vm].views[server];
+        view.reading = Some((now, reading));
+        view.asked = false;
+        view.mute_until = 0;
+    }
+
+    pub(crate) fn probe_fails(&mut self, vm: usize, server: usize) {
+        let (now, silent) = (self.now, self.trouble(server, self.now));
+        let view = &mut self.vms[vm].views[server];
+        if view.asked && silent == Some(Trouble::Silent) {
+            view.asked = false;
+            view.reading = None;
+            view.mute_until = now + MUTE;
+        }
+    }
+
+    fn believed(&self) -> usize {
+        self.world.vms_believed.unwrap_or(self.live_vms())
+    }
+
+    fn ask(&mut self, vm: usize, server: usize) {
+        let (now, life) = (self.now, self.life(vm));
+        let (vms, servers, instant) = (self.believed(), self.world.servers, self.instant(now));
+        let link = self.link(vm, server);
+        let of_vm = &mut self.vms[vm];
+        let view = &mut of_vm.views[server];
+        let fresh = view.reading.is_some_and(|(at, _)| now - at < life);
+        if view.asked || fresh || now < view.mute_until {
+            return;
+        }
+        let room = of_vm.probing.take(instant, PROBES_PER_S, servers, vms);
+        if !room && self.world.parts.probe_budget {
+            return;
+        }
+        view.asked = true;
+        self.probes += 1;
+        self.at(now + link, Event::ProbeArrives(vm, server));
+        self.at(now + PROBE_TIMEOUT, Event::ProbeFails(vm, server));
+    }
+
+    fn life(&self, vm: usize) -> Micros {
+        self.vms[vm].probing.reading_life().as_micros() as Micros
+    }
+
+    fn usable(&self, request: usize, far: bool) -> Vec<usize> {
+        let of = &self.requests[request];
+        let stays = |server: &usize| self.trouble(*server, self.now) != Some(Trouble::Leaves);
+        let untried = |server: &usize| !of.tried.contains(server);
+        let heard = |server: &usize| self.now >= self.vms[of.vm].views[*server].mute_until;
+        let all: Vec<usize> = (0..self.world.servers).filter(stays).collect();
+        let audible: Vec<usize> = all.iter().copied().filter(untried).filter(heard).collect();
+        let all = if audible.is_empty() { all } else { audible };
+        let is_near = |server: &usize| self.link(of.vm, *server) == NEAR;
+        let (mut near, mut others): (Vec<usize>, Vec<usize>) = all.into_iter().partition(is_near);
+        let asked = asked(near.len(), others.len(), far);
+        // Each VM has its own order of the servers.
+        let (first_near, first_far) = (of.vm, of.vm * 5);
+        let (near_len, far_len) = (near.len().max(1), others.len().max(1));
+        near.rotate_left(first_near % near_len);
+        others.rotate_left(first_far % far_len);
+        near.truncate(asked.near);
+        others.truncate(asked.far);
+        near.append(&mut others);
+        near
+    }
+
+    fn candidate(&self, request: usize, server: usize, life: Micros) -> Candidate {
+        let of = &self.requests[request];
+        let view = &self.vms[of.vm].views[server];
+        let reading = view.reading.filter(|(at, _)| self.now - at < life);
+        let unseen = match reading {
+            Some((at, _)) => view.sent.iter().filter(|sent| **sent >= at).count(),
+            None => view.sent.len(),
+        };
+        Candidate {
+            near: self.link(of.vm, server) == NEAR,
+            reading: reading.map(|(_, reading)| reading),
+            asked: view.asked,
+            unseen: unseen as u32,
+            own: view.sent.len() as u32,
+            slots: self.world.slots,
+            cold: false,
+            failures: match self.world.parts.avoids_failing {
+                true => view.failures.share(self.instant(self.now)),
+                false => 0.0,
+            },
+            tried: of.tried.contains(&server),
+        }
+    }
+
+    fn need(&self, request: usize, looked_since: Micros, far_asked: bool) -> Need {
+        let of = &self.requests[request];
+        let passed_ms = (self.now - of.arrived) as f64 / 1000.0;
+        let target = Duration::from_secs_f64(self.world.target_ms * self.stretch(request) / 1000.0);
+        Need {
+            work_ms: self.vms[of.vm].times[of.kind].work_ms(target),
+            target_left_ms: target.as_secs_f64() * 1000.0 - passed_ms,
+            deadline_left_ms: self.deadline_ms(request) - passed_ms,
+            looked_ms: (self.now - looked_since) as f64 / 1000.0,
+            far_asked,
+        }
+    }
+
+    pub(crate) fn choose(&mut self, request: usize) {
+        if self.requests[request].over {
+            return;
+        }
+        match self.world.parts.choose {
+            Choose::Placement => self.choose_by_placement(request),
+            Choose::Random | Choose::LeastOwn => self.choose_naively(request),
+        }
+    }
+
+    fn choose_naively(&mut self, request: usize) {
+        let vm = self.requests[request].vm;
+        let stays = |server: &usize| self.trouble(*server, self.now) != Some(Trouble::Leaves);
+        let all: Vec<usize> = (0..self.world.servers).filter(stays).collect();
+        let any = all[self.rng.usize(..all.len())];
+        let least = |server: &&usize| self.vms[vm].views[**server].sent.len();
+        let server = match self.world.parts.choose {
+            Choose::LeastOwn => {
+                let offset = self.rng.usize(..all.len());
+                let turned = all.iter().cycle().skip(offset).take(all.len());
+                turned.min_by_key(least).copied().unwrap_or(any)
+            }
+            Choose::Placement | Choose::Random => any,
+        };
+        self.send(request, server);
+    }
+
+    fn choose_by_placement(&mut self, request: usize) {
+        let (vm, far) = (self.requests[request].vm, self.requests[request].far_asked);
+        let servers = self.usable(request, far);
+        servers.iter().for_each(|server| self.ask(vm, *server));
+        let begun = self.requests[request].look_begun;
+        let life = self.life(vm).max(self.now - begun) + AWAIT;
+        let candidates = servers.iter().map(|s| self.candidate(request, *s, life));
+        let candidates: Vec<Candidate> = candidates.collect();
+        let need = self.need(request, begun, far);
+        let step = place(&need, &candidates, || self.rng.f64());
+        match step {
+            Step::Send(at) => self.send(request, servers[at]),
+            Step::AskFar => {
+                self.requests[request].far_asked = true;
+                self.at(self.now, Event::Choose(request));
+            }
+            Step::Await => self.at(self.now + AWAIT, Event::Choose(request)),
+            Step::LookAgain(_) | Step::Refuse(_) if !self.world.parts.waits => {
+                self.choose_naively(request);
+            }
+            Step::LookAgain(after) => {
+                let again = self.now + after.as_micros() as Micros;
+                self.requests[request].look_begun = again;
+                self.at(again, Event::Choose(request));
+            }
+            Step::Refuse(_) => self.give_up(request),
+        }
+    }
+
+    fn send(&mut self, request: usize, server: usize) {
+        let (now, vm) = (self.now, self.requests[request].vm);
+        let life = 3_600_000_000;
+        let expected_ms = {
+            let of = &self.requests[request];
+            let target =
+                Duration::from_secs_f64(self.world.target_ms * self.stretch(request) / 1000.0);
+            let work_ms = self.vms[vm].times[of.kind].work_ms(target);
+            self.candidate(request, server, life).expected_ms(work_ms)
+        };
+        let of = &mut self.requests[request];
+        of.attempts.sending();
+        of.in_flight += 1;
+        self.vms[vm].views[server].sent.push(now);
+        let link = self.link(vm, server);
+        self.at(now + link, Event::Reaches { request, server });
+        if self.world.parts.second_look && self.requests[request].in_flight == 1 {
+            let look = now + look_after(expected_ms).as_micros() as Micros;
+            self.at(look, Event::LookAgain { request, server });
+        }
+    }
+
+    pub(crate) fn answers(&mut self, request: usize, server: usize, end: AttemptEnd) {
+        let (now, vm) = (self.instant(self.now), self.requests[request].vm);
+        let reading = self.reading(server);
+        let view = &mut self.vms[vm].views[server];
+        view.sent.pop();
+        view.reading = Some((self.now, reading));
+        view.failures.ended(now, end != AttemptEnd::Succeeded);
+        if self.requests[request].over {
+            return;
+        }
+        let took = Duration::from_micros(self.now - self.requests[request].arrived);
+        let of = &mut self.requests[request];
+        of.in_flight -= 1;
+        let verdict = of.attempts.ended(end);
+        if end == AttemptEnd::Succeeded {
+            let kind = of.kind;
+            self.vms[vm].times[kind].measured(took, reading.slowness);
+            return self.served(request);
+        }
+        let tries = verdict == Verdict::TryAgain && self.take_repeat(vm);
+        if tries {
+            let of = &mut self.requests[request];
+            of.tried.push(server);
+            of.look_begun = self.now;
+            self.at(self.now, Event::Choose(request));
+        } else if self.requests[request].in_flight == 0 {
+            self.give_up(request);
+        }
+    }
+
+    fn take_repeat(&mut self, vm: usize) -> bool {
+        let bounds = RepeatBounds {
+            ratio: REPEAT_RATIO,
+            allowance: REPEAT_ALLOWANCE,
+            window: REPEAT_WINDOW,
+        };
+        let (now, vms) = (self.instant(self.now), self.believed());
+        let repeats = &mut self.vms[vm].repeats;
+        let room = repeats.has_room(now, &bounds, vms);
+        if room {
+            repeats.repeated(now);
+        }
+        room
+    }
+
+    pub(crate) fn look_again(&mut self, request: usize, server: usize) {
+        let of = &self.requests[request];
+        if of.over || of.in_flight != 1 {
+            return;
+        }
+        let (vm, asked_at) = (of.vm, self.now);
+        self.ask(vm, server);
+        for other in self.usable(request, true) {
+            self.ask(vm, other);
+        }
+        let event = Event::SendSecond {
+            request,
+            server,
+            asked_at,
+        };
+        self.at(self.now + SECOND_LOOK, event);
+    }
+
+    pub(crate) fn send_second(&mut self, request: usize, server: usize, asked_at: Micros) {
+        let of = &self.requests[request];
+        if of.over || of.in_flight != 1 {
+            return;
+        }
+        let vm = of.vm;
+        let view = &self.vms[vm].views[server];
+        let need = self.need(request, self.now, false);
+        let look = Look {
+            answers: view
+                .reading
+                .is_some_and(|(at, _)| at + self.life(vm) >= asked_at),
+            probes_left: self.vms[vm].probing.fill(),
+            left_ms: need.deadline_left_ms,
+            work_ms: need.work_ms,
+        };
+        if !wants_second(&look) || !of.attempts.may_send(1) {
+            return;
+        }
+        let others = self.usable(request, true).into_iter();
+        let others: Vec<usize> = others.filter(|other| *other != server).collect();
+        let life = self.life(vm) + SECOND_LOOK + AWAIT;
+        let seen = others
+            .iter()
+            .map(|other| self.candidate(request, *other, life));
+        let candidates: Vec<Candidate> = seen.collect();
+        let step = place(&need, &candidates, || self.rng.f64());
+        if let Step::Send(at) = step
+            && self.take_repeat(vm)
+        {
+            self.requests[request].tried.push(server);
+            self.send(request, others[at]);
+        }
+    }
+
+    fn served(&mut self, request: usize) {
+        let of = &mut self.requests[request];
+        of.over = true;
+        let short = of.kind == 0;
+        let took_ms = (self.now - of.arrived) as f64 / 1000.0;
+        let in_time = took_ms <= self.world.target_ms * self.stretch(request);
+        match in_time {
+            true => self.outcome.in_time += 1,
+            false => self.outcome.late += 1,
+        }
+        self.outcome.short_in_time += u32::from(short && in_time);
+    }
+
+    fn give_up(&mut self, request: usize) {
+        let of = &mut self.requests[request];
+        of.over = true;
+        let held_ms = (self.now - of.arrived) as f64 / 1000.0;
+        if of.attempts.may_have_run() {
+            self.outcome.failed += 1;
+            return;
+        }
+        self.outcome.refused += 1;
+        let longest = &mut self.outcome.longest_refusal_ms;
+        *longest = longest.max(held_ms);
+    }
+
+    pub(crate) fn deadline(&mut self, request: usize) {
+        if !self.requests[request].over {
+            self.requests[request].over = true;
+            self.outcome.failed += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft/tests/fleet/world.rs
@@ -0,0 +1,194 @@
+//! What is played: the deployment, its load, its faults, and which parts of the product are switched on.
+
+use std::time::Duration;
+
+/// A time from the begin, in microseconds.
+pub(crate) type Micros = u64;
+
+/// How the server of a request is chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Choose {
+    /// As the product does, by fresh readings.
+    Placement,
+    /// Any server.
+    Random,
+    /// The one with the fewest requests of the own VM.
+    LeastOwn,
+}
+
+/// Which parts of the product take part.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Parts {
+    pub(crate) choose: Choose,
+    /// Lookups that take long are looked at again.
+    pub(crate) second_look: bool,
+    /// Requests wait for a good server and are refused when none can answer.
+    pub(crate) waits: bool,
+    /// Servers that fail are avoided.
+    pub(crate) avoids_failing: bool,
+    /// Probes stay in their budget.
+    pub(crate) probe_budget: bool,
+}
+
+/// All of them.
+pub(crate) const WHOLE: Parts = Parts {
+    choose: Choose::Placement,
+    second_look: true,
+    waits: true,
+    avoids_failing: true,
+    probe_budget: true,
+};
+
+/// What happens to a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Trouble {
+    /// Its work takes this many times as long.
+    Slow(f64),
+    /// It does not answer, probes neither.
+    Silent,
+    /// It fails this share of its requests, and looks well.
+    Grey(f64),
+    /// It leaves, and gets no new work.
+    Leaves,
+}
+
+/// A time during which a server is in trouble.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Fault {
+    pub(crate) server: usize,
+    pub(crate) trouble: Trouble,
+    pub(crate) from: Micros,
+    pub(crate) until: Micros,
+}
+
+/// A deployment and its day.
+#[derive(Clone, Debug)]
+pub(crate) struct World {
+    pub(crate) seed: u64,
+    pub(crate) vms: usize,
+    pub(crate) servers: usize,
+    pub(crate) zones: usize,
+    pub(crate) slots: u32,
+    pub(crate) work_ms: f64,
+    pub(crate) target_ms: f64,
+    pub(crate) deadline_ms: f64,
+    /// Requests a second, and the share of them that take ten times as long.
+    pub(crate) per_s: f64,
+    pub(crate) long_share: f64,
+    pub(crate) seconds: f64,
+    /// What a probe takes of a slot.
+    pub(crate) probe_cost_ms: f64,
+    /// From this moment on so many VMs are gone, and their callers go to the others.
+    pub(crate) lost_vms: Option<(Micros, usize)>,
+    /// The number of VMs by which budgets are divided, if it is not their true number.
+    pub(crate) vms_believed: Option<usize>,
+    pub(crate) faults: Vec<Fault>,
+    pub(crate) parts: Parts,
+}
+
+/// The bound on probes, a server and second.
+pub(crate) const PROBES_PER_S: f64 = 60.0;
+
+/// The bounds on repeats.
+pub(crate) const REPEAT_RATIO: f64 = 0.2;
+pub(crate) const REPEAT_ALLOWANCE: f64 = 58.0;
+pub(crate) const REPEAT_WINDOW: Duration = Duration::from_secs(10);
+
+impl World {
+    /// A calm day of a booking service: 14 VMs, 16 servers of two slots, half of their time used.
+    pub(crate) fn calm(seed: u64) -> Self {
+        Self {
+            seed,
+            vms: 14,
+            servers: 16,
+            zones: 4,
+            slots: 2,
+            work_ms: 60.0,
+            target_ms: 200.0,
+            deadline_ms: 500.0,
+            per_s: 100.0,
+            long_share: 0.0,
+            seconds: 20.0,
+            probe_cost_ms: 6.0,
+            lost_vms: None,
+            vms_believed: None,
+            faults: Vec::new(),
+            parts: WHOLE,
+        }
+    }
+
+    /// The same at so many times what the servers can do, the slow quarter of their time included.
+    pub(crate) fn overload(seed: u64, times: f64) -> Self {
+        let calm = Self::calm(seed);
+        let slots = calm.servers as f64 * f64::from(calm.slots);
+        let per_s = times * slots * 1000.0 / (calm.work_ms * MEAN_SLOWNESS);
+        Self { per_s, ..calm }
+    }
+
+    pub(crate) fn with(mut self, parts: Parts) -> Self {
+        self.parts = parts;
+        self
+    }
+
+    /// Puts the first of the servers in trouble from the fourth second to the twelfth.
+    pub(crate) fn trouble(mut self, servers: usize, trouble: Trouble) -> Self {
+        self.faults.extend((0..servers).map(|server| Fault {
+            server,
+            trouble,
+            from: 4_000_000,
+            until: 12_000_000,
+        }));
+        self
+    }
+}
+
+/// How much longer work takes at the slow quarter of the draws, and the mean over all.
+pub(crate) const SLOWNESS: f64 = 5.0;
+pub(crate) const MEAN_SLOWNESS: f64 = 0.75 + 0.25 * SLOWNESS;
+
+/// The time between two draws of the speeds.
+pub(crate) const REDRAW: Micros = 150_000;
+
+/// One way within a zone, and to another.
+pub(crate) const NEAR: Micros = 100;
+pub(crate) const FAR: Micros = 1_000;
+
+/// What callers got.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outcome {
+    pub(crate) requests: u32,
+    /// Answered within the target.
+    pub(crate) in_time: u32,
+    /// Answered after it.
+    pub(crate) late: u32,
+    /// Told "not run".
+    pub(crate) refused: u32,
+    /// Answered with a failure, or not before the deadline.
+    pub(crate) failed: u32,
+    /// The longest time until a refusal, in milliseconds.
+    pub(crate) longest_refusal_ms: f64,
+    /// How often requests reached servers, and of these after their first.
+    pub(crate) arrivals: u32,
+    pub(crate) repeats: u32,
+    /// Arrivals at a server that had left more than a round trip before.
+    pub(crate) after_leaving: u32,
+    /// Arrivals in another zone.
+    pub(crate) far: u32,
+    /// Probes, a server and second.
+    pub(crate) probes_per_s: f64,
+    /// The same outcome for the short requests alone.
+    pub(crate) short_in_time: u32,
+    pub(crate) short_requests: u32,
+}
+
+impl Outcome {
+    /// Returns the share of the requests that were answered within the target.
+    pub(crate) fn in_time_share(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.requests.max(1))
+    }
+
+    /// Returns the share of the requests that were answered at all.
+    pub(crate) fn served_share(&self) -> f64 {
+        f64::from(self.in_time + self.late) / f64::from(self.requests.max(1))
+    }
+}
