--- a/crates/kingcuploft-standins/src/experiments/promises/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/promises/mod.rs
@@ -4,6 +4,7 @@
 pub mod chaos;
 pub mod check;
 pub mod entry;
+mod protected;
 pub mod record;
 pub mod run;
 
--- a/crates/kingcuploft-standins/src/experiments/promises/run.rs
+++ b/crates/kingcuploft-standins/src/experiments/promises/run.rs
@@ -15,6 +15,8 @@
 use super::chaos::{self, Step};
 use super::check::Runs;
 use super::entry::{self, Entries, Observed};
+pub use super::protected::Protection;
+use super::protected::manifest;
 use super::record::{Record, Told};
 use crate::backend_server::{BackendServer, Faults as BackendFaults, Work};
 use crate::callers::{CallPlan, Callers};
@@ -43,34 +45,6 @@
 /// The time without faults at the end.
 const SETTLE: Duration = Duration::from_millis(2500);
 
-/// How the rule of the protected actions is written; the checker is proved with a wrong one.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Protection {
-    /// As it should be.
-    #[default]
-    Full,
-    /// The system does not see the callers' keys, so it claims nothing.
-    NoClaims,
-    /// Requests that were sent are sent again.
-    RetrySent,
-}
-
-impl Protection {
-    fn rule(self) -> &'static str {
-        match self {
-            Self::Full => {
-                "{name: hold, methods: [POST], path_prefix: /holds, contract: at_most_once, priority: protected, deadline_ms: 2000}"
-            }
-            Self::NoClaims => {
-                "{name: hold, methods: [POST], path_prefix: /holds, contract: at_most_once, priority: protected, deadline_ms: 2000, idempotency: {header: x-unused, required: false}}"
-            }
-            Self::RetrySent => {
-                "{name: hold, methods: [POST], path_prefix: /holds, contract: retry_freely, priority: protected, deadline_ms: 2000}"
-            }
-        }
-    }
-}
-
 /// What a run left behind.
 #[derive(Debug)]
 pub struct Trace {
@@ -204,23 +178,6 @@
     })
 }
 
-fn manifest(servers: &[BackendServer], draining: &[bool], protection: Protection) -> String {
-    let mut text = String::from(
-        "services:\n  - name: trip\n    hosts: [trip.example]\n    backend_servers:\n",
-    );
-    for (i, server) in servers.iter().enumerate() {
-        text += &format!(
-            "      - {{name: trip-{i}, address: '{}', availability_zone: zone-{}, slots: 3, connections: 220, draining: {}}}\n",
-            server.address(),
-            i % 3,
-            draining[i]
-        );
-    }
-    text += "    rules:\n      - {name: lookup, methods: [GET], path_prefix: /, contract: retry_freely, priority: interactive, deadline_ms: 2000}\n";
-    text += &format!("      - {}\n", protection.rule());
-    text
-}
-
 fn apply(platform: &Platform, manifest: &str, id: &str) -> Option<u64> {
     let manifest = reader::read("promises", manifest).ok()?;
     let client = Client::new(&platform.address().to_string());
--- a/crates/kingcuploft/src/decisions/admission.rs
+++ b/crates/kingcuploft/src/decisions/admission/mod.rs
@@ -8,17 +8,19 @@
 //! can not be served in time any more is told at once and when to come back: it is not kept
 //! waiting for a deadline that it will miss.
 
+mod offer;
+
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
+pub use self::offer::{Next, Offer, Outlook, Waiting};
 use super::fair_queue::{FairQueue, Place, Shares};
 use super::pace::{Pace, ServiceTime};
 use super::turns::{self, PRIORITIES, Turns};
 use crate::manifest::Service;
 use crate::settings::admission::AdmissionSettings;
 use crate::utils::HashMap;
-use crate::world::contract::Priority;
-use crate::world::ids::{Caller, IdempotencyKey, RequestId, RuleName};
+use crate::world::ids::{IdempotencyKey, RequestId, RuleName};
 use crate::world::refusal::{Refusal, RefusalReason};
 
 /// The shortest and the longest time after which a caller is asked to come back.
@@ -30,62 +32,6 @@
 /// The slot time that a request is charged with before any was measured, in µs.
 const UNMEASURED_COST_US: u64 = 1_000;
 
-/// A request that waits for a backend server.
-#[derive(Clone, Debug)]
-pub struct Waiting {
-    /// The request.
-    pub request: RequestId,
-    /// Its rule.
-    pub rule: RuleName,
-    /// Its order among waiting requests.
-    pub priority: Priority,
-    /// How many requests of its rule may wait.
-    pub queue_limit: u32,
-    /// The largest share of the queue that its caller may hold while others wait.
-    pub caller_share: f64,
-    /// Who sent it.
-    pub caller: Caller,
-    /// Its idempotency key, if it has one.
-    pub key: Option<IdempotencyKey>,
-    /// When it arrived.
-    pub arrived: Instant,
-    /// When its answer is due.
-    pub deadline: Instant,
-}
-
-/// What became of a request that was offered.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Offer {
-    /// It waits.
-    Queued,
-    /// It waits, and this request, which waited, is refused in its stead.
-    QueuedInsteadOf(RequestId, Refusal),
-    /// It is refused at the door.
-    Refused(Refusal),
-}
-
-/// Which waiting request is served next.
-#[derive(Debug)]
-pub enum Next {
-    /// This one.
-    Serve(Waiting),
-    /// None yet: this one can not be answered in time any more and is refused.
-    GivenUp(RequestId, Refusal),
-    /// Nothing waits.
-    Empty,
-}
-
-/// What a request can expect, as things stand.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Outlook {
-    /// How many requests are served before it.
-    pub ahead: usize,
-    /// How long it waits.
-    pub wait: Duration,
-    /// The service time that nine of ten requests of its rule stay under.
-    pub service_time: Duration,
-}
-
 /// The load of one rule.
 #[derive(Debug, Default)]
 struct RuleLoad {
--- a/crates/kingcuploft/src/decisions/membership/mod.rs
+++ b/crates/kingcuploft/src/decisions/membership/mod.rs
@@ -17,6 +17,7 @@
 
 mod member;
 mod neighbours;
+mod periods;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -396,21 +397,3 @@
         last.is_some_and(|last| now.saturating_duration_since(last) > pause)
     }
 }
-
-impl MembershipSettings {
-    fn beat(&self) -> Duration {
-        Duration::from_millis(self.beat_ms)
-    }
-
-    fn suspect(&self) -> Duration {
-        Duration::from_millis(self.suspect_ms)
-    }
-
-    fn gone(&self) -> Duration {
-        Duration::from_millis(self.gone_ms)
-    }
-
-    fn forget(&self) -> Duration {
-        Duration::from_millis(self.forget_ms)
-    }
-}
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -5,7 +5,6 @@
 
 use super::explain::{LoadSeen, ms};
 use super::hedging::HedgePick;
-use super::probing::{Probe, Probed};
 use super::request::{Attempt, Request};
 use super::retry_queue::{RetryQueue, Waits};
 use crate::decisions::admission::{Admission, Next, Offer, Waiting};
@@ -13,14 +12,14 @@
 use crate::decisions::drain::Drain;
 use crate::decisions::hedge::{Hedge, HedgeStep, Judgement, Look};
 use crate::decisions::measuring::Measuring;
-use crate::decisions::notes::{Note, Notes};
+use crate::decisions::notes::Notes;
 use crate::decisions::outlier::Outlier;
 use crate::decisions::retry::{Ended, Retry, Verdict};
 use crate::decisions::selection::{Choice, Selection};
 use crate::manifest::{BackendServer, Service};
 use crate::utils::HashMap;
 use crate::world::backend_server::{CallEnd, CallReport};
-use crate::world::ids::{BackendServerName, IdempotencyKey, RequestId, RuleName, VmName};
+use crate::world::ids::{BackendServerName, IdempotencyKey, RequestId, RuleName};
 use crate::world::refusal::{Refusal, RefusalReason};
 use crate::world::vm::Vm;
 
@@ -40,16 +39,16 @@
 /// One service on one VM.
 #[derive(Debug)]
 pub(super) struct ServiceState {
-    service: Arc<Service>,
-    by_name: HashMap<BackendServerName, usize>,
+    pub(super) service: Arc<Service>,
+    pub(super) by_name: HashMap<BackendServerName, usize>,
     admission: Admission,
     retries: RetryQueue,
     concurrency: Concurrency,
-    selection: Selection,
-    drain: Drain,
-    notes: Notes,
-    outlier: Outlier,
-    measuring: Measuring,
+    pub(super) selection: Selection,
+    pub(super) drain: Drain,
+    pub(super) notes: Notes,
+    pub(super) outlier: Outlier,
+    pub(super) measuring: Measuring,
     retry: Retry,
     hedge: Hedge,
     /// When a request last waited because all was full.
@@ -413,56 +412,6 @@
         due.into_iter().flatten().min()
     }
 
-    /// Takes the live VMs in, `own` among them.
-    pub(super) fn membership(&mut self, now: Instant, own: &VmName, live: &[VmName]) {
-        self.measuring.membership(now, own, live);
-    }
-
-    /// Returns the next probe, if one is due.
-    pub(super) fn next_probe(&mut self, now: Instant) -> Option<Probe> {
-        let server = self.measuring.next(now)?;
-        let backend_server = &self.service.backend_servers[server];
-        let timeout_ms = self.service.policy.measuring.timeout_ms;
-        Some(Probe {
-            service: self.service.name.clone(),
-            backend_server: backend_server.name.clone(),
-            address: backend_server.address,
-            signals: self.service.signals.clone(),
-            timeout: Duration::from_millis(timeout_ms),
-        })
-    }
-
-    /// Takes what a probe brought in; tells whether it brought news of a drain.
-    pub(super) fn probed(&mut self, now: Instant, probed: &Probed) -> bool {
-        let Some(&server) = self.by_name.get(&probed.backend_server) else {
-            return false;
-        };
-        self.measuring.probed(now, server);
-        if let Some(load) = probed.load {
-            self.selection.told(now, server, load.in_flight);
-            self.notes.reported(now, server, load.in_flight);
-        }
-        let end = match probed.healthy || probed.draining {
-            true => CallEnd::Answered { status: 200 },
-            false => CallEnd::Answered { status: 503 },
-        };
-        let working = self.drain.working();
-        self.outlier.ended(now, server, end, working);
-        probed.draining && self.drain.evidence(server)
-    }
-
-    /// Takes the notes that are due.
-    pub(super) fn take_notes(&mut self, now: Instant, peers: usize) -> Option<Vec<Note>> {
-        self.notes.take(now, peers)
-    }
-
-    /// Takes a peer's note in.
-    pub(super) fn heard(&mut self, now: Instant, note: Note) {
-        self.notes.heard(note);
-        let (server, in_flight) = (usize::from(note.server), u32::from(note.in_flight));
-        self.selection.told(now, server, in_flight);
-    }
-
     /// Returns every request that waits.
     pub(super) fn into_waiting(self) -> Vec<RequestId> {
         let mut waiting = self.admission.into_requests();
--- a/crates/kingcuploft/tests/claim_model.rs
+++ b/crates/kingcuploft/tests/claim_model/model.rs
@@ -1,5 +1,4 @@
-//! The claims of one key, explored exhaustively: every order of resends through several VMs, lost
-//! answers, late writes, old reads, give-ups and pauses, over the product's own state machine.
+//! The model: VMs, the store, its faults, and every move that can come next.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,13 +13,13 @@
 use kingcuploft::settings::claim::ClaimSettings;
 use pathfinding::prelude::bfs_reach;
 
-const KEY: u128 = 7;
-const TWO_RUNS: &str = "two runs";
-const NOW_MS: u64 = 1_000_000;
+pub(crate) const KEY: u128 = 7;
+pub(crate) const TWO_RUNS: &str = "two runs";
+pub(crate) const NOW_MS: u64 = 1_000_000;
 
 /// How the system under test is broken on purpose.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-enum Variant {
+pub(crate) enum Variant {
     Product,
     /// A claim whose holder is silent is taken away, as an expired lease would be.
     LeaseReaped,
@@ -29,7 +28,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-enum Phase {
+pub(crate) enum Phase {
     NotStarted,
     Claiming,
     Held,
@@ -40,7 +39,7 @@
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct Model {
+pub(crate) struct Model {
     vms: Vec<Partition>,
     /// The open call of each VM, not yet at the store.
     calls: Vec<Option<Operation>>,
@@ -56,23 +55,23 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Bounds {
-    vms: usize,
-    requests: usize,
-    faults: u8,
-    seals: bool,
-    variant: Variant,
+pub(crate) struct Bounds {
+    pub(crate) vms: usize,
+    pub(crate) requests: usize,
+    pub(crate) faults: u8,
+    pub(crate) seals: bool,
+    pub(crate) variant: Variant,
 }
 
 /// One fixed instant: all pauses are zero, so that time adds no states.
 #[derive(Clone, Copy, Debug)]
-struct World {
+pub(crate) struct World {
     bounds: Bounds,
     now: Instant,
 }
 
 impl World {
-    fn new(bounds: Bounds) -> Self {
+    pub(crate) fn new(bounds: Bounds) -> Self {
         let now = Instant::now();
         Self { bounds, now }
     }
@@ -261,7 +260,7 @@
 
     /// Explores everything, or until two runs are found; returns the number of states and the
     /// faults.
-    fn explore(&self) -> (usize, BTreeSet<&'static str>) {
+    pub(crate) fn explore(&self) -> (usize, BTreeSet<&'static str>) {
         let mut states = 0;
         let ends = RefCell::new(BTreeSet::new());
         let mut faults = BTreeSet::new();
@@ -375,60 +374,3 @@
         body: vec![request as u8],
     }
 }
-
-const PRODUCT: Bounds = Bounds {
-    vms: 2,
-    requests: 3,
-    faults: 1,
-    seals: false,
-    variant: Variant::Product,
-};
-
-#[test]
-fn at_most_one_run_whatever_the_store_loses_delays_or_remembers() {
-    let bounds = [
-        PRODUCT,
-        Bounds {
-            requests: 2,
-            faults: 2,
-            ..PRODUCT
-        },
-        Bounds {
-            vms: 3,
-            faults: 0,
-            ..PRODUCT
-        },
-        Bounds {
-            requests: 2,
-            seals: true,
-            ..PRODUCT
-        },
-        Bounds {
-            faults: 0,
-            seals: true,
-            ..PRODUCT
-        },
-    ];
-    for bounds in bounds {
-        let began = Instant::now();
-        let (states, faults) = World::new(bounds).explore();
-        println!("{bounds:?}: {states} states in {:?}", began.elapsed());
-        assert!(faults.is_empty(), "{bounds:?}: {faults:?}");
-        assert!(states > 100, "{bounds:?}: only {states} states");
-    }
-}
-
-#[test]
-fn the_checker_finds_each_broken_variant() {
-    let broken = |variant, faults| {
-        let bounds = Bounds {
-            requests: 2,
-            faults,
-            variant,
-            ..PRODUCT
-        };
-        World::new(bounds).explore().1
-    };
-    assert!(broken(Variant::LeaseReaped, 0).contains(TWO_RUNS));
-    assert!(broken(Variant::SentBeforeReadBack, 1).contains(TWO_RUNS));
-}
