--- a/crates/kingcuploft-standins/src/experiments/promises/mod.rs
+++ b/crates/kingcuploft-standins/src/experiments/promises/mod.rs
@@ -7,6 +7,7 @@
 mod protected;
 pub mod record;
 pub mod run;
+mod trace;
 
 use std::time::Duration;
 
--- a/crates/kingcuploft-standins/src/experiments/promises/run.rs
+++ b/crates/kingcuploft-standins/src/experiments/promises/run.rs
@@ -13,11 +13,11 @@
 use kingcuploft_platform::manifest_root::{self, Applied};
 
 use super::chaos::{self, Step};
-use super::check::Runs;
-use super::entry::{self, Entries, Observed};
+use super::entry::{self, Entries};
 pub use super::protected::Protection;
 use super::protected::manifest;
 use super::record::{Record, Told};
+pub use super::trace::Trace;
 use crate::backend_server::{BackendServer, Faults as BackendFaults, Work};
 use crate::callers::{CallPlan, Callers};
 use crate::experiments::ExperimentError;
@@ -45,43 +45,6 @@
 /// The time without faults at the end.
 const SETTLE: Duration = Duration::from_millis(2500);
 
-/// What a run left behind.
-#[derive(Debug)]
-pub struct Trace {
-    /// Every call.
-    pub records: Vec<Record>,
-    /// What the observer noted.
-    pub observed: Observed,
-    /// The generations accepted, and when.
-    pub accepted: Vec<(u64, Duration)>,
-    /// The longest time from a backend server's leaving to the last new work it got.
-    pub new_work_after_leave: Duration,
-    /// Writes of all kinds to the store.
-    pub store_writes: u64,
-    /// The backend servers, which counted the runs.
-    pub backend_servers: Vec<BackendServer>,
-    /// The settings and logs of the daemons.
-    pub folder: tempfile::TempDir,
-    _runtime: Arc<tokio::runtime::Runtime>,
-}
-
-impl Runs for Trace {
-    fn of_key(&self, key: &str) -> u64 {
-        self.backend_servers
-            .iter()
-            .map(|server| server.runs(key))
-            .sum()
-    }
-
-    fn of_call(&self, call: usize) -> u64 {
-        let call = call.to_string();
-        self.backend_servers
-            .iter()
-            .map(|server| server.call_runs(&call))
-            .sum()
-    }
-}
-
 struct World {
     platform: Platform,
     servers: Vec<BackendServer>,
--- a/crates/kingcuploft/src/decisions/admission/mod.rs
+++ b/crates/kingcuploft/src/decisions/admission/mod.rs
@@ -9,12 +9,14 @@
 //! waiting for a deadline that it will miss.
 
 mod offer;
+mod standing;
 
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 pub use self::offer::{Next, Offer, Outlook, Waiting};
-use super::fair_queue::{FairQueue, Place, Shares};
+use self::standing::{RuleLoad, Standing};
+use super::fair_queue::{FairQueue, Shares};
 use super::pace::{Pace, ServiceTime};
 use super::turns::{self, PRIORITIES, Turns};
 use crate::manifest::Service;
@@ -32,24 +34,6 @@
 /// The slot time that a request is charged with before any was measured, in µs.
 const UNMEASURED_COST_US: u64 = 1_000;
 
-/// The load of one rule.
-#[derive(Debug, Default)]
-struct RuleLoad {
-    waiting: usize,
-    claiming: usize,
-    service_time: ServiceTime,
-}
-
-/// Where a waiting request stands.
-#[derive(Clone, Copy, Debug)]
-struct Standing {
-    priority: usize,
-    place: Place,
-    cost_us: u64,
-    /// When it can not be answered in time any more.
-    hopeless_at: Instant,
-}
-
 /// The waiting requests of one service on one VM.
 #[derive(Debug)]
 pub struct Admission {
--- a/crates/kingcuploft/src/dispatcher/mod.rs
+++ b/crates/kingcuploft/src/dispatcher/mod.rs
@@ -11,6 +11,7 @@
 mod probing;
 mod request;
 mod retry_queue;
+mod service_ending;
 mod service_news;
 mod service_state;
 mod telling;
--- /dev/null
+++ b/crates/kingcuploft/src/dispatcher/service_ending.rs
@@ -0,0 +1,72 @@
+//! What a service learns of an attempt that ended, and what follows it.
+
+use std::time::Instant;
+
+use super::request::{Attempt, Request};
+use super::retry_queue::Waits;
+use super::service_state::ServiceState;
+use crate::decisions::admission::Waiting;
+use crate::decisions::retry::{Ended, Verdict};
+use crate::world::backend_server::{CallEnd, CallReport};
+use crate::world::ids::BackendServerName;
+
+impl ServiceState {
+    /// Notes the end of an attempt; tells whether it brought news of a drain.
+    pub(super) fn ended(&mut self, now: Instant, attempt: &Attempt, report: &CallReport) -> bool {
+        if matches!(report.end, CallEnd::Answered { .. } | CallEnd::TimedOut) {
+            let usual = self.admission.service_time(&attempt.rule);
+            self.hedge
+                .measured(&attempt.backend_server, report.latency, &usual);
+            self.admission.measured(&attempt.rule, report.latency);
+        }
+        let server = self.server_of(attempt);
+        let slots = server.map_or(u32::MAX, |i| self.service.backend_servers[i].slots);
+        let usual = self.admission.service_time(&attempt.rule);
+        let requests_wait = !self.admission.is_empty();
+        self.concurrency.ended(report, slots, usual, requests_wait);
+        let Some(server) = server else {
+            return false;
+        };
+        self.selection.ended(now, server, report);
+        let working = self.drain.working();
+        self.outlier.ended(now, server, report.end, working);
+        if let Some(load) = report.load {
+            self.measuring.told(now, server);
+            self.notes.reported(now, server, load.in_flight);
+        }
+        report.draining && self.drain.evidence(server)
+    }
+
+    /// Decides what follows an attempt that ended.
+    pub(super) fn after(
+        &mut self,
+        now: Instant,
+        rng: &mut fastrand::Rng,
+        request: &Request,
+        report: &CallReport,
+    ) -> Verdict {
+        let ended = Ended {
+            contract: request.contract(),
+            attempts: request.attempts,
+            deadline: request.deadline,
+            report,
+        };
+        self.retry.decide(now, rng, &ended)
+    }
+
+    /// Lets a request wait for its next attempt.
+    pub(super) fn retry_at(
+        &mut self,
+        not_before: Instant,
+        waiting: Waiting,
+        tried: Vec<BackendServerName>,
+        last_end: CallEnd,
+    ) {
+        self.retries.insert(Waits {
+            not_before,
+            request: waiting.request,
+            tried,
+            last_end,
+        });
+    }
+}
--- a/crates/kingcuploft/src/dispatcher/service_state.rs
+++ b/crates/kingcuploft/src/dispatcher/service_state.rs
@@ -6,7 +6,7 @@
 use super::explain::{LoadSeen, ms};
 use super::hedging::HedgePick;
 use super::request::{Attempt, Request};
-use super::retry_queue::{RetryQueue, Waits};
+use super::retry_queue::RetryQueue;
 use crate::decisions::admission::{Admission, Next, Offer, Waiting};
 use crate::decisions::concurrency::Concurrency;
 use crate::decisions::drain::Drain;
@@ -14,11 +14,11 @@
 use crate::decisions::measuring::Measuring;
 use crate::decisions::notes::Notes;
 use crate::decisions::outlier::Outlier;
-use crate::decisions::retry::{Ended, Retry, Verdict};
+use crate::decisions::retry::Retry;
 use crate::decisions::selection::{Choice, Selection};
 use crate::manifest::{BackendServer, Service};
 use crate::utils::HashMap;
-use crate::world::backend_server::{CallEnd, CallReport};
+use crate::world::backend_server::CallEnd;
 use crate::world::ids::{BackendServerName, IdempotencyKey, RequestId, RuleName};
 use crate::world::refusal::{Refusal, RefusalReason};
 use crate::world::vm::Vm;
@@ -41,16 +41,16 @@
 pub(super) struct ServiceState {
     pub(super) service: Arc<Service>,
     pub(super) by_name: HashMap<BackendServerName, usize>,
-    admission: Admission,
-    retries: RetryQueue,
-    concurrency: Concurrency,
+    pub(super) admission: Admission,
+    pub(super) retries: RetryQueue,
+    pub(super) concurrency: Concurrency,
     pub(super) selection: Selection,
     pub(super) drain: Drain,
     pub(super) notes: Notes,
     pub(super) outlier: Outlier,
     pub(super) measuring: Measuring,
-    retry: Retry,
-    hedge: Hedge,
+    pub(super) retry: Retry,
+    pub(super) hedge: Hedge,
     /// When a request last waited because all was full.
     last_full: Option<Instant>,
 }
@@ -137,7 +137,7 @@
     }
 
     /// Returns the index of the backend server that an attempt went to, if it is still there.
-    fn server_of(&self, attempt: &Attempt) -> Option<usize> {
+    pub(super) fn server_of(&self, attempt: &Attempt) -> Option<usize> {
         let &server = self.by_name.get(&attempt.backend_server)?;
         let same = self.service.backend_servers[server].address == attempt.address;
         same.then_some(server)
@@ -326,65 +326,6 @@
         &self.service.backend_servers[server]
     }
 
-    /// Notes the end of an attempt; tells whether it brought news of a drain.
-    pub(super) fn ended(&mut self, now: Instant, attempt: &Attempt, report: &CallReport) -> bool {
-        if matches!(report.end, CallEnd::Answered { .. } | CallEnd::TimedOut) {
-            let usual = self.admission.service_time(&attempt.rule);
-            self.hedge
-                .measured(&attempt.backend_server, report.latency, &usual);
-            self.admission.measured(&attempt.rule, report.latency);
-        }
-        let server = self.server_of(attempt);
-        let slots = server.map_or(u32::MAX, |i| self.service.backend_servers[i].slots);
-        let usual = self.admission.service_time(&attempt.rule);
-        let requests_wait = !self.admission.is_empty();
-        self.concurrency.ended(report, slots, usual, requests_wait);
-        let Some(server) = server else {
-            return false;
-        };
-        self.selection.ended(now, server, report);
-        let working = self.drain.working();
-        self.outlier.ended(now, server, report.end, working);
-        if let Some(load) = report.load {
-            self.measuring.told(now, server);
-            self.notes.reported(now, server, load.in_flight);
-        }
-        report.draining && self.drain.evidence(server)
-    }
-
-    /// Decides what follows an attempt that ended.
-    pub(super) fn after(
-        &mut self,
-        now: Instant,
-        rng: &mut fastrand::Rng,
-        request: &Request,
-        report: &CallReport,
-    ) -> Verdict {
-        let ended = Ended {
-            contract: request.contract(),
-            attempts: request.attempts,
-            deadline: request.deadline,
-            report,
-        };
-        self.retry.decide(now, rng, &ended)
-    }
-
-    /// Lets a request wait for its next attempt.
-    pub(super) fn retry_at(
-        &mut self,
-        not_before: Instant,
-        waiting: Waiting,
-        tried: Vec<BackendServerName>,
-        last_end: CallEnd,
-    ) {
-        self.retries.insert(Waits {
-            not_before,
-            request: waiting.request,
-            tried,
-            last_end,
-        });
-    }
-
     pub(super) fn draining(&mut self, server: &BackendServerName) -> bool {
         let server = self.by_name.get(server);
         server.is_some_and(|&server| self.drain.evidence(server))
