--- a/crates/kingcuploft-entry/tests/events_page.rs
+++ b/crates/kingcuploft-entry/tests/events_page.rs
@@ -1,8 +1,10 @@
-//! The operators' page tells every event that the entry VM writes, with every field, and no other.
+//! The operators' page tells every event and counter of the entry VM, and no other.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 
+use kingcuploft_entry::metrics::Metrics;
+
 type Events = BTreeMap<String, BTreeSet<String>>;
 
 fn root() -> PathBuf {
@@ -115,3 +117,29 @@
         .collect();
     assert!(gone.is_empty(), "told but never written: {gone:?}");
 }
+
+/// Dashboards are built from the page.
+#[test]
+fn the_page_tells_every_counter() {
+    let text = Metrics::default().to_text();
+    let helps = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# HELP kingcuploft_entry_"));
+    let shown: BTreeSet<String> = helps
+        .map(|line| line.split(' ').next().unwrap().to_owned())
+        .collect();
+    let page = std::fs::read_to_string(root().join("docs/OPERATIONS.md")).unwrap();
+    let table = page
+        .split("\n## ")
+        .find(|part| part.starts_with("Counters"));
+    let rows = table
+        .unwrap()
+        .lines()
+        .filter(|line| line.starts_with("| `"));
+    let cells = rows.map(|row| row.split('|').nth(1).unwrap());
+    let told: BTreeSet<String> = cells
+        .flat_map(|cell| cell.split('`').skip(1).step_by(2))
+        .map(Into::into)
+        .collect();
+    assert_eq!(told, shown);
+}
