--- a/crates/kingcuploft-entry/src/logs.rs
+++ b/crates/kingcuploft-entry/src/logs.rs
@@ -6,11 +6,17 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::{Duration, Instant};
 
 /// How many lines wait for the writer at most: some seconds of failures of one VM.
 const RING_LINES: usize = 512;
 
+/// How often a process that ends looks whether its lines are written.
+const DRAIN_STEP: Duration = Duration::from_millis(2);
+
 static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+static QUEUED: AtomicU64 = AtomicU64::new(0);
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
 
 /// Starts writing logs from this level on.
 pub fn start(level: tracing::Level) {
@@ -40,6 +46,16 @@
     LEFT_OUT.load(Ordering::Relaxed)
 }
 
+/// Waits until all lines are written, for so long at most: a process that just ends takes the last lines
+/// with it, among them the one that says that it stopped as planned.
+pub fn drain(within: Duration) {
+    let until = Instant::now() + within;
+    let is_behind = || WRITTEN.load(Ordering::Acquire) < QUEUED.load(Ordering::Acquire);
+    while is_behind() && Instant::now() < until {
+        std::thread::sleep(DRAIN_STEP);
+    }
+}
+
 struct Line {
     ring: SyncSender<Vec<u8>>,
     bytes: Vec<u8>,
@@ -59,8 +75,13 @@
 impl Drop for Line {
     fn drop(&mut self) {
         let line = std::mem::take(&mut self.bytes);
-        if !line.is_empty() && self.ring.try_send(line).is_err() {
+        if line.is_empty() {
+            return;
+        }
+        QUEUED.fetch_add(1, Ordering::Release);
+        if self.ring.try_send(line).is_err() {
             LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+            WRITTEN.fetch_add(1, Ordering::Release);
         }
     }
 }
@@ -72,6 +93,7 @@
         if output.write_all(&line).is_err() {
             return;
         }
+        WRITTEN.fetch_add(1, Ordering::Release);
         let left_out = left_out();
         if left_out > told {
             let line = format!("{{\"event\":\"lines_left_out\",\"count\":{left_out}}}\n");
