fix(placement): failures that all servers share hold no request up

Cause: a server's failures make it dearer, up to six times; where all servers of a service shed or fail half of what they get, none was good, and requests waited until their target was nearly over, to be sent late or refused untried. Now only what a server fails beyond the best counts.

--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -200,6 +200,7 @@
 /// Says what to do next with a request. `chance` breaks ties, so that the VMs do not all choose the
 /// same of several equal servers.
 pub fn place(need: &Need, candidates: &[Candidate], mut chance: impl FnMut() -> f64) -> Step {
+    let candidates = &beside_the_best(candidates);
     let best = best(need, candidates, &mut chance);
     if let Some((at, expected_ms)) = best
         && candidates[at].reading.is_some()
@@ -221,6 +222,21 @@
     settle(need, candidates, best)
 }
 
+/// Returns the candidates with only that part of their failures which the best of them does not share.
+///
+/// Load pattern: all servers of a service shed half of what they get. Failures are there to choose another
+/// server by; where all fail alike, a request that waited for a better one would wait until its time is
+/// over, and be refused untried.
+fn beside_the_best(candidates: &[Candidate]) -> Vec<Candidate> {
+    let untried = candidates.iter().filter(|c| !c.tried);
+    let least = untried.map(|c| c.failures).fold(1.0, f64::min);
+    let beside = candidates.iter().map(|c| Candidate {
+        failures: (c.failures - least).max(0.0),
+        ..*c
+    });
+    beside.collect()
+}
+
 /// Decides when no server is good and no more readings are to come.
 fn settle(need: &Need, candidates: &[Candidate], best: Option<(usize, f64)>) -> Step {
     let usual_ms = need.work_ms * MARGIN;
--- a/crates/kingcuploft/tests/entry/placement.rs
+++ b/crates/kingcuploft/tests/entry/placement.rs
@@ -263,3 +263,19 @@
     }
     assert!((time.work_ms(target) - 60.0).abs() < 0.1);
 }
+
+/// All servers shed half of what they get. None is better than the others, so nothing is gained by waiting;
+/// requests waited until their time was over and were refused untried.
+#[test]
+fn servers_that_all_fail_alike_are_sent_requests_at_once() {
+    let failing = |failures| Candidate { failures, ..idle() };
+    let far_asked = Need {
+        far_asked: true,
+        looked_ms: 10.0,
+        ..need()
+    };
+    let servers = [failing(0.6), failing(0.5), failing(0.55)];
+    assert_eq!(step(&far_asked, &servers), Step::Send(1));
+    let one_is_well = [failing(0.6), failing(0.0), failing(0.55)];
+    assert_eq!(step(&far_asked, &one_is_well), Step::Send(1));
+}
--- a/crates/kingcuploft/tests/fleet/scenarios.rs
+++ b/crates/kingcuploft/tests/fleet/scenarios.rs
@@ -136,6 +136,18 @@
     assert!(avoided < 0.8 * drawn, "{avoided} against {drawn}");
 }
 
+/// All servers fail half of their requests. Callers are answered as far as repeats allow, and nobody is
+/// held until its time is over and refused untried.
+#[test]
+fn requests_are_not_held_up_where_all_servers_fail_alike() {
+    for seed in SEEDS {
+        let failing = World::calm(seed).trouble(16, Trouble::Grey(0.5));
+        let outcome = play(&failing);
+        assert_eq!(outcome.refused, 0, "{outcome:?}");
+        assert!(outcome.in_time_share() > 0.74, "{outcome:?}");
+    }
+}
+
 /// Six of sixteen servers turn eight times slower for eight seconds.
 #[test]
 fn servers_that_turn_slow_are_left_to_the_others() {
