fix(backend servers): the store's return counts once, so a server that left just after it gets no grace

The store turned four of a zone's five VMs away. Each of their calls (sign of life, two watches) saw its return in turn, 0.62 s apart, and each set the start of the lapse grace anew and was told to followers. The fifth VM, which had never lost the store and had just begun to follow one of the four, kept a removed server in use by that word. Ruled out: the watch itself (the removal was known 0.6 s after its acknowledgement); placement (it only decides whether a request goes to that server in the last 0.4 s). Before: the grace ended 1.9 s after the last word of a return. After: words within 2 s of the first are the same return, and followers are told of a return only if it is news. Tests: a_return_that_is_told_again_does_not_lengthen_the_grace fails without the change.

--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -231,11 +231,14 @@
     context.servers_listed();
 }
 
-/// Takes in that the store answers again, and passes it on.
+/// Takes in that the store answers again, and passes it on if it is news: a follower that has just joined
+/// may never have lost the store, and would keep a leaving server in use for the grace of a lapsed one.
 pub fn store_returned(context: &Context) {
-    tracing::info!(event = "store_back");
-    context.followers.tell(&Frame::StoreReturned);
-    context.servers(|servers| servers.store_returned(Instant::now()));
+    let news = context.servers(|servers| servers.store_returned(Instant::now()));
+    if news {
+        tracing::info!(event = "store_back");
+        context.followers.tell(&Frame::StoreReturned);
+    }
 }
 
 /// Takes in which VMs there are, counts them, and passes it on.
--- a/crates/kingcuploft/src/entry/backend_servers.rs
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -132,9 +132,23 @@
 }
 
 impl BackendServers {
-    /// Takes note that the store answers again after it did not.
-    pub fn store_returned(&mut self, now: Instant) {
-        self.returned = Some(now);
+    /// Takes note that the store answers again after it did not; returns whether that is news.
+    ///
+    /// Failure: each call that waited for the store sees its return, one after the other, and another VM
+    /// tells of its own. Were the grace of lapsed entries counted from the last word, a server that left
+    /// just after the return would get new work for longer than it may. So what follows within the grace
+    /// is the same return.
+    pub fn store_returned(&mut self, now: Instant) -> bool {
+        let known = self.has_just_returned(now);
+        if !known {
+            self.returned = Some(now);
+        }
+        !known
+    }
+
+    fn has_just_returned(&self, now: Instant) -> bool {
+        let returned = self.returned;
+        returned.is_some_and(|at| now.saturating_duration_since(at) < JUST_RETURNED)
     }
 
     /// Takes an entry in.
@@ -172,9 +186,7 @@
 
     /// Takes in that an entry is gone.
     pub fn gone(&mut self, now: Instant, name: &str) -> Option<Change> {
-        let just_returned = self
-            .returned
-            .is_some_and(|at| now.saturating_duration_since(at) < JUST_RETURNED);
+        let just_returned = self.has_just_returned(now);
         let known = self.known.get_mut(name)?;
         known.gone_at.get_or_insert(now);
         match known.standing {
--- a/crates/kingcuploft/tests/entry/backend_servers.rs
+++ b/crates/kingcuploft/tests/entry/backend_servers.rs
@@ -75,6 +75,33 @@
     assert!(servers.takes_work("a") && !servers.takes_work("b"));
 }
 
+/// The store turned four VMs of a zone away, and each of their calls sees its return in turn. A server
+/// whose entry is removed after the first of them got new work 2.25 s later, as the grace was counted from
+/// the last, and the fifth VM, which never lost the store, kept it as long by the word of its reader.
+#[test]
+fn a_return_that_is_told_again_does_not_lengthen_the_grace() {
+    let (mut servers, now) = (BackendServers::default(), Instant::now());
+    servers.told(server("a"));
+    assert!(servers.store_returned(now));
+    let again = now + Duration::from_millis(620);
+    assert!(!servers.store_returned(again), "no news to followers");
+    servers.gone(again, "a");
+    servers.expire(now + LAPSE_GRACE);
+    assert!(!servers.takes_work("a"));
+}
+
+/// Two outages in a row: the entries that lapse in the second have their own grace.
+#[test]
+fn the_return_from_a_later_outage_is_news() {
+    let (mut servers, now) = (BackendServers::default(), Instant::now());
+    servers.told(server("a"));
+    servers.store_returned(now);
+    let later = now + Duration::from_secs(5);
+    assert!(servers.store_returned(later));
+    servers.gone(later, "a");
+    assert!(servers.takes_work("a"));
+}
+
 /// A leaving server's entry lapses in the same outage. It must not get the grace of the others.
 #[test]
 fn a_leaving_server_gets_no_grace() {
