feat(placement): the cost of a last slot is learned, and who can't be in time joins no line

LAST_SLOT was 1.35, by which the last slot still passed for good. Now the factor is learned for each service, the work itself from servers with slots to spare only, and a few far servers are asked where a near last slot would do, while at least half of the probe budget is there. Ruled out: stale or slow readings (all sends went to servers at usual speed). Cause 2: time in a server's line had passed for work. Now they take a free slot or are refused at once. The two are one commit, as the first alone is a loss under overload.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -9,7 +9,9 @@
 use kingcuploft::entry::backend_servers::{BackendServers, Change};
 use kingcuploft::entry::configuration::{Configuration, Dealer, Destination, Route};
 use kingcuploft::entry::connections;
+use kingcuploft::entry::last_slot::LastSlot;
 use kingcuploft::entry::log_budget::{LogBudget, Ordinary};
+use kingcuploft::entry::placement::Slot;
 use kingcuploft::entry::probe_budget::ProbeBudget;
 use kingcuploft::entry::readers::{Readers, VmEntry};
 use kingcuploft::entry::repeats::Repeats;
@@ -73,6 +75,7 @@
     upstreams: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
     dealers: RefCell<HashMap<RuleName, Dealer>>,
     service_times: RefCell<HashMap<(RuleName, ServiceName), ServiceTime>>,
+    last_slots: RefCell<HashMap<ServiceName, LastSlot>>,
     repeats: RefCell<HashMap<ServiceName, Repeats>>,
     probing: RefCell<ProbeBudget>,
     log_budget: RefCell<LogBudget>,
@@ -107,6 +110,7 @@
             upstreams: RefCell::default(),
             dealers: RefCell::default(),
             service_times: RefCell::default(),
+            last_slots: RefCell::default(),
             repeats: RefCell::default(),
             probing: RefCell::new(ProbeBudget::begin(Instant::now())),
             log_budget: RefCell::default(),
@@ -277,11 +281,31 @@
         time.copied().unwrap_or_default().work_ms(route.target)
     }
 
-    /// Takes in how long an answer took.
-    pub fn measured(&self, route: &Route, service: &ServiceName, took: Duration, slowness: f64) {
+    /// Returns how many times longer work takes on a server of a service whose last slot it takes.
+    pub fn last_slot(&self, service: &ServiceName) -> f64 {
+        let last_slots = self.last_slots.borrow();
+        last_slots
+            .get(service)
+            .copied()
+            .unwrap_or_default()
+            .factor()
+    }
+
+    /// Takes in how long an answer took of a server that was so slow, and of which the request took this
+    /// slot.
+    pub fn measured(
+        &self,
+        route: &Route,
+        service: &ServiceName,
+        took: Duration,
+        slowness: f64,
+        slot: Slot,
+    ) {
         let mut times = self.service_times.borrow_mut();
-        let key = (route.name.clone(), service.clone());
-        times.entry(key).or_default().measured(took, slowness);
+        let mut last_slots = self.last_slots.borrow_mut();
+        let time = times.entry((route.name.clone(), service.clone()));
+        let last_slot = last_slots.entry(service.clone()).or_default();
+        time.or_default().measured(took, slowness, slot, last_slot);
     }
 
     /// Counts a request for a service.
--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use kingcuploft::entry::placement::{Candidate, Need, Step, asked, place};
+use kingcuploft::entry::placement::{Candidate, Need, Reach, Step, asked, place};
 
 use super::connection::Gone;
 use super::dispatch::Flight;
@@ -24,24 +24,24 @@
     /// Finds the server for the next attempt.
     pub(super) async fn choose(&mut self, gone: &Gone) -> Chosen {
         let mut look_begun = Instant::now();
-        let mut far_asked = false;
+        let mut reach = Reach::Near;
         loop {
             if gone.is_set() {
                 return Chosen::CallerLeft;
             }
             let now = Instant::now();
-            let upstreams = self.usable(now, far_asked);
+            let upstreams = self.usable(now, reach);
             self.ask(&upstreams);
             let life = self.context.reading_life().max(now - look_begun) + AWAIT_STEP;
             let candidates: Vec<Candidate> = upstreams
                 .iter()
                 .map(|u| u.candidate(now, life, self.was_tried(u)))
                 .collect();
-            let need = self.need(now, look_begun, far_asked);
+            let need = self.need(now, look_begun, reach);
             match place(&need, &candidates, fastrand::f64) {
                 Step::Send(at) => return Chosen::Upstream(upstreams[at].clone()),
                 Step::Refuse(come_back) => return Chosen::Refuse(come_back),
-                Step::AskFar => far_asked = true,
+                Step::Ask(further) => reach = further,
                 Step::Await => {
                     let told = self.context.readings.notified();
                     let _ = tokio::time::timeout(AWAIT_STEP, told).await;
@@ -60,7 +60,7 @@
 
     /// Returns the servers to choose among: the first of those that answer probes, or of all if none
     /// does.
-    pub(super) fn usable(&self, now: Instant, far: bool) -> Vec<Rc<Upstream>> {
+    pub(super) fn usable(&self, now: Instant, reach: Reach) -> Vec<Rc<Upstream>> {
         let mut all = self.context.upstreams(&self.service);
         let share = self.context.connection_share(&self.service);
         all.retain(|upstream| upstream.has_room(share));
@@ -70,7 +70,7 @@
             all = audible;
         }
         let (mut near, mut others): (Vec<_>, Vec<_>) = all.into_iter().partition(|u| u.near);
-        let asked = asked(near.len(), others.len(), far);
+        let asked = asked(near.len(), others.len(), reach);
         near.truncate(asked.near);
         others.truncate(asked.far);
         near.append(&mut others);
@@ -86,7 +86,7 @@
         asked.for_each(|upstream| probe::ask(self.context, upstream, health_path));
     }
 
-    pub(super) fn need(&self, now: Instant, look_begun: Instant, far_asked: bool) -> Need {
+    pub(super) fn need(&self, now: Instant, look_begun: Instant, reach: Reach) -> Need {
         let millis = |d: Duration| d.as_secs_f64() * 1000.0;
         let left = |until: Instant| match until >= now {
             true => millis(until - now),
@@ -97,7 +97,9 @@
             target_left_ms: left(self.target),
             deadline_left_ms: left(self.deadline),
             looked_ms: millis(now - look_begun),
-            far_asked,
+            reach,
+            last_slot: self.context.last_slot(&self.service),
+            probes_left: self.context.probes_left(),
         }
     }
 }
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -30,6 +30,10 @@
 /// some tens of milliseconds, or as long as the store is away.
 const HOLD_UNREADY: Duration = Duration::from_millis(150);
 
+/// How old a reading may be to tell what a server did when a request was sent there: older than any that
+/// servers are chosen by.
+const READING_TELLS: Duration = Duration::from_millis(60);
+
 /// Serves one request and hands its answer over.
 pub async fn serve(
     context: Rc<Context>,
@@ -182,13 +186,15 @@
         let now = Instant::now();
         let reading = upstream.reading(now);
         let slowness = reading.map_or(1.0, |(_, reading)| reading.slowness);
+        let seen = upstream.candidate(now, READING_TELLS, false);
         let left = self.deadline.saturating_duration_since(now);
         let ended = exchange::attempt(self.context, upstream, self.request, left).await;
         self.context.metrics.attempt(ended.end.label());
         let succeeded = ended.end == AttemptEnd::Succeeded;
-        if succeeded {
+        if succeeded && seen.reading.is_some() {
             let (route, service) = (&self.route, &self.service);
-            self.context.measured(route, service, ended.took, slowness);
+            self.context
+                .measured(route, service, ended.took, slowness, seen.slot());
         }
         if succeeded && !self.context.writes_ordinary_line(now) {
             return ended;
--- a/crates/kingcuploft-entry/src/edge/second_look.rs
+++ b/crates/kingcuploft-entry/src/edge/second_look.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use kingcuploft::entry::placement::{Candidate, Step, place};
+use kingcuploft::entry::placement::{Candidate, Reach, Step, place};
 use kingcuploft::entry::second_look::{self, Look};
 use kingcuploft::entry::verdict::AttemptEnd;
 
@@ -66,7 +66,7 @@
         tokio::time::sleep(SECOND_LOOK_PATIENCE).await;
         let now = Instant::now();
         let age = upstream.reading(now).map(|(age, _)| age);
-        let need = self.need(now, now, true);
+        let need = self.need(now, now, Reach::Far);
         let look = Look {
             answers: age.is_some_and(|age| age <= now - asked_at + self.context.reading_life()),
             probes_left: self.context.probes_left(),
@@ -76,7 +76,7 @@
         if !second_look::wants_second(&look) || !self.attempts.may_send(1) {
             return None;
         }
-        let others: Vec<_> = self.usable(now, true);
+        let others: Vec<_> = self.usable(now, Reach::Far);
         let others: Vec<_> = others
             .into_iter()
             .filter(|u| !Rc::ptr_eq(u, upstream))
@@ -89,7 +89,7 @@
             .iter()
             .map(|u| u.candidate(now, life, self.was_tried(u)));
         let candidates: Vec<Candidate> = seen.collect();
-        let need = self.need(now, now, false);
+        let need = self.need(now, now, Reach::Near);
         let Step::Send(at) = place(&need, &candidates, fastrand::f64) else {
             return None;
         };
@@ -115,6 +115,6 @@
         let work_ms = self.context.work_ms(&self.route, &self.service);
         upstream
             .candidate(now, LONG_AGO, false)
-            .expected_ms(work_ms)
+            .expected_ms(work_ms, self.context.last_slot(&self.service))
     }
 }
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 pub mod connections;
 pub mod failures;
+pub mod last_slot;
 pub mod log_budget;
 pub mod placement;
 pub mod probe_budget;
--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -8,8 +8,12 @@
 //! The servers of the own availability zone are asked first, as that costs a tenth of a millisecond
 //! and no bytes between zones; the others only when none of the near ones is good. A request for
 //! which all servers are slow or full waits some milliseconds and looks again, as long as a good
-//! server can still answer in time: that is the queue, and its length is the time left. A request
-//! that no server can answer before its deadline is refused at once.
+//! server can still answer in time: that is the queue, and its length is the time left.
+//!
+//! A request that can't be in time any more takes a free slot, and is refused at once where there is
+//! none. It joins no server's line: under overload all those behind it would be late as well. At one and a
+//! half times what the servers can do, four callers in five are answered in time so, and two in three if
+//! late ones join lines; at twice the load 0.56 against 0.46.
 
 use std::time::Duration;
 
@@ -49,6 +53,17 @@
     pub tried: bool,
 }
 
+/// The slot that a request takes at a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Slot {
+    /// One of several.
+    Spare,
+    /// One of the last.
+    Last,
+    /// All are taken: the request waits in the server's line.
+    Taken,
+}
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need {
@@ -60,8 +75,23 @@
     pub deadline_left_ms: f64,
     /// How long readings have been waited for in this look, in milliseconds.
     pub looked_ms: f64,
-    /// Whether more than the nearest servers were asked.
-    pub far_asked: bool,
+    /// Which servers were asked.
+    pub reach: Reach,
+    /// How many times longer work takes on a server whose last slot it takes.
+    pub last_slot: f64,
+    /// Which part of the probe budget is there to be used, from 0 to 1.
+    pub probes_left: f64,
+}
+
+/// Which servers are asked for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reach {
+    /// Those of the own zone.
+    Near,
+    /// Some of the other zones as well: a near server would do, and an idle one would do better.
+    FewFar,
+    /// As many of the other zones as are asked at all: no near server will do.
+    Far,
 }
 
 /// What to do next with a request.
@@ -71,8 +101,8 @@
     Send(usize),
     /// Wait for the readings asked for.
     Await,
-    /// Ask more servers, those of the other zones among them.
-    AskFar,
+    /// Ask more servers.
+    Ask(Reach),
     /// All are slow or full: look again after this time.
     LookAgain(Duration),
     /// No server can answer in time. The caller may come back after this time.
@@ -102,9 +132,13 @@
 /// Work varies by a third around its mean; this multiple of the expected time is met by most.
 const MARGIN: f64 = 1.25;
 
-/// How many times longer work takes on a server whose last slot it takes, by measurement: 1.7 at one
-/// of the sites, none at the other.
-const LAST_SLOT: f64 = 1.35;
+/// The part of the probe budget that must be there to ask the servers of other zones only because the
+/// near ones have but their last slots left: less means overload, where those probes find no idle
+/// server either and are missed by requests that have none at all.
+const CALM: f64 = 0.5;
+
+/// A server of which more than this part of the slots is taken gives its last ones.
+const LAST_OF: f64 = 0.8;
 
 /// Work on a server that has just started takes about twice as long.
 const COLD: f64 = 1.6;
@@ -122,6 +156,10 @@
 /// nearly always one that is fast and free.
 const MOST_ASKED_FIRST: usize = 6;
 
+/// How many servers of other zones are asked where a near one would do: one of three is idle and fast as a
+/// rule while the fleet has room, and each takes bytes between zones and a probe of 6 ms.
+const FEW_FAR: usize = 3;
+
 /// How many servers are asked in all where none of the first is good: all of a service of today, and
 /// a bounded number of one with hundreds.
 const MOST_ASKED: usize = 16;
@@ -139,12 +177,13 @@
 ///
 /// Load pattern: callers move to one zone, whose servers are all full while those of the other zones
 /// have room. A zone with more servers than are asked in all must not keep its requests to itself.
-pub fn asked(near: usize, far: usize, more: bool) -> Asked {
+pub fn asked(near: usize, far: usize, reach: Reach) -> Asked {
     let near = near.min(MOST_ASKED_FIRST);
-    let most_far = match (more, near) {
-        (true, _) => MOST_ASKED - near,
-        (false, 0) => MOST_ASKED_FIRST,
-        (false, _) => 0,
+    let most_far = match (reach, near) {
+        (Reach::Far, _) => MOST_ASKED - near,
+        (_, 0) => MOST_ASKED_FIRST,
+        (Reach::FewFar, _) => FEW_FAR,
+        (Reach::Near, _) => 0,
     };
     Asked {
         near,
@@ -153,17 +192,15 @@
 }
 
 impl Candidate {
-    /// Returns when an answer is expected, in milliseconds.
-    pub fn expected_ms(&self, work_ms: f64) -> f64 {
+    /// Returns when an answer is expected, in milliseconds, to work that takes `last_slot` times as long
+    /// where it takes the last slot.
+    pub fn expected_ms(&self, work_ms: f64, last_slot: f64) -> f64 {
         let slots = f64::from(self.slots.max(1));
-        let busy = match self.reading {
-            Some(reading) => f64::from(reading.running + reading.waiting + self.unseen),
-            None => f64::from(self.own) + slots / 2.0,
-        };
+        let busy = self.busy();
         let slowness = self.reading.map_or(MEAN_SLOWNESS, |r| r.slowness);
-        let last_slot = match busy + 1.0 > 0.8 * slots {
-            true => LAST_SLOT,
-            false => 1.0,
+        let last_slot = match self.slot() {
+            Slot::Last | Slot::Taken => last_slot,
+            Slot::Spare => 1.0,
         };
         let cold = match self.cold {
             true => COLD,
@@ -178,6 +215,25 @@
         (run_ms + wait_ms) * (1.0 + FAILURE * self.failures) + distance_ms
     }
 
+    /// Returns which slot a request takes that is sent now.
+    pub fn slot(&self) -> Slot {
+        let (busy, slots) = (self.busy(), f64::from(self.slots.max(1)));
+        match busy + 1.0 {
+            after if after > slots => Slot::Taken,
+            // A server of one slot has no other.
+            after if busy >= 1.0 && after > LAST_OF * slots => Slot::Last,
+            _ => Slot::Spare,
+        }
+    }
+
+    /// Returns how many requests the server has, or may have where it has not said.
+    fn busy(&self) -> f64 {
+        match self.reading {
+            Some(reading) => f64::from(reading.running + reading.waiting + self.unseen),
+            None => f64::from(self.own) + f64::from(self.slots.max(1)) / 2.0,
+        }
+    }
+
     /// Returns when a request that is sent now would begin to run, in milliseconds.
     fn wait_ms(&self, reading: &Reading, work_ms: f64) -> f64 {
         let slots = f64::from(reading.slots.max(1));
@@ -204,22 +260,42 @@
     let best = best(need, candidates, &mut chance);
     if let Some((at, expected_ms)) = best
         && candidates[at].reading.is_some()
-        && expected_ms <= GOOD * need.work_ms
+        && expected_ms <= good(need) * need.work_ms
     {
         return Step::Send(at);
     }
     let near_open = candidates.iter().any(|c| c.near && c.asked);
     let far_open = candidates.iter().any(|c| !c.near && c.asked);
-    if !need.far_asked {
-        return match near_open && need.looked_ms < NEAR_PATIENCE_MS {
-            true => Step::Await,
-            false => Step::AskFar,
-        };
-    }
-    if (near_open || far_open) && need.looked_ms < FAR_PATIENCE_MS {
+    let patience_ms = match need.reach {
+        Reach::Near => NEAR_PATIENCE_MS,
+        Reach::FewFar | Reach::Far => FAR_PATIENCE_MS,
+    };
+    let open = near_open || far_open && need.reach != Reach::Near;
+    if open && need.looked_ms < patience_ms {
         return Step::Await;
     }
-    settle(need, candidates, best)
+    let one_will_do = best.is_some_and(|best| will_do(need, candidates, best));
+    match need.reach {
+        Reach::Near if one_will_do => Step::Ask(Reach::FewFar),
+        Reach::FewFar if one_will_do => settle(need, candidates, best),
+        Reach::Near | Reach::FewFar => Step::Ask(Reach::Far),
+        Reach::Far => settle(need, candidates, best),
+    }
+}
+
+/// Returns whether this server has a slot for the request and answers in time, though another may be better.
+fn will_do(need: &Need, candidates: &[Candidate], (at, expected_ms): (usize, f64)) -> bool {
+    let known = candidates[at].reading.is_some() && !candidates[at].is_full();
+    known && expected_ms * MARGIN <= need.target_left_ms
+}
+
+/// Returns within which multiple of the work an answer must be expected of a server that is taken without
+/// asking more of them.
+fn good(need: &Need) -> f64 {
+    match need.probes_left >= CALM {
+        true => GOOD,
+        false => GOOD.max(need.last_slot + GOOD - 1.0),
+    }
 }
 
 /// Returns the candidates with only that part of their failures which the best of them does not share.
@@ -254,10 +330,16 @@
     if need.target_left_ms > usual_ms + again_ms {
         return Step::LookAgain(LOOK_AGAIN);
     }
-    match expected_ms <= need.deadline_left_ms {
-        true => Step::Send(at),
-        false if need.deadline_left_ms > usual_ms + again_ms => Step::LookAgain(LOOK_AGAIN),
-        false => Step::Refuse(come_back(need, candidates)),
+    match (
+        candidates[at].is_full(),
+        expected_ms <= need.deadline_left_ms,
+    ) {
+        (true, _) => Step::Refuse(come_back(need, candidates)),
+        (false, true) => Step::Send(at),
+        (false, false) if need.deadline_left_ms > usual_ms + again_ms => {
+            Step::LookAgain(LOOK_AGAIN)
+        }
+        (false, false) => Step::Refuse(come_back(need, candidates)),
     }
 }
 
@@ -280,7 +362,7 @@
 ) -> Option<(usize, f64)> {
     let untried = candidates.iter().enumerate().filter(|(_, c)| !c.tried);
     let costs = untried.map(|(i, candidate)| {
-        let expected_ms = candidate.expected_ms(need.work_ms);
+        let expected_ms = candidate.expected_ms(need.work_ms, need.last_slot);
         (i, expected_ms, expected_ms + chance())
     });
     let best = costs.min_by(|a, b| a.2.total_cmp(&b.2));
--- a/crates/kingcuploft/tests/fleet/world.rs
+++ b/crates/kingcuploft/tests/fleet/world.rs
@@ -26,8 +26,12 @@
     pub(crate) waits: bool,
     /// Servers that fail are avoided.
     pub(crate) avoids_failing: bool,
+    /// Requests that can't be in time any more leave the slots to those that can.
+    pub(crate) yields: bool,
     /// Probes stay in their budget.
     pub(crate) probe_budget: bool,
+    /// What a last slot costs is learned from the answers.
+    pub(crate) learns_last_slot: bool,
 }
 
 /// All of them.
@@ -36,7 +40,9 @@
     second_look: true,
     waits: true,
     avoids_failing: true,
+    yields: true,
     probe_budget: true,
+    learns_last_slot: true,
 };
 
 /// What happens to a server.
@@ -76,6 +82,8 @@
     pub(crate) per_s: f64,
     pub(crate) long_share: f64,
     pub(crate) seconds: f64,
+    /// How many times longer work takes on a server whose last slot it takes.
+    pub(crate) last_slot: f64,
     /// What a probe takes of a slot.
     pub(crate) probe_cost_ms: f64,
     /// From this moment on so many VMs are gone, and their callers go to the others.
@@ -109,6 +117,7 @@
             per_s: 100.0,
             long_share: 0.0,
             seconds: 20.0,
+            last_slot: 1.0,
             probe_cost_ms: 6.0,
             lost_vms: None,
             vms_believed: None,
@@ -117,6 +126,19 @@
         }
     }
 
+    /// A calm day at servers whose two slots share a processor: work on the second takes 1.7 times as long.
+    /// A little over a third of the slots is in use, and every third answer of a second slot is late.
+    pub(crate) fn shared_processors(seed: u64) -> Self {
+        Self {
+            work_ms: 220.0,
+            target_ms: 480.0,
+            deadline_ms: 1500.0,
+            per_s: 25.0,
+            last_slot: 1.7,
+            ..Self::calm(seed)
+        }
+    }
+
     /// The same at so many times what the servers can do, the slow quarter of their time included.
     pub(crate) fn overload(seed: u64, times: f64) -> Self {
         let calm = Self::calm(seed);
