--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -59,7 +59,7 @@
     }
 
     /// Returns the servers to choose among: the first of those that answer probes, or of all if none
-    /// does.
+    /// does; of the other zones those that take the least trouble to ask.
     pub(super) fn usable(&self, now: Instant, reach: Reach) -> Vec<Rc<Upstream>> {
         let mut all = self.context.upstreams(&self.service);
         let share = self.context.connection_share(&self.service);
@@ -71,6 +71,8 @@
         }
         let (mut near, mut others): (Vec<_>, Vec<_>) = all.into_iter().partition(|u| u.near);
         let asked = asked(near.len(), others.len(), reach);
+        let life = self.context.reading_life();
+        others.sort_by_cached_key(|u| u.trouble_to_ask(now, life));
         near.truncate(asked.near);
         others.truncate(asked.far);
         near.append(&mut others);
--- a/crates/kingcuploft-entry/src/http/client.rs
+++ b/crates/kingcuploft-entry/src/http/client.rs
@@ -237,12 +237,13 @@
     }
 }
 
-/// Returns how long the server keeps the connection, with a margin for the way: four fifths.
+/// Returns how long the server keeps the connection, with a margin of a tenth: the server counts from a
+/// moment that is some milliseconds earlier.
 fn keep_idle(head: &ResponseHead) -> Option<Duration> {
     let value = head.headers.get("keep-alive")?;
     let timeout = value
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
     let seconds: f64 = timeout.trim().parse().ok()?;
-    Some(Duration::from_secs_f64(seconds.clamp(0.0, 3600.0) * 0.8))
+    Some(Duration::from_secs_f64(seconds.clamp(0.0, 3600.0) * 0.9))
 }
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -18,9 +18,9 @@
 /// rarely has more than two requests at one server.
 const MOST_IDLE: usize = 3;
 
-/// How long a connection may be idle and still be used, where the server says nothing: servers
-/// close after 10 s at both sites.
-const LONGEST_IDLE: Duration = Duration::from_secs(7);
+/// How long a connection may be idle and still be used, whatever the server says: servers close after 10 s
+/// at all sites, and some forget a connection sooner.
+const LONGEST_IDLE: Duration = Duration::from_secs(9);
 
 /// How long it is remembered that another VM has sent a request to a server: longer than any reading
 /// is chosen by.
@@ -32,6 +32,17 @@
 /// The longest such pause: a server that returns is seen within it.
 const LONGEST_MUTE: Duration = Duration::from_millis(800);
 
+/// What it takes to hear of a server's load, the least first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Trouble {
+    /// Its last reading is fresh.
+    None,
+    /// A probe on an open connection.
+    Probe,
+    /// A new connection as well, which takes a millisecond of a slot and a round trip.
+    Connection,
+}
+
 /// One backend server as this VM deals with it.
 #[derive(Debug)]
 pub struct Upstream {
@@ -128,6 +139,15 @@
         self.reading(now).is_some_and(|(age, _)| age < life)
     }
 
+    /// Returns what it takes to hear of its load.
+    pub fn trouble_to_ask(&self, now: Instant, life: Duration) -> Trouble {
+        match (self.is_fresh(now, life), self.idle.borrow().is_empty()) {
+            (true, _) => Trouble::None,
+            (false, false) => Trouble::Probe,
+            (false, true) => Trouble::Connection,
+        }
+    }
+
     /// Returns whether a probe is on its way.
     pub fn is_asked(&self) -> bool {
         self.asking.get()
--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -88,9 +88,9 @@
 pub enum Reach {
     /// Those of the own zone.
     Near,
-    /// Some of the other zones as well: a near server would do, and an idle one would do better.
+    /// A few of the other zones as well: no near server is good.
     FewFar,
-    /// As many of the other zones as are asked at all: no near server will do.
+    /// As many of the other zones as are asked at all: none of these will do.
     Far,
 }
 
@@ -156,8 +156,9 @@
 /// nearly always one that is fast and free.
 const MOST_ASKED_FIRST: usize = 6;
 
-/// How many servers of other zones are asked where a near one would do: one of three is idle and fast as a
-/// rule while the fleet has room, and each takes bytes between zones and a probe of 6 ms.
+/// How many servers of other zones are asked where no near one is good: one of three is idle and fast as a
+/// rule while the fleet has room, and each takes bytes between zones, a probe of 6 ms, and often a new
+/// connection.
 const FEW_FAR: usize = 3;
 
 /// How many servers are asked in all where none of the first is good: all of a service of today, and
@@ -276,10 +277,9 @@
     }
     let one_will_do = best.is_some_and(|best| will_do(need, candidates, best));
     match need.reach {
-        Reach::Near if one_will_do => Step::Ask(Reach::FewFar),
-        Reach::FewFar if one_will_do => settle(need, candidates, best),
-        Reach::Near | Reach::FewFar => Step::Ask(Reach::Far),
-        Reach::Far => settle(need, candidates, best),
+        Reach::Near => Step::Ask(Reach::FewFar),
+        Reach::FewFar if !one_will_do => Step::Ask(Reach::Far),
+        Reach::FewFar | Reach::Far => settle(need, candidates, best),
     }
 }
 
