feat(following): a VM that knows nothing asks the store beside a reader that says nothing

Ruled out: the store's answers (4 ms), the start of the process (13 ms from its first line to a configuration where a reader runs). Test: a_vm_that_knows_nothing_does_not_wait_... fails without the change.

--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -17,6 +17,11 @@
 /// How long a link may take to be opened.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
 
+/// How long a VM that knows nothing yet waits for its reader before it asks the store as well. A reader of
+/// the zone that runs tells all within a few milliseconds, and the store answers in some; one that has no
+/// power yet does not even refuse, and [`CONNECT_PATIENCE`] is three tenths of a second of refused callers.
+const KNOWING_NOTHING: Duration = Duration::from_millis(20);
+
 /// How long a reader may be silent: two heartbeats and a bit. A change that it missed is then read
 /// from the store within another tenth of a second, well within the 2 s of a leaving server.
 const SILENCE: Duration = Duration::from_millis(650);
@@ -72,7 +77,14 @@
 /// Follows a reader until the link ends. While all that it knows has been told and it goes on
 /// telling, this VM does not read the store.
 pub async fn follow(context: &Rc<Context>, pulse: &Pulse, reader: &VmEntry) -> LinkError {
-    let ended = run(context, pulse, reader).await;
+    let mut link = std::pin::pin!(run(context, pulse, reader));
+    let ended = tokio::select! {
+        ended = &mut link => ended,
+        () = without_knowledge(context) => {
+            pulse.read();
+            link.await
+        }
+    };
     context.followed.borrow_mut().take();
     let error = ended.err().unwrap_or(LinkError::Closed);
     match error {
@@ -84,6 +96,15 @@
     error
 }
 
+/// Returns once this VM has known nothing for too long to wait for others. Where all start together nobody
+/// calls yet, and the reader is waited for.
+async fn without_knowledge(context: &Context) {
+    tokio::time::sleep(KNOWING_NOTHING).await;
+    if context.settings.all_start || context.is_ready() {
+        std::future::pending::<()>().await;
+    }
+}
+
 async fn run(context: &Rc<Context>, pulse: &Pulse, reader: &VmEntry) -> Result<(), LinkError> {
     let connecting = tokio::time::timeout(CONNECT_PATIENCE, TcpStream::connect(reader.address));
     let mut stream = connecting.await.map_err(|_| LinkError::Silent)??;
--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kingcuploft::entry::readers::VmEntry;
 use kingcuploft_entry::peers::frame::Frame;
 use kingcuploft_entry::peers::reader::Followers;
 use kingcuploft_entry::run::{self, Running};
@@ -142,3 +143,26 @@
         until(|| vms.iter().all(|vm| vm.context.vms.get() == 12)).await;
     });
 }
+
+/// All VMs lost power, and the one that reads for the zone is the last to have it back: connections to it
+/// are neither answered nor refused. A VM that waited for it refused callers for three tenths of a second
+/// while the store would have answered in four milliseconds.
+#[test]
+fn a_vm_that_knows_nothing_does_not_wait_for_a_reader_that_says_nothing() {
+    play(async {
+        let store = TestStore::default();
+        store.0.configure(configuration(1));
+        let mute = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        store.0.vms.borrow_mut().push(VmEntry {
+            name: "vm-large".into(),
+            zone: "thun".into(),
+            address: mute.local_addr().unwrap(),
+            cpu_milli: 4000,
+        });
+        let vm = start_in_zone("vm", &store).await;
+        let counters = vm.context.metrics_text();
+        let given_up = |line: &&str| line.contains("readers_lost") && line.contains("silent");
+        let line = counters.lines().find(given_up);
+        assert_eq!(line, None, "ready before the reader was given up");
+    });
+}
