feat(logs): an attempt that is open when its request ends is told with its server

Cause: a lookup stood 1.3 s at one server until its caller left; its trace said 'the caller left' only. Each attempt is now a value that writes its line when it is dropped before its end (end 'cancelled', counted as such); it stands in a file of its own, out of dispatch.rs. kingcuploftctl trace does not take the line of a send that lost against another for the end of the request. Tests: an_attempt_that_is_open_when_the_caller_leaves_is_told and a_cancelled_send_does_not_hide_the_answer fail without the change.

--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -17,7 +17,7 @@
 use crate::context::Context;
 use crate::http::client::Response;
 use crate::upstream::Upstream;
-use crate::upstream::exchange::{self, Ended};
+use crate::upstream::exchange::Ended;
 
 /// When a refused caller is told to come back, where nothing better is known: several draws of the
 /// servers' speeds later.
@@ -30,10 +30,6 @@
 /// some tens of milliseconds, or as long as the store is away.
 const HOLD_UNREADY: Duration = Duration::from_millis(150);
 
-/// How old a reading may be to tell what a server did when a request was sent there: older than any that
-/// servers are chosen by.
-const READING_TELLS: Duration = Duration::from_millis(60);
-
 /// Serves one request and hands its answer over.
 pub async fn serve(
     context: Rc<Context>,
@@ -182,42 +178,6 @@
         room
     }
 
-    pub(super) async fn attempt(&self, upstream: &Rc<Upstream>) -> Ended {
-        let now = Instant::now();
-        let reading = upstream.reading(now);
-        let slowness = reading.map_or(1.0, |(_, reading)| reading.slowness);
-        let seen = upstream.candidate(now, READING_TELLS, false);
-        let left = self.deadline.saturating_duration_since(now);
-        let ended = exchange::attempt(self.context, upstream, self.request, left).await;
-        self.context.metrics.attempt(ended.end.label());
-        let succeeded = ended.end == AttemptEnd::Succeeded;
-        if succeeded && seen.reading.is_some() {
-            let (route, service) = (&self.route, &self.service);
-            self.context
-                .measured(route, service, ended.took, slowness, seen.slot());
-        }
-        if succeeded && !self.context.writes_ordinary_line(now) {
-            return ended;
-        }
-        tracing::info!(
-            event = "attempt",
-            request = self.request.id,
-            route = %self.route.name,
-            server = %upstream.server.name,
-            near = upstream.near,
-            age_ms = reading.map(|(age, _)| age.as_millis() as u64),
-            running = reading.map(|(_, r)| r.running),
-            waiting = reading.map(|(_, r)| r.waiting),
-            slowness,
-            waited_ms = (now - self.request.arrived).as_millis() as u64,
-            took_ms = ended.took.as_millis() as u64,
-            left_ms = left.as_millis() as u64,
-            end = ended.end.label(),
-            detail = ended.detail,
-        );
-        ended
-    }
-
     fn pass_on(&mut self, ended: Ended) -> Answer {
         match ended.response {
             Some(response) => Answer::of_server(self.request, response),
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -1,6 +1,7 @@
 //! Where callers come in: connections, requests as they come, answers in their order.
 
 pub mod answer;
+mod attempt;
 mod choosing;
 pub mod connection;
 pub mod dispatch;
--- a/crates/kingcuploft-entry/tests/entry/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -37,6 +37,24 @@
     });
 }
 
+/// A lookup stood 1.3 s at one server until its caller left, and the log told only that it had left. The
+/// attempt that was open is told as well, with its server.
+#[test]
+fn an_attempt_that_is_open_when_the_caller_leaves_is_told() {
+    play(async {
+        let world = World::with(&[Act::Hang]).await;
+        let mut caller = world.caller().await;
+        caller.send(&look("r1")).await;
+        until(|| world.runs() == 1).await;
+        drop(caller);
+        let told = || {
+            let counters = world.vm.context.metrics_text();
+            counters.contains("attempts_total{reason=\"cancelled\"} 1")
+        };
+        until(told).await;
+    });
+}
+
 #[test]
 fn a_body_in_chunks_reaches_the_server_whole() {
     play(async {
--- a/crates/kingcuploftctl/src/trace.rs
+++ b/crates/kingcuploftctl/src/trace.rs
@@ -135,12 +135,17 @@
 }
 
 fn conclusion(lines: &[Line]) -> &'static str {
-    let Some(last) = lines.last() else {
+    let was_cancelled = |line: &&Line| field(&line.fields, "end") == "cancelled";
+    let last = lines.iter().rfind(|line| !was_cancelled(line));
+    let Some(last) = last.or(lines.last()) else {
         return "No line has this id: it reached another VM, was not read, or was left out.\n";
     };
     match (field(&last.fields, "event"), field(&last.fields, "end")) {
         ("attempt", "succeeded") => "The server's answer was passed on.\n",
         ("attempt", "failed") => "The server's own failure was passed on.\n",
+        ("attempt", "cancelled") => {
+            "The only send was cancelled: the caller left, or the VM ended.\n"
+        }
         ("attempt", _) => "No final line: the VM ended, or the line was left out.\n",
         ("crossed_answer", _) => "No line of the attempt's end: it was cancelled or left out.\n",
         _ => "",
--- a/crates/kingcuploftctl/tests/trace.rs
+++ b/crates/kingcuploftctl/tests/trace.rs
@@ -29,6 +29,19 @@
     assert!(lines[1].contains("0.74 front-c-3  answered 502 after 7 ms and 1 attempts"));
 }
 
+/// A lookup was sent to a second server, which answered; the first send was cancelled a moment later. Its line
+/// is the last one, and does not hide how the request ended. Alone, it says that nobody waited any more.
+#[test]
+fn a_cancelled_send_does_not_hide_the_answer() {
+    let cancelled = LOST.replace("\"lost\"", "\"cancelled\"");
+    let cancelled = cancelled.replace("40.748383", "41.900000");
+    let succeeded = LOST.replace("\"lost\"", "\"succeeded\"");
+    let ending = trace_texts("0d16", &logs(&[("a.log", &[&succeeded, &cancelled])]));
+    assert!(ending.out.contains("The server's answer was passed on."));
+    let ending = trace_texts("0d16", &logs(&[("a.log", &[&cancelled])]));
+    assert!(ending.out.contains("The only send was cancelled"));
+}
+
 #[test]
 fn a_request_without_lines_is_said_to_have_none() {
     let ending = trace_texts("none", &logs(&[("a.log", &[OTHER])]));
