feat(placement): more near servers where few are elsewhere; drawn deployments in the virtual fleet

Places that other zones leave empty now go to near servers (16 in all, as before). Also: a request that can't be in time takes the free slot of a fast server whose failures make it cost more than a full one.

--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -177,19 +177,24 @@
 /// Returns how many of these servers are asked, at first and when none of the first was good.
 ///
 /// Load pattern: callers move to one zone, whose servers are all full while those of the other zones
-/// have room. A zone with more servers than are asked in all must not keep its requests to itself.
+/// have room. A zone with more servers than are asked in all must not keep its requests to itself. The
+/// reverse as well: where there are few servers elsewhere, or none, more of the own zone are asked, or a
+/// few VMs would fill six servers each and leave thirty idle.
 pub fn asked(near: usize, far: usize, reach: Reach) -> Asked {
-    let near = near.min(MOST_ASKED_FIRST);
-    let most_far = match (reach, near) {
-        (Reach::Far, _) => MOST_ASKED - near,
+    let first_near = near.min(MOST_ASKED_FIRST);
+    let most_far = match (reach, first_near) {
+        (Reach::Far, _) => MOST_ASKED - first_near,
         (_, 0) => MOST_ASKED_FIRST,
         (Reach::FewFar, _) => FEW_FAR,
         (Reach::Near, _) => 0,
     };
-    Asked {
-        near,
-        far: far.min(most_far),
-    }
+    let far = far.min(most_far);
+    let near = match reach {
+        Reach::Far => near.min(MOST_ASKED - far),
+        Reach::FewFar if far == 0 => near.min(MOST_ASKED_FIRST + FEW_FAR),
+        Reach::Near | Reach::FewFar => first_near,
+    };
+    Asked { near, far }
 }
 
 impl Candidate {
@@ -242,6 +247,12 @@
         line_ms(busy, slots, work_ms * reading.slowness)
     }
 
+    /// Returns whether it works at its usual speed, or nearly so. A slot of a slow server that is taken by a
+    /// request which is late in any case is missed when the server turns fast, a tenth of a second later.
+    fn is_usually_fast(&self) -> bool {
+        self.reading.is_some_and(|r| r.slowness <= MEAN_SLOWNESS)
+    }
+
     fn is_full(&self) -> bool {
         let reading = self.reading;
         reading.is_some_and(|r| r.running + r.waiting + self.unseen >= r.slots.max(1))
@@ -330,19 +341,29 @@
     if need.target_left_ms > usual_ms + again_ms {
         return Step::LookAgain(LOOK_AGAIN);
     }
-    match (
-        candidates[at].is_full(),
-        expected_ms <= need.deadline_left_ms,
-    ) {
-        (true, _) => Step::Refuse(come_back(need, candidates)),
-        (false, true) => Step::Send(at),
-        (false, false) if need.deadline_left_ms > usual_ms + again_ms => {
-            Step::LookAgain(LOOK_AGAIN)
-        }
-        (false, false) => Step::Refuse(come_back(need, candidates)),
+    let taken = match candidates[at].is_full() {
+        true => best_of(need, candidates, |c| !c.is_full() && c.is_usually_fast()),
+        false => Some((at, expected_ms)),
+    };
+    match taken {
+        Some((at, expected_ms)) if expected_ms <= need.deadline_left_ms => Step::Send(at),
+        Some(_) if need.deadline_left_ms > usual_ms + again_ms => Step::LookAgain(LOOK_AGAIN),
+        Some(_) | None => Step::Refuse(come_back(need, candidates)),
     }
 }
 
+/// Returns the best of the untried servers that are like this, and when its answer is expected.
+fn best_of(
+    need: &Need,
+    candidates: &[Candidate],
+    is_like: impl Fn(&Candidate) -> bool,
+) -> Option<(usize, f64)> {
+    let all = candidates.iter().enumerate();
+    let like = all.filter(|(_, candidate)| !candidate.tried && is_like(candidate));
+    let expected = like.map(|(i, c)| (i, c.expected_ms(need.work_ms, need.last_slot)));
+    expected.min_by(|a, b| a.1.total_cmp(&b.1))
+}
+
 /// Returns when a slot is likely to be free: at the server whose line ends first.
 fn come_back(need: &Need, candidates: &[Candidate]) -> Duration {
     let told = candidates.iter().filter_map(|c| Some((c, c.reading?)));
--- a/crates/kingcuploft/tests/entry/placement.rs
+++ b/crates/kingcuploft/tests/entry/placement.rs
@@ -226,6 +226,19 @@
     assert_eq!(counts(0, 11, Reach::Near), (0, 6));
 }
 
+/// All servers of a deployment stand in one zone. Six of its thirty would be all that a VM ever uses.
+#[test]
+fn more_near_servers_are_asked_where_there_are_few_elsewhere() {
+    let counts = |near, far, reach| {
+        let asked = asked(near, far, reach);
+        (asked.near, asked.far)
+    };
+    assert_eq!(counts(30, 0, Reach::Near), (6, 0));
+    assert_eq!(counts(30, 0, Reach::FewFar), (9, 0));
+    assert_eq!(counts(30, 0, Reach::Far), (16, 0));
+    assert_eq!(counts(30, 4, Reach::Far), (12, 4));
+}
+
 /// Plays requests against servers of which a quarter is five times slower, another quarter every
 /// 150 ms, and returns the share that a choice answers within 200 ms.
 fn share_in_time(choose: impl Fn(&[f64], &mut fastrand::Rng) -> usize) -> f64 {
--- a/crates/kingcuploft/tests/fleet/world.rs
+++ b/crates/kingcuploft/tests/fleet/world.rs
@@ -14,6 +14,8 @@
     Random,
     /// The one with the fewest requests of the own VM.
     LeastOwn,
+    /// By the true state of all servers at the moment of choice, which no VM can know: a bound.
+    Ideal,
 }
 
 /// Which parts of the product take part.
@@ -139,6 +141,36 @@
         }
     }
 
+    /// A deployment drawn by its seed: few or many VMs, servers, zones and slots, short or long work, tight or
+    /// loose targets, probes that cost slot time or don't, and a load from a third of what the servers can
+    /// do to a third beyond it.
+    pub(crate) fn drawn(seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed.wrapping_mul(0x9E37_79B9));
+        let mut between = |least: f64, most: f64| least + (most - least) * rng.f64();
+        let work_ms = 30.0 * between(0.0, 3.0).exp();
+        let target_ms = work_ms * between(2.2, 4.0);
+        let servers = between(6.0, 40.0) as usize;
+        let slots = between(1.0, 7.0) as u32;
+        let last_slot = [1.0, 1.7][between(0.0, 2.0) as usize];
+        let all_slots = servers as f64 * f64::from(slots);
+        let load = between(0.35, 1.35);
+        Self {
+            seed,
+            vms: between(3.0, 30.0) as usize,
+            servers,
+            zones: between(1.0, 6.0) as usize,
+            slots,
+            work_ms,
+            target_ms,
+            deadline_ms: target_ms * between(2.0, 3.0),
+            per_s: load * all_slots * 1000.0 / (work_ms * MEAN_SLOWNESS * last_slot),
+            last_slot,
+            probe_cost_ms: [0.0, 6.0][between(0.0, 2.0) as usize],
+            seconds: 8.0,
+            ..Self::calm(seed)
+        }
+    }
+
     /// The same at so many times what the servers can do, the slow quarter of their time included.
     pub(crate) fn overload(seed: u64, times: f64) -> Self {
         let calm = Self::calm(seed);
