refactor(entry): the files of the entry VM depend on each other in one direction

Moved, none changed: the caller's leaving out of connection (gone), a request's beginning out of dispatch (flight), the queues of followers out of reader (followers), the socket of a zone out of readings (zone_socket), the signs of life out of pulse (sign_of_life). Circles between files of the entry VM: connection/dispatch/choosing, keeper/reader/pulse, context/reader, context/readings before, none after.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -22,8 +22,8 @@
 
 use crate::edge::room::Room;
 use crate::metrics::Metrics;
-use crate::peers::reader::Followers;
-use crate::peers::readings::Readings;
+use crate::peers::followers::Followers;
+use crate::peers::zone_socket::ZoneSocket;
 use crate::settings::{Bounds, EntrySettings, Vocabulary};
 use crate::store::{Collection, Revision};
 use crate::upstream::Upstream;
@@ -54,7 +54,7 @@
     /// The other VMs.
     pub readers: RefCell<Readers>,
     /// The socket to the other VMs of the zone.
-    pub peer_readings: OnceCell<Readings>,
+    pub peer_readings: OnceCell<ZoneSocket>,
     /// Where the other VMs of the zone are.
     pub zone_peers: RefCell<Vec<SocketAddr>>,
     /// The VMs that follow this one.
--- a/crates/kingcuploft-entry/src/edge/attempt.rs
+++ b/crates/kingcuploft-entry/src/edge/attempt.rs
@@ -6,7 +6,7 @@
 use kingcuploft::entry::placement::{Candidate, Reading};
 use kingcuploft::entry::verdict::AttemptEnd;
 
-use super::dispatch::Flight;
+use super::flight::Flight;
 use crate::upstream::Upstream;
 use crate::upstream::exchange::{self, Ended};
 
--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -5,8 +5,8 @@
 
 use kingcuploft::entry::placement::{Candidate, Need, Reach, Step, asked, place};
 
-use super::connection::Gone;
-use super::dispatch::Flight;
+use super::flight::Flight;
+use super::gone::Gone;
 use crate::upstream::{Upstream, probe};
 
 /// How long readings are waited for before looking again whether they suffice.
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -17,6 +17,7 @@
 
 use super::answer::Answer;
 use super::dispatch;
+use super::gone::Gone;
 use super::request::Request;
 use crate::context::Context;
 use crate::http::body::{BodyError, BodyReader};
@@ -63,34 +64,6 @@
     }
 }
 
-/// Whether the caller has left.
-#[derive(Debug, Default)]
-pub struct Gone {
-    left: Cell<bool>,
-    wake: Notify,
-}
-
-impl Gone {
-    /// Returns whether the caller has left.
-    pub fn is_set(&self) -> bool {
-        self.left.get()
-    }
-
-    /// Takes note that the caller has left.
-    pub fn set(&self) {
-        self.left.set(true);
-        self.wake.notify_waiters();
-    }
-
-    /// Returns when the caller has left.
-    pub async fn wait(&self) {
-        let woken = self.wake.notified();
-        if !self.left.get() {
-            woken.await;
-        }
-    }
-}
-
 /// Serves one connection until it ends.
 pub async fn serve(context: Rc<Context>, stream: TcpStream) {
     context.callers.set(context.callers.get() + 1);
--- /dev/null
+++ b/crates/kingcuploft-entry/src/edge/flight.rs
@@ -0,0 +1,82 @@
+//! One request under way, and how it begins: route, destination, deadline.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::configuration::{Configuration, Route};
+use kingcuploft::entry::verdict::Attempts;
+use kingcuploft::world::ids::ServiceName;
+
+use super::answer::Answer;
+use super::request::Request;
+use crate::context::Context;
+use crate::http::client::Response;
+use crate::upstream::Upstream;
+
+/// When a refused caller is told to come back, where nothing better is known: several draws of the
+/// servers' speeds later.
+const COME_BACK: Duration = Duration::from_millis(250);
+
+/// When a caller is told to come back to a VM that knows no configuration yet.
+const COME_BACK_UNREADY: Duration = Duration::from_millis(500);
+
+/// What a request begins with.
+pub(super) enum Begun<'a> {
+    Refused(Answer),
+    Flight(Flight<'a>),
+}
+
+/// One request under way.
+pub(super) struct Flight<'a> {
+    pub(super) context: &'a Rc<Context>,
+    pub(super) request: &'a Request,
+    pub(super) configuration: Arc<Configuration>,
+    pub(super) route: Arc<Route>,
+    pub(super) service: ServiceName,
+    pub(super) deadline: Instant,
+    pub(super) target: Instant,
+    pub(super) attempts: Attempts,
+    pub(super) tried: Vec<Rc<Upstream>>,
+    pub(super) last_failure: Option<Response>,
+    /// When the caller may come back, should the request be refused.
+    pub(super) come_back: Duration,
+}
+
+impl<'a> Flight<'a> {
+    /// Finds the route and the destination of a request, or refuses it.
+    pub(super) fn begin(context: &'a Rc<Context>, request: &'a Request) -> Begun<'a> {
+        let refuse = |status, reason: &'static str, after| {
+            context.metrics.failure(reason);
+            tracing::info!(event = "refused", request = request.id, status, reason);
+            let words = &context.vocabulary;
+            Begun::Refused(Answer::own(request, words, status, reason, after))
+        };
+        let Some(configuration) = context.configuration() else {
+            return refuse(503, "no configuration yet", Some(COME_BACK_UNREADY));
+        };
+        let host = request.head.headers.get("host").unwrap_or_default();
+        let Some(route) = configuration.route(host, &request.head.target).cloned() else {
+            return refuse(404, "no such route", None);
+        };
+        let Some(destination) = context.deal(&route) else {
+            return refuse(503, "the route has no destination", Some(COME_BACK));
+        };
+        let patience = request.patience(&context.vocabulary);
+        let allowed = patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+        context.arrived(request.arrived, &destination.service);
+        Begun::Flight(Self {
+            deadline: request.arrived + allowed,
+            target: request.arrived + route.target,
+            attempts: Attempts::new(route.contract, route.most_attempts),
+            context,
+            request,
+            configuration,
+            route,
+            service: destination.service,
+            tried: Vec::new(),
+            last_failure: None,
+            come_back: COME_BACK,
+        })
+    }
+}
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -5,6 +5,8 @@
 mod choosing;
 pub mod connection;
 pub mod dispatch;
+mod flight;
+pub mod gone;
 pub mod readiness;
 pub mod request;
 pub mod room;
--- a/crates/kingcuploft-entry/src/edge/second_look.rs
+++ b/crates/kingcuploft-entry/src/edge/second_look.rs
@@ -8,7 +8,7 @@
 use kingcuploft::entry::verdict::AttemptEnd;
 
 use super::choosing::AWAIT_STEP;
-use super::dispatch::Flight;
+use super::flight::Flight;
 use crate::upstream::exchange::Ended;
 use crate::upstream::{Upstream, probe};
 
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod roster;
 pub mod run;
 pub mod settings;
+pub mod sign_of_life;
 pub mod store;
 pub mod upstream;
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -2,6 +2,8 @@
 //! passes on to those that follow it.
 
 pub mod follower;
+pub mod followers;
 pub mod frame;
 pub mod reader;
 pub mod readings;
+pub mod zone_socket;
--- a/crates/kingcuploft-entry/src/peers/readings.rs
+++ b/crates/kingcuploft-entry/src/peers/readings.rs
@@ -4,15 +4,13 @@
 //! probes take slots from work. A reading is worth as much to the others: a datagram within the zone
 //! takes a tenth of a millisecond and costs no bytes between zones. One that is lost costs a probe.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::placement::Reading;
 use kingcuploft::world::ids::BackendServerName;
-use serde::{Deserialize, Serialize};
-use tokio::net::UdpSocket;
 
+use super::zone_socket::Told;
 use crate::context::Context;
 
 /// The most VMs that tell each other all readings. In a larger zone each VM asks servers of its own,
@@ -25,50 +23,6 @@
 /// The pause after a failed receive.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// What one VM tells the others of a server.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-enum Told {
-    /// Its load, as it has just said.
-    Reading {
-        server: BackendServerName,
-        running: u32,
-        waiting: u32,
-        slots: u32,
-        slowness: f64,
-    },
-    /// A request is on its way there, which its last reading does not count: without this, all VMs
-    /// that know the same reading send to the same server.
-    Sent { server: BackendServerName },
-}
-
-/// The other VMs of the zone, and the socket to them.
-#[derive(Debug)]
-pub struct Readings {
-    socket: UdpSocket,
-}
-
-impl Readings {
-    /// Opens the socket.
-    ///
-    /// # Errors
-    ///
-    /// Returns the system's error.
-    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
-        let socket = UdpSocket::bind(address).await?;
-        Ok(Self { socket })
-    }
-
-    fn tell(&self, told: &Told, others: &[SocketAddr]) {
-        let Ok(bytes) = serde_json::to_vec(told) else {
-            return;
-        };
-        for other in others {
-            // A full or failing socket costs the others a probe, nothing else.
-            let _ = self.socket.try_send_to(&bytes, *other);
-        }
-    }
-}
-
 /// Tells the other VMs of the zone a reading.
 pub fn tell(context: &Context, server: &BackendServerName, reading: Reading) {
     let told = Told::Reading {
@@ -104,13 +58,10 @@
     };
     let mut buffer = vec![0; MOST_BYTES];
     loop {
-        let received = readings.socket.recv_from(&mut buffer).await;
-        let Ok((length, _)) = received else {
-            tokio::time::sleep(PAUSE).await;
-            continue;
-        };
-        if let Ok(told) = serde_json::from_slice::<Told>(&buffer[..length]) {
-            take(&context, &told);
+        match readings.hear(&mut buffer).await {
+            Ok(Some(told)) => take(&context, &told),
+            Ok(None) => {}
+            Err(_) => tokio::time::sleep(PAUSE).await,
         }
     }
 }
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -13,10 +13,12 @@
 use crate::edge::{connection, readiness};
 use crate::keeper;
 use crate::peers::reader;
-use crate::peers::readings::{self, Readings};
-use crate::pulse::{self, Pulse};
+use crate::peers::readings;
+use crate::peers::zone_socket::ZoneSocket;
+use crate::pulse::Pulse;
 use crate::roster;
 use crate::settings::{EntrySettings, Vocabulary};
+use crate::sign_of_life;
 use crate::store::{Collection, Store};
 
 /// New connections that may wait to be accepted.
@@ -105,7 +107,7 @@
     let context = Rc::new(Context::new(settings, vocabulary));
     let store = Rc::new(store);
     let pulse = Rc::new(Pulse::default());
-    let feeling = pulse::feel(context.clone(), store.clone(), pulse.clone());
+    let feeling = sign_of_life::watch_over(context.clone(), store.clone(), pulse.clone());
     tokio::task::spawn_local(feeling);
     tokio::task::spawn_local(readiness::serve(context.clone(), ready));
     if let Some(address) = context.settings.metrics {
@@ -171,7 +173,7 @@
 ) -> Result<(), StartError> {
     let listener = listen(address)?;
     let address = listener.local_addr().unwrap_or(address);
-    let opened = Readings::open(address).await;
+    let opened = ZoneSocket::open(address).await;
     let opened = opened.map_err(|error| StartError::Listen(address, error))?;
     let _ = context.peer_readings.set(opened);
     tokio::task::spawn_local(readings::receive(context.clone()));
--- /dev/null
+++ b/crates/kingcuploft-entry/src/sign_of_life.rs
@@ -0,0 +1,89 @@
+//! Asks the platform's store for signs of life while this VM reads it.
+//!
+//! Failure: the store falls silent, or its connection does, while a watch waits; a watch that waits
+//! for a change looks the same as one that is lost, and the VM would miss a new configuration or a
+//! leaving server until the wait ends. The guard: a cheap sign of life is asked for. When it fails,
+//! the watches are given up; when it is back, they go on from where they stood. It also tells a
+//! moment that the store has reached: watches that stay behind that moment are asked again.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use crate::context::Context;
+use crate::keeper;
+use crate::pulse::Pulse;
+use crate::store::{Collection, Revision, Store};
+
+/// The time between two signs of life. With [`PATIENCE`] and [`WHILE_AWAY`], a change is known within
+/// 2 s of the store's return, which is what a leaving server allows.
+const WHILE_THERE: Duration = Duration::from_millis(1000);
+
+/// The same for a VM that others follow: they must not wait longer for its loss than for their own.
+const WHILE_FOLLOWED: Duration = Duration::from_millis(400);
+
+/// The time between two tries while the store is away. Each is a call of full price.
+const WHILE_AWAY: Duration = Duration::from_millis(350);
+
+/// How long a sign of life is waited for: twice the slowest answer of a store that is slow, not away.
+const PATIENCE: Duration = Duration::from_millis(800);
+
+/// How long the watches may stay behind the store before they are asked again. Changes are gathered
+/// for most of this time.
+const BEHIND: Duration = Duration::from_millis(900);
+
+/// Watches over the store while this VM reads it, until the process ends.
+pub async fn watch_over<S: Store>(context: Rc<Context>, store: Rc<S>, pulse: Rc<Pulse>) {
+    let mut lag = Lag::default();
+    loop {
+        pulse.reading().await;
+        let asked = tokio::time::timeout(PATIENCE, store.sign_of_life()).await;
+        let reached = asked.ok().and_then(Result::ok);
+        if pulse.set_there(reached.is_some()) {
+            match reached {
+                Some(_) => keeper::store_returned(&context),
+                None => tracing::warn!(event = "store_away"),
+            }
+        }
+        pulse.was_asked();
+        if reached.is_some_and(|reached| lag.is_too_long(Instant::now(), reached, &context)) {
+            tracing::info!(event = "watches_behind", reached);
+            pulse.ask_again();
+        }
+        let pause = match (reached.is_some(), context.followers.is_empty()) {
+            (false, _) => WHILE_AWAY,
+            (true, true) => WHILE_THERE,
+            (true, false) => WHILE_FOLLOWED,
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// How long the watches have been behind the store.
+#[derive(Debug, Default)]
+struct Lag {
+    since: Option<(Revision, Instant)>,
+    settled: Revision,
+}
+
+impl Lag {
+    /// Takes in a moment that the store has reached; returns whether the watches have been behind it
+    /// for too long. A moment is complained of once: other collections move the store on as well.
+    fn is_too_long(&mut self, now: Instant, reached: Revision, context: &Context) -> bool {
+        let watched = [Collection::Configuration, Collection::BackendServers];
+        let known = watched
+            .into_iter()
+            .filter_map(|c| context.position(c))
+            .max();
+        if known.is_none_or(|known| known >= reached) || reached <= self.settled {
+            self.since = None;
+            return false;
+        }
+        let (behind, since) = *self.since.get_or_insert((reached, now));
+        if now.saturating_duration_since(since) < BEHIND {
+            return false;
+        }
+        self.settled = behind;
+        self.since = None;
+        true
+    }
+}
--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use kingcuploft::entry::readers::VmEntry;
+use kingcuploft_entry::peers::followers::Followers;
 use kingcuploft_entry::peers::frame::Frame;
-use kingcuploft_entry::peers::reader::Followers;
 use kingcuploft_entry::run::{self, Running};
 use kingcuploft_entry::settings::EntrySettings;
 
