fix(roster): a VM that knows nothing reads the store beside the list of VMs

A VM that started in an outage of the store refused callers for 1.3 s after the store was back: it waited for the list of VMs until that call's timeout of 2 s and a pause. The test fails without the change (12 s, then 'it did not come to hold').

--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -98,7 +98,7 @@
 
 /// Returns once this VM has known nothing for too long to wait for others. Where all start together nobody
 /// calls yet, and the reader is waited for.
-async fn without_knowledge(context: &Context) {
+pub async fn without_knowledge(context: &Context) {
     tokio::time::sleep(KNOWING_NOTHING).await;
     if context.settings.all_start || context.is_ready() {
         std::future::pending::<()>().await;
--- a/crates/kingcuploft-entry/src/roster.rs
+++ b/crates/kingcuploft-entry/src/roster.rs
@@ -49,7 +49,17 @@
         let now = Instant::now();
         let old = listed.is_none_or(|at| now.saturating_duration_since(at) >= LIST_EVERY);
         if old && pulse.is_there() {
-            match list(&context, &*store, &own).await {
+            let mut listing = std::pin::pin!(list(&context, &*store, &own));
+            let told = tokio::select! {
+                told = &mut listing => told,
+                // A VM that starts while the store is silent would wait for this list alone, and then pause,
+                // long after the store is back: callers were refused for 1.3 s.
+                () = follower::without_knowledge(&context) => {
+                    pulse.read();
+                    listing.await
+                }
+            };
+            match told {
                 Listed::Among => listed = Some(now),
                 Listed::Without => {
                     announcing.begin(&store, &own);
--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -166,3 +166,17 @@
         assert_eq!(line, None, "ready before the reader was given up");
     });
 }
+
+/// A VM starts while the store is silent, and its first question, which VMs there are, is never answered. The
+/// store came back, and the VM still refused callers for 1.3 s, as it waited for that answer before it asked
+/// for anything else.
+#[test]
+fn a_vm_that_knows_nothing_does_not_wait_for_the_list_of_vms() {
+    play(async {
+        let store = TestStore::default();
+        store.0.configure(configuration(1));
+        store.0.hides_vms.set(true);
+        let vm = start_in_zone("vm", &store).await;
+        assert_eq!(vm.context.readers.borrow().vms().len(), 0);
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/store.rs
+++ b/crates/kingcuploft-entry/tests/entry/store.rs
@@ -24,6 +24,8 @@
     pub(crate) refuses_writes: Cell<bool>,
     /// Watches are answered with "history gone" up to this revision.
     pub(crate) forgotten: Cell<Revision>,
+    /// Whether the list of the VMs is never answered.
+    pub(crate) hides_vms: Cell<bool>,
     pub(crate) watches: Cell<u32>,
     pub(crate) lists: Cell<u32>,
     changes: RefCell<Vec<(Revision, Collection, StoreChange)>>,
@@ -105,6 +107,9 @@
                 records.collect()
             }
             Collection::Vms => {
+                if held.hides_vms.get() {
+                    std::future::pending::<()>().await;
+                }
                 let vms = held.vms.borrow().clone().into_iter();
                 vms.map(|vm| (vm.name.to_string(), Record::Vm(vm)))
                     .collect()
