--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -16,8 +16,8 @@
 use kingcuploft::entry::readers::{Readers, VmEntry};
 use kingcuploft::entry::repeats::Repeats;
 use kingcuploft::entry::service_time::ServiceTime;
-use kingcuploft::utils::HashMap;
-use kingcuploft::world::ids::{BackendServerName, RuleName, ServiceName};
+use kingcuploft::utils::{HashMap, HashSet};
+use kingcuploft::world::ids::{RuleName, ServiceName, VmName};
 use tokio::sync::Notify;
 
 use crate::edge::room::Room;
@@ -64,6 +64,14 @@
     /// Open connections of callers.
     pub callers: Cell<usize>,
     positions: RefCell<HashMap<Collection, Revision>>,
+    /// Wakes whoever waits until more is known of the store.
+    pub moved: Notify,
+    /// Through which VMs this one hears of the store, the one that reads first; none if it reads itself.
+    pub path: RefCell<Vec<VmName>>,
+    /// Whether the store answers the VM that reads for this one.
+    pub reader_has_store: Cell<bool>,
+    /// Whether a VM has promised to tell this one all.
+    pub promised: Cell<bool>,
     /// The VM that this one follows.
     pub followed: RefCell<Option<VmEntry>>,
     stopping: Cell<Option<Instant>>,
@@ -100,6 +108,10 @@
             followers: Followers::default(),
             positions: RefCell::default(),
             followed: RefCell::default(),
+            moved: Notify::new(),
+            path: RefCell::default(),
+            reader_has_store: Cell::new(true),
+            promised: Cell::new(false),
             callers: Cell::new(0),
             stopping: Cell::new(None),
             closes_idle: Cell::new(false),
@@ -197,6 +209,8 @@
     pub fn set_position(&self, collection: Collection, revision: Revision) {
         let mut positions = self.positions.borrow_mut();
         positions.insert(collection, revision);
+        drop(positions);
+        self.moved.notify_waiters();
     }
 
     /// Takes note that all servers there are have been listed once.
@@ -204,34 +218,41 @@
         self.servers_listed.set(true);
     }
 
-    /// Follows a change of the servers: connections and readings come and go with them.
-    pub fn apply(&self, now: Instant, change: &Change) {
-        match change {
-            Change::Joined(name) => {
-                self.remove_upstream(name);
-                self.add_upstream(now, name);
+    /// Follows changes of the servers: connections and readings come and go with them.
+    pub fn apply_all(&self, now: Instant, changes: &[Change]) {
+        let mut ended = HashSet::default();
+        let mut begun = Vec::new();
+        for change in changes {
+            match change {
+                Change::Joined(name) => {
+                    ended.insert(name);
+                    begun.push(name);
+                }
+                Change::Left(name) => {
+                    ended.insert(name);
+                }
+                Change::Updated(_) | Change::Lapsed(_) => {}
             }
-            Change::Left(name) => self.remove_upstream(name),
-            Change::Updated(_) | Change::Lapsed(_) => {}
         }
-    }
-
-    fn add_upstream(&self, now: Instant, name: &BackendServerName) {
-        let servers = self.servers.borrow();
-        let Some(server) = servers.get(name) else {
+        if ended.is_empty() {
             return;
-        };
-        let near = server.zone == self.settings.zone;
-        let upstream = Rc::new(Upstream::new(server.clone(), &self.settings.vm, near, now));
+        }
         let mut upstreams = self.upstreams.borrow_mut();
-        let of_service = upstreams.entry(server.service.clone()).or_default();
-        of_service.push(upstream);
-        of_service.sort_by_key(|upstream| (!upstream.near, upstream.rank));
-    }
-
-    fn remove_upstream(&self, name: &BackendServerName) {
-        for of_service in self.upstreams.borrow_mut().values_mut() {
-            of_service.retain(|upstream| upstream.server.name != *name);
+        for of_service in upstreams.values_mut() {
+            of_service.retain(|upstream| !ended.contains(&upstream.server.name));
+        }
+        if begun.is_empty() {
+            return;
+        }
+        let servers = self.servers.borrow();
+        for server in begun.into_iter().filter_map(|name| servers.get(name)) {
+            let near = server.zone == self.settings.zone;
+            let upstream = Upstream::new(server.clone(), &self.settings.vm, near, now);
+            let of_service = upstreams.entry(server.service.clone()).or_default();
+            of_service.push(Rc::new(upstream));
+        }
+        for of_service in upstreams.values_mut() {
+            of_service.sort_by_key(|upstream| (!upstream.near, upstream.rank));
         }
     }
 
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -5,12 +5,14 @@
 //! anew, and what is not in the list is gone. A VM that follows another learns the same from it. While
 //! the store is away, the VM serves by what it knows.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::backend_servers::{BackendServer, Change};
 use kingcuploft::entry::configuration::Configuration;
-use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::server_table::ServerTable;
+use kingcuploft::entry::zone_record::{MOST_NAMED, ZoneRecord};
 
 use crate::context::Context;
 use crate::peers::frame::Frame;
@@ -94,6 +96,9 @@
     }
 }
 
+/// The most changes that are told and logged one by one when they come together.
+const MOST_TOLD_ALONE: usize = 16;
+
 #[derive(Default)]
 struct Pauses {
     failures: u32,
@@ -122,7 +127,7 @@
     store: &S,
     collection: Collection,
 ) -> Result<Revision, StoreError> {
-    let mut names = Vec::new();
+    let (mut names, mut servers) = (Vec::new(), Vec::new());
     let mut after: Option<String> = None;
     let mut first = None;
     loop {
@@ -134,12 +139,15 @@
         // What changes between two pages is told by the watch from the first page's moment on.
         let first = *first.get_or_insert(revision);
         for (name, record) in records {
-            written(context, record);
+            match record {
+                Record::BackendServer(server) => servers.push(server),
+                other => written(context, other),
+            }
             names.push(name);
         }
         if next.is_none() {
             if collection == Collection::BackendServers {
-                all_servers(context, Instant::now(), &names);
+                all_servers(context, Instant::now(), servers, &names);
             }
             return Ok(first);
         }
@@ -157,15 +165,20 @@
     if changes.is_empty() {
         return Ok(revision);
     }
+    let mut servers = Vec::new();
     for change in changes {
         match change {
+            StoreChange::Written(Record::BackendServer(told)) => servers.push(told),
             StoreChange::Written(record) => written(context, record),
             StoreChange::Gone(name) if collection == Collection::BackendServers => {
+                // What came before this may be of the same server.
+                self::servers(context, Instant::now(), std::mem::take(&mut servers));
                 server_gone(context, Instant::now(), &name);
             }
             StoreChange::Gone(_) => {}
         }
     }
+    self::servers(context, Instant::now(), servers);
     context.set_position(collection, revision);
     tokio::time::sleep(GATHER).await;
     Ok(revision)
@@ -175,7 +188,7 @@
     match record {
         Record::Configuration(told) => configuration(context, *told),
         Record::BackendServer(told) => server(context, Instant::now(), told),
-        Record::Vm(_) | Record::Other => {}
+        Record::Zone(_) | Record::Other => {}
         Record::Unreadable(name, why) => {
             context.metrics.unreadable_entries.inc();
             tracing::warn!(event = "entry_unreadable", name, why);
@@ -199,17 +212,28 @@
     }
 }
 
-/// Takes in what is said of a backend server, and passes it on if it is news: a list repeats what
-/// is known, and hundreds of lines at once are more than a follower's queue holds.
+/// Takes in what is said of a backend server, and passes it on if it is news.
 pub fn server(context: &Context, now: Instant, server: BackendServer) {
-    let news = context.servers(|servers| !servers.is_known(&server));
-    if news {
-        context.followers.tell(&Frame::Server(server.clone()));
-    }
-    let change = context.servers(|servers| servers.told(server));
-    if let Some(change) = change {
-        apply(context, now, &change);
+    servers(context, now, vec![server]);
+}
+
+/// Takes in what is said of backend servers, and passes on what is news: a list repeats what is known, and hundreds of
+/// lines at once are more than a follower's queue holds.
+pub fn servers(context: &Context, now: Instant, mut servers: Vec<BackendServer>) {
+    context.servers(|known| servers.retain(|server| !known.is_known(server)));
+    match &servers[..] {
+        [] => return,
+        [server] => context.followers.tell(&Frame::Server(server.clone())),
+        several => {
+            let table = ServerTable::of(several.iter());
+            context.followers.tell(&Frame::Servers(table));
+        }
     }
+    let told = servers.into_iter();
+    let changes: Vec<Change> =
+        context.servers(|known| told.filter_map(|s| known.told(s)).collect());
+    log_changes(&changes);
+    context.apply_all(now, &changes);
 }
 
 /// Takes in that a backend server's entry is gone, and passes it on.
@@ -220,15 +244,39 @@
     }
 }
 
-/// Takes in which backend servers have entries at all, and passes it on.
-pub fn all_servers(context: &Context, now: Instant, names: &[String]) {
-    context.followers.tell(&Frame::AllServers(names.to_vec()));
+/// Takes in all backend servers that can be read and the names of all that have entries, and passes on what is news.
+///
+/// Load pattern: after an outage every VM learns of hundreds of servers at once. Each is taken in alone, but they are
+/// told and logged together: a line for each takes a small VM longer than all the rest of its start.
+pub fn all_servers(context: &Context, now: Instant, servers: Vec<BackendServer>, names: &[String]) {
+    let is_news = |server: &BackendServer| context.servers(|known| !known.is_known(server));
+    let news: Vec<BackendServer> = servers.iter().filter(|s| is_news(s)).cloned().collect();
+    let told = servers.into_iter();
+    let joined = context.servers(|known| told.filter_map(|s| known.told(s)).collect::<Vec<_>>());
     let present = names.iter().map(String::as_str);
-    let changes = context.servers(|servers| servers.all_told(now, present));
-    changes
-        .iter()
-        .for_each(|change| apply(context, now, change));
+    let gone = context.servers(|known| known.all_told(now, present));
+    let changes: Vec<Change> = joined.into_iter().chain(gone).collect();
+    log_changes(&changes);
+    context.apply_all(now, &changes);
     context.servers_listed();
+    pass_on(context, &news, &changes);
+}
+
+/// Tells the followers what a list of all servers brought: the few that changed, or all where many did.
+fn pass_on(context: &Context, news: &[BackendServer], changes: &[Change]) {
+    if news.len() + changes.len() > MOST_TOLD_ALONE {
+        let table = context.servers(|servers| ServerTable::of(servers.present()));
+        context.followers.tell(&Frame::AllServers(table));
+        return;
+    }
+    for server in news {
+        context.followers.tell(&Frame::Server(server.clone()));
+    }
+    for change in changes {
+        if let Change::Left(name) | Change::Lapsed(name) = change {
+            context.followers.tell(&Frame::ServerGone(name.to_string()));
+        }
+    }
 }
 
 /// Takes in that the store answers again, and passes it on if it is news: a follower that has just joined
@@ -241,30 +289,54 @@
     }
 }
 
-/// Takes in which VMs there are, counts them, and passes it on.
-pub fn vms(context: &Context, vms: Vec<VmEntry>) {
-    context.vms.set(vms.len().max(1));
-    vms_uncounted(context, vms);
+/// Takes in records of zones, and passes them on if one is news.
+pub fn zones(context: &Context, records: Vec<ZoneRecord>) {
+    let news = context.readers.borrow_mut().told(records);
+    if news.is_empty() {
+        return;
+    }
+    let readers = context.readers.borrow();
+    if let Some(count) = readers.count() {
+        context.vms.set(count.max(1));
+    }
+    *context.zone_peers.borrow_mut() = zone_peers(context, readers.record(&context.settings.zone));
+    drop(readers);
+    context.followers.tell(&Frame::Zones(news));
 }
 
-/// Takes in which VMs there are without counting them, and passes it on.
-pub fn vms_uncounted(context: &Context, vms: Vec<VmEntry>) {
-    let (own, zone) = (&context.settings.vm, &context.settings.zone);
-    let others = vms.iter().filter(|vm| vm.zone == *zone && vm.name != *own);
-    *context.zone_peers.borrow_mut() = others.map(|vm| vm.address).collect();
-    let news = context.readers.borrow_mut().told(vms.clone());
-    if news {
-        context.followers.tell(&Frame::Vms(vms));
-    }
+/// Returns the other VMs of the zone, if the record names them all.
+fn zone_peers(context: &Context, record: Option<&ZoneRecord>) -> Vec<SocketAddr> {
+    let named_whole = record.filter(|record| record.count as usize <= MOST_NAMED);
+    let vms = named_whole.into_iter().flat_map(|record| &record.vms);
+    let others = vms.filter(|vm| vm.name != context.settings.vm);
+    others.map(|vm| vm.address).collect()
 }
 
 fn apply(context: &Context, now: Instant, change: &Change) {
-    let (what, name) = match change {
-        Change::Joined(name) => ("joined", name),
-        Change::Updated(name) => ("updated", name),
-        Change::Left(name) => ("left", name),
-        Change::Lapsed(name) => ("lapsed", name),
+    log_changes(std::slice::from_ref(change));
+    context.apply_all(now, std::slice::from_ref(change));
+}
+
+/// Writes a line for each of a few changes, and one with counts for many.
+fn log_changes(changes: &[Change]) {
+    if changes.len() <= MOST_TOLD_ALONE {
+        for change in changes {
+            let (what, server) = (change.label(), change.server());
+            tracing::info!(event = "server", what, %server);
+        }
+        return;
+    }
+    let count = |what| {
+        changes
+            .iter()
+            .filter(|change| change.label() == what)
+            .count()
     };
-    tracing::info!(event = "server", what, server = %name);
-    context.apply(now, change);
+    tracing::info!(
+        event = "servers",
+        joined = count("joined"),
+        updated = count("updated"),
+        left = count("left"),
+        lapsed = count("lapsed")
+    );
 }
--- /dev/null
+++ b/crates/kingcuploft-entry/src/peers/away.rs
@@ -0,0 +1,42 @@
+//! What a follower does while its reader has lost the platform's store.
+//!
+//! Failure: the store turns some VMs away and serves the others, and the one that reads for its zone is among the
+//! first; or the store is away for all. A zone that only waits misses a leaving server; one in which every VM asks for
+//! itself makes a call from each, which the store counts at full price while it is away. So those that the zone's record
+//! names ask, one after the other, and the first that gets an answer reads for all.
+
+use std::time::Duration;
+
+use kingcuploft::entry::joining;
+
+use crate::context::Context;
+use crate::pulse::Pulse;
+
+/// How often it is looked whether the reader has the store.
+const STEP: Duration = Duration::from_millis(50);
+
+/// The time between two questions by one VM.
+const ASK_AGAIN: Duration = Duration::from_millis(1500);
+
+/// Returns once the reader has lost the store and it answers this VM.
+pub async fn find_store(context: &Context, pulse: &Pulse) {
+    loop {
+        while context.reader_has_store.get() {
+            tokio::time::sleep(STEP).await;
+        }
+        let patience = {
+            let readers = context.readers.borrow();
+            let record = readers.record(&context.settings.zone);
+            joining::ask_after(&context.settings.vm, record, fastrand::f64())
+        };
+        tokio::time::sleep(patience).await;
+        if context.reader_has_store.get() {
+            continue;
+        }
+        if pulse.read_if_there().await {
+            return;
+        }
+        pulse.leave();
+        tokio::time::sleep(ASK_AGAIN).await;
+    }
+}
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -1,36 +1,33 @@
-//! The follower's side of a link: learns from a reader what the store holds.
+//! The follower's side of a link: learns from another VM what the store holds.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
-
+use kingcuploft::entry::backend_servers::BackendServer;
+use kingcuploft::entry::feeding;
 use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::server_table::{ServerTable, TableError};
+use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncWrite, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
 
-use super::frame::{Frame, Standing};
+use super::frame::{Frame, Hello, Standing};
 use crate::context::Context;
 use crate::keeper;
 use crate::pulse::Pulse;
 use crate::store::Collection;
 
-/// How long a link may take to be opened.
-const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
+/// How long a link may take to be opened by a VM that knows what the store held a moment ago.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(150);
 
-/// How long a VM that knows nothing yet waits for its reader before it asks the store as well. A reader of
-/// the zone that runs tells all within a few milliseconds, and the store answers in some; one that has no
-/// power yet does not even refuse, and [`CONNECT_PATIENCE`] is three tenths of a second of refused callers.
-const KNOWING_NOTHING: Duration = Duration::from_millis(20);
+/// The same for a VM that knows nothing, and refuses callers meanwhile: a VM of the zone that runs answers
+/// within some milliseconds, and one that has no power does not even refuse.
+const CONNECT_PATIENCE_UNREADY: Duration = Duration::from_millis(20);
 
-/// How long a reader may be silent: two heartbeats and a bit. A change that it missed is then read
-/// from the store within another tenth of a second, well within the 2 s of a leaving server.
+/// How long a feeder may be silent: two heartbeats and a bit. A change that it missed is then read
+/// from the store within some tenths of a second, well within the 2 s of a leaving server.
 const SILENCE: Duration = Duration::from_millis(650);
 
-/// How long a reader that has lost the store is followed by a VM that has lost it too, before that
-/// VM asks the store itself again: it may be away for the reader alone.
-const ASK_ALONE: Duration = Duration::from_millis(1500);
-
-/// The most bytes of one line: a large configuration.
+/// The bytes read at once.
 const BUFFER_BYTES: usize = 8 * 1024;
 
 /// Why a link ended.
@@ -39,24 +36,30 @@
     /// It could not be opened, or broke.
     #[error("the link failed: {0}")]
     Failed(#[from] std::io::Error),
-    /// The reader closed it.
-    #[error("the reader closed the link")]
+    /// The feeder closed it.
+    #[error("the feeder closed the link")]
     Closed,
-    /// The reader fell silent.
-    #[error("the reader is silent")]
+    /// The feeder fell silent.
+    #[error("the feeder is silent")]
     Silent,
-    /// The reader has lost the store.
-    #[error("the reader has lost the store")]
-    StoreAway,
-    /// The VM follows another one.
-    #[error("the VM follows {}", .0.name)]
+    /// The VM feeds as many as it can, and names another.
+    #[error("the VM names {}", .0.name)]
     Elsewhere(VmEntry),
-    /// The reader has not heard yet what this VM knows.
-    #[error("the reader is behind")]
+    /// The feeder has not heard yet what this VM knows.
+    #[error("the feeder is behind")]
     Behind,
+    /// The store answers this VM, and not the one that reads for the feeder.
+    #[error("the reader has lost the store")]
+    StoreAway,
+    /// The feeder hears through this VM.
+    #[error("the feeder hears through this VM")]
+    Circle,
     /// What came can't be read.
     #[error("a line can't be read: {0}")]
     Unreadable(#[from] serde_json::Error),
+    /// A table of servers can't be read.
+    #[error(transparent)]
+    Table(#[from] TableError),
 }
 
 impl LinkError {
@@ -66,56 +69,119 @@
             Self::Failed(_) => "failed",
             Self::Closed => "closed",
             Self::Silent => "silent",
-            Self::StoreAway => "store_away",
             Self::Elsewhere(_) => "elsewhere",
             Self::Behind => "behind",
-            Self::Unreadable(_) => "unreadable",
+            Self::StoreAway => "store_away",
+            Self::Circle => "circle",
+            Self::Unreadable(_) | Self::Table(_) => "unreadable",
         }
     }
 }
 
-/// Follows a reader until the link ends. While all that it knows has been told and it goes on
-/// telling, this VM does not read the store.
-pub async fn follow(context: &Rc<Context>, pulse: &Pulse, reader: &VmEntry) -> LinkError {
-    let mut link = std::pin::pin!(run(context, pulse, reader));
-    let ended = tokio::select! {
-        ended = &mut link => ended,
-        () = without_knowledge(context) => {
-            pulse.read();
-            link.await
-        }
+/// Whether a link came to feed this VM before it ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Link {
+    /// It did.
+    Fed,
+    /// It did not.
+    NotFed,
+}
+
+/// How a link ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// Why.
+    pub why: LinkError,
+    /// Whether it fed this VM.
+    pub link: Link,
+}
+
+/// Follows a VM until the link ends. While all that it knows has been told and it goes on telling, this VM does not
+/// read the store.
+pub async fn follow(
+    context: &Rc<Context>,
+    pulse: &Pulse,
+    own: &VmEntry,
+    feeder: &VmEntry,
+) -> Ended {
+    let _following = Following(context);
+    let ended = run(context, pulse, own, feeder).await;
+    let link = match context.followed.borrow().is_some() {
+        true => Link::Fed,
+        false => Link::NotFed,
+    };
+    Ended {
+        why: ended.err().unwrap_or(LinkError::Closed),
+        link,
+    }
+}
+
+/// What holds while a VM is followed, and no longer, also where following is broken off.
+struct Following<'a>(&'a Context);
+
+impl Drop for Following<'_> {
+    fn drop(&mut self) {
+        self.0.followed.borrow_mut().take();
+        self.0.path.borrow_mut().clear();
+        self.0.promised.set(false);
+        self.0.reader_has_store.set(true);
+    }
+}
+
+async fn run(
+    context: &Rc<Context>,
+    pulse: &Pulse,
+    own: &VmEntry,
+    feeder: &VmEntry,
+) -> Result<(), LinkError> {
+    let patience = match context.is_ready() {
+        true => CONNECT_PATIENCE,
+        false => CONNECT_PATIENCE_UNREADY,
     };
-    context.followed.borrow_mut().take();
-    let error = ended.err().unwrap_or(LinkError::Closed);
-    match error {
-        // Where all start together and nobody calls yet, the reader is waited for.
-        LinkError::Behind if context.settings.all_start && own(context).servers.is_none() => {}
-        LinkError::Elsewhere(_) | LinkError::StoreAway => {}
-        _ => pulse.read(),
+    let connecting = tokio::time::timeout(patience, TcpStream::connect(feeder.address));
+    let stream = connecting.await.map_err(|_| LinkError::Silent)??;
+    stream.set_nodelay(true)?;
+    let (read, mut write) = stream.into_split();
+    let hello = Frame::Hello(Hello {
+        vm: own.clone(),
+        configuration: context.position(Collection::Configuration),
+        servers: context.position(Collection::BackendServers),
+        below: context.followers.below(&context.settings.zone),
+    });
+    write.write_all(&hello.to_line()).await?;
+    let lines = BufReader::with_capacity(BUFFER_BYTES, read);
+    tokio::select! {
+        ended = hear(context, pulse, feeder, lines) => ended,
+        ended = tell_below(context, write) => ended,
     }
-    error
 }
 
-/// Returns once this VM has known nothing for too long to wait for others. Where all start together nobody
-/// calls yet, and the reader is waited for.
-pub async fn without_knowledge(context: &Context) {
-    tokio::time::sleep(KNOWING_NOTHING).await;
-    if context.settings.all_start || context.is_ready() {
-        std::future::pending::<()>().await;
+/// Tells the feeder how many VMs are fed through this one, each time that changes.
+async fn tell_below(
+    context: &Context,
+    mut stream: impl AsyncWrite + Unpin,
+) -> Result<(), LinkError> {
+    let mut told = context.followers.below(&context.settings.zone);
+    loop {
+        let changed = context.followers.changed.notified();
+        let below = context.followers.below(&context.settings.zone);
+        if below != told {
+            told = below;
+            stream.write_all(&Frame::Below(below).to_line()).await?;
+        }
+        changed.await;
     }
 }
 
-async fn run(context: &Rc<Context>, pulse: &Pulse, reader: &VmEntry) -> Result<(), LinkError> {
-    let connecting = tokio::time::timeout(CONNECT_PATIENCE, TcpStream::connect(reader.address));
-    let mut stream = connecting.await.map_err(|_| LinkError::Silent)??;
-    stream
-        .write_all(&Frame::Standing(own(context)).to_line())
-        .await?;
-    let mut lines = BufReader::with_capacity(BUFFER_BYTES, stream);
+async fn hear(
+    context: &Rc<Context>,
+    pulse: &Pulse,
+    feeder: &VmEntry,
+    mut lines: BufReader<impl AsyncRead + Unpin>,
+) -> Result<(), LinkError> {
     let mut line = Vec::new();
-    let mut led = None;
+    let mut led = false;
     let mut pending: Option<Standing> = None;
-    let alone = Instant::now() + ASK_ALONE;
     loop {
         line.clear();
         let reading = tokio::time::timeout(SILENCE, lines.read_until(b'\n', &mut line));
@@ -123,60 +189,91 @@
             return Ok(());
         }
         match serde_json::from_slice(&line)? {
+            Frame::Wait if context.is_ready() => return Err(LinkError::Behind),
+            Frame::Wait => context.promised.set(true),
             Frame::Standing(standing) => {
-                if standing.is_behind(&own(context)) {
-                    return Err(LinkError::Behind);
-                }
-                let away_for_all = !pulse.is_there() && Instant::now() < alone;
-                if !standing.store_there && !away_for_all {
-                    return Err(LinkError::StoreAway);
-                }
+                check(context, pulse, &standing)?;
                 match led {
-                    Some(()) => take_position(context, &standing),
-                    None => pending = Some(standing),
+                    true => take_standing(context, standing),
+                    false => pending = Some(standing),
                 }
             }
-            Frame::Elsewhere(reader) => return Err(LinkError::Elsewhere(reader)),
+            Frame::Elsewhere(vm) => return Err(LinkError::Elsewhere(vm)),
             Frame::Told => {
                 if let Some(standing) = pending.take() {
-                    take_position(context, &standing);
+                    take_standing(context, standing);
                 }
-                led = Some(());
+                led = true;
                 pulse.leave();
-                *context.followed.borrow_mut() = Some(reader.clone());
-                tracing::info!(event = "following", reader = %reader.name);
+                context.readers.borrow_mut().answered(&feeder.name);
+                *context.followed.borrow_mut() = Some(feeder.clone());
+                tracing::info!(
+                    event = "following",
+                    reader = %feeder.name,
+                    steps = context.path.borrow().len()
+                );
             }
-            frame => take(context, frame),
+            frame => take(context, frame)?,
         }
     }
 }
 
-fn own(context: &Context) -> Standing {
-    Standing {
+/// Checks whether the feeder may still be followed.
+fn check(context: &Context, pulse: &Pulse, standing: &Standing) -> Result<(), LinkError> {
+    if feeding::is_circle(&context.settings.vm, &standing.path) {
+        return Err(LinkError::Circle);
+    }
+    let own = Standing {
         configuration: context.position(Collection::Configuration),
         servers: context.position(Collection::BackendServers),
         store_there: true,
+        path: Vec::new(),
+    };
+    if standing.is_behind(&own) {
+        return Err(LinkError::Behind);
+    }
+    let has_store = pulse.is_reading() && pulse.is_there();
+    if !standing.store_there && has_store && context.is_ready() {
+        return Err(LinkError::StoreAway);
     }
+    Ok(())
 }
 
-fn take_position(context: &Context, standing: &Standing) {
+fn take_standing(context: &Context, standing: Standing) {
     if let Some(revision) = standing.configuration {
         context.set_position(Collection::Configuration, revision);
     }
     if let Some(revision) = standing.servers {
         context.set_position(Collection::BackendServers, revision);
     }
+    context.reader_has_store.set(standing.store_there);
+    *context.path.borrow_mut() = standing.path;
 }
 
-fn take(context: &Context, frame: Frame) {
+fn take(context: &Context, frame: Frame) -> Result<(), LinkError> {
     let now = Instant::now();
     match frame {
         Frame::Configuration(configuration) => keeper::configuration(context, *configuration),
         Frame::Server(server) => keeper::server(context, now, server),
+        Frame::Servers(table) => keeper::servers(context, now, table.servers()?),
         Frame::ServerGone(name) => keeper::server_gone(context, now, &name),
-        Frame::AllServers(names) => keeper::all_servers(context, now, &names),
-        Frame::Vms(vms) => keeper::vms(context, vms),
+        Frame::AllServers(table) => all_servers(context, now, table)?,
+        Frame::Zones(records) => keeper::zones(context, records),
         Frame::StoreReturned => keeper::store_returned(context),
-        Frame::Standing(_) | Frame::Elsewhere(_) | Frame::Told => {}
+        Frame::Hello(_)
+        | Frame::WhoReads
+        | Frame::Below(_)
+        | Frame::Standing(_)
+        | Frame::Wait
+        | Frame::Elsewhere(_)
+        | Frame::Told => {}
     }
+    Ok(())
+}
+
+fn all_servers(context: &Context, now: Instant, table: ServerTable) -> Result<(), LinkError> {
+    let servers: Vec<BackendServer> = table.servers()?;
+    let names: Vec<String> = servers.iter().map(|s| s.name.to_string()).collect();
+    keeper::all_servers(context, now, servers, &names);
+    Ok(())
 }
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -3,6 +3,9 @@
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::Configuration;
 use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::server_table::ServerTable;
+use kingcuploft::entry::zone_record::ZoneRecord;
+use kingcuploft::world::ids::VmName;
 use serde::{Deserialize, Serialize};
 
 use crate::store::Revision;
@@ -10,44 +13,72 @@
 /// One line.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Frame {
-    /// How far the sender knows the store; sent first by both sides, and by the reader after each
-    /// change and as a heartbeat.
+    /// Sent first by a VM that wants to be fed.
+    Hello(Hello),
+    /// Sent first by a VM that asks which VMs there are, and by nothing else.
+    WhoReads,
+    /// How far the sender knows the store; sent by the feeder after each change and as a heartbeat.
     Standing(Standing),
-    /// The sender does not read the store, but follows this VM.
+    /// The sender knows nothing yet, is alive, and will tell all.
+    Wait,
+    /// The sender feeds as many as it can; this VM may feed one more.
     Elsewhere(VmEntry),
+    /// How many VMs are fed through the sender, which is fed itself.
+    Below(u32),
     /// The configuration in force.
     Configuration(Box<Configuration>),
     /// What the store says of a backend server.
     Server(BackendServer),
+    /// What the store says of several backend servers.
+    Servers(ServerTable),
     /// A backend server's entry is gone.
     ServerGone(String),
-    /// Which backend servers have entries; the others are gone.
-    AllServers(Vec<String>),
-    /// The VMs that are known.
-    Vms(Vec<VmEntry>),
+    /// All backend servers that have entries; the others are gone.
+    AllServers(ServerTable),
+    /// The records of the zones.
+    Zones(Vec<ZoneRecord>),
     /// The store answers the sender again after it did not.
     StoreReturned,
     /// All that the sender knew when the link began has been told.
     Told,
 }
 
+/// Who wants to be fed, and what it knows.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Hello {
+    /// The VM.
+    pub vm: VmEntry,
+    /// Up to which moment it knows the configuration.
+    pub configuration: Option<Revision>,
+    /// Up to which moment it knows the backend servers.
+    pub servers: Option<Revision>,
+    /// How many VMs are fed through it.
+    pub below: u32,
+}
+
 /// How far a VM knows the store.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Standing {
     /// Up to which moment it knows the configuration.
     pub configuration: Option<Revision>,
     /// Up to which moment it knows the backend servers.
     pub servers: Option<Revision>,
-    /// Whether the store answers it.
+    /// Whether the store answers the one that reads.
     pub store_there: bool,
+    /// Through which VMs it hears, the one that reads first, itself last.
+    pub path: Vec<VmName>,
 }
 
 impl Standing {
+    /// Returns whether it knows both, the configuration and the servers.
+    pub fn is_whole(&self) -> bool {
+        self.configuration.is_some() && self.servers.is_some()
+    }
+
     /// Returns whether a VM that stands here knows less than one that stands at `own`. What it says
     /// of a server that left would bring the server back.
     pub fn is_behind(&self, own: &Self) -> bool {
-        let whole = self.configuration.is_some() && self.servers.is_some();
-        !whole || self.configuration < own.configuration || self.servers < own.servers
+        !self.is_whole() || self.configuration < own.configuration || self.servers < own.servers
     }
 }
 
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -1,9 +1,11 @@
 //! The links between the VMs of an availability zone: what one VM reads of the platform's store, it
 //! passes on to those that follow it.
 
+pub mod away;
 pub mod follower;
 pub mod followers;
 pub mod frame;
 pub mod reader;
 pub mod readings;
+pub mod seeds;
 pub mod zone_socket;
--- a/crates/kingcuploft-entry/src/peers/reader.rs
+++ b/crates/kingcuploft-entry/src/peers/reader.rs
@@ -1,12 +1,15 @@
-//! The reader's side of a link: tells its followers what it hears.
+//! The feeder's side of a link: tells its followers what it hears.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use kingcuploft::entry::server_table::ServerTable;
+use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncWrite, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 
-use super::frame::{Frame, Standing};
+use super::followers::{Admitted, Line};
+use super::frame::{Frame, Hello, Standing};
 use crate::context::Context;
 use crate::pulse::Pulse;
 use crate::store::Collection;
@@ -17,15 +20,24 @@
 /// How long one frame may take to be written.
 const WRITE_PATIENCE: Duration = Duration::from_secs(1);
 
-/// The bytes read at once of a follower's first line.
+/// How long a follower is kept waiting by a VM that knows nothing itself.
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
+
+/// The bytes read at once of what a follower says.
 const HELLO_BYTES: usize = 256;
 
 /// Returns how far this VM knows the store.
 pub fn standing(context: &Context, pulse: &Pulse) -> Standing {
+    let mut path = context.path.borrow().clone();
+    path.push(context.settings.vm.clone());
     Standing {
         configuration: context.position(Collection::Configuration),
         servers: context.position(Collection::BackendServers),
-        store_there: pulse.is_there(),
+        store_there: match pulse.is_reading() {
+            true => pulse.is_there(),
+            false => context.reader_has_store.get(),
+        },
+        path,
     }
 }
 
@@ -36,7 +48,7 @@
             Ok((stream, _)) => {
                 let (context, pulse) = (context.clone(), pulse.clone());
                 tokio::task::spawn_local(async move {
-                    let _ = lead(&context, &pulse, stream).await;
+                    let _ = answer(&context, &pulse, stream).await;
                 });
             }
             Err(error) => {
@@ -51,59 +63,139 @@
 pub async fn beat(context: Rc<Context>, pulse: Rc<Pulse>) {
     loop {
         tokio::time::sleep(HEARTBEAT).await;
-        context
-            .followers
-            .tell(&Frame::Standing(standing(&context, &pulse)));
+        if !context.followers.is_empty() {
+            let standing = standing(&context, &pulse);
+            context.followers.tell(&Frame::Standing(standing));
+        }
     }
 }
 
-async fn lead(context: &Rc<Context>, pulse: &Pulse, mut stream: TcpStream) -> std::io::Result<()> {
+async fn answer(context: &Rc<Context>, pulse: &Pulse, stream: TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let mut hello = Vec::new();
-    let reading = async {
-        let mut lines = BufReader::with_capacity(HELLO_BYTES, &mut stream);
-        lines.read_until(b'\n', &mut hello).await
+    let (read, mut write) = stream.into_split();
+    let mut lines = BufReader::with_capacity(HELLO_BYTES, read);
+    let mut line = Vec::new();
+    let reading = tokio::time::timeout(WRITE_PATIENCE, lines.read_until(b'\n', &mut line));
+    reading.await.map_err(|_| timed_out())??;
+    match serde_json::from_slice(&line) {
+        Ok(Frame::WhoReads) => tell(&mut write, &zones(context)).await,
+        Ok(Frame::Zones(records)) => {
+            crate::keeper::zones(context, records);
+            Ok(())
+        }
+        Ok(Frame::Hello(hello)) => lead(context, pulse, hello, lines, write).await,
+        Ok(_) | Err(_) => Ok(()),
+    }
+}
+
+async fn lead(
+    context: &Rc<Context>,
+    pulse: &Pulse,
+    hello: Hello,
+    lines: BufReader<impl AsyncRead + Unpin>,
+    mut stream: impl AsyncWrite + Unpin,
+) -> std::io::Result<()> {
+    let own = standing(context, pulse);
+    let (vm, zone) = (hello.vm.clone(), &context.settings.zone);
+    let admitted = context.followers.admit(vm, hello.below, zone, &own.path);
+    let (id, queue) = match admitted {
+        Admitted::Fed(id, queue) => (id, queue),
+        Admitted::Elsewhere(vm) => return tell(&mut stream, &Frame::Elsewhere(vm)).await,
+        Admitted::TurnedAway => return tell(&mut stream, &Frame::Standing(own)).await,
     };
-    let read = tokio::time::timeout(WRITE_PATIENCE, reading).await;
-    read.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
-    let Ok(Frame::Standing(theirs)) = serde_json::from_slice(&hello) else {
-        return Ok(());
+    let ended = tokio::select! {
+        ended = feed(context, pulse, &hello, stream, queue) => ended,
+        () = hear(context, id, lines) => Ok(()),
     };
-    let elsewhere = context
-        .followed
-        .borrow()
-        .clone()
-        .filter(|_| !pulse.is_reading());
-    if let Some(reader) = elsewhere {
-        return write(&mut stream, &Frame::Elsewhere(reader).to_line()).await;
+    context.followers.left(id);
+    ended
+}
+
+/// Tells a follower all that this VM knows, and then what it hears.
+async fn feed(
+    context: &Rc<Context>,
+    pulse: &Pulse,
+    hello: &Hello,
+    mut stream: impl AsyncWrite + Unpin,
+    mut queue: mpsc::Receiver<Line>,
+) -> std::io::Result<()> {
+    if !standing(context, pulse).is_whole() {
+        let whole = tokio::time::timeout(LONGEST_WAIT, keep_waiting(context, pulse, &mut stream));
+        whole.await.map_err(|_| timed_out())??;
+        // What queued up meanwhile is in the account.
+        while queue.try_recv().is_ok() {}
     }
-    // From here on changes queue up, so that none falls between the account and what follows it.
-    let mut queue = context.followers.add();
     let own = standing(context, pulse);
-    let greeting = greeting(context, own);
-    let knows_all = (own.configuration, own.servers) == (theirs.configuration, theirs.servers);
-    let account = (!knows_all).then(|| context.followers.account(|| account(context)));
+    let same = (own.configuration, own.servers) == (hello.configuration, hello.servers);
+    let account = (!same).then(|| context.followers.account(|| account(context)));
+    let mut greeting = Frame::Standing(own).to_line();
+    greeting.extend(zones(context).to_line());
     write(&mut stream, &greeting).await?;
     if let Some(account) = account {
         write(&mut stream, &account).await?;
     }
-    write(&mut stream, &Frame::Told.to_line()).await?;
+    tell(&mut stream, &Frame::Told).await?;
     while let Some(line) = queue.recv().await {
         write(&mut stream, &line).await?;
     }
     Ok(())
 }
 
-async fn write(stream: &mut TcpStream, line: &[u8]) -> std::io::Result<()> {
+/// Tells a follower that this VM is alive, until it knows all.
+async fn keep_waiting(
+    context: &Context,
+    pulse: &Pulse,
+    stream: &mut (impl AsyncWrite + Unpin),
+) -> std::io::Result<()> {
+    loop {
+        tell(stream, &Frame::Wait).await?;
+        let knows = tokio::time::timeout(HEARTBEAT, knows_all(context, pulse));
+        if knows.await.is_ok() {
+            return Ok(());
+        }
+    }
+}
+
+async fn knows_all(context: &Context, pulse: &Pulse) {
+    loop {
+        let moved = context.moved.notified();
+        if standing(context, pulse).is_whole() {
+            return;
+        }
+        moved.await;
+    }
+}
+
+/// Hears how many VMs are fed through a follower, until the link ends.
+async fn hear(context: &Context, id: u64, mut lines: BufReader<impl AsyncRead + Unpin>) {
+    let mut line = Vec::new();
+    loop {
+        line.clear();
+        match lines.read_until(b'\n', &mut line).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+        if let Ok(Frame::Below(below)) = serde_json::from_slice(&line) {
+            context.followers.has_below(id, below);
+        }
+    }
+}
+
+fn timed_out() -> std::io::Error {
+    std::io::ErrorKind::TimedOut.into()
+}
+
+async fn tell(stream: &mut (impl AsyncWrite + Unpin), frame: &Frame) -> std::io::Result<()> {
+    write(stream, &frame.to_line()).await
+}
+
+async fn write(stream: &mut (impl AsyncWrite + Unpin), line: &[u8]) -> std::io::Result<()> {
     let written = tokio::time::timeout(WRITE_PATIENCE, stream.write_all(line)).await;
-    written.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
+    written.map_err(|_| timed_out())?
 }
 
-/// Writes how far this VM knows the store, and which VMs there are.
-fn greeting(context: &Context, own: Standing) -> Vec<u8> {
-    let mut out = Frame::Standing(own).to_line();
-    out.extend(Frame::Vms(context.readers.borrow().vms().to_vec()).to_line());
-    out
+fn zones(context: &Context) -> Frame {
+    Frame::Zones(context.readers.borrow().records())
 }
 
 /// Writes all that this VM knows of what the store holds.
@@ -113,14 +205,7 @@
         let configuration = Box::new((*configuration).clone());
         out.extend(Frame::Configuration(configuration).to_line());
     }
-    let (mut names, mut lines) = (Vec::new(), Vec::new());
-    context.servers(|servers| {
-        for server in servers.present() {
-            names.push(server.name.to_string());
-            lines.extend(Frame::Server(server.clone()).to_line());
-        }
-    });
-    out.extend(lines);
-    out.extend(Frame::AllServers(names).to_line());
+    let table = context.servers(|servers| ServerTable::of(servers.present()));
+    out.extend(Frame::AllServers(table).to_line());
     out
 }
--- /dev/null
+++ b/crates/kingcuploft-entry/src/peers/seeds.rs
@@ -0,0 +1,63 @@
+//! Asks VMs whose addresses the settings name which VMs there are.
+//!
+//! They may be old or down; the platform's store is the second way. Asked first, they spare it a call for each VM
+//! that starts, and they answer while it is away.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kingcuploft::entry::zone_record::ZoneRecord;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+
+use super::frame::Frame;
+
+/// How long they are waited for: a round trip to another zone, to a small machine that is asked by hundreds.
+const PATIENCE: Duration = Duration::from_millis(25);
+
+/// How long telling them may take.
+const TELL_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Returns the records that the seeds know; none if none of them answers in time. All are asked at once, as each may
+/// be down.
+pub async fn ask(seeds: &[SocketAddr], own: Option<SocketAddr>) -> Vec<ZoneRecord> {
+    let mut asking = tokio::task::JoinSet::new();
+    for seed in seeds.iter().filter(|seed| Some(**seed) != own) {
+        asking.spawn_local(ask_one(*seed));
+    }
+    let until = tokio::time::Instant::now() + PATIENCE;
+    let mut records = Vec::new();
+    while let Ok(Some(answer)) = tokio::time::timeout_at(until, asking.join_next()).await {
+        if let Ok(Ok(told)) = answer {
+            records.extend(told);
+        }
+        if !records.is_empty() {
+            break;
+        }
+    }
+    records
+}
+
+/// Tells the seeds a record, so that those who ask them next find it.
+pub async fn tell(seeds: Vec<SocketAddr>, record: ZoneRecord) {
+    let line = Frame::Zones(vec![record]).to_line();
+    for seed in seeds {
+        let line = line.clone();
+        tokio::task::spawn_local(tokio::time::timeout(TELL_PATIENCE, async move {
+            let mut stream = TcpStream::connect(seed).await?;
+            stream.write_all(&line).await?;
+            stream.shutdown().await
+        }));
+    }
+}
+
+async fn ask_one(seed: SocketAddr) -> std::io::Result<Vec<ZoneRecord>> {
+    let mut stream = TcpStream::connect(seed).await?;
+    stream.write_all(&Frame::WhoReads.to_line()).await?;
+    let mut line = Vec::new();
+    BufReader::new(stream).read_until(b'\n', &mut line).await?;
+    match serde_json::from_slice(&line) {
+        Ok(Frame::Zones(records)) => Ok(records),
+        Ok(_) | Err(_) => Ok(Vec::new()),
+    }
+}
--- a/crates/kingcuploft-entry/src/roster.rs
+++ b/crates/kingcuploft-entry/src/roster.rs
@@ -1,181 +1,372 @@
-//! Makes this VM known to the others, and follows the one that reads the store for its zone.
+//! How this VM learns what the store holds: it finds the VMs of its zone, follows one of them, or reads the store for
+//! them.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use kingcuploft::entry::joining;
 use kingcuploft::entry::readers::{Source, VmEntry};
+use kingcuploft::entry::zone_record::{
+    self, SETTLE, Seen, ZoneCount, ZoneRecord, handed_over, renewed,
+};
 
 use crate::context::Context;
 use crate::keeper;
-use crate::peers::follower::{self, LinkError};
+use crate::peers::away;
+use crate::peers::follower::{self, Link, LinkError};
+use crate::peers::seeds;
 use crate::pulse::Pulse;
-use crate::store::{Collection, Record, Store, StoreError};
+use crate::store::{Collection, Record, Recorded, Recording, Store, StoreError};
 
-/// How long the first list is put off where all machines start together: they do so within 0.3 s, and
-/// each takes some tenths to be known.
-const ALL_ANNOUNCED: Duration = Duration::from_millis(1200);
+/// The time between two lists of the zones by one that reads the store. Other zones grow meanwhile, and what all use
+/// together is divided by the VMs counted.
+const LIST_EVERY: Duration = Duration::from_secs(3);
 
-/// The time between two lists of the VMs by one that reads the store. VMs come and go by the minute.
-const LIST_EVERY: Duration = Duration::from_secs(10);
-
-/// How often a VM that reads the store looks whether it may follow another.
+/// How often a VM that reads the store looks whether it may follow another, and whether its zone's record misleads.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
-/// How long a reader that is behind is given: two VMs that both read hear of a change within half a
+/// How long a feeder that is behind is given: two VMs that both read hear of a change within half a
 /// second of each other, and this VM goes on reading meanwhile.
 const CATCH_UP: Duration = Duration::from_millis(170);
 
-/// How many VMs are asked in a row, each of which names another as its reader.
-const MOST_HOPS: usize = 3;
+/// How many VMs are asked in a row, each of which names another.
+const MOST_HOPS: usize = 6;
+
+/// How long a VM that has lost its feeder looks for another before it reads by itself meanwhile.
+const WITHOUT_FEEDER: Duration = Duration::from_millis(250);
 
 /// The pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(500);
 
-/// Keeps this VM known to the others, and follows a reader while there is one.
+/// How long a VM can reach none of those that its zone's record names before it names itself beside them; chance adds as
+/// much again.
+const ALONE: Duration = Duration::from_secs(2);
+
+/// How often a VM looks whether it has knowledge.
+const KNOWLEDGE_STEP: Duration = Duration::from_millis(10);
+
+/// Keeps this VM informed, until the process ends.
 pub async fn keep<S: Store + 'static>(
     context: Rc<Context>,
     store: Rc<S>,
     pulse: Rc<Pulse>,
     own: VmEntry,
 ) {
-    let announcing = Announcing::default();
+    let roster = Roster {
+        context: &context,
+        store: &store,
+        pulse: &pulse,
+        own: &own,
+        stored: Cell::default(),
+        count: Cell::default(),
+    };
+    let impatience = without_knowledge(context.clone(), pulse.clone());
+    let impatience = tokio::task::spawn_local(impatience);
     if context.settings.all_start {
-        announcing.begin(&store, &own);
-        tokio::time::sleep(ALL_ANNOUNCED).await;
+        tokio::time::sleep(joining::claim_after(&own, fastrand::f64())).await;
     }
-    let mut listed: Option<Instant> = None;
-    loop {
-        let now = Instant::now();
-        let old = listed.is_none_or(|at| now.saturating_duration_since(at) >= LIST_EVERY);
-        if old && pulse.is_there() {
-            let mut listing = std::pin::pin!(list(&context, &*store, &own));
-            let told = tokio::select! {
-                told = &mut listing => told,
-                // A VM that starts while the store is silent would wait for this list alone, and then pause,
-                // long after the store is back: callers were refused for 1.3 s.
-                () = follower::without_knowledge(&context) => {
-                    pulse.read();
-                    listing.await
+    roster.learn().await;
+    tokio::join!(roster.go_on(), roster.lead());
+    impatience.abort();
+}
+
+/// Has a VM that knows nothing read the store once it has waited for others for too long.
+///
+/// Failure: the VM that it would hear from has no power, or the store does not answer which VMs there are, and callers
+/// are refused meanwhile. Where all start together nobody calls yet, and the others are waited for.
+async fn without_knowledge(context: Rc<Context>, pulse: Rc<Pulse>) {
+    let begun = Instant::now();
+    let chance = fastrand::f64();
+    if context.settings.all_start {
+        return;
+    }
+    while !context.is_ready() && !context.is_stopping() {
+        let patience = {
+            let readers = context.readers.borrow();
+            let record = readers.record(&context.settings.zone);
+            joining::patience(&context.settings.vm, record, context.promised.get(), chance)
+        };
+        if begun.elapsed() >= patience {
+            return pulse.read();
+        }
+        tokio::time::sleep(KNOWLEDGE_STEP).await;
+    }
+}
+
+struct Roster<'a, S> {
+    context: &'a Rc<Context>,
+    store: &'a Rc<S>,
+    pulse: &'a Pulse,
+    own: &'a VmEntry,
+    /// The version of the own zone's record that the store holds, as far as is known.
+    stored: Cell<u64>,
+    count: Cell<ZoneCount>,
+}
+
+impl<S: Store> Roster<'_, S> {
+    async fn go_on(&self) {
+        let mut fed_at = Instant::now();
+        loop {
+            match self.source() {
+                Source::Reader(feeder) => {
+                    if self.follow(feeder).await == Link::Fed {
+                        fed_at = Instant::now();
+                    }
+                    if fed_at.elapsed() >= WITHOUT_FEEDER && self.context.is_ready() {
+                        self.pulse.read();
+                    }
                 }
-            };
-            match told {
-                Listed::Among => listed = Some(now),
-                Listed::Without => {
-                    announcing.begin(&store, &own);
-                    listed = now.checked_sub(LIST_EVERY - ALL_ANNOUNCED);
+                source => {
+                    self.read(source).await;
+                    fed_at = Instant::now();
                 }
-                Listed::Failed => {}
             }
         }
-        let reader = match context.readers.borrow().source(now, &own.name, &own.zone) {
-            // Those that follow this VM would have to look for another reader.
-            Source::Reader(reader) if context.followers.is_empty() => Some(reader),
-            Source::Reader(_) | Source::Store => None,
-        };
-        match reader {
-            Some(reader) => follow(&context, &pulse, reader).await,
-            None => {
-                pulse.read();
-                tokio::time::sleep(LOOK_EVERY).await;
-            }
+    }
+
+    fn source(&self) -> Source {
+        let readers = self.context.readers.borrow();
+        let region = &self.context.settings.region;
+        readers.source(Instant::now(), &self.own.name, &self.own.zone, region)
+    }
+
+    /// Returns whether this VM keeps its zone's record.
+    fn leads(&self) -> bool {
+        let readers = self.context.readers.borrow();
+        let source = readers.source_in_zone(Instant::now(), &self.own.name, &self.own.zone);
+        source == Source::Store
+    }
+
+    fn record(&self) -> Option<ZoneRecord> {
+        let readers = self.context.readers.borrow();
+        readers.record(&self.own.zone).cloned()
+    }
+
+    /// Learns which VMs there are: of the seeds, and of the store if they don't know.
+    async fn learn(&self) {
+        let settings = &self.context.settings;
+        let told = seeds::ask(&settings.seeds, settings.control).await;
+        keeper::zones(self.context, told);
+        if self.record().is_none() {
+            self.list(Staleness::Allowed).await;
         }
     }
-}
 
-/// Follows a reader, or the one that it follows itself, until the link ends.
-async fn follow(context: &Rc<Context>, pulse: &Pulse, first: VmEntry) {
-    let mut reader = first;
-    for _ in 0..MOST_HOPS {
-        let ended = follower::follow(context, pulse, &reader).await;
-        match ended {
-            LinkError::Elsewhere(other) if other.name != context.settings.vm => reader = other,
-            LinkError::Behind => return tokio::time::sleep(CATCH_UP).await,
-            LinkError::StoreAway if !pulse.read_if_there().await => return,
-            ended => {
-                context.metrics.reader_lost(ended.label());
-                tracing::info!(event = "reader_lost", reader = %reader.name, why = %ended);
-                break;
+    /// Learns of the store which VMs there are; returns whether it answered.
+    async fn list(&self, stale: Staleness) -> bool {
+        match list_all(&**self.store, stale).await {
+            Ok(records) => {
+                let own = records.iter().find(|record| record.zone == self.own.zone);
+                let stored = own.map_or(0, |record| record.version);
+                self.stored.set(self.stored.get().max(stored));
+                keeper::zones(self.context, records);
+                true
+            }
+            Err(error) => {
+                tracing::warn!(event = "zones_not_listed", %error);
+                false
             }
         }
     }
-    pulse.read();
-    let mut readers = context.readers.borrow_mut();
-    readers.failed(Instant::now(), &reader.name);
-}
 
-/// Makes this VM known beside all else: a store that refuses writes may still be read, and a VM that
-/// only waited to be known would serve nobody.
-#[derive(Default)]
-struct Announcing {
-    runs: Rc<Cell<bool>>,
-}
+    /// Follows a VM, or one that it names, until the link ends; returns whether it was fed.
+    async fn follow(&self, first: VmEntry) -> Link {
+        let mut feeder = first;
+        for _ in 0..MOST_HOPS {
+            let ended = tokio::select! {
+                ended = follower::follow(self.context, self.pulse, self.own, &feeder) => ended,
+                () = away::find_store(self.context, self.pulse) => {
+                    self.take_over(&feeder).await;
+                    return Link::Fed;
+                }
+            };
+            let link = ended.link;
+            match ended.why {
+                LinkError::Elsewhere(other) if other.name != self.own.name => {
+                    feeder = other;
+                    continue;
+                }
+                LinkError::Behind => {
+                    // A feeder that has just started knows nothing yet; this VM goes on by itself meanwhile.
+                    if self.context.is_ready() {
+                        self.pulse.read();
+                    }
+                    tokio::time::sleep(CATCH_UP).await;
+                    return link;
+                }
+                why => {
+                    let metrics = &self.context.metrics;
+                    metrics.reader_lost(why.label());
+                    tracing::info!(event = "reader_lost", reader = %feeder.name, why = %why);
+                }
+            }
+            let mut readers = self.context.readers.borrow_mut();
+            readers.failed(Instant::now(), &feeder.name);
+            return link;
+        }
+        // Each named another: those below will have told how many they feed by then.
+        tokio::time::sleep(CATCH_UP).await;
+        Link::NotFed
+    }
 
-impl Announcing {
-    /// Begins, unless it is being done.
-    fn begin<S: Store + 'static>(&self, store: &Rc<S>, own: &VmEntry) {
-        if self.runs.replace(true) {
+    /// Makes this VM its zone's reader, as the store answers it and not the one that reads; that one follows it. One that
+    /// leads its zone already reads for that alone until it finds a reader that has the store.
+    async fn take_over(&self, feeder: &VmEntry) {
+        if self.leads() {
+            self.context
+                .readers
+                .borrow_mut()
+                .failed(Instant::now(), &feeder.name);
             return;
         }
-        let (runs, store, own) = (self.runs.clone(), store.clone(), own.clone());
-        tokio::task::spawn_local(async move {
-            announce(&*store, &own).await;
-            runs.set(false);
-        });
+        let Some(old) = self.record() else {
+            return;
+        };
+        let record = zone_record::taken_over(&old, self.own);
+        tracing::info!(event = "reader_taken_over", version = record.version);
+        keeper::zones(self.context, vec![record.clone()]);
+        let first = old.vms.first().unwrap_or(feeder);
+        seeds::tell(vec![first.address, feeder.address], record).await;
     }
-}
 
-/// Makes the VM known, until the store has said that it is.
-async fn announce<S: Store>(store: &S, own: &VmEntry) {
-    while let Err(error) = store.announce(own).await {
-        tracing::warn!(event = "announce_failed", %error);
-        tokio::time::sleep(PAUSE.mul_f64(1.0 + fastrand::f64())).await;
+    /// Reads the store until another VM reads.
+    async fn read(&self, source: Source) {
+        self.pulse.read();
+        let begun = Instant::now();
+        let append_after = ALONE.mul_f64(1.0 + fastrand::f64());
+        let mut listed: Option<Instant> = None;
+        while self.source() == source {
+            let is_old = listed.is_none_or(|at| at.elapsed() >= LIST_EVERY);
+            if self.pulse.is_there() && is_old && self.record().is_some() {
+                self.list(Staleness::Allowed).await;
+                listed = Some(Instant::now());
+                continue;
+            }
+            if source == Source::StoreAlone && begun.elapsed() >= append_after {
+                self.append().await;
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
     }
-    tracing::info!(event = "announced");
-}
 
-/// What a list of the VMs says of this one.
-enum Listed {
-    /// It is among them.
-    Among,
-    /// It is not. Others that start with it may not be either, so they are not counted by this list: a
-    /// VM that takes itself for one of few takes too much of what all may use together.
-    Without,
-    /// The list could not be had.
-    Failed,
-}
+    /// Keeps the zone's record true whenever this VM leads its zone, whether it reads or follows the reader of another.
+    async fn lead(&self) {
+        let mut led_since: Option<Instant> = None;
+        loop {
+            match self.leads() && !self.context.is_stopping() {
+                true => self.tend(*led_since.get_or_insert_with(Instant::now)).await,
+                false => led_since = None,
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    async fn tend(&self, begun: Instant) {
+        let Some(old) = self.record() else {
+            return self.claim().await;
+        };
+        let (followers, zone) = (&self.context.followers, &self.own.zone);
+        let seen = Seen {
+            own: self.own.clone(),
+            followers: followers.vms(zone),
+            below: followers.below(zone),
+        };
+        if let Some(record) = handed_over(&old, &seen) {
+            tracing::info!(event = "reader_hands_over", version = record.version);
+            keeper::zones(self.context, vec![record]);
+            // What the followers are told last must be on its way before their links end.
+            tokio::time::sleep(CATCH_UP).await;
+            return followers.let_go();
+        }
+        let mut count = self.count.get();
+        let holds = count.holds(Instant::now(), old.count, seen.below + 1);
+        self.count.set(count);
+        let settled = old.settled || begun.elapsed() >= SETTLE;
+        // Zones that began together with this one are known before it takes itself for counted.
+        if settled && !old.settled && !self.list(Staleness::Allowed).await {
+            return;
+        }
+        if let Some(record) = renewed(&old, &seen, holds, settled) {
+            keeper::zones(self.context, vec![record]);
+        }
+        let alone = seen.followers.is_empty() && holds > 1;
+        if let Some(record) = self
+            .record()
+            .filter(|r| r.version > self.stored.get() && !alone)
+        {
+            self.write(record, Recording::Replace).await;
+        }
+    }
 
-async fn list<S: Store>(context: &Context, store: &S, own: &VmEntry) -> Listed {
-    match list_all(store).await {
-        Ok(vms) if vms.contains(own) => {
-            keeper::vms(context, vms);
-            Listed::Among
+    /// Makes this VM the reader of a zone that has no record.
+    async fn claim(&self) {
+        let record = ZoneRecord::first(self.own);
+        match self.store.record_zone(&record, Recording::Create).await {
+            Ok(Recorded::IsThere) => {
+                self.list(Staleness::Refused).await;
+            }
+            Ok(Recorded::Done | Recorded::IsNotThere) => {
+                tracing::info!(event = "zone_recorded", version = record.version);
+                self.stored.set(record.version);
+                keeper::zones(self.context, vec![record.clone()]);
+                seeds::tell(self.context.settings.seeds.clone(), record).await;
+            }
+            Err(error) => self.not_recorded(&error).await,
         }
-        Ok(vms) => {
-            keeper::vms_uncounted(context, vms);
-            Listed::Without
+    }
+
+    /// Names this VM in the record beside those that it can't reach.
+    async fn append(&self) {
+        let old = self.record();
+        let record = old.and_then(|old| zone_record::appended(&old, self.own));
+        if let Some(record) = record {
+            self.write(record, Recording::Replace).await;
         }
-        Err(error) => {
-            tracing::warn!(event = "vms_not_listed", %error);
-            tokio::time::sleep(PAUSE.mul_f64(1.0 + fastrand::f64())).await;
-            Listed::Failed
+    }
+
+    async fn write(&self, record: ZoneRecord, how: Recording) {
+        match self.store.record_zone(&record, how).await {
+            Ok(Recorded::IsNotThere) => self.stored.set(0),
+            Ok(Recorded::Done | Recorded::IsThere) => {
+                let (version, count) = (record.version, record.count);
+                tracing::info!(event = "zone_recorded", version, count);
+                self.stored.set(version);
+                keeper::zones(self.context, vec![record]);
+            }
+            Err(error) => self.not_recorded(&error).await,
         }
     }
+
+    async fn not_recorded(&self, error: &StoreError) {
+        tracing::warn!(event = "zone_not_recorded", %error);
+        tokio::time::sleep(PAUSE.mul_f64(1.0 + fastrand::f64())).await;
+    }
+}
+
+/// Whether a list may be some seconds old, which the store counts for less.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Staleness {
+    Allowed,
+    Refused,
 }
 
-async fn list_all<S: Store>(store: &S) -> Result<Vec<VmEntry>, StoreError> {
-    let mut vms = Vec::new();
+async fn list_all<S: Store>(store: &S, stale: Staleness) -> Result<Vec<ZoneRecord>, StoreError> {
+    let mut zones = Vec::new();
     let mut after: Option<String> = None;
     loop {
-        let page = store.list(Collection::Vms, after.as_deref(), true).await?;
+        let stale = stale == Staleness::Allowed;
+        let page = store
+            .list(Collection::Zones, after.as_deref(), stale)
+            .await?;
         let entries = page.records.into_iter().map(|(_, record)| record);
-        vms.extend(entries.filter_map(|record| match record {
-            Record::Vm(vm) => Some(vm),
+        zones.extend(entries.filter_map(|record| match record {
+            Record::Zone(zone) => Some(zone),
             _ => None,
         }));
         after = page.next;
         if after.is_none() {
-            return Ok(vms);
+            return Ok(zones);
         }
     }
 }
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -184,6 +184,10 @@
         cpu_milli: context.settings.cpu_milli,
     };
     tokio::task::spawn_local(reader::serve(context.clone(), pulse.clone(), listener));
+    if let Some(address) = context.settings.control {
+        let listener = listen(address)?;
+        tokio::task::spawn_local(reader::serve(context.clone(), pulse.clone(), listener));
+    }
     tokio::task::spawn_local(reader::beat(context.clone(), pulse.clone()));
     // The others are asked first; the store only if none of them reads it.
     pulse.leave();
--- a/crates/kingcuploft-entry/src/settings.rs
+++ b/crates/kingcuploft-entry/src/settings.rs
@@ -13,6 +13,8 @@
     pub vm: VmName,
     /// Its availability zone.
     pub zone: AvailabilityZone,
+    /// The zones of its region, which tell each other what the store holds; none if all do.
+    pub region: Vec<AvailabilityZone>,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where counters are read; `None` for a VM that shows none.
@@ -21,6 +23,10 @@
     pub readiness: SocketAddr,
     /// Where the VMs talk to each other; `None` for a VM that stays alone.
     pub peers: Option<SocketAddr>,
+    /// Where this VM answers other VMs that know its address from their settings; `None` if nowhere.
+    pub control: Option<SocketAddr>,
+    /// Where such VMs answer, which may be old or down.
+    pub seeds: Vec<SocketAddr>,
     /// Where the platform's store answers.
     pub store: SocketAddr,
     /// Its processor, in thousandths of a core.
--- a/crates/kingcuploft-entry/src/sign_of_life.rs
+++ b/crates/kingcuploft-entry/src/sign_of_life.rs
@@ -11,6 +11,8 @@
 
 use crate::context::Context;
 use crate::keeper;
+use crate::peers::frame::Frame;
+use crate::peers::reader::standing;
 use crate::pulse::Pulse;
 use crate::store::{Collection, Revision, Store};
 
@@ -43,6 +45,9 @@
                 Some(_) => keeper::store_returned(&context),
                 None => tracing::warn!(event = "store_away"),
             }
+            // Those that follow learn it at once, as one of them may still reach the store.
+            let standing = standing(&context, &pulse);
+            context.followers.tell(&Frame::Standing(standing));
         }
         pulse.was_asked();
         if reached.is_some_and(|reached| lag.is_too_long(Instant::now(), reached, &context)) {
--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -6,7 +6,7 @@
 
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::Configuration;
-use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::zone_record::ZoneRecord;
 
 /// A moment in the store's history; greater is later.
 pub type Revision = u64;
@@ -18,8 +18,8 @@
     Configuration,
     /// The backend servers.
     BackendServers,
-    /// The entry VMs.
-    Vms,
+    /// The entry VMs, a record for each zone.
+    Zones,
 }
 
 impl Collection {
@@ -28,7 +28,7 @@
         match self {
             Self::Configuration => "configuration",
             Self::BackendServers => "backend_servers",
-            Self::Vms => "vms",
+            Self::Zones => "zones",
         }
     }
 }
@@ -40,8 +40,8 @@
     Configuration(Box<Configuration>),
     /// A backend server.
     BackendServer(BackendServer),
-    /// An entry VM.
-    Vm(VmEntry),
+    /// The entry VMs of a zone.
+    Zone(ZoneRecord),
     /// An entry that can't be read, with its name and why.
     Unreadable(String, String),
     /// An entry that is not for this collection's readers.
@@ -77,6 +77,26 @@
     pub revision: Revision,
 }
 
+/// How the record of a zone is written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Recording {
+    /// There was none.
+    Create,
+    /// It takes the place of another.
+    Replace,
+}
+
+/// What became of the record of a zone.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Recorded {
+    /// It stands in the store.
+    Done,
+    /// Another VM had created one.
+    IsThere,
+    /// There is none to replace.
+    IsNotThere,
+}
+
 /// Why a call to the store failed.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -108,8 +128,12 @@
     /// reached, possibly seconds ago.
     fn sign_of_life(&self) -> impl Future<Output = Result<Revision, StoreError>>;
 
-    /// Makes a VM known to the others.
-    fn announce(&self, vm: &VmEntry) -> impl Future<Output = Result<(), StoreError>>;
+    /// Creates the record of a zone, or replaces it, so that the zone's VMs find each other.
+    fn record_zone(
+        &self,
+        record: &ZoneRecord,
+        how: Recording,
+    ) -> impl Future<Output = Result<Recorded, StoreError>>;
 
     /// Waits for changes behind a moment.
     fn watch(
--- a/crates/kingcuploft-entry/tests/entry/world.rs
+++ b/crates/kingcuploft-entry/tests/entry/world.rs
@@ -109,9 +109,12 @@
     EntrySettings {
         vm: name.into(),
         zone: "thun".into(),
+        region: Vec::new(),
         callers: any,
         readiness: any,
         peers: None,
+        control: None,
+        seeds: Vec::new(),
         store: any,
         cpu_milli: 200,
         memory_bytes: MEMORY_BYTES,
--- a/crates/kingcuploft/src/entry/backend_servers.rs
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -108,6 +108,27 @@
     Lapsed(BackendServerName),
 }
 
+impl Change {
+    /// Returns the name used in logs.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Joined(_) => "joined",
+            Self::Updated(_) => "updated",
+            Self::Left(_) => "left",
+            Self::Lapsed(_) => "lapsed",
+        }
+    }
+
+    /// Returns the server that it is about.
+    pub fn server(&self) -> &BackendServerName {
+        match self {
+            Self::Joined(name) | Self::Updated(name) | Self::Left(name) | Self::Lapsed(name) => {
+                name
+            }
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     server: BackendServer,
--- /dev/null
+++ b/crates/kingcuploft/tests/entry/feeding.rs
@@ -0,0 +1,76 @@
+use kingcuploft::entry::feeding::{Admission, Fed, MOST_FED, MOST_STEPS, admit, below, is_circle};
+use kingcuploft::world::ids::VmName;
+
+use crate::readers::vm;
+
+fn fed(name: &str, below: u32) -> Fed {
+    Fed {
+        vm: vm(name, 200),
+        below,
+        sent_there: 0,
+    }
+}
+
+fn asks(comes: &str, path: &[VmName], all: &[Fed]) -> Admission {
+    admit(&vm(comes, 200), &"thun".into(), path, all)
+}
+
+fn names(names: &[&str]) -> Vec<VmName> {
+    names.iter().map(|name| (*name).into()).collect()
+}
+
+#[test]
+fn a_vm_feeds_a_few_and_names_the_one_that_feeds_least_beyond() {
+    let path = names(&["reader"]);
+    let mut all: Vec<Fed> = Vec::new();
+    for at in 0..MOST_FED {
+        assert_eq!(asks("new", &path, &all), Admission::Feed);
+        all.push(fed(&format!("vm-{at}"), 3));
+    }
+    all[4].below = 1;
+    assert_eq!(asks("new", &path, &all), Admission::Elsewhere(4));
+    all[4].sent_there = 5;
+    all[6].below = 2;
+    assert_eq!(asks("new", &path, &all), Admission::Elsewhere(6));
+    assert_eq!(below(&"thun".into(), &all), MOST_FED as u32 * 4 - 3);
+}
+
+/// A feeder loses its own and asks one of those that it feeds. Fed by it, both would tell each other old news for good.
+#[test]
+fn a_vm_does_not_feed_one_through_which_it_hears() {
+    let path = names(&["reader", "middle", "leaf"]);
+    for above in ["reader", "middle"] {
+        assert_eq!(asks(above, &path, &[]), Admission::TurnAway);
+    }
+    assert!(is_circle(&"middle".into(), &path));
+    assert!(!is_circle(&"other".into(), &path));
+}
+
+#[test]
+fn news_comes_through_a_bounded_number_of_vms() {
+    let path: Vec<VmName> = (0..MOST_STEPS)
+        .map(|at| format!("vm-{at}").into())
+        .collect();
+    assert_eq!(asks("new", &path, &[]), Admission::TurnAway);
+    assert_eq!(asks("new", &path[1..], &[]), Admission::Feed);
+}
+
+/// The reader of another zone asks for all VMs of that zone. It is fed beyond the few, and does not count as one of this
+/// zone's VMs.
+#[test]
+fn the_reader_of_another_zone_is_fed_beyond_the_few() {
+    let path = names(&["reader"]);
+    let mut all: Vec<Fed> = (0..MOST_FED)
+        .map(|at| fed(&format!("vm-{at}"), 0))
+        .collect();
+    let mut other = vm("other-reader", 200);
+    other.zone = "bern".into();
+    assert_eq!(admit(&other, &"thun".into(), &path, &all), Admission::Feed);
+    all.push(Fed {
+        vm: other,
+        below: 50,
+        sent_there: 0,
+    });
+    assert_eq!(below(&"thun".into(), &all), MOST_FED as u32);
+    assert_eq!(asks("new", &path, &all), Admission::Elsewhere(0));
+}
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -3,10 +3,13 @@
 mod backend_servers;
 mod configuration;
 mod connections;
+mod feeding;
 mod log_budget;
 mod placement;
 mod probing;
 mod readers;
 mod repeats;
 mod second_look;
+mod server_table;
 mod verdict;
+mod zone_record;
--- /dev/null
+++ b/crates/kingcuploft/tests/entry/zone_record.rs
@@ -0,0 +1,133 @@
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::zone_record::{
+    MOST_NAMED, Seen, ZoneCount, ZoneRecord, appended, handed_over, renewed, taken_over,
+};
+
+use crate::readers::vm;
+
+fn named(count: usize) -> Vec<VmEntry> {
+    (0..count).map(|at| vm(&format!("vm-{at}"), 200)).collect()
+}
+
+fn record(vms: Vec<VmEntry>, count: u32) -> ZoneRecord {
+    ZoneRecord {
+        zone: "thun".into(),
+        version: 5,
+        vms,
+        count,
+        settled: true,
+    }
+}
+
+/// What `vm-0` sees, which these follow.
+fn seen(followers: Vec<VmEntry>) -> Seen {
+    let below = followers.len() as u32;
+    Seen {
+        own: vm("vm-0", 200),
+        followers,
+        below,
+    }
+}
+
+/// Three hundred VMs restart, one after the other. Each leaves its reader and comes back; what the store holds is as
+/// true as before, and not one call is made for it.
+#[test]
+fn restarts_of_followers_write_nothing() {
+    let old = record(named(MOST_NAMED), 50);
+    let all: Vec<VmEntry> = (1..50).map(|at| vm(&format!("vm-{at}"), 200)).collect();
+    for away in 0..all.len() {
+        let mut left = all.clone();
+        left.remove(away);
+        assert_eq!(
+            renewed(&old, &seen(left), 50, true),
+            None,
+            "vm {away} is away"
+        );
+    }
+}
+
+#[test]
+fn a_new_reader_that_is_followed_names_itself_first() {
+    let old = record([vec![vm("gone", 200)], named(4)].concat(), 6);
+    let new = renewed(&old, &seen(named(4)[1..].to_vec()), 6, true).unwrap();
+    assert!(new.is_led_by(&"vm-0".into()));
+    assert!(new.version > old.version);
+    assert_eq!(new.count, 6);
+    let last = new.vms.last().unwrap();
+    assert_eq!(&*last.name, "gone", "it may come back, and there is room");
+}
+
+/// A VM that takes the reader's place is cut off from all others, and the reader is well. If it wrote that it reads,
+/// and the reader wrote the same, the two would write by turns for as long as the cut lasts.
+#[test]
+fn a_vm_that_nobody_follows_does_not_name_itself_first() {
+    let old = record([vec![vm("reader", 200)], named(4)].concat(), 50);
+    assert_eq!(renewed(&old, &seen(Vec::new()), 50, true), None);
+}
+
+#[test]
+fn a_zone_that_has_grown_is_written_at_once() {
+    let old = record(named(MOST_NAMED), 50);
+    let more: Vec<VmEntry> = (1..60).map(|at| vm(&format!("vm-{at}"), 200)).collect();
+    let new = renewed(&old, &seen(more), 60, true).unwrap();
+    assert_eq!(new.count, 60);
+    assert_eq!(new.vms, old.vms, "those that are named and there stay");
+}
+
+/// A zone shows fewer VMs while they restart. All of them come back and use what they may use together, so the count
+/// stays until it has been lower for longer than that takes.
+#[test]
+fn a_zone_shrinks_late() {
+    let (mut count, begun) = (ZoneCount::default(), Instant::now());
+    let at = |s| begun + Duration::from_secs(s);
+    assert_eq!(count.holds(at(0), 50, 3), 50);
+    assert_eq!(count.holds(at(20), 50, 44), 50);
+    assert_eq!(count.holds(at(31), 50, 20), 44, "the most that was seen");
+    assert_eq!(count.holds(at(32), 44, 50), 50);
+    assert_eq!(count.holds(at(33), 50, 3), 50, "and anew");
+}
+
+/// More than half of the VMs that a record names are lost for good. Who starts later must find one of those that run.
+#[test]
+fn lost_vms_are_named_no_more() {
+    let old = record(named(MOST_NAMED), 30);
+    let others: Vec<VmEntry> = (20..40).map(|at| vm(&format!("vm-{at}"), 200)).collect();
+    let new = renewed(&old, &seen(others.clone()), 30, true).unwrap();
+    assert_eq!(new.vms.len(), MOST_NAMED);
+    assert!(new.vms[1..].iter().all(|vm| others.contains(vm)));
+}
+
+/// After an outage the small VMs of a zone are back first, and one of them reads for fifty others.
+#[test]
+fn a_small_reader_hands_over_to_a_larger_vm() {
+    let mut all = named(5);
+    all[3].cpu_milli = 500;
+    let old = record(named(3), 5);
+    let new = handed_over(&old, &seen(all[1..].to_vec())).unwrap();
+    assert!(new.is_led_by(&"vm-3".into()));
+    assert!(new.vms.iter().any(|vm| &*vm.name == "vm-0"));
+    all[3].cpu_milli = 200;
+    assert_eq!(handed_over(&old, &seen(all[1..].to_vec())), None);
+}
+
+#[test]
+fn a_vm_that_reaches_nobody_is_named_last_while_there_is_room() {
+    let mut record = record(named(MOST_NAMED), 50);
+    for at in 0..3 {
+        record = appended(&record, &vm(&format!("alone-{at}"), 500)).unwrap();
+        assert!(record.is_led_by(&"vm-0".into()));
+    }
+    assert_eq!(appended(&record, &vm("alone-3", 500)), None);
+    assert_eq!(appended(&record, &vm("alone-1", 500)), None, "it is named");
+}
+
+#[test]
+fn the_vm_that_the_store_answers_reads_in_place_of_the_first() {
+    let old = record(named(MOST_NAMED), 50);
+    let new = taken_over(&old, &old.vms[4]);
+    assert!(new.is_led_by(&"vm-4".into()));
+    assert_eq!(new.vms.len(), MOST_NAMED);
+    assert_eq!(new.vms.iter().filter(|vm| &*vm.name == "vm-4").count(), 1);
+}
