fix(roster, keeper): after an outage VMs that read a moment later find back to the one that reads

Before the store's return each of 312 VMs asked it three times a second and tried to record its zone. Ruled out: lost links (one reader_lost line), the order of readers (all named the same VM). Change: a watch that is asked again waits 20 ms in place of 20 s and so tells the moment; a reader that is asked by a VM ahead of it asks its watches again. While the store is away nothing is recorded, a VM that knows nothing asks the seeds every 0.3 s, and the store every 1 to 2 s where others will tell it. A mute server's line tells the step at which the probe stood, its time, the last answer's age, own requests and connections. Tests: a_vm_that_read_a_moment_later_than_the_reader_follows_it, red without both guards.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -66,6 +66,8 @@
     positions: RefCell<HashMap<Collection, Revision>>,
     /// Wakes whoever waits until more is known of the store.
     pub moved: Notify,
+    /// Wakes whoever tells the feeder that a follower is ahead of it.
+    pub ahead: Notify,
     /// Through which VMs this one hears of the store, the one that reads first; none if it reads itself.
     pub path: RefCell<Vec<VmName>>,
     /// Whether the store answers the VM that reads for this one.
@@ -109,6 +111,7 @@
             positions: RefCell::default(),
             followed: RefCell::default(),
             moved: Notify::new(),
+            ahead: Notify::new(),
             path: RefCell::default(),
             reader_has_store: Cell::new(true),
             promised: Cell::new(false),
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -23,6 +23,9 @@
 /// How long a watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
+/// The same for one that is asked again: it tells at once up to which moment this VM knows the store.
+const SHORT_WAIT: Duration = Duration::from_millis(20);
+
 /// The pause after a failed call; jitter up to the same is added.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -45,18 +48,23 @@
 ) {
     let mut pauses = Pauses::default();
     let mut forgotten = false;
+    let mut wait = WATCH_WAIT;
     loop {
         pulse.open().await;
         let from = context.position(collection).filter(|_| !forgotten);
         let told = tokio::select! {
-            told = next(&context, &*store, collection, from) => told,
+            told = next(&context, &*store, collection, from, wait) => told,
             () = pulse.shut() => continue,
-            () = pulse.again() => continue,
+            () = pulse.again() => {
+                wait = SHORT_WAIT;
+                continue;
+            }
         };
         match told {
             Ok(revision) => {
                 pauses.answered(&context);
                 forgotten = false;
+                wait = WATCH_WAIT;
                 context.set_position(collection, revision);
                 let standing = standing(&context, &pulse);
                 context.followers.tell(&Frame::Standing(standing));
@@ -77,10 +85,11 @@
     store: &S,
     collection: Collection,
     from: Option<Revision>,
+    wait: Duration,
 ) -> Result<Revision, StoreError> {
     match from {
         None => list_all(context, store, collection).await,
-        Some(revision) => watch(context, store, collection, revision).await,
+        Some(revision) => watch(context, store, collection, revision, wait).await,
     }
 }
 
@@ -97,7 +106,7 @@
 }
 
 /// The most changes that are told and logged one by one when they come together.
-const MOST_TOLD_ALONE: usize = 16;
+const MOST_TOLD_ALONE: usize = 4;
 
 #[derive(Default)]
 struct Pauses {
@@ -160,8 +169,9 @@
     store: &S,
     collection: Collection,
     from: Revision,
+    wait: Duration,
 ) -> Result<Revision, StoreError> {
-    let Changes { changes, revision } = store.watch(collection, from, WATCH_WAIT).await?;
+    let Changes { changes, revision } = store.watch(collection, from, wait).await?;
     if changes.is_empty() {
         return Ok(revision);
     }
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -156,7 +156,7 @@
     }
 }
 
-/// Tells the feeder how many VMs are fed through this one, each time that changes.
+/// Tells the feeder how many VMs are fed through this one, each time that changes, and that one is ahead.
 async fn tell_below(
     context: &Context,
     mut stream: impl AsyncWrite + Unpin,
@@ -169,7 +169,10 @@
             told = below;
             stream.write_all(&Frame::Below(below).to_line()).await?;
         }
-        changed.await;
+        tokio::select! {
+            () = changed => {}
+            () = context.ahead.notified() => stream.write_all(&Frame::Ahead.to_line()).await?,
+        }
     }
 }
 
@@ -263,6 +266,7 @@
         Frame::Hello(_)
         | Frame::WhoReads
         | Frame::Below(_)
+        | Frame::Ahead
         | Frame::Standing(_)
         | Frame::Wait
         | Frame::Elsewhere(_)
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -25,6 +25,8 @@
     Elsewhere(VmEntry),
     /// How many VMs are fed through the sender, which is fed itself.
     Below(u32),
+    /// A VM that would be fed through the sender knows the store up to a later moment.
+    Ahead,
     /// The configuration in force.
     Configuration(Box<Configuration>),
     /// What the store says of a backend server.
--- a/crates/kingcuploft-entry/src/peers/reader.rs
+++ b/crates/kingcuploft-entry/src/peers/reader.rs
@@ -103,14 +103,35 @@
         Admitted::Elsewhere(vm) => return tell(&mut stream, &Frame::Elsewhere(vm)).await,
         Admitted::TurnedAway => return tell(&mut stream, &Frame::Standing(own)).await,
     };
+    if is_ahead(&hello, &own) {
+        catch_up(context, pulse);
+    }
     let ended = tokio::select! {
         ended = feed(context, pulse, &hello, stream, queue) => ended,
-        () = hear(context, id, lines) => Ok(()),
+        () = hear(context, pulse, id, lines) => Ok(()),
     };
     context.followers.left(id);
     ended
 }
 
+/// Returns whether a VM that wants to be fed knows the store up to a later moment.
+fn is_ahead(hello: &Hello, own: &Standing) -> bool {
+    own.is_whole() && (hello.configuration > own.configuration || hello.servers > own.servers)
+}
+
+/// Learns up to which moment this VM knows the store.
+///
+/// Failure: after an outage all VMs have read the store for themselves, each at another moment. A watch that brings no
+/// change tells none, and whoever read a moment later than the reader took it for one that is behind and went on
+/// reading, for as long as nothing changed. The guard: a reader that is asked by such a VM asks its watches again, which
+/// tell the moment at once.
+fn catch_up(context: &Context, pulse: &Pulse) {
+    match pulse.is_reading() {
+        true => pulse.ask_again(),
+        false => context.ahead.notify_waiters(),
+    }
+}
+
 /// Tells a follower all that this VM knows, and then what it hears.
 async fn feed(
     context: &Rc<Context>,
@@ -167,7 +188,12 @@
 }
 
 /// Hears how many VMs are fed through a follower, until the link ends.
-async fn hear(context: &Context, id: u64, mut lines: BufReader<impl AsyncRead + Unpin>) {
+async fn hear(
+    context: &Context,
+    pulse: &Pulse,
+    id: u64,
+    mut lines: BufReader<impl AsyncRead + Unpin>,
+) {
     let mut line = Vec::new();
     loop {
         line.clear();
@@ -175,8 +201,10 @@
             Ok(0) | Err(_) => return,
             Ok(_) => {}
         }
-        if let Ok(Frame::Below(below)) = serde_json::from_slice(&line) {
-            context.followers.has_below(id, below);
+        match serde_json::from_slice(&line) {
+            Ok(Frame::Below(below)) => context.followers.has_below(id, below),
+            Ok(Frame::Ahead) => catch_up(context, pulse),
+            Ok(_) | Err(_) => {}
         }
     }
 }
--- a/crates/kingcuploft-entry/src/roster.rs
+++ b/crates/kingcuploft-entry/src/roster.rs
@@ -43,6 +43,9 @@
 /// much again.
 const ALONE: Duration = Duration::from_secs(2);
 
+/// The time between two questions to the seeds by a VM that knows no other.
+const ASK_AGAIN: Duration = Duration::from_millis(300);
+
 /// How often a VM looks whether it has knowledge.
 const KNOWLEDGE_STEP: Duration = Duration::from_millis(10);
 
@@ -146,10 +149,17 @@
     /// Learns which VMs there are: of the seeds, and of the store if they don't know.
     async fn learn(&self) {
         let settings = &self.context.settings;
-        let told = seeds::ask(&settings.seeds, settings.control).await;
-        keeper::zones(self.context, told);
-        if self.record().is_none() {
-            self.list(Staleness::Allowed).await;
+        loop {
+            let told = seeds::ask(&settings.seeds, settings.control).await;
+            keeper::zones(self.context, told);
+            if self.record().is_some() {
+                return;
+            }
+            // While the store is away, one of the seeds may be told by a VM that it answers.
+            if self.pulse.is_there() && self.list(Staleness::Allowed).await {
+                return;
+            }
+            tokio::time::sleep(ASK_AGAIN).await;
         }
     }
 
@@ -254,8 +264,16 @@
     async fn lead(&self) {
         let mut led_since: Option<Instant> = None;
         loop {
-            match self.leads() && !self.context.is_stopping() {
-                true => self.tend(*led_since.get_or_insert_with(Instant::now)).await,
+            let leads = self.leads() && !self.context.is_stopping();
+            let has_store = !self.pulse.is_reading() || self.pulse.is_there();
+            match leads {
+                true if has_store => {
+                    if led_since.is_none() {
+                        self.tell_seeds().await;
+                    }
+                    self.tend(*led_since.get_or_insert_with(Instant::now)).await;
+                }
+                true => {}
                 false => led_since = None,
             }
             tokio::time::sleep(LOOK_EVERY).await;
@@ -299,6 +317,13 @@
         }
     }
 
+    /// Tells the seeds what this VM knows of its zone: after an outage they know nothing themselves.
+    async fn tell_seeds(&self) {
+        if let Some(record) = self.record() {
+            seeds::tell(self.context.settings.seeds.clone(), record).await;
+        }
+    }
+
     /// Makes this VM the reader of a zone that has no record.
     async fn claim(&self) {
         let record = ZoneRecord::first(self.own);
--- a/crates/kingcuploft-entry/src/sign_of_life.rs
+++ b/crates/kingcuploft-entry/src/sign_of_life.rs
@@ -26,6 +26,10 @@
 /// The time between two tries while the store is away. Each is a call of full price.
 const WHILE_AWAY: Duration = Duration::from_millis(350);
 
+/// The same for a VM that knows nothing and that others will tell as soon as the store answers one of them; chance adds
+/// as much again. After an outage of all VMs and the store, hundreds of them ask.
+const WHILE_AWAY_FOR_ALL: Duration = Duration::from_millis(1000);
+
 /// How long a sign of life is waited for: twice the slowest answer of a store that is slow, not away.
 const PATIENCE: Duration = Duration::from_millis(800);
 
@@ -55,6 +59,9 @@
             pulse.ask_again();
         }
         let pause = match (reached.is_some(), context.followers.is_empty()) {
+            (false, _) if waits_for_others(&context) => {
+                WHILE_AWAY_FOR_ALL.mul_f64(1.0 + fastrand::f64())
+            }
             (false, _) => WHILE_AWAY,
             (true, true) => WHILE_THERE,
             (true, false) => WHILE_FOLLOWED,
@@ -63,6 +70,18 @@
     }
 }
 
+/// Returns whether this VM will be told by others: it serves nobody yet, and is none of those that others ask.
+fn waits_for_others(context: &Context) -> bool {
+    let settings = &context.settings;
+    let is_seed = settings
+        .control
+        .is_some_and(|own| settings.seeds.contains(&own));
+    let readers = context.readers.borrow();
+    let record = readers.record(&settings.zone);
+    let is_named = record.is_some_and(|record| record.vms.iter().any(|vm| vm.name == settings.vm));
+    !context.is_ready() && !is_seed && !is_named && !settings.seeds.is_empty()
+}
+
 /// How long the watches have been behind the store.
 #[derive(Debug, Default)]
 struct Lag {
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -158,12 +158,29 @@
         self.mute.get().is_some_and(|(until, _)| now < until)
     }
 
-    fn probe_failed(&self, now: Instant) {
+    /// Returns whether there is an idle connection.
+    pub fn has_idle(&self) -> bool {
+        !self.idle.borrow().is_empty()
+    }
+
+    fn probe_failed(&self, now: Instant, step: probe::Silent, took: Duration) {
         let before = self.mute.get();
         let pause = before.map_or(FIRST_MUTE, |(_, pause)| pause * 2);
         let pause = pause.min(LONGEST_MUTE);
         if before.is_none() {
-            tracing::info!(event = "server_mute", server = %self.server.name);
+            let heard = self
+                .reading
+                .get()
+                .map(|(at, _)| now.saturating_duration_since(at));
+            tracing::info!(
+                event = "server_mute",
+                server = %self.server.name,
+                step = step.label(),
+                took_ms = took.as_millis() as u64,
+                heard_ms = heard.map(|age| age.as_millis() as u64),
+                own = self.in_flight.borrow().len(),
+                connections = self.open.get()
+            );
         }
         self.mute.set(Some((now + pause, pause)));
         self.reading.set(None);
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -1,5 +1,6 @@
 //! Asking a server for its load.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -35,16 +36,17 @@
     let (context, upstream) = (context.clone(), upstream.clone());
     let request = request(&upstream, health_path);
     tokio::task::spawn_local(async move {
-        let asked = tokio::time::timeout(PROBE_TIMEOUT, exchange(&upstream, &request)).await;
+        let begun = Instant::now();
+        let step = Cell::new(Silent::Connecting);
+        let asking = exchange(&upstream, &request, &step);
+        let asked = tokio::time::timeout(PROBE_TIMEOUT, asking).await;
         upstream.asking.set(false);
         let now = Instant::now();
-        let reading = match asked {
-            Ok(Some(response)) => {
-                let load = response.head.headers.get(context.vocabulary.load);
-                load.and_then(context.vocabulary.read_load)
-            }
-            Ok(None) | Err(_) => None,
-        };
+        let reading = asked.ok().flatten().and_then(|response| {
+            step.set(Silent::Unreadable);
+            let load = response.head.headers.get(context.vocabulary.load);
+            load.and_then(context.vocabulary.read_load)
+        });
         match reading {
             Some(reading) => {
                 context.metrics.probe("answered");
@@ -53,7 +55,7 @@
             }
             None => {
                 context.metrics.probe("failed");
-                upstream.probe_failed(now);
+                upstream.probe_failed(now, step.get(), now - begun);
                 tracing::debug!(event = "probe_failed", server = %upstream.server.name);
             }
         }
@@ -61,8 +63,35 @@
     });
 }
 
-async fn exchange(upstream: &Upstream, request: &[u8]) -> Option<Response> {
+/// Where a probe stood when it failed.
+#[derive(Clone, Copy, Debug)]
+pub enum Silent {
+    /// A new connection was being opened.
+    Connecting,
+    /// The answer was waited for on a new connection.
+    New,
+    /// The answer was waited for on a connection that had been used before.
+    Kept,
+    /// The answer told no load.
+    Unreadable,
+}
+
+impl Silent {
+    /// Returns the name used in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Connecting => "connecting",
+            Self::New => "new connection",
+            Self::Kept => "kept connection",
+            Self::Unreadable => "no load told",
+        }
+    }
+}
+
+async fn exchange(upstream: &Upstream, request: &[u8], step: &Cell<Silent>) -> Option<Response> {
+    let kept = upstream.has_idle();
     let mut connection = upstream.connect().await.ok()?;
+    step.set(if kept { Silent::Kept } else { Silent::New });
     connection.send(request).await.ok()?;
     let response = connection.receive("GET", MOST_PROBE_BYTES).await.ok()?;
     upstream.keep(connection);
--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -10,6 +10,7 @@
 use kingcuploft_entry::peers::frame::Frame;
 use kingcuploft_entry::run::{self, Running};
 use kingcuploft_entry::settings::EntrySettings;
+use kingcuploft_entry::store::Collection;
 
 use crate::server::{Act, TestServer};
 use crate::store::TestStore;
@@ -281,3 +282,26 @@
         assert_eq!(running.context.followers.len(), 1);
     });
 }
+
+/// After an outage each VM has read the store for itself, one of them a moment later than the one that reads for the zone.
+/// Nothing changes after that, so the reader's watch tells it no later moment; the other took it for one that is behind,
+/// and went on reading for itself.
+#[test]
+fn a_vm_that_read_a_moment_later_than_the_reader_follows_it() {
+    play(async {
+        let store = TestStore::default();
+        store.0.configure(configuration(1));
+        let reader = start_in_zone("reader", &store).await;
+        until(|| !store.0.zones.borrow().is_empty()).await;
+        let second = start_in_zone("second", &store).await;
+        let counts_both = |record: &ZoneRecord| record.settled && record.count == 2;
+        until(|| store.0.zones.borrow().first().is_some_and(counts_both)).await;
+        store.0.move_on(1000);
+        second.context.set_position(Collection::Configuration, 900);
+        second.context.set_position(Collection::BackendServers, 900);
+        reader.context.followers.let_go();
+        until(|| reader.context.followers.is_empty()).await;
+        until(|| reader.context.followers.len() == 1).await;
+        until(|| second.context.followed.borrow().is_some()).await;
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/store.rs
+++ b/crates/kingcuploft-entry/tests/entry/store.rs
@@ -59,6 +59,11 @@
         self.change(Collection::BackendServers, StoreChange::Gone(name.into()));
     }
 
+    /// Moves on to a later moment without a change that anybody watches for.
+    pub(crate) fn move_on(&self, by: Revision) {
+        self.revision.set(self.revision.get() + by);
+    }
+
     fn change(&self, collection: Collection, change: StoreChange) {
         let revision = self.revision.get() + 1;
         self.revision.set(revision);
--- a/crates/kingcuploft/src/entry/joining.rs
+++ b/crates/kingcuploft/src/entry/joining.rs
@@ -21,8 +21,12 @@
 /// How long a VM that is not named waits, and the most that chance adds.
 const UNNAMED: Duration = Duration::from_millis(250);
 
-/// How long a VM waits for one that has promised to tell it all, and the most that chance adds.
-const PROMISED: Duration = Duration::from_millis(700);
+/// How long a VM that is named waits for each before it where one has promised to tell it all: the store may turn that
+/// one away alone.
+const PROMISED_NAMED: Duration = Duration::from_millis(150);
+
+/// The same for a VM that is not named, and the most that chance adds.
+const PROMISED: Duration = Duration::from_secs(3);
 
 /// Where the reader has lost the store, how long those that are named wait for each that is named before them: the store
 /// answers in some milliseconds.
@@ -51,7 +55,8 @@
     let place = record.and_then(|record| record.vms.iter().position(|vm| vm.name == *own));
     match (record, promised, place) {
         (None, _, _) => UNTOLD,
-        (Some(_), true, _) => PROMISED.mul_f64(1.0 + chance),
+        (Some(_), true, Some(place)) => PROMISED_NAMED * (place as u32 + 1),
+        (Some(_), true, None) => PROMISED.mul_f64(1.0 + chance),
         (Some(_), false, Some(place)) => FOR_EACH * (place as u32 + 1),
         (Some(_), false, None) => UNNAMED.mul_f64(1.0 + chance),
     }
--- a/crates/kingcuploft/src/entry/zone_record.rs
+++ b/crates/kingcuploft/src/entry/zone_record.rs
@@ -107,7 +107,7 @@
 pub fn renewed(old: &ZoneRecord, seen: &Seen, count: u32, settled: bool) -> Option<ZoneRecord> {
     let leads = old.vms.first() == Some(&seen.own);
     // One that nobody follows may be cut off from a reader that is well.
-    if !leads && seen.followers.is_empty() && old.count > 1 {
+    if !leads && seen.followers.is_empty() && (old.count > 1 || !old.settled) {
         return None;
     }
     let grown = f64::from(count) > f64::from(old.count) * (1.0 + GROWTH);
