perf(probing): a probe on a new connection to a full server is waited for

A new connection takes a slot for a moment and waits for one at a full server. Given up, it was opened anew after the pause, with a slot's time each. Ruled out: servers that were away (kept connections answered), the VM's own processor. Change: such a probe counts as failed after 60 ms as before, so nobody waits for it, and its answer is still waited for up to 1.5 s; the server is not asked meanwhile, and the connection is kept. Test: a_probe_at_a_full_server_waits_on_the_connection_that_it_has_opened (3 given up without, 1 with).

--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -57,6 +57,7 @@
     open: std::rc::Rc<Cell<usize>>,
     reading: Cell<Option<(Instant, Reading)>>,
     asking: Cell<bool>,
+    late: Cell<bool>,
     mute: Cell<Option<(Instant, Duration)>>,
     in_flight: RefCell<Vec<Instant>>,
     others_sent: RefCell<Vec<Instant>>,
@@ -75,6 +76,7 @@
             open: std::rc::Rc::default(),
             reading: Cell::new(None),
             asking: Cell::new(false),
+            late: Cell::new(false),
             mute: Cell::new(None),
             in_flight: RefCell::default(),
             others_sent: RefCell::default(),
@@ -155,7 +157,7 @@
 
     /// Returns whether the server did not answer the last probe and is not to be asked yet.
     pub fn is_mute(&self, now: Instant) -> bool {
-        self.mute.get().is_some_and(|(until, _)| now < until)
+        self.late.get() || self.mute.get().is_some_and(|(until, _)| now < until)
     }
 
     /// Returns whether there is an idle connection.
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -13,6 +13,9 @@
 /// How long a probe may take: the longest round trip of a region, many times over.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// How much longer an answer on a new connection is waited for: work at full servers ends within it.
+const LATE_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// The most bytes of a probe's answer.
 const MOST_PROBE_BYTES: usize = 16 * 1024;
 
@@ -35,32 +38,60 @@
     upstream.asking.set(true);
     let (context, upstream) = (context.clone(), upstream.clone());
     let request = request(&upstream, health_path);
-    tokio::task::spawn_local(async move {
-        let begun = Instant::now();
-        let step = Cell::new(Silent::Connecting);
-        let asking = exchange(&upstream, &request, &step);
-        let asked = tokio::time::timeout(PROBE_TIMEOUT, asking).await;
-        upstream.asking.set(false);
-        let now = Instant::now();
-        let reading = asked.ok().flatten().and_then(|response| {
-            step.set(Silent::Unreadable);
-            let load = response.head.headers.get(context.vocabulary.load);
-            load.and_then(context.vocabulary.read_load)
-        });
-        match reading {
-            Some(reading) => {
-                context.metrics.probe("answered");
-                upstream.told(now, reading);
-                readings::tell(&context, &upstream.server.name, reading);
-            }
-            None => {
-                context.metrics.probe("failed");
-                upstream.probe_failed(now, step.get(), now - begun);
-                tracing::debug!(event = "probe_failed", server = %upstream.server.name);
-            }
+    tokio::task::spawn_local(async move { probe(&context, &upstream, &request).await });
+}
+
+/// Sends a probe and takes its end in.
+///
+/// Load pattern: a new connection takes a slot for a moment, and at a full server it waits for one. The server is not
+/// silent then but full, and given up, its connection would be opened anew again and again, each time at the price of a
+/// slot's time. So the server counts as one that does not answer, and the answer is still waited for: with it comes a
+/// connection on which the next one comes at once.
+async fn probe(context: &Context, upstream: &Rc<Upstream>, request: &[u8]) {
+    let begun = Instant::now();
+    let step = Cell::new(Silent::Connecting);
+    let mut asking = std::pin::pin!(exchange(upstream, request, &step));
+    if let Ok(answered) = tokio::time::timeout(PROBE_TIMEOUT, &mut asking).await {
+        return ended(context, upstream, answered, &step, begun);
+    }
+    ended(context, upstream, None, &step, begun);
+    if matches!(step.get(), Silent::Connecting | Silent::New) {
+        upstream.late.set(true);
+        let answered = tokio::time::timeout(LATE_TIMEOUT, asking).await;
+        upstream.late.set(false);
+        if let Ok(Some(response)) = answered {
+            ended(context, upstream, Some(response), &step, begun);
         }
-        context.readings.notify_waiters();
+    }
+}
+
+fn ended(
+    context: &Context,
+    upstream: &Rc<Upstream>,
+    answered: Option<Response>,
+    step: &Cell<Silent>,
+    begun: Instant,
+) {
+    upstream.asking.set(false);
+    let now = Instant::now();
+    let reading = answered.and_then(|response| {
+        step.set(Silent::Unreadable);
+        let load = response.head.headers.get(context.vocabulary.load);
+        load.and_then(context.vocabulary.read_load)
     });
+    match reading {
+        Some(reading) => {
+            context.metrics.probe("answered");
+            upstream.told(now, reading);
+            readings::tell(context, &upstream.server.name, reading);
+        }
+        None => {
+            context.metrics.probe("failed");
+            upstream.probe_failed(now, step.get(), now - begun);
+            tracing::debug!(event = "probe_failed", server = %upstream.server.name);
+        }
+    }
+    context.readings.notify_waiters();
 }
 
 /// Where a probe stood when it failed.
--- a/crates/kingcuploft-entry/tests/entry/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -180,3 +180,30 @@
         until(|| world.vm.context.body_room.taken() == 0).await;
     });
 }
+
+/// A server is full, and a new connection waits there until a slot is free. Each probe on one was given up and sent anew on
+/// the next: a third of all connections of a heavy day, each at the price of a slot's time.
+#[test]
+fn a_probe_at_a_full_server_waits_on_the_connection_that_it_has_opened() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        let server = &world.servers[0];
+        server.holds_new.set(Duration::from_millis(400));
+        let mut callers = Vec::new();
+        for at in 0..4 {
+            let mut caller = world.caller().await;
+            caller.send(&look(&format!("r{at}"))).await;
+            callers.push(caller);
+            tokio::time::sleep(Duration::from_millis(90)).await;
+        }
+        let counters = world.vm.context.metrics_text();
+        let given_up = counters
+            .lines()
+            .find(|l| l.contains("probes_total{reason=\"failed\"}"));
+        let given_up = given_up.and_then(|line| line.rsplit(' ').next());
+        assert_eq!(given_up, Some("1"), "{} connections", server.opened.get());
+        for caller in &mut callers {
+            assert_eq!(caller.answer().await.unwrap().status, 200);
+        }
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -60,6 +60,10 @@
     pub(crate) cancelled: Rc<Cell<u32>>,
     pub(crate) probes: Rc<Cell<u32>>,
     connections: Rc<Cell<u32>>,
+    /// Connections opened so far.
+    pub(crate) opened: Rc<Cell<u32>>,
+    /// How long a new connection waits before it is served.
+    pub(crate) holds_new: Rc<Cell<Duration>>,
     /// The most connections at one time.
     pub(crate) most_connections: Rc<Cell<u32>>,
 }
@@ -75,6 +79,8 @@
             cancelled: Rc::default(),
             probes: Rc::default(),
             connections: Rc::default(),
+            opened: Rc::default(),
+            holds_new: Rc::default(),
             most_connections: Rc::default(),
         };
         let serving = server.clone();
@@ -85,6 +91,8 @@
                     let open = server.connections.get() + 1;
                     server.connections.set(open);
                     server.most_connections.update(|most| most.max(open));
+                    server.opened.update(|opened| opened + 1);
+                    tokio::time::sleep(server.holds_new.get()).await;
                     server.serve(stream).await;
                     server.connections.update(|open| open - 1);
                 });
