test(zones): 312 VMs of six zones find, feed and lose each other in virtual time

The decisions are the product's; links, store, stale lists and stale seeds are played. First start, restart of all, loss of all readers, zones cut off, and 24 seeds of drawn troubles: nobody without a configuration beyond the aim, nobody back a version, half a call to the store a VM at most.

--- /dev/null
+++ b/crates/kingcuploft/tests/zones/main.rs
@@ -0,0 +1,5 @@
+//! Hundreds of VMs of several zones that find each other, feed each other and restart, in virtual time and without a
+//! network: the decisions are the product's, links and store are played.
+
+mod fleet;
+mod scenarios;
--- /dev/null
+++ b/crates/kingcuploft/tests/zones/scenarios.rs
@@ -0,0 +1,123 @@
+use std::time::Duration;
+
+use crate::fleet::Fleet;
+
+/// Six zones of fifty VMs.
+const ZONES: [usize; 6] = [54, 56, 58, 45, 45, 54];
+
+const SEEDS: std::ops::Range<u64> = 0..6;
+
+fn settled(seed: u64) -> Fleet {
+    let mut fleet = Fleet::start(seed, &ZONES);
+    fleet.play(Duration::from_secs(8));
+    fleet
+}
+
+/// All 312 VMs start for the first time within a moment. One reads for all, a few feed each, and the store is called once
+/// for every other VM at most: a record of each VM's own and a list for each were two and a half times that.
+#[test]
+fn a_fleet_that_starts_finds_itself_with_few_calls() {
+    for seed in SEEDS {
+        let fleet = settled(seed);
+        assert_eq!(
+            fleet.ignorant(Duration::ZERO),
+            Vec::<&_>::new(),
+            "seed {seed}"
+        );
+        assert_eq!(fleet.readers(), 1, "seed {seed}");
+        assert!(fleet.most_fed() <= 17, "seed {seed}: {}", fleet.most_fed());
+        assert!(fleet.calls <= 156.0, "seed {seed}: {} calls", fleet.calls);
+    }
+}
+
+/// All VMs lose power and start again within a tenth of a second, knowing nothing. Each asked the store for itself: a
+/// dozen calls from each of 312. Now they are told by those that read, within what callers wait for.
+#[test]
+fn a_fleet_that_restarts_is_told_and_does_not_rush_at_the_store() {
+    for seed in SEEDS {
+        let mut fleet = settled(seed);
+        let before = fleet.calls;
+        fleet.restart(|_| true);
+        fleet.play(Duration::from_millis(700));
+        let ignorant = fleet.ignorant(Duration::from_millis(500));
+        assert_eq!(ignorant, Vec::<&_>::new(), "seed {seed}");
+        let calls = fleet.calls - before;
+        assert!(calls <= 156.0, "seed {seed}: {calls} calls");
+    }
+}
+
+/// The VMs that read for their zones are gone at one moment, and the configuration changes right after.
+#[test]
+fn vms_whose_readers_are_gone_know_a_change_within_two_seconds() {
+    for seed in SEEDS {
+        let mut fleet = settled(seed);
+        for zone in 0..ZONES.len() {
+            let leader = fleet.leader(zone).unwrap();
+            fleet.vms[leader].up = false;
+        }
+        fleet.version += 1;
+        fleet.play(Duration::from_secs(2));
+        assert_eq!(fleet.behind(), Vec::<&_>::new(), "seed {seed}");
+    }
+}
+
+/// Whole zones are cut off, from the others and from the store, and come back. Those that were not cut off know each change
+/// within two seconds, the others two seconds after the end of the cut; nobody goes back a version (the fleet itself checks
+/// that at each step), and once it is calm again one VM reads.
+#[test]
+fn zones_that_are_cut_off_and_come_back_know_all_and_never_less() {
+    for seed in SEEDS {
+        let mut fleet = settled(seed);
+        let cut = (seed as usize) % ZONES.len();
+        for at in 0..fleet.vms.len() {
+            if [cut, (cut + 3) % 6].contains(&fleet.zone_of(at)) {
+                fleet.vms[at].group = 1;
+            }
+        }
+        for _ in 0..3 {
+            fleet.version += 1;
+            fleet.play(Duration::from_secs(2));
+            assert_eq!(fleet.behind(), Vec::<&_>::new(), "seed {seed}");
+        }
+        fleet.vms.iter_mut().for_each(|vm| vm.group = 0);
+        fleet.play(Duration::from_secs(2));
+        assert_eq!(fleet.behind(), Vec::<&_>::new(), "seed {seed}");
+        fleet.play(Duration::from_secs(15));
+        assert!(
+            fleet.readers() <= 2,
+            "seed {seed}: {} read",
+            fleet.readers()
+        );
+    }
+}
+
+/// Restarts, losses and cuts drawn by seed, one after the other, with a change of the configuration after each.
+#[test]
+fn drawn_troubles_leave_nobody_ignorant_and_nobody_goes_back() {
+    for seed in 0..24 {
+        let mut fleet = Fleet::start(seed, &[12, 30, 9]);
+        fleet.play(Duration::from_secs(8));
+        let mut rng = fastrand::Rng::with_seed(seed);
+        while fleet.played() < Duration::from_secs(40) {
+            let which = rng.usize(0..51);
+            match rng.u32(0..5) {
+                0 => fleet.restart(|_| true),
+                1 => {
+                    let share = rng.usize(2..5);
+                    fleet.restart(|at| at % share == which % share);
+                }
+                2 => fleet.vms[which].up = false,
+                3 => fleet.vms[which].group = 1 + which as u32,
+                _ => fleet.vms.iter_mut().for_each(|vm| vm.group = 0),
+            }
+            fleet.version += 1;
+            fleet.play(Duration::from_millis(2000));
+            assert_eq!(
+                fleet.behind(),
+                Vec::<&_>::new(),
+                "seed {seed}, {:?}",
+                fleet.played()
+            );
+        }
+    }
+}
