--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use kingcuploft::entry::placement::{Candidate, Need, Reach, Step, asked, place};
+use kingcuploft::entry::asked::asked;
+use kingcuploft::entry::placement::{Candidate, Need, Reach, Step, place};
 
 use super::flight::Flight;
 use super::gone::Gone;
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -16,7 +16,7 @@
 
 use crate::context::Context;
 use crate::peers::frame::Frame;
-use crate::peers::reader::standing;
+use crate::peers::standing::standing;
 use crate::pulse::Pulse;
 use crate::store::{Changes, Collection, Page, Record, Revision, Store, StoreChange, StoreError};
 
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -8,4 +8,5 @@
 pub mod reader;
 pub mod readings;
 pub mod seeds;
+pub mod standing;
 pub mod zone_socket;
--- a/crates/kingcuploft-entry/src/peers/reader.rs
+++ b/crates/kingcuploft-entry/src/peers/reader.rs
@@ -10,9 +10,9 @@
 
 use super::followers::{Admitted, Line};
 use super::frame::{Frame, Hello, Standing};
+use super::standing::standing;
 use crate::context::Context;
 use crate::pulse::Pulse;
-use crate::store::Collection;
 
 /// The time between two heartbeats. A follower that misses two and a bit reads by itself.
 const HEARTBEAT: Duration = Duration::from_millis(250);
@@ -26,21 +26,6 @@
 /// The bytes read at once of what a follower says.
 const HELLO_BYTES: usize = 256;
 
-/// Returns how far this VM knows the store.
-pub fn standing(context: &Context, pulse: &Pulse) -> Standing {
-    let mut path = context.path.borrow().clone();
-    path.push(context.settings.vm.clone());
-    Standing {
-        configuration: context.position(Collection::Configuration),
-        servers: context.position(Collection::BackendServers),
-        store_there: match pulse.is_reading() {
-            true => pulse.is_there(),
-            false => context.reader_has_store.get(),
-        },
-        path,
-    }
-}
-
 /// Takes followers until the process ends.
 pub async fn serve(context: Rc<Context>, pulse: Rc<Pulse>, listener: TcpListener) {
     loop {
--- /dev/null
+++ b/crates/kingcuploft-entry/src/peers/standing.rs
@@ -0,0 +1,21 @@
+//! How far this VM knows the store, as it tells its followers.
+
+use super::frame::Standing;
+use crate::context::Context;
+use crate::pulse::Pulse;
+use crate::store::Collection;
+
+/// Returns how far this VM knows the store.
+pub fn standing(context: &Context, pulse: &Pulse) -> Standing {
+    let mut path = context.path.borrow().clone();
+    path.push(context.settings.vm.clone());
+    Standing {
+        configuration: context.position(Collection::Configuration),
+        servers: context.position(Collection::BackendServers),
+        store_there: match pulse.is_reading() {
+            true => pulse.is_there(),
+            false => context.reader_has_store.get(),
+        },
+        path,
+    }
+}
--- a/crates/kingcuploft-entry/src/sign_of_life.rs
+++ b/crates/kingcuploft-entry/src/sign_of_life.rs
@@ -12,7 +12,7 @@
 use crate::context::Context;
 use crate::keeper;
 use crate::peers::frame::Frame;
-use crate::peers::reader::standing;
+use crate::peers::standing::standing;
 use crate::pulse::Pulse;
 use crate::store::{Collection, Revision, Store};
 
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -3,6 +3,7 @@
 //! The event-driven entry (`kingcuploft-entry`) asks these modules what to do next and does it; the
 //! tests ask the same modules.
 
+pub mod asked;
 pub mod backend_servers;
 pub mod configuration;
 pub mod connections;
--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -154,51 +154,6 @@
 /// The way to another zone and back, in milliseconds.
 const FAR_MS: f64 = 2.0;
 
-/// How many servers are asked at first: one in four is slow at any moment, and among six there is
-/// nearly always one that is fast and free.
-const MOST_ASKED_FIRST: usize = 6;
-
-/// How many servers of other zones are asked where no near one is good: one of three is idle and fast as a
-/// rule while the fleet has room, and each takes bytes between zones, a probe of 6 ms, and often a new
-/// connection.
-const FEW_FAR: usize = 3;
-
-/// How many servers are asked in all where none of the first is good: all of a service of today, and
-/// a bounded number of one with hundreds.
-const MOST_ASKED: usize = 16;
-
-/// How many servers are asked, of the own zone and of the others.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Asked {
-    /// Of the own zone.
-    pub near: usize,
-    /// Of the other zones.
-    pub far: usize,
-}
-
-/// Returns how many of these servers are asked, at first and when none of the first was good.
-///
-/// Load pattern: callers move to one zone, whose servers are all full while those of the other zones
-/// have room. A zone with more servers than are asked in all must not keep its requests to itself. The
-/// reverse as well: where there are few servers elsewhere, or none, more of the own zone are asked, or a
-/// few VMs would fill six servers each and leave thirty idle.
-pub fn asked(near: usize, far: usize, reach: Reach) -> Asked {
-    let first_near = near.min(MOST_ASKED_FIRST);
-    let most_far = match (reach, first_near) {
-        (Reach::Far, _) => MOST_ASKED - first_near,
-        (_, 0) => MOST_ASKED_FIRST,
-        (Reach::FewFar, _) => FEW_FAR,
-        (Reach::Near, _) => 0,
-    };
-    let far = far.min(most_far);
-    let near = match reach {
-        Reach::Far => near.min(MOST_ASKED - far),
-        Reach::FewFar if far == 0 => near.min(MOST_ASKED_FIRST + FEW_FAR),
-        Reach::Near | Reach::FewFar => first_near,
-    };
-    Asked { near, far }
-}
-
 impl Candidate {
     /// Returns when an answer is expected, in milliseconds, to work that takes `last_slot` times as long
     /// where it takes the last slot.
--- /dev/null
+++ b/crates/kingcuploft/tests/entry/asked.rs
@@ -0,0 +1,30 @@
+use kingcuploft::entry::asked::asked;
+use kingcuploft::entry::placement::Reach;
+
+/// Callers move to one zone of a large site. Its forty servers are full, and the others' hundred and
+/// sixty have room; asked by nearness alone, sixteen near ones would be all that its VMs ever see.
+#[test]
+fn a_zone_with_many_servers_asks_those_of_other_zones_as_well() {
+    let counts = |near, far, reach| {
+        let asked = asked(near, far, reach);
+        (asked.near, asked.far)
+    };
+    assert_eq!(counts(40, 160, Reach::Near), (6, 0));
+    assert_eq!(counts(40, 160, Reach::Far), (6, 10));
+    assert_eq!(counts(3, 8, Reach::Near), (3, 0));
+    assert_eq!(counts(3, 8, Reach::Far), (3, 8));
+    assert_eq!(counts(0, 11, Reach::Near), (0, 6));
+}
+
+/// All servers of a deployment stand in one zone. Six of its thirty would be all that a VM ever uses.
+#[test]
+fn more_near_servers_are_asked_where_there_are_few_elsewhere() {
+    let counts = |near, far, reach| {
+        let asked = asked(near, far, reach);
+        (asked.near, asked.far)
+    };
+    assert_eq!(counts(30, 0, Reach::Near), (6, 0));
+    assert_eq!(counts(30, 0, Reach::FewFar), (9, 0));
+    assert_eq!(counts(30, 0, Reach::Far), (16, 0));
+    assert_eq!(counts(30, 4, Reach::Far), (12, 4));
+}
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! The decisions of one entry VM, judged by what callers and backend servers would see.
 
+mod asked;
 mod backend_servers;
 mod configuration;
 mod connections;
--- a/crates/kingcuploft/tests/entry/placement.rs
+++ b/crates/kingcuploft/tests/entry/placement.rs
@@ -2,7 +2,7 @@
 
 use kingcuploft::entry::failures::Failures;
 use kingcuploft::entry::last_slot::LastSlot;
-use kingcuploft::entry::placement::{Candidate, Need, Reach, Reading, Slot, Step, asked, place};
+use kingcuploft::entry::placement::{Candidate, Need, Reach, Reading, Slot, Step, place};
 use kingcuploft::entry::service_time::ServiceTime;
 use std::time::Instant;
 
@@ -212,34 +212,6 @@
     assert_eq!(step(&asked, &[busy, unread(false)]), Step::Send(1));
 }
 
-/// Callers move to one zone of a large site. Its forty servers are full, and the others' hundred and
-/// sixty have room; asked by nearness alone, sixteen near ones would be all that its VMs ever see.
-#[test]
-fn a_zone_with_many_servers_asks_those_of_other_zones_as_well() {
-    let counts = |near, far, reach| {
-        let asked = asked(near, far, reach);
-        (asked.near, asked.far)
-    };
-    assert_eq!(counts(40, 160, Reach::Near), (6, 0));
-    assert_eq!(counts(40, 160, Reach::Far), (6, 10));
-    assert_eq!(counts(3, 8, Reach::Near), (3, 0));
-    assert_eq!(counts(3, 8, Reach::Far), (3, 8));
-    assert_eq!(counts(0, 11, Reach::Near), (0, 6));
-}
-
-/// All servers of a deployment stand in one zone. Six of its thirty would be all that a VM ever uses.
-#[test]
-fn more_near_servers_are_asked_where_there_are_few_elsewhere() {
-    let counts = |near, far, reach| {
-        let asked = asked(near, far, reach);
-        (asked.near, asked.far)
-    };
-    assert_eq!(counts(30, 0, Reach::Near), (6, 0));
-    assert_eq!(counts(30, 0, Reach::FewFar), (9, 0));
-    assert_eq!(counts(30, 0, Reach::Far), (16, 0));
-    assert_eq!(counts(30, 4, Reach::Far), (12, 4));
-}
-
 /// Plays requests against servers of which a quarter is five times slower, another quarter every
 /// 150 ms, and returns the share that a choice answers within 200 ms.
 fn share_in_time(choose: impl Fn(&[f64], &mut fastrand::Rng) -> usize) -> f64 {
--- a/crates/kingcuploft/tests/fleet/vm.rs
+++ b/crates/kingcuploft/tests/fleet/vm.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use kingcuploft::entry::placement::{Candidate, Need, Reach, Step, asked, place};
+use kingcuploft::entry::asked::asked;
+use kingcuploft::entry::placement::{Candidate, Need, Reach, Step, place};
 use kingcuploft::entry::repeats::RepeatBounds;
 use kingcuploft::entry::second_look::{Look, look_after, wants_second};
 use kingcuploft::entry::verdict::{AttemptEnd, Verdict};
--- /dev/null
+++ b/crates/kingcuploft/tests/zones/leading.rs
@@ -0,0 +1,88 @@
+//! How a VM that leads its zone keeps the zone's record.
+
+use kingcuploft::entry::feeding::below;
+use kingcuploft::entry::readers::{Source, VmEntry};
+use kingcuploft::entry::zone_record::{SETTLE, Seen, ZoneRecord, handed_over, renewed};
+
+use crate::fleet::Fleet;
+
+impl Fleet {
+    /// Keeps the record of a zone.
+    pub(super) fn lead(&mut self, at: usize) {
+        let vm = &self.vms[at];
+        let (name, zone) = (vm.entry.name.clone(), vm.entry.zone.clone());
+        if vm.readers.source_in_zone(self.now, &name, &zone) != Source::Store {
+            self.vms[at].led_since = None;
+            return;
+        }
+        let since = *self.vms[at].led_since.get_or_insert(self.now);
+        let Some(old) = self.vms[at].readers.record(&zone).cloned() else {
+            return self.claim(at);
+        };
+        let fed = self.fed_by(at);
+        let followers: Vec<VmEntry> = fed.iter().map(|fed| fed.vm.clone()).collect();
+        let seen = Seen {
+            own: self.vms[at].entry.clone(),
+            followers: followers.into_iter().filter(|vm| vm.zone == zone).collect(),
+            below: below(&zone, &fed),
+        };
+        if let Some(record) = handed_over(&old, &seen) {
+            self.told(at, vec![record.clone()]);
+            for fed in 0..self.vms.len() {
+                if self.vms[fed].feeder == Some(at) {
+                    self.told(fed, vec![record.clone()]);
+                    self.vms[fed].feeder = None;
+                    self.vms[fed].path.clear();
+                }
+            }
+            return;
+        }
+        let holds = self.vms[at]
+            .count
+            .holds(self.now, old.count, seen.below + 1);
+        let settled = old.settled || self.now.saturating_duration_since(since) >= SETTLE;
+        if let Some(record) = renewed(&old, &seen, holds, settled) {
+            self.told(at, vec![record]);
+        }
+        let alone = seen.followers.is_empty() && holds > 1;
+        let record = self.vms[at].readers.record(&zone).cloned();
+        let record = record.filter(|r| r.version > self.vms[at].stored && !alone);
+        if let Some(record) = record.filter(|_| self.reaches_store(at)) {
+            self.write(at, record);
+        }
+    }
+
+    pub(super) fn claim(&mut self, at: usize) {
+        if !self.reaches_store(at) {
+            return;
+        }
+        self.calls += 1.0;
+        let zone = &self.vms[at].entry.zone;
+        let there = self.records.iter().find(|record| record.zone == *zone);
+        match there.cloned() {
+            Some(record) => {
+                self.calls += 1.0;
+                self.told(at, vec![record]);
+            }
+            None => {
+                let record = ZoneRecord::first(&self.vms[at].entry);
+                self.records.push(record.clone());
+                self.vms[at].stored = 1;
+                self.told(at, vec![record.clone()]);
+                for seed in self.seeds.clone() {
+                    if self.reaches(at, seed) {
+                        self.told(seed, vec![record.clone()]);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn write(&mut self, at: usize, record: ZoneRecord) {
+        self.calls += 1.0;
+        self.vms[at].stored = record.version;
+        let zone = record.zone.clone();
+        self.records.retain(|known| known.zone != zone);
+        self.records.push(record);
+    }
+}
--- a/crates/kingcuploft/tests/zones/main.rs
+++ b/crates/kingcuploft/tests/zones/main.rs
@@ -2,4 +2,6 @@
 //! network: the decisions are the product's, links and store are played.
 
 mod fleet;
+mod leading;
+mod links;
 mod scenarios;
