--- a/crates/kingcuploft/src/entry/configuration.rs
+++ b/crates/kingcuploft/src/entry/configuration.rs
@@ -171,8 +171,8 @@
 
 /// Deals the requests of a route to its destinations by weight.
 ///
-/// Load pattern: a VM sees a few requests a second of a route. Drawn at random, the shares of 300
-/// requests are off by 0.03 and more; a sequence that fills the interval evenly is off by 0.01.
+/// Load pattern: a VM sees a few requests a second of a route. Drawn at random, the shares of some hundred
+/// requests are far off the weights; a sequence that fills the interval evenly keeps to them.
 #[derive(Clone, Copy, Debug)]
 pub struct Dealer {
     at: f64,
--- a/crates/kingcuploft/src/entry/last_slot.rs
+++ b/crates/kingcuploft/src/entry/last_slot.rs
@@ -5,9 +5,8 @@
 //! in none of it fills near servers to the last slot while idle ones stand in the other zones, and one
 //! answer in twenty is late on a calm day. So the factor is learned for each service from the answers.
 
-/// The factor until answers came: between no difference and the largest seen, 1.7, and just beyond what passes
-/// for good, so that a VM that knows nothing looks for idle servers first. With 1.2 callers of servers whose
-/// slots share a processor earned 0.010 less over six days, as a VM sees few answers of each service.
+/// The factor until answers came: just beyond what passes for good, so that a VM that knows nothing looks for idle
+/// servers first. A VM sees few answers of each service.
 const PRIOR: f64 = 1.5;
 
 /// How many answers the prior is worth: the work of a single request varies by a third.
--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -11,9 +11,7 @@
 //! server can still answer in time: that is the queue, and its length is the time left.
 //!
 //! A request that can't be in time any more takes a free slot, and is refused at once where there is
-//! none. It joins no server's line: under overload all those behind it would be late as well. At one and a
-//! half times what the servers can do, four callers in five are answered in time so, and two in three if
-//! late ones join lines; at twice the load 0.56 against 0.46.
+//! none. It joins no server's line: under overload all those behind it would be late as well.
 
 use std::time::Duration;
 
--- a/crates/kingcuploft/src/entry/probe_budget.rs
+++ b/crates/kingcuploft/src/entry/probe_budget.rs
@@ -12,8 +12,8 @@
 /// while some of them are not counted.
 const GUARD: f64 = 0.85;
 
-/// For how many seconds a VM may save what it does not use: bursts last a few. What is saved is spent on
-/// fresher readings at once; savings of 20 s made the heaviest days no better (worth 0.01 lower).
+/// For how many seconds a VM may save what it does not use: bursts last a few, and what is saved is spent on
+/// fresher readings at once.
 const SAVED_S: f64 = 4.0;
 
 /// The seconds of probes that a VM begins with: enough for its first requests, and so few that one that is
