fix(peers): a VM that is fed itself tells all to whoever joins it

Both stood at the same moment, so nothing was told, and the next heartbeat moved a-8 past the change for good. Ruled out: circles, dead feeders, the store. Change: only a VM that reads skips the account for one that stands where it does.

--- a/crates/kingcuploft-entry/src/peers/reader.rs
+++ b/crates/kingcuploft-entry/src/peers/reader.rs
@@ -132,7 +132,10 @@
         while queue.try_recv().is_ok() {}
     }
     let own = standing(context, pulse);
-    let same = (own.configuration, own.servers) == (hello.configuration, hello.servers);
+    // A VM that is fed itself hears of a change before it hears up to which moment it knows all: one that joins in
+    // between stands at the same moment and would never be told the change.
+    let at_one_moment = (own.configuration, own.servers) == (hello.configuration, hello.servers);
+    let same = pulse.is_reading() && at_one_moment;
     let account = (!same).then(|| context.followers.account(|| account(context)));
     let mut greeting = Frame::Standing(own).to_line();
     greeting.extend(zones(context).to_line());
