refactor(peers): links between VMs are opened through a network at the edge, times come from the timers' clock

No change of behaviour. Links were opened by TcpStream in three places and moments taken from the system's clock, so that no test could play many VMs in virtual time on links that take time.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -21,6 +21,7 @@
 use kingcuploft::world::ids::{RuleName, ServiceName, VmName};
 use tokio::sync::Notify;
 
+use crate::clock;
 use crate::edge::room::Room;
 use crate::metrics::Metrics;
 use crate::peers::followers::Followers;
@@ -130,7 +131,7 @@
             last_slots: RefCell::default(),
             repeats: RefCell::default(),
             patience: RefCell::default(),
-            probing: RefCell::new(ProbeBudget::begin(Instant::now())),
+            probing: RefCell::new(ProbeBudget::begin(clock::now())),
             log_budget: RefCell::default(),
         }
     }
@@ -148,7 +149,7 @@
             .is_none_or(|current| configuration.version > current.version);
         if newer {
             *current = Some(Arc::new(configuration));
-            self.adopted.set(Some(Instant::now()));
+            self.adopted.set(Some(clock::now()));
             self.configured.notify_waiters();
         }
         newer
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -14,6 +14,7 @@
 use kingcuploft::entry::server_table::ServerTable;
 use kingcuploft::entry::zone_record::{MOST_NAMED, ZoneRecord};
 
+use crate::clock;
 use crate::context::Context;
 use crate::peers::frame::Frame;
 use crate::peers::standing::standing;
@@ -97,7 +98,7 @@
 pub async fn expire(context: Rc<Context>) {
     loop {
         tokio::time::sleep(EXPIRE_EVERY).await;
-        let now = Instant::now();
+        let now = clock::now();
         let changes = context.servers(|servers| servers.expire(now));
         changes
             .iter()
@@ -156,7 +157,7 @@
         }
         if next.is_none() {
             if collection == Collection::BackendServers {
-                all_servers(context, Instant::now(), servers, &names);
+                all_servers(context, clock::now(), servers, &names);
             }
             return Ok(first);
         }
@@ -182,13 +183,13 @@
             StoreChange::Written(record) => written(context, record),
             StoreChange::Gone(name) if collection == Collection::BackendServers => {
                 // What came before this may be of the same server.
-                self::servers(context, Instant::now(), std::mem::take(&mut servers));
-                server_gone(context, Instant::now(), &name);
+                self::servers(context, clock::now(), std::mem::take(&mut servers));
+                server_gone(context, clock::now(), &name);
             }
             StoreChange::Gone(_) => {}
         }
     }
-    self::servers(context, Instant::now(), servers);
+    self::servers(context, clock::now(), servers);
     context.set_position(collection, revision);
     tokio::time::sleep(GATHER).await;
     Ok(revision)
@@ -197,7 +198,7 @@
 fn written(context: &Context, record: Record) {
     match record {
         Record::Configuration(told) => configuration(context, *told),
-        Record::BackendServer(told) => server(context, Instant::now(), told),
+        Record::BackendServer(told) => server(context, clock::now(), told),
         Record::Zone(_) | Record::Other => {}
         Record::Unreadable(name, why) => {
             context.metrics.unreadable_entries.inc();
@@ -292,7 +293,7 @@
 /// Takes in that the store answers again, and passes it on if it is news: a follower that has just joined
 /// may never have lost the store, and would keep a leaving server in use for the grace of a lapsed one.
 pub fn store_returned(context: &Context) {
-    let news = context.servers(|servers| servers.store_returned(Instant::now()));
+    let news = context.servers(|servers| servers.store_returned(clock::now()));
     if news {
         tracing::info!(event = "store_back");
         context.followers.tell(&Frame::StoreReturned);
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! what the platform's store says. Names of headers, paths and store entries come from outside, by
 //! [`settings::Vocabulary`] and [`store::Store`].
 
+pub mod clock;
 pub mod context;
 pub mod edge;
 pub mod http;
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -8,9 +8,10 @@
 use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_table::{ServerTable, TableError};
 use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncWrite, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
 
+use super::dial::Dial;
 use super::frame::{Frame, Hello, Standing};
+use crate::clock;
 use crate::context::Context;
 use crate::keeper;
 use crate::pulse::Pulse;
@@ -103,9 +104,10 @@
     pulse: &Pulse,
     own: &VmEntry,
     feeder: &VmEntry,
+    network: &impl Dial,
 ) -> Ended {
     let _following = Following(context);
-    let ended = run(context, pulse, own, feeder).await;
+    let ended = run(context, pulse, own, feeder, network).await;
     let link = match context.followed.borrow().is_some() {
         true => Link::Fed,
         false => Link::NotFed,
@@ -133,15 +135,15 @@
     pulse: &Pulse,
     own: &VmEntry,
     feeder: &VmEntry,
+    network: &impl Dial,
 ) -> Result<(), LinkError> {
     let patience = match context.is_ready() {
         true => CONNECT_PATIENCE,
         false => CONNECT_PATIENCE_UNREADY,
     };
-    let connecting = tokio::time::timeout(patience, TcpStream::connect(feeder.address));
+    let connecting = tokio::time::timeout(patience, network.dial(feeder.address));
     let stream = connecting.await.map_err(|_| LinkError::Silent)??;
-    stream.set_nodelay(true)?;
-    let (read, mut write) = stream.into_split();
+    let (read, mut write) = tokio::io::split(stream);
     let hello = Frame::Hello(Hello {
         vm: own.clone(),
         configuration: context.position(Collection::Configuration),
@@ -254,7 +256,7 @@
 }
 
 fn take(context: &Context, frame: Frame) -> Result<(), LinkError> {
-    let now = Instant::now();
+    let now = clock::now();
     match frame {
         Frame::Configuration(configuration) => keeper::configuration(context, *configuration),
         Frame::Server(server) => keeper::server(context, now, server),
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -2,6 +2,7 @@
 //! passes on to those that follow it.
 
 pub mod away;
+pub mod dial;
 pub mod follower;
 pub mod followers;
 pub mod frame;
--- a/crates/kingcuploft-entry/src/peers/reader.rs
+++ b/crates/kingcuploft-entry/src/peers/reader.rs
@@ -5,7 +5,7 @@
 
 use kingcuploft::entry::server_table::ServerTable;
 use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncWrite, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 use super::followers::{Admitted, Line};
@@ -33,6 +33,7 @@
             Ok((stream, _)) => {
                 let (context, pulse) = (context.clone(), pulse.clone());
                 tokio::task::spawn_local(async move {
+                    let _ = stream.set_nodelay(true);
                     let _ = answer(&context, &pulse, stream).await;
                 });
             }
@@ -55,9 +56,17 @@
     }
 }
 
-async fn answer(context: &Rc<Context>, pulse: &Pulse, stream: TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let (read, mut write) = stream.into_split();
+/// Answers one VM until its link ends.
+///
+/// # Errors
+///
+/// Returns an error if the link fails.
+pub async fn answer(
+    context: &Rc<Context>,
+    pulse: &Pulse,
+    stream: impl AsyncRead + AsyncWrite,
+) -> std::io::Result<()> {
+    let (read, mut write) = tokio::io::split(stream);
     let mut lines = BufReader::with_capacity(HELLO_BYTES, read);
     let mut line = Vec::new();
     let reading = tokio::time::timeout(WRITE_PATIENCE, lines.read_until(b'\n', &mut line));
--- a/crates/kingcuploft-entry/src/peers/seeds.rs
+++ b/crates/kingcuploft-entry/src/peers/seeds.rs
@@ -8,8 +8,8 @@
 
 use kingcuploft::entry::zone_record::ZoneRecord;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
 
+use super::dial::Dial;
 use super::frame::Frame;
 
 /// How long they are waited for: a round trip to another zone, to a small machine that is asked by hundreds.
@@ -20,10 +20,14 @@
 
 /// Returns the records that the seeds know; none if none of them answers in time. All are asked at once, as each may
 /// be down.
-pub async fn ask(seeds: &[SocketAddr], own: Option<SocketAddr>) -> Vec<ZoneRecord> {
+pub async fn ask<D: Dial + Clone + 'static>(
+    network: &D,
+    seeds: &[SocketAddr],
+    own: Option<SocketAddr>,
+) -> Vec<ZoneRecord> {
     let mut asking = tokio::task::JoinSet::new();
     for seed in seeds.iter().filter(|seed| Some(**seed) != own) {
-        asking.spawn_local(ask_one(*seed));
+        asking.spawn_local(ask_one(network.clone(), *seed));
     }
     let until = tokio::time::Instant::now() + PATIENCE;
     let mut records = Vec::new();
@@ -39,20 +43,20 @@
 }
 
 /// Tells the seeds a record, so that those who ask them next find it.
-pub async fn tell(seeds: Vec<SocketAddr>, record: ZoneRecord) {
+pub fn tell<D: Dial + Clone + 'static>(network: &D, seeds: Vec<SocketAddr>, record: ZoneRecord) {
     let line = Frame::Zones(vec![record]).to_line();
     for seed in seeds {
-        let line = line.clone();
+        let (line, network) = (line.clone(), network.clone());
         tokio::task::spawn_local(tokio::time::timeout(TELL_PATIENCE, async move {
-            let mut stream = TcpStream::connect(seed).await?;
+            let mut stream = network.dial(seed).await?;
             stream.write_all(&line).await?;
             stream.shutdown().await
         }));
     }
 }
 
-async fn ask_one(seed: SocketAddr) -> std::io::Result<Vec<ZoneRecord>> {
-    let mut stream = TcpStream::connect(seed).await?;
+async fn ask_one<D: Dial>(network: D, seed: SocketAddr) -> std::io::Result<Vec<ZoneRecord>> {
+    let mut stream = network.dial(seed).await?;
     stream.write_all(&Frame::WhoReads.to_line()).await?;
     let mut line = Vec::new();
     BufReader::new(stream).read_until(b'\n', &mut line).await?;
--- a/crates/kingcuploft-entry/src/roster.rs
+++ b/crates/kingcuploft-entry/src/roster.rs
@@ -11,9 +11,11 @@
     self, SETTLE, Seen, ZoneCount, ZoneRecord, handed_over, renewed,
 };
 
+use crate::clock;
 use crate::context::Context;
 use crate::keeper;
 use crate::peers::away;
+use crate::peers::dial::Dial;
 use crate::peers::follower::{self, Link, LinkError};
 use crate::peers::seeds;
 use crate::pulse::Pulse;
@@ -50,17 +52,19 @@
 const KNOWLEDGE_STEP: Duration = Duration::from_millis(10);
 
 /// Keeps this VM informed, until the process ends.
-pub async fn keep<S: Store + 'static>(
+pub async fn keep<S: Store + 'static, D: Dial + Clone + 'static>(
     context: Rc<Context>,
     store: Rc<S>,
     pulse: Rc<Pulse>,
     own: VmEntry,
+    network: D,
 ) {
     let roster = Roster {
         context: &context,
         store: &store,
         pulse: &pulse,
         own: &own,
+        network: &network,
         stored: Cell::default(),
         count: Cell::default(),
     };
@@ -79,7 +83,7 @@
 /// Failure: the VM that it would hear from has no power, or the store does not answer which VMs there are, and callers
 /// are refused meanwhile. Where all start together nobody calls yet, and the others are waited for.
 async fn without_knowledge(context: Rc<Context>, pulse: Rc<Pulse>) {
-    let begun = Instant::now();
+    let begun = clock::now();
     let chance = fastrand::f64();
     if context.settings.all_start {
         return;
@@ -97,24 +101,25 @@
     }
 }
 
-struct Roster<'a, S> {
+struct Roster<'a, S, D> {
     context: &'a Rc<Context>,
     store: &'a Rc<S>,
     pulse: &'a Pulse,
     own: &'a VmEntry,
+    network: &'a D,
     /// The version of the own zone's record that the store holds, as far as is known.
     stored: Cell<u64>,
     count: Cell<ZoneCount>,
 }
 
-impl<S: Store> Roster<'_, S> {
+impl<S: Store, D: Dial + Clone + 'static> Roster<'_, S, D> {
     async fn go_on(&self) {
-        let mut fed_at = Instant::now();
+        let mut fed_at = clock::now();
         loop {
             match self.source() {
                 Source::Reader(feeder) => {
                     if self.follow(feeder).await == Link::Fed {
-                        fed_at = Instant::now();
+                        fed_at = clock::now();
                     }
                     if fed_at.elapsed() >= WITHOUT_FEEDER && self.context.is_ready() {
                         self.pulse.read();
@@ -122,7 +127,7 @@
                 }
                 source => {
                     self.read(source).await;
-                    fed_at = Instant::now();
+                    fed_at = clock::now();
                 }
             }
         }
@@ -131,13 +136,13 @@
     fn source(&self) -> Source {
         let readers = self.context.readers.borrow();
         let region = &self.context.settings.region;
-        readers.source(Instant::now(), &self.own.name, &self.own.zone, region)
+        readers.source(clock::now(), &self.own.name, &self.own.zone, region)
     }
 
     /// Returns whether this VM keeps its zone's record.
     fn leads(&self) -> bool {
         let readers = self.context.readers.borrow();
-        let source = readers.source_in_zone(Instant::now(), &self.own.name, &self.own.zone);
+        let source = readers.source_in_zone(clock::now(), &self.own.name, &self.own.zone);
         source == Source::Store
     }
 
@@ -150,7 +155,7 @@
     async fn learn(&self) {
         let settings = &self.context.settings;
         loop {
-            let told = seeds::ask(&settings.seeds, settings.control).await;
+            let told = seeds::ask(self.network, &settings.seeds, settings.control).await;
             keeper::zones(self.context, told);
             if self.record().is_some() {
                 return;
@@ -185,7 +190,7 @@
         let mut feeder = first;
         for _ in 0..MOST_HOPS {
             let ended = tokio::select! {
-                ended = follower::follow(self.context, self.pulse, self.own, &feeder) => ended,
+                ended = follower::follow(self.context, self.pulse, self.own, &feeder, self.network) => ended,
                 () = away::find_store(self.context, self.pulse) => {
                     self.take_over(&feeder).await;
                     return Link::Fed;
@@ -212,7 +217,7 @@
                 }
             }
             let mut readers = self.context.readers.borrow_mut();
-            readers.failed(Instant::now(), &feeder.name);
+            readers.failed(clock::now(), &feeder.name);
             return link;
         }
         // Each named another: those below will have told how many they feed by then.
@@ -227,7 +232,7 @@
             self.context
                 .readers
                 .borrow_mut()
-                .failed(Instant::now(), &feeder.name);
+                .failed(clock::now(), &feeder.name);
             return;
         }
         let Some(old) = self.record() else {
@@ -237,20 +242,20 @@
         tracing::info!(event = "reader_taken_over", version = record.version);
         keeper::zones(self.context, vec![record.clone()]);
         let first = old.vms.first().unwrap_or(feeder);
-        seeds::tell(vec![first.address, feeder.address], record).await;
+        seeds::tell(self.network, vec![first.address, feeder.address], record);
     }
 
     /// Reads the store until another VM reads.
     async fn read(&self, source: Source) {
         self.pulse.read();
-        let begun = Instant::now();
+        let begun = clock::now();
         let append_after = ALONE.mul_f64(1.0 + fastrand::f64());
         let mut listed: Option<Instant> = None;
         while self.source() == source {
             let is_old = listed.is_none_or(|at| at.elapsed() >= LIST_EVERY);
             if self.pulse.is_there() && is_old && self.record().is_some() {
                 self.list(Staleness::Allowed).await;
-                listed = Some(Instant::now());
+                listed = Some(clock::now());
                 continue;
             }
             if source == Source::StoreAlone && begun.elapsed() >= append_after {
@@ -269,7 +274,7 @@
             match leads {
                 true if has_store => {
                     if led_since.is_none() {
-                        self.tell_seeds().await;
+                        self.tell_seeds();
                     }
                     self.tend(*led_since.get_or_insert_with(Instant::now)).await;
                 }
@@ -298,7 +303,7 @@
             return followers.let_go();
         }
         let mut count = self.count.get();
-        let holds = count.holds(Instant::now(), old.count, seen.below + 1);
+        let holds = count.holds(clock::now(), old.count, seen.below + 1);
         self.count.set(count);
         let settled = old.settled || begun.elapsed() >= SETTLE;
         // Zones that began together with this one are known before it takes itself for counted.
@@ -318,9 +323,9 @@
     }
 
     /// Tells the seeds what this VM knows of its zone: after an outage they know nothing themselves.
-    async fn tell_seeds(&self) {
+    fn tell_seeds(&self) {
         if let Some(record) = self.record() {
-            seeds::tell(self.context.settings.seeds.clone(), record).await;
+            seeds::tell(self.network, self.context.settings.seeds.clone(), record);
         }
     }
 
@@ -335,7 +340,7 @@
                 tracing::info!(event = "zone_recorded", version = record.version);
                 self.stored.set(record.version);
                 keeper::zones(self.context, vec![record.clone()]);
-                seeds::tell(self.context.settings.seeds.clone(), record).await;
+                seeds::tell(self.network, self.context.settings.seeds.clone(), record);
             }
             Err(error) => self.not_recorded(&error).await,
         }
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -12,6 +12,7 @@
 use crate::context::Context;
 use crate::edge::{connection, readiness};
 use crate::keeper;
+use crate::peers::dial::Tcp;
 use crate::peers::reader;
 use crate::peers::readings;
 use crate::peers::zone_socket::ZoneSocket;
@@ -191,7 +192,7 @@
     tokio::task::spawn_local(reader::beat(context.clone(), pulse.clone()));
     // The others are asked first; the store only if none of them reads it.
     pulse.leave();
-    let keeping = roster::keep(context.clone(), store.clone(), pulse.clone(), own);
+    let keeping = roster::keep(context.clone(), store.clone(), pulse.clone(), own, Tcp);
     tokio::task::spawn_local(keeping);
     Ok(())
 }
--- a/crates/kingcuploft-entry/src/sign_of_life.rs
+++ b/crates/kingcuploft-entry/src/sign_of_life.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use crate::clock;
 use crate::context::Context;
 use crate::keeper;
 use crate::peers::frame::Frame;
@@ -54,7 +55,7 @@
             context.followers.tell(&Frame::Standing(standing));
         }
         pulse.was_asked();
-        if reached.is_some_and(|reached| lag.is_too_long(Instant::now(), reached, &context)) {
+        if reached.is_some_and(|reached| lag.is_too_long(clock::now(), reached, &context)) {
             tracing::info!(event = "watches_behind", reached);
             pulse.ask_again();
         }
