--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -7,10 +7,11 @@
 use kingcuploft::entry::feeding;
 use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_table::{ServerTable, TableError};
-use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncWrite, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 
 use super::dial::Dial;
 use super::frame::{Frame, Hello, Standing};
+use super::lines::Lines;
 use crate::clock;
 use crate::context::Context;
 use crate::keeper;
@@ -28,8 +29,8 @@
 /// from the store within some tenths of a second, well within the 2 s of a leaving server.
 const SILENCE: Duration = Duration::from_millis(650);
 
-/// The bytes read at once.
-const BUFFER_BYTES: usize = 8 * 1024;
+/// From which length on a line is logged with the time that it took.
+const LONG_LINE_BYTES: usize = 16 * 1024;
 
 /// Why a link ended.
 #[derive(Debug, thiserror::Error)]
@@ -40,9 +41,17 @@
     /// The feeder closed it.
     #[error("the feeder closed the link")]
     Closed,
+    /// The feeder can't be reached in time.
+    #[error("the feeder does not answer")]
+    Unreachable,
     /// The feeder fell silent.
-    #[error("the feeder is silent")]
-    Silent,
+    #[error("the feeder is silent for {} ms, with {partial_bytes} bytes of a line", .silent_for.as_millis())]
+    Silent {
+        /// How long nothing has arrived.
+        silent_for: Duration,
+        /// The bytes that had arrived of a line.
+        partial_bytes: usize,
+    },
     /// The VM feeds as many as it can, and names another.
     #[error("the VM names {}", .0.name)]
     Elsewhere(VmEntry),
@@ -69,7 +78,8 @@
         match self {
             Self::Failed(_) => "failed",
             Self::Closed => "closed",
-            Self::Silent => "silent",
+            Self::Unreachable => "unreachable",
+            Self::Silent { .. } => "silent",
             Self::Elsewhere(_) => "elsewhere",
             Self::Behind => "behind",
             Self::StoreAway => "store_away",
@@ -142,7 +152,7 @@
         false => CONNECT_PATIENCE_UNREADY,
     };
     let connecting = tokio::time::timeout(patience, network.dial(feeder.address));
-    let stream = connecting.await.map_err(|_| LinkError::Silent)??;
+    let stream = connecting.await.map_err(|_| LinkError::Unreachable)??;
     let (read, mut write) = tokio::io::split(stream);
     let hello = Frame::Hello(Hello {
         vm: own.clone(),
@@ -151,7 +161,7 @@
         below: context.followers.below(&context.settings.zone),
     });
     write.write_all(&hello.to_line()).await?;
-    let lines = BufReader::with_capacity(BUFFER_BYTES, read);
+    let lines = Lines::of(read);
     tokio::select! {
         ended = hear(context, pulse, feeder, lines) => ended,
         ended = tell_below(context, write) => ended,
@@ -182,18 +192,15 @@
     context: &Rc<Context>,
     pulse: &Pulse,
     feeder: &VmEntry,
-    mut lines: BufReader<impl AsyncRead + Unpin>,
+    mut lines: Lines<impl AsyncRead + Unpin>,
 ) -> Result<(), LinkError> {
-    let mut line = Vec::new();
     let mut led = false;
     let mut pending: Option<Standing> = None;
     loop {
-        line.clear();
-        let reading = tokio::time::timeout(SILENCE, lines.read_until(b'\n', &mut line));
-        if reading.await.map_err(|_| LinkError::Silent)?? == 0 {
+        let Some(frame) = next(&mut lines).await? else {
             return Ok(());
-        }
-        match serde_json::from_slice(&line)? {
+        };
+        match frame {
             Frame::Wait if context.is_ready() => return Err(LinkError::Behind),
             Frame::Wait => context.promised.set(true),
             Frame::Standing(standing) => {
@@ -223,6 +230,26 @@
     }
 }
 
+/// Returns what a feeder tells next, or `None` at the end of the link.
+async fn next(lines: &mut Lines<impl AsyncRead + Unpin>) -> Result<Option<Frame>, LinkError> {
+    let Ok(line) = tokio::time::timeout(SILENCE, lines.next()).await else {
+        return Err(LinkError::Silent {
+            silent_for: lines.silent_for(),
+            partial_bytes: lines.partial_bytes(),
+        });
+    };
+    let Some(line) = line? else {
+        return Ok(None);
+    };
+    let frame = serde_json::from_slice(line)?;
+    let (bytes, took) = lines.last();
+    if bytes >= LONG_LINE_BYTES {
+        let took_ms = took.as_millis() as u64;
+        tracing::info!(event = "long_line", bytes, took_ms);
+    }
+    Ok(Some(frame))
+}
+
 /// Checks whether the feeder may still be followed.
 fn check(context: &Context, pulse: &Pulse, standing: &Standing) -> Result<(), LinkError> {
     if feeding::is_circle(&context.settings.vm, &standing.path) {
--- a/crates/kingcuploft-entry/src/peers/followers.rs
+++ b/crates/kingcuploft-entry/src/peers/followers.rs
@@ -63,7 +63,13 @@
         let line = Rc::new(frame.to_line());
         let mut all = self.all.borrow_mut();
         let before = all.len();
-        all.retain(|follower| follower.queue.try_send(line.clone()).is_ok());
+        all.retain(|follower| {
+            let sent = follower.queue.try_send(line.clone()).is_ok();
+            if !sent {
+                tracing::info!(event = "follower_dropped", vm = %follower.fed.vm.name);
+            }
+            sent
+        });
         if all.len() < before {
             self.changed.notify_waiters();
         }
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -6,6 +6,7 @@
 pub mod follower;
 pub mod followers;
 pub mod frame;
+pub mod lines;
 pub mod reader;
 pub mod readings;
 pub mod seeds;
