--- /dev/null
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -0,0 +1,256 @@
+//! VMs of several zones, each with its own link, and what they are given to do.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fastrand::Rng;
+use kingcuploft::entry::configuration::Route;
+use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::repeats::RepeatBounds;
+use kingcuploft_entry::context::Context;
+use kingcuploft_entry::peers::reader;
+use kingcuploft_entry::pulse::Pulse;
+use kingcuploft_entry::settings::{Bounds, EntrySettings, Vocabulary};
+use kingcuploft_entry::store::Collection;
+use kingcuploft_entry::{keeper, roster, sign_of_life};
+use tokio::time::Instant;
+
+use crate::configurations::{configuration, routes};
+use crate::network::{Dialer, Host, LinkedStore, Network, address};
+use crate::pipe::Nic;
+use crate::store::TestStore;
+
+const WORDS: Vocabulary = Vocabulary {
+    request_id: "x-id",
+    deadline_ms: "x-deadline-ms",
+    signature: "x-signed",
+    meant_for: "x-meant-for",
+    load: "x-load",
+    not_run: "x-not-run",
+    ready_path: "/ready",
+    read_load: |_| None,
+};
+
+/// How often it is looked which VM knows what.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// How long VMs are given to find each other.
+const SETTLE: Duration = Duration::from_secs(10);
+
+/// The links of VMs: what the first two of a zone carry, and the others.
+#[derive(Clone, Copy)]
+pub(crate) struct Links {
+    pub(crate) large_mbit: u32,
+    pub(crate) small_mbit: u32,
+}
+
+pub(crate) struct Fleet {
+    pub(crate) store: TestStore,
+    pub(crate) network: Network,
+    pub(crate) routes: Vec<Route>,
+    pub(crate) rng: Rng,
+    version: u64,
+    entries: Vec<(VmEntry, u32)>,
+    configuration_bytes: Rc<Cell<usize>>,
+}
+
+impl Fleet {
+    /// Starts VMs of these zones with these links and so many routes, and lets them find each other.
+    pub(crate) async fn start(zones: &[usize], links: Links, count: usize, seed: u64) -> Self {
+        fastrand::seed(seed);
+        let mut rng = Rng::with_seed(seed);
+        let mut entries = Vec::new();
+        for (zone, vms) in zones.iter().enumerate() {
+            for at in 0..*vms {
+                let (cpu_milli, mbit) = match at < 2 {
+                    true => (500, links.large_mbit),
+                    false => (100, links.small_mbit),
+                };
+                let entry = VmEntry {
+                    name: format!("zone-{zone}-{at}").into(),
+                    zone: format!("zone-{zone}").into(),
+                    address: address(entries.len()),
+                    cpu_milli,
+                };
+                entries.push((entry, mbit));
+            }
+        }
+        let mut fleet = Self {
+            store: TestStore::default(),
+            network: Network::default(),
+            routes: routes(&mut rng, count),
+            rng,
+            version: 0,
+            entries,
+            configuration_bytes: Rc::default(),
+        };
+        fleet.configure();
+        for at in 0..fleet.entries.len() {
+            fleet.network.0.borrow_mut().push(None);
+            fleet.power_on(at, true);
+        }
+        tokio::time::sleep(SETTLE).await;
+        fleet
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Starts a VM that knows nothing.
+    pub(crate) fn power_on(&self, at: usize, all_start: bool) {
+        let (entry, mbit) = &self.entries[at];
+        let nic = Rc::new(Nic::of(*mbit));
+        let context = Rc::new(Context::new(settings(entry, all_start), WORDS));
+        let pulse = Rc::new(Pulse::default());
+        let store = Rc::new(LinkedStore {
+            store: self.store.clone(),
+            nic: nic.clone(),
+            configuration_bytes: self.configuration_bytes.clone(),
+        });
+        let dialer = Dialer {
+            network: self.network.clone(),
+            from: at,
+        };
+        pulse.leave();
+        let mut tasks = vec![
+            tokio::task::spawn_local(sign_of_life::watch_over(
+                context.clone(),
+                store.clone(),
+                pulse.clone(),
+            )),
+            tokio::task::spawn_local(keeper::expire(context.clone())),
+            tokio::task::spawn_local(reader::beat(context.clone(), pulse.clone())),
+        ];
+        for collection in [Collection::Configuration, Collection::BackendServers] {
+            let (context, store) = (context.clone(), store.clone());
+            let following = keeper::follow(context, store, pulse.clone(), collection);
+            tasks.push(tokio::task::spawn_local(following));
+        }
+        let keeping = roster::keep(context.clone(), store, pulse.clone(), entry.clone(), dialer);
+        tasks.push(tokio::task::spawn_local(keeping));
+        let host = Host {
+            context,
+            pulse,
+            nic,
+            tasks: tasks
+                .iter()
+                .map(|task| task.abort_handle())
+                .collect::<Vec<_>>()
+                .into(),
+        };
+        self.network.0.borrow_mut()[at] = Some(Rc::new(host));
+    }
+
+    /// Puts so many routes more in force.
+    pub(crate) fn add_routes(&mut self, count: usize) {
+        let more = routes(&mut self.rng, count);
+        self.routes.extend(more);
+        self.configure();
+    }
+
+    /// Changes one value of one route.
+    pub(crate) fn change_one(&mut self) {
+        let at = self.rng.usize(0..self.routes.len());
+        self.routes[at].timeout += Duration::from_millis(1);
+        self.configure();
+    }
+
+    fn configure(&mut self) {
+        self.version += 1;
+        let configuration = configuration(self.version, &self.routes);
+        self.configuration_bytes.set(230 * self.routes.len());
+        self.store.0.configure(configuration);
+    }
+
+    /// Returns the version that a VM has in force.
+    pub(crate) fn version_at(&self, at: usize) -> Option<u64> {
+        let host = self.network.host(at)?;
+        host.context.configuration().map(|c| c.version)
+    }
+
+    fn is_cut(&self, at: usize) -> bool {
+        let host = self.network.host(at);
+        host.is_some_and(|host| host.nic.is_cut.get())
+    }
+
+    /// Returns the VMs that have power and their link, and an older version in force.
+    pub(crate) fn behind(&self) -> Vec<usize> {
+        let all =
+            (0..self.len()).filter(|at| !self.is_cut(*at) && self.network.host(*at).is_some());
+        all.filter(|at| self.version_at(*at) != Some(self.version))
+            .collect()
+    }
+
+    /// Waits until all VMs have the latest version in force, so long at most; returns how long the first and the last
+    /// took.
+    pub(crate) async fn in_force(&self, within: Duration) -> (Duration, Duration) {
+        let begun = Instant::now();
+        let mut first = None;
+        loop {
+            let behind = self.behind();
+            if behind.len() < self.len() && first.is_none() {
+                first = Some(begun.elapsed());
+            }
+            if behind.is_empty() {
+                return (first.unwrap_or_default(), begun.elapsed());
+            }
+            assert!(
+                begun.elapsed() < within,
+                "version {} is not in force after {within:?} at {behind:?}",
+                self.version
+            );
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Returns how many links ended because the feeder was taken for silent.
+    pub(crate) fn silent_feeders(&self) -> u64 {
+        let hosts = (0..self.len()).filter_map(|at| self.network.host(at));
+        hosts.map(|host| silent(&host.context.metrics_text())).sum()
+    }
+}
+
+fn silent(counters: &str) -> u64 {
+    let of_silence = |line: &&str| line.contains("readers_lost_total{reason=\"silent\"}");
+    let line = counters.lines().find(of_silence);
+    let count = line.and_then(|line| line.rsplit(' ').next());
+    count.and_then(|count| count.parse().ok()).unwrap_or(0)
+}
+
+fn settings(entry: &VmEntry, all_start: bool) -> EntrySettings {
+    let nowhere: SocketAddr = ([127, 0, 0, 1], 0).into();
+    EntrySettings {
+        vm: entry.name.clone(),
+        zone: entry.zone.clone(),
+        region: Vec::new(),
+        callers: nowhere,
+        readiness: nowhere,
+        peers: Some(entry.address),
+        control: None,
+        seeds: Vec::new(),
+        store: nowhere,
+        cpu_milli: entry.cpu_milli,
+        memory_bytes: 160_000_000,
+        all_start,
+        metrics: None,
+        bounds: Bounds {
+            stop_within: Duration::from_secs(6),
+            repeats: RepeatBounds {
+                ratio: 0.2,
+                allowance: 184.0,
+                window: Duration::from_secs(10),
+            },
+            probes_per_server_s: 42.0,
+        },
+    }
+}
+
+/// Runs a scenario in virtual time.
+pub(crate) fn play<F: Future<Output = ()>>(scenario: F) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&runtime.unwrap(), scenario);
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/links/main.rs
@@ -0,0 +1,12 @@
+//! Entry VMs on links that carry so many bytes a second, in virtual time: all code is the product's, the network and the
+//! store are played.
+
+#[path = "../entry/store.rs"]
+#[expect(dead_code, reason = "shared with tests that use more of it")]
+mod store;
+
+mod configurations;
+mod fleet;
+mod network;
+mod pipe;
+mod scenarios;
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/links/network.rs
@@ -0,0 +1,141 @@
+//! The network of the VMs, and the store as one VM reaches it.
+
+use std::cell::RefCell;
+use std::io::{Error, ErrorKind};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcuploft::entry::zone_record::ZoneRecord;
+use kingcuploft_entry::context::Context;
+use kingcuploft_entry::peers::dial::Dial;
+use kingcuploft_entry::peers::reader;
+use kingcuploft_entry::pulse::Pulse;
+use kingcuploft_entry::store::{
+    Changes, Collection, Page, Recorded, Recording, Revision, Store, StoreError,
+};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::pipe::{self, End, Nic};
+use crate::store::TestStore;
+
+/// How long bytes take from one VM to another.
+const DELAY: Duration = Duration::from_millis(1);
+
+/// How long the store takes to answer.
+const STORE_DELAY: Duration = Duration::from_millis(4);
+
+/// What the network knows of a VM.
+pub(crate) struct Host {
+    pub(crate) context: Rc<Context>,
+    pub(crate) pulse: Rc<Pulse>,
+    pub(crate) nic: Rc<Nic>,
+    /// Its tasks; none runs after a loss of power.
+    pub(crate) tasks: RefCell<Vec<AbortHandle>>,
+}
+
+/// All VMs, by the port of their address.
+#[derive(Clone, Default)]
+pub(crate) struct Network(pub(crate) Rc<RefCell<Vec<Option<Rc<Host>>>>>);
+
+impl Network {
+    pub(crate) fn host(&self, at: usize) -> Option<Rc<Host>> {
+        self.0.borrow().get(at).cloned().flatten()
+    }
+}
+
+/// The network as one VM sees it.
+#[derive(Clone)]
+pub(crate) struct Dialer {
+    pub(crate) network: Network,
+    pub(crate) from: usize,
+}
+
+/// Returns the address of the VM at a place.
+pub(crate) fn address(at: usize) -> SocketAddr {
+    ([127, 0, 0, 1], 1 + at as u16).into()
+}
+
+impl Dial for Dialer {
+    type Link = End;
+
+    async fn dial(&self, address: SocketAddr) -> std::io::Result<End> {
+        tokio::time::sleep(2 * DELAY).await;
+        let to = self.network.host(usize::from(address.port()) - 1);
+        let (Some(to), Some(from)) = (to, self.network.host(self.from)) else {
+            return Err(Error::from(ErrorKind::ConnectionRefused));
+        };
+        while to.nic.is_cut.get() || from.nic.is_cut.get() {
+            tokio::time::sleep(10 * DELAY).await;
+        }
+        let (own, other) = pipe::link(&from.nic, &to.nic, DELAY);
+        let (context, pulse) = (to.context.clone(), to.pulse.clone());
+        let answering = tokio::task::spawn_local(async move {
+            let _ = reader::answer(&context, &pulse, other).await;
+        });
+        to.tasks.borrow_mut().push(answering.abort_handle());
+        Ok(own)
+    }
+}
+
+/// The store as one VM reaches it: over its own link.
+pub(crate) struct LinkedStore {
+    pub(crate) store: TestStore,
+    pub(crate) nic: Rc<Nic>,
+    /// The bytes of the configuration as the store writes it.
+    pub(crate) configuration_bytes: Rc<std::cell::Cell<usize>>,
+}
+
+impl LinkedStore {
+    async fn receive(&self, collection: Collection, changes: usize) {
+        let bytes = match collection {
+            Collection::Configuration => changes * self.configuration_bytes.get(),
+            Collection::BackendServers | Collection::Zones => 300 * changes,
+        };
+        let arrives = self.nic.receive(bytes, Instant::now() + STORE_DELAY);
+        tokio::time::sleep_until(arrives).await;
+        while self.nic.is_cut.get() {
+            tokio::time::sleep(STORE_DELAY).await;
+        }
+    }
+}
+
+impl Store for LinkedStore {
+    async fn list(
+        &self,
+        collection: Collection,
+        after: Option<&str>,
+        stale: bool,
+    ) -> Result<Page, StoreError> {
+        let page = self.store.list(collection, after, stale).await?;
+        self.receive(collection, page.records.len()).await;
+        Ok(page)
+    }
+
+    async fn sign_of_life(&self) -> Result<Revision, StoreError> {
+        let revision = self.store.sign_of_life().await?;
+        self.receive(Collection::Zones, 1).await;
+        Ok(revision)
+    }
+
+    async fn record_zone(
+        &self,
+        record: &ZoneRecord,
+        how: Recording,
+    ) -> Result<Recorded, StoreError> {
+        self.receive(Collection::Zones, 1).await;
+        self.store.record_zone(record, how).await
+    }
+
+    async fn watch(
+        &self,
+        collection: Collection,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        let changes = self.store.watch(collection, from, wait).await?;
+        self.receive(collection, changes.changes.len().min(1)).await;
+        Ok(changes)
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/links/pipe.rs
@@ -0,0 +1,211 @@
+//! One direction of a link: bytes leave at the sender's rate, arrive at the receiver's, and wait to be read.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::Future;
+use std::io::{Error, ErrorKind};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{Instant, Sleep};
+
+/// How many bytes may be on their way and unread.
+const WINDOW_BYTES: usize = 64 * 1024;
+
+/// The bytes sent at once.
+const SEGMENT_BYTES: usize = 4 * 1024;
+
+/// How often a link that is cut is looked at again.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+
+/// A VM's own link: what it sends leaves one segment after the other, and so does what arrives.
+pub(crate) struct Nic {
+    bytes_per_s: f64,
+    sends_until: Cell<Instant>,
+    receives_until: Cell<Instant>,
+    pub(crate) sent_bytes: Cell<usize>,
+    /// Nothing leaves or arrives.
+    pub(crate) is_cut: Cell<bool>,
+}
+
+impl Nic {
+    pub(crate) fn of(mbit_per_s: u32) -> Self {
+        Self {
+            bytes_per_s: f64::from(mbit_per_s) * 125_000.0,
+            sends_until: Cell::new(Instant::now()),
+            receives_until: Cell::new(Instant::now()),
+            sent_bytes: Cell::new(0),
+            is_cut: Cell::new(false),
+        }
+    }
+
+    fn takes(&self, bytes: usize) -> Duration {
+        Duration::from_secs_f64(bytes as f64 / self.bytes_per_s)
+    }
+
+    fn send(&self, bytes: usize) -> Instant {
+        self.sent_bytes.set(self.sent_bytes.get() + bytes);
+        let left = self.sends_until.get().max(Instant::now()) + self.takes(bytes);
+        self.sends_until.set(left);
+        left
+    }
+
+    /// Returns when bytes that reach this VM's link at a moment have passed it.
+    pub(crate) fn receive(&self, bytes: usize, at: Instant) -> Instant {
+        let arrived = self.receives_until.get().max(at) + self.takes(bytes);
+        self.receives_until.set(arrived);
+        arrived
+    }
+}
+
+struct Pipe {
+    from: Rc<Nic>,
+    to: Rc<Nic>,
+    delay: Duration,
+    segments: RefCell<VecDeque<(Instant, Vec<u8>)>>,
+    unread_bytes: Cell<usize>,
+    ended: Cell<bool>,
+    abandoned: Cell<bool>,
+    reader: RefCell<Option<Waker>>,
+    writer: RefCell<Option<Waker>>,
+}
+
+impl Pipe {
+    fn new(from: &Rc<Nic>, to: &Rc<Nic>, delay: Duration) -> Rc<Self> {
+        Rc::new(Self {
+            from: from.clone(),
+            to: to.clone(),
+            delay,
+            segments: RefCell::default(),
+            unread_bytes: Cell::new(0),
+            ended: Cell::new(false),
+            abandoned: Cell::new(false),
+            reader: RefCell::default(),
+            writer: RefCell::default(),
+        })
+    }
+
+    fn is_cut(&self) -> bool {
+        self.from.is_cut.get() || self.to.is_cut.get()
+    }
+
+    fn wake(waker: &RefCell<Option<Waker>>) {
+        if let Some(waker) = waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+}
+
+/// One end of a link.
+pub(crate) struct End {
+    incoming: Rc<Pipe>,
+    outgoing: Rc<Pipe>,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+/// Opens a link between two VMs.
+pub(crate) fn link(a: &Rc<Nic>, b: &Rc<Nic>, delay: Duration) -> (End, End) {
+    let (there, back) = (Pipe::new(a, b, delay), Pipe::new(b, a, delay));
+    let end = |incoming: &Rc<Pipe>, outgoing: &Rc<Pipe>| End {
+        incoming: incoming.clone(),
+        outgoing: outgoing.clone(),
+        timer: None,
+    };
+    (end(&back, &there), end(&there, &back))
+}
+
+impl End {
+    fn wait_until(&mut self, moment: Instant, context: &mut Context<'_>) {
+        let mut timer = Box::pin(tokio::time::sleep_until(moment));
+        if timer.as_mut().poll(context).is_ready() {
+            context.waker().wake_by_ref();
+        }
+        self.timer = Some(timer);
+    }
+}
+
+impl AsyncRead for End {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let pipe = self.incoming.clone();
+        let now = Instant::now();
+        if pipe.is_cut() {
+            self.wait_until(now + LOOK_AGAIN, context);
+            return Poll::Pending;
+        }
+        let mut segments = pipe.segments.borrow_mut();
+        match segments.front_mut() {
+            None if pipe.ended.get() => Poll::Ready(Ok(())),
+            None => {
+                *pipe.reader.borrow_mut() = Some(context.waker().clone());
+                Poll::Pending
+            }
+            Some((arrives, _)) if *arrives > now => {
+                self.wait_until(*arrives, context);
+                Poll::Pending
+            }
+            Some((_, bytes)) => {
+                let count = bytes.len().min(buffer.remaining());
+                buffer.put_slice(&bytes[..count]);
+                bytes.drain(..count);
+                if bytes.is_empty() {
+                    segments.pop_front();
+                }
+                pipe.unread_bytes.set(pipe.unread_bytes.get() - count);
+                Pipe::wake(&pipe.writer);
+                Poll::Ready(Ok(()))
+            }
+        }
+    }
+}
+
+impl AsyncWrite for End {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let pipe = &self.outgoing;
+        if pipe.abandoned.get() {
+            return Poll::Ready(Err(Error::from(ErrorKind::BrokenPipe)));
+        }
+        let room = WINDOW_BYTES - pipe.unread_bytes.get();
+        let count = bytes.len().min(room).min(SEGMENT_BYTES);
+        if count == 0 {
+            *pipe.writer.borrow_mut() = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        let left = pipe.from.send(count);
+        let arrives = pipe.to.receive(count, left) + pipe.delay;
+        let segment = (arrives, bytes[..count].to_vec());
+        pipe.segments.borrow_mut().push_back(segment);
+        pipe.unread_bytes.set(pipe.unread_bytes.get() + count);
+        Pipe::wake(&pipe.reader);
+        Poll::Ready(Ok(count))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.outgoing.ended.set(true);
+        Pipe::wake(&self.outgoing.reader);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Drop for End {
+    fn drop(&mut self) {
+        self.outgoing.ended.set(true);
+        self.incoming.abandoned.set(true);
+        Pipe::wake(&self.outgoing.reader);
+        Pipe::wake(&self.incoming.writer);
+    }
+}
