fix(peers): bytes that arrive are a sign of life; a line may take as long as it goes on arriving

Cause, first half: the follower's patience of 650 ms held for a whole line, the feeder's of 1 s for a whole write. A configuration of 2,800 routes takes longer on a link of 10 Mbit/s that feeds several; the follower left a feeder that was sending, joined another and was told all again. Why it works: what is waited for is the next bytes, which a feeder that lives sends, and no longer the end of a line that grows with the configuration.

--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -11,7 +11,7 @@
 
 use super::dial::Dial;
 use super::frame::{Frame, Hello, Standing};
-use super::lines::Lines;
+use super::lines::{LineError, Lines};
 use crate::clock;
 use crate::context::Context;
 use crate::keeper;
@@ -232,16 +232,17 @@
 
 /// Returns what a feeder tells next, or `None` at the end of the link.
 async fn next(lines: &mut Lines<impl AsyncRead + Unpin>) -> Result<Option<Frame>, LinkError> {
-    let Ok(line) = tokio::time::timeout(SILENCE, lines.next()).await else {
-        return Err(LinkError::Silent {
-            silent_for: lines.silent_for(),
-            partial_bytes: lines.partial_bytes(),
-        });
-    };
-    let Some(line) = line? else {
-        return Ok(None);
+    let frame = match lines.next(SILENCE).await {
+        Ok(Some(line)) => serde_json::from_slice(line)?,
+        Ok(None) => return Ok(None),
+        Err(LineError::Failed(error)) => return Err(error.into()),
+        Err(LineError::Silent) => {
+            return Err(LinkError::Silent {
+                silent_for: lines.silent_for(),
+                partial_bytes: lines.partial_bytes(),
+            });
+        }
     };
-    let frame = serde_json::from_slice(line)?;
     let (bytes, took) = lines.last();
     if bytes >= LONG_LINE_BYTES {
         let took_ms = took.as_millis() as u64;
--- a/crates/kingcuploft-entry/src/peers/lines.rs
+++ b/crates/kingcuploft-entry/src/peers/lines.rs
@@ -9,6 +9,17 @@
 /// The bytes read at once.
 const BUFFER_BYTES: usize = 8 * 1024;
 
+/// Why no line came.
+#[derive(Debug, thiserror::Error)]
+pub enum LineError {
+    /// The link failed.
+    #[error(transparent)]
+    Failed(#[from] std::io::Error),
+    /// Nothing arrived for as long as was waited.
+    #[error("nothing arrived")]
+    Silent,
+}
+
 /// The lines that come over a link.
 #[derive(Debug)]
 pub struct Lines<R> {
@@ -31,18 +42,23 @@
         }
     }
 
-    /// Returns the next line, or `None` at the end of the link. Where it is broken off, the next call goes on.
+    /// Returns the next line, or `None` at the end of the link. Each byte is a sign of life: a line may take as long as it
+    /// goes on arriving.
     ///
     /// # Errors
     ///
-    /// Returns an error if the link fails.
-    pub async fn next(&mut self) -> std::io::Result<Option<&[u8]>> {
-        while self.read().await? {
+    /// Returns an error if the link fails, or if nothing arrives for so long.
+    pub async fn next(&mut self, silence: Duration) -> Result<Option<&[u8]>, LineError> {
+        loop {
+            let reading = tokio::time::timeout(silence, self.read());
+            let some = reading.await.map_err(|_| LineError::Silent)??;
+            if !some {
+                return Ok(None);
+            }
             if self.whole {
                 return Ok(Some(&self.line));
             }
         }
-        Ok(None)
     }
 
     /// Reads some bytes of a line; returns whether there were any.
--- a/crates/kingcuploft-entry/src/peers/reader.rs
+++ b/crates/kingcuploft-entry/src/peers/reader.rs
@@ -17,7 +17,7 @@
 /// The time between two heartbeats. A follower that misses two and a bit reads by itself.
 const HEARTBEAT: Duration = Duration::from_millis(250);
 
-/// How long one frame may take to be written.
+/// How long a follower may take nothing of what is written to it.
 const WRITE_PATIENCE: Duration = Duration::from_secs(1);
 
 /// How long a follower is kept waiting by a VM that knows nothing itself.
@@ -214,9 +214,13 @@
     write(stream, &frame.to_line()).await
 }
 
-async fn write(stream: &mut (impl AsyncWrite + Unpin), line: &[u8]) -> std::io::Result<()> {
-    let written = tokio::time::timeout(WRITE_PATIENCE, stream.write_all(line)).await;
-    written.map_err(|_| timed_out())?
+async fn write(stream: &mut (impl AsyncWrite + Unpin), mut line: &[u8]) -> std::io::Result<()> {
+    while !line.is_empty() {
+        let writing = tokio::time::timeout(WRITE_PATIENCE, stream.write(line)).await;
+        let written = writing.map_err(|_| timed_out())??;
+        line = &line[written..];
+    }
+    Ok(())
 }
 
 fn zones(context: &Context) -> Frame {
