fix(peers): a change of configuration is told as what changed, in parts, what is long to three followers at a time

Cause, second half: Frame::Configuration carried the whole configuration, 650 kB at 2,800 routes, also for a change of one value, to each of twelve followers over links from 10 Mbit/s on; 115 VMs sent 45 to 95 MB a second, and the last knew a change 6 s after the first. Class: all of a state sent for a small change of it. A digest of the result catches what does not fit. A notice of the version goes first. Three long transfers at a time let the first followers tell others. VMs of the release before are told in their frames. Also: a VM that joins between a change and the moment that goes with it is judged by the version that it has, not by moments (a_vm_that_joins_between_a_change_and_its_moment_is_told_the_change); the account of all servers is left out where digests agree.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -23,6 +23,7 @@
 
 use crate::clock;
 use crate::edge::room::Room;
+use crate::in_force::InForce;
 use crate::metrics::Metrics;
 use crate::peers::followers::Followers;
 use crate::peers::zone_socket::ZoneSocket;
@@ -43,8 +44,6 @@
     pub vocabulary: Vocabulary,
     /// Wakes whoever waits for readings.
     pub readings: Notify,
-    /// Wakes whoever waits for a configuration.
-    pub configured: Notify,
     /// Wakes whoever waits for the stop.
     pub stop: Notify,
     /// What happened so far.
@@ -59,6 +58,8 @@
     pub peer_readings: OnceCell<ZoneSocket>,
     /// Where the other VMs of the zone are.
     pub zone_peers: RefCell<Vec<SocketAddr>>,
+    /// The configuration in force.
+    pub in_force: InForce,
     /// The VMs that follow this one.
     pub followers: Followers,
     /// The memory for bodies of requests.
@@ -80,8 +81,6 @@
     pub followed: RefCell<Option<VmEntry>>,
     stopping: Cell<Option<Instant>>,
     closes_idle: Cell<bool>,
-    configuration: RefCell<Option<Arc<Configuration>>>,
-    adopted: Cell<Option<Instant>>,
     servers: RefCell<BackendServers>,
     servers_listed: Cell<bool>,
     upstreams: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
@@ -104,7 +103,6 @@
             settings,
             vocabulary,
             readings: Notify::new(),
-            configured: Notify::new(),
             stop: Notify::new(),
             metrics: Metrics::default(),
             readers: RefCell::default(),
@@ -121,8 +119,7 @@
             callers: Cell::new(0),
             stopping: Cell::new(None),
             closes_idle: Cell::new(false),
-            configuration: RefCell::default(),
-            adopted: Cell::new(None),
+            in_force: InForce::default(),
             servers: RefCell::default(),
             servers_listed: Cell::new(false),
             upstreams: RefCell::default(),
@@ -138,21 +135,7 @@
 
     /// Returns the configuration in force, if one is known.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
-        self.configuration.borrow().clone()
-    }
-
-    /// Puts a configuration in force if it is newer than the one that is.
-    pub fn adopt(&self, configuration: Configuration) -> bool {
-        let mut current = self.configuration.borrow_mut();
-        let newer = current
-            .as_ref()
-            .is_none_or(|current| configuration.version > current.version);
-        if newer {
-            *current = Some(Arc::new(configuration));
-            self.adopted.set(Some(clock::now()));
-            self.configured.notify_waiters();
-        }
-        newer
+        self.in_force.current()
     }
 
     /// Writes all counters as text.
@@ -165,9 +148,13 @@
         self.metrics.callers.set(self.callers.get() as i64);
         let probes_left = (self.probes_left() * 1000.0) as i64;
         self.metrics.probes_left.set(probes_left);
-        let age = self.adopted.get().map_or(0, |at| at.elapsed().as_secs());
+        let newest = self.in_force.newest().unwrap_or(version);
+        self.metrics.configuration_newest.set(newest as i64);
+        let age = self.in_force.age().as_secs();
         self.metrics.configuration_age.set(age as i64);
         self.metrics.followers.set(self.followers.len() as i64);
+        let waiting = self.followers.most_waiting_bytes();
+        self.metrics.most_waiting_bytes.set(waiting as i64);
         self.metrics
             .log_lines_left_out
             .set(crate::logs::left_out() as i64);
@@ -176,7 +163,7 @@
 
     /// Returns whether the VM can serve: it knows a configuration and servers, and is not stopping.
     pub fn is_ready(&self) -> bool {
-        let knows = self.configuration.borrow().is_some() && self.servers_listed.get();
+        let knows = self.in_force.version().is_some() && self.servers_listed.get();
         knows && !self.is_stopping()
     }
 
@@ -275,7 +262,7 @@
     /// Returns how many connections this VM may have to one server of a service; any number until the
     /// VMs are counted.
     pub fn connection_share(&self, service: &ServiceName) -> usize {
-        let configuration = self.configuration.borrow();
+        let configuration = self.configuration();
         let services = configuration.as_ref().map(|c| &c.services);
         let service = services.and_then(|services| services.get(service));
         match (service, self.vms.get()) {
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -28,7 +28,7 @@
 ) {
     context.metrics.requests.inc();
     if context.configuration().is_none() {
-        let configured = context.configured.notified();
+        let configured = context.in_force.adopting.notified();
         let _ = tokio::time::timeout(HOLD_UNREADY, configured).await;
     }
     let (route, answered) = match Flight::begin(&context, &request) {
--- /dev/null
+++ b/crates/kingcuploft-entry/src/in_force.rs
@@ -0,0 +1,124 @@
+//! The configuration in force, what led to it, and what is known of the next one.
+
+use std::cell::{Cell, RefCell};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::arriving::{Arrived, Arriving, Taken};
+use kingcuploft::entry::change_log::ChangeLog;
+use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
+use kingcuploft::entry::configuration_change::{ChangePart, ConfigurationChange, PartError};
+use tokio::sync::Notify;
+
+use crate::clock;
+
+/// The configuration in force and the next one.
+#[derive(Debug, Default)]
+pub struct InForce {
+    current: RefCell<Option<Arc<Configuration>>>,
+    adopted: Cell<Option<Instant>>,
+    changes: RefCell<ChangeLog>,
+    arriving: RefCell<Arriving>,
+    lacks_whole: Cell<bool>,
+    newest: Cell<Option<(ConfigurationVersion, Instant)>>,
+    /// Wakes whoever waits for a configuration.
+    pub adopting: Notify,
+}
+
+impl InForce {
+    /// Returns the configuration in force, if one is known.
+    pub fn current(&self) -> Option<Arc<Configuration>> {
+        self.current.borrow().clone()
+    }
+
+    /// Returns the version in force, if one is known.
+    pub fn version(&self) -> Option<ConfigurationVersion> {
+        self.current.borrow().as_ref().map(|c| c.version)
+    }
+
+    /// Returns for how long it has been in force.
+    pub fn age(&self) -> Duration {
+        let adopted = self.adopted.get();
+        adopted.map_or(Duration::ZERO, |at| {
+            clock::now().saturating_duration_since(at)
+        })
+    }
+
+    /// Puts a configuration in force if it is newer than the one that is; returns whether it was.
+    pub fn adopt(&self, mut configuration: Configuration) -> bool {
+        let mut current = self.current.borrow_mut();
+        let (version, routes) = (configuration.version, configuration.route_count());
+        if current.as_ref().is_some_and(|c| c.version >= version) {
+            return false;
+        }
+        if let Some(old) = &*current {
+            configuration.share(old);
+            let change = ConfigurationChange::between(old, &configuration);
+            self.changes.borrow_mut().push(change, routes);
+        }
+        *current = Some(Arc::new(configuration));
+        self.lacks_whole.set(false);
+        self.adopted.set(Some(clock::now()));
+        self.adopting.notify_waiters();
+        true
+    }
+
+    /// Returns what leads from a version to the configuration in force: the changes between them, or all.
+    pub fn since(&self, version: Option<ConfigurationVersion>) -> Vec<Arc<ConfigurationChange>> {
+        let Some(current) = self.current() else {
+            return Vec::new();
+        };
+        if version.is_some_and(|version| version >= current.version) {
+            return Vec::new();
+        }
+        let known = version.and_then(|version| self.changes.borrow().since(version));
+        known.unwrap_or_else(|| vec![Arc::new(ConfigurationChange::whole(&current))])
+    }
+
+    /// Takes in a part of the next configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be read.
+    pub fn take(&self, part: ChangePart) -> Result<Taken, PartError> {
+        let current = self.current();
+        let taken = self.arriving.borrow_mut().take(part, current.as_deref())?;
+        if matches!(taken, Taken::OutOfStep) {
+            self.lacks_whole.set(true);
+            self.arriving.borrow_mut().forget();
+        }
+        Ok(taken)
+    }
+
+    /// Returns the version that another VM may lead on from; none if it has to tell all.
+    pub fn leads_on(&self) -> Option<ConfigurationVersion> {
+        self.version().filter(|_| !self.lacks_whole.get())
+    }
+
+    /// Returns how much of the next configuration has arrived.
+    pub fn arrived(&self) -> Option<Arrived> {
+        self.arriving.borrow().arrived()
+    }
+
+    /// Takes in that a version exists; returns whether that is news.
+    pub fn exists(&self, version: ConfigurationVersion) -> bool {
+        let newest = self.newest.get();
+        let is_news = newest.is_none_or(|(newest, _)| newest < version);
+        if is_news {
+            self.newest.set(Some((version, clock::now())));
+        }
+        is_news
+    }
+
+    /// Returns the newest version that is known to exist.
+    pub fn newest(&self) -> Option<ConfigurationVersion> {
+        self.newest.get().map(|(newest, _)| newest)
+    }
+
+    /// Returns for how long a version is known to exist that is newer than the one in force, if there is one.
+    pub fn behind_for(&self) -> Option<Duration> {
+        let (newest, since) = self.newest.get()?;
+        let is_behind = self.version().is_none_or(|version| version < newest);
+        is_behind.then(|| clock::now().saturating_duration_since(since))
+    }
+}
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::backend_servers::{BackendServer, Change};
-use kingcuploft::entry::configuration::Configuration;
+use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
 use kingcuploft::entry::server_table::ServerTable;
 use kingcuploft::entry::zone_record::{MOST_NAMED, ZoneRecord};
 
@@ -54,6 +54,7 @@
         pulse.open().await;
         let from = context.position(collection).filter(|_| !forgotten);
         let told = tokio::select! {
+            biased;
             told = next(&context, &*store, collection, from, wait) => told,
             () = pulse.shut() => continue,
             () = pulse.again() => {
@@ -210,16 +211,19 @@
 /// Takes a configuration in and passes it on.
 pub fn configuration(context: &Context, configuration: Configuration) {
     let (version, routes) = (configuration.version, configuration.route_count());
-    if context.adopt(configuration) {
-        tracing::info!(event = "configuration_adopted", version, routes);
-        context.followers.forget_account();
-        if let Some(adopted) = context
-            .configuration()
-            .filter(|_| !context.followers.is_empty())
-        {
-            let frame = Frame::Configuration(Box::new((*adopted).clone()));
-            context.followers.tell(&frame);
-        }
+    configuration_exists(context, version);
+    let behind_for = context.in_force.behind_for().unwrap_or_default();
+    if context.in_force.adopt(configuration) {
+        let behind_ms = behind_for.as_millis() as u64;
+        tracing::info!(event = "configuration_adopted", version, routes, behind_ms);
+        context.followers.tell_configuration();
+    }
+}
+
+/// Takes in that a version of the configuration exists, and passes it on if it is news.
+pub fn configuration_exists(context: &Context, version: ConfigurationVersion) {
+    if context.in_force.exists(version) {
+        context.followers.tell_newer(version);
     }
 }
 
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod context;
 pub mod edge;
 pub mod http;
+pub mod in_force;
 pub mod keeper;
 pub mod logs;
 pub mod metrics;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -51,6 +51,10 @@
     pub unreadable_entries: Counter,
     /// The version of the configuration in force.
     pub configuration: Gauge,
+    /// The newest version of the configuration that is known to exist.
+    pub configuration_newest: Gauge,
+    /// The most bytes that wait to be written to one follower.
+    pub most_waiting_bytes: Gauge,
     /// Backend servers that may be sent work.
     pub servers: Gauge,
     /// VMs that share the budgets of probes and repeats.
@@ -83,6 +87,8 @@
             requests: Counter::default(),
             unreadable_entries: Counter::default(),
             configuration: Gauge::default(),
+            configuration_newest: Gauge::default(),
+            most_waiting_bytes: Gauge::default(),
             servers: Gauge::default(),
             vms: Gauge::default(),
             callers: Gauge::default(),
@@ -127,6 +133,14 @@
         registry.register("unreadable_entries", help, self.unreadable_entries.clone());
         let help = "The version of the configuration in force";
         registry.register("configuration_version", help, self.configuration.clone());
+        let help = "The newest version of the configuration that is known to exist";
+        registry.register(
+            "configuration_newest_version",
+            help,
+            self.configuration_newest.clone(),
+        );
+        let help = "The most bytes that wait to be written to one follower";
+        registry.register("most_waiting_bytes", help, self.most_waiting_bytes.clone());
         registry.register(
             "servers",
             "Backend servers that may be sent work",
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -3,14 +3,17 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use kingcuploft::entry::arriving::Taken;
 use kingcuploft::entry::backend_servers::BackendServer;
+use kingcuploft::entry::configuration::ConfigurationVersion;
+use kingcuploft::entry::configuration_change::{ChangePart, PartError};
 use kingcuploft::entry::feeding;
 use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_table::{ServerTable, TableError};
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 
 use super::dial::Dial;
-use super::frame::{Frame, Hello, Standing};
+use super::frame::{Frame, Hello, SPEAKS, Standing};
 use super::lines::{LineError, Lines};
 use crate::clock;
 use crate::context::Context;
@@ -70,6 +73,12 @@
     /// A table of servers can't be read.
     #[error(transparent)]
     Table(#[from] TableError),
+    /// A part of a configuration can't be read.
+    #[error(transparent)]
+    Part(#[from] PartError),
+    /// What is told of a configuration does not lead on from this VM's own.
+    #[error("the feeder does not lead on from the configuration in force")]
+    OutOfStep,
 }
 
 impl LinkError {
@@ -84,7 +93,8 @@
             Self::Behind => "behind",
             Self::StoreAway => "store_away",
             Self::Circle => "circle",
-            Self::Unreadable(_) | Self::Table(_) => "unreadable",
+            Self::Unreadable(_) | Self::Table(_) | Self::Part(_) => "unreadable",
+            Self::OutOfStep => "out_of_step",
         }
     }
 }
@@ -159,10 +169,15 @@
         configuration: context.position(Collection::Configuration),
         servers: context.position(Collection::BackendServers),
         below: context.followers.below(&context.settings.zone),
+        version: context.in_force.leads_on(),
+        arrived: context.in_force.arrived(),
+        servers_digest: Some(context.servers(|servers| servers.digest())),
+        speaks: SPEAKS,
     });
     write.write_all(&hello.to_line()).await?;
     let lines = Lines::of(read);
     tokio::select! {
+        biased;
         ended = hear(context, pulse, feeder, lines) => ended,
         ended = tell_below(context, write) => ended,
     }
@@ -182,6 +197,7 @@
             stream.write_all(&Frame::Below(below).to_line()).await?;
         }
         tokio::select! {
+            biased;
             () = changed => {}
             () = context.ahead.notified() => stream.write_all(&Frame::Ahead.to_line()).await?,
         }
@@ -195,6 +211,7 @@
     mut lines: Lines<impl AsyncRead + Unpin>,
 ) -> Result<(), LinkError> {
     let mut led = false;
+    let mut transfer = Transfer::default();
     let mut pending: Option<Standing> = None;
     loop {
         let Some(frame) = next(&mut lines).await? else {
@@ -225,11 +242,52 @@
                     steps = context.path.borrow().len()
                 );
             }
+            Frame::Part(part) => {
+                transfer.add(&lines);
+                take_part(context, *part, &mut transfer)?;
+            }
             frame => take(context, frame)?,
         }
     }
 }
 
+/// The parts of a configuration that have come over one link.
+#[derive(Debug, Default)]
+struct Transfer {
+    parts: u32,
+    bytes: usize,
+    began: Option<Instant>,
+}
+
+impl Transfer {
+    /// Counts the line that was read last.
+    fn add<R: AsyncRead + Unpin>(&mut self, lines: &Lines<R>) {
+        let (bytes, took) = lines.last();
+        let began = clock::now().checked_sub(took);
+        self.began = self.began.or(began);
+        self.parts += 1;
+        self.bytes += bytes;
+    }
+
+    /// Writes down that the configuration is whole.
+    fn end(&mut self, version: ConfigurationVersion) {
+        let Self {
+            parts,
+            bytes,
+            began,
+        } = std::mem::take(self);
+        let took = began.map(|began| clock::now().saturating_duration_since(began));
+        let took_ms = took.unwrap_or_default().as_millis() as u64;
+        tracing::info!(
+            event = "configuration_arrived",
+            version,
+            parts,
+            bytes,
+            took_ms
+        );
+    }
+}
+
 /// Returns what a feeder tells next, or `None` at the end of the link.
 async fn next(lines: &mut Lines<impl AsyncRead + Unpin>) -> Result<Option<Frame>, LinkError> {
     let frame = match lines.next(SILENCE).await {
@@ -287,6 +345,7 @@
     let now = clock::now();
     match frame {
         Frame::Configuration(configuration) => keeper::configuration(context, *configuration),
+        Frame::Newer(version) => keeper::configuration_exists(context, version),
         Frame::Server(server) => keeper::server(context, now, server),
         Frame::Servers(table) => keeper::servers(context, now, table.servers()?),
         Frame::ServerGone(name) => keeper::server_gone(context, now, &name),
@@ -299,12 +358,30 @@
         | Frame::Ahead
         | Frame::Standing(_)
         | Frame::Wait
+        | Frame::Alive
+        | Frame::Part(_)
         | Frame::Elsewhere(_)
         | Frame::Told => {}
     }
     Ok(())
 }
 
+fn take_part(
+    context: &Context,
+    part: ChangePart,
+    transfer: &mut Transfer,
+) -> Result<(), LinkError> {
+    match context.in_force.take(part)? {
+        Taken::More | Taken::Known => Ok(()),
+        Taken::Whole(configuration) => {
+            transfer.end(configuration.version);
+            keeper::configuration(context, *configuration);
+            Ok(())
+        }
+        Taken::OutOfStep => Err(LinkError::OutOfStep),
+    }
+}
+
 fn all_servers(context: &Context, now: Instant, table: ServerTable) -> Result<(), LinkError> {
     let servers: Vec<BackendServer> = table.servers()?;
     let names: Vec<String> = servers.iter().map(|s| s.name.to_string()).collect();
--- a/crates/kingcuploft-entry/src/peers/followers.rs
+++ b/crates/kingcuploft-entry/src/peers/followers.rs
@@ -3,19 +3,68 @@
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 
+use kingcuploft::entry::configuration::ConfigurationVersion;
+use kingcuploft::entry::configuration_change::ConfigurationChange;
 use kingcuploft::entry::feeding::{self, Admission, Fed};
 use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::utils::HashMap;
 use kingcuploft::world::ids::{AvailabilityZone, VmName};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, Semaphore, mpsc};
 
 use super::frame::Frame;
 
 /// How many frames may wait for one follower; one that is so far behind is better off alone.
 const MOST_WAITING: usize = 256;
 
+/// How many bytes may.
+const MOST_WAITING_BYTES: usize = 512 * 1024;
+
+/// How many followers are written long lines at once: the first of them tell others while the last still wait.
+const MOST_TURNS: usize = 3;
+
 /// What is written to several followers.
 pub type Line = Rc<Vec<u8>>;
 
+/// What is told to a follower next.
+#[derive(Clone, Debug)]
+pub enum Outgoing {
+    /// A line.
+    Line(Line),
+    /// That a version of the configuration exists.
+    Newer(ConfigurationVersion),
+    /// What leads from its configuration to the one in force.
+    Configuration,
+}
+
+/// What waits to be told to one follower.
+#[derive(Debug)]
+pub struct Queue {
+    waiting: mpsc::Receiver<Outgoing>,
+    bytes: Rc<Cell<usize>>,
+}
+
+impl Queue {
+    /// Returns what is told next, or `None` once the follower is let go.
+    pub async fn next(&mut self) -> Option<Outgoing> {
+        let next = self.waiting.recv().await;
+        self.taken(next.as_ref());
+        next
+    }
+
+    /// Forgets all that waits.
+    pub fn clear(&mut self) {
+        while let Ok(outgoing) = self.waiting.try_recv() {
+            self.taken(Some(&outgoing));
+        }
+    }
+
+    fn taken(&self, outgoing: Option<&Outgoing>) {
+        if let Some(Outgoing::Line(line)) = outgoing {
+            self.bytes.set(self.bytes.get() - line.len());
+        }
+    }
+}
+
 /// Tells one follower from the others.
 type FollowerId = u64;
 
@@ -23,15 +72,41 @@
 struct Follower {
     id: FollowerId,
     fed: Fed,
-    queue: mpsc::Sender<Line>,
+    queue: mpsc::Sender<Outgoing>,
+    waiting_bytes: Rc<Cell<usize>>,
+}
+
+impl Follower {
+    /// Has something told; returns whether there was room.
+    fn tell(&self, outgoing: &Outgoing) -> bool {
+        let bytes = match outgoing {
+            Outgoing::Line(line) => line.len(),
+            Outgoing::Newer(_) | Outgoing::Configuration => 0,
+        };
+        let waiting = self.waiting_bytes.get();
+        let has_room = waiting == 0 || waiting + bytes <= MOST_WAITING_BYTES;
+        if !has_room || self.queue.try_send(outgoing.clone()).is_err() {
+            let vm = &self.fed.vm.name;
+            tracing::info!(event = "follower_dropped", %vm, waiting_bytes = waiting);
+            return false;
+        }
+        self.waiting_bytes.set(waiting + bytes);
+        true
+    }
 }
 
+/// A change, by the versions that it leads from and to.
+type ChangeKey = (Option<ConfigurationVersion>, ConfigurationVersion);
+
 /// The VMs that this one feeds.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Followers {
     all: RefCell<Vec<Follower>>,
     next_id: Cell<FollowerId>,
     account: RefCell<Weak<Vec<u8>>>,
+    parts: RefCell<HashMap<ChangeKey, Weak<Vec<Line>>>>,
+    /// Those that may be written long lines.
+    pub turns: Semaphore,
     /// Wakes whoever tells how many there are.
     pub changed: Notify,
 }
@@ -39,43 +114,61 @@
 /// What becomes of a VM that wants to be fed.
 pub enum Admitted {
     /// It is fed: this link's place among the followers, and what is told to it from now on.
-    Fed(FollowerId, mpsc::Receiver<Line>),
+    Fed(FollowerId, Queue),
     /// Another VM may feed it.
     Elsewhere(VmEntry),
     /// It is turned away.
     TurnedAway,
 }
 
+impl Default for Followers {
+    fn default() -> Self {
+        Self {
+            all: RefCell::default(),
+            next_id: Cell::new(0),
+            account: RefCell::default(),
+            parts: RefCell::default(),
+            turns: Semaphore::new(MOST_TURNS),
+            changed: Notify::new(),
+        }
+    }
+}
+
 impl Followers {
     /// Tells all followers; one that does not keep up is dropped.
     pub fn tell(&self, frame: &Frame) {
         match frame {
-            Frame::Configuration(_)
-            | Frame::Server(_)
-            | Frame::Servers(_)
-            | Frame::ServerGone(_)
-            | Frame::AllServers(_) => self.forget_account(),
+            Frame::Server(_) | Frame::Servers(_) | Frame::ServerGone(_) | Frame::AllServers(_) => {
+                self.forget_account()
+            }
             _ => {}
         }
         if self.is_empty() {
             return;
         }
-        let line = Rc::new(frame.to_line());
+        self.tell_all(&Outgoing::Line(Rc::new(frame.to_line())));
+    }
+
+    /// Tells all followers what leads to the configuration in force.
+    pub fn tell_configuration(&self) {
+        self.tell_all(&Outgoing::Configuration);
+    }
+
+    /// Tells all followers that a version of the configuration exists.
+    pub fn tell_newer(&self, version: ConfigurationVersion) {
+        self.tell_all(&Outgoing::Newer(version));
+    }
+
+    fn tell_all(&self, outgoing: &Outgoing) {
         let mut all = self.all.borrow_mut();
         let before = all.len();
-        all.retain(|follower| {
-            let sent = follower.queue.try_send(line.clone()).is_ok();
-            if !sent {
-                tracing::info!(event = "follower_dropped", vm = %follower.fed.vm.name);
-            }
-            sent
-        });
+        all.retain(|follower| follower.tell(outgoing));
         if all.len() < before {
             self.changed.notify_waiters();
         }
     }
 
-    /// Returns the account of all that the store holds, shared by the followers that join before the next
+    /// Returns the account of all backend servers, shared by the followers that join before the next
     /// change: when all VMs of a zone start together, a copy for each is more than a small VM has.
     pub fn account(&self, write: impl FnOnce() -> Vec<u8>) -> Line {
         let mut shared = self.account.borrow_mut();
@@ -87,6 +180,28 @@
         account
     }
 
+    /// Returns the lines that tell a change, shared by the followers that are told it together.
+    pub fn parts(&self, change: &ConfigurationChange) -> Rc<Vec<Line>> {
+        let mut shared = self.parts.borrow_mut();
+        let key = (change.from, change.to);
+        if let Some(parts) = shared.get(&key).and_then(Weak::upgrade) {
+            return parts;
+        }
+        let parts = change.parts().into_iter();
+        let lines = parts.map(|part| Rc::new(Frame::Part(Box::new(part)).to_line()));
+        let lines = Rc::new(lines.collect());
+        shared.retain(|_, parts| parts.strong_count() > 0);
+        shared.insert(key, Rc::downgrade(&lines));
+        lines
+    }
+
+    /// Returns the most bytes that wait for one follower.
+    pub fn most_waiting_bytes(&self) -> usize {
+        let all = self.all.borrow();
+        let waiting = all.iter().map(|follower| follower.waiting_bytes.get());
+        waiting.max().unwrap_or(0)
+    }
+
     /// Takes note that the account is no longer true.
     pub fn forget_account(&self) {
         self.account.take();
@@ -147,6 +262,7 @@
 
     fn add(&self, vm: VmEntry, below: u32) -> Admitted {
         let (sender, receiver) = mpsc::channel(MOST_WAITING);
+        let waiting_bytes = Rc::new(Cell::new(0));
         let id = self.next_id.replace(self.next_id.get() + 1);
         let follower = Follower {
             id,
@@ -156,10 +272,15 @@
                 sent_there: 0,
             },
             queue: sender,
+            waiting_bytes: waiting_bytes.clone(),
         };
         self.all.borrow_mut().push(follower);
         self.changed.notify_waiters();
-        Admitted::Fed(id, receiver)
+        let queue = Queue {
+            waiting: receiver,
+            bytes: waiting_bytes,
+        };
+        Admitted::Fed(id, queue)
     }
 
     fn elsewhere(&self, at: usize) -> Admitted {
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -1,7 +1,9 @@
 //! What the VMs tell each other: one JSON object a line.
 
+use kingcuploft::entry::arriving::Arrived;
 use kingcuploft::entry::backend_servers::BackendServer;
-use kingcuploft::entry::configuration::Configuration;
+use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
+use kingcuploft::entry::configuration_change::ChangePart;
 use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_table::ServerTable;
 use kingcuploft::entry::zone_record::ZoneRecord;
@@ -27,8 +29,14 @@
     Below(u32),
     /// A VM that would be fed through the sender knows the store up to a later moment.
     Ahead,
-    /// The configuration in force.
+    /// The configuration in force, whole, for VMs of earlier releases.
     Configuration(Box<Configuration>),
+    /// This version of the configuration exists; what leads to it follows.
+    Newer(ConfigurationVersion),
+    /// A part of what leads to a newer configuration.
+    Part(Box<ChangePart>),
+    /// The sender is alive, and will go on.
+    Alive,
     /// What the store says of a backend server.
     Server(BackendServer),
     /// What the store says of several backend servers.
@@ -56,8 +64,23 @@
     pub servers: Option<Revision>,
     /// How many VMs are fed through it.
     pub below: u32,
+    /// The version of the configuration that it may be led on from.
+    #[serde(default)]
+    pub version: Option<ConfigurationVersion>,
+    /// What has arrived of the next one.
+    #[serde(default)]
+    pub arrived: Option<Arrived>,
+    /// The digest of the backend servers that it knows.
+    #[serde(default)]
+    pub servers_digest: Option<u64>,
+    /// The frames that it understands: 1 for all of this release, 0 for those before.
+    #[serde(default)]
+    pub speaks: u32,
 }
 
+/// What a VM of this release understands.
+pub const SPEAKS: u32 = 1;
+
 /// How far a VM knows the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Standing {
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod away;
 pub mod dial;
+mod feed;
 pub mod follower;
 pub mod followers;
 pub mod frame;
--- a/crates/kingcuploft-entry/src/peers/reader.rs
+++ b/crates/kingcuploft-entry/src/peers/reader.rs
@@ -3,25 +3,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcuploft::entry::server_table::ServerTable;
-use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncWrite, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncWrite, BufReader};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
 
-use super::followers::{Admitted, Line};
+use super::feed::{Feed, WRITE_PATIENCE, write};
+use super::followers::Admitted;
 use super::frame::{Frame, Hello, Standing};
 use super::standing::standing;
 use crate::context::Context;
 use crate::pulse::Pulse;
 
 /// The time between two heartbeats. A follower that misses two and a bit reads by itself.
-const HEARTBEAT: Duration = Duration::from_millis(250);
-
-/// How long a follower may take nothing of what is written to it.
-const WRITE_PATIENCE: Duration = Duration::from_secs(1);
-
-/// How long a follower is kept waiting by a VM that knows nothing itself.
-const LONGEST_WAIT: Duration = Duration::from_secs(3);
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(250);
 
 /// The bytes read at once of what a follower says.
 const HELLO_BYTES: usize = 256;
@@ -101,7 +94,8 @@
         catch_up(context, pulse);
     }
     let ended = tokio::select! {
-        ended = feed(context, pulse, &hello, stream, queue) => ended,
+        biased;
+        ended = Feed::new(context, pulse, &hello, stream).run(&hello, queue) => ended,
         () = hear(context, pulse, id, lines) => Ok(()),
     };
     context.followers.left(id);
@@ -126,64 +120,6 @@
     }
 }
 
-/// Tells a follower all that this VM knows, and then what it hears.
-async fn feed(
-    context: &Rc<Context>,
-    pulse: &Pulse,
-    hello: &Hello,
-    mut stream: impl AsyncWrite + Unpin,
-    mut queue: mpsc::Receiver<Line>,
-) -> std::io::Result<()> {
-    if !standing(context, pulse).is_whole() {
-        let whole = tokio::time::timeout(LONGEST_WAIT, keep_waiting(context, pulse, &mut stream));
-        whole.await.map_err(|_| timed_out())??;
-        // What queued up meanwhile is in the account.
-        while queue.try_recv().is_ok() {}
-    }
-    let own = standing(context, pulse);
-    // A VM that is fed itself hears of a change before it hears up to which moment it knows all: one that joins in
-    // between stands at the same moment and would never be told the change.
-    let at_one_moment = (own.configuration, own.servers) == (hello.configuration, hello.servers);
-    let same = pulse.is_reading() && at_one_moment;
-    let account = (!same).then(|| context.followers.account(|| account(context)));
-    let mut greeting = Frame::Standing(own).to_line();
-    greeting.extend(zones(context).to_line());
-    write(&mut stream, &greeting).await?;
-    if let Some(account) = account {
-        write(&mut stream, &account).await?;
-    }
-    tell(&mut stream, &Frame::Told).await?;
-    while let Some(line) = queue.recv().await {
-        write(&mut stream, &line).await?;
-    }
-    Ok(())
-}
-
-/// Tells a follower that this VM is alive, until it knows all.
-async fn keep_waiting(
-    context: &Context,
-    pulse: &Pulse,
-    stream: &mut (impl AsyncWrite + Unpin),
-) -> std::io::Result<()> {
-    loop {
-        tell(stream, &Frame::Wait).await?;
-        let knows = tokio::time::timeout(HEARTBEAT, knows_all(context, pulse));
-        if knows.await.is_ok() {
-            return Ok(());
-        }
-    }
-}
-
-async fn knows_all(context: &Context, pulse: &Pulse) {
-    loop {
-        let moved = context.moved.notified();
-        if standing(context, pulse).is_whole() {
-            return;
-        }
-        moved.await;
-    }
-}
-
 /// Hears how many VMs are fed through a follower, until the link ends.
 async fn hear(
     context: &Context,
@@ -206,7 +142,7 @@
     }
 }
 
-fn timed_out() -> std::io::Error {
+pub(super) fn timed_out() -> std::io::Error {
     std::io::ErrorKind::TimedOut.into()
 }
 
@@ -214,27 +150,6 @@
     write(stream, &frame.to_line()).await
 }
 
-async fn write(stream: &mut (impl AsyncWrite + Unpin), mut line: &[u8]) -> std::io::Result<()> {
-    while !line.is_empty() {
-        let writing = tokio::time::timeout(WRITE_PATIENCE, stream.write(line)).await;
-        let written = writing.map_err(|_| timed_out())??;
-        line = &line[written..];
-    }
-    Ok(())
-}
-
 fn zones(context: &Context) -> Frame {
     Frame::Zones(context.readers.borrow().records())
 }
-
-/// Writes all that this VM knows of what the store holds.
-fn account(context: &Context) -> Vec<u8> {
-    let mut out = Vec::new();
-    if let Some(configuration) = context.configuration() {
-        let configuration = Box::new((*configuration).clone());
-        out.extend(Frame::Configuration(configuration).to_line());
-    }
-    let table = context.servers(|servers| ServerTable::of(servers.present()));
-    out.extend(Frame::AllServers(table).to_line());
-    out
-}
--- a/crates/kingcuploft-entry/src/roster.rs
+++ b/crates/kingcuploft-entry/src/roster.rs
@@ -190,6 +190,7 @@
         let mut feeder = first;
         for _ in 0..MOST_HOPS {
             let ended = tokio::select! {
+                biased;
                 ended = follower::follow(self.context, self.pulse, self.own, &feeder, self.network) => ended,
                 () = away::find_store(self.context, self.pulse) => {
                     self.take_over(&feeder).await;
--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -1,6 +1,7 @@
 //! VMs of several zones, each with its own link, and what they are given to do.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -52,6 +53,8 @@
     pub(crate) routes: Vec<Route>,
     pub(crate) rng: Rng,
     version: u64,
+    /// The version that each VM was last seen with.
+    seen: RefCell<HashMap<usize, u64>>,
     entries: Vec<(VmEntry, u32)>,
     configuration_bytes: Rc<Cell<usize>>,
 }
@@ -83,6 +86,7 @@
             routes: routes(&mut rng, count),
             rng,
             version: 0,
+            seen: RefCell::default(),
             entries,
             configuration_bytes: Rc::default(),
         };
@@ -144,6 +148,15 @@
         self.network.0.borrow_mut()[at] = Some(Rc::new(host));
     }
 
+    /// Takes a VM's power away.
+    pub(crate) fn power_off(&self, at: usize) {
+        self.seen.borrow_mut().remove(&at);
+        let host = self.network.0.borrow_mut()[at].take();
+        for task in host.iter().flat_map(|host| host.tasks.take()) {
+            task.abort();
+        }
+    }
+
     /// Puts so many routes more in force.
     pub(crate) fn add_routes(&mut self, count: usize) {
         let more = routes(&mut self.rng, count);
@@ -158,6 +171,12 @@
         self.configure();
     }
 
+    /// Removes routes.
+    pub(crate) fn remove_routes(&mut self, count: usize) {
+        self.routes.truncate(self.routes.len() - count);
+        self.configure();
+    }
+
     fn configure(&mut self) {
         self.version += 1;
         let configuration = configuration(self.version, &self.routes);
@@ -168,7 +187,10 @@
     /// Returns the version that a VM has in force.
     pub(crate) fn version_at(&self, at: usize) -> Option<u64> {
         let host = self.network.host(at)?;
-        host.context.configuration().map(|c| c.version)
+        let version = host.context.in_force.version()?;
+        let before = self.seen.borrow_mut().insert(at, version);
+        assert!(before <= Some(version), "VM {at} goes back to {version}");
+        Some(version)
     }
 
     fn is_cut(&self, at: usize) -> bool {
@@ -211,6 +233,29 @@
         let hosts = (0..self.len()).filter_map(|at| self.network.host(at));
         hosts.map(|host| silent(&host.context.metrics_text())).sum()
     }
+
+    /// Returns the bytes that each VM has sent.
+    pub(crate) fn sent_bytes(&self) -> Vec<usize> {
+        let hosts = (0..self.len()).map(|at| self.network.host(at));
+        hosts
+            .map(|host| host.map_or(0, |host| host.nic.sent_bytes.get()))
+            .collect()
+    }
+
+    pub(crate) fn cut(&self, at: usize, is_cut: bool) {
+        if let Some(host) = self.network.host(at) {
+            host.nic.is_cut.set(is_cut);
+        }
+    }
+
+    /// Returns the VMs that feed others.
+    pub(crate) fn feeders(&self) -> Vec<usize> {
+        let feeds = |at: &usize| {
+            let host = self.network.host(*at);
+            host.is_some_and(|host| !host.context.followers.is_empty())
+        };
+        (0..self.len()).filter(feeds).collect()
+    }
 }
 
 fn silent(counters: &str) -> u64 {
--- a/crates/kingcuploft-entry/tests/links/main.rs
+++ b/crates/kingcuploft-entry/tests/links/main.rs
@@ -7,6 +7,7 @@
 
 mod configurations;
 mod fleet;
+mod joining;
 mod network;
 mod pipe;
 mod scenarios;
--- a/crates/kingcuploft-entry/tests/links/scenarios.rs
+++ b/crates/kingcuploft-entry/tests/links/scenarios.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use fastrand::Rng;
+
 use crate::fleet::{Fleet, Links, play};
 
 /// Within which time an accepted configuration has to be in force everywhere.
@@ -41,3 +43,71 @@
         assert_eq!(fleet.silent_feeders(), 0);
     });
 }
+
+/// Guards against feeders that are gone in the middle of a transfer.
+#[test]
+fn feeders_lost_frozen_or_cut_in_the_middle_of_a_transfer_keep_nobody_behind() {
+    for seed in 0..6 {
+        play(async {
+            let mut fleet = Fleet::start(&ZONES, LINKS, 1419, seed).await;
+            let mut rng = Rng::with_seed(seed);
+            for _ in 0..3 {
+                fleet.add_routes(700);
+                tokio::time::sleep(Duration::from_millis(rng.u64(10..120))).await;
+                let mut feeders = fleet.feeders();
+                rng.shuffle(&mut feeders);
+                let (lost, cut) = (feeders[0], feeders[1]);
+                fleet.power_off(lost);
+                fleet.cut(cut, true);
+                fleet.in_force(APPLY).await;
+                fleet.power_on(lost, false);
+                fleet.cut(cut, false);
+                fleet.in_force(APPLY).await;
+                tokio::time::sleep(Duration::from_secs(8)).await;
+            }
+        });
+    }
+}
+
+/// Guards against VMs that restart together and are all told everything.
+#[test]
+fn vms_that_restart_while_routes_are_added_know_them_in_time() {
+    for seed in 0..4 {
+        play(async {
+            let mut fleet = Fleet::start(&ZONES, LINKS, 1419, seed).await;
+            fleet.add_routes(1400);
+            for at in (0..fleet.len()).filter(|at| at % 3 == 1) {
+                fleet.power_off(at);
+                fleet.power_on(at, false);
+            }
+            fleet.in_force(APPLY).await;
+            fleet.remove_routes(500);
+            fleet.in_force(APPLY).await;
+        });
+    }
+}
+
+/// Guards against a change that reaches hundreds of VMs late, or costs one of them more than its share.
+#[test]
+fn hundreds_of_vms_know_a_change_in_time_and_one_value_costs_little() {
+    let zones = [54, 56, 58, 45, 45, 54];
+    let links = Links {
+        large_mbit: 200,
+        small_mbit: 20,
+    };
+    play(async {
+        let mut fleet = Fleet::start(&zones, links, 1419, 1).await;
+        fleet.add_routes(1400);
+        let (first, last) = fleet.in_force(APPLY).await;
+        assert!(last - first <= Duration::from_millis(1500));
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let before = fleet.sent_bytes();
+        fleet.change_one();
+        let (first, last) = fleet.in_force(APPLY).await;
+        assert!(last - first <= Duration::from_millis(500));
+        let sent = fleet.sent_bytes().into_iter().zip(before);
+        let most = sent.map(|(after, before)| after - before).max();
+        // A thirtieth of telling all routes to twelve.
+        assert!(most < Some(100_000), "{most:?}");
+    });
+}
--- a/crates/kingcuploft/src/entry/backend_servers.rs
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -11,14 +11,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::utils::HashMap;
+use crate::utils::{HashMap, digest};
 use crate::world::ids::{AvailabilityZone, BackendServerName, ServiceName};
 
 /// When a server's process started, as far as the platform tells; greater is later.
 pub type StartedAt = u64;
 
 /// One backend server, as the platform's store tells of it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(from = "Row", into = "Row")]
 pub struct BackendServer {
     /// Its name, new with each start.
@@ -281,6 +281,11 @@
         present.map(|known| &known.server)
     }
 
+    /// Returns a hash of the servers whose entries are there, whatever their order.
+    pub fn digest(&self) -> u64 {
+        self.present().map(digest).fold(0, u64::wrapping_add)
+    }
+
     /// Returns how many servers may be sent work.
     pub fn in_use(&self) -> usize {
         let standings = self.known.values().map(|known| known.standing);
--- a/crates/kingcuploft/src/entry/configuration.rs
+++ b/crates/kingcuploft/src/entry/configuration.rs
@@ -1,11 +1,13 @@
 //! The configuration in force: which request goes to which service, and within which bounds.
 
+use std::borrow::Borrow;
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::utils::HashMap;
+use crate::utils::{HashMap, HashSet, digest};
 use crate::world::contract::Contract;
 use crate::world::ids::{RuleName, ServiceName};
 
@@ -18,16 +20,40 @@
 pub struct Configuration {
     /// Its version.
     pub version: ConfigurationVersion,
-    /// The routes of each host, longest path prefix first.
-    hosts: HashMap<String, Vec<Arc<Route>>>,
+    /// The routes of each host; each prefix has one.
+    hosts: HashMap<String, HashSet<ByPrefix>>,
     /// The services, by name.
     pub services: HashMap<ServiceName, Service>,
     /// What callers may send, and how long they may take.
     pub limits: Limits,
 }
 
+/// A route, found by its prefix.
+#[derive(Clone, Debug)]
+struct ByPrefix(Arc<Route>);
+
+impl Borrow<str> for ByPrefix {
+    fn borrow(&self) -> &str {
+        &self.0.path_prefix
+    }
+}
+
+impl Hash for ByPrefix {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.path_prefix.hash(state);
+    }
+}
+
+impl PartialEq for ByPrefix {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.path_prefix == other.0.path_prefix
+    }
+}
+
+impl Eq for ByPrefix {}
+
 /// What is known of a service beside its backend servers.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Service {
     /// The path that tells health and load.
     pub health_path: String,
@@ -36,7 +62,7 @@
 }
 
 /// Bounds on what callers send.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Limits {
     /// The most bytes of a request's head.
     pub header_bytes: usize,
@@ -60,13 +86,13 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Route {
     /// Its name.
     pub name: RuleName,
     /// The host it belongs to, in lower case.
     pub host: String,
-    /// The prefix of the paths it takes.
+    /// The prefix of the paths it takes; it ends with a slash.
     pub path_prefix: String,
     /// Whether its requests may run more than once.
     pub contract: Contract,
@@ -83,7 +109,7 @@
 }
 
 /// A service that takes a share of a route's requests.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Destination {
     /// The service.
     pub service: ServiceName,
@@ -92,27 +118,68 @@
 }
 
 impl Configuration {
-    /// Builds a configuration of its parts.
+    /// Builds a configuration of its parts. Of several routes with the same host and prefix the first holds.
     pub fn new(
         version: ConfigurationVersion,
         routes: Vec<Route>,
         services: HashMap<ServiceName, Service>,
         limits: Limits,
     ) -> Self {
-        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::default();
-        for route in routes {
-            let of_host = hosts.entry(route.host.clone()).or_default();
-            of_host.push(Arc::new(route));
-        }
-        for of_host in hosts.values_mut() {
-            of_host.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
-        }
-        Self {
+        let mut configuration = Self {
             version,
-            hosts,
+            hosts: HashMap::default(),
             services,
             limits,
+        };
+        for route in routes {
+            let of_host = configuration.of_host(&route.host);
+            of_host.insert(ByPrefix(Arc::new(route)));
         }
+        configuration
+    }
+
+    /// Returns the routes of a host, to add to.
+    fn of_host(&mut self, host: &str) -> &mut HashSet<ByPrefix> {
+        self.hosts.entry(host.to_owned()).or_default()
+    }
+
+    /// Puts a route in the place of the one with its host and prefix.
+    pub(super) fn write(&mut self, route: Arc<Route>) {
+        let host = route.host.clone();
+        self.of_host(&host).replace(ByPrefix(route));
+    }
+
+    /// Takes a route out.
+    pub(super) fn remove(&mut self, host: &str, path_prefix: &str) {
+        if let Some(of_host) = self.hosts.get_mut(host) {
+            of_host.remove(path_prefix);
+            if of_host.is_empty() {
+                self.hosts.remove(host);
+            }
+        }
+    }
+
+    /// Returns the route of a host with exactly this prefix.
+    pub fn route_at(&self, host: &str, path_prefix: &str) -> Option<&Arc<Route>> {
+        self.hosts.get(host)?.get(path_prefix).map(|route| &route.0)
+    }
+
+    /// Takes the routes that another configuration has as well from that one, so that they are kept once.
+    pub fn share(&mut self, other: &Self) {
+        let same = self.shared_routes().filter_map(|own| {
+            let route = other.route_at(&own.host, &own.path_prefix)?;
+            (!Arc::ptr_eq(own, route) && own == route).then(|| route.clone())
+        });
+        let same: Vec<_> = same.collect();
+        same.into_iter().for_each(|route| self.write(route));
+    }
+
+    /// Returns a hash of all but the version, whatever the order of the routes and services.
+    pub fn digest(&self) -> u64 {
+        let routes = self.routes().map(digest);
+        let services = self.services.iter().map(|service| digest(&service));
+        let all = routes.chain(services).chain([digest(&self.limits)]);
+        all.fold(0, u64::wrapping_add)
     }
 
     /// Finds the route of a request: of its host, the one with the longest prefix of its path.
@@ -123,23 +190,28 @@
             .map_or(host.as_str(), |(name, _)| name);
         let of_host = self.hosts.get(&host).or_else(|| self.hosts.get(name))?;
         let path = target.split(['?', '#']).next().unwrap_or(target);
-        of_host
-            .iter()
-            .find(|route| path.starts_with(&route.path_prefix))
+        let slashes = path.rmatch_indices('/').map(|(at, _)| at);
+        let mut prefixes = slashes.map(|at| &path[..=at]);
+        let found = prefixes.find_map(|prefix| of_host.get(prefix))?;
+        Some(&found.0)
     }
 
     /// Returns all routes.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
-        self.hosts.values().flatten().map(AsRef::as_ref)
+        self.shared_routes().map(AsRef::as_ref)
+    }
+
+    pub(super) fn shared_routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten().map(|route| &route.0)
     }
 
     /// Returns how many routes there are.
     pub fn route_count(&self) -> usize {
-        self.hosts.values().map(Vec::len).sum()
+        self.hosts.values().map(HashSet::len).sum()
     }
 }
 
-/// A configuration as the VMs tell it each other.
+/// A configuration as VMs of earlier releases tell it each other.
 #[derive(Deserialize, Serialize)]
 struct Parts {
     version: ConfigurationVersion,
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -3,9 +3,12 @@
 //! The event-driven entry (`kingcuploft-entry`) asks these modules what to do next and does it; the
 //! tests ask the same modules.
 
+pub mod arriving;
 pub mod asked;
 pub mod backend_servers;
+pub mod change_log;
 pub mod configuration;
+pub mod configuration_change;
 pub mod connections;
 pub mod failures;
 pub mod feeding;
--- a/crates/kingcuploft/src/world/contract.rs
+++ b/crates/kingcuploft/src/world/contract.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The contract of a rule.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, JsonSchema, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Contract {
     /// The request may run any number of times: it may be retried and hedged.
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod asked;
 mod backend_servers;
 mod configuration;
+mod configuration_change;
 mod connections;
 mod feeding;
 mod log_budget;
