fix(edge): a VM that knows that a newer configuration exists does not say 404 for a route that may be new

What callers saw: 404 for a route that the operator had added; callers don't come back after it. Cause: a VM that has not heard all yet answers from what it has. Now that the notice of a version goes before its parts, a VM knows that it is behind: a request without a route waits 150 ms for the configuration, and is then refused with 503, which promises that it has not run, and Retry-After. Known routes are served all the while. Both tests failed before with 404.

--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -15,8 +15,8 @@
 use crate::context::Context;
 use crate::upstream::exchange::Ended;
 
-/// How long a request waits for a VM that has just started to learn its configuration: that takes
-/// some tens of milliseconds, or as long as the store is away.
+/// How long a request waits for a configuration that has it in it, at a VM that has just started or knows that a newer
+/// one exists: that takes some tens of milliseconds, or as long as the store is away.
 const HOLD_UNREADY: Duration = Duration::from_millis(150);
 
 /// Serves one request and hands its answer over.
@@ -27,9 +27,9 @@
     answer: oneshot::Sender<Answer>,
 ) {
     context.metrics.requests.inc();
-    if context.configuration().is_none() {
-        let configured = context.in_force.adopting.notified();
-        let _ = tokio::time::timeout(HOLD_UNREADY, configured).await;
+    if !Flight::may_begin(&context, &request) {
+        let adopting = context.in_force.adopting.notified();
+        let _ = tokio::time::timeout(HOLD_UNREADY, adopting).await;
     }
     let (route, answered) = match Flight::begin(&context, &request) {
         Begun::Refused(answer) => (None, answer),
--- a/crates/kingcuploft-entry/src/edge/flight.rs
+++ b/crates/kingcuploft-entry/src/edge/flight.rs
@@ -18,7 +18,7 @@
 /// servers' speeds later.
 const COME_BACK: Duration = Duration::from_millis(250);
 
-/// When a caller is told to come back to a VM that knows no configuration yet.
+/// When a caller is told to come back to a VM that knows no configuration yet, or not the newest.
 const COME_BACK_UNREADY: Duration = Duration::from_millis(500);
 
 /// What a request begins with.
@@ -46,6 +46,16 @@
 }
 
 impl<'a> Flight<'a> {
+    /// Returns whether it is known what becomes of a request: whether its host and path have a route, or will have none.
+    pub(super) fn may_begin(context: &Context, request: &Request) -> bool {
+        let Some(configuration) = context.configuration() else {
+            return false;
+        };
+        let host = request.head.headers.get("host").unwrap_or_default();
+        let has_route = configuration.route(host, &request.head.target).is_some();
+        has_route || context.in_force.behind_for().is_none()
+    }
+
     /// Finds the route and the destination of a request, or refuses it.
     pub(super) fn begin(context: &'a Rc<Context>, request: &'a Request) -> Begun<'a> {
         let refuse = |status, reason: &'static str, after| {
@@ -59,7 +69,10 @@
         };
         let host = request.head.headers.get("host").unwrap_or_default();
         let Some(route) = configuration.route(host, &request.head.target).cloned() else {
-            return refuse(404, "no such route", None);
+            return match context.in_force.behind_for() {
+                None => refuse(404, "no such route", None),
+                Some(_) => refuse(503, "the route may be new", Some(COME_BACK_UNREADY)),
+            };
         };
         let Some(destination) = context.deal(&route) else {
             return refuse(503, "the route has no destination", Some(COME_BACK));
--- a/crates/kingcuploft-entry/tests/entry/store_faults.rs
+++ b/crates/kingcuploft-entry/tests/entry/store_faults.rs
@@ -10,6 +10,7 @@
 use crate::store::TestStore;
 use crate::world::{
     WORDS, World, configuration, entry, look, play, play_in_virtual_time, settings, start, until,
+    with_route,
 };
 
 fn version(vm: &run::Running) -> u64 {
@@ -127,3 +128,38 @@
         until(|| !world.store.zones.borrow().is_empty()).await;
     });
 }
+
+fn unknown(id: &str) -> String {
+    look(id).replace("/look/a", "/new/a")
+}
+
+/// Guards against 404 for a route that was added, by a VM that knows that a newer configuration exists.
+#[test]
+fn a_route_that_may_be_new_is_refused_as_not_run_and_one_that_is_known_is_served() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        assert_eq!(world.ask(&unknown("r1")).await.status, 404);
+        world.vm.context.in_force.exists(2);
+        let answer = world.ask(&unknown("r2")).await;
+        assert_eq!(answer.status, 503);
+        assert!(answer.has("retry-after"));
+        assert_eq!(world.ask(&look("r3")).await.status, 200);
+        world.store.configure(configuration(2));
+        until(|| version(&world.vm) == 2).await;
+        assert_eq!(world.ask(&unknown("r4")).await.status, 404);
+    });
+}
+
+/// Guards against refusing at once what a moment's wait would serve.
+#[test]
+fn a_request_on_a_route_that_may_be_new_waits_a_moment_for_it() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        world.vm.context.in_force.exists(2);
+        let mut caller = world.caller().await;
+        caller.send(&unknown("r1")).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        world.store.configure(with_route(2, "/new/"));
+        assert_eq!(caller.answer().await.unwrap().status, 200);
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/world.rs
+++ b/crates/kingcuploft-entry/tests/entry/world.rs
@@ -158,6 +158,19 @@
     Configuration::new(version, routes, services, Limits::default())
 }
 
+/// As [`configuration`], with lookups under one prefix more.
+pub(crate) fn with_route(version: u64, prefix: &str) -> Configuration {
+    let known = configuration(version);
+    let added = route("added", prefix, Contract::RetryFreely, 5000);
+    let routes = known.routes().cloned().chain([added]);
+    Configuration::new(
+        version,
+        routes.collect(),
+        known.services.clone(),
+        known.limits,
+    )
+}
+
 fn route(name: &str, prefix: &str, contract: Contract, timeout_ms: u64) -> Route {
     Route {
         name: name.into(),
