fix(store): an answer of the store that is arriving is waited for; the store is not away while it sends one

A VM that reads 10,000 routes over 10 Mbit/s needs 2 s: its sign of life, queued behind that answer, ran out after 0.8 s, the watches were given up and began anew, as they did when watches_behind asked them again. a_configuration_that_takes_seconds_to_come_from_the_store_is_waited_for failed before (never in force), and passes. Why it works: bytes of an answer are the sign of life that was asked for, an answer that arrives is not asked for again, and the adapter's timeout runs from the last bytes.

--- a/crates/kingcuploft-entry/src/http/client.rs
+++ b/crates/kingcuploft-entry/src/http/client.rs
@@ -95,6 +95,7 @@
     keep_idle: Option<Duration>,
     reusable: bool,
     spoiled: bool,
+    heard: Option<Rc<Cell<Instant>>>,
 }
 
 impl Connection {
@@ -124,9 +125,15 @@
             keep_idle: None,
             reusable: true,
             spoiled: false,
+            heard: None,
         })
     }
 
+    /// Notes from now on when bytes arrive.
+    pub fn note_arrivals(&mut self, heard: &Rc<Cell<Instant>>) {
+        self.heard = Some(heard.clone());
+    }
+
     /// Opens a connection that is counted from the attempt on.
     ///
     /// # Errors
@@ -233,6 +240,9 @@
     async fn read(&mut self) -> Result<usize, ReceiveError> {
         self.buffer.reserve(READ_BYTES);
         let read = self.stream.read_buf(&mut self.buffer).await;
+        if let Some(heard) = &self.heard {
+            heard.set(Instant::now());
+        }
         read.map_err(ReceiveError::Failed)
     }
 }
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -27,6 +27,9 @@
 /// The same for one that is asked again: it tells at once up to which moment this VM knows the store.
 const SHORT_WAIT: Duration = Duration::from_millis(20);
 
+/// How lately bytes have come of an answer that is arriving.
+const ARRIVING: Duration = Duration::from_millis(250);
+
 /// The pause after a failed call; jitter up to the same is added.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -53,15 +56,24 @@
     loop {
         pulse.open().await;
         let from = context.position(collection).filter(|_| !forgotten);
-        let told = tokio::select! {
-            biased;
-            told = next(&context, &*store, collection, from, wait) => told,
-            () = pulse.shut() => continue,
-            () = pulse.again() => {
-                wait = SHORT_WAIT;
-                continue;
+        let mut asking = std::pin::pin!(next(&context, &*store, collection, from, wait));
+        let told = loop {
+            tokio::select! {
+                biased;
+                told = &mut asking => break Some(told),
+                () = pulse.shut() => break None,
+                () = pulse.again() => {
+                    wait = SHORT_WAIT;
+                    // An answer that arrives would have to begin anew.
+                    if !is_arriving(&*store, collection) {
+                        break None;
+                    }
+                }
             }
         };
+        let Some(told) = told else {
+            continue;
+        };
         match told {
             Ok(revision) => {
                 pauses.answered(&context);
@@ -82,6 +94,12 @@
     }
 }
 
+/// Returns whether an answer about a collection is arriving.
+fn is_arriving<S: Store>(store: &S, collection: Collection) -> bool {
+    let heard = store.heard(collection);
+    heard.is_some_and(|at| clock::now().saturating_duration_since(at) < ARRIVING)
+}
+
 async fn next<S: Store>(
     context: &Context,
     store: &S,
--- a/crates/kingcuploft-entry/src/sign_of_life.rs
+++ b/crates/kingcuploft-entry/src/sign_of_life.rs
@@ -43,12 +43,18 @@
     let mut lag = Lag::default();
     loop {
         pulse.reading().await;
+        let asked_at = clock::now();
         let asked = tokio::time::timeout(PATIENCE, store.sign_of_life()).await;
-        let reached = asked.ok().and_then(Result::ok);
-        if pulse.set_there(reached.is_some()) {
-            match reached {
-                Some(_) => keeper::store_returned(&context),
-                None => tracing::warn!(event = "store_away"),
+        let reached = asked
+            .as_ref()
+            .ok()
+            .and_then(|asked| asked.as_ref().ok().copied());
+        // The answer may stand behind another, long one.
+        let is_there = reached.is_some() || (asked.is_err() && hears(&*store, asked_at));
+        if pulse.set_there(is_there) {
+            match is_there {
+                true => keeper::store_returned(&context),
+                false => tracing::warn!(event = "store_away"),
             }
             // Those that follow learn it at once, as one of them may still reach the store.
             let standing = standing(&context, &pulse);
@@ -59,7 +65,7 @@
             tracing::info!(event = "watches_behind", reached);
             pulse.ask_again();
         }
-        let pause = match (reached.is_some(), context.followers.is_empty()) {
+        let pause = match (is_there, context.followers.is_empty()) {
             (false, _) if waits_for_others(&context) => {
                 WHILE_AWAY_FOR_ALL.mul_f64(1.0 + fastrand::f64())
             }
@@ -71,6 +77,13 @@
     }
 }
 
+/// Returns whether bytes of any answer have come since a moment.
+fn hears<S: Store>(store: &S, since: Instant) -> bool {
+    let watched = [Collection::Configuration, Collection::BackendServers];
+    let heard = watched.into_iter().filter_map(|c| store.heard(c));
+    heard.max().is_some_and(|heard| heard > since)
+}
+
 /// Returns whether this VM will be told by others: it serves nobody yet, and is none of those that others ask.
 fn waits_for_others(context: &Context) -> bool {
     let settings = &context.settings;
--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -2,7 +2,7 @@
 //! [`Store`].
 
 use std::future::Future;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::Configuration;
@@ -128,6 +128,9 @@
     /// reached, possibly seconds ago.
     fn sign_of_life(&self) -> impl Future<Output = Result<Revision, StoreError>>;
 
+    /// Returns when bytes of an answer about a collection arrived last.
+    fn heard(&self, collection: Collection) -> Option<Instant>;
+
     /// Creates the record of a zone, or replaces it, so that the zone's VMs find each other.
     fn record_zone(
         &self,
--- a/crates/kingcuploft-entry/tests/entry/store.rs
+++ b/crates/kingcuploft-entry/tests/entry/store.rs
@@ -152,6 +152,10 @@
         Ok(self.0.revision.get())
     }
 
+    fn heard(&self, _: Collection) -> Option<std::time::Instant> {
+        None
+    }
+
     async fn record_zone(
         &self,
         record: &ZoneRecord,
--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -113,6 +113,7 @@
             store: self.store.clone(),
             nic: nic.clone(),
             configuration_bytes: self.configuration_bytes.clone(),
+            receives_until: Cell::new(Instant::now()),
         });
         let dialer = Dialer {
             network: self.network.clone(),
--- a/crates/kingcuploft-entry/tests/links/network.rs
+++ b/crates/kingcuploft-entry/tests/links/network.rs
@@ -1,6 +1,6 @@
 //! The network of the VMs, and the store as one VM reaches it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::{Error, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -84,7 +84,9 @@
     pub(crate) store: TestStore,
     pub(crate) nic: Rc<Nic>,
     /// The bytes of the configuration as the store writes it.
-    pub(crate) configuration_bytes: Rc<std::cell::Cell<usize>>,
+    pub(crate) configuration_bytes: Rc<Cell<usize>>,
+    /// Until when the answer arrives that is the last to do so.
+    pub(crate) receives_until: Cell<Instant>,
 }
 
 impl LinkedStore {
@@ -94,6 +96,7 @@
             Collection::BackendServers | Collection::Zones => 300 * changes,
         };
         let arrives = self.nic.receive(bytes, Instant::now() + STORE_DELAY);
+        self.receives_until.set(arrives);
         tokio::time::sleep_until(arrives).await;
         while self.nic.is_cut.get() {
             tokio::time::sleep(STORE_DELAY).await;
@@ -119,6 +122,11 @@
         Ok(revision)
     }
 
+    fn heard(&self, _: Collection) -> Option<std::time::Instant> {
+        let now = Instant::now();
+        (now < self.receives_until.get()).then(|| now.into_std())
+    }
+
     async fn record_zone(
         &self,
         record: &ZoneRecord,
--- a/crates/kingcuploft-entry/tests/links/scenarios.rs
+++ b/crates/kingcuploft-entry/tests/links/scenarios.rs
@@ -111,3 +111,18 @@
         assert!(most < Some(100_000), "{most:?}");
     });
 }
+
+/// Guards against a VM that takes the store for away, or its watch for lost, while a long answer arrives.
+#[test]
+fn a_configuration_that_takes_seconds_to_come_from_the_store_is_waited_for() {
+    let links = Links {
+        large_mbit: 10,
+        small_mbit: 10,
+    };
+    play(async {
+        let mut fleet = Fleet::start(&[1], links, 10_000, 1).await;
+        fleet.in_force(APPLY).await;
+        fleet.add_routes(1400);
+        fleet.in_force(APPLY).await;
+    });
+}
