perf(peers): those that tell most others are told a change first; slopes by routes, VMs and links

Hypothesis: the reader tells twelve of its zone and the VMs that lead the others, which feed a zone each; told last, their zones wait.

--- a/crates/kingcuploft-entry/src/peers/followers.rs
+++ b/crates/kingcuploft-entry/src/peers/followers.rs
@@ -149,8 +149,11 @@
         self.tell_all(&Outgoing::Line(Rc::new(frame.to_line())));
     }
 
-    /// Tells all followers what leads to the configuration in force.
+    /// Tells all followers what leads to the configuration in force, first those that tell most others.
     pub fn tell_configuration(&self) {
+        let mut all = self.all.borrow_mut();
+        all.sort_by_key(|follower| std::cmp::Reverse(follower.fed.below));
+        drop(all);
         self.tell_all(&Outgoing::Configuration);
     }
 
--- a/crates/kingcuploft-entry/tests/links/main.rs
+++ b/crates/kingcuploft-entry/tests/links/main.rs
@@ -11,3 +11,4 @@
 mod network;
 mod pipe;
 mod scenarios;
+mod slopes;
