--- a/crates/kingcuploft-entry/tests/entry/answers.rs
+++ b/crates/kingcuploft-entry/tests/entry/answers.rs
@@ -20,8 +20,7 @@
     });
 }
 
-/// A server breaks off in the middle of a lookup's answer. Passed on as it came, a manager would read
-/// half an itinerary; the lookup is asked of another server instead.
+/// Guards against half an answer where a server breaks off in the middle.
 #[test]
 fn a_broken_answer_to_a_lookup_is_replaced_by_another_servers() {
     for fault in [Act::Truncate, Act::LoseAnswer, Act::Unsigned, Act::Fail] {
@@ -41,8 +40,7 @@
     }
 }
 
-/// A server gives one answer too many to an earlier request. Read as the answer to the next one, a
-/// caller would get another caller's booking.
+/// Guards against an answer too many that is read as the answer to the next request.
 #[test]
 fn a_crossed_answer_is_skipped() {
     play(async {
@@ -64,8 +62,7 @@
     });
 }
 
-/// A server never answers. The caller must not wait beyond what the operator allows for the route,
-/// and the server must not go on working for nobody.
+/// Guards against a caller held beyond the route's timeout, and a server that works on for nobody.
 #[test]
 fn the_routes_timeout_ends_a_request_and_its_work() {
     play(async {
@@ -89,8 +86,7 @@
     });
 }
 
-/// A server falls silent while it works on a lookup; it still answers probes. The caller would wait for
-/// its timeout, though the other server is free.
+/// Guards against a lookup that waits at a server that fell silent under it.
 #[test]
 fn a_lookup_at_a_silent_server_is_answered_by_another() {
     play(async {
--- a/crates/kingcuploft-entry/tests/entry/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -5,8 +5,7 @@
 use crate::server::Act;
 use crate::world::{World, book, look, play, until};
 
-/// A page sends three lookups at once on one connection. Served one after another, the last would
-/// wait for two others' work and be given up.
+/// Guards against pipelined lookups that wait for the work of those before them.
 #[test]
 fn pipelined_requests_are_served_together_and_answered_in_order() {
     play(async {
@@ -37,8 +36,7 @@
     });
 }
 
-/// A lookup stood 1.3 s at one server until its caller left, and the log told only that it had left. The
-/// attempt that was open is told as well, with its server.
+/// Guards against a log that leaves out where a request stood when its caller left.
 #[test]
 fn an_attempt_that_is_open_when_the_caller_leaves_is_told() {
     play(async {
@@ -132,9 +130,7 @@
     });
 }
 
-/// The only server hangs, and forty callers come at once. It accepts twenty connections from all VMs
-/// together and resets those beyond, whatever they carry; a VM that knows it is alone takes sixteen at
-/// most.
+/// Guards against a VM that takes more of a hanging server's connections than its share.
 #[test]
 fn a_server_that_hangs_gets_no_more_connections_than_its_share() {
     play(async {
@@ -155,8 +151,7 @@
     });
 }
 
-/// Callers begin long bodies and stand still, more than the VM has memory for. It must refuse the next
-/// one as not run, and go on serving, rather than be killed with all that it has.
+/// Guards against a VM killed for memory by long bodies that stand still.
 #[test]
 fn bodies_beyond_the_memory_are_refused_and_others_served() {
     play(async {
@@ -181,8 +176,7 @@
     });
 }
 
-/// A server is full, and a new connection waits there until a slot is free. Each probe on one was given up and sent anew on
-/// the next: a third of all connections of a heavy day, each at the price of a slot's time.
+/// Guards against probes that are given up on new connections to full servers and sent anew.
 #[test]
 fn a_probe_at_a_full_server_waits_on_the_connection_that_it_has_opened() {
     play(async {
--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -38,8 +38,7 @@
     vms
 }
 
-/// Each VM that watches costs a call for each change. With three VMs in a zone, one watches, and the
-/// others hear of a new configuration and a new server from it.
+/// Guards against a watch, and a call for each change, at every VM.
 #[test]
 fn the_vms_of_a_zone_hear_of_changes_from_one_that_watches() {
     play(async {
@@ -60,8 +59,7 @@
     });
 }
 
-/// The VM that reads for its zone is gone from one moment to the next, and a server leaves right
-/// after. The others must know within two seconds.
+/// Guards against a leaving server that stays in use where the reader of the zone is gone.
 #[test]
 fn vms_whose_reader_is_gone_read_by_themselves() {
     play(async {
@@ -89,8 +87,7 @@
     });
 }
 
-/// All VMs of a zone start together and follow the same one. With thousands of servers, an account of its
-/// own for each of them would take more memory than a small VM has.
+/// Guards against an account of all servers for each of the VMs that join together.
 #[test]
 fn followers_that_join_together_share_one_account() {
     let (followers, written) = (Followers::default(), Cell::new(0));
@@ -115,8 +112,7 @@
     );
 }
 
-/// A dozen new VMs start at the same moment and callers come at once. The first of them see a list with few
-/// names; taking themselves for few, each repeated as much as all of them may together.
+/// Guards against new VMs that see few others and repeat as much as all may together.
 #[test]
 fn new_vms_that_start_together_never_take_themselves_for_few() {
     play(async {
@@ -146,9 +142,7 @@
     });
 }
 
-/// All VMs lost power, and the one that reads for the zone is the last to have it back: connections to it
-/// are neither answered nor refused. A VM that waited for it refused callers for three tenths of a second
-/// while the store would have answered in four milliseconds.
+/// Guards against refusing callers while a VM waits for a reader without power.
 #[test]
 fn a_vm_that_knows_nothing_does_not_wait_for_a_reader_that_says_nothing() {
     play(async {
@@ -174,9 +168,7 @@
     });
 }
 
-/// A VM starts while the store is silent, and its first question, which VMs there are, is never answered. The
-/// store came back, and the VM still refused callers for 1.3 s, as it waited for that answer before it asked
-/// for anything else.
+/// Guards against refusing callers while a VM waits for the store to say which VMs there are.
 #[test]
 fn a_vm_that_knows_nothing_does_not_wait_for_the_list_of_zones() {
     play(async {
@@ -200,8 +192,7 @@
     vm
 }
 
-/// Twenty VMs in two zones hear from one VM that watches, though none of them tells more than a dozen of its zone; and a
-/// change reaches those that hear at third hand.
+/// Guards against one VM that tells all others, and against changes that don't reach those at third hand.
 #[test]
 fn one_vm_watches_for_all_zones_and_tells_few() {
     play(async {
@@ -227,8 +218,7 @@
     });
 }
 
-/// The store turns the VM away that reads, and serves the others: those that its record names ask, and one of them reads
-/// in its place, for itself and for the one that read before.
+/// Guards against a zone that misses all changes where the store turns its reader away alone.
 #[test]
 fn a_vm_that_the_store_answers_reads_in_place_of_one_that_it_turns_away() {
     play(async {
@@ -283,9 +273,7 @@
     });
 }
 
-/// After an outage each VM has read the store for itself, one of them a moment later than the one that reads for the zone.
-/// Nothing changes after that, so the reader's watch tells it no later moment; the other took it for one that is behind,
-/// and went on reading for itself.
+/// Guards against a VM that takes the reader for one that is behind for as long as nothing changes.
 #[test]
 fn a_vm_that_read_a_moment_later_than_the_reader_follows_it() {
     play(async {
--- a/crates/kingcuploft-entry/tests/entry/operating.rs
+++ b/crates/kingcuploft-entry/tests/entry/operating.rs
@@ -5,8 +5,7 @@
 use crate::server::Act;
 use crate::world::{Caller, World, look, play, settings};
 
-/// An operator lowers the bound on repeats in the settings file and sends a hangup signal. A process
-/// that ignores it goes on by the old bound until it is restarted.
+/// Guards against bounds that hold until a restart though the settings have changed.
 #[test]
 fn changed_bounds_hold_after_a_reload_and_a_broken_file_changes_nothing() {
     play(async {
--- a/crates/kingcuploft-entry/tests/entry/protected.rs
+++ b/crates/kingcuploft-entry/tests/entry/protected.rs
@@ -3,8 +3,7 @@
 use crate::server::Act;
 use crate::world::{World, book, play};
 
-/// A booking runs and its answer is lost. The caller is told neither that it ran nor that it did
-/// not, and no second server gets it.
+/// Guards against a second run of a booking whose answer is lost.
 #[test]
 fn a_booking_whose_answer_is_lost_is_not_sent_again() {
     for fault in [Act::LoseAnswer, Act::Truncate, Act::Unsigned] {
@@ -31,8 +30,7 @@
     }
 }
 
-/// All servers are full. The caller is told at once that the booking did not run, and when to come
-/// back.
+/// Guards against a booking held, or left open, where all servers are full.
 #[test]
 fn a_booking_that_all_servers_refuse_is_refused_as_not_run() {
     play(async {
--- a/crates/kingcuploft-entry/tests/entry/stopping.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping.rs
@@ -13,9 +13,7 @@
     platform.answer().await.unwrap().status
 }
 
-/// A VM is stopped as planned while a lookup runs and another caller's connection is idle. The lookup
-/// is answered; the answer says that the connection closes; the idle one is closed after the platform
-/// has stopped sending callers; the VM says at once that it is not ready.
+/// Guards against a planned stop that cuts a lookup or an idle connection too early.
 #[test]
 fn a_planned_stop_answers_what_it_has_read() {
     play(async {
@@ -44,8 +42,7 @@
     });
 }
 
-/// Three pipelined lookups run when the stop begins. Closing behind the first answer would cut the
-/// two others.
+/// Guards against a stop that cuts pipelined requests behind the first answer.
 #[test]
 fn a_planned_stop_closes_a_connection_behind_its_last_request_only() {
     play(async {
--- a/crates/kingcuploft-entry/tests/entry/store_faults.rs
+++ b/crates/kingcuploft-entry/tests/entry/store_faults.rs
@@ -17,9 +17,7 @@
     vm.context.configuration().map_or(0, |c| c.version)
 }
 
-/// The store falls silent while a watch waits, and a new configuration is accepted right after its
-/// return. A watch that waited through the silence never hears of it: requests would follow the old
-/// routes for twenty seconds.
+/// Guards against a watch that hears nothing any more after the store was silent.
 #[test]
 fn a_configuration_after_a_silent_spell_is_in_force_within_two_seconds() {
     play_in_virtual_time(async {
@@ -38,8 +36,7 @@
     });
 }
 
-/// The store forgets its history while a server leaves. Watching on from an old moment would never
-/// tell of it.
+/// Guards against a leaving server that is missed as the store forgot its history.
 #[test]
 fn what_changed_while_the_store_forgot_is_known_from_a_new_list() {
     play(async {
@@ -110,8 +107,7 @@
     });
 }
 
-/// A VM is added while the store turns writes away and answers reads, as beyond its writing rate. It
-/// could not make itself known, read nothing meanwhile, and refused its callers.
+/// Guards against a new VM that refuses callers as it can't make itself known.
 #[test]
 fn a_new_vm_serves_while_the_store_refuses_writes() {
     play(async {
--- a/crates/kingcuploft/tests/entry/asked.rs
+++ b/crates/kingcuploft/tests/entry/asked.rs
@@ -1,8 +1,7 @@
 use kingcuploft::entry::asked::asked;
 use kingcuploft::entry::placement::Reach;
 
-/// Callers move to one zone of a large site. Its forty servers are full, and the others' hundred and
-/// sixty have room; asked by nearness alone, sixteen near ones would be all that its VMs ever see.
+/// Guards against a crowded zone that keeps its requests to itself.
 #[test]
 fn a_zone_with_many_servers_asks_those_of_other_zones_as_well() {
     let counts = |near, far, reach| {
--- a/crates/kingcuploft/tests/entry/backend_servers.rs
+++ b/crates/kingcuploft/tests/entry/backend_servers.rs
@@ -22,8 +22,7 @@
     }
 }
 
-/// A server says that it leaves; then an old report arrives that calls it ready. Sent there, work
-/// would be cut when the server ends.
+/// Guards against an old report that brings a leaving server back.
 #[test]
 fn a_leaving_server_is_not_brought_back_by_an_old_report() {
     let mut servers = BackendServers::default();
@@ -57,9 +56,7 @@
     assert!(!servers.takes_work("a"));
 }
 
-/// The store was away for longer than three heartbeats, and all entries lapsed though their servers
-/// are well. Taken at face value, the list after its return leaves no server to use; entries that are
-/// not back after two seconds are really gone.
+/// Guards against an outage of the store that leaves no server to use.
 #[test]
 fn entries_that_lapsed_in_an_outage_are_used_until_they_could_be_back() {
     let (mut servers, now) = (BackendServers::default(), Instant::now());
@@ -75,9 +72,7 @@
     assert!(servers.takes_work("a") && !servers.takes_work("b"));
 }
 
-/// The store turned four VMs of a zone away, and each of their calls sees its return in turn. A server
-/// whose entry is removed after the first of them got new work 2.25 s later, as the grace was counted from
-/// the last, and the fifth VM, which never lost the store, kept it as long by the word of its reader.
+/// Guards against a grace that begins again with each word of the store's return.
 #[test]
 fn a_return_that_is_told_again_does_not_lengthen_the_grace() {
     let (mut servers, now) = (BackendServers::default(), Instant::now());
--- a/crates/kingcuploft/tests/entry/configuration.rs
+++ b/crates/kingcuploft/tests/entry/configuration.rs
@@ -56,8 +56,7 @@
     assert_eq!(found("trips.example", "/x?to=/holds/"), Some("all".into()));
 }
 
-/// Operators move a tenth of the bookings to a new service. With a few hundred requests, each part must
-/// have its share, on every VM, wherever its sequence begins.
+/// Guards against shares that are off their weights over a few hundred requests.
 #[test]
 fn each_destination_gets_its_share_of_a_few_hundred_requests() {
     for start in [0.0, 0.31, 0.77] {
--- a/crates/kingcuploft/tests/entry/feeding.rs
+++ b/crates/kingcuploft/tests/entry/feeding.rs
@@ -55,8 +55,7 @@
     assert_eq!(asks("new", &path[1..], &[]), Admission::Feed);
 }
 
-/// The reader of another zone asks for all VMs of that zone. It is fed beyond the few, and does not count as one of this
-/// zone's VMs.
+/// Guards against a zone that hears nothing as the reader of another feeds enough already.
 #[test]
 fn the_reader_of_another_zone_is_fed_beyond_the_few() {
     let path = names(&["reader"]);
--- a/crates/kingcuploft/tests/entry/placement.rs
+++ b/crates/kingcuploft/tests/entry/placement.rs
@@ -85,8 +85,7 @@
     );
 }
 
-/// Two requests come in the same millisecond. The reading of the idle server is older than the first
-/// of them; by the reading alone, both would go there, and one would wait behind the other.
+/// Guards against two requests at one slot as the reading is older than the first.
 #[test]
 fn an_own_request_that_the_reading_does_not_count_counts() {
     let sent_to = Candidate {
@@ -113,8 +112,7 @@
     assert_eq!(step(&few, &servers), Step::Ask(Reach::Far));
 }
 
-/// All servers are slow at this moment, and speeds are drawn anew every 150 ms. A request sent now
-/// would be late for sure; one that looks again in 20 ms can still be in time.
+/// Guards against a request that is sent to a slow server while a faster one may still be in time.
 #[test]
 fn a_request_waits_for_a_fast_server_while_that_can_be_in_time() {
     let asked = Need {
@@ -144,8 +142,7 @@
     assert!(refused(&[]));
 }
 
-/// Overload: a refused caller that returns at once finds the same lines and is refused again, one that
-/// returns late finds its time used up. The line that ends first says when.
+/// Guards against callers that are told to return too soon or too late.
 #[test]
 fn a_refused_caller_is_told_when_the_first_line_ends() {
     let hopeless = Need {
@@ -258,8 +255,7 @@
     assert!((time.work_ms(target) - 60.0).abs() < 0.1);
 }
 
-/// All servers shed half of what they get. None is better than the others, so nothing is gained by waiting;
-/// requests waited until their time was over and were refused untried.
+/// Guards against requests that wait, untried, for a better server where all fail alike.
 #[test]
 fn servers_that_all_fail_alike_are_sent_requests_at_once() {
     let failing = |failures| Candidate { failures, ..idle() };
@@ -274,8 +270,7 @@
     assert_eq!(step(&far_asked, &one_is_well), Step::Send(1));
 }
 
-/// Near servers have their last slots left, which would do; an idle one of another zone is better, and a few
-/// are asked. Once those are heard to be no better, the near one is taken.
+/// Guards against near last slots that are taken while idle servers stand elsewhere.
 #[test]
 fn a_few_far_servers_are_asked_where_a_near_last_slot_would_do() {
     let costly = Need {
@@ -341,8 +336,7 @@
     assert!((150.0..=300.0).contains(&work_ms), "{work_ms}");
 }
 
-/// Every answer of an overload waited behind others. Taken for work, lines made a VM believe in work of
-/// several times the length, and refuse what could be answered.
+/// Guards against time in a line that is taken for work.
 #[test]
 fn time_in_a_line_is_not_taken_for_work() {
     let (mut time, mut last_slot) = (ServiceTime::default(), LastSlot::default());
@@ -354,8 +348,7 @@
     assert!((last_slot.factor() - before).abs() < 0.01);
 }
 
-/// An overload: a refused caller comes back, late already, and there is one slot left at a fast server. The next one could
-/// be answered in time there, so the late one takes what is idle and leaves last slots alone.
+/// Guards against a late caller that takes the slot in which another would be in time.
 #[test]
 fn a_caller_that_returns_late_leaves_last_slots_to_others_under_overload() {
     let late = Need {
--- a/crates/kingcuploft/tests/entry/probing.rs
+++ b/crates/kingcuploft/tests/entry/probing.rs
@@ -2,9 +2,7 @@
 
 use kingcuploft::entry::probe_budget::{ProbeBudget, ask_share};
 
-/// Overload: every request of 14 VMs finds all 27 servers busy and asks again every few
-/// milliseconds. Without a budget the probes, 6 ms of a slot each, would take the servers' last
-/// slots; with it they stay within the bound of 60 a server and second, and are still asked.
+/// Guards against probes that take the slots of an overload.
 #[test]
 fn all_vms_together_probe_within_the_bound_under_overload() {
     let (start, vms, servers, bound) = (Instant::now(), 14, 27, 60.0);
@@ -21,8 +19,7 @@
     assert!(per_server_s <= bound, "{per_server_s}");
 }
 
-/// Asking costs slots and asking less costs late answers: a VM with budget to spare chooses by fresh
-/// readings only, one without chooses by older ones rather than blindly.
+/// Guards against blind choices where the budget of probes is used up.
 #[test]
 fn readings_live_longer_the_less_may_be_asked() {
     let start = Instant::now();
@@ -47,8 +44,7 @@
     assert!(taken < 10, "{taken}");
 }
 
-/// A process that is killed and started every five seconds asks all it may each time. What a start brought
-/// with it would let the VMs of a bad day ask far beyond the bound.
+/// Guards against a budget of probes that each restart brings anew.
 #[test]
 fn a_vm_that_starts_again_and_again_asks_no_more_than_one_that_runs_on() {
     let start = Instant::now();
@@ -77,8 +73,7 @@
     assert!(taken as f64 > 3.0 * per_s, "{taken}");
 }
 
-/// A hundred requests wait in an overload. At first each asks all its servers; looking again, fewer the less of the budget is
-/// left, and never none.
+/// Guards against a hundred waiting requests that each ask all servers again.
 #[test]
 fn who_looks_again_asks_fewer_servers_under_overload() {
     assert_eq!(ask_share(0.0, 0), 1.0);
--- a/crates/kingcuploft/tests/entry/readers.rs
+++ b/crates/kingcuploft/tests/entry/readers.rs
@@ -42,8 +42,7 @@
     }
 }
 
-/// The reader of a zone loses power. Those that followed it move on to the next one, which reads, and come back
-/// to it only after a while.
+/// Guards against a zone without a reader where the first of its record has lost power.
 #[test]
 fn a_reader_that_failed_is_left_alone_for_a_while() {
     let (mut readers, now) = (readers(), Instant::now());
@@ -59,8 +58,7 @@
     assert_eq!(source(&readers, later, "third"), first);
 }
 
-/// A VM that is cut off from all that its zone's record names must not take itself for the zone's reader: it would
-/// write so, and mislead the others.
+/// Guards against a VM that is cut off and takes itself for its zone's reader.
 #[test]
 fn a_vm_that_reaches_nobody_reads_for_itself_alone() {
     let (mut readers, now) = (readers(), Instant::now());
@@ -75,8 +73,7 @@
     assert_eq!(source(&readers, Instant::now(), "first"), Source::Store);
 }
 
-/// Lists of the store may be seconds old, and so may what other VMs tell. An older record must not bring back a reader
-/// that is gone.
+/// Guards against an old record that brings back a reader that is gone.
 #[test]
 fn an_older_record_is_no_news() {
     let mut readers = readers();
@@ -130,8 +127,7 @@
     }
 }
 
-/// Six zones of a region each with a reader that watches: six calls for each change. One of them watches for all; the
-/// other zones hear it over a link of some bytes. Regions that are far apart each have their own.
+/// Guards against a watch, and a call for each change, in every zone of a region.
 #[test]
 fn the_readers_of_a_region_follow_one_of_them() {
     let (mut readers, now) = (zones(), Instant::now());
--- a/crates/kingcuploft/tests/entry/repeats.rs
+++ b/crates/kingcuploft/tests/entry/repeats.rs
@@ -8,9 +8,7 @@
     window: Duration::from_secs(10),
 };
 
-/// Every server fails, and every request asks for a repeat. 14 VMs see uneven shares of 200 requests
-/// a second; what reaches the servers beyond the first sends must stay within the bound in every
-/// window, however the requests are spread.
+/// Guards against repeats of all VMs together beyond their budget, however callers are spread.
 #[test]
 fn all_vms_together_stay_within_the_budget_while_every_request_fails() {
     let start = Instant::now();
--- a/crates/kingcuploft/tests/entry/second_look.rs
+++ b/crates/kingcuploft/tests/entry/second_look.rs
@@ -15,8 +15,7 @@
     assert_eq!(look_after(1.0), Duration::from_millis(30));
 }
 
-/// Under overload every lookup takes long. A second send of each would double the load of servers that
-/// are full already.
+/// Guards against second sends that double an overload.
 #[test]
 fn a_late_lookup_is_sent_twice_in_calm_only() {
     assert!(wants_second(&CALM));
--- a/crates/kingcuploft/tests/entry/verdict.rs
+++ b/crates/kingcuploft/tests/entry/verdict.rs
@@ -11,8 +11,7 @@
     AttemptEnd::TimedOut,
 ];
 
-/// A hold confirmation is sent, the server runs it, and its answer is lost. Sent again, it would bill
-/// a school twice.
+/// Guards against a booking that runs twice as its answer is lost.
 #[test]
 fn a_protected_request_is_sent_again_only_on_proof_that_it_did_not_run() {
     for end in ENDS {
@@ -26,8 +25,7 @@
     }
 }
 
-/// A caller is told "not run" and books elsewhere. Any history in which an attempt may have run must
-/// not end in that promise.
+/// Guards against "not run" where an attempt may have run.
 #[test]
 fn not_run_is_promised_only_when_no_attempt_may_have_run() {
     arbtest::arbtest(|u| {
--- a/crates/kingcuploft/tests/entry/zone_record.rs
+++ b/crates/kingcuploft/tests/entry/zone_record.rs
@@ -31,8 +31,7 @@
     }
 }
 
-/// Three hundred VMs restart, one after the other. Each leaves its reader and comes back; what the store holds is as
-/// true as before, and not one call is made for it.
+/// Guards against a call to the store for each VM that restarts.
 #[test]
 fn restarts_of_followers_write_nothing() {
     let old = record(named(MOST_NAMED), 50);
@@ -59,8 +58,7 @@
     assert_eq!(&*last.name, "gone", "it may come back, and there is room");
 }
 
-/// A VM that takes the reader's place is cut off from all others, and the reader is well. If it wrote that it reads,
-/// and the reader wrote the same, the two would write by turns for as long as the cut lasts.
+/// Guards against two VMs that write themselves into a zone's record by turns.
 #[test]
 fn a_vm_that_nobody_follows_does_not_name_itself_first() {
     let old = record([vec![vm("reader", 200)], named(4)].concat(), 50);
@@ -76,8 +74,7 @@
     assert_eq!(new.vms, old.vms, "those that are named and there stay");
 }
 
-/// A zone shows fewer VMs while they restart. All of them come back and use what they may use together, so the count
-/// stays until it has been lower for longer than that takes.
+/// Guards against a count of VMs that shrinks while they restart.
 #[test]
 fn a_zone_shrinks_late() {
     let (mut count, begun) = (ZoneCount::default(), Instant::now());
--- a/crates/kingcuploft/tests/fleet/drawn.rs
+++ b/crates/kingcuploft/tests/fleet/drawn.rs
@@ -34,8 +34,7 @@
     }
 }
 
-/// A customer's deployment that was never seen. Its callers are served no worse than by choosing servers at
-/// random or by own requests in flight, whatever was drawn.
+/// Guards against a deployment, drawn by chance, that is served worse than by naive choices.
 #[test]
 fn callers_of_a_drawn_deployment_get_no_less_than_by_naive_choices() {
     for seed in SEEDS {
@@ -44,9 +43,7 @@
     }
 }
 
-/// The spread over two hundred drawn deployments of what callers get, as a part of what they would get if
-/// each VM saw the true state of all servers. Run by hand: `cargo test --release --test fleet -- --ignored
-/// --nocapture`.
+/// Run by hand: `cargo test --release --test fleet -- --ignored --nocapture`.
 #[test]
 #[ignore = "takes minutes; its figures stand in docs/measurements/further.md"]
 fn two_hundred_drawn_deployments() {
--- a/crates/kingcuploft/tests/fleet/scenarios.rs
+++ b/crates/kingcuploft/tests/fleet/scenarios.rs
@@ -28,8 +28,7 @@
     }
 }
 
-/// Speeds change several times a second and every reply is old by the next choice. Callers of a calm day
-/// are answered in time by readings taken at the moment of choice, and a quarter of them late without.
+/// Guards against choices by replies that are old by the next one.
 #[test]
 fn callers_of_a_calm_day_are_answered_in_time() {
     let in_time = |parts| mean(|seed| World::calm(seed).with(parts), Outcome::in_time_share);
@@ -38,8 +37,7 @@
     assert!(in_time(least_own()) < 0.80, "{}", in_time(least_own()));
 }
 
-/// At and beyond what the servers can do, where probes cost no slot time. Never worse than choosing
-/// blindly, up to three times the load.
+/// Guards against an overload that is served worse than by blind choice.
 #[test]
 fn callers_of_an_overload_get_no_less_than_by_naive_choices() {
     for times in [0.8, 1.0, 1.5, 3.0] {
@@ -58,8 +56,7 @@
     }
 }
 
-/// A burst fills every server for some milliseconds. A request that waits for a good one is answered in
-/// time; sent at once to any, it stands in a line behind slow work.
+/// Guards against a burst whose requests stand in lines while a good server is near.
 #[test]
 fn requests_that_wait_for_a_good_server_are_answered_sooner() {
     let in_time = |waits| {
@@ -74,9 +71,7 @@
     assert!(waiting > at_once + 0.05, "{waiting} against {at_once}");
 }
 
-/// Half as much again as all servers can do, and all are full. Who can't be in time any more and joins a
-/// line all the same is late, and so is everybody behind. Refused at once, they leave the slots to those
-/// who can: four in five callers are in time, and beyond that still more than any blind choice serves.
+/// Guards against callers that can't be in time and make those behind them late.
 #[test]
 fn callers_who_can_be_in_time_do_not_stand_behind_those_who_cannot() {
     let in_time = |times, yields| {
@@ -106,8 +101,7 @@
     }
 }
 
-/// Every request of an overload finds its servers busy and asks again. Without a budget the probes take
-/// the slots that requests need.
+/// Guards against probes that take the slots of requests.
 #[test]
 fn probes_stay_in_their_budget_and_leave_slots_to_requests() {
     let world = |parts| move |seed| World::overload(seed, 0.85).with(parts);
@@ -123,8 +117,7 @@
     assert!(bounded > 0.85 && spent < 0.5, "{bounded} against {spent}");
 }
 
-/// A quarter of the servers fall silent while they work, and come back. Lookups that they hold are sent
-/// to a second server before their callers give up.
+/// Guards against lookups that servers hold which fell silent.
 #[test]
 fn lookups_held_by_silent_servers_are_answered_elsewhere() {
     let failed = |second_look| {
@@ -139,8 +132,7 @@
     assert!(with < 1.0 && without >= 2.0, "{with} against {without}");
 }
 
-/// A quarter of the servers fail half of their requests and look idle for it, so that they draw the work
-/// of all. Failures seen count against them.
+/// Guards against servers that fail, look idle and draw the work of all.
 #[test]
 fn servers_that_fail_get_less_work_though_they_look_idle() {
     let repeats = |avoids_failing| {
@@ -156,8 +148,7 @@
     assert!(avoided < 0.8 * drawn, "{avoided} against {drawn}");
 }
 
-/// All servers fail half of their requests. Callers are answered as far as repeats allow, and nobody is
-/// held until its time is over and refused untried.
+/// Guards against requests held untried where all servers fail alike.
 #[test]
 fn requests_are_not_held_up_where_all_servers_fail_alike() {
     for seed in SEEDS {
@@ -179,8 +170,7 @@
     assert!(own > 0.92 && naive < 0.75, "{own} against {naive}");
 }
 
-/// A quarter of the servers leave while callers keep the others busy for two thirds of their time. None of
-/// them gets a request once its VM knows, and the others carry the load.
+/// Guards against new work for leaving servers while the others are busy.
 #[test]
 fn leaving_servers_get_no_new_work_under_load() {
     for seed in SEEDS {
@@ -208,8 +198,7 @@
     assert!(own > 0.97 && naive < 0.80, "{own} against {naive}");
 }
 
-/// Half of the VMs are lost and their callers come to the others, which go on counting the lost ones for a
-/// while. Budgets divided by too many VMs cost something, and break nothing.
+/// Guards against budgets that fail callers where half of the VMs are lost.
 #[test]
 fn callers_of_lost_vms_are_served_by_the_others() {
     for seed in SEEDS {
@@ -224,8 +213,7 @@
     }
 }
 
-/// Half of the servers fail half of what they get, for eight seconds, and every failure may be repeated.
-/// All VMs together stay in the budget, whatever they see of each other.
+/// Guards against repeats beyond the budget of all VMs together.
 #[test]
 fn repeats_stay_in_the_budget_of_all_vms() {
     for seed in SEEDS {
@@ -241,9 +229,7 @@
     }
 }
 
-/// A server's two slots share its processor, and work on the second takes 1.7 times as long. Near servers
-/// are filled to the last slot while idle ones stand two milliseconds away, and every tenth caller of a
-/// calm day is answered late, unless the VM learns what a last slot costs.
+/// Guards against last slots that cost callers their time while idle servers stand elsewhere.
 #[test]
 fn callers_are_not_sent_to_last_slots_that_cost_them_their_time() {
     let in_time = |learns_last_slot| {
--- a/crates/kingcuploft/tests/zones/scenarios.rs
+++ b/crates/kingcuploft/tests/zones/scenarios.rs
@@ -13,8 +13,7 @@
     fleet
 }
 
-/// All 312 VMs start for the first time within a moment. One reads for all, a few feed each, and the store is called once
-/// for every other VM at most: a record of each VM's own and a list for each were two and a half times that.
+/// Guards against a first start at which hundreds of VMs rush at the store.
 #[test]
 fn a_fleet_that_starts_finds_itself_with_few_calls() {
     for seed in SEEDS {
@@ -30,8 +29,7 @@
     }
 }
 
-/// All VMs lose power and start again within a tenth of a second, knowing nothing. Each asked the store for itself: a
-/// dozen calls from each of 312. Now they are told by those that read, within what callers wait for.
+/// Guards against a restart of all VMs that rush at the store or stay ignorant.
 #[test]
 fn a_fleet_that_restarts_is_told_and_does_not_rush_at_the_store() {
     for seed in SEEDS {
@@ -61,9 +59,7 @@
     }
 }
 
-/// Whole zones are cut off, from the others and from the store, and come back. Those that were not cut off know each change
-/// within two seconds, the others two seconds after the end of the cut; nobody goes back a version (the fleet itself checks
-/// that at each step), and once it is calm again one VM reads.
+/// Guards against zones that go back, or stay behind, when a cut heals.
 #[test]
 fn zones_that_are_cut_off_and_come_back_know_all_and_never_less() {
     for seed in SEEDS {
