--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod sign_of_life;
 pub mod store;
 pub mod upstream;
+mod zone_list;
--- a/crates/kingcuploft-entry/src/peers/feed.rs
+++ b/crates/kingcuploft-entry/src/peers/feed.rs
@@ -6,18 +6,18 @@
 use kingcuploft::entry::arriving::Arrived;
 use kingcuploft::entry::configuration::ConfigurationVersion;
 use kingcuploft::entry::server_table::ServerTable;
-use tokio::io::{AsyncWrite, AsyncWriteExt};
+use tokio::io::AsyncWrite;
 use tokio::sync::SemaphorePermit;
 
 use super::followers::{Line, Outgoing, Queue};
 use super::frame::{Frame, Hello};
-use super::reader::{HEARTBEAT, timed_out};
 use super::standing::standing;
+use super::writing::{timed_out, write};
 use crate::context::Context;
 use crate::pulse::Pulse;
 
-/// How long a follower may take nothing of what is written to it.
-pub(super) const WRITE_PATIENCE: Duration = Duration::from_secs(1);
+/// The time between two heartbeats. A follower that misses two and a bit leaves.
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(250);
 
 /// How long a follower is kept waiting by a VM that knows nothing itself.
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
@@ -183,19 +183,6 @@
     }
 }
 
-/// Writes a line; the follower takes it in its own time, as long as it takes some.
-pub(super) async fn write(
-    stream: &mut (impl AsyncWrite + Unpin),
-    mut line: &[u8],
-) -> std::io::Result<()> {
-    while !line.is_empty() {
-        let writing = tokio::time::timeout(WRITE_PATIENCE, stream.write(line)).await;
-        let written = writing.map_err(|_| timed_out())??;
-        line = &line[written..];
-    }
-    Ok(())
-}
-
 /// Writes all backend servers that have entries.
 fn servers(context: &Context) -> Vec<u8> {
     let table = context.servers(|servers| ServerTable::of(servers.present()));
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -12,4 +12,5 @@
 pub mod readings;
 pub mod seeds;
 pub mod standing;
+mod writing;
 pub mod zone_socket;
--- a/crates/kingcuploft-entry/src/peers/reader.rs
+++ b/crates/kingcuploft-entry/src/peers/reader.rs
@@ -6,16 +6,14 @@
 use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncWrite, BufReader};
 use tokio::net::TcpListener;
 
-use super::feed::{Feed, WRITE_PATIENCE, write};
+use super::feed::{Feed, HEARTBEAT};
 use super::followers::Admitted;
 use super::frame::{Frame, Hello, Standing};
 use super::standing::standing;
+use super::writing::{WRITE_PATIENCE, timed_out, write};
 use crate::context::Context;
 use crate::pulse::Pulse;
 
-/// The time between two heartbeats. A follower that misses two and a bit reads by itself.
-pub(super) const HEARTBEAT: Duration = Duration::from_millis(250);
-
 /// The bytes read at once of what a follower says.
 const HELLO_BYTES: usize = 256;
 
@@ -117,10 +115,7 @@
 
 /// Learns up to which moment this VM knows the store.
 ///
-/// Failure: after an outage all VMs have read the store for themselves, each at another moment. A watch that brings no
-/// change tells none, and whoever read a moment later than the reader took it for one that is behind and went on
-/// reading, for as long as nothing changed. The guard: a reader that is asked by such a VM asks its watches again, which
-/// tell the moment at once.
+/// A watch that brings no change tells none: whoever read the store a moment later would take this VM for one that is behind.
 fn catch_up(context: &Context, pulse: &Pulse) {
     match pulse.is_reading() {
         true => pulse.ask_again(),
@@ -150,10 +145,6 @@
     }
 }
 
-pub(super) fn timed_out() -> std::io::Error {
-    std::io::ErrorKind::TimedOut.into()
-}
-
 async fn tell(stream: &mut (impl AsyncWrite + Unpin), frame: &Frame) -> std::io::Result<()> {
     write(stream, &frame.to_line()).await
 }
--- a/crates/kingcuploft-entry/src/roster.rs
+++ b/crates/kingcuploft-entry/src/roster.rs
@@ -19,7 +19,8 @@
 use crate::peers::follower::{self, Link, LinkError};
 use crate::peers::seeds;
 use crate::pulse::Pulse;
-use crate::store::{Collection, Record, Recorded, Recording, Store, StoreError};
+use crate::store::{Recorded, Recording, Store, StoreError};
+use crate::zone_list::{Staleness, list_all};
 
 /// The time between two lists of the zones by one that reads the store. Other zones grow meanwhile, and what all use
 /// together is divided by the VMs counted.
@@ -80,8 +81,7 @@
 
 /// Has a VM that knows nothing read the store once it has waited for others for too long.
 ///
-/// Failure: the VM that it would hear from has no power, or the store does not answer which VMs there are, and callers
-/// are refused meanwhile. Where all start together nobody calls yet, and the others are waited for.
+/// Where all start together nobody calls yet, and the others are waited for.
 async fn without_knowledge(context: Rc<Context>, pulse: Rc<Pulse>) {
     let begun = clock::now();
     let chance = fastrand::f64();
@@ -374,30 +374,3 @@
         tokio::time::sleep(PAUSE.mul_f64(1.0 + fastrand::f64())).await;
     }
 }
-
-/// Whether a list may be some seconds old, which the store counts for less.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Staleness {
-    Allowed,
-    Refused,
-}
-
-async fn list_all<S: Store>(store: &S, stale: Staleness) -> Result<Vec<ZoneRecord>, StoreError> {
-    let mut zones = Vec::new();
-    let mut after: Option<String> = None;
-    loop {
-        let stale = stale == Staleness::Allowed;
-        let page = store
-            .list(Collection::Zones, after.as_deref(), stale)
-            .await?;
-        let entries = page.records.into_iter().map(|(_, record)| record);
-        zones.extend(entries.filter_map(|record| match record {
-            Record::Zone(zone) => Some(zone),
-            _ => None,
-        }));
-        after = page.next;
-        if after.is_none() {
-            return Ok(zones);
-        }
-    }
-}
--- a/crates/kingcuploft-entry/src/sign_of_life.rs
+++ b/crates/kingcuploft-entry/src/sign_of_life.rs
@@ -1,10 +1,8 @@
 //! Asks the platform's store for signs of life while this VM reads it.
 //!
-//! Failure: the store falls silent, or its connection does, while a watch waits; a watch that waits
-//! for a change looks the same as one that is lost, and the VM would miss a new configuration or a
-//! leaving server until the wait ends. The guard: a cheap sign of life is asked for. When it fails,
-//! the watches are given up; when it is back, they go on from where they stood. It also tells a
-//! moment that the store has reached: watches that stay behind that moment are asked again.
+//! A watch that waits for a change looks the same as one whose store, or connection, has fallen silent. So a cheap sign of
+//! life is asked for; without one the watches are given up, and go on from where they stood once it is back. It also
+//! tells a moment that the store has reached: watches that stay behind that moment are asked again.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod exchange;
 pub mod probe;
+mod silent;
 
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
@@ -13,6 +14,7 @@
 use kingcuploft::world::ids::VmName;
 
 use crate::http::client::{Connection, Counted};
+use silent::Silent;
 
 /// The most idle connections kept to one server: VMs share a server's connections, and one VM
 /// rarely has more than two requests at one server.
@@ -165,7 +167,7 @@
         !self.idle.borrow().is_empty()
     }
 
-    fn probe_failed(&self, now: Instant, step: probe::Silent, took: Duration) {
+    fn probe_failed(&self, now: Instant, step: Silent, took: Duration) {
         let before = self.mute.get();
         let pause = before.map_or(FIRST_MUTE, |(_, pause)| pause * 2);
         let pause = pause.min(LONGEST_MUTE);
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::Upstream;
+use super::silent::Silent;
 use crate::context::Context;
 use crate::http::client::Response;
 use crate::http::headers::write_header;
@@ -94,31 +95,6 @@
     context.readings.notify_waiters();
 }
 
-/// Where a probe stood when it failed.
-#[derive(Clone, Copy, Debug)]
-pub enum Silent {
-    /// A new connection was being opened.
-    Connecting,
-    /// The answer was waited for on a new connection.
-    New,
-    /// The answer was waited for on a connection that had been used before.
-    Kept,
-    /// The answer told no load.
-    Unreadable,
-}
-
-impl Silent {
-    /// Returns the name used in logs.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::Connecting => "connecting",
-            Self::New => "new connection",
-            Self::Kept => "kept connection",
-            Self::Unreadable => "no load told",
-        }
-    }
-}
-
 async fn exchange(upstream: &Upstream, request: &[u8], step: &Cell<Silent>) -> Option<Response> {
     let kept = upstream.has_idle();
     let mut connection = upstream.connect().await.ok()?;
--- /dev/null
+++ b/crates/kingcuploft-entry/src/upstream/silent.rs
@@ -0,0 +1,26 @@
+//! Where a probe stands that is not answered.
+
+/// Where a probe stood when it failed.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Silent {
+    /// A new connection was being opened.
+    Connecting,
+    /// The answer was waited for on a new connection.
+    New,
+    /// The answer was waited for on a connection that had been used before.
+    Kept,
+    /// The answer told no load.
+    Unreadable,
+}
+
+impl Silent {
+    /// Returns the name used in logs.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Self::Connecting => "connecting",
+            Self::New => "new connection",
+            Self::Kept => "kept connection",
+            Self::Unreadable => "no load told",
+        }
+    }
+}
