feat(logs): after a lost answer it is told whether the server ended, and which request it was under any id

`answer_lost` has both: a new connection to the server is refused (ended) or not, and the fingerprint is a hash of method, host, path, caller and body. Logs only; nothing is decided by it yet.

--- a/crates/kingcuploft-entry/src/edge/request.rs
+++ b/crates/kingcuploft-entry/src/edge/request.rs
@@ -1,11 +1,17 @@
 //! A request as it was read.
 
+use std::cell::OnceCell;
 use std::time::{Duration, Instant};
 
+use kingcuploft::entry::fingerprint::{Fingerprint, Recurring};
+
 use super::room::Held;
 use crate::http::head::RequestHead;
 use crate::settings::Vocabulary;
 
+/// The headers that name a request's caller.
+const CALLER: [&str; 2] = ["authorization", "cookie"];
+
 /// A whole request.
 #[derive(Debug)]
 pub struct Request {
@@ -19,6 +25,7 @@
     _held: Held,
     /// When its last byte was read.
     pub arrived: Instant,
+    fingerprint: OnceCell<Fingerprint>,
 }
 
 impl Request {
@@ -30,9 +37,25 @@
             body,
             _held: held,
             arrived: Instant::now(),
+            fingerprint: OnceCell::new(),
         }
     }
 
+    /// Returns what tells the request when it comes again.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let headers = &self.head.headers;
+        *self.fingerprint.get_or_init(|| {
+            let recurring = Recurring {
+                method: &self.head.method,
+                host: headers.get("host").unwrap_or_default(),
+                target: &self.head.target,
+                caller: CALLER.map(|name| headers.get(name)),
+                body: &self.body,
+            };
+            recurring.fingerprint()
+        })
+    }
+
     /// Returns how long the caller waits from the arrival on, if it says so.
     pub fn patience(&self, vocabulary: &Vocabulary) -> Option<Duration> {
         let value = self.head.headers.get(vocabulary.deadline_ms)?;
--- /dev/null
+++ b/crates/kingcuploft-entry/src/upstream/after_loss.rs
@@ -0,0 +1,43 @@
+//! Whether a server has ended that closed a connection without an answer.
+
+use std::io::ErrorKind;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+
+use super::Upstream;
+
+/// How long a new connection is waited for: the longest round trip of a region, and some.
+const PATIENCE: Duration = Duration::from_millis(20);
+
+/// What a new connection to a server comes to after it lost an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AfterLoss {
+    /// Nobody listens there any more.
+    Ended,
+    /// The server still takes connections: it closed one of them.
+    Alive,
+    /// No answer.
+    Silent,
+}
+
+impl AfterLoss {
+    /// Returns the name used in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Ended => "ended",
+            Self::Alive => "alive",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// Looks whether a server that has just closed a connection without an answer still listens.
+pub async fn look(upstream: &Upstream) -> AfterLoss {
+    let connecting = TcpStream::connect(upstream.server.address);
+    match tokio::time::timeout(PATIENCE, connecting).await {
+        Ok(Ok(_)) => AfterLoss::Alive,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => AfterLoss::Ended,
+        Ok(Err(_)) | Err(_) => AfterLoss::Silent,
+    }
+}
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! The backend servers as this VM deals with them: connections, readings, own requests in flight.
 
+pub mod after_loss;
 pub mod exchange;
 pub mod probe;
 mod silent;
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -12,6 +12,7 @@
 pub mod connections;
 pub mod failures;
 pub mod feeding;
+pub mod fingerprint;
 pub mod joining;
 pub mod last_slot;
 pub mod log_budget;
