--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -16,7 +16,7 @@
 use crate::store::TestStore;
 use crate::world::{WORDS, configuration, entry, play, settings, until};
 
-async fn start_in_zone(name: &str, store: &TestStore) -> Running {
+pub(crate) async fn start_in_zone(name: &str, store: &TestStore) -> Running {
     let settings = EntrySettings {
         peers: Some(([127, 0, 0, 1], 0).into()),
         ..settings(name)
@@ -26,11 +26,11 @@
     vm
 }
 
-fn followers(vms: &[Running]) -> usize {
+pub(crate) fn followers(vms: &[Running]) -> usize {
     vms.iter().map(|vm| vm.context.followers.len()).sum()
 }
 
-async fn zone_of(count: usize, store: &TestStore) -> Vec<Running> {
+pub(crate) async fn zone_of(count: usize, store: &TestStore) -> Vec<Running> {
     let mut vms = Vec::new();
     for at in 0..count {
         vms.push(start_in_zone(&format!("vm-{at}"), store).await);
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod following;
 mod operating;
 mod protected;
+mod quarantine;
 mod server;
 mod stopping;
 mod store;
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -7,6 +7,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 /// What a server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -31,6 +32,8 @@
     Misdirected,
     /// Runs it and never answers.
     Hang,
+    /// Crashes under what is asked for under a path with `crash`, answers all else.
+    CrashUnder,
 }
 
 /// A request as the server saw it.
@@ -66,6 +69,9 @@
     pub(crate) holds_new: Rc<Cell<Duration>>,
     /// The most connections at one time.
     pub(crate) most_connections: Rc<Cell<u32>>,
+    /// Whether the server has ended.
+    pub(crate) ended: Rc<Cell<bool>>,
+    ending: Rc<Notify>,
 }
 
 impl TestServer {
@@ -82,10 +88,19 @@
             opened: Rc::default(),
             holds_new: Rc::default(),
             most_connections: Rc::default(),
+            ended: Rc::default(),
+            ending: Rc::default(),
         };
         let serving = server.clone();
         tokio::task::spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    () = serving.ending.notified() => return,
+                };
+                let Ok((stream, _)) = accepted else {
+                    return;
+                };
                 let server = serving.clone();
                 tokio::task::spawn_local(async move {
                     let open = server.connections.get() + 1;
@@ -93,7 +108,10 @@
                     server.most_connections.update(|most| most.max(open));
                     server.opened.update(|opened| opened + 1);
                     tokio::time::sleep(server.holds_new.get()).await;
-                    server.serve(stream).await;
+                    tokio::select! {
+                        () = server.serve(stream) => {}
+                        () = server.ending.notified() => {}
+                    }
                     server.connections.update(|open| open - 1);
                 });
             }
@@ -101,6 +119,12 @@
         server
     }
 
+    /// Ends the server: its connections close, and nobody listens any more.
+    pub(crate) fn end(&self) {
+        self.ended.set(true);
+        self.ending.notify_waiters();
+    }
+
     async fn serve(&self, mut stream: TcpStream) {
         let mut bytes = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut bytes).await {
@@ -156,6 +180,11 @@
                 "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
             }
             Act::Misdirected => "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            Act::CrashUnder if request.text.contains("/crash") => {
+                self.end();
+                return false;
+            }
+            Act::CrashUnder => whole,
             Act::Hang => {
                 let mut byte = [0; 1];
                 let _ = stream.read(&mut byte).await;
