fix(quarantine): a request under which two servers ended in a row is refused by all VMs

Cause: each attempt was judged alone. `verdict` knows how an attempt ended, not what became of the server, nor that the request comes again; and what one VM sees the others don't.

Now: after a lost answer a new connection tells whether the server ended. Each end is an object in the platform's store, told on by the VMs that read it; two ends in a row refuse the request (503, Retry-After), a VM tries it again after 15 s, 2 min, 20 min, claimed by creating the trial's report. An answer clears. Servers that end together count once, so that a popular path is not refused for a lost rack. While suspect, a request runs alone and apart from others.

Why it works: whoever sends the request later than a report's way through the store (some 50 ms) knows it, also after a restart, and the VMs that the rule binds are those that reach the store.

Ruled out: full servers (1 to 3 requests ran), the budget of repeats (kept).

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -14,14 +14,16 @@
 use kingcuploft::entry::patience::Patience;
 use kingcuploft::entry::placement::Slot;
 use kingcuploft::entry::probe_budget::{self, ProbeBudget};
+use kingcuploft::entry::quarantine::Quarantine;
 use kingcuploft::entry::readers::{Readers, VmEntry};
 use kingcuploft::entry::repeats::Repeats;
 use kingcuploft::entry::service_time::ServiceTime;
 use kingcuploft::utils::{HashMap, HashSet};
 use kingcuploft::world::ids::{RuleName, ServiceName, VmName};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
 use crate::clock;
+use crate::crash_reports::Write;
 use crate::edge::room::Room;
 use crate::in_force::InForce;
 use crate::metrics::Metrics;
@@ -64,6 +66,10 @@
     pub followers: Followers,
     /// The memory for bodies of requests.
     pub body_room: Room,
+    /// The requests under which servers ended.
+    pub quarantine: RefCell<Quarantine>,
+    /// The way to whoever writes reports of that to the store.
+    pub crash_writes: OnceCell<mpsc::Sender<Write>>,
     /// Open connections of callers.
     pub callers: Cell<usize>,
     positions: RefCell<HashMap<Collection, Revision>>,
@@ -116,6 +122,8 @@
             path: RefCell::default(),
             reader_has_store: Cell::new(true),
             promised: Cell::new(false),
+            quarantine: RefCell::default(),
+            crash_writes: OnceCell::new(),
             callers: Cell::new(0),
             stopping: Cell::new(None),
             closes_idle: Cell::new(false),
@@ -148,6 +156,8 @@
         self.metrics.callers.set(self.callers.get() as i64);
         let probes_left = (self.probes_left() * 1000.0) as i64;
         self.metrics.probes_left.set(probes_left);
+        let quarantined = self.quarantine.borrow().refused();
+        self.metrics.quarantined.set(quarantined as i64);
         let newest = self.in_force.newest().unwrap_or(version);
         self.metrics.configuration_newest.set(newest as i64);
         let age = self.in_force.age().as_secs();
--- a/crates/kingcuploft-entry/src/edge/attempt.rs
+++ b/crates/kingcuploft-entry/src/edge/attempt.rs
@@ -7,8 +7,9 @@
 use kingcuploft::entry::verdict::AttemptEnd;
 
 use super::flight::Flight;
+use super::suspect::Run;
+use crate::upstream::Upstream;
 use crate::upstream::exchange::{self, Ended};
-use crate::upstream::{Upstream, after_loss};
 
 /// How old a reading may be to tell what a server did when a request was sent there: older than any that
 /// servers are chosen by.
@@ -19,29 +20,12 @@
     pub(super) async fn attempt(&self, upstream: &Rc<Upstream>) -> Ended {
         let sent = Sent::now(self, upstream);
         let left = sent.left;
+        let run = Run::begin(self, upstream);
         let ended = exchange::attempt(self.context, upstream, self.request, left).await;
         sent.ended(&ended);
-        if ended.end == AttemptEnd::Lost {
-            self.look_after_loss(upstream);
-        }
+        self.learn(upstream, ended.end, run.known).await;
         ended
     }
-
-    /// Looks whether a server has ended that lost an answer, and writes it down.
-    fn look_after_loss(&self, upstream: &Rc<Upstream>) {
-        let (id, upstream) = (self.request.id.clone(), upstream.clone());
-        let fingerprint = self.request.fingerprint();
-        tokio::task::spawn_local(async move {
-            let found = after_loss::look(&upstream).await;
-            tracing::info!(
-                event = "answer_lost",
-                request = id,
-                fingerprint = %format_args!("{fingerprint:016x}"),
-                server = %upstream.server.name,
-                found = found.label(),
-            );
-        });
-    }
 }
 
 /// An attempt under way, with what was known of the server when it was sent.
--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -8,16 +8,22 @@
 
 use super::flight::Flight;
 use super::gone::Gone;
+use super::suspect::Clearance;
 use crate::upstream::{Upstream, probe};
 
 /// How long readings are waited for before looking again whether they suffice.
 pub(super) const AWAIT_STEP: Duration = Duration::from_millis(2);
 
+/// How often it is looked whether another run of a suspect request has ended.
+const RUN_ENDS_STEP: Duration = Duration::from_millis(10);
+
 /// What choosing came to.
 pub(super) enum Chosen {
     Upstream(Rc<Upstream>),
     /// No server can answer in time; the caller may come back after this time.
     Refuse(Duration),
+    /// Servers end under the request; the caller may come back after this time.
+    Quarantined(Duration),
     CallerLeft,
 }
 
@@ -31,6 +37,15 @@
             if gone.is_set() {
                 return Chosen::CallerLeft;
             }
+            match self.clearance().await {
+                Clearance::Go => {}
+                Clearance::Wait => {
+                    tokio::time::sleep(RUN_ENDS_STEP).await;
+                    look_begun = Instant::now();
+                    continue;
+                }
+                Clearance::Refuse(after) => return Chosen::Quarantined(after),
+            }
             let now = Instant::now();
             let upstreams = self.usable(now, reach);
             self.ask(&upstreams, self.context.ask_share(looks));
@@ -72,6 +87,11 @@
         if !audible.is_empty() {
             all = audible;
         }
+        let apart = all.iter().filter(|u| !u.holds_suspect());
+        let apart: Vec<_> = apart.cloned().collect();
+        if !apart.is_empty() {
+            all = apart;
+        }
         let (mut near, mut others): (Vec<_>, Vec<_>) = all.into_iter().partition(|u| u.near);
         let asked = asked(near.len(), others.len(), reach);
         let life = self.context.reading_life();
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -60,6 +60,10 @@
                     self.come_back = come_back;
                     return self.give_up("no server can answer in time");
                 }
+                Chosen::Quarantined(come_back) => {
+                    self.come_back = come_back;
+                    return self.give_up("servers end under it");
+                }
                 Chosen::CallerLeft => return self.give_up("the caller left"),
             };
             self.attempts.sending();
@@ -77,6 +81,7 @@
                 }
                 Contract::AtMostOnce => self.attempt(&upstream).await,
             };
+            self.is_trial = false;
             match self.attempts.ended(ended.end) {
                 Verdict::Answer => return self.pass_on(ended),
                 Verdict::TryAgain if self.may_try_again(gone, ended.end) => {
--- a/crates/kingcuploft-entry/src/edge/flight.rs
+++ b/crates/kingcuploft-entry/src/edge/flight.rs
@@ -38,6 +38,8 @@
     pub(super) target: Instant,
     /// Whether the caller comes back after an earlier attempt.
     pub(super) returns: bool,
+    /// Whether this VM may try the request though servers ended under it.
+    pub(super) is_trial: bool,
     pub(super) attempts: Attempts,
     pub(super) tried: Vec<Rc<Upstream>>,
     pub(super) last_failure: Option<Response>,
@@ -89,6 +91,7 @@
                 .checked_sub(before)
                 .unwrap_or(request.arrived),
             returns: before > Duration::ZERO,
+            is_trial: false,
             attempts: Attempts::new(route.contract, route.most_attempts),
             context,
             request,
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -11,3 +11,4 @@
 pub mod request;
 pub mod room;
 mod second_look;
+mod suspect;
--- a/crates/kingcuploft-entry/src/edge/second_look.rs
+++ b/crates/kingcuploft-entry/src/edge/second_look.rs
@@ -60,6 +60,9 @@
 
     /// Returns the server for a second send of a lookup that takes long, if there should be one.
     async fn second(&self, upstream: &Rc<Upstream>) -> Option<Rc<Upstream>> {
+        if self.is_suspect() {
+            return None;
+        }
         let service = self.configuration.services.get(&self.service)?;
         let asked_at = Instant::now();
         probe::ask(self.context, upstream, &service.health_path);
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::context::Context;
+use crate::crash_reports;
 use crate::peers::frame::Frame;
 use crate::peers::standing::standing;
 use crate::pulse::Pulse;
@@ -40,6 +41,9 @@
 /// leaves must be known within 2 s.
 const GATHER: Duration = Duration::from_millis(600);
 
+/// The same for reports of servers that ended: each tenth of a second may cost another server.
+const GATHER_REPORTS: Duration = Duration::from_millis(50);
+
 /// How often graces of lapsed entries are looked at.
 const EXPIRE_EVERY: Duration = Duration::from_millis(100);
 
@@ -175,8 +179,12 @@
             names.push(name);
         }
         if next.is_none() {
-            if collection == Collection::BackendServers {
-                all_servers(context, clock::now(), servers, &names);
+            match collection {
+                Collection::BackendServers => {
+                    all_servers(context, clock::now(), servers, &names);
+                }
+                Collection::CrashReports => crash_reports::all_told(context, names.into_iter()),
+                Collection::Configuration | Collection::Zones => {}
             }
             return Ok(first);
         }
@@ -205,12 +213,19 @@
                 self::servers(context, clock::now(), std::mem::take(&mut servers));
                 server_gone(context, clock::now(), &name);
             }
+            StoreChange::Gone(id) if collection == Collection::CrashReports => {
+                crash_reports::withdrawn(context, vec![id]);
+            }
             StoreChange::Gone(_) => {}
         }
     }
     self::servers(context, clock::now(), servers);
     context.set_position(collection, revision);
-    tokio::time::sleep(GATHER).await;
+    let gather = match collection {
+        Collection::CrashReports => GATHER_REPORTS,
+        _ => GATHER,
+    };
+    tokio::time::sleep(gather).await;
     Ok(revision)
 }
 
@@ -218,6 +233,7 @@
     match record {
         Record::Configuration(told) => configuration(context, *told),
         Record::BackendServer(told) => server(context, clock::now(), told),
+        Record::CrashReport(report) => crash_reports::told(context, vec![report]),
         Record::Zone(_) | Record::Other => {}
         Record::Unreadable(name, why) => {
             context.metrics.unreadable_entries.inc();
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 pub mod context;
+pub mod crash_reports;
 pub mod edge;
 pub mod http;
 pub mod in_force;
--- a/crates/kingcuploft-entry/src/peers/feed.rs
+++ b/crates/kingcuploft-entry/src/peers/feed.rs
@@ -28,12 +28,16 @@
 /// The first release whose VMs take a configuration in parts.
 const TAKES_PARTS: u32 = 1;
 
+/// The first release whose VMs take reports of crashes.
+const TAKES_REPORTS: u32 = 2;
+
 /// A link to a follower.
 pub(super) struct Feed<'a, W> {
     context: &'a Rc<Context>,
     pulse: &'a Pulse,
     stream: W,
     takes_parts: bool,
+    takes_reports: bool,
     /// The version that the follower has.
     version: Option<ConfigurationVersion>,
     arrived: Option<Arrived>,
@@ -51,6 +55,7 @@
             pulse,
             stream,
             takes_parts: hello.speaks >= TAKES_PARTS,
+            takes_reports: hello.speaks >= TAKES_REPORTS,
             version: hello.version,
             arrived: hello.arrived,
         }
@@ -75,6 +80,10 @@
                 }
                 Outgoing::Newer(_) => {}
                 Outgoing::Configuration => self.configuration().await?,
+                Outgoing::Reports(line) if self.takes_reports => {
+                    write(&mut self.stream, &line).await?;
+                }
+                Outgoing::Reports(_) => {}
             }
         }
         Ok(())
@@ -89,6 +98,10 @@
         let mut greeting = Frame::Standing(own).to_line();
         let records = self.context.readers.borrow().records();
         greeting.extend(Frame::Zones(records).to_line());
+        if self.takes_reports {
+            let reports = self.context.quarantine.borrow().stored().collect();
+            greeting.extend(Frame::AllCrashReports(reports).to_line());
+        }
         write(&mut self.stream, &greeting).await?;
         self.configuration().await?;
         if let Some(servers) = servers {
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -7,6 +7,7 @@
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::ConfigurationVersion;
 use kingcuploft::entry::configuration_change::{ChangePart, PartError};
+use kingcuploft::entry::crash_report::CrashReport;
 use kingcuploft::entry::feeding;
 use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_table::{ServerTable, TableError};
@@ -17,6 +18,7 @@
 use super::lines::{LineError, Lines};
 use crate::clock;
 use crate::context::Context;
+use crate::crash_reports;
 use crate::keeper;
 use crate::pulse::Pulse;
 use crate::store::Collection;
@@ -351,6 +353,12 @@
         Frame::ServerGone(name) => keeper::server_gone(context, now, &name),
         Frame::AllServers(table) => all_servers(context, now, table)?,
         Frame::Zones(records) => keeper::zones(context, records),
+        Frame::CrashReports(reports) => crash_reports::told(context, reports),
+        Frame::CrashReportsGone(ids) => crash_reports::withdrawn(context, ids),
+        Frame::AllCrashReports(reports) => {
+            crash_reports::all_told(context, reports.iter().map(CrashReport::id));
+            crash_reports::told(context, reports);
+        }
         Frame::StoreReturned => keeper::store_returned(context),
         Frame::Hello(_)
         | Frame::WhoReads
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -4,6 +4,7 @@
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
 use kingcuploft::entry::configuration_change::ChangePart;
+use kingcuploft::entry::crash_report::{CrashReport, ReportId};
 use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_table::ServerTable;
 use kingcuploft::entry::zone_record::ZoneRecord;
@@ -47,6 +48,12 @@
     AllServers(ServerTable),
     /// The records of the zones.
     Zones(Vec<ZoneRecord>),
+    /// Servers ended under requests.
+    CrashReports(Vec<CrashReport>),
+    /// Such reports are withdrawn.
+    CrashReportsGone(Vec<ReportId>),
+    /// All such reports that the store has.
+    AllCrashReports(Vec<CrashReport>),
     /// The store answers the sender again after it did not.
     StoreReturned,
     /// All that the sender knew when the link began has been told.
@@ -73,13 +80,13 @@
     /// The digest of the backend servers that it knows.
     #[serde(default)]
     pub servers_digest: Option<u64>,
-    /// The frames that it understands: 1 for all of this release, 0 for those before.
+    /// The frames that it understands: 2 for all of this release, 1 for all but reports of crashes, 0 for those before.
     #[serde(default)]
     pub speaks: u32,
 }
 
 /// What a VM of this release understands.
-pub const SPEAKS: u32 = 1;
+pub const SPEAKS: u32 = 2;
 
 /// How far a VM knows the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinHandle;
 
 use crate::context::Context;
+use crate::crash_reports;
 use crate::edge::{connection, readiness};
 use crate::keeper;
 use crate::peers::dial::Tcp;
@@ -115,7 +116,16 @@
         let listener = listen(address)?;
         tokio::task::spawn_local(readiness::serve(context.clone(), listener));
     }
-    for collection in [Collection::Configuration, Collection::BackendServers] {
+    let (writes, waiting) = crash_reports::channel();
+    let _ = context.crash_writes.set(writes);
+    let writing = crash_reports::write(context.clone(), store.clone(), waiting);
+    tokio::task::spawn_local(writing);
+    tokio::task::spawn_local(crash_reports::tidy(context.clone(), pulse.clone()));
+    for collection in [
+        Collection::Configuration,
+        Collection::BackendServers,
+        Collection::CrashReports,
+    ] {
         let (context, store) = (context.clone(), store.clone());
         let following = keeper::follow(context, store, pulse.clone(), collection);
         tokio::task::spawn_local(following);
--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -6,6 +6,7 @@
 
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::Configuration;
+use kingcuploft::entry::crash_report::CrashReport;
 use kingcuploft::entry::zone_record::ZoneRecord;
 
 /// A moment in the store's history; greater is later.
@@ -20,6 +21,8 @@
     BackendServers,
     /// The entry VMs, a record for each zone.
     Zones,
+    /// Reports of servers that ended under requests.
+    CrashReports,
 }
 
 impl Collection {
@@ -29,6 +32,7 @@
             Self::Configuration => "configuration",
             Self::BackendServers => "backend_servers",
             Self::Zones => "zones",
+            Self::CrashReports => "crash_reports",
         }
     }
 }
@@ -42,6 +46,8 @@
     BackendServer(BackendServer),
     /// The entry VMs of a zone.
     Zone(ZoneRecord),
+    /// A server ended under a request.
+    CrashReport(CrashReport),
     /// An entry that can't be read, with its name and why.
     Unreadable(String, String),
     /// An entry that is not for this collection's readers.
@@ -86,12 +92,12 @@
     Replace,
 }
 
-/// What became of the record of a zone.
+/// What became of an entry to be written.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Recorded {
     /// It stands in the store.
     Done,
-    /// Another VM had created one.
+    /// Another VM had created it.
     IsThere,
     /// There is none to replace.
     IsNotThere,
@@ -138,6 +144,15 @@
         how: Recording,
     ) -> impl Future<Output = Result<Recorded, StoreError>>;
 
+    /// Creates a report of a server that ended under a request.
+    fn report_crash(
+        &self,
+        report: &CrashReport,
+    ) -> impl Future<Output = Result<Recorded, StoreError>>;
+
+    /// Removes such a report, if it is there.
+    fn withdraw_report(&self, id: &str) -> impl Future<Output = Result<(), StoreError>>;
+
     /// Waits for changes behind a moment.
     fn watch(
         &self,
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -65,6 +65,7 @@
     in_flight: RefCell<Vec<Instant>>,
     others_sent: RefCell<Vec<Instant>>,
     failures: RefCell<Failures>,
+    suspects: Cell<u32>,
 }
 
 impl Upstream {
@@ -84,6 +85,7 @@
             in_flight: RefCell::default(),
             others_sent: RefCell::default(),
             failures: RefCell::default(),
+            suspects: Cell::new(0),
         }
     }
 
@@ -212,6 +214,17 @@
         }
     }
 
+    /// Counts a request as at the server, under which others ended, until the guard is dropped.
+    pub fn hold_suspect(self: &std::rc::Rc<Self>) -> HoldsSuspect {
+        self.suspects.update(|suspects| suspects + 1);
+        HoldsSuspect(self.clone())
+    }
+
+    /// Returns whether it runs a request of this VM under which other servers ended.
+    pub fn holds_suspect(&self) -> bool {
+        self.suspects.get() > 0
+    }
+
     /// Returns the server as a request sees it.
     pub fn candidate(&self, now: Instant, life: Duration, tried: bool) -> Candidate {
         let reading = self.reading.get();
@@ -241,6 +254,16 @@
     }
 }
 
+/// A request at a server, under which others ended.
+#[derive(Debug)]
+pub struct HoldsSuspect(std::rc::Rc<Upstream>);
+
+impl Drop for HoldsSuspect {
+    fn drop(&mut self) {
+        self.0.suspects.update(|suspects| suspects - 1);
+    }
+}
+
 /// An own request in flight at a server.
 #[derive(Debug)]
 pub struct InFlight {
--- a/crates/kingcuploft-entry/tests/entry/quarantine.rs
+++ b/crates/kingcuploft-entry/tests/entry/quarantine.rs
@@ -4,7 +4,7 @@
 
 use kingcuploft_entry::run::Running;
 
-use crate::following::{followers, zone_of};
+use crate::following::{followers, start_in_zone, zone_of};
 use crate::server::{Act, TestServer};
 use crate::store::TestStore;
 use crate::world::{Answer, Caller, World, configuration, entry, look, play, until};
@@ -83,3 +83,67 @@
         });
     }
 }
+
+/// Guards against a VM that starts later, or again, and has to lose servers of its own to know such a request.
+#[test]
+fn a_vm_that_starts_later_knows_a_request_under_which_servers_ended() {
+    play(async {
+        let (vms, servers, store) = fleet(2, 6).await;
+        for at in 0..3 {
+            ask(&vms[0], &crash(&format!("r{at}"))).await;
+        }
+        until(|| store.0.crashes.borrow().len() == 2).await;
+        let before = ended(&servers);
+        for name in ["third", "fourth"] {
+            let later = start_in_zone(name, &store).await;
+            until(|| later.context.quarantine.borrow().refused() == 1).await;
+            let answer = ask(&later, &crash(name)).await;
+            assert_eq!(answer.status, 503);
+            assert!(answer.has("retry-after: "));
+        }
+        assert_eq!(ended(&servers), before);
+    });
+}
+
+/// Guards against requests refused because a server ended under them for another reason.
+#[test]
+fn a_request_whose_server_ended_once_is_answered_by_the_next_and_cleared() {
+    play(async {
+        let world = World::with(&[Act::After(Duration::from_millis(50)); 3]).await;
+        let mut caller = world.caller().await;
+        caller.send(&look("r1")).await;
+        until(|| world.seen() == 1).await;
+        let at = world.servers.iter().position(|s| s.runs.get() == 1);
+        world.servers[at.unwrap()].end();
+        assert_eq!(caller.answer().await.expect("an answer").status, 200);
+        assert_eq!(world.ask(&look("r2")).await.status, 200);
+        until(|| world.store.crashes.borrow().is_empty()).await;
+        assert!(world.vm.context.quarantine.borrow().is_empty());
+    });
+}
+
+/// Guards against connections that are reset taken for servers that end.
+#[test]
+fn a_server_that_closes_a_connection_and_lives_is_no_reason_to_refuse() {
+    play(async {
+        let world = World::with(&[Act::LoseAnswer; 4]).await;
+        for at in 0..4 {
+            world.ask(&look(&format!("r{at}"))).await;
+        }
+        assert!(world.vm.context.quarantine.borrow().is_empty());
+        assert!(world.store.crashes.borrow().is_empty());
+    });
+}
+
+/// Guards against knowledge lost where the store does not take a report at once.
+#[test]
+fn a_request_is_refused_while_the_store_takes_no_reports() {
+    play(async {
+        let world = World::with(&[Act::CrashUnder; 6]).await;
+        world.store.silent.set(true);
+        for at in 0..4 {
+            world.ask(&crash(&format!("r{at}"))).await;
+        }
+        assert_eq!(ended(&world.servers), 2);
+    });
+}
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod patience;
 mod placement;
 mod probing;
+mod quarantine;
 mod readers;
 mod repeats;
 mod second_look;
--- /dev/null
+++ b/crates/kingcuploft/tests/entry/quarantine.rs
@@ -0,0 +1,211 @@
+//! Which requests are kept from the servers, as servers end under them.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::crash_report::CrashReport;
+use kingcuploft::entry::fingerprint::{Fingerprint, Recurring};
+use kingcuploft::entry::quarantine::{Admission, Quarantine, Told};
+
+const REQUEST: Fingerprint = 7;
+
+/// A VM that learns of servers' ends, and the time.
+struct Vm {
+    quarantine: Quarantine,
+    now: Instant,
+    ends: u32,
+}
+
+impl Vm {
+    fn new() -> Self {
+        Self {
+            quarantine: Quarantine::default(),
+            now: Instant::now(),
+            ends: 0,
+        }
+    }
+
+    fn after(&mut self, pause: Duration) {
+        self.now += pause;
+    }
+
+    fn admit(&self) -> Admission {
+        self.quarantine.admit(self.now, REQUEST)
+    }
+
+    /// Runs the request at a server that ends under it.
+    fn crash(&mut self) -> CrashReport {
+        let known = self.quarantine.begins(REQUEST);
+        self.crash_of_run(known)
+    }
+
+    fn crash_of_run(&mut self, known: u32) -> CrashReport {
+        self.ends += 1;
+        let server: Arc<str> = format!("s{}", self.ends).into();
+        let now = self.now;
+        self.quarantine.ends(REQUEST);
+        self.quarantine.server_ended(now, REQUEST, &server, known)
+    }
+
+    /// Tries the request, and its server ends; returns whether it could be tried.
+    fn try_and_crash(&mut self) -> bool {
+        let Admission::Trial(trial) = self.admit() else {
+            return false;
+        };
+        self.quarantine.told(self.now, &trial);
+        self.crash();
+        true
+    }
+}
+
+#[test]
+fn a_request_is_refused_once_two_servers_ended_in_a_row_under_it() {
+    let mut vm = Vm::new();
+    assert_eq!(vm.admit(), Admission::Free);
+    vm.crash();
+    assert_eq!(vm.admit(), Admission::Alone);
+    vm.crash();
+    assert_eq!(vm.admit(), Admission::Refuse(Duration::from_secs(15)));
+    assert_eq!(vm.quarantine.admit(vm.now, REQUEST + 1), Admission::Free);
+}
+
+/// Guards against a popular request refused for servers that end together for another reason.
+#[test]
+fn servers_that_end_together_count_once() {
+    let mut vm = Vm::new();
+    let runs: Vec<u32> = (0..5).map(|_| vm.quarantine.begins(REQUEST)).collect();
+    for known in runs {
+        vm.crash_of_run(known);
+    }
+    assert_eq!(vm.admit(), Admission::Alone);
+}
+
+#[test]
+fn a_suspect_runs_alone_and_an_answer_clears_it() {
+    let mut vm = Vm::new();
+    let report = vm.crash();
+    vm.quarantine.begins(REQUEST);
+    assert_eq!(vm.admit(), Admission::Wait);
+    assert_eq!(vm.quarantine.answered(REQUEST), [report.id()]);
+    assert_eq!(vm.admit(), Admission::Free);
+}
+
+/// Guards against more than three servers lost to one request after it is known, and against one refused for good.
+#[test]
+fn a_refused_request_is_tried_three_times_in_a_day_by_one_vm_of_all() {
+    let mut vm = Vm::new();
+    vm.crash();
+    vm.crash();
+    let mut tries = 0;
+    for _ in 0..24 * 60 {
+        vm.after(Duration::from_secs(60));
+        tries += u32::from(vm.try_and_crash());
+    }
+    assert_eq!(tries, 3);
+    vm.after(Duration::from_secs(24 * 3600));
+    let Admission::Trial(trial) = vm.admit() else {
+        panic!("{:?}", vm.admit());
+    };
+    vm.quarantine.told(vm.now, &trial);
+    assert!(
+        matches!(vm.admit(), Admission::Refuse(_)),
+        "another VM tries"
+    );
+    vm.quarantine.answered(REQUEST);
+    assert_eq!(vm.admit(), Admission::Free);
+}
+
+#[test]
+fn a_vm_knows_what_the_others_reported_and_withdrew() {
+    let (mut one, mut other) = (Vm::new(), Vm::new());
+    let reports = [one.crash(), one.crash()];
+    for report in &reports {
+        assert_eq!(other.quarantine.told(other.now, report), Told::News);
+        assert_eq!(other.quarantine.told(other.now, report), Told::Known);
+    }
+    assert!(matches!(other.admit(), Admission::Refuse(_)));
+    let ids = one.quarantine.answered(REQUEST);
+    assert!(ids.iter().all(|id| other.quarantine.withdrawn(id)));
+    assert_eq!(other.admit(), Admission::Free);
+}
+
+/// Guards against reports that are kept for good by a VM that missed their withdrawal.
+#[test]
+fn reports_that_the_store_has_no_longer_are_forgotten_and_new_ones_are_not() {
+    let (mut one, mut other) = (Vm::new(), Vm::new());
+    let report = other.crash();
+    one.quarantine.told(one.now, &report);
+    one.ends = 1;
+    one.crash();
+    let gone = one.quarantine.all_told(&[].into_iter().collect());
+    assert_eq!(gone, [report.id()]);
+    assert!(one.quarantine.is_suspect(REQUEST), "its own is on its way");
+}
+
+#[test]
+fn a_suspect_that_does_not_come_again_is_forgotten_and_a_refused_request_is_kept() {
+    let mut vm = Vm::new();
+    let report = vm.crash();
+    vm.quarantine.told(vm.now, &report);
+    vm.after(Duration::from_secs(61));
+    assert_eq!(vm.quarantine.outdated(vm.now), [report.id()]);
+    let report = vm.crash();
+    vm.quarantine.told(vm.now, &report);
+    vm.after(Duration::from_secs(3600));
+    assert!(vm.quarantine.outdated(vm.now).is_empty());
+}
+
+/// Guards against a memory that grows with the requests that servers end under.
+#[test]
+fn a_vm_remembers_a_bounded_number_of_requests() {
+    let mut vm = Vm::new();
+    let server: Arc<str> = "s".into();
+    for fingerprint in 0..20_000 {
+        vm.quarantine.server_ended(vm.now, fingerprint, &server, 0);
+    }
+    let suspects = (0..20_000).filter(|fp| vm.quarantine.is_suspect(*fp));
+    assert_eq!(suspects.count(), 16 * 1024);
+}
+
+#[test]
+fn a_fingerprint_tells_requests_apart_and_is_the_same_under_another_id() {
+    let request = Recurring {
+        method: "POST",
+        host: "a.example",
+        target: "/book/a",
+        caller: [None, None],
+        body: b"bed",
+    };
+    assert_eq!(request.fingerprint(), request.fingerprint());
+    let caller = [Some("somebody"), None];
+    let others = [
+        Recurring {
+            method: "PUT",
+            ..request
+        },
+        Recurring {
+            host: "b.example",
+            ..request
+        },
+        Recurring {
+            target: "/book/b",
+            ..request
+        },
+        Recurring {
+            body: b"two beds",
+            ..request
+        },
+        Recurring { caller, ..request },
+    ];
+    for other in others {
+        assert_ne!(request.fingerprint(), other.fingerprint(), "{other:?}");
+    }
+}
+
+#[test]
+fn a_report_is_read_from_its_name() {
+    let report = Vm::new().crash();
+    assert_eq!(CrashReport::parse_id(&report.id()), Some((REQUEST, "s1")));
+    assert_eq!(CrashReport::parse_id("no-report"), None);
+    assert_eq!(CrashReport::parse_id("g.s1"), None);
+}
