refactor(notices): what the VMs tell each other through the store has one way, whatever it is about

Reports of crashes were a collection, three frames and two calls of the store of their own. The next matter needs the same way. No change of behaviour; the tests are the same but for names.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -23,10 +23,10 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock;
-use crate::crash_reports::Write;
 use crate::edge::room::Room;
 use crate::in_force::InForce;
 use crate::metrics::Metrics;
+use crate::notices::Write;
 use crate::peers::followers::Followers;
 use crate::peers::zone_socket::ZoneSocket;
 use crate::settings::{Bounds, EntrySettings, Vocabulary};
@@ -69,7 +69,7 @@
     /// The requests under which servers ended.
     pub quarantine: RefCell<Quarantine>,
     /// The way to whoever writes reports of that to the store.
-    pub crash_writes: OnceCell<mpsc::Sender<Write>>,
+    pub notice_writes: OnceCell<mpsc::Sender<Write>>,
     /// Open connections of callers.
     pub callers: Cell<usize>,
     positions: RefCell<HashMap<Collection, Revision>>,
@@ -123,7 +123,7 @@
             reader_has_store: Cell::new(true),
             promised: Cell::new(false),
             quarantine: RefCell::default(),
-            crash_writes: OnceCell::new(),
+            notice_writes: OnceCell::new(),
             callers: Cell::new(0),
             stopping: Cell::new(None),
             closes_idle: Cell::new(false),
--- a/crates/kingcuploft-entry/src/edge/suspect.rs
+++ b/crates/kingcuploft-entry/src/edge/suspect.rs
@@ -4,12 +4,13 @@
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::fingerprint::Fingerprint;
+use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::quarantine::{Admission, Quarantine};
 use kingcuploft::entry::verdict::AttemptEnd;
 
 use super::flight::Flight;
 use crate::context::Context;
-use crate::crash_reports::{self, Write};
+use crate::notices::{self, Write};
 use crate::upstream::after_loss::{self, AfterLoss};
 use crate::upstream::{HoldsSuspect, Upstream};
 
@@ -39,13 +40,15 @@
             Admission::Wait if Instant::now() < self.target => Clearance::Wait,
             Admission::Free | Admission::Alone | Admission::Wait => Clearance::Go,
             Admission::Refuse(after) => Clearance::Refuse(after),
-            Admission::Trial(report) => match crash_reports::claim(self.context, report).await {
-                true => {
-                    self.is_trial = true;
-                    Clearance::Go
+            Admission::Trial(report) => {
+                match notices::claim(self.context, Notice::Crash(report)).await {
+                    true => {
+                        self.is_trial = true;
+                        Clearance::Go
+                    }
+                    false => Clearance::Refuse(Quarantine::tried_elsewhere()),
                 }
-                false => Clearance::Refuse(Quarantine::tried_elsewhere()),
-            },
+            }
         }
     }
 
@@ -73,7 +76,7 @@
             fingerprint = %format_args!("{fingerprint:016x}"),
         );
         for id in ids {
-            crash_reports::send(self.context, Write::Withdraw(id));
+            notices::send(self.context, Write::Withdraw(id));
         }
     }
 
@@ -95,7 +98,7 @@
             in_a_row = report.as_ref().map(|report| report.in_a_row),
         );
         if let Some(report) = report {
-            crash_reports::send(self.context, Write::Report(report));
+            notices::send(self.context, Write::Tell(Notice::Crash(report)));
         }
     }
 }
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -16,7 +16,7 @@
 
 use crate::clock;
 use crate::context::Context;
-use crate::crash_reports;
+use crate::notices;
 use crate::peers::frame::Frame;
 use crate::peers::standing::standing;
 use crate::pulse::Pulse;
@@ -41,8 +41,8 @@
 /// leaves must be known within 2 s.
 const GATHER: Duration = Duration::from_millis(600);
 
-/// The same for reports of servers that ended: each tenth of a second may cost another server.
-const GATHER_REPORTS: Duration = Duration::from_millis(50);
+/// The same for notices: each tenth of a second may cost another server.
+const GATHER_NOTICES: Duration = Duration::from_millis(50);
 
 /// How often graces of lapsed entries are looked at.
 const EXPIRE_EVERY: Duration = Duration::from_millis(100);
@@ -183,7 +183,7 @@
                 Collection::BackendServers => {
                     all_servers(context, clock::now(), servers, &names);
                 }
-                Collection::CrashReports => crash_reports::all_told(context, names.into_iter()),
+                Collection::Notices => notices::all_told(context, names.into_iter()),
                 Collection::Configuration | Collection::Zones => {}
             }
             return Ok(first);
@@ -213,8 +213,8 @@
                 self::servers(context, clock::now(), std::mem::take(&mut servers));
                 server_gone(context, clock::now(), &name);
             }
-            StoreChange::Gone(id) if collection == Collection::CrashReports => {
-                crash_reports::withdrawn(context, vec![id]);
+            StoreChange::Gone(id) if collection == Collection::Notices => {
+                notices::withdrawn(context, vec![id]);
             }
             StoreChange::Gone(_) => {}
         }
@@ -222,7 +222,7 @@
     self::servers(context, clock::now(), servers);
     context.set_position(collection, revision);
     let gather = match collection {
-        Collection::CrashReports => GATHER_REPORTS,
+        Collection::Notices => GATHER_NOTICES,
         _ => GATHER,
     };
     tokio::time::sleep(gather).await;
@@ -233,7 +233,7 @@
     match record {
         Record::Configuration(told) => configuration(context, *told),
         Record::BackendServer(told) => server(context, clock::now(), told),
-        Record::CrashReport(report) => crash_reports::told(context, vec![report]),
+        Record::Notice(notice) => notices::told(context, vec![notice]),
         Record::Zone(_) | Record::Other => {}
         Record::Unreadable(name, why) => {
             context.metrics.unreadable_entries.inc();
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -6,13 +6,14 @@
 
 pub mod clock;
 pub mod context;
-pub mod crash_reports;
+
 pub mod edge;
 pub mod http;
 pub mod in_force;
 pub mod keeper;
 pub mod logs;
 pub mod metrics;
+pub mod notices;
 pub mod peers;
 pub mod pulse;
 pub mod roster;
--- a/crates/kingcuploft-entry/src/crash_reports.rs
+++ b/crates/kingcuploft-entry/src/notices.rs
@@ -1,9 +1,9 @@
-//! Reports of servers that ended under requests: written to the platform's store, taken in, passed on.
+//! What the VMs tell each other through the platform's store: written there, taken in, passed on.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcuploft::entry::crash_report::{CrashReport, ReportId};
+use kingcuploft::entry::notice::{Notice, NoticeId};
 use kingcuploft::entry::quarantine::Told;
 use kingcuploft::utils::HashSet;
 use tokio::sync::{mpsc, oneshot};
@@ -21,18 +21,18 @@
 const MOST_TRIES: u32 = 20;
 const PAUSE: Duration = Duration::from_millis(500);
 
-/// How often reports are looked for that are outdated.
+/// How often notices are looked for that are outdated.
 const LOOK_EVERY: Duration = Duration::from_secs(5);
 
 /// What is written to the store.
 #[derive(Debug)]
 pub enum Write {
-    /// A report of an end.
-    Report(CrashReport),
-    /// A report of a trial; whoever writes it first is told so, and may try.
-    Claim(CrashReport, oneshot::Sender<bool>),
-    /// A report is withdrawn.
-    Withdraw(ReportId),
+    /// What was seen.
+    Tell(Notice),
+    /// Whoever writes it first is told so, and may act on it.
+    Claim(Notice, oneshot::Sender<bool>),
+    /// It holds no longer.
+    Withdraw(NoticeId),
 }
 
 /// Returns the way to the writer, and what it takes from there.
@@ -48,20 +48,20 @@
 ) {
     while let Some(write) = writes.recv().await {
         match write {
-            Write::Report(report) => {
-                let written = in_tries(|| store.report_crash(&report)).await;
+            Write::Tell(notice) => {
+                let written = in_tries(|| store.tell(&notice)).await;
                 if written.is_some() {
-                    told(&context, vec![report]);
+                    told(&context, vec![notice]);
                 }
             }
-            Write::Claim(report, claimed) => {
-                let first = store.report_crash(&report).await;
+            Write::Claim(notice, claimed) => {
+                let first = store.tell(&notice).await;
                 let first = matches!(first, Ok(Recorded::Done));
-                told(&context, vec![report]);
+                told(&context, vec![notice]);
                 let _ = claimed.send(first);
             }
             Write::Withdraw(id) => {
-                let _ = in_tries(|| store.withdraw_report(&id)).await;
+                let _ = in_tries(|| store.withdraw(&id)).await;
             }
         }
     }
@@ -73,7 +73,7 @@
     for tries in 1..=MOST_TRIES {
         match call().await {
             Ok(done) => return Some(done),
-            Err(error) => tracing::warn!(event = "crash_report_not_written", tries, %error),
+            Err(error) => tracing::warn!(event = "notice_not_written", tries, %error),
         }
         tokio::time::sleep(PAUSE.mul_f64(1.0 + fastrand::f64())).await;
     }
@@ -94,53 +94,56 @@
 
 /// Has something written.
 pub fn send(context: &Context, write: Write) {
-    let Some(writes) = context.crash_writes.get() else {
+    let Some(writes) = context.notice_writes.get() else {
         return;
     };
     if writes.try_send(write).is_err() {
-        tracing::warn!(event = "crash_report_left_out");
+        tracing::warn!(event = "notice_left_out");
     }
 }
 
 /// Asks for leave to try a request; returns whether this VM may.
-pub async fn claim(context: &Context, report: CrashReport) -> bool {
+pub async fn claim(context: &Context, notice: Notice) -> bool {
     let (claimed, answer) = oneshot::channel();
-    send(context, Write::Claim(report, claimed));
+    send(context, Write::Claim(notice, claimed));
     answer.await.unwrap_or(false)
 }
 
-/// Takes in reports that the store has, and passes on what is news.
-pub fn told(context: &Context, mut reports: Vec<CrashReport>) {
+/// Takes in notices that the store has, and passes on what is news.
+pub fn told(context: &Context, mut notices: Vec<Notice>) {
     let now = clock::now();
-    let mut quarantine = context.quarantine.borrow_mut();
-    reports.retain(|report| quarantine.told(now, report) == Told::News);
-    drop(quarantine);
-    if !reports.is_empty() {
-        context
-            .followers
-            .tell_reports(&Frame::CrashReports(reports));
+    notices.retain(|notice| match notice {
+        Notice::Crash(report) => {
+            let mut quarantine = context.quarantine.borrow_mut();
+            quarantine.told(now, report) == Told::News
+        }
+    });
+    if !notices.is_empty() {
+        context.followers.tell_notices(&Frame::Notices(notices));
     }
 }
 
-/// Takes in that reports are withdrawn, and passes on what is news.
-pub fn withdrawn(context: &Context, mut ids: Vec<ReportId>) {
-    let mut quarantine = context.quarantine.borrow_mut();
-    ids.retain(|id| quarantine.withdrawn(id));
-    drop(quarantine);
+/// Takes in that notices are withdrawn, and passes on what is news.
+pub fn withdrawn(context: &Context, mut ids: Vec<NoticeId>) {
+    ids.retain(|id| context.quarantine.borrow_mut().withdrawn(id));
     pass_on_withdrawn(context, ids);
 }
 
-/// Takes in which reports the store has at all, and passes on which it has no longer.
-pub fn all_told(context: &Context, ids: impl Iterator<Item = ReportId>) {
-    let ids: HashSet<ReportId> = ids.collect();
+/// Takes in which notices the store has at all, and passes on which it has no longer.
+pub fn all_told(context: &Context, ids: impl Iterator<Item = NoticeId>) {
+    let ids: HashSet<NoticeId> = ids.collect();
     let gone = context.quarantine.borrow_mut().all_told(&ids);
     pass_on_withdrawn(context, gone);
 }
 
-fn pass_on_withdrawn(context: &Context, ids: Vec<ReportId>) {
+/// Returns all notices that the store has.
+pub fn stored(context: &Context) -> Vec<Notice> {
+    let quarantine = context.quarantine.borrow();
+    quarantine.stored().map(Notice::Crash).collect()
+}
+
+fn pass_on_withdrawn(context: &Context, ids: Vec<NoticeId>) {
     if !ids.is_empty() {
-        context
-            .followers
-            .tell_reports(&Frame::CrashReportsGone(ids));
+        context.followers.tell_notices(&Frame::NoticesGone(ids));
     }
 }
--- a/crates/kingcuploft-entry/src/peers/feed.rs
+++ b/crates/kingcuploft-entry/src/peers/feed.rs
@@ -14,6 +14,7 @@
 use super::standing::standing;
 use super::writing::{timed_out, write};
 use crate::context::Context;
+use crate::notices;
 use crate::pulse::Pulse;
 
 /// The time between two heartbeats. A follower that misses two and a bit leaves.
@@ -28,8 +29,8 @@
 /// The first release whose VMs take a configuration in parts.
 const TAKES_PARTS: u32 = 1;
 
-/// The first release whose VMs take reports of crashes.
-const TAKES_REPORTS: u32 = 2;
+/// The first release whose VMs take notices.
+const TAKES_NOTICES: u32 = 2;
 
 /// A link to a follower.
 pub(super) struct Feed<'a, W> {
@@ -37,7 +38,7 @@
     pulse: &'a Pulse,
     stream: W,
     takes_parts: bool,
-    takes_reports: bool,
+    takes_notices: bool,
     /// The version that the follower has.
     version: Option<ConfigurationVersion>,
     arrived: Option<Arrived>,
@@ -55,7 +56,7 @@
             pulse,
             stream,
             takes_parts: hello.speaks >= TAKES_PARTS,
-            takes_reports: hello.speaks >= TAKES_REPORTS,
+            takes_notices: hello.speaks >= TAKES_NOTICES,
             version: hello.version,
             arrived: hello.arrived,
         }
@@ -80,10 +81,10 @@
                 }
                 Outgoing::Newer(_) => {}
                 Outgoing::Configuration => self.configuration().await?,
-                Outgoing::Reports(line) if self.takes_reports => {
+                Outgoing::Notices(line) if self.takes_notices => {
                     write(&mut self.stream, &line).await?;
                 }
-                Outgoing::Reports(_) => {}
+                Outgoing::Notices(_) => {}
             }
         }
         Ok(())
@@ -98,9 +99,9 @@
         let mut greeting = Frame::Standing(own).to_line();
         let records = self.context.readers.borrow().records();
         greeting.extend(Frame::Zones(records).to_line());
-        if self.takes_reports {
-            let reports = self.context.quarantine.borrow().stored().collect();
-            greeting.extend(Frame::AllCrashReports(reports).to_line());
+        if self.takes_notices {
+            let notices = notices::stored(self.context);
+            greeting.extend(Frame::AllNotices(notices).to_line());
         }
         write(&mut self.stream, &greeting).await?;
         self.configuration().await?;
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -7,8 +7,8 @@
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::ConfigurationVersion;
 use kingcuploft::entry::configuration_change::{ChangePart, PartError};
-use kingcuploft::entry::crash_report::CrashReport;
 use kingcuploft::entry::feeding;
+use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_table::{ServerTable, TableError};
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
@@ -18,8 +18,8 @@
 use super::lines::{LineError, Lines};
 use crate::clock;
 use crate::context::Context;
-use crate::crash_reports;
 use crate::keeper;
+use crate::notices;
 use crate::pulse::Pulse;
 use crate::store::Collection;
 
@@ -353,11 +353,11 @@
         Frame::ServerGone(name) => keeper::server_gone(context, now, &name),
         Frame::AllServers(table) => all_servers(context, now, table)?,
         Frame::Zones(records) => keeper::zones(context, records),
-        Frame::CrashReports(reports) => crash_reports::told(context, reports),
-        Frame::CrashReportsGone(ids) => crash_reports::withdrawn(context, ids),
-        Frame::AllCrashReports(reports) => {
-            crash_reports::all_told(context, reports.iter().map(CrashReport::id));
-            crash_reports::told(context, reports);
+        Frame::Notices(notices) => notices::told(context, notices),
+        Frame::NoticesGone(ids) => notices::withdrawn(context, ids),
+        Frame::AllNotices(notices) => {
+            notices::all_told(context, notices.iter().map(Notice::id));
+            notices::told(context, notices);
         }
         Frame::StoreReturned => keeper::store_returned(context),
         Frame::Hello(_)
--- a/crates/kingcuploft-entry/src/peers/followers.rs
+++ b/crates/kingcuploft-entry/src/peers/followers.rs
@@ -36,8 +36,8 @@
     Newer(ConfigurationVersion),
     /// What leads from its configuration to the one in force.
     Configuration,
-    /// A line about reports of crashes.
-    Reports(Line),
+    /// A line about notices.
+    Notices(Line),
 }
 
 /// What waits to be told to one follower.
@@ -63,7 +63,7 @@
     }
 
     fn taken(&self, outgoing: Option<&Outgoing>) {
-        if let Some(Outgoing::Line(line) | Outgoing::Alive(line) | Outgoing::Reports(line)) =
+        if let Some(Outgoing::Line(line) | Outgoing::Alive(line) | Outgoing::Notices(line)) =
             outgoing
         {
             self.bytes.set(self.bytes.get() - line.len());
@@ -86,7 +86,7 @@
     /// Has something told; returns whether there was room.
     fn tell(&self, outgoing: &Outgoing) -> bool {
         let bytes = match outgoing {
-            Outgoing::Line(line) | Outgoing::Alive(line) | Outgoing::Reports(line) => line.len(),
+            Outgoing::Line(line) | Outgoing::Alive(line) | Outgoing::Notices(line) => line.len(),
             Outgoing::Newer(_) | Outgoing::Configuration => 0,
         };
         let waiting = self.waiting_bytes.get();
@@ -168,10 +168,10 @@
         self.tell_all(&Outgoing::Alive(Rc::new(standing.to_line())));
     }
 
-    /// Tells all followers that understand it of reports of crashes.
-    pub fn tell_reports(&self, reports: &Frame) {
+    /// Tells all followers that understand it of notices.
+    pub fn tell_notices(&self, notices: &Frame) {
         if !self.is_empty() {
-            self.tell_all(&Outgoing::Reports(Rc::new(reports.to_line())));
+            self.tell_all(&Outgoing::Notices(Rc::new(notices.to_line())));
         }
     }
 
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -4,7 +4,7 @@
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
 use kingcuploft::entry::configuration_change::ChangePart;
-use kingcuploft::entry::crash_report::{CrashReport, ReportId};
+use kingcuploft::entry::notice::{Notice, NoticeId};
 use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_table::ServerTable;
 use kingcuploft::entry::zone_record::ZoneRecord;
@@ -48,12 +48,12 @@
     AllServers(ServerTable),
     /// The records of the zones.
     Zones(Vec<ZoneRecord>),
-    /// Servers ended under requests.
-    CrashReports(Vec<CrashReport>),
-    /// Such reports are withdrawn.
-    CrashReportsGone(Vec<ReportId>),
-    /// All such reports that the store has.
-    AllCrashReports(Vec<CrashReport>),
+    /// What VMs have seen of requests and backend servers.
+    Notices(Vec<Notice>),
+    /// Such notices are withdrawn.
+    NoticesGone(Vec<NoticeId>),
+    /// All notices that the store has.
+    AllNotices(Vec<Notice>),
     /// The store answers the sender again after it did not.
     StoreReturned,
     /// All that the sender knew when the link began has been told.
@@ -80,7 +80,7 @@
     /// The digest of the backend servers that it knows.
     #[serde(default)]
     pub servers_digest: Option<u64>,
-    /// The frames that it understands: 2 for all of this release, 1 for all but reports of crashes, 0 for those before.
+    /// The frames that it understands: 2 for all of this release, 1 for all but notices, 0 for those before.
     #[serde(default)]
     pub speaks: u32,
 }
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -10,9 +10,9 @@
 use tokio::task::JoinHandle;
 
 use crate::context::Context;
-use crate::crash_reports;
 use crate::edge::{connection, readiness};
 use crate::keeper;
+use crate::notices;
 use crate::peers::dial::Tcp;
 use crate::peers::reader;
 use crate::peers::readings;
@@ -116,15 +116,15 @@
         let listener = listen(address)?;
         tokio::task::spawn_local(readiness::serve(context.clone(), listener));
     }
-    let (writes, waiting) = crash_reports::channel();
-    let _ = context.crash_writes.set(writes);
-    let writing = crash_reports::write(context.clone(), store.clone(), waiting);
+    let (writes, waiting) = notices::channel();
+    let _ = context.notice_writes.set(writes);
+    let writing = notices::write(context.clone(), store.clone(), waiting);
     tokio::task::spawn_local(writing);
-    tokio::task::spawn_local(crash_reports::tidy(context.clone(), pulse.clone()));
+    tokio::task::spawn_local(notices::tidy(context.clone(), pulse.clone()));
     for collection in [
         Collection::Configuration,
         Collection::BackendServers,
-        Collection::CrashReports,
+        Collection::Notices,
     ] {
         let (context, store) = (context.clone(), store.clone());
         let following = keeper::follow(context, store, pulse.clone(), collection);
--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -6,7 +6,7 @@
 
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::Configuration;
-use kingcuploft::entry::crash_report::CrashReport;
+use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::zone_record::ZoneRecord;
 
 /// A moment in the store's history; greater is later.
@@ -21,8 +21,8 @@
     BackendServers,
     /// The entry VMs, a record for each zone.
     Zones,
-    /// Reports of servers that ended under requests.
-    CrashReports,
+    /// What VMs have seen of requests and backend servers.
+    Notices,
 }
 
 impl Collection {
@@ -32,7 +32,7 @@
             Self::Configuration => "configuration",
             Self::BackendServers => "backend_servers",
             Self::Zones => "zones",
-            Self::CrashReports => "crash_reports",
+            Self::Notices => "notices",
         }
     }
 }
@@ -46,8 +46,8 @@
     BackendServer(BackendServer),
     /// The entry VMs of a zone.
     Zone(ZoneRecord),
-    /// A server ended under a request.
-    CrashReport(CrashReport),
+    /// What a VM has seen.
+    Notice(Notice),
     /// An entry that can't be read, with its name and why.
     Unreadable(String, String),
     /// An entry that is not for this collection's readers.
@@ -144,14 +144,11 @@
         how: Recording,
     ) -> impl Future<Output = Result<Recorded, StoreError>>;
 
-    /// Creates a report of a server that ended under a request.
-    fn report_crash(
-        &self,
-        report: &CrashReport,
-    ) -> impl Future<Output = Result<Recorded, StoreError>>;
+    /// Creates a notice.
+    fn tell(&self, notice: &Notice) -> impl Future<Output = Result<Recorded, StoreError>>;
 
-    /// Removes such a report, if it is there.
-    fn withdraw_report(&self, id: &str) -> impl Future<Output = Result<(), StoreError>>;
+    /// Removes a notice, if it is there.
+    fn withdraw(&self, id: &str) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Waits for changes behind a moment.
     fn watch(
--- a/crates/kingcuploft-entry/tests/entry/quarantine.rs
+++ b/crates/kingcuploft-entry/tests/entry/quarantine.rs
@@ -92,7 +92,7 @@
         for at in 0..3 {
             ask(&vms[0], &crash(&format!("r{at}"))).await;
         }
-        until(|| store.0.crashes.borrow().len() == 2).await;
+        until(|| store.0.notices.borrow().len() == 2).await;
         let before = ended(&servers);
         for name in ["third", "fourth"] {
             let later = start_in_zone(name, &store).await;
@@ -117,7 +117,7 @@
         world.servers[at.unwrap()].end();
         assert_eq!(caller.answer().await.expect("an answer").status, 200);
         assert_eq!(world.ask(&look("r2")).await.status, 200);
-        until(|| world.store.crashes.borrow().is_empty()).await;
+        until(|| world.store.notices.borrow().is_empty()).await;
         assert!(world.vm.context.quarantine.borrow().is_empty());
     });
 }
@@ -131,7 +131,7 @@
             world.ask(&look(&format!("r{at}"))).await;
         }
         assert!(world.vm.context.quarantine.borrow().is_empty());
-        assert!(world.store.crashes.borrow().is_empty());
+        assert!(world.store.notices.borrow().is_empty());
     });
 }
 
--- a/crates/kingcuploft-entry/tests/entry/store.rs
+++ b/crates/kingcuploft-entry/tests/entry/store.rs
@@ -6,7 +6,7 @@
 
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::Configuration;
-use kingcuploft::entry::crash_report::CrashReport;
+use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::zone_record::ZoneRecord;
 use kingcuploft_entry::store::{
     Changes, Collection, Page, Record, Recorded, Recording, Revision, Store, StoreChange,
@@ -20,7 +20,7 @@
     pub(crate) configuration: RefCell<Option<Configuration>>,
     pub(crate) servers: RefCell<Vec<BackendServer>>,
     pub(crate) zones: RefCell<Vec<ZoneRecord>>,
-    pub(crate) crashes: RefCell<Vec<CrashReport>>,
+    pub(crate) notices: RefCell<Vec<Notice>>,
     /// Calls hang, those that wait already as well, even after the fault has ended.
     pub(crate) silent: Cell<bool>,
     /// Writes are refused.
@@ -131,9 +131,9 @@
                 let records = servers.map(|s| (s.name.to_string(), Record::BackendServer(s)));
                 records.collect()
             }
-            Collection::CrashReports => {
-                let crashes = held.crashes.borrow().clone().into_iter();
-                let records = crashes.map(|report| (report.id(), Record::CrashReport(report)));
+            Collection::Notices => {
+                let notices = held.notices.borrow().clone().into_iter();
+                let records = notices.map(|notice| (notice.id(), Record::Notice(notice)));
                 records.collect()
             }
             Collection::Zones => {
@@ -190,27 +190,27 @@
         }
     }
 
-    async fn report_crash(&self, report: &CrashReport) -> Result<Recorded, StoreError> {
+    async fn tell(&self, notice: &Notice) -> Result<Recorded, StoreError> {
         self.admitted()?;
         self.0.hang_if_silent().await;
-        let mut crashes = self.0.crashes.borrow_mut();
-        if crashes.iter().any(|known| known.id() == report.id()) {
+        let mut notices = self.0.notices.borrow_mut();
+        if notices.iter().any(|known| known.id() == notice.id()) {
             return Ok(Recorded::IsThere);
         }
-        crashes.push(report.clone());
-        drop(crashes);
-        let record = Record::CrashReport(report.clone());
+        notices.push(notice.clone());
+        drop(notices);
+        let record = Record::Notice(notice.clone());
         self.0
-            .change(Collection::CrashReports, StoreChange::Written(record));
+            .change(Collection::Notices, StoreChange::Written(record));
         Ok(Recorded::Done)
     }
 
-    async fn withdraw_report(&self, id: &str) -> Result<(), StoreError> {
+    async fn withdraw(&self, id: &str) -> Result<(), StoreError> {
         self.admitted()?;
         self.0.hang_if_silent().await;
-        self.0.crashes.borrow_mut().retain(|known| known.id() != id);
+        self.0.notices.borrow_mut().retain(|known| known.id() != id);
         self.0
-            .change(Collection::CrashReports, StoreChange::Gone(id.into()));
+            .change(Collection::Notices, StoreChange::Gone(id.into()));
         Ok(())
     }
 
--- a/crates/kingcuploft-entry/tests/links/network.rs
+++ b/crates/kingcuploft-entry/tests/links/network.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcuploft::entry::crash_report::CrashReport;
+use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::zone_record::ZoneRecord;
 use kingcuploft_entry::context::Context;
 use kingcuploft_entry::peers::dial::Dial;
@@ -94,9 +94,7 @@
     async fn receive(&self, collection: Collection, changes: usize) {
         let bytes = match collection {
             Collection::Configuration => changes * self.configuration_bytes.get(),
-            Collection::BackendServers | Collection::Zones | Collection::CrashReports => {
-                300 * changes
-            }
+            Collection::BackendServers | Collection::Zones | Collection::Notices => 300 * changes,
         };
         let arrives = self.nic.receive(bytes, Instant::now() + STORE_DELAY);
         self.receives_until.set(arrives);
@@ -139,14 +137,14 @@
         self.store.record_zone(record, how).await
     }
 
-    async fn report_crash(&self, report: &CrashReport) -> Result<Recorded, StoreError> {
-        self.receive(Collection::CrashReports, 1).await;
-        self.store.report_crash(report).await
+    async fn tell(&self, notice: &Notice) -> Result<Recorded, StoreError> {
+        self.receive(Collection::Notices, 1).await;
+        self.store.tell(notice).await
     }
 
-    async fn withdraw_report(&self, id: &str) -> Result<(), StoreError> {
-        self.receive(Collection::CrashReports, 1).await;
-        self.store.withdraw_report(id).await
+    async fn withdraw(&self, id: &str) -> Result<(), StoreError> {
+        self.receive(Collection::Notices, 1).await;
+        self.store.withdraw(id).await
     }
 
     async fn watch(
--- a/crates/kingcuploft/src/entry/crash_report.rs
+++ b/crates/kingcuploft/src/entry/crash_report.rs
@@ -5,9 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::fingerprint::Fingerprint;
+use super::notice::NoticeId;
 
-/// Names a report in the store.
-pub type ReportId = String;
+/// What the names of reports begin with.
+const PREFIX: &str = "crash.";
 
 /// A backend server ended while it ran a request, or the request is tried again.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -22,13 +23,13 @@
 
 impl CrashReport {
     /// Returns the report's name in the store: each VM that sees the same end gives the same.
-    pub fn id(&self) -> ReportId {
-        format!("{:016x}.{}", self.fingerprint, self.of)
+    pub fn id(&self) -> NoticeId {
+        format!("{PREFIX}{:016x}.{}", self.fingerprint, self.of)
     }
 
     /// Reads a report's name.
     pub fn parse_id(id: &str) -> Option<(Fingerprint, &str)> {
-        let (fingerprint, of) = id.split_once('.')?;
+        let (fingerprint, of) = id.strip_prefix(PREFIX)?.split_once('.')?;
         Some((Fingerprint::from_str_radix(fingerprint, 16).ok()?, of))
     }
 }
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -17,6 +17,7 @@
 pub mod joining;
 pub mod last_slot;
 pub mod log_budget;
+pub mod notice;
 pub mod patience;
 pub mod placement;
 pub mod probe_budget;
--- a/crates/kingcuploft/src/entry/quarantine.rs
+++ b/crates/kingcuploft/src/entry/quarantine.rs
@@ -11,8 +11,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::crash_report::{CrashReport, ReportId};
+use super::crash_report::CrashReport;
 use super::fingerprint::Fingerprint;
+use super::notice::NoticeId;
 use crate::utils::{HashMap, HashSet};
 
 /// How many servers end in a row before a request is refused: one may end for any reason.
@@ -183,7 +184,7 @@
     }
 
     /// Takes in that a request was answered: servers did not end of it. Returns the reports to withdraw.
-    pub fn answered(&mut self, fingerprint: Fingerprint) -> Vec<ReportId> {
+    pub fn answered(&mut self, fingerprint: Fingerprint) -> Vec<NoticeId> {
         let suspect = self.suspects.remove(&fingerprint);
         let reports = suspect.into_iter().flat_map(|suspect| suspect.reports);
         let ids = reports.map(|(of, (in_a_row, _))| CrashReport {
@@ -215,8 +216,8 @@
     }
 
     /// Takes in all reports that the store has; returns those that it has no longer.
-    pub fn all_told(&mut self, ids: &HashSet<ReportId>) -> Vec<ReportId> {
-        let gone: Vec<ReportId> = self
+    pub fn all_told(&mut self, ids: &HashSet<NoticeId>) -> Vec<NoticeId> {
+        let gone: Vec<NoticeId> = self
             .stored()
             .map(|report| report.id())
             .filter(|id| !ids.contains(id))
@@ -241,7 +242,7 @@
     }
 
     /// Returns the reports of requests that did not come again for so long that they are forgotten.
-    pub fn outdated(&self, now: Instant) -> Vec<ReportId> {
+    pub fn outdated(&self, now: Instant) -> Vec<NoticeId> {
         let old = self.stored().filter(|report| {
             self.suspects
                 .get(&report.fingerprint)
--- a/crates/kingcuploft/tests/entry/quarantine.rs
+++ b/crates/kingcuploft/tests/entry/quarantine.rs
@@ -207,5 +207,5 @@
     let report = Vm::new().crash();
     assert_eq!(CrashReport::parse_id(&report.id()), Some((REQUEST, "s1")));
     assert_eq!(CrashReport::parse_id("no-report"), None);
-    assert_eq!(CrashReport::parse_id("g.s1"), None);
+    assert_eq!(CrashReport::parse_id("crash.g.s1"), None);
 }
