--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod following;
+mod limits;
 mod operating;
 mod protected;
 mod quarantine;
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -30,6 +30,8 @@
     Shed,
     /// Says that another server has the address.
     Misdirected,
+    /// Answers, and names so many requests a second as its limit.
+    Limited(u32),
     /// Runs it and never answers.
     Hang,
     /// Crashes under what is asked for under a path with `crash`, answers all else.
@@ -185,6 +187,9 @@
                 return false;
             }
             Act::CrashUnder => whole,
+            Act::Limited(per_s) => {
+                whole.replace("\r\n\r\n", &format!("\r\nServer-Limit: {per_s}\r\n\r\n"))
+            }
             Act::Hang => {
                 let mut byte = [0; 1];
                 let _ = stream.read(&mut byte).await;
