fix(notices): what the reading VM has cleared is told to those that follow it

A request that the VM which reads the store cleared by an answer stayed suspect at the others: the withdrawal that came back by the watch was no news to that VM, and only news was passed on. Callers of the other VMs would have been refused after one more lost server. Withdrawals and whole lists are passed on whatever this VM knows; each goes down the tree once.

--- a/crates/kingcuploft-entry/src/notices.rs
+++ b/crates/kingcuploft-entry/src/notices.rs
@@ -123,17 +123,20 @@
     }
 }
 
-/// Takes in that notices are withdrawn, and passes on what is news.
-pub fn withdrawn(context: &Context, mut ids: Vec<NoticeId>) {
-    ids.retain(|id| context.quarantine.borrow_mut().withdrawn(id));
-    pass_on_withdrawn(context, ids);
+/// Takes in that notices are withdrawn, and passes it on: followers may know what this VM has forgotten already.
+pub fn withdrawn(context: &Context, ids: Vec<NoticeId>) {
+    for id in &ids {
+        context.quarantine.borrow_mut().withdrawn(id);
+    }
+    context.followers.tell_notices(&Frame::NoticesGone(ids));
 }
 
-/// Takes in which notices the store has at all, and passes on which it has no longer.
+/// Takes in which notices the store has at all, and passes them on.
 pub fn all_told(context: &Context, ids: impl Iterator<Item = NoticeId>) {
     let ids: HashSet<NoticeId> = ids.collect();
-    let gone = context.quarantine.borrow_mut().all_told(&ids);
-    pass_on_withdrawn(context, gone);
+    context.quarantine.borrow_mut().all_told(&ids);
+    let all = Frame::AllNotices(stored(context));
+    context.followers.tell_notices(&all);
 }
 
 /// Returns all notices that the store has.
@@ -141,9 +144,3 @@
     let quarantine = context.quarantine.borrow();
     quarantine.stored().map(Notice::Crash).collect()
 }
-
-fn pass_on_withdrawn(context: &Context, ids: Vec<NoticeId>) {
-    if !ids.is_empty() {
-        context.followers.tell_notices(&Frame::NoticesGone(ids));
-    }
-}
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -8,7 +8,7 @@
 use kingcuploft::entry::configuration::ConfigurationVersion;
 use kingcuploft::entry::configuration_change::{ChangePart, PartError};
 use kingcuploft::entry::feeding;
-use kingcuploft::entry::notice::Notice;
+use kingcuploft::entry::notice::{Notice, NoticeId};
 use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_table::{ServerTable, TableError};
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
@@ -356,8 +356,9 @@
         Frame::Notices(notices) => notices::told(context, notices),
         Frame::NoticesGone(ids) => notices::withdrawn(context, ids),
         Frame::AllNotices(notices) => {
-            notices::all_told(context, notices.iter().map(Notice::id));
+            let ids: Vec<NoticeId> = notices.iter().map(Notice::id).collect();
             notices::told(context, notices);
+            notices::all_told(context, ids.into_iter());
         }
         Frame::StoreReturned => keeper::store_returned(context),
         Frame::Hello(_)
--- a/crates/kingcuploft-entry/tests/entry/quarantine.rs
+++ b/crates/kingcuploft-entry/tests/entry/quarantine.rs
@@ -147,3 +147,26 @@
         assert_eq!(ended(&world.servers), 2);
     });
 }
+
+/// Guards against a request that is still suspect at other VMs when the one that reads the store has cleared it.
+#[test]
+fn a_request_that_one_vm_clears_is_cleared_at_all() {
+    play(async {
+        let (vms, servers, store) = fleet(3, 8).await;
+        for server in &servers {
+            server.act.set(Act::After(Duration::from_millis(50)));
+        }
+        for vm in &vms {
+            let mut caller = Caller::connect(vm.callers).await;
+            caller.send(&look("r")).await;
+            let runs = |s: &&TestServer| s.runs.get() > 0 && !s.ended.get();
+            until(|| servers.iter().any(|s| runs(&s))).await;
+            servers.iter().find(runs).unwrap().end();
+            assert_eq!(caller.answer().await.expect("an answer").status, 200);
+            until(|| store.0.notices.borrow().is_empty()).await;
+            let is_clear = |vm: &Running| vm.context.quarantine.borrow().is_empty();
+            until(|| vms.iter().all(is_clear)).await;
+            servers.iter().for_each(|server| server.runs.set(0));
+        }
+    });
+}
