fix(limits): a server that names a limit gets no more than that from all VMs together

Cause: nothing read the header, and nothing knew of an amount that all VMs share of one server, other than probes and connections, which are divided by the VMs: at one request a second that is one in 13 s for each, saved up by all.

Now: as many VMs use a limit as it takes requests a second, which ones by a hash of the names that the zones' records have; the others send one now and then, at moments that are lost if not used. The limit is told through the store. What only limited servers could take waits its turn or is refused at once.

Why it works: the users save one request each, 0.8 x 4 L + L in four seconds for 6 L + 5; fleets of 1 to 312 VMs with 0 to 40 a second, all calling at once, after a quiet time, and with two views of the records stay within it in virtual time.

Ruled out: the planned stop and the changes of configuration (later, or of no effect). Equal parts for all VMs: 13 saved requests in one second for 11 allowed.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -17,6 +17,7 @@
 use kingcuploft::entry::quarantine::Quarantine;
 use kingcuploft::entry::readers::{Readers, VmEntry};
 use kingcuploft::entry::repeats::Repeats;
+use kingcuploft::entry::server_limits::ServerLimits;
 use kingcuploft::entry::service_time::ServiceTime;
 use kingcuploft::utils::{HashMap, HashSet};
 use kingcuploft::world::ids::{RuleName, ServiceName, VmName};
@@ -68,7 +69,11 @@
     pub body_room: Room,
     /// The requests under which servers ended.
     pub quarantine: RefCell<Quarantine>,
-    /// The way to whoever writes reports of that to the store.
+    /// The limits that servers name.
+    pub limits: RefCell<ServerLimits>,
+    /// How many requests of a service wait for a server that names a limit.
+    pub limit_waits: RefCell<HashMap<ServiceName, u32>>,
+    /// The way to whoever writes notices to the store.
     pub notice_writes: OnceCell<mpsc::Sender<Write>>,
     /// Open connections of callers.
     pub callers: Cell<usize>,
@@ -123,6 +128,8 @@
             reader_has_store: Cell::new(true),
             promised: Cell::new(false),
             quarantine: RefCell::default(),
+            limits: RefCell::default(),
+            limit_waits: RefCell::default(),
             notice_writes: OnceCell::new(),
             callers: Cell::new(0),
             stopping: Cell::new(None),
@@ -158,6 +165,8 @@
         self.metrics.probes_left.set(probes_left);
         let quarantined = self.quarantine.borrow().refused();
         self.metrics.quarantined.set(quarantined as i64);
+        let limited = self.limits.borrow().len();
+        self.metrics.limited_servers.set(limited as i64);
         let newest = self.in_force.newest().unwrap_or(version);
         self.metrics.configuration_newest.set(newest as i64);
         let age = self.in_force.age().as_secs();
--- a/crates/kingcuploft-entry/src/edge/attempt.rs
+++ b/crates/kingcuploft-entry/src/edge/attempt.rs
@@ -8,6 +8,7 @@
 
 use super::flight::Flight;
 use super::suspect::Run;
+use crate::limits;
 use crate::upstream::Upstream;
 use crate::upstream::exchange::{self, Ended};
 
@@ -20,6 +21,7 @@
     pub(super) async fn attempt(&self, upstream: &Rc<Upstream>) -> Ended {
         let sent = Sent::now(self, upstream);
         let left = sent.left;
+        limits::sent(self.context, upstream, sent.at);
         let run = Run::begin(self, upstream);
         let ended = exchange::attempt(self.context, upstream, self.request, left).await;
         sent.ended(&ended);
--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -8,7 +8,9 @@
 
 use super::flight::Flight;
 use super::gone::Gone;
+use super::limited::Turn;
 use super::suspect::Clearance;
+use crate::limits;
 use crate::upstream::{Upstream, probe};
 
 /// How long readings are waited for before looking again whether they suffice.
@@ -33,6 +35,7 @@
         let mut look_begun = Instant::now();
         let mut reach = Reach::Near;
         let mut looks = 0;
+        let mut turn = None;
         loop {
             if gone.is_set() {
                 return Chosen::CallerLeft;
@@ -48,6 +51,17 @@
             }
             let now = Instant::now();
             let upstreams = self.usable(now, reach);
+            if upstreams.is_empty()
+                && let Some(after) = limits::soonest(self.context, &self.service, now)
+            {
+                let turn = turn.get_or_insert_with(|| Turn::take(self.context, &self.service));
+                match self.await_limit(now, after, turn) {
+                    Ok(pause) => tokio::time::sleep(pause).await,
+                    Err(come_back) => return Chosen::Refuse(come_back),
+                }
+                look_begun = Instant::now();
+                continue;
+            }
             self.ask(&upstreams, self.context.ask_share(looks));
             let life = self.context.reading_life().max(now - look_begun) + AWAIT_STEP;
             let candidates: Vec<Candidate> = upstreams
@@ -82,6 +96,7 @@
         let mut all = self.context.upstreams(&self.service);
         let share = self.context.connection_share(&self.service);
         all.retain(|upstream| upstream.has_room(share));
+        all.retain(|upstream| limits::wait(self.context, upstream, now).is_zero());
         let untried = all.iter().filter(|u| !self.was_tried(u));
         let audible: Vec<_> = untried.filter(|u| !u.is_mute(now)).cloned().collect();
         if !audible.is_empty() {
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -7,6 +7,7 @@
 pub mod dispatch;
 mod flight;
 pub mod gone;
+mod limited;
 pub mod readiness;
 pub mod request;
 pub mod room;
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::context::Context;
+use crate::limits;
 use crate::notices;
 use crate::peers::frame::Frame;
 use crate::peers::standing::standing;
@@ -350,6 +351,7 @@
     }
     *context.zone_peers.borrow_mut() = zone_peers(context, readers.record(&context.settings.zone));
     drop(readers);
+    limits::divide(context);
     context.followers.tell(&Frame::Zones(news));
 }
 
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod http;
 pub mod in_force;
 pub mod keeper;
+pub mod limits;
 pub mod logs;
 pub mod metrics;
 pub mod notices;
--- /dev/null
+++ b/crates/kingcuploft-entry/src/limits.rs
@@ -0,0 +1,127 @@
+//! Limits that backend servers name in their answers: heard, told to the other VMs, kept.
+
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::notice::Notice;
+use kingcuploft::entry::server_limit::{self, Part, PerSecond};
+use kingcuploft::entry::server_limits::{LimitNotice, News};
+use kingcuploft::world::ids::{BackendServerName, ServiceName};
+
+use crate::clock;
+use crate::context::Context;
+use crate::http::headers::Headers;
+use crate::notices::{self, Write};
+use crate::upstream::Upstream;
+
+/// What named a limit, or did not.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// The answer to a request that ran.
+    OfRequest,
+    /// Another answer, which may lack a limit that holds.
+    Other,
+}
+
+/// Takes in what a server's answer says of its limit.
+pub fn heard(context: &Context, server: &BackendServerName, headers: &Headers, answer: Answer) {
+    let named = headers.get(context.vocabulary.limit);
+    let per_s = named.and_then(read);
+    match (named, per_s, answer) {
+        (Some(value), None, _) => {
+            if context.writes_ordinary_line(clock::now()) {
+                tracing::info!(event = "limit_unreadable", %server, value);
+            }
+        }
+        (None, _, Answer::Other) => {}
+        (None, _, Answer::OfRequest) if context.limits.borrow().is_empty() => {}
+        _ => take(context, server, per_s),
+    }
+}
+
+fn read(value: &str) -> Option<PerSecond> {
+    let per_s: PerSecond = value.parse().ok()?;
+    (per_s.is_finite() && per_s >= 0.0).then_some(per_s)
+}
+
+fn take(context: &Context, server: &BackendServerName, per_s: Option<PerSecond>) {
+    let part = |per_s| part(context, server, per_s);
+    let mut limits = context.limits.borrow_mut();
+    let news = limits.heard(clock::now(), server, per_s, part, fastrand::f64());
+    drop(limits);
+    match news {
+        Some(News::Named(notice)) => {
+            log_named(context, &notice);
+            notices::send(context, Write::Tell(Notice::Limit(notice)));
+        }
+        Some(News::Ended(id)) => {
+            tracing::info!(event = "limit_ended", %server);
+            notices::send(context, Write::Withdraw(id));
+        }
+        None => {}
+    }
+}
+
+/// Takes in a notice that the store has; returns whether it is news.
+pub fn told(context: &Context, notice: &LimitNotice) -> bool {
+    let part = part(context, &notice.server, notice.per_s);
+    let mut limits = context.limits.borrow_mut();
+    limits.told(clock::now(), notice, part, fastrand::f64())
+}
+
+/// Divides the limits anew, as other VMs are known.
+pub fn divide(context: &Context) {
+    if context.limits.borrow().is_empty() {
+        return;
+    }
+    let part = |server: &BackendServerName, per_s| part(context, server, per_s);
+    context.limits.borrow_mut().divide(clock::now(), part);
+}
+
+/// Returns when a request may be sent to a server: at once if that is zero.
+pub fn wait(context: &Context, upstream: &Upstream, now: Instant) -> Duration {
+    let mut limits = context.limits.borrow_mut();
+    if limits.is_empty() {
+        return Duration::ZERO;
+    }
+    limits.wait(now, &upstream.server.name, fastrand::f64())
+}
+
+/// Takes note that a request is sent to a server.
+pub fn sent(context: &Context, upstream: &Upstream, now: Instant) {
+    let mut limits = context.limits.borrow_mut();
+    limits.sent(now, &upstream.server.name, fastrand::f64());
+}
+
+/// Returns when the first of a service's servers that name limits takes a request.
+pub fn soonest(context: &Context, service: &ServiceName, now: Instant) -> Option<Duration> {
+    if context.limits.borrow().is_empty() {
+        return None;
+    }
+    let upstreams = context.upstreams(service).into_iter();
+    let limited = upstreams.filter(|upstream| {
+        let limits = context.limits.borrow();
+        limits.per_s(&upstream.server.name).is_some()
+    });
+    limited.map(|upstream| wait(context, &upstream, now)).min()
+}
+
+fn part(context: &Context, server: &BackendServerName, per_s: PerSecond) -> Part {
+    if context.settings.peers.is_none() {
+        return Part::OneOf(1);
+    }
+    let zone = context.servers(|servers| servers.get(server).map(|known| known.zone.clone()));
+    let zone = zone.unwrap_or_else(|| context.settings.zone.clone());
+    let records = context.readers.borrow().records();
+    let (vm, vms) = (&context.settings.vm, context.vms.get());
+    server_limit::part(vm, vms, server, &zone, per_s, &records)
+}
+
+fn log_named(context: &Context, notice: &LimitNotice) {
+    let part = part(context, &notice.server, notice.per_s);
+    tracing::info!(
+        event = "limit_named",
+        server = %notice.server,
+        per_s = notice.per_s,
+        part = ?part,
+    );
+}
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -67,6 +67,8 @@
     pub configuration_age: Gauge,
     /// VMs that follow this one.
     pub followers: Gauge,
+    /// Servers that name a limit.
+    pub limited_servers: Gauge,
     /// Requests that are refused as servers ended under them.
     pub quarantined: Gauge,
     /// Lines of requests that went well, left out.
@@ -97,6 +99,7 @@
             probes_left: Gauge::default(),
             configuration_age: Gauge::default(),
             followers: Gauge::default(),
+            limited_servers: Gauge::default(),
             quarantined: Gauge::default(),
             ordinary_lines_left_out: Counter::default(),
             log_lines_left_out: Gauge::default(),
@@ -166,6 +169,8 @@
             "VMs that follow this one",
             self.followers.clone(),
         );
+        let help = "Servers that name how much they take";
+        registry.register("limited_servers", help, self.limited_servers.clone());
         let help = "Requests that are refused as servers ended under them";
         registry.register("quarantined", help, self.quarantined.clone());
         let help = "Log lines of requests that went well, left out beyond their budget";
--- a/crates/kingcuploft-entry/src/notices.rs
+++ b/crates/kingcuploft-entry/src/notices.rs
@@ -10,6 +10,7 @@
 
 use crate::clock;
 use crate::context::Context;
+use crate::limits;
 use crate::peers::frame::Frame;
 use crate::pulse::Pulse;
 use crate::store::{Recorded, Store, StoreError};
@@ -80,13 +81,14 @@
     None
 }
 
-/// Has a VM that reads the store withdraw what is outdated, until the process ends.
+/// Forgets what is outdated until the process ends, and has a VM that reads the store withdraw it.
 pub async fn tidy(context: Rc<Context>, pulse: Rc<Pulse>) {
     loop {
-        pulse.reading().await;
         tokio::time::sleep(LOOK_EVERY).await;
-        let outdated = context.quarantine.borrow().outdated(clock::now());
-        for id in outdated {
+        let mut outdated = context.quarantine.borrow().outdated(clock::now());
+        let is_in_use = |server: &str| context.servers(|servers| servers.takes_work(server));
+        outdated.extend(context.limits.borrow_mut().forget_gone(is_in_use));
+        for id in outdated.into_iter().filter(|_| pulse.is_reading()) {
             send(&context, Write::Withdraw(id));
         }
     }
@@ -117,6 +119,7 @@
             let mut quarantine = context.quarantine.borrow_mut();
             quarantine.told(now, report) == Told::News
         }
+        Notice::Limit(notice) => limits::told(context, notice),
     });
     if !notices.is_empty() {
         context.followers.tell_notices(&Frame::Notices(notices));
@@ -126,7 +129,10 @@
 /// Takes in that notices are withdrawn, and passes it on: followers may know what this VM has forgotten already.
 pub fn withdrawn(context: &Context, ids: Vec<NoticeId>) {
     for id in &ids {
-        context.quarantine.borrow_mut().withdrawn(id);
+        let of_request = context.quarantine.borrow_mut().withdrawn(id);
+        if !of_request {
+            context.limits.borrow_mut().withdrawn(id);
+        }
     }
     context.followers.tell_notices(&Frame::NoticesGone(ids));
 }
@@ -135,6 +141,7 @@
 pub fn all_told(context: &Context, ids: impl Iterator<Item = NoticeId>) {
     let ids: HashSet<NoticeId> = ids.collect();
     context.quarantine.borrow_mut().all_told(&ids);
+    context.limits.borrow_mut().all_told(&ids);
     let all = Frame::AllNotices(stored(context));
     context.followers.tell_notices(&all);
 }
@@ -142,5 +149,8 @@
 /// Returns all notices that the store has.
 pub fn stored(context: &Context) -> Vec<Notice> {
     let quarantine = context.quarantine.borrow();
-    quarantine.stored().map(Notice::Crash).collect()
+    let limits = context.limits.borrow();
+    let of_requests = quarantine.stored().map(Notice::Crash);
+    let of_servers = limits.stored().map(Notice::Limit);
+    of_requests.chain(of_servers).collect()
 }
--- a/crates/kingcuploft-entry/src/settings.rs
+++ b/crates/kingcuploft-entry/src/settings.rs
@@ -63,6 +63,8 @@
     pub meant_for: &'static str,
     /// What a server says of its load.
     pub load: &'static str,
+    /// Names how many requests a second a server takes from all VMs together.
+    pub limit: &'static str,
     /// Marks an answer to a request that did not run.
     pub not_run: &'static str,
     /// The path at which the platform asks for readiness.
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -10,6 +10,7 @@
 use crate::edge::request::Request;
 use crate::http::client::{Connection, ReceiveError, Response, SendError};
 use crate::http::headers::write_header;
+use crate::limits;
 use crate::peers::readings;
 
 /// The most bytes of an answer that is passed on.
@@ -18,6 +19,9 @@
 /// How many answers to other requests are skipped on one connection before it is given up.
 const MOST_SKIPPED: usize = 3;
 
+/// The status of a server that is not the one that a request is meant for.
+const MISDIRECTED: u16 = 421;
+
 /// How one attempt ended, with the answer if there is a whole one.
 #[derive(Debug)]
 pub struct Ended {
@@ -94,6 +98,14 @@
     }
     upstream.keep(connection);
     let (end, detail) = judge(context, &response);
+    if response.head.status != MISDIRECTED {
+        let answer = match end {
+            AttemptEnd::Succeeded => limits::Answer::OfRequest,
+            _ => limits::Answer::Other,
+        };
+        let server = &upstream.server.name;
+        limits::heard(context, server, &response.head.headers, answer);
+    }
     Ended {
         end,
         response: Some(response),
@@ -136,7 +148,7 @@
         return (AttemptEnd::NotRun, "server did not run it");
     }
     match response.head.status {
-        421 => (AttemptEnd::NotRun, "another server has the address"),
+        MISDIRECTED => (AttemptEnd::NotRun, "another server has the address"),
         200..300 if !signed => (AttemptEnd::Broken, "unsigned answer"),
         200..300 if headers.has("content-encoding") => (AttemptEnd::Broken, "encoded answer"),
         200..300 => (AttemptEnd::Succeeded, "answered"),
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -9,6 +9,7 @@
 use crate::context::Context;
 use crate::http::client::Response;
 use crate::http::headers::write_header;
+use crate::limits;
 use crate::peers::readings;
 
 /// How long a probe may take: the longest round trip of a region, many times over.
@@ -77,6 +78,13 @@
     let now = Instant::now();
     let reading = answered.and_then(|response| {
         step.set(Silent::Unreadable);
+        let headers = &response.head.headers;
+        limits::heard(
+            context,
+            &upstream.server.name,
+            headers,
+            limits::Answer::Other,
+        );
         let load = response.head.headers.get(context.vocabulary.load);
         load.and_then(context.vocabulary.read_load)
     });
--- a/crates/kingcuploft-entry/tests/entry/limits.rs
+++ b/crates/kingcuploft-entry/tests/entry/limits.rs
@@ -5,10 +5,10 @@
 
 use kingcuploft_entry::run::Running;
 
-use crate::following::{followers, zone_of};
+use crate::following::{followers, start_in_zone, zone_of};
 use crate::server::{Act, TestServer};
 use crate::store::TestStore;
-use crate::world::{Caller, configuration, entry, look, play, until};
+use crate::world::{Caller, World, configuration, entry, look, play, until};
 
 /// What the limited server names, in requests a second.
 const LIMIT: u32 = 2;
@@ -25,6 +25,11 @@
 /// The pause between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(15);
 
+/// A lookup that waits 300 ms at most.
+fn short(id: &str) -> String {
+    look(id).replace("/look/", "/short/")
+}
+
 async fn fleet(vms: usize, acts: &[Act]) -> (Rc<Vec<Running>>, Vec<TestServer>, TestStore) {
     let store = TestStore::default();
     store.0.configure(configuration(1));
@@ -73,3 +78,68 @@
         assert!(got <= MOST, "{got}");
     });
 }
+
+/// Guards against callers held until they are late, or refused for good, where all servers name limits.
+#[test]
+fn what_no_limit_has_room_for_is_refused_at_once_as_not_run() {
+    play(async {
+        let world = World::with(&[Act::Limited(1), Act::Limited(1)]).await;
+        for at in 0..4 {
+            world.ask(&look(&format!("r{at}"))).await;
+        }
+        let runs = world.runs();
+        let begun = Instant::now();
+        let answer = world.ask(&short("s1")).await;
+        assert_eq!(answer.status, 503);
+        assert!(answer.has("retry-after: "));
+        assert!(begun.elapsed() < Duration::from_millis(100));
+        assert_eq!(world.runs(), runs);
+        assert_eq!(
+            world.ask(&look("r5")).await.status,
+            200,
+            "it waits its turn"
+        );
+    });
+}
+
+/// Guards against a server that is left out after its need is over.
+#[test]
+fn a_server_that_names_no_limit_any_more_gets_its_part_again() {
+    play(async {
+        let acts = [Act::Limited(LIMIT), Act::Answer];
+        let (vms, servers, store) = fleet(3, &acts).await;
+        ask_for(&vms, LEARN).await;
+        let holds = |vm: &Running| vm.context.limits.borrow().len() == 1;
+        until(|| vms.iter().all(holds)).await;
+        servers[0].act.set(Act::Answer);
+        ask_for(&vms, LEARN).await;
+        until(|| store.0.notices.borrow().is_empty()).await;
+        until(|| !vms.iter().any(holds)).await;
+        let before = servers[0].runs.get();
+        ask_for(&vms, LEARN).await;
+        assert!(servers[0].runs.get() > before + 20);
+    });
+}
+
+/// Guards against a VM that starts later and sends a server what it has not the room for.
+#[test]
+fn a_vm_that_starts_later_knows_the_limits_of_the_servers() {
+    play(async {
+        let acts = [Act::Limited(LIMIT), Act::Answer];
+        let (vms, _servers, store) = fleet(2, &acts).await;
+        ask_for(&vms, LEARN).await;
+        let later = start_in_zone("later", &store).await;
+        until(|| later.context.limits.borrow().len() == 1).await;
+    });
+}
+
+#[test]
+fn a_limit_that_is_no_number_is_none() {
+    play(async {
+        let world = World::with(&[Act::NamesNoNumber]).await;
+        for at in 0..4 {
+            assert_eq!(world.ask(&look(&format!("r{at}"))).await.status, 200);
+        }
+        assert!(world.vm.context.limits.borrow().is_empty());
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -32,6 +32,8 @@
     Misdirected,
     /// Answers, and names so many requests a second as its limit.
     Limited(u32),
+    /// Answers, and names a limit that can't be read.
+    NamesNoNumber,
     /// Runs it and never answers.
     Hang,
     /// Crashes under what is asked for under a path with `crash`, answers all else.
@@ -190,6 +192,7 @@
             Act::Limited(per_s) => {
                 whole.replace("\r\n\r\n", &format!("\r\nServer-Limit: {per_s}\r\n\r\n"))
             }
+            Act::NamesNoNumber => whole.replace("\r\n\r\n", "\r\nServer-Limit: few\r\n\r\n"),
             Act::Hang => {
                 let mut byte = [0; 1];
                 let _ = stream.read(&mut byte).await;
--- a/crates/kingcuploft-entry/tests/entry/world.rs
+++ b/crates/kingcuploft-entry/tests/entry/world.rs
@@ -25,6 +25,7 @@
     signature: "x-signed",
     meant_for: "x-meant-for",
     load: "x-load",
+    limit: "server-limit",
     not_run: "x-not-run",
     ready_path: "/ready",
     read_load,
--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -29,6 +29,7 @@
     signature: "x-signed",
     meant_for: "x-meant-for",
     load: "x-load",
+    limit: "limit",
     not_run: "x-not-run",
     ready_path: "/ready",
     read_load: |_| None,
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -25,6 +25,8 @@
 pub mod readers;
 pub mod repeats;
 pub mod second_look;
+pub mod server_limit;
+pub mod server_limits;
 pub mod server_table;
 pub mod service_time;
 pub mod verdict;
--- a/crates/kingcuploft/src/entry/notice.rs
+++ b/crates/kingcuploft/src/entry/notice.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::crash_report::CrashReport;
+use super::server_limits::LimitNotice;
 
 /// Names a notice in the store.
 pub type NoticeId = String;
@@ -12,6 +13,8 @@
 pub enum Notice {
     /// A backend server ended under a request, or the request is tried again.
     Crash(CrashReport),
+    /// A backend server names how much it takes.
+    Limit(LimitNotice),
 }
 
 impl Notice {
@@ -19,6 +22,7 @@
     pub fn id(&self) -> NoticeId {
         match self {
             Self::Crash(report) => report.id(),
+            Self::Limit(notice) => notice.id(),
         }
     }
 }
--- /dev/null
+++ b/crates/kingcuploft/src/entry/server_limit.rs
@@ -0,0 +1,162 @@
+//! How much a VM sends to a backend server that names a limit for all VMs together.
+//!
+//! Load pattern: a server in need takes one request a second from hundreds of VMs, and looks idle, so that each VM would
+//! choose it first. A limit divided by the VMs gives none of them a request in minutes, and all of them one in the same
+//! second. So as many VMs use it as it takes requests a second, each an equal part; all agree which these are without
+//! asking, by the records of the zones. The others send one request now and then, at moments drawn by chance that are
+//! lost if not used: should they not be told that the limit has ended, they find out.
+
+use std::time::{Duration, Instant};
+
+use super::zone_record::ZoneRecord;
+use crate::utils::rendezvous::rendezvous;
+use crate::world::ids::{AvailabilityZone, BackendServerName, VmName};
+
+/// Requests a second.
+pub type PerSecond = f64;
+
+/// The part of a limit that is used: VMs may disagree for a moment on who uses it.
+const GUARD: f64 = 0.8;
+
+/// The least that a server is sent, whatever it names: no answer would tell that it takes more.
+const LEAST_PER_S: PerSecond = 0.05;
+
+/// The most requests that a VM saves up.
+const MOST_SAVED: f64 = 1.0;
+
+/// How many requests a second the VMs send together that do not use the limit, and the part of the limit beside.
+const TRIES_PER_S: PerSecond = 0.125;
+const TRIES_OF_LIMIT: f64 = 0.06;
+
+/// For how long a request may be sent whose moment has come.
+const MOMENT: Duration = Duration::from_secs(1);
+
+/// The longest wait that is told.
+const LONGEST_WAIT: Duration = Duration::from_secs(3600);
+
+/// Which part of a limit a VM uses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Part {
+    /// It is one of so many that use it.
+    OneOf(usize),
+    /// Others use it; it is one of so many that send a request now and then.
+    NowAndThen(usize),
+}
+
+/// Returns which part of a server's limit a VM uses that is one of `vms`, where these records name some of them.
+pub fn part(
+    vm: &VmName,
+    vms: usize,
+    server: &BackendServerName,
+    zone: &AvailabilityZone,
+    per_s: PerSecond,
+    records: &[ZoneRecord],
+) -> Part {
+    let users = per_s.max(1.0) as usize;
+    if users >= vms {
+        return Part::OneOf(vms.max(1));
+    }
+    let is_far = |record: &ZoneRecord| record.zone != *zone;
+    let mut named: Vec<_> = records
+        .iter()
+        .flat_map(|record| record.vms.iter().map(move |named| (is_far(record), named)))
+        .map(|(is_far, named)| (is_far, rendezvous(&named.name, server), &named.name))
+        .collect();
+    named.sort();
+    let mut users = named.iter().take(users);
+    match users.any(|(_, _, name)| *name == vm) {
+        true => Part::OneOf(users_of(per_s, named.len())),
+        false => Part::NowAndThen(vms),
+    }
+}
+
+fn users_of(per_s: PerSecond, named: usize) -> usize {
+    (per_s.max(1.0) as usize).min(named)
+}
+
+/// What a VM may send to a server that names a limit.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimit {
+    per_s: PerSecond,
+    part: Part,
+    saved: f64,
+    at: Instant,
+    /// When the next request may be sent by a VM that does not use the limit.
+    moment: Instant,
+}
+
+impl ServerLimit {
+    /// Begins when a limit is heard of; `chance` is from 0 to 1.
+    pub fn new(now: Instant, per_s: PerSecond, part: Part, chance: f64) -> Self {
+        let mut limit = Self {
+            per_s,
+            part,
+            saved: 0.0,
+            at: now,
+            moment: now,
+        };
+        limit.draw(now, chance);
+        limit
+    }
+
+    /// Returns what the server named.
+    pub fn per_s(&self) -> PerSecond {
+        self.per_s
+    }
+
+    /// Takes in what the server names now, and which part of it this VM uses.
+    pub fn renew(&mut self, now: Instant, per_s: PerSecond, part: Part) {
+        self.save(now);
+        self.per_s = per_s;
+        self.part = part;
+    }
+
+    /// Returns when the next request may be sent: at once if that is zero.
+    pub fn wait(&mut self, now: Instant, chance: f64) -> Duration {
+        match self.part {
+            Part::OneOf(_) => {
+                self.save(now);
+                let missing = (MOST_SAVED - self.saved).max(0.0);
+                Duration::try_from_secs_f64(missing / self.own_per_s()).unwrap_or(LONGEST_WAIT)
+            }
+            Part::NowAndThen(_) => {
+                if now > self.moment + MOMENT {
+                    self.draw(now, chance);
+                }
+                self.moment.saturating_duration_since(now)
+            }
+        }
+    }
+
+    /// Takes note that a request is sent.
+    pub fn sent(&mut self, now: Instant, chance: f64) {
+        self.save(now);
+        self.saved -= 1.0;
+        self.draw(now, chance);
+    }
+
+    /// Returns what this VM may send a second.
+    fn own_per_s(&self) -> PerSecond {
+        let all = (GUARD * self.per_s).max(LEAST_PER_S);
+        match self.part {
+            Part::OneOf(users) => all / users.max(1) as f64,
+            Part::NowAndThen(vms) => {
+                (TRIES_PER_S + TRIES_OF_LIMIT * self.per_s) / vms.max(1) as f64
+            }
+        }
+    }
+
+    fn save(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.saved = (self.saved + passed * self.own_per_s()).min(MOST_SAVED);
+        self.at = now;
+    }
+
+    fn draw(&mut self, now: Instant, chance: f64) {
+        let Part::NowAndThen(_) = self.part else {
+            return;
+        };
+        let pause_s = (0.5 + chance) / self.own_per_s();
+        self.moment = now + Duration::try_from_secs_f64(pause_s).unwrap_or(LONGEST_WAIT);
+    }
+}
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -14,6 +14,7 @@
 mod readers;
 mod repeats;
 mod second_look;
+mod server_limit;
 mod server_table;
 mod verdict;
 mod zone_record;
--- /dev/null
+++ b/crates/kingcuploft/tests/entry/server_limit.rs
@@ -0,0 +1,224 @@
+//! A server that names a limit for all VMs together, judged by what it gets.
+
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::server_limit::{Part, PerSecond, ServerLimit, part};
+use kingcuploft::entry::server_limits::{LimitNotice, News, ServerLimits};
+use kingcuploft::entry::zone_record::ZoneRecord;
+use kingcuploft::world::ids::{BackendServerName, VmName};
+
+const STEP: Duration = Duration::from_millis(50);
+
+/// The window in which requests are counted, in steps.
+const WINDOW: usize = 80;
+
+/// How long each fleet is played, in steps.
+const DAY: usize = 12_000;
+
+/// When the VMs have requests for the server.
+#[derive(Clone, Copy, Debug)]
+enum Demand {
+    /// At every moment.
+    Always,
+    /// For four seconds of each two minutes, all at once.
+    Bursts,
+}
+
+impl Demand {
+    fn is_there(self, step: usize) -> bool {
+        match self {
+            Self::Always => true,
+            Self::Bursts => step % 2400 < WINDOW,
+        }
+    }
+}
+
+fn name(at: usize) -> VmName {
+    format!("vm-{at}").into()
+}
+
+/// VMs of six zones, of each of which a record names eight.
+fn records(vms: usize) -> Vec<ZoneRecord> {
+    let zone = |zone: usize| {
+        let own: Vec<VmEntry> = (0..vms)
+            .filter(|at| at % 6 == zone)
+            .map(|at| VmEntry {
+                name: name(at),
+                zone: format!("zone-{zone}").into(),
+                address: ([127, 0, 0, 1], 1).into(),
+                cpu_milli: 200,
+            })
+            .collect();
+        let first = ZoneRecord::first(own.first()?);
+        Some(ZoneRecord {
+            count: own.len() as u32,
+            vms: own.into_iter().take(8).collect(),
+            settled: true,
+            ..first
+        })
+    };
+    (0..6).filter_map(zone).collect()
+}
+
+/// What a server got of a fleet.
+struct Got {
+    most_in_window: usize,
+    per_s: f64,
+}
+
+fn play(
+    vms: usize,
+    per_s: PerSecond,
+    demand: Demand,
+    knows: impl Fn(usize) -> Vec<ZoneRecord>,
+) -> Got {
+    let begun = Instant::now();
+    let mut rng = fastrand::Rng::with_seed(7);
+    let (server, zone): (BackendServerName, _) = ("s".into(), "zone-1".into());
+    let parts = (0..vms).map(|at| part(&name(at), vms, &server, &zone, per_s, &knows(at)));
+    let parts: Vec<Part> = parts.collect();
+    let mut fleet: Vec<ServerLimit> = parts
+        .iter()
+        .map(|part| ServerLimit::new(begun, per_s, *part, rng.f64()))
+        .collect();
+    let mut sent = vec![0; DAY];
+    for (step, sent) in sent.iter_mut().enumerate() {
+        let now = begun + STEP * step as u32;
+        if !demand.is_there(step) {
+            continue;
+        }
+        for limit in &mut fleet {
+            while limit.wait(now, rng.f64()).is_zero() {
+                limit.sent(now, rng.f64());
+                *sent += 1;
+            }
+        }
+    }
+    let windows = sent.windows(WINDOW).map(|window| window.iter().sum());
+    Got {
+        most_in_window: windows.max().unwrap_or(0),
+        per_s: sent.iter().sum::<usize>() as f64 / (STEP.as_secs_f64() * DAY as f64),
+    }
+}
+
+const FLEETS: [(usize, PerSecond); 9] = [
+    (1, 3.0),
+    (13, 0.0),
+    (13, 0.2),
+    (13, 1.0),
+    (13, 1.2),
+    (13, 40.0),
+    (115, 5.0),
+    (312, 1.0),
+    (312, 30.0),
+];
+
+fn allowed(per_s: PerSecond) -> usize {
+    (1.5 * 4.0 * per_s + 5.0) as usize
+}
+
+/// Guards against VMs that together send more than one and a half times a limit, and five.
+#[test]
+fn all_vms_together_keep_to_a_limit_and_use_it() {
+    for (vms, per_s) in FLEETS {
+        let got = play(vms, per_s, Demand::Always, |_| records(vms));
+        let most = got.most_in_window;
+        assert!(
+            most <= allowed(per_s),
+            "{vms} VMs, {per_s} a second: {most}"
+        );
+        assert!(
+            got.per_s >= 0.7 * per_s,
+            "{vms} VMs, {per_s}: {}",
+            got.per_s
+        );
+    }
+}
+
+/// Guards against requests that all VMs have saved up while nobody called.
+#[test]
+fn a_crowd_after_a_quiet_time_gets_no_more_than_the_limit() {
+    for (vms, per_s) in FLEETS {
+        let got = play(vms, per_s, Demand::Bursts, |_| records(vms));
+        let most = got.most_in_window;
+        assert!(
+            most <= allowed(per_s),
+            "{vms} VMs, {per_s} a second: {most}"
+        );
+    }
+}
+
+/// Guards against two sets of VMs that both take themselves for those that use a limit.
+#[test]
+fn vms_that_know_different_records_keep_to_a_limit() {
+    for (vms, per_s) in FLEETS {
+        let halves = |at: usize| match at % 2 {
+            0 => records(vms),
+            _ => {
+                let mut others = records(vms);
+                others.retain(|record| &*record.zone != "zone-1");
+                others
+            }
+        };
+        let got = play(vms, per_s, Demand::Always, halves);
+        let most = got.most_in_window;
+        assert!(
+            most <= allowed(per_s),
+            "{vms} VMs, {per_s} a second: {most}"
+        );
+    }
+}
+
+#[test]
+fn a_vm_that_knows_no_other_does_not_take_a_limit_for_its_own() {
+    let server = "s".into();
+    let part = part(&name(3), 1000, &server, &"zone-1".into(), 2.0, &[]);
+    assert_eq!(part, Part::NowAndThen(1000));
+}
+
+/// Guards against a limit that is kept after the server has stopped naming it, and against one dropped for an answer
+/// that was on its way when the server began.
+#[test]
+fn a_limit_holds_as_long_as_the_server_names_it() {
+    let now = Instant::now();
+    let server: BackendServerName = "s".into();
+    let mut limits = ServerLimits::default();
+    let hear = |limits: &mut ServerLimits, after_ms, named| {
+        let at = now + Duration::from_millis(after_ms);
+        limits.heard(at, &server, named, |_| Part::OneOf(1), 0.5)
+    };
+    let notice = LimitNotice {
+        server: server.clone(),
+        per_s: 2.0,
+    };
+    assert_eq!(hear(&mut limits, 0, None), None);
+    let named = hear(&mut limits, 0, Some(2.0));
+    assert_eq!(named, Some(News::Named(notice.clone())));
+    assert_eq!(hear(&mut limits, 100, None), None);
+    assert_eq!(hear(&mut limits, 200, Some(4.0)), None);
+    assert_eq!(limits.per_s(&server), Some(4.0));
+    assert_eq!(hear(&mut limits, 900, None), Some(News::Ended(notice.id())));
+    assert!(limits.is_empty());
+}
+
+#[test]
+fn limits_are_told_to_other_vms_and_withdrawn() {
+    let now = Instant::now();
+    let notice = LimitNotice {
+        server: "s".into(),
+        per_s: 1.0,
+    };
+    let mut limits = ServerLimits::default();
+    assert!(limits.told(now, &notice, Part::NowAndThen(13), 0.5));
+    assert!(!limits.told(now, &notice, Part::NowAndThen(13), 0.5));
+    assert!(!limits.wait(now, "s", 0.5).is_zero());
+    assert!(limits.wait(now, "other", 0.5).is_zero());
+    assert!(limits.stored().eq([notice.clone()]));
+    assert_eq!(limits.all_told(&[].into_iter().collect()), [notice.id()]);
+    assert!(limits.told(now, &notice, Part::OneOf(1), 0.5));
+    assert!(limits.withdrawn(&notice.id()));
+    assert!(limits.told(now, &notice, Part::OneOf(1), 0.5));
+    assert_eq!(limits.forget_gone(|_| false), [notice.id()]);
+    assert!(limits.is_empty());
+}
