fix(quarantine): a request waits a fifth of a second for leave to be tried, and a claim that the store did not answer uses up no trial

With the store silent a refused request whose pause was over was held until the writer's call ended, and the trial counted as taken at this VM. Found when reading the writer again; `a_trial_that_the_store_does_not_grant_in_time_is_none` hung before. It is refused now, as one that another VM tries.

--- a/crates/kingcuploft-entry/src/notices.rs
+++ b/crates/kingcuploft-entry/src/notices.rs
@@ -22,6 +22,9 @@
 const MOST_TRIES: u32 = 20;
 const PAUSE: Duration = Duration::from_millis(500);
 
+/// How long a request waits for leave to be tried.
+const CLAIM_PATIENCE: Duration = Duration::from_millis(200);
+
 /// How often notices are looked for that are outdated.
 const LOOK_EVERY: Duration = Duration::from_secs(5);
 
@@ -56,10 +59,12 @@
                 }
             }
             Write::Claim(notice, claimed) => {
-                let first = store.tell(&notice).await;
-                let first = matches!(first, Ok(Recorded::Done));
-                told(&context, vec![notice]);
-                let _ = claimed.send(first);
+                let written = store.tell(&notice).await;
+                let is_first = matches!(written, Ok(Recorded::Done));
+                if written.is_ok() {
+                    told(&context, vec![notice]);
+                }
+                let _ = claimed.send(is_first);
             }
             Write::Withdraw(id) => {
                 let _ = in_tries(|| store.withdraw(&id)).await;
@@ -108,7 +113,8 @@
 pub async fn claim(context: &Context, notice: Notice) -> bool {
     let (claimed, answer) = oneshot::channel();
     send(context, Write::Claim(notice, claimed));
-    answer.await.unwrap_or(false)
+    let answer = tokio::time::timeout(CLAIM_PATIENCE, answer).await;
+    answer.is_ok_and(|claimed| claimed.unwrap_or(false))
 }
 
 /// Takes in notices that the store has, and passes on what is news.
--- a/crates/kingcuploft-entry/tests/entry/quarantine.rs
+++ b/crates/kingcuploft-entry/tests/entry/quarantine.rs
@@ -1,7 +1,10 @@
 //! Requests under which servers end are kept from the servers that are left.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use kingcuploft::entry::crash_report::CrashReport;
+use kingcuploft::entry::notice::Notice;
+use kingcuploft_entry::notices;
 use kingcuploft_entry::run::Running;
 
 use crate::following::{followers, start_in_zone, zone_of};
@@ -170,3 +173,31 @@
         }
     });
 }
+
+/// Guards against a request held, or a trial used up, where the store does not say who may try.
+#[test]
+fn a_trial_that_the_store_does_not_grant_in_time_is_none() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        let trial = CrashReport {
+            fingerprint: 7,
+            of: "trial-3".into(),
+            in_a_row: 3,
+        };
+        world.store.silent.set(true);
+        let begun = Instant::now();
+        let context = &world.vm.context;
+        assert!(!notices::claim(context, Notice::Crash(trial.clone())).await);
+        assert!(begun.elapsed() < Duration::from_secs(2));
+        assert!(context.quarantine.borrow().is_empty());
+        world.store.silent.set(false);
+        let other = CrashReport {
+            of: "trial-4".into(),
+            ..trial
+        };
+        let world = World::with(&[Act::Answer]).await;
+        let claim = || notices::claim(&world.vm.context, Notice::Crash(other.clone()));
+        assert!(claim().await);
+        assert!(!claim().await, "once");
+    });
+}
