fix(roster): times come from the timers' clock alone

Cause: `roster` took the beginning of its lead by the machine's clock, and `elapsed()` measures by it. A zone's record counted as settled two real seconds after that; on a busy machine these ended within the ten virtual seconds of the test, and all VMs told each other the records. In virtual time `elapsed()` of a moment ahead of the machine's clock was always zero as well, so that a VM without a feeder never began to read by itself there.

Callers saw nothing: on a real machine both clocks go alike.

--- a/crates/kingcuploft-entry/src/roster.rs
+++ b/crates/kingcuploft-entry/src/roster.rs
@@ -94,7 +94,7 @@
             let record = readers.record(&context.settings.zone);
             joining::patience(&context.settings.vm, record, context.promised.get(), chance)
         };
-        if begun.elapsed() >= patience {
+        if clock::since(begun) >= patience {
             return pulse.read();
         }
         tokio::time::sleep(KNOWLEDGE_STEP).await;
@@ -121,7 +121,7 @@
                     if self.follow(feeder).await == Link::Fed {
                         fed_at = clock::now();
                     }
-                    if fed_at.elapsed() >= WITHOUT_FEEDER && self.context.is_ready() {
+                    if clock::since(fed_at) >= WITHOUT_FEEDER && self.context.is_ready() {
                         self.pulse.read();
                     }
                 }
@@ -253,13 +253,13 @@
         let append_after = ALONE.mul_f64(1.0 + fastrand::f64());
         let mut listed: Option<Instant> = None;
         while self.source() == source {
-            let is_old = listed.is_none_or(|at| at.elapsed() >= LIST_EVERY);
+            let is_old = listed.is_none_or(|at| clock::since(at) >= LIST_EVERY);
             if self.pulse.is_there() && is_old && self.record().is_some() {
                 self.list(Staleness::Allowed).await;
                 listed = Some(clock::now());
                 continue;
             }
-            if source == Source::StoreAlone && begun.elapsed() >= append_after {
+            if source == Source::StoreAlone && clock::since(begun) >= append_after {
                 self.append().await;
             }
             tokio::time::sleep(LOOK_EVERY).await;
@@ -277,7 +277,7 @@
                     if led_since.is_none() {
                         self.tell_seeds();
                     }
-                    self.tend(*led_since.get_or_insert_with(Instant::now)).await;
+                    self.tend(*led_since.get_or_insert_with(clock::now)).await;
                 }
                 true => {}
                 false => led_since = None,
@@ -306,7 +306,7 @@
         let mut count = self.count.get();
         let holds = count.holds(clock::now(), old.count, seen.below + 1);
         self.count.set(count);
-        let settled = old.settled || begun.elapsed() >= SETTLE;
+        let settled = old.settled || clock::since(begun) >= SETTLE;
         // Zones that began together with this one are known before it takes itself for counted.
         if settled && !old.settled && !self.list(Staleness::Allowed).await {
             return;
--- a/crates/kingcuploft-entry/tests/links/scenarios.rs
+++ b/crates/kingcuploft-entry/tests/links/scenarios.rs
@@ -130,8 +130,20 @@
 /// Guards against heartbeats that cost a VM more than it may spend on control.
 #[test]
 fn a_fleet_at_rest_sends_less_than_two_kilobytes_a_second_and_vm() {
+    at_rest(Duration::ZERO);
+}
+
+/// Guards against VMs that go by another clock than their timers, and tell each other what time alone has changed.
+#[test]
+fn a_fleet_at_rest_sends_no_more_on_a_slow_machine() {
+    at_rest(Duration::from_millis(2100));
+}
+
+/// Looks at a fleet at rest, after the machine that plays it has stood still for so long.
+fn at_rest(stands_still: Duration) {
     play(async {
         let fleet = Fleet::start(&ZONES, LINKS, 1419, 1).await;
+        std::thread::sleep(stands_still);
         let before = fleet.sent_bytes();
         tokio::time::sleep(Duration::from_secs(10)).await;
         let sent = fleet.sent_bytes().into_iter().zip(before);
