feat(limits): VMs that keep a limit give the others turns

Hypothesis: where all servers of a service name limits, most of what they name is lost, as it is kept by other VMs than those that callers come to.

Change: a request that no other server takes asks the VM that keeps the limit for a turn, which is a time in that VM's count; one datagram and its answer. Turns come out of the same count as the keeper's own requests, so the bound holds as before; the whole of the limit is given now, not 0.8 of it. A VM asks no more until the turn that it was told could be had.

Ruled out: tokens in the store (a call for each request); all VMs as keepers by chance (three keepers where one should be, one time in twelve).

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -29,6 +29,7 @@
 use crate::metrics::Metrics;
 use crate::notices::Write;
 use crate::peers::followers::Followers;
+use crate::peers::turns::Asked;
 use crate::peers::zone_socket::ZoneSocket;
 use crate::settings::{Bounds, EntrySettings, Vocabulary};
 use crate::store::{Collection, Revision};
@@ -71,8 +72,8 @@
     pub quarantine: RefCell<Quarantine>,
     /// The limits that servers name.
     pub limits: RefCell<ServerLimits>,
-    /// How many requests of a service wait for a server that names a limit.
-    pub limit_waits: RefCell<HashMap<ServiceName, u32>>,
+    /// The turns at such servers that have been asked for.
+    pub turns: RefCell<Asked>,
     /// The way to whoever writes notices to the store.
     pub notice_writes: OnceCell<mpsc::Sender<Write>>,
     /// Open connections of callers.
@@ -129,7 +130,7 @@
             promised: Cell::new(false),
             quarantine: RefCell::default(),
             limits: RefCell::default(),
-            limit_waits: RefCell::default(),
+            turns: RefCell::default(),
             notice_writes: OnceCell::new(),
             callers: Cell::new(0),
             stopping: Cell::new(None),
--- a/crates/kingcuploft-entry/src/edge/attempt.rs
+++ b/crates/kingcuploft-entry/src/edge/attempt.rs
@@ -21,7 +21,10 @@
     pub(super) async fn attempt(&self, upstream: &Rc<Upstream>) -> Ended {
         let sent = Sent::now(self, upstream);
         let left = sent.left;
-        limits::sent(self.context, upstream, sent.at);
+        let has_turn = |at: &Rc<Upstream>| Rc::ptr_eq(at, upstream);
+        if !self.turn_at.as_ref().is_some_and(has_turn) {
+            limits::sent(self.context, upstream, sent.at);
+        }
         let run = Run::begin(self, upstream);
         let ended = exchange::attempt(self.context, upstream, self.request, left).await;
         sent.ended(&ended);
--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -8,7 +8,6 @@
 
 use super::flight::Flight;
 use super::gone::Gone;
-use super::limited::Turn;
 use super::suspect::Clearance;
 use crate::limits;
 use crate::upstream::{Upstream, probe};
@@ -19,6 +18,9 @@
 /// How often it is looked whether another run of a suspect request has ended.
 const RUN_ENDS_STEP: Duration = Duration::from_millis(10);
 
+/// How long a turn at a server that names a limit is waited for by a request for which another server may become good.
+const TURN_SOON: Duration = Duration::from_millis(20);
+
 /// What choosing came to.
 pub(super) enum Chosen {
     Upstream(Rc<Upstream>),
@@ -35,7 +37,7 @@
         let mut look_begun = Instant::now();
         let mut reach = Reach::Near;
         let mut looks = 0;
-        let mut turn = None;
+        let mut asked_for_turn = false;
         loop {
             if gone.is_set() {
                 return Chosen::CallerLeft;
@@ -51,16 +53,12 @@
             }
             let now = Instant::now();
             let upstreams = self.usable(now, reach);
-            if upstreams.is_empty()
-                && let Some(after) = limits::soonest(self.context, &self.service, now)
-            {
-                let turn = turn.get_or_insert_with(|| Turn::take(self.context, &self.service));
-                match self.await_limit(now, after, turn) {
-                    Ok(pause) => tokio::time::sleep(pause).await,
-                    Err(come_back) => return Chosen::Refuse(come_back),
-                }
-                look_begun = Instant::now();
-                continue;
+            let has_limited = !limits::limited(self.context, &self.service).is_empty();
+            if upstreams.is_empty() && has_limited {
+                return match self.take_turn(gone, self.patience()).await {
+                    Ok(upstream) => Chosen::Upstream(upstream),
+                    Err(come_back) => Chosen::Refuse(come_back),
+                };
             }
             self.ask(&upstreams, self.context.ask_share(looks));
             let life = self.context.reading_life().max(now - look_begun) + AWAIT_STEP;
@@ -71,7 +69,16 @@
             let need = self.need(now, look_begun, reach);
             match place(&need, &candidates, fastrand::f64) {
                 Step::Send(at) => return Chosen::Upstream(upstreams[at].clone()),
-                Step::Refuse(come_back) => return Chosen::Refuse(come_back),
+                Step::Refuse(come_back) => {
+                    let turn = self.take_turn(gone, self.patience()).await;
+                    return turn.map_or(Chosen::Refuse(come_back), Chosen::Upstream);
+                }
+                Step::LookAgain(_) if has_limited && !asked_for_turn => {
+                    asked_for_turn = true;
+                    if let Ok(upstream) = self.take_turn(gone, TURN_SOON).await {
+                        return Chosen::Upstream(upstream);
+                    }
+                }
                 Step::Ask(further) => reach = further,
                 Step::Await => {
                     let told = self.context.readings.notified();
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -82,6 +82,7 @@
                 Contract::AtMostOnce => self.attempt(&upstream).await,
             };
             self.is_trial = false;
+            self.turn_at = None;
             match self.attempts.ended(ended.end) {
                 Verdict::Answer => return self.pass_on(ended),
                 Verdict::TryAgain if self.may_try_again(gone, ended.end) => {
--- a/crates/kingcuploft-entry/src/edge/flight.rs
+++ b/crates/kingcuploft-entry/src/edge/flight.rs
@@ -40,6 +40,8 @@
     pub(super) returns: bool,
     /// Whether this VM may try the request though servers ended under it.
     pub(super) is_trial: bool,
+    /// The server that names a limit at which it is this request's turn.
+    pub(super) turn_at: Option<Rc<Upstream>>,
     pub(super) attempts: Attempts,
     pub(super) tried: Vec<Rc<Upstream>>,
     pub(super) last_failure: Option<Response>,
@@ -92,6 +94,7 @@
                 .unwrap_or(request.arrived),
             returns: before > Duration::ZERO,
             is_trial: false,
+            turn_at: None,
             attempts: Attempts::new(route.contract, route.most_attempts),
             context,
             request,
--- a/crates/kingcuploft-entry/src/edge/limited.rs
+++ b/crates/kingcuploft-entry/src/edge/limited.rs
@@ -1,66 +1,68 @@
-//! A request for which all servers left name a limit.
+//! A request for which only servers are left that name limits.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use kingcuploft::world::ids::ServiceName;
+use kingcuploft::entry::server_limit::Turn;
 
 use super::flight::Flight;
-use crate::context::Context;
+use super::gone::Gone;
+use crate::limits;
+use crate::peers::turns;
+use crate::upstream::Upstream;
 
-/// How often a request that waits looks for a server.
-const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// At how many servers a request asks for a turn.
+const MOST_ASKED: usize = 3;
 
-/// When a refused caller may come back: another VM, which it may reach then, has another part of the limits.
+/// When a refused caller may come back.
 const COME_BACK_SOONEST: Duration = Duration::from_millis(250);
 const COME_BACK_LATEST: Duration = Duration::from_secs(2);
 
-/// The place of a request among those that wait for a service's limits at this VM.
-pub(super) struct Turn<'a> {
-    context: &'a Context,
-    service: ServiceName,
-    /// How many waited before.
-    ahead: u32,
-}
-
-impl<'a> Turn<'a> {
-    pub(super) fn take(context: &'a Context, service: &ServiceName) -> Self {
-        let mut waits = context.limit_waits.borrow_mut();
-        let waiting = waits.entry(service.clone()).or_default();
-        let ahead = *waiting;
-        *waiting += 1;
-        Self {
-            context,
-            service: service.clone(),
-            ahead,
-        }
-    }
-}
-
-impl Drop for Turn<'_> {
-    fn drop(&mut self) {
-        let mut waits = self.context.limit_waits.borrow_mut();
-        if let Some(waiting) = waits.get_mut(&self.service) {
-            *waiting -= 1;
+impl Flight<'_> {
+    /// Returns a server that names a limit, when the request's turn there has come within `patience`, or when the caller may
+    /// come back.
+    pub(super) async fn take_turn(
+        &mut self,
+        gone: &Gone,
+        patience: Duration,
+    ) -> Result<Rc<Upstream>, Duration> {
+        let mut limited = limits::limited(self.context, &self.service);
+        let share = self.context.connection_share(&self.service);
+        let now = Instant::now();
+        limited.retain(|upstream| {
+            let is_open = upstream.has_room(share) && !upstream.is_mute(now);
+            let limits = self.context.limits.borrow();
+            is_open
+                && !self.was_tried(upstream)
+                && limits.may_have_turn(now, &upstream.server.name, patience)
+        });
+        fastrand::shuffle(&mut limited);
+        let mut soonest = COME_BACK_LATEST;
+        for upstream in limited.into_iter().take(MOST_ASKED) {
+            match turns::ask(self.context, &upstream.server.name, patience).await {
+                Turn::After(after) => {
+                    tokio::select! {
+                        () = tokio::time::sleep(after) => {}
+                        () = gone.wait() => return Err(COME_BACK_SOONEST),
+                    }
+                    self.turn_at = Some(upstream.clone());
+                    return Ok(upstream);
+                }
+                Turn::TooLate(after) => {
+                    let (now, server) = (Instant::now(), &upstream.server.name);
+                    let mut limits = self.context.limits.borrow_mut();
+                    limits.no_turn_before(now, server, after, patience);
+                    soonest = soonest.min(after);
+                }
+            }
         }
+        Err(soonest.max(COME_BACK_SOONEST))
     }
-}
 
-impl Flight<'_> {
-    /// Returns how long to wait before looking again, or, where no server takes the request in time, when the caller may
-    /// come back. The first of the servers takes one in `after`.
-    pub(super) fn await_limit(
-        &self,
-        now: Instant,
-        after: Duration,
-        turn: &Turn<'_>,
-    ) -> Result<Duration, Duration> {
+    /// Returns how long the request can wait for a server.
+    pub(super) fn patience(&self) -> Duration {
         let work_ms = self.context.work_ms(&self.route, &self.service);
-        let work = Duration::from_secs_f64(work_ms / 1000.0);
-        let left = self.deadline.saturating_duration_since(now);
-        let served_after = after.saturating_mul(turn.ahead + 1).saturating_add(work);
-        match served_after < left {
-            true => Ok(after.min(LOOK_AGAIN)),
-            false => Err(after.clamp(COME_BACK_SOONEST, COME_BACK_LATEST)),
-        }
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        left.saturating_sub(Duration::from_secs_f64(work_ms / 1000.0))
     }
 }
--- a/crates/kingcuploft-entry/src/limits.rs
+++ b/crates/kingcuploft-entry/src/limits.rs
@@ -1,11 +1,13 @@
 //! Limits that backend servers name in their answers: heard, told to the other VMs, kept.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::notice::Notice;
+use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_limit::{self, Part, PerSecond};
 use kingcuploft::entry::server_limits::{LimitNotice, News};
-use kingcuploft::world::ids::{BackendServerName, ServiceName};
+use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, ServiceName};
 
 use crate::clock;
 use crate::context::Context;
@@ -92,25 +94,41 @@
     limits.sent(now, &upstream.server.name, fastrand::f64());
 }
 
-/// Returns when the first of a service's servers that name limits takes a request.
-pub fn soonest(context: &Context, service: &ServiceName, now: Instant) -> Option<Duration> {
+/// Returns the servers of a service that name limits.
+pub fn limited(context: &Context, service: &ServiceName) -> Vec<Rc<Upstream>> {
     if context.limits.borrow().is_empty() {
-        return None;
+        return Vec::new();
     }
-    let upstreams = context.upstreams(service).into_iter();
-    let limited = upstreams.filter(|upstream| {
-        let limits = context.limits.borrow();
-        limits.per_s(&upstream.server.name).is_some()
-    });
-    limited.map(|upstream| wait(context, &upstream, now)).min()
+    let mut upstreams = context.upstreams(service);
+    let limits = context.limits.borrow();
+    upstreams.retain(|upstream| limits.per_s(&upstream.server.name).is_some());
+    upstreams
+}
+
+/// Returns whether this VM keeps a server's limit, or its part of it.
+pub fn is_kept_here(context: &Context, server: &BackendServerName) -> bool {
+    let per_s = context.limits.borrow().per_s(server);
+    per_s.is_some_and(|per_s| matches!(part(context, server, per_s), Part::OneOf(_)))
+}
+
+/// Returns a VM that keeps a server's limit.
+pub fn keeper(context: &Context, server: &BackendServerName) -> Option<VmEntry> {
+    let per_s = context.limits.borrow().per_s(server)?;
+    let records = context.readers.borrow().records();
+    let keepers = server_limit::keepers(server, &zone(context, server), per_s, &records);
+    fastrand::choice(keepers).cloned()
+}
+
+fn zone(context: &Context, server: &BackendServerName) -> AvailabilityZone {
+    let zone = context.servers(|servers| servers.get(server).map(|known| known.zone.clone()));
+    zone.unwrap_or_else(|| context.settings.zone.clone())
 }
 
 fn part(context: &Context, server: &BackendServerName, per_s: PerSecond) -> Part {
     if context.settings.peers.is_none() {
         return Part::OneOf(1);
     }
-    let zone = context.servers(|servers| servers.get(server).map(|known| known.zone.clone()));
-    let zone = zone.unwrap_or_else(|| context.settings.zone.clone());
+    let zone = zone(context, server);
     let records = context.readers.borrow().records();
     let (vm, vms) = (&context.settings.vm, context.vms.get());
     server_limit::part(vm, vms, server, &zone, per_s, &records)
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -12,5 +12,6 @@
 pub mod readings;
 pub mod seeds;
 pub mod standing;
+pub mod turns;
 mod writing;
 pub mod zone_socket;
--- a/crates/kingcuploft-entry/src/peers/readings.rs
+++ b/crates/kingcuploft-entry/src/peers/readings.rs
@@ -4,12 +4,14 @@
 //! probes take slots from work. A reading is worth as much to the others: a datagram within the zone
 //! takes a tenth of a millisecond and costs no bytes between zones. One that is lost costs a probe.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::placement::Reading;
 use kingcuploft::world::ids::BackendServerName;
 
+use super::turns;
 use super::zone_socket::Told;
 use crate::context::Context;
 
@@ -59,14 +61,14 @@
     let mut buffer = vec![0; MOST_BYTES];
     loop {
         match readings.hear(&mut buffer).await {
-            Ok(Some(told)) => take(&context, &told),
+            Ok(Some((told, from))) => take(&context, &told, from),
             Ok(None) => {}
             Err(_) => tokio::time::sleep(PAUSE).await,
         }
     }
 }
 
-fn take(context: &Context, told: &Told) {
+fn take(context: &Context, told: &Told, from: SocketAddr) {
     let now = Instant::now();
     match *told {
         Told::Reading {
@@ -92,5 +94,21 @@
                 upstream.others_sent(now);
             }
         }
+        Told::AskTurn {
+            ref server,
+            patience_ms,
+            ask,
+        } => turns::asked(
+            context,
+            server,
+            Duration::from_millis(patience_ms),
+            ask,
+            from,
+        ),
+        Told::Turn {
+            ask,
+            after_ms,
+            given,
+        } => turns::answered(context, ask, Duration::from_millis(after_ms), given),
     }
 }
--- a/crates/kingcuploft-entry/src/peers/zone_socket.rs
+++ b/crates/kingcuploft-entry/src/peers/zone_socket.rs
@@ -28,6 +28,24 @@
         /// The server.
         server: BackendServerName,
     },
+    /// A turn is asked for at a server whose limit the other keeps.
+    AskTurn {
+        /// The server.
+        server: BackendServerName,
+        /// How long the request waits for it at most, in milliseconds.
+        patience_ms: u64,
+        /// Tells the answer from others.
+        ask: u64,
+    },
+    /// The answer to that.
+    Turn {
+        /// What was asked.
+        ask: u64,
+        /// When the turn is, or would be.
+        after_ms: u64,
+        /// Whether it is given.
+        given: bool,
+    },
 }
 
 /// The other VMs of the zone, and the socket to them.
@@ -58,13 +76,14 @@
         }
     }
 
-    /// Returns what another VM tells next; nothing if it can't be read.
+    /// Returns what another VM tells next, and which; nothing if it can't be read.
     ///
     /// # Errors
     ///
     /// Returns the system's error.
-    pub async fn hear(&self, buffer: &mut [u8]) -> std::io::Result<Option<Told>> {
-        let (length, _) = self.socket.recv_from(buffer).await?;
-        Ok(serde_json::from_slice(&buffer[..length]).ok())
+    pub async fn hear(&self, buffer: &mut [u8]) -> std::io::Result<Option<(Told, SocketAddr)>> {
+        let (length, from) = self.socket.recv_from(buffer).await?;
+        let told = serde_json::from_slice(&buffer[..length]).ok();
+        Ok(told.map(|told| (told, from)))
     }
 }
--- a/crates/kingcuploft-entry/tests/entry/limits.rs
+++ b/crates/kingcuploft-entry/tests/entry/limits.rs
@@ -143,3 +143,24 @@
         assert!(world.vm.context.limits.borrow().is_empty());
     });
 }
+
+/// Guards against a limit that only the callers of the VM that keeps it can use.
+#[test]
+fn callers_of_all_vms_have_turns_at_a_server_that_names_a_limit() {
+    play(async {
+        let per_s = 4;
+        let (vms, servers, _store) = fleet(6, &[Act::Limited(per_s)]).await;
+        ask_for(&vms, LEARN).await;
+        let before = servers[0].runs.get();
+        let asking = (0..vms.len()).map(|at| {
+            let vms = vms.clone();
+            tokio::task::spawn_local(async move { ask_for(&vms[at..=at], WINDOW).await })
+        });
+        for asking in asking.collect::<Vec<_>>() {
+            asking.await.unwrap();
+        }
+        let got = servers[0].runs.get() - before;
+        assert!(got >= 3 * per_s, "{got}");
+        assert!(got <= 6 * per_s + 5, "{got}");
+    });
+}
--- a/crates/kingcuploft/src/entry/server_limit.rs
+++ b/crates/kingcuploft/src/entry/server_limit.rs
@@ -2,12 +2,14 @@
 //!
 //! Load pattern: a server in need takes one request a second from hundreds of VMs, and looks idle, so that each VM would
 //! choose it first. A limit divided by the VMs gives none of them a request in minutes, and all of them one in the same
-//! second. So as many VMs use it as it takes requests a second, each an equal part; all agree which these are without
-//! asking, by the records of the zones. The others send one request now and then, at moments drawn by chance that are
-//! lost if not used: should they not be told that the limit has ended, they find out.
+//! second. So as many VMs keep the limit as it takes requests a second, each an equal part; all agree which these are
+//! without asking, by the records of the zones. The others ask one of them for a turn where no other server will do. Beside
+//! that they send one request now and then, at moments drawn by chance that are lost if not used: should they not be told
+//! that the limit has ended, they find out.
 
 use std::time::{Duration, Instant};
 
+use super::readers::VmEntry;
 use super::zone_record::ZoneRecord;
 use crate::utils::rendezvous::rendezvous;
 use crate::world::ids::{AvailabilityZone, BackendServerName, VmName};
@@ -15,34 +17,43 @@
 /// Requests a second.
 pub type PerSecond = f64;
 
-/// The part of a limit that is used: VMs may disagree for a moment on who uses it.
-const GUARD: f64 = 0.8;
-
 /// The least that a server is sent, whatever it names: no answer would tell that it takes more.
 const LEAST_PER_S: PerSecond = 0.05;
 
 /// The most requests that a VM saves up.
 const MOST_SAVED: f64 = 1.0;
 
-/// How many requests a second the VMs send together that do not use the limit, and the part of the limit beside.
+/// How many requests a second the VMs send together that do not keep the limit, and the part of the limit beside.
 const TRIES_PER_S: PerSecond = 0.125;
 const TRIES_OF_LIMIT: f64 = 0.06;
 
 /// For how long a request may be sent whose moment has come.
 const MOMENT: Duration = Duration::from_secs(1);
 
+/// When a VM is asked again that does not keep the limit: it may have been told later.
+pub const ASK_AGAIN: Duration = Duration::from_millis(250);
+
 /// The longest wait that is told.
 const LONGEST_WAIT: Duration = Duration::from_secs(3600);
 
 /// Which part of a limit a VM uses.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Part {
-    /// It is one of so many that use it.
+    /// It is one of so many that keep it.
     OneOf(usize),
-    /// Others use it; it is one of so many that send a request now and then.
+    /// Others keep it; it is one of so many that send a request now and then.
     NowAndThen(usize),
 }
 
+/// When a request may be sent to a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Turn {
+    /// After this time; it is counted.
+    After(Duration),
+    /// Not before this time, which is too late for it.
+    TooLate(Duration),
+}
+
 /// Returns which part of a server's limit a VM uses that is one of `vms`, where these records name some of them.
 pub fn part(
     vm: &VmName,
@@ -52,26 +63,37 @@
     per_s: PerSecond,
     records: &[ZoneRecord],
 ) -> Part {
-    let users = per_s.max(1.0) as usize;
-    if users >= vms {
+    if keepers_wanted(per_s) >= vms {
         return Part::OneOf(vms.max(1));
     }
+    let keepers = keepers(server, zone, per_s, records);
+    match keepers.iter().any(|keeper| keeper.name == *vm) {
+        true => Part::OneOf(keepers.len()),
+        false => Part::NowAndThen(vms),
+    }
+}
+
+/// Returns the VMs that keep a server's limit: those that come first for it by a hash of both names, of the server's zone
+/// if that has enough.
+pub fn keepers<'a>(
+    server: &BackendServerName,
+    zone: &AvailabilityZone,
+    per_s: PerSecond,
+    records: &'a [ZoneRecord],
+) -> Vec<&'a VmEntry> {
     let is_far = |record: &ZoneRecord| record.zone != *zone;
     let mut named: Vec<_> = records
         .iter()
-        .flat_map(|record| record.vms.iter().map(move |named| (is_far(record), named)))
-        .map(|(is_far, named)| (is_far, rendezvous(&named.name, server), &named.name))
+        .flat_map(|record| record.vms.iter().map(move |vm| (is_far(record), vm)))
+        .map(|(is_far, vm)| (is_far, rendezvous(&vm.name, server), vm))
         .collect();
-    named.sort();
-    let mut users = named.iter().take(users);
-    match users.any(|(_, _, name)| *name == vm) {
-        true => Part::OneOf(users_of(per_s, named.len())),
-        false => Part::NowAndThen(vms),
-    }
+    named.sort_by(|a, b| (a.0, a.1, &a.2.name).cmp(&(b.0, b.1, &b.2.name)));
+    let keepers = named.into_iter().take(keepers_wanted(per_s));
+    keepers.map(|(_, _, vm)| vm).collect()
 }
 
-fn users_of(per_s: PerSecond, named: usize) -> usize {
-    (per_s.max(1.0) as usize).min(named)
+fn keepers_wanted(per_s: PerSecond) -> usize {
+    per_s.max(1.0) as usize
 }
 
 /// What a VM may send to a server that names a limit.
@@ -128,6 +150,19 @@
         }
     }
 
+    /// Gives the next turn to a request that waits so long at most, if this VM keeps the limit.
+    pub fn give_turn(&mut self, now: Instant, patience: Duration) -> Turn {
+        let Part::OneOf(_) = self.part else {
+            return Turn::TooLate(ASK_AGAIN);
+        };
+        let wait = self.wait(now, 0.0);
+        if wait > patience {
+            return Turn::TooLate(wait);
+        }
+        self.saved -= 1.0;
+        Turn::After(wait)
+    }
+
     /// Takes note that a request is sent.
     pub fn sent(&mut self, now: Instant, chance: f64) {
         self.save(now);
@@ -137,7 +172,7 @@
 
     /// Returns what this VM may send a second.
     fn own_per_s(&self) -> PerSecond {
-        let all = (GUARD * self.per_s).max(LEAST_PER_S);
+        let all = self.per_s.max(LEAST_PER_S);
         match self.part {
             Part::OneOf(users) => all / users.max(1) as f64,
             Part::NowAndThen(vms) => {
--- a/crates/kingcuploft/src/entry/server_limits.rs
+++ b/crates/kingcuploft/src/entry/server_limits.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::notice::NoticeId;
-use super::server_limit::{Part, PerSecond, ServerLimit};
+use super::server_limit::{ASK_AGAIN, Part, PerSecond, ServerLimit, Turn};
 use crate::utils::{HashMap, HashSet};
 use crate::world::ids::BackendServerName;
 
@@ -53,6 +53,8 @@
 struct Known {
     limit: ServerLimit,
     since: Instant,
+    /// When the next turn is that is not given, as far as is known.
+    turn_at: Instant,
     /// Whether the store has it.
     is_stored: bool,
 }
@@ -131,6 +133,7 @@
         let known = Known {
             limit,
             since: now,
+            turn_at: now,
             is_stored,
         };
         self.known.insert(server, known);
@@ -175,6 +178,38 @@
         known.map_or(Duration::ZERO, |known| known.limit.wait(now, chance))
     }
 
+    /// Gives a turn at a server to a request that waits so long at most.
+    pub fn give_turn(&mut self, now: Instant, server: &str, patience: Duration) -> Turn {
+        let known = self.known.get_mut(server);
+        known.map_or(Turn::TooLate(ASK_AGAIN), |known| {
+            known.limit.give_turn(now, patience)
+        })
+    }
+
+    /// Returns whether there may be a turn at a server for a request that waits so long at most.
+    pub fn may_have_turn(&self, now: Instant, server: &str, patience: Duration) -> bool {
+        let known = self.known.get(server);
+        known.is_some_and(|known| known.turn_at <= now + patience)
+    }
+
+    /// Takes in that the next turn at a server is after this time, which was too late for a request that waits so long.
+    pub fn no_turn_before(
+        &mut self,
+        now: Instant,
+        server: &str,
+        after: Duration,
+        patience: Duration,
+    ) {
+        let Some(known) = self.known.get_mut(server) else {
+            return;
+        };
+        // A keeper that has not been told of the limit, or does not answer, gives no turn at all.
+        known.turn_at = match after > patience {
+            true => now + after,
+            false => now + patience + ASK_AGAIN,
+        };
+    }
+
     /// Takes note that a request is sent to a server.
     pub fn sent(&mut self, now: Instant, server: &str, chance: f64) {
         if let Some(known) = self.known.get_mut(server) {
--- a/crates/kingcuploft/tests/entry/server_limit.rs
+++ b/crates/kingcuploft/tests/entry/server_limit.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::readers::VmEntry;
-use kingcuploft::entry::server_limit::{Part, PerSecond, ServerLimit, part};
+use kingcuploft::entry::server_limit::{Part, PerSecond, ServerLimit, Turn, keepers, part};
 use kingcuploft::entry::server_limits::{LimitNotice, News, ServerLimits};
 use kingcuploft::entry::zone_record::ZoneRecord;
-use kingcuploft::world::ids::{BackendServerName, VmName};
+use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, VmName};
 
 const STEP: Duration = Duration::from_millis(50);
 
@@ -222,3 +222,118 @@
     assert_eq!(limits.forget_gone(|_| false), [notice.id()]);
     assert!(limits.is_empty());
 }
+
+/// What servers of a service got that all name a limit, where callers come to all VMs alike and ask for twice as much.
+struct Service {
+    vms: usize,
+    servers: usize,
+    per_s: PerSecond,
+}
+
+impl Service {
+    /// Returns the limits as each VM keeps them, by VM and server.
+    fn limits(&self, begun: Instant, rng: &mut fastrand::Rng) -> Vec<Vec<ServerLimit>> {
+        let records = records(self.vms);
+        let limit = |vm: usize, server: usize, chance: f64| {
+            let (server, zone) = (server_name(server), zone_of(server));
+            let part = part(&name(vm), self.vms, &server, &zone, self.per_s, &records);
+            ServerLimit::new(begun, self.per_s, part, chance)
+        };
+        let of_vm = |vm| {
+            (0..self.servers)
+                .map(|server| limit(vm, server, rng.f64()))
+                .collect()
+        };
+        (0..self.vms).map(of_vm).collect()
+    }
+
+    /// Returns which VMs keep the limit of each server.
+    fn keepers(&self) -> Vec<Vec<usize>> {
+        let records = records(self.vms);
+        let at = |vm: &VmEntry| vm.name.strip_prefix("vm-").unwrap().parse().unwrap();
+        let keepers = |server| {
+            let (name, zone) = (server_name(server), zone_of(server));
+            let keepers = keepers(&name, &zone, self.per_s, &records);
+            keepers.into_iter().map(at).collect()
+        };
+        (0..self.servers).map(keepers).collect()
+    }
+
+    /// Plays VMs that use what they keep themselves, and ask for turns at three other servers.
+    fn play(&self) -> (usize, f64) {
+        let (begun, mut rng) = (Instant::now(), fastrand::Rng::with_seed(11));
+        let (mut fleet, keepers) = (self.limits(begun, &mut rng), self.keepers());
+        let demand = 2.0 * self.per_s * self.servers as f64 * STEP.as_secs_f64() / self.vms as f64;
+        let mut sent = vec![vec![0; SHORT_DAY + PATIENCE_STEPS + 1]; self.servers];
+        for step in 0..SHORT_DAY {
+            let now = begun + STEP * step as u32;
+            for vm in 0..self.vms {
+                let calls = demand.floor() as usize + usize::from(rng.f64() < demand.fract());
+                for _ in 0..calls {
+                    let own = fleet[vm]
+                        .iter_mut()
+                        .position(|l| l.wait(now, 0.5).is_zero());
+                    if let Some(server) = own {
+                        fleet[vm][server].sent(now, rng.f64());
+                        sent[server][step] += 1;
+                        continue;
+                    }
+                    for _ in 0..3 {
+                        let server = rng.usize(0..self.servers);
+                        let keeper = keepers[server][rng.usize(0..keepers[server].len())];
+                        let turn =
+                            fleet[keeper][server].give_turn(now, STEP * PATIENCE_STEPS as u32);
+                        if let Turn::After(after) = turn {
+                            let steps = after.as_secs_f64() / STEP.as_secs_f64();
+                            sent[server][step + steps.round() as usize] += 1;
+                            break;
+                        }
+                    }
+                }
+            }
+        }
+        let windows = sent.iter().flat_map(|sent| sent.windows(WINDOW));
+        let most = windows.map(|window| window.iter().sum()).max().unwrap_or(0);
+        let all: usize = sent.iter().flatten().sum();
+        let named = self.per_s * self.servers as f64 * STEP.as_secs_f64() * SHORT_DAY as f64;
+        (most, all as f64 / named)
+    }
+}
+
+/// How long a service is played, and how long a request waits for its turn, in steps.
+const SHORT_DAY: usize = 1200;
+const PATIENCE_STEPS: usize = 20;
+
+fn server_name(at: usize) -> BackendServerName {
+    format!("s{at}").into()
+}
+
+fn zone_of(server: usize) -> AvailabilityZone {
+    format!("zone-{}", server % 6).into()
+}
+
+/// Guards against limits that go to waste, as they are kept by other VMs than those that the callers come to.
+#[test]
+fn limits_of_all_servers_are_used_by_the_callers_of_all_vms() {
+    for (vms, servers, per_s) in [
+        (13, 11, 1.0),
+        (13, 11, 3.0),
+        (115, 68, 1.0),
+        (312, 210, 1.0),
+    ] {
+        let service = Service {
+            vms,
+            servers,
+            per_s,
+        };
+        let (most, used) = service.play();
+        assert!(
+            most <= allowed(per_s),
+            "{vms} VMs, {per_s} a second: {most}"
+        );
+        assert!(
+            used >= 0.85,
+            "{vms} VMs, {servers} servers, {per_s}: {used}"
+        );
+    }
+}
