fix(servers): a server that joined and left in one account gets no work

What callers saw: nothing at first; a server that had said that it leaves got requests for seconds, until it ended under them.

Cause: `Context::apply_all` ends what left and then begins what joined, whatever their order. A VM that begins to read in another's place hears of both in one account, logs "joined" and "left", and sends the server work for good. Two joins in one account also began the server twice.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -235,15 +235,16 @@
     /// Follows changes of the servers: connections and readings come and go with them.
     pub fn apply_all(&self, now: Instant, changes: &[Change]) {
         let mut ended = HashSet::default();
-        let mut begun = Vec::new();
+        let mut begun = HashSet::default();
         for change in changes {
             match change {
                 Change::Joined(name) => {
                     ended.insert(name);
-                    begun.push(name);
+                    begun.insert(name);
                 }
                 Change::Left(name) => {
                     ended.insert(name);
+                    begun.remove(name);
                 }
                 Change::Updated(_) | Change::Lapsed(_) => {}
             }
--- a/crates/kingcuploft-entry/tests/entry/store_faults.rs
+++ b/crates/kingcuploft-entry/tests/entry/store_faults.rs
@@ -6,7 +6,7 @@
 use kingcuploft_entry::run;
 use kingcuploft_entry::settings::EntrySettings;
 
-use crate::server::Act;
+use crate::server::{Act, TestServer};
 use crate::store::TestStore;
 use crate::world::{
     WORDS, World, configuration, entry, look, play, play_in_virtual_time, settings, start, until,
@@ -159,3 +159,29 @@
         assert_eq!(caller.answer().await.unwrap().status, 200);
     });
 }
+
+/// Guards against work for a server that came and left between two looks at the store.
+#[test]
+fn a_server_that_joined_and_left_in_one_account_gets_no_work() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        let server = TestServer::start(Act::Answer).await;
+        let ready = BackendServer {
+            name: "short-lived".into(),
+            ..entry(9, &server)
+        };
+        world.store.serve(ready.clone());
+        world.store.serve(BackendServer {
+            draining: true,
+            ..ready
+        });
+        let knows = || {
+            world
+                .vm
+                .context
+                .servers(|known| known.get("short-lived").is_some())
+        };
+        until(knows).await;
+        assert!(world.vm.context.upstream("short-lived").is_none());
+    });
+}
