--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -154,33 +154,6 @@
         self.in_force.current()
     }
 
-    /// Writes all counters as text.
-    pub fn metrics_text(&self) -> String {
-        let version = self.configuration().map_or(0, |c| c.version);
-        self.metrics.configuration.set(version as i64);
-        let servers = self.servers.borrow().in_use();
-        self.metrics.servers.set(servers as i64);
-        self.metrics.vms.set(self.vms.get() as i64);
-        self.metrics.callers.set(self.callers.get() as i64);
-        let probes_left = (self.probes_left() * 1000.0) as i64;
-        self.metrics.probes_left.set(probes_left);
-        let quarantined = self.quarantine.borrow().refused();
-        self.metrics.quarantined.set(quarantined as i64);
-        let limited = self.limits.borrow().len();
-        self.metrics.limited_servers.set(limited as i64);
-        let newest = self.in_force.newest().unwrap_or(version);
-        self.metrics.configuration_newest.set(newest as i64);
-        let age = self.in_force.age().as_secs();
-        self.metrics.configuration_age.set(age as i64);
-        self.metrics.followers.set(self.followers.len() as i64);
-        let waiting = self.followers.most_waiting_bytes();
-        self.metrics.most_waiting_bytes.set(waiting as i64);
-        self.metrics
-            .log_lines_left_out
-            .set(crate::logs::left_out() as i64);
-        self.metrics.to_text()
-    }
-
     /// Returns whether the VM can serve: it knows a configuration and servers, and is not stopping.
     pub fn is_ready(&self) -> bool {
         let knows = self.in_force.version().is_some() && self.servers_listed.get();
--- /dev/null
+++ b/crates/kingcuploft-entry/src/impatience.rs
@@ -0,0 +1,35 @@
+//! How long a VM that knows nothing waits for others to tell it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcuploft::entry::joining;
+
+use crate::clock;
+use crate::context::Context;
+use crate::pulse::Pulse;
+
+/// How often a VM looks whether it has knowledge.
+const KNOWLEDGE_STEP: Duration = Duration::from_millis(10);
+
+/// Has a VM that knows nothing read the store once it has waited for others for too long.
+///
+/// Where all start together nobody calls yet, and the others are waited for.
+pub(crate) async fn without_knowledge(context: Rc<Context>, pulse: Rc<Pulse>) {
+    let begun = clock::now();
+    let chance = fastrand::f64();
+    if context.settings.all_start {
+        return;
+    }
+    while !context.is_ready() && !context.is_stopping() {
+        let patience = {
+            let readers = context.readers.borrow();
+            let record = readers.record(&context.settings.zone);
+            joining::patience(&context.settings.vm, record, context.promised.get(), chance)
+        };
+        if clock::since(begun) >= patience {
+            return pulse.read();
+        }
+        tokio::time::sleep(KNOWLEDGE_STEP).await;
+    }
+}
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod context;
 
 pub mod edge;
+mod gauges;
 pub mod http;
+mod impatience;
 pub mod in_force;
 pub mod keeper;
 pub mod limits;
--- a/crates/kingcuploft-entry/src/roster.rs
+++ b/crates/kingcuploft-entry/src/roster.rs
@@ -13,6 +13,7 @@
 
 use crate::clock;
 use crate::context::Context;
+use crate::impatience;
 use crate::keeper;
 use crate::peers::away;
 use crate::peers::dial::Dial;
@@ -49,9 +50,6 @@
 /// The time between two questions to the seeds by a VM that knows no other.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 
-/// How often a VM looks whether it has knowledge.
-const KNOWLEDGE_STEP: Duration = Duration::from_millis(10);
-
 /// Keeps this VM informed, until the process ends.
 pub async fn keep<S: Store + 'static, D: Dial + Clone + 'static>(
     context: Rc<Context>,
@@ -69,7 +67,7 @@
         stored: Cell::default(),
         count: Cell::default(),
     };
-    let impatience = without_knowledge(context.clone(), pulse.clone());
+    let impatience = impatience::without_knowledge(context.clone(), pulse.clone());
     let impatience = tokio::task::spawn_local(impatience);
     if context.settings.all_start {
         tokio::time::sleep(joining::claim_after(&own, fastrand::f64())).await;
@@ -79,28 +77,6 @@
     impatience.abort();
 }
 
-/// Has a VM that knows nothing read the store once it has waited for others for too long.
-///
-/// Where all start together nobody calls yet, and the others are waited for.
-async fn without_knowledge(context: Rc<Context>, pulse: Rc<Pulse>) {
-    let begun = clock::now();
-    let chance = fastrand::f64();
-    if context.settings.all_start {
-        return;
-    }
-    while !context.is_ready() && !context.is_stopping() {
-        let patience = {
-            let readers = context.readers.borrow();
-            let record = readers.record(&context.settings.zone);
-            joining::patience(&context.settings.vm, record, context.promised.get(), chance)
-        };
-        if clock::since(begun) >= patience {
-            return pulse.read();
-        }
-        tokio::time::sleep(KNOWLEDGE_STEP).await;
-    }
-}
-
 struct Roster<'a, S, D> {
     context: &'a Rc<Context>,
     store: &'a Rc<S>,
