perf(store): a notice wakes one watch, and not all of them

A notice moves the store's revision; the sign of life then took the two other watches for behind and had all of them asked again: 7 calls for one in three and a half seconds (`a_notice_wakes_one_watch` failed before). The third collection counts as watched now.

--- a/crates/kingcuploft-entry/src/sign_of_life.rs
+++ b/crates/kingcuploft-entry/src/sign_of_life.rs
@@ -36,6 +36,13 @@
 /// for most of this time.
 const BEHIND: Duration = Duration::from_millis(900);
 
+/// What is watched.
+const WATCHED: [Collection; 3] = [
+    Collection::Configuration,
+    Collection::BackendServers,
+    Collection::Notices,
+];
+
 /// Watches over the store while this VM reads it, until the process ends.
 pub async fn watch_over<S: Store>(context: Rc<Context>, store: Rc<S>, pulse: Rc<Pulse>) {
     let mut lag = Lag::default();
@@ -77,8 +84,7 @@
 
 /// Returns whether bytes of any answer have come since a moment.
 fn hears<S: Store>(store: &S, since: Instant) -> bool {
-    let watched = [Collection::Configuration, Collection::BackendServers];
-    let heard = watched.into_iter().filter_map(|c| store.heard(c));
+    let heard = WATCHED.into_iter().filter_map(|c| store.heard(c));
     heard.max().is_some_and(|heard| heard > since)
 }
 
@@ -105,8 +111,7 @@
     /// Takes in a moment that the store has reached; returns whether the watches have been behind it
     /// for too long. A moment is complained of once: other collections move the store on as well.
     fn is_too_long(&mut self, now: Instant, reached: Revision, context: &Context) -> bool {
-        let watched = [Collection::Configuration, Collection::BackendServers];
-        let known = watched
+        let known = WATCHED
             .into_iter()
             .filter_map(|c| context.position(c))
             .max();
--- a/crates/kingcuploft-entry/tests/entry/quarantine.rs
+++ b/crates/kingcuploft-entry/tests/entry/quarantine.rs
@@ -6,6 +6,7 @@
 use kingcuploft::entry::notice::Notice;
 use kingcuploft_entry::notices;
 use kingcuploft_entry::run::Running;
+use kingcuploft_entry::store::Store;
 
 use crate::following::{followers, start_in_zone, zone_of};
 use crate::server::{Act, TestServer};
@@ -201,3 +202,23 @@
         assert!(!claim().await, "once");
     });
 }
+
+/// Guards against all watches asked again, a call each, for what only one of them is about.
+#[test]
+fn a_notice_wakes_one_watch() {
+    play(async {
+        let world = World::with(&[Act::Answer]).await;
+        until(|| world.store.watches.get() >= 3).await;
+        let before = world.store.watches.get();
+        let report = CrashReport {
+            fingerprint: 7,
+            of: "s0".into(),
+            in_a_row: 1,
+        };
+        let store = TestStore::of(&world.store);
+        store.tell(&Notice::Crash(report)).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(3500)).await;
+        let woken = world.store.watches.get() - before;
+        assert!(woken <= 1, "{woken} watches");
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/store.rs
+++ b/crates/kingcuploft-entry/tests/entry/store.rs
@@ -95,6 +95,11 @@
 pub(crate) struct TestStore(pub(crate) Rc<Held>, pub(crate) Rc<Cell<bool>>);
 
 impl TestStore {
+    /// Returns another client of a store.
+    pub(crate) fn of(held: &Rc<Held>) -> Self {
+        Self(held.clone(), Rc::default())
+    }
+
     /// Returns another client of the same store, which may be turned away alone.
     pub(crate) fn turning_away(other: &Self) -> Self {
         Self(other.0.clone(), Rc::default())
