feat(logs): each VM tells when it begins to refuse a request and when it ends, and limits that it was told of

One line when a request is quarantined or let go, at every VM and not only at the one that lost the server; limits told by others are logged as those heard.

--- a/crates/kingcuploft-entry/src/edge/suspect.rs
+++ b/crates/kingcuploft-entry/src/edge/suspect.rs
@@ -69,7 +69,9 @@
 
     fn clear(&self) {
         let fingerprint = self.request.fingerprint();
-        let ids = self.context.quarantine.borrow_mut().answered(fingerprint);
+        let ids = notices::logged(self.context, fingerprint, || {
+            self.context.quarantine.borrow_mut().answered(fingerprint)
+        });
         tracing::info!(
             event = "suspect_cleared",
             request = self.request.id,
@@ -86,8 +88,10 @@
         let fingerprint = self.request.fingerprint();
         let server = &upstream.server.name;
         let report = (found == AfterLoss::Ended).then(|| {
-            let mut quarantine = self.context.quarantine.borrow_mut();
-            quarantine.server_ended(Instant::now(), fingerprint, server, known)
+            notices::logged(self.context, fingerprint, || {
+                let mut quarantine = self.context.quarantine.borrow_mut();
+                quarantine.server_ended(Instant::now(), fingerprint, server, known)
+            })
         });
         tracing::info!(
             event = "answer_lost",
--- a/crates/kingcuploft-entry/src/limits.rs
+++ b/crates/kingcuploft-entry/src/limits.rs
@@ -67,7 +67,21 @@
 pub fn told(context: &Context, notice: &LimitNotice) -> bool {
     let part = part(context, &notice.server, notice.per_s);
     let mut limits = context.limits.borrow_mut();
-    limits.told(clock::now(), notice, part, fastrand::f64())
+    let is_known = limits.per_s(&notice.server).is_some();
+    let is_news = limits.told(clock::now(), notice, part, fastrand::f64());
+    drop(limits);
+    if !is_known {
+        log_named(context, notice);
+    }
+    is_news
+}
+
+/// Takes in that a notice is withdrawn.
+pub fn withdrawn(context: &Context, id: &str) {
+    let known = context.limits.borrow_mut().withdrawn(id);
+    if let (true, Some(server)) = (known, LimitNotice::parse_id(id)) {
+        tracing::info!(event = "limit_ended", server);
+    }
 }
 
 /// Divides the limits anew, as other VMs are known.
--- a/crates/kingcuploft-entry/src/notices.rs
+++ b/crates/kingcuploft-entry/src/notices.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kingcuploft::entry::crash_report::CrashReport;
+use kingcuploft::entry::fingerprint::Fingerprint;
 use kingcuploft::entry::notice::{Notice, NoticeId};
 use kingcuploft::entry::quarantine::Told;
 use kingcuploft::utils::HashSet;
@@ -121,10 +123,10 @@
 pub fn told(context: &Context, mut notices: Vec<Notice>) {
     let now = clock::now();
     notices.retain(|notice| match notice {
-        Notice::Crash(report) => {
+        Notice::Crash(report) => logged(context, report.fingerprint, || {
             let mut quarantine = context.quarantine.borrow_mut();
             quarantine.told(now, report) == Told::News
-        }
+        }),
         Notice::Limit(notice) => limits::told(context, notice),
     });
     if !notices.is_empty() {
@@ -132,12 +134,31 @@
     }
 }
 
+/// Takes in news of a request, and writes down whether it is refused from now on, or no longer.
+pub fn logged<T>(context: &Context, fingerprint: Fingerprint, take: impl FnOnce() -> T) -> T {
+    let is_refused = || context.quarantine.borrow().is_refused(fingerprint);
+    let before = is_refused();
+    let taken = take();
+    match (before, is_refused()) {
+        (false, true) => {
+            tracing::info!(event = "quarantined", fingerprint = %format_args!("{fingerprint:016x}"));
+        }
+        (true, false) => {
+            tracing::info!(event = "quarantine_ended", fingerprint = %format_args!("{fingerprint:016x}"));
+        }
+        _ => {}
+    }
+    taken
+}
+
 /// Takes in that notices are withdrawn, and passes it on: followers may know what this VM has forgotten already.
 pub fn withdrawn(context: &Context, ids: Vec<NoticeId>) {
     for id in &ids {
-        let of_request = context.quarantine.borrow_mut().withdrawn(id);
-        if !of_request {
-            context.limits.borrow_mut().withdrawn(id);
+        match CrashReport::parse_id(id) {
+            Some((fingerprint, _)) => logged(context, fingerprint, || {
+                context.quarantine.borrow_mut().withdrawn(id);
+            }),
+            None => limits::withdrawn(context, id),
         }
     }
     context.followers.tell_notices(&Frame::NoticesGone(ids));
--- a/crates/kingcuploft/src/entry/quarantine.rs
+++ b/crates/kingcuploft/src/entry/quarantine.rs
@@ -124,6 +124,12 @@
         self.suspects.contains_key(&fingerprint)
     }
 
+    /// Returns whether a request is refused.
+    pub fn is_refused(&self, fingerprint: Fingerprint) -> bool {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.is_some_and(Suspect::is_refused)
+    }
+
     /// Says whether a request may be sent now.
     pub fn admit(&self, now: Instant, fingerprint: Fingerprint) -> Admission {
         let Some(suspect) = self.suspects.get(&fingerprint) else {
