fix(notices): a report is written when the store is back, however long it was away

A report of a server that ended was given up after 20 tries, some 15 s. Had the store been away for longer, the VMs that lost servers would have known the request and the others not: each would have lost one or two more, on VMs that are in touch again. Found by reading; `a_report_is_written_when_the_store_is_back_however_long_it_was_away` (two minutes in virtual time) found no report before. It is tried as long as the VM believes it, and only while the store answers, so that an outage costs no calls. A claim whose request waits no longer is not made.

--- a/crates/kingcuploft-entry/src/notices.rs
+++ b/crates/kingcuploft-entry/src/notices.rs
@@ -14,14 +14,14 @@
 use crate::context::Context;
 use crate::limits;
 use crate::peers::frame::Frame;
+use crate::peers::standing::standing;
 use crate::pulse::Pulse;
 use crate::store::{Recorded, Store, StoreError};
 
 /// How many writes may wait; what is more is known to this VM alone.
 const MOST_WAITING: usize = 256;
 
-/// How often a write is tried, and the pause between: what the store takes seconds later is of use still.
-const MOST_TRIES: u32 = 20;
+/// The pause between two tries, at least; chance adds as much again.
 const PAUSE: Duration = Duration::from_millis(500);
 
 /// How long a request waits for leave to be tried.
@@ -50,16 +50,20 @@
 pub async fn write<S: Store>(
     context: Rc<Context>,
     store: Rc<S>,
+    pulse: Rc<Pulse>,
     mut writes: mpsc::Receiver<Write>,
 ) {
+    let is_there = || standing(&context, &pulse).store_there;
     while let Some(write) = writes.recv().await {
         match write {
             Write::Tell(notice) => {
-                let written = in_tries(|| store.tell(&notice)).await;
-                if written.is_some() {
+                let holds = || holds(&context, &notice);
+                if until_done(is_there, holds, || store.tell(&notice)).await {
                     told(&context, vec![notice]);
                 }
             }
+            // Whoever asked waits no longer.
+            Write::Claim(_, claimed) if claimed.is_closed() => {}
             Write::Claim(notice, claimed) => {
                 let written = store.tell(&notice).await;
                 let is_first = matches!(written, Ok(Recorded::Done));
@@ -69,23 +73,41 @@
                 let _ = claimed.send(is_first);
             }
             Write::Withdraw(id) => {
-                let _ = in_tries(|| store.withdraw(&id)).await;
+                until_done(is_there, || true, || store.withdraw(&id)).await;
             }
         }
     }
 }
 
-async fn in_tries<T, F: Future<Output = Result<T, StoreError>>>(
+/// Returns whether this VM still believes what a notice says.
+fn holds(context: &Context, notice: &Notice) -> bool {
+    match notice {
+        Notice::Crash(report) => {
+            let quarantine = context.quarantine.borrow();
+            quarantine.is_suspect(report.fingerprint)
+        }
+        Notice::Limit(notice) => context.limits.borrow().per_s(&notice.server).is_some(),
+    }
+}
+
+/// Calls the store whenever it is there until the call is done, and returns whether it was: no longer than it is of use.
+async fn until_done<T, F: Future<Output = Result<T, StoreError>>>(
+    is_there: impl Fn() -> bool,
+    is_of_use: impl Fn() -> bool,
     mut call: impl FnMut() -> F,
-) -> Option<T> {
-    for tries in 1..=MOST_TRIES {
-        match call().await {
-            Ok(done) => return Some(done),
-            Err(error) => tracing::warn!(event = "notice_not_written", tries, %error),
+) -> bool {
+    let mut tries = 0;
+    while is_of_use() {
+        if is_there() {
+            tries += 1;
+            match call().await {
+                Ok(_) => return true,
+                Err(error) => tracing::warn!(event = "notice_not_written", tries, %error),
+            }
         }
         tokio::time::sleep(PAUSE.mul_f64(1.0 + fastrand::f64())).await;
     }
-    None
+    false
 }
 
 /// Forgets what is outdated until the process ends, and has a VM that reads the store withdraw it.
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -118,7 +118,7 @@
     }
     let (writes, waiting) = notices::channel();
     let _ = context.notice_writes.set(writes);
-    let writing = notices::write(context.clone(), store.clone(), waiting);
+    let writing = notices::write(context.clone(), store.clone(), pulse.clone(), waiting);
     tokio::task::spawn_local(writing);
     tokio::task::spawn_local(notices::tidy(context.clone(), pulse.clone()));
     for collection in [
--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -24,7 +24,7 @@
 use crate::pipe::Nic;
 use crate::store::TestStore;
 
-const WORDS: Vocabulary = Vocabulary {
+pub(crate) const WORDS: Vocabulary = Vocabulary {
     request_id: "x-id",
     deadline_ms: "x-deadline-ms",
     signature: "x-signed",
@@ -288,7 +288,7 @@
     count.and_then(|count| count.parse().ok()).unwrap_or(0)
 }
 
-fn settings(entry: &VmEntry, all_start: bool) -> EntrySettings {
+pub(crate) fn settings(entry: &VmEntry, all_start: bool) -> EntrySettings {
     let nowhere: SocketAddr = ([127, 0, 0, 1], 0).into();
     EntrySettings {
         vm: entry.name.clone(),
--- a/crates/kingcuploft-entry/tests/links/main.rs
+++ b/crates/kingcuploft-entry/tests/links/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod joining;
 mod network;
+mod notices;
 mod pipe;
 mod scenarios;
 mod slopes;
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/links/notices.rs
@@ -0,0 +1,62 @@
+//! What a VM has seen is told through the store, also after a long outage.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcuploft::entry::crash_report::CrashReport;
+use kingcuploft::entry::notice::Notice;
+use kingcuploft::entry::readers::VmEntry;
+use kingcuploft_entry::context::Context;
+use kingcuploft_entry::notices::{self, Write};
+use kingcuploft_entry::pulse::Pulse;
+use kingcuploft_entry::sign_of_life;
+
+use crate::fleet::{WORDS, play, settings};
+use crate::network::address;
+use crate::store::TestStore;
+
+/// Longer than any write is tried for.
+const OUTAGE: Duration = Duration::from_secs(120);
+
+/// When a VM counts as in touch again after an outage.
+const IN_TOUCH: Duration = Duration::from_secs(3);
+
+/// Guards against a request that goes on crashing servers once the store is back, as the reports of it were given up.
+#[test]
+fn a_report_is_written_when_the_store_is_back_however_long_it_was_away() {
+    play(async {
+        let store = TestStore::default();
+        let vm = VmEntry {
+            name: "vm".into(),
+            zone: "zone-0".into(),
+            address: address(0),
+            cpu_milli: 200,
+        };
+        let context = Rc::new(Context::new(settings(&vm, false), WORDS));
+        let pulse = Rc::new(Pulse::default());
+        let (writes, waiting) = notices::channel();
+        context.notice_writes.set(writes).unwrap();
+        let client = Rc::new(store.clone());
+        let feeling = sign_of_life::watch_over(context.clone(), client.clone(), pulse.clone());
+        tokio::task::spawn_local(feeling);
+        let writing = notices::write(context.clone(), client, pulse, waiting);
+        tokio::task::spawn_local(writing);
+        store.1.set(true);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let now = tokio::time::Instant::now().into_std();
+        let report = CrashReport {
+            fingerprint: 7,
+            of: "s1".into(),
+            in_a_row: 1,
+        };
+        context
+            .quarantine
+            .borrow_mut()
+            .server_ended(now, 7, &report.of, 0);
+        notices::send(&context, Write::Tell(Notice::Crash(report)));
+        tokio::time::sleep(OUTAGE).await;
+        store.1.set(false);
+        tokio::time::sleep(IN_TOUCH).await;
+        assert_eq!(store.0.notices.borrow().len(), 1);
+    });
+}
