feat(evacuations): a zone that the operator empties gets nothing until it is taken back

Cause: nothing read the entries. Change: a collection of its own, watched by the VM that reads the store, its whole set told to followers and counted in how far a VM knows the store; servers of such zones are left out where candidates are drawn, and once more before the first byte of a request whose connection took a while; all zones of a service: 503 at once, Retry-After 2. With it, first, as more is told between VMs: the circles of files are untied. The ids of notices, what waits to be written, and the turns asked for are files of their own that know neither context nor notices.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -9,6 +9,7 @@
 use kingcuploft::entry::backend_servers::{BackendServers, Change};
 use kingcuploft::entry::configuration::{Configuration, Dealer, Destination, Route};
 use kingcuploft::entry::connections;
+use kingcuploft::entry::evacuations::Evacuations;
 use kingcuploft::entry::last_slot::LastSlot;
 use kingcuploft::entry::log_budget::{LogBudget, Ordinary};
 use kingcuploft::entry::patience::Patience;
@@ -21,15 +22,15 @@
 use kingcuploft::entry::service_time::ServiceTime;
 use kingcuploft::utils::{HashMap, HashSet};
 use kingcuploft::world::ids::{RuleName, ServiceName, VmName};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::Notify;
 
 use crate::clock;
 use crate::edge::room::Room;
 use crate::in_force::InForce;
 use crate::metrics::Metrics;
-use crate::notices::Write;
+use crate::notice_writes::NoticeWrites;
+use crate::peers::asked_turns::AskedTurns;
 use crate::peers::followers::Followers;
-use crate::peers::turns::Asked;
 use crate::peers::zone_socket::ZoneSocket;
 use crate::settings::{Bounds, EntrySettings, Vocabulary};
 use crate::store::{Collection, Revision};
@@ -70,12 +71,14 @@
     pub body_room: Room,
     /// The requests under which servers ended.
     pub quarantine: RefCell<Quarantine>,
+    /// The availability zones that get nothing.
+    pub evacuations: RefCell<Evacuations>,
     /// The limits that servers name.
     pub limits: RefCell<ServerLimits>,
     /// The turns at such servers that have been asked for.
-    pub turns: RefCell<Asked>,
+    pub asked_turns: AskedTurns,
     /// The way to whoever writes notices to the store.
-    pub notice_writes: OnceCell<mpsc::Sender<Write>>,
+    pub notice_writes: NoticeWrites,
     /// Open connections of callers.
     pub callers: Cell<usize>,
     positions: RefCell<HashMap<Collection, Revision>>,
@@ -129,9 +132,10 @@
             reader_has_store: Cell::new(true),
             promised: Cell::new(false),
             quarantine: RefCell::default(),
+            evacuations: RefCell::default(),
             limits: RefCell::default(),
-            turns: RefCell::default(),
-            notice_writes: OnceCell::new(),
+            asked_turns: AskedTurns::default(),
+            notice_writes: NoticeWrites::default(),
             callers: Cell::new(0),
             stopping: Cell::new(None),
             closes_idle: Cell::new(false),
@@ -156,7 +160,8 @@
 
     /// Returns whether the VM can serve: it knows a configuration and servers, and is not stopping.
     pub fn is_ready(&self) -> bool {
-        let knows = self.in_force.version().is_some() && self.servers_listed.get();
+        let knows_zones = self.position(Collection::Evacuations).is_some();
+        let knows = self.in_force.version().is_some() && self.servers_listed.get() && knows_zones;
         knows && !self.is_stopping()
     }
 
@@ -250,7 +255,25 @@
     /// use, and the VMs together ask all.
     pub fn upstreams(&self, service: &ServiceName) -> Vec<Rc<Upstream>> {
         let upstreams = self.upstreams.borrow();
-        upstreams.get(service).cloned().unwrap_or_default()
+        let evacuations = self.evacuations.borrow();
+        let of_service = upstreams.get(service).into_iter().flatten();
+        let open = of_service.filter(|upstream| !evacuations.holds(&upstream.server.zone));
+        open.cloned().collect()
+    }
+
+    /// Returns whether a service has servers, and all are in evacuated zones.
+    pub fn is_evacuated(&self, service: &ServiceName) -> bool {
+        let upstreams = self.upstreams.borrow();
+        let evacuations = self.evacuations.borrow();
+        let of_service = upstreams.get(service).filter(|all| !all.is_empty());
+        of_service.is_some_and(|all| all.iter().all(|u| evacuations.holds(&u.server.zone)))
+    }
+
+    /// Returns whether a request may still be sent to a server that was chosen for it.
+    pub fn takes_work(&self, upstream: &Upstream) -> bool {
+        let server = &upstream.server;
+        let is_open = !self.evacuations.borrow().holds(&server.zone);
+        is_open && self.servers.borrow().takes_work(&server.name)
     }
 
     /// Returns how many connections this VM may have to one server of a service; any number until the
--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -9,6 +9,7 @@
 use super::flight::Flight;
 use super::gone::Gone;
 use super::suspect::Clearance;
+use crate::evacuation;
 use crate::limits;
 use crate::upstream::{Upstream, probe};
 
@@ -28,6 +29,8 @@
     Refuse(Duration),
     /// Servers end under the request; the caller may come back after this time.
     Quarantined(Duration),
+    /// All servers are in evacuated zones; the caller may come back after this time.
+    Evacuated(Duration),
     CallerLeft,
 }
 
@@ -51,6 +54,9 @@
                 }
                 Clearance::Refuse(after) => return Chosen::Quarantined(after),
             }
+            if let Some(after) = evacuation::refuses(self.context, &self.service) {
+                return Chosen::Evacuated(after);
+            }
             let now = Instant::now();
             let upstreams = self.usable(now, reach);
             let has_limited = !limits::limited(self.context, &self.service).is_empty();
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -64,6 +64,10 @@
                     self.come_back = come_back;
                     return self.give_up("servers end under it");
                 }
+                Chosen::Evacuated(come_back) => {
+                    self.come_back = come_back;
+                    return self.give_up("all servers are in evacuated zones");
+                }
                 Chosen::CallerLeft => return self.give_up("the caller left"),
             };
             self.attempts.sending();
--- a/crates/kingcuploft-entry/src/edge/suspect.rs
+++ b/crates/kingcuploft-entry/src/edge/suspect.rs
@@ -10,7 +10,8 @@
 
 use super::flight::Flight;
 use crate::context::Context;
-use crate::notices::{self, Write};
+use crate::notice_writes::Write;
+use crate::notices;
 use crate::upstream::after_loss::{self, AfterLoss};
 use crate::upstream::{HoldsSuspect, Upstream};
 
@@ -41,7 +42,12 @@
             Admission::Free | Admission::Alone | Admission::Wait => Clearance::Go,
             Admission::Refuse(after) => Clearance::Refuse(after),
             Admission::Trial(report) => {
-                match notices::claim(self.context, Notice::Crash(report)).await {
+                match self
+                    .context
+                    .notice_writes
+                    .claim(Notice::Crash(report))
+                    .await
+                {
                     true => {
                         self.is_trial = true;
                         Clearance::Go
@@ -78,7 +84,7 @@
             fingerprint = %format_args!("{fingerprint:016x}"),
         );
         for id in ids {
-            notices::send(self.context, Write::Withdraw(id));
+            self.context.notice_writes.send(Write::Withdraw(id));
         }
     }
 
@@ -102,7 +108,9 @@
             in_a_row = report.as_ref().map(|report| report.in_a_row),
         );
         if let Some(report) = report {
-            notices::send(self.context, Write::Tell(Notice::Crash(report)));
+            self.context
+                .notice_writes
+                .send(Write::Tell(Notice::Crash(report)));
         }
     }
 }
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::context::Context;
+use crate::evacuation;
 use crate::limits;
 use crate::notices;
 use crate::peers::frame::Frame;
@@ -42,8 +43,8 @@
 /// leaves must be known within 2 s.
 const GATHER: Duration = Duration::from_millis(600);
 
-/// The same for notices: each tenth of a second may cost another server.
-const GATHER_NOTICES: Duration = Duration::from_millis(50);
+/// The same for what is rare and urgent: each tenth of a second may cost another server.
+const GATHER_RARE: Duration = Duration::from_millis(50);
 
 /// How often graces of lapsed entries are looked at.
 const EXPIRE_EVERY: Duration = Duration::from_millis(100);
@@ -127,6 +128,7 @@
         changes
             .iter()
             .for_each(|change| apply(&context, now, change));
+        evacuation::expire(&context, now);
     }
 }
 
@@ -161,7 +163,7 @@
     store: &S,
     collection: Collection,
 ) -> Result<Revision, StoreError> {
-    let (mut names, mut servers) = (Vec::new(), Vec::new());
+    let (mut names, mut servers, mut zones) = (Vec::new(), Vec::new(), Vec::new());
     let mut after: Option<String> = None;
     let mut first = None;
     loop {
@@ -175,6 +177,7 @@
         for (name, record) in records {
             match record {
                 Record::BackendServer(server) => servers.push(server),
+                Record::Evacuation(zone) => zones.push(zone),
                 other => written(context, other),
             }
             names.push(name);
@@ -185,6 +188,7 @@
                     all_servers(context, clock::now(), servers, &names);
                 }
                 Collection::Notices => notices::all_told(context, names.into_iter()),
+                Collection::Evacuations => evacuation::all_told(context, zones.into_iter()),
                 Collection::Configuration | Collection::Zones => {}
             }
             return Ok(first);
@@ -217,14 +221,17 @@
             StoreChange::Gone(id) if collection == Collection::Notices => {
                 notices::withdrawn(context, vec![id]);
             }
+            StoreChange::Gone(zone) if collection == Collection::Evacuations => {
+                evacuation::gone(context, &zone);
+            }
             StoreChange::Gone(_) => {}
         }
     }
     self::servers(context, clock::now(), servers);
     context.set_position(collection, revision);
     let gather = match collection {
-        Collection::Notices => GATHER_NOTICES,
-        _ => GATHER,
+        Collection::Notices | Collection::Evacuations => GATHER_RARE,
+        Collection::Configuration | Collection::BackendServers | Collection::Zones => GATHER,
     };
     tokio::time::sleep(gather).await;
     Ok(revision)
@@ -234,6 +241,7 @@
     match record {
         Record::Configuration(told) => configuration(context, *told),
         Record::BackendServer(told) => server(context, clock::now(), told),
+        Record::Evacuation(zone) => evacuation::told(context, zone),
         Record::Notice(notice) => notices::told(context, vec![notice]),
         Record::Zone(_) | Record::Other => {}
         Record::Unreadable(name, why) => {
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod context;
 
 pub mod edge;
+pub mod evacuation;
 mod gauges;
 pub mod http;
 mod impatience;
@@ -16,6 +17,7 @@
 pub mod limits;
 pub mod logs;
 pub mod metrics;
+pub mod notice_writes;
 pub mod notices;
 pub mod peers;
 pub mod pulse;
--- a/crates/kingcuploft-entry/src/limits.rs
+++ b/crates/kingcuploft-entry/src/limits.rs
@@ -12,7 +12,7 @@
 use crate::clock;
 use crate::context::Context;
 use crate::http::headers::Headers;
-use crate::notices::{self, Write};
+use crate::notice_writes::Write;
 use crate::upstream::Upstream;
 
 /// What named a limit, or did not.
@@ -53,11 +53,13 @@
     match news {
         Some(News::Named(notice)) => {
             log_named(context, &notice);
-            notices::send(context, Write::Tell(Notice::Limit(notice)));
+            context
+                .notice_writes
+                .send(Write::Tell(Notice::Limit(notice)));
         }
         Some(News::Ended(id)) => {
             tracing::info!(event = "limit_ended", %server);
-            notices::send(context, Write::Withdraw(id));
+            context.notice_writes.send(Write::Withdraw(id));
         }
         None => {}
     }
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -69,6 +69,8 @@
     pub followers: Gauge,
     /// Servers that name a limit.
     pub limited_servers: Gauge,
+    /// Availability zones that are evacuated.
+    pub evacuated_zones: Gauge,
     /// Requests that are refused as servers ended under them.
     pub quarantined: Gauge,
     /// Lines of requests that went well, left out.
@@ -100,6 +102,7 @@
             configuration_age: Gauge::default(),
             followers: Gauge::default(),
             limited_servers: Gauge::default(),
+            evacuated_zones: Gauge::default(),
             quarantined: Gauge::default(),
             ordinary_lines_left_out: Counter::default(),
             log_lines_left_out: Gauge::default(),
@@ -171,6 +174,8 @@
         );
         let help = "Servers that name how much they take";
         registry.register("limited_servers", help, self.limited_servers.clone());
+        let help = "Availability zones that are evacuated";
+        registry.register("evacuated_zones", help, self.evacuated_zones.clone());
         let help = "Requests that are refused as servers ended under them";
         registry.register("quarantined", help, self.quarantined.clone());
         let help = "Log lines of requests that went well, left out beyond their budget";
--- /dev/null
+++ b/crates/kingcuploft-entry/src/notice_writes.rs
@@ -0,0 +1,56 @@
+//! What waits to be written to the platform's store, and the way to whoever writes it.
+
+use std::cell::OnceCell;
+use std::time::Duration;
+
+use kingcuploft::entry::notice::Notice;
+use kingcuploft::entry::notice_id::NoticeId;
+use tokio::sync::{mpsc, oneshot};
+
+/// How many writes may wait; what is more is known to this VM alone.
+const MOST_WAITING: usize = 256;
+
+/// How long a request waits for leave to be tried.
+const CLAIM_PATIENCE: Duration = Duration::from_millis(200);
+
+/// What is written to the store.
+#[derive(Debug)]
+pub enum Write {
+    /// What was seen.
+    Tell(Notice),
+    /// Whoever writes it first is told so, and may act on it.
+    Claim(Notice, oneshot::Sender<bool>),
+    /// It holds no longer.
+    Withdraw(NoticeId),
+}
+
+/// The way to whoever writes notices to the store.
+#[derive(Debug, Default)]
+pub struct NoticeWrites(OnceCell<mpsc::Sender<Write>>);
+
+impl NoticeWrites {
+    /// Opens the way; returns what the writer takes from it.
+    pub fn open(&self) -> mpsc::Receiver<Write> {
+        let (writes, waiting) = mpsc::channel(MOST_WAITING);
+        let _ = self.0.set(writes);
+        waiting
+    }
+
+    /// Has something written.
+    pub fn send(&self, write: Write) {
+        let Some(writes) = self.0.get() else {
+            return;
+        };
+        if writes.try_send(write).is_err() {
+            tracing::warn!(event = "notice_left_out");
+        }
+    }
+
+    /// Asks for leave to try a request; returns whether this VM may.
+    pub async fn claim(&self, notice: Notice) -> bool {
+        let (claimed, answer) = oneshot::channel();
+        self.send(Write::Claim(notice, claimed));
+        let answer = tokio::time::timeout(CLAIM_PATIENCE, answer).await;
+        answer.is_ok_and(|claimed| claimed.unwrap_or(false))
+    }
+}
--- a/crates/kingcuploft-entry/src/notices.rs
+++ b/crates/kingcuploft-entry/src/notices.rs
@@ -5,47 +5,27 @@
 
 use kingcuploft::entry::crash_report::CrashReport;
 use kingcuploft::entry::fingerprint::Fingerprint;
-use kingcuploft::entry::notice::{Notice, NoticeId};
+use kingcuploft::entry::notice::Notice;
+use kingcuploft::entry::notice_id::NoticeId;
 use kingcuploft::entry::quarantine::Told;
 use kingcuploft::utils::HashSet;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use crate::clock;
 use crate::context::Context;
 use crate::limits;
+use crate::notice_writes::Write;
 use crate::peers::frame::Frame;
 use crate::peers::standing::standing;
 use crate::pulse::Pulse;
 use crate::store::{Recorded, Store, StoreError};
 
-/// How many writes may wait; what is more is known to this VM alone.
-const MOST_WAITING: usize = 256;
-
 /// The pause between two tries, at least; chance adds as much again.
 const PAUSE: Duration = Duration::from_millis(500);
 
-/// How long a request waits for leave to be tried.
-const CLAIM_PATIENCE: Duration = Duration::from_millis(200);
-
 /// How often notices are looked for that are outdated.
 const LOOK_EVERY: Duration = Duration::from_secs(5);
 
-/// What is written to the store.
-#[derive(Debug)]
-pub enum Write {
-    /// What was seen.
-    Tell(Notice),
-    /// Whoever writes it first is told so, and may act on it.
-    Claim(Notice, oneshot::Sender<bool>),
-    /// It holds no longer.
-    Withdraw(NoticeId),
-}
-
-/// Returns the way to the writer, and what it takes from there.
-pub fn channel() -> (mpsc::Sender<Write>, mpsc::Receiver<Write>) {
-    mpsc::channel(MOST_WAITING)
-}
-
 /// Writes to the store until the process ends.
 pub async fn write<S: Store>(
     context: Rc<Context>,
@@ -118,29 +98,11 @@
         let is_in_use = |server: &str| context.servers(|servers| servers.takes_work(server));
         outdated.extend(context.limits.borrow_mut().forget_gone(is_in_use));
         for id in outdated.into_iter().filter(|_| pulse.is_reading()) {
-            send(&context, Write::Withdraw(id));
+            context.notice_writes.send(Write::Withdraw(id));
         }
     }
 }
 
-/// Has something written.
-pub fn send(context: &Context, write: Write) {
-    let Some(writes) = context.notice_writes.get() else {
-        return;
-    };
-    if writes.try_send(write).is_err() {
-        tracing::warn!(event = "notice_left_out");
-    }
-}
-
-/// Asks for leave to try a request; returns whether this VM may.
-pub async fn claim(context: &Context, notice: Notice) -> bool {
-    let (claimed, answer) = oneshot::channel();
-    send(context, Write::Claim(notice, claimed));
-    let answer = tokio::time::timeout(CLAIM_PATIENCE, answer).await;
-    answer.is_ok_and(|claimed| claimed.unwrap_or(false))
-}
-
 /// Takes in notices that the store has, and passes on what is news.
 pub fn told(context: &Context, mut notices: Vec<Notice>) {
     let now = clock::now();
--- a/crates/kingcuploft-entry/src/peers/feed.rs
+++ b/crates/kingcuploft-entry/src/peers/feed.rs
@@ -10,10 +10,11 @@
 use tokio::sync::SemaphorePermit;
 
 use super::followers::{Line, Outgoing, Queue};
-use super::frame::{Frame, Hello};
+use super::frame::{Frame, Hello, Release, TAKES_EVACUATIONS, TAKES_NOTICES, TAKES_PARTS};
 use super::standing::standing;
 use super::writing::{timed_out, write};
 use crate::context::Context;
+use crate::evacuation;
 use crate::notices;
 use crate::pulse::Pulse;
 
@@ -26,19 +27,12 @@
 /// From how many bytes on a follower waits for its turn.
 const LONG_BYTES: usize = 16 * 1024;
 
-/// The first release whose VMs take a configuration in parts.
-const TAKES_PARTS: u32 = 1;
-
-/// The first release whose VMs take notices.
-const TAKES_NOTICES: u32 = 2;
-
 /// A link to a follower.
 pub(super) struct Feed<'a, W> {
     context: &'a Rc<Context>,
     pulse: &'a Pulse,
     stream: W,
-    takes_parts: bool,
-    takes_notices: bool,
+    speaks: Release,
     /// The version that the follower has.
     version: Option<ConfigurationVersion>,
     arrived: Option<Arrived>,
@@ -55,8 +49,7 @@
             context,
             pulse,
             stream,
-            takes_parts: hello.speaks >= TAKES_PARTS,
-            takes_notices: hello.speaks >= TAKES_NOTICES,
+            speaks: hello.speaks,
             version: hello.version,
             arrived: hello.arrived,
         }
@@ -74,22 +67,26 @@
         while let Some(outgoing) = queue.next().await {
             match outgoing {
                 Outgoing::Line(line) => write(&mut self.stream, &line).await?,
-                Outgoing::Alive(_) if self.takes_parts => self.tell(&Frame::Alive).await?,
+                Outgoing::Alive(_) if self.takes_parts() => self.tell(&Frame::Alive).await?,
                 Outgoing::Alive(line) => write(&mut self.stream, &line).await?,
-                Outgoing::Newer(version) if self.takes_parts => {
+                Outgoing::Newer(version) if self.takes_parts() => {
                     self.tell(&Frame::Newer(version)).await?;
                 }
                 Outgoing::Newer(_) => {}
                 Outgoing::Configuration => self.configuration().await?,
-                Outgoing::Notices(line) if self.takes_notices => {
+                Outgoing::Since(release, line) if self.speaks >= release => {
                     write(&mut self.stream, &line).await?;
                 }
-                Outgoing::Notices(_) => {}
+                Outgoing::Since(..) => {}
             }
         }
         Ok(())
     }
 
+    fn takes_parts(&self) -> bool {
+        self.speaks >= TAKES_PARTS
+    }
+
     async fn greet(&mut self, hello: &Hello) -> std::io::Result<()> {
         let own = standing(self.context, self.pulse);
         let digest = self.context.servers(|servers| servers.digest());
@@ -99,7 +96,10 @@
         let mut greeting = Frame::Standing(own).to_line();
         let records = self.context.readers.borrow().records();
         greeting.extend(Frame::Zones(records).to_line());
-        if self.takes_notices {
+        if self.speaks >= TAKES_EVACUATIONS {
+            greeting.extend(evacuation::frame(self.context).to_line());
+        }
+        if self.speaks >= TAKES_NOTICES {
             let notices = notices::stored(self.context);
             greeting.extend(Frame::AllNotices(notices).to_line());
         }
@@ -133,7 +133,7 @@
         {
             return Ok(());
         }
-        if !self.takes_parts {
+        if !self.takes_parts() {
             self.version = Some(current.version);
             let whole = Frame::Configuration(Box::new((*current).clone())).to_line();
             return write(&mut self.stream, &whole).await;
@@ -174,7 +174,7 @@
                 turn = &mut turn => return turn.map_err(|_| timed_out()),
                 () = tokio::time::sleep(HEARTBEAT) => {}
             }
-            let alive = match self.takes_parts {
+            let alive = match self.takes_parts() {
                 true => Frame::Alive.to_line(),
                 false => Vec::new(),
             };
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -8,7 +8,8 @@
 use kingcuploft::entry::configuration::ConfigurationVersion;
 use kingcuploft::entry::configuration_change::{ChangePart, PartError};
 use kingcuploft::entry::feeding;
-use kingcuploft::entry::notice::{Notice, NoticeId};
+use kingcuploft::entry::notice::Notice;
+use kingcuploft::entry::notice_id::NoticeId;
 use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_table::{ServerTable, TableError};
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
@@ -18,6 +19,7 @@
 use super::lines::{LineError, Lines};
 use crate::clock;
 use crate::context::Context;
+use crate::evacuation;
 use crate::keeper;
 use crate::notices;
 use crate::pulse::Pulse;
@@ -170,6 +172,7 @@
         vm: own.clone(),
         configuration: context.position(Collection::Configuration),
         servers: context.position(Collection::BackendServers),
+        evacuations: context.position(Collection::Evacuations),
         below: context.followers.below(&context.settings.zone),
         version: context.in_force.leads_on(),
         arrived: context.in_force.arrived(),
@@ -319,6 +322,7 @@
     let own = Standing {
         configuration: context.position(Collection::Configuration),
         servers: context.position(Collection::BackendServers),
+        evacuations: context.position(Collection::Evacuations),
         store_there: true,
         path: Vec::new(),
     };
@@ -339,6 +343,9 @@
     if let Some(revision) = standing.servers {
         context.set_position(Collection::BackendServers, revision);
     }
+    if let Some(revision) = standing.evacuations {
+        context.set_position(Collection::Evacuations, revision);
+    }
     context.reader_has_store.set(standing.store_there);
     *context.path.borrow_mut() = standing.path;
 }
@@ -360,6 +367,7 @@
             notices::told(context, notices);
             notices::all_told(context, ids.into_iter());
         }
+        Frame::Evacuations(zones) => evacuation::followed(context, zones),
         Frame::StoreReturned => keeper::store_returned(context),
         Frame::Hello(_)
         | Frame::WhoReads
--- a/crates/kingcuploft-entry/src/peers/followers.rs
+++ b/crates/kingcuploft-entry/src/peers/followers.rs
@@ -11,7 +11,7 @@
 use kingcuploft::world::ids::{AvailabilityZone, VmName};
 use tokio::sync::{Notify, Semaphore, mpsc};
 
-use super::frame::Frame;
+use super::frame::{Frame, Release, TAKES_EVACUATIONS, TAKES_NOTICES};
 
 /// How many frames may wait for one follower; one that is so far behind is better off alone.
 const MOST_WAITING: usize = 256;
@@ -36,8 +36,8 @@
     Newer(ConfigurationVersion),
     /// What leads from its configuration to the one in force.
     Configuration,
-    /// A line about notices.
-    Notices(Line),
+    /// A line that VMs understand from this release on.
+    Since(Release, Line),
 }
 
 /// What waits to be told to one follower.
@@ -63,7 +63,7 @@
     }
 
     fn taken(&self, outgoing: Option<&Outgoing>) {
-        if let Some(Outgoing::Line(line) | Outgoing::Alive(line) | Outgoing::Notices(line)) =
+        if let Some(Outgoing::Line(line) | Outgoing::Alive(line) | Outgoing::Since(_, line)) =
             outgoing
         {
             self.bytes.set(self.bytes.get() - line.len());
@@ -86,7 +86,7 @@
     /// Has something told; returns whether there was room.
     fn tell(&self, outgoing: &Outgoing) -> bool {
         let bytes = match outgoing {
-            Outgoing::Line(line) | Outgoing::Alive(line) | Outgoing::Notices(line) => line.len(),
+            Outgoing::Line(line) | Outgoing::Alive(line) | Outgoing::Since(_, line) => line.len(),
             Outgoing::Newer(_) | Outgoing::Configuration => 0,
         };
         let waiting = self.waiting_bytes.get();
@@ -170,8 +170,17 @@
 
     /// Tells all followers that understand it of notices.
     pub fn tell_notices(&self, notices: &Frame) {
+        self.tell_since(TAKES_NOTICES, notices);
+    }
+
+    /// Tells all followers that understand it which zones are evacuated.
+    pub fn tell_evacuations(&self, evacuations: &Frame) {
+        self.tell_since(TAKES_EVACUATIONS, evacuations);
+    }
+
+    fn tell_since(&self, release: Release, frame: &Frame) {
         if !self.is_empty() {
-            self.tell_all(&Outgoing::Notices(Rc::new(notices.to_line())));
+            self.tell_all(&Outgoing::Since(release, Rc::new(frame.to_line())));
         }
     }
 
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -4,11 +4,12 @@
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
 use kingcuploft::entry::configuration_change::ChangePart;
-use kingcuploft::entry::notice::{Notice, NoticeId};
+use kingcuploft::entry::notice::Notice;
+use kingcuploft::entry::notice_id::NoticeId;
 use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_table::ServerTable;
 use kingcuploft::entry::zone_record::ZoneRecord;
-use kingcuploft::world::ids::VmName;
+use kingcuploft::world::ids::{AvailabilityZone, VmName};
 use serde::{Deserialize, Serialize};
 
 use crate::store::Revision;
@@ -54,6 +55,8 @@
     NoticesGone(Vec<NoticeId>),
     /// All notices that the store has.
     AllNotices(Vec<Notice>),
+    /// The availability zones that get nothing, all of them.
+    Evacuations(Vec<AvailabilityZone>),
     /// The store answers the sender again after it did not.
     StoreReturned,
     /// All that the sender knew when the link began has been told.
@@ -69,6 +72,9 @@
     pub configuration: Option<Revision>,
     /// Up to which moment it knows the backend servers.
     pub servers: Option<Revision>,
+    /// Up to which moment it knows which zones are evacuated.
+    #[serde(default)]
+    pub evacuations: Option<Revision>,
     /// How many VMs are fed through it.
     pub below: u32,
     /// The version of the configuration that it may be led on from.
@@ -80,13 +86,26 @@
     /// The digest of the backend servers that it knows.
     #[serde(default)]
     pub servers_digest: Option<u64>,
-    /// The frames that it understands: 2 for all of this release, 1 for all but notices, 0 for those before.
+    /// The frames that it understands: 3 for all of this release, 2 for all but evacuations, 1 for no notices either, 0
+    /// for those before.
     #[serde(default)]
-    pub speaks: u32,
+    pub speaks: Release,
 }
 
+/// Which frames a VM understands; a greater one understands more.
+pub type Release = u32;
+
 /// What a VM of this release understands.
-pub const SPEAKS: u32 = 2;
+pub const SPEAKS: Release = 3;
+
+/// The first release whose VMs take a configuration in parts.
+pub const TAKES_PARTS: Release = 1;
+
+/// The first release whose VMs take notices.
+pub const TAKES_NOTICES: Release = 2;
+
+/// The first release whose VMs take evacuations.
+pub const TAKES_EVACUATIONS: Release = 3;
 
 /// How far a VM knows the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -95,6 +114,9 @@
     pub configuration: Option<Revision>,
     /// Up to which moment it knows the backend servers.
     pub servers: Option<Revision>,
+    /// Up to which moment it knows which zones are evacuated; none also where the sender is of an earlier release.
+    #[serde(default)]
+    pub evacuations: Option<Revision>,
     /// Whether the store answers the one that reads.
     pub store_there: bool,
     /// Through which VMs it hears, the one that reads first, itself last.
@@ -102,15 +124,18 @@
 }
 
 impl Standing {
-    /// Returns whether it knows both, the configuration and the servers.
+    /// Returns whether it knows all that a request is sent by: the configuration, the servers, which zones are evacuated.
     pub fn is_whole(&self) -> bool {
-        self.configuration.is_some() && self.servers.is_some()
+        self.configuration.is_some() && self.servers.is_some() && self.evacuations.is_some()
     }
 
     /// Returns whether a VM that stands here knows less than one that stands at `own`. What it says
     /// of a server that left would bring the server back.
     pub fn is_behind(&self, own: &Self) -> bool {
-        !self.is_whole() || self.configuration < own.configuration || self.servers < own.servers
+        let knows_less = self.configuration < own.configuration
+            || self.servers < own.servers
+            || self.evacuations < own.evacuations;
+        !self.is_whole() || knows_less
     }
 }
 
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! The links between the VMs of an availability zone: what one VM reads of the platform's store, it
 //! passes on to those that follow it.
 
+pub mod asked_turns;
 pub mod away;
 pub mod dial;
 mod feed;
--- a/crates/kingcuploft-entry/src/peers/reader.rs
+++ b/crates/kingcuploft-entry/src/peers/reader.rs
@@ -110,7 +110,10 @@
 
 /// Returns whether a VM that wants to be fed knows the store up to a later moment.
 fn is_ahead(hello: &Hello, own: &Standing) -> bool {
-    own.is_whole() && (hello.configuration > own.configuration || hello.servers > own.servers)
+    let knows_more = hello.configuration > own.configuration
+        || hello.servers > own.servers
+        || hello.evacuations > own.evacuations;
+    own.is_whole() && knows_more
 }
 
 /// Learns up to which moment this VM knows the store.
--- a/crates/kingcuploft-entry/src/peers/standing.rs
+++ b/crates/kingcuploft-entry/src/peers/standing.rs
@@ -12,6 +12,7 @@
     Standing {
         configuration: context.position(Collection::Configuration),
         servers: context.position(Collection::BackendServers),
+        evacuations: context.position(Collection::Evacuations),
         store_there: match pulse.is_reading() {
             true => pulse.is_there(),
             false => context.reader_has_store.get(),
--- a/crates/kingcuploft-entry/src/peers/turns.rs
+++ b/crates/kingcuploft-entry/src/peers/turns.rs
@@ -6,9 +6,7 @@
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::server_limit::{ASK_AGAIN, Turn};
-use kingcuploft::utils::HashMap;
 use kingcuploft::world::ids::BackendServerName;
-use tokio::sync::oneshot;
 
 use super::zone_socket::Told;
 use crate::context::Context;
@@ -17,13 +15,6 @@
 /// How long an answer is waited for: many round trips of a region.
 const PATIENCE: Duration = Duration::from_millis(30);
 
-/// The turns that have been asked for.
-#[derive(Debug, Default)]
-pub struct Asked {
-    last: u64,
-    open: HashMap<u64, oneshot::Sender<Turn>>,
-}
-
 /// Asks for a turn at a server for a request that waits so long at most.
 pub async fn ask(context: &Context, server: &BackendServerName, patience: Duration) -> Turn {
     if limits::is_kept_here(context, server) {
@@ -34,7 +25,7 @@
     let (Some(keeper), Some(socket)) = (keeper, context.peer_readings.get()) else {
         return Turn::TooLate(ASK_AGAIN);
     };
-    let (ask, answer) = open(context);
+    let (ask, answer) = context.asked_turns.open();
     let told = Told::AskTurn {
         server: server.clone(),
         patience_ms: patience.as_millis() as u64,
@@ -42,22 +33,13 @@
     };
     socket.tell(&told, &[keeper.address]);
     let answered = tokio::time::timeout(PATIENCE, answer).await;
-    context.turns.borrow_mut().open.remove(&ask);
+    context.asked_turns.close(ask);
     match answered {
         Ok(Ok(turn)) => turn,
         Ok(Err(_)) | Err(_) => Turn::TooLate(ASK_AGAIN),
     }
 }
 
-fn open(context: &Context) -> (u64, oneshot::Receiver<Turn>) {
-    let (sender, answer) = oneshot::channel();
-    let mut asked = context.turns.borrow_mut();
-    asked.last += 1;
-    let ask = asked.last;
-    asked.open.insert(ask, sender);
-    (ask, answer)
-}
-
 /// Answers a VM that asks for a turn.
 pub fn asked(
     context: &Context,
@@ -89,7 +71,5 @@
         true => Turn::After(after),
         false => Turn::TooLate(after),
     };
-    if let Some(waits) = context.turns.borrow_mut().open.remove(&ask) {
-        let _ = waits.send(turn);
-    }
+    context.asked_turns.answered(ask, turn);
 }
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -116,16 +116,11 @@
         let listener = listen(address)?;
         tokio::task::spawn_local(readiness::serve(context.clone(), listener));
     }
-    let (writes, waiting) = notices::channel();
-    let _ = context.notice_writes.set(writes);
+    let waiting = context.notice_writes.open();
     let writing = notices::write(context.clone(), store.clone(), pulse.clone(), waiting);
     tokio::task::spawn_local(writing);
     tokio::task::spawn_local(notices::tidy(context.clone(), pulse.clone()));
-    for collection in [
-        Collection::Configuration,
-        Collection::BackendServers,
-        Collection::Notices,
-    ] {
+    for collection in Collection::WATCHED {
         let (context, store) = (context.clone(), store.clone());
         let following = keeper::follow(context, store, pulse.clone(), collection);
         tokio::task::spawn_local(following);
--- a/crates/kingcuploft-entry/src/sign_of_life.rs
+++ b/crates/kingcuploft-entry/src/sign_of_life.rs
@@ -36,13 +36,6 @@
 /// for most of this time.
 const BEHIND: Duration = Duration::from_millis(900);
 
-/// What is watched.
-const WATCHED: [Collection; 3] = [
-    Collection::Configuration,
-    Collection::BackendServers,
-    Collection::Notices,
-];
-
 /// Watches over the store while this VM reads it, until the process ends.
 pub async fn watch_over<S: Store>(context: Rc<Context>, store: Rc<S>, pulse: Rc<Pulse>) {
     let mut lag = Lag::default();
@@ -84,7 +77,9 @@
 
 /// Returns whether bytes of any answer have come since a moment.
 fn hears<S: Store>(store: &S, since: Instant) -> bool {
-    let heard = WATCHED.into_iter().filter_map(|c| store.heard(c));
+    let heard = Collection::WATCHED
+        .into_iter()
+        .filter_map(|c| store.heard(c));
     heard.max().is_some_and(|heard| heard > since)
 }
 
@@ -111,7 +106,7 @@
     /// Takes in a moment that the store has reached; returns whether the watches have been behind it
     /// for too long. A moment is complained of once: other collections move the store on as well.
     fn is_too_long(&mut self, now: Instant, reached: Revision, context: &Context) -> bool {
-        let known = WATCHED
+        let known = Collection::WATCHED
             .into_iter()
             .filter_map(|c| context.position(c))
             .max();
--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -8,6 +8,7 @@
 use kingcuploft::entry::configuration::Configuration;
 use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::zone_record::ZoneRecord;
+use kingcuploft::world::ids::AvailabilityZone;
 
 /// A moment in the store's history; greater is later.
 pub type Revision = u64;
@@ -23,9 +24,19 @@
     Zones,
     /// What VMs have seen of requests and backend servers.
     Notices,
+    /// The availability zones that are to get nothing.
+    Evacuations,
 }
 
 impl Collection {
+    /// What a VM that reads the store watches.
+    pub const WATCHED: [Self; 4] = [
+        Self::Configuration,
+        Self::BackendServers,
+        Self::Notices,
+        Self::Evacuations,
+    ];
+
     /// Returns the name used in logs.
     pub fn label(self) -> &'static str {
         match self {
@@ -33,6 +44,7 @@
             Self::BackendServers => "backend_servers",
             Self::Zones => "zones",
             Self::Notices => "notices",
+            Self::Evacuations => "evacuations",
         }
     }
 }
@@ -48,6 +60,8 @@
     Zone(ZoneRecord),
     /// What a VM has seen.
     Notice(Notice),
+    /// An availability zone is to get nothing.
+    Evacuation(AvailabilityZone),
     /// An entry that can't be read, with its name and why.
     Unreadable(String, String),
     /// An entry that is not for this collection's readers.
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -75,6 +75,11 @@
     let Ok(mut connection) = upstream.connect().await else {
         return Ended::without_answer(AttemptEnd::Unsent, "no connection", begun);
     };
+    // A new connection may take a second, and the zone may have been evacuated meanwhile.
+    if !context.takes_work(upstream) {
+        upstream.keep(connection);
+        return Ended::without_answer(AttemptEnd::Unsent, "the server takes no more work", begun);
+    }
     let left = left.saturating_sub(begun.elapsed());
     let bytes = write_request(context, upstream, request, left);
     match connection.send(&bytes).await {
--- a/crates/kingcuploft-entry/tests/entry/quarantine.rs
+++ b/crates/kingcuploft-entry/tests/entry/quarantine.rs
@@ -4,7 +4,6 @@
 
 use kingcuploft::entry::crash_report::CrashReport;
 use kingcuploft::entry::notice::Notice;
-use kingcuploft_entry::notices;
 use kingcuploft_entry::run::Running;
 use kingcuploft_entry::store::Store;
 
@@ -188,7 +187,12 @@
         world.store.silent.set(true);
         let begun = Instant::now();
         let context = &world.vm.context;
-        assert!(!notices::claim(context, Notice::Crash(trial.clone())).await);
+        assert!(
+            !context
+                .notice_writes
+                .claim(Notice::Crash(trial.clone()))
+                .await
+        );
         assert!(begun.elapsed() < Duration::from_secs(2));
         assert!(context.quarantine.borrow().is_empty());
         world.store.silent.set(false);
@@ -197,7 +201,13 @@
             ..trial
         };
         let world = World::with(&[Act::Answer]).await;
-        let claim = || notices::claim(&world.vm.context, Notice::Crash(other.clone()));
+        let claim = || {
+            world
+                .vm
+                .context
+                .notice_writes
+                .claim(Notice::Crash(other.clone()))
+        };
         assert!(claim().await);
         assert!(!claim().await, "once");
     });
--- a/crates/kingcuploft-entry/tests/entry/store.rs
+++ b/crates/kingcuploft-entry/tests/entry/store.rs
@@ -8,6 +8,7 @@
 use kingcuploft::entry::configuration::Configuration;
 use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::zone_record::ZoneRecord;
+use kingcuploft::world::ids::AvailabilityZone;
 use kingcuploft_entry::store::{
     Changes, Collection, Page, Record, Recorded, Recording, Revision, Store, StoreChange,
     StoreError,
@@ -21,6 +22,7 @@
     pub(crate) servers: RefCell<Vec<BackendServer>>,
     pub(crate) zones: RefCell<Vec<ZoneRecord>>,
     pub(crate) notices: RefCell<Vec<Notice>>,
+    pub(crate) evacuations: RefCell<Vec<AvailabilityZone>>,
     /// Calls hang, those that wait already as well, even after the fault has ended.
     pub(crate) silent: Cell<bool>,
     /// Writes are refused.
@@ -61,6 +63,21 @@
         self.change(Collection::BackendServers, StoreChange::Gone(name.into()));
     }
 
+    /// Has a zone evacuated, or takes it back.
+    pub(crate) fn evacuate(&self, zone: &str, is_evacuated: bool) {
+        self.evacuations
+            .borrow_mut()
+            .retain(|known| **known != *zone);
+        let change = match is_evacuated {
+            true => {
+                self.evacuations.borrow_mut().push(zone.into());
+                StoreChange::Written(Record::Evacuation(zone.into()))
+            }
+            false => StoreChange::Gone(zone.into()),
+        };
+        self.change(Collection::Evacuations, change);
+    }
+
     /// Moves on to a later moment without a change that anybody watches for.
     pub(crate) fn move_on(&self, by: Revision) {
         self.revision.set(self.revision.get() + by);
@@ -141,6 +158,11 @@
                 let records = notices.map(|notice| (notice.id(), Record::Notice(notice)));
                 records.collect()
             }
+            Collection::Evacuations => {
+                let zones = held.evacuations.borrow().clone().into_iter();
+                let records = zones.map(|zone| (zone.to_string(), Record::Evacuation(zone)));
+                records.collect()
+            }
             Collection::Zones => {
                 if held.hides_zones.get() {
                     std::future::pending::<()>().await;
--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -134,7 +134,7 @@
             tokio::task::spawn_local(keeper::expire(context.clone())),
             tokio::task::spawn_local(reader::beat(context.clone(), pulse.clone())),
         ];
-        for collection in [Collection::Configuration, Collection::BackendServers] {
+        for collection in Collection::WATCHED {
             let (context, store) = (context.clone(), store.clone());
             let following = keeper::follow(context, store, pulse.clone(), collection);
             tasks.push(tokio::task::spawn_local(following));
--- a/crates/kingcuploft-entry/tests/links/joining.rs
+++ b/crates/kingcuploft-entry/tests/links/joining.rs
@@ -85,6 +85,7 @@
         vm: entry("joins"),
         configuration: host.context.position(Collection::Configuration),
         servers: host.context.position(Collection::BackendServers),
+        evacuations: host.context.position(Collection::Evacuations),
         below: 0,
         version: host.context.in_force.version(),
         arrived: None,
@@ -242,6 +243,7 @@
     Frame::Standing(Standing {
         configuration: host.context.position(Collection::Configuration),
         servers: host.context.position(Collection::BackendServers),
+        evacuations: host.context.position(Collection::Evacuations),
         store_there: true,
         path: vec!["script".into()],
     })
--- a/crates/kingcuploft-entry/tests/links/main.rs
+++ b/crates/kingcuploft-entry/tests/links/main.rs
@@ -6,6 +6,7 @@
 mod store;
 
 mod configurations;
+mod evacuations;
 mod fleet;
 mod joining;
 mod network;
--- a/crates/kingcuploft-entry/tests/links/network.rs
+++ b/crates/kingcuploft-entry/tests/links/network.rs
@@ -94,7 +94,10 @@
     async fn receive(&self, collection: Collection, changes: usize) {
         let bytes = match collection {
             Collection::Configuration => changes * self.configuration_bytes.get(),
-            Collection::BackendServers | Collection::Zones | Collection::Notices => 300 * changes,
+            Collection::BackendServers
+            | Collection::Zones
+            | Collection::Notices
+            | Collection::Evacuations => 300 * changes,
         };
         let arrives = self.nic.receive(bytes, Instant::now() + STORE_DELAY);
         self.receives_until.set(arrives);
--- a/crates/kingcuploft-entry/tests/links/notices.rs
+++ b/crates/kingcuploft-entry/tests/links/notices.rs
@@ -7,7 +7,8 @@
 use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::readers::VmEntry;
 use kingcuploft_entry::context::Context;
-use kingcuploft_entry::notices::{self, Write};
+use kingcuploft_entry::notice_writes::Write;
+use kingcuploft_entry::notices;
 use kingcuploft_entry::pulse::Pulse;
 use kingcuploft_entry::sign_of_life;
 
@@ -34,8 +35,7 @@
         };
         let context = Rc::new(Context::new(settings(&vm, false), WORDS));
         let pulse = Rc::new(Pulse::default());
-        let (writes, waiting) = notices::channel();
-        context.notice_writes.set(writes).unwrap();
+        let waiting = context.notice_writes.open();
         let client = Rc::new(store.clone());
         let feeling = sign_of_life::watch_over(context.clone(), client.clone(), pulse.clone());
         tokio::task::spawn_local(feeling);
@@ -53,7 +53,9 @@
             .quarantine
             .borrow_mut()
             .server_ended(now, 7, &report.of, 0);
-        notices::send(&context, Write::Tell(Notice::Crash(report)));
+        context
+            .notice_writes
+            .send(Write::Tell(Notice::Crash(report)));
         tokio::time::sleep(OUTAGE).await;
         store.1.set(false);
         tokio::time::sleep(IN_TOUCH).await;
--- a/crates/kingcuploft/src/entry/crash_report.rs
+++ b/crates/kingcuploft/src/entry/crash_report.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::fingerprint::Fingerprint;
-use super::notice::NoticeId;
+use super::notice_id::NoticeId;
 
 /// What the names of reports begin with.
 const PREFIX: &str = "crash.";
--- a/crates/kingcuploft/src/entry/notice.rs
+++ b/crates/kingcuploft/src/entry/notice.rs
@@ -3,11 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::crash_report::CrashReport;
+use super::notice_id::NoticeId;
 use super::server_limits::LimitNotice;
 
-/// Names a notice in the store.
-pub type NoticeId = String;
-
 /// What a VM has seen that all VMs have to act on. Each VM that sees the same gives the same notice.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Notice {
--- a/crates/kingcuploft/src/entry/quarantine.rs
+++ b/crates/kingcuploft/src/entry/quarantine.rs
@@ -13,7 +13,7 @@
 
 use super::crash_report::CrashReport;
 use super::fingerprint::Fingerprint;
-use super::notice::NoticeId;
+use super::notice_id::NoticeId;
 use crate::utils::{HashMap, HashSet};
 
 /// How many servers end in a row before a request is refused: one may end for any reason.
--- a/crates/kingcuploft/src/entry/server_limits.rs
+++ b/crates/kingcuploft/src/entry/server_limits.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::notice::NoticeId;
+use super::notice_id::NoticeId;
 use super::server_limit::{ASK_AGAIN, Part, PerSecond, ServerLimit, Turn};
 use crate::utils::{HashMap, HashSet};
 use crate::world::ids::BackendServerName;
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod configuration_change;
 mod connections;
+mod evacuations;
 mod feeding;
 mod log_budget;
 mod patience;
