feat(cold): cold servers get what they bear from all VMs together, and no more

Cause: coldPerS was not read, and nothing counted requests to a server that has just started; a cold server looked near and idle to all VMs.

--- /dev/null
+++ b/crates/kingcuploft-entry/src/cold.rs
@@ -0,0 +1,121 @@
+//! Backend servers that are cold, or may be: heard of, kept to what they bear, warm again.
+
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::configuration::ColdStart;
+use kingcuploft::entry::server_limits::Turned;
+use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, ServiceName};
+
+use crate::context::Context;
+use crate::http::headers::Headers;
+use crate::limits;
+use crate::upstream::Upstream;
+
+/// The most servers that are told one by one when they turn cold or warm together.
+const MOST_TOLD_ALONE: usize = 4;
+
+/// A server that was not known to be cold, and for how long it is.
+type NewlyCold = (BackendServerName, Duration);
+
+/// Reads for how long a server stays cold, by its answer to a probe; zero if it says nothing of it.
+pub fn read(context: &Context, headers: &Headers) -> Duration {
+    let told = headers.get(context.vocabulary.cold_ms);
+    let told_ms = told.and_then(|told| told.parse::<f64>().ok());
+    let cold_for = told_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
+    cold_for.unwrap_or_default()
+}
+
+/// Takes in for how long a server stays cold, as it says itself, asked at this moment.
+pub fn heard(context: &Context, upstream: &Upstream, cold_for: Duration, asked_at: Instant) {
+    if !cold_for.is_zero() {
+        let turned = turned_cold(context, upstream, cold_for);
+        return log_cold(context, turned.as_slice());
+    }
+    upstream.is_not_cold(asked_at);
+    let server = &upstream.server.name;
+    let part = |per_s| limits::part(context, server, per_s);
+    let mut all = context.limits.borrow_mut();
+    if all.is_warm(Instant::now(), server, asked_at, part) {
+        log_warm(std::slice::from_ref(server));
+    }
+}
+
+/// Takes in for how long servers stay cold, as the platform's store says.
+pub fn told(context: &Context, cold: &[(BackendServerName, Duration)]) {
+    let turned = cold.iter().filter_map(|(server, cold_for)| {
+        let upstream = context.upstream(server)?;
+        turned_cold(context, &upstream, *cold_for)
+    });
+    let turned: Vec<_> = turned.collect();
+    log_cold(context, &turned);
+}
+
+/// Keeps the servers that are cold to what they bear by the configuration that has just come into force.
+pub fn configured(context: &Context) {
+    let now = Instant::now();
+    let all = context.all_upstreams().into_iter();
+    let cold = all.map(|upstream| (upstream.server.name.clone(), upstream.cold_for(now)));
+    let cold: Vec<_> = cold.filter(|(_, cold_for)| !cold_for.is_zero()).collect();
+    told(context, &cold);
+}
+
+/// Keeps a server to what it bears; returns it if it was not known to be cold.
+fn turned_cold(context: &Context, upstream: &Upstream, cold_for: Duration) -> Option<NewlyCold> {
+    let now = Instant::now();
+    upstream.is_cold_until(now + cold_for);
+    let cold_start = cold_start(context, &upstream.server.service)?;
+    let server = &upstream.server.name;
+    let part = |per_s| limits::part(context, server, per_s);
+    let (per_s, chance) = (cold_start.per_s(), fastrand::f64());
+    let mut all = context.limits.borrow_mut();
+    let turned = all.turned_cold(now, server, per_s, cold_for, part, chance);
+    (turned == Turned::Cold).then(|| (server.clone(), cold_for))
+}
+
+fn log_cold(context: &Context, turned: &[NewlyCold]) {
+    if turned.len() > MOST_TOLD_ALONE {
+        return tracing::info!(event = "servers_cold", count = turned.len());
+    }
+    for (server, cold_for) in turned {
+        let cold_ms = cold_for.as_millis() as u64;
+        let per_s = context.limits.borrow().per_s(server);
+        tracing::info!(event = "server_cold", %server, cold_ms, per_s);
+    }
+}
+
+fn log_warm(warm: &[BackendServerName]) {
+    if warm.len() > MOST_TOLD_ALONE {
+        return tracing::info!(event = "servers_warm", count = warm.len());
+    }
+    for server in warm {
+        tracing::info!(event = "server_warm", %server);
+    }
+}
+
+/// Ends the limits of servers that are warm by now.
+pub fn expire(context: &Context, now: Instant) {
+    if context.limits.borrow().cold_count() == 0 {
+        return;
+    }
+    let part = |server: &BackendServerName, per_s| limits::part(context, server, per_s);
+    let warm = context.limits.borrow_mut().end_cold(now, part);
+    log_warm(&warm);
+}
+
+/// Has the servers of a zone that is taken back say first whether they are cold.
+///
+/// Failure: the zone's servers have turned cold while nobody looked, are near and idle, and get the zone's whole load at once.
+pub fn zone_taken_back(context: &Context, zone: &AvailabilityZone) {
+    let now = Instant::now();
+    let all = context.all_upstreams().into_iter();
+    for upstream in all.filter(|upstream| upstream.server.zone == *zone) {
+        if let Some(cold_start) = cold_start(context, &upstream.server.service) {
+            upstream.doubt(now, cold_start.lasts);
+        }
+    }
+}
+
+fn cold_start(context: &Context, service: &ServiceName) -> Option<ColdStart> {
+    let configuration = context.configuration()?;
+    configuration.services.get(service)?.cold_start
+}
--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -261,6 +261,16 @@
         open.cloned().collect()
     }
 
+    /// Returns the servers of all services and zones.
+    pub fn all_upstreams(&self) -> Vec<Rc<Upstream>> {
+        self.upstreams
+            .borrow()
+            .values()
+            .flatten()
+            .cloned()
+            .collect()
+    }
+
     /// Returns whether a service has servers, and all are in evacuated zones.
     pub fn is_evacuated(&self, service: &ServiceName) -> bool {
         let upstreams = self.upstreams.borrow();
--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -70,7 +70,7 @@
             let life = self.context.reading_life().max(now - look_begun) + AWAIT_STEP;
             let candidates: Vec<Candidate> = upstreams
                 .iter()
-                .map(|u| u.candidate(now, life, self.was_tried(u)))
+                .map(|u| u.candidate(now, life, self.is_out(u, now)))
                 .collect();
             let need = self.need(now, look_begun, reach);
             match place(&need, &candidates, fastrand::f64) {
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Returns whether the request can't be sent to a server now: it was, or the server may be cold and has not said.
+    pub(super) fn is_out(&self, upstream: &Rc<Upstream>, now: Instant) -> bool {
+        self.was_tried(upstream) || upstream.is_doubted(now)
+    }
+
     pub(super) fn was_tried(&self, upstream: &Rc<Upstream>) -> bool {
         self.tried.iter().any(|tried| Rc::ptr_eq(tried, upstream))
     }
--- a/crates/kingcuploft-entry/src/edge/second_look.rs
+++ b/crates/kingcuploft-entry/src/edge/second_look.rs
@@ -90,7 +90,7 @@
         let life = self.context.reading_life() + SECOND_LOOK_PATIENCE + AWAIT_STEP;
         let seen = others
             .iter()
-            .map(|u| u.candidate(now, life, self.was_tried(u)));
+            .map(|u| u.candidate(now, life, self.is_out(u, now)));
         let candidates: Vec<Candidate> = seen.collect();
         let need = self.need(now, now, Reach::Near);
         let Step::Send(at) = place(&need, &candidates, fastrand::f64) else {
--- a/crates/kingcuploft-entry/src/evacuation.rs
+++ b/crates/kingcuploft-entry/src/evacuation.rs
@@ -7,6 +7,7 @@
 use kingcuploft::world::ids::{AvailabilityZone, ServiceName};
 
 use crate::clock;
+use crate::cold;
 use crate::context::Context;
 use crate::peers::frame::Frame;
 
@@ -55,7 +56,10 @@
     for change in changes {
         match change {
             Change::Begun(zone) => tracing::info!(event = "zone_evacuated", %zone),
-            Change::Ended(zone) => tracing::info!(event = "zone_taken_back", %zone),
+            Change::Ended(zone) => {
+                tracing::info!(event = "zone_taken_back", %zone);
+                cold::zone_taken_back(context, &zone);
+            }
         }
     }
 }
--- a/crates/kingcuploft-entry/src/gauges.rs
+++ b/crates/kingcuploft-entry/src/gauges.rs
@@ -17,6 +17,8 @@
         self.metrics.quarantined.set(quarantined as i64);
         let limited = self.limits.borrow().len();
         self.metrics.limited_servers.set(limited as i64);
+        let cold = self.limits.borrow().cold_count();
+        self.metrics.cold_servers.set(cold as i64);
         let evacuated = self.evacuations.borrow().zones().len();
         self.metrics.evacuated_zones.set(evacuated as i64);
         let newest = self.in_force.newest().unwrap_or(version);
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -13,8 +13,10 @@
 use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
 use kingcuploft::entry::server_table::ServerTable;
 use kingcuploft::entry::zone_record::{MOST_NAMED, ZoneRecord};
+use kingcuploft::world::ids::BackendServerName;
 
 use crate::clock;
+use crate::cold;
 use crate::context::Context;
 use crate::evacuation;
 use crate::limits;
@@ -129,6 +131,7 @@
             .iter()
             .for_each(|change| apply(&context, now, change));
         evacuation::expire(&context, now);
+        cold::expire(&context, now);
     }
 }
 
@@ -260,6 +263,7 @@
         let behind_ms = behind_for.as_millis() as u64;
         tracing::info!(event = "configuration_adopted", version, routes, behind_ms);
         context.followers.tell_configuration();
+        cold::configured(context);
     }
 }
 
@@ -287,11 +291,20 @@
             context.followers.tell(&Frame::Servers(table));
         }
     }
+    let cold = cold_servers(&servers);
     let told = servers.into_iter();
     let changes: Vec<Change> =
         context.servers(|known| told.filter_map(|s| known.told(s)).collect());
     log_changes(&changes);
     context.apply_all(now, &changes);
+    cold::told(context, &cold);
+}
+
+/// Returns which of these servers are cold, and for how long.
+fn cold_servers(servers: &[BackendServer]) -> Vec<(BackendServerName, Duration)> {
+    let cold = servers.iter().filter(|server| !server.cold_for.is_zero());
+    cold.map(|server| (server.name.clone(), server.cold_for))
+        .collect()
 }
 
 /// Takes in that a backend server's entry is gone, and passes it on.
@@ -309,6 +322,7 @@
 pub fn all_servers(context: &Context, now: Instant, servers: Vec<BackendServer>, names: &[String]) {
     let is_news = |server: &BackendServer| context.servers(|known| !known.is_known(server));
     let news: Vec<BackendServer> = servers.iter().filter(|s| is_news(s)).cloned().collect();
+    let cold = cold_servers(&news);
     let told = servers.into_iter();
     let joined = context.servers(|known| told.filter_map(|s| known.told(s)).collect::<Vec<_>>());
     let present = names.iter().map(String::as_str);
@@ -316,6 +330,7 @@
     let changes: Vec<Change> = joined.into_iter().chain(gone).collect();
     log_changes(&changes);
     context.apply_all(now, &changes);
+    cold::told(context, &cold);
     context.servers_listed();
     pass_on(context, &news, &changes);
 }
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`settings::Vocabulary`] and [`store::Store`].
 
 pub mod clock;
+pub mod cold;
 pub mod context;
 
 pub mod edge;
--- a/crates/kingcuploft-entry/src/limits.rs
+++ b/crates/kingcuploft-entry/src/limits.rs
@@ -140,7 +140,8 @@
     zone.unwrap_or_else(|| context.settings.zone.clone())
 }
 
-fn part(context: &Context, server: &BackendServerName, per_s: PerSecond) -> Part {
+/// Returns which part of a server's limit this VM uses.
+pub fn part(context: &Context, server: &BackendServerName, per_s: PerSecond) -> Part {
     if context.settings.peers.is_none() {
         return Part::OneOf(1);
     }
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -69,6 +69,8 @@
     pub followers: Gauge,
     /// Servers that name a limit.
     pub limited_servers: Gauge,
+    /// Servers that are cold and kept to what they bear.
+    pub cold_servers: Gauge,
     /// Availability zones that are evacuated.
     pub evacuated_zones: Gauge,
     /// Requests that are refused as servers ended under them.
@@ -102,6 +104,7 @@
             configuration_age: Gauge::default(),
             followers: Gauge::default(),
             limited_servers: Gauge::default(),
+            cold_servers: Gauge::default(),
             evacuated_zones: Gauge::default(),
             quarantined: Gauge::default(),
             ordinary_lines_left_out: Counter::default(),
@@ -174,6 +177,8 @@
         );
         let help = "Servers that name how much they take";
         registry.register("limited_servers", help, self.limited_servers.clone());
+        let help = "Servers that are cold and kept to what they bear";
+        registry.register("cold_servers", help, self.cold_servers.clone());
         let help = "Availability zones that are evacuated";
         registry.register("evacuated_zones", help, self.evacuated_zones.clone());
         let help = "Requests that are refused as servers ended under them";
--- a/crates/kingcuploft-entry/src/peers/readings.rs
+++ b/crates/kingcuploft-entry/src/peers/readings.rs
@@ -13,6 +13,7 @@
 
 use super::turns;
 use super::zone_socket::Told;
+use crate::cold;
 use crate::context::Context;
 
 /// The most VMs that tell each other all readings. In a larger zone each VM asks servers of its own,
@@ -22,17 +23,26 @@
 /// The most bytes of a datagram.
 const MOST_BYTES: usize = 512;
 
+/// How long before it is heard another VM may have asked the server.
+const TOLD_WITHIN: Duration = Duration::from_millis(60);
+
 /// The pause after a failed receive.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Tells the other VMs of the zone a reading.
-pub fn tell(context: &Context, server: &BackendServerName, reading: Reading) {
+/// Tells the other VMs of the zone a reading, and how long the server is cold, if it said whether it is.
+pub fn tell(
+    context: &Context,
+    server: &BackendServerName,
+    reading: Reading,
+    cold_for: Option<Duration>,
+) {
     let told = Told::Reading {
         server: server.clone(),
         running: reading.running,
         waiting: reading.waiting,
         slots: reading.slots,
         slowness: reading.slowness,
+        cold_ms: cold_for.map(|cold_for| cold_for.as_millis() as u64),
     };
     tell_others(context, &told);
 }
@@ -77,6 +87,7 @@
             waiting,
             slots,
             slowness,
+            cold_ms,
         } => {
             let reading = Reading {
                 running,
@@ -85,6 +96,9 @@
                 slowness,
             };
             if let Some(upstream) = context.upstream(server) {
+                if let Some(cold_for) = cold_ms.map(Duration::from_millis) {
+                    cold::heard(context, &upstream, cold_for, now - TOLD_WITHIN);
+                }
                 upstream.told(now, reading);
                 context.readings.notify_waiters();
             }
--- a/crates/kingcuploft-entry/src/peers/zone_socket.rs
+++ b/crates/kingcuploft-entry/src/peers/zone_socket.rs
@@ -21,6 +21,9 @@
         slots: u32,
         /// How long work takes there now, 1 is usual.
         slowness: f64,
+        /// For how many milliseconds more it is cold, if it said whether it is.
+        #[serde(default)]
+        cold_ms: Option<u64>,
     },
     /// A request is on its way there, which its last reading does not count: without this, all VMs
     /// that know the same reading send to the same server.
--- a/crates/kingcuploft-entry/src/settings.rs
+++ b/crates/kingcuploft-entry/src/settings.rs
@@ -65,6 +65,8 @@
     pub load: &'static str,
     /// Names how many requests a second a server takes from all VMs together.
     pub limit: &'static str,
+    /// Says for how many milliseconds more a server stays cold.
+    pub cold_ms: &'static str,
     /// Marks an answer to a request that did not run.
     pub not_run: &'static str,
     /// The path at which the platform asks for readiness.
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -99,7 +99,7 @@
     let load = response.head.headers.get(context.vocabulary.load);
     if let Some(reading) = load.and_then(context.vocabulary.read_load) {
         upstream.told(Instant::now(), reading);
-        readings::tell(context, &upstream.server.name, reading);
+        readings::tell(context, &upstream.server.name, reading, None);
     }
     upstream.keep(connection);
     let (end, detail) = judge(context, &response);
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -55,7 +55,10 @@
     pub near: bool,
     /// Its place in this VM's order of the servers; other VMs order them otherwise.
     pub rank: u64,
-    cold_until: Instant,
+    cold_until: Cell<Instant>,
+    /// Since when and until when it must say first whether it is cold.
+    doubted_at: Cell<Instant>,
+    doubted_until: Cell<Option<Instant>>,
     idle: RefCell<Vec<Connection>>,
     open: std::rc::Rc<Cell<usize>>,
     reading: Cell<Option<(Instant, Reading)>>,
@@ -73,7 +76,9 @@
     pub fn new(server: BackendServer, vm: &VmName, near: bool, now: Instant) -> Self {
         Self {
             rank: rendezvous(vm, &server.name),
-            cold_until: now + server.cold_for,
+            cold_until: Cell::new(now + server.cold_for),
+            doubted_at: Cell::new(now),
+            doubted_until: Cell::new(None),
             server,
             near,
             idle: RefCell::default(),
@@ -155,6 +160,36 @@
         }
     }
 
+    /// Returns for how long it is cold.
+    pub fn cold_for(&self, now: Instant) -> Duration {
+        self.cold_until.get().saturating_duration_since(now)
+    }
+
+    /// Takes in until when it is cold.
+    pub fn is_cold_until(&self, until: Instant) {
+        self.cold_until.set(until);
+        self.doubted_until.set(None);
+    }
+
+    /// Takes in that it is not cold, as it says itself, asked at this moment.
+    pub fn is_not_cold(&self, asked_at: Instant) {
+        if self.doubted_at.get() <= asked_at {
+            self.doubted_until.set(None);
+        }
+    }
+
+    /// Gets no work until it has said whether it is cold, or can't be any more.
+    pub fn doubt(&self, now: Instant, lasts: Duration) {
+        self.doubted_at.set(now);
+        self.doubted_until.set(Some(now + lasts));
+        self.reading.set(None);
+    }
+
+    /// Returns whether it must say first whether it is cold.
+    pub fn is_doubted(&self, now: Instant) -> bool {
+        self.doubted_until.get().is_some_and(|until| now < until)
+    }
+
     /// Returns whether a probe is on its way.
     pub fn is_asked(&self) -> bool {
         self.asking.get()
@@ -247,7 +282,7 @@
             unseen: unseen as u32,
             own: own.len() as u32,
             slots: self.server.slots,
-            cold: now < self.cold_until,
+            cold: now < self.cold_until.get(),
             failures: self.failures.borrow().share(now),
             tried,
         }
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -6,6 +6,7 @@
 
 use super::Upstream;
 use super::silent::Silent;
+use crate::cold;
 use crate::context::Context;
 use crate::http::client::Response;
 use crate::http::headers::write_header;
@@ -86,13 +87,15 @@
             limits::Answer::Other,
         );
         let load = response.head.headers.get(context.vocabulary.load);
-        load.and_then(context.vocabulary.read_load)
+        let reading = load.and_then(context.vocabulary.read_load)?;
+        Some((reading, cold::read(context, headers)))
     });
     match reading {
-        Some(reading) => {
+        Some((reading, cold_for)) => {
             context.metrics.probe("answered");
+            cold::heard(context, upstream, cold_for, begun);
             upstream.told(now, reading);
-            readings::tell(context, &upstream.server.name, reading);
+            readings::tell(context, &upstream.server.name, reading, Some(cold_for));
         }
         None => {
             context.metrics.probe("failed");
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod cold;
 mod evacuation;
 mod following;
 mod limits;
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -66,6 +66,8 @@
     /// Requests whose connection closed while it ran them.
     pub(crate) cancelled: Rc<Cell<u32>>,
     pub(crate) probes: Rc<Cell<u32>>,
+    /// For how many milliseconds more it says that it is cold.
+    pub(crate) cold_ms: Rc<Cell<u32>>,
     connections: Rc<Cell<u32>>,
     /// Connections opened so far.
     pub(crate) opened: Rc<Cell<u32>>,
@@ -88,6 +90,7 @@
             runs: Rc::default(),
             cancelled: Rc::default(),
             probes: Rc::default(),
+            cold_ms: Rc::default(),
             connections: Rc::default(),
             opened: Rc::default(),
             holds_new: Rc::default(),
@@ -134,7 +137,12 @@
         while let Some(request) = read_request(&mut stream, &mut bytes).await {
             if request.text.starts_with("GET /health ") {
                 self.probes.set(self.probes.get() + 1);
-                let answer = "HTTP/1.1 200 OK\r\nx-load: 0,0,4\r\nContent-Length: 0\r\n\r\n";
+                let cold = match self.cold_ms.get() {
+                    0 => String::new(),
+                    ms => format!("x-cold-ms: {ms}\r\n"),
+                };
+                let answer =
+                    format!("HTTP/1.1 200 OK\r\nx-load: 0,0,4\r\n{cold}Content-Length: 0\r\n\r\n");
                 if stream.write_all(answer.as_bytes()).await.is_err() {
                     return;
                 }
--- a/crates/kingcuploft-entry/tests/entry/world.rs
+++ b/crates/kingcuploft-entry/tests/entry/world.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use kingcuploft::entry::backend_servers::BackendServer;
-use kingcuploft::entry::configuration::{Configuration, Destination, Limits, Route, Service};
+use kingcuploft::entry::configuration::{
+    ColdStart, Configuration, Destination, Limits, Route, Service,
+};
 use kingcuploft::entry::placement::Reading;
 use kingcuploft::entry::repeats::RepeatBounds;
 use kingcuploft::utils::HashMap;
@@ -26,6 +28,7 @@
     meant_for: "x-meant-for",
     load: "x-load",
     limit: "server-limit",
+    cold_ms: "x-cold-ms",
     not_run: "x-not-run",
     ready_path: "/ready",
     read_load,
@@ -154,11 +157,24 @@
     let service = Service {
         health_path: "/health".into(),
         most_connections: MOST_CONNECTIONS,
+        cold_start: None,
     };
     let services: HashMap<_, _> = [("trip".into(), service)].into_iter().collect();
     Configuration::new(version, routes, services, Limits::default())
 }
 
+/// As [`configuration`], with servers that bear two requests a second for three seconds after their start.
+pub(crate) fn with_cold_starts(version: u64) -> Configuration {
+    let mut configuration = configuration(version);
+    for service in configuration.services.values_mut() {
+        service.cold_start = Some(ColdStart {
+            lasts: Duration::from_secs(3),
+            per_1000_s: 2_000,
+        });
+    }
+    configuration
+}
+
 /// As [`configuration`], with lookups under one prefix more.
 pub(crate) fn with_route(version: u64, prefix: &str) -> Configuration {
     let known = configuration(version);
--- a/crates/kingcuploft-entry/tests/links/configurations.rs
+++ b/crates/kingcuploft-entry/tests/links/configurations.rs
@@ -43,6 +43,7 @@
         let service = Service {
             health_path: "/health".into(),
             most_connections: 980,
+            cold_start: None,
         };
         ((*name).into(), service)
     });
--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -31,6 +31,7 @@
     meant_for: "x-meant-for",
     load: "x-load",
     limit: "limit",
+    cold_ms: "x-cold-ms",
     not_run: "x-not-run",
     ready_path: "/ready",
     read_load: |_| None,
--- a/crates/kingcuploft/src/entry/configuration.rs
+++ b/crates/kingcuploft/src/entry/configuration.rs
@@ -53,12 +53,39 @@
 impl Eq for ByPrefix {}
 
 /// What is known of a service beside its backend servers.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Service {
     /// The path that tells health and load.
     pub health_path: String,
     /// How many connections one backend server accepts from all callers together.
     pub most_connections: u32,
+    /// What its backend servers bear just after their start; none if they bear all at once.
+    #[serde(default)]
+    pub cold_start: Option<ColdStart>,
+}
+
+impl Hash for Service {
+    /// VMs of earlier releases, which know no cold starts, compute the same digest.
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.health_path.hash(state);
+        self.most_connections.hash(state);
+    }
+}
+
+/// What a backend server bears while it is cold.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct ColdStart {
+    /// How long it is cold after its start.
+    pub lasts: Duration,
+    /// How many requests it bears in a thousand seconds, from all callers together.
+    pub per_1000_s: u64,
+}
+
+impl ColdStart {
+    /// Returns how many requests it bears in a second.
+    pub fn per_s(&self) -> f64 {
+        self.per_1000_s as f64 / 1000.0
+    }
 }
 
 /// Bounds on what callers send.
--- a/crates/kingcuploft/src/entry/server_limit.rs
+++ b/crates/kingcuploft/src/entry/server_limit.rs
@@ -1,4 +1,4 @@
-//! How much a VM sends to a backend server that names a limit for all VMs together.
+//! How much a VM sends to a backend server that takes so much from all VMs together: one that names a limit, or is cold.
 //!
 //! Load pattern: a server in need takes one request a second from hundreds of VMs, and looks idle, so that each VM would
 //! choose it first. A limit divided by the VMs gives none of them a request in minutes, and all of them one in the same
@@ -121,7 +121,15 @@
         limit
     }
 
-    /// Returns what the server named.
+    /// Begins with a request saved.
+    pub fn with_one_saved(self) -> Self {
+        Self {
+            saved: MOST_SAVED,
+            ..self
+        }
+    }
+
+    /// Returns what the server takes.
     pub fn per_s(&self) -> PerSecond {
         self.per_s
     }
--- a/crates/kingcuploft/src/entry/server_limits.rs
+++ b/crates/kingcuploft/src/entry/server_limits.rs
@@ -1,4 +1,8 @@
-//! The limits that backend servers name: those that this VM has heard of, and those that others have told it.
+//! The limits of backend servers: those that they name, which this VM has heard of or others have told it, and those of
+//! servers that have just started and are cold.
+//!
+//! Load pattern: a zone's servers come back together and look idle, so that all VMs choose them first; each bears a few
+//! requests a second, and ends under more. A cold server is dealt with like one that names what it bears, until it is warm.
 
 use std::time::{Duration, Instant};
 
@@ -49,34 +53,92 @@
     Ended(NoticeId),
 }
 
+/// What a server has named.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    per_s: PerSecond,
+    since: Instant,
+    /// Whether the store has it.
+    is_stored: bool,
+}
+
+/// What a server bears while it is cold.
+#[derive(Clone, Copy, Debug)]
+struct Cold {
+    per_s: PerSecond,
+    noted: Instant,
+    until: Instant,
+}
+
+/// The limit of a server, by what it has named, by being cold, or by the lesser of both.
 #[derive(Clone, Debug)]
 struct Known {
     limit: ServerLimit,
-    since: Instant,
+    named: Option<Named>,
+    cold: Option<Cold>,
     /// When the next turn is that is not given, as far as is known.
     turn_at: Instant,
-    /// Whether the store has it.
-    is_stored: bool,
 }
 
-/// The limits that servers name.
+impl Known {
+    fn new(now: Instant, limit: ServerLimit) -> Self {
+        Self {
+            limit,
+            named: None,
+            cold: None,
+            turn_at: now,
+        }
+    }
+
+    /// Returns what the server takes, if anything limits it.
+    fn per_s(&self) -> Option<PerSecond> {
+        let named = self.named.map(|named| named.per_s);
+        let cold = self.cold.map(|cold| cold.per_s);
+        named.into_iter().chain(cold).min_by(f64::total_cmp)
+    }
+
+    /// Goes by what limits the server now.
+    fn renew(&mut self, now: Instant, part: impl FnOnce(PerSecond) -> Part) {
+        if let Some(per_s) = self.per_s() {
+            self.limit.renew(now, per_s, part(per_s));
+        }
+    }
+}
+
+/// Whether a server turned cold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Turned {
+    /// It was not known to be cold.
+    Cold,
+    /// It was, and is for longer or shorter.
+    StillCold,
+}
+
+/// The limits of servers.
 #[derive(Clone, Debug, Default)]
 pub struct ServerLimits {
     known: HashMap<BackendServerName, Known>,
 }
 
 impl ServerLimits {
-    /// Returns whether no server names a limit.
+    /// Returns whether no server has a limit.
     pub fn is_empty(&self) -> bool {
         self.known.is_empty()
     }
 
     /// Returns how many servers name one.
     pub fn len(&self) -> usize {
-        self.known.len()
+        let named = self.known.values().filter(|known| known.named.is_some());
+        named.count()
+    }
+
+    /// Returns how many servers are cold.
+    pub fn cold_count(&self) -> usize {
+        let cold = self.known.values().filter(|known| known.cold.is_some());
+        cold.count()
     }
 
-    /// Returns what a server named last, if anything.
+    /// Returns what a server takes, if it has a limit.
     pub fn per_s(&self, server: &str) -> Option<PerSecond> {
         self.known.get(server).map(|known| known.limit.per_s())
     }
@@ -90,59 +152,160 @@
         part: impl FnOnce(PerSecond) -> Part,
         chance: f64,
     ) -> Option<News> {
-        let known = self.known.get_mut(server);
-        match (named, known) {
-            (None, None) => None,
-            (None, Some(known)) => {
-                if now.saturating_duration_since(known.since) < HOLDS_AT_LEAST {
-                    return None;
-                }
+        let Some(per_s) = named else {
+            return self.names_none(now, server, part);
+        };
+        let cold = self.known.get(server).and_then(|known| known.cold);
+        let takes = cold.map_or(per_s, |cold| cold.per_s.min(per_s));
+        let part = part(takes);
+        let known = self.known.entry(server.clone());
+        let known =
+            known.or_insert_with(|| Known::new(now, ServerLimit::new(now, takes, part, chance)));
+        let before = known.named;
+        known.named = Some(Named {
+            per_s,
+            since: before.map_or(now, |named| named.since),
+            is_stored: before.is_some_and(|named| named.is_stored),
+        });
+        known.limit.renew(now, takes, part);
+        let server = server.clone();
+        before
+            .is_none()
+            .then_some(News::Named(LimitNotice { server, per_s }))
+    }
+
+    fn names_none(
+        &mut self,
+        now: Instant,
+        server: &BackendServerName,
+        part: impl FnOnce(PerSecond) -> Part,
+    ) -> Option<News> {
+        let known = self.known.get_mut(server)?;
+        let named = known.named?;
+        if now.saturating_duration_since(named.since) < HOLDS_AT_LEAST {
+            return None;
+        }
+        known.named = None;
+        self.settle(now, server, part);
+        Some(News::Ended(id(server)))
+    }
+
+    /// Goes by what still limits a server, or forgets it.
+    fn settle(&mut self, now: Instant, server: &str, part: impl FnOnce(PerSecond) -> Part) {
+        let Some(known) = self.known.get_mut(server) else {
+            return;
+        };
+        match known.per_s() {
+            Some(_) => known.renew(now, part),
+            None => {
                 self.known.remove(server);
-                Some(News::Ended(id(server)))
-            }
-            (Some(per_s), Some(known)) => {
-                known.limit.renew(now, per_s, part(per_s));
-                None
-            }
-            (Some(per_s), None) => {
-                let limit = ServerLimit::new(now, per_s, part(per_s), chance);
-                self.insert(now, server.clone(), limit, false);
-                let server = server.clone();
-                Some(News::Named(LimitNotice { server, per_s }))
             }
         }
     }
 
-    /// Takes in a notice that the store has; returns whether it is news. What the server itself has named holds.
-    pub fn told(&mut self, now: Instant, notice: &LimitNotice, part: Part, chance: f64) -> bool {
-        if let Some(known) = self.known.get_mut(&notice.server) {
-            return !std::mem::replace(&mut known.is_stored, true);
+    /// Takes in that a server is cold for so long, and bears so much meanwhile.
+    ///
+    /// Its slots are free at first, so the VMs that keep the limit have saved a request each.
+    pub fn turned_cold(
+        &mut self,
+        now: Instant,
+        server: &BackendServerName,
+        per_s: PerSecond,
+        lasts: Duration,
+        part: impl FnOnce(PerSecond) -> Part,
+        chance: f64,
+    ) -> Turned {
+        let named = self.known.get(server).and_then(|known| known.named);
+        let takes = named.map_or(per_s, |named| named.per_s.min(per_s));
+        let part = part(takes);
+        let known = self.known.entry(server.clone());
+        let known = known.or_insert_with(|| {
+            let limit = ServerLimit::new(now, takes, part, chance);
+            Known::new(now, limit.with_one_saved())
+        });
+        let before = known.cold.replace(Cold {
+            per_s,
+            noted: now,
+            until: now + lasts,
+        });
+        known.limit.renew(now, takes, part);
+        match before {
+            None => Turned::Cold,
+            Some(_) => Turned::StillCold,
+        }
+    }
+
+    /// Takes in that a server, asked at this moment, said that it is not cold; returns whether it was known to be.
+    pub fn is_warm(
+        &mut self,
+        now: Instant,
+        server: &str,
+        asked_at: Instant,
+        part: impl FnOnce(PerSecond) -> Part,
+    ) -> bool {
+        let Some(known) = self.known.get_mut(server) else {
+            return false;
+        };
+        // What it said before it turned cold may come after.
+        if known.cold.is_none_or(|cold| cold.noted > asked_at) {
+            return false;
         }
-        let limit = ServerLimit::new(now, notice.per_s, part, chance);
-        self.insert(now, notice.server.clone(), limit, true);
+        known.cold = None;
+        self.settle(now, server, part);
         true
     }
 
-    fn insert(
+    /// Ends the limits of servers that are cold no longer; returns these.
+    pub fn end_cold(
         &mut self,
         now: Instant,
-        server: BackendServerName,
-        limit: ServerLimit,
-        is_stored: bool,
-    ) {
-        let known = Known {
-            limit,
+        part: impl Fn(&BackendServerName, PerSecond) -> Part,
+    ) -> Vec<BackendServerName> {
+        let is_over = |known: &&mut Known| known.cold.is_some_and(|cold| cold.until <= now);
+        let mut over = Vec::new();
+        for (server, known) in &mut self.known {
+            if is_over(&known) {
+                known.cold = None;
+                over.push(server.clone());
+            }
+        }
+        for server in &over {
+            self.settle(now, server, |per_s| part(server, per_s));
+        }
+        over
+    }
+
+    /// Takes in a notice that the store has; returns whether it is news. What the server itself has named holds.
+    pub fn told(&mut self, now: Instant, notice: &LimitNotice, part: Part, chance: f64) -> bool {
+        let known = self.known.entry(notice.server.clone());
+        let known = known
+            .or_insert_with(|| Known::new(now, ServerLimit::new(now, notice.per_s, part, chance)));
+        if let Some(named) = &mut known.named {
+            return !std::mem::replace(&mut named.is_stored, true);
+        }
+        known.named = Some(Named {
+            per_s: notice.per_s,
             since: now,
-            turn_at: now,
-            is_stored,
-        };
-        self.known.insert(server, known);
+            is_stored: true,
+        });
+        known.renew(now, |_| part);
+        true
     }
 
     /// Takes in that the store no longer has a notice; returns whether it was known.
     pub fn withdrawn(&mut self, id: &str) -> bool {
-        let server = LimitNotice::parse_id(id);
-        server.is_some_and(|server| self.known.remove(server).is_some())
+        let Some(server) = LimitNotice::parse_id(id) else {
+            return false;
+        };
+        let Some(known) = self.known.get_mut(server) else {
+            return false;
+        };
+        let was_named = known.named.take().is_some();
+        // One that is cold as well goes by the same limit until it is warm.
+        if known.cold.is_none() {
+            self.known.remove(server);
+        }
+        was_named
     }
 
     /// Takes in all notices that the store has; returns those that it has no longer.
@@ -157,10 +320,12 @@
 
     /// Returns the notices that the store has.
     pub fn stored(&self) -> impl Iterator<Item = LimitNotice> {
-        let stored = self.known.iter().filter(|(_, known)| known.is_stored);
-        stored.map(|(server, known)| LimitNotice {
-            server: server.clone(),
-            per_s: known.limit.per_s(),
+        self.known.iter().filter_map(|(server, known)| {
+            let named = known.named.filter(|named| named.is_stored)?;
+            Some(LimitNotice {
+                server: server.clone(),
+                per_s: named.per_s,
+            })
         })
     }
 
--- /dev/null
+++ b/crates/kingcuploft/tests/entry/cold_servers.rs
@@ -0,0 +1,291 @@
+//! Servers that are cold, judged by what they get from all VMs together.
+
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::server_limit::{Part, PerSecond, Turn, keepers, part};
+use kingcuploft::entry::server_limits::{ServerLimits, Turned};
+use kingcuploft::entry::zone_record::ZoneRecord;
+use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, VmName};
+
+const STEP: Duration = Duration::from_millis(10);
+
+/// How long a server is cold, in steps, and what it bears.
+const COLD: usize = 300;
+const PER_S: PerSecond = 2.1;
+
+/// The users' bound in any second: so many times what a server bears, and some.
+const OVER: f64 = 1.5;
+const SLACK: f64 = 8.0;
+
+/// The users' second, in steps.
+const SECOND: usize = 100;
+
+/// How long a request waits for its turn, in steps.
+const PATIENCE: usize = 30;
+
+/// How often a zone's servers turn cold in a scenario.
+const TIMES: usize = 3;
+
+/// How the VMs share what a cold server bears.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Way {
+    /// A few VMs keep it and give the others turns.
+    Turns,
+    /// Each VM has an equal part, and has saved nothing.
+    ByHead,
+    /// Each VM has an equal part, and has saved a request.
+    ByHeadSaved,
+    /// Each VM takes what the others leave it: a server that says it is idle.
+    Unshared,
+}
+
+/// VMs of four zones, whose callers ask for five times what the cold servers of one zone bear.
+struct Fleet {
+    vms: usize,
+    servers: usize,
+    /// How many of the VMs each VM takes for all of them.
+    counted: f64,
+    way: Way,
+}
+
+fn name(at: usize) -> VmName {
+    format!("vm-{at}").into()
+}
+
+fn server(at: usize) -> BackendServerName {
+    format!("s{at}").into()
+}
+
+fn zone(at: usize) -> AvailabilityZone {
+    format!("zone-{at}").into()
+}
+
+fn keepers_of(at: usize, records: &[ZoneRecord]) -> Vec<usize> {
+    let keepers = keepers(&server(at), &zone(0), PER_S, records).into_iter();
+    keepers.map(|vm| vm.name[3..].parse().unwrap()).collect()
+}
+
+impl Fleet {
+    fn records(&self) -> Vec<ZoneRecord> {
+        let record = |of: usize| {
+            let vms = (0..self.vms).filter(|at| at % 4 == of);
+            let vms = vms.map(|at| VmEntry {
+                name: name(at),
+                zone: zone(of),
+                address: ([127, 0, 0, 1], 1).into(),
+                cpu_milli: 200,
+            });
+            let vms: Vec<VmEntry> = vms.collect();
+            ZoneRecord {
+                count: vms.len() as u32,
+                settled: true,
+                vms: vms.iter().take(8).cloned().collect(),
+                ..ZoneRecord::first(&vms[0])
+            }
+        };
+        (0..4).map(record).collect()
+    }
+
+    fn part(&self, vm: usize, at: usize, per_s: PerSecond, records: &[ZoneRecord]) -> Part {
+        let counted = (self.vms as f64 * self.counted).max(1.0) as usize;
+        match self.way {
+            Way::Turns => part(&name(vm), counted, &server(at), &zone(0), per_s, records),
+            Way::ByHead | Way::ByHeadSaved => Part::OneOf(counted),
+            Way::Unshared => Part::OneOf(1),
+        }
+    }
+
+    /// Plays a zone that turns cold; returns what each server got at each step.
+    fn play(&self, seed: u64) -> Vec<Vec<usize>> {
+        let (begun, mut rng) = (Instant::now(), Rng::with_seed(seed));
+        let records = self.records();
+        let keepers: Vec<Vec<usize>> = (0..self.servers)
+            .map(|at| keepers_of(at, &records))
+            .collect();
+        let mut fleet: Vec<ServerLimits> = vec![ServerLimits::default(); self.vms];
+        for (vm, limits) in fleet.iter_mut().enumerate() {
+            for at in 0..self.servers {
+                let lasts = STEP * COLD as u32;
+                let part = |per_s| self.part(vm, at, per_s, &records);
+                match self.way {
+                    Way::ByHead => {
+                        limits.heard(begun, &server(at), Some(PER_S), part, rng.f64());
+                    }
+                    Way::Turns | Way::ByHeadSaved | Way::Unshared => {
+                        limits.turned_cold(begun, &server(at), PER_S, lasts, part, rng.f64());
+                    }
+                }
+            }
+        }
+        let demand = 5.0 * PER_S * self.servers as f64 * STEP.as_secs_f64() / self.vms as f64;
+        let mut got = vec![vec![0; COLD + PATIENCE + 1]; self.servers];
+        for step in 0..COLD {
+            let now = begun + STEP * step as u32;
+            for vm in 0..self.vms {
+                let calls = demand.floor() as usize + usize::from(rng.f64() < demand.fract());
+                for _ in 0..calls {
+                    if let Some((at, later)) = self.send(&mut fleet, vm, now, &keepers, &mut rng) {
+                        got[at][step + later] += 1;
+                    }
+                }
+            }
+        }
+        got
+    }
+
+    /// Sends a request where it may go at once, or where it gets a turn in time; returns the server and the steps until then.
+    fn send(
+        &self,
+        fleet: &mut [ServerLimits],
+        vm: usize,
+        now: Instant,
+        keepers: &[Vec<usize>],
+        rng: &mut Rng,
+    ) -> Option<(usize, usize)> {
+        let begin = rng.usize(0..self.servers);
+        let mut all = (0..self.servers).map(|at| (begin + at) % self.servers);
+        let own = all.find(|at| fleet[vm].wait(now, &server(*at), 0.5).is_zero());
+        if let Some(at) = own {
+            fleet[vm].sent(now, &server(at), rng.f64());
+            return Some((at, 0));
+        }
+        if self.way != Way::Turns {
+            return None;
+        }
+        (0..3).find_map(|_| {
+            let at = rng.usize(0..self.servers);
+            let keeper = keepers[at][rng.usize(0..keepers[at].len())];
+            match fleet[keeper].give_turn(now, &server(at), STEP * PATIENCE as u32) {
+                Turn::After(after) => Some((at, (after.as_millis() / STEP.as_millis()) as usize)),
+                Turn::TooLate(_) => None,
+            }
+        })
+    }
+
+    /// Returns the most that a server got in a second, and which part is used of what all bear.
+    fn judge(&self) -> (usize, f64) {
+        let (mut most, mut used) = (0, 0);
+        for seed in 0..TIMES as u64 {
+            for of_server in self.play(seed) {
+                let in_second = of_server.windows(SECOND).map(|steps| steps.iter().sum());
+                most = most.max(in_second.max().unwrap_or(0));
+                used += of_server.iter().take(COLD).sum::<usize>();
+            }
+        }
+        let borne = PER_S * (STEP * COLD as u32).as_secs_f64() * (self.servers * TIMES) as f64;
+        (most, used as f64 / borne)
+    }
+}
+
+/// A zone's share of the servers, as the users have them beside so many VMs.
+const SIZES: [(usize, usize); 3] = [(30, 12), (115, 50), (312, 90)];
+
+fn allowed() -> usize {
+    (PER_S * OVER + SLACK) as usize
+}
+
+/// Guards against servers that end as all VMs send them work at once when their zone is taken back.
+#[test]
+fn cold_servers_get_what_they_bear_from_all_vms_together_and_no_more() {
+    for (vms, servers) in SIZES {
+        let fleet = Fleet {
+            vms,
+            servers,
+            counted: 1.0,
+            way: Way::Turns,
+        };
+        let (most, used) = fleet.judge();
+        assert!(most <= allowed(), "{vms} VMs: {most} in a second");
+        assert!(
+            (0.85..=1.5).contains(&used),
+            "{vms} VMs: {used} of what is borne"
+        );
+    }
+}
+
+/// Guards against a bound that rests on the VMs knowing how many they are.
+#[test]
+fn vms_that_count_the_others_wrongly_stay_within_the_bound() {
+    for (vms, servers) in SIZES {
+        for counted in [0.1, 0.5, 3.0] {
+            let fleet = Fleet {
+                vms,
+                servers,
+                counted,
+                way: Way::Turns,
+            };
+            let (most, _) = fleet.judge();
+            assert!(most <= allowed(), "{vms} VMs that count {counted}: {most}");
+        }
+    }
+}
+
+/// The ways that were weighed: `--nocapture` prints what each came to.
+#[test]
+fn parts_by_head_waste_what_cold_servers_bear_or_break_the_bound() {
+    for (vms, servers) in SIZES {
+        let play = |way| {
+            let judged = Fleet {
+                vms,
+                servers,
+                counted: 1.0,
+                way,
+            }
+            .judge();
+            println!(
+                "{vms} VMs, {way:?}: {} in a second, use {:.2}",
+                judged.0, judged.1
+            );
+            judged
+        };
+        let (_, used) = play(Way::Turns);
+        assert!(play(Way::ByHead).1 < used / 2.0, "{vms} VMs");
+        assert!(play(Way::ByHeadSaved).0 > allowed(), "{vms} VMs");
+        assert!(play(Way::Unshared).0 > allowed(), "{vms} VMs");
+    }
+}
+
+/// Guards against a server that stays limited once it is warm, and against one taken for warm by what it said before.
+#[test]
+fn a_server_is_limited_from_the_news_that_it_is_cold_until_it_is_warm() {
+    let (now, name) = (Instant::now(), server(0));
+    let after = |ms| now + Duration::from_millis(ms);
+    let lasts = Duration::from_secs(3);
+    let one = |_| Part::OneOf(1);
+    let mut limits = ServerLimits::default();
+    let turned = limits.turned_cold(now, &name, PER_S, lasts, one, 0.5);
+    assert_eq!(turned, Turned::Cold);
+    let again = limits.turned_cold(after(100), &name, PER_S, lasts, one, 0.5);
+    assert_eq!(again, Turned::StillCold);
+    assert!(limits.wait(after(100), &name, 0.5).is_zero());
+    limits.sent(after(100), &name, 0.5);
+    assert!(!limits.wait(after(110), &name, 0.5).is_zero());
+    assert!(!limits.is_warm(after(120), &name, after(90), one));
+    assert_eq!(limits.end_cold(after(3_000), |_, _| Part::OneOf(1)), []);
+    assert!(limits.is_warm(after(3_010), &name, after(3_000), one));
+    assert!(limits.is_empty());
+    limits.turned_cold(after(4_000), &name, PER_S, lasts, one, 0.5);
+    let ended = limits.end_cold(after(7_000), |_, _| Part::OneOf(1));
+    assert_eq!((ended, limits.is_empty()), (vec![name], true));
+}
+
+/// Guards against a limit that a server names and that is forgotten when it turns warm, or the other way round.
+#[test]
+fn a_cold_server_that_names_a_limit_goes_by_the_lesser_of_both() {
+    let (now, name) = (Instant::now(), server(0));
+    let after = |ms| now + Duration::from_millis(ms);
+    let one = |_| Part::OneOf(1);
+    let mut limits = ServerLimits::default();
+    limits.heard(now, &name, Some(1.0), one, 0.5);
+    limits.turned_cold(now, &name, PER_S, Duration::from_secs(1), one, 0.5);
+    assert_eq!(limits.per_s(&name), Some(1.0));
+    assert_eq!((limits.len(), limits.cold_count()), (1, 1));
+    limits.end_cold(after(1_000), |_, _| Part::OneOf(1));
+    assert_eq!((limits.per_s(&name), limits.cold_count()), (Some(1.0), 0));
+    limits.turned_cold(after(1_000), &name, 0.5, Duration::from_secs(1), one, 0.5);
+    assert_eq!(limits.per_s(&name), Some(0.5));
+    assert!(limits.heard(after(1_100), &name, None, one, 0.5).is_some());
+    assert_eq!((limits.per_s(&name), limits.len()), (Some(0.5), 0));
+}
--- a/crates/kingcuploft/tests/entry/configuration_change.rs
+++ b/crates/kingcuploft/tests/entry/configuration_change.rs
@@ -31,6 +31,7 @@
     let service = Service {
         health_path: "/health".into(),
         most_connections: 220,
+        cold_start: None,
     };
     let services: HashMap<_, _> = [("trip".into(), service)].into_iter().collect();
     Configuration::new(version, routes, services, Limits::default())
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod asked;
 mod backend_servers;
+mod cold_servers;
 mod configuration;
 mod configuration_change;
 mod connections;
