--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod edge;
 pub mod evacuation;
+pub mod fields;
 mod gauges;
 pub mod http;
 mod impatience;
