fix(roster): a VM that leads its zone and has just started hears another once, beside the store

Cause: who leads reads the store and asks nobody. Change: it hears another VM of its zone once, at most half a second, while it reads.

--- /dev/null
+++ b/crates/kingcuploft-entry/src/budgets.rs
@@ -0,0 +1,65 @@
+//! What a VM takes from budgets: probes, repeats, lines of log.
+
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::log_budget::Ordinary;
+use kingcuploft::entry::probe_budget;
+use kingcuploft::world::ids::ServiceName;
+
+use crate::context::Context;
+
+impl Context {
+    /// Counts a request for a service.
+    pub fn arrived(&self, now: Instant, service: &ServiceName) {
+        let mut repeats = self.repeats.borrow_mut();
+        repeats.entry(service.clone()).or_default().arrived(now);
+    }
+
+    /// Takes one probe from the budget, if it has room.
+    pub fn take_probe(&self, now: Instant) -> bool {
+        let servers = self.servers.borrow().in_use();
+        let bound = self.bounds.get().probes_per_server_s;
+        self.probing
+            .borrow_mut()
+            .take(now, bound, servers, self.vms.get())
+    }
+
+    /// Returns whether a line that says that all went well is written; tells now and then how many
+    /// were not.
+    pub fn writes_ordinary_line(&self, now: Instant) -> bool {
+        let taken = self.log_budget.borrow_mut().take(now);
+        match taken {
+            Ordinary::Write => return true,
+            Ordinary::LeaveOut => {}
+            Ordinary::Tell(count) => tracing::info!(event = "ordinary_left_out", count),
+        }
+        self.metrics.ordinary_lines_left_out.inc();
+        false
+    }
+
+    /// Returns which part of the probe budget is there to be used, from 0 to 1.
+    pub fn probes_left(&self) -> f64 {
+        self.probing.borrow().fill()
+    }
+
+    /// Returns which share of its servers a request asks that has looked so often in vain.
+    pub fn ask_share(&self, looks: u32) -> f64 {
+        probe_budget::ask_share(self.probes_left(), looks)
+    }
+
+    /// Returns how old a reading may be to choose by it.
+    pub fn reading_life(&self) -> Duration {
+        self.probing.borrow().reading_life()
+    }
+
+    /// Takes one repeat from the budget, if it has room.
+    pub fn take_repeat(&self, now: Instant, service: &ServiceName) -> bool {
+        let mut repeats = self.repeats.borrow_mut();
+        let of_service = repeats.entry(service.clone()).or_default();
+        let room = of_service.has_room(now, &self.bounds.get().repeats, self.vms.get());
+        if room {
+            of_service.repeated(now);
+        }
+        room
+    }
+}
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -7,15 +7,12 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use kingcuploft::entry::backend_servers::{BackendServer, Change};
 use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
 use kingcuploft::entry::era::{Era, era_of};
 use kingcuploft::entry::notice::Notice;
-use kingcuploft::entry::server_table::ServerTable;
 use kingcuploft::entry::zone_record::{MOST_NAMED, ZoneRecord};
-use kingcuploft::world::ids::BackendServerName;
 
 use crate::clock;
 use crate::cold;
@@ -27,6 +24,7 @@
 use crate::peers::standing::standing;
 use crate::pulse::Pulse;
 use crate::rewinds::Heard;
+use crate::server_news;
 use crate::store::{Changes, Collection, Page, Record, Revision, Store, StoreChange, StoreError};
 
 /// How long a watch waits for a change.
@@ -137,15 +135,12 @@
         let changes = context.servers(|servers| servers.expire(now));
         changes
             .iter()
-            .for_each(|change| apply(&context, now, change));
+            .for_each(|change| server_news::apply(&context, now, change));
         evacuation::expire(&context, now);
         cold::expire(&context, now);
     }
 }
 
-/// The most changes that are told and logged one by one when they come together.
-const MOST_TOLD_ALONE: usize = 4;
-
 #[derive(Default)]
 struct Pauses {
     failures: u32,
@@ -203,7 +198,7 @@
         if next.is_none() {
             match collection {
                 Collection::BackendServers => {
-                    all_servers(context, clock::now(), servers, &names);
+                    server_news::all_told(context, clock::now(), servers, &names);
                 }
                 Collection::Notices => notices::all_told(context, names.into_iter()),
                 Collection::Evacuations => evacuation::all_told(context, zones.into_iter()),
@@ -233,8 +228,8 @@
             StoreChange::Written(record) => written(context, record),
             StoreChange::Gone(name) if collection == Collection::BackendServers => {
                 // What came before this may be of the same server.
-                self::servers(context, clock::now(), std::mem::take(&mut servers));
-                server_gone(context, clock::now(), &name);
+                server_news::told(context, clock::now(), std::mem::take(&mut servers));
+                server_news::gone(context, clock::now(), &name);
             }
             StoreChange::Gone(id) if collection == Collection::Notices => {
                 notices::withdrawn(context, vec![id]);
@@ -245,7 +240,7 @@
             StoreChange::Gone(_) => {}
         }
     }
-    self::servers(context, clock::now(), servers);
+    server_news::told(context, clock::now(), servers);
     context.set_position(collection, revision);
     let gather = match collection {
         Collection::Notices | Collection::Evacuations => GATHER_RARE,
@@ -258,7 +253,7 @@
 fn written(context: &Context, record: Record) {
     match record {
         Record::Configuration(told) => configuration(context, *told),
-        Record::BackendServer(told) => server(context, clock::now(), told),
+        Record::BackendServer(told) => server_news::told(context, clock::now(), vec![told]),
         Record::Evacuation(zone) => evacuation::told(context, zone),
         Record::Notice(notice) => notices::told(context, vec![notice]),
         Record::Zone(_) | Record::Other => {}
@@ -289,84 +284,6 @@
     }
 }
 
-/// Takes in what is said of a backend server, and passes it on if it is news.
-pub fn server(context: &Context, now: Instant, server: BackendServer) {
-    servers(context, now, vec![server]);
-}
-
-/// Takes in what is said of backend servers, and passes on what is news: a list repeats what is known, and hundreds of
-/// lines at once are more than a follower's queue holds.
-pub fn servers(context: &Context, now: Instant, mut servers: Vec<BackendServer>) {
-    context.servers(|known| servers.retain(|server| !known.is_known(server)));
-    match &servers[..] {
-        [] => return,
-        [server] => context.followers.tell(&Frame::Server(server.clone())),
-        several => {
-            let table = ServerTable::of(several.iter());
-            context.followers.tell(&Frame::Servers(table));
-        }
-    }
-    let cold = cold_servers(&servers);
-    let told = servers.into_iter();
-    let changes: Vec<Change> =
-        context.servers(|known| told.filter_map(|s| known.told(s)).collect());
-    log_changes(&changes);
-    context.apply_all(now, &changes);
-    cold::told(context, &cold);
-}
-
-/// Returns which of these servers are cold, and for how long.
-fn cold_servers(servers: &[BackendServer]) -> Vec<(BackendServerName, Duration)> {
-    let cold = servers.iter().filter(|server| !server.cold_for.is_zero());
-    cold.map(|server| (server.name.clone(), server.cold_for))
-        .collect()
-}
-
-/// Takes in that a backend server's entry is gone, and passes it on.
-pub fn server_gone(context: &Context, now: Instant, name: &str) {
-    context.followers.tell(&Frame::ServerGone(name.to_owned()));
-    if let Some(change) = context.servers(|servers| servers.gone(now, name)) {
-        apply(context, now, &change);
-    }
-}
-
-/// Takes in all backend servers that can be read and the names of all that have entries, and passes on what is news.
-///
-/// Load pattern: after an outage every VM learns of hundreds of servers at once. Each is taken in alone, but they are
-/// told and logged together: a line for each takes a small VM longer than all the rest of its start.
-pub fn all_servers(context: &Context, now: Instant, servers: Vec<BackendServer>, names: &[String]) {
-    let is_news = |server: &BackendServer| context.servers(|known| !known.is_known(server));
-    let news: Vec<BackendServer> = servers.iter().filter(|s| is_news(s)).cloned().collect();
-    let cold = cold_servers(&news);
-    let told = servers.into_iter();
-    let joined = context.servers(|known| told.filter_map(|s| known.told(s)).collect::<Vec<_>>());
-    let present = names.iter().map(String::as_str);
-    let gone = context.servers(|known| known.all_told(now, present));
-    let changes: Vec<Change> = joined.into_iter().chain(gone).collect();
-    log_changes(&changes);
-    context.apply_all(now, &changes);
-    cold::told(context, &cold);
-    context.servers_listed();
-    pass_on(context, &news, &changes);
-}
-
-/// Tells the followers what a list of all servers brought: the few that changed, or all where many did.
-fn pass_on(context: &Context, news: &[BackendServer], changes: &[Change]) {
-    if news.len() + changes.len() > MOST_TOLD_ALONE {
-        let table = context.servers(|servers| ServerTable::of(servers.present()));
-        context.followers.tell(&Frame::AllServers(table));
-        return;
-    }
-    for server in news {
-        context.followers.tell(&Frame::Server(server.clone()));
-    }
-    for change in changes {
-        if let Change::Left(name) | Change::Lapsed(name) = change {
-            context.followers.tell(&Frame::ServerGone(name.to_string()));
-        }
-    }
-}
-
 /// Takes in that the store answers again, and passes it on if it is news: a follower that has just joined
 /// may never have lost the store, and would keep a leaving server in use for the grace of a lapsed one.
 pub fn store_returned(context: &Context) {
@@ -416,32 +333,3 @@
     let others = vms.filter(|vm| vm.name != context.settings.vm);
     others.map(|vm| vm.address).collect()
 }
-
-fn apply(context: &Context, now: Instant, change: &Change) {
-    log_changes(std::slice::from_ref(change));
-    context.apply_all(now, std::slice::from_ref(change));
-}
-
-/// Writes a line for each of a few changes, and one with counts for many.
-fn log_changes(changes: &[Change]) {
-    if changes.len() <= MOST_TOLD_ALONE {
-        for change in changes {
-            let (what, server) = (change.label(), change.server());
-            tracing::info!(event = "server", what, %server);
-        }
-        return;
-    }
-    let count = |what| {
-        changes
-            .iter()
-            .filter(|change| change.label() == what)
-            .count()
-    };
-    tracing::info!(
-        event = "servers",
-        joined = count("joined"),
-        updated = count("updated"),
-        left = count("left"),
-        lapsed = count("lapsed")
-    );
-}
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! what the platform's store says. Names of headers, paths and store entries come from outside, by
 //! [`settings::Vocabulary`] and [`store::Store`].
 
+mod budgets;
 pub mod clock;
 pub mod cold;
 pub mod context;
@@ -26,6 +27,7 @@
 pub mod rewinds;
 pub mod roster;
 pub mod run;
+pub mod server_news;
 pub mod settings;
 pub mod sign_of_life;
 pub mod store;
--- a/crates/kingcuploft-entry/src/limits.rs
+++ b/crates/kingcuploft-entry/src/limits.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::notice::Notice;
-use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_limit::{self, Part, PerSecond};
 use kingcuploft::entry::server_limits::{LimitNotice, News};
+use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, ServiceName};
 
 use crate::clock;
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -6,23 +6,25 @@
 use kingcuploft::entry::arriving::Taken;
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::ConfigurationVersion;
-use kingcuploft::entry::configuration_change::{ChangePart, PartError};
+use kingcuploft::entry::configuration_change::ChangePart;
 use kingcuploft::entry::feeding;
 use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::notice_id::NoticeId;
-use kingcuploft::entry::readers::VmEntry;
-use kingcuploft::entry::server_table::{ServerTable, TableError};
+use kingcuploft::entry::server_table::ServerTable;
+use kingcuploft::entry::vm_entry::VmEntry;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 
 use super::dial::Dial;
 use super::frame::{Frame, Hello, SPEAKS, Standing};
 use super::lines::{LineError, Lines};
+use super::link_error::LinkError;
 use crate::clock;
 use crate::context::Context;
 use crate::evacuation;
 use crate::keeper;
 use crate::notices;
 use crate::pulse::Pulse;
+use crate::server_news;
 use crate::store::Collection;
 
 /// How long a link may take to be opened by a VM that knows what the store held a moment ago.
@@ -39,70 +41,6 @@
 /// From which length on a line is logged with the time that it took.
 const LONG_LINE_BYTES: usize = 16 * 1024;
 
-/// Why a link ended.
-#[derive(Debug, thiserror::Error)]
-pub enum LinkError {
-    /// It could not be opened, or broke.
-    #[error("the link failed: {0}")]
-    Failed(#[from] std::io::Error),
-    /// The feeder closed it.
-    #[error("the feeder closed the link")]
-    Closed,
-    /// The feeder can't be reached in time.
-    #[error("the feeder does not answer")]
-    Unreachable,
-    /// The feeder fell silent.
-    #[error("the feeder is silent for {} ms, with {partial_bytes} bytes of a line", .silent_for.as_millis())]
-    Silent {
-        /// How long nothing has arrived.
-        silent_for: Duration,
-        /// The bytes that had arrived of a line.
-        partial_bytes: usize,
-    },
-    /// The VM feeds as many as it can, and names another.
-    #[error("the VM names {}", .0.name)]
-    Elsewhere(VmEntry),
-    /// The feeder has not heard yet what this VM knows.
-    #[error("the feeder is behind")]
-    Behind,
-    /// The store answers this VM, and not the one that reads for the feeder.
-    #[error("the reader has lost the store")]
-    StoreAway,
-    /// The feeder hears through this VM.
-    #[error("the feeder hears through this VM")]
-    Circle,
-    /// What came can't be read.
-    #[error("a line can't be read: {0}")]
-    Unreadable(#[from] serde_json::Error),
-    /// A table of servers can't be read.
-    #[error(transparent)]
-    Table(#[from] TableError),
-    /// A part of a configuration can't be read.
-    #[error(transparent)]
-    Part(#[from] PartError),
-    /// What is told of a configuration does not lead on from this VM's own.
-    #[error("the feeder does not lead on from the configuration in force")]
-    OutOfStep,
-}
-
-impl LinkError {
-    /// Returns the name used in counters.
-    pub fn label(&self) -> &'static str {
-        match self {
-            Self::Failed(_) => "failed",
-            Self::Closed => "closed",
-            Self::Unreachable => "unreachable",
-            Self::Silent { .. } => "silent",
-            Self::Elsewhere(_) => "elsewhere",
-            Self::Behind => "behind",
-            Self::StoreAway => "store_away",
-            Self::Circle => "circle",
-            Self::Unreadable(_) | Self::Table(_) | Self::Part(_) => "unreadable",
-            Self::OutOfStep => "out_of_step",
-        }
-    }
-}
-
 /// Whether a link came to feed this VM before it ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Link {
@@ -371,9 +309,9 @@
     match frame {
         Frame::Configuration(configuration) => keeper::configuration(context, *configuration),
         Frame::Newer(version) => keeper::configuration_exists(context, version),
-        Frame::Server(server) => keeper::server(context, now, server),
-        Frame::Servers(table) => keeper::servers(context, now, table.servers()?),
-        Frame::ServerGone(name) => keeper::server_gone(context, now, &name),
+        Frame::Server(server) => server_news::told(context, now, vec![server]),
+        Frame::Servers(table) => server_news::told(context, now, table.servers()?),
+        Frame::ServerGone(name) => server_news::gone(context, now, &name),
         Frame::AllServers(table) => all_servers(context, now, table)?,
         Frame::Zones(records) => keeper::zones(context, records),
         Frame::Notices(notices) => notices::told(context, notices),
@@ -420,6 +358,6 @@
 fn all_servers(context: &Context, now: Instant, table: ServerTable) -> Result<(), LinkError> {
     let servers: Vec<BackendServer> = table.servers()?;
     let names: Vec<String> = servers.iter().map(|s| s.name.to_string()).collect();
-    keeper::all_servers(context, now, servers, &names);
+    server_news::all_told(context, now, servers, &names);
     Ok(())
 }
--- a/crates/kingcuploft-entry/src/peers/followers.rs
+++ b/crates/kingcuploft-entry/src/peers/followers.rs
@@ -6,7 +6,7 @@
 use kingcuploft::entry::configuration::ConfigurationVersion;
 use kingcuploft::entry::configuration_change::ConfigurationChange;
 use kingcuploft::entry::feeding::{self, Admission, Fed};
-use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::ids::{AvailabilityZone, VmName};
 use tokio::sync::{Notify, Semaphore, mpsc};
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -9,6 +9,7 @@
 pub mod followers;
 pub mod frame;
 pub mod lines;
+pub mod link_error;
 pub mod reader;
 pub mod readings;
 pub mod seeds;
--- a/crates/kingcuploft-entry/src/roster.rs
+++ b/crates/kingcuploft-entry/src/roster/mod.rs
@@ -1,15 +1,16 @@
 //! How this VM learns what the store holds: it finds the VMs of its zone, follows one of them, or reads the store for
 //! them.
 
+mod leading;
+
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::joining;
-use kingcuploft::entry::readers::{Source, VmEntry};
-use kingcuploft::entry::zone_record::{
-    self, SETTLE, Seen, ZoneCount, ZoneRecord, handed_over, renewed,
-};
+use kingcuploft::entry::readers::Source;
+use kingcuploft::entry::vm_entry::VmEntry;
+use kingcuploft::entry::zone_record::{self, ZoneCount, ZoneRecord};
 
 use crate::clock;
 use crate::context::Context;
@@ -17,10 +18,11 @@
 use crate::keeper;
 use crate::peers::away;
 use crate::peers::dial::Dial;
-use crate::peers::follower::{self, Link, LinkError};
+use crate::peers::follower::{self, Link};
+use crate::peers::link_error::LinkError;
 use crate::peers::seeds;
 use crate::pulse::Pulse;
-use crate::store::{Recorded, Recording, Store, StoreError};
+use crate::store::Store;
 use crate::zone_list::{Staleness, list_all};
 
 /// The time between two lists of the zones by one that reads the store. Other zones grow meanwhile, and what all use
@@ -40,6 +42,12 @@
 /// How long a VM that has lost its feeder looks for another before it reads by itself meanwhile.
 const WITHOUT_FEEDER: Duration = Duration::from_millis(250);
 
+/// How long a VM that has just started hears another before it goes by what the store holds.
+const HEAR_ONCE: Duration = Duration::from_millis(500);
+
+/// How often it looks whether it has heard all.
+const HEARD_STEP: Duration = Duration::from_millis(5);
+
 /// The pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -93,6 +101,9 @@
 
 impl<S: Store, D: Dial + Clone + 'static> Roster<'_, S, D> {
     async fn go_on(&self) {
+        if !self.context.settings.all_start {
+            self.hear_once().await;
+        }
         let mut fed_at = clock::now();
         loop {
             match self.source() {
@@ -112,6 +123,31 @@
         }
     }
 
+    /// Hears what another VM of the zone knows, where this one has just started and leads the zone.
+    ///
+    /// Failure: the store came back from a copy and holds an older configuration than the others have in force; they leave a
+    /// VM alone for seconds that has just failed, and it would serve by the older one.
+    async fn hear_once(&self) {
+        let others = self.record().into_iter().flat_map(|record| record.vms);
+        let other = others.into_iter().find(|vm| vm.name != self.own.name);
+        let Some(other) = other.filter(|_| self.source() == Source::Store) else {
+            return;
+        };
+        tokio::select! {
+            biased;
+            () = self.heard() => {}
+            _ = follower::follow(self.context, self.pulse, self.own, &other, self.network) => {}
+            () = tokio::time::sleep(HEAR_ONCE) => {}
+        }
+    }
+
+    /// Returns once the VM that is followed has told all, or knows nothing itself.
+    async fn heard(&self) {
+        while self.context.followed.borrow().is_none() && !self.context.promised.get() {
+            tokio::time::sleep(HEARD_STEP).await;
+        }
+    }
+
     fn source(&self) -> Source {
         let readers = self.context.readers.borrow();
         let region = &self.context.settings.region;
@@ -274,125 +310,4 @@
             tokio::time::sleep(LOOK_EVERY).await;
         }
     }
-
-    /// Keeps the zone's record true whenever this VM leads its zone, whether it reads or follows the reader of another.
-    async fn lead(&self) {
-        let mut led_since: Option<Instant> = None;
-        loop {
-            let leads = self.leads() && !self.context.is_stopping();
-            let has_store = !self.pulse.is_reading() || self.pulse.is_there();
-            match leads {
-                true if has_store => {
-                    if led_since.is_none() {
-                        self.tell_seeds();
-                    }
-                    self.tend(*led_since.get_or_insert_with(clock::now)).await;
-                }
-                true => {}
-                false => led_since = None,
-            }
-            tokio::time::sleep(LOOK_EVERY).await;
-        }
-    }
-
-    async fn tend(&self, begun: Instant) {
-        let Some(old) = self.record() else {
-            return self.claim().await;
-        };
-        let (followers, zone) = (&self.context.followers, &self.own.zone);
-        let seen = Seen {
-            own: self.own.clone(),
-            followers: followers.vms(zone),
-            below: followers.below(zone),
-        };
-        if let Some(record) = handed_over(&old, &seen) {
-            tracing::info!(event = "reader_hands_over", version = record.version);
-            keeper::zones(self.context, vec![record]);
-            // What the followers are told last must be on its way before their links end.
-            tokio::time::sleep(CATCH_UP).await;
-            return followers.let_go();
-        }
-        let mut count = self.count.get();
-        let holds = count.holds(clock::now(), old.count, seen.below + 1);
-        self.count.set(count);
-        let settled = old.settled || clock::since(begun) >= SETTLE;
-        // Zones that began together with this one are known before it takes itself for counted.
-        if settled && !old.settled && !self.list(Staleness::Allowed).await {
-            return;
-        }
-        if let Some(record) = renewed(&old, &seen, holds, settled) {
-            keeper::zones(self.context, vec![record]);
-        }
-        let alone = seen.followers.is_empty() && holds > 1;
-        self.doubt_stored();
-        if let Some(record) = self
-            .record()
-            .filter(|r| r.version > self.stored.get() && !alone)
-        {
-            self.write(record, Recording::Replace).await;
-        }
-    }
-
-    /// Tells the seeds what this VM knows of its zone: after an outage they know nothing themselves.
-    fn tell_seeds(&self) {
-        if let Some(record) = self.record() {
-            seeds::tell(self.network, self.context.settings.seeds.clone(), record);
-        }
-    }
-
-    /// Makes this VM the reader of a zone that has no record.
-    async fn claim(&self) {
-        let record = ZoneRecord::first(self.own);
-        match self.store.record_zone(&record, Recording::Create).await {
-            Ok(Recorded::IsThere) => {
-                self.list(Staleness::Refused).await;
-            }
-            Ok(Recorded::Done | Recorded::IsNotThere) => {
-                tracing::info!(event = "zone_recorded", version = record.version);
-                self.stored.set(record.version);
-                keeper::zones(self.context, vec![record.clone()]);
-                seeds::tell(self.network, self.context.settings.seeds.clone(), record);
-            }
-            Err(error) => self.not_recorded(&error).await,
-        }
-    }
-
-    /// Names this VM in the record beside those that it can't reach.
-    async fn append(&self) {
-        let old = self.record();
-        let record = old.and_then(|old| zone_record::appended(&old, self.own));
-        if let Some(record) = record {
-            self.write(record, Recording::Replace).await;
-        }
-    }
-
-    async fn write(&self, record: ZoneRecord, how: Recording) {
-        match self.store.record_zone(&record, how).await {
-            Ok(Recorded::IsNotThere) => {
-                self.stored.set(0);
-                Box::pin(self.write(record, Recording::Create)).await;
-            }
-            Ok(Recorded::Done | Recorded::IsThere) => {
-                let (version, count) = (record.version, record.count);
-                tracing::info!(event = "zone_recorded", version, count);
-                self.stored.set(version);
-                self.stored_after.set(self.context.rewinds.count());
-                keeper::zones(self.context, vec![record]);
-            }
-            Err(error) => self.not_recorded(&error).await,
-        }
-    }
-
-    /// Takes the store to hold no record if it came back from a copy since it was written: a copy may hold an older one, and
-    /// what a list allows to be stale may tell of the one before.
-    fn doubt_stored(&self) {
-        if self.stored_after.get() != self.context.rewinds.count() {
-            self.stored.set(0);
-        }
-    }
-
-    async fn not_recorded(&self, error: &StoreError) {
-        tracing::warn!(event = "zone_not_recorded", %error);
-        tokio::time::sleep(PAUSE.mul_f64(1.0 + fastrand::f64())).await;
-    }
 }
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::vm_entry::VmEntry;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
--- /dev/null
+++ b/crates/kingcuploft-entry/src/server_news.rs
@@ -0,0 +1,117 @@
+//! News of backend servers: taken in, passed on, logged.
+
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::backend_servers::{BackendServer, Change};
+use kingcuploft::entry::server_table::ServerTable;
+use kingcuploft::world::ids::BackendServerName;
+
+use crate::cold;
+use crate::context::Context;
+use crate::peers::frame::Frame;
+
+/// The most changes that are told and logged one by one when they come together.
+const MOST_TOLD_ALONE: usize = 4;
+
+/// Takes in what is said of backend servers, and passes on what is news: a list repeats what is known, and hundreds of
+/// lines at once are more than a follower's queue holds.
+pub fn told(context: &Context, now: Instant, mut servers: Vec<BackendServer>) {
+    context.servers(|known| servers.retain(|server| !known.is_known(server)));
+    match &servers[..] {
+        [] => return,
+        [server] => context.followers.tell(&Frame::Server(server.clone())),
+        several => {
+            let table = ServerTable::of(several.iter());
+            context.followers.tell(&Frame::Servers(table));
+        }
+    }
+    let cold = cold_servers(&servers);
+    let told = servers.into_iter();
+    let changes: Vec<Change> =
+        context.servers(|known| told.filter_map(|s| known.told(s)).collect());
+    log_changes(&changes);
+    context.apply_all(now, &changes);
+    cold::told(context, &cold);
+}
+
+/// Returns which of these servers are cold, and for how long.
+fn cold_servers(servers: &[BackendServer]) -> Vec<(BackendServerName, Duration)> {
+    let cold = servers.iter().filter(|server| !server.cold_for.is_zero());
+    cold.map(|server| (server.name.clone(), server.cold_for))
+        .collect()
+}
+
+/// Takes in that a backend server's entry is gone, and passes it on.
+pub fn gone(context: &Context, now: Instant, name: &str) {
+    context.followers.tell(&Frame::ServerGone(name.to_owned()));
+    if let Some(change) = context.servers(|servers| servers.gone(now, name)) {
+        apply(context, now, &change);
+    }
+}
+
+/// Takes in all backend servers that can be read and the names of all that have entries, and passes on what is news.
+///
+/// Load pattern: after an outage every VM learns of hundreds of servers at once. Each is taken in alone, but they are
+/// told and logged together: a line for each takes a small VM longer than all the rest of its start.
+pub fn all_told(context: &Context, now: Instant, servers: Vec<BackendServer>, names: &[String]) {
+    let is_news = |server: &BackendServer| context.servers(|known| !known.is_known(server));
+    let news: Vec<BackendServer> = servers.iter().filter(|s| is_news(s)).cloned().collect();
+    let cold = cold_servers(&news);
+    let told = servers.into_iter();
+    let joined = context.servers(|known| told.filter_map(|s| known.told(s)).collect::<Vec<_>>());
+    let present = names.iter().map(String::as_str);
+    let gone = context.servers(|known| known.all_told(now, present));
+    let changes: Vec<Change> = joined.into_iter().chain(gone).collect();
+    log_changes(&changes);
+    context.apply_all(now, &changes);
+    cold::told(context, &cold);
+    context.servers_listed();
+    pass_on(context, &news, &changes);
+}
+
+/// Tells the followers what a list of all servers brought: the few that changed, or all where many did.
+fn pass_on(context: &Context, news: &[BackendServer], changes: &[Change]) {
+    if news.len() + changes.len() > MOST_TOLD_ALONE {
+        let table = context.servers(|servers| ServerTable::of(servers.present()));
+        context.followers.tell(&Frame::AllServers(table));
+        return;
+    }
+    for server in news {
+        context.followers.tell(&Frame::Server(server.clone()));
+    }
+    for change in changes {
+        if let Change::Left(name) | Change::Lapsed(name) = change {
+            context.followers.tell(&Frame::ServerGone(name.to_string()));
+        }
+    }
+}
+
+/// Follows a change, and writes it down.
+pub fn apply(context: &Context, now: Instant, change: &Change) {
+    log_changes(std::slice::from_ref(change));
+    context.apply_all(now, std::slice::from_ref(change));
+}
+
+/// Writes a line for each of a few changes, and one with counts for many.
+fn log_changes(changes: &[Change]) {
+    if changes.len() <= MOST_TOLD_ALONE {
+        for change in changes {
+            let (what, server) = (change.label(), change.server());
+            tracing::info!(event = "server", what, %server);
+        }
+        return;
+    }
+    let count = |what| {
+        changes
+            .iter()
+            .filter(|change| change.label() == what)
+            .count()
+    };
+    tracing::info!(
+        event = "servers",
+        joined = count("joined"),
+        updated = count("updated"),
+        left = count("left"),
+        lapsed = count("lapsed")
+    );
+}
--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::entry::zone_record::ZoneRecord;
 use kingcuploft_entry::peers::followers::Followers;
 use kingcuploft_entry::peers::frame::Frame;
--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -8,8 +8,8 @@
 
 use fastrand::Rng;
 use kingcuploft::entry::configuration::Route;
-use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::repeats::RepeatBounds;
+use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::world::ids::VmName;
 use kingcuploft_entry::context::Context;
 use kingcuploft_entry::peers::reader;
--- a/crates/kingcuploft-entry/tests/links/joining.rs
+++ b/crates/kingcuploft-entry/tests/links/joining.rs
@@ -6,7 +6,7 @@
 
 use kingcuploft::entry::arriving::Arrived;
 use kingcuploft::entry::configuration_change::ConfigurationChange;
-use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft_entry::peers::dial::Dial;
 use kingcuploft_entry::peers::follower;
 use kingcuploft_entry::peers::frame::{Frame, Hello, SPEAKS, Standing};
--- a/crates/kingcuploft-entry/tests/links/notices.rs
+++ b/crates/kingcuploft-entry/tests/links/notices.rs
@@ -5,7 +5,7 @@
 
 use kingcuploft::entry::crash_report::CrashReport;
 use kingcuploft::entry::notice::Notice;
-use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft_entry::context::Context;
 use kingcuploft_entry::notice_writes::Write;
 use kingcuploft_entry::notices;
--- a/crates/kingcuploft-entry/tests/links/rewinds.rs
+++ b/crates/kingcuploft-entry/tests/links/rewinds.rs
@@ -21,8 +21,8 @@
 /// How soon servers and the operator write again what the copy lacks.
 const WRITTEN_AGAIN: Duration = Duration::from_millis(1_200);
 
-/// When the others follow a VM again that has started anew, and tell it what it lacks.
-const FOLLOWED_AGAIN: Duration = Duration::from_secs(7);
+/// When a VM that has started anew counts as in touch.
+const IN_TOUCH: Duration = Duration::from_secs(3);
 
 /// Longer than anything is believed that nobody writes again.
 const SETTLED: Duration = Duration::from_secs(12);
@@ -148,7 +148,7 @@
             fleet.power_off(at);
             tokio::time::sleep(Duration::from_millis(300)).await;
             fleet.power_on(at, false);
-            tokio::time::sleep(FOLLOWED_AGAIN).await;
+            tokio::time::sleep(IN_TOUCH).await;
             assert!(fleet.behind().is_empty(), "after VM {at} has started");
         }
     });
--- a/crates/kingcuploft-entry/tests/links/scenarios.rs
+++ b/crates/kingcuploft-entry/tests/links/scenarios.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::vm_entry::VmEntry;
 
 use crate::fleet::{Fleet, Links, play};
 
--- a/crates/kingcuploft/src/entry/feeding.rs
+++ b/crates/kingcuploft/src/entry/feeding.rs
@@ -8,7 +8,7 @@
 //! telling each other old news. The guard: each VM tells with every heartbeat through which VMs it hears; one that
 //! finds itself among them leaves.
 
-use super::readers::VmEntry;
+use super::vm_entry::VmEntry;
 use crate::world::ids::{AvailabilityZone, VmName};
 
 /// The most VMs that one feeds: a tree of two steps reaches 156, of three 1,884.
--- a/crates/kingcuploft/src/entry/joining.rs
+++ b/crates/kingcuploft/src/entry/joining.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use super::readers::VmEntry;
+use super::vm_entry::VmEntry;
 use super::zone_record::ZoneRecord;
 use crate::world::ids::VmName;
 
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -33,4 +33,5 @@
 pub mod server_table;
 pub mod service_time;
 pub mod verdict;
+pub mod vm_entry;
 pub mod zone_record;
--- a/crates/kingcuploft/src/entry/readers.rs
+++ b/crates/kingcuploft/src/entry/readers.rs
@@ -11,11 +11,9 @@
 //! record. The readers of a region's zones follow one of them in the same way.
 
 use std::cmp::Reverse;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
+use super::vm_entry::VmEntry;
 use super::zone_record::ZoneRecord;
 use crate::utils::HashMap;
 use crate::world::ids::{AvailabilityZone, VmName};
@@ -26,19 +24,6 @@
 /// The same for one that hears through the VM that would follow it: it is well, and may find another source.
 const LEAVE_ALONE_IN_CIRCLE: Duration = Duration::from_secs(1);
 
-/// One entry VM, as it made itself known.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct VmEntry {
-    /// Its name.
-    pub name: VmName,
-    /// Its availability zone.
-    pub zone: AvailabilityZone,
-    /// Where the other VMs reach it.
-    pub address: SocketAddr,
-    /// Its processor, in thousandths of a core.
-    pub cpu_milli: u32,
-}
-
 /// Returns a zone's place in the order of those that others follow: by the size of the VM that reads for it.
 fn place(record: &ZoneRecord) -> (Reverse<u32>, &AvailabilityZone) {
     let cpu_milli = record.vms.first().map_or(0, |vm| vm.cpu_milli);
--- a/crates/kingcuploft/src/entry/server_limit.rs
+++ b/crates/kingcuploft/src/entry/server_limit.rs
@@ -9,7 +9,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::readers::VmEntry;
+use super::vm_entry::VmEntry;
 use super::zone_record::ZoneRecord;
 use crate::utils::rendezvous::rendezvous;
 use crate::world::ids::{AvailabilityZone, BackendServerName, VmName};
--- /dev/null
+++ b/crates/kingcuploft/src/entry/vm_entry.rs
@@ -0,0 +1,20 @@
+//! How the entry VMs know each other.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::world::ids::{AvailabilityZone, VmName};
+
+/// One entry VM, as it made itself known.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VmEntry {
+    /// Its name.
+    pub name: VmName,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// Where the other VMs reach it.
+    pub address: SocketAddr,
+    /// Its processor, in thousandths of a core.
+    pub cpu_milli: u32,
+}
--- a/crates/kingcuploft/src/entry/zone_record.rs
+++ b/crates/kingcuploft/src/entry/zone_record.rs
@@ -12,7 +12,7 @@
 use rustc_hash::FxHasher;
 use serde::{Deserialize, Serialize};
 
-use super::readers::VmEntry;
+use super::vm_entry::VmEntry;
 use crate::world::ids::{AvailabilityZone, VmName};
 
 /// The most VMs that a record names: the reader, and those that take its place. Zones of up to so many VMs are named
--- a/crates/kingcuploft/tests/entry/cold_servers.rs
+++ b/crates/kingcuploft/tests/entry/cold_servers.rs
@@ -3,9 +3,9 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
-use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_limit::{Part, PerSecond, Turn, keepers, part};
 use kingcuploft::entry::server_limits::{ServerLimits, Turned};
+use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::entry::zone_record::ZoneRecord;
 use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, VmName};
 
--- a/crates/kingcuploft/tests/entry/readers.rs
+++ b/crates/kingcuploft/tests/entry/readers.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
-use kingcuploft::entry::readers::{Readers, Source, VmEntry};
+use kingcuploft::entry::readers::{Readers, Source};
+use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::entry::zone_record::ZoneRecord;
 
 pub(crate) fn vm(name: &str, cpu_milli: u32) -> VmEntry {
--- a/crates/kingcuploft/tests/entry/server_limit.rs
+++ b/crates/kingcuploft/tests/entry/server_limit.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use kingcuploft::entry::readers::VmEntry;
 use kingcuploft::entry::server_limit::{Part, PerSecond, ServerLimit, Turn, keepers, part};
 use kingcuploft::entry::server_limits::{LimitNotice, News, ServerLimits};
+use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::entry::zone_record::ZoneRecord;
 use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, VmName};
 
--- a/crates/kingcuploft/tests/entry/zone_record.rs
+++ b/crates/kingcuploft/tests/entry/zone_record.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use kingcuploft::entry::readers::VmEntry;
+use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::entry::zone_record::{
     MOST_NAMED, Seen, ZoneCount, ZoneRecord, appended, handed_over, renewed, taken_over,
 };
--- a/crates/kingcuploft/tests/zones/fleet.rs
+++ b/crates/kingcuploft/tests/zones/fleet.rs
@@ -4,7 +4,8 @@
 
 use fastrand::Rng;
 use kingcuploft::entry::joining;
-use kingcuploft::entry::readers::{Readers, VmEntry};
+use kingcuploft::entry::readers::Readers;
+use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::entry::zone_record::{ZoneCount, ZoneRecord};
 use kingcuploft::world::ids::{AvailabilityZone, VmName};
 
--- a/crates/kingcuploft/tests/zones/leading.rs
+++ b/crates/kingcuploft/tests/zones/leading.rs
@@ -1,7 +1,8 @@
 //! How a VM that leads its zone keeps the zone's record.
 
 use kingcuploft::entry::feeding::below;
-use kingcuploft::entry::readers::{Source, VmEntry};
+use kingcuploft::entry::readers::Source;
+use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::entry::zone_record::{SETTLE, Seen, ZoneRecord, handed_over, renewed};
 
 use crate::fleet::Fleet;
