--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use fastrand::Rng;
+use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::Route;
 use kingcuploft::entry::repeats::RepeatBounds;
 use kingcuploft::entry::vm_entry::VmEntry;
@@ -335,6 +336,21 @@
     }
 }
 
+/// Returns a backend server of the first zone.
+pub(crate) fn server(name: &str) -> BackendServer {
+    let address: SocketAddr = ([127, 0, 0, 1], 80).into();
+    BackendServer {
+        name: name.into(),
+        service: "trip".into(),
+        address,
+        zone: "zone-0".into(),
+        slots: 3,
+        draining: false,
+        cold_for: Duration::ZERO,
+        started_at: None,
+    }
+}
+
 /// Runs a scenario in virtual time.
 pub(crate) fn play<F: Future<Output = ()>>(scenario: F) {
     let mut builder = tokio::runtime::Builder::new_current_thread();
--- a/crates/kingcuploft-entry/tests/links/interleavings.rs
+++ b/crates/kingcuploft-entry/tests/links/interleavings.rs
@@ -3,13 +3,10 @@
 //!
 //! Each action is given time to be seen or not: the steps between them are shorter than a watch takes to bring a change.
 
-use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 
-use kingcuploft::entry::backend_servers::BackendServer;
-
-use crate::fleet::{Fleet, Links, play};
+use crate::fleet::{Fleet, Links, play, server};
 use crate::store::Copy;
 
 const LINKS: Links = Links {
@@ -75,7 +72,7 @@
         match act {
             Act::Join => {
                 self.is_there = true;
-                store.serve(server());
+                store.serve(server("s"));
             }
             Act::Leave => {
                 self.is_there = false;
@@ -103,7 +100,7 @@
         let [has_server, has_evacuation, has_configuration] =
             store.holds("s", "zone-0", self.fleet.version());
         match (has_server, self.is_there) {
-            (false, true) => store.serve(server()),
+            (false, true) => store.serve(server("s")),
             (true, false) => store.remove("s"),
             _ => {}
         }
@@ -133,20 +130,6 @@
     }
 }
 
-fn server() -> BackendServer {
-    let address: SocketAddr = ([127, 0, 0, 1], 80).into();
-    BackendServer {
-        name: "s".into(),
-        service: "trip".into(),
-        address,
-        zone: "zone-0".into(),
-        slots: 3,
-        draining: false,
-        cold_for: Duration::ZERO,
-        started_at: None,
-    }
-}
-
 /// Plays actions at a VM that reads the store and one that follows it.
 fn follow(acts: &[Act], hides_eras: bool) {
     play(async {
--- a/crates/kingcuploft-entry/tests/links/rewinds.rs
+++ b/crates/kingcuploft-entry/tests/links/rewinds.rs
@@ -1,14 +1,12 @@
 //! A store that comes back from a copy: what all VMs believe meanwhile, and what it costs.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::crash_report::CrashReport;
 use kingcuploft::entry::notice::Notice;
 use kingcuploft_entry::store::Store;
 
-use crate::fleet::{Fleet, Links, play};
+use crate::fleet::{Fleet, Links, play, server};
 
 const LINKS: Links = Links {
     large_mbit: 200,
@@ -27,20 +25,6 @@
 /// Longer than anything is believed that nobody writes again.
 const SETTLED: Duration = Duration::from_secs(12);
 
-fn server(name: &str) -> BackendServer {
-    let address: SocketAddr = ([127, 0, 0, 1], 80).into();
-    BackendServer {
-        name: name.into(),
-        service: "trip".into(),
-        address,
-        zone: "zone-0".into(),
-        slots: 3,
-        draining: false,
-        cold_for: Duration::ZERO,
-        started_at: None,
-    }
-}
-
 fn report(fingerprint: u64, server: &str) -> Notice {
     Notice::Crash(CrashReport {
         fingerprint,
