--- a/crates/kingcuploft-entry/src/peers/readings.rs
+++ b/crates/kingcuploft-entry/src/peers/readings.rs
@@ -97,7 +97,8 @@
             };
             if let Some(upstream) = context.upstream(server) {
                 if let Some(cold_for) = cold_ms.map(Duration::from_millis) {
-                    cold::heard(context, &upstream, cold_for, now - TOLD_WITHIN);
+                    let asked_at = now.checked_sub(TOLD_WITHIN).unwrap_or(now);
+                    cold::heard(context, &upstream, cold_for, asked_at);
                 }
                 upstream.told(now, reading);
                 context.readings.notify_waiters();
