--- a/crates/kingcuploft-standins/tests/claims/main.rs
+++ b/crates/kingcuploft-standins/tests/claims/main.rs
@@ -26,8 +26,7 @@
     assert_eq!((told.status, told.reason.as_str()), (200, ""), "{told:?}");
 }
 
-/// A team manager confirms beds. The store takes the claim and its answer is lost. The claim is
-/// read back before anything is sent, the hold runs once, and the resend gets the same answer.
+/// Guards against a hold that is lost, or runs twice, as the answer to its claim was lost.
 #[test]
 fn a_lost_answer_of_the_store_costs_neither_the_hold_nor_a_second_one() {
     let fleet = fleet(2);
@@ -41,8 +40,7 @@
     fleet.stop();
 }
 
-/// The store is slow: the claim's write arrives after its VM gave up waiting for it and wrote
-/// again. The late one finds another version and does nothing. The hold runs once.
+/// Guards against a claim whose late write takes the place of the one after it.
 #[test]
 fn a_delayed_write_is_fenced_by_the_next() {
     let fleet = fleet(2);
@@ -61,8 +59,7 @@
     fleet.stop();
 }
 
-/// A caller without patience sends the same hold through five VMs at the same moment. It runs once;
-/// whoever does not get its answer is told that it may be running, and when to ask again.
+/// Guards against a hold that runs at several VMs which get it at the same moment.
 #[test]
 fn the_same_key_through_five_vms_at_once_runs_once() {
     let fleet = Arc::new(fleet(5));
@@ -88,9 +85,7 @@
     Arc::into_inner(fleet).unwrap().stop();
 }
 
-/// A VM claims a hold and is paused. Its caller resends through another VM, which must not run it:
-/// nobody knows whether it was sent. When the first resumes, its answer is recorded and replayed,
-/// byte for byte, without the headers that were meant for one caller.
+/// Guards against a second run of a hold whose VM was paused after its claim.
 #[test]
 fn a_paused_claimants_hold_is_not_taken_over_and_its_answer_is_replayed() {
     let fleet = fleet(1);
@@ -110,9 +105,7 @@
     fleet.stop();
 }
 
-/// The store goes down while a hold is at its backend server. Its caller gets the answer; new holds
-/// are refused in no time as not run, with the time to ask again; lookups go on. Back, the store
-/// gets the answer's record, and a resend through another VM is answered by it.
+/// Guards against an answer that is lost, and callers that hang, as the store goes down in mid flight.
 #[test]
 fn an_outage_in_mid_flight_loses_no_answer_and_hangs_nobody() {
     let fleet = Arc::new(fleet(2));
@@ -148,8 +141,7 @@
     Arc::into_inner(fleet).unwrap().stop();
 }
 
-/// Callers misuse keys: another hold under the same key, no key, an answer longer than what is
-/// recorded. Each is told the truth, and nothing runs that should not.
+/// Guards against a run that should not be, as a key is used again, missing, or has a long answer.
 #[test]
 fn keys_reused_missing_or_with_a_long_answer_are_told_truthfully() {
     let fleet = fleet(2);
@@ -181,8 +173,7 @@
     fleet.stop();
 }
 
-/// An operator's mistake leaves a ledger object that can't be read. Its keys are refused and the
-/// object stays as it is; once it is mended, holds run again.
+/// Guards against claims that are lost, as a ledger object that can't be read is written over.
 #[test]
 fn a_corrupt_ledger_object_is_refused_and_never_overwritten() {
     let fleet = fleet(1);
--- a/crates/kingcuploft-standins/tests/edges/backend.rs
+++ b/crates/kingcuploft-standins/tests/edges/backend.rs
@@ -57,10 +57,7 @@
     }
 }
 
-/// A hold is billed twice, or a team has no beds and is told that it has.
-/// Order: the hold is sent on a fresh or a kept-alive connection, which dies before, within or
-/// after the request or the answer. Cause: a library that resends by itself what it can not prove
-/// unsent. The backend server counts the runs.
+/// Guards against a library that sends a hold again which it can not prove unsent.
 #[test]
 fn however_a_connection_dies_a_request_is_sent_once_and_told_truthfully() {
     let faults = [
@@ -104,9 +101,7 @@
     }
 }
 
-/// A hold meets a backend server that refuses connections, sheds or is gone.
-/// Order: nothing is handed to a connection, or the server's own contract says that it did not run.
-/// Then, and only then, the caller is told `not_run`.
+/// Guards against `not_run` for a hold of which something was handed to a connection.
 #[test]
 fn not_run_is_said_only_where_it_did_not_run() {
     let pair = pair("");
@@ -124,9 +119,7 @@
     assert_eq!(pair.server.counts().runs, 0);
 }
 
-/// A caller gets another's itinerary.
-/// Order: an answer comes twice, or after its deadline, on a connection that is kept alive; the
-/// next request on it would be given the left-over. Every later caller must get its own.
+/// Guards against a caller that gets another's answer, left over on a kept connection.
 #[test]
 fn a_connection_with_a_left_over_answer_is_never_used_again() {
     let pair = pair("");
@@ -146,9 +139,7 @@
     }
 }
 
-/// A lookup's caller hangs up while the backend server works for it.
-/// Order: the lookup runs, the caller closes its connection.
-/// Without cancellation the slot is held for work that nobody waits for.
+/// Guards against slots that are held for work which nobody waits for.
 #[test]
 fn a_caller_that_goes_away_cancels_its_lookup_at_the_backend_server() {
     let pair = pair("");
@@ -175,9 +166,7 @@
     assert_eq!(pair.server.counts().cancelled, 0);
 }
 
-/// A match-day list is longer than what is read whole.
-/// Order: its head and beginning go out while the rest still comes; then the connection is cut.
-/// The caller must be able to tell a cut list from a whole one.
+/// Guards against a long answer that is cut and looks whole.
 #[test]
 fn a_long_answer_streams_and_a_cut_one_is_not_taken_for_whole() {
     let pair = pair(", whole_answer_bytes: 1000");
@@ -321,9 +310,7 @@
     }
 }
 
-/// Fourteen entry VMs share a backend server's connections; one must not take all of them.
-/// Order: many lookups at once, the share is one connection. What finds it in use is told
-/// truthfully that nothing was sent.
+/// Guards against one VM that takes all connections of a backend server.
 #[test]
 fn connections_to_a_backend_server_stay_within_this_vms_share() {
     let runtime = Bench::runtime();
--- a/crates/kingcuploft-standins/tests/edges/malformed.rs
+++ b/crates/kingcuploft-standins/tests/edges/malformed.rs
@@ -33,8 +33,7 @@
     assert_eq!(server.counts().requests, 0);
 }
 
-/// A caller's answer is another's: two servers on the way read a request's end differently, and
-/// the bytes between become a request that nobody sent.
+/// Guards against a request smuggled in another, whose end two servers read differently.
 #[test]
 fn a_body_with_two_lengths_or_codings_is_refused() {
     all_are_refused(
@@ -114,8 +113,7 @@
     all_are_refused("HTTP/1.1 431", &[&big, &many, &long, &many_long]);
 }
 
-/// A caller uploads a team's photo album to a rule that takes a few bytes.
-/// It must be told before it has sent all of it, and not be invited by 100 Continue.
+/// Guards against a long body that is invited, or read whole, before it is refused.
 #[test]
 fn a_long_body_is_refused_before_it_is_read() {
     let server = plain_server(Duration::ZERO, answer_of(1));
@@ -139,9 +137,7 @@
     assert!(read_head(&mut stream).starts_with("HTTP/1.1 200"));
 }
 
-/// A phone on a poor link stops in the middle of its request and holds a connection.
-/// Order: part of a head, or of a body, then nothing. The connection must come free in bounded
-/// time; one that is only idle between requests must stay.
+/// Guards against connections held by callers that stop in the middle of a request.
 #[test]
 fn slow_heads_and_bodies_end_and_idle_connections_stay() {
     let server = plain_server(Duration::ZERO, answer_of(1));
@@ -171,9 +167,7 @@
     assert!(again.starts_with("HTTP/1.1"), "{again}");
 }
 
-/// More callers than the VM takes connect at once.
-/// Order: the limit is reached, one more connects. It must be told that nothing ran and when to
-/// come back, not be closed silently; when one leaves, the next is served.
+/// Guards against callers above the limit that are closed without a word.
 #[test]
 fn a_connection_above_the_limit_is_refused_with_an_answer() {
     let server = plain_server(Duration::ZERO, answer_of(1));
--- a/crates/kingcuploft-standins/tests/edges/overdue.rs
+++ b/crates/kingcuploft-standins/tests/edges/overdue.rs
@@ -11,9 +11,7 @@
 
 use crate::harness::{Bench, bench};
 
-/// A VM is paused after it claimed a hold and before its worker sent it. Its caller is told that
-/// the end is not known and asks the desk, which books by hand. The VM goes on after the pause,
-/// and the worker finds the call in its ring: it must not be sent any more.
+/// Guards against a call that is sent after its caller was told that its end is not known.
 #[test]
 fn a_call_that_is_overdue_when_the_worker_takes_it_is_not_sent() {
     let runtime = Bench::runtime();
--- a/crates/kingcuploft-standins/tests/edges/stop.rs
+++ b/crates/kingcuploft-standins/tests/edges/stop.rs
@@ -13,9 +13,7 @@
 
 const LOOKUP: &[u8] = b"GET /itinerary HTTP/1.1\r\nhost: trip.example\r\n\r\n";
 
-/// A school office on a poor link reads a long itinerary while its entry VM is replaced.
-/// Order: the answer is handed to the connection, SIGTERM, the office reads on.
-/// Cause: the edge dropped connections that were still writing; the itinerary ended in its middle.
+/// Guards against a stop that drops connections which are still writing.
 #[test]
 fn an_answer_that_is_still_being_written_is_not_cut_by_a_stop() {
     const BYTES: usize = 24 * 1024 * 1024;
@@ -32,9 +30,7 @@
     stopped.join().unwrap();
 }
 
-/// A manager's lookup is at a slow backend server when the entry VM is told to stop.
-/// Order: the request is sent on, the stop begins and passes its not-ready time, the answer comes.
-/// The answer must arrive whole and tell the caller that this connection ends.
+/// Guards against a stop that cuts a request at a slow backend server.
 #[test]
 fn a_request_in_flight_is_answered_and_its_connection_closed() {
     let server = plain_server(Duration::from_millis(300), answer_of(10));
@@ -51,9 +47,7 @@
     stopped.join().unwrap();
 }
 
-/// The platform's balancer learns only after some time that a VM is not ready.
-/// Order: the stop begins, `/ready` says 503, the balancer still opens connections.
-/// Within the not-ready time they must be served as ever, and idle kept connections must end.
+/// Guards against connections that are turned away before the balancer knows of the stop.
 #[test]
 fn the_not_ready_time_serves_new_connections_and_ends_idle_ones() {
     let server = plain_server(Duration::ZERO, answer_of(3));
@@ -85,9 +79,7 @@
     assert!(began.elapsed() < Duration::from_secs(5));
 }
 
-/// A caller stops reading in the middle of its answer and never comes back.
-/// Order: a long answer is being written, the stop begins, nothing is read any more.
-/// Cause: without a bound, one dead reader would keep the VM from ever ending.
+/// Guards against a stop that one dead reader keeps from ever ending.
 #[test]
 fn a_stop_ends_at_its_bound() {
     let server = plain_server(Duration::ZERO, answer_of(24 * 1024 * 1024));
@@ -105,9 +97,7 @@
     assert!(began.elapsed() < Duration::from_secs(5));
 }
 
-/// An operator replaces an entry VM: the platform sends SIGTERM to the process.
-/// Order: a lookup is at a slow backend server, SIGTERM, the answer comes, the process ends.
-/// The caller must get the answer and the platform exit code 0, or it reports a crash.
+/// Guards against a planned stop that looks like a crash.
 #[test]
 fn sigterm_to_the_process_cuts_nothing_and_ends_with_0() {
     let runtime = tokio::runtime::Runtime::new().unwrap();
--- a/crates/kingcuploft-standins/tests/platform_client.rs
+++ b/crates/kingcuploft-standins/tests/platform_client.rs
@@ -41,9 +41,7 @@
     assert!(!put.may_have_taken_effect());
 }
 
-/// A silent store holds each call until its timeout. Callers of protected actions would each wait
-/// for it; the circuit lets two find out, refuses the rest at once, and one probe at a time finds
-/// the store's return.
+/// Guards against callers that each wait for a silent store until its timeout.
 #[test]
 fn a_silent_store_is_called_by_few_and_its_return_is_noticed() {
     let runtime = Runtime::new().unwrap();
