feat(logs): a repeat's line tells what decided it: service, used, allowed, VMs counted, time since the start

The hypotheses of the incident could not be told apart: the line said that there was room, not of what.

--- a/crates/kingcuploft-entry/src/budgets.rs
+++ b/crates/kingcuploft-entry/src/budgets.rs
@@ -4,10 +4,25 @@
 
 use kingcuploft::entry::log_budget::Ordinary;
 use kingcuploft::entry::probe_budget;
+use kingcuploft::entry::repeats::Standing;
 use kingcuploft::world::ids::ServiceName;
 
+use crate::clock;
 use crate::context::Context;
 
+/// A second send that a request wants.
+#[derive(Debug)]
+pub struct WantedRepeat<'a> {
+    /// The request's id.
+    pub request: Option<&'a str>,
+    /// The service.
+    pub service: &'a ServiceName,
+    /// What was wrong with the first send.
+    pub after: &'static str,
+    /// Sends so far.
+    pub attempts: u32,
+}
+
 impl Context {
     /// Counts a request for a service.
     pub fn arrived(&self, now: Instant, service: &ServiceName) {
@@ -54,12 +69,39 @@
 
     /// Takes one repeat from the budget, if it has room.
     pub fn take_repeat(&self, now: Instant, service: &ServiceName) -> bool {
+        self.take_part(now, service).has_room()
+    }
+
+    /// Takes one repeat from the budget, if it has room, counts it by what was wrong with the first send, and writes what
+    /// decided it.
+    pub fn repeats(&self, wanted: &WantedRepeat<'_>) -> bool {
+        let now = clock::now();
+        let standing = self.take_part(now, wanted.service);
+        let room = standing.has_room();
+        tracing::info!(
+            event = "repeat",
+            request = wanted.request,
+            after = wanted.after,
+            attempts = wanted.attempts,
+            room,
+            service = %wanted.service,
+            used = standing.used,
+            allowed = standing.allowed,
+            vms = self.vms.get(),
+            up_ms = clock::since(self.begun).as_millis() as u64,
+        );
+        let reason = if room { wanted.after } else { "no_budget" };
+        self.metrics.repeat(reason);
+        room
+    }
+
+    fn take_part(&self, now: Instant, service: &ServiceName) -> Standing {
         let mut repeats = self.repeats.borrow_mut();
         let of_service = repeats.entry(service.clone()).or_default();
-        let room = of_service.has_room(now, &self.bounds.get().repeats, self.vms.get());
-        if room {
+        let standing = of_service.standing(now, &self.bounds.get().repeats, self.vms.get());
+        if standing.has_room() {
             of_service.repeated(now);
         }
-        room
+        standing
     }
 }
--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -100,6 +100,8 @@
     pub promised: Cell<bool>,
     /// The VM that this one follows.
     pub followed: RefCell<Option<VmEntry>>,
+    /// When the VM began.
+    pub begun: Instant,
     stopping: Cell<Option<Instant>>,
     closes_idle: Cell<bool>,
     pub(crate) servers: RefCell<BackendServers>,
@@ -145,6 +147,7 @@
             asked_turns: AskedTurns::default(),
             notice_writes: NoticeWrites::default(),
             callers: Cell::new(0),
+            begun: clock::now(),
             stopping: Cell::new(None),
             closes_idle: Cell::new(false),
             in_force: InForce::default(),
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -12,6 +12,7 @@
 use super::flight::{Begun, Flight};
 use super::gone::Gone;
 use super::request::Request;
+use crate::budgets::WantedRepeat;
 use crate::context::Context;
 use crate::upstream::exchange::Ended;
 
@@ -90,7 +91,6 @@
             match self.attempts.ended(ended.end) {
                 Verdict::Answer => return self.pass_on(ended),
                 Verdict::TryAgain if self.may_try_again(gone, ended.end) => {
-                    self.context.metrics.repeat(ended.end.label());
                     self.last_failure = ended.response.filter(|_| ended.end == AttemptEnd::Failed);
                     self.tried.push(upstream);
                 }
@@ -107,18 +107,16 @@
         if now >= self.deadline || gone.is_set() {
             return false;
         }
-        let room = self.context.take_repeat(now, &self.service);
-        tracing::info!(
-            event = "repeat",
-            request = self.request.id,
-            after = end.label(),
-            attempts = self.attempts.sent(),
-            room,
-        );
-        if !room {
-            self.context.metrics.repeat("no_budget");
+        self.context.repeats(&self.wanted_repeat(end.label()))
+    }
+
+    pub(super) fn wanted_repeat(&self, after: &'static str) -> WantedRepeat<'_> {
+        WantedRepeat {
+            request: self.request.id.as_deref(),
+            service: &self.service,
+            after,
+            attempts: self.attempts.sent(),
         }
-        room
     }
 
     fn pass_on(&mut self, ended: Ended) -> Answer {
--- a/crates/kingcuploft-entry/src/edge/second_look.rs
+++ b/crates/kingcuploft-entry/src/edge/second_look.rs
@@ -96,20 +96,11 @@
         let Step::Send(at) = place(&need, &candidates, fastrand::f64) else {
             return None;
         };
-        let room = self.context.take_repeat(now, &self.service);
         let after = match look.answers {
             true => "late",
             false => "silent",
         };
-        tracing::info!(
-            event = "repeat",
-            request = self.request.id,
-            after,
-            attempts = self.attempts.sent(),
-            room,
-        );
-        let reason = if room { after } else { "no_budget" };
-        self.context.metrics.repeat(reason);
+        let room = self.context.repeats(&self.wanted_repeat(after));
         others.get(at).filter(|_| room).cloned()
     }
 
--- a/crates/kingcuploft/src/entry/repeats.rs
+++ b/crates/kingcuploft/src/entry/repeats.rs
@@ -24,6 +24,22 @@
     pub window: Duration,
 }
 
+/// What a VM has used of its part of the budget, and how much that part is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    /// Repeats of the window.
+    pub used: usize,
+    /// Repeats allowed in the window.
+    pub allowed: f64,
+}
+
+impl Standing {
+    /// Returns whether one more repeat is allowed.
+    pub fn has_room(&self) -> bool {
+        self.used as f64 + 1.0 <= self.allowed
+    }
+}
+
 /// The repeats of one service on one VM.
 #[derive(Debug, Default)]
 pub struct Repeats {
@@ -37,13 +53,20 @@
         self.requests.push_back(now);
     }
 
-    /// Returns whether one more repeat is allowed.
-    pub fn has_room(&mut self, now: Instant, bounds: &RepeatBounds, vms: usize) -> bool {
+    /// Returns what is used of the part of one of so many VMs.
+    pub fn standing(&mut self, now: Instant, bounds: &RepeatBounds, vms: usize) -> Standing {
         forget(&mut self.requests, now, bounds.window);
         forget(&mut self.repeats, now, bounds.window + bounds.window / 10);
         let share = bounds.allowance / vms.max(1) as f64;
-        let allowed = GUARD * (bounds.ratio * self.requests.len() as f64 + share);
-        self.repeats.len() as f64 + 1.0 <= allowed
+        Standing {
+            used: self.repeats.len(),
+            allowed: GUARD * (bounds.ratio * self.requests.len() as f64 + share),
+        }
+    }
+
+    /// Returns whether one more repeat is allowed.
+    pub fn has_room(&mut self, now: Instant, bounds: &RepeatBounds, vms: usize) -> bool {
+        self.standing(now, bounds, vms).has_room()
     }
 
     /// Counts a repeat.
