--- a/crates/kingcuploft-entry/tests/links/main.rs
+++ b/crates/kingcuploft-entry/tests/links/main.rs
@@ -13,6 +13,7 @@
 mod network;
 mod notices;
 mod pipe;
+mod repeats;
 mod rewinds;
 mod scenarios;
 mod slopes;
