fix(store): a store that takes calls and says nothing is not taken for one whose answer is arriving

Cause, by the log: the VM that read the store stopped as planned while the store was silent; the next began to read 0.8 s before the store answered again. Its sign of life was not answered, but `hears` held: the client notes for each kind of call when bytes arrived, and a kind that was called for the first time began with the moment of the call. So the store counted as there, and the watches it had swallowed were waited for until watches_behind at 30.08 (a sign of life may be stale by seconds). There is no store_away in that VM's log, though it was.

Change: what has not been heard is None.

Ruled out: links between VMs (all adopt within 3 ms of the reader), the accounts of repeats (the reader changes at another moment with them, nothing else).

--- a/crates/kingcuploft-entry/src/http/client.rs
+++ b/crates/kingcuploft-entry/src/http/client.rs
@@ -85,6 +85,9 @@
     }
 }
 
+/// When bytes last arrived, if any did.
+pub type Arrivals = Rc<Cell<Option<Instant>>>;
+
 /// An open connection, used for one request at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -95,7 +98,7 @@
     keep_idle: Option<Duration>,
     reusable: bool,
     spoiled: bool,
-    heard: Option<Rc<Cell<Instant>>>,
+    heard: Option<Arrivals>,
 }
 
 impl Connection {
@@ -130,7 +133,7 @@
     }
 
     /// Notes from now on when bytes arrive.
-    pub fn note_arrivals(&mut self, heard: &Rc<Cell<Instant>>) {
+    pub fn note_arrivals(&mut self, heard: &Arrivals) {
         self.heard = Some(heard.clone());
     }
 
@@ -241,7 +244,7 @@
         self.buffer.reserve(READ_BYTES);
         let read = self.stream.read_buf(&mut self.buffer).await;
         if let Some(heard) = &self.heard {
-            heard.set(Instant::now());
+            heard.set(Some(Instant::now()));
         }
         read.map_err(ReceiveError::Failed)
     }
