refactor(entry): one clock, ordered waits and a network edge, so that the VM's own code plays in virtual time

Now all times are those of the timers' clock, each select has an order, backend servers are reached over a Network (TCP, or links that a rig plays), and callers' connections, readiness and links are served over any stream. run::join spawns what keeps a VM informed, run::stop stops it, for the program and for rigs alike.

--- a/crates/kingcuploft-entry/src/cold.rs
+++ b/crates/kingcuploft-entry/src/cold.rs
@@ -6,6 +6,7 @@
 use kingcuploft::entry::server_limits::Turned;
 use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, ServiceName};
 
+use crate::clock;
 use crate::context::Context;
 use crate::http::headers::Headers;
 use crate::limits;
@@ -35,7 +36,7 @@
     let server = &upstream.server.name;
     let part = |per_s| limits::part(context, server, per_s);
     let mut all = context.limits.borrow_mut();
-    if all.is_warm(Instant::now(), server, asked_at, part) {
+    if all.is_warm(clock::now(), server, asked_at, part) {
         log_warm(std::slice::from_ref(server));
     }
 }
@@ -52,7 +53,7 @@
 
 /// Keeps the servers that are cold to what they bear by the configuration that has just come into force.
 pub fn configured(context: &Context) {
-    let now = Instant::now();
+    let now = clock::now();
     let all = context.all_upstreams().into_iter();
     let cold = all.map(|upstream| (upstream.server.name.clone(), upstream.cold_for(now)));
     let cold: Vec<_> = cold.filter(|(_, cold_for)| !cold_for.is_zero()).collect();
@@ -61,7 +62,7 @@
 
 /// Keeps a server to what it bears; returns it if it was not known to be cold.
 fn turned_cold(context: &Context, upstream: &Upstream, cold_for: Duration) -> Option<NewlyCold> {
-    let now = Instant::now();
+    let now = clock::now();
     upstream.is_cold_until(now + cold_for);
     let cold_start = cold_start(context, &upstream.server.service)?;
     let server = &upstream.server.name;
@@ -106,7 +107,7 @@
 ///
 /// Failure: the zone's servers have turned cold while nobody looked, are near and idle, and get the zone's whole load at once.
 pub fn zone_taken_back(context: &Context, zone: &AvailabilityZone) {
-    let now = Instant::now();
+    let now = clock::now();
     let all = context.all_upstreams().into_iter();
     for upstream in all.filter(|upstream| upstream.server.zone == *zone) {
         if let Some(cold_start) = cold_start(context, &upstream.server.service) {
--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -30,6 +30,7 @@
 use crate::edge::room::Room;
 use crate::in_force::InForce;
 use crate::metrics::Metrics;
+use crate::network::{Network, Tcp};
 use crate::notice_writes::NoticeWrites;
 use crate::peers::asked_turns::AskedTurns;
 use crate::peers::followers::Followers;
@@ -50,6 +51,8 @@
     pub settings: EntrySettings,
     /// The names of headers and paths.
     pub vocabulary: Vocabulary,
+    /// The way to backend servers.
+    pub network: Rc<dyn Network>,
     /// Wakes whoever waits for readings.
     pub readings: Notify,
     /// Wakes whoever waits for the stop.
@@ -124,6 +127,11 @@
 impl Context {
     /// Builds the context of a VM that knows nothing yet.
     pub fn new(settings: EntrySettings, vocabulary: Vocabulary) -> Self {
+        Self::on(Rc::new(Tcp), settings, vocabulary)
+    }
+
+    /// Builds the context of a VM on a network.
+    pub fn on(network: Rc<dyn Network>, settings: EntrySettings, vocabulary: Vocabulary) -> Self {
         let is_first = settings.all_start || settings.peers.is_none();
         let repeats = match is_first {
             true => Repeats::first(),
@@ -135,6 +143,7 @@
             body_room: Room::of(settings.memory_bytes),
             settings,
             vocabulary,
+            network,
             readings: Notify::new(),
             stop: Notify::new(),
             metrics: Metrics::default(),
--- a/crates/kingcuploft-entry/src/edge/attempt.rs
+++ b/crates/kingcuploft-entry/src/edge/attempt.rs
@@ -8,6 +8,7 @@
 
 use super::flight::Flight;
 use super::suspect::Run;
+use crate::clock;
 use crate::limits;
 use crate::upstream::Upstream;
 use crate::upstream::exchange::{self, Ended};
@@ -50,7 +51,7 @@
 
 impl<'a> Sent<'a> {
     fn now(flight: &'a Flight<'a>, upstream: &Rc<Upstream>) -> Self {
-        let at = Instant::now();
+        let at = clock::now();
         Self {
             flight,
             at,
@@ -106,7 +107,7 @@
         if self.open {
             let why = "the caller left, or another server answered first";
             self.flight.context.metrics.attempt("cancelled");
-            self.tell("cancelled", why, self.at.elapsed());
+            self.tell("cancelled", why, clock::since(self.at));
         }
     }
 }
--- a/crates/kingcuploft-entry/src/edge/choosing.rs
+++ b/crates/kingcuploft-entry/src/edge/choosing.rs
@@ -9,6 +9,7 @@
 use super::flight::Flight;
 use super::gone::Gone;
 use super::suspect::Clearance;
+use crate::clock;
 use crate::evacuation;
 use crate::limits;
 use crate::upstream::{Upstream, probe};
@@ -37,7 +38,7 @@
 impl Flight<'_> {
     /// Finds the server for the next attempt.
     pub(super) async fn choose(&mut self, gone: &Gone) -> Chosen {
-        let mut look_begun = Instant::now();
+        let mut look_begun = clock::now();
         let mut reach = Reach::Near;
         let mut looks = 0;
         let mut asked_for_turn = false;
@@ -49,7 +50,7 @@
                 Clearance::Go => {}
                 Clearance::Wait => {
                     tokio::time::sleep(RUN_ENDS_STEP).await;
-                    look_begun = Instant::now();
+                    look_begun = clock::now();
                     continue;
                 }
                 Clearance::Refuse(after) => return Chosen::Quarantined(after),
@@ -57,7 +58,7 @@
             if let Some(after) = evacuation::refuses(self.context, &self.service) {
                 return Chosen::Evacuated(after);
             }
-            let now = Instant::now();
+            let now = clock::now();
             let upstreams = self.usable(now, reach);
             let has_limited = !limits::limited(self.context, &self.service).is_empty();
             if upstreams.is_empty() && has_limited {
@@ -92,7 +93,7 @@
                 }
                 Step::LookAgain(after) => {
                     tokio::time::sleep(after).await;
-                    look_begun = Instant::now();
+                    look_begun = clock::now();
                     looks += 1;
                 }
             }
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -10,9 +10,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use super::answer::Answer;
@@ -65,10 +63,12 @@
 }
 
 /// Serves one connection until it ends.
-pub async fn serve(context: Rc<Context>, stream: TcpStream) {
+pub async fn serve<S>(context: Rc<Context>, stream: S)
+where
+    S: AsyncRead + AsyncWrite + 'static,
+{
     context.callers.set(context.callers.get() + 1);
-    let _ = stream.set_nodelay(true);
-    let (reader, writer) = stream.into_split();
+    let (reader, writer) = tokio::io::split(stream);
     let (answers, queue) = mpsc::channel(MOST_PIPELINED);
     let standing = Rc::new(Standing::default());
     let writing = write_answers(context.clone(), writer, queue, standing.clone());
@@ -99,9 +99,9 @@
     Closing,
 }
 
-struct Reading {
+struct Reading<S> {
     context: Rc<Context>,
-    reader: OwnedReadHalf,
+    reader: ReadHalf<S>,
     buffer: BytesMut,
     standing: Rc<Standing>,
     answers: mpsc::Sender<oneshot::Receiver<Answer>>,
@@ -115,7 +115,7 @@
     Stopping,
 }
 
-impl Reading {
+impl<S: AsyncRead> Reading<S> {
     async fn read_requests(&mut self) -> End {
         loop {
             let limits = self.limits();
@@ -290,9 +290,9 @@
 }
 
 /// Writes answers in the order of their requests.
-async fn write_answers(
+async fn write_answers<S: AsyncWrite>(
     context: Rc<Context>,
-    mut writer: OwnedWriteHalf,
+    mut writer: WriteHalf<S>,
     mut queue: mpsc::Receiver<oneshot::Receiver<Answer>>,
     standing: Rc<Standing>,
 ) {
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -1,7 +1,7 @@
 //! A request's way: choice, attempts, answer.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use kingcuploft::entry::verdict::{AttemptEnd, Verdict};
 use kingcuploft::world::contract::Contract;
@@ -13,6 +13,7 @@
 use super::gone::Gone;
 use super::request::Request;
 use crate::budgets::WantedRepeat;
+use crate::clock;
 use crate::context::Context;
 use crate::upstream::exchange::Ended;
 
@@ -37,6 +38,7 @@
         Begun::Flight(mut flight) => {
             let answered = match flight.route.contract {
                 Contract::RetryFreely => tokio::select! {
+                    biased;
                     answer = flight.run(&gone) => answer,
                     () = gone.wait() => return flight.caller_left(),
                 },
@@ -47,7 +49,7 @@
             (Some(flight.route.name.clone()), answered)
         }
     };
-    let (route, took) = (route.as_deref(), request.arrived.elapsed());
+    let (route, took) = (route.as_deref(), clock::since(request.arrived));
     context.metrics.answered(route, answered.status, took);
     let _ = answer.send(answered);
 }
@@ -103,7 +105,7 @@
     }
 
     fn may_try_again(&self, gone: &Gone, end: AttemptEnd) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         if now >= self.deadline || gone.is_set() {
             return false;
         }
@@ -131,7 +133,7 @@
         if let Some(response) = self.last_failure.take() {
             return Answer::of_server(self.request, response);
         }
-        let timed_out = Instant::now() >= self.deadline;
+        let timed_out = clock::now() >= self.deadline;
         let status = self.attempts.refusal_status(timed_out);
         let after = (status == 503).then_some(self.come_back);
         tracing::info!(
@@ -141,7 +143,7 @@
             status,
             reason,
             attempts = self.attempts.sent(),
-            held_ms = self.request.arrived.elapsed().as_millis() as u64,
+            held_ms = clock::since(self.request.arrived).as_millis() as u64,
             come_back_ms = after.map(|after| after.as_millis() as u64),
         );
         Answer::own(
@@ -158,7 +160,7 @@
             event = "caller_left",
             request = self.request.id,
             attempts = self.attempts.sent(),
-            held_ms = self.request.arrived.elapsed().as_millis() as u64,
+            held_ms = clock::since(self.request.arrived).as_millis() as u64,
         );
     }
 }
--- a/crates/kingcuploft-entry/src/edge/limited.rs
+++ b/crates/kingcuploft-entry/src/edge/limited.rs
@@ -1,13 +1,14 @@
 //! A request for which only servers are left that name limits.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use kingcuploft::entry::placement::MARGIN;
 use kingcuploft::entry::server_limit::Turn;
 
 use super::flight::Flight;
 use super::gone::Gone;
+use crate::clock;
 use crate::limits;
 use crate::peers::turns;
 use crate::upstream::Upstream;
@@ -29,7 +30,7 @@
     ) -> Result<Rc<Upstream>, Duration> {
         let mut limited = limits::limited(self.context, &self.service);
         let share = self.context.connection_share(&self.service);
-        let now = Instant::now();
+        let now = clock::now();
         limited.retain(|upstream| {
             let is_open = upstream.has_room(share) && !upstream.is_mute(now);
             let limits = self.context.limits.borrow();
@@ -43,6 +44,7 @@
             match turns::ask(self.context, &upstream.server.name, patience).await {
                 Turn::After(after) => {
                     tokio::select! {
+                        biased;
                         () = tokio::time::sleep(after) => {}
                         () = gone.wait() => return Err(COME_BACK_SOONEST),
                     }
@@ -50,7 +52,7 @@
                     return Ok(upstream);
                 }
                 Turn::TooLate(after) => {
-                    let (now, server) = (Instant::now(), &upstream.server.name);
+                    let (now, server) = (clock::now(), &upstream.server.name);
                     let mut limits = self.context.limits.borrow_mut();
                     limits.no_turn_before(now, server, after, patience);
                     soonest = soonest.min(after);
@@ -64,7 +66,7 @@
     /// allow, whoever waits longer is late, and so are all behind it.
     pub(super) fn patience(&self) -> Duration {
         let work_ms = self.context.work_ms(&self.route, &self.service);
-        let left = self.target.saturating_duration_since(Instant::now());
+        let left = self.target.saturating_duration_since(clock::now());
         left.saturating_sub(Duration::from_secs_f64(work_ms * MARGIN / 1000.0))
     }
 }
--- a/crates/kingcuploft-entry/src/edge/readiness.rs
+++ b/crates/kingcuploft-entry/src/edge/readiness.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 use crate::context::Context;
 use crate::http::head;
@@ -36,7 +36,15 @@
     }
 }
 
-async fn answer(context: &Context, mut stream: TcpStream) -> std::io::Result<()> {
+/// Answers one question.
+///
+/// # Errors
+///
+/// Returns an error if the link fails.
+pub async fn answer(
+    context: &Context,
+    mut stream: impl AsyncRead + AsyncWrite + Unpin,
+) -> std::io::Result<()> {
     let mut bytes = Vec::with_capacity(512);
     loop {
         match head::request(&bytes) {
--- a/crates/kingcuploft-entry/src/edge/request.rs
+++ b/crates/kingcuploft-entry/src/edge/request.rs
@@ -6,6 +6,7 @@
 use kingcuploft::entry::fingerprint::{Fingerprint, Recurring};
 
 use super::room::Held;
+use crate::clock;
 use crate::http::head::RequestHead;
 use crate::settings::Vocabulary;
 
@@ -36,7 +37,7 @@
             head,
             body,
             _held: held,
-            arrived: Instant::now(),
+            arrived: clock::now(),
             fingerprint: OnceCell::new(),
         }
     }
--- a/crates/kingcuploft-entry/src/edge/second_look.rs
+++ b/crates/kingcuploft-entry/src/edge/second_look.rs
@@ -1,7 +1,7 @@
 //! A second look at a lookup that takes long.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use kingcuploft::entry::placement::{Candidate, Reach, Step, place};
 use kingcuploft::entry::second_look::{self, Look};
@@ -9,6 +9,7 @@
 
 use super::choosing::AWAIT_STEP;
 use super::flight::Flight;
+use crate::clock;
 use crate::upstream::exchange::Ended;
 use crate::upstream::{Upstream, probe};
 
@@ -35,10 +36,12 @@
         let expected_ms = self.expected_ms(upstream);
         let mut first = std::pin::pin!(self.attempt(upstream));
         tokio::select! {
+            biased;
             ended = &mut first => return (ended, None),
             () = tokio::time::sleep(second_look::look_after(expected_ms)) => {}
         }
         let second = tokio::select! {
+            biased;
             ended = &mut first => return (ended, None),
             second = self.second(upstream) => second,
         };
@@ -47,6 +50,7 @@
         };
         let mut second = std::pin::pin!(self.attempt(&other));
         let (ended, rest) = tokio::select! {
+            biased;
             ended = &mut first => (ended, Rest::Second),
             ended = &mut second => (ended, Rest::First),
         };
@@ -64,10 +68,10 @@
             return None;
         }
         let service = self.configuration.services.get(&self.service)?;
-        let asked_at = Instant::now();
+        let asked_at = clock::now();
         probe::ask(self.context, upstream, &service.health_path);
         tokio::time::sleep(SECOND_LOOK_PATIENCE).await;
-        let now = Instant::now();
+        let now = clock::now();
         let age = upstream.reading(now).map(|(age, _)| age);
         let need = self.need(now, now, Reach::Far);
         let look = Look {
@@ -86,7 +90,7 @@
             .collect();
         self.ask(&others, 1.0);
         tokio::time::sleep(SECOND_LOOK_PATIENCE).await;
-        let now = Instant::now();
+        let now = clock::now();
         let life = self.context.reading_life() + SECOND_LOOK_PATIENCE + AWAIT_STEP;
         let seen = others
             .iter()
@@ -105,7 +109,7 @@
     }
 
     fn expected_ms(&self, upstream: &Upstream) -> f64 {
-        let now = Instant::now();
+        let now = clock::now();
         let work_ms = self.context.work_ms(&self.route, &self.service);
         upstream
             .candidate(now, LONG_AGO, false)
--- a/crates/kingcuploft-entry/src/edge/suspect.rs
+++ b/crates/kingcuploft-entry/src/edge/suspect.rs
@@ -1,7 +1,7 @@
 //! A request under which servers ended: whether it is sent on, and what its runs tell.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use kingcuploft::entry::fingerprint::Fingerprint;
 use kingcuploft::entry::notice::Notice;
@@ -9,6 +9,7 @@
 use kingcuploft::entry::verdict::AttemptEnd;
 
 use super::flight::Flight;
+use crate::clock;
 use crate::context::Context;
 use crate::notice_writes::Write;
 use crate::notices;
@@ -35,10 +36,10 @@
             .context
             .quarantine
             .borrow()
-            .admit(Instant::now(), fingerprint);
+            .admit(clock::now(), fingerprint);
         match admission {
             // A run that hangs must not hold the others back until they are late.
-            Admission::Wait if Instant::now() < self.target => Clearance::Wait,
+            Admission::Wait if clock::now() < self.target => Clearance::Wait,
             Admission::Free | Admission::Alone | Admission::Wait => Clearance::Go,
             Admission::Refuse(after) => Clearance::Refuse(after),
             Admission::Trial(report) => {
@@ -90,13 +91,13 @@
 
     /// Looks whether a server has ended that lost an answer, and tells the others if so.
     async fn look_after_loss(&self, upstream: &Rc<Upstream>, known: u32) {
-        let found = after_loss::look(upstream).await;
+        let found = after_loss::look(&*self.context.network, upstream).await;
         let fingerprint = self.request.fingerprint();
         let server = &upstream.server.name;
         let report = (found == AfterLoss::Ended).then(|| {
             notices::logged(self.context, fingerprint, || {
                 let mut quarantine = self.context.quarantine.borrow_mut();
-                quarantine.server_ended(Instant::now(), fingerprint, server, known)
+                quarantine.server_ended(clock::now(), fingerprint, server, known)
             })
         });
         tracing::info!(
--- a/crates/kingcuploft-entry/src/http/client.rs
+++ b/crates/kingcuploft-entry/src/http/client.rs
@@ -12,6 +12,8 @@
 
 use super::body::BodyReader;
 use super::head::{self, ResponseHead};
+use crate::clock;
+use crate::network::{Network, Stream};
 
 /// How long a connection may take to be opened: many round trips of a region, and less than the
 /// second after which a lost opening packet is sent again.
@@ -92,7 +94,7 @@
 #[derive(Debug)]
 pub struct Connection {
     counted: Option<Counted>,
-    stream: TcpStream,
+    stream: Stream,
     buffer: BytesMut,
     used: Instant,
     keep_idle: Option<Duration>,
@@ -107,24 +109,19 @@
     /// # Errors
     ///
     /// Returns the system's error, or a timeout.
-    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    pub async fn open(network: &dyn Network, address: SocketAddr) -> std::io::Result<Self> {
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, network.connect(address));
         let stream = connecting
             .await
             .map_err(|_| std::io::Error::from(ErrorKind::TimedOut))??;
-        stream.set_nodelay(true)?;
-        let socket = socket2::SockRef::from(&stream);
-        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
-        let keepalive = socket2::TcpKeepalive::new()
-            .with_time(KEEPALIVE)
-            .with_interval(KEEPALIVE)
-            .with_retries(2);
-        socket.set_tcp_keepalive(&keepalive)?;
+        if let Some(stream) = stream.tcp() {
+            notices_a_silent_peer(stream)?;
+        }
         Ok(Self {
             counted: None,
             stream,
             buffer: BytesMut::new(),
-            used: Instant::now(),
+            used: clock::now(),
             keep_idle: None,
             reusable: true,
             spoiled: false,
@@ -142,8 +139,12 @@
     /// # Errors
     ///
     /// As [`Connection::open`].
-    pub async fn open_counted(address: SocketAddr, counted: Counted) -> std::io::Result<Self> {
-        let mut connection = Self::open(address).await?;
+    pub async fn open_counted(
+        network: &dyn Network,
+        address: SocketAddr,
+        counted: Counted,
+    ) -> std::io::Result<Self> {
+        let mut connection = Self::open(network, address).await?;
         connection.counted = Some(counted);
         Ok(connection)
     }
@@ -229,7 +230,7 @@
                 }
             }
         }
-        self.used = Instant::now();
+        self.used = clock::now();
         self.keep_idle = keep_idle(&head);
         self.reusable = head.keep_alive && self.buffer.is_empty();
         if self.buffer.is_empty() {
@@ -244,12 +245,24 @@
         self.buffer.reserve(READ_BYTES);
         let read = self.stream.read_buf(&mut self.buffer).await;
         if let Some(heard) = &self.heard {
-            heard.set(Some(Instant::now()));
+            heard.set(Some(clock::now()));
         }
         read.map_err(ReceiveError::Failed)
     }
 }
 
+/// Has a connection fail whose peer says nothing any more.
+fn notices_a_silent_peer(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
 /// Returns how long the server keeps the connection, with a margin of a tenth: the server counts from a
 /// moment that is some milliseconds earlier.
 fn keep_idle(head: &ResponseHead) -> Option<Duration> {
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod limits;
 pub mod logs;
 pub mod metrics;
+pub mod network;
 pub mod notice_writes;
 pub mod notices;
 pub mod peers;
--- a/crates/kingcuploft-entry/src/peers/readings.rs
+++ b/crates/kingcuploft-entry/src/peers/readings.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use kingcuploft::entry::placement::Reading;
 use kingcuploft::world::ids::BackendServerName;
@@ -14,6 +14,7 @@
 use super::repeat_copies;
 use super::turns;
 use super::zone_socket::{Told, ZoneSocket};
+use crate::clock;
 use crate::cold;
 use crate::context::Context;
 
@@ -78,7 +79,7 @@
 
 /// Takes in what another VM tells.
 pub fn take(context: &Context, told: &Told, from: SocketAddr) {
-    let now = Instant::now();
+    let now = clock::now();
     match *told {
         Told::Reading {
             ref server,
--- a/crates/kingcuploft-entry/src/peers/repeat_copies.rs
+++ b/crates/kingcuploft-entry/src/peers/repeat_copies.rs
@@ -70,6 +70,7 @@
             false => next,
         };
         tokio::select! {
+            biased;
             () = context.repeated.notified() => sleep_until(told_at + TELL_EVERY).await,
             () = sleep(again) => {}
         }
--- a/crates/kingcuploft-entry/src/peers/turns.rs
+++ b/crates/kingcuploft-entry/src/peers/turns.rs
@@ -3,12 +3,13 @@
 //! One datagram asks, one answers; a lost one costs a turn, and never gives one too many.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use kingcuploft::entry::server_limit::{ASK_AGAIN, Turn};
 use kingcuploft::world::ids::BackendServerName;
 
 use super::zone_socket::Told;
+use crate::clock;
 use crate::context::Context;
 use crate::limits;
 
@@ -19,7 +20,7 @@
 pub async fn ask(context: &Context, server: &BackendServerName, patience: Duration) -> Turn {
     if limits::is_kept_here(context, server) {
         let mut limits = context.limits.borrow_mut();
-        return limits.give_turn(Instant::now(), server, patience);
+        return limits.give_turn(clock::now(), server, patience);
     }
     let keeper = limits::keeper(context, server);
     let (Some(keeper), Some(socket)) = (keeper, context.peer_readings.get()) else {
@@ -52,7 +53,7 @@
         return;
     };
     let mut limits = context.limits.borrow_mut();
-    let (after, given) = match limits.give_turn(Instant::now(), server, patience) {
+    let (after, given) = match limits.give_turn(clock::now(), server, patience) {
         Turn::After(after) => (after, true),
         Turn::TooLate(after) => (after, false),
     };
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -2,18 +2,19 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use kingcuploft::entry::vm_entry::VmEntry;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
 
+use crate::clock;
 use crate::context::Context;
 use crate::edge::{connection, readiness};
 use crate::keeper;
 use crate::notices;
-use crate::peers::dial::Tcp;
+use crate::peers::dial::{self, Dial};
 use crate::peers::reader;
 use crate::peers::readings;
 use crate::peers::repeat_copies;
@@ -80,6 +81,7 @@
     let running = start(settings, vocabulary, store).await?;
     loop {
         tokio::select! {
+            biased;
             _ = terminate.recv() => break,
             _ = hangup.recv() => running.reload(&reread),
             () = tokio::time::sleep(REREAD_EVERY) => running.reload(&reread),
@@ -110,25 +112,17 @@
     let context = Rc::new(Context::new(settings, vocabulary));
     let store = Rc::new(store);
     let pulse = Rc::new(Pulse::default());
-    let feeling = sign_of_life::watch_over(context.clone(), store.clone(), pulse.clone());
-    tokio::task::spawn_local(feeling);
     tokio::task::spawn_local(readiness::serve(context.clone(), ready));
     if let Some(address) = context.settings.metrics {
         let listener = listen(address)?;
         tokio::task::spawn_local(readiness::serve(context.clone(), listener));
     }
-    let waiting = context.notice_writes.open();
-    let writing = notices::write(context.clone(), store.clone(), pulse.clone(), waiting);
-    tokio::task::spawn_local(writing);
-    tokio::task::spawn_local(notices::tidy(context.clone(), pulse.clone()));
-    for collection in Collection::WATCHED {
-        let (context, store) = (context.clone(), store.clone());
-        let following = keeper::follow(context, store, pulse.clone(), collection);
-        tokio::task::spawn_local(following);
-    }
-    tokio::task::spawn_local(keeper::expire(context.clone()));
-    if let Some(address) = context.settings.peers {
-        join(&context, &store, &pulse, address).await?;
+    match context.settings.peers {
+        Some(address) => {
+            let address = open_to_others(&context, &pulse, address).await?;
+            join(&context, &store, &pulse, address, dial::Tcp);
+        }
+        None => read_store(&context, &store, &pulse),
     }
     let accepting = tokio::task::spawn_local(accept(context.clone(), callers));
     Ok(Running {
@@ -153,31 +147,74 @@
         }
     }
 
-    /// Stops as planned: not ready at once; new connections are taken while the platform may still
-    /// send them; then idle connections close, and what was read is answered.
+    /// Stops as planned.
     pub async fn stop(self) {
-        let context = &self.context;
-        let begun = Instant::now();
-        let last = begun + context.bounds.get().stop_within.saturating_sub(END_MARGIN);
-        context.begin_stop(begun);
-        tracing::info!(event = "stopping", callers = context.callers.get());
-        tokio::time::sleep(TAKE_CONNECTIONS).await;
-        self.accepting.abort();
-        context.close_idle();
-        while context.callers.get() > 0 && Instant::now() < last {
-            tokio::time::sleep(STOP_STEP).await;
-        }
-        tracing::info!(event = "stopped", callers_left = context.callers.get());
+        stop(&self.context, || self.accepting.abort()).await;
+    }
+}
+
+/// Stops as planned: not ready at once; new connections are taken while the platform may still send them; then idle
+/// connections close, and what was read is answered.
+pub async fn stop(context: &Context, stop_accepting: impl FnOnce()) {
+    let begun = clock::now();
+    let last = begun + context.bounds.get().stop_within.saturating_sub(END_MARGIN);
+    context.begin_stop(begun);
+    tracing::info!(event = "stopping", callers = context.callers.get());
+    tokio::time::sleep(TAKE_CONNECTIONS).await;
+    stop_accepting();
+    context.close_idle();
+    while context.callers.get() > 0 && clock::now() < last {
+        tokio::time::sleep(STOP_STEP).await;
+    }
+    tracing::info!(event = "stopped", callers_left = context.callers.get());
+}
+
+/// Reads the store, and writes what this VM tells it.
+fn read_store<S: Store + 'static>(context: &Rc<Context>, store: &Rc<S>, pulse: &Rc<Pulse>) {
+    let feeling = sign_of_life::watch_over(context.clone(), store.clone(), pulse.clone());
+    tokio::task::spawn_local(feeling);
+    let waiting = context.notice_writes.open();
+    let writing = notices::write(context.clone(), store.clone(), pulse.clone(), waiting);
+    tokio::task::spawn_local(writing);
+    tokio::task::spawn_local(notices::tidy(context.clone(), pulse.clone()));
+    for collection in Collection::WATCHED {
+        let (context, store) = (context.clone(), store.clone());
+        let following = keeper::follow(context, store, pulse.clone(), collection);
+        tokio::task::spawn_local(following);
     }
+    tokio::task::spawn_local(keeper::expire(context.clone()));
 }
 
-/// Joins the other VMs.
-async fn join<S: Store + 'static>(
+/// Joins the other VMs, which reach this one at an address, and reads the store where it falls to this VM; its tasks run
+/// in the current `LocalSet`.
+pub fn join<S: Store + 'static, D: Dial + Clone + 'static>(
     context: &Rc<Context>,
     store: &Rc<S>,
     pulse: &Rc<Pulse>,
     address: SocketAddr,
-) -> Result<(), StartError> {
+    network: D,
+) {
+    // The others are asked first; the store only if none of them reads it.
+    pulse.leave();
+    read_store(context, store, pulse);
+    let own = VmEntry {
+        name: context.settings.vm.clone(),
+        zone: context.settings.zone.clone(),
+        address,
+        cpu_milli: context.settings.cpu_milli,
+    };
+    tokio::task::spawn_local(reader::beat(context.clone(), pulse.clone()));
+    tokio::task::spawn_local(repeat_copies::keep(context.clone()));
+    let keeping = roster::keep(context.clone(), store.clone(), pulse.clone(), own, network);
+    tokio::task::spawn_local(keeping);
+}
+
+/// Takes what other VMs say, by links and by datagrams; returns where they reach this one.
+async fn open_to_others(
+    context: &Rc<Context>,
+    pulse: &Rc<Pulse>,
+    address: SocketAddr,
+) -> Result<SocketAddr, StartError> {
     let listener = listen(address)?;
     let address = listener.local_addr().unwrap_or(address);
     let opened = ZoneSocket::open(address).await;
@@ -185,24 +222,12 @@
     let socket = Rc::new(opened);
     tokio::task::spawn_local(readings::receive(context.clone(), socket.clone()));
     let _ = context.peer_readings.set(socket);
-    tokio::task::spawn_local(repeat_copies::keep(context.clone()));
-    let own = VmEntry {
-        name: context.settings.vm.clone(),
-        zone: context.settings.zone.clone(),
-        address,
-        cpu_milli: context.settings.cpu_milli,
-    };
     tokio::task::spawn_local(reader::serve(context.clone(), pulse.clone(), listener));
     if let Some(address) = context.settings.control {
         let listener = listen(address)?;
         tokio::task::spawn_local(reader::serve(context.clone(), pulse.clone(), listener));
     }
-    tokio::task::spawn_local(reader::beat(context.clone(), pulse.clone()));
-    // The others are asked first; the store only if none of them reads it.
-    pulse.leave();
-    let keeping = roster::keep(context.clone(), store.clone(), pulse.clone(), own, Tcp);
-    tokio::task::spawn_local(keeping);
-    Ok(())
+    Ok(address)
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
@@ -219,6 +244,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
                 tokio::task::spawn_local(connection::serve(context.clone(), stream));
             }
             Err(error) => {
--- a/crates/kingcuploft-entry/src/upstream/after_loss.rs
+++ b/crates/kingcuploft-entry/src/upstream/after_loss.rs
@@ -3,9 +3,8 @@
 use std::io::ErrorKind;
 use std::time::Duration;
 
-use tokio::net::TcpStream;
-
 use super::Upstream;
+use crate::network::Network;
 
 /// How long a new connection is waited for: the longest round trip of a region, and some.
 const PATIENCE: Duration = Duration::from_millis(20);
@@ -33,8 +32,8 @@
 }
 
 /// Looks whether a server that has just closed a connection without an answer still listens.
-pub async fn look(upstream: &Upstream) -> AfterLoss {
-    let connecting = TcpStream::connect(upstream.server.address);
+pub async fn look(network: &dyn Network, upstream: &Upstream) -> AfterLoss {
+    let connecting = network.connect(upstream.server.address);
     match tokio::time::timeout(PATIENCE, connecting).await {
         Ok(Ok(_)) => AfterLoss::Alive,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => AfterLoss::Ended,
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -6,6 +6,7 @@
 use kingcuploft::entry::verdict::AttemptEnd;
 
 use super::Upstream;
+use crate::clock;
 use crate::context::Context;
 use crate::edge::request::Request;
 use crate::http::client::{Connection, ReceiveError, Response, SendError};
@@ -40,7 +41,7 @@
         Self {
             end,
             response: None,
-            took: begun.elapsed(),
+            took: clock::since(begun),
             detail,
         }
     }
@@ -54,14 +55,14 @@
     request: &Request,
     left: Duration,
 ) -> Ended {
-    let begun = Instant::now();
+    let begun = clock::now();
     let _in_flight = upstream.sent(begun);
     readings::tell_sent(context, &upstream.server.name);
     let ended = tokio::time::timeout(left, run(context, upstream, request, left, begun)).await;
     let timed_out = || Ended::without_answer(AttemptEnd::TimedOut, "deadline passed", begun);
     let ended = ended.unwrap_or_else(|_| timed_out());
     let failed = !matches!(ended.end, AttemptEnd::Succeeded);
-    upstream.ended(Instant::now(), failed);
+    upstream.ended(clock::now(), failed);
     ended
 }
 
@@ -72,7 +73,7 @@
     left: Duration,
     begun: Instant,
 ) -> Ended {
-    let Ok(mut connection) = upstream.connect().await else {
+    let Ok(mut connection) = upstream.connect(&*context.network).await else {
         return Ended::without_answer(AttemptEnd::Unsent, "no connection", begun);
     };
     // A new connection may take a second, and the zone may have been evacuated meanwhile.
@@ -80,7 +81,7 @@
         upstream.keep(connection);
         return Ended::without_answer(AttemptEnd::Unsent, "the server takes no more work", begun);
     }
-    let left = left.saturating_sub(begun.elapsed());
+    let left = left.saturating_sub(clock::since(begun));
     let bytes = write_request(context, upstream, request, left);
     match connection.send(&bytes).await {
         Ok(()) => {}
@@ -98,7 +99,7 @@
     };
     let load = response.head.headers.get(context.vocabulary.load);
     if let Some(reading) = load.and_then(context.vocabulary.read_load) {
-        upstream.told(Instant::now(), reading);
+        upstream.told(clock::now(), reading);
         readings::tell(context, &upstream.server.name, reading, None);
     }
     upstream.keep(connection);
@@ -114,7 +115,7 @@
     Ended {
         end,
         response: Some(response),
-        took: begun.elapsed(),
+        took: clock::since(begun),
         detail,
     }
 }
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -14,7 +14,9 @@
 use kingcuploft::utils::rendezvous::rendezvous;
 use kingcuploft::world::ids::VmName;
 
+use crate::clock;
 use crate::http::client::{Connection, Counted};
+use crate::network::Network;
 use silent::Silent;
 
 /// The most idle connections kept to one server: VMs share a server's connections, and one VM
@@ -104,17 +106,17 @@
     /// # Errors
     ///
     /// Returns the system's error, or a timeout.
-    pub async fn connect(&self) -> std::io::Result<Connection> {
+    pub async fn connect(&self, network: &dyn Network) -> std::io::Result<Connection> {
         if let Some(connection) = self.take_idle() {
             return Ok(connection);
         }
         let counted = Counted::of(&self.open);
-        Connection::open_counted(self.server.address, counted).await
+        Connection::open_counted(network, self.server.address, counted).await
     }
 
     /// Takes an idle connection that can be used.
     fn take_idle(&self) -> Option<Connection> {
-        let now = Instant::now();
+        let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         while let Some(mut connection) = idle.pop() {
             if connection.is_reusable(now, LONGEST_IDLE) {
@@ -127,7 +129,7 @@
     /// Keeps a connection for later.
     pub fn keep(&self, mut connection: Connection) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < MOST_IDLE && connection.is_reusable(Instant::now(), LONGEST_IDLE) {
+        if idle.len() < MOST_IDLE && connection.is_reusable(clock::now(), LONGEST_IDLE) {
             idle.push(connection);
         }
     }
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -6,11 +6,13 @@
 
 use super::Upstream;
 use super::silent::Silent;
+use crate::clock;
 use crate::cold;
 use crate::context::Context;
 use crate::http::client::Response;
 use crate::http::headers::write_header;
 use crate::limits;
+use crate::network::Network;
 use crate::peers::readings;
 
 /// How long a probe may take: the longest round trip of a region, many times over.
@@ -25,7 +27,7 @@
 /// Asks a server for its load, unless its last reading is fresh, a probe is on its way, or it did
 /// not answer lately.
 pub fn ask(context: &Rc<Context>, upstream: &Rc<Upstream>, health_path: &str) {
-    let now = Instant::now();
+    let now = clock::now();
     let fresh = upstream.is_fresh(now, context.reading_life());
     if upstream.is_asked() || fresh || upstream.is_mute(now) {
         return;
@@ -51,9 +53,9 @@
 /// slot's time. So the server counts as one that does not answer, and the answer is still waited for: with it comes a
 /// connection on which the next one comes at once.
 async fn probe(context: &Context, upstream: &Rc<Upstream>, request: &[u8]) {
-    let begun = Instant::now();
+    let begun = clock::now();
     let step = Cell::new(Silent::Connecting);
-    let mut asking = std::pin::pin!(exchange(upstream, request, &step));
+    let mut asking = std::pin::pin!(exchange(&*context.network, upstream, request, &step));
     if let Ok(answered) = tokio::time::timeout(PROBE_TIMEOUT, &mut asking).await {
         return ended(context, upstream, answered, &step, begun);
     }
@@ -76,7 +78,7 @@
     begun: Instant,
 ) {
     upstream.asking.set(false);
-    let now = Instant::now();
+    let now = clock::now();
     let reading = answered.and_then(|response| {
         step.set(Silent::Unreadable);
         let headers = &response.head.headers;
@@ -106,9 +108,14 @@
     context.readings.notify_waiters();
 }
 
-async fn exchange(upstream: &Upstream, request: &[u8], step: &Cell<Silent>) -> Option<Response> {
+async fn exchange(
+    network: &dyn Network,
+    upstream: &Upstream,
+    request: &[u8],
+    step: &Cell<Silent>,
+) -> Option<Response> {
     let kept = upstream.has_idle();
-    let mut connection = upstream.connect().await.ok()?;
+    let mut connection = upstream.connect(network).await.ok()?;
     step.set(if kept { Silent::Kept } else { Silent::New });
     connection.send(request).await.ok()?;
     let response = connection.receive("GET", MOST_PROBE_BYTES).await.ok()?;
