--- a/crates/kingcuploft-entry/src/budgets.rs
+++ b/crates/kingcuploft-entry/src/budgets.rs
@@ -6,6 +6,7 @@
 use kingcuploft::entry::probe_budget;
 use kingcuploft::entry::repeat_account::Used;
 use kingcuploft::entry::repeats::Standing;
+use kingcuploft::planted::{self, Planted};
 use kingcuploft::world::ids::ServiceName;
 
 use crate::clock;
@@ -32,6 +33,9 @@
 
     /// Takes one probe from the budget, if it has room.
     pub fn take_probe(&self, now: Instant) -> bool {
+        if planted::is_on(Planted::ProbesUnbounded) {
+            return true;
+        }
         let servers = self.servers.borrow().in_use();
         let bound = self.bounds.get().probes_per_server_s;
         self.probing
--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -22,6 +22,7 @@
 use kingcuploft::entry::server_limits::ServerLimits;
 use kingcuploft::entry::service_time::ServiceTime;
 use kingcuploft::entry::vm_entry::VmEntry;
+use kingcuploft::planted::{self, Planted};
 use kingcuploft::utils::{HashMap, HashSet};
 use kingcuploft::world::ids::{RuleName, ServiceName, VmName};
 use tokio::sync::Notify;
@@ -133,6 +134,7 @@
     /// Builds the context of a VM on a network.
     pub fn on(network: Rc<dyn Network>, settings: EntrySettings, vocabulary: Vocabulary) -> Self {
         let is_first = settings.all_start || settings.peers.is_none();
+        let is_first = is_first || planted::is_on(Planted::ForgetsRepeats);
         let repeats = match is_first {
             true => Repeats::first(),
             false => Repeats::again(clock::now(), &settings.bounds.repeats),
--- a/crates/kingcuploft-entry/src/in_force.rs
+++ b/crates/kingcuploft-entry/src/in_force.rs
@@ -8,6 +8,7 @@
 use kingcuploft::entry::change_log::ChangeLog;
 use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
 use kingcuploft::entry::configuration_change::{ChangePart, ConfigurationChange, PartError};
+use kingcuploft::planted::{self, Planted};
 use tokio::sync::Notify;
 
 use crate::clock;
@@ -48,7 +49,8 @@
     pub fn adopt(&self, mut configuration: Configuration) -> bool {
         let mut current = self.current.borrow_mut();
         let (version, routes) = (configuration.version, configuration.route_count());
-        if current.as_ref().is_some_and(|c| c.version >= version) {
+        let keeps_old = current.is_some() && planted::is_on(Planted::KeepsOldConfiguration);
+        if keeps_old || current.as_ref().is_some_and(|c| c.version >= version) {
             return false;
         }
         if let Some(old) = &*current {
--- a/crates/kingcuploft-entry/src/keeper.rs
+++ b/crates/kingcuploft-entry/src/keeper.rs
@@ -13,6 +13,7 @@
 use kingcuploft::entry::era::{Era, era_of};
 use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::zone_record::{MOST_NAMED, ZoneRecord};
+use kingcuploft::planted::{self, Planted};
 
 use crate::clock;
 use crate::cold;
@@ -318,7 +319,12 @@
     }
     let readers = context.readers.borrow();
     if let Some(count) = readers.count() {
-        context.vms.set(count.max(1));
+        let part = if planted::is_on(Planted::CountsTooFew) {
+            5
+        } else {
+            1
+        };
+        context.vms.set((count / part).max(1));
     }
     *context.zone_peers.borrow_mut() = zone_peers(context, readers.record(&context.settings.zone));
     drop(readers);
--- a/crates/kingcuploft-entry/src/limits.rs
+++ b/crates/kingcuploft-entry/src/limits.rs
@@ -7,6 +7,7 @@
 use kingcuploft::entry::server_limit::{self, Part, PerSecond};
 use kingcuploft::entry::server_limits::{LimitNotice, News};
 use kingcuploft::entry::vm_entry::VmEntry;
+use kingcuploft::planted::{self, Planted};
 use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, ServiceName};
 
 use crate::clock;
@@ -99,7 +100,7 @@
 /// Returns when a request may be sent to a server: at once if that is zero.
 pub fn wait(context: &Context, upstream: &Upstream, now: Instant) -> Duration {
     let mut limits = context.limits.borrow_mut();
-    if limits.is_empty() {
+    if limits.is_empty() || planted::is_on(Planted::ForgetsColdServers) {
         return Duration::ZERO;
     }
     limits.wait(now, &upstream.server.name, fastrand::f64())
--- a/crates/kingcuploft-entry/src/peers/feed.rs
+++ b/crates/kingcuploft-entry/src/peers/feed.rs
@@ -6,6 +6,7 @@
 use kingcuploft::entry::arriving::Arrived;
 use kingcuploft::entry::configuration::ConfigurationVersion;
 use kingcuploft::entry::server_table::ServerTable;
+use kingcuploft::planted::{self, Planted};
 use tokio::io::AsyncWrite;
 use tokio::sync::SemaphorePermit;
 
@@ -98,7 +99,11 @@
         let records = self.context.readers.borrow().records();
         greeting.extend(Frame::Zones(records).to_line());
         if self.speaks >= TAKES_EVACUATIONS {
-            greeting.extend(evacuation::frame(self.context).to_line());
+            let frame = match planted::is_on(Planted::JoinersLackEvacuations) {
+                true => Frame::Evacuations(Vec::new()),
+                false => evacuation::frame(self.context),
+            };
+            greeting.extend(frame.to_line());
         }
         if self.speaks >= TAKES_NOTICES {
             let notices = notices::stored(self.context);
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kingcuploft::entry::vm_entry::VmEntry;
+use kingcuploft::planted::{self, Planted};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
@@ -160,6 +161,9 @@
     let last = begun + context.bounds.get().stop_within.saturating_sub(END_MARGIN);
     context.begin_stop(begun);
     tracing::info!(event = "stopping", callers = context.callers.get());
+    if planted::is_on(Planted::StopsAtOnce) {
+        return;
+    }
     tokio::time::sleep(TAKE_CONNECTIONS).await;
     stop_accepting();
     context.close_idle();
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -1,5 +1,7 @@
 //! One entry VM between callers, backend servers and a store, judged by what they see.
 
+use kingcuploft_simulation::store;
+
 mod answers;
 mod callers;
 mod cold;
@@ -12,6 +14,5 @@
 mod rewinds;
 mod server;
 mod stopping;
-mod store;
 mod store_faults;
 mod world;
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/balancer.rs
@@ -0,0 +1,66 @@
+//! The platform's balancer: asks VMs whether they are ready, and gives each caller one.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::vm::Vm;
+
+/// How often a VM is asked, and after how many misses it gets no callers.
+const ASK_EVERY: Duration = Duration::from_secs(1);
+const MISSES: u32 = 2;
+
+/// The balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    vms: Vec<Rc<Vm>>,
+    misses: RefCell<Vec<u32>>,
+}
+
+impl Balancer {
+    /// Returns the balancer of these VMs.
+    pub fn new(vms: Vec<Rc<Vm>>) -> Self {
+        let misses = RefCell::new(vec![MISSES; vms.len()]);
+        Self { vms, misses }
+    }
+
+    /// Asks the VMs, without end.
+    pub async fn run(&self) {
+        loop {
+            for vm in &self.vms {
+                let mut misses = self.misses.borrow_mut();
+                misses[vm.index] = match vm.is_ready() {
+                    true => 0,
+                    false => misses[vm.index] + 1,
+                };
+            }
+            tokio::time::sleep(ASK_EVERY).await;
+        }
+    }
+
+    /// Returns the VM of a caller of a zone; another attempt reaches another one.
+    pub fn vm_for(&self, zone: usize, caller: u64, attempt: u32) -> Option<Rc<Vm>> {
+        let of_zone: Vec<_> = self.vms.iter().filter(|vm| vm.zone == zone).collect();
+        let open: Vec<_> = of_zone
+            .iter()
+            .copied()
+            .filter(|vm| self.is_open(vm))
+            .collect();
+        let chosen = match (open.is_empty(), 2 * open.len() < of_zone.len()) {
+            (true, _) => self.vms.iter().filter(|vm| self.is_open(vm)).collect(),
+            (false, true) => of_zone,
+            (false, false) => open,
+        };
+        let all = match chosen.is_empty() {
+            true => self.vms.iter().collect(),
+            false => chosen,
+        };
+        let at = caller.wrapping_add(u64::from(attempt).wrapping_mul(0x9E37_79B9_7F4A_7C15));
+        let count = all.len() as u64;
+        (count > 0).then(|| all[(at % count) as usize].clone())
+    }
+
+    fn is_open(&self, vm: &Vm) -> bool {
+        self.misses.borrow()[vm.index] < MISSES
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/disruptions.rs
@@ -0,0 +1,215 @@
+//! What strikes the world.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::day::{Disruption, DisruptionKind};
+use crate::seen::Cause;
+use crate::server::Server;
+use crate::vm::Vm;
+use crate::world::World;
+
+/// How long a VM that was killed is away, and the pause between two planned stops.
+const RESTART: Duration = Duration::from_millis(500);
+const BETWEEN_STOPS: Duration = Duration::from_millis(700);
+
+/// How often it is looked whether a VM has stopped.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// When the entry of a server that has ended lapses, and when another starts in its place.
+const LAPSES_AFTER: Duration = Duration::from_millis(4500);
+const REPLACED_AFTER: Duration = Duration::from_millis(3000);
+
+/// How long a leaving server serves on after the time that VMs have.
+const SERVES_ON: Duration = Duration::from_millis(1500);
+
+/// Strikes, and returns when it is over.
+pub async fn strike(world: &Rc<World>, disruption: &Disruption) {
+    match disruption.kind {
+        DisruptionKind::VmsKilled => {
+            let vms = some_vms(world, disruption.share);
+            vms.iter().for_each(|vm| vm.kill());
+            come_back(world, &vms, disruption.lasts().max(RESTART), Cause::Fault).await;
+        }
+        DisruptionKind::VmsLosePower => {
+            let vms = some_vms(world, disruption.share);
+            vms.iter().for_each(|vm| vm.lose_power());
+            come_back(world, &vms, disruption.lasts().max(RESTART), Cause::Fault).await;
+        }
+        DisruptionKind::VmsFrozen => {
+            let vms = some_vms(world, disruption.share);
+            during(world, &vms, disruption.lasts(), Vm::freeze).await;
+        }
+        DisruptionKind::VmsCutOff => {
+            let vms = some_vms(world, disruption.share);
+            during(world, &vms, disruption.lasts(), Vm::cut_off).await;
+        }
+        DisruptionKind::VmsStopped => stop_in_turn(world, disruption).await,
+        DisruptionKind::ServersRefuse => {
+            let strength = disruption.strength;
+            fail(world, disruption, |server, is_on| {
+                server
+                    .faults
+                    .refuses
+                    .set(if is_on { strength } else { 0.0 });
+            })
+            .await;
+        }
+        DisruptionKind::ServersLoseAnswers => {
+            let strength = disruption.strength;
+            fail(world, disruption, |server, is_on| {
+                server.faults.loses.set(if is_on { strength } else { 0.0 });
+            })
+            .await;
+        }
+        DisruptionKind::ServersSlow => {
+            let strength = disruption.strength;
+            fail(world, disruption, |server, is_on| {
+                server.faults.slow.set(if is_on { strength } else { 0.0 });
+            })
+            .await;
+        }
+        DisruptionKind::ServersCrash => crash(world, disruption).await,
+        DisruptionKind::ServersLeave => leave(world, disruption).await,
+        DisruptionKind::ServersStart => start(world, disruption),
+        DisruptionKind::StoreSilent => silence(world, disruption.lasts()).await,
+        DisruptionKind::Crowd => {
+            let usual = world.crowd.replace(disruption.strength);
+            tokio::time::sleep(disruption.lasts()).await;
+            world.crowd.set(usual.min(1.0));
+        }
+        DisruptionKind::ConfigurationChange => {
+            world.operator.configure();
+        }
+        DisruptionKind::ZoneEvacuated => {
+            let zone = fastrand::usize(0..world.deployment.zones.len());
+            world.operator.evacuate(zone, true);
+            tokio::time::sleep(disruption.lasts()).await;
+            world.operator.evacuate(zone, false);
+        }
+    }
+}
+
+fn some_vms(world: &World, share: f64) -> Vec<Rc<Vm>> {
+    let running: Vec<_> = world.vms.iter().filter(|vm| vm.is_running()).collect();
+    let count = (share * world.vms.len() as f64).round() as usize;
+    let mut rng = fastrand::Rng::with_seed(fastrand::u64(..));
+    let chosen = rng.choose_multiple(running, count);
+    chosen.into_iter().cloned().collect()
+}
+
+async fn come_back(world: &World, vms: &[Rc<Vm>], after: Duration, cause: Cause) {
+    vms.iter()
+        .for_each(|vm| world.seen.disturb(vm.index, cause));
+    tokio::time::sleep(after).await;
+    for vm in vms.iter().filter(|vm| !vm.is_running()) {
+        world.seen.disturb(vm.index, cause);
+        vm.start(false);
+    }
+}
+
+async fn during(world: &World, vms: &[Rc<Vm>], lasts: Duration, act: fn(&Vm, bool)) {
+    for vm in vms {
+        act(vm, true);
+    }
+    let step = Duration::from_millis(500);
+    let mut left = lasts;
+    while !left.is_zero() {
+        vms.iter()
+            .for_each(|vm| world.seen.disturb(vm.index, Cause::Fault));
+        tokio::time::sleep(step.min(left)).await;
+        left = left.saturating_sub(step);
+    }
+    for vm in vms {
+        world.seen.disturb(vm.index, Cause::Fault);
+        act(vm, false);
+    }
+}
+
+async fn stop_in_turn(world: &Rc<World>, disruption: &Disruption) {
+    for vm in some_vms(world, disruption.share) {
+        let world = world.clone();
+        tokio::task::spawn_local(async move {
+            let now = world.seen.now();
+            world.seen.stops.borrow_mut().push((vm.index, now));
+            world.seen.disturb(vm.index, Cause::Planned);
+            vm.stop();
+            while vm.is_running() {
+                tokio::time::sleep(LOOK_EVERY).await;
+            }
+            vm.kill();
+            come_back(&world, &[vm], RESTART, Cause::Planned).await;
+        });
+        tokio::time::sleep(BETWEEN_STOPS).await;
+    }
+}
+
+fn servers_of(world: &World, disruption: &Disruption) -> Vec<Rc<Server>> {
+    let servers = world.servers.borrow();
+    let of_service = |server: &&Rc<Server>| {
+        let service = disruption.service.as_deref();
+        service.is_none_or(|service| server.service.name == service)
+    };
+    let there = |server: &&Rc<Server>| !server.has_ended.get() && !server.is_leaving.get();
+    let all: Vec<_> = servers.iter().filter(there).filter(of_service).collect();
+    let count = (disruption.share * all.len() as f64).round() as usize;
+    let mut rng = fastrand::Rng::with_seed(fastrand::u64(..));
+    let chosen = rng.choose_multiple(all, count);
+    chosen.into_iter().cloned().collect()
+}
+
+async fn fail(world: &World, disruption: &Disruption, act: impl Fn(&Server, bool)) {
+    let servers = servers_of(world, disruption);
+    servers.iter().for_each(|server| act(server, true));
+    tokio::time::sleep(disruption.lasts()).await;
+    servers.iter().for_each(|server| act(server, false));
+}
+
+async fn crash(world: &Rc<World>, disruption: &Disruption) {
+    let servers = servers_of(world, disruption);
+    for server in &servers {
+        world.end_server(server);
+    }
+    tokio::time::sleep(REPLACED_AFTER).await;
+    for server in &servers {
+        world.start_server(&server.service.name, server.zone, true);
+    }
+    tokio::time::sleep(LAPSES_AFTER.saturating_sub(REPLACED_AFTER)).await;
+    for server in &servers {
+        world.store.0.remove(&server.name);
+    }
+}
+
+async fn leave(world: &Rc<World>, disruption: &Disruption) {
+    let servers = servers_of(world, disruption);
+    for server in &servers {
+        server.is_leaving.set(true);
+        world.operator.register(server);
+    }
+    let drain = Duration::from_millis(world.deployment.bounds.drain_ms);
+    tokio::time::sleep(drain + SERVES_ON).await;
+    for server in &servers {
+        world.end_server(server);
+        world.store.0.remove(&server.name);
+        world.start_server(&server.service.name, server.zone, true);
+    }
+}
+
+fn start(world: &World, disruption: &Disruption) {
+    for server in servers_of(world, disruption) {
+        world.start_server(&server.service.name, server.zone, true);
+    }
+}
+
+async fn silence(world: &World, lasts: Duration) {
+    let from = world.seen.now();
+    world.store.0.silent.set(true);
+    let at = {
+        let mut disturbed = world.seen.store_disturbed.borrow_mut();
+        disturbed.push((from, Duration::MAX));
+        disturbed.len() - 1
+    };
+    tokio::time::sleep(lasts).await;
+    world.store.0.silent.set(false);
+    world.seen.store_disturbed.borrow_mut()[at].1 = world.seen.now();
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/draw.rs
@@ -0,0 +1,103 @@
+//! Draws days, and changes them a little.
+
+use fastrand::Rng;
+
+use crate::day::{Day, Disruption, DisruptionKind};
+
+/// How long a drawn day is, and within which part of it disruptions strike.
+const LENGTH_MS: u64 = 24_000;
+const STRIKES_FROM_MS: u64 = 1_000;
+const STRIKES_UNTIL_MS: u64 = 18_000;
+
+/// The most disruptions of a drawn day.
+const MOST_DRAWN: usize = 4;
+
+/// The most that a day grows to.
+const MOST: usize = 8;
+
+/// How far a moment is moved at a time: within a window of any bound.
+const MOVE_MS: i64 = 3_000;
+
+/// Draws a day of a deployment.
+pub fn draw(rng: &mut Rng, deployment: &str) -> Day {
+    let count = rng.usize(1..=MOST_DRAWN);
+    let disruptions = (0..count).map(|_| disruption(rng)).collect();
+    ordered(Day {
+        deployment: deployment.into(),
+        seed: rng.u64(1..1_000_000),
+        length_ms: LENGTH_MS,
+        disruptions,
+    })
+}
+
+fn disruption(rng: &mut Rng) -> Disruption {
+    let kind = DisruptionKind::ALL[rng.usize(0..DisruptionKind::ALL.len())];
+    Disruption {
+        at_ms: rng.u64(STRIKES_FROM_MS..STRIKES_UNTIL_MS),
+        kind,
+        share: share(rng),
+        strength: strength(rng, kind),
+        for_ms: rng.u64(500..10_000),
+        service: None,
+    }
+}
+
+fn share(rng: &mut Rng) -> f64 {
+    [0.1, 0.3, 0.6, 1.0][rng.usize(0..4)]
+}
+
+fn strength(rng: &mut Rng, kind: DisruptionKind) -> f64 {
+    match kind {
+        DisruptionKind::ServersRefuse | DisruptionKind::ServersLoseAnswers => {
+            [0.1, 0.3, 0.6][rng.usize(0..3)]
+        }
+        DisruptionKind::ServersSlow => [3.0, 8.0, 20.0][rng.usize(0..3)],
+        DisruptionKind::Crowd => [1.5, 2.0, 3.0][rng.usize(0..3)],
+        _ => 1.0,
+    }
+}
+
+/// Returns a day that differs in one or two things.
+pub fn change(rng: &mut Rng, day: &Day) -> Day {
+    let mut day = day.clone();
+    for _ in 0..rng.usize(1..=2) {
+        change_one(rng, &mut day);
+    }
+    ordered(day)
+}
+
+fn change_one(rng: &mut Rng, day: &mut Day) {
+    let count = day.disruptions.len();
+    if count == 0 {
+        return day.disruptions.push(disruption(rng));
+    }
+    let at = rng.usize(0..count);
+    let chosen = &mut day.disruptions[at];
+    match rng.u32(0..8) {
+        0 => day.seed = rng.u64(1..1_000_000),
+        1 => {
+            let moved = chosen.at_ms as i64 + rng.i64(-MOVE_MS..=MOVE_MS);
+            let (least, most) = (STRIKES_FROM_MS as i64, STRIKES_UNTIL_MS as i64);
+            chosen.at_ms = moved.clamp(least, most) as u64;
+        }
+        2 => chosen.share = share(rng),
+        3 => chosen.strength = strength(rng, chosen.kind),
+        4 => chosen.for_ms = rng.u64(500..12_000),
+        5 | 6 if count < MOST => {
+            // What strikes once strikes again soon.
+            let mut again = chosen.clone();
+            again.at_ms = (again.at_ms + rng.u64(500..5_000)).min(STRIKES_UNTIL_MS);
+            day.disruptions.push(again);
+        }
+        5 | 6 => {
+            day.disruptions.remove(at);
+        }
+        _ if count < MOST => day.disruptions.push(disruption(rng)),
+        _ => day.disruptions[at] = disruption(rng),
+    }
+}
+
+fn ordered(mut day: Day) -> Day {
+    day.disruptions.sort_by_key(|disruption| disruption.at_ms);
+    day
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/lib.rs
@@ -0,0 +1,27 @@
+//! A whole fleet in virtual time: the entry VM's own code against a played network, callers, backend servers, store and
+//! operator.
+//!
+//! One thread plays a world, and the same seed gives the same day. Nothing here decides for a VM.
+
+pub mod balancer;
+pub mod caller;
+pub mod day;
+pub mod deployment;
+pub mod disruptions;
+pub mod draw;
+pub mod link;
+pub mod log;
+pub mod network;
+pub mod operator;
+pub mod plant;
+pub mod plot;
+pub mod rules;
+pub mod search;
+pub mod seen;
+pub mod server;
+pub mod shrink;
+pub mod store;
+pub mod store_client;
+pub mod vm;
+pub mod words;
+pub mod world;
--- a/crates/kingcuploft-entry/tests/links/pipe.rs
+++ b/crates/kingcuploft-simulation/src/link.rs
@@ -9,6 +9,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
+use kingcuploft_entry::network::Link;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, Sleep};
 
@@ -22,23 +23,29 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
 
 /// A VM's own link: what it sends leaves one segment after the other, and so does what arrives.
-pub(crate) struct Nic {
+#[derive(Debug)]
+pub struct Nic {
     bytes_per_s: f64,
     sends_until: Cell<Instant>,
     receives_until: Cell<Instant>,
-    pub(crate) sent_bytes: Cell<usize>,
+    /// What it has sent.
+    pub sent_bytes: Cell<usize>,
     /// Nothing leaves or arrives.
-    pub(crate) is_cut: Cell<bool>,
+    pub is_cut: Cell<bool>,
+    /// Its VM has lost power for good; one that comes back has another link.
+    pub is_dark: Cell<bool>,
 }
 
 impl Nic {
-    pub(crate) fn of(mbit_per_s: u32) -> Self {
+    /// Opens a link of so many megabits a second.
+    pub fn of(mbit_per_s: u32) -> Self {
         Self {
             bytes_per_s: f64::from(mbit_per_s) * 125_000.0,
             sends_until: Cell::new(Instant::now()),
             receives_until: Cell::new(Instant::now()),
             sent_bytes: Cell::new(0),
             is_cut: Cell::new(false),
+            is_dark: Cell::new(false),
         }
     }
 
@@ -54,13 +61,14 @@
     }
 
     /// Returns when bytes that reach this VM's link at a moment have passed it.
-    pub(crate) fn receive(&self, bytes: usize, at: Instant) -> Instant {
+    pub fn receive(&self, bytes: usize, at: Instant) -> Instant {
         let arrived = self.receives_until.get().max(at) + self.takes(bytes);
         self.receives_until.set(arrived);
         arrived
     }
 }
 
+#[derive(Debug)]
 struct Pipe {
     from: Rc<Nic>,
     to: Rc<Nic>,
@@ -89,7 +97,8 @@
     }
 
     fn is_cut(&self) -> bool {
-        self.from.is_cut.get() || self.to.is_cut.get()
+        let stops = |nic: &Nic| nic.is_cut.get() || nic.is_dark.get();
+        stops(&self.from) || stops(&self.to)
     }
 
     fn wake(waker: &RefCell<Option<Waker>>) {
@@ -100,14 +109,15 @@
 }
 
 /// One end of a link.
-pub(crate) struct End {
+#[derive(Debug)]
+pub struct End {
     incoming: Rc<Pipe>,
     outgoing: Rc<Pipe>,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 /// Opens a link between two VMs.
-pub(crate) fn link(a: &Rc<Nic>, b: &Rc<Nic>, delay: Duration) -> (End, End) {
+pub fn link(a: &Rc<Nic>, b: &Rc<Nic>, delay: Duration) -> (End, End) {
     let (there, back) = (Pipe::new(a, b, delay), Pipe::new(b, a, delay));
     let end = |incoming: &Rc<Pipe>, outgoing: &Rc<Pipe>| End {
         incoming: incoming.clone(),
@@ -201,8 +211,37 @@
     }
 }
 
+impl Link for End {
+    fn try_read(&mut self, bytes: &mut [u8]) -> std::io::Result<usize> {
+        let pipe = &self.incoming;
+        let mut segments = pipe.segments.borrow_mut();
+        if segments.is_empty() && pipe.ended.get() {
+            return Ok(0);
+        }
+        let blocked = Err(Error::from(ErrorKind::WouldBlock));
+        let Some((arrives, segment)) = segments.front_mut() else {
+            return blocked;
+        };
+        if pipe.is_cut() || *arrives > Instant::now() {
+            return blocked;
+        }
+        let count = segment.len().min(bytes.len());
+        bytes[..count].copy_from_slice(&segment[..count]);
+        segment.drain(..count);
+        if segment.is_empty() {
+            segments.pop_front();
+        }
+        pipe.unread_bytes.set(pipe.unread_bytes.get() - count);
+        Ok(count)
+    }
+}
+
 impl Drop for End {
     fn drop(&mut self) {
+        // Nobody hears of the end of what has no power.
+        if self.outgoing.from.is_dark.get() {
+            return;
+        }
         self.outgoing.ended.set(true);
         self.incoming.abandoned.set(true);
         Pipe::wake(&self.outgoing.reader);
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/log.rs
@@ -0,0 +1,87 @@
+//! The lines of a day: those of all VMs, with virtual time and the VM's name.
+
+use std::cell::{Cell, RefCell};
+use std::io::Write;
+
+use tokio::time::Instant;
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::time::FormatTime;
+
+use crate::seen::VmIndex;
+
+thread_local! {
+    static VM: Cell<Option<VmIndex>> = const { Cell::new(None) };
+    static BEGUN: Cell<Option<Instant>> = const { Cell::new(None) };
+    static LINES: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Names the VM whose lines are written until this is dropped.
+pub struct Named(Option<VmIndex>);
+
+impl Drop for Named {
+    fn drop(&mut self) {
+        VM.set(self.0);
+    }
+}
+
+/// Names the VM whose lines are written from now on.
+pub fn name(vm: VmIndex) -> Named {
+    Named(VM.replace(Some(vm)))
+}
+
+struct VirtualTime;
+
+impl FormatTime for VirtualTime {
+    fn format_time(&self, writer: &mut Writer<'_>) -> std::fmt::Result {
+        let passed = BEGUN.get().map(|begun| Instant::now() - begun);
+        write!(writer, "{:.4}", passed.unwrap_or_default().as_secs_f64())
+    }
+}
+
+struct Line(Vec<u8>);
+
+impl Write for Line {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        if self.0.is_empty() {
+            return;
+        }
+        LINES.with_borrow_mut(|lines| {
+            if let Some(vm) = VM.get() {
+                lines.extend_from_slice(format!("vm-{vm} ").as_bytes());
+            }
+            lines.extend_from_slice(&self.0);
+        });
+    }
+}
+
+/// Plays something and returns the lines that were written meanwhile on this thread.
+pub fn collected<T>(play: impl FnOnce() -> T) -> (T, Vec<u8>) {
+    LINES.with_borrow_mut(Vec::clear);
+    let subscriber = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_current_span(false)
+        .with_span_list(false)
+        .with_timer(VirtualTime)
+        .with_writer(|| Line(Vec::new()))
+        .finish();
+    let played = tracing::subscriber::with_default(subscriber, play);
+    (played, LINES.take())
+}
+
+/// Counts the time of lines from now on.
+pub fn begin() {
+    BEGUN.set(Some(Instant::now()));
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/operator.rs
@@ -0,0 +1,146 @@
+//! What the operator and the platform write to the store: configurations, servers, evacuations.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcuploft::entry::backend_servers::BackendServer;
+use kingcuploft::entry::configuration::{
+    ColdStart, Configuration, Destination, Limits, Route, Service,
+};
+use kingcuploft::world::contract::Contract;
+
+use crate::deployment::Deployment;
+use crate::seen::{Accepted, Seen};
+use crate::server::Server;
+use crate::store::TestStore;
+
+/// How many connections a server accepts.
+const MOST_CONNECTIONS: u32 = 260;
+
+/// How many servers one request may reach.
+const MOST_ATTEMPTS: u32 = 3;
+
+/// Writes to the store.
+#[derive(Debug)]
+pub struct Operator {
+    deployment: Rc<Deployment>,
+    store: TestStore,
+    seen: Rc<Seen>,
+    version: Cell<u64>,
+}
+
+impl Operator {
+    /// Returns an operator that has written nothing.
+    pub fn new(deployment: Rc<Deployment>, store: TestStore, seen: Rc<Seen>) -> Self {
+        Self {
+            deployment,
+            store,
+            seen,
+            version: Cell::new(0),
+        }
+    }
+
+    /// Writes the next configuration, with a route more than the last; returns its version.
+    pub fn configure(&self) -> u64 {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        self.store.0.configure(self.configuration(version));
+        self.seen.accepted(Accepted::Configuration { version });
+        version
+    }
+
+    fn configuration(&self, version: u64) -> Configuration {
+        let kinds = self.deployment.kinds.iter().map(|kind| {
+            let target = Duration::from_millis(kind.target_ms);
+            let timeout = Duration::from_millis(kind.deadline_ms);
+            route(&kind.name, &kind.service, kind.contract, target, timeout)
+        });
+        let service = &self.deployment.services[0].name;
+        let added = (1..=version).map(|added| {
+            let second = Duration::from_secs(1);
+            route(
+                &marker(added),
+                service,
+                Contract::RetryFreely,
+                second,
+                second,
+            )
+        });
+        let services = self.deployment.services.iter().map(|service| {
+            let cold_start = (service.cold_per_s > 0.0).then(|| ColdStart {
+                lasts: Duration::from_millis(service.cold_ms),
+                per_1000_s: (service.cold_per_s * 1000.0) as u64,
+            });
+            let known = Service {
+                health_path: "/health".into(),
+                most_connections: MOST_CONNECTIONS,
+                cold_start,
+            };
+            (service.name.as_str().into(), known)
+        });
+        let routes = kinds.chain(added).collect();
+        Configuration::new(version, routes, services.collect(), Limits::default())
+    }
+
+    /// Writes the entry of a server.
+    pub fn register(&self, server: &Server) {
+        self.store.0.serve(BackendServer {
+            name: server.name.as_str().into(),
+            service: server.service.name.as_str().into(),
+            address: server.address,
+            zone: format!("zone-{}", server.zone).into(),
+            slots: server.service.slots,
+            draining: server.is_leaving.get(),
+            cold_for: server.cold_for(),
+            started_at: None,
+        });
+        if server.is_leaving.get() {
+            self.seen.accepted(Accepted::Leaving {
+                server: server.index,
+            });
+        }
+    }
+
+    /// Has a zone evacuated, or takes it back.
+    pub fn evacuate(&self, zone: usize, is_evacuated: bool) {
+        self.store.0.evacuate(&format!("zone-{zone}"), is_evacuated);
+        self.seen.accepted(match is_evacuated {
+            true => Accepted::Evacuated { zone },
+            false => Accepted::TakenBack { zone },
+        });
+    }
+
+    /// Returns the version that was written last.
+    pub fn version(&self) -> u64 {
+        self.version.get()
+    }
+}
+
+/// Returns the name of the route that a version adds.
+pub fn marker(version: u64) -> String {
+    format!("version-{version}")
+}
+
+fn route(
+    name: &str,
+    service: &str,
+    contract: Contract,
+    target: Duration,
+    timeout: Duration,
+) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        path_prefix: format!("/{name}/"),
+        contract,
+        target,
+        timeout,
+        most_attempts: MOST_ATTEMPTS,
+        priority: 1,
+        destinations: vec![Destination {
+            service: service.into(),
+            weight: 1,
+        }],
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/plot.rs
@@ -0,0 +1,64 @@
+//! How near a search came to each bound, by days played, as SVG.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::rules::Rule;
+use crate::search::Found;
+
+/// What is drawn of a bound that is far exceeded.
+const MOST: f64 = 2.0;
+
+/// Why a plot could not be drawn.
+#[derive(Debug, thiserror::Error)]
+#[error("the plot can't be drawn: {0}")]
+pub struct PlotError(String);
+
+/// Draws the course of a search.
+///
+/// # Errors
+///
+/// Returns an error if the file can't be written.
+pub fn draw(found: &Found, file: &Path) -> Result<(), PlotError> {
+    let fault = |error: &dyn std::fmt::Display| PlotError(error.to_string());
+    let area = SVGBackend::new(file, (960, 480)).into_drawing_area();
+    area.fill(&WHITE).map_err(|e| fault(&e))?;
+    let days = found.days.max(1) as f64;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(56)
+        .caption(
+            "the nearest distance of each rule; broken above 1",
+            ("sans-serif", 14),
+        )
+        .build_cartesian_2d(0.0..days, 0.0..MOST)
+        .map_err(|e| fault(&e))?;
+    let mut mesh = chart.configure_mesh();
+    let mesh = mesh.x_desc("days played").y_desc("used of what is allowed");
+    mesh.draw().map_err(|e| fault(&e))?;
+    for (at, rule) in Rule::ALL.into_iter().enumerate() {
+        let color = Palette99::pick(at).stroke_width(2);
+        let line = LineSeries::new(steps(found, rule), color);
+        let series = chart.draw_series(line).map_err(|e| fault(&e))?;
+        let legend = move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color);
+        series.label(format!("{rule:?}")).legend(legend);
+    }
+    let mut labels = chart.configure_series_labels();
+    labels.border_style(BLACK).draw().map_err(|e| fault(&e))?;
+    area.present().map_err(|e| fault(&e))
+}
+
+fn steps(found: &Found, rule: Rule) -> Vec<(f64, f64)> {
+    let mut steps = vec![(0.0, 0.0)];
+    let mut last = 0.0;
+    let of_rule = found.course.iter().filter(|(_, other, _)| *other == rule);
+    for (days, _, used) in of_rule {
+        let (days, used) = (*days as f64, used.min(MOST));
+        steps.extend([(days, last), (days, used)]);
+        last = used;
+    }
+    steps.push((found.days as f64, last));
+    steps
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/rules/repeats.rs
@@ -0,0 +1,93 @@
+//! Rules that bind the sum of all VMs: repeats, cold servers, probes.
+
+use std::time::Duration;
+
+use super::{Case, Distance, Rule};
+use crate::seen::Arrival;
+
+/// The users' second.
+const SECOND: Duration = Duration::from_secs(1);
+
+fn within(times: &[Duration], from: Duration, window: Duration) -> usize {
+    let first = times.partition_point(|at| *at < from);
+    let last = times.partition_point(|at| *at < from + window);
+    last - first
+}
+
+/// The most repeats of any service in any window, of those allowed.
+pub(super) fn budget(case: &Case<'_>) -> Distance {
+    let bounds = case.deployment.bounds.repeats();
+    let mut nearest = Distance::nothing(Rule::RepeatBudget);
+    for service in &case.deployment.services {
+        let of_service = |kind: usize| case.deployment.kinds[kind].service == service.name;
+        let requests = case.requests.iter().filter(|r| of_service(r.kind));
+        let mut requests: Vec<_> = requests.map(|request| request.at).collect();
+        if service.name == case.deployment.services[0].name {
+            requests.extend(case.seen.looks.borrow().iter());
+        }
+        requests.sort();
+        let repeats = repeats_of(case, of_service);
+        for from in &repeats {
+            let count = within(&repeats, *from, bounds.window);
+            let before = [Duration::ZERO, bounds.window / 2, bounds.window];
+            let asked = before.map(|earlier| {
+                let from = from.saturating_sub(earlier);
+                within(&requests, from, bounds.window)
+            });
+            let asked = asked.into_iter().max().unwrap_or_default();
+            let allowed = bounds.ratio * asked as f64 + bounds.allowance;
+            nearest = nearest.or_nearer(count as f64 / allowed, || {
+                let name = &service.name;
+                format!("{name}: {count} repeats from {from:?} for {asked} requests, {allowed:.0} allowed")
+            });
+        }
+    }
+    nearest
+}
+
+/// Returns when arrivals beyond the first of their request came, in the order of time.
+fn repeats_of(case: &Case<'_>, of_service: impl Fn(usize) -> bool) -> Vec<Duration> {
+    let by_request = case.arrivals_by_request();
+    let of_service = by_request
+        .values()
+        .filter(|arrivals| of_service(arrivals[0].kind));
+    let beyond = of_service.flat_map(|arrivals| {
+        let mut times: Vec<_> = arrivals.iter().map(|arrival| arrival.at).collect();
+        times.sort();
+        times.into_iter().skip(1)
+    });
+    let mut beyond: Vec<_> = beyond.collect();
+    beyond.sort();
+    beyond
+}
+
+/// The most requests that any cold server got in any second, of those it may get.
+pub(super) fn cold_servers(case: &Case<'_>) -> Distance {
+    let bounds = &case.deployment.bounds;
+    let mut nearest = Distance::nothing(Rule::ColdServers);
+    for (index, server) in case.seen.servers.borrow().iter().enumerate() {
+        let Some((from, to)) = server.cold else {
+            continue;
+        };
+        let cold = |a: &&Arrival| a.server == index && a.at >= from && a.at < to;
+        let mut times: Vec<_> = case.arrivals.iter().filter(cold).map(|a| a.at).collect();
+        times.sort();
+        let allowed = server.cold_per_s * bounds.cold_over + bounds.cold_slack;
+        for from in &times {
+            let count = within(&times, *from, SECOND);
+            nearest = nearest.or_nearer(count as f64 / allowed, || {
+                format!("server {index}: {count} requests from {from:?}, {allowed:.1} allowed")
+            });
+        }
+    }
+    nearest
+}
+
+/// The probes of a server and second over the day, of those allowed.
+pub(super) fn probes(case: &Case<'_>) -> Distance {
+    let server_s = case.seen.server_s.get().max(1.0);
+    let per_s = case.seen.probes.get() as f64 / server_s;
+    let used = per_s / case.deployment.bounds.probes_per_s;
+    Distance::nothing(Rule::Probes)
+        .or_nearer(used, || format!("{per_s:.1} probes of a server and second"))
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/rules/requests.rs
@@ -0,0 +1,93 @@
+//! Rules on single requests.
+
+use std::time::Duration;
+
+use super::{Case, Distance, Rule};
+use crate::seen::{Answer, Cause, may_repeat};
+
+/// How long after a planned stop began requests must not be cut.
+const STOPS: Duration = Duration::from_secs(7);
+
+/// How long a request may have been on its way when its VM stopped, to count as cut by the stop.
+const ON_ITS_WAY: Duration = Duration::from_secs(1);
+
+/// A request that is sent so long after the stop began at most, and is still worked on in the last sixth of the time that
+/// the stop may take, may be cut.
+const SENT_IN_TIME: Duration = Duration::from_secs(3);
+
+/// No request that may run once ran twice.
+pub(super) fn at_most_once(case: &Case<'_>) -> Distance {
+    let by_request = case.arrivals_by_request();
+    let twice = by_request.iter().filter(|(_, arrivals)| {
+        let kind = &case.deployment.kinds[arrivals[0].kind];
+        let runs = arrivals.iter().filter(|arrival| arrival.ran.get()).count();
+        !may_repeat(kind.contract) && runs > 1
+    });
+    let twice: Vec<_> = twice.map(|(id, _)| *id).collect();
+    let what = twice
+        .first()
+        .map_or_else(String::new, |id| format!("request {id:016x}"));
+    Distance::of_count(Rule::AtMostOnce, twice.len(), what)
+}
+
+/// No request that was refused as not run ran.
+pub(super) fn truthful_refusals(case: &Case<'_>) -> Distance {
+    let by_request = case.arrivals_by_request();
+    let ran = by_request.iter().filter(|(id, arrivals)| {
+        let kind = &case.deployment.kinds[arrivals[0].kind];
+        let ran = arrivals.iter().any(|arrival| arrival.ran.get());
+        !may_repeat(kind.contract) && ran && case.answer(**id) == Some(Answer::NotRun)
+    });
+    let ran: Vec<_> = ran.map(|(id, _)| *id).collect();
+    let what = ran
+        .first()
+        .map_or_else(String::new, |id| format!("request {id:016x}"));
+    Distance::of_count(Rule::TruthfulRefusals, ran.len(), what)
+}
+
+/// No caller got another answer than its own, whole.
+pub(super) fn whole_answers(case: &Case<'_>) -> Distance {
+    let wrong = case.answers.values();
+    let wrong: Vec<_> = wrong
+        .filter(|answered| answered.answer == Answer::Wrong)
+        .collect();
+    let what = wrong
+        .first()
+        .map_or_else(String::new, |a| format!("request {:016x}", a.id));
+    Distance::of_count(Rule::WholeAnswers, wrong.len(), what)
+}
+
+/// No request that a stopping VM had in hand ended without an answer, unless its server lost it.
+pub(super) fn planned_stops(case: &Case<'_>) -> Distance {
+    let bounds = &case.deployment.bounds;
+    let stops = case.seen.stops.borrow();
+    let by_request = case.arrivals_by_request();
+    let disturbed = case.seen.disturbed.borrow();
+    let cut = case.requests.iter().filter(|request| {
+        let of_vm = stops.iter().filter(|(vm, _)| *vm == request.vm);
+        let mut of_vm = of_vm.map(|(_, at)| *at);
+        let stopping = of_vm.find(|at| request.at + ON_ITS_WAY >= *at && request.at <= *at + STOPS);
+        let Some(stopped_at) = stopping else {
+            return false;
+        };
+        let answered = case.answers.get(&request.id);
+        let ended_at = answered.map_or(request.at, |answered| answered.at);
+        let was_struck = disturbed.iter().any(|other| {
+            let near = other.at + bounds.contact() >= request.at && other.at <= ended_at;
+            other.vm == request.vm && other.cause == Cause::Fault && near
+        });
+        let last_sixth = stopped_at + Duration::from_millis(bounds.stop_ms) * 5 / 6;
+        let had_to_end = ended_at >= last_sixth && request.at <= stopped_at + SENT_IN_TIME;
+        let was_passed_on = by_request.contains_key(&request.id);
+        let kind = &case.deployment.kinds[request.kind];
+        let deadline = request.at + Duration::from_millis(kind.deadline_ms);
+        let had_time = answered.is_some_and(|answered| answered.at < deadline);
+        let is_cut = case.answer(request.id) == Some(Answer::None);
+        was_passed_on && is_cut && had_time && !was_struck && !had_to_end
+    });
+    let cut: Vec<_> = cut.map(|request| request.id).collect();
+    let what = cut
+        .first()
+        .map_or_else(String::new, |id| format!("request {id:016x}"));
+    Distance::of_count(Rule::PlannedStops, cut.len(), what)
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/rules/times.rs
@@ -0,0 +1,118 @@
+//! Rules on how soon VMs follow what the store has taken.
+
+use std::time::Duration;
+
+use super::{Case, Distance, Rule};
+use crate::seen::{Accepted, Arrival};
+
+/// A request that a VM has just sent is on its way.
+const ON_ITS_WAY: Duration = Duration::from_millis(2);
+
+/// Returns how late what came after an acceptance was, in parts of what is allowed.
+fn lateness<'a>(
+    case: &Case<'_>,
+    accepted: Duration,
+    until: Duration,
+    arrivals: impl Iterator<Item = &'a Arrival>,
+    bound_ms: u64,
+) -> Option<(f64, Duration)> {
+    let bound = Duration::from_millis(bound_ms);
+    let contact = case.deployment.bounds.contact();
+    let in_touch = arrivals.filter(|arrival| {
+        arrival.at >= accepted
+            && arrival.at < until
+            && case.seen.is_in_touch(arrival.vm, arrival.at, contact)
+    });
+    let last = in_touch.map(|arrival| arrival.at).max()?;
+    let late = last.saturating_sub(accepted + ON_ITS_WAY);
+    Some((late.as_secs_f64() / bound.as_secs_f64(), last))
+}
+
+/// How long a leaving server got requests, of the time that is allowed.
+pub(super) fn draining(case: &Case<'_>) -> Distance {
+    let mut nearest = Distance::nothing(Rule::Draining);
+    for (at, accepted) in case.seen.accepted.borrow().iter() {
+        let Accepted::Leaving { server } = accepted else {
+            continue;
+        };
+        let arrivals = case.arrivals.iter().filter(|a| a.server == *server);
+        let bound_ms = case.deployment.bounds.drain_ms;
+        if let Some((used, last)) = lateness(case, *at, Duration::MAX, arrivals, bound_ms) {
+            nearest = nearest.or_nearer(used, || {
+                format!("server {server} left at {at:?} and got a request at {last:?}")
+            });
+        }
+    }
+    nearest
+}
+
+/// How long an emptied zone got requests, of the time that is allowed.
+pub(super) fn evacuations(case: &Case<'_>) -> Distance {
+    let mut nearest = Distance::nothing(Rule::Evacuations);
+    let all = case.seen.accepted.borrow();
+    let servers = case.seen.servers.borrow();
+    for (at, accepted) in all.iter() {
+        let Accepted::Evacuated { zone } = accepted else {
+            continue;
+        };
+        let back = all
+            .iter()
+            .find(|(back_at, back)| back_at > at && *back == Accepted::TakenBack { zone: *zone });
+        let until = back.map_or(Duration::MAX, |(back_at, _)| *back_at);
+        let of_zone = |a: &&Arrival| servers.get(a.server).is_some_and(|s| s.zone == *zone);
+        let arrivals = case.arrivals.iter().filter(of_zone);
+        let bound_ms = case.deployment.bounds.evacuation_ms;
+        if let Some((used, last)) = lateness(case, *at, until, arrivals, bound_ms) {
+            nearest = nearest.or_nearer(used, || {
+                format!("zone {zone} was emptied at {at:?} and got a request at {last:?}")
+            });
+        }
+    }
+    nearest
+}
+
+/// How long VMs went on without a route that a configuration added, of the time that is allowed.
+pub(super) fn configuration(case: &Case<'_>) -> Distance {
+    let bound = Duration::from_millis(case.deployment.bounds.configuration_ms);
+    let contact = case.deployment.bounds.contact();
+    let mut nearest = Distance::nothing(Rule::ConfigurationInForce);
+    for (accepted_at, accepted) in case.seen.accepted.borrow().iter() {
+        let Accepted::Configuration { version } = accepted else {
+            continue;
+        };
+        for (vm, looked, at, has_route) in case.seen.served_by.borrow().iter() {
+            let in_touch = case.seen.is_in_touch(*vm, *at, contact);
+            if looked != version || *has_route || !in_touch || at < accepted_at {
+                continue;
+            }
+            let late = *at - *accepted_at;
+            nearest = nearest.or_nearer(late.as_secs_f64() / bound.as_secs_f64(), || {
+                format!("version {version} of {accepted_at:?} is not in force on VM {vm} at {at:?}")
+            });
+        }
+    }
+    nearest
+}
+
+/// No VM that had a route lacks it later, unless it has started again meanwhile.
+pub(super) fn never_reverts(case: &Case<'_>) -> Distance {
+    let served_by = case.seen.served_by.borrow();
+    let contact = case.deployment.bounds.contact();
+    let mut reverts = 0;
+    let mut what = String::new();
+    for (at, (vm, version, when, has_route)) in served_by.iter().enumerate() {
+        if *has_route || !case.seen.is_in_touch(*vm, *when, contact) {
+            continue;
+        }
+        let since = when.saturating_sub(contact);
+        let mut earlier = served_by[..at].iter();
+        let had = earlier.any(|(other, v, earlier, has)| {
+            other == vm && *has && v >= version && *earlier >= since
+        });
+        if had {
+            reverts += 1;
+            what = format!("VM {vm} lacks version {version} again at {when:?}");
+        }
+    }
+    Distance::of_count(Rule::NeverReverts, reverts, what)
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/search.rs
@@ -0,0 +1,162 @@
+//! Searches for days that break a rule: it keeps those that came nearest to a bound, changes them, and goes on from there.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use kingcuploft::utils::HashMap;
+use serde::Serialize;
+
+use crate::day::Day;
+use crate::draw;
+use crate::plant::{self, Planted};
+use crate::rules::{self, Distance, Rule};
+use crate::world;
+
+/// How many days are kept for each rule.
+const KEPT: usize = 6;
+
+/// How often a day is drawn anew all the same.
+const DRAWN_SHARE: f64 = 0.3;
+
+/// What is searched.
+#[derive(Clone, Debug)]
+pub struct Search {
+    /// The deployment.
+    pub deployment: String,
+    /// What its chances are drawn from.
+    pub seed: u64,
+    /// The most days that are played.
+    pub most_days: usize,
+    /// How long it may take.
+    pub within: Duration,
+    /// How many threads play.
+    pub jobs: usize,
+    /// Whether days are changed, or only drawn.
+    pub is_guided: bool,
+    /// Whether it ends with the first day that breaks a rule.
+    pub ends_at_first: bool,
+    /// The fault that is planted.
+    pub planted: Option<Planted>,
+}
+
+/// A day, and how near it came to a bound.
+#[derive(Clone, Debug)]
+pub struct Near {
+    /// The day.
+    pub day: Day,
+    /// How near it came.
+    pub distance: Distance,
+}
+
+/// What a search found.
+#[derive(Debug, Default, Serialize)]
+pub struct Found {
+    /// How many days were played.
+    pub days: usize,
+    /// How many of them had been played when the first rule broke.
+    pub first_broken_after: Option<usize>,
+    /// The nearest days of each rule, the nearest first.
+    #[serde(skip)]
+    pub nearest: HashMap<Rule, Vec<Near>>,
+    /// How near the nearest day of each rule had come, by days played.
+    pub course: Vec<(usize, Rule, f64)>,
+}
+
+impl Found {
+    fn add(&mut self, day: &Day, distances: Vec<Distance>) {
+        self.days += 1;
+        for distance in distances {
+            if distance.is_broken() && self.first_broken_after.is_none() {
+                self.first_broken_after = Some(self.days);
+            }
+            let of_rule = self.nearest.entry(distance.rule).or_default();
+            let is_nearest = of_rule
+                .first()
+                .is_none_or(|near| near.distance.used < distance.used);
+            if is_nearest {
+                let used = distance.used;
+                self.course.push((self.days, distance.rule, used));
+            }
+            let day = day.clone();
+            of_rule.push(Near { day, distance });
+            of_rule.sort_by(|a, b| b.distance.used.total_cmp(&a.distance.used));
+            of_rule.truncate(KEPT);
+        }
+    }
+
+    /// Returns the nearest day of each rule that is broken.
+    pub fn broken(&self) -> Vec<&Near> {
+        let nearest = Rule::ALL
+            .iter()
+            .filter_map(|rule| self.nearest.get(rule)?.first());
+        nearest.filter(|near| near.distance.is_broken()).collect()
+    }
+}
+
+impl Search {
+    /// Searches; `progress` is told of each rule that a day broke first.
+    pub fn run(&self, progress: impl Fn(usize, &Distance) + Sync) -> Found {
+        let found = Mutex::new(Found::default());
+        let (begun, next, ends) = (Instant::now(), AtomicUsize::new(0), AtomicBool::new(false));
+        thread::scope(|scope| {
+            for _ in 0..self.jobs.max(1) {
+                scope.spawn(|| {
+                    while !ends.load(Ordering::Relaxed) && begun.elapsed() < self.within {
+                        let number = next.fetch_add(1, Ordering::Relaxed);
+                        if number >= self.most_days {
+                            return;
+                        }
+                        let mut rng =
+                            Rng::with_seed(self.seed.wrapping_mul(1_000_003) + number as u64);
+                        let day = self.next_day(&mut rng, number, &found);
+                        let Ok(distances) = plant::with(self.planted, || judged(&day)) else {
+                            return;
+                        };
+                        let Ok(mut found) = found.lock() else {
+                            return;
+                        };
+                        let broken = distances.iter().filter(|distance| distance.is_broken());
+                        for distance in broken {
+                            let known = found.nearest.get(&distance.rule).and_then(|n| n.first());
+                            if known.is_none_or(|known| !known.distance.is_broken()) {
+                                progress(found.days + 1, distance);
+                            }
+                            ends.fetch_or(self.ends_at_first, Ordering::Relaxed);
+                        }
+                        found.add(&day, distances);
+                    }
+                });
+            }
+        });
+        found.into_inner().unwrap_or_default()
+    }
+
+    /// Returns a day that is drawn, or one that came near to a bound and is changed; the bounds take turns.
+    fn next_day(&self, rng: &mut Rng, number: usize, found: &Mutex<Found>) -> Day {
+        if !self.is_guided || rng.f64() < DRAWN_SHARE {
+            return draw::draw(rng, &self.deployment);
+        }
+        let rule = Rule::ALL[number % Rule::ALL.len()];
+        let kept = found.lock().ok().and_then(|found| {
+            let of_rule = found.nearest.get(&rule)?;
+            let kept: Vec<_> = of_rule.iter().filter(|n| n.distance.used > 0.0).collect();
+            rng.choice(kept).map(|near| near.day.clone())
+        });
+        match kept {
+            Some(day) => draw::change(rng, &day),
+            None => draw::draw(rng, &self.deployment),
+        }
+    }
+}
+
+/// Plays a day and judges it.
+///
+/// # Errors
+///
+/// Returns an error if it can't be played.
+pub fn judged(day: &Day) -> Result<Vec<Distance>, world::PlayError> {
+    Ok(rules::judge(&world::play_unlogged(day)?))
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/seen.rs
@@ -0,0 +1,232 @@
+//! What callers, servers and the operator have seen of a day. The rules judge by nothing else.
+
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+use kingcuploft::world::contract::Contract;
+use tokio::time::Instant;
+
+/// Numbers the kinds of requests.
+pub type KindIndex = usize;
+
+/// Numbers the entry VMs.
+pub type VmIndex = usize;
+
+/// A request, as its caller sent it: each attempt is one.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its id.
+    pub id: u64,
+    /// Its kind.
+    pub kind: KindIndex,
+    /// When it was sent.
+    pub at: Duration,
+    /// The VM that it was sent to.
+    pub vm: VmIndex,
+    /// Whether it is the caller's first attempt.
+    pub is_first: bool,
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// The server's whole answer to this request.
+    Whole,
+    /// Something else that claims success.
+    Wrong,
+    /// Refused: it has not run.
+    NotRun,
+    /// Another failure.
+    Failed,
+    /// The connection ended, or nothing came.
+    None,
+}
+
+/// The end of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Answered {
+    /// The request's id.
+    pub id: u64,
+    /// When.
+    pub at: Duration,
+    /// How.
+    pub answer: Answer,
+}
+
+/// A request that reached a server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The request's id.
+    pub id: u64,
+    /// Its kind.
+    pub kind: KindIndex,
+    /// When.
+    pub at: Duration,
+    /// The server, by its number.
+    pub server: usize,
+    /// The VM that sent it.
+    pub vm: VmIndex,
+    /// Whether the server began to work on it.
+    pub ran: Cell<bool>,
+}
+
+/// Something that the store has taken, which VMs have to follow in time.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Accepted {
+    /// A server leaves.
+    Leaving {
+        /// Its number.
+        server: usize,
+    },
+    /// A configuration.
+    Configuration {
+        /// Its version.
+        version: u64,
+    },
+    /// A zone is evacuated.
+    Evacuated {
+        /// Its number.
+        zone: usize,
+    },
+    /// A zone is taken back.
+    TakenBack {
+        /// Its number.
+        zone: usize,
+    },
+}
+
+/// Where a server is, and when it is cold.
+#[derive(Clone, Debug)]
+pub struct ServerSeen {
+    /// Its service.
+    pub service: String,
+    /// Its zone.
+    pub zone: usize,
+    /// From when until when it is cold.
+    pub cold: Option<(Duration, Duration)>,
+    /// How many requests a second it bears then.
+    pub cold_per_s: f64,
+}
+
+/// What disturbs a VM.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// A planned stop, and the start after it.
+    Planned,
+    /// Anything else.
+    Fault,
+}
+
+/// A VM that is disturbed.
+#[derive(Clone, Copy, Debug)]
+pub struct Disturbed {
+    /// The VM.
+    pub vm: VmIndex,
+    /// When.
+    pub at: Duration,
+    /// By what.
+    pub cause: Cause,
+}
+
+/// All that was seen.
+#[derive(Debug)]
+pub struct Seen {
+    begun: Cell<Instant>,
+    /// The requests.
+    pub requests: RefCell<Vec<Request>>,
+    /// Their ends.
+    pub answers: RefCell<Vec<Answered>>,
+    /// What reached servers.
+    pub arrivals: RefCell<Vec<Arrival>>,
+    /// What the store has taken, and when.
+    pub accepted: RefCell<Vec<(Duration, Accepted)>>,
+    /// The servers.
+    pub servers: RefCell<Vec<ServerSeen>>,
+    /// When VMs were disturbed.
+    pub disturbed: RefCell<Vec<Disturbed>>,
+    /// From when until when the store was.
+    pub store_disturbed: RefCell<Vec<(Duration, Duration)>>,
+    /// When VMs were stopped as planned.
+    pub stops: RefCell<Vec<(VmIndex, Duration)>>,
+    /// Versions that VMs were seen to serve by, in the order of time.
+    pub served_by: RefCell<Vec<(VmIndex, u64, Duration, bool)>>,
+    /// When VMs were asked for a route that a version added, at the first service.
+    pub looks: RefCell<Vec<Duration>>,
+    /// How many probes servers got, and how many seconds servers were there.
+    pub probes: Cell<u64>,
+    /// As `probes` says.
+    pub server_s: Cell<f64>,
+}
+
+impl Default for Seen {
+    fn default() -> Self {
+        Self {
+            begun: Cell::new(Instant::now()),
+            requests: RefCell::default(),
+            answers: RefCell::default(),
+            arrivals: RefCell::default(),
+            accepted: RefCell::default(),
+            servers: RefCell::default(),
+            disturbed: RefCell::default(),
+            store_disturbed: RefCell::default(),
+            stops: RefCell::default(),
+            served_by: RefCell::default(),
+            looks: RefCell::default(),
+            probes: Cell::new(0),
+            server_s: Cell::new(0.0),
+        }
+    }
+}
+
+impl Seen {
+    /// Counts time from now on.
+    pub fn begin(&self) {
+        self.begun.set(Instant::now());
+    }
+
+    /// Returns the time since the begin; zero before it.
+    pub fn now(&self) -> Duration {
+        Instant::now().saturating_duration_since(self.begun.get())
+    }
+
+    /// Takes note that the store has taken something.
+    pub fn accepted(&self, what: Accepted) {
+        self.accepted.borrow_mut().push((self.now(), what));
+    }
+
+    /// Returns when the store has last taken a configuration of the day, if it has.
+    pub fn last_configuration(&self) -> Option<Duration> {
+        let accepted = self.accepted.borrow();
+        let of_day = accepted.iter().filter(|(_, what)| match what {
+            Accepted::Configuration { version } => *version > 1,
+            _ => false,
+        });
+        of_day.map(|(at, _)| *at).next_back()
+    }
+
+    /// Takes note that a VM is disturbed now.
+    pub fn disturb(&self, vm: VmIndex, cause: Cause) {
+        let at = self.now();
+        let mut disturbed = self.disturbed.borrow_mut();
+        disturbed.push(Disturbed { vm, at, cause });
+    }
+
+    /// Returns whether neither a VM nor the store was disturbed for so long before a moment.
+    pub fn is_in_touch(&self, vm: VmIndex, at: Duration, contact: Duration) -> bool {
+        let since = at.saturating_sub(contact);
+        let of_vm = self.disturbed.borrow();
+        let vm_is_calm = !of_vm
+            .iter()
+            .any(|other| other.vm == vm && other.at >= since && other.at <= at);
+        let of_store = self.store_disturbed.borrow();
+        vm_is_calm
+            && !of_store
+                .iter()
+                .any(|(from, to)| *from <= at && *to >= since)
+    }
+}
+
+/// Returns whether requests of a contract may run more than once.
+pub fn may_repeat(contract: Contract) -> bool {
+    contract == Contract::RetryFreely
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/server.rs
@@ -0,0 +1,311 @@
+//! A backend server: slots, a queue, a speed that jumps, and faults.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use kingcuploft_entry::http::body::BodyReader;
+use kingcuploft_entry::http::head::{self, RequestHead};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::deployment::{Kind, Service};
+use crate::link::End;
+use crate::network::{Accepted, Host};
+use crate::seen::{Arrival, Seen};
+
+/// How often a server's speed is drawn anew, how often it is slow, and how slow.
+const REDRAW: Duration = Duration::from_millis(150);
+const SLOW_SHARE: f64 = 0.25;
+const SLOW_TIMES: f64 = 5.0;
+
+/// The most bytes of a request's body.
+const MOST_BODY_BYTES: usize = 1 << 20;
+
+/// How a server fails.
+#[derive(Debug, Default)]
+pub struct Faults {
+    /// The part of the requests that it refuses.
+    pub refuses: Cell<f64>,
+    /// The part of the requests whose answers it loses.
+    pub loses: Cell<f64>,
+    /// How many times as long its work takes; 0 is usual.
+    pub slow: Cell<f64>,
+}
+
+/// One backend server.
+#[derive(Debug)]
+pub struct Server {
+    /// Its number.
+    pub index: usize,
+    /// Its name.
+    pub name: String,
+    /// Its service.
+    pub service: Service,
+    /// Its zone.
+    pub zone: usize,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// How it fails.
+    pub faults: Faults,
+    /// Until when it is cold.
+    pub cold_until: Cell<Option<Instant>>,
+    /// Whether it has ended.
+    pub has_ended: Cell<bool>,
+    /// Whether it leaves.
+    pub is_leaving: Cell<bool>,
+    kinds: Rc<Vec<Kind>>,
+    seen: Rc<Seen>,
+    slots: Semaphore,
+    running: Cell<u32>,
+    waiting: Cell<u32>,
+    tasks: RefCell<Vec<AbortHandle>>,
+}
+
+/// What becomes of a connection after a request.
+enum Next {
+    Keep,
+    Close,
+}
+
+impl Server {
+    /// Starts a server on a host.
+    pub fn start(
+        host: &Host,
+        index: usize,
+        service: &Service,
+        zone: usize,
+        kinds: Rc<Vec<Kind>>,
+        seen: Rc<Seen>,
+    ) -> Rc<Self> {
+        let address: SocketAddr = ([127, 0, 2, 1], 1000 + index as u16).into();
+        let server = Rc::new(Self {
+            index,
+            name: format!("s{index}"),
+            service: service.clone(),
+            zone,
+            address,
+            faults: Faults::default(),
+            cold_until: Cell::new(None),
+            has_ended: Cell::new(false),
+            is_leaving: Cell::new(false),
+            kinds,
+            seen,
+            slots: Semaphore::new(service.slots as usize),
+            running: Cell::new(0),
+            waiting: Cell::new(0),
+            tasks: RefCell::default(),
+        });
+        let (accepts, mut accepted) = mpsc::unbounded_channel::<Accepted>();
+        host.listen(address, accepts);
+        let own = server.clone();
+        let accepting = tokio::task::spawn_local(async move {
+            while let Some((end, vm)) = accepted.recv().await {
+                let server = own.clone();
+                let serving = tokio::task::spawn_local(async move {
+                    server.serve(end, vm.unwrap_or(usize::MAX)).await;
+                });
+                let mut tasks = own.tasks.borrow_mut();
+                tasks.retain(|task| !task.is_finished());
+                tasks.push(serving.abort_handle());
+            }
+        });
+        server.tasks.borrow_mut().push(accepting.abort_handle());
+        server
+    }
+
+    /// Ends the server: its connections close.
+    pub fn end(&self) {
+        self.has_ended.set(true);
+        for task in self.tasks.take() {
+            task.abort();
+        }
+    }
+
+    /// Returns for how much longer it is cold.
+    pub fn cold_for(&self) -> Duration {
+        let until = self.cold_until.get();
+        until.map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(Instant::now())
+        })
+    }
+
+    /// Returns how many times as long work takes now.
+    fn slowness(&self) -> f64 {
+        let draw = self.seen.now().as_millis() / REDRAW.as_millis();
+        let mut rng = fastrand::Rng::with_seed(draw as u64 * 7919 + self.index as u64);
+        // The first draws of near seeds are alike.
+        rng.u64(..);
+        let noise = match rng.f64() < SLOW_SHARE {
+            true => SLOW_TIMES,
+            false => 1.0,
+        };
+        noise * self.faults.slow.get().max(1.0)
+    }
+
+    fn load(&self) -> String {
+        let percent = (self.slowness() * 100.0) as u32;
+        let (running, waiting) = (self.running.get(), self.waiting.get());
+        format!("{running},{waiting},{},{percent}", self.service.slots)
+    }
+
+    async fn serve(&self, mut end: End, vm: usize) {
+        let mut buffer = BytesMut::new();
+        while let Some(head) = read_request(&mut end, &mut buffer).await {
+            let next = match head.target.starts_with("/health") {
+                true => self.tell_health(&mut end).await,
+                false => self.answer(&mut end, &head, vm).await,
+            };
+            if let Next::Close = next {
+                return;
+            }
+        }
+    }
+
+    async fn tell_health(&self, end: &mut End) -> Next {
+        self.seen.probes.set(self.seen.probes.get() + 1);
+        let cold = match self.cold_for().as_millis() {
+            0 => String::new(),
+            ms => format!("x-cold-ms: {ms}\r\n"),
+        };
+        let load = self.load();
+        let status = match self.is_leaving.get() {
+            true => "503 Leaving",
+            false => "200 OK",
+        };
+        let answer =
+            format!("HTTP/1.1 {status}\r\nx-load: {load}\r\n{cold}Content-Length: 0\r\n\r\n");
+        write(end, &answer).await
+    }
+
+    async fn answer(&self, end: &mut End, head: &RequestHead, vm: usize) -> Next {
+        let id = head.headers.get("x-id").unwrap_or_default().to_owned();
+        let meant_for = head.headers.get("x-meant-for");
+        if meant_for.is_some_and(|name| name != self.name) {
+            return write(end, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n").await;
+        }
+        let Some(kind) = self.kind(&head.target) else {
+            return write(end, &whole(&id, &self.name, &self.load())).await;
+        };
+        let arrival = Arrival {
+            id: u64::from_str_radix(&id, 16).unwrap_or_default(),
+            kind,
+            at: self.seen.now(),
+            server: self.index,
+            vm,
+            ran: Cell::new(false),
+        };
+        let at = {
+            let mut arrivals = self.seen.arrivals.borrow_mut();
+            arrivals.push(arrival);
+            arrivals.len() - 1
+        };
+        let is_full =
+            self.running.get() + self.waiting.get() >= self.service.slots + self.service.queue;
+        if is_full || fastrand::f64() < self.faults.refuses.get() {
+            let load = self.load();
+            let answer = format!(
+                "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-load: {load}\r\nContent-Length: 0\r\n\r\n"
+            );
+            return write(end, &answer).await;
+        }
+        if !self.work(end, kind, at).await || fastrand::f64() < self.faults.loses.get() {
+            return Next::Close;
+        }
+        write(end, &whole(&id, &self.name, &self.load())).await
+    }
+
+    /// Waits for a slot and works; returns whether the connection is still open then.
+    async fn work(&self, end: &mut End, kind: usize, arrival: usize) -> bool {
+        let waiting = Counted::one(&self.waiting);
+        let mut byte = [0; 1];
+        let slot = tokio::select! {
+            biased;
+            _ = end.read(&mut byte) => return false,
+            slot = self.slots.acquire() => slot,
+        };
+        drop(waiting);
+        if slot.is_err() {
+            return false;
+        }
+        let _running = Counted::one(&self.running);
+        if let Some(arrival) = self.seen.arrivals.borrow().get(arrival) {
+            arrival.ran.set(true);
+        }
+        let spread = 0.7 + 0.6 * fastrand::f64();
+        let work_ms = self.kinds[kind].work_ms * spread * self.slowness();
+        tokio::select! {
+            biased;
+            _ = end.read(&mut byte) => false,
+            () = tokio::time::sleep(Duration::from_secs_f64(work_ms / 1000.0)) => true,
+        }
+    }
+
+    fn kind(&self, target: &str) -> Option<usize> {
+        let mut kinds = self.kinds.iter();
+        kinds.position(|kind| {
+            let rest = target.strip_prefix('/');
+            let rest = rest.and_then(|rest| rest.strip_prefix(&*kind.name));
+            rest.is_some_and(|rest| rest.starts_with('/'))
+        })
+    }
+}
+
+/// Counts one until it is dropped.
+struct Counted<'a>(&'a Cell<u32>);
+
+impl<'a> Counted<'a> {
+    fn one(count: &'a Cell<u32>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Returns the whole answer of a server to a request; its body is what its caller checks.
+fn whole(id: &str, server: &str, load: &str) -> String {
+    let body = body_of(id);
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: {server}\r\nx-load: {load}\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Returns the body of the answer to a request.
+pub fn body_of(id: &str) -> String {
+    format!("answer to {id}")
+}
+
+async fn write(end: &mut End, answer: &str) -> Next {
+    match end.write_all(answer.as_bytes()).await {
+        Ok(()) => Next::Keep,
+        Err(_) => Next::Close,
+    }
+}
+
+async fn read_request(end: &mut End, buffer: &mut BytesMut) -> Option<RequestHead> {
+    loop {
+        if let Some((head, length)) = head::request(buffer).ok()? {
+            let _ = buffer.split_to(length);
+            let mut body = BodyReader::new(head.framing, MOST_BODY_BYTES).ok()?;
+            while !body.read(buffer).ok()? {
+                if end.read_buf(buffer).await.ok()? == 0 {
+                    return None;
+                }
+            }
+            return Some(head);
+        }
+        if end.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/shrink.rs
@@ -0,0 +1,50 @@
+//! Shrinks a day that breaks a rule to the fewest disruptions that still break it.
+
+use crate::day::Day;
+use crate::rules::Rule;
+use crate::search::judged;
+
+/// Shares and times are halved so often at most.
+const MOST_HALVED: usize = 3;
+
+fn breaks(day: &Day, rule: Rule) -> bool {
+    let judged = judged(day).unwrap_or_default();
+    judged.iter().any(|d| d.rule == rule && d.is_broken())
+}
+
+/// Returns the day with nothing in it that the rule's break can do without.
+pub fn shrink(day: &Day, rule: Rule) -> Day {
+    let mut least = without_needless(day, rule);
+    for at in 0..least.disruptions.len() {
+        for _ in 0..MOST_HALVED {
+            let mut shorter = least.clone();
+            shorter.disruptions[at].for_ms /= 2;
+            least = if breaks(&shorter, rule) {
+                shorter
+            } else {
+                break;
+            };
+        }
+    }
+    let last = least.disruptions.iter().map(|d| d.at_ms + d.for_ms).max();
+    let mut shorter = least.clone();
+    shorter.length_ms = (last.unwrap_or(0) + 5_000).min(least.length_ms);
+    match breaks(&shorter, rule) {
+        true => shorter,
+        false => least,
+    }
+}
+
+fn without_needless(day: &Day, rule: Rule) -> Day {
+    let mut least = day.clone();
+    let mut at = 0;
+    while at < least.disruptions.len() {
+        let mut fewer = least.clone();
+        fewer.disruptions.remove(at);
+        match breaks(&fewer, rule) {
+            true => least = fewer,
+            false => at += 1,
+        }
+    }
+    least
+}
--- a/crates/kingcuploft-entry/tests/entry/store.rs
+++ b/crates/kingcuploft-simulation/src/store.rs
@@ -17,36 +17,44 @@
 use tokio::sync::Notify;
 
 /// What the store holds, shared with the test.
-#[derive(Default)]
-pub(crate) struct Held {
-    pub(crate) configuration: RefCell<Option<Configuration>>,
-    pub(crate) servers: RefCell<Vec<BackendServer>>,
-    pub(crate) zones: RefCell<Vec<ZoneRecord>>,
-    pub(crate) notices: RefCell<Vec<Notice>>,
-    pub(crate) evacuations: RefCell<Vec<AvailabilityZone>>,
+#[derive(Debug, Default)]
+pub struct Held {
+    /// The configuration.
+    pub configuration: RefCell<Option<Configuration>>,
+    /// The servers.
+    pub servers: RefCell<Vec<BackendServer>>,
+    /// The zones.
+    pub zones: RefCell<Vec<ZoneRecord>>,
+    /// The notices.
+    pub notices: RefCell<Vec<Notice>>,
+    /// The evacuations.
+    pub evacuations: RefCell<Vec<AvailabilityZone>>,
     /// Calls hang, those that wait already as well, even after the fault has ended.
-    pub(crate) silent: Cell<bool>,
+    pub silent: Cell<bool>,
     /// Writes are refused.
-    pub(crate) refuses_writes: Cell<bool>,
+    pub refuses_writes: Cell<bool>,
     /// Watches are answered with "history gone" up to this revision.
-    pub(crate) forgotten: Cell<Revision>,
+    pub forgotten: Cell<Revision>,
     /// Whether the list of the zones is never answered.
-    pub(crate) hides_zones: Cell<bool>,
-    pub(crate) watches: Cell<u32>,
-    pub(crate) lists: Cell<u32>,
+    pub hides_zones: Cell<bool>,
+    /// Calls that watch.
+    pub watches: Cell<u32>,
+    /// Calls that list.
+    pub lists: Cell<u32>,
     /// Calls that write the record of a zone.
-    pub(crate) records: Cell<u32>,
+    pub records: Cell<u32>,
     changes: RefCell<Vec<(u64, Collection, StoreChange)>>,
     revision: Cell<u64>,
     /// How often the store came back from a copy.
     era: Cell<Era>,
     /// Whether revisions of other eras are taken for those of this one.
-    pub(crate) hides_eras: Cell<bool>,
+    pub hides_eras: Cell<bool>,
     changed: Notify,
 }
 
 /// A copy of what the store holds.
-pub(crate) struct Copy {
+#[derive(Debug)]
+pub struct Copy {
     configuration: Option<Configuration>,
     servers: Vec<BackendServer>,
     zones: Vec<ZoneRecord>,
@@ -57,13 +65,15 @@
 }
 
 impl Held {
-    pub(crate) fn configure(&self, configuration: Configuration) {
+    /// Writes the configuration.
+    pub fn configure(&self, configuration: Configuration) {
         *self.configuration.borrow_mut() = Some(configuration.clone());
         let record = Record::Configuration(Box::new(configuration));
         self.change(Collection::Configuration, StoreChange::Written(record));
     }
 
-    pub(crate) fn serve(&self, server: BackendServer) {
+    /// Writes the entry of a backend server.
+    pub fn serve(&self, server: BackendServer) {
         let mut servers = self.servers.borrow_mut();
         servers.retain(|known| known.name != server.name);
         servers.push(server.clone());
@@ -72,7 +82,8 @@
         self.change(Collection::BackendServers, StoreChange::Written(record));
     }
 
-    pub(crate) fn remove(&self, name: &str) {
+    /// Removes the entry of a backend server.
+    pub fn remove(&self, name: &str) {
         let mut servers = self.servers.borrow_mut();
         servers.retain(|known| &*known.name != name);
         drop(servers);
@@ -80,7 +91,7 @@
     }
 
     /// Returns a copy.
-    pub(crate) fn copy(&self) -> Copy {
+    pub fn copy(&self) -> Copy {
         Copy {
             configuration: self.configuration.borrow().clone(),
             servers: self.servers.borrow().clone(),
@@ -93,7 +104,7 @@
     }
 
     /// Comes back from a copy: what was written since is gone, and its revisions are given out again.
-    pub(crate) fn rewind(&self, copy: Copy) {
+    pub fn rewind(&self, copy: Copy) {
         self.configuration.replace(copy.configuration);
         self.servers.replace(copy.servers);
         self.zones.replace(copy.zones);
@@ -106,7 +117,7 @@
     }
 
     /// Returns whether the store holds this server, this evacuation, this configuration.
-    pub(crate) fn holds(&self, server: &str, zone: &str, version: u64) -> [bool; 3] {
+    pub fn holds(&self, server: &str, zone: &str, version: u64) -> [bool; 3] {
         let configuration = self.configuration.borrow();
         [
             self.servers.borrow().iter().any(|s| *s.name == *server),
@@ -124,7 +135,7 @@
     }
 
     /// Has a zone evacuated, or takes it back.
-    pub(crate) fn evacuate(&self, zone: &str, is_evacuated: bool) {
+    pub fn evacuate(&self, zone: &str, is_evacuated: bool) {
         self.evacuations
             .borrow_mut()
             .retain(|known| **known != *zone);
@@ -139,7 +150,7 @@
     }
 
     /// Moves on to a later moment without a change that anybody watches for.
-    pub(crate) fn move_on(&self, by: u64) {
+    pub fn move_on(&self, by: u64) {
         self.revision.set(self.revision.get() + by);
     }
 
@@ -168,17 +179,22 @@
 }
 
 /// A client of the store, and whether the store turns it away.
-#[derive(Clone, Default)]
-pub(crate) struct TestStore(pub(crate) Rc<Held>, pub(crate) Rc<Cell<bool>>);
+#[derive(Clone, Debug, Default)]
+pub struct TestStore(
+    /// What the store holds.
+    pub Rc<Held>,
+    /// Whether the store turns this client away.
+    pub Rc<Cell<bool>>,
+);
 
 impl TestStore {
     /// Returns another client of a store.
-    pub(crate) fn of(held: &Rc<Held>) -> Self {
+    pub fn of(held: &Rc<Held>) -> Self {
         Self(held.clone(), Rc::default())
     }
 
     /// Returns another client of the same store, which may be turned away alone.
-    pub(crate) fn turning_away(other: &Self) -> Self {
+    pub fn turning_away(other: &Self) -> Self {
         Self(other.0.clone(), Rc::default())
     }
 
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/store_client.rs
@@ -0,0 +1,106 @@
+//! The store as one VM reaches it.
+
+use std::future::Future;
+use std::time::{Duration, Instant};
+
+use kingcuploft::entry::notice::Notice;
+use kingcuploft::entry::zone_record::ZoneRecord;
+use kingcuploft_entry::store::{
+    Changes, Collection, Page, Recorded, Recording, Revision, Store, StoreError,
+};
+
+use crate::network::Host;
+use crate::store::TestStore;
+
+/// How long an answer takes.
+const DELAY: Duration = Duration::from_millis(4);
+
+/// How long an answer is waited for beyond what was asked for.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// How often a VM that is cut off tries again.
+const TRY_AGAIN: Duration = Duration::from_millis(50);
+
+/// The store, over a host's link.
+#[derive(Debug)]
+pub struct StoreClient {
+    store: TestStore,
+    host: Host,
+}
+
+impl StoreClient {
+    /// Returns the client of a host.
+    pub fn new(store: TestStore, host: Host) -> Self {
+        Self { store, host }
+    }
+
+    async fn call<T>(
+        &self,
+        wait: Duration,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let calling = async {
+            self.reached().await;
+            tokio::time::sleep(DELAY / 2).await;
+            let answer = call.await;
+            tokio::time::sleep(DELAY / 2).await;
+            self.reached().await;
+            answer
+        };
+        let called = tokio::time::timeout(wait + PATIENCE, calling).await;
+        called.map_err(|_| StoreError::NoAnswer("timeout".into()))?
+    }
+
+    async fn reached(&self) {
+        while self.host.is_cut_off() {
+            tokio::time::sleep(TRY_AGAIN).await;
+        }
+    }
+}
+
+impl Store for StoreClient {
+    async fn list(
+        &self,
+        collection: Collection,
+        after: Option<&str>,
+        stale: bool,
+    ) -> Result<Page, StoreError> {
+        let call = self.store.list(collection, after, stale);
+        self.call(Duration::ZERO, call).await
+    }
+
+    async fn sign_of_life(&self) -> Result<Revision, StoreError> {
+        self.call(Duration::ZERO, self.store.sign_of_life()).await
+    }
+
+    fn heard(&self, _: Collection) -> Option<Instant> {
+        None
+    }
+
+    async fn record_zone(
+        &self,
+        record: &ZoneRecord,
+        how: Recording,
+    ) -> Result<Recorded, StoreError> {
+        let call = self.store.record_zone(record, how);
+        self.call(Duration::ZERO, call).await
+    }
+
+    async fn tell(&self, notice: &Notice) -> Result<Recorded, StoreError> {
+        self.call(Duration::ZERO, self.store.tell(notice)).await
+    }
+
+    async fn withdraw(&self, id: &str) -> Result<(), StoreError> {
+        self.call(Duration::ZERO, self.store.withdraw(id)).await
+    }
+
+    async fn watch(
+        &self,
+        collection: Collection,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        let call = self.store.watch(collection, from, wait);
+        self.call(wait, call).await
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/vm.rs
@@ -0,0 +1,268 @@
+//! One entry VM: the product's own code, from its start to its end, again and again.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context as Polling, Poll, Waker};
+use std::time::Duration;
+
+use kingcuploft_entry::context::Context;
+use kingcuploft_entry::edge::connection;
+use kingcuploft_entry::peers::{reader, readings};
+use kingcuploft_entry::pulse::Pulse;
+use kingcuploft_entry::run;
+use kingcuploft_entry::settings::{Bounds, EntrySettings};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{AbortHandle, LocalSet};
+
+use crate::deployment::Deployment;
+use crate::log;
+use crate::network::{Host, Network, Place};
+use crate::seen::VmIndex;
+use crate::store::TestStore;
+use crate::store_client::StoreClient;
+use crate::words::WORDS;
+
+/// The memory of a VM.
+const MEMORY_BYTES: usize = 260_000_000;
+
+/// How often backend servers write their entries.
+const HEARTBEAT: Duration = Duration::from_millis(1500);
+
+/// What stands still while it is frozen.
+#[derive(Debug, Default)]
+struct Freeze {
+    is_frozen: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Freeze {
+    fn set(&self, is_frozen: bool) {
+        self.is_frozen.set(is_frozen);
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+}
+
+/// A VM's process: nothing of it runs while it is frozen, and its lines bear its name.
+struct Process {
+    vm: VmIndex,
+    freeze: Rc<Freeze>,
+    running: Pin<Box<dyn Future<Output = ()>>>,
+}
+
+impl Future for Process {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, polling: &mut Polling<'_>) -> Poll<()> {
+        if self.freeze.is_frozen.get() {
+            *self.freeze.waker.borrow_mut() = Some(polling.waker().clone());
+            return Poll::Pending;
+        }
+        let _named = log::name(self.vm);
+        self.running.as_mut().poll(polling)
+    }
+}
+
+/// What there is of a VM while it runs.
+#[derive(Debug)]
+struct Life {
+    host: Host,
+    freeze: Rc<Freeze>,
+    context: Rc<Context>,
+    stop: Rc<Notify>,
+    process: AbortHandle,
+}
+
+/// One entry VM.
+#[derive(Debug)]
+pub struct Vm {
+    /// Its number.
+    pub index: VmIndex,
+    /// Its zone.
+    pub zone: usize,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    peers: SocketAddr,
+    network: Network,
+    store: TestStore,
+    bounds: Bounds,
+    cpu_milli: u32,
+    life: RefCell<Option<Life>>,
+}
+
+impl Vm {
+    /// Returns a VM that does not run yet.
+    pub fn new(
+        index: VmIndex,
+        zone: usize,
+        deployment: &Deployment,
+        network: &Network,
+        store: &TestStore,
+    ) -> Self {
+        let port = 1000 + index as u16;
+        Self {
+            index,
+            zone,
+            callers: ([127, 0, 0, 1], port).into(),
+            peers: ([127, 0, 1, 1], port).into(),
+            network: network.clone(),
+            store: TestStore::turning_away(store),
+            bounds: Bounds {
+                stop_within: Duration::from_millis(deployment.bounds.stop_ms),
+                repeats: deployment.bounds.repeats(),
+                heartbeat: HEARTBEAT,
+                probes_per_server_s: deployment.bounds.probes_per_s,
+            },
+            cpu_milli: 200 + (index % 3) as u32 * 100,
+            life: RefCell::default(),
+        }
+    }
+
+    /// Starts it; it knows nothing.
+    pub fn start(&self, all_start: bool) {
+        let host = self.network.host(Place::Zone(self.zone), Some(self.index));
+        let (accepts, mut callers) = mpsc::unbounded_channel();
+        host.listen(self.callers, accepts);
+        let (accepts, mut peers) = mpsc::unbounded_channel();
+        let (receives, mut datagrams) = mpsc::unbounded_channel();
+        host.listen_to_others(self.peers, accepts, receives);
+        let network = Rc::new(host.clone());
+        let context = Context::on(network.clone(), self.settings(all_start), WORDS);
+        let context = Rc::new(context);
+        let _ = context.peer_readings.set(network);
+        let (freeze, stop) = (Rc::new(Freeze::default()), Rc::new(Notify::new()));
+        let store = Rc::new(StoreClient::new(self.store.clone(), host.clone()));
+        let (own, stopping, dial) = (context.clone(), stop.clone(), host.clone());
+        let address = self.peers;
+        let main = async move {
+            let context = own;
+            tracing::info!(event = "started", vm = %context.settings.vm, zone = %context.settings.zone);
+            let pulse = Rc::new(Pulse::default());
+            run::join(&context, &store, &pulse, address, dial);
+            let is_closed = Rc::new(Cell::new(false));
+            let stops = async {
+                stopping.notified().await;
+                run::stop(&context, || is_closed.set(true)).await;
+            };
+            let serves = async {
+                loop {
+                    tokio::select! {
+                        biased;
+                        Some((end, _)) = callers.recv(), if !is_closed.get() => {
+                            tokio::task::spawn_local(connection::serve(context.clone(), end));
+                        }
+                        Some((end, _)) = peers.recv() => {
+                            let (context, pulse) = (context.clone(), pulse.clone());
+                            tokio::task::spawn_local(async move {
+                                let _ = reader::answer(&context, &pulse, end).await;
+                            });
+                        }
+                        Some((told, from)) = datagrams.recv() => readings::take(&context, &told, from),
+                        else => return,
+                    }
+                }
+            };
+            tokio::select! {
+                biased;
+                () = serves => {}
+                () = stops => {}
+            }
+        };
+        let tasks = LocalSet::new();
+        let process = Process {
+            vm: self.index,
+            freeze: freeze.clone(),
+            running: Box::pin(async move { tasks.run_until(main).await }),
+        };
+        let process = tokio::task::spawn_local(process).abort_handle();
+        *self.life.borrow_mut() = Some(Life {
+            host,
+            freeze,
+            context,
+            stop,
+            process,
+        });
+    }
+
+    fn settings(&self, all_start: bool) -> EntrySettings {
+        EntrySettings {
+            vm: format!("vm-{}", self.index).into(),
+            zone: format!("zone-{}", self.zone).into(),
+            region: Vec::new(),
+            callers: self.callers,
+            readiness: self.callers,
+            peers: Some(self.peers),
+            control: None,
+            seeds: Vec::new(),
+            store: self.callers,
+            cpu_milli: self.cpu_milli,
+            memory_bytes: MEMORY_BYTES,
+            all_start,
+            metrics: None,
+            bounds: self.bounds,
+        }
+    }
+
+    /// Ends its process at once; what it knew is gone. Its connections close.
+    pub fn kill(&self) {
+        self.network.close(self.callers);
+        self.network.close(self.peers);
+        if let Some(life) = self.life.borrow_mut().take() {
+            life.process.abort();
+        }
+    }
+
+    /// Takes its power away: its connections fall silent.
+    pub fn lose_power(&self) {
+        if let Some(life) = self.life.borrow_mut().take() {
+            life.host.lose_power();
+            life.process.abort();
+        }
+    }
+
+    /// Has it stand still, or go on.
+    pub fn freeze(&self, is_frozen: bool) {
+        if let Some(life) = &*self.life.borrow() {
+            life.freeze.set(is_frozen);
+        }
+    }
+
+    /// Cuts it off from other VMs and the store, or ends that.
+    pub fn cut_off(&self, is_cut: bool) {
+        if let Some(life) = &*self.life.borrow() {
+            life.host.cut_off(is_cut);
+        }
+    }
+
+    /// Asks it to stop as planned.
+    pub fn stop(&self) {
+        if let Some(life) = &*self.life.borrow() {
+            life.stop.notify_one();
+        }
+    }
+
+    /// Returns whether it runs, also if it stands still.
+    pub fn is_running(&self) -> bool {
+        let life = self.life.borrow();
+        life.as_ref()
+            .is_some_and(|life| !life.process.is_finished())
+    }
+
+    /// Returns how many VMs it counts, if it runs.
+    pub fn counted(&self) -> Option<usize> {
+        let life = self.life.borrow();
+        life.as_ref().map(|life| life.context.vms.get())
+    }
+
+    /// Returns whether it answers that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let life = self.life.borrow();
+        let ready = |life: &Life| !life.freeze.is_frozen.get() && life.context.is_ready();
+        life.as_ref()
+            .is_some_and(|life| !life.process.is_finished() && ready(life))
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/words.rs
@@ -0,0 +1,28 @@
+//! The names of headers that the world's callers, servers and VMs use.
+
+use kingcuploft::entry::placement::Reading;
+use kingcuploft_entry::settings::Vocabulary;
+
+/// The names.
+pub const WORDS: Vocabulary = Vocabulary {
+    request_id: "x-id",
+    deadline_ms: "x-deadline-ms",
+    signature: "x-signed",
+    meant_for: "x-meant-for",
+    load: "x-load",
+    limit: "x-limit",
+    cold_ms: "x-cold-ms",
+    not_run: "x-not-run",
+    ready_path: "/ready",
+    read_load,
+};
+
+fn read_load(value: &str) -> Option<Reading> {
+    let mut figures = value.split(',').map(|figure| figure.parse::<u32>().ok());
+    Some(Reading {
+        running: figures.next()??,
+        waiting: figures.next()??,
+        slots: figures.next()??,
+        slowness: f64::from(figures.next()??) / 100.0,
+    })
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/world.rs
@@ -0,0 +1,275 @@
+//! Plays a day.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcuploft_entry::http::client::Connection;
+use tokio::time::Instant;
+
+use crate::balancer::Balancer;
+use crate::caller::Caller;
+use crate::day::Day;
+use crate::deployment::Deployment;
+use crate::disruptions;
+use crate::log;
+use crate::network::{Host, Network, Place};
+use crate::operator::{Operator, marker};
+use crate::seen::{Seen, ServerSeen};
+use crate::server::Server;
+use crate::store::TestStore;
+use crate::vm::Vm;
+
+/// How long VMs run before the first request.
+const LEAD: Duration = Duration::from_secs(6);
+
+/// How long after the last request the day ends.
+const TAIL: Duration = Duration::from_secs(5);
+
+/// How many callers a zone has.
+const CALLERS: u64 = 48;
+
+/// For how long after a change it is looked by which version each VM serves, how often, and how long one look may take.
+const LOOK_FOR: Duration = Duration::from_secs(6);
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+const LOOK_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Why a day can't be played.
+#[derive(Debug, thiserror::Error)]
+pub enum PlayError {
+    /// Its deployment is not known.
+    #[error("no deployment is called {0}")]
+    Deployment(String),
+    /// The system gave no timers.
+    #[error("no timers: {0}")]
+    Timers(#[from] std::io::Error),
+}
+
+/// A day that was played.
+#[derive(Debug)]
+pub struct Played {
+    /// What was played.
+    pub deployment: Rc<Deployment>,
+    /// What was seen.
+    pub seen: Rc<Seen>,
+    /// How many VMs each VM counts in the end; none of one that does not run.
+    pub counted: Vec<Option<usize>>,
+    /// The VMs' lines.
+    pub lines: Vec<u8>,
+}
+
+/// The world while it is played.
+pub struct World {
+    /// What is played.
+    pub deployment: Rc<Deployment>,
+    /// What is seen.
+    pub seen: Rc<Seen>,
+    /// The store.
+    pub store: TestStore,
+    /// The operator.
+    pub operator: Operator,
+    /// The VMs.
+    pub vms: Vec<Rc<Vm>>,
+    /// All servers that there ever were.
+    pub servers: RefCell<Vec<Rc<Server>>>,
+    /// How many times the usual callers ask.
+    pub crowd: Cell<f64>,
+    network: Network,
+    balancer: Balancer,
+    callers: Rc<Host>,
+}
+
+/// Plays a day.
+///
+/// # Errors
+///
+/// Returns an error if it can't be played.
+pub fn play(day: &Day) -> Result<Played, PlayError> {
+    let (played, lines) = log::collected(|| play_unlogged(day));
+    Ok(Played { lines, ..played? })
+}
+
+/// Plays a day, and leaves out what its VMs write.
+///
+/// # Errors
+///
+/// Returns an error if it can't be played.
+pub fn play_unlogged(day: &Day) -> Result<Played, PlayError> {
+    let unknown = || PlayError::Deployment(day.deployment.clone());
+    let deployment = Rc::new(day.deployment().ok_or_else(unknown)?);
+    fastrand::seed(day.seed);
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build()?;
+    let tasks = tokio::task::LocalSet::new();
+    let (seen, counted) = tasks.block_on(&runtime, async {
+        let world = Rc::new(World::new(deployment.clone()));
+        world.play(day).await;
+        let counted = world.vms.iter().map(|vm| vm.counted());
+        (world.seen.clone(), counted.collect())
+    });
+    Ok(Played {
+        deployment,
+        seen,
+        counted,
+        lines: Vec::new(),
+    })
+}
+
+impl World {
+    fn new(deployment: Rc<Deployment>) -> Self {
+        let (network, store) = (Network::default(), TestStore::default());
+        let seen = Rc::new(Seen::default());
+        let zones = deployment.zones.iter().enumerate();
+        let zones = zones.flat_map(|(zone, vms)| std::iter::repeat_n(zone, *vms));
+        let vms = zones
+            .enumerate()
+            .map(|(index, zone)| Rc::new(Vm::new(index, zone, &deployment, &network, &store)));
+        let vms: Vec<_> = vms.collect();
+        Self {
+            operator: Operator::new(deployment.clone(), store.clone(), seen.clone()),
+            balancer: Balancer::new(vms.clone()),
+            callers: Rc::new(network.host(Place::Outside, None)),
+            servers: RefCell::default(),
+            crowd: Cell::new(1.0),
+            deployment,
+            seen,
+            store,
+            vms,
+            network,
+        }
+    }
+
+    async fn play(self: &Rc<Self>, day: &Day) {
+        log::begin();
+        let services = self.deployment.services.clone();
+        for service in &services {
+            for at in 0..service.servers {
+                self.start_server(&service.name, at % self.deployment.zones.len(), false);
+            }
+        }
+        self.operator.configure();
+        for vm in &self.vms {
+            vm.start(true);
+        }
+        let world = self.clone();
+        tokio::task::spawn_local(async move { world.balancer.run().await });
+        tokio::time::sleep(LEAD).await;
+        log::begin();
+        self.seen.begin();
+        for disruption in &day.disruptions {
+            let (world, disruption) = (self.clone(), disruption.clone());
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(disruption.at()).await;
+                disruptions::strike(&world, &disruption).await;
+            });
+        }
+        let world = self.clone();
+        let looking = tokio::task::spawn_local(async move { world.look_at_versions().await });
+        self.have_callers_ask(Duration::from_millis(day.length_ms))
+            .await;
+        tokio::time::sleep(TAIL).await;
+        looking.abort();
+    }
+
+    /// Starts a server; returns it.
+    pub fn start_server(&self, service: &str, zone: usize, is_cold: bool) -> Option<Rc<Server>> {
+        let service = self.deployment.service(service)?;
+        let index = self.servers.borrow().len();
+        let kinds = Rc::new(self.deployment.kinds.clone());
+        let host = self.network.host(Place::Zone(zone), None);
+        let server = Server::start(&host, index, service, zone, kinds, self.seen.clone());
+        let lasts = Duration::from_millis(service.cold_ms);
+        let cold = (is_cold && service.cold_per_s > 0.0).then(|| {
+            server.cold_until.set(Some(Instant::now() + lasts));
+            (self.seen.now(), self.seen.now() + lasts)
+        });
+        self.seen.servers.borrow_mut().push(ServerSeen {
+            service: service.name.clone(),
+            zone,
+            cold,
+            cold_per_s: service.cold_per_s,
+        });
+        self.servers.borrow_mut().push(server.clone());
+        self.operator.register(&server);
+        Some(server)
+    }
+
+    /// Ends a server; nobody listens at its address any more.
+    pub fn end_server(&self, server: &Server) {
+        server.end();
+        self.network.close(server.address);
+    }
+
+    async fn have_callers_ask(self: &Rc<Self>, lasts: Duration) {
+        let kinds = self.deployment.kinds.clone();
+        let per_s: f64 = kinds.iter().map(|kind| kind.per_s).sum();
+        while self.seen.now() < lasts {
+            let pause_s = -(1.0 - fastrand::f64()).ln() / (per_s * self.crowd.get());
+            tokio::time::sleep(Duration::from_secs_f64(pause_s)).await;
+            let mut drawn = fastrand::f64() * per_s;
+            let kind = kinds.iter().position(|kind| {
+                drawn -= kind.per_s;
+                drawn <= 0.0
+            });
+            let kind = kind.unwrap_or(0);
+            let caller = Caller {
+                host: self.callers.clone(),
+                seen: self.seen.clone(),
+                kind,
+                of_kind: kinds[kind].clone(),
+            };
+            let zone = fastrand::usize(0..self.deployment.zones.len());
+            let (world, of_zone) = (self.clone(), fastrand::u64(0..CALLERS));
+            tokio::task::spawn_local(async move {
+                let entry = |attempt| world.balancer.vm_for(zone, of_zone * 7 + 3, attempt);
+                caller.ask(entry).await;
+            });
+            let running = self.servers.borrow();
+            let running = running
+                .iter()
+                .filter(|server| !server.has_ended.get())
+                .count();
+            let server_s = self.seen.server_s.get() + pause_s * running as f64;
+            self.seen.server_s.set(server_s);
+        }
+    }
+
+    /// Looks by which version each VM serves.
+    async fn look_at_versions(self: &Rc<Self>) {
+        loop {
+            tokio::time::sleep(LOOK_EVERY).await;
+            let version = self.operator.version();
+            let accepted = self.seen.last_configuration();
+            if accepted.is_none_or(|at| self.seen.now() > at + LOOK_FOR) {
+                continue;
+            }
+            for vm in self.vms.iter().filter(|vm| vm.is_running()) {
+                let (world, vm) = (self.clone(), vm.clone());
+                tokio::task::spawn_local(async move {
+                    let at = world.seen.now();
+                    let looked = tokio::time::timeout(LOOK_PATIENCE, world.look(&vm, version));
+                    if let Ok(Some(has_route)) = looked.await {
+                        let mut served_by = world.seen.served_by.borrow_mut();
+                        served_by.push((vm.index, version, at, has_route));
+                    }
+                });
+            }
+        }
+    }
+
+    /// Returns whether a VM has the route that a version adds, if it says so.
+    async fn look(&self, vm: &Vm, version: u64) -> Option<bool> {
+        let opening = Connection::open(&*self.callers, vm.callers);
+        let mut connection = opening.await.ok()?;
+        let path = marker(version);
+        let text = format!("GET /{path}/ HTTP/1.1\r\nHost: a.example\r\nx-id: look\r\n\r\n");
+        self.seen.looks.borrow_mut().push(self.seen.now());
+        connection.send(text.as_bytes()).await.ok()?;
+        let response = connection.receive("GET", 1 << 16).await.ok()?;
+        match response.head.status {
+            404 => Some(false),
+            200 => Some(true),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/tests/corpus.rs
@@ -0,0 +1,60 @@
+//! The days that came nearest to a bound, and those that show a planted fault.
+
+use std::path::{Path, PathBuf};
+
+use kingcuploft_simulation::day::Day;
+use kingcuploft_simulation::plant::{self, Planted};
+use kingcuploft_simulation::rules::Distance;
+use kingcuploft_simulation::search::judged;
+
+fn days(folder: &str) -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("days")
+        .join(folder);
+    let files = std::fs::read_dir(folder).expect("the folder is there");
+    let mut files: Vec<_> = files.map(|file| file.expect("a file").path()).collect();
+    files.retain(|file| file.extension().is_some_and(|end| end == "yaml"));
+    files.sort();
+    files
+}
+
+fn broken(file: &Path, planted: Option<Planted>) -> Vec<Distance> {
+    let text = std::fs::read_to_string(file).expect("a day");
+    let day = Day::read(&file.display().to_string(), &text).expect("a day");
+    let judged = plant::with(planted, || judged(&day)).expect("it can be played");
+    judged.into_iter().filter(Distance::is_broken).collect()
+}
+
+#[test]
+fn the_nearest_days_break_no_rule() {
+    let near = days("near");
+    assert!(near.len() >= 8);
+    for day in near.iter().chain(&days(".")) {
+        assert_eq!(broken(day, None), [], "{}", day.display());
+    }
+}
+
+#[test]
+fn each_planted_fault_breaks_a_rule_on_its_day_and_nothing_breaks_without_it() {
+    for fault in Planted::ALL {
+        let name = format!("{fault:?}");
+        let file = days("planted").into_iter();
+        let mut file = file.filter(|file| file.file_stem().is_some_and(|stem| *stem == *name));
+        let file = file.next().unwrap_or_else(|| panic!("no day shows {name}"));
+        assert!(
+            !broken(&file, Some(fault)).is_empty(),
+            "{name} is not found"
+        );
+        assert_eq!(broken(&file, None), [], "{name}");
+    }
+}
+
+/// Guards against a VM that restarts and begins its part of a shared bound anew.
+#[test]
+fn vms_killed_while_servers_refuse_break_the_budget_of_repeats_only_if_they_forget() {
+    let file = days(".").into_iter();
+    let mut file = file.filter(|file| file.ends_with("killed-twice-while-servers-refuse.yaml"));
+    let file = file.next().expect("the day");
+    assert_eq!(broken(&file, None), []);
+    assert!(!broken(&file, Some(Planted::ForgetsRepeats)).is_empty());
+}
--- /dev/null
+++ b/crates/kingcuploft-simulation/tests/world.rs
@@ -0,0 +1,33 @@
+//! Days that are played, judged by what callers and servers saw.
+
+use kingcuploft_simulation::day::Day;
+use kingcuploft_simulation::rules;
+use kingcuploft_simulation::world::{Played, play};
+
+fn day(text: &str) -> Day {
+    Day::read("test", text).unwrap_or_else(|error| panic!("{error}"))
+}
+
+fn played(text: &str) -> Played {
+    play(&day(text)).unwrap_or_else(|error| panic!("{error}"))
+}
+
+fn broken(played: &Played) -> Vec<rules::Distance> {
+    let judged = rules::judge(played).into_iter();
+    judged.filter(rules::Distance::is_broken).collect()
+}
+
+const CALM: &str = "deployment: 19-vms\nseed: 1\nlength_ms: 10000\ndisruptions: []\n";
+
+#[test]
+fn callers_of_a_calm_day_are_served_and_no_rule_is_broken() {
+    let played = played(CALM);
+    assert!(rules::served(&played) > 0.99);
+    assert_eq!(broken(&played), []);
+}
+
+#[test]
+fn the_same_seed_gives_the_same_lines() {
+    let (first, second) = (played(CALM), played(CALM));
+    assert!(first.lines == second.lines && !first.lines.is_empty());
+}
--- a/crates/kingcuploft/src/entry/backend_servers.rs
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::planted::{self, Planted};
 use crate::utils::{HashMap, digest};
 use crate::world::ids::{AvailabilityZone, BackendServerName, ServiceName};
 
@@ -345,7 +346,7 @@
 }
 
 fn standing_of(server: &BackendServer) -> Standing {
-    match server.draining {
+    match server.draining && !planted::is_on(Planted::ChoosesLeavingServers) {
         true => Standing::Draining,
         false => Standing::InUse,
     }
--- a/crates/kingcuploft/src/entry/verdict.rs
+++ b/crates/kingcuploft/src/entry/verdict.rs
@@ -5,6 +5,7 @@
 //! [`Attempts`] remembers whether any attempt may have run, and [`Attempts::refusal_status`] is the
 //! only source of the status of an own failure.
 
+use crate::planted::{self, Planted};
 use crate::world::contract::Contract;
 
 /// How an attempt ended.
@@ -97,7 +98,7 @@
         let running = self.ran + in_flight;
         match self.contract {
             Contract::RetryFreely => running < self.most,
-            Contract::AtMostOnce => running == 0,
+            Contract::AtMostOnce => running == 0 || planted::is_on(Planted::RepeatsProtected),
         }
     }
 
@@ -116,7 +117,8 @@
 
     /// Returns the status of an own failure: a promise that nothing ran only where nothing can have.
     pub fn refusal_status(&self, timed_out: bool) -> u16 {
-        match (self.may_have_run(), timed_out) {
+        let may_have_run = self.may_have_run() && !planted::is_on(Planted::RefusesUntruthfully);
+        match (may_have_run, timed_out) {
             (false, _) => 503,
             (true, false) => 502,
             (true, true) => 504,
--- a/crates/kingcuploft/src/lib.rs
+++ b/crates/kingcuploft/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod dispatcher;
 pub mod entry;
 pub mod manifest;
+pub mod planted;
 pub mod settings;
 pub mod utils;
 pub mod world;
