fix(roster): a VM that has handed its zone over follows its zone again, and is counted

Found by the simulation: 18 of 19 VMs were counted, from the first seconds on, where a zone was handed to a larger VM. The VM that handed it over had just begun to follow the reader of another zone, and stayed there; nobody of its own zone counted it. All then divide what they may use together by too few.

Change: a VM that follows another zone's reader for its zone looks for its source anew once another VM leads the zone.

--- a/crates/kingcuploft-entry/src/roster/mod.rs
+++ b/crates/kingcuploft-entry/src/roster/mod.rs
@@ -258,19 +258,29 @@
         Link::NotFed
     }
 
-    /// Returns once this VM would follow another than `first`, and hears through it of no store.
+    /// Returns once this VM would follow another than `first`, and hears through it of no store, or has followed it for its
+    /// zone, which another leads by now.
     ///
     /// Failure: the store turns away the VM that leads a zone, and serves another of that zone, which names itself first.
     async fn other_source(&self, first: &VmEntry) {
         loop {
             tokio::time::sleep(LOOK_EVERY / 5).await;
             let hears_of_store = self.context.reader_has_store.get() || self.pulse.is_reading();
-            if !hears_of_store && self.source() != Source::Reader(first.clone()) {
+            let has_other = self.source() != Source::Reader(first.clone());
+            let follows_for_zone = first.zone != self.own.zone;
+            if has_other && (!hears_of_store || follows_for_zone && self.is_led()) {
                 return;
             }
         }
     }
 
+    /// Returns whether another VM leads the zone.
+    fn is_led(&self) -> bool {
+        let readers = self.context.readers.borrow();
+        let source = readers.source_in_zone(clock::now(), &self.own.name, &self.own.zone);
+        matches!(source, Source::Reader(_))
+    }
+
     /// Makes this VM its zone's reader, as the store answers it and not the one that reads; that one follows it. One that
     /// leads its zone already reads for that alone until it finds a reader that has the store.
     async fn take_over(&self, feeder: &VmEntry) {
--- a/crates/kingcuploft-simulation/tests/world.rs
+++ b/crates/kingcuploft-simulation/tests/world.rs
@@ -31,3 +31,12 @@
     let (first, second) = (played(CALM), played(CALM));
     assert!(first.lines == second.lines && !first.lines.is_empty());
 }
+
+/// Guards against a VM that has handed its zone to a larger one, follows another zone's reader and is counted by nobody.
+#[test]
+fn all_vms_are_counted_when_zones_have_been_handed_over() {
+    for seed in 1..=5 {
+        let text = CALM.replace("seed: 1", &format!("seed: {seed}"));
+        assert_eq!(played(&text).counted, vec![Some(19); 19], "seed {seed}");
+    }
+}
