--- a/crates/kingcuploft-entry/src/edge/suspect.rs
+++ b/crates/kingcuploft-entry/src/edge/suspect.rs
@@ -7,6 +7,7 @@
 use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::quarantine::{Admission, Quarantine};
 use kingcuploft::entry::verdict::AttemptEnd;
+use kingcuploft::planted::{self, Planted};
 
 use super::flight::Flight;
 use crate::clock;
@@ -28,7 +29,8 @@
 impl Flight<'_> {
     /// Returns whether the request may be sent on.
     pub(super) async fn clearance(&mut self) -> Clearance {
-        if self.is_trial || self.context.quarantine.borrow().is_empty() {
+        let knows_none = self.context.quarantine.borrow().is_empty();
+        if self.is_trial || knows_none || planted::is_on(Planted::SendsSuspects) {
             return Clearance::Go;
         }
         let fingerprint = self.request.fingerprint();
--- a/crates/kingcuploft-entry/src/limits.rs
+++ b/crates/kingcuploft-entry/src/limits.rs
@@ -28,6 +28,7 @@
 /// Takes in what a server's answer says of its limit.
 pub fn heard(context: &Context, server: &BackendServerName, headers: &Headers, answer: Answer) {
     let named = headers.get(context.vocabulary.limit);
+    let named = named.filter(|_| !planted::is_on(Planted::IgnoresLimits));
     let per_s = named.and_then(read);
     match (named, per_s, answer) {
         (Some(value), None, _) => {
--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -13,11 +13,10 @@
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::world::ids::VmName;
 use kingcuploft_entry::context::Context;
-use kingcuploft_entry::peers::{reader, repeat_copies};
 use kingcuploft_entry::pulse::Pulse;
+use kingcuploft_entry::run;
 use kingcuploft_entry::settings::{Bounds, EntrySettings, Vocabulary};
-use kingcuploft_entry::store::Collection;
-use kingcuploft_entry::{keeper, notices, roster, sign_of_life};
+use tokio::task::LocalSet;
 use tokio::time::Instant;
 
 use crate::configurations::{configuration, routes};
@@ -131,39 +130,20 @@
             from: at,
         };
         let _ = context.peer_readings.set(Rc::new(socket));
-        pulse.leave();
-        let mut tasks = vec![
-            tokio::task::spawn_local(repeat_copies::keep(context.clone())),
-            tokio::task::spawn_local(sign_of_life::watch_over(
-                context.clone(),
-                store.clone(),
-                pulse.clone(),
-            )),
-            tokio::task::spawn_local(keeper::expire(context.clone())),
-            tokio::task::spawn_local(notices::write(
-                context.clone(),
-                store.clone(),
-                pulse.clone(),
-                context.notice_writes.open(),
-            )),
-            tokio::task::spawn_local(reader::beat(context.clone(), pulse.clone())),
-        ];
-        for collection in Collection::WATCHED {
-            let (context, store) = (context.clone(), store.clone());
-            let following = keeper::follow(context, store, pulse.clone(), collection);
-            tasks.push(tokio::task::spawn_local(following));
-        }
-        let keeping = roster::keep(context.clone(), store, pulse.clone(), entry.clone(), dialer);
-        tasks.push(tokio::task::spawn_local(keeping));
+        let (vm, vm_pulse, address) = (context.clone(), pulse.clone(), entry.address);
+        let tasks = LocalSet::new();
+        let running = tokio::task::spawn_local(async move {
+            let joined = async {
+                run::join(&vm, &store, &vm_pulse, address, dialer);
+                std::future::pending::<()>().await;
+            };
+            tasks.run_until(joined).await;
+        });
         let host = Host {
             context,
             pulse,
             nic,
-            tasks: tasks
-                .iter()
-                .map(|task| task.abort_handle())
-                .collect::<Vec<_>>()
-                .into(),
+            tasks: vec![running.abort_handle()].into(),
         };
         self.network.0.borrow_mut()[at] = Some(Rc::new(host));
     }
--- a/crates/kingcuploft-simulation/src/caller.rs
+++ b/crates/kingcuploft-simulation/src/caller.rs
@@ -10,7 +10,7 @@
 use crate::deployment::Kind;
 use crate::network::Host;
 use crate::seen::{Answer, Answered, KindIndex, Request, Seen, may_repeat};
-use crate::server::body_of;
+use crate::server::{DEADLY, body_of};
 use crate::vm::Vm;
 
 /// The most bytes of an answer.
@@ -41,6 +41,8 @@
     pub kind: KindIndex,
     /// As `kind` says.
     pub of_kind: Kind,
+    /// Whether servers end under it.
+    pub is_deadly: bool,
 }
 
 impl Caller {
@@ -75,6 +77,7 @@
             at: self.seen.now(),
             vm: vm.index,
             is_first,
+            is_deadly: self.is_deadly,
         });
         let ended = tokio::time::timeout_at(until + LATE, self.exchange(vm, id, until)).await;
         let ended = ended.unwrap_or(Ended {
@@ -106,8 +109,9 @@
             Contract::AtMostOnce => "POST",
         };
         let name = &self.of_kind.name;
+        let rest = if self.is_deadly { DEADLY } else { "x" };
         let text = format!(
-            "{method} /{name}/x HTTP/1.1\r\nHost: a.example\r\nx-id: {id}\r\nx-deadline-ms: {left_ms}\r\nContent-Length: 0\r\n\r\n"
+            "{method} /{name}/{rest} HTTP/1.1\r\nHost: a.example\r\nx-id: {id}\r\nx-deadline-ms: {left_ms}\r\nContent-Length: 0\r\n\r\n"
         );
         if connection.send(text.as_bytes()).await.is_err() {
             return none(true);
--- a/crates/kingcuploft-simulation/src/day.rs
+++ b/crates/kingcuploft-simulation/src/day.rs
@@ -109,6 +109,12 @@
     ServersLeave,
     /// Servers start, cold.
     ServersStart,
+    /// Servers name how many requests a second (`strength`) they take, in their answers.
+    ServersNameLimits,
+    /// A part of the requests of the first kind end the servers that run them.
+    DeadlyRequests,
+    /// The store comes back from a copy that is so old, and what was written since is written again.
+    StoreRewinds,
     /// The store says nothing.
     StoreSilent,
     /// So many times as many callers ask.
@@ -121,7 +127,7 @@
 
 impl DisruptionKind {
     /// All of them.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 18] = [
         Self::VmsKilled,
         Self::VmsLosePower,
         Self::VmsFrozen,
@@ -133,6 +139,9 @@
         Self::ServersCrash,
         Self::ServersLeave,
         Self::ServersStart,
+        Self::ServersNameLimits,
+        Self::DeadlyRequests,
+        Self::StoreRewinds,
         Self::StoreSilent,
         Self::Crowd,
         Self::ConfigurationChange,
@@ -143,6 +152,8 @@
     pub fn strengths(self) -> (f64, f64) {
         match self {
             Self::ServersRefuse | Self::ServersLoseAnswers => (0.0, 1.0),
+            Self::DeadlyRequests => (0.0, 0.5),
+            Self::ServersNameLimits => (0.5, 500.0),
             Self::ServersSlow => (1.0, 50.0),
             Self::Crowd => (1.0, 5.0),
             _ => (0.0, f64::INFINITY),
--- a/crates/kingcuploft-simulation/src/disruptions.rs
+++ b/crates/kingcuploft-simulation/src/disruptions.rs
@@ -20,6 +20,9 @@
 const LAPSES_AFTER: Duration = Duration::from_millis(4500);
 const REPLACED_AFTER: Duration = Duration::from_millis(3000);
 
+/// When the operator and the servers write again what a store that came back from a copy lacks.
+const WRITES_AGAIN: Duration = Duration::from_millis(600);
+
 /// How long a leaving server serves on after the time that VMs have.
 const SERVES_ON: Duration = Duration::from_millis(1500);
 
@@ -69,7 +72,14 @@
             })
             .await;
         }
-        DisruptionKind::ServersCrash => crash(world, disruption).await,
+        DisruptionKind::ServersCrash => crash(world, &servers_of(world, disruption)).await,
+        DisruptionKind::ServersNameLimits => name_limits(world, disruption).await,
+        DisruptionKind::DeadlyRequests => {
+            world.deadly.set(disruption.strength);
+            tokio::time::sleep(disruption.lasts()).await;
+            world.deadly.set(0.0);
+        }
+        DisruptionKind::StoreRewinds => rewind(world, disruption.lasts()).await,
         DisruptionKind::ServersLeave => leave(world, disruption).await,
         DisruptionKind::ServersStart => start(world, disruption),
         DisruptionKind::StoreSilent => silence(world, disruption.lasts()).await,
@@ -165,17 +175,17 @@
     servers.iter().for_each(|server| act(server, false));
 }
 
-async fn crash(world: &Rc<World>, disruption: &Disruption) {
-    let servers = servers_of(world, disruption);
-    for server in &servers {
+/// Ends servers without a word, and starts others in their place.
+pub async fn crash(world: &Rc<World>, servers: &[Rc<Server>]) {
+    for server in servers {
         world.end_server(server);
     }
     tokio::time::sleep(REPLACED_AFTER).await;
-    for server in &servers {
+    for server in servers {
         world.start_server(&server.service.name, server.zone, true);
     }
     tokio::time::sleep(LAPSES_AFTER.saturating_sub(REPLACED_AFTER)).await;
-    for server in &servers {
+    for server in servers {
         world.store.0.remove(&server.name);
     }
 }
@@ -213,3 +223,39 @@
     world.store.0.silent.set(false);
     world.seen.store_disturbed.borrow_mut()[at].1 = world.seen.now();
 }
+
+async fn name_limits(world: &World, disruption: &Disruption) {
+    let servers = servers_of(world, disruption);
+    let per_s = disruption.strength;
+    for server in &servers {
+        server.faults.limit.set(Some(per_s));
+        world.seen.names_limit(server.index, Some(per_s));
+    }
+    tokio::time::sleep(disruption.lasts()).await;
+    for server in &servers {
+        // Another one may hold by now.
+        if server.faults.limit.get() == Some(per_s) {
+            server.faults.limit.set(None);
+            world.seen.names_limit(server.index, None);
+        }
+    }
+}
+
+/// Brings the store back from a copy; the operator and the servers write again what it lacks.
+async fn rewind(world: &World, age: Duration) {
+    let copy = world.store.0.copy();
+    tokio::time::sleep(age).await;
+    let from = world.seen.now();
+    world.store.0.rewind(copy);
+    tokio::time::sleep(WRITES_AGAIN).await;
+    world.operator.write_again();
+    let servers = world.servers.borrow().clone();
+    for server in &servers {
+        match server.has_ended.get() {
+            true => world.store.0.remove(&server.name),
+            false => world.operator.register(server),
+        }
+    }
+    let mut disturbed = world.seen.store_disturbed.borrow_mut();
+    disturbed.push((from, world.seen.now()));
+}
--- a/crates/kingcuploft-simulation/src/operator.rs
+++ b/crates/kingcuploft-simulation/src/operator.rs
@@ -95,7 +95,16 @@
             cold_for: server.cold_for(),
             started_at: None,
         });
-        if server.is_leaving.get() {
+        let leaving = Accepted::Leaving {
+            server: server.index,
+        };
+        let is_known = self
+            .seen
+            .accepted
+            .borrow()
+            .iter()
+            .any(|(_, what)| *what == leaving);
+        if server.is_leaving.get() && !is_known {
             self.seen.accepted(Accepted::Leaving {
                 server: server.index,
             });
@@ -111,6 +120,20 @@
         });
     }
 
+    /// Writes again what is in force, to a store that may lack it.
+    pub fn write_again(&self) {
+        let configuration = self.configuration(self.version.get());
+        self.store.0.configure(configuration);
+        for zone in 0..self.deployment.zones.len() {
+            let mut accepted = self.seen.accepted.borrow().clone().into_iter().rev();
+            let last = accepted.find(|(_, what)| {
+                *what == Accepted::Evacuated { zone } || *what == Accepted::TakenBack { zone }
+            });
+            let is_evacuated = last.is_some_and(|(_, what)| what == Accepted::Evacuated { zone });
+            self.store.0.evacuate(&format!("zone-{zone}"), is_evacuated);
+        }
+    }
+
     /// Returns the version that was written last.
     pub fn version(&self) -> u64 {
         self.version.get()
--- a/crates/kingcuploft-simulation/src/rules/mod.rs
+++ b/crates/kingcuploft-simulation/src/rules/mod.rs
@@ -35,6 +35,10 @@
     Evacuations,
     /// A cold server gets what it bears.
     ColdServers,
+    /// A server that names a limit gets so many requests at most.
+    NamedLimits,
+    /// A request under which servers end is kept from the others.
+    Quarantine,
     /// Servers are probed so often at most.
     Probes,
     /// A planned stop cuts no request.
@@ -43,7 +47,7 @@
 
 impl Rule {
     /// All of them.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 13] = [
         Self::RepeatBudget,
         Self::AtMostOnce,
         Self::TruthfulRefusals,
@@ -53,6 +57,8 @@
         Self::NeverReverts,
         Self::Evacuations,
         Self::ColdServers,
+        Self::NamedLimits,
+        Self::Quarantine,
         Self::Probes,
         Self::PlannedStops,
     ];
@@ -153,6 +159,8 @@
         Rule::NeverReverts => times::never_reverts(&case),
         Rule::Evacuations => times::evacuations(&case),
         Rule::ColdServers => repeats::cold_servers(&case),
+        Rule::NamedLimits => repeats::named_limits(&case),
+        Rule::Quarantine => requests::quarantine(&case),
         Rule::Probes => repeats::probes(&case),
     });
     judged.to_vec()
@@ -161,7 +169,8 @@
 /// Returns the share of first requests that were answered whole in the end, by their callers' own count.
 pub fn served(played: &Played) -> f64 {
     let case = Case::of(played);
-    let asked = case.requests.iter().filter(|request| request.is_first);
+    let asked = case.requests.iter();
+    let asked = asked.filter(|request| request.is_first && !request.is_deadly);
     let asked = asked.count();
     let whole = case.requests.iter();
     let whole = whole.filter(|request| case.answer(request.id) == Some(Answer::Whole));
--- a/crates/kingcuploft-simulation/src/rules/repeats.rs
+++ b/crates/kingcuploft-simulation/src/rules/repeats.rs
@@ -8,6 +8,12 @@
 /// The users' second.
 const SECOND: Duration = Duration::from_secs(1);
 
+/// How many times what it names a server may get in this window, and how many requests more; how soon all VMs know it.
+const LIMIT_OVER: f64 = 1.5;
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_SLACK: f64 = 5.0;
+const TOLD_WITHIN: Duration = Duration::from_millis(2000);
+
 fn within(times: &[Duration], from: Duration, window: Duration) -> usize {
     let first = times.partition_point(|at| *at < from);
     let last = times.partition_point(|at| *at < from + window);
@@ -83,6 +89,31 @@
     nearest
 }
 
+/// The most requests that a server got in any four seconds after it had named a limit, of those it may get.
+pub(super) fn named_limits(case: &Case<'_>) -> Distance {
+    let contact = case.deployment.bounds.contact();
+    let mut nearest = Distance::nothing(Rule::NamedLimits);
+    for (index, server) in case.seen.servers.borrow().iter().enumerate() {
+        for (per_s, from, to) in &server.limits {
+            let told = *from + TOLD_WITHIN;
+            let named = |a: &&Arrival| {
+                let in_touch = case.seen.is_in_touch(a.vm, a.at, contact);
+                a.server == index && a.at >= told && a.at < *to && in_touch
+            };
+            let mut times: Vec<_> = case.arrivals.iter().filter(named).map(|a| a.at).collect();
+            times.sort();
+            let allowed = LIMIT_OVER * LIMIT_WINDOW.as_secs_f64() * per_s + LIMIT_SLACK;
+            for from in &times {
+                let count = within(&times, *from, LIMIT_WINDOW);
+                nearest = nearest.or_nearer(count as f64 / allowed, || {
+                    format!("server {index}: {count} requests from {from:?}, {allowed:.0} allowed")
+                });
+            }
+        }
+    }
+    nearest
+}
+
 /// The probes of a server and second over the day, of those allowed.
 pub(super) fn probes(case: &Case<'_>) -> Distance {
     let server_s = case.seen.server_s.get().max(1.0);
--- a/crates/kingcuploft-simulation/src/rules/requests.rs
+++ b/crates/kingcuploft-simulation/src/rules/requests.rs
@@ -11,6 +11,10 @@
 /// How long a request may have been on its way when its VM stopped, to count as cut by the stop.
 const ON_ITS_WAY: Duration = Duration::from_secs(1);
 
+/// From so many ends of servers on a request is kept from the others; it may be tried again now and then.
+const ENDS: usize = 3;
+const MOST_SENT_ON: usize = 3;
+
 /// A request that is sent so long after the stop began at most, and is still worked on in the last sixth of the time that
 /// the stop may take, may be cut.
 const SENT_IN_TIME: Duration = Duration::from_secs(3);
@@ -45,6 +49,23 @@
     Distance::of_count(Rule::TruthfulRefusals, ran.len(), what)
 }
 
+/// How often a request was sent on after servers had ended under it and all VMs had had time to know, of what is allowed.
+pub(super) fn quarantine(case: &Case<'_>) -> Distance {
+    let deadly = case.arrivals.iter().filter(|arrival| arrival.is_deadly);
+    let mut deadly: Vec<_> = deadly.collect();
+    deadly.sort_by_key(|arrival| arrival.at);
+    let contact = case.deployment.bounds.contact();
+    let known_at = deadly.get(ENDS - 1).map(|last| last.at + contact);
+    let sent_on = deadly.iter().filter(|arrival| {
+        let in_touch = case.seen.is_in_touch(arrival.vm, arrival.at, contact);
+        in_touch && known_at.is_some_and(|known| arrival.at > known)
+    });
+    let sent_on = sent_on.count();
+    let what = || format!("sent on {sent_on} times after {ENDS} servers had ended");
+    let used = sent_on as f64 / MOST_SENT_ON as f64;
+    Distance::nothing(Rule::Quarantine).or_nearer(used, what)
+}
+
 /// No caller got another answer than its own, whole.
 pub(super) fn whole_answers(case: &Case<'_>) -> Distance {
     let wrong = case.answers.values();
--- a/crates/kingcuploft-simulation/src/seen.rs
+++ b/crates/kingcuploft-simulation/src/seen.rs
@@ -25,6 +25,8 @@
     pub vm: VmIndex,
     /// Whether it is the caller's first attempt.
     pub is_first: bool,
+    /// Whether servers end under it.
+    pub is_deadly: bool,
 }
 
 /// How a request ended for its caller.
@@ -68,6 +70,8 @@
     pub vm: VmIndex,
     /// Whether the server began to work on it.
     pub ran: Cell<bool>,
+    /// Whether servers end under it.
+    pub is_deadly: bool,
 }
 
 /// Something that the store has taken, which VMs have to follow in time.
@@ -106,6 +110,8 @@
     pub cold: Option<(Duration, Duration)>,
     /// How many requests a second it bears then.
     pub cold_per_s: f64,
+    /// How many requests a second it named as its limit, from when until when.
+    pub limits: Vec<(f64, Duration, Duration)>,
 }
 
 /// What disturbs a VM.
@@ -194,6 +200,17 @@
         self.accepted.borrow_mut().push((self.now(), what));
     }
 
+    /// Takes note of the limit that a server names from now on.
+    pub fn names_limit(&self, server: usize, per_s: Option<f64>) {
+        let now = self.now();
+        let mut servers = self.servers.borrow_mut();
+        let limits = &mut servers[server].limits;
+        if let Some((_, _, until)) = limits.last_mut() {
+            *until = now.min(*until);
+        }
+        limits.extend(per_s.map(|per_s| (per_s, now, Duration::MAX)));
+    }
+
     /// Returns when the store has last taken a configuration of the day, if it has.
     pub fn last_configuration(&self) -> Option<Duration> {
         let accepted = self.accepted.borrow();
--- a/crates/kingcuploft-simulation/src/server.rs
+++ b/crates/kingcuploft-simulation/src/server.rs
@@ -9,6 +9,7 @@
 use kingcuploft_entry::http::body::BodyReader;
 use kingcuploft_entry::http::head::{self, RequestHead};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -23,6 +24,9 @@
 const SLOW_SHARE: f64 = 0.25;
 const SLOW_TIMES: f64 = 5.0;
 
+/// What the path of a request ends with under which servers end.
+pub const DEADLY: &str = "deadly";
+
 /// The most bytes of a request's body.
 const MOST_BODY_BYTES: usize = 1 << 20;
 
@@ -35,6 +39,8 @@
     pub loses: Cell<f64>,
     /// How many times as long its work takes; 0 is usual.
     pub slow: Cell<f64>,
+    /// How many requests a second it names as its limit.
+    pub limit: Cell<Option<f64>>,
 }
 
 /// One backend server.
@@ -64,6 +70,7 @@
     running: Cell<u32>,
     waiting: Cell<u32>,
     tasks: RefCell<Vec<AbortHandle>>,
+    ends_under: UnboundedSender<usize>,
 }
 
 /// What becomes of a connection after a request.
@@ -81,6 +88,7 @@
         zone: usize,
         kinds: Rc<Vec<Kind>>,
         seen: Rc<Seen>,
+        ends_under: UnboundedSender<usize>,
     ) -> Rc<Self> {
         let address: SocketAddr = ([127, 0, 2, 1], 1000 + index as u16).into();
         let server = Rc::new(Self {
@@ -99,6 +107,7 @@
             running: Cell::new(0),
             waiting: Cell::new(0),
             tasks: RefCell::default(),
+            ends_under,
         });
         let (accepts, mut accepted) = mpsc::unbounded_channel::<Accepted>();
         host.listen(address, accepts);
@@ -189,8 +198,9 @@
             return write(end, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n").await;
         }
         let Some(kind) = self.kind(&head.target) else {
-            return write(end, &whole(&id, &self.name, &self.load())).await;
+            return write(end, &self.whole(&id)).await;
         };
+        let is_deadly = head.target.ends_with(DEADLY);
         let arrival = Arrival {
             id: u64::from_str_radix(&id, 16).unwrap_or_default(),
             kind,
@@ -198,6 +208,7 @@
             server: self.index,
             vm,
             ran: Cell::new(false),
+            is_deadly,
         };
         let at = {
             let mut arrivals = self.seen.arrivals.borrow_mut();
@@ -213,10 +224,26 @@
             );
             return write(end, &answer).await;
         }
+        if is_deadly {
+            self.seen.arrivals.borrow()[at].ran.set(true);
+            let _ = self.ends_under.send(self.index);
+            return Next::Close;
+        }
         if !self.work(end, kind, at).await || fastrand::f64() < self.faults.loses.get() {
             return Next::Close;
         }
-        write(end, &whole(&id, &self.name, &self.load())).await
+        write(end, &self.whole(&id)).await
+    }
+
+    /// Returns the whole answer to a request; its body is what its caller checks.
+    fn whole(&self, id: &str) -> String {
+        let (name, load, body) = (&self.name, self.load(), body_of(id));
+        let limit = self.faults.limit.get();
+        let limit = limit.map_or_else(String::new, |per_s| format!("x-limit: {per_s}\r\n"));
+        let length = body.len();
+        format!(
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: {name}\r\nx-load: {load}\r\n{limit}Content-Length: {length}\r\n\r\n{body}"
+        )
     }
 
     /// Waits for a slot and works; returns whether the connection is still open then.
@@ -271,15 +298,6 @@
     }
 }
 
-/// Returns the whole answer of a server to a request; its body is what its caller checks.
-fn whole(id: &str, server: &str, load: &str) -> String {
-    let body = body_of(id);
-    let length = body.len();
-    format!(
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: {server}\r\nx-load: {load}\r\nContent-Length: {length}\r\n\r\n{body}"
-    )
-}
-
 /// Returns the body of the answer to a request.
 pub fn body_of(id: &str) -> String {
     format!("answer to {id}")
--- a/crates/kingcuploft-simulation/src/world.rs
+++ b/crates/kingcuploft-simulation/src/world.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kingcuploft_entry::http::client::Connection;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::time::Instant;
 
 use crate::balancer::Balancer;
@@ -74,6 +75,10 @@
     pub servers: RefCell<Vec<Rc<Server>>>,
     /// How many times the usual callers ask.
     pub crowd: Cell<f64>,
+    /// The part of the requests of the first kind under which servers end.
+    pub deadly: Cell<f64>,
+    ends_under: UnboundedSender<usize>,
+    ending: RefCell<UnboundedReceiver<usize>>,
     network: Network,
     balancer: Balancer,
     callers: Rc<Host>,
@@ -118,6 +123,7 @@
 impl World {
     fn new(deployment: Rc<Deployment>) -> Self {
         let (network, store) = (Network::default(), TestStore::default());
+        let (ends_under, ending) = mpsc::unbounded_channel();
         let seen = Rc::new(Seen::default());
         let zones = deployment.zones.iter().enumerate();
         let zones = zones.flat_map(|(zone, vms)| std::iter::repeat_n(zone, *vms));
@@ -131,6 +137,9 @@
             callers: Rc::new(network.host(Place::Outside, None)),
             servers: RefCell::default(),
             crowd: Cell::new(1.0),
+            deadly: Cell::new(0.0),
+            ends_under,
+            ending: RefCell::new(ending),
             deployment,
             seen,
             store,
@@ -164,11 +173,31 @@
             });
         }
         let world = self.clone();
+        let ending = tokio::task::spawn_local(async move { world.end_servers().await });
+        let world = self.clone();
         let looking = tokio::task::spawn_local(async move { world.look_at_versions().await });
         self.have_callers_ask(Duration::from_millis(day.length_ms))
             .await;
         tokio::time::sleep(TAIL).await;
         looking.abort();
+        ending.abort();
+    }
+
+    /// Ends the servers that deadly requests reach.
+    async fn end_servers(self: &Rc<Self>) {
+        loop {
+            let next = std::future::poll_fn(|polling| self.ending.borrow_mut().poll_recv(polling));
+            let Some(index) = next.await else {
+                return;
+            };
+            let server = self.servers.borrow()[index].clone();
+            if !server.has_ended.get() {
+                let world = self.clone();
+                tokio::task::spawn_local(
+                    async move { disruptions::crash(&world, &[server]).await },
+                );
+            }
+        }
     }
 
     /// Starts a server; returns it.
@@ -177,7 +206,15 @@
         let index = self.servers.borrow().len();
         let kinds = Rc::new(self.deployment.kinds.clone());
         let host = self.network.host(Place::Zone(zone), None);
-        let server = Server::start(&host, index, service, zone, kinds, self.seen.clone());
+        let server = Server::start(
+            &host,
+            index,
+            service,
+            zone,
+            kinds,
+            self.seen.clone(),
+            self.ends_under.clone(),
+        );
         let lasts = Duration::from_millis(service.cold_ms);
         let cold = (is_cold && service.cold_per_s > 0.0).then(|| {
             server.cold_until.set(Some(Instant::now() + lasts));
@@ -188,6 +225,7 @@
             zone,
             cold,
             cold_per_s: service.cold_per_s,
+            limits: Vec::new(),
         });
         self.servers.borrow_mut().push(server.clone());
         self.operator.register(&server);
@@ -217,6 +255,7 @@
                 seen: self.seen.clone(),
                 kind,
                 of_kind: kinds[kind].clone(),
+                is_deadly: kind == 0 && fastrand::f64() < self.deadly.get(),
             };
             let zone = fastrand::usize(0..self.deployment.zones.len());
             let (world, of_zone) = (self.clone(), fastrand::u64(0..CALLERS));
--- a/crates/kingcuploft/src/planted.rs
+++ b/crates/kingcuploft/src/planted.rs
@@ -21,13 +21,17 @@
     ProbesUnbounded,
     /// A planned stop ends at once.
     StopsAtOnce,
+    /// Limits that servers name are not read.
+    IgnoresLimits,
+    /// A request under which servers ended is sent on.
+    SendsSuspects,
     /// A VM that starts goes by the oldest configuration that it is told.
     KeepsOldConfiguration,
 }
 
 impl Planted {
     /// All of them.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 12] = [
         Self::ForgetsRepeats,
         Self::CountsTooFew,
         Self::JoinersLackEvacuations,
@@ -37,6 +41,8 @@
         Self::ForgetsColdServers,
         Self::ProbesUnbounded,
         Self::StopsAtOnce,
+        Self::IgnoresLimits,
+        Self::SendsSuspects,
         Self::KeepsOldConfiguration,
     ];
 }
