fix(limits): a limit that a server changes is told to the VMs that give turns by it

A VM that hears another amount kept to it and told nobody, as the notice in the store has the server's name alone. The VMs that kept the old limit, more of them, gave the others turns and sent little themselves, so they heard nothing.

Change: whoever hears another amount tells those that keep the limit, or kept it, by a datagram; each VM that hears it does.

--- a/crates/kingcuploft-entry/src/limits.rs
+++ b/crates/kingcuploft-entry/src/limits.rs
@@ -14,6 +14,7 @@
 use crate::context::Context;
 use crate::http::headers::Headers;
 use crate::notice_writes::Write;
+use crate::peers::zone_socket::Told;
 use crate::upstream::Upstream;
 
 /// What named a limit, or did not.
@@ -48,16 +49,12 @@
 }
 
 fn take(context: &Context, server: &BackendServerName, per_s: Option<PerSecond>) {
-    let part = |per_s| part(context, server, per_s);
-    let mut limits = context.limits.borrow_mut();
-    let news = limits.heard(clock::now(), server, per_s, part, fastrand::f64());
-    drop(limits);
-    match news {
-        Some(News::Named(notice)) => {
-            log_named(context, &notice);
-            context
-                .notice_writes
-                .send(Write::Tell(Notice::Limit(notice)));
+    match news(context, server, per_s) {
+        Some(News::Named(notice)) => tell_all(context, notice),
+        Some(News::Changed { before }) => {
+            let per_s = per_s.unwrap_or_default();
+            tracing::info!(event = "limit_changed", %server, per_s, before);
+            tell_keepers(context, server, per_s, before);
         }
         Some(News::Ended(id)) => {
             tracing::info!(event = "limit_ended", %server);
@@ -68,6 +65,50 @@
     }
 }
 
+fn news(context: &Context, server: &BackendServerName, per_s: Option<PerSecond>) -> Option<News> {
+    let part = |per_s| part(context, server, per_s);
+    let mut limits = context.limits.borrow_mut();
+    limits.heard(clock::now(), server, per_s, part, fastrand::f64())
+}
+
+fn tell_all(context: &Context, notice: LimitNotice) {
+    log_named(context, &notice);
+    let notice = Notice::Limit(notice);
+    context.notice_writes.send(Write::Tell(notice));
+}
+
+/// Tells those that keep a limit, or kept it, that it has changed: they give turns, and may send nothing themselves.
+fn tell_keepers(
+    context: &Context,
+    server: &BackendServerName,
+    per_s: PerSecond,
+    before: PerSecond,
+) {
+    let Some(socket) = context.peer_readings.get() else {
+        return;
+    };
+    let records = context.readers.borrow().records();
+    let zone = zone(context, server);
+    let keepers = server_limit::keepers(server, &zone, per_s.max(before), &records);
+    let others = keepers
+        .into_iter()
+        .filter(|vm| vm.name != context.settings.vm);
+    let others: Vec<_> = others.map(|vm| vm.address).collect();
+    let server = server.clone();
+    socket.tell(&Told::Limit { server, per_s }, &others);
+}
+
+/// Takes in that a server names another limit than before, as another VM has heard.
+pub fn changed(context: &Context, server: &BackendServerName, per_s: PerSecond) {
+    match news(context, server, Some(per_s)) {
+        Some(News::Named(notice)) => tell_all(context, notice),
+        Some(News::Changed { before }) => {
+            tracing::info!(event = "limit_changed", %server, per_s, before);
+        }
+        Some(News::Ended(_)) | None => {}
+    }
+}
+
 /// Takes in a notice that the store has; returns whether it is news.
 pub fn told(context: &Context, notice: &LimitNotice) -> bool {
     let part = part(context, &notice.server, notice.per_s);
--- a/crates/kingcuploft-entry/src/peers/readings.rs
+++ b/crates/kingcuploft-entry/src/peers/readings.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::cold;
 use crate::context::Context;
+use crate::limits;
 
 /// The most VMs that tell each other all readings. In a larger zone each VM asks servers of its own,
 /// and telling all would cost more than it saves.
@@ -125,6 +126,7 @@
             after_ms,
             given,
         } => turns::answered(context, ask, Duration::from_millis(after_ms), given),
+        Told::Limit { ref server, per_s } => limits::changed(context, server, per_s),
         Told::Repeats { ref vm, ref used } => repeat_copies::told(context, vm, used),
         Told::AskRepeats { ref vm } => repeat_copies::asked(context, vm, from),
         Told::KeptRepeats { ref used } => repeat_copies::answered(context, used, from),
--- a/crates/kingcuploft-entry/src/peers/zone_socket.rs
+++ b/crates/kingcuploft-entry/src/peers/zone_socket.rs
@@ -51,6 +51,13 @@
         /// Whether it is given.
         given: bool,
     },
+    /// A server names another limit than before; told to those that keep it.
+    Limit {
+        /// The server.
+        server: BackendServerName,
+        /// How many requests a second it takes now.
+        per_s: f64,
+    },
     /// What a VM has used of the budget of repeats, for others to keep.
     Repeats {
         /// The VM.
--- a/crates/kingcuploft-entry/tests/links/notices.rs
+++ b/crates/kingcuploft-entry/tests/links/notices.rs
@@ -12,9 +12,10 @@
 use kingcuploft_entry::pulse::Pulse;
 use kingcuploft_entry::sign_of_life;
 
-use crate::fleet::{WORDS, play, settings};
+use crate::fleet::{play, settings};
 use crate::network::address;
 use crate::store::TestStore;
+use kingcuploft_simulation::words::WORDS;
 
 /// Longer than any write is tried for.
 const OUTAGE: Duration = Duration::from_secs(120);
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -18,6 +18,7 @@
 pub mod fingerprint;
 pub mod joining;
 pub mod last_slot;
+pub mod limit_notice;
 pub mod log_budget;
 pub mod notice;
 pub mod notice_id;
--- a/crates/kingcuploft/src/entry/server_limits.rs
+++ b/crates/kingcuploft/src/entry/server_limits.rs
@@ -6,8 +6,8 @@
 
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
+use super::limit_notice;
+pub use super::limit_notice::LimitNotice;
 use super::notice_id::NoticeId;
 use super::server_limit::{ASK_AGAIN, Part, PerSecond, ServerLimit, Turn};
 use crate::utils::{HashMap, HashSet};
@@ -16,39 +16,16 @@
 /// How long a limit holds at least: an answer that the server gave just before it named the limit may come after it.
 const HOLDS_AT_LEAST: Duration = Duration::from_millis(500);
 
-/// What the names of notices of limits begin with.
-const PREFIX: &str = "limit.";
-
-/// A server names a limit.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct LimitNotice {
-    /// The server.
-    pub server: BackendServerName,
-    /// What it takes from all VMs together.
-    pub per_s: PerSecond,
-}
-
-impl LimitNotice {
-    /// Returns the notice's name in the store.
-    pub fn id(&self) -> NoticeId {
-        id(&self.server)
-    }
-
-    /// Reads a notice's name.
-    pub fn parse_id(id: &str) -> Option<&str> {
-        id.strip_prefix(PREFIX)
-    }
-}
-
-fn id(server: &str) -> NoticeId {
-    format!("{PREFIX}{server}")
-}
-
 /// What an answer of a server says that is news.
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
     /// It names a limit for the first time.
     Named(LimitNotice),
+    /// It names another than before.
+    Changed {
+        /// What it named before.
+        before: PerSecond,
+    },
     /// It names none any more.
     Ended(NoticeId),
 }
@@ -184,9 +161,11 @@
         });
         known.limit.renew(now, takes, part);
         let server = server.clone();
-        before
-            .is_none()
-            .then_some(News::Named(LimitNotice { server, per_s }))
+        match before.map(|named| named.per_s) {
+            None => Some(News::Named(LimitNotice { server, per_s })),
+            Some(before) if before != per_s => Some(News::Changed { before }),
+            Some(_) => None,
+        }
     }
 
     fn names_none(
@@ -202,7 +181,7 @@
         }
         known.named = None;
         self.settle(now, server, part);
-        Some(News::Ended(id(server)))
+        Some(News::Ended(limit_notice::id(server)))
     }
 
     /// Goes by what still limits a server, or forgets it.
