--- a/crates/kingcuploft-simulation/src/draw.rs
+++ b/crates/kingcuploft-simulation/src/draw.rs
@@ -68,6 +68,15 @@
     ordered(day)
 }
 
+/// Returns a day on which some of what strikes on two others does.
+pub fn join(rng: &mut Rng, day: &Day, other: &Day) -> Day {
+    let mut joined = day.clone();
+    joined.disruptions.extend(other.disruptions.iter().cloned());
+    rng.shuffle(&mut joined.disruptions);
+    joined.disruptions.truncate(MOST);
+    ordered(joined)
+}
+
 fn change_one(rng: &mut Rng, day: &mut Day) {
     let count = day.disruptions.len();
     if count == 0 {
