fix(repeats): a VM does not take its own words since its start for what it did before

Cause, by the lines: 'used' and 'allowed' of a VM double within a second of repeats_recovered. A holder that had nothing kept the VM's tells since its start, and gave them back as what was before; requests and repeats counted twice. And a holder that had been cut off for 8 s said that nothing was used.

Change: what was heard after the VM's start does not count; whoever heard it last goes before others; one that had heard nothing for 4 s before the start is not believed that nothing was used. A VM that made no repeats says so every 2 s, not 5.

Tests, which failed before (they did not compile: the age of the hearing is new): what_a_vm_has_said_since_its_start_is_not_ added_to_it, who_has_long_not_heard_a_vm_does_not_know_that_it_used_nothing.

--- a/crates/kingcuploft-entry/src/peers/repeat_copies.rs
+++ b/crates/kingcuploft-entry/src/peers/repeat_copies.rs
@@ -18,7 +18,7 @@
 
 /// When it is told again, as datagrams are lost and holders restart: while there are repeats, and otherwise.
 const TELL_AGAIN: Duration = Duration::from_millis(1200);
-const TELL_PRESENCE: Duration = Duration::from_secs(5);
+const TELL_PRESENCE: Duration = Duration::from_secs(2);
 
 /// The time between the first two questions, and the longest between two.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -24,7 +24,10 @@
         ..settings(name)
     };
     let vm = run::start(settings, WORDS, store.clone()).await.unwrap();
-    vm.context.recover_repeats(&Used::default());
+    vm.context.recover_repeats(&Used {
+        heard_ms: 1000,
+        ..Used::default()
+    });
     until(|| vm.context.is_ready()).await;
     vm
 }
--- a/crates/kingcuploft/src/entry/repeat_account.rs
+++ b/crates/kingcuploft/src/entry/repeat_account.rs
@@ -103,6 +103,8 @@
 pub struct Used {
     /// For how many milliseconds more it matters what it did before, which it does not know.
     pub unknown_ms: u64,
+    /// How many milliseconds ago the VM itself last said anything to the one that tells this.
+    pub heard_ms: u64,
     /// Its accounts with services that it repeated requests to.
     pub accounts: Vec<ServiceAccount>,
 }
@@ -121,12 +123,13 @@
 impl Used {
     /// Divides this into parts that each name so many services at most; one names none if there are none.
     pub fn parts(mut self, most: usize) -> Vec<Self> {
-        let unknown_ms = self.unknown_ms;
+        let (unknown_ms, heard_ms) = (self.unknown_ms, self.heard_ms);
         let mut parts = Vec::new();
         while self.accounts.len() > most {
             let accounts = self.accounts.split_off(self.accounts.len() - most);
             parts.push(Self {
                 unknown_ms,
+                heard_ms,
                 accounts,
             });
         }
--- a/crates/kingcuploft/src/entry/repeat_copies.rs
+++ b/crates/kingcuploft/src/entry/repeat_copies.rs
@@ -102,6 +102,7 @@
         let unknown_for = copy.unknown_until.saturating_duration_since(now);
         Some(Used {
             unknown_ms: unknown_for.as_millis() as u64,
+            heard_ms: now.saturating_duration_since(copy.heard).as_millis() as u64,
             accounts: accounts.collect(),
         })
     }
--- a/crates/kingcuploft/src/entry/repeats.rs
+++ b/crates/kingcuploft/src/entry/repeats.rs
@@ -20,6 +20,13 @@
 /// and by the servers at slightly different moments.
 const GUARD: f64 = 0.8;
 
+/// How long before its start a VM must have been heard for it to be known what it did until then: it says something more
+/// often, and is away for some seconds at most when it restarts.
+const IN_TOUCH: Duration = Duration::from_secs(4);
+
+/// What is heard within this time is heard at once.
+const AT_ONCE: Duration = Duration::from_millis(1500);
+
 /// The bounds on repeats.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatBounds {
@@ -100,8 +107,29 @@
 #[derive(Debug)]
 pub struct Repeats {
     services: HashMap<ServiceName, Counted>,
-    /// Until when it matters what the VM did before it started, which nobody has told it.
-    unknown_until: Option<Instant>,
+    /// What is not known of the time before the start; none on a VM that has not run before.
+    past: Option<Past>,
+}
+
+/// What a VM that may have run before knows of that.
+#[derive(Clone, Copy, Debug)]
+struct Past {
+    begun: Instant,
+    /// Until when it matters what the VM did before, which nobody has told it.
+    unknown_until: Instant,
+    /// When the VM had last said anything to the one by which it goes.
+    heard: Option<Instant>,
+}
+
+impl Past {
+    /// Returns whether what was heard so lately counts: the VM has not said it since its start, the one that heard it was
+    /// in touch with it until about then, and nobody has heard it say anything later.
+    fn counts(&self, heard: Instant) -> bool {
+        let is_before = heard <= self.begun;
+        let is_late = heard + IN_TOUCH >= self.begun;
+        let is_latest = self.heard.is_none_or(|known| heard + AT_ONCE >= known);
+        is_before && is_late && is_latest
+    }
 }
 
 impl Repeats {
@@ -109,14 +137,18 @@
     pub fn first() -> Self {
         Self {
             services: HashMap::default(),
-            unknown_until: None,
+            past: None,
         }
     }
 
     /// Begins on a VM that may have run before.
     pub fn again(now: Instant, bounds: &RepeatBounds) -> Self {
         Self {
-            unknown_until: Some(now + bounds.repeat_counts_for()),
+            past: Some(Past {
+                begun: now,
+                unknown_until: now + bounds.repeat_counts_for(),
+                heard: None,
+            }),
             ..Self::first()
         }
     }
@@ -158,7 +190,7 @@
 
     /// Returns for how much longer it matters what the VM did before it started, which nobody has told it.
     pub fn unknown_for(&self, now: Instant) -> Duration {
-        let until = self.unknown_until;
+        let until = self.past.map(|past| past.unknown_until);
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
@@ -173,26 +205,34 @@
         });
         Used {
             unknown_ms,
+            heard_ms: 0,
             accounts: accounts.filter(|of| of.account.has_repeats()).collect(),
         }
     }
 
     /// Goes on with what another VM has kept; returns whether that is news.
     pub fn recover(&mut self, now: Instant, used: &Used) -> bool {
+        let ago = |ms| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
+        let heard = ago(used.heard_ms);
+        let Some(past) = self.past.as_mut().filter(|past| past.counts(heard)) else {
+            return false;
+        };
         let until = now + Duration::from_millis(used.unknown_ms);
-        let mut is_news = self.unknown_until.is_some_and(|known| until < known);
+        let is_later = past.heard.is_none_or(|known| heard > known + AT_ONCE);
+        let mut is_news = is_later || until < past.unknown_until;
         if is_news {
-            self.unknown_until = Some(until);
+            past.unknown_until = until;
+            past.heard = Some(heard);
         }
+        let begun = past.begun;
         for told in &used.accounts {
-            let age = Duration::from_millis(told.age_ms);
-            let as_of = now.checked_sub(age).unwrap_or(now);
+            let as_of = ago(told.age_ms);
             let counted = self.counted(&told.service);
             let is_newer = counted
                 .before
                 .as_ref()
                 .is_none_or(|kept| kept.as_of < as_of);
-            if is_newer {
+            if is_newer && as_of <= begun {
                 counted.before = Some(Kept {
                     account: told.account.clone(),
                     as_of,
--- a/crates/kingcuploft/tests/entry/repeat_copies.rs
+++ b/crates/kingcuploft/tests/entry/repeat_copies.rs
@@ -65,6 +65,7 @@
     copies.told(now, "a".into(), told.clone());
     let mut expected = told;
     expected.accounts[0].age_ms = 2000;
+    expected.heard_ms = 2000;
     assert_eq!(copies.of(now + 2 * SECOND, &"a".into()), Some(expected));
     assert_eq!(copies.of(now, &"b".into()), None);
 }
--- a/crates/kingcuploft/tests/entry/repeats.rs
+++ b/crates/kingcuploft/tests/entry/repeats.rs
@@ -1,5 +1,6 @@
 use std::time::{Duration, Instant};
 
+use kingcuploft::entry::repeat_account::Used;
 use kingcuploft::entry::repeats::{RepeatBounds, Repeats};
 use kingcuploft::world::ids::ServiceName;
 
@@ -107,6 +108,7 @@
     let without_restart = use_up(&mut before, now, 4);
     let mut after = Repeats::again(now, &BOUNDS);
     let mut told = used;
+    told.heard_ms = 1000;
     told.accounts.iter_mut().for_each(|of| of.age_ms = 1000);
     assert!(after.recover(now, &told));
     assert_eq!(use_up(&mut after, now, 4), without_restart);
@@ -147,3 +149,40 @@
     let later = start + BOUNDS.window.mul_f64(1.4);
     assert_eq!(use_up(&mut repeats, later, 4), used[0]);
 }
+
+/// Guards against a VM that takes what it said since its start for what it did before, and counts it twice.
+#[test]
+fn what_a_vm_has_said_since_its_start_is_not_added_to_it() {
+    let now = Instant::now();
+    let mut repeats = Repeats::again(now, &BOUNDS);
+    let later = now + SECOND;
+    (0..20).for_each(|_| repeats.arrived(later, &trip()));
+    assert_eq!(use_up(&mut repeats, later, 4), 3);
+    let own = repeats.used(later, &BOUNDS);
+    assert!(!repeats.recover(later, &own));
+    assert_eq!(use_up(&mut repeats, later, 4), 0);
+    assert_eq!(repeats.standing(later, &trip(), &BOUNDS, 4).used, 3);
+}
+
+/// Guards against one that had been cut off, and says that nothing was used as it has heard nothing.
+#[test]
+fn who_has_long_not_heard_a_vm_does_not_know_that_it_used_nothing() {
+    let now = Instant::now();
+    let heard = |heard_ms, unknown_ms| Used {
+        unknown_ms,
+        heard_ms,
+        accounts: Vec::new(),
+    };
+    let mut alone = Repeats::again(now, &BOUNDS);
+    assert!(!alone.recover(now, &heard(20_000, 0)));
+    assert!(alone.unknown_for(now) > SECOND);
+    let mut first = Repeats::again(now, &BOUNDS);
+    assert!(first.recover(now, &heard(3_500, 0)));
+    assert!(
+        first.recover(now, &heard(500, 4_000)),
+        "the later one holds"
+    );
+    assert!(first.unknown_for(now) > SECOND);
+    assert!(!first.recover(now, &heard(3_500, 0)));
+    assert!(first.unknown_for(now) > SECOND);
+}
