--- a/crates/kingcuploft-entry/src/edge/attempt.rs
+++ b/crates/kingcuploft-entry/src/edge/attempt.rs
@@ -12,6 +12,7 @@
 use crate::limits;
 use crate::upstream::Upstream;
 use crate::upstream::exchange::{self, AttemptOutcome};
+use crate::upstream::server_signals::ServerSignals;
 
 /// How old a load report may be to appear in the log line of an attempt: older than any by which a server is selected.
 const MAX_LOGGED_LOAD_REPORT_AGE: Duration = Duration::from_millis(60);
@@ -84,11 +85,14 @@
             );
         }
         if !succeeded || context.writes_ordinary_line(self.sent_at) {
-            self.log(outcome.end.label(), outcome.detail, outcome.took);
+            let response = outcome.response.as_ref();
+            let signals = response.map(|r| ServerSignals::of_answer(&context.wire_names, r));
+            let signals = signals.unwrap_or_default();
+            self.log(outcome.end.label(), outcome.detail, outcome.took, signals);
         }
     }
 
-    fn log(&self, end: &'static str, detail: &'static str, took: Duration) {
+    fn log(&self, end: &'static str, detail: &'static str, took: Duration, signals: ServerSignals) {
         let request = self.active.request;
         tracing::info!(
             event = "attempt",
@@ -105,6 +109,8 @@
             left_ms = self.remaining.as_millis() as u64,
             end,
             detail,
+            leaving = signals.is_leaving.then_some(true),
+            pause_ms = signals.pause.map(|pause| pause.as_millis() as u64),
         );
     }
 }
@@ -114,7 +120,8 @@
         if self.is_pending {
             let why = "the caller left, or another server answered first";
             self.active.context.metrics.count_attempt("cancelled");
-            self.log("cancelled", why, clock::since(self.sent_at));
+            let took = clock::since(self.sent_at);
+            self.log("cancelled", why, took, ServerSignals::default());
         }
     }
 }
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -6,6 +6,7 @@
 use kingcuploft::entry::attempts::AttemptEnd;
 
 use super::Upstream;
+use super::server_signals::MISDIRECTED_STATUS;
 use crate::clock;
 use crate::context::Context;
 use crate::edge::request::Request;
@@ -20,9 +21,6 @@
 /// How many responses to other requests are skipped on one connection before the attempt fails.
 const MAX_SKIPPED_RESPONSES: usize = 3;
 
-/// The status by which a server refuses a request that is meant for another server.
-const MISDIRECTED_STATUS: u16 = 421;
-
 /// How one attempt ended, with the response if it is complete.
 #[derive(Debug)]
 pub struct AttemptOutcome {
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 pub mod exchange;
 pub mod probe;
 mod probe_step;
+pub mod server_signals;
 
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/crates/kingcuploft-entry/src/upstream/server_signals.rs
@@ -0,0 +1,55 @@
+//! What a backend server says of itself in its answers: that it leaves, and that it wants no requests for a while.
+
+use std::time::Duration;
+
+use crate::http::client::Response;
+use crate::settings::WireNames;
+
+/// The status by which a server refuses a request that is meant for another server.
+pub(super) const MISDIRECTED_STATUS: u16 = 421;
+
+/// The status with which a server refuses a request and may ask for a pause.
+const UNAVAILABLE_STATUS: u16 = 503;
+
+/// The header with the pause, in seconds.
+const RETRY_AFTER: &str = "retry-after";
+
+/// The value of the header of a leaving server.
+const LEAVING_VALUE: &str = "1";
+
+/// The longest pause that is counted; a longer one is no sensible request, and its end may not be representable.
+const MAX_PAUSE: Duration = Duration::from_secs(24 * 3600);
+
+/// What a server says of itself in one answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ServerSignals {
+    /// Whether it leaves, and finishes only what it has.
+    pub is_leaving: bool,
+    /// For how long it wants no requests from this VM.
+    pub pause: Option<Duration>,
+}
+
+impl ServerSignals {
+    /// Returns what the answer of a server says. The answer of a server that the request was not meant for says nothing
+    /// of the one that it was meant for.
+    pub fn of_answer(wire_names: &WireNames, response: &Response) -> Self {
+        let (status, headers) = (response.head.status, &response.head.headers);
+        if status == MISDIRECTED_STATUS {
+            return Self::default();
+        }
+        let pause = headers
+            .get(RETRY_AFTER)
+            .filter(|_| status == UNAVAILABLE_STATUS);
+        Self {
+            is_leaving: headers.get(wire_names.leaving).map(str::trim) == Some(LEAVING_VALUE),
+            pause: pause.and_then(parse_seconds),
+        }
+    }
+}
+
+fn parse_seconds(value: &str) -> Option<Duration> {
+    let seconds: f64 = value.trim().parse().ok()?;
+    (seconds > 0.0).then(|| {
+        Duration::try_from_secs_f64(seconds).map_or(MAX_PAUSE, |pause| pause.min(MAX_PAUSE))
+    })
+}
