--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod evacuation;
 mod following;
+mod leaving;
 mod limits;
 mod operating;
 mod protected;
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -28,6 +28,8 @@
     Fail,
     /// Refuses it and says that it did not run it.
     Shed,
+    /// Refuses it, says that it did not run it, and wants no more requests for so many milliseconds.
+    ShedAndPause(u32),
     /// Refuses it and says that another server has the address.
     Misdirected,
     /// Runs it, answers, and names so many requests a second as its limit.
@@ -40,6 +42,18 @@
     CrashOnMarkedPath,
 }
 
+/// In which of its answers a server says that it leaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum LeavingNotice {
+    /// In none: it does not leave.
+    #[default]
+    None,
+    /// In its answers to requests, but not in those to probes.
+    Requests,
+    /// In all.
+    All,
+}
+
 /// A request as the server received it.
 #[derive(Clone, Debug)]
 pub(crate) struct ReceivedRequest {
@@ -68,6 +82,8 @@
     pub(crate) probe_count: Rc<Cell<u32>>,
     /// For how many more milliseconds it says that it is cold.
     pub(crate) cold_ms: Rc<Cell<u32>>,
+    /// In which answers it says that it leaves.
+    pub(crate) leaving_notice: Rc<Cell<LeavingNotice>>,
     connections: Rc<Cell<u32>>,
     /// How many connections were opened so far.
     pub(crate) opened_connections: Rc<Cell<u32>>,
@@ -91,6 +107,7 @@
             cancelled: Rc::default(),
             probe_count: Rc::default(),
             cold_ms: Rc::default(),
+            leaving_notice: Rc::default(),
             connections: Rc::default(),
             opened_connections: Rc::default(),
             accept_delay: Rc::default(),
@@ -141,8 +158,13 @@
                     0 => String::new(),
                     ms => format!("x-cold-ms: {ms}\r\n"),
                 };
-                let answer =
-                    format!("HTTP/1.1 200 OK\r\nx-load: 0,0,4\r\n{cold}Content-Length: 0\r\n\r\n");
+                let leaving = match self.leaving_notice.get() {
+                    LeavingNotice::All => "x-leaving: 1\r\n",
+                    LeavingNotice::None | LeavingNotice::Requests => "",
+                };
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\nx-load: 0,0,4\r\n{cold}{leaving}Content-Length: 0\r\n\r\n"
+                );
                 if stream.write_all(answer.as_bytes()).await.is_err() {
                     return;
                 }
@@ -159,7 +181,11 @@
     async fn respond(&self, stream: &mut TcpStream, request: &ReceivedRequest) -> bool {
         let id = request.header("x-id").unwrap_or_default().to_owned();
         let behavior = self.behavior.get();
-        if !matches!(behavior, Behavior::Shed | Behavior::Misdirected) {
+        let is_refused = matches!(
+            behavior,
+            Behavior::Shed | Behavior::ShedAndPause(_) | Behavior::Misdirected
+        );
+        if !is_refused {
             self.runs.set(self.runs.get() + 1);
         }
         let whole = format!(
@@ -191,6 +217,12 @@
             Behavior::Shed => {
                 "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
             }
+            Behavior::ShedAndPause(pause_ms) => {
+                let pause_s = f64::from(pause_ms) / 1000.0;
+                format!(
+                    "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nRetry-After: {pause_s}\r\nContent-Length: 0\r\n\r\n"
+                )
+            }
             Behavior::Misdirected => {
                 "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n".to_owned()
             }
@@ -212,6 +244,12 @@
                 return false;
             }
         };
+        let answer = match self.leaving_notice.get() {
+            LeavingNotice::None => answer,
+            LeavingNotice::Requests | LeavingNotice::All => {
+                answer.replacen("\r\n", "\r\nx-leaving: 1\r\n", 1)
+            }
+        };
         stream.write_all(answer.as_bytes()).await.is_ok()
     }
 }
