--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod limits;
 mod operating;
+mod pauses;
 mod protected;
 mod quarantine;
 mod rewinds;
