fix(drain): a server whose own answers say that it leaves gets nothing more

Cause: a VM believed the store alone about a server's leaving; while the store is away the server can't write it there. The header of its answers was not read. Ruled out: requests held up at the VM (0 to 4 ms of waiting), a late entry that brings the server back (no line of its leaving). Fix: an answer to a request or a probe that says so makes the server leave at this VM, for good, whatever its entry says, until a later start under its name. The entry is recorded as the store has it, so that digests and lists agree between VMs.

--- a/crates/kingcuploft-entry/src/server_updates.rs
+++ b/crates/kingcuploft-entry/src/server_updates.rs
@@ -49,6 +49,16 @@
     }
 }
 
+/// Applies a server's own statement that it leaves.
+pub fn apply_leaving(context: &Context, now: Instant, server: &BackendServer) {
+    let name = &server.name;
+    let change = context.with_servers(|known| known.record_leaving(name, server.started_at));
+    if let Some(change) = change {
+        tracing::info!(event = "server_leaving", server = %name);
+        apply_change(context, now, &change);
+    }
+}
+
 /// Applies a complete list of the backend servers, and forwards what is new. `servers` are the readable entries,
 /// `names` the names of all entries.
 ///
--- a/crates/kingcuploft-entry/src/settings.rs
+++ b/crates/kingcuploft-entry/src/settings.rs
@@ -69,6 +69,8 @@
     pub limit: &'static str,
     /// The header with the milliseconds for which a server stays cold.
     pub cold_ms: &'static str,
+    /// The header of an answer to a probe with the name of the server that answers.
+    pub instance: &'static str,
     /// The header of a server that leaves.
     pub leaving: &'static str,
     /// The header that marks an answer to a request that did not run.
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -6,7 +6,7 @@
 use kingcuploft::entry::attempts::AttemptEnd;
 
 use super::Upstream;
-use super::server_signals::MISDIRECTED_STATUS;
+use super::server_signals::{self, MISDIRECTED_STATUS};
 use crate::clock;
 use crate::context::Context;
 use crate::edge::request::Request;
@@ -109,6 +109,7 @@
         Ok(response) => response,
         Err((end, detail)) => return AttemptOutcome::without_answer(end, detail, started_at),
     };
+    server_signals::apply_answer(context, upstream, &response);
     let load = response.head.headers.get(context.wire_names.load);
     if let Some(reading) = load.and_then(context.wire_names.parse_load) {
         upstream.record_load_report(clock::now(), reading);
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -6,6 +6,7 @@
 
 use super::Upstream;
 use super::probe_step::ProbeStep;
+use super::server_signals;
 use crate::clock;
 use crate::cold_servers;
 use crate::context::Context;
@@ -80,6 +81,7 @@
     let now = clock::now();
     let reading = answered.and_then(|response| {
         step.set(ProbeStep::Unreadable);
+        server_signals::apply_probe_answer(context, upstream, &response);
         let headers = &response.head.headers;
         limits::apply_header(
             context,
--- a/crates/kingcuploft-entry/src/upstream/server_signals.rs
+++ b/crates/kingcuploft-entry/src/upstream/server_signals.rs
@@ -1,8 +1,14 @@
 //! What a backend server says of itself in its answers: that it leaves, and that it wants no requests for a while.
+//!
+//! Failure: a server that leaves or is in distress while the platform's store is away can tell the VMs in no other way.
 
 use std::time::Duration;
 
+use super::Upstream;
+use crate::clock;
+use crate::context::Context;
 use crate::http::client::Response;
+use crate::server_updates;
 use crate::settings::WireNames;
 
 /// The status by which a server refuses a request that is meant for another server.
@@ -47,6 +53,26 @@
     }
 }
 
+/// Applies what the answer to a request says of its server.
+pub(super) fn apply_answer(context: &Context, upstream: &Upstream, response: &Response) {
+    let signals = ServerSignals::of_answer(&context.wire_names, response);
+    apply(context, upstream, signals);
+}
+
+/// Applies what the answer to a probe says of its server, unless another server has answered.
+pub(super) fn apply_probe_answer(context: &Context, upstream: &Upstream, response: &Response) {
+    let answering = response.head.headers.get(context.wire_names.instance);
+    if answering.is_none_or(|name| *name == *upstream.server.name) {
+        apply_answer(context, upstream, response);
+    }
+}
+
+fn apply(context: &Context, upstream: &Upstream, signals: ServerSignals) {
+    if signals.is_leaving {
+        server_updates::apply_leaving(context, clock::now(), &upstream.server);
+    }
+}
+
 fn parse_seconds(value: &str) -> Option<Duration> {
     let seconds: f64 = value.trim().parse().ok()?;
     (seconds > 0.0).then(|| {
--- a/crates/kingcuploft-entry/tests/entry/leaving.rs
+++ b/crates/kingcuploft-entry/tests/entry/leaving.rs
@@ -1,7 +1,9 @@
 //! Servers that leave, as their own answers say it.
 
+use kingcuploft::entry::backend_servers::BackendServer;
+
 use crate::server::{Behavior, LeavingNotice};
-use crate::testbed::{Testbed, booking, lookup, run_test};
+use crate::testbed::{Testbed, booking, entry, lookup, run_test, wait_until};
 
 /// How many requests are sent to two servers, of which each would get about half.
 const REQUESTS: usize = 30;
@@ -36,3 +38,70 @@
         assert!(after <= 1, "{after} requests, the first of which tells it");
     });
 }
+
+/// Guards against a server that says in its answers to probes that it leaves, and gets a request all the same.
+#[test]
+fn a_server_that_tells_probes_that_it_leaves_gets_nothing() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Answer, Behavior::Answer]).await;
+        testbed.store.silent.set(true);
+        testbed.servers[0].leaving_notice.set(LeavingNotice::All);
+        ask(&testbed, "r").await;
+        assert_eq!(testbed.servers[0].received.borrow().len(), 0);
+    });
+}
+
+/// Guards against an entry that was written before the server began to leave and arrives after its own answer.
+#[test]
+fn a_late_entry_does_not_bring_back_a_server_that_says_that_it_leaves() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Answer, Behavior::Answer]).await;
+        testbed.servers[0].leaving_notice.set(LeavingNotice::All);
+        ask(&testbed, "leaving").await;
+        let received = testbed.servers[0].received.borrow().len();
+        testbed.store.remove_backend_server("s0");
+        let late = BackendServer {
+            slots: 3,
+            ..entry(0, &testbed.servers[0])
+        };
+        testbed.store.write_backend_server(late.clone());
+        let context = &testbed.vm.context;
+        wait_until(|| context.with_servers(|servers| servers.is_known(&late))).await;
+        ask(&testbed, "after").await;
+        assert_eq!(testbed.servers[0].received.borrow().len(), received);
+    });
+}
+
+/// Guards against a server that is kept out for good although it has started again under its name.
+#[test]
+fn a_later_start_of_a_server_that_left_gets_requests() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Answer, Behavior::Answer]).await;
+        testbed.servers[0].leaving_notice.set(LeavingNotice::All);
+        ask(&testbed, "leaving").await;
+        wait_until(|| testbed.vm.context.upstream("s0").is_none()).await;
+        testbed.servers[0].leaving_notice.set(LeavingNotice::None);
+        let received = testbed.servers[0].received.borrow().len();
+        testbed.store.write_backend_server(BackendServer {
+            started_at: Some(2),
+            ..entry(0, &testbed.servers[0])
+        });
+        wait_until(|| testbed.vm.context.upstream("s0").is_some()).await;
+        ask(&testbed, "after").await;
+        assert!(testbed.servers[0].received.borrow().len() > received);
+    });
+}
+
+/// Guards against a server that is taken for leaving by the answer of another one, which has got its address.
+#[test]
+fn another_server_at_the_same_address_says_nothing_of_a_server() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Misdirected, Behavior::Answer]).await;
+        testbed.servers[0]
+            .leaving_notice
+            .set(LeavingNotice::Requests);
+        ask(&testbed, "r").await;
+        assert!(!testbed.servers[0].received.borrow().is_empty());
+        assert!(testbed.vm.context.upstream("s0").is_some());
+    });
+}
--- a/crates/kingcuploft/src/entry/backend_servers.rs
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -2,7 +2,8 @@
 //!
 //! Failures: a draining server must get no new requests, and a stale entry that arrives after its draining state would
 //! bring it back; entries expire while the store is unavailable though their servers are healthy. The guards: a
-//! draining server stays out for good, until the platform reports a later start under its name; servers whose entries
+//! draining server, by its entry or by its own answers, stays out for good, until the platform reports a later start
+//! under its name; servers whose entries
 //! expire around an outage of the store stay in use for a short grace period after its return, and only then count as
 //! gone.
 
@@ -207,6 +208,10 @@
         known.removed_at = None;
         let is_later_start = server.started_at > known.server.started_at;
         if known.state == ServerState::Draining && !is_later_start {
+            let is_stale = known.server.draining && !server.draining;
+            if !is_stale {
+                known.server = server;
+            }
             return None;
         }
         let before = known.state;
@@ -242,6 +247,21 @@
         }
     }
 
+    /// Records that a server has said in an answer that it leaves; `started_at` is the start of the process that said so.
+    ///
+    /// Failure: a server that leaves while the store is away can't write that to its entry, which says `ready` as long
+    /// as the store is away, and longer at VMs that are behind.
+    pub fn record_leaving(&mut self, name: &str, started_at: Option<StartedAt>) -> Option<Change> {
+        let known = self.known.get_mut(name)?;
+        let is_earlier_process = started_at < known.server.started_at;
+        if is_earlier_process {
+            return None;
+        }
+        let before = std::mem::replace(&mut known.state, ServerState::Draining);
+        let was_in_use = matches!(before, ServerState::InUse | ServerState::LapsesAt(_));
+        was_in_use.then(|| Change::Left(known.server.name.clone()))
+    }
+
     /// Removes an entry.
     pub fn remove(&mut self, now: Instant, name: &str) -> Option<Change> {
         let just_returned = self.has_just_returned(now);
--- a/crates/kingcuploft/tests/entry/backend_servers.rs
+++ b/crates/kingcuploft/tests/entry/backend_servers.rs
@@ -153,3 +153,54 @@
     assert!(row.len() < 100, "{} bytes: {row}", row.len());
     assert_eq!(serde_json::from_str::<BackendServer>(&row).unwrap(), told);
 }
+
+/// Guards against an entry of a server that leaves by its own word which counts as new at each list.
+#[test]
+fn the_entry_of_a_server_that_said_itself_that_it_leaves_is_known_as_the_store_has_it() {
+    let mut servers = BackendServers::default();
+    servers.update(server("a"));
+    assert!(matches!(
+        servers.record_leaving("a", None),
+        Some(Change::Left(_))
+    ));
+    assert_eq!(servers.record_leaving("a", None), None);
+    assert!(!servers.takes_work("a"));
+    assert!(servers.is_known(&server("a")));
+    assert_eq!(servers.update(draining_server("a")), None);
+    assert!(servers.is_known(&draining_server("a")));
+    assert_eq!(servers.update(server("a")), None);
+    assert!(
+        servers.is_known(&draining_server("a")),
+        "a late entry changes nothing"
+    );
+    assert!(!servers.takes_work("a"));
+}
+
+/// Guards against an answer of the process before, which takes the one that has started under its name out of use.
+#[test]
+fn the_last_answer_of_an_earlier_process_does_not_take_out_the_one_that_has_started() {
+    let mut servers = BackendServers::default();
+    let started = |at| BackendServer {
+        started_at: Some(at),
+        ..server("a")
+    };
+    servers.update(started(1));
+    servers.update(started(2));
+    assert_eq!(servers.record_leaving("a", Some(1)), None);
+    assert!(servers.takes_work("a"));
+    assert!(servers.record_leaving("a", Some(2)).is_some());
+    assert!(!servers.takes_work("a"));
+}
+
+/// Guards against a server that leaves while its entry has lapsed, and is back in use with its entry.
+#[test]
+fn a_server_that_says_that_it_leaves_after_its_entry_lapsed_stays_out() {
+    let now = Instant::now();
+    let mut servers = BackendServers::default();
+    servers.update(server("a"));
+    servers.store_returned(now);
+    assert!(matches!(servers.remove(now, "a"), Some(Change::Lapsed(_))));
+    assert!(servers.record_leaving("a", None).is_some());
+    assert_eq!(servers.update(server("a")), None);
+    assert!(!servers.takes_work("a"));
+}
