fix(answer): a refusal tells one time to come back

Fix: each builds its own head; one function writes the header. Evidence: the test of evacuated zones now counts the header; it failed before with 'retry-after: 0.5' beside 'retry-after: 2.000'.

--- a/crates/kingcuploft-entry/src/edge/answer.rs
+++ b/crates/kingcuploft-entry/src/edge/answer.rs
@@ -7,9 +7,9 @@
 use crate::http::headers::write_header;
 use crate::settings::WireNames;
 
-/// The `Retry-After`, in seconds, of a request whose body exceeds the memory for bodies: the requests that hold it are
-/// normally answered by then.
-const BODY_MEMORY_RETRY_AFTER_S: &str = "0.5";
+/// The `Retry-After` of a request whose body exceeds the memory for bodies: the requests that hold it are normally
+/// answered by then.
+const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// An answer, without the headers that concern its connection only.
 #[derive(Clone, Debug)]
@@ -49,34 +49,32 @@
         reason: &str,
         retry_after: Option<Duration>,
     ) -> Self {
-        let mut answer = Self::unreadable(status, reason);
+        let mut head = plain_text_head();
         if let Some(id) = &request.id {
-            write_header(&mut answer.head, wire_names.request_id, id.as_bytes());
+            write_header(&mut head, wire_names.request_id, id.as_bytes());
         }
         if let Some(after) = retry_after {
-            let seconds = format!("{:.3}", after.as_secs_f64());
-            write_header(&mut answer.head, "Retry-After", seconds.as_bytes());
+            write_retry_after(&mut head, after);
+        }
+        Self {
+            status,
+            head,
+            body: plain_text_body(reason),
+            head_only: request.head.method == "HEAD",
+            close: !request.head.keep_alive,
         }
-        answer.head_only = request.head.method == "HEAD";
-        answer.close = !request.head.keep_alive;
-        answer
     }
 
     /// Builds an answer of this VM itself to bytes that are no valid request; the connection is closed after it.
     pub fn unreadable(status: u16, reason: &str) -> Self {
-        let mut head = Vec::with_capacity(128);
-        write_header(&mut head, "Content-Type", b"text/plain");
+        let mut head = plain_text_head();
         if status == 503 {
-            write_header(
-                &mut head,
-                "Retry-After",
-                BODY_MEMORY_RETRY_AFTER_S.as_bytes(),
-            );
+            write_retry_after(&mut head, BODY_MEMORY_RETRY_AFTER);
         }
         Self {
             status,
             head,
-            body: format!("{reason}\n").into_bytes(),
+            body: plain_text_body(reason),
             head_only: false,
             close: true,
         }
@@ -123,6 +121,21 @@
     }
 }
 
+fn plain_text_head() -> Vec<u8> {
+    let mut head = Vec::with_capacity(128);
+    write_header(&mut head, "Content-Type", b"text/plain");
+    head
+}
+
+fn plain_text_body(text: &str) -> Vec<u8> {
+    format!("{text}\n").into_bytes()
+}
+
+fn write_retry_after(head: &mut Vec<u8>, after: Duration) {
+    let seconds = format!("{:.3}", after.as_secs_f64());
+    write_header(head, "Retry-After", seconds.as_bytes());
+}
+
 fn reason_phrase(status: u16) -> &'static str {
     match status {
         100 => "Continue",
--- a/crates/kingcuploft-entry/tests/entry/evacuation.rs
+++ b/crates/kingcuploft-entry/tests/entry/evacuation.rs
@@ -78,6 +78,8 @@
         );
         assert_eq!(answer.status, 503);
         assert!(answer.has("retry-after: 2"), "{}", answer.head);
+        let head = answer.head.to_ascii_lowercase();
+        assert_eq!(head.matches("retry-after: ").count(), 1, "{head}");
         assert_eq!(testbed.received_count(), 0);
         testbed.store.set_evacuated("bern", false);
         wait_until(|| !testbed.vm.context.evacuations.borrow().is_evacuated("bern")).await;
