fix(selection): a request that was sent to all servers of its service is refused at once

What callers saw: a request that each server had refused was held until nearly its deadline (3.9 of 4 s in the test), as no server is chosen twice for it. Cause: with no server left to choose, the selection looks again each 20 ms, as for servers that are full. Fix: if an attempt was made at each server of the service, the request is refused with its Retry-After. Evidence: a_request_that_each_server_has_refused_is_refused_at_once failed before and holds now.

--- a/crates/kingcuploft-entry/src/edge/selection.rs
+++ b/crates/kingcuploft-entry/src/edge/selection.rs
@@ -59,6 +59,9 @@
             if let Some(after) = evacuation::retry_after(self.context, &self.service) {
                 return Selection::Evacuated(after);
             }
+            if self.was_sent_to_all() {
+                return Selection::Refuse(self.retry_after);
+            }
             let now = clock::now();
             let upstreams = self.candidate_upstreams(now, scope);
             let has_limited = !limits::limited_upstreams(self.context, &self.service).is_empty();
@@ -115,6 +118,15 @@
             .any(|tried| Rc::ptr_eq(tried, upstream))
     }
 
+    /// Returns whether the service has servers, and an attempt was made at each.
+    fn was_sent_to_all(&self) -> bool {
+        if self.tried_upstreams.is_empty() {
+            return false;
+        }
+        let upstreams = self.context.upstreams(&self.service);
+        !upstreams.is_empty() && upstreams.iter().all(|u| self.was_tried(u))
+    }
+
     /// Returns the servers to select from. Of the own zone these are the first in this VM's order that answer probes,
     /// or of all servers if none does; of the other zones those that are cheapest to probe.
     pub(super) fn candidate_upstreams(&self, now: Instant, scope: ProbeScope) -> Vec<Rc<Upstream>> {
--- a/crates/kingcuploft-entry/tests/entry/answers.rs
+++ b/crates/kingcuploft-entry/tests/entry/answers.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use crate::server::Behavior;
-use crate::testbed::{Testbed, lookup, run_test, wait_until};
+use crate::testbed::{Testbed, booking, lookup, run_test, wait_until};
+
+/// The most that an immediate refusal may take: far less than a request may wait for a server.
+const MAX_IMMEDIATE_WAIT: Duration = Duration::from_millis(500);
 
 #[test]
 fn an_answer_is_forwarded_complete() {
@@ -109,3 +112,19 @@
         wait_until(|| silent.cancelled.get() == silent.runs.get()).await;
     });
 }
+
+/// Guards against a request that is held until its deadline after each server has refused it.
+#[test]
+fn a_request_that_each_server_has_refused_is_refused_at_once() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Shed, Behavior::Shed]).await;
+        for request in [lookup("l"), booking("b")] {
+            let asked_at = Instant::now();
+            let answer = testbed.ask(&request).await;
+            assert_eq!(answer.status, 503);
+            assert!(answer.has("retry-after: "));
+            assert!(asked_at.elapsed() < MAX_IMMEDIATE_WAIT);
+        }
+        assert_eq!(testbed.received_count(), 4);
+    });
+}
