fix(selection): a server that refuses and asks for a pause gets nothing until its end

Cause: Retry-After of a server's 503 was not read; its failures alone kept it away, compared with those of the others and forgotten within seconds, and a server that refuses looks idle. Ruled out: requests under way (2.67 s later), second sends (the third request's first attempt). Fix: the pause is kept by the server's name; until its end the server is left out of every choice (first, repeat, hedge, turn, probe), and a request that was chosen for it is checked once more before it is sent. Where all servers are paused longer than the request can wait for an answer in time, it is refused at once with the end of the first pause as Retry-After.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -20,6 +20,7 @@
 use kingcuploft::entry::readers::Readers;
 use kingcuploft::entry::repeat_budget::RepeatBudget;
 use kingcuploft::entry::server_limits::ServerLimits;
+use kingcuploft::entry::server_pauses::ServerPauses;
 use kingcuploft::entry::service_time::ServiceTime;
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::planted::{self, PlantedFault};
@@ -33,6 +34,7 @@
 use crate::metrics::Metrics;
 use crate::network::{Network, Tcp};
 use crate::notice_writes::NoticeWriteQueue;
+use crate::pauses;
 use crate::peers::followers::Followers;
 use crate::peers::peer_socket::PeerSender;
 use crate::peers::pending_turns::PendingTurns;
@@ -88,6 +90,8 @@
     pub evacuations: RefCell<Evacuations>,
     /// The rate limits that servers announce.
     pub limits: RefCell<ServerLimits>,
+    /// The servers that want nothing from this VM for a while.
+    pub pauses: RefCell<ServerPauses>,
     /// The turns at rate-limited servers that this VM has requested from others.
     pub pending_turns: PendingTurns,
     /// The queue of notices that wait to be written to the store.
@@ -172,6 +176,7 @@
             rewinds: Rewinds::default(),
             evacuations: RefCell::default(),
             limits: RefCell::new(ServerLimits::started_at(clock::now())),
+            pauses: RefCell::default(),
             pending_turns: PendingTurns::default(),
             notice_writes: NoticeWriteQueue::default(),
             caller_connections: Cell::new(0),
@@ -325,8 +330,9 @@
     /// Returns whether a request may still be sent to the server that was selected for it.
     pub fn takes_work(&self, upstream: &Upstream) -> bool {
         let server = &upstream.server;
-        let is_open = !self.evacuations.borrow().is_evacuated(&server.zone);
-        is_open && self.servers.borrow().takes_work(&server.name)
+        let is_evacuated = self.evacuations.borrow().is_evacuated(&server.zone);
+        let is_paused = pauses::is_paused(self, clock::now(), &server.name);
+        !is_evacuated && !is_paused && self.servers.borrow().takes_work(&server.name)
     }
 
     /// Returns how many connections this VM may have to one server of a service; unlimited until the VMs are counted.
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -66,6 +66,10 @@
                     self.retry_after = retry_after;
                     return self.give_up("servers end under it");
                 }
+                Selection::Paused(retry_after) => {
+                    self.retry_after = retry_after;
+                    return self.give_up("all servers want a pause");
+                }
                 Selection::Evacuated(retry_after) => {
                     self.retry_after = retry_after;
                     return self.give_up("all servers are in evacuated zones");
@@ -136,7 +140,8 @@
         }
         let timed_out = clock::now() >= self.deadline;
         let status = self.attempts.failure_status(timed_out);
-        let after = (status == 503).then_some(self.retry_after);
+        let retry_after = self.retry_after.max(self.all_paused_for());
+        let after = (status == 503).then_some(retry_after);
         tracing::info!(
             event = "gave_up",
             request = self.request.id,
--- a/crates/kingcuploft-entry/src/edge/limited_servers.rs
+++ b/crates/kingcuploft-entry/src/edge/limited_servers.rs
@@ -11,6 +11,7 @@
 use super::caller_disconnect::CallerDisconnect;
 use crate::clock;
 use crate::limits;
+use crate::pauses;
 use crate::peers::turns;
 use crate::upstream::Upstream;
 
@@ -38,8 +39,10 @@
         limited.retain(|upstream| {
             let is_open =
                 upstream.has_connection_available(share) && !upstream.is_unresponsive(now);
+            let is_paused = pauses::is_paused(self.context, now, &upstream.server.name);
             let limits = self.context.limits.borrow();
             is_open
+                && !is_paused
                 && !self.was_tried(upstream)
                 && limits.may_have_turn(now, &upstream.server.name, max_wait)
         });
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 mod hedge;
 mod limited_servers;
+mod paused_servers;
 pub mod readiness;
 pub mod request;
 mod selection;
--- a/crates/kingcuploft-entry/src/edge/selection.rs
+++ b/crates/kingcuploft-entry/src/edge/selection.rs
@@ -6,6 +6,7 @@
 
 use kingcuploft::entry::placement::{Candidate, PlacementNeed, ProbeScope, Step, place};
 use kingcuploft::entry::probe_fanout::probe_fanout;
+use kingcuploft::entry::server_pauses::PauseDecision;
 
 use super::active_request::ActiveRequest;
 use super::caller_disconnect::CallerDisconnect;
@@ -13,6 +14,7 @@
 use crate::clock;
 use crate::evacuation;
 use crate::limits;
+use crate::pauses;
 use crate::upstream::{Upstream, probe};
 
 /// How long the VM waits for load reports before it checks again whether they suffice.
@@ -31,6 +33,8 @@
     Refuse(Duration),
     /// Servers crash when they run the request; the caller may retry after this time.
     Quarantined(Duration),
+    /// All servers that could take it are paused for too long; the caller may retry after this time.
+    Paused(Duration),
     /// All servers of the service are in evacuated zones; the caller may retry after this time.
     Evacuated(Duration),
     CallerLeft,
@@ -47,6 +51,9 @@
             if disconnect.is_set() {
                 return Selection::CallerLeft;
             }
+            if let PauseDecision::Refuse(after) = self.check_pauses() {
+                return Selection::Paused(after);
+            }
             match self.check_quarantine().await {
                 QuarantineDecision::Send => {}
                 QuarantineDecision::Wait => {
@@ -133,6 +140,7 @@
         let mut all = self.context.upstreams(&self.service);
         let share = self.context.connection_share(&self.service);
         all.retain(|upstream| upstream.has_connection_available(share));
+        all.retain(|upstream| !pauses::is_paused(self.context, now, &upstream.server.name));
         all.retain(|upstream| limits::wait_before_send(self.context, upstream, now).is_zero());
         let untried = all.iter().filter(|u| !self.was_tried(u));
         let responsive: Vec<_> = untried
--- a/crates/kingcuploft-entry/src/gauges.rs
+++ b/crates/kingcuploft-entry/src/gauges.rs
@@ -23,6 +23,8 @@
         self.metrics.limited_servers.set(limited as i64);
         let cold = self.limits.borrow().cold_count();
         self.metrics.cold_servers.set(cold as i64);
+        let paused = self.pauses.borrow().len();
+        self.metrics.paused_servers.set(paused as i64);
         let evacuated = self.evacuations.borrow().zones().len();
         self.metrics.evacuated_zones.set(evacuated as i64);
         let newest = self.active_configuration.newest().unwrap_or(version);
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod network;
 pub mod notice_writes;
 pub mod notices;
+pub mod pauses;
 pub mod peers;
 pub mod rewinds;
 pub mod run;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -72,6 +72,8 @@
     pub limited_servers: Gauge,
     /// Servers that are cold and limited to the rate that they bear.
     pub cold_servers: Gauge,
+    /// Servers that want nothing from this VM for a while.
+    pub paused_servers: Gauge,
     /// Availability zones that are evacuated.
     pub evacuated_zones: Gauge,
     /// Milliseconds for which the VM still leaves its share of the repeat allowance unused, as its earlier usage is
@@ -109,6 +111,7 @@
             followers: Gauge::default(),
             limited_servers: Gauge::default(),
             cold_servers: Gauge::default(),
+            paused_servers: Gauge::default(),
             evacuated_zones: Gauge::default(),
             repeats_unknown_ms: Gauge::default(),
             quarantined: Gauge::default(),
@@ -184,6 +187,8 @@
         registry.register("limited_servers", help, self.limited_servers.clone());
         let help = "Servers that are cold and kept to what they bear";
         registry.register("cold_servers", help, self.cold_servers.clone());
+        let help = "Servers that want nothing from this VM for a while";
+        registry.register("paused_servers", help, self.paused_servers.clone());
         let help = "Availability zones that are evacuated";
         registry.register("evacuated_zones", help, self.evacuated_zones.clone());
         let help = "Milliseconds for which the part of the allowance of repeats is left";
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -22,6 +22,7 @@
 use crate::evacuation;
 use crate::limits;
 use crate::notices;
+use crate::pauses;
 use crate::peers::frame::Frame;
 use crate::peers::sync_status::sync_status;
 use crate::rewinds::EraUpdate;
@@ -142,6 +143,7 @@
             .for_each(|change| server_updates::apply_change(&context, now, change));
         evacuation::expire(&context, now);
         cold_servers::expire(&context, now);
+        pauses::expire(&context, now);
     }
 }
 
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -14,6 +14,7 @@
 use crate::http::headers::write_header;
 use crate::limits;
 use crate::network::Network;
+use crate::pauses;
 use crate::peers::load_reports;
 
 /// How long a probe may take: many times the longest round trip of a region.
@@ -25,13 +26,17 @@
 /// The most bytes of the answer to a probe.
 const MAX_PROBE_RESPONSE_BYTES: usize = 16 * 1024;
 
-/// Starts a probe of a server, unless its last load report is fresh, a probe is in flight, or it did not answer lately.
+/// Starts a probe of a server, unless its last load report is fresh, a probe is in flight, it did not answer lately, or it wants
+/// nothing now.
 pub fn start(context: &Rc<Context>, upstream: &Rc<Upstream>, health_path: &str) {
     let now = clock::now();
     let fresh = upstream.has_fresh_load_report(now, context.max_load_report_age());
     if upstream.is_probe_in_flight() || fresh || upstream.is_unresponsive(now) {
         return;
     }
+    if pauses::is_paused(context, now, &upstream.server.name) {
+        return;
+    }
     if !upstream.has_connection_available(context.connection_share(&upstream.server.service)) {
         context.metrics.count_probe("no_connection");
         return;
--- a/crates/kingcuploft-entry/src/upstream/server_signals.rs
+++ b/crates/kingcuploft-entry/src/upstream/server_signals.rs
@@ -8,6 +8,7 @@
 use crate::clock;
 use crate::context::Context;
 use crate::http::client::Response;
+use crate::pauses;
 use crate::server_updates;
 use crate::settings::WireNames;
 
@@ -68,8 +69,12 @@
 }
 
 fn apply(context: &Context, upstream: &Upstream, signals: ServerSignals) {
+    let now = clock::now();
     if signals.is_leaving {
-        server_updates::apply_leaving(context, clock::now(), &upstream.server);
+        server_updates::apply_leaving(context, now, &upstream.server);
+    }
+    if let Some(pause) = signals.pause {
+        pauses::apply(context, now, &upstream.server.name, pause);
     }
 }
 
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -82,6 +82,8 @@
     pub(crate) probe_count: Rc<Cell<u32>>,
     /// For how many more milliseconds it says that it is cold.
     pub(crate) cold_ms: Rc<Cell<u32>>,
+    /// With which pause, in milliseconds, it refuses probes; 0 answers them.
+    pub(crate) probe_pause_ms: Rc<Cell<u32>>,
     /// In which answers it says that it leaves.
     pub(crate) leaving_notice: Rc<Cell<LeavingNotice>>,
     connections: Rc<Cell<u32>>,
@@ -107,6 +109,7 @@
             cancelled: Rc::default(),
             probe_count: Rc::default(),
             cold_ms: Rc::default(),
+            probe_pause_ms: Rc::default(),
             leaving_notice: Rc::default(),
             connections: Rc::default(),
             opened_connections: Rc::default(),
@@ -162,8 +165,12 @@
                     LeavingNotice::All => "x-leaving: 1\r\n",
                     LeavingNotice::None | LeavingNotice::Requests => "",
                 };
+                let (status, pause) = match self.probe_pause_ms.get() {
+                    0 => ("200 OK", String::new()),
+                    ms => ("503 Full", pause_header(ms)),
+                };
                 let answer = format!(
-                    "HTTP/1.1 200 OK\r\nx-load: 0,0,4\r\n{cold}{leaving}Content-Length: 0\r\n\r\n"
+                    "HTTP/1.1 {status}\r\nx-load: 0,0,4\r\n{pause}{cold}{leaving}Content-Length: 0\r\n\r\n"
                 );
                 if stream.write_all(answer.as_bytes()).await.is_err() {
                     return;
@@ -218,10 +225,8 @@
                 "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
             }
             Behavior::ShedAndPause(pause_ms) => {
-                let pause_s = f64::from(pause_ms) / 1000.0;
-                format!(
-                    "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nRetry-After: {pause_s}\r\nContent-Length: 0\r\n\r\n"
-                )
+                let pause = pause_header(pause_ms);
+                format!("HTTP/1.1 503 Full\r\nx-not-run: 1\r\n{pause}Content-Length: 0\r\n\r\n")
             }
             Behavior::Misdirected => {
                 "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n".to_owned()
@@ -254,6 +259,10 @@
     }
 }
 
+fn pause_header(pause_ms: u32) -> String {
+    format!("Retry-After: {}\r\n", f64::from(pause_ms) / 1000.0)
+}
+
 async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<ReceivedRequest> {
     loop {
         if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
--- a/crates/kingcuploft/src/planted.rs
+++ b/crates/kingcuploft/src/planted.rs
@@ -24,6 +24,8 @@
     StopsAtOnce,
     /// Rate limits that servers announce are ignored.
     IgnoresLimits,
+    /// Pauses that servers ask for are ignored.
+    IgnoresPauses,
     /// A request that has crashed servers is still sent to others.
     SendsSuspects,
     /// A VM keeps the first configuration that it receives and ignores newer ones.
@@ -32,7 +34,7 @@
 
 impl PlantedFault {
     /// All faults.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::ForgetsRepeats,
         Self::CountsTooFew,
         Self::JoinersLackEvacuations,
@@ -43,6 +45,7 @@
         Self::ProbesUnbounded,
         Self::StopsAtOnce,
         Self::IgnoresLimits,
+        Self::IgnoresPauses,
         Self::SendsSuspects,
         Self::KeepsOldConfiguration,
     ];
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -20,5 +20,6 @@
 mod repeat_budget;
 mod rewinds;
 mod server_limit;
+mod server_pauses;
 mod server_table;
 mod zone_record;
