--- a/crates/kingcuploft-entry/src/server_updates.rs
+++ b/crates/kingcuploft-entry/src/server_updates.rs
@@ -4,6 +4,7 @@
 
 use kingcuploft::entry::backend_servers::{BackendServer, Change};
 use kingcuploft::entry::server_table::ServerTable;
+use kingcuploft::planted::{self, PlantedFault};
 use kingcuploft::world::ids::BackendServerName;
 
 use crate::cold_servers;
@@ -51,6 +52,11 @@
 
 /// Applies a server's own statement that it leaves.
 pub fn apply_leaving(context: &Context, now: Instant, server: &BackendServer) {
+    let is_ignored = planted::is_on(PlantedFault::ChoosesLeavingServers)
+        || planted::is_on(PlantedFault::IgnoresLeavingAnswers);
+    if is_ignored {
+        return;
+    }
     let name = &server.name;
     let change = context.with_servers(|known| known.record_leaving(name, server.started_at));
     if let Some(change) = change {
--- a/crates/kingcuploft-simulation/src/caller.rs
+++ b/crates/kingcuploft-simulation/src/caller.rs
@@ -8,7 +8,10 @@
 use tokio::time::Instant;
 
 use crate::deployment::RequestKind;
-use crate::history::{Completion, History, KindIndex, Outcome, Request, is_idempotent};
+use crate::header_names::HEADER_NAMES;
+use crate::history::{
+    Completion, History, KindIndex, LeavingAnswer, Outcome, Request, VmIndex, is_idempotent,
+};
 use crate::network::Host;
 use crate::server::{DEADLY_PATH, answer_body};
 use crate::vm::Vm;
@@ -97,6 +100,17 @@
         result
     }
 
+    /// Records an answer in which a server says that it leaves.
+    fn record_leaving(&self, vm: VmIndex, response: &Response) {
+        let headers = &response.head.headers;
+        let server = headers.get(HEADER_NAMES.signature).and_then(server_index);
+        if let (Some(server), Some(_)) = (server, headers.get(HEADER_NAMES.leaving)) {
+            let at = self.history.now();
+            let answer = LeavingAnswer { vm, server, at };
+            self.history.leaving_answers.borrow_mut().push(answer);
+        }
+    }
+
     async fn exchange(&self, vm: &Vm, id: u64, deadline: Instant) -> AttemptResult {
         let none = |was_sent| AttemptResult {
             outcome: Outcome::None,
@@ -123,12 +137,20 @@
             return none(true);
         }
         match connection.receive(method, MAX_ANSWER_BYTES).await {
-            Ok(response) => classify(&response, &id),
+            Ok(response) => {
+                self.record_leaving(vm.index, &response);
+                classify(&response, &id)
+            }
             Err(_) => none(true),
         }
     }
 }
 
+/// Returns the index of the server with this name.
+fn server_index(name: &str) -> Option<usize> {
+    name.strip_prefix('s')?.parse().ok()
+}
+
 fn classify(response: &Response, id: &str) -> AttemptResult {
     let headers = &response.head.headers;
     let is_own = headers.get("x-id").is_none_or(|echoed_id| echoed_id == id);
--- a/crates/kingcuploft-simulation/src/day.rs
+++ b/crates/kingcuploft-simulation/src/day.rs
@@ -99,6 +99,8 @@
     VmsCutOff,
     /// Servers refuse a share (`strength`) of the requests with the statement that they were not run.
     ServersRefuse,
+    /// Servers refuse half of the requests, and each time ask for a pause of so many seconds (`strength`).
+    ServersPause,
     /// Servers run a share (`strength`) of the requests and lose the answers.
     ServersLoseAnswers,
     /// Servers take `strength` times as long for their work.
@@ -127,13 +129,14 @@
 
 impl DisruptionKind {
     /// All kinds.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::VmsKilled,
         Self::VmsLosePower,
         Self::VmsFrozen,
         Self::VmsStopped,
         Self::VmsCutOff,
         Self::ServersRefuse,
+        Self::ServersPause,
         Self::ServersLoseAnswers,
         Self::ServersSlow,
         Self::ServersCrash,
@@ -155,6 +158,7 @@
             Self::DeadlyRequests => (0.0, 0.5),
             Self::ServersNameLimits => (0.5, 500.0),
             Self::ServersSlow => (1.0, 50.0),
+            Self::ServersPause => (0.1, 60.0),
             Self::Crowd => (1.0, 5.0),
             _ => (0.0, f64::INFINITY),
         }
--- a/crates/kingcuploft-simulation/src/disruptions.rs
+++ b/crates/kingcuploft-simulation/src/disruptions.rs
@@ -27,6 +27,12 @@
 /// How long after a restore from a snapshot the operator and the servers write again what the store lacks.
 const REWRITE_DELAY: Duration = Duration::from_millis(600);
 
+/// The share of the requests that a server refuses that asks for pauses.
+const PAUSING_REFUSED_SHARE: f64 = 0.5;
+
+/// How often a draining server tries to write its entry while the store is silent.
+const DRAIN_WRITE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How long a draining server keeps serving after the drain time that is allowed to the VMs.
 const SERVES_AFTER_DRAIN: Duration = Duration::from_millis(1500);
 
@@ -57,11 +63,13 @@
         }
         DisruptionKind::VmsFrozen => {
             let vms = choose_vms(simulation, disruption.share);
-            apply_to_vms(simulation, &vms, disruption.duration(), Vm::freeze).await;
+            let cause = DisturbanceCause::Fault;
+            apply_to_vms(simulation, &vms, disruption.duration(), cause, Vm::freeze).await;
         }
         DisruptionKind::VmsCutOff => {
             let vms = choose_vms(simulation, disruption.share);
-            apply_to_vms(simulation, &vms, disruption.duration(), Vm::cut_off).await;
+            let cause = DisturbanceCause::CutOff;
+            apply_to_vms(simulation, &vms, disruption.duration(), cause, Vm::cut_off).await;
         }
         DisruptionKind::VmsStopped => stop_one_by_one(simulation, disruption).await,
         DisruptionKind::ServersRefuse => {
@@ -74,6 +82,15 @@
             })
             .await;
         }
+        DisruptionKind::ServersPause => {
+            let pause = Duration::from_secs_f64(disruption.strength);
+            apply_to_servers(simulation, disruption, |server, is_on| {
+                let refused = if is_on { PAUSING_REFUSED_SHARE } else { 0.0 };
+                server.faults.refused_share.set(refused);
+                server.faults.pause.set(is_on.then_some(pause));
+            })
+            .await;
+        }
         DisruptionKind::ServersLoseAnswers => {
             let strength = disruption.strength;
             apply_to_servers(simulation, disruption, |server, is_on| {
@@ -151,6 +168,7 @@
     simulation: &Simulation,
     vms: &[Rc<Vm>],
     duration: Duration,
+    cause: DisturbanceCause,
     set_fault: fn(&Vm, bool),
 ) {
     for vm in vms {
@@ -159,18 +177,13 @@
     let step = Duration::from_millis(500);
     let mut left = duration;
     while !left.is_zero() {
-        vms.iter().for_each(|vm| {
-            simulation
-                .history
-                .record_disturbance(vm.index, DisturbanceCause::Fault)
-        });
+        vms.iter()
+            .for_each(|vm| simulation.history.record_disturbance(vm.index, cause));
         tokio::time::sleep(step.min(left)).await;
         left = left.saturating_sub(step);
     }
     for vm in vms {
-        simulation
-            .history
-            .record_disturbance(vm.index, DisturbanceCause::Fault);
+        simulation.history.record_disturbance(vm.index, cause);
         set_fault(vm, false);
     }
 }
@@ -253,6 +266,11 @@
     let servers = choose_servers(simulation, disruption);
     for server in &servers {
         server.is_draining.set(true);
+    }
+    while simulation.store.0.silent.get() {
+        tokio::time::sleep(DRAIN_WRITE_INTERVAL).await;
+    }
+    for server in &servers {
         simulation.operator.write_server(server);
     }
     let drain = Duration::from_millis(simulation.deployment.bounds.drain_ms);
--- a/crates/kingcuploft-simulation/src/generator.rs
+++ b/crates/kingcuploft-simulation/src/generator.rs
@@ -58,6 +58,7 @@
         DisruptionKind::DeadlyRequests => [0.01, 0.05][rng.usize(0..2)],
         DisruptionKind::ServersNameLimits => [1.0, 3.0][rng.usize(0..2)],
         DisruptionKind::ServersSlow => [3.0, 8.0, 20.0][rng.usize(0..3)],
+        DisruptionKind::ServersPause => [0.6, 2.0, 5.0][rng.usize(0..3)],
         DisruptionKind::Crowd => [1.5, 2.0, 3.0][rng.usize(0..3)],
         _ => 1.0,
     }
--- a/crates/kingcuploft-simulation/src/history.rs
+++ b/crates/kingcuploft-simulation/src/history.rs
@@ -114,12 +114,38 @@
     pub limits: Vec<(f64, Duration, Duration)>,
 }
 
+/// An answer, passed on to its caller, in which a server says that it leaves.
+#[derive(Clone, Copy, Debug)]
+pub struct LeavingAnswer {
+    /// The VM that passed it on.
+    pub vm: VmIndex,
+    /// The index of the server.
+    pub server: usize,
+    /// When the caller got it.
+    pub at: Duration,
+}
+
+/// A refusal in which a server asks a VM for a pause.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestedPause {
+    /// The VM.
+    pub vm: VmIndex,
+    /// The index of the server.
+    pub server: usize,
+    /// When the server refused the request.
+    pub at: Duration,
+    /// For how long it wants nothing from the VM.
+    pub pause: Duration,
+}
+
 /// Why a VM's operation was disturbed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DisturbanceCause {
     /// A planned stop, or the start after it.
     PlannedStop,
-    /// Any other reason.
+    /// The VM was cut off; its process ran on.
+    CutOff,
+    /// The process ended or did not run for a while.
     Fault,
 }
 
@@ -158,6 +184,10 @@
     pub version_checks: RefCell<Vec<(VmIndex, u64, Duration, bool)>>,
     /// When VMs were sent requests that check for a version's route; these go to the first service.
     pub version_check_times: RefCell<Vec<Duration>>,
+    /// The answers in which servers said that they leave.
+    pub leaving_answers: RefCell<Vec<LeavingAnswer>>,
+    /// The refusals in which servers asked for a pause.
+    pub requested_pauses: RefCell<Vec<RequestedPause>>,
     /// How many probes all servers got.
     pub probes: Cell<u64>,
     /// The sum of the times for which the servers were running, in seconds.
@@ -178,6 +208,8 @@
             planned_stops: RefCell::default(),
             version_checks: RefCell::default(),
             version_check_times: RefCell::default(),
+            leaving_answers: RefCell::default(),
+            requested_pauses: RefCell::default(),
             probes: Cell::new(0),
             server_seconds: Cell::new(0.0),
         }
@@ -228,6 +260,19 @@
         disturbances.push(Disturbance { vm, at, cause });
     }
 
+    /// Returns whether a VM's operation was disturbed between two moments for one of these reasons.
+    pub fn was_disturbed_by(
+        &self,
+        vm: VmIndex,
+        since: Duration,
+        until: Duration,
+        causes: &[DisturbanceCause],
+    ) -> bool {
+        let disturbances = self.vm_disturbances.borrow();
+        let mut of_vm = disturbances.iter().filter(|other| other.vm == vm);
+        of_vm.any(|other| other.at >= since && other.at <= until && causes.contains(&other.cause))
+    }
+
     /// Returns whether neither the VM nor the store was disturbed in the given period before a moment.
     pub fn was_undisturbed(&self, vm: VmIndex, at: Duration, period: Duration) -> bool {
         let since = at.saturating_sub(period);
--- a/crates/kingcuploft-simulation/src/rules/mod.rs
+++ b/crates/kingcuploft-simulation/src/rules/mod.rs
@@ -3,9 +3,12 @@
 //! The rules check only the history that callers, servers and the store observed.
 
 mod fleet;
+mod own_words;
 mod propagation;
 mod requests;
 
+use std::time::Duration;
+
 use kingcuploft::utils::HashMap;
 use serde::Serialize;
 
@@ -27,6 +30,10 @@
     WholeAnswers,
     /// A draining server gets no requests after its drain time.
     Draining,
+    /// A server whose answer said that it leaves gets no requests from that VM after its drain time.
+    LeavingAnswers,
+    /// A server that asked a VM for a pause gets next to nothing from it until the end.
+    RequestedPauses,
     /// A configuration is in force on all VMs in time.
     ConfigurationInForce,
     /// A VM does not go back to an older configuration.
@@ -47,12 +54,14 @@
 
 impl Rule {
     /// All rules.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 15] = [
         Self::RepeatBudget,
         Self::AtMostOnce,
         Self::TruthfulRefusals,
         Self::WholeAnswers,
         Self::Draining,
+        Self::LeavingAnswers,
+        Self::RequestedPauses,
         Self::ConfigurationInForce,
         Self::NeverReverts,
         Self::Evacuations,
@@ -119,16 +128,22 @@
     requests: Vec<Request>,
     arrivals: Vec<Arrival>,
     completions: HashMap<u64, Completion>,
+    sent_at: HashMap<u64, Duration>,
 }
 
 impl<'a> IndexedHistory<'a> {
     fn of(result: &'a DayResult) -> Self {
         let raw = &*result.history;
         let completions = raw.completions.borrow();
+        let requests = raw.requests.borrow();
         Self {
             deployment: &result.deployment,
             raw,
-            requests: raw.requests.borrow().clone(),
+            sent_at: requests
+                .iter()
+                .map(|request| (request.id, request.at))
+                .collect(),
+            requests: requests.clone(),
             arrivals: raw.arrivals.borrow().clone(),
             completions: completions
                 .iter()
@@ -143,6 +158,11 @@
             .map(|completion| completion.outcome)
     }
 
+    /// Returns when a request was sent by its caller.
+    fn sent_at(&self, id: u64) -> Option<Duration> {
+        self.sent_at.get(&id).copied()
+    }
+
     fn arrivals_by_request(&self) -> HashMap<u64, Vec<&Arrival>> {
         let mut by_request: HashMap<u64, Vec<&Arrival>> = HashMap::default();
         for arrival in &self.arrivals {
@@ -162,6 +182,8 @@
         Rule::WholeAnswers => requests::whole_answers(&history),
         Rule::PlannedStops => requests::planned_stops(&history),
         Rule::Draining => propagation::draining(&history),
+        Rule::LeavingAnswers => own_words::leaving_answers(&history),
+        Rule::RequestedPauses => own_words::requested_pauses(&history),
         Rule::ConfigurationInForce => propagation::configuration(&history),
         Rule::NeverReverts => propagation::never_reverts(&history),
         Rule::Evacuations => propagation::evacuations(&history),
--- a/crates/kingcuploft-simulation/src/rules/requests.rs
+++ b/crates/kingcuploft-simulation/src/rules/requests.rs
@@ -106,7 +106,7 @@
         let was_disturbed = disturbances.iter().any(|other| {
             let is_near =
                 other.at + bounds.undisturbed_time() >= request.at && other.at <= ended_at;
-            other.vm == request.vm && other.cause == DisturbanceCause::Fault && is_near
+            other.vm == request.vm && other.cause != DisturbanceCause::PlannedStop && is_near
         });
         let may_be_interrupted = stopping.iter().any(|stopped_at| {
             let last_sixth = *stopped_at + Duration::from_millis(bounds.stop_ms) * 5 / 6;
--- a/crates/kingcuploft-simulation/src/server.rs
+++ b/crates/kingcuploft-simulation/src/server.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::deployment::{RequestKind, Service};
-use crate::history::{Arrival, History};
+use crate::history::{Arrival, History, RequestedPause};
 use crate::link::LinkEnd;
 use crate::network::{AcceptedConnection, Host};
 
@@ -43,6 +43,8 @@
     pub lost_answer_share: Cell<f64>,
     /// The duration of its work as a multiple of the usual one; 0 leaves the usual speed.
     pub slow_factor: Cell<f64>,
+    /// The pause that it asks for when it refuses a request.
+    pub pause: Cell<Option<Duration>>,
     /// The limit that it names, in requests per second.
     pub limit: Cell<Option<f64>>,
 }
@@ -190,8 +192,10 @@
             true => "503 Leaving",
             false => "200 OK",
         };
-        let answer =
-            format!("HTTP/1.1 {status}\r\nx-load: {load}\r\n{cold}Content-Length: 0\r\n\r\n");
+        let (name, leaving) = (&self.name, self.leaving_header());
+        let answer = format!(
+            "HTTP/1.1 {status}\r\nx-instance: {name}\r\nx-load: {load}\r\n{cold}{leaving}Content-Length: 0\r\n\r\n"
+        );
         write(end, &answer).await
     }
 
@@ -222,11 +226,7 @@
         let is_full =
             self.running.get() + self.waiting.get() >= self.service.slots + self.service.queue;
         if is_full || fastrand::f64() < self.faults.refused_share.get() {
-            let load = self.load();
-            let answer = format!(
-                "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-load: {load}\r\nContent-Length: 0\r\n\r\n"
-            );
-            return write(end, &answer).await;
+            return write(end, &self.refusal(vm)).await;
         }
         if is_deadly {
             self.history.arrivals.borrow()[at].ran.set(true);
@@ -240,14 +240,41 @@
         write(end, &self.complete_answer(&id)).await
     }
 
+    /// Returns the refusal of a VM's request.
+    fn refusal(&self, vm: usize) -> String {
+        let (load, leaving) = (self.load(), self.leaving_header());
+        let pause = self.faults.pause.get().map_or_else(String::new, |pause| {
+            self.history
+                .requested_pauses
+                .borrow_mut()
+                .push(RequestedPause {
+                    vm,
+                    server: self.index,
+                    at: self.history.now(),
+                    pause,
+                });
+            format!("Retry-After: {}\r\n", pause.as_secs_f64())
+        });
+        format!(
+            "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-load: {load}\r\n{leaving}{pause}Content-Length: 0\r\n\r\n"
+        )
+    }
+
+    fn leaving_header(&self) -> &'static str {
+        match self.is_draining.get() {
+            true => "x-leaving: 1\r\n",
+            false => "",
+        }
+    }
+
     /// Returns the complete answer to a request; the caller checks its body.
     fn complete_answer(&self, id: &str) -> String {
         let (name, load, body) = (&self.name, self.load(), answer_body(id));
         let limit = self.faults.limit.get();
         let limit = limit.map_or_else(String::new, |per_s| format!("x-limit: {per_s}\r\n"));
-        let length = body.len();
+        let (length, leaving) = (body.len(), self.leaving_header());
         format!(
-            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: {name}\r\nx-load: {load}\r\n{limit}Content-Length: {length}\r\n\r\n{body}"
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: {name}\r\nx-load: {load}\r\n{limit}{leaving}Content-Length: {length}\r\n\r\n{body}"
         )
     }
 
--- a/crates/kingcuploft/src/planted.rs
+++ b/crates/kingcuploft/src/planted.rs
@@ -12,6 +12,8 @@
     JoinersLackEvacuations,
     /// A draining server is chosen like any other.
     ChoosesLeavingServers,
+    /// What servers say of their leaving in their answers is ignored.
+    IgnoresLeavingAnswers,
     /// A protected request is sent again after its answer was lost.
     RepeatsProtected,
     /// A request that may have run is refused as one that did not run.
@@ -34,11 +36,12 @@
 
 impl PlantedFault {
     /// All faults.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::ForgetsRepeats,
         Self::CountsTooFew,
         Self::JoinersLackEvacuations,
         Self::ChoosesLeavingServers,
+        Self::IgnoresLeavingAnswers,
         Self::RepeatsProtected,
         Self::RefusesUntruthfully,
         Self::ForgetsColdServers,
