--- a/crates/kingcuploft-entry/src/settings.rs
+++ b/crates/kingcuploft-entry/src/settings.rs
@@ -71,6 +71,8 @@
     pub cold_ms: &'static str,
     /// The header of an answer to a probe with the name of the server that answers.
     pub instance: &'static str,
+    /// The header with the seconds for which a server that refuses a request wants nothing more.
+    pub pause_s: &'static str,
     /// The header of a server that leaves.
     pub leaving: &'static str,
     /// The header that marks an answer to a request that did not run.
--- a/crates/kingcuploft-entry/src/upstream/server_signals.rs
+++ b/crates/kingcuploft-entry/src/upstream/server_signals.rs
@@ -18,9 +18,6 @@
 /// The status with which a server refuses a request and may ask for a pause.
 const UNAVAILABLE_STATUS: u16 = 503;
 
-/// The header with the pause, in seconds.
-const RETRY_AFTER: &str = "retry-after";
-
 /// The value of the header of a leaving server.
 const LEAVING_VALUE: &str = "1";
 
@@ -45,7 +42,7 @@
             return Self::default();
         }
         let pause = headers
-            .get(RETRY_AFTER)
+            .get(wire_names.pause_s)
             .filter(|_| status == UNAVAILABLE_STATUS);
         Self {
             is_leaving: headers.get(wire_names.leaving).map(str::trim) == Some(LEAVING_VALUE),
--- a/crates/kingcuploft-simulation/src/header_names.rs
+++ b/crates/kingcuploft-simulation/src/header_names.rs
@@ -12,6 +12,7 @@
     load: "x-load",
     limit: "x-limit",
     cold_ms: "x-cold-ms",
+    pause_s: "retry-after",
     instance: "x-instance",
     leaving: "x-leaving",
     not_run: "x-not-run",
