fix(upstream): a connection is opened only within the VM's share, also if others were opened since the server was chosen

Cause: the share is checked when a server is chosen or a probe begins, and the connection opened later; a probe's task runs after requests that were chosen meanwhile, a hedge sleeps between. Fix: the check stands where the connection is opened. A request that finds none counts as unsent; a probe is counted as without a connection, and the server not as mute. Evidence: a_probe_opens_no_connection_beyond_the_share_that_requests_have_used_since_it_began plays the order and sees 17 without the check, 16 with it.

--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -73,7 +73,8 @@
     left: Duration,
     started_at: Instant,
 ) -> AttemptOutcome {
-    let Ok(mut connection) = upstream.connect(&*context.network).await else {
+    let share = context.connection_share(&upstream.server.service);
+    let Ok(mut connection) = upstream.connect(&*context.network, share).await else {
         return AttemptOutcome::without_answer(AttemptEnd::Unsent, "no connection", started_at);
     };
     // Opening a connection may take a second, and the zone may have been evacuated meanwhile.
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -49,6 +49,17 @@
     Connection,
 }
 
+/// Why a call has no connection to a server.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectError {
+    /// All connections that this VM may have to the server are in use.
+    #[error("all connections of this VM's share are in use")]
+    ShareInUse,
+    /// No connection could be opened.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
+
 /// One backend server as this VM uses it.
 #[derive(Debug)]
 pub struct Upstream {
@@ -102,17 +113,26 @@
         self.open_connections.get() < share || !self.idle_connections.borrow().is_empty()
     }
 
-    /// Returns a connection from the pool, or a new one.
+    /// Returns a connection from the pool, or a new one, given that this VM may have `share` connections to the server.
     ///
     /// # Errors
     ///
-    /// Returns the system's error, or a timeout.
-    pub async fn connect(&self, network: &dyn Network) -> std::io::Result<Connection> {
+    /// Returns [`ConnectError::ShareInUse`] if other calls have taken the last connection since the server was selected,
+    /// and the system's error, or a timeout, if no connection could be opened.
+    pub async fn connect(
+        &self,
+        network: &dyn Network,
+        share: usize,
+    ) -> Result<Connection, ConnectError> {
         if let Some(connection) = self.take_idle() {
             return Ok(connection);
         }
+        if self.open_connections.get() >= share {
+            return Err(ConnectError::ShareInUse);
+        }
         let counted = ConnectionCount::increment(&self.open_connections);
-        Connection::open_counted(network, self.server.address, counted).await
+        let opened = Connection::open_counted(network, self.server.address, counted).await;
+        opened.map_err(ConnectError::Io)
     }
 
     /// Takes a reusable connection from the pool.
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -4,16 +4,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::Upstream;
 use super::probe_step::ProbeStep;
 use super::server_signals;
+use super::{ConnectError, Upstream};
 use crate::clock;
 use crate::cold_servers;
 use crate::context::Context;
 use crate::http::client::Response;
 use crate::http::headers::write_header;
 use crate::limits;
-use crate::network::Network;
 use crate::pauses;
 use crate::peers::load_reports;
 
@@ -60,7 +59,7 @@
 async fn probe(context: &Context, upstream: &Rc<Upstream>, request: &[u8]) {
     let started_at = clock::now();
     let step = Cell::new(ProbeStep::Connecting);
-    let mut asking = std::pin::pin!(exchange(&*context.network, upstream, request, &step));
+    let mut asking = std::pin::pin!(exchange(context, upstream, request, &step));
     if let Ok(answered) = tokio::time::timeout(PROBE_TIMEOUT, &mut asking).await {
         return finish(context, upstream, answered, &step, started_at);
     }
@@ -105,6 +104,9 @@
             upstream.record_load_report(now, reading);
             load_reports::share_report(context, &upstream.server.name, reading, Some(cold_for));
         }
+        None if matches!(step.get(), ProbeStep::NoConnection) => {
+            context.metrics.count_probe("no_connection");
+        }
         None => {
             context.metrics.count_probe("failed");
             upstream.probe_failed(now, step.get(), now - started_at);
@@ -115,13 +117,21 @@
 }
 
 async fn exchange(
-    network: &dyn Network,
+    context: &Context,
     upstream: &Upstream,
     request: &[u8],
     step: &Cell<ProbeStep>,
 ) -> Option<Response> {
     let is_pooled = upstream.has_idle_connection();
-    let mut connection = upstream.connect(network).await.ok()?;
+    let share = context.connection_share(&upstream.server.service);
+    let mut connection = match upstream.connect(&*context.network, share).await {
+        Ok(connection) => connection,
+        Err(ConnectError::ShareInUse) => {
+            step.set(ProbeStep::NoConnection);
+            return None;
+        }
+        Err(ConnectError::Io(_)) => return None,
+    };
     step.set(if is_pooled {
         ProbeStep::Pooled
     } else {
--- a/crates/kingcuploft-entry/src/upstream/probe_step.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe_step.rs
@@ -3,6 +3,8 @@
 /// The step at which a probe failed.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum ProbeStep {
+    /// All connections of this VM's share were in use: nothing was sent.
+    NoConnection,
     /// Opening a new connection.
     Connecting,
     /// Waiting for the answer on a new connection.
@@ -17,6 +19,7 @@
     /// Returns the name used in logs.
     pub(super) fn label(self) -> &'static str {
         match self {
+            Self::NoConnection => "no connection",
             Self::Connecting => "connecting",
             Self::New => "new connection",
             Self::Pooled => "kept connection",
--- a/crates/kingcuploft-entry/tests/entry/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -1,6 +1,8 @@
 //! Callers' connections: pipelined requests, bodies in chunks, ambiguous requests, callers that disconnect.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use kingcuploft_entry::upstream::probe;
 
 use crate::server::Behavior;
 use crate::testbed::{Testbed, booking, lookup, run_test, wait_until};
@@ -151,6 +153,27 @@
     });
 }
 
+/// Guards against a probe that opens a connection after requests have taken the last one of the VM's share.
+#[test]
+fn a_probe_opens_no_connection_beyond_the_share_that_requests_have_used_since_it_began() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Hang]).await;
+        let context = &testbed.vm.context;
+        context.vm_count.set(1);
+        let upstream = context.upstream("s0").unwrap();
+        let share = context.connection_share(&upstream.server.service);
+        let mut held = Vec::new();
+        for _ in 1..share {
+            held.push(upstream.connect(&*context.network, share).await.unwrap());
+        }
+        probe::start(context, &upstream, "/health");
+        held.push(upstream.connect(&*context.network, share).await.unwrap());
+        wait_until(|| !upstream.is_probe_in_flight()).await;
+        assert_eq!(testbed.servers[0].opened_connections.get() as usize, share);
+        assert!(!upstream.is_unresponsive(Instant::now()));
+    });
+}
+
 /// Guards against a VM that runs out of memory because of long bodies that stall.
 #[test]
 fn bodies_beyond_the_memory_are_refused_and_others_served() {
