fix(hedge): the load reports for a second send are waited for up to 20 ms, not looked at once after 5

Cause: a hedge is considered once; the reports of the other servers are asked for and looked at 5 ms later. A processor that is busy for longer, the VM's or the servers', costs the hedge, and the lookup waits until its deadline. Fix: where no server is good after 5 ms the reports are looked at each 2 ms until 20 ms. Where one is good at once nothing changes. Evidence: a server that answers probes 12 ms late reproduces it each time (r0: 504, 3 of 3), and holds now (3 of 3). That the one recorded failure was of this kind is suspected: it had no logs, and the old test did not fail in 296 runs beside six busy loops here.

--- a/crates/kingcuploft-entry/src/edge/hedge.rs
+++ b/crates/kingcuploft-entry/src/edge/hedge.rs
@@ -16,6 +16,9 @@
 /// How long the load reports that a hedge needs are waited for: a round trip to another zone, with a margin.
 const HEDGE_LOAD_REPORT_WAIT: Duration = Duration::from_millis(5);
 
+/// How long they are waited for if none of the servers is good by then.
+const MAX_HEDGE_LOAD_REPORT_WAIT: Duration = Duration::from_millis(20);
+
 /// The send that has not ended.
 enum Pending {
     First,
@@ -90,18 +93,7 @@
             .filter(|u| !Rc::ptr_eq(u, upstream))
             .collect();
         self.probe_upstreams(&other_upstreams, 1.0);
-        tokio::time::sleep(HEDGE_LOAD_REPORT_WAIT).await;
-        let now = clock::now();
-        let max_age =
-            self.context.max_load_report_age() + HEDGE_LOAD_REPORT_WAIT + LOAD_REPORT_POLL_INTERVAL;
-        let candidates = other_upstreams
-            .iter()
-            .map(|u| u.candidate(now, max_age, self.is_excluded(u, now)));
-        let candidates: Vec<Candidate> = candidates.collect();
-        let need = self.need(now, now, ProbeScope::Near);
-        let Step::Send(at) = place(&need, &candidates, fastrand::f64) else {
-            return None;
-        };
+        let at = self.place_hedge(&other_upstreams).await?;
         let after = match check.server_answers {
             true => "late",
             false => "silent",
@@ -110,6 +102,33 @@
         other_upstreams.get(at).filter(|_| has_budget).cloned()
     }
 
+    /// Returns the index of a server that is good by its load report, which was just asked for.
+    ///
+    /// Failure: this VM or the other servers answer some milliseconds late, as their processor is busy. If the reports
+    /// were looked at only once, the lookup would wait for a silent server until its deadline.
+    async fn place_hedge(&self, other_upstreams: &[Rc<Upstream>]) -> Option<usize> {
+        let asked_at = clock::now();
+        let mut wait = HEDGE_LOAD_REPORT_WAIT;
+        loop {
+            tokio::time::sleep(wait).await;
+            let now = clock::now();
+            let waited = now - asked_at;
+            let max_age = self.context.max_load_report_age() + waited + LOAD_REPORT_POLL_INTERVAL;
+            let candidates = other_upstreams
+                .iter()
+                .map(|u| u.candidate(now, max_age, self.is_excluded(u, now)));
+            let candidates: Vec<Candidate> = candidates.collect();
+            let need = self.need(now, now, ProbeScope::Near);
+            if let Step::Send(at) = place(&need, &candidates, fastrand::f64) {
+                return Some(at);
+            }
+            if waited >= MAX_HEDGE_LOAD_REPORT_WAIT {
+                return None;
+            }
+            wait = LOAD_REPORT_POLL_INTERVAL;
+        }
+    }
+
     fn expected_ms(&self, upstream: &Upstream) -> f64 {
         let now = clock::now();
         let work_ms = self.context.work_ms(&self.route, &self.service);
--- a/crates/kingcuploft-entry/tests/entry/answers.rs
+++ b/crates/kingcuploft-entry/tests/entry/answers.rs
@@ -8,6 +8,9 @@
 /// The most that an immediate refusal may take: far less than a request may wait for a server.
 const MAX_IMMEDIATE_WAIT: Duration = Duration::from_millis(500);
 
+/// How late a server on a busy processor answers a probe.
+const LATE_PROBE_ANSWER: Duration = Duration::from_millis(12);
+
 #[test]
 fn an_answer_is_forwarded_complete() {
     run_test(async {
@@ -113,6 +116,24 @@
     });
 }
 
+/// Guards against a lookup that waits for a silent server as the others' load reports come some milliseconds late.
+#[test]
+fn a_lookup_at_a_silent_server_is_answered_by_another_that_answers_probes_late() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Hang, Behavior::Answer]).await;
+        testbed.servers[1].probe_delay.set(LATE_PROBE_ANSWER);
+        let silent = &testbed.servers[0];
+        for at in 0..100 {
+            let request = lookup(&format!("r{at}")).replace("/look/", "/short/");
+            assert_eq!(testbed.ask(&request).await.status, 200, "r{at}");
+            if silent.runs.get() > 0 {
+                return;
+            }
+        }
+        panic!("the silent server was never met");
+    });
+}
+
 /// Guards against a request that is held until its deadline after each server has refused it.
 #[test]
 fn a_request_that_each_server_has_refused_is_refused_at_once() {
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -82,6 +82,8 @@
     pub(crate) probe_count: Rc<Cell<u32>>,
     /// For how many more milliseconds it says that it is cold.
     pub(crate) cold_ms: Rc<Cell<u32>>,
+    /// How long it takes to answer a probe.
+    pub(crate) probe_delay: Rc<Cell<Duration>>,
     /// With which pause, in milliseconds, it refuses probes; 0 answers them.
     pub(crate) probe_pause_ms: Rc<Cell<u32>>,
     /// In which answers it says that it leaves.
@@ -109,6 +111,7 @@
             cancelled: Rc::default(),
             probe_count: Rc::default(),
             cold_ms: Rc::default(),
+            probe_delay: Rc::default(),
             probe_pause_ms: Rc::default(),
             leaving_notice: Rc::default(),
             connections: Rc::default(),
@@ -157,6 +160,7 @@
         while let Some(request) = read_request(&mut stream, &mut bytes).await {
             if request.text.starts_with("GET /health ") {
                 self.probe_count.set(self.probe_count.get() + 1);
+                tokio::time::sleep(self.probe_delay.get()).await;
                 let cold = match self.cold_ms.get() {
                     0 => String::new(),
                     ms => format!("x-cold-ms: {ms}\r\n"),
