fix(servers): an entry without a start does not make the next one look like a later process

Entries may come from another writer and lack fields: a server that leaves by its own words, whose entry loses and regains its start, was taken into use again. Cause: a later start was told by comparing with the last entry. Fix: with the latest start that any entry has named. Evidence: an_entry_without_a_start_does_not_bring_back_a_server_that_leaves failed before and holds now.

--- a/crates/kingcuploft/src/entry/backend_servers.rs
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -134,6 +134,8 @@
 struct Known {
     server: BackendServer,
     state: ServerState,
+    /// The latest start that an entry has named; an entry of another writer may lack it.
+    latest_start: Option<StartedAt>,
     /// When its entry was removed, if it was.
     removed_at: Option<Instant>,
 }
@@ -198,6 +200,7 @@
         let Some(known) = self.known.get_mut(&name) else {
             let state = state_of(&server);
             let known = Known {
+                latest_start: server.started_at,
                 server,
                 state,
                 removed_at: None,
@@ -206,7 +209,8 @@
             return (state == ServerState::InUse).then_some(Change::Joined(name));
         };
         known.removed_at = None;
-        let is_later_start = server.started_at > known.server.started_at;
+        let is_later_start = server.started_at > known.latest_start;
+        known.latest_start = known.latest_start.max(server.started_at);
         if known.state == ServerState::Draining && !is_later_start {
             let is_stale = known.server.draining && !server.draining;
             if !is_stale {
@@ -253,8 +257,7 @@
     /// as the store is away, and longer at VMs that are behind.
     pub fn record_leaving(&mut self, name: &str, started_at: Option<StartedAt>) -> Option<Change> {
         let known = self.known.get_mut(name)?;
-        let is_earlier_process = started_at < known.server.started_at;
-        if is_earlier_process {
+        if started_at < known.latest_start {
             return None;
         }
         let before = std::mem::replace(&mut known.state, ServerState::Draining);
--- a/crates/kingcuploft/tests/entry/backend_servers.rs
+++ b/crates/kingcuploft/tests/entry/backend_servers.rs
@@ -204,3 +204,20 @@
     assert_eq!(servers.update(server("a")), None);
     assert!(!servers.takes_work("a"));
 }
+
+/// Guards against an entry of another writer without a start, after which the server's own entry looks like a later one.
+#[test]
+fn an_entry_without_a_start_does_not_bring_back_a_server_that_leaves() {
+    let mut servers = BackendServers::default();
+    let started = |at| BackendServer {
+        started_at: Some(at),
+        ..server("a")
+    };
+    servers.update(started(1));
+    assert!(servers.record_leaving("a", Some(1)).is_some());
+    servers.update(server("a"));
+    servers.update(started(1));
+    assert!(!servers.takes_work("a"));
+    assert!(servers.update(started(2)).is_some());
+    assert!(servers.takes_work("a"));
+}
