feat(selection): a pause asked for with 429 counts like one with 503

Evidence: the test of refusals while all servers want a pause has one server of each kind; it failed before (4 arrivals for 2) and holds now.

--- a/crates/kingcuploft-entry/src/upstream/server_signals.rs
+++ b/crates/kingcuploft-entry/src/upstream/server_signals.rs
@@ -15,8 +15,8 @@
 /// The status by which a server refuses a request that is meant for another server.
 pub(super) const MISDIRECTED_STATUS: u16 = 421;
 
-/// The status with which a server refuses a request and may ask for a pause.
-const UNAVAILABLE_STATUS: u16 = 503;
+/// The statuses with which a server refuses a request and may ask for a pause.
+const REFUSAL_STATUSES: [u16; 2] = [429, 503];
 
 /// The value of the header of a leaving server.
 const LEAVING_VALUE: &str = "1";
@@ -43,7 +43,7 @@
         }
         let pause = headers
             .get(wire_names.pause_s)
-            .filter(|_| status == UNAVAILABLE_STATUS);
+            .filter(|_| REFUSAL_STATUSES.contains(&status));
         Self {
             is_leaving: headers.get(wire_names.leaving).map(str::trim) == Some(LEAVING_VALUE),
             pause: pause.and_then(parse_seconds),
--- a/crates/kingcuploft-entry/tests/entry/pauses.rs
+++ b/crates/kingcuploft-entry/tests/entry/pauses.rs
@@ -80,7 +80,10 @@
 #[test]
 fn a_request_is_refused_at_once_while_all_servers_want_a_pause() {
     run_test(async {
-        let behaviors = [Behavior::ShedAndPause(LONG_PAUSE_MS); 2];
+        let behaviors = [
+            Behavior::ShedAndPause(LONG_PAUSE_MS),
+            Behavior::ThrottleAndPause(LONG_PAUSE_MS),
+        ];
         let testbed = Testbed::with(&behaviors).await;
         testbed.ask(&lookup("first")).await;
         let received = testbed.received_count();
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -30,6 +30,8 @@
     Shed,
     /// Refuses it, says that it did not run it, and wants no more requests for so many milliseconds.
     ShedAndPause(u32),
+    /// Like [`Self::ShedAndPause`], with the status for too many requests.
+    ThrottleAndPause(u32),
     /// Refuses it and says that another server has the address.
     Misdirected,
     /// Runs it, answers, and names so many requests a second as its limit.
@@ -194,7 +196,10 @@
         let behavior = self.behavior.get();
         let is_refused = matches!(
             behavior,
-            Behavior::Shed | Behavior::ShedAndPause(_) | Behavior::Misdirected
+            Behavior::Shed
+                | Behavior::ShedAndPause(_)
+                | Behavior::ThrottleAndPause(_)
+                | Behavior::Misdirected
         );
         if !is_refused {
             self.runs.set(self.runs.get() + 1);
@@ -228,10 +233,8 @@
             Behavior::Shed => {
                 "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
             }
-            Behavior::ShedAndPause(pause_ms) => {
-                let pause = pause_header(pause_ms);
-                format!("HTTP/1.1 503 Full\r\nx-not-run: 1\r\n{pause}Content-Length: 0\r\n\r\n")
-            }
+            Behavior::ShedAndPause(pause_ms) => refusal_with_pause("503 Full", pause_ms),
+            Behavior::ThrottleAndPause(pause_ms) => refusal_with_pause("429 Many", pause_ms),
             Behavior::Misdirected => {
                 "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n".to_owned()
             }
@@ -263,6 +266,11 @@
     }
 }
 
+fn refusal_with_pause(status: &str, pause_ms: u32) -> String {
+    let pause = pause_header(pause_ms);
+    format!("HTTP/1.1 {status}\r\nx-not-run: 1\r\n{pause}Content-Length: 0\r\n\r\n")
+}
+
 fn pause_header(pause_ms: u32) -> String {
     format!("Retry-After: {}\r\n", f64::from(pause_ms) / 1000.0)
 }
