--- a/crates/kingcuploft-entry/src/limits.rs
+++ b/crates/kingcuploft-entry/src/limits.rs
@@ -18,6 +18,9 @@
 use crate::peers::peer_socket::PeerMessage;
 use crate::upstream::Upstream;
 
+/// By how much the planted fault delays limits: longer than VMs may take to learn of one.
+const PLANTED_DELAY: Duration = Duration::from_secs(3);
+
 /// The kind of answer that a limit header was or was not found in.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerKind {
@@ -36,6 +39,8 @@
 ) {
     let value = headers.get(context.wire_names.limit);
     let value = value.filter(|_| !planted::is_on(PlantedFault::IgnoresLimits));
+    let (fault, now) = (PlantedFault::AppliesLimitsLate, clock::now());
+    let value = value.filter(|_| !planted::is_delayed(fault, server, now, PLANTED_DELAY));
     let per_s = value.and_then(parse_limit);
     match (value, per_s, answer) {
         (Some(value), None, _) => {
--- a/crates/kingcuploft-simulation/src/server.rs
+++ b/crates/kingcuploft-simulation/src/server.rs
@@ -237,7 +237,12 @@
         {
             return AfterRequest::Close;
         }
-        write(end, &self.complete_answer(&id)).await
+        let names_limit = self.faults.limit.get().is_some();
+        let written = write(end, &self.complete_answer(&id)).await;
+        if let (true, AfterRequest::Keep) = (names_limit, &written) {
+            self.history.record_limit_told(self.index);
+        }
+        written
     }
 
     /// Returns the refusal of a VM's request.
