--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -34,4 +34,5 @@
 pub mod store_sync;
 pub mod store_watcher;
 pub mod upstream;
+mod usable_servers;
 mod zone_list;
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -19,6 +19,7 @@
 pub mod failure_rate;
 pub mod fingerprint;
 pub mod hedging;
+mod known_limit;
 pub mod last_slot_slowdown;
 pub mod limit_notice;
 pub mod log_rate_limiter;
--- a/crates/kingcuploft/src/entry/server_limits.rs
+++ b/crates/kingcuploft/src/entry/server_limits.rs
@@ -6,6 +6,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::known_limit::{Cold, Known, Named};
 use super::limit_notice;
 pub use super::limit_notice::LimitNotice;
 use super::notice_id::NoticeId;
@@ -31,58 +32,6 @@
     Ended(NoticeId),
 }
 
-/// The limit that a server has named.
-#[derive(Clone, Copy, Debug)]
-struct Named {
-    per_s: PerSecond,
-    since: Instant,
-    /// Whether the store has its notice.
-    is_stored: bool,
-}
-
-/// The limit of a cold server.
-#[derive(Clone, Copy, Debug)]
-struct Cold {
-    per_s: PerSecond,
-    recorded_at: Instant,
-    until: Instant,
-}
-
-/// The limit of a server: the one that it named, that of its cold start, or the lower of both.
-#[derive(Clone, Debug)]
-struct Known {
-    limit: ServerLimit,
-    named: Option<Named>,
-    cold: Option<Cold>,
-    /// The earliest time of the next available turn, as far as known.
-    next_turn_at: Instant,
-}
-
-impl Known {
-    fn new(now: Instant, limit: ServerLimit) -> Self {
-        Self {
-            limit,
-            named: None,
-            cold: None,
-            next_turn_at: now,
-        }
-    }
-
-    /// Returns the server's limit, if there is one.
-    fn per_s(&self) -> Option<PerSecond> {
-        let named = self.named.map(|named| named.per_s);
-        let cold = self.cold.map(|cold| cold.per_s);
-        named.into_iter().chain(cold).min_by(f64::total_cmp)
-    }
-
-    /// Applies the limit that is effective now.
-    fn renew(&mut self, now: Instant, share: impl FnOnce(PerSecond) -> LimitShare) {
-        if let Some(per_s) = self.per_s() {
-            self.limit.update(now, per_s, share(per_s));
-        }
-    }
-}
-
 /// Whether a server became cold.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ColdChange {
