--- a/crates/kingcuploft-entry/src/upstream/server_signals.rs
+++ b/crates/kingcuploft-entry/src/upstream/server_signals.rs
@@ -37,13 +37,11 @@
     /// Returns what the answer of a server says. The answer of a server that the request was not meant for says nothing
     /// of the one that it was meant for.
     pub fn of_answer(wire_names: &WireNames, response: &Response) -> Self {
-        let (status, headers) = (response.head.status, &response.head.headers);
-        if status == MISDIRECTED_STATUS {
+        let headers = &response.head.headers;
+        if response.head.status == MISDIRECTED_STATUS {
             return Self::default();
         }
-        let pause = headers
-            .get(wire_names.pause_s)
-            .filter(|_| REFUSAL_STATUSES.contains(&status));
+        let pause = requested_pause(wire_names, response);
         Self {
             is_leaving: headers.get(wire_names.leaving).map(str::trim) == Some(LEAVING_VALUE),
             pause: pause.and_then(parse_seconds),
@@ -55,6 +53,17 @@
 pub(super) fn apply_answer(context: &Context, upstream: &Upstream, response: &Response) {
     let signals = ServerSignals::of_answer(&context.wire_names, response);
     apply(context, upstream, signals);
+    let pause = requested_pause(&context.wire_names, response);
+    if let Some(value) = pause.filter(|value| parse_seconds(value).is_none()) {
+        log_unreadable_pause(context, upstream, value);
+    }
+}
+
+fn log_unreadable_pause(context: &Context, upstream: &Upstream, value: &str) {
+    if context.writes_ordinary_line(clock::now()) {
+        let server = &upstream.server.name;
+        tracing::info!(event = "pause_unreadable", %server, value);
+    }
 }
 
 /// Applies what the answer to a probe says of its server, unless another server has answered.
@@ -75,6 +84,13 @@
     }
 }
 
+/// Returns the pause that a refusal asks for, as the server wrote it.
+fn requested_pause<'a>(wire_names: &WireNames, response: &'a Response) -> Option<&'a str> {
+    let is_refusal = REFUSAL_STATUSES.contains(&response.head.status);
+    let pause = response.head.headers.get(wire_names.pause_s);
+    pause.filter(|_| is_refusal)
+}
+
 fn parse_seconds(value: &str) -> Option<Duration> {
     let seconds: f64 = value.trim().parse().ok()?;
     (seconds > 0.0).then(|| {
