fix(limits): a server that told one VM that it leaves keeps its limit in the store until its entry says so

Cause: 'in use' was asked of this VM's table. Fix: asked whether any VM may use it: a server that left by its own words counts until its entry says so or is gone. Evidence: the_limit_of_a_server_stays_in_the_store_until_its_entry_says_that_it_leaves failed before (the notice is gone after 5.5 s) and holds now.

--- a/crates/kingcuploft-entry/src/notices.rs
+++ b/crates/kingcuploft-entry/src/notices.rs
@@ -99,7 +99,8 @@
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
         let mut outdated = context.quarantine.borrow().expired_reports(clock::now());
-        let is_in_use = |server: &str| context.with_servers(|servers| servers.takes_work(server));
+        let is_in_use =
+            |server: &str| context.with_servers(|servers| servers.may_be_in_use_anywhere(server));
         outdated.extend(context.limits.borrow_mut().retain_in_use(is_in_use));
         for id in outdated.into_iter().filter(|_| store_access.is_reading()) {
             withdraw(&context, id);
--- a/crates/kingcuploft-entry/tests/entry/leaving.rs
+++ b/crates/kingcuploft-entry/tests/entry/leaving.rs
@@ -1,5 +1,7 @@
 //! Servers that leave, as their own answers say it.
 
+use std::time::Duration;
+
 use kingcuploft::entry::backend_servers::BackendServer;
 
 use crate::server::{Behavior, LeavingNotice};
@@ -8,6 +10,9 @@
 /// How many requests are sent to two servers, of which each would get about half.
 const REQUESTS: usize = 30;
 
+/// Longer than the interval at which VMs withdraw what they know of servers that are not in use.
+const NOTICE_EXPIRY_TIME: Duration = Duration::from_millis(5_500);
+
 /// Sends lookups and bookings in turn, one after the other; all must be served.
 async fn ask(testbed: &Testbed, prefix: &str) {
     for at in 0..REQUESTS {
@@ -105,3 +110,37 @@
         assert!(testbed.vm.context.upstream("s0").is_some());
     });
 }
+
+/// Guards against a VM that withdraws a server's limit for all VMs, as the server has told it alone that it leaves.
+#[test]
+fn the_limit_of_a_server_stays_in_the_store_until_its_entry_says_that_it_leaves() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::NameLimit(2), Behavior::Answer]).await;
+        let context = &testbed.vm.context;
+        let has_notice = || !testbed.store.notices.borrow().is_empty();
+        ask(&testbed, "limited").await;
+        wait_until(has_notice).await;
+        testbed.servers[0].leaving_notice.set(LeavingNotice::All);
+        wait_until_left(&testbed).await;
+        tokio::time::sleep(NOTICE_EXPIRY_TIME).await;
+        assert!(has_notice());
+        assert!(context.limits.borrow().per_s("s0").is_some());
+        testbed.store.write_backend_server(BackendServer {
+            draining: true,
+            ..entry(0, &testbed.servers[0])
+        });
+        wait_until(|| !has_notice()).await;
+    });
+}
+
+/// Sends lookups until the VM has heard from the first server that it leaves.
+async fn wait_until_left(testbed: &Testbed) {
+    for at in 0..100 {
+        testbed.ask(&lookup(&format!("until-left{at}"))).await;
+        if testbed.vm.context.upstream("s0").is_none() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("it was not heard");
+}
--- a/crates/kingcuploft/src/entry/backend_servers.rs
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -342,6 +342,17 @@
         known.is_some_and(|k| matches!(k.state, ServerState::InUse | ServerState::LapsesAt(_)))
     }
 
+    /// Returns whether some VM may send a server requests: this one, or others that do not know yet that it leaves, as it
+    /// has told this one itself and its entry does not say so.
+    pub fn may_be_in_use_anywhere(&self, name: &str) -> bool {
+        let left_by_own_words = |known: &Known| {
+            known.state == ServerState::Draining
+                && !known.server.draining
+                && known.removed_at.is_none()
+        };
+        self.takes_work(name) || self.known.get(name).is_some_and(left_by_own_words)
+    }
+
     /// Returns whether a server is already known exactly like this.
     pub fn is_known(&self, server: &BackendServer) -> bool {
         let known = self.known.get(&server.name);
--- a/crates/kingcuploft/tests/entry/backend_servers.rs
+++ b/crates/kingcuploft/tests/entry/backend_servers.rs
@@ -221,3 +221,20 @@
     assert!(servers.update(started(2)).is_some());
     assert!(servers.takes_work("a"));
 }
+
+/// Guards against a VM that withdraws for all what they must know of a server, as that server has told it that it leaves.
+#[test]
+fn a_server_that_told_one_vm_that_it_leaves_may_still_be_in_use_at_others() {
+    let now = Instant::now();
+    let mut servers = BackendServers::default();
+    servers.update(server("a"));
+    servers.record_leaving("a", None);
+    assert!(!servers.takes_work("a"));
+    assert!(servers.may_be_in_use_anywhere("a"));
+    servers.update(draining_server("a"));
+    assert!(!servers.may_be_in_use_anywhere("a"), "its entry says so");
+    servers.update(server("b"));
+    servers.record_leaving("b", None);
+    servers.remove(now, "b");
+    assert!(!servers.may_be_in_use_anywhere("b"), "its entry is gone");
+}
