--- a/crates/kingcuploft-entry/src/edge/hedge.rs
+++ b/crates/kingcuploft-entry/src/edge/hedge.rs
@@ -10,15 +10,13 @@
 use super::active_request::ActiveRequest;
 use super::selection::LOAD_REPORT_POLL_INTERVAL;
 use crate::clock;
+use crate::upstream::Upstream;
 use crate::upstream::exchange::AttemptOutcome;
-use crate::upstream::{Upstream, probe};
+use crate::upstream::probe::{self, PROBE_TIMEOUT};
 
 /// How long the load reports that a hedge needs are waited for: a round trip to another zone, with a margin.
 const HEDGE_LOAD_REPORT_WAIT: Duration = Duration::from_millis(5);
 
-/// How long they are waited for if none of the servers is good by then.
-const MAX_HEDGE_LOAD_REPORT_WAIT: Duration = Duration::from_millis(20);
-
 /// The send that has not ended.
 enum Pending {
     First,
@@ -104,8 +102,9 @@
 
     /// Returns the index of a server that is good by its load report, which was just asked for.
     ///
-    /// Failure: this VM or the other servers answer some milliseconds late, as their processor is busy. If the reports
-    /// were looked at only once, the lookup would wait for a silent server until its deadline.
+    /// Failure: this VM or the other servers are some milliseconds late, as their processor is busy. If the reports were
+    /// looked at only once, the lookup would wait for a silent server until its deadline. So they are waited for as long
+    /// as a probe may take.
     async fn place_hedge(&self, other_upstreams: &[Rc<Upstream>]) -> Option<usize> {
         let asked_at = clock::now();
         let mut wait = HEDGE_LOAD_REPORT_WAIT;
@@ -122,7 +121,7 @@
             if let Step::Send(at) = place(&need, &candidates, fastrand::f64) {
                 return Some(at);
             }
-            if waited >= MAX_HEDGE_LOAD_REPORT_WAIT {
+            if waited >= PROBE_TIMEOUT {
                 return None;
             }
             wait = LOAD_REPORT_POLL_INTERVAL;
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -17,7 +17,7 @@
 use crate::peers::load_reports;
 
 /// How long a probe may take: many times the longest round trip of a region.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// How much longer the answer on a new connection is waited for: the work at a fully loaded server ends within it.
 const LATE_ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
