--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -25,8 +25,8 @@
 /// The most bytes of the answer to a probe.
 const MAX_PROBE_RESPONSE_BYTES: usize = 16 * 1024;
 
-/// Starts a probe of a server, unless its last load report is fresh, a probe is in flight, it did not answer lately, or it wants
-/// nothing now.
+/// Starts a probe of a server, unless its last load report is fresh, a probe is in flight, it did not answer lately, or
+/// it wants nothing now.
 pub fn start(context: &Rc<Context>, upstream: &Rc<Upstream>, health_path: &str) {
     let now = clock::now();
     let fresh = upstream.has_fresh_load_report(now, context.max_load_report_age());
