--- a/crates/kingcuploft-entry/src/edge/attempt.rs
+++ b/crates/kingcuploft-entry/src/edge/attempt.rs
@@ -50,6 +50,15 @@
     is_pending: bool,
 }
 
+/// What the log line of an attempt says of its end.
+struct LoggedEnd {
+    end: &'static str,
+    detail: &'static str,
+    no_connection: Option<&'static str>,
+    took: Duration,
+    signals: ServerSignals,
+}
+
 impl<'a> AttemptRecord<'a> {
     fn start(active: &'a ActiveRequest<'a>, upstream: &Rc<Upstream>) -> Self {
         let sent_at = clock::now();
@@ -88,11 +97,18 @@
             let response = outcome.response.as_ref();
             let signals = response.map(|r| ServerSignals::of_answer(&context.wire_names, r));
             let signals = signals.unwrap_or_default();
-            self.log(outcome.end.label(), outcome.detail, outcome.took, signals);
+            self.log(LoggedEnd {
+                end: outcome.end.label(),
+                detail: outcome.detail,
+                no_connection: outcome.no_connection,
+                took: outcome.took,
+                signals,
+            });
         }
     }
 
-    fn log(&self, end: &'static str, detail: &'static str, took: Duration, signals: ServerSignals) {
+    fn log(&self, logged: LoggedEnd) {
+        let signals = logged.signals;
         let request = self.active.request;
         tracing::info!(
             event = "attempt",
@@ -105,10 +121,11 @@
             waiting = self.load_report.map(|(_, r)| r.waiting),
             slowness = self.slowness(),
             waited_ms = (self.sent_at - request.arrived).as_millis() as u64,
-            took_ms = took.as_millis() as u64,
+            took_ms = logged.took.as_millis() as u64,
             left_ms = self.remaining.as_millis() as u64,
-            end,
-            detail,
+            end = logged.end,
+            detail = logged.detail,
+            no_connection = logged.no_connection,
             leaving = signals.is_leaving.then_some(true),
             pause_ms = signals.pause.map(|pause| pause.as_millis() as u64),
         );
@@ -120,8 +137,13 @@
         if self.is_pending {
             let why = "the caller left, or another server answered first";
             self.active.context.metrics.count_attempt("cancelled");
-            let took = clock::since(self.sent_at);
-            self.log("cancelled", why, took, ServerSignals::default());
+            self.log(LoggedEnd {
+                end: "cancelled",
+                detail: why,
+                no_connection: None,
+                took: clock::since(self.sent_at),
+                signals: ServerSignals::default(),
+            });
         }
     }
 }
--- a/crates/kingcuploft-entry/src/peers/load_reports.rs
+++ b/crates/kingcuploft-entry/src/peers/load_reports.rs
@@ -19,6 +19,7 @@
 use crate::cold_servers;
 use crate::context::Context;
 use crate::limits;
+use crate::upstream::ReportSource;
 
 /// The most VMs of a zone that share all load reports. In a larger zone each VM probes servers of its own, and sharing
 /// all reports would cost more than it saves.
@@ -102,7 +103,7 @@
                     let asked_at = now.checked_sub(MAX_REPORT_AGE).unwrap_or(now);
                     cold_servers::apply_probe_answer(context, &upstream, cold_for, asked_at);
                 }
-                upstream.record_load_report(now, report);
+                upstream.record_load_report(now, report, ReportSource::OtherVm);
                 context.load_report_received.notify_waiters();
             }
         }
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -5,8 +5,8 @@
 
 use kingcuploft::entry::attempts::AttemptEnd;
 
-use super::Upstream;
 use super::server_signals::{self, MISDIRECTED_STATUS};
+use super::{ConnectError, ReportSource, Upstream};
 use crate::clock;
 use crate::context::Context;
 use crate::edge::request::Request;
@@ -32,6 +32,8 @@
     pub took: Duration,
     /// The details of the end, for logs and for the answer to the caller.
     pub detail: &'static str,
+    /// Why there was no connection, for logs.
+    pub no_connection: Option<&'static str>,
 }
 
 impl AttemptOutcome {
@@ -41,6 +43,14 @@
             response: None,
             took: clock::since(started_at),
             detail,
+            no_connection: None,
+        }
+    }
+
+    fn without_connection(error: &ConnectError, started_at: Instant) -> Self {
+        Self {
+            no_connection: Some(error.label()),
+            ..Self::without_answer(AttemptEnd::Unsent, "no connection", started_at)
         }
     }
 }
@@ -74,8 +84,9 @@
     started_at: Instant,
 ) -> AttemptOutcome {
     let share = context.connection_share(&upstream.server.service);
-    let Ok(mut connection) = upstream.connect(&*context.network, share).await else {
-        return AttemptOutcome::without_answer(AttemptEnd::Unsent, "no connection", started_at);
+    let mut connection = match upstream.connect(&*context.network, share).await {
+        Ok(connection) => connection,
+        Err(error) => return AttemptOutcome::without_connection(&error, started_at),
     };
     // Opening a connection may take a second, and the zone may have been evacuated meanwhile.
     if !context.takes_work(upstream) {
@@ -113,7 +124,7 @@
     server_signals::apply_answer(context, upstream, &response);
     let load = response.head.headers.get(context.wire_names.load);
     if let Some(reading) = load.and_then(context.wire_names.parse_load) {
-        upstream.record_load_report(clock::now(), reading);
+        upstream.record_load_report(clock::now(), reading, ReportSource::Own);
         load_reports::share_report(context, &upstream.server.name, reading, None);
     }
     upstream.release(connection);
@@ -131,6 +142,7 @@
         response: Some(response),
         took: clock::since(started_at),
         detail,
+        no_connection: None,
     }
 }
 
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 pub mod server_signals;
 
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::backend_servers::BackendServer;
@@ -60,6 +61,37 @@
     Io(#[from] std::io::Error),
 }
 
+impl ConnectError {
+    /// Returns the name used in logs.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::ShareInUse => "share in use",
+            Self::Io(error) if error.kind() == ErrorKind::TimedOut => "timed out",
+            Self::Io(error) if error.kind() == ErrorKind::ConnectionRefused => "refused",
+            Self::Io(_) => "failed",
+        }
+    }
+}
+
+/// Who learned a load report from the server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReportSource {
+    /// This VM, by a probe or by the answer to a request.
+    Own,
+    /// Another VM of the zone.
+    OtherVm,
+}
+
+impl ReportSource {
+    /// Returns the name used in logs.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::OtherVm => "another VM",
+        }
+    }
+}
+
 /// One backend server as this VM uses it.
 #[derive(Debug)]
 pub struct Upstream {
@@ -156,10 +188,11 @@
     }
 
     /// Records a load report of the server.
-    pub fn record_load_report(&self, now: Instant, reading: LoadReport) {
+    pub fn record_load_report(&self, now: Instant, reading: LoadReport, source: ReportSource) {
         self.last_load_report.set(Some((now, reading)));
         if self.probe_backoff.take().is_some() {
-            tracing::info!(event = "server_heard", server = %self.server.name);
+            let by = source.label();
+            tracing::info!(event = "server_heard", server = %self.server.name, by);
         }
     }
 
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -6,7 +6,7 @@
 
 use super::probe_step::ProbeStep;
 use super::server_signals;
-use super::{ConnectError, Upstream};
+use super::{ConnectError, ReportSource, Upstream};
 use crate::clock;
 use crate::cold_servers;
 use crate::context::Context;
@@ -101,7 +101,7 @@
         Some((reading, cold_for)) => {
             context.metrics.count_probe("answered");
             cold_servers::apply_probe_answer(context, upstream, cold_for, started_at);
-            upstream.record_load_report(now, reading);
+            upstream.record_load_report(now, reading, ReportSource::Own);
             load_reports::share_report(context, &upstream.server.name, reading, Some(cold_for));
         }
         None if matches!(step.get(), ProbeStep::NoConnection) => {
