--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::context::Context;
 use crate::edge::{connection, readiness};
+use crate::network::{Network, Tcp};
 use crate::notices;
 use crate::peers::dial::{self, Dial};
 use crate::peers::feeder;
@@ -101,6 +102,20 @@
     settings: EntrySettings,
     wire_names: WireNames,
     store: S,
+) -> Result<Running, StartError> {
+    start_with_network(Rc::new(Tcp), settings, wire_names, store).await
+}
+
+/// Starts a VM that reaches backend servers through `network`; its tasks run in the current `LocalSet`.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be bound.
+pub async fn start_with_network<S: Store + 'static>(
+    network: Rc<dyn Network>,
+    settings: EntrySettings,
+    wire_names: WireNames,
+    store: S,
 ) -> Result<Running, StartError> {
     let callers = listen(settings.caller_address)?;
     let ready = listen(settings.readiness_address)?;
@@ -110,7 +125,7 @@
         at(&ready, settings.readiness_address),
     );
     tracing::info!(event = "started", vm = %settings.vm, zone = %settings.zone);
-    let context = Rc::new(Context::new(settings, wire_names));
+    let context = Rc::new(Context::with_network(network, settings, wire_names));
     let store = Rc::new(store);
     let store_access = Rc::new(StoreAccess::default());
     tokio::task::spawn_local(readiness::serve(context.clone(), ready));
--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -7,6 +7,7 @@
 use kingcuploft::entry::repeat_account::UsageReport;
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::entry::zone_record::ZoneRecord;
+use kingcuploft_entry::network::{Network, Tcp};
 use kingcuploft_entry::peers::followers::Followers;
 use kingcuploft_entry::peers::frame::Frame;
 use kingcuploft_entry::run::{self, Running};
@@ -19,11 +20,22 @@
 
 /// Starts a VM of a zone, for which it is known that it has repeated nothing before.
 pub(crate) async fn start_in_zone(name: &str, store: &TestStore) -> Running {
+    start_with_network(Rc::new(Tcp), "thun", name, store).await
+}
+
+/// Starts a VM of this zone that reaches backend servers through `network`.
+pub(crate) async fn start_with_network(
+    network: Rc<dyn Network>,
+    zone: &str,
+    name: &str,
+    store: &TestStore,
+) -> Running {
     let settings = EntrySettings {
+        zone: zone.into(),
         peer_address: Some(([127, 0, 0, 1], 0).into()),
         ..settings(name)
     };
-    let vm = run::start(settings, HEADER_NAMES, store.clone())
+    let vm = run::start_with_network(network, settings, HEADER_NAMES, store.clone())
         .await
         .unwrap();
     vm.context.recover_repeats(&UsageReport {
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -5,6 +5,8 @@
 mod answers;
 mod callers;
 mod cold;
+mod cut_off;
+mod cuttable;
 mod evacuation;
 mod following;
 mod leaving;
