fix(upstream): another VM's load report doesn't end the silence of a server that this VM can't reach

What callers saw: publications at a VM that was cut off from all servers went into dead connections and got 504 after their whole deadline, others waited 300 ms for a connection and were refused. Cause: VMs of a zone tell each other the load reports that they get; such a report ended the pause after this VM's own failed probe and counted as fresh, so that it didn't ask itself again (108 `server_mute` and 115 `server_heard` in nine seconds at front-thun-3, without a byte from a server). The class: what others see taken for one's own sight. While own probes of a server fail, only an own answer counts. `server_heard` needs no `by` any more. Evidence: a_load_report_of_another_vm_does_not_stand_for_a_path_to_the_server failed before (a report 16 us old at a server that is cut off).

--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -82,16 +82,6 @@
     OtherVm,
 }
 
-impl ReportSource {
-    /// Returns the name used in logs.
-    fn label(self) -> &'static str {
-        match self {
-            Self::Own => "own",
-            Self::OtherVm => "another VM",
-        }
-    }
-}
-
 /// One backend server as this VM uses it.
 #[derive(Debug)]
 pub struct Upstream {
@@ -187,12 +177,17 @@
         }
     }
 
-    /// Records a load report of the server.
+    /// Records a load report of the server. One that another VM got does not count while this VM's own probes fail: it
+    /// says nothing of the path from here.
     pub fn record_load_report(&self, now: Instant, reading: LoadReport, source: ReportSource) {
+        let is_mute = self.probe_backoff.get().is_some();
+        if is_mute && source == ReportSource::OtherVm {
+            return;
+        }
         self.last_load_report.set(Some((now, reading)));
-        if self.probe_backoff.take().is_some() {
-            let by = source.label();
-            tracing::info!(event = "server_heard", server = %self.server.name, by);
+        if is_mute {
+            self.probe_backoff.set(None);
+            tracing::info!(event = "server_heard", server = %self.server.name);
         }
     }
 
--- a/crates/kingcuploft-entry/tests/entry/cut_off.rs
+++ b/crates/kingcuploft-entry/tests/entry/cut_off.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use kingcuploft_entry::peers::load_reports;
+use kingcuploft_entry::peers::peer_socket::PeerMessage;
 use kingcuploft_entry::run::Running;
 
 use crate::cuttable::{Cut, CuttableNetwork};
@@ -29,6 +31,12 @@
 /// How long a request takes at a server.
 const WORK_TIME: Duration = Duration::from_millis(5);
 
+/// How long it takes at a server whose slots are to be taken.
+const LONG_WORK_TIME: Duration = Duration::from_millis(20);
+
+/// How many callers ask at the same time: more than there are open connections.
+const CALLERS: usize = 6;
+
 /// VMs, each with a network of its own to the servers that they share.
 pub(crate) struct Fleet {
     pub(crate) vms: Vec<Running>,
@@ -94,6 +102,19 @@
         served as f64 / TRIES as f64
     }
 
+    /// Sends first tries to a VM by several callers at once; returns the share that was served.
+    pub(crate) async fn served_by_callers(self: &Rc<Self>, vm: usize, name: &str) -> f64 {
+        let callers = (0..CALLERS).map(|caller| {
+            let (fleet, name) = (self.clone(), format!("{name}-{caller}"));
+            tokio::task::spawn_local(async move { fleet.served_share(vm, &name).await })
+        });
+        let mut served = 0.0;
+        for caller in callers.collect::<Vec<_>>() {
+            served += caller.await.unwrap();
+        }
+        served / CALLERS as f64
+    }
+
     /// Returns how many requests the servers ran more than once.
     pub(crate) fn run_twice(&self) -> usize {
         let received = self
@@ -113,14 +134,14 @@
 
 /// Cuts a VM among three of its zone off, and checks the first tries there from three seconds on.
 async fn check_lone_vm(cut: Cut) {
-    let behaviors = [Behavior::AnswerAfter(WORK_TIME); 4];
-    let fleet = Fleet::of(&["thun"; 3], &behaviors).await;
+    let behaviors = [Behavior::AnswerAfter(LONG_WORK_TIME); 4];
+    let fleet = Rc::new(Fleet::of(&["thun"; 3], &behaviors).await);
     assert_eq!(fleet.served_share(0, "before").await, 1.0);
     fleet.cut(0, cut);
     let cut_at = Instant::now();
     fleet.served_share(0, "soon").await;
     tokio::time::sleep(CONTACT_TIME.saturating_sub(cut_at.elapsed())).await;
-    let served = fleet.served_share(0, "cut").await;
+    let served = fleet.served_by_callers(0, "cut").await;
     assert!(served >= MIN_SERVED_SHARE, "{cut:?}: {served}");
     assert_eq!(fleet.run_twice(), 0);
 }
@@ -171,3 +192,32 @@
         assert_eq!(fleet.run_twice(), 0);
     });
 }
+
+/// Guards against a VM that sends to a server which it can't reach, since another VM of the zone tells that server's load.
+#[test]
+fn a_load_report_of_another_vm_does_not_stand_for_a_path_to_the_server() {
+    run_test(async {
+        let fleet = Fleet::of(&["thun"], &[Behavior::Answer]).await;
+        assert_eq!(fleet.ask(0, &lookup("before")).await.status, 200);
+        fleet.cut(0, Cut::Silent);
+        let context = &fleet.vms[0].context;
+        let upstream = context.upstream("s0").unwrap();
+        while !upstream.is_unresponsive(Instant::now()) {
+            fleet.ask(0, &lookup("cut").replace("4000", "100")).await;
+        }
+        let report = PeerMessage::LoadReport {
+            server: "s0".into(),
+            running: 0,
+            waiting: 0,
+            slots: 4,
+            slowness: 1.0,
+            cold_ms: None,
+        };
+        load_reports::handle_message(context, &report, fleet.vms[0].caller_address);
+        assert!(upstream.is_unresponsive(Instant::now()));
+        assert_eq!(upstream.load_report(Instant::now()), None);
+        fleet.networks[0].heal();
+        tokio::time::sleep(CONTACT_TIME).await;
+        assert_eq!(fleet.ask(0, &lookup("after")).await.status, 200);
+    });
+}
