fix(attempts): an attempt of which nothing was sent uses up no repeat

What callers saw: at a VM that couldn't open connections, 503 after 300 ms for each request, though it hadn't tried a second server. Cause: an attempt without a connection counted as an arrival, so each next one asked for a repeat; after fourteen the budget was empty (`after` unsent, `room` false). The bound is on arrivals at servers, and nothing arrives over a connection that was never opened. Up to four such attempts are now followed by another one without a repeat; the cap keeps a request from going through all servers of a large service.

--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -113,8 +113,10 @@
         if now >= self.deadline || disconnect.is_set() {
             return false;
         }
-        self.context
-            .request_repeat(&self.wanted_repeat(end.label()))
+        !self.attempts.next_is_repeat()
+            || self
+                .context
+                .request_repeat(&self.wanted_repeat(end.label()))
     }
 
     pub(super) fn wanted_repeat(&self, after: &'static str) -> WantedRepeat<'_> {
--- a/crates/kingcuploft/src/entry/attempts.rs
+++ b/crates/kingcuploft/src/entry/attempts.rs
@@ -7,6 +7,10 @@
 use crate::planted::{self, PlantedFault};
 use crate::world::contract::Contract;
 
+/// How many attempts without a connection are followed by another one without a repeat from the budget: enough to meet a
+/// server that is up while some are down, few enough that a request does not go through all of a large service.
+const MAX_FREE_UNSENT: u32 = 4;
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptEnd {
@@ -64,6 +68,7 @@
     max_attempts: u32,
     ran: u32,
     sent: u32,
+    unsent: u32,
 }
 
 impl Attempts {
@@ -74,6 +79,7 @@
             max_attempts: most.max(1),
             ran: 0,
             sent: 0,
+            unsent: 0,
         }
     }
 
@@ -87,6 +93,11 @@
         self.sent
     }
 
+    /// Returns whether the next attempt counts as a repeat: an earlier one may have reached a server.
+    pub fn next_is_repeat(&self) -> bool {
+        self.sent > self.unsent || self.unsent > MAX_FREE_UNSENT
+    }
+
     /// Returns whether any attempt may have run.
     pub fn may_have_run(&self) -> bool {
         self.ran > 0
@@ -106,6 +117,9 @@
         if end.may_have_run() {
             self.ran += 1;
         }
+        if end == AttemptEnd::Unsent {
+            self.unsent += 1;
+        }
         match end {
             AttemptEnd::Succeeded => NextAction::PassOn,
             AttemptEnd::Failed if !self.may_send(0) => NextAction::PassOn,
--- a/crates/kingcuploft/tests/entry/attempts.rs
+++ b/crates/kingcuploft/tests/entry/attempts.rs
@@ -70,3 +70,22 @@
         NextAction::PassOn
     );
 }
+
+/// Guards against a request that is refused for lack of a budget of repeats though nothing of it was sent.
+#[test]
+fn an_attempt_of_which_nothing_was_sent_makes_the_next_one_no_repeat() {
+    let after = |ends: &[AttemptEnd]| {
+        let mut attempts = Attempts::new(Contract::AtMostOnce, 3);
+        for end in ends {
+            attempts.record_sent();
+            attempts.record_outcome(*end);
+        }
+        attempts.next_is_repeat()
+    };
+    assert!(!after(&[AttemptEnd::Unsent]));
+    assert!(!after(&[AttemptEnd::Unsent; 3]));
+    assert!(after(&[AttemptEnd::Unsent; 20]), "without end");
+    assert!(after(&[AttemptEnd::NotRun]));
+    assert!(after(&[AttemptEnd::Unsent, AttemptEnd::NotRun]));
+    assert!(after(&[AttemptEnd::Lost, AttemptEnd::Unsent]));
+}
