feat(relay): a VM that reaches no server of a service passes requests to VMs that do

Cause: such a VM had no other way: it is ready, in rotation and keeps its callers' connections, and could only try again. The class: a VM takes its own paths for the fleet's.

The VM now learns it by new connections, per service: three servers in a row that accept none. It asks other VMs by datagram; one that heard a server of that service in the last 400 ms says yes, so servers that are down for all look like no cut. A request goes over a connection of its own, with what the first VM decided (service, version, attempts left, time waited) in a header that neither callers nor servers see. It runs at most once (what the other VM doesn't say is taken as may have run), within deadline, attempts and budgets, is cancelled when its caller leaves, and is never passed on again. Open connections that still work go first. At rest nothing is sent.

--- a/crates/kingcuploft-entry/src/edge/active_request.rs
+++ b/crates/kingcuploft-entry/src/edge/active_request.rs
@@ -1,12 +1,13 @@
 //! The state of one request from its arrival to its answer, and how it starts: route, destination, deadline.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::attempts::Attempts;
 use kingcuploft::entry::configuration::{Configuration, Route};
-use kingcuploft::world::ids::ServiceName;
+use kingcuploft::world::ids::{BackendServerName, ServiceName};
 
 use super::answer::Answer;
 use super::request::Request;
@@ -46,7 +47,11 @@
     pub(super) turn_at: Option<Rc<Upstream>>,
     pub(super) attempts: Attempts,
     pub(super) tried_upstreams: Vec<Rc<Upstream>>,
+    /// The VMs to which it was passed.
+    pub(super) tried_relays: Vec<SocketAddr>,
     pub(super) last_failure: Option<Response>,
+    /// The server whose answer the caller gets.
+    pub(super) answered_by: Option<BackendServerName>,
     /// The `Retry-After` that the caller gets if the request is refused.
     pub(super) retry_after: Duration,
 }
@@ -79,11 +84,11 @@
         let host = request.head.headers.get("host").unwrap_or_default();
         let Some(route) = configuration.route(host, &request.head.target).cloned() else {
             return match context.active_configuration.stale_for() {
-                None => refuse(404, "no such route", None),
-                Some(_) => refuse(503, "the route may be new", Some(UNREADY_RETRY_AFTER)),
+                None if request.relayed.is_none() => refuse(404, "no such route", None),
+                _ => refuse(503, "the route may be new", Some(UNREADY_RETRY_AFTER)),
             };
         };
-        let Some(destination) = context.next_destination(&route) else {
+        let Some(service) = Self::choose_service(context, request, &configuration, &route) else {
             return refuse(
                 503,
                 "the route has no destination",
@@ -91,30 +96,67 @@
             );
         };
         let caller_timeout = request.caller_timeout(&context.wire_names);
-        let waited_before = caller_timeout.map_or(Duration::ZERO, |caller_timeout| {
-            context.waited_before(&route, caller_timeout)
-        });
+        let waited_before = Self::waited_before(context, request, &route);
         let allowed = caller_timeout.map_or(route.timeout, |caller_timeout| {
             caller_timeout.min(route.timeout)
         });
-        context.count_request(request.arrived, &destination.service);
+        let mut most_attempts = route.most_attempts;
+        match &request.relayed {
+            // The VM that passed it here has counted it.
+            Some(relayed) => most_attempts = most_attempts.min(relayed.attempts),
+            None => context.count_request(request.arrived, &service),
+        }
         Routed::Active(Self {
             deadline: request.arrived + allowed,
             target_at: (request.arrived + route.target)
                 .checked_sub(waited_before)
                 .unwrap_or(request.arrived),
-            is_returning: waited_before > Duration::ZERO,
+            is_returning: match &request.relayed {
+                Some(relayed) => relayed.is_caller_retry,
+                None => waited_before > Duration::ZERO,
+            },
             is_trial: false,
             turn_at: None,
-            attempts: Attempts::new(route.contract, route.most_attempts),
+            attempts: Attempts::new(route.contract, most_attempts),
             context,
             request,
             configuration,
             route,
-            service: destination.service,
+            service,
             tried_upstreams: Vec::new(),
+            tried_relays: Vec::new(),
             last_failure: None,
+            answered_by: None,
             retry_after: DEFAULT_RETRY_AFTER,
         })
     }
+
+    /// Returns the service for a request: the next destination of its route, or the one that the VM has chosen that passed
+    /// it here, if this VM's configuration is as new and allows it.
+    fn choose_service(
+        context: &Context,
+        request: &Request,
+        configuration: &Configuration,
+        route: &Route,
+    ) -> Option<ServiceName> {
+        let Some(relayed) = &request.relayed else {
+            let destination = context.next_destination(route)?;
+            return Some(destination.service);
+        };
+        let mut destinations = route.destinations.iter();
+        let is_allowed = configuration.version >= relayed.configuration
+            && destinations.any(|d| d.weight > 0 && d.service == relayed.service);
+        is_allowed.then(|| relayed.service.clone())
+    }
+
+    /// Returns how long the caller has waited at earlier attempts, or at the VM that passed the request here.
+    fn waited_before(context: &Context, request: &Request, route: &Route) -> Duration {
+        if let Some(relayed) = &request.relayed {
+            return Duration::from_millis(relayed.waited_ms);
+        }
+        let caller_timeout = request.caller_timeout(&context.wire_names);
+        caller_timeout.map_or(Duration::ZERO, |caller_timeout| {
+            context.waited_before(route, caller_timeout)
+        })
+    }
 }
--- a/crates/kingcuploft-entry/src/edge/answer.rs
+++ b/crates/kingcuploft-entry/src/edge/answer.rs
@@ -5,6 +5,7 @@
 use super::request::Request;
 use crate::http::client::Response;
 use crate::http::headers::write_header;
+use crate::relay::wire::{self, RELAY_HEADER, RelayedAnswer};
 use crate::settings::WireNames;
 
 /// The `Retry-After` of a request whose body exceeds the memory for bodies: the requests that hold it are normally
@@ -30,7 +31,9 @@
     pub fn from_server(request: &Request, response: Response) -> Self {
         let mut head = Vec::with_capacity(256);
         for (name, value) in response.head.headers.end_to_end() {
-            write_header(&mut head, name, value);
+            if !name.eq_ignore_ascii_case(RELAY_HEADER) {
+                write_header(&mut head, name, value);
+            }
         }
         Self {
             status: response.head.status,
@@ -80,6 +83,11 @@
         }
     }
 
+    /// Adds what the VM that passed the request here is told of its answer.
+    pub fn add_relayed_answer(&mut self, told: &RelayedAnswer) {
+        write_header(&mut self.head, RELAY_HEADER, &wire::encode(told));
+    }
+
     /// Builds the interim response `100 Continue`, after which the caller sends its body.
     pub fn interim() -> Self {
         Self {
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -20,6 +20,7 @@
 use crate::context::Context;
 use crate::http::body::{BodyError, BodyReader};
 use crate::http::head::{self, RequestHead};
+use crate::relay::wire;
 use kingcuploft::entry::configuration::Limits;
 
 /// The most requests of one connection that are served at the same time; later ones stay unread.
@@ -62,8 +63,32 @@
     }
 }
 
-/// Serves one connection until it is closed.
+/// Who sends the requests of a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Sender {
+    /// A caller.
+    Caller,
+    /// Another VM, which passes on requests of its callers.
+    Vm,
+}
+
+/// Serves one connection of a caller until it is closed.
 pub async fn serve<S>(context: Rc<Context>, stream: S)
+where
+    S: AsyncRead + AsyncWrite + 'static,
+{
+    serve_sender(context, stream, Sender::Caller).await;
+}
+
+/// Serves one connection over which another VM passes on a request, until it is closed.
+pub async fn serve_vm<S>(context: Rc<Context>, stream: S)
+where
+    S: AsyncRead + AsyncWrite + 'static,
+{
+    serve_sender(context, stream, Sender::Vm).await;
+}
+
+async fn serve_sender<S>(context: Rc<Context>, stream: S, sender: Sender)
 where
     S: AsyncRead + AsyncWrite + 'static,
 {
@@ -77,6 +102,7 @@
     let writing = tokio::task::spawn_local(writing);
     let mut reading = RequestReader {
         context: context.clone(),
+        sender,
         reader,
         buffer: BytesMut::new(),
         state,
@@ -105,6 +131,7 @@
 
 struct RequestReader<S> {
     context: Rc<Context>,
+    sender: Sender,
     reader: ReadHalf<S>,
     buffer: BytesMut,
     state: Rc<ConnectionState>,
@@ -229,12 +256,15 @@
                 ReadOutcome::Some | ReadOutcome::Stopping => {}
             }
         }
-        let request = Request::new(
-            head,
-            reader.into_body(),
-            reservation,
-            &self.context.wire_names,
-        );
+        let relayed = match self.sender {
+            Sender::Caller => None,
+            Sender::Vm => match wire::decode(&head.headers) {
+                Some(relayed) => Some(relayed),
+                None => return Some(self.refuse(400, "no relayed request").await),
+            },
+        };
+        let wire_names = &self.context.wire_names;
+        let request = Request::new(head, reader.into_body(), reservation, wire_names, relayed);
         self.serve_request(request).await
     }
 
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -10,11 +10,13 @@
 use super::active_request::{ActiveRequest, Routed};
 use super::answer::Answer;
 use super::caller_disconnect::CallerDisconnect;
+use super::relay::AfterRelay;
 use super::request::Request;
 use super::selection::Selection;
 use crate::budgets::WantedRepeat;
 use crate::clock;
 use crate::context::Context;
+use crate::relay::wire::RelayedAnswer;
 use crate::upstream::exchange::AttemptOutcome;
 
 /// How long a request for an unknown route waits for a configuration, at a VM that has just started or knows that a
@@ -33,21 +35,25 @@
         let adopting = context.active_configuration.adopted_notify.notified();
         let _ = tokio::time::timeout(CONFIGURATION_WAIT, adopting).await;
     }
-    let (route, answered) = match ActiveRequest::begin(&context, &request) {
-        Routed::Refused(answer) => (None, answer),
+    let (route, mut answered, told) = match ActiveRequest::begin(&context, &request) {
+        Routed::Refused(answer) => (None, answer, RelayedAnswer::default()),
         Routed::Active(mut active) => {
-            let answered = match active.route.contract {
-                Contract::RetryFreely => tokio::select! {
+            let answered = match active.is_cancelled_with_caller() {
+                true => tokio::select! {
                     biased;
                     answer = active.run(&disconnect) => answer,
                     () = disconnect.wait() => return active.log_caller_left(),
                 },
-                // A protected request that was sent is not cancelled: it would stay unknown whether it ran.
-                Contract::AtMostOnce => active.run(&disconnect).await,
+                false => active.run(&disconnect).await,
             };
-            (Some(active.route.name.clone()), answered)
+            let route = active.route.name.clone();
+            (Some(route), answered, active.relayed_answer())
         }
     };
+    if request.relayed.is_some() {
+        context.metrics.relayed_requests.inc();
+        answered.add_relayed_answer(&told);
+    }
     let (route, took) = (route.as_deref(), clock::since(request.arrived));
     context.metrics.observe_answer(route, answered.status, took);
     let _ = answer.send(answered);
@@ -58,6 +64,10 @@
         loop {
             let upstream = match self.select_upstream(disconnect).await {
                 Selection::Upstream(upstream) => upstream,
+                Selection::Relay(address) => match self.relay(address, disconnect).await {
+                    AfterRelay::Answer(answer) => return answer,
+                    AfterRelay::SelectAgain => continue,
+                },
                 Selection::Refuse(retry_after) => {
                     self.retry_after = retry_after;
                     return self.give_up("no server can answer in time");
@@ -95,6 +105,7 @@
             match self.attempts.record_outcome(outcome.end) {
                 NextAction::PassOn => return self.pass_on(outcome),
                 NextAction::Retry if self.may_try_again(disconnect, outcome.end) => {
+                    self.answered_by = outcome.server;
                     self.last_failure = outcome
                         .response
                         .filter(|_| outcome.end == AttemptEnd::Failed);
@@ -108,7 +119,7 @@
         }
     }
 
-    fn may_try_again(&self, disconnect: &CallerDisconnect, end: AttemptEnd) -> bool {
+    pub(super) fn may_try_again(&self, disconnect: &CallerDisconnect, end: AttemptEnd) -> bool {
         let now = clock::now();
         if now >= self.deadline || disconnect.is_set() {
             return false;
@@ -129,13 +140,14 @@
     }
 
     fn pass_on(&mut self, outcome: AttemptOutcome) -> Answer {
+        self.answered_by = outcome.server;
         match outcome.response {
             Some(response) => Answer::from_server(self.request, response),
             None => self.give_up(outcome.detail),
         }
     }
 
-    fn give_up(&mut self, reason: &'static str) -> Answer {
+    pub(super) fn give_up(&mut self, reason: &'static str) -> Answer {
         self.context.metrics.count_failure(reason);
         if let Some(response) = self.last_failure.take() {
             return Answer::from_server(self.request, response);
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -11,6 +11,7 @@
 mod limited_servers;
 mod paused_servers;
 pub mod readiness;
+mod relay;
 pub mod request;
 mod selection;
 mod suspect;
--- a/crates/kingcuploft-entry/src/edge/request.rs
+++ b/crates/kingcuploft-entry/src/edge/request.rs
@@ -8,6 +8,7 @@
 use super::body_memory::BodyReservation;
 use crate::clock;
 use crate::http::head::RequestHead;
+use crate::relay::wire::RelayedRequest;
 use crate::settings::WireNames;
 
 /// The headers that identify the caller of a request.
@@ -22,6 +23,8 @@
     pub head: RequestHead,
     /// The bytes of its body.
     pub body: Vec<u8>,
+    /// What the VM that passed it here tells of it; `None` for a request that came from its caller.
+    pub relayed: Option<RelayedRequest>,
     /// The memory that is reserved for its body.
     _reservation: BodyReservation,
     /// When its last byte was read.
@@ -36,8 +39,10 @@
         body: Vec<u8>,
         reservation: BodyReservation,
         wire_names: &WireNames,
+        relayed: Option<RelayedRequest>,
     ) -> Self {
         Self {
+            relayed,
             id: head.headers.get(wire_names.request_id).map(str::to_owned),
             head,
             body,
--- a/crates/kingcuploft-entry/src/edge/selection.rs
+++ b/crates/kingcuploft-entry/src/edge/selection.rs
@@ -1,6 +1,7 @@
 //! Selects the server for a request's next attempt: probes servers for load reports, waits for them and compares the
 //! servers.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 
 use super::active_request::ActiveRequest;
 use super::caller_disconnect::CallerDisconnect;
+use super::relay::Path;
 use super::suspect::QuarantineDecision;
 use crate::clock;
 use crate::evacuation;
@@ -29,6 +31,8 @@
 /// The result of selecting a server.
 pub(super) enum Selection {
     Upstream(Rc<Upstream>),
+    /// The service is out of reach; this VM reaches it.
+    Relay(SocketAddr),
     /// No server can answer in time; the caller may retry after this time.
     Refuse(Duration),
     /// Servers crash when they run the request; the caller may retry after this time.
@@ -40,6 +44,16 @@
     CallerLeft,
 }
 
+/// Returns whether a request for a service that is out of reach must take the way through another VM: no server with an
+/// open connection is known to be good now.
+fn must_relay(step: Step, candidates: &[Candidate]) -> bool {
+    match step {
+        Step::Send(at) => candidates[at].load_report.is_none(),
+        Step::Recheck(_) | Step::Refuse(_) => true,
+        Step::AwaitReports | Step::Probe(_) => false,
+    }
+}
+
 impl ActiveRequest<'_> {
     /// Selects the server for the next attempt.
     pub(super) async fn select_upstream(&mut self, disconnect: &CallerDisconnect) -> Selection {
@@ -54,6 +68,15 @@
             if let PauseDecision::Refuse(after) = self.check_pauses() {
                 return Selection::Paused(after);
             }
+            let path = self.path().await;
+            if let Path::None = path {
+                return Selection::Refuse(self.retry_after);
+            }
+            if let Path::OpenConnectionsOr(address) = path
+                && self.connected_upstreams(clock::now(), scope).is_empty()
+            {
+                return Selection::Relay(address);
+            }
             match self.check_quarantine().await {
                 QuarantineDecision::Send => {}
                 QuarantineDecision::Wait => {
@@ -66,11 +89,14 @@
             if let Some(after) = evacuation::retry_after(self.context, &self.service) {
                 return Selection::Evacuated(after);
             }
-            if self.was_sent_to_all() {
+            if matches!(path, Path::Direct) && self.was_sent_to_all() {
                 return Selection::Refuse(self.retry_after);
             }
             let now = clock::now();
-            let upstreams = self.candidate_upstreams(now, scope);
+            let upstreams = match path {
+                Path::OpenConnectionsOr(_) => self.connected_upstreams(now, scope),
+                Path::Direct | Path::None => self.candidate_upstreams(now, scope),
+            };
             let has_limited = !limits::limited_upstreams(self.context, &self.service).is_empty();
             if upstreams.is_empty() && has_limited {
                 return match self.take_turn(disconnect, self.remaining_wait()).await {
@@ -86,7 +112,13 @@
                 .map(|u| u.candidate(now, max_age, self.is_excluded(u, now)))
                 .collect();
             let need = self.need(now, search_began, scope);
-            match place(&need, &candidates, fastrand::f64) {
+            let step = place(&need, &candidates, fastrand::f64);
+            if let Path::OpenConnectionsOr(address) = path
+                && must_relay(step, &candidates)
+            {
+                return Selection::Relay(address);
+            }
+            match step {
                 Step::Send(at) => return Selection::Upstream(upstreams[at].clone()),
                 Step::Refuse(retry_after) => {
                     let turn = self.take_turn(disconnect, self.remaining_wait()).await;
@@ -112,6 +144,14 @@
         }
     }
 
+    /// Returns those of the candidates to which an open connection seems to work: a probe shows whether it does.
+    fn connected_upstreams(&self, now: Instant, scope: ProbeScope) -> Vec<Rc<Upstream>> {
+        let mut connected = self.candidate_upstreams(now, scope);
+        connected.retain(|u| u.has_idle_connection() && !u.is_unresponsive(now));
+        connected.retain(|u| !self.was_tried(u));
+        connected
+    }
+
     /// Returns whether the request must not be sent to a server now: an attempt there was made already, or the server
     /// may be cold and has not reported whether it is.
     pub(super) fn is_excluded(&self, upstream: &Rc<Upstream>, now: Instant) -> bool {
--- a/crates/kingcuploft-entry/src/gauges.rs
+++ b/crates/kingcuploft-entry/src/gauges.rs
@@ -25,6 +25,8 @@
         self.metrics.cold_servers.set(cold as i64);
         let paused = self.pauses.borrow().len();
         self.metrics.paused_servers.set(paused as i64);
+        let lost = self.reach.out_of_reach_count();
+        self.metrics.services_out_of_reach.set(lost as i64);
         let evacuated = self.evacuations.borrow().zones().len();
         self.metrics.evacuated_zones.set(evacuated as i64);
         let newest = self.active_configuration.newest().unwrap_or(version);
--- a/crates/kingcuploft-entry/src/http/client.rs
+++ b/crates/kingcuploft-entry/src/http/client.rs
@@ -13,7 +13,7 @@
 use super::body::BodyReader;
 use super::head::{self, ResponseHead};
 use crate::clock;
-use crate::network::{Network, Stream};
+use crate::network::{Connecting, Network, Stream};
 
 /// How long opening a connection may take: many round trips of a region, and less than the second after which a lost
 /// SYN packet is sent again.
@@ -110,8 +110,20 @@
     ///
     /// Returns the system's error, or a timeout.
     pub async fn open(network: &dyn Network, address: SocketAddr) -> std::io::Result<Self> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, network.connect(address));
-        let stream = connecting
+        Self::from_connecting(network.connect(address)).await
+    }
+
+    /// Opens a connection to another VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error, or a timeout.
+    pub async fn open_to_vm(network: &dyn Network, address: SocketAddr) -> std::io::Result<Self> {
+        Self::from_connecting(network.connect_to_vm(address)).await
+    }
+
+    async fn from_connecting(connecting: Connecting<'_>) -> std::io::Result<Self> {
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .map_err(|_| std::io::Error::from(ErrorKind::TimedOut))??;
         if let Some(stream) = stream.tcp() {
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -23,6 +23,8 @@
 pub mod notices;
 pub mod pauses;
 pub mod peers;
+pub mod reach;
+pub mod relay;
 pub mod rewinds;
 pub mod run;
 pub mod server_updates;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -44,10 +44,15 @@
     failures: Family<Reason, Counter>,
     probes: Family<Reason, Counter>,
     readers: Family<Reason, Counter>,
+    relays: Family<Reason, Counter>,
     answers: Family<Answered, Histogram>,
     routes: RefCell<HashSet<String>>,
     /// Requests that were read.
     pub requests: Counter,
+    /// Requests that another VM has passed to this one.
+    pub relayed_requests: Counter,
+    /// Services whose servers are out of this VM's reach.
+    pub services_out_of_reach: Gauge,
     /// Store entries that could not be read.
     pub unreadable_entries: Counter,
     /// The version of the configuration in force.
@@ -96,9 +101,12 @@
             failures: Family::default(),
             probes: Family::default(),
             readers: Family::default(),
+            relays: Family::default(),
             answers: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S)),
             routes: RefCell::default(),
             requests: Counter::default(),
+            relayed_requests: Counter::default(),
+            services_out_of_reach: Gauge::default(),
             unreadable_entries: Counter::default(),
             configuration: Gauge::default(),
             configuration_newest: Gauge::default(),
@@ -149,6 +157,19 @@
             self.answers.clone(),
         );
         registry.register("requests", "Requests that were read", self.requests.clone());
+        registry.register(
+            "relays",
+            "Requests passed to another VM by how they ended",
+            self.relays.clone(),
+        );
+        let help = "Requests that another VM has passed to this one";
+        registry.register("relayed_requests", help, self.relayed_requests.clone());
+        let help = "Services whose servers are out of reach";
+        registry.register(
+            "services_out_of_reach",
+            help,
+            self.services_out_of_reach.clone(),
+        );
         let help = "Store entries that could not be read";
         registry.register("unreadable_entries", help, self.unreadable_entries.clone());
         let help = "The version of the configuration in force";
@@ -225,6 +246,11 @@
         self.probes.get_or_create(&Reason { reason }).inc();
     }
 
+    /// Counts a request that was passed to another VM by how it ended.
+    pub fn count_relay(&self, reason: &'static str) {
+        self.relays.get_or_create(&Reason { reason }).inc();
+    }
+
     /// Counts a lost link to a feeder by why it ended.
     pub fn count_reader_lost(&self, reason: &'static str) {
         self.readers.get_or_create(&Reason { reason }).inc();
--- a/crates/kingcuploft-entry/src/network.rs
+++ b/crates/kingcuploft-entry/src/network.rs
@@ -23,10 +23,15 @@
 /// The future of a connection that is being opened.
 pub type Connecting<'a> = Pin<Box<dyn Future<Output = io::Result<Stream>> + 'a>>;
 
-/// Opens connections to backend servers.
+/// Opens connections to backend servers and, for single requests, to other VMs.
 pub trait Network: Debug {
-    /// Opens a connection to an address.
+    /// Opens a connection to a backend server.
     fn connect(&self, address: SocketAddr) -> Connecting<'_>;
+
+    /// Opens a connection to another VM.
+    fn connect_to_vm(&self, address: SocketAddr) -> Connecting<'_> {
+        self.connect(address)
+    }
 }
 
 /// The network that opens TCP connections.
--- a/crates/kingcuploft-entry/src/peers/feeder.rs
+++ b/crates/kingcuploft-entry/src/peers/feeder.rs
@@ -13,8 +13,12 @@
 use super::line_writer::{WRITE_STALL_TIMEOUT, timed_out, write_line};
 use super::sync_status::sync_status;
 use crate::context::Context;
+use crate::edge::connection;
 use crate::store_access::StoreAccess;
 
+/// The first bytes of frames, with which no HTTP request begins.
+const FRAME_STARTS: [u8; 2] = [b'{', b'"'];
+
 /// The capacity of the buffer for what a follower sends: a follower's frames are short.
 const READ_BUFFER_BYTES: usize = 256;
 
@@ -57,8 +61,8 @@
     }
 }
 
-/// Serves one connection of another VM until it ends: answers a request for the zones' records, takes such records, or
-/// feeds a follower.
+/// Serves one connection of another VM until it ends: serves a relayed request, answers a request for the zones' records,
+/// takes such records, or feeds a follower.
 ///
 /// # Errors
 ///
@@ -66,8 +70,15 @@
 pub async fn handle_connection(
     context: &Rc<Context>,
     store_access: &StoreAccess,
-    stream: impl AsyncRead + AsyncWrite,
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
 ) -> std::io::Result<()> {
+    let mut stream = BufReader::with_capacity(READ_BUFFER_BYTES, stream);
+    let reading = tokio::time::timeout(WRITE_STALL_TIMEOUT, stream.fill_buf());
+    let first = reading.await.map_err(|_| timed_out())??.first().copied();
+    if first.is_some_and(|byte| !FRAME_STARTS.contains(&byte)) {
+        connection::serve_vm(context.clone(), stream).await;
+        return Ok(());
+    }
     let (read, mut write) = tokio::io::split(stream);
     let mut lines = BufReader::with_capacity(READ_BUFFER_BYTES, read);
     let mut line = Vec::new();
--- a/crates/kingcuploft-entry/src/peers/load_reports.rs
+++ b/crates/kingcuploft-entry/src/peers/load_reports.rs
@@ -19,6 +19,7 @@
 use crate::cold_servers;
 use crate::context::Context;
 use crate::limits;
+use crate::reach;
 use crate::upstream::ReportSource;
 
 /// The most VMs of a zone that share all load reports. In a larger zone each VM probes servers of its own, and sharing
@@ -81,7 +82,7 @@
 }
 
 /// Handles a message of another VM.
-pub fn handle_message(context: &Context, message: &PeerMessage, from: SocketAddr) {
+pub fn handle_message(context: &Rc<Context>, message: &PeerMessage, from: SocketAddr) {
     let now = clock::now();
     match *message {
         PeerMessage::LoadReport {
@@ -103,7 +104,9 @@
                     let asked_at = now.checked_sub(MAX_REPORT_AGE).unwrap_or(now);
                     cold_servers::apply_probe_answer(context, &upstream, cold_for, asked_at);
                 }
-                upstream.record_load_report(now, report, ReportSource::OtherVm);
+                if !context.reach.is_out_of_reach(&upstream.server.service) {
+                    upstream.record_load_report(now, report, ReportSource::OtherVm);
+                }
                 context.load_report_received.notify_waiters();
             }
         }
@@ -136,6 +139,14 @@
         PeerMessage::LimitChanged { ref server, per_s } => {
             limits::apply_peer_change(context, server, per_s)
         }
+        PeerMessage::ReachRequest {
+            ref service,
+            configuration,
+        } => reach::handle_request(context, service, configuration, from),
+        PeerMessage::ReachReply {
+            ref service,
+            reaches,
+        } => reach::handle_reply(context, service, reaches, from),
         PeerMessage::RepeatsUsed { ref vm, ref used } => {
             repeat_replication::store_copy(context, vm, used)
         }
--- a/crates/kingcuploft-entry/src/peers/peer_socket.rs
+++ b/crates/kingcuploft-entry/src/peers/peer_socket.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use kingcuploft::entry::repeat_account::UsageReport;
-use kingcuploft::world::ids::{BackendServerName, VmName};
+use kingcuploft::world::ids::{BackendServerName, ServiceName, VmName};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -82,6 +82,20 @@
         /// The VM.
         vm: VmName,
     },
+    /// Asks whether the receiver reaches the servers of a service and would pass on requests for it.
+    ReachRequest {
+        /// The service.
+        service: ServiceName,
+        /// The version of the configuration by which the requests are routed.
+        configuration: u64,
+    },
+    /// The reply to a `ReachRequest`.
+    ReachReply {
+        /// The service.
+        service: ServiceName,
+        /// Whether its servers are in reach.
+        reaches: bool,
+    },
     /// The reply to a `RepeatsRequest`, if anything is kept.
     #[serde(rename = "KeptRepeats")]
     RepeatsReply {
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::attempts::AttemptEnd;
+use kingcuploft::world::ids::BackendServerName;
 
 use super::server_signals::{self, MISDIRECTED_STATUS};
 use super::{ConnectError, ReportSource, Upstream};
@@ -14,10 +15,15 @@
 use crate::http::headers::write_header;
 use crate::limits;
 use crate::peers::load_reports;
+use crate::reach;
+use crate::relay::wire::RELAY_HEADER;
 
 /// The most bytes of a response that is passed on.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// The statuses of a request that was served.
+pub(crate) const SERVED_STATUSES: std::ops::Range<u16> = 200..300;
+
 /// How many responses to other requests are skipped on one connection before the attempt fails.
 const MAX_SKIPPED_RESPONSES: usize = 3;
 
@@ -32,6 +38,8 @@
     pub took: Duration,
     /// The details of the end, for logs and for the answer to the caller.
     pub detail: &'static str,
+    /// The server that has answered, if it has.
+    pub server: Option<BackendServerName>,
     /// Why there was no connection, for logs.
     pub no_connection: Option<&'static str>,
 }
@@ -43,6 +51,7 @@
             response: None,
             took: clock::since(started_at),
             detail,
+            server: None,
             no_connection: None,
         }
     }
@@ -83,8 +92,7 @@
     left: Duration,
     started_at: Instant,
 ) -> AttemptOutcome {
-    let share = context.connection_share(&upstream.server.service);
-    let mut connection = match upstream.connect(&*context.network, share).await {
+    let mut connection = match reach::connect(context, upstream).await {
         Ok(connection) => connection,
         Err(error) => return AttemptOutcome::without_connection(&error, started_at),
     };
@@ -121,6 +129,7 @@
         Ok(response) => response,
         Err((end, detail)) => return AttemptOutcome::without_answer(end, detail, started_at),
     };
+    context.reach.record_contact(&upstream.server.service);
     server_signals::apply_answer(context, upstream, &response);
     let load = response.head.headers.get(context.wire_names.load);
     if let Some(reading) = load.and_then(context.wire_names.parse_load) {
@@ -142,13 +151,14 @@
         response: Some(response),
         took: clock::since(started_at),
         detail,
+        server: Some(upstream.server.name.clone()),
         no_connection: None,
     }
 }
 
 /// Receives the response with the request's id. A response to another request may come first: the server sent one
 /// response too many to the previous user of the connection.
-async fn receive_matching(
+pub(crate) async fn receive_matching(
     context: &Context,
     connection: &mut Connection,
     request: &Request,
@@ -194,6 +204,19 @@
     upstream: &Upstream,
     request: &Request,
     left: Duration,
+) -> Vec<u8> {
+    let mut out = write_forwarded_head(context, request, left);
+    let name = upstream.server.name.as_bytes();
+    write_header(&mut out, context.wire_names.meant_for, name);
+    write_body(&mut out, request);
+    out
+}
+
+/// Returns the request line and the headers that are forwarded, with the time that is left.
+pub(crate) fn write_forwarded_head(
+    context: &Context,
+    request: &Request,
+    left: Duration,
 ) -> Vec<u8> {
     let wire_names = context.wire_names;
     let mut out = Vec::with_capacity(512 + request.body.len());
@@ -201,28 +224,27 @@
     out.push(b' ');
     out.extend_from_slice(request.head.target.as_bytes());
     out.extend_from_slice(b" HTTP/1.1\r\n");
+    let own = [wire_names.deadline_ms, wire_names.meant_for, RELAY_HEADER];
     for (name, value) in request.head.headers.end_to_end() {
-        let own = [wire_names.deadline_ms, wire_names.meant_for];
         if !own.iter().any(|own| name.eq_ignore_ascii_case(own)) {
             write_header(&mut out, name, value);
         }
     }
     let left_ms = left.as_millis().max(1).to_string();
     write_header(&mut out, wire_names.deadline_ms, left_ms.as_bytes());
-    write_header(
-        &mut out,
-        wire_names.meant_for,
-        upstream.server.name.as_bytes(),
-    );
+    out
+}
+
+/// Ends the head and appends the body.
+pub(crate) fn write_body(out: &mut Vec<u8>, request: &Request) {
     let bodyless = matches!(
         request.head.method.as_str(),
         "GET" | "HEAD" | "DELETE" | "OPTIONS"
     );
     if !request.body.is_empty() || !bodyless {
         let length = request.body.len().to_string();
-        write_header(&mut out, "Content-Length", length.as_bytes());
+        write_header(out, "Content-Length", length.as_bytes());
     }
     out.extend_from_slice(b"\r\n");
     out.extend_from_slice(&request.body);
-    out
 }
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -135,20 +135,17 @@
         self.open_connections.get() < share || !self.idle_connections.borrow().is_empty()
     }
 
-    /// Returns a connection from the pool, or a new one, given that this VM may have `share` connections to the server.
+    /// Opens a new connection, given that this VM may have `share` connections to the server.
     ///
     /// # Errors
     ///
-    /// Returns [`ConnectError::ShareInUse`] if other calls have taken the last connection since the server was selected,
-    /// and the system's error, or a timeout, if no connection could be opened.
-    pub async fn connect(
+    /// Returns [`ConnectError::ShareInUse`] if this VM has as many, and the system's error, or a timeout, if no
+    /// connection could be opened.
+    pub async fn open(
         &self,
         network: &dyn Network,
         share: usize,
     ) -> Result<Connection, ConnectError> {
-        if let Some(connection) = self.take_idle() {
-            return Ok(connection);
-        }
         if self.open_connections.get() >= share {
             return Err(ConnectError::ShareInUse);
         }
@@ -158,7 +155,7 @@
     }
 
     /// Takes a reusable connection from the pool.
-    fn take_idle(&self) -> Option<Connection> {
+    pub fn take_idle(&self) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle_connections.borrow_mut();
         while let Some(mut connection) = idle.pop() {
@@ -191,6 +188,11 @@
         }
     }
 
+    /// Forgets the last load report, so that the server is probed before it is chosen again.
+    pub fn forget_load_report(&self) {
+        self.last_load_report.set(None);
+    }
+
     /// Returns the last load report and its age.
     pub fn load_report(&self, now: Instant) -> Option<(Duration, LoadReport)> {
         let (at, reading) = self.last_load_report.get()?;
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -15,6 +15,7 @@
 use crate::limits;
 use crate::pauses;
 use crate::peers::load_reports;
+use crate::reach;
 
 /// How long a probe may take: many times the longest round trip of a region.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
@@ -56,7 +57,7 @@
 /// Such a server is not dead but full. If the probe were given up, its connection would be opened again and again,
 /// each time at the price of a slot's time. So the server counts as unresponsive after [`PROBE_TIMEOUT`], but the
 /// answer is still waited for: it brings a connection on which the next probe is answered at once.
-async fn probe(context: &Context, upstream: &Rc<Upstream>, request: &[u8]) {
+async fn probe(context: &Rc<Context>, upstream: &Rc<Upstream>, request: &[u8]) {
     let started_at = clock::now();
     let step = Cell::new(ProbeStep::Connecting);
     let mut asking = std::pin::pin!(exchange(context, upstream, request, &step));
@@ -85,6 +86,7 @@
     let now = clock::now();
     let reading = answered.and_then(|response| {
         step.set(ProbeStep::Unreadable);
+        context.reach.record_contact(&upstream.server.service);
         server_signals::apply_probe_answer(context, upstream, &response);
         let headers = &response.head.headers;
         limits::apply_header(
@@ -117,14 +119,13 @@
 }
 
 async fn exchange(
-    context: &Context,
+    context: &Rc<Context>,
     upstream: &Upstream,
     request: &[u8],
     step: &Cell<ProbeStep>,
 ) -> Option<Response> {
     let is_pooled = upstream.has_idle_connection();
-    let share = context.connection_share(&upstream.server.service);
-    let mut connection = match upstream.connect(&*context.network, share).await {
+    let mut connection = match reach::connect(context, upstream).await {
         Ok(connection) => connection,
         Err(ConnectError::ShareInUse) => {
             step.set(ProbeStep::NoConnection);
--- a/crates/kingcuploft-entry/src/upstream/server_signals.rs
+++ b/crates/kingcuploft-entry/src/upstream/server_signals.rs
@@ -50,7 +50,7 @@
 }
 
 /// Applies what the answer to a request says of its server.
-pub(super) fn apply_answer(context: &Context, upstream: &Upstream, response: &Response) {
+pub(crate) fn apply_answer(context: &Context, upstream: &Upstream, response: &Response) {
     let signals = ServerSignals::of_answer(&context.wire_names, response);
     apply(context, upstream, signals);
     let pause = requested_pause(&context.wire_names, response);
--- a/crates/kingcuploft-entry/src/usable_servers.rs
+++ b/crates/kingcuploft-entry/src/usable_servers.rs
@@ -66,6 +66,11 @@
         open.cloned().collect()
     }
 
+    /// Returns how many servers a service has, in evacuated zones too.
+    pub fn upstream_count(&self, service: &ServiceName) -> usize {
+        self.upstreams.borrow().get(service).map_or(0, Vec::len)
+    }
+
     /// Returns the servers of all services and zones.
     pub fn all_upstreams(&self) -> Vec<Rc<Upstream>> {
         self.upstreams
--- a/crates/kingcuploft-entry/tests/entry/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use kingcuploft_entry::reach;
 use kingcuploft_entry::upstream::probe;
 
 use crate::server::Behavior;
@@ -164,10 +165,10 @@
         let share = context.connection_share(&upstream.server.service);
         let mut held = Vec::new();
         for _ in 1..share {
-            held.push(upstream.connect(&*context.network, share).await.unwrap());
+            held.push(reach::connect(context, &upstream).await.unwrap());
         }
         probe::start(context, &upstream, "/health");
-        held.push(upstream.connect(&*context.network, share).await.unwrap());
+        held.push(reach::connect(context, &upstream).await.unwrap());
         wait_until(|| !upstream.is_probe_in_flight()).await;
         assert_eq!(testbed.servers[0].opened_connections.get() as usize, share);
         assert!(!upstream.is_unresponsive(Instant::now()));
--- a/crates/kingcuploft-entry/tests/events_page.rs
+++ b/crates/kingcuploft-entry/tests/events_page.rs
@@ -133,6 +133,7 @@
     metrics.count_failure("no server can answer in time");
     metrics.count_probe("answered");
     metrics.count_reader_lost("silent");
+    metrics.count_relay("succeeded");
     metrics.observe_answer(None, 200, Duration::ZERO);
     let text = metrics.to_text();
     let help_lines = text
--- a/crates/kingcuploft/src/entry/attempts.rs
+++ b/crates/kingcuploft/src/entry/attempts.rs
@@ -93,9 +93,27 @@
         self.sent
     }
 
+    /// Returns how many attempts may have run.
+    pub fn ran(&self) -> u32 {
+        self.ran
+    }
+
+    /// Returns how many attempts may have reached a server.
+    pub fn arrived(&self) -> u32 {
+        self.sent - self.unsent
+    }
+
+    /// Returns how many more attempts may run.
+    pub fn left(&self) -> u32 {
+        match self.contract {
+            Contract::RetryFreely => self.max_attempts.saturating_sub(self.ran),
+            Contract::AtMostOnce => 1_u32.saturating_sub(self.ran),
+        }
+    }
+
     /// Returns whether the next attempt counts as a repeat: an earlier one may have reached a server.
     pub fn next_is_repeat(&self) -> bool {
-        self.sent > self.unsent || self.unsent > MAX_FREE_UNSENT
+        self.arrived() > 0 || self.unsent > MAX_FREE_UNSENT
     }
 
     /// Returns whether any attempt may have run.
@@ -128,6 +146,19 @@
         }
     }
 
+    /// Records how a request ended that was passed to another VM, of whose attempts so many have reached a server and so
+    /// many may have run; returns what to do next.
+    pub fn record_relayed(&mut self, end: AttemptEnd, arrived: u32, ran: u32) -> NextAction {
+        self.sent += arrived;
+        self.ran += ran;
+        match end {
+            AttemptEnd::Succeeded | AttemptEnd::Failed => NextAction::PassOn,
+            AttemptEnd::NotRun => NextAction::GiveUp,
+            _ if self.may_send(0) => NextAction::Retry,
+            _ => NextAction::GiveUp,
+        }
+    }
+
     /// Returns the HTTP status of a failure that this VM reports itself: 503, which promises that nothing ran, only if
     /// nothing can have run.
     pub fn failure_status(&self, timed_out: bool) -> u16 {
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -36,6 +36,7 @@
 pub mod server_limits;
 pub mod server_pauses;
 pub mod server_table;
+pub mod service_reach;
 pub mod service_time;
 pub mod startup_delay;
 pub mod vm_entry;
