test(simulation): VMs lose their paths to servers; first tries at them are judged

Two kinds (VMs of all zones, of one), four ways (silent, reset, new connections refused or hanging while open ones live on), one service or all; the rule FirstTriesAtCutVms as the users state it.

--- a/crates/kingcuploft-entry/src/reach.rs
+++ b/crates/kingcuploft-entry/src/reach.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use kingcuploft::entry::service_reach::{ReachChange, ServiceReach};
+use kingcuploft::planted::{self, PlantedFault};
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::ids::ServiceName;
 use tokio::sync::Notify;
@@ -161,7 +162,7 @@
     service: &ServiceName,
     tried: &[SocketAddr],
 ) -> Option<SocketAddr> {
-    if !context.reach.is_out_of_reach(service) {
+    if !context.reach.is_out_of_reach(service) || planted::is_on(PlantedFault::NeverRelays) {
         return None;
     }
     let now = clock::now();
--- a/crates/kingcuploft-simulation/src/day.rs
+++ b/crates/kingcuploft-simulation/src/day.rs
@@ -74,6 +74,9 @@
     /// How long it lasts, in milliseconds, for the kinds that have a duration.
     #[serde(default)]
     pub for_ms: u64,
+    /// How VMs are cut off from servers, for the kinds that do so.
+    #[serde(default, skip_serializing_if = "ServerCut::is_default")]
+    pub how: ServerCut,
     /// The service whose servers it affects; the servers of all services if none is named.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub service: Option<String>,
@@ -83,6 +86,30 @@
     1.0
 }
 
+/// How a VM is cut off from servers.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServerCut {
+    /// Nothing arrives either way, on open and on new connections.
+    #[default]
+    Silent,
+    /// Open connections are reset, new ones refused.
+    Reset,
+    /// Open connections live on, new ones are refused.
+    NewRefused,
+    /// Open connections live on, new ones hang.
+    NewSilent,
+}
+
+impl ServerCut {
+    /// All ways.
+    pub const ALL: [Self; 4] = [Self::Silent, Self::Reset, Self::NewRefused, Self::NewSilent];
+
+    fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// The kinds of disruptions.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -97,6 +124,10 @@
     VmsStopped,
     /// Entry VMs are cut off from each other and from the store; callers and servers still reach them.
     VmsCutOff,
+    /// Entry VMs of all zones lose their paths to the servers (`how`); callers, the store and other VMs reach them.
+    VmsCutFromServers,
+    /// As `VmsCutFromServers`, for a share of the VMs of one zone.
+    ZoneCutFromServers,
     /// Servers refuse a share (`strength`) of the requests with the statement that they were not run.
     ServersRefuse,
     /// Servers refuse half of the requests, and each time ask for a pause of so many seconds (`strength`).
@@ -129,7 +160,7 @@
 
 impl DisruptionKind {
     /// All kinds.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 21] = [
         Self::VmsKilled,
         Self::VmsLosePower,
         Self::VmsFrozen,
@@ -149,8 +180,15 @@
         Self::Crowd,
         Self::ConfigurationChange,
         Self::ZoneEvacuated,
+        Self::VmsCutFromServers,
+        Self::ZoneCutFromServers,
     ];
 
+    /// Returns whether the kind cuts VMs off from servers.
+    pub fn cuts_from_servers(self) -> bool {
+        matches!(self, Self::VmsCutFromServers | Self::ZoneCutFromServers)
+    }
+
     /// Returns the least and the greatest strength that the kind allows.
     pub fn strength_range(self) -> (f64, f64) {
         match self {
--- a/crates/kingcuploft-simulation/src/disruptions.rs
+++ b/crates/kingcuploft-simulation/src/disruptions.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::day::{Disruption, DisruptionKind};
-use crate::history::DisturbanceCause;
+use crate::history::{CutFromServers, DisturbanceCause};
 use crate::server::Server;
 use crate::simulation::Simulation;
 use crate::vm::Vm;
@@ -71,6 +71,14 @@
             let cause = DisturbanceCause::CutOff;
             apply_to_vms(simulation, &vms, disruption.duration(), cause, Vm::cut_off).await;
         }
+        DisruptionKind::VmsCutFromServers => {
+            let vms = choose_vms(simulation, disruption.share);
+            cut_from_servers(simulation, &vms, disruption).await;
+        }
+        DisruptionKind::ZoneCutFromServers => {
+            let vms = choose_vms_of_a_zone(simulation, disruption.share);
+            cut_from_servers(simulation, &vms, disruption).await;
+        }
         DisruptionKind::VmsStopped => stop_one_by_one(simulation, disruption).await,
         DisruptionKind::ServersRefuse => {
             let strength = disruption.strength;
@@ -149,6 +157,44 @@
     chosen.into_iter().cloned().collect()
 }
 
+fn choose_vms_of_a_zone(simulation: &Simulation, share: f64) -> Vec<Rc<Vm>> {
+    let zone = fastrand::usize(0..simulation.deployment.zones.len());
+    let of_zone: Vec<_> = simulation.vms.iter().filter(|vm| vm.zone == zone).collect();
+    let count = (share * of_zone.len() as f64).round() as usize;
+    let mut rng = fastrand::Rng::with_seed(fastrand::u64(..));
+    let chosen = rng.choose_multiple(of_zone, count);
+    chosen.into_iter().cloned().collect()
+}
+
+/// Cuts VMs off from all present servers of a service, or of all services, for a while.
+async fn cut_from_servers(simulation: &Simulation, vms: &[Rc<Vm>], disruption: &Disruption) {
+    let servers: Vec<_> = simulation.servers.borrow().clone();
+    let is_meant = |server: &Rc<Server>| {
+        let service = disruption.service.as_deref();
+        service.is_none_or(|service| server.service.name == service)
+    };
+    let servers: Vec<_> = servers.into_iter().filter(is_meant).collect();
+    let from = simulation.history.now();
+    for vm in vms {
+        vm.cut_from_servers(&servers, Some(disruption.how));
+    }
+    let record = CutFromServers {
+        vms: vms.iter().map(|vm| vm.index).collect(),
+        service: disruption.service.clone(),
+        from,
+        until: from + disruption.duration(),
+    };
+    simulation
+        .history
+        .cuts_from_servers
+        .borrow_mut()
+        .push(record);
+    tokio::time::sleep(disruption.duration()).await;
+    for vm in vms {
+        vm.cut_from_servers(&servers, None);
+    }
+}
+
 async fn restart_after(
     simulation: &Simulation,
     vms: &[Rc<Vm>],
--- a/crates/kingcuploft-simulation/src/generator.rs
+++ b/crates/kingcuploft-simulation/src/generator.rs
@@ -2,7 +2,7 @@
 
 use fastrand::Rng;
 
-use crate::day::{Day, Disruption, DisruptionKind};
+use crate::day::{Day, Disruption, DisruptionKind, ServerCut};
 
 /// The length of a generated day, in milliseconds.
 const LENGTH_MS: u64 = 24_000;
@@ -42,10 +42,18 @@
         share: share(rng),
         strength: strength(rng, kind),
         for_ms: rng.u64(500..10_000),
+        how: server_cut(rng, kind),
         service: None,
     }
 }
 
+fn server_cut(rng: &mut Rng, kind: DisruptionKind) -> ServerCut {
+    match kind.cuts_from_servers() {
+        true => ServerCut::ALL[rng.usize(0..ServerCut::ALL.len())],
+        false => ServerCut::default(),
+    }
+}
+
 fn share(rng: &mut Rng) -> f64 {
     [0.1, 0.3, 0.6, 1.0][rng.usize(0..4)]
 }
--- a/crates/kingcuploft-simulation/src/history.rs
+++ b/crates/kingcuploft-simulation/src/history.rs
@@ -174,6 +174,19 @@
     pub cause: DisturbanceCause,
 }
 
+/// A time in which VMs were cut off from servers.
+#[derive(Clone, Debug)]
+pub struct CutFromServers {
+    /// The VMs.
+    pub vms: Vec<VmIndex>,
+    /// The service whose servers they lost; all services if none is named.
+    pub service: Option<String>,
+    /// When it began.
+    pub from: Duration,
+    /// When it ended.
+    pub until: Duration,
+}
+
 /// All observations of a day.
 #[derive(Debug)]
 pub struct History {
@@ -202,6 +215,8 @@
     pub leaving_answers: RefCell<Vec<LeavingAnswer>>,
     /// The refusals in which servers asked for a pause.
     pub requested_pauses: RefCell<Vec<RequestedPause>>,
+    /// The times in which VMs were cut off from servers.
+    pub cuts_from_servers: RefCell<Vec<CutFromServers>>,
     /// How many probes all servers got.
     pub probes: Cell<u64>,
     /// The sum of the times for which the servers were running, in seconds.
@@ -224,6 +239,7 @@
             version_check_times: RefCell::default(),
             leaving_answers: RefCell::default(),
             requested_pauses: RefCell::default(),
+            cuts_from_servers: RefCell::default(),
             probes: Cell::new(0),
             server_seconds: Cell::new(0.0),
         }
--- a/crates/kingcuploft-simulation/src/link.rs
+++ b/crates/kingcuploft-simulation/src/link.rs
@@ -5,7 +5,7 @@
 use std::future::Future;
 use std::io::{Error, ErrorKind};
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
@@ -13,6 +13,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, Sleep};
 
+use crate::day::ServerCut;
+
 /// How many bytes may be in flight and unread in one direction.
 const WINDOW_BYTES: usize = 64 * 1024;
 
@@ -68,9 +70,50 @@
     }
 }
 
+/// The path between two hosts, which can be cut while both reach all others.
+#[derive(Debug, Default)]
+pub struct Path {
+    /// How it is cut.
+    cut: Cell<Option<ServerCut>>,
+    pipes: RefCell<Vec<Weak<Pipe>>>,
+}
+
+impl Path {
+    /// Returns how the path is cut.
+    pub fn cut(&self) -> Option<ServerCut> {
+        self.cut.get()
+    }
+
+    /// Cuts the path, or ends the cut.
+    pub fn set_cut(&self, cut: Option<ServerCut>) {
+        self.cut.set(cut);
+        if cut != Some(ServerCut::Reset) {
+            return;
+        }
+        for pipe in self.pipes.take().iter().filter_map(Weak::upgrade) {
+            pipe.is_reset.set(true);
+            Pipe::wake(&pipe.reader);
+            Pipe::wake(&pipe.writer);
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        self.cut.get() == Some(ServerCut::Silent)
+    }
+
+    fn add(&self, pipe: &Rc<Pipe>) {
+        let mut pipes = self.pipes.borrow_mut();
+        pipes.retain(|pipe| pipe.strong_count() > 0);
+        pipes.push(Rc::downgrade(pipe));
+    }
+}
+
 /// One direction of a link.
 #[derive(Debug)]
 struct Pipe {
+    path: Option<Rc<Path>>,
+    /// Whether the link was reset.
+    is_reset: Cell<bool>,
     from: Rc<Nic>,
     to: Rc<Nic>,
     delay: Duration,
@@ -83,8 +126,10 @@
 }
 
 impl Pipe {
-    fn new(from: &Rc<Nic>, to: &Rc<Nic>, delay: Duration) -> Rc<Self> {
+    fn new(from: &Rc<Nic>, to: &Rc<Nic>, delay: Duration, path: Option<&Rc<Path>>) -> Rc<Self> {
         Rc::new(Self {
+            path: path.cloned(),
+            is_reset: Cell::new(false),
             from: from.clone(),
             to: to.clone(),
             delay,
@@ -99,7 +144,8 @@
 
     fn is_cut(&self) -> bool {
         let is_blocked = |nic: &Nic| nic.is_cut.get() || nic.is_powered_off.get();
-        is_blocked(&self.from) || is_blocked(&self.to)
+        let is_silent = self.path.as_ref().is_some_and(|path| path.is_silent());
+        is_blocked(&self.from) || is_blocked(&self.to) || is_silent
     }
 
     fn wake(waker: &RefCell<Option<Waker>>) {
@@ -119,7 +165,22 @@
 
 /// Opens a link between two interfaces.
 pub fn connect(a: &Rc<Nic>, b: &Rc<Nic>, delay: Duration) -> (LinkEnd, LinkEnd) {
-    let (there, back) = (Pipe::new(a, b, delay), Pipe::new(b, a, delay));
+    connect_along(a, b, delay, None)
+}
+
+/// Opens a link between two interfaces, along a path that may be cut.
+pub fn connect_along(
+    a: &Rc<Nic>,
+    b: &Rc<Nic>,
+    delay: Duration,
+    path: Option<&Rc<Path>>,
+) -> (LinkEnd, LinkEnd) {
+    let there = Pipe::new(a, b, delay, path);
+    let back = Pipe::new(b, a, delay, path);
+    if let Some(path) = path {
+        path.add(&there);
+        path.add(&back);
+    }
     let end = |incoming: &Rc<Pipe>, outgoing: &Rc<Pipe>| LinkEnd {
         incoming: incoming.clone(),
         outgoing: outgoing.clone(),
@@ -146,6 +207,9 @@
     ) -> Poll<std::io::Result<()>> {
         let pipe = self.incoming.clone();
         let now = Instant::now();
+        if pipe.is_reset.get() {
+            return Poll::Ready(Err(Error::from(ErrorKind::ConnectionReset)));
+        }
         if pipe.is_cut() {
             self.wake_at(now + CUT_POLL_INTERVAL, context);
             return Poll::Pending;
@@ -183,6 +247,9 @@
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         let pipe = &self.outgoing;
+        if pipe.is_reset.get() {
+            return Poll::Ready(Err(Error::from(ErrorKind::ConnectionReset)));
+        }
         if pipe.read_closed.get() {
             return Poll::Ready(Err(Error::from(ErrorKind::BrokenPipe)));
         }
@@ -215,6 +282,9 @@
 impl Link for LinkEnd {
     fn try_read(&mut self, bytes: &mut [u8]) -> std::io::Result<usize> {
         let pipe = &self.incoming;
+        if pipe.is_reset.get() {
+            return Err(Error::from(ErrorKind::ConnectionReset));
+        }
         let mut segments = pipe.segments.borrow_mut();
         if segments.is_empty() && pipe.write_closed.get() {
             return Ok(0);
--- a/crates/kingcuploft-simulation/src/network.rs
+++ b/crates/kingcuploft-simulation/src/network.rs
@@ -12,8 +12,9 @@
 use kingcuploft_entry::peers::peer_socket::{PeerMessage, PeerSender};
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::day::ServerCut;
 use crate::history::VmIndex;
-use crate::link::{self, LinkEnd, Nic};
+use crate::link::{self, LinkEnd, Nic, Path};
 
 /// The delay of bytes within a zone.
 const DELAY_IN_ZONE: Duration = Duration::from_micros(100);
@@ -83,6 +84,8 @@
     pub peer_nic: Rc<Nic>,
     /// The address at which other VMs reach the host.
     pub peer_address: Cell<Option<SocketAddr>>,
+    /// The paths to servers.
+    server_paths: Rc<RefCell<HashMap<SocketAddr, Rc<Path>>>>,
 }
 
 impl Network {
@@ -95,6 +98,7 @@
             nic: Rc::new(Nic::of(LINK_MBIT_PER_S)),
             peer_nic: Rc::new(Nic::of(LINK_MBIT_PER_S)),
             peer_address: Cell::new(None),
+            server_paths: Rc::default(),
         }
     }
 
@@ -152,6 +156,16 @@
         self.peer_nic.is_cut.set(is_cut);
     }
 
+    /// Cuts the host off from a server, or ends the cut.
+    pub fn cut_from_server(&self, server: SocketAddr, cut: Option<ServerCut>) {
+        self.path_to(server).set_cut(cut);
+    }
+
+    fn path_to(&self, server: SocketAddr) -> Rc<Path> {
+        let mut paths = self.server_paths.borrow_mut();
+        paths.entry(server).or_default().clone()
+    }
+
     /// Takes the power away for good; the host that starts when power is back is a new one.
     pub fn lose_power(&self) {
         self.nic.is_powered_off.set(true);
@@ -171,9 +185,25 @@
         }
     }
 
-    async fn open(&self, own: &Rc<Nic>, address: SocketAddr) -> std::io::Result<LinkEnd> {
+    async fn open(
+        &self,
+        own: &Rc<Nic>,
+        address: SocketAddr,
+        path: Option<&Rc<Path>>,
+    ) -> std::io::Result<LinkEnd> {
         loop {
             let refused = || Error::from(ErrorKind::ConnectionRefused);
+            match path.and_then(|path| path.cut()) {
+                None => {}
+                Some(ServerCut::Silent | ServerCut::NewSilent) => {
+                    tokio::time::sleep(CONNECT_RETRY_INTERVAL).await;
+                    continue;
+                }
+                Some(ServerCut::Reset | ServerCut::NewRefused) => {
+                    tokio::time::sleep(2 * DELAY_BETWEEN_ZONES).await;
+                    return Err(refused());
+                }
+            }
             let found = {
                 let listeners = self.network.0.listeners.borrow();
                 let found = listeners.get(&address);
@@ -189,7 +219,7 @@
                 continue;
             }
             tokio::time::sleep(2 * delay).await;
-            let (here, there) = link::connect(own, &nic, delay);
+            let (here, there) = link::connect_along(own, &nic, delay, path);
             connections.send((there, self.vm)).map_err(|_| refused())?;
             return Ok(here);
         }
@@ -199,7 +229,15 @@
 impl kingcuploft_entry::network::Network for Host {
     fn connect(&self, address: SocketAddr) -> Connecting<'_> {
         Box::pin(async move {
-            let end = self.open(&self.nic, address).await?;
+            let path = self.path_to(address);
+            let end = self.open(&self.nic, address, Some(&path)).await?;
+            Ok(Stream::Other(Box::new(end)))
+        })
+    }
+
+    fn connect_to_vm(&self, address: SocketAddr) -> Connecting<'_> {
+        Box::pin(async move {
+            let end = self.open(&self.peer_nic, address, None).await?;
             Ok(Stream::Other(Box::new(end)))
         })
     }
@@ -209,7 +247,7 @@
     type Link = LinkEnd;
 
     async fn dial(&self, address: SocketAddr) -> std::io::Result<LinkEnd> {
-        self.open(&self.peer_nic, address).await
+        self.open(&self.peer_nic, address, None).await
     }
 }
 
--- a/crates/kingcuploft-simulation/src/rules/mod.rs
+++ b/crates/kingcuploft-simulation/src/rules/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The rules check only the history that callers, servers and the store observed.
 
+mod cut_vms;
 mod fleet;
 mod own_words;
 mod propagation;
@@ -50,11 +51,13 @@
     Probes,
     /// A planned stop interrupts no request.
     PlannedStops,
+    /// Callers of VMs that are cut off from servers are served about as often as the others.
+    FirstTriesAtCutVms,
 }
 
 impl Rule {
     /// All rules.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::RepeatBudget,
         Self::AtMostOnce,
         Self::TruthfulRefusals,
@@ -70,6 +73,7 @@
         Self::Quarantine,
         Self::Probes,
         Self::PlannedStops,
+        Self::FirstTriesAtCutVms,
     ];
 }
 
@@ -181,6 +185,7 @@
         Rule::TruthfulRefusals => requests::truthful_refusals(&history),
         Rule::WholeAnswers => requests::whole_answers(&history),
         Rule::PlannedStops => requests::planned_stops(&history),
+        Rule::FirstTriesAtCutVms => cut_vms::first_tries(&history),
         Rule::Draining => propagation::draining(&history),
         Rule::LeavingAnswers => own_words::leaving_answers(&history),
         Rule::RequestedPauses => own_words::requested_pauses(&history),
--- a/crates/kingcuploft-simulation/src/vm.rs
+++ b/crates/kingcuploft-simulation/src/vm.rs
@@ -17,11 +17,13 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{AbortHandle, LocalSet};
 
+use crate::day::ServerCut;
 use crate::deployment::Deployment;
 use crate::header_names::HEADER_NAMES;
 use crate::history::VmIndex;
 use crate::log;
 use crate::network::{Host, Location, Network};
+use crate::server::Server;
 use crate::store::TestStore;
 use crate::store_client::StoreClient;
 
@@ -241,6 +243,15 @@
         }
     }
 
+    /// Cuts the VM off from servers, or ends the cut.
+    pub fn cut_from_servers(&self, servers: &[Rc<Server>], cut: Option<ServerCut>) {
+        if let Some(running) = &*self.running.borrow() {
+            for server in servers {
+                running.host.cut_from_server(server.address, cut);
+            }
+        }
+    }
+
     /// Asks the VM to stop as planned.
     pub fn stop(&self) {
         if let Some(running) = &*self.running.borrow() {
--- a/crates/kingcuploft/src/planted.rs
+++ b/crates/kingcuploft/src/planted.rs
@@ -32,13 +32,15 @@
     IgnoresPauses,
     /// A request that has crashed servers is still sent to others.
     SendsSuspects,
+    /// A VM that reaches no server passes no request to another one.
+    NeverRelays,
     /// A VM keeps the first configuration that it receives and ignores newer ones.
     KeepsOldConfiguration,
 }
 
 impl PlantedFault {
     /// All faults.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::ForgetsRepeats,
         Self::CountsTooFew,
         Self::JoinersLackEvacuations,
@@ -53,6 +55,7 @@
         Self::AppliesLimitsLate,
         Self::IgnoresPauses,
         Self::SendsSuspects,
+        Self::NeverRelays,
         Self::KeepsOldConfiguration,
     ];
 }
