test(soak): VMs are cut off from all servers; their callers' first tries are judged

Cause: the soak's proxies stand before servers and can't cut one VM off, so it never played this fault, and it judged no VM against the others. The program is now kingcuploft-cuttable, the entry VM with a network to the servers that the soak cuts in the four ways; the promise ServedWhileCutOff is the users' rule. Where a VM is cut off the soak can't tell which VM sent a request, so promises by VM leave that time out, as they do for other faults of the VM.

--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -77,10 +77,25 @@
     wire_names: WireNames,
     store: S,
     reread: impl Fn() -> Result<EntrySettings, String>,
+) -> Result<(), StartError> {
+    run_with_network(Rc::new(Tcp), settings, wire_names, store, reread).await
+}
+
+/// As [`run`], for a VM that reaches backend servers through `network`.
+///
+/// # Errors
+///
+/// Returns an error if the VM can't start.
+pub async fn run_with_network<S: Store + 'static>(
+    network: Rc<dyn Network>,
+    settings: EntrySettings,
+    wire_names: WireNames,
+    store: S,
+    reread: impl Fn() -> Result<EntrySettings, String>,
 ) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
-    let running = start(settings, wire_names, store).await?;
+    let running = start_with_network(network, settings, wire_names, store).await?;
     loop {
         tokio::select! {
             biased;
--- a/crates/kingcuploft-entry/tests/entry/cut_off.rs
+++ b/crates/kingcuploft-entry/tests/entry/cut_off.rs
@@ -9,10 +9,10 @@
 use kingcuploft_entry::reach;
 use kingcuploft_entry::run::Running;
 
+use kingcuploft_soak::cuttable::{CuttableNetwork, ServerCut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-use crate::cuttable::{Cut, CuttableNetwork};
 use crate::following::{follower_count, start_with_network};
 use crate::server::{Behavior, ReceivedRequest, TestServer};
 use crate::store::TestStore;
@@ -80,7 +80,7 @@
         fleet
     }
 
-    pub(crate) fn cut(&self, vm: usize, cut: Cut) {
+    pub(crate) fn cut(&self, vm: usize, cut: ServerCut) {
         let servers = self.servers.iter().map(|server| server.address);
         self.networks[vm].cut(servers, cut);
     }
@@ -122,7 +122,7 @@
 
     /// Cuts a VM off silently, and waits until it knows.
     async fn cut_and_notice(&self, vm: usize) {
-        self.cut(vm, Cut::Silent);
+        self.cut(vm, ServerCut::Silent);
         let reach = &self.vms[vm].context.reach;
         while !reach.is_out_of_reach(&"trip".into()) {
             self.ask(
@@ -177,7 +177,7 @@
 }
 
 /// Cuts a VM among three of its zone off, and checks the first tries there from three seconds on.
-async fn check_lone_vm(cut: Cut) {
+async fn check_lone_vm(cut: ServerCut) {
     let behaviors = [Behavior::AnswerAfter(LONG_WORK_TIME); 4];
     let fleet = Rc::new(Fleet::of(&["thun"; 3], &behaviors).await);
     assert_eq!(fleet.served_share(0, "before").await, 1.0);
@@ -193,25 +193,25 @@
 /// Guards against callers of a VM that are refused while only that VM's links to the servers are silent.
 #[test]
 fn callers_of_a_vm_whose_links_to_all_servers_are_silent_are_served() {
-    run_test(check_lone_vm(Cut::Silent));
+    run_test(check_lone_vm(ServerCut::Silent));
 }
 
 /// Guards against callers of a VM that are refused while only that VM's links to the servers are reset.
 #[test]
 fn callers_of_a_vm_whose_links_to_all_servers_are_reset_are_served() {
-    run_test(check_lone_vm(Cut::Reset));
+    run_test(check_lone_vm(ServerCut::Reset));
 }
 
 /// Guards against callers that are refused where open connections live on and no new one can be opened.
 #[test]
 fn callers_of_a_vm_to_which_servers_refuse_new_connections_are_served() {
-    run_test(check_lone_vm(Cut::NewRefused));
+    run_test(check_lone_vm(ServerCut::NewRefused));
 }
 
 /// Guards against callers that wait in vain where open connections live on and new ones hang.
 #[test]
 fn callers_of_a_vm_whose_new_connections_hang_are_served() {
-    run_test(check_lone_vm(Cut::NewSilent));
+    run_test(check_lone_vm(ServerCut::NewSilent));
 }
 
 /// Guards against callers of a whole zone that are refused while the VMs of another zone reach the servers.
@@ -223,7 +223,7 @@
         assert_eq!(fleet.served_share(0, "before").await, 1.0);
         let cut_at = Instant::now();
         for vm in [0, 1] {
-            fleet.cut(vm, Cut::Silent);
+            fleet.cut(vm, ServerCut::Silent);
         }
         for vm in [0, 1] {
             fleet.served_share(vm, "soon").await;
@@ -243,7 +243,7 @@
     run_test(async {
         let fleet = Fleet::of(&["thun"], &[Behavior::Answer]).await;
         assert_eq!(fleet.ask(0, &lookup("before")).await.status, 200);
-        fleet.cut(0, Cut::Silent);
+        fleet.cut(0, ServerCut::Silent);
         let context = &fleet.vms[0].context;
         let upstream = context.upstream("s0").unwrap();
         while !upstream.is_unresponsive(Instant::now()) {
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -6,7 +6,6 @@
 mod callers;
 mod cold;
 mod cut_off;
-mod cuttable;
 mod evacuation;
 mod following;
 mod leaving;
