fix(quarantine): connections that a cut resets are no crashes of their servers

What callers would see: a request that all VMs refuse for minutes as one that crashes servers, because a cut had reset it at several servers of one VM. Cause: the check after a lost answer takes a refused connection for a server that has ended; a VM that is cut off with resets is refused by all. A refusal now counts only if another server of the service accepts a connection (three are asked at most). Evidence: connections_that_a_cut_resets_are_no_crashes_of_their_servers failed before (six lookups of one path reset at four servers: crashes recorded at vm-0).

--- a/crates/kingcuploft-entry/src/edge/suspect.rs
+++ b/crates/kingcuploft-entry/src/edge/suspect.rs
@@ -102,7 +102,7 @@
 
     /// Checks whether the server that lost an answer has crashed, and reports the crash to the other VMs if so.
     async fn check_server_after_loss(&self, upstream: &Rc<Upstream>, known_crashes: u32) {
-        let found = crash_check::check(&*self.context.network, upstream).await;
+        let found = crash_check::check(self.context, upstream).await;
         let fingerprint = self.request.fingerprint();
         let server = &upstream.server.name;
         let report = (found == CrashCheck::Ended).then(|| {
--- a/crates/kingcuploft-entry/tests/entry/cut_off.rs
+++ b/crates/kingcuploft-entry/tests/entry/cut_off.rs
@@ -472,3 +472,32 @@
         }
     });
 }
+
+/// Guards against a request that all VMs refuse as one that crashes servers, since a cut reset it at several servers.
+#[test]
+fn connections_that_a_cut_resets_are_no_crashes_of_their_servers() {
+    run_test(async {
+        let fleet = Rc::new(Fleet::of(&["thun"; 2], &[Behavior::Answer; 4]).await);
+        assert_eq!(fleet.served_share(0, "before").await, 1.0);
+        for server in &fleet.servers {
+            server.behavior.set(Behavior::AnswerAfter(CONTACT_TIME));
+        }
+        let asking = (0..CALLERS).map(|at| {
+            let fleet = fleet.clone();
+            tokio::task::spawn_local(async move { fleet.ask(0, &lookup(&format!("r{at}"))).await })
+        });
+        let asking: Vec<_> = asking.collect();
+        wait_until(|| fleet.received("r0").len() + fleet.received("r5").len() >= 2).await;
+        fleet.cut(0, ServerCut::Reset);
+        for server in &fleet.servers {
+            server.behavior.set(Behavior::Answer);
+        }
+        for asked in asking {
+            asked.await.unwrap();
+        }
+        for vm in &fleet.vms {
+            let crashed = vm.context.quarantine.borrow();
+            assert!(crashed.is_empty(), "{}", vm.context.settings.vm);
+        }
+    });
+}
