--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -22,4 +22,5 @@
 mod server_limit;
 mod server_pauses;
 mod server_table;
+mod service_reach;
 mod zone_record;
