--- a/crates/kingcuploft-entry/src/edge/active_request.rs
+++ b/crates/kingcuploft-entry/src/edge/active_request.rs
@@ -25,7 +25,7 @@
 /// The result of routing a request.
 pub(super) enum Routed<'a> {
     Refused(Answer),
-    Active(ActiveRequest<'a>),
+    Active(Box<ActiveRequest<'a>>),
 }
 
 /// A request that has been routed and is not answered yet.
@@ -106,7 +106,7 @@
             Some(relayed) => most_attempts = most_attempts.min(relayed.attempts),
             None => context.count_request(request.arrived, &service),
         }
-        Routed::Active(Self {
+        Routed::Active(Box::new(Self {
             deadline: request.arrived + allowed,
             target_at: (request.arrived + route.target)
                 .checked_sub(waited_before)
@@ -128,7 +128,7 @@
             last_failure: None,
             answered_by: None,
             retry_after: DEFAULT_RETRY_AFTER,
-        })
+        }))
     }
 
     /// Returns the service for a request: the next destination of its route, or the one that the VM has chosen that passed
--- a/crates/kingcuploft-entry/src/edge/selection.rs
+++ b/crates/kingcuploft-entry/src/edge/selection.rs
@@ -44,6 +44,16 @@
     CallerLeft,
 }
 
+/// What comes before the search for a server.
+enum BeforeSearch {
+    /// A server is searched for, by this path.
+    Search(Path),
+    /// Another run of the same suspect request must end first.
+    Wait,
+    /// There is nothing to search for.
+    End(Selection),
+}
+
 /// Returns whether a request for a service that is out of reach must take the way through another VM: no server with an
 /// open connection is known to be good now.
 fn must_relay(step: Step, candidates: &[Candidate]) -> bool {
@@ -62,36 +72,15 @@
         let mut rounds = 0;
         let mut asked_for_turn = false;
         loop {
-            if disconnect.is_set() {
-                return Selection::CallerLeft;
-            }
-            if let PauseDecision::Refuse(after) = self.check_pauses() {
-                return Selection::Paused(after);
-            }
-            let path = self.path().await;
-            if let Path::None = path {
-                return Selection::Refuse(self.retry_after);
-            }
-            if let Path::OpenConnectionsOr(address) = path
-                && self.connected_upstreams(clock::now(), scope).is_empty()
-            {
-                return Selection::Relay(address);
-            }
-            match self.check_quarantine().await {
-                QuarantineDecision::Send => {}
-                QuarantineDecision::Wait => {
+            let path = match self.check_before_search(disconnect, scope).await {
+                BeforeSearch::Search(path) => path,
+                BeforeSearch::Wait => {
                     tokio::time::sleep(SUSPECT_RUN_POLL_INTERVAL).await;
                     search_began = clock::now();
                     continue;
                 }
-                QuarantineDecision::Refuse(after) => return Selection::Quarantined(after),
-            }
-            if let Some(after) = evacuation::retry_after(self.context, &self.service) {
-                return Selection::Evacuated(after);
-            }
-            if matches!(path, Path::Direct) && self.was_sent_to_all() {
-                return Selection::Refuse(self.retry_after);
-            }
+                BeforeSearch::End(selection) => return selection,
+            };
             let now = clock::now();
             let upstreams = match path {
                 Path::OpenConnectionsOr(_) => self.connected_upstreams(now, scope),
@@ -144,6 +133,42 @@
         }
     }
 
+    /// Returns whether a server is searched for now, and by which path, or what ends the selection.
+    async fn check_before_search(
+        &mut self,
+        disconnect: &CallerDisconnect,
+        scope: ProbeScope,
+    ) -> BeforeSearch {
+        let end = BeforeSearch::End;
+        if disconnect.is_set() {
+            return end(Selection::CallerLeft);
+        }
+        if let PauseDecision::Refuse(after) = self.check_pauses() {
+            return end(Selection::Paused(after));
+        }
+        if let Some(after) = evacuation::retry_after(self.context, &self.service) {
+            return end(Selection::Evacuated(after));
+        }
+        let path = self.path().await;
+        match path {
+            Path::None => return end(Selection::Refuse(self.retry_after)),
+            Path::Direct if self.was_sent_to_all() => {
+                return end(Selection::Refuse(self.retry_after));
+            }
+            Path::OpenConnectionsOr(address)
+                if self.connected_upstreams(clock::now(), scope).is_empty() =>
+            {
+                return end(Selection::Relay(address));
+            }
+            Path::Direct | Path::OpenConnectionsOr(_) => {}
+        }
+        match self.check_quarantine().await {
+            QuarantineDecision::Send => BeforeSearch::Search(path),
+            QuarantineDecision::Wait => BeforeSearch::Wait,
+            QuarantineDecision::Refuse(after) => end(Selection::Quarantined(after)),
+        }
+    }
+
     /// Returns those of the candidates to which an open connection seems to work: a probe shows whether it does.
     fn connected_upstreams(&self, now: Instant, scope: ProbeScope) -> Vec<Rc<Upstream>> {
         let mut connected = self.candidate_upstreams(now, scope);
