--- a/crates/kingcuploft-entry/tests/entry/limits.rs
+++ b/crates/kingcuploft-entry/tests/entry/limits.rs
@@ -8,7 +8,7 @@
 use crate::following::{follower_count, start_in_zone, zone_of};
 use crate::server::{Behavior, TestServer};
 use crate::store::TestStore;
-use crate::testbed::{Caller, Testbed, configuration, entry, lookup, run_test, wait_until};
+use crate::testbed::{Caller, Testbed, lookup, run_test, start_servers, wait_until};
 
 /// The limit that the server names, in requests a second.
 const LIMIT: u32 = 2;
@@ -34,14 +34,7 @@
     vms: usize,
     behaviors: &[Behavior],
 ) -> (Rc<Vec<Running>>, Vec<TestServer>, TestStore) {
-    let store = TestStore::default();
-    store.0.write_configuration(configuration(1));
-    let mut servers = Vec::new();
-    for (at, behavior) in behaviors.iter().enumerate() {
-        let server = TestServer::start(*behavior).await;
-        store.0.write_backend_server(entry(at, &server));
-        servers.push(server);
-    }
+    let (store, servers) = start_servers(behaviors).await;
     let vms = zone_of(vms, &store).await;
     wait_until(|| follower_count(&vms) == vms.len() - 1).await;
     (Rc::new(vms), servers, store)
--- a/crates/kingcuploft-entry/tests/entry/testbed.rs
+++ b/crates/kingcuploft-entry/tests/entry/testbed.rs
@@ -42,14 +42,7 @@
 impl Testbed {
     /// Starts servers with these behaviors, and a VM in front of them.
     pub(crate) async fn with(behaviors: &[Behavior]) -> Self {
-        let store = TestStore::default();
-        store.0.write_configuration(configuration(1));
-        let mut servers = Vec::new();
-        for (at, behavior) in behaviors.iter().enumerate() {
-            let server = TestServer::start(*behavior).await;
-            store.0.write_backend_server(entry(at, &server));
-            servers.push(server);
-        }
+        let (store, servers) = start_servers(behaviors).await;
         let vm = start("vm", &store).await;
         Self {
             vm,
@@ -81,6 +74,19 @@
     }
 }
 
+/// Starts servers with these behaviors, and a store that holds their entries and a configuration.
+pub(crate) async fn start_servers(behaviors: &[Behavior]) -> (TestStore, Vec<TestServer>) {
+    let store = TestStore::default();
+    store.0.write_configuration(configuration(1));
+    let mut servers = Vec::new();
+    for (at, behavior) in behaviors.iter().enumerate() {
+        let server = TestServer::start(*behavior).await;
+        store.0.write_backend_server(entry(at, &server));
+        servers.push(server);
+    }
+    (store, servers)
+}
+
 /// Starts a VM, and waits until it knows the store's configuration and servers.
 pub(crate) async fn start(name: &str, store: &TestStore) -> Running {
     let vm = run::start(settings(name), HEADER_NAMES, store.clone())
