--- a/crates/kingcuploft-entry/src/edge/relay.rs
+++ b/crates/kingcuploft-entry/src/edge/relay.rs
@@ -25,11 +25,11 @@
     SelectAgain,
 }
 
-/// Whether a request can be served by this VM's own paths.
+/// By which path a request can reach a server.
 pub(super) enum Path {
     /// The service is in reach, or nobody is known who reaches it.
     Direct,
-    /// Only servers with open connections can be reached; this VM reaches them all.
+    /// The service is out of reach but for open connections; the VM at this address reaches it.
     OpenConnectionsOr(SocketAddr),
     /// The request came from another VM, and must not be passed on again.
     None,
