perf(selection): a choice of a server looks at no more servers of a large service

Cause: each look at a service, every 2 ms while reports are awaited, copied the handles of all its servers (6,106), filtered them four to six times and sorted those of other zones; each probe counted all 10,000 servers for its budget; a leaving server went through all of them and sorted them again; a cold one was searched for by name among all. All of it grows with the servers, and each VM does it.

Change: `server_order` keeps a service's servers in the VM's order, by zone and rank; a request looks at the first that suit it, a bounded number unless none of them may get it. Servers are found by name in a table, their number is that of the table, and one that joins or leaves is put in its place. A service of up to 16 near and 64 far servers is chosen from whole, as before (property test against the whole list).

The test of the count of looks: equal at 1,000, 10,000 and 20,000 servers; before, each look was at all of them.

--- a/crates/kingcuploft-entry/src/budgets.rs
+++ b/crates/kingcuploft-entry/src/budgets.rs
@@ -36,7 +36,7 @@
         if planted::is_on(PlantedFault::ProbesUnbounded) {
             return true;
         }
-        let servers = self.servers.borrow().in_use_count();
+        let servers = self.total_upstream_count();
         let bound = self.bounds.get().probes_per_server_s;
         self.probe_budget
             .borrow_mut()
--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -41,7 +41,7 @@
 use crate::rewinds::Rewinds;
 use crate::settings::{Bounds, EntrySettings, WireNames};
 use crate::store::{Collection, Revision};
-use crate::upstream::Upstream;
+use crate::usable_servers::UsableServers;
 
 /// How many VMs are assumed to share the budgets of the fleet until they are counted: more than there are, so that a VM
 /// that cannot count them uses next to nothing of the budgets.
@@ -124,7 +124,7 @@
     is_closing_idle: Cell<bool>,
     pub(crate) servers: RefCell<BackendServers>,
     servers_listed: Cell<bool>,
-    pub(crate) upstreams: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
+    pub(crate) upstreams: RefCell<UsableServers>,
     selectors: RefCell<HashMap<RuleName, WeightedSelector>>,
     service_times: RefCell<HashMap<(RuleName, ServiceName), ServiceTime>>,
     last_slot_slowdowns: RefCell<HashMap<ServiceName, LastSlotSlowdown>>,
--- a/crates/kingcuploft-entry/src/edge/paused_servers.rs
+++ b/crates/kingcuploft-entry/src/edge/paused_servers.rs
@@ -15,10 +15,11 @@
             return PauseDecision::Select;
         }
         let now = clock::now();
-        let upstreams = self.context.upstreams(&self.service);
-        let untried = upstreams.iter().filter(|u| !self.was_tried(u));
-        let pauses = untried.map(|u| pauses::remaining(self.context, now, &u.server.name));
-        server_pauses::decide(pauses, self.remaining_wait())
+        self.context.with_upstreams(&self.service, |upstreams| {
+            let untried = upstreams.filter(|u| !self.was_tried(u));
+            let pauses = untried.map(|u| pauses::remaining(self.context, now, &u.server.name));
+            server_pauses::decide(pauses, self.remaining_wait())
+        })
     }
 
     /// Returns how much longer all servers of the service are paused; zero if one is not.
@@ -27,10 +28,10 @@
             return Duration::ZERO;
         }
         let now = clock::now();
-        let upstreams = self.context.upstreams(&self.service);
-        let pauses = upstreams
-            .iter()
-            .map(|u| pauses::remaining(self.context, now, &u.server.name));
-        pauses.min().unwrap_or_default()
+        let shortest = self.context.with_upstreams(&self.service, |upstreams| {
+            let pauses = upstreams.map(|u| pauses::remaining(self.context, now, &u.server.name));
+            server_pauses::shortest(pauses)
+        });
+        shortest.unwrap_or_default()
     }
 }
--- a/crates/kingcuploft-entry/src/edge/selection.rs
+++ b/crates/kingcuploft-entry/src/edge/selection.rs
@@ -7,6 +7,7 @@
 
 use kingcuploft::entry::placement::{Candidate, PlacementNeed, ProbeScope, Step, place};
 use kingcuploft::entry::probe_fanout::probe_fanout;
+use kingcuploft::entry::server_order::{Shortlist, Suitability};
 use kingcuploft::entry::server_pauses::PauseDecision;
 
 use super::active_request::ActiveRequest;
@@ -184,10 +185,10 @@
     }
 
     /// Returns whether an attempt at the server was made already.
-    pub(super) fn was_tried(&self, upstream: &Rc<Upstream>) -> bool {
+    pub(super) fn was_tried(&self, upstream: &Upstream) -> bool {
         self.tried_upstreams
             .iter()
-            .any(|tried| Rc::ptr_eq(tried, upstream))
+            .any(|tried| std::ptr::eq(&**tried, upstream))
     }
 
     /// Returns whether the service has servers, and an attempt was made at each.
@@ -195,41 +196,44 @@
         if self.tried_upstreams.is_empty() {
             return false;
         }
-        let upstreams = self.context.upstreams(&self.service);
-        !upstreams.is_empty() && upstreams.iter().all(|u| self.was_tried(u))
+        self.context.with_upstreams(&self.service, |upstreams| {
+            let mut upstreams = upstreams.peekable();
+            upstreams.peek().is_some() && upstreams.all(|u| self.was_tried(u))
+        })
     }
 
     /// Returns the servers to select from. Of the own zone these are the first in this VM's order that answer probes,
     /// or of all servers if none does; of the other zones those that are cheapest to probe.
     pub(super) fn candidate_upstreams(&self, now: Instant, scope: ProbeScope) -> Vec<Rc<Upstream>> {
-        let mut all = self.context.upstreams(&self.service);
         let share = self.context.connection_share(&self.service);
-        all.retain(|upstream| upstream.has_connection_available(share));
-        all.retain(|upstream| !pauses::is_paused(self.context, now, &upstream.server.name));
-        all.retain(|upstream| limits::wait_before_send(self.context, upstream, now).is_zero());
-        let untried = all.iter().filter(|u| !self.was_tried(u));
-        let responsive: Vec<_> = untried
-            .filter(|u| !u.is_unresponsive(now))
-            .cloned()
-            .collect();
-        if !responsive.is_empty() {
-            all = responsive;
-        }
-        let without_suspect = all.iter().filter(|u| !u.is_running_suspect());
-        let without_suspect: Vec<_> = without_suspect.cloned().collect();
-        if !without_suspect.is_empty() {
-            all = without_suspect;
-        }
-        let (mut near, mut others): (Vec<_>, Vec<_>) = all.into_iter().partition(|u| u.near);
-        let fanout = probe_fanout(near.len(), others.len(), scope);
+        let judge = |upstream: &Upstream| self.suitability(upstream, now, share);
+        let Shortlist { mut near, mut far } = self.context.shortlist(&self.service, judge);
+        let fanout = probe_fanout(near.len(), far.len(), scope);
         let max_age = self.context.max_load_report_age();
-        others.sort_by_cached_key(|u| u.probe_cost(now, max_age));
+        far.sort_by_cached_key(|u| u.probe_cost(now, max_age));
         near.truncate(fanout.near);
-        others.truncate(fanout.far);
-        near.append(&mut others);
+        far.truncate(fanout.far);
+        near.append(&mut far);
         near
     }
 
+    /// Returns how well a server suits the request, given that this VM may have `share` connections to it.
+    fn suitability(&self, upstream: &Upstream, now: Instant, share: usize) -> Suitability {
+        let is_usable = upstream.has_connection_available(share)
+            && !pauses::is_paused(self.context, now, &upstream.server.name)
+            && limits::wait_before_send(self.context, upstream, now).is_zero();
+        if !is_usable {
+            return Suitability::Unusable;
+        }
+        let is_doubtful = upstream.is_unresponsive(now) || self.was_tried(upstream);
+        match (is_doubtful, upstream.is_running_suspect()) {
+            (false, false) => Suitability::Suitable,
+            (false, true) => Suitability::RunsSuspect,
+            (true, false) => Suitability::Doubtful,
+            (true, true) => Suitability::DoubtfulRunsSuspect,
+        }
+    }
+
     /// Probes a random sample of these servers; each is in it with probability `share`.
     pub(super) fn probe_upstreams(&self, upstreams: &[Rc<Upstream>], share: f64) {
         let Some(service) = self.configuration.services.get(&self.service) else {
--- a/crates/kingcuploft-entry/src/limits.rs
+++ b/crates/kingcuploft-entry/src/limits.rs
@@ -175,13 +175,16 @@
 
 /// Returns the servers of a service that announce limits.
 pub fn limited_upstreams(context: &Context, service: &ServiceName) -> Vec<Rc<Upstream>> {
-    if context.limits.borrow().is_empty() {
-        return Vec::new();
-    }
-    let mut upstreams = context.upstreams(service);
     let limits = context.limits.borrow();
-    upstreams.retain(|upstream| limits.per_s(&upstream.server.name).is_some());
-    upstreams
+    let evacuations = context.evacuations.borrow();
+    let known = limits
+        .servers()
+        .filter_map(|server| context.upstream(server));
+    let of_service = known.filter(|upstream| upstream.server.service == *service);
+    let open = of_service.filter(|upstream| !evacuations.is_evacuated(&upstream.server.zone));
+    let mut open: Vec<_> = open.collect();
+    open.sort_by_key(|upstream| (!upstream.near, upstream.rank));
+    open
 }
 
 /// Returns whether this VM owns a server's limit, or a part of it, and so grants turns.
--- a/crates/kingcuploft-entry/src/reach.rs
+++ b/crates/kingcuploft-entry/src/reach.rs
@@ -240,17 +240,19 @@
 /// Probes the first server of a service that answers probes, and waits for its answer for a moment.
 async fn probe_one(context: &Rc<Context>, service: &ServiceName) {
     let now = clock::now();
-    let upstreams = context.upstreams(service);
-    let mut responsive = upstreams.iter().filter(|u| !u.is_unresponsive(now));
+    let responsive = context.with_upstreams(service, |upstreams| {
+        let mut responsive = upstreams.filter(|u| !u.is_unresponsive(now));
+        responsive.next().cloned()
+    });
     let configuration = context.configuration();
     let health_path = configuration.and_then(|c| {
         let service = c.services.get(service)?;
         Some(service.health_path.clone())
     });
-    let (Some(upstream), Some(health_path)) = (responsive.next(), health_path) else {
+    let (Some(upstream), Some(health_path)) = (responsive, health_path) else {
         return;
     };
-    probe::start(context, upstream, &health_path);
+    probe::start(context, &upstream, &health_path);
     let until = now + PROBE_WAIT;
     while clock::now() < until && !may_relay(context, service) {
         let reported = context.load_report_received.notified();
--- a/crates/kingcuploft-entry/src/usable_servers.rs
+++ b/crates/kingcuploft-entry/src/usable_servers.rs
@@ -5,88 +5,144 @@
 
 use kingcuploft::entry::backend_servers::Change;
 use kingcuploft::entry::connections;
-use kingcuploft::utils::HashSet;
-use kingcuploft::world::ids::ServiceName;
+use kingcuploft::entry::server_order::{Distance, ServerOrder, Shortlist, Suitability};
+use kingcuploft::utils::HashMap;
+use kingcuploft::world::ids::{BackendServerName, ServiceName};
 
 use crate::clock;
 use crate::context::{Context, VMS_WHILE_UNCOUNTED};
 use crate::pauses;
 use crate::upstream::Upstream;
 
+/// The upstreams of the servers that requests may be sent to.
+#[derive(Debug, Default)]
+pub(crate) struct UsableServers {
+    by_service: HashMap<ServiceName, ServerOrder<Rc<Upstream>>>,
+    by_name: HashMap<BackendServerName, Rc<Upstream>>,
+}
+
+impl UsableServers {
+    fn insert(&mut self, upstream: Rc<Upstream>) {
+        let server = &upstream.server;
+        let of_service = self.by_service.entry(server.service.clone()).or_default();
+        of_service.insert(distance(&upstream), upstream.rank, upstream.clone());
+        self.by_name.insert(server.name.clone(), upstream);
+    }
+
+    fn remove(&mut self, name: &BackendServerName) {
+        let Some(upstream) = self.by_name.remove(name) else {
+            return;
+        };
+        if let Some(of_service) = self.by_service.get_mut(&upstream.server.service) {
+            let is_meant = |other: &Rc<Upstream>| Rc::ptr_eq(other, &upstream);
+            of_service.remove(distance(&upstream), upstream.rank, is_meant);
+        }
+    }
+}
+
+fn distance(upstream: &Upstream) -> Distance {
+    match upstream.near {
+        true => Distance::Near,
+        false => Distance::Far,
+    }
+}
+
 impl Context {
     /// Applies changes of the backend servers: creates the upstreams of servers that joined and drops those of servers
     /// that left, with their connections and load reports.
     pub fn apply_server_changes(&self, now: Instant, changes: &[Change]) {
-        let mut dropped_names = HashSet::default();
-        let mut added_names = HashSet::default();
+        let mut upstreams = self.upstreams.borrow_mut();
         for change in changes {
             match change {
                 Change::Joined(name) => {
-                    dropped_names.insert(name);
-                    added_names.insert(name);
-                }
-                Change::Left(name) => {
-                    dropped_names.insert(name);
-                    added_names.remove(name);
+                    upstreams.remove(name);
+                    if let Some(server) = self.servers.borrow().get(name) {
+                        let near = server.zone == self.settings.zone;
+                        let upstream = Upstream::new(server.clone(), &self.settings.vm, near, now);
+                        upstreams.insert(Rc::new(upstream));
+                    }
                 }
+                Change::Left(name) => upstreams.remove(name),
                 Change::Updated(_) | Change::Lapsed(_) => {}
             }
         }
-        if dropped_names.is_empty() {
-            return;
-        }
-        let mut upstreams = self.upstreams.borrow_mut();
-        for of_service in upstreams.values_mut() {
-            of_service.retain(|upstream| !dropped_names.contains(&upstream.server.name));
-        }
-        if added_names.is_empty() {
-            return;
-        }
-        let servers = self.servers.borrow();
-        for server in added_names.into_iter().filter_map(|name| servers.get(name)) {
-            let near = server.zone == self.settings.zone;
-            let upstream = Upstream::new(server.clone(), &self.settings.vm, near, now);
-            let of_service = upstreams.entry(server.service.clone()).or_default();
-            of_service.push(Rc::new(upstream));
-        }
-        for of_service in upstreams.values_mut() {
-            of_service.sort_by_key(|upstream| (!upstream.near, upstream.rank));
-        }
     }
 
-    /// Returns the servers of a service that may get work, those of the own zone first.
+    /// Calls `operation` with the servers of a service that may get work, those of the own zone first, and returns its
+    /// result.
     ///
     /// Each VM has its own order of the servers within a zone. It probes the first few, so that its connections stay in
     /// use, and the VMs together probe all.
+    pub fn with_upstreams<T>(
+        &self,
+        service: &ServiceName,
+        operation: impl FnOnce(&mut dyn Iterator<Item = &Rc<Upstream>>) -> T,
+    ) -> T {
+        let upstreams = self.upstreams.borrow();
+        let evacuations = self.evacuations.borrow();
+        let of_service = upstreams.by_service.get(service);
+        let all = of_service.into_iter().flat_map(ServerOrder::iter);
+        let mut open = all.filter(|upstream| !evacuations.is_evacuated(&upstream.server.zone));
+        operation(&mut open)
+    }
+
+    /// Returns all servers of a service that may get work, in this VM's order.
     pub fn upstreams(&self, service: &ServiceName) -> Vec<Rc<Upstream>> {
+        self.with_upstreams(service, |open| open.cloned().collect())
+    }
+
+    /// Returns the first servers of a service that suit a request best by `judge`, which is asked only about those
+    /// outside of evacuated zones.
+    pub fn shortlist(
+        &self,
+        service: &ServiceName,
+        judge: impl Fn(&Upstream) -> Suitability,
+    ) -> Shortlist<Rc<Upstream>> {
         let upstreams = self.upstreams.borrow();
         let evacuations = self.evacuations.borrow();
-        let of_service = upstreams.get(service).into_iter().flatten();
-        let open = of_service.filter(|upstream| !evacuations.is_evacuated(&upstream.server.zone));
-        open.cloned().collect()
+        let Some(of_service) = upstreams.by_service.get(service) else {
+            return Shortlist::default();
+        };
+        of_service.shortlist(|upstream: &Rc<Upstream>| {
+            match evacuations.is_evacuated(&upstream.server.zone) {
+                true => Suitability::Unusable,
+                false => judge(upstream),
+            }
+        })
     }
 
     /// Returns how many servers a service has, in evacuated zones too.
     pub fn upstream_count(&self, service: &ServiceName) -> usize {
-        self.upstreams.borrow().get(service).map_or(0, Vec::len)
+        let upstreams = self.upstreams.borrow();
+        upstreams
+            .by_service
+            .get(service)
+            .map_or(0, ServerOrder::len)
+    }
+
+    /// Returns how many servers all services have, in evacuated zones too.
+    pub fn total_upstream_count(&self) -> usize {
+        self.upstreams.borrow().by_name.len()
     }
 
     /// Returns the servers of all services and zones.
     pub fn all_upstreams(&self) -> Vec<Rc<Upstream>> {
-        self.upstreams
-            .borrow()
-            .values()
-            .flatten()
-            .cloned()
-            .collect()
+        let upstreams = self.upstreams.borrow();
+        let all = upstreams.by_service.values().flat_map(ServerOrder::iter);
+        all.cloned().collect()
     }
 
     /// Returns whether a service has servers, and all are in evacuated zones.
     pub fn is_evacuated(&self, service: &ServiceName) -> bool {
         let upstreams = self.upstreams.borrow();
         let evacuations = self.evacuations.borrow();
-        let of_service = upstreams.get(service).filter(|all| !all.is_empty());
-        of_service.is_some_and(|all| all.iter().all(|u| evacuations.is_evacuated(&u.server.zone)))
+        let of_service = upstreams.by_service.get(service);
+        let of_service = of_service.filter(|all| !all.is_empty());
+        // The servers of one zone, the own, come first.
+        of_service.is_some_and(|all| {
+            let mut all = all.iter().rev();
+            all.all(|u| evacuations.is_evacuated(&u.server.zone))
+        })
     }
 
     /// Returns whether a request may still be sent to the server that was selected for it.
@@ -112,8 +168,6 @@
 
     /// Returns the server of this name, if it may get work.
     pub fn upstream(&self, name: &str) -> Option<Rc<Upstream>> {
-        let upstreams = self.upstreams.borrow();
-        let mut all = upstreams.values().flatten();
-        all.find(|upstream| *upstream.server.name == *name).cloned()
+        self.upstreams.borrow().by_name.get(name).cloned()
     }
 }
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -37,6 +37,7 @@
 pub mod repeat_budget;
 pub mod server_limit;
 pub mod server_limits;
+pub mod server_order;
 pub mod server_pauses;
 pub mod server_table;
 pub mod service_reach;
--- a/crates/kingcuploft/src/entry/probe_fanout.rs
+++ b/crates/kingcuploft/src/entry/probe_fanout.rs
@@ -12,7 +12,7 @@
 
 /// Maximum number of servers that are probed in all if none of the first is good: all servers of a typical service, and
 /// a bounded number of one with hundreds.
-const MAX_PROBED: usize = 16;
+pub const MAX_PROBED: usize = 16;
 
 /// The number of servers to probe, by distance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/kingcuploft/src/entry/server_limits.rs
+++ b/crates/kingcuploft/src/entry/server_limits.rs
@@ -70,6 +70,11 @@
         self.known.is_empty()
     }
 
+    /// Returns the servers that have a limit.
+    pub fn servers(&self) -> impl Iterator<Item = &BackendServerName> {
+        self.known.keys()
+    }
+
     /// Returns the number of servers that name a limit.
     pub fn len(&self) -> usize {
         let named = self.known.values().filter(|known| known.named.is_some());
--- a/crates/kingcuploft/src/entry/server_pauses.rs
+++ b/crates/kingcuploft/src/entry/server_pauses.rs
@@ -61,10 +61,22 @@
     }
 }
 
+/// Returns the shortest of these pauses, without looking further than the first server that is not paused.
+pub fn shortest(pauses: impl Iterator<Item = Duration>) -> Option<Duration> {
+    let mut shortest: Option<Duration> = None;
+    for pause in pauses {
+        shortest = Some(shortest.map_or(pause, |known| known.min(pause)));
+        if pause.is_zero() {
+            break;
+        }
+    }
+    shortest
+}
+
 /// Decides about a request that can wait for `max_wait`, by how much longer each of the servers that could serve it is
 /// paused.
 pub fn decide(pauses: impl Iterator<Item = Duration>, max_wait: Duration) -> PauseDecision {
-    match pauses.min() {
+    match shortest(pauses) {
         Some(shortest) if shortest > max_wait => PauseDecision::Refuse(shortest),
         Some(_) | None => PauseDecision::Select,
     }
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -20,6 +20,7 @@
 mod repeat_budget;
 mod rewinds;
 mod server_limit;
+mod server_order;
 mod server_pauses;
 mod server_table;
 mod service_reach;
