fix(peers): news of thousands of servers travels as what changed, in few messages and without pauses

Callers saw: requests to servers that had left, and VMs that came back to their feeders one after the other, when many servers change at once. Three faults of one class: what a VM is told grows with all servers, or arrives one server at a time.

Each server that leaves was a message of its own.

Change: servers that leave are told together (`ServersGone`, version 5 of the protocol; a VM of the release before is told one by one), a list is told on as what it has changed, and an answer of 64 changes or more is followed by the next call at once.

The links fleet's store can hold a bounded number of changes in an answer.

--- a/crates/kingcuploft-entry/src/peers/feed.rs
+++ b/crates/kingcuploft-entry/src/peers/feed.rs
@@ -86,6 +86,15 @@
                     write_line(&mut self.stream, &line).await?;
                 }
                 Outgoing::SinceVersion(..) => {}
+                Outgoing::ByVersion {
+                    since,
+                    line,
+                    before,
+                } => {
+                    let is_understood = self.protocol_version >= since;
+                    let lines = if is_understood { line } else { before };
+                    write_line(&mut self.stream, &lines).await?;
+                }
             }
         }
         Ok(())
--- a/crates/kingcuploft-entry/src/peers/followers.rs
+++ b/crates/kingcuploft-entry/src/peers/followers.rs
@@ -8,11 +8,12 @@
 use kingcuploft::entry::dissemination::{self, Admission, FollowerLoad};
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::utils::HashMap;
-use kingcuploft::world::ids::{AvailabilityZone, VmName};
+use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, VmName};
 use tokio::sync::{Notify, Semaphore, mpsc};
 
 use super::frame::{
-    FIRST_VERSION_WITH_EVACUATIONS, FIRST_VERSION_WITH_NOTICES, Frame, ProtocolVersion,
+    FIRST_VERSION_WITH_EVACUATIONS, FIRST_VERSION_WITH_NOTICES, FIRST_VERSION_WITH_SERVERS_GONE,
+    Frame, ProtocolVersion,
 };
 
 /// The most frames in the queue of one follower. A follower that is further behind is dropped: it syncs sooner from
@@ -41,6 +42,26 @@
     Configuration,
     /// A line that followers understand from this version of the protocol on.
     SinceVersion(ProtocolVersion, Line),
+    /// The same, and the lines that tell earlier ones the same.
+    ByVersion {
+        /// The first version that understands `line`.
+        since: ProtocolVersion,
+        /// The line.
+        line: Line,
+        /// The lines for earlier versions.
+        before: Line,
+    },
+}
+
+impl Outgoing {
+    /// Returns how many bytes of a queue it takes.
+    fn bytes(&self) -> usize {
+        match self {
+            Self::Line(line) | Self::Alive(line) | Self::SinceVersion(_, line) => line.len(),
+            Self::ByVersion { line, before, .. } => line.len().max(before.len()),
+            Self::NewerVersion(_) | Self::Configuration => 0,
+        }
+    }
 }
 
 /// The queue of one follower.
@@ -66,12 +87,8 @@
     }
 
     fn subtract_bytes(&self, outgoing: Option<&Outgoing>) {
-        if let Some(
-            Outgoing::Line(line) | Outgoing::Alive(line) | Outgoing::SinceVersion(_, line),
-        ) = outgoing
-        {
-            self.queued_bytes.set(self.queued_bytes.get() - line.len());
-        }
+        let bytes = outgoing.map_or(0, Outgoing::bytes);
+        self.queued_bytes.set(self.queued_bytes.get() - bytes);
     }
 }
 
@@ -89,12 +106,7 @@
 impl Follower {
     /// Queues an entry; returns whether there was room for it.
     fn enqueue(&self, outgoing: &Outgoing) -> bool {
-        let bytes = match outgoing {
-            Outgoing::Line(line) | Outgoing::Alive(line) | Outgoing::SinceVersion(_, line) => {
-                line.len()
-            }
-            Outgoing::NewerVersion(_) | Outgoing::Configuration => 0,
-        };
+        let bytes = outgoing.bytes();
         let queued = self.queued_bytes.get();
         let has_room = queued == 0 || queued + bytes <= MAX_QUEUED_BYTES;
         if !has_room || self.queue.try_send(outgoing.clone()).is_err() {
@@ -150,9 +162,11 @@
     /// Sends a frame to all followers; drops those whose queue is full.
     pub fn send(&self, frame: &Frame) {
         match frame {
-            Frame::Server(_) | Frame::Servers(_) | Frame::ServerGone(_) | Frame::AllServers(_) => {
-                self.invalidate_server_snapshot()
-            }
+            Frame::Server(_)
+            | Frame::Servers(_)
+            | Frame::ServerGone(_)
+            | Frame::ServersGone(_)
+            | Frame::AllServers(_) => self.invalidate_server_snapshot(),
             _ => {}
         }
         if self.is_empty() {
@@ -161,6 +175,27 @@
         self.enqueue_all(&Outgoing::Line(Rc::new(frame.to_line())));
     }
 
+    /// Tells all followers that the entries of these servers were removed.
+    pub fn send_servers_gone(&self, names: &[BackendServerName]) {
+        if names.is_empty() {
+            return;
+        }
+        self.invalidate_server_snapshot();
+        if self.is_empty() {
+            return;
+        }
+        let single = |name: &BackendServerName| Frame::ServerGone(name.clone()).to_line();
+        let line = match names {
+            [name] => single(name),
+            several => Frame::ServersGone(several.to_vec()).to_line(),
+        };
+        self.enqueue_all(&Outgoing::ByVersion {
+            since: FIRST_VERSION_WITH_SERVERS_GONE,
+            line: Rc::new(line),
+            before: Rc::new(names.iter().flat_map(single).collect()),
+        });
+    }
+
     /// Sends the latest configuration to all followers, first to those through which most others are fed.
     pub fn send_configuration(&self) {
         let mut all = self.all.borrow_mut();
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -11,7 +11,7 @@
 use kingcuploft::entry::server_table::ServerTable;
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::entry::zone_record::ZoneRecord;
-use kingcuploft::world::ids::{AvailabilityZone, VmName};
+use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, VmName};
 use serde::{Deserialize, Serialize};
 
 use crate::store::Revision;
@@ -52,7 +52,9 @@
     /// The entries of several backend servers.
     Servers(ServerTable),
     /// The entry of a backend server was removed.
-    ServerGone(String),
+    ServerGone(BackendServerName),
+    /// The entries of several backend servers were removed.
+    ServersGone(Vec<BackendServerName>),
     /// The entries of all backend servers; those not listed were removed.
     AllServers(ServerTable),
     /// The records of zones.
@@ -102,8 +104,8 @@
     /// A digest of the backend servers that it knows.
     #[serde(default)]
     pub servers_digest: Option<u64>,
-    /// The version of the protocol that it understands: 4 understands all frames, 3 all but workspaces, 2 no evacuations
-    /// either, 1 no notices either; 0 stands for the releases before these.
+    /// The version of the protocol that it understands: 5 understands all frames, 4 all but several removed servers at
+    /// once, 3 no workspaces either, 2 no evacuations either, 1 no notices either; 0 stands for the releases before these.
     #[serde(default, rename = "speaks")]
     pub protocol_version: ProtocolVersion,
 }
@@ -112,7 +114,7 @@
 pub type ProtocolVersion = u32;
 
 /// The version of the protocol that this release understands.
-pub const PROTOCOL_VERSION: ProtocolVersion = 4;
+pub const PROTOCOL_VERSION: ProtocolVersion = 5;
 
 /// The first version that takes a configuration in parts.
 pub const FIRST_VERSION_WITH_PARTS: ProtocolVersion = 1;
@@ -128,6 +130,9 @@
 /// servers.
 pub const FIRST_VERSION_WITH_WORKSPACES: ProtocolVersion = 4;
 
+/// The first version that takes several removed servers at once.
+pub const FIRST_VERSION_WITH_SERVERS_GONE: ProtocolVersion = 5;
+
 /// How far a VM has replicated the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SyncStatus {
--- a/crates/kingcuploft-entry/src/server_updates.rs
+++ b/crates/kingcuploft-entry/src/server_updates.rs
@@ -11,8 +11,8 @@
 use crate::context::Context;
 use crate::peers::frame::Frame;
 
-/// The most changes that are sent and logged one by one when they come together.
-const MAX_CHANGES_SENT_SINGLY: usize = 4;
+/// The most changes that are logged one by one when they come together.
+const MAX_CHANGES_LOGGED_SINGLY: usize = 4;
 
 /// Applies entries of backend servers, and forwards those that are new: a list repeats what is known, and hundreds of
 /// frames at once exceed a follower's queue.
@@ -42,12 +42,15 @@
         .collect()
 }
 
-/// Applies the removal of a backend server's entry, and forwards it.
-pub fn apply_removal(context: &Context, now: Instant, name: &str) {
-    context.followers.send(&Frame::ServerGone(name.to_owned()));
-    if let Some(change) = context.with_servers(|servers| servers.remove(now, name)) {
-        apply_change(context, now, &change);
-    }
+/// Applies the removal of backend servers' entries, and forwards it.
+///
+/// Load pattern: a thousand servers leave at once. A line for each would fill the queues of the followers, which would
+/// be dropped, and be sent the whole table when they come back.
+pub fn apply_removals(context: &Context, now: Instant, names: Vec<BackendServerName>) {
+    context.followers.send_servers_gone(&names);
+    let removed = context.with_servers(|servers| servers.remove_all(now, names));
+    log_changes(&removed.changes);
+    context.apply_server_changes(now, &removed.changes);
 }
 
 /// Applies a server's own statement that it leaves.
@@ -83,30 +86,27 @@
     let joined =
         context.with_servers(|known| entries.filter_map(|s| known.update(s)).collect::<Vec<_>>());
     let present = names.iter().map(String::as_str);
-    let removed = context.with_servers(|known| known.remove_missing(now, present).changes);
-    let changes: Vec<Change> = joined.into_iter().chain(removed).collect();
+    let removed = context.with_servers(|known| known.remove_missing(now, present));
+    let changes: Vec<Change> = joined.into_iter().chain(removed.changes).collect();
     log_changes(&changes);
     context.apply_server_changes(now, &changes);
     cold_servers::apply_store_report(context, &cold);
     context.set_servers_listed();
-    forward_to_followers(context, &new_servers, &changes);
+    forward_to_followers(context, &new_servers, &removed.names);
 }
 
-/// Forwards the outcome of a complete list to the followers: the changes if they are few, or the whole table.
-fn forward_to_followers(context: &Context, new_servers: &[BackendServer], changes: &[Change]) {
-    if new_servers.len() + changes.len() > MAX_CHANGES_SENT_SINGLY {
-        let table = context.with_servers(|servers| ServerTable::from_servers(servers.present()));
-        context.followers.send(&Frame::AllServers(table));
-        return;
-    }
-    for server in new_servers {
-        context.followers.send(&Frame::Server(server.clone()));
-    }
-    for change in changes {
-        if let Change::Left(name) | Change::Lapsed(name) = change {
-            context.followers.send(&Frame::ServerGone(name.to_string()));
-        }
+/// Forwards to the followers what a complete list has changed. They know the rest: sent again, the table of thousands of
+/// servers would hold up all other news for seconds on the links of small VMs.
+fn forward_to_followers(
+    context: &Context,
+    new_servers: &[BackendServer],
+    gone: &[BackendServerName],
+) {
+    if !new_servers.is_empty() {
+        let table = ServerTable::from_servers(new_servers.iter());
+        context.followers.send(&Frame::Servers(table));
     }
+    context.followers.send_servers_gone(gone);
 }
 
 /// Applies a change of a server, and logs it.
@@ -117,7 +117,7 @@
 
 /// Logs a line for each of a few changes, or one line with counts for many.
 fn log_changes(changes: &[Change]) {
-    if changes.len() <= MAX_CHANGES_SENT_SINGLY {
+    if changes.len() <= MAX_CHANGES_LOGGED_SINGLY {
         for change in changes {
             let (what, server) = (change.label(), change.server());
             tracing::info!(event = "server", what, %server);
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -10,11 +10,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
 use kingcuploft::entry::era::{Era, era_of};
 use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::zone_record::{MAX_NAMED_VMS, ZoneRecord};
 use kingcuploft::planted::{self, PlantedFault};
+use kingcuploft::utils::HashSet;
+use kingcuploft::world::ids::BackendServerName;
 
 use crate::clock;
 use crate::cold_servers;
@@ -52,6 +55,10 @@
 /// The same for collections whose changes are rare and urgent: each tenth of a second may cost another server.
 const URGENT_BATCH_PAUSE: Duration = Duration::from_millis(50);
 
+/// The number of changes in an answer from which on no more are waited for. A release of thousands of servers arrives as
+/// many answers, and a leaving server must not wait for them one pause after the other.
+const FULL_BATCH: usize = 64;
+
 /// How often a VM without a configuration says so.
 const WARNING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -246,15 +253,14 @@
     if changes.is_empty() {
         return Ok(revision);
     }
-    let mut servers = Vec::new();
+    let is_full_batch = changes.len() >= FULL_BATCH;
+    let mut servers = ServerBatch::default();
     for change in changes {
         match change {
-            StoreChange::Written(Record::BackendServer(server)) => servers.push(server),
+            StoreChange::Written(Record::BackendServer(server)) => servers.add(context, server),
             StoreChange::Written(record) => apply_record(context, record),
             StoreChange::Removed(name) if collection == Collection::BackendServers => {
-                // The entries before this removal may be of the same server.
-                server_updates::apply_servers(context, clock::now(), std::mem::take(&mut servers));
-                server_updates::apply_removal(context, clock::now(), &name);
+                servers.remove(name.into());
             }
             StoreChange::Removed(id) if collection == Collection::Notices => {
                 notices::apply_withdrawals(context, vec![id]);
@@ -265,8 +271,11 @@
             StoreChange::Removed(_) => {}
         }
     }
-    server_updates::apply_servers(context, clock::now(), servers);
+    servers.apply(context);
     context.set_position(collection, revision);
+    if is_full_batch {
+        return Ok(revision);
+    }
     let pause = match collection {
         Collection::Notices | Collection::Evacuations => URGENT_BATCH_PAUSE,
         Collection::Configuration | Collection::BackendServers | Collection::Zones => BATCH_PAUSE,
@@ -275,6 +284,39 @@
     Ok(revision)
 }
 
+/// Changes of servers that are applied and forwarded together.
+#[derive(Default)]
+struct ServerBatch {
+    written: Vec<BackendServer>,
+    removed: Vec<BackendServerName>,
+    removed_set: HashSet<BackendServerName>,
+}
+
+impl ServerBatch {
+    fn add(&mut self, context: &Context, server: BackendServer) {
+        // Entries are applied before removals.
+        if self.removed_set.contains(&server.name) {
+            self.apply(context);
+        }
+        self.written.push(server);
+    }
+
+    fn remove(&mut self, name: BackendServerName) {
+        if self.removed_set.insert(name.clone()) {
+            self.removed.push(name);
+        }
+    }
+
+    fn apply(&mut self, context: &Context) {
+        let Self {
+            written, removed, ..
+        } = std::mem::take(self);
+        let now = clock::now();
+        server_updates::apply_servers(context, now, written);
+        server_updates::apply_removals(context, now, removed);
+    }
+}
+
 fn apply_record(context: &Context, record: Record) {
     match record {
         Record::Configuration(configuration) => adopt_configuration(context, *configuration),
--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -258,6 +258,22 @@
             .sum()
     }
 
+    /// Returns how many links ended, for whatever reason.
+    pub(crate) fn lost_feeder_count(&self) -> u64 {
+        let hosts = (0..self.len()).filter_map(|at| self.network.host(at));
+        hosts
+            .map(|host| lost_count(&host.context.metrics_text()))
+            .sum()
+    }
+
+    /// Fails if two VMs know different servers.
+    pub(crate) fn assert_same_servers(&self) {
+        let hosts = (0..self.len()).filter_map(|at| self.network.host(at));
+        let digests = hosts.map(|host| host.context.with_servers(|servers| servers.digest()));
+        let digests: std::collections::HashSet<u64> = digests.collect();
+        assert_eq!(digests.len(), 1, "VMs know different servers");
+    }
+
     /// Returns the bytes that each VM has sent.
     pub(crate) fn sent_bytes(&self) -> Vec<usize> {
         let hosts = (0..self.len()).map(|at| self.network.host(at));
@@ -289,6 +305,13 @@
     count.and_then(|count| count.parse().ok()).unwrap_or(0)
 }
 
+fn lost_count(counters: &str) -> u64 {
+    let lines = counters.lines();
+    let lost = lines.filter(|line| line.contains("readers_lost_total{"));
+    let counts = lost.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+    counts.sum()
+}
+
 pub(crate) fn settings(entry: &VmEntry, all_start: bool) -> EntrySettings {
     let unused_address: SocketAddr = ([127, 0, 0, 1], 0).into();
     EntrySettings {
--- a/crates/kingcuploft-entry/tests/links/joining.rs
+++ b/crates/kingcuploft-entry/tests/links/joining.rs
@@ -12,7 +12,8 @@
 use kingcuploft_entry::peers::feeder;
 use kingcuploft_entry::peers::follower;
 use kingcuploft_entry::peers::frame::{
-    FIRST_VERSION_WITH_WORKSPACES, Frame, Hello, PROTOCOL_VERSION, SyncStatus,
+    FIRST_VERSION_WITH_SERVERS_GONE, FIRST_VERSION_WITH_WORKSPACES, Frame, Hello, PROTOCOL_VERSION,
+    SyncStatus,
 };
 use kingcuploft_entry::peers::lines::Lines;
 use kingcuploft_entry::store::Collection;
@@ -235,6 +236,42 @@
     });
 }
 
+/// Guards against a VM of an earlier release that ends its link at a frame that it does not know, or goes on using servers
+/// that have left.
+#[test]
+fn a_vm_of_the_release_before_is_told_one_by_one_which_servers_have_left() {
+    simulate(async {
+        let (_fleet, host) = fleet_of_two().await;
+        let hello = hello_like(&host);
+        let mut told = Vec::new();
+        for protocol_version in [FIRST_VERSION_WITH_SERVERS_GONE - 1, PROTOCOL_VERSION] {
+            let mut joining = ScriptedPeer::join(&host);
+            let hello = Hello {
+                vm: entry(&format!("speaks {protocol_version}")),
+                protocol_version,
+                ..hello.clone()
+            };
+            joining.send(&Frame::Hello(hello)).await;
+            joining.frames().await;
+            host.context
+                .followers
+                .send_servers_gone(&["a".into(), "b".into()]);
+            told.push(gone(&joining.frames().await));
+        }
+        assert_eq!(told, [vec![vec!["a"], vec!["b"]], vec![vec!["a", "b"]]]);
+    });
+}
+
+/// Returns the names in each frame that tells of servers that have left.
+fn gone(frames: &[Frame]) -> Vec<Vec<String>> {
+    let names = frames.iter().filter_map(|frame| match frame {
+        Frame::ServerGone(name) => Some(vec![name.to_string()]),
+        Frame::ServersGone(names) => Some(names.iter().map(|name| name.to_string()).collect()),
+        _ => None,
+    });
+    names.collect()
+}
+
 /// Guards against a VM that takes a configuration from one of an earlier release, which leaves its workspaces out.
 #[test]
 fn a_vm_does_not_follow_one_that_knows_no_workspaces() {
--- a/crates/kingcuploft-entry/tests/links/main.rs
+++ b/crates/kingcuploft-entry/tests/links/main.rs
@@ -13,4 +13,5 @@
 mod repeats;
 mod rewinds;
 mod scenarios;
+mod servers;
 mod slopes;
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/links/servers.rs
@@ -0,0 +1,113 @@
+//! How news of backend servers reaches all VMs, by the number of servers.
+
+use std::time::Duration;
+
+use kingcuploft_entry::store::Collection;
+use tokio::time::Instant;
+
+use crate::fleet::{Fleet, Links, server, simulate};
+
+const LINKS: Links = Links {
+    large_mbit: 200,
+    small_mbit: 20,
+};
+
+/// The pause after a change, for more than one batch of the store's news to spread.
+const REST_TIME: Duration = Duration::from_secs(3);
+
+/// The most that a name costs in a message, and that the frames of heartbeats cost a VM while a test rests.
+const BYTES_PER_NAME: usize = 16;
+const REST_BYTES: usize = 40_000;
+
+/// The followers of the busiest VM in these fleets: seven, and one that has no state.
+const FOLLOWERS: usize = 8;
+
+fn name(at: usize) -> String {
+    format!("s{at:05}")
+}
+
+fn write_servers(fleet: &Fleet, servers: std::ops::Range<usize>) {
+    servers.for_each(|at| fleet.store.0.write_backend_server(server(&name(at))));
+}
+
+fn count_at(fleet: &Fleet, vm: usize) -> usize {
+    let host = fleet.network.host(vm).expect("a VM with power");
+    host.context.all_upstreams().len()
+}
+
+async fn fleet_with_servers(servers: usize) -> Fleet {
+    let fleet = Fleet::start(&[5, 3], LINKS, 10, 1).await;
+    write_servers(&fleet, 0..servers);
+    tokio::time::sleep(REST_TIME).await;
+    (0..fleet.len()).for_each(|vm| assert_eq!(count_at(&fleet, vm), servers));
+    fleet
+}
+
+/// Returns the bytes that the busiest VM sends while `change` takes effect.
+async fn busiest_bytes(fleet: &Fleet, change: impl AsyncFnOnce()) -> usize {
+    let before = fleet.sent_bytes();
+    change().await;
+    tokio::time::sleep(REST_TIME).await;
+    let sent = fleet.sent_bytes().into_iter().zip(before);
+    sent.map(|(after, before)| after - before)
+        .max()
+        .unwrap_or(0)
+}
+
+/// Guards against followers that are dropped, and sent everything again, as the news of many servers fills their queues.
+#[test]
+fn a_thousand_servers_that_leave_at_once_end_no_link() {
+    simulate(async {
+        let fleet = fleet_with_servers(1_000).await;
+        let lost = fleet.lost_feeder_count();
+        let sent = busiest_bytes(&fleet, async || {
+            (0..900).for_each(|at| fleet.store.0.remove_backend_server(&name(at)));
+        });
+        let sent = sent.await;
+        (0..fleet.len()).for_each(|vm| assert_eq!(count_at(&fleet, vm), 100));
+        assert_eq!(fleet.lost_feeder_count(), lost, "links ended");
+        let most = REST_BYTES + FOLLOWERS * 900 * BYTES_PER_NAME;
+        assert!(sent <= most, "{sent} bytes sent by one VM, {most} at most");
+    });
+}
+
+/// Guards against a whole table that holds up all other news when the store has lost its history.
+#[test]
+fn after_lost_history_followers_are_sent_what_changed() {
+    simulate(async {
+        let fleet = fleet_with_servers(2_000).await;
+        let sent = busiest_bytes(&fleet, async || {
+            write_servers(&fleet, 2_000..2_001);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            write_servers(&fleet, 2_001..2_006);
+            (0..6).for_each(|at| fleet.store.0.remove_backend_server(&name(at)));
+            let known = fleet
+                .network
+                .host(0)
+                .expect("a VM")
+                .context
+                .position(Collection::BackendServers);
+            let now = kingcuploft::entry::era::revision_of(known.unwrap_or(0)) + 11;
+            fleet.store.0.compacted_until.set(now);
+        });
+        let sent = sent.await;
+        (0..fleet.len()).for_each(|vm| assert_eq!(count_at(&fleet, vm), 2_000));
+        assert!(sent <= REST_BYTES, "{sent} bytes sent by one VM");
+        fleet.assert_same_servers();
+    });
+}
+
+/// Guards against news that comes in many answers of the store, with a pause after each.
+#[test]
+fn a_release_of_thousands_of_servers_is_known_within_a_second() {
+    simulate(async {
+        let fleet = Fleet::start(&[5, 3], LINKS, 10, 1).await;
+        fleet.store.0.max_changes.set(100);
+        write_servers(&fleet, 0..2_000);
+        let started_at = Instant::now();
+        while (0..fleet.len()).any(|vm| count_at(&fleet, vm) < 2_000) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            assert!(started_at.elapsed() < Duration::from_secs(1), "not known");
+        }
+    });
+}
--- a/crates/kingcuploft-simulation/src/store.rs
+++ b/crates/kingcuploft-simulation/src/store.rs
@@ -37,6 +37,8 @@
     pub compacted_until: Cell<Revision>,
     /// Whether lists of the zone records hang.
     pub zone_list_hangs: Cell<bool>,
+    /// The most changes in the answer to one watch; unlimited if zero.
+    pub max_changes: Cell<usize>,
     /// The number of watch calls.
     pub watch_calls: Cell<u32>,
     /// The number of list calls.
@@ -131,9 +133,13 @@
 
     /// Returns the current revision, together with the era unless eras are left out.
     fn current_revision(&self) -> Revision {
+        self.with_era(self.revision.get())
+    }
+
+    fn with_era(&self, revision: u64) -> Revision {
         match self.ignores_eras.get() {
-            true => self.revision.get(),
-            false => era::moment(self.era.get(), self.revision.get()),
+            true => revision,
+            false => era::moment(self.era.get(), revision),
         }
     }
 
@@ -166,12 +172,25 @@
         self.changed.notify_waiters();
     }
 
-    fn changes_since(&self, collection: Collection, from: u64) -> Vec<StoreChange> {
+    /// Returns the changes since a revision that one answer holds, and the revision up to which it holds all.
+    fn changes_since(&self, collection: Collection, from: u64) -> (Vec<StoreChange>, u64) {
         let changes = self.changes.borrow();
         let newer = changes
             .iter()
             .filter(|(r, c, _)| *r > from && *c == collection);
-        newer.map(|(_, _, change)| change.clone()).collect()
+        let most = match self.max_changes.get() {
+            0 => usize::MAX,
+            most => most,
+        };
+        let (mut held, mut up_to) = (Vec::new(), self.revision.get());
+        for (revision, _, change) in newer {
+            held.push(change.clone());
+            if held.len() == most {
+                up_to = *revision;
+                break;
+            }
+        }
+        (held, up_to)
     }
 
     async fn hang_if_silent(&self) {
@@ -349,11 +368,11 @@
             if is_other && !state.ignores_eras.get() {
                 return Err(StoreError::HistoryGone);
             }
-            let changes = state.changes_since(collection, revision_of(from));
+            let (changes, up_to) = state.changes_since(collection, revision_of(from));
             if !changes.is_empty() || tokio::time::Instant::now() >= until {
                 return Ok(Changes {
                     changes,
-                    revision: state.current_revision(),
+                    revision: state.with_era(up_to),
                 });
             }
             let _ = tokio::time::timeout_at(until, changed).await;
