feat(refusal): a caller whose request idle servers turned away may come back at once

Hypothesis: another attempt has the same chance at any time, so a caller that comes back at once is mostly in time, and one that waits for 250 ms never is. Where a server is full, or the target has passed, an early retry only adds load.

Change: `turned_away` decides by the load of the server that refused and the time left until the target: 20 ms, or 250 ms as before.

The test fails without the change.

Tried beside it and not kept: lookups checked for a server that has turned slow when a hedge can just be in time (target less 1.25 of the work), hedged if its report says slowness 2 or more and half of the repeats are unused. There a server's speed counts when work begins; whether work that runs is slowed by a later change is not known.

--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use kingcuploft::entry::attempts::{AttemptEnd, NextAction};
+use kingcuploft::entry::placement::ProbeScope;
+use kingcuploft::entry::turned_away;
 use kingcuploft::world::contract::Contract;
 use tokio::sync::oneshot;
 
@@ -18,6 +20,7 @@
 use crate::clock;
 use crate::context::Context;
 use crate::relay::wire::RelayedAnswer;
+use crate::upstream::Upstream;
 use crate::upstream::exchange::AttemptOutcome;
 
 /// How long a request for an unknown route waits for a configuration, at a VM that has just started or knows that a
@@ -108,7 +111,12 @@
                 NextAction::Retry | NextAction::GiveUp if outcome.end == AttemptEnd::Failed => {
                     return self.pass_on(outcome);
                 }
-                NextAction::Retry | NextAction::GiveUp => return self.give_up(outcome.detail),
+                NextAction::Retry | NextAction::GiveUp => {
+                    if outcome.end == AttemptEnd::NotRun {
+                        self.retry_after = self.retry_after_turned_away(&upstream);
+                    }
+                    return self.give_up(outcome.detail);
+                }
             }
         }
     }
@@ -124,6 +132,14 @@
                 .request_repeat(&self.wanted_repeat(end.label()))
     }
 
+    /// Returns when the caller of a request may retry that this server has turned away.
+    fn retry_after_turned_away(&self, upstream: &Upstream) -> Duration {
+        let now = clock::now();
+        let need = self.need(now, now, ProbeScope::Near);
+        let report = upstream.load_report(now).map(|(_, report)| report);
+        turned_away::retry_delay(report.as_ref(), need.target_left_ms, need.work_ms)
+    }
+
     pub(super) fn wanted_repeat(&self, after: &'static str) -> WantedRepeat<'_> {
         WantedRepeat {
             request: self.request.id.as_deref(),
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -24,4 +24,5 @@
 mod server_pauses;
 mod server_table;
 mod service_reach;
+mod turned_away;
 mod zone_record;
--- a/crates/kingcuploft/tests/fleet/fleet.rs
+++ b/crates/kingcuploft/tests/fleet/fleet.rs
@@ -48,6 +48,7 @@
         server: usize,
         end: u8,
     },
+    Returns(usize),
     ConsiderHedge {
         request: usize,
         server: usize,
@@ -79,6 +80,8 @@
     pub(crate) selection_started_at: Micros,
     pub(crate) reach: ProbeScope,
     pub(crate) over: bool,
+    /// Whether its caller has come back.
+    pub(crate) has_returned: bool,
     /// When it was last sent, and, if known, how slow the server was then and which slot it took.
     pub(crate) sent: (Micros, Option<(f64, Slot)>),
 }
@@ -191,6 +194,7 @@
                 server,
                 end,
             } => self.answers(request, server, ENDS[usize::from(end)]),
+            Event::Returns(request) => self.returns(request),
             Event::ConsiderHedge { request, server } => self.consider_hedge(request, server),
             Event::SendHedge {
                 request,
@@ -263,6 +267,7 @@
             selection_started_at: self.now,
             reach: ProbeScope::Near,
             over: false,
+            has_returned: false,
             sent: (self.now, None),
         });
         self.outcome.requests += 1;
@@ -279,6 +284,22 @@
         }
     }
 
+    /// A caller comes back, at whichever VM; its target and deadline count from its first attempt.
+    fn returns(&mut self, request: usize) {
+        let vm = self.rng.usize(..self.live_vms());
+        let of = &mut self.requests[request];
+        of.vm = vm;
+        of.attempts = Attempts::new(Contract::RetryFreely, 2);
+        of.tried.clear();
+        of.reached = 0;
+        of.selection_started_at = self.now;
+        of.reach = ProbeScope::Near;
+        of.over = false;
+        let now = self.instant(self.now);
+        self.vms[vm].repeats.record_request(now, &SERVICE.into());
+        self.at(self.now, Event::Choose(request));
+    }
+
     pub(crate) fn stretch(&self, request: usize) -> f64 {
         self.requests[request].work_ms / self.world.work_ms
     }
@@ -306,6 +327,11 @@
         let had_left = self.fault_kind(server, before) == Some(FaultKind::Drains);
         self.outcome.after_draining += u32::from(had_left);
         let job = Job { request, vm };
+        if let Some(FaultKind::TurnsAway(share)) = self.fault_kind(server, self.now)
+            && self.rng.f64() < share
+        {
+            return self.answer(server, job, 2);
+        }
         let slots = self.world.slots as usize;
         if self.servers[server].running.len() < slots {
             self.start(server, job);
--- a/crates/kingcuploft/tests/fleet/scenarios.rs
+++ b/crates/kingcuploft/tests/fleet/scenarios.rs
@@ -281,3 +281,23 @@
     assert_eq!(text(5), text(5));
     assert_ne!(text(5), text(6));
 }
+
+/// Guards against callers that are told to come back when their answer can only be late, though servers have room.
+#[test]
+fn callers_whose_requests_were_turned_away_come_back_in_time() {
+    let in_time = |tells_when_to_return| {
+        let features = Features {
+            tells_when_to_return,
+            ..ALL_FEATURES
+        };
+        let world = |seed| World {
+            callers_return: true,
+            ..World::normal_load(seed)
+                .with_faults(16, FaultKind::TurnsAway(0.55))
+                .with(features)
+        };
+        mean(world, Outcome::in_time_share)
+    };
+    let (told, always_later) = (in_time(true), in_time(false));
+    assert!(told > always_later + 0.02, "{told} against {always_later}");
+}
--- a/crates/kingcuploft/tests/fleet/vm.rs
+++ b/crates/kingcuploft/tests/fleet/vm.rs
@@ -7,6 +7,7 @@
 use kingcuploft::entry::placement::{Candidate, PlacementNeed, ProbeScope, Step, place};
 use kingcuploft::entry::probe_fanout::probe_fanout;
 use kingcuploft::entry::repeat_budget::RepeatBounds;
+use kingcuploft::entry::turned_away::retry_delay;
 
 use crate::fleet::{Event, Fleet};
 use crate::world::{
@@ -297,10 +298,29 @@
             of.selection_started_at = self.now;
             self.at(self.now, Event::Choose(request));
         } else if self.requests[request].in_flight == 0 {
+            let need = self.need(request, self.now, ProbeScope::Near);
+            let told = self.world.features.tells_when_to_return;
+            let report = Some(&load_report).filter(|_| told);
+            let delay = retry_delay(report, need.target_left_ms, need.work_ms);
             self.give_up(request);
+            self.come_back(request, delay);
         }
     }
 
+    /// Has the caller of a refused request come back once, after a third of the time it has left at the most.
+    fn come_back(&mut self, request: usize, delay: Duration) {
+        let need = self.need(request, self.now, ProbeScope::Near);
+        let of = &mut self.requests[request];
+        if !self.world.callers_return || of.has_returned || of.attempts.may_have_run() {
+            return;
+        }
+        of.has_returned = true;
+        self.outcome.refused -= 1;
+        let delay_ms = (delay.as_secs_f64() * 1000.0).min(need.deadline_left_ms / 3.0);
+        let at = self.now + (delay_ms.max(0.0) * 1000.0) as Micros;
+        self.at(at, Event::Returns(request));
+    }
+
     fn take_repeat(&mut self, vm: usize) -> bool {
         let bounds = RepeatBounds {
             ratio: REPEAT_RATIO,
--- a/crates/kingcuploft/tests/fleet/world.rs
+++ b/crates/kingcuploft/tests/fleet/world.rs
@@ -34,6 +34,8 @@
     pub(crate) probe_budget: bool,
     /// The last-slot slowdown is learned from the answers.
     pub(crate) learns_last_slot: bool,
+    /// Callers are told by what servers have turned away when they may come back; otherwise always the same.
+    pub(crate) tells_when_to_return: bool,
 }
 
 /// All features.
@@ -45,6 +47,7 @@
     yields_when_late: true,
     probe_budget: true,
     learns_last_slot: true,
+    tells_when_to_return: true,
 };
 
 /// What happens to a server.
@@ -56,6 +59,8 @@
     Silent,
     /// It fails this share of its requests, and reports that it is healthy.
     FailsShare(f64),
+    /// It turns away this share of its requests at once, though it has room.
+    TurnsAway(f64),
     /// It drains, and must get no new requests.
     Drains,
 }
@@ -90,6 +95,8 @@
     pub(crate) probe_cost_ms: f64,
     /// From this time on this many VMs are gone, and their callers use the others.
     pub(crate) lost_vms: Option<(Micros, usize)>,
+    /// Callers whose request was refused come back once, when they were told to.
+    pub(crate) callers_return: bool,
     /// The VM count by which budgets are divided, if it is not the true one.
     pub(crate) assumed_vms: Option<usize>,
     pub(crate) faults: Vec<Fault>,
@@ -125,6 +132,7 @@
             last_slot: 1.0,
             probe_cost_ms: 6.0,
             lost_vms: None,
+            callers_return: false,
             assumed_vms: None,
             faults: Vec::new(),
             features: ALL_FEATURES,
