fix(shares): a VM that has not counted the others has no share, however many there are

Callers would see: probes, repeats and limits beyond what the users allow for all VMs together, in a fleet of more than a thousand VMs that can't count each other; and servers that reset connections where exactly a thousand are counted.

Cause: "not counted" was the number 1000, "more than there are". `connection_share` took a fleet of exactly 1,000 for an uncounted one and let go of the bound.

Change: the type says whether the VMs are counted; one that can't count has no share. A VM without peers is alone and counts one. The gauge of VMs is 0 while they are not counted, the log field is left out.

Tests of the entry VM that relied on the number set it themselves; those of cold servers allow more connections, as a share of 1,000 VMs now bounds them.

--- a/crates/kingcuploft-entry/src/budgets.rs
+++ b/crates/kingcuploft-entry/src/budgets.rs
@@ -40,7 +40,7 @@
         let bound = self.bounds.get().probes_per_server_s;
         self.probe_budget
             .borrow_mut()
-            .try_take(now, bound, servers, self.vm_count.get())
+            .try_take(now, bound, servers, self.vm_count.get().divisor())
     }
 
     /// Returns whether the log budget allows a line about a request that succeeded. Logs from time to time how many
@@ -91,7 +91,7 @@
             service = %wanted.service,
             used = status.used,
             allowed = status.allowed,
-            vms = self.vm_count.get(),
+            vms = self.vm_count.get().counted(),
             up_ms = clock::since(self.started_at).as_millis() as u64,
         );
         let reason = if is_allowed {
@@ -106,7 +106,7 @@
     fn take_from_repeat_budget(&self, now: Instant, service: &ServiceName) -> BudgetStatus {
         let bounds = self.bounds.get().repeats;
         let mut repeats = self.repeat_budget.borrow_mut();
-        let status = repeats.try_take(now, service, &bounds, self.vm_count.get());
+        let status = repeats.try_take(now, service, &bounds, self.vm_count.get().divisor());
         if status.allows_repeat() {
             self.repeat_taken.notify_one();
         }
--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -21,6 +21,7 @@
 use kingcuploft::entry::server_limits::ServerLimits;
 use kingcuploft::entry::server_pauses::ServerPauses;
 use kingcuploft::entry::service_time::ServiceTime;
+use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::planted::{self, PlantedFault};
 use kingcuploft::utils::HashMap;
@@ -43,10 +44,6 @@
 use crate::store::{Collection, Revision};
 use crate::usable_servers::UsableServers;
 
-/// How many VMs are assumed to share the budgets of the fleet until they are counted: more than there are, so that a VM
-/// that cannot count them uses next to nothing of the budgets.
-pub(crate) const VMS_WHILE_UNCOUNTED: usize = 1000;
-
 /// The shared state of one entry VM.
 #[derive(Debug)]
 pub struct Context {
@@ -65,7 +62,7 @@
     /// The settings that may change while the VM runs.
     pub bounds: Cell<Bounds>,
     /// How many VMs share the budgets of probes and repeats.
-    pub vm_count: Cell<usize>,
+    pub vm_count: Cell<VmCount>,
     /// The VMs of all zones, by the zone records.
     pub readers: RefCell<Readers>,
     /// The datagram socket to the other VMs.
@@ -152,8 +149,12 @@
             true => RepeatBudget::for_first_start(),
             false => RepeatBudget::after_restart(clock::now(), &settings.bounds.repeats),
         };
+        let vm_count = match settings.peer_address {
+            Some(_) => VmCount::Uncounted,
+            None => VmCount::Counted(1),
+        };
         Self {
-            vm_count: Cell::new(VMS_WHILE_UNCOUNTED),
+            vm_count: Cell::new(vm_count),
             bounds: Cell::new(settings.bounds),
             body_memory: BodyMemory::new(settings.memory_bytes),
             settings,
--- a/crates/kingcuploft-entry/src/gauges.rs
+++ b/crates/kingcuploft-entry/src/gauges.rs
@@ -9,7 +9,8 @@
         self.metrics.configuration.set(version as i64);
         let servers = self.with_servers(|servers| servers.in_use_count());
         self.metrics.servers.set(servers as i64);
-        self.metrics.vms.set(self.vm_count.get() as i64);
+        let vms = self.vm_count.get().counted();
+        self.metrics.vms.set(vms.unwrap_or(0) as i64);
         self.metrics
             .callers
             .set(self.caller_connections.get() as i64);
--- a/crates/kingcuploft-entry/src/limits.rs
+++ b/crates/kingcuploft-entry/src/limits.rs
@@ -213,7 +213,7 @@
     }
     let zone = zone(context, server);
     let records = context.readers.borrow().records();
-    let (vm, vms) = (&context.settings.vm, context.vm_count.get());
+    let (vm, vms) = (&context.settings.vm, context.vm_count.get().divisor());
     server_limit::limit_share(vm, vms, server, &zone, per_s, &records)
 }
 
--- a/crates/kingcuploft-entry/src/quotas.rs
+++ b/crates/kingcuploft-entry/src/quotas.rs
@@ -71,7 +71,10 @@
         let is_alone = context.settings.peer_address.is_none();
         Self {
             vm: context.settings.vm.clone(),
-            vms: if is_alone { 1 } else { context.vm_count.get() },
+            vms: match is_alone {
+                true => 1,
+                false => context.vm_count.get().divisor(),
+            },
             records: context.readers.borrow().records(),
             socket: context.peer_socket.get().cloned(),
             configuration: context.configuration(),
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -14,6 +14,7 @@
 use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
 use kingcuploft::entry::era::{Era, era_of};
 use kingcuploft::entry::notice::Notice;
+use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft::entry::zone_record::{MAX_NAMED_VMS, ZoneRecord};
 use kingcuploft::planted::{self, PlantedFault};
 use kingcuploft::utils::HashSet;
@@ -401,7 +402,9 @@
         } else {
             1
         };
-        context.vm_count.set((count / divisor).max(1));
+        context
+            .vm_count
+            .set(VmCount::Counted((count / divisor).max(1)));
     }
     *context.zone_peers.borrow_mut() = zone_peers(context, readers.record(&context.settings.zone));
     drop(readers);
--- a/crates/kingcuploft-entry/src/usable_servers.rs
+++ b/crates/kingcuploft-entry/src/usable_servers.rs
@@ -6,11 +6,12 @@
 use kingcuploft::entry::backend_servers::Change;
 use kingcuploft::entry::connections;
 use kingcuploft::entry::server_order::{Distance, ServerOrder, Shortlist, Suitability};
+use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::ids::{BackendServerName, ServiceName};
 
 use crate::clock;
-use crate::context::{Context, VMS_WHILE_UNCOUNTED};
+use crate::context::Context;
 use crate::pauses;
 use crate::upstream::Upstream;
 
@@ -159,10 +160,10 @@
         let services = configuration.as_ref().map(|c| &c.services);
         let service = services.and_then(|services| services.get(service));
         match (service, self.vm_count.get()) {
-            (Some(service), vms) if vms != VMS_WHILE_UNCOUNTED => {
+            (Some(service), VmCount::Counted(vms)) => {
                 connections::per_vm_limit(service.most_connections, vms)
             }
-            _ => usize::MAX,
+            (None, _) | (_, VmCount::Uncounted) => usize::MAX,
         }
     }
 
--- a/crates/kingcuploft-entry/tests/entry/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft_entry::reach;
 use kingcuploft_entry::upstream::probe;
 
@@ -138,7 +139,7 @@
 fn a_server_that_hangs_gets_no_more_connections_than_its_share() {
     run_test(async {
         let testbed = Testbed::with(&[Behavior::Hang]).await;
-        testbed.vm.context.vm_count.set(1);
+        testbed.vm.context.vm_count.set(VmCount::Counted(1));
         let mut callers = Vec::new();
         for id in 0..40 {
             let mut caller = testbed.caller().await;
@@ -160,7 +161,7 @@
     run_test(async {
         let testbed = Testbed::with(&[Behavior::Hang]).await;
         let context = &testbed.vm.context;
-        context.vm_count.set(1);
+        context.vm_count.set(VmCount::Counted(1));
         let upstream = context.upstream("s0").unwrap();
         let share = context.connection_share(&upstream.server.service);
         let mut held = Vec::new();
--- a/crates/kingcuploft-entry/tests/entry/cut_fleet.rs
+++ b/crates/kingcuploft-entry/tests/entry/cut_fleet.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft_entry::run::Running;
 use kingcuploft_soak::cuttable::{CuttableNetwork, ServerCut};
 
@@ -50,7 +51,7 @@
             fleet.networks.push(network);
         }
         wait_until(|| follower_count(&fleet.vms) == fleet.vms.len() - 1).await;
-        let counted = |vm: &Running| vm.context.vm_count.get() == zones.len();
+        let counted = |vm: &Running| vm.context.vm_count.get() == VmCount::Counted(zones.len());
         wait_until(|| fleet.vms.iter().all(counted)).await;
         fleet
     }
--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kingcuploft::entry::repeat_account::UsageReport;
+use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::entry::zone_record::ZoneRecord;
 use kingcuploft_entry::network::{Network, Tcp};
@@ -16,7 +17,9 @@
 
 use crate::server::{Behavior, TestServer};
 use crate::store::TestStore;
-use crate::testbed::{HEADER_NAMES, configuration, entry, run_test, settings, wait_until};
+use crate::testbed::{
+    HEADER_NAMES, assume_large_fleet, configuration, entry, run_test, settings, wait_until,
+};
 
 /// Starts a VM of a zone, for which it is known that it has repeated nothing before.
 pub(crate) async fn start_in_zone(name: &str, store: &TestStore) -> Running {
@@ -42,6 +45,7 @@
         heard_ms: 1000,
         ..UsageReport::default()
     });
+    assume_large_fleet(&vm);
     wait_until(|| vm.context.is_ready()).await;
     vm
 }
@@ -157,15 +161,16 @@
         }
         for _ in 0..40 {
             for vm in &vms {
-                assert!(
-                    vm.context.vm_count.get() >= 12,
-                    "{}",
-                    vm.context.vm_count.get()
-                );
+                let vms = vm.context.vm_count.get();
+                assert!(vms.divisor() >= 12, "{vms:?}");
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        wait_until(|| vms.iter().all(|vm| vm.context.vm_count.get() == 12)).await;
+        wait_until(|| {
+            vms.iter()
+                .all(|vm| vm.context.vm_count.get() == VmCount::Counted(12))
+        })
+        .await;
     });
 }
 
--- a/crates/kingcuploft-entry/tests/entry/testbed.rs
+++ b/crates/kingcuploft-entry/tests/entry/testbed.rs
@@ -10,6 +10,7 @@
 };
 use kingcuploft::entry::quota::QuotaBounds;
 use kingcuploft::entry::repeat_budget::RepeatBounds;
+use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft::entry::workspaces::{Workspace, Workspaces};
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::contract::Contract;
@@ -94,10 +95,16 @@
     let vm = run::start(settings(name), HEADER_NAMES, store.clone())
         .await
         .unwrap();
+    assume_large_fleet(&vm);
     wait_until(|| vm.context.is_ready()).await;
     vm
 }
 
+/// Has a VM take its share of what all VMs may use as one of a thousand, until it has counted them.
+pub(crate) fn assume_large_fleet(vm: &Running) {
+    vm.context.vm_count.set(VmCount::Counted(1_000));
+}
+
 pub(crate) fn settings(name: &str) -> EntrySettings {
     let any: SocketAddr = ([127, 0, 0, 1], 0).into();
     EntrySettings {
@@ -160,6 +167,8 @@
 pub(crate) fn with_cold_starts(version: u64) -> Configuration {
     let mut configuration = configuration(version);
     for service in configuration.services.values_mut() {
+        // The VMs' shares of connections leave room for all callers.
+        service.most_connections = 100_000;
         service.cold_start = Some(ColdStart {
             lasts: Duration::from_secs(3),
             per_1000_s: 2_000,
--- a/crates/kingcuploft-entry/tests/entry/workspaces.rs
+++ b/crates/kingcuploft-entry/tests/entry/workspaces.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft::entry::workspaces::Workspace;
 use kingcuploft_entry::store_watcher;
 
@@ -226,7 +227,11 @@
             .write_configuration(with_workspaces(2, vec![north_with_quota(20.0, 10.0)]));
         let vms = zone_of(4, &store).await;
         wait_until(|| follower_count(&vms) == 3).await;
-        wait_until(|| vms.iter().all(|vm| vm.context.vm_count.get() == 4)).await;
+        wait_until(|| {
+            vms.iter()
+                .all(|vm| vm.context.vm_count.get() == VmCount::Counted(4))
+        })
+        .await;
         let answers = ask_all(&vms, Duration::from_secs(3)).await;
         let served = answers.iter().filter(|answer| answer.status == 200);
         let served = served.count();
--- a/crates/kingcuploft-simulation/src/vm.rs
+++ b/crates/kingcuploft-simulation/src/vm.rs
@@ -273,7 +273,7 @@
         let running = self.running.borrow();
         running
             .as_ref()
-            .map(|running| running.context.vm_count.get())
+            .map(|running| running.context.vm_count.get().divisor())
     }
 
     /// Returns whether the VM answers that it is ready.
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -44,6 +44,7 @@
 pub mod service_time;
 pub mod startup_delay;
 pub mod turned_away;
+pub mod vm_count;
 pub mod vm_entry;
 pub mod workspaces;
 pub mod zone_record;
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -25,4 +25,5 @@
 mod server_table;
 mod service_reach;
 mod turned_away;
+mod vm_count;
 mod zone_record;
