fix(peers): a table of all servers in a follower's queue drops no follower

Cause: the queue of a follower held 512 kB, and the table of 10,000 servers is 633 kB. It holds up to some 8,000 servers and fails at each size beyond.

Change: the longest entry of a queue doesn't count against what comes behind it, so the bound holds for any number of servers. The test (20,200 servers, eight VMs) failed before: five links ended.

--- a/crates/kingcuploft-entry/src/peers/followers.rs
+++ b/crates/kingcuploft-entry/src/peers/followers.rs
@@ -20,7 +20,8 @@
 /// another feeder or from the store.
 const MAX_QUEUED_FRAMES: usize = 256;
 
-/// The most bytes in the queue of one follower.
+/// The most bytes in the queue of one follower beside its longest entry: a table of all servers is longer than any fixed
+/// bound, and must not drop all followers as soon as something follows it.
 const MAX_QUEUED_BYTES: usize = 512 * 1024;
 
 /// The most long writes at a time. Followers that are written first already feed others while the last still wait.
@@ -101,6 +102,8 @@
     load: FollowerLoad,
     queue: mpsc::Sender<Outgoing>,
     queued_bytes: Rc<Cell<usize>>,
+    /// The bytes of the longest entry since the queue was last empty.
+    longest_bytes: Cell<usize>,
 }
 
 impl Follower {
@@ -108,13 +111,18 @@
     fn enqueue(&self, outgoing: &Outgoing) -> bool {
         let bytes = outgoing.bytes();
         let queued = self.queued_bytes.get();
-        let has_room = queued == 0 || queued + bytes <= MAX_QUEUED_BYTES;
+        let longest = match queued {
+            0 => bytes,
+            _ => self.longest_bytes.get().max(bytes),
+        };
+        let has_room = (queued + bytes).saturating_sub(longest) <= MAX_QUEUED_BYTES;
         if !has_room || self.queue.try_send(outgoing.clone()).is_err() {
             let vm = &self.load.vm.name;
             tracing::info!(event = "follower_dropped", %vm, waiting_bytes = queued);
             return false;
         }
         self.queued_bytes.set(queued + bytes);
+        self.longest_bytes.set(longest);
         true
     }
 }
@@ -350,6 +358,7 @@
             },
             queue: sender,
             queued_bytes: queued_bytes.clone(),
+            longest_bytes: Cell::new(0),
         };
         self.all.borrow_mut().push(follower);
         self.changed.notify_waiters();
--- a/crates/kingcuploft-entry/tests/links/servers.rs
+++ b/crates/kingcuploft-entry/tests/links/servers.rs
@@ -71,6 +71,21 @@
     });
 }
 
+/// Guards against followers that are all dropped as a table of many servers is longer than the bound of their queues.
+#[test]
+fn a_table_of_twenty_thousand_servers_ends_no_link() {
+    simulate(async {
+        let fleet = Fleet::start(&[5, 3], LINKS, 10, 1).await;
+        let lost = fleet.lost_feeder_count();
+        write_servers(&fleet, 0..20_000);
+        tokio::time::sleep(REST_TIME / 6).await;
+        write_servers(&fleet, 20_000..20_200);
+        tokio::time::sleep(REST_TIME).await;
+        (0..fleet.len()).for_each(|vm| assert_eq!(count_at(&fleet, vm), 20_200));
+        assert_eq!(fleet.lost_feeder_count(), lost, "links ended");
+    });
+}
+
 /// Guards against a whole table that holds up all other news when the store has lost its history.
 #[test]
 fn after_lost_history_followers_are_sent_what_changed() {
