perf(probing): a VM probes as many servers as it takes to find a good one, and waits as long as answers take it

Cause, two constants that hold while VMs are fast and servers busy: near reports are awaited for 2 ms, and a small VM needs ten to send six probes, so each request went on to probe other zones; and six servers are probed first, of which four are good where three of four are fast.

Change: `probe_latency` learns how long near answers take at this VM (mean and two deviations, as for a TCP round trip, 25 ms at most), and the wait counts from there. `good_share` learns which share of the near servers is idle and fast, and a request probes as many first as find a good one in 97 of 100 cases, three to six; then the others of the six, then other zones.

--- a/crates/kingcuploft-entry/src/budgets.rs
+++ b/crates/kingcuploft-entry/src/budgets.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::log_rate_limiter::LogDecision;
+use kingcuploft::entry::placement::LoadReport;
 use kingcuploft::entry::probe_budget;
 use kingcuploft::entry::repeat_account::UsageReport;
 use kingcuploft::entry::repeat_budget::BudgetStatus;
@@ -56,6 +57,25 @@
         false
     }
 
+    /// Records a near server's answer to a probe, which took so long.
+    pub fn record_near_probe(&self, service: &ServiceName, report: &LoadReport, took: Duration) {
+        let mut latency = self.near_probe_latency.get();
+        latency.record(took);
+        self.near_probe_latency.set(latency);
+        let mut good_shares = self.good_shares.borrow_mut();
+        good_shares
+            .entry(service.clone())
+            .or_default()
+            .record(report);
+    }
+
+    /// Returns how many near servers of a service a request probes first.
+    pub fn probed_first(&self, service: &ServiceName) -> usize {
+        let good_shares = self.good_shares.borrow();
+        let share = good_shares.get(service).copied().unwrap_or_default();
+        share.probed_first()
+    }
+
     /// Returns the fill of the probe budget, from 0 (exhausted) to 1 (full).
     pub fn probe_budget_left(&self) -> f64 {
         self.probe_budget.borrow().remaining_share()
--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -11,10 +11,12 @@
 use kingcuploft::entry::caller_timeouts::CallerTimeouts;
 use kingcuploft::entry::configuration::{Configuration, Destination, Route, WeightedSelector};
 use kingcuploft::entry::evacuations::Evacuations;
+use kingcuploft::entry::good_share::GoodShare;
 use kingcuploft::entry::last_slot_slowdown::LastSlotSlowdown;
 use kingcuploft::entry::log_rate_limiter::LogRateLimiter;
 use kingcuploft::entry::placement::Slot;
 use kingcuploft::entry::probe_budget::ProbeBudget;
+use kingcuploft::entry::probe_latency::ProbeLatency;
 use kingcuploft::entry::quarantine::Quarantine;
 use kingcuploft::entry::readers::Readers;
 use kingcuploft::entry::repeat_budget::RepeatBudget;
@@ -128,6 +130,9 @@
     pub(crate) repeat_budget: RefCell<RepeatBudget>,
     caller_timeouts: RefCell<HashMap<RuleName, CallerTimeouts>>,
     pub(crate) probe_budget: RefCell<ProbeBudget>,
+    /// How long answers to probes of near servers take.
+    pub(crate) near_probe_latency: Cell<ProbeLatency>,
+    pub(crate) good_shares: RefCell<HashMap<ServiceName, GoodShare>>,
     pub(crate) log_rate_limiter: RefCell<LogRateLimiter>,
 }
 
@@ -200,6 +205,8 @@
             repeat_budget: RefCell::new(repeats),
             caller_timeouts: RefCell::default(),
             probe_budget: RefCell::new(ProbeBudget::new(clock::now())),
+            near_probe_latency: Cell::default(),
+            good_shares: RefCell::default(),
             log_rate_limiter: RefCell::default(),
         }
     }
--- a/crates/kingcuploft-entry/src/edge/hedge.rs
+++ b/crates/kingcuploft-entry/src/edge/hedge.rs
@@ -6,6 +6,7 @@
 use kingcuploft::entry::attempts::AttemptEnd;
 use kingcuploft::entry::hedging::{self, HedgeCheck};
 use kingcuploft::entry::placement::{Candidate, ProbeScope, Step, place};
+use kingcuploft::entry::probe_fanout::MAX_PROBED_FIRST;
 
 use super::active_request::ActiveRequest;
 use super::selection::LOAD_REPORT_POLL_INTERVAL;
@@ -85,7 +86,8 @@
         if !hedging::should_hedge(&check) || !self.attempts.may_send(1) {
             return None;
         }
-        let other_upstreams: Vec<_> = self.candidate_upstreams(now, ProbeScope::Far);
+        let other_upstreams: Vec<_> =
+            self.candidate_upstreams(now, ProbeScope::Far, MAX_PROBED_FIRST);
         let other_upstreams: Vec<_> = other_upstreams
             .into_iter()
             .filter(|u| !Rc::ptr_eq(u, upstream))
--- a/crates/kingcuploft-entry/src/edge/selection.rs
+++ b/crates/kingcuploft-entry/src/edge/selection.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::placement::{Candidate, PlacementNeed, ProbeScope, Step, place};
-use kingcuploft::entry::probe_fanout::probe_fanout;
+use kingcuploft::entry::probe_fanout::{MAX_PROBED_FIRST, probe_fanout};
 use kingcuploft::entry::server_order::{Shortlist, Suitability};
 use kingcuploft::entry::server_pauses::PauseDecision;
 
@@ -64,10 +64,11 @@
     pub(super) async fn select_upstream(&mut self, disconnect: &CallerDisconnect) -> Selection {
         let mut search_began = clock::now();
         let mut scope = ProbeScope::Near;
+        let mut most_near = self.context.probed_first(&self.service);
         let mut rounds = 0;
         let mut asked_for_turn = false;
         loop {
-            let path = match self.check_before_search(disconnect, scope).await {
+            let path = match self.check_before_search(disconnect, scope, most_near).await {
                 BeforeSearch::Search(path) => path,
                 BeforeSearch::Wait => {
                     tokio::time::sleep(SUSPECT_RUN_POLL_INTERVAL).await;
@@ -78,8 +79,8 @@
             };
             let now = clock::now();
             let upstreams = match path {
-                Path::OpenConnectionsOr(_) => self.connected_upstreams(now, scope),
-                Path::Direct | Path::None => self.candidate_upstreams(now, scope),
+                Path::OpenConnectionsOr(_) => self.connected_upstreams(now, scope, most_near),
+                Path::Direct | Path::None => self.candidate_upstreams(now, scope, most_near),
             };
             let has_limited = !limits::limited_upstreams(self.context, &self.service).is_empty();
             if upstreams.is_empty() && has_limited {
@@ -115,7 +116,17 @@
                         return Selection::Upstream(upstream);
                     }
                 }
-                Step::Probe(further) => scope = further,
+                Step::Probe(further) => {
+                    let near_count = upstreams.iter().filter(|u| u.near).count();
+                    let may_be_more_near = near_count >= most_near;
+                    if scope == ProbeScope::Near && most_near < MAX_PROBED_FIRST && may_be_more_near
+                    {
+                        most_near = MAX_PROBED_FIRST;
+                        search_began = clock::now();
+                    } else {
+                        scope = further;
+                    }
+                }
                 Step::AwaitReports => {
                     let notified = self.context.load_report_received.notified();
                     let _ = tokio::time::timeout(LOAD_REPORT_POLL_INTERVAL, notified).await;
@@ -134,6 +145,7 @@
         &mut self,
         disconnect: &CallerDisconnect,
         scope: ProbeScope,
+        most_near: usize,
     ) -> BeforeSearch {
         let refuse = |reason: RefusalReason, retry_after| {
             BeforeSearch::End(Selection::Refuse(reason.after(retry_after)))
@@ -157,7 +169,9 @@
                 return refuse(RefusalReason::NoRoom, self.retry_after);
             }
             Path::OpenConnectionsOr(address)
-                if self.connected_upstreams(clock::now(), scope).is_empty() =>
+                if self
+                    .connected_upstreams(clock::now(), scope, most_near)
+                    .is_empty() =>
             {
                 return BeforeSearch::End(Selection::Relay(address));
             }
@@ -171,8 +185,13 @@
     }
 
     /// Returns those of the candidates to which an open connection seems to work: a probe shows whether it does.
-    fn connected_upstreams(&self, now: Instant, scope: ProbeScope) -> Vec<Rc<Upstream>> {
-        let mut connected = self.candidate_upstreams(now, scope);
+    fn connected_upstreams(
+        &self,
+        now: Instant,
+        scope: ProbeScope,
+        most_near: usize,
+    ) -> Vec<Rc<Upstream>> {
+        let mut connected = self.candidate_upstreams(now, scope, most_near);
         connected.retain(|u| u.has_idle_connection() && !u.is_unresponsive(now));
         connected.retain(|u| !self.was_tried(u));
         connected
@@ -203,15 +222,24 @@
     }
 
     /// Returns the servers to select from. Of the own zone these are the first in this VM's order that answer probes,
-    /// or of all servers if none does; of the other zones those that are cheapest to probe.
-    pub(super) fn candidate_upstreams(&self, now: Instant, scope: ProbeScope) -> Vec<Rc<Upstream>> {
+    /// or of all servers if none does; of the other zones those that are cheapest to probe. As long as only near ones are
+    /// looked at, these are `most_near` at most.
+    pub(super) fn candidate_upstreams(
+        &self,
+        now: Instant,
+        scope: ProbeScope,
+        most_near: usize,
+    ) -> Vec<Rc<Upstream>> {
         let share = self.context.connection_share(&self.service);
         let judge = |upstream: &Upstream| self.suitability(upstream, now, share);
         let Shortlist { mut near, mut far } = self.context.shortlist(&self.service, judge);
         let fanout = probe_fanout(near.len(), far.len(), scope);
         let max_age = self.context.max_load_report_age();
         far.sort_by_cached_key(|u| u.probe_cost(now, max_age));
-        near.truncate(fanout.near);
+        near.truncate(match scope {
+            ProbeScope::Near => fanout.near.min(most_near),
+            ProbeScope::FewFar | ProbeScope::Far => fanout.near,
+        });
         far.truncate(fanout.far);
         near.append(&mut far);
         near
@@ -256,11 +284,12 @@
             true => millis(until - now),
             false => -millis(now - until),
         };
+        let usual = self.context.near_probe_latency.get().usual();
         PlacementNeed {
             work_ms: self.context.work_ms(&self.route, &self.service),
             target_left_ms: left(self.target_at),
             deadline_left_ms: left(self.deadline),
-            probe_wait_ms: millis(now - search_began),
+            probe_wait_ms: millis((now - search_began).saturating_sub(usual)),
             scope,
             last_slot_slowdown: self.context.last_slot_factor(&self.service),
             probe_budget_left: self.context.probe_budget_left(),
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -104,6 +104,10 @@
             context.metrics.count_probe("answered");
             cold_servers::apply_probe_answer(context, upstream, cold_for, started_at);
             upstream.record_load_report(now, reading, ReportSource::Own);
+            if upstream.near {
+                let took = now.saturating_duration_since(started_at);
+                context.record_near_probe(&upstream.server.service, &reading, took);
+            }
             load_reports::share_report(context, &upstream.server.name, reading, Some(cold_for));
         }
         None if matches!(step.get(), ProbeStep::NoConnection) => {
--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -71,7 +71,8 @@
     pub target_left_ms: f64,
     /// The time left until the caller's deadline, in milliseconds.
     pub deadline_left_ms: f64,
-    /// How long this selection has waited for load reports, in milliseconds.
+    /// How long this selection has waited for load reports beyond the time that they usually take to arrive at this VM, in
+    /// milliseconds.
     pub probe_wait_ms: f64,
     /// Which servers were probed.
     pub scope: ProbeScope,
@@ -124,7 +125,7 @@
 
 /// A server is good if the answer is expected within this multiple of the service time on an idle server of usual
 /// speed: a server that is a little slower still counts, one of the slow quarter does not.
-const GOOD_MULTIPLE: f64 = 1.45;
+pub const GOOD_MULTIPLE: f64 = 1.45;
 
 /// The pause before the selection is repeated: a sixth of the time between two changes of the server speeds.
 const RECHECK_DELAY: Duration = Duration::from_millis(20);
--- a/crates/kingcuploft/src/entry/probe_fanout.rs
+++ b/crates/kingcuploft/src/entry/probe_fanout.rs
@@ -4,7 +4,7 @@
 
 /// Maximum number of near servers in the first round: one server in four is slow at any moment, and among six nearly
 /// always one is fast and free.
-const MAX_PROBED_FIRST: usize = 6;
+pub const MAX_PROBED_FIRST: usize = 6;
 
 /// Number of servers of other zones that are probed if no near one is good: one of three is usually idle and fast while
 /// the fleet has capacity, and each costs bytes between zones, a probe of 6 ms, and often a new connection.
--- a/crates/kingcuploft/tests/fleet/fleet.rs
+++ b/crates/kingcuploft/tests/fleet/fleet.rs
@@ -7,9 +7,11 @@
 use fastrand::Rng;
 use kingcuploft::entry::attempts::{AttemptEnd, Attempts};
 use kingcuploft::entry::failure_rate::FailureRate;
+use kingcuploft::entry::good_share::GoodShare;
 use kingcuploft::entry::last_slot_slowdown::LastSlotSlowdown;
 use kingcuploft::entry::placement::{LoadReport, ProbeScope, Slot};
 use kingcuploft::entry::probe_budget::ProbeBudget;
+use kingcuploft::entry::probe_fanout::MAX_PROBED_FIRST;
 use kingcuploft::entry::repeat_budget::RepeatBudget;
 use kingcuploft::entry::service_time::ServiceTime;
 use kingcuploft::world::contract::Contract;
@@ -79,6 +81,8 @@
     pub(crate) reached: u32,
     pub(crate) selection_started_at: Micros,
     pub(crate) reach: ProbeScope,
+    /// How many near servers are probed before others are.
+    pub(crate) most_near: usize,
     pub(crate) over: bool,
     /// Whether its caller has come back.
     pub(crate) has_returned: bool,
@@ -116,6 +120,7 @@
     pub(crate) repeats: RepeatBudget,
     pub(crate) times: [ServiceTime; 2],
     pub(crate) last_slot: LastSlotSlowdown,
+    pub(crate) good_share: GoodShare,
 }
 
 /// Simulates a deployment and returns the answers that callers got.
@@ -155,6 +160,7 @@
             repeats: RepeatBudget::for_first_start(),
             times: Default::default(),
             last_slot: LastSlotSlowdown::default(),
+            good_share: GoodShare::default(),
         };
         Self {
             world,
@@ -266,6 +272,7 @@
             reached: 0,
             selection_started_at: self.now,
             reach: ProbeScope::Near,
+            most_near: self.probed_first(vm),
             over: false,
             has_returned: false,
             sent: (self.now, None),
@@ -284,6 +291,14 @@
         }
     }
 
+    /// Returns how many near servers a request of this VM probes first.
+    fn probed_first(&self, vm: usize) -> usize {
+        match self.world.features.learns_good_share {
+            true => self.vms[vm].good_share.probed_first(),
+            false => MAX_PROBED_FIRST,
+        }
+    }
+
     /// A caller comes back, at whichever VM; its target and deadline count from its first attempt.
     fn returns(&mut self, request: usize) {
         let vm = self.rng.usize(..self.live_vms());
@@ -295,6 +310,7 @@
         of.selection_started_at = self.now;
         of.reach = ProbeScope::Near;
         of.over = false;
+        self.requests[request].most_near = self.probed_first(vm);
         let now = self.instant(self.now);
         self.vms[vm].repeats.record_request(now, &SERVICE.into());
         self.at(self.now, Event::Choose(request));
--- a/crates/kingcuploft/tests/fleet/scenarios.rs
+++ b/crates/kingcuploft/tests/fleet/scenarios.rs
@@ -251,15 +251,19 @@
 /// Failure: requests take slow last slots while idle servers stand in other zones.
 #[test]
 fn slow_last_slots_are_avoided() {
-    let in_time = |learns_last_slot| {
-        let features = Features {
-            learns_last_slot,
-            ..ALL_FEATURES
-        };
+    let in_time = |features| {
         let world = |seed| World::shared_processors(seed).with(features);
         mean(world, Outcome::in_time_share)
     };
-    let (learned, blind) = (in_time(true), in_time(false));
+    let alone = |learns_last_slot| {
+        in_time(Features {
+            learns_last_slot,
+            learns_good_share: false,
+            ..ALL_FEATURES
+        })
+    };
+    let (learned, blind) = (alone(true), alone(false));
+    assert!(in_time(ALL_FEATURES) > 0.97, "{}", in_time(ALL_FEATURES));
     assert!(learned > 0.97, "{learned} against {blind}");
     assert!(learned > blind + 0.03, "{learned} against {blind}");
 }
@@ -301,3 +305,26 @@
     let (told, always_later) = (in_time(true), in_time(false));
     assert!(told > always_later + 0.02, "{told} against {always_later}");
 }
+
+/// Guards against VMs that do nothing but ask servers for their load where nearly all of these are idle.
+#[test]
+fn few_servers_are_probed_where_most_are_idle_and_callers_lose_nothing() {
+    let play = |learns_good_share| {
+        let features = Features {
+            learns_good_share,
+            ..ALL_FEATURES
+        };
+        move |seed| World {
+            servers: 200,
+            ..World::normal_load(seed).with(features)
+        }
+    };
+    let probes = |world| mean(world, |o: &Outcome| o.probes_per_s * 200.0 / 100.0);
+    let (few, all) = (probes(play(true)), probes(play(false)));
+    assert!(few < 0.75 * all, "{few} against {all} a request");
+    let (of_few, of_all) = (
+        mean(play(true), Outcome::in_time_share),
+        mean(play(false), Outcome::in_time_share),
+    );
+    assert!(of_few > of_all - 0.005, "{of_few} against {of_all}");
+}
--- a/crates/kingcuploft/tests/fleet/vm.rs
+++ b/crates/kingcuploft/tests/fleet/vm.rs
@@ -5,7 +5,7 @@
 use kingcuploft::entry::attempts::{AttemptEnd, NextAction};
 use kingcuploft::entry::hedging::{HedgeCheck, hedge_delay, should_hedge};
 use kingcuploft::entry::placement::{Candidate, PlacementNeed, ProbeScope, Step, place};
-use kingcuploft::entry::probe_fanout::probe_fanout;
+use kingcuploft::entry::probe_fanout::{MAX_PROBED_FIRST, probe_fanout};
 use kingcuploft::entry::repeat_budget::RepeatBounds;
 use kingcuploft::entry::turned_away::retry_delay;
 
@@ -32,6 +32,9 @@
         view.load_report = Some((now, load_report));
         view.probe_pending = false;
         view.avoided_until = 0;
+        if self.link(vm, server) == NEAR_LATENCY {
+            self.vms[vm].good_share.record(&load_report);
+        }
     }
 
     pub(crate) fn probe_fails(&mut self, vm: usize, server: usize) {
@@ -103,7 +106,10 @@
         let (near_len, far_len) = (near.len().max(1), others.len().max(1));
         near.rotate_left(first_near % near_len);
         others.rotate_left(first_far % far_len);
-        near.truncate(fanout.near);
+        near.truncate(match reach {
+            ProbeScope::Near => fanout.near.min(of.most_near),
+            ProbeScope::FewFar | ProbeScope::Far => fanout.near,
+        });
         others.truncate(fanout.far);
         near.append(&mut others);
         near
@@ -222,7 +228,18 @@
         match step {
             Step::Send(at) => self.send(request, servers[at]),
             Step::Probe(further) => {
-                self.requests[request].reach = further;
+                let near = servers
+                    .iter()
+                    .filter(|s| self.link(vm, **s) == NEAR_LATENCY);
+                let near_count = near.count();
+                let of = &mut self.requests[request];
+                let may_widen = of.reach == ProbeScope::Near && of.most_near < MAX_PROBED_FIRST;
+                if may_widen && near_count >= of.most_near {
+                    of.most_near = MAX_PROBED_FIRST;
+                    of.selection_started_at = self.now;
+                } else {
+                    of.reach = further;
+                }
                 self.at(self.now, Event::Choose(request));
             }
             Step::AwaitReports => self.at(self.now + REPORT_WAIT, Event::Choose(request)),
--- a/crates/kingcuploft/tests/fleet/world.rs
+++ b/crates/kingcuploft/tests/fleet/world.rs
@@ -34,6 +34,8 @@
     pub(crate) probe_budget: bool,
     /// The last-slot slowdown is learned from the answers.
     pub(crate) learns_last_slot: bool,
+    /// The number of near servers that are probed first is learned from their load reports.
+    pub(crate) learns_good_share: bool,
     /// Callers are told by what servers have turned away when they may come back; otherwise always the same.
     pub(crate) tells_when_to_return: bool,
 }
@@ -47,6 +49,7 @@
     yields_when_late: true,
     probe_budget: true,
     learns_last_slot: true,
+    learns_good_share: true,
     tells_when_to_return: true,
 };
 
