perf(servers): what a VM keeps of a server is made when it uses the server; many changes are applied at once

Cause: connections, reports, failures and counters were kept for each of 10,000 servers, of which a VM uses a dozen, and its entry twice. The buffer of a link kept a megabyte after the one table that was sent over it.

Change: an upstream is 48 bytes and its usage is made at the first use; the entry is shared; a long line's buffer is given back.

--- a/crates/kingcuploft-entry/src/peers/lines.rs
+++ b/crates/kingcuploft-entry/src/peers/lines.rs
@@ -9,6 +9,9 @@
 /// The capacity of the read buffer.
 const BUFFER_BYTES: usize = 8 * 1024;
 
+/// The most memory that is kept for the next line: most are far shorter, and a table of all servers is a megabyte.
+const MAX_KEPT_BYTES: usize = 64 * 1024;
+
 /// Why no line was read.
 #[derive(Debug, thiserror::Error)]
 pub enum LineError {
@@ -65,7 +68,7 @@
     async fn read(&mut self) -> std::io::Result<bool> {
         let bytes = self.reader.fill_buf().await?;
         if std::mem::take(&mut self.is_complete) {
-            self.line.clear();
+            forget(&mut self.line);
             self.line_started = clock::now();
         }
         self.last_received = clock::now();
@@ -98,3 +101,11 @@
         (self.line.len(), took)
     }
 }
+
+/// Empties the buffer of a line, and gives back the memory of a long one.
+fn forget(line: &mut Vec<u8>) {
+    match line.capacity() > MAX_KEPT_BYTES {
+        true => *line = Vec::new(),
+        false => line.clear(),
+    }
+}
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -5,13 +5,14 @@
 pub mod probe;
 mod probe_step;
 pub mod server_signals;
+mod usage;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell};
 use std::io::ErrorKind;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::backend_servers::BackendServer;
-use kingcuploft::entry::failure_rate::FailureRate;
 use kingcuploft::entry::placement::{Candidate, LoadReport};
 use kingcuploft::utils::rendezvous::rendezvous;
 use kingcuploft::world::ids::VmName;
@@ -20,6 +21,7 @@
 use crate::http::client::{Connection, ConnectionCount};
 use crate::network::Network;
 use probe_step::ProbeStep;
+use usage::{ColdReportRequired, Usage};
 
 /// The most idle connections that are pooled for one server: VMs share a server's connections, and one VM rarely has
 /// more than two requests in flight at one server.
@@ -86,53 +88,49 @@
 #[derive(Debug)]
 pub struct Upstream {
     /// The server's entry in the platform's store.
-    pub server: BackendServer,
+    pub server: Arc<BackendServer>,
     /// Whether the server is in this VM's zone.
     pub near: bool,
     /// The server's place in this VM's order of the servers, which differs between VMs.
     pub rank: u64,
     cold_until: Cell<Instant>,
-    /// From when and until when the server must report whether it is cold before it gets work.
-    cold_report_required_at: Cell<Instant>,
-    cold_report_required_until: Cell<Option<Instant>>,
-    idle_connections: RefCell<Vec<Connection>>,
-    open_connections: std::rc::Rc<Cell<usize>>,
-    last_load_report: Cell<Option<(Instant, LoadReport)>>,
-    probe_in_flight: Cell<bool>,
-    awaits_late_answer: Cell<bool>,
-    probe_backoff: Cell<Option<(Instant, Duration)>>,
-    in_flight: RefCell<Vec<Instant>>,
-    peer_sends: RefCell<Vec<Instant>>,
-    failures: RefCell<FailureRate>,
-    running_suspects: Cell<u32>,
+    /// What is kept of it once it is used.
+    usage: OnceCell<Box<Usage>>,
 }
 
 impl Upstream {
     /// Creates the upstream of a server, without connections or load reports.
-    pub fn new(server: BackendServer, vm: &VmName, near: bool, now: Instant) -> Self {
+    pub fn new(server: Arc<BackendServer>, vm: &VmName, near: bool, now: Instant) -> Self {
         Self {
             rank: rendezvous(vm, &server.name),
             cold_until: Cell::new(now + server.cold_for),
-            cold_report_required_at: Cell::new(now),
-            cold_report_required_until: Cell::new(None),
             server,
             near,
-            idle_connections: RefCell::default(),
-            open_connections: std::rc::Rc::default(),
-            last_load_report: Cell::new(None),
-            probe_in_flight: Cell::new(false),
-            awaits_late_answer: Cell::new(false),
-            probe_backoff: Cell::new(None),
-            in_flight: RefCell::default(),
-            peer_sends: RefCell::default(),
-            failures: RefCell::default(),
-            running_suspects: Cell::new(0),
+            usage: OnceCell::new(),
         }
     }
 
+    /// Returns whether this VM has used the server.
+    pub fn is_in_use(&self) -> bool {
+        self.known_usage().is_some()
+    }
+
+    /// Returns what is kept of the server, from now on.
+    fn usage(&self) -> &Usage {
+        self.usage.get_or_init(Box::default)
+    }
+
+    /// Returns what is kept of the server, if it has been used.
+    fn known_usage(&self) -> Option<&Usage> {
+        self.usage.get().map(|usage| &**usage)
+    }
+
     /// Returns whether a call can get a connection, given that this VM may have `share` connections to the server.
     pub fn has_connection_available(&self, share: usize) -> bool {
-        self.open_connections.get() < share || !self.idle_connections.borrow().is_empty()
+        let open = self
+            .known_usage()
+            .map_or(0, |usage| usage.open_connections.get());
+        open < share || self.has_idle_connection()
     }
 
     /// Opens a new connection, given that this VM may have `share` connections to the server.
@@ -146,10 +144,10 @@
         network: &dyn Network,
         share: usize,
     ) -> Result<Connection, ConnectError> {
-        if self.open_connections.get() >= share {
+        if self.usage().open_connections.get() >= share {
             return Err(ConnectError::ShareInUse);
         }
-        let counted = ConnectionCount::increment(&self.open_connections);
+        let counted = ConnectionCount::increment(&self.usage().open_connections);
         let opened = Connection::open_counted(network, self.server.address, counted).await;
         opened.map_err(ConnectError::Io)
     }
@@ -157,7 +155,7 @@
     /// Takes a reusable connection from the pool.
     pub fn take_idle(&self) -> Option<Connection> {
         let now = clock::now();
-        let mut idle = self.idle_connections.borrow_mut();
+        let mut idle = self.known_usage()?.idle_connections.borrow_mut();
         while let Some(mut connection) = idle.pop() {
             if connection.is_reusable(now, MAX_IDLE_AGE) {
                 return Some(connection);
@@ -168,7 +166,7 @@
 
     /// Returns a connection to the pool, if it can be reused and the pool is not full.
     pub fn release(&self, mut connection: Connection) {
-        let mut idle = self.idle_connections.borrow_mut();
+        let mut idle = self.usage().idle_connections.borrow_mut();
         if idle.len() < MAX_IDLE_CONNECTIONS && connection.is_reusable(clock::now(), MAX_IDLE_AGE) {
             idle.push(connection);
         }
@@ -177,25 +175,27 @@
     /// Records a load report of the server. One that another VM got does not count while this VM's own probes fail: it
     /// says nothing of the path from here.
     pub fn record_load_report(&self, now: Instant, reading: LoadReport, source: ReportSource) {
-        let is_mute = self.probe_backoff.get().is_some();
+        let is_mute = self.usage().probe_backoff.get().is_some();
         if is_mute && source == ReportSource::OtherVm {
             return;
         }
-        self.last_load_report.set(Some((now, reading)));
+        self.usage().last_load_report.set(Some((now, reading)));
         if is_mute {
-            self.probe_backoff.set(None);
+            self.usage().probe_backoff.set(None);
             tracing::info!(event = "server_heard", server = %self.server.name);
         }
     }
 
     /// Forgets the last load report, so that the server is probed before it is chosen again.
     pub fn forget_load_report(&self) {
-        self.last_load_report.set(None);
+        if let Some(usage) = self.known_usage() {
+            usage.last_load_report.set(None);
+        }
     }
 
     /// Returns the last load report and its age.
     pub fn load_report(&self, now: Instant) -> Option<(Duration, LoadReport)> {
-        let (at, reading) = self.last_load_report.get()?;
+        let (at, reading) = self.known_usage()?.last_load_report.get()?;
         Some((now.saturating_duration_since(at), reading))
     }
 
@@ -208,11 +208,11 @@
     pub fn probe_cost(&self, now: Instant, max_age: Duration) -> ProbeCost {
         match (
             self.has_fresh_load_report(now, max_age),
-            self.idle_connections.borrow().is_empty(),
+            self.has_idle_connection(),
         ) {
             (true, _) => ProbeCost::None,
-            (false, false) => ProbeCost::Probe,
-            (false, true) => ProbeCost::Connection,
+            (false, true) => ProbeCost::Probe,
+            (false, false) => ProbeCost::Connection,
         }
     }
 
@@ -224,58 +224,70 @@
     /// Records until when the server is cold.
     pub fn set_cold_until(&self, until: Instant) {
         self.cold_until.set(until);
-        self.cold_report_required_until.set(None);
+        if let Some(usage) = self.known_usage() {
+            usage.cold_report_required.set(None);
+        }
     }
 
     /// Records the server's own report that it is not cold. `asked_at` is when it was asked; an answer to an earlier
     /// question than the last call of [`Self::require_cold_report`] does not count.
     pub fn set_not_cold(&self, asked_at: Instant) {
-        if self.cold_report_required_at.get() <= asked_at {
-            self.cold_report_required_until.set(None);
+        let Some(usage) = self.known_usage() else {
+            return;
+        };
+        let required = usage.cold_report_required.get();
+        if required.is_some_and(|required| required.from <= asked_at) {
+            usage.cold_report_required.set(None);
         }
     }
 
     /// Keeps work from the server until it has reported whether it is cold, or for `max_cold_time`, after which it
     /// can't be cold any more.
     pub fn require_cold_report(&self, now: Instant, max_cold_time: Duration) {
-        self.cold_report_required_at.set(now);
-        self.cold_report_required_until
-            .set(Some(now + max_cold_time));
-        self.last_load_report.set(None);
+        let usage = self.usage();
+        usage.cold_report_required.set(Some(ColdReportRequired {
+            from: now,
+            until: now + max_cold_time,
+        }));
+        usage.last_load_report.set(None);
     }
 
     /// Returns whether the server must still report whether it is cold.
     pub fn awaits_cold_report(&self, now: Instant) -> bool {
-        self.cold_report_required_until
-            .get()
-            .is_some_and(|until| now < until)
+        let required = self
+            .known_usage()
+            .and_then(|usage| usage.cold_report_required.get());
+        required.is_some_and(|required| now < required.until)
     }
 
     /// Returns whether a probe is in flight.
     pub fn is_probe_in_flight(&self) -> bool {
-        self.probe_in_flight.get()
+        self.known_usage()
+            .is_some_and(|usage| usage.probe_in_flight.get())
     }
 
     /// Returns whether the server did not answer the last probe and must not be probed yet.
     pub fn is_unresponsive(&self, now: Instant) -> bool {
-        self.awaits_late_answer.get()
-            || self
-                .probe_backoff
-                .get()
-                .is_some_and(|(until, _)| now < until)
+        let Some(usage) = self.known_usage() else {
+            return false;
+        };
+        let backoff = usage.probe_backoff.get();
+        usage.awaits_late_answer.get() || backoff.is_some_and(|(until, _)| now < until)
     }
 
     /// Returns whether the pool has a connection.
     pub fn has_idle_connection(&self) -> bool {
-        !self.idle_connections.borrow().is_empty()
+        self.known_usage()
+            .is_some_and(|usage| !usage.idle_connections.borrow().is_empty())
     }
 
     fn probe_failed(&self, now: Instant, step: ProbeStep, took: Duration) {
-        let before = self.probe_backoff.get();
+        let before = self.usage().probe_backoff.get();
         let pause = before.map_or(FIRST_PROBE_BACKOFF, |(_, pause)| pause * 2);
         let pause = pause.min(MAX_PROBE_BACKOFF);
         if before.is_none() {
             let age = self
+                .usage()
                 .last_load_report
                 .get()
                 .map(|(at, _)| now.saturating_duration_since(at));
@@ -285,29 +297,29 @@
                 step = step.label(),
                 took_ms = took.as_millis() as u64,
                 heard_ms = age.map(|age| age.as_millis() as u64),
-                own = self.in_flight.borrow().len(),
-                connections = self.open_connections.get()
+                own = self.usage().in_flight.borrow().len(),
+                connections = self.usage().open_connections.get()
             );
         }
-        self.probe_backoff.set(Some((now + pause, pause)));
-        self.last_load_report.set(None);
+        self.usage().probe_backoff.set(Some((now + pause, pause)));
+        self.usage().last_load_report.set(None);
     }
 
     /// Records how a call ended, for the failure rate.
     pub fn record_outcome(&self, now: Instant, failed: bool) {
-        self.failures.borrow_mut().record(now, failed);
+        self.usage().failures.borrow_mut().record(now, failed);
     }
 
     /// Records that another VM of the zone has just sent a request to the server.
     pub fn record_peer_send(&self, now: Instant) {
-        let mut sent = self.peer_sends.borrow_mut();
+        let mut sent = self.usage().peer_sends.borrow_mut();
         sent.retain(|at| now.saturating_duration_since(*at) < PEER_SEND_RETENTION);
         sent.push(now);
     }
 
     /// Counts a request of this VM as in flight until the guard is dropped.
     pub fn track_in_flight(self: &std::rc::Rc<Self>, now: Instant) -> InFlightGuard {
-        self.in_flight.borrow_mut().push(now);
+        self.usage().in_flight.borrow_mut().push(now);
         InFlightGuard {
             upstream: self.clone(),
             sent: now,
@@ -316,23 +328,25 @@
 
     /// Counts a suspect request, during which other servers have crashed, as in flight until the guard is dropped.
     pub fn track_suspect(self: &std::rc::Rc<Self>) -> SuspectGuard {
-        self.running_suspects.update(|count| count + 1);
+        self.usage().running_suspects.update(|count| count + 1);
         SuspectGuard(self.clone())
     }
 
     /// Returns whether the server runs a suspect request of this VM.
     pub fn is_running_suspect(&self) -> bool {
-        self.running_suspects.get() > 0
+        self.known_usage()
+            .is_some_and(|usage| usage.running_suspects.get() > 0)
     }
 
     /// Returns what placement considers of the server.
     pub fn candidate(&self, now: Instant, max_age: Duration, tried: bool) -> Candidate {
-        let reading = self.last_load_report.get();
+        let usage = self.usage();
+        let reading = usage.last_load_report.get();
         let reading = reading.filter(|(at, _)| now.saturating_duration_since(*at) < max_age);
-        let own = self.in_flight.borrow();
+        let own = usage.in_flight.borrow();
         let unseen = match reading {
             Some((at, _)) => {
-                let others = self.peer_sends.borrow();
+                let others = usage.peer_sends.borrow();
                 own.iter()
                     .chain(&*others)
                     .filter(|sent| **sent >= at)
@@ -343,12 +357,12 @@
         Candidate {
             near: self.near,
             load_report: reading.map(|(_, reading)| reading),
-            probe_pending: self.probe_in_flight.get(),
+            probe_pending: self.usage().probe_in_flight.get(),
             sent_since_report: unseen as u32,
             own_in_flight: own.len() as u32,
             slots: self.server.slots,
             cold: now < self.cold_until.get(),
-            failure_rate: self.failures.borrow().rate(now),
+            failure_rate: self.usage().failures.borrow().rate(now),
             tried,
         }
     }
@@ -360,7 +374,7 @@
 
 impl Drop for SuspectGuard {
     fn drop(&mut self) {
-        self.0.running_suspects.update(|count| count - 1);
+        self.0.usage().running_suspects.update(|count| count - 1);
     }
 }
 
@@ -373,7 +387,7 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        let mut in_flight = self.upstream.in_flight.borrow_mut();
+        let mut in_flight = self.upstream.usage().in_flight.borrow_mut();
         if let Some(at) = in_flight.iter().position(|sent| *sent == self.sent) {
             in_flight.swap_remove(at);
         }
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -45,7 +45,7 @@
         context.metrics.count_probe("no_budget");
         return;
     }
-    upstream.probe_in_flight.set(true);
+    upstream.usage().probe_in_flight.set(true);
     let (context, upstream) = (context.clone(), upstream.clone());
     let request = request(&upstream, health_path);
     tokio::task::spawn_local(async move { probe(&context, &upstream, &request).await });
@@ -66,9 +66,9 @@
     }
     finish(context, upstream, None, &step, started_at);
     if matches!(step.get(), ProbeStep::Connecting | ProbeStep::New) {
-        upstream.awaits_late_answer.set(true);
+        upstream.usage().awaits_late_answer.set(true);
         let answered = tokio::time::timeout(LATE_ANSWER_TIMEOUT, asking).await;
-        upstream.awaits_late_answer.set(false);
+        upstream.usage().awaits_late_answer.set(false);
         if let Ok(Some(response)) = answered {
             finish(context, upstream, Some(response), &step, started_at);
         }
@@ -82,7 +82,7 @@
     step: &Cell<ProbeStep>,
     started_at: Instant,
 ) {
-    upstream.probe_in_flight.set(false);
+    upstream.usage().probe_in_flight.set(false);
     let now = clock::now();
     let reading = answered.and_then(|response| {
         step.set(ProbeStep::Unreadable);
--- a/crates/kingcuploft-entry/src/usable_servers.rs
+++ b/crates/kingcuploft-entry/src/usable_servers.rs
@@ -7,7 +7,7 @@
 use kingcuploft::entry::connections;
 use kingcuploft::entry::server_order::{Distance, ServerOrder, Shortlist, Suitability};
 use kingcuploft::entry::vm_count::VmCount;
-use kingcuploft::utils::HashMap;
+use kingcuploft::utils::{HashMap, HashSet};
 use kingcuploft::world::ids::{BackendServerName, ServiceName};
 
 use crate::clock;
@@ -22,7 +22,44 @@
     by_name: HashMap<BackendServerName, Rc<Upstream>>,
 }
 
+/// The number of changes from which on the orders are rebuilt rather than changed one by one: each change moves half of an
+/// order.
+const MANY_CHANGES: usize = 32;
+
 impl UsableServers {
+    /// Removes the upstreams of these servers, and adds these upstreams.
+    fn apply(&mut self, dropped: &HashSet<&BackendServerName>, added: Vec<Rc<Upstream>>) {
+        match dropped.len() + added.len() >= MANY_CHANGES {
+            true => self.rebuild(dropped, added),
+            false => {
+                dropped.iter().for_each(|name| self.remove(name));
+                added.into_iter().for_each(|upstream| self.insert(upstream));
+            }
+        }
+    }
+
+    fn rebuild(&mut self, dropped: &HashSet<&BackendServerName>, added: Vec<Rc<Upstream>>) {
+        let mut is_any_gone = false;
+        for name in dropped {
+            is_any_gone |= self.by_name.remove(*name).is_some();
+        }
+        if is_any_gone {
+            for of_service in self.by_service.values_mut() {
+                of_service.retain(|upstream| !dropped.contains(&upstream.server.name));
+            }
+        }
+        let mut by_service: HashMap<ServiceName, Vec<_>> = HashMap::default();
+        for upstream in added {
+            let server = &upstream.server;
+            self.by_name.insert(server.name.clone(), upstream.clone());
+            let of_service = by_service.entry(server.service.clone()).or_default();
+            of_service.push((distance(&upstream), upstream.rank, upstream));
+        }
+        for (service, added) in by_service {
+            self.by_service.entry(service).or_default().extend(added);
+        }
+    }
+
     fn insert(&mut self, upstream: Rc<Upstream>) {
         let server = &upstream.server;
         let of_service = self.by_service.entry(server.service.clone()).or_default();
@@ -52,21 +89,33 @@
     /// Applies changes of the backend servers: creates the upstreams of servers that joined and drops those of servers
     /// that left, with their connections and load reports.
     pub fn apply_server_changes(&self, now: Instant, changes: &[Change]) {
-        let mut upstreams = self.upstreams.borrow_mut();
+        let mut dropped = HashSet::default();
+        let mut added = HashSet::default();
         for change in changes {
             match change {
                 Change::Joined(name) => {
-                    upstreams.remove(name);
-                    if let Some(server) = self.servers.borrow().get(name) {
-                        let near = server.zone == self.settings.zone;
-                        let upstream = Upstream::new(server.clone(), &self.settings.vm, near, now);
-                        upstreams.insert(Rc::new(upstream));
-                    }
+                    dropped.insert(name);
+                    added.insert(name);
+                }
+                Change::Left(name) => {
+                    dropped.insert(name);
+                    added.remove(name);
                 }
-                Change::Left(name) => upstreams.remove(name),
                 Change::Updated(_) | Change::Lapsed(_) => {}
             }
         }
+        if dropped.is_empty() {
+            return;
+        }
+        let servers = self.servers.borrow();
+        let added = added.into_iter().filter_map(|name| {
+            let server = servers.get_shared(name)?;
+            let near = server.zone == self.settings.zone;
+            let upstream = Upstream::new(server, &self.settings.vm, near, now);
+            Some(Rc::new(upstream))
+        });
+        let added = added.collect();
+        self.upstreams.borrow_mut().apply(&dropped, added);
     }
 
     /// Calls `operation` with the servers of a service that may get work, those of the own zone first, and returns its
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -21,4 +21,5 @@
 mod stopping;
 mod store_faults;
 mod testbed;
+mod unused_servers;
 mod workspaces;
--- a/crates/kingcuploft/src/entry/backend_servers.rs
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -8,6 +8,7 @@
 //! gone.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -132,7 +133,7 @@
 
 #[derive(Clone, Debug)]
 struct Known {
-    server: BackendServer,
+    server: Arc<BackendServer>,
     state: ServerState,
     /// The latest start that an entry has named; an entry of another writer may lack it.
     latest_start: Option<StartedAt>,
@@ -177,7 +178,7 @@
     fn digest(&self) -> u64 {
         match self.removed_at {
             Some(_) => 0,
-            None => digest(&self.server),
+            None => digest(&*self.server),
         }
     }
 
@@ -266,7 +267,7 @@
             let state = state_of(&server);
             let known = Known {
                 latest_start: server.started_at,
-                server,
+                server: Arc::new(server),
                 state,
                 removed_at: None,
             };
@@ -279,7 +280,7 @@
         if known.state == ServerState::Draining && !is_later_start {
             let is_stale = known.server.draining && !server.draining;
             if !is_stale {
-                known.server = server;
+                known.server = Arc::new(server);
             }
             return None;
         }
@@ -291,13 +292,13 @@
                 ServerState::Draining => ServerState::Draining,
                 _ => ServerState::DoubtedUntil(until),
             };
-            known.server = server;
+            known.server = Arc::new(server);
             return None;
         }
         let moved = known.server.address != server.address || is_later_start;
-        let same = known.server == server;
+        let same = *known.server == server;
         known.state = state_of(&server);
-        known.server = server;
+        known.server = Arc::new(server);
         match (before, known.state) {
             (ServerState::Gone | ServerState::GoneBeforeRestore(_), ServerState::InUse) => {
                 Some(Change::Joined(name))
@@ -436,12 +437,17 @@
     /// Returns whether a server is already known exactly like this.
     pub fn is_known(&self, server: &BackendServer) -> bool {
         let known = self.known.get(&server.name);
-        known.is_some_and(|known| known.removed_at.is_none() && known.server == *server)
+        known.is_some_and(|known| known.removed_at.is_none() && *known.server == *server)
     }
 
     /// Returns a known server.
     pub fn get(&self, name: &str) -> Option<&BackendServer> {
-        self.known.get(name).map(|known| &known.server)
+        self.known.get(name).map(|known| &*known.server)
+    }
+
+    /// Returns a known server, to be kept.
+    pub fn get_shared(&self, name: &str) -> Option<Arc<BackendServer>> {
+        self.known.get(name).map(|known| known.server.clone())
     }
 
     /// Returns the servers whose entries are present.
@@ -450,7 +456,7 @@
             .known
             .values()
             .filter(|known| known.removed_at.is_none());
-        present.map(|known| &known.server)
+        present.map(|known| &*known.server)
     }
 
     /// Returns a hash of the servers whose entries are present, independent of their order.
--- a/crates/kingcuploft/src/entry/server_order.rs
+++ b/crates/kingcuploft/src/entry/server_order.rs
@@ -108,6 +108,23 @@
         of_distance.insert(at, Ranked { rank, server });
     }
 
+    /// Adds several servers at once, each with its distance and rank.
+    pub fn extend(&mut self, servers: impl IntoIterator<Item = (Distance, u64, S)>) {
+        for (distance, rank, server) in servers {
+            self.of(distance).push(Ranked { rank, server });
+        }
+        for of_distance in [&mut self.near, &mut self.far] {
+            of_distance.sort_by_key(|ranked| ranked.rank);
+        }
+    }
+
+    /// Keeps only the servers that `is_kept` names.
+    pub fn retain(&mut self, is_kept: impl Fn(&S) -> bool) {
+        for of_distance in [&mut self.near, &mut self.far] {
+            of_distance.retain(|ranked| is_kept(&ranked.server));
+        }
+    }
+
     /// Removes the server of this rank that `is_meant` recognizes, and returns it.
     pub fn remove(
         &mut self,
--- a/crates/kingcuploft/tests/entry/server_order.rs
+++ b/crates/kingcuploft/tests/entry/server_order.rs
@@ -164,3 +164,31 @@
         Ok(())
     });
 }
+
+/// Guards against servers that are out of order, and found by nobody, after many have joined or left at once.
+#[test]
+fn servers_that_come_and_go_together_leave_the_order_as_one_by_one() {
+    arbtest(|u| {
+        let (mut at_once, mut one_by_one) = (order(5, 20), order(5, 20));
+        let mut added = Vec::new();
+        for server in 100..100 + u.int_in_range(0..=50)? {
+            let distance = if u.arbitrary()? {
+                Distance::Far
+            } else {
+                Distance::Near
+            };
+            added.push((distance, u.arbitrary::<u64>()?, server));
+        }
+        at_once.extend(added.clone());
+        for (distance, rank, server) in added {
+            one_by_one.insert(distance, rank, server);
+        }
+        let servers = |order: &ServerOrder<u64>| order.iter().copied().collect::<Vec<_>>();
+        assert_eq!(servers(&at_once), servers(&one_by_one));
+        let kept = |server: &u64| !server.is_multiple_of(3);
+        at_once.retain(kept);
+        let expected: Vec<u64> = servers(&one_by_one).into_iter().filter(kept).collect();
+        assert_eq!(servers(&at_once), expected);
+        Ok(())
+    });
+}
