fix(store): servers that change all the time don't make the watches look behind

Cause: the reader compares what its watches have reached with the newest revision of the store at each probe. Where servers change every few milliseconds the store is always ahead of the batch that was read last, and the time for which the watches are "behind" never ends, though each revision is reached within a second. It holds while changes are rarer than the pause between batches.

Change: the watches are behind only if they don't reach the revision from which the time counts.

--- a/crates/kingcuploft-entry/src/store_liveness.rs
+++ b/crates/kingcuploft-entry/src/store_liveness.rs
@@ -113,8 +113,11 @@
 }
 
 impl WatchLag {
-    /// Records a revision that the store has reached; returns whether the watches have been behind it for too long.
+    /// Records a revision that the store has reached; returns whether the watches have been behind one for too long.
     /// Each revision is reported once: changes of other collections advance the store as well.
+    ///
+    /// Load pattern: servers change all the time, and the store is always ahead of the batch that was read last. Only a
+    /// revision that the watches do not reach in time shows that they are behind.
     fn is_too_long(&mut self, now: Instant, reached: Revision, context: &Context) -> bool {
         let known = Collection::WATCHED
             .into_iter()
@@ -124,6 +127,7 @@
             self.since = None;
             return false;
         }
+        self.since = self.since.filter(|(behind, _)| known < Some(*behind));
         let (behind, since) = *self.since.get_or_insert((reached, now));
         if now.saturating_duration_since(since) < MAX_WATCH_LAG {
             return false;
--- a/crates/kingcuploft-entry/tests/links/servers.rs
+++ b/crates/kingcuploft-entry/tests/links/servers.rs
@@ -126,3 +126,19 @@
         }
     });
 }
+
+/// Guards against calls to the store for collections that have not changed, as long as servers change all the time.
+#[test]
+fn servers_that_change_all_the_time_cost_one_call_a_batch() {
+    simulate(async {
+        let fleet = fleet_with_servers(100).await;
+        let before = fleet.store.0.watch_calls.get();
+        for at in 0..100 {
+            write_servers(&fleet, 100 + at..101 + at);
+            tokio::time::sleep(Duration::from_millis(60)).await;
+        }
+        let calls = fleet.store.0.watch_calls.get() - before;
+        // Six seconds with a pause of 0.6 after each answer.
+        assert!(calls <= 12, "{calls} watches");
+    });
+}
