fix(start): a VM claims a zone without a record before it reads the store

The six large VMs of each zone start together, none knows of another, and each began to read the store and to claim the zone at the same time. It grows with the large VMs of a zone.

Change: where the zone has no record the claim comes first, for 200 ms at the most; those that lose it learn who leads, and follow.

--- a/crates/kingcuploft-entry/src/store_sync/mod.rs
+++ b/crates/kingcuploft-entry/src/store_sync/mod.rs
@@ -56,6 +56,9 @@
 /// as much again.
 const UNREACHABLE_PEERS_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long a VM waits for the outcome of its claim to a zone that has no record before it reads the store.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The time between two queries of the seeds by a VM that knows no other.
 const SEED_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -83,6 +86,7 @@
         tokio::time::sleep(startup_delay::claim_delay(&own, fastrand::f64())).await;
     }
     sync.discover_vms().await;
+    sync.claim_unrecorded_zone().await;
     tokio::join!(sync.follow_or_read(), sync.lead_zone());
     fallback.abort();
 }
--- a/crates/kingcuploft-entry/src/store_sync/zone_leader.rs
+++ b/crates/kingcuploft-entry/src/store_sync/zone_leader.rs
@@ -6,7 +6,7 @@
     self, SETTLE_TIME, ZoneRecord, ZoneView, handed_to_larger, refreshed,
 };
 
-use super::{CATCH_UP_TIME, CHECK_INTERVAL, STORE_RETRY_DELAY, StoreSync};
+use super::{CATCH_UP_TIME, CHECK_INTERVAL, CLAIM_TIMEOUT, STORE_RETRY_DELAY, StoreSync};
 use crate::clock;
 use crate::peers::dial::Dial;
 use crate::peers::seeds;
@@ -84,6 +84,16 @@
         }
     }
 
+    /// Claims the zone if it has no record yet, or learns who has.
+    ///
+    /// Load pattern: the large VMs of a zone start together, and none knows of another. If each read the store at once, it
+    /// would be read by all of them instead of one.
+    pub(super) async fn claim_unrecorded_zone(&self) {
+        if self.own_zone_record().is_none() {
+            let _ = tokio::time::timeout(CLAIM_TIMEOUT, self.claim()).await;
+        }
+    }
+
     /// Creates the record of a zone that has none, with this VM as its reader.
     async fn claim(&self) {
         let record = ZoneRecord::first(self.own);
--- a/crates/kingcuploft-entry/tests/links/servers.rs
+++ b/crates/kingcuploft-entry/tests/links/servers.rs
@@ -142,3 +142,20 @@
         assert!(calls <= 12, "{calls} watches");
     });
 }
+
+/// Guards against all large VMs of a zone that read the store when all start together.
+#[test]
+fn one_vm_of_each_zone_reads_the_store_when_all_start() {
+    let links = Links {
+        large_mbit: 200,
+        small_mbit: 200,
+    };
+    for seed in 1..=10 {
+        simulate(async move {
+            let zones = [6, 6, 6];
+            let fleet = Fleet::start(&zones, links, 10, seed).await;
+            let calls = fleet.store.0.server_list_calls.get() as usize;
+            assert!(calls <= zones.len(), "{calls} lists of the servers");
+        });
+    }
+}
--- a/crates/kingcuploft-simulation/src/store.rs
+++ b/crates/kingcuploft-simulation/src/store.rs
@@ -43,6 +43,8 @@
     pub watch_calls: Cell<u32>,
     /// The number of list calls.
     pub list_calls: Cell<u32>,
+    /// The number of calls that list the backend servers.
+    pub server_list_calls: Cell<u32>,
     /// The number of calls that write a zone record.
     pub zone_write_calls: Cell<u32>,
     changes: RefCell<Vec<(u64, Collection, StoreChange)>>,
@@ -247,6 +249,9 @@
                 records.map(|record| ("main".into(), record)).collect()
             }
             Collection::BackendServers => {
+                state
+                    .server_list_calls
+                    .set(state.server_list_calls.get() + 1);
                 let servers = state.servers.borrow().clone().into_iter();
                 let records = servers.map(|s| (s.name.to_string(), Record::BackendServer(s)));
                 records.collect()
