perf(peers): a VM that knows no server is told all of them in parts

Change: it is told 500 servers at a time, then that these were all (`ServersListed`). A VM that knew some servers, or is of the release before, is sent the whole table as before: servers that it knows may be gone. A table of no servers has the digest 0.

Test: frames for the three kinds of VMs.

--- a/crates/kingcuploft-entry/src/peers/feed.rs
+++ b/crates/kingcuploft-entry/src/peers/feed.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::change_assembly::AssemblyProgress;
 use kingcuploft::entry::configuration::ConfigurationVersion;
 use kingcuploft::entry::server_table::ServerTable;
@@ -14,7 +15,7 @@
 use super::followers::{Line, Outgoing, Queue};
 use super::frame::{
     FIRST_VERSION_WITH_EVACUATIONS, FIRST_VERSION_WITH_NOTICES, FIRST_VERSION_WITH_PARTS,
-    FIRST_VERSION_WITH_WORKSPACES, Frame, Hello, ProtocolVersion,
+    FIRST_VERSION_WITH_SERVERS_GONE, FIRST_VERSION_WITH_WORKSPACES, Frame, Hello, ProtocolVersion,
 };
 use super::line_writer::{timed_out, write_line};
 use super::sync_status::sync_status;
@@ -34,6 +35,23 @@
 /// The least size of a write that waits for a permit.
 const LONG_WRITE_BYTES: usize = 16 * 1024;
 
+/// The digest of a table without servers.
+const NO_SERVERS: u64 = 0;
+
+/// The number of servers in a part of the table of all. A VM that joins keeps one part in memory at a time, beside the
+/// servers themselves.
+const SERVERS_PER_PART: usize = 500;
+
+/// What a follower lacks of the backend servers.
+enum MissingServers {
+    /// Nothing.
+    None,
+    /// All: it knows none. The parts hold all of them.
+    All(Rc<Vec<Line>>),
+    /// Some: it is sent the whole table, as servers that it knows may be gone.
+    Some(Line),
+}
+
 /// The link to one follower.
 pub(super) struct Feed<'a, W> {
     context: &'a Rc<Context>,
@@ -107,14 +125,7 @@
     /// Sends all that the follower lacks.
     async fn send_snapshot(&mut self, hello: &Hello) -> std::io::Result<()> {
         let own = sync_status(self.context, self.store_access);
-        let digest = self.context.with_servers(|servers| servers.digest());
-        let knows_servers = hello.servers.is_some() && hello.servers_digest == Some(digest);
-        let context = self.context;
-        let servers = (!knows_servers).then(|| {
-            context
-                .followers
-                .server_snapshot(|| all_servers_line(context))
-        });
+        let servers = self.missing_servers(hello);
         let mut snapshot = Frame::Status(own).to_line();
         let records = self.context.readers.borrow().records();
         snapshot.extend(Frame::Zones(records).to_line());
@@ -132,12 +143,32 @@
         write_line(&mut self.stream, &snapshot).await?;
         self.request_newer_configuration(hello).await?;
         self.send_configuration().await?;
-        if let Some(servers) = servers {
-            self.write_throttled(&[servers]).await?;
+        match servers {
+            MissingServers::None => {}
+            MissingServers::All(parts) => {
+                self.write_throttled(&parts).await?;
+                self.send(&Frame::ServersListed).await?;
+            }
+            MissingServers::Some(table) => self.write_throttled(&[table]).await?,
         }
         self.send(&Frame::SnapshotEnd).await
     }
 
+    /// Returns what a follower lacks of the backend servers.
+    fn missing_servers(&self, hello: &Hello) -> MissingServers {
+        let context = self.context;
+        let digest = context.with_servers(|servers| servers.digest());
+        let followers = &context.followers;
+        if hello.servers.is_some() && hello.servers_digest == Some(digest) {
+            return MissingServers::None;
+        }
+        let takes_parts = self.protocol_version >= FIRST_VERSION_WITH_SERVERS_GONE;
+        match takes_parts && hello.servers.is_none() && hello.servers_digest == Some(NO_SERVERS) {
+            true => MissingServers::All(followers.server_parts(|| all_servers_parts(context))),
+            false => MissingServers::Some(followers.server_snapshot(|| all_servers_line(context))),
+        }
+    }
+
     /// Asks a follower for its configuration if that is newer.
     ///
     /// Failure: the store is restored from an older copy, and a VM starts and reads it before the operator has written
@@ -257,6 +288,18 @@
     }
 }
 
+/// Encodes the entries of all backend servers in parts.
+fn all_servers_parts(context: &Context) -> Vec<Line> {
+    context.with_servers(|servers| {
+        let servers: Vec<&BackendServer> = servers.present().collect();
+        let parts = servers.chunks(SERVERS_PER_PART);
+        let tables = parts.map(|part| ServerTable::from_servers(part.iter().copied()));
+        tables
+            .map(|table| Rc::new(Frame::Servers(table).to_line()))
+            .collect()
+    })
+}
+
 /// Encodes the entries of all backend servers.
 fn all_servers_line(context: &Context) -> Vec<u8> {
     let table = context.with_servers(|servers| ServerTable::from_servers(servers.present()));
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -329,6 +329,7 @@
         Frame::ServerGone(name) => server_updates::apply_removals(context, now, vec![name]),
         Frame::ServersGone(names) => server_updates::apply_removals(context, now, names),
         Frame::AllServers(table) => replace_servers(context, now, table)?,
+        Frame::ServersListed => context.set_servers_listed(),
         Frame::Zones(records) => store_watcher::apply_zone_records(context, records),
         Frame::Notices(notices) => notices::apply_notices(context, notices),
         Frame::NoticesGone(ids) => notices::apply_withdrawals(context, ids),
--- a/crates/kingcuploft-entry/src/peers/followers.rs
+++ b/crates/kingcuploft-entry/src/peers/followers.rs
@@ -136,6 +136,7 @@
     all: RefCell<Vec<Follower>>,
     next_id: Cell<FollowerId>,
     server_snapshot: RefCell<Weak<Vec<u8>>>,
+    server_parts: RefCell<Weak<Vec<Line>>>,
     lines_by_change: RefCell<HashMap<ChangeKey, Weak<Vec<Line>>>>,
     /// The permits for long writes.
     pub long_writes: Semaphore,
@@ -159,6 +160,7 @@
             all: RefCell::default(),
             next_id: Cell::new(0),
             server_snapshot: RefCell::default(),
+            server_parts: RefCell::default(),
             lines_by_change: RefCell::default(),
             long_writes: Semaphore::new(MAX_LONG_WRITES),
             changed: Notify::new(),
@@ -265,6 +267,17 @@
         server_snapshot
     }
 
+    /// Returns the encoded entries of all backend servers in parts, shared like [`Self::server_snapshot`].
+    pub fn server_parts(&self, write: impl FnOnce() -> Vec<Line>) -> Rc<Vec<Line>> {
+        let mut shared = self.server_parts.borrow_mut();
+        if let Some(parts) = shared.upgrade() {
+            return parts;
+        }
+        let parts = Rc::new(write());
+        *shared = Rc::downgrade(&parts);
+        parts
+    }
+
     /// Returns the encoded parts of a change, shared by the followers that it is sent to at the same time.
     pub fn change_lines(&self, change: &ConfigurationChange) -> Rc<Vec<Line>> {
         let mut shared = self.lines_by_change.borrow_mut();
@@ -290,6 +303,7 @@
     /// Drops the encoded entries of the backend servers, as they have changed.
     pub fn invalidate_server_snapshot(&self) {
         self.server_snapshot.take();
+        self.server_parts.take();
     }
 
     /// Returns whether this VM has no followers.
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -57,6 +57,8 @@
     ServersGone(Vec<BackendServerName>),
     /// The entries of all backend servers; those not listed were removed.
     AllServers(ServerTable),
+    /// All backend servers that the sender knows have been sent over this link, to a VM that knew none.
+    ServersListed,
     /// The records of zones.
     Zones(Vec<ZoneRecord>),
     /// Notices: what VMs have observed of requests and backend servers.
@@ -105,7 +107,7 @@
     #[serde(default)]
     pub servers_digest: Option<u64>,
     /// The version of the protocol that it understands: 5 understands all frames, 4 all but several removed servers at
-    /// once, 3 no workspaces either, 2 no evacuations either, 1 no notices either; 0 stands for the releases before these.
+    /// once and the table of all servers in parts, 3 no workspaces either, 2 no evacuations either, 1 no notices either; 0 stands for the releases before these.
     #[serde(default, rename = "speaks")]
     pub protocol_version: ProtocolVersion,
 }
@@ -130,7 +132,7 @@
 /// servers.
 pub const FIRST_VERSION_WITH_WORKSPACES: ProtocolVersion = 4;
 
-/// The first version that takes several removed servers at once.
+/// The first version that takes several removed servers at once, and the table of all servers in parts.
 pub const FIRST_VERSION_WITH_SERVERS_GONE: ProtocolVersion = 5;
 
 /// How far a VM has replicated the store.
--- a/crates/kingcuploft-entry/tests/links/joining.rs
+++ b/crates/kingcuploft-entry/tests/links/joining.rs
@@ -6,6 +6,7 @@
 
 use kingcuploft::entry::change_assembly::AssemblyProgress;
 use kingcuploft::entry::configuration_change::ConfigurationChange;
+use kingcuploft::entry::server_table::ServerTable;
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::entry::workspaces::{Workspace, Workspaces};
 use kingcuploft_entry::peers::dial::Dial;
@@ -262,6 +263,62 @@
     });
 }
 
+/// Guards against a VM that joins and needs several times the memory of the table of all servers to read it, and against
+/// one that knew some servers and goes on using those that have left meanwhile.
+#[test]
+fn a_vm_that_knows_no_server_is_told_all_in_parts() {
+    simulate(async {
+        let (fleet, host) = fleet_of_two().await;
+        for at in 0..1_200 {
+            let name = format!("s{at}");
+            fleet
+                .store
+                .0
+                .write_backend_server(crate::fleet::server(&name));
+        }
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let known_none = Hello {
+            servers: None,
+            servers_digest: Some(0),
+            ..hello_like(&host)
+        };
+        let before = Hello {
+            protocol_version: FIRST_VERSION_WITH_SERVERS_GONE - 1,
+            ..known_none.clone()
+        };
+        let knew_some = Hello {
+            servers_digest: Some(1),
+            ..known_none.clone()
+        };
+        let mut told = Vec::new();
+        for hello in [known_none, before, knew_some] {
+            let mut joining = ScriptedPeer::join(&host);
+            joining.send(&Frame::Hello(hello)).await;
+            told.push(server_frames(&joining.frames().await));
+        }
+        let whole = vec![("AllServers", 1_200)];
+        let parts = vec![
+            ("Servers", 500),
+            ("Servers", 500),
+            ("Servers", 200),
+            ("ServersListed", 0),
+        ];
+        assert_eq!(told, [parts, whole.clone(), whole]);
+    });
+}
+
+/// Returns the frames that tell of servers, with the number of servers in each.
+fn server_frames(frames: &[Frame]) -> Vec<(&'static str, usize)> {
+    let count = |table: &ServerTable| table.clone().servers().map_or(0, |servers| servers.len());
+    let of_servers = frames.iter().filter_map(|frame| match frame {
+        Frame::Servers(table) => Some(("Servers", count(table))),
+        Frame::AllServers(table) => Some(("AllServers", count(table))),
+        Frame::ServersListed => Some(("ServersListed", 0)),
+        _ => None,
+    });
+    of_servers.collect()
+}
+
 /// Returns the names in each frame that tells of servers that have left.
 fn gone(frames: &[Frame]) -> Vec<Vec<String>> {
     let names = frames.iter().filter_map(|frame| match frame {
