fix(start): a VM that is being fed does not read the store as well

Cause: a VM that knows nothing waits 20 ms for each VM that the record names before it, or 250 to 500, for other VMs. That is longer than the table of some hundred servers takes, and shorter than that of thousands to a dozen followers.

--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -188,7 +188,11 @@
                 check_feeder(context, store_access, &status)?;
                 match has_snapshot {
                     true => apply_status(context, status),
-                    false => pending_status = Some(status),
+                    false => {
+                        // The snapshot is on its way, however long it takes.
+                        context.feed_promised.set(true);
+                        pending_status = Some(status);
+                    }
                 }
             }
             Frame::Redirect(vm) => return Err(LinkError::Redirected(vm)),
--- a/crates/kingcuploft-entry/tests/links/servers.rs
+++ b/crates/kingcuploft-entry/tests/links/servers.rs
@@ -159,3 +159,27 @@
         });
     }
 }
+
+/// Guards against VMs that list all servers in the store though another VM is sending them.
+#[test]
+fn vms_that_are_being_fed_when_they_start_do_not_read_the_store() {
+    simulate(async {
+        let links = Links {
+            large_mbit: 20,
+            small_mbit: 20,
+        };
+        let fleet = Fleet::start(&[40], links, 10, 1).await;
+        write_servers(&fleet, 0..8_000);
+        tokio::time::sleep(REST_TIME).await;
+        let before = fleet.store.0.server_list_calls.get();
+        let feeders = fleet.feeders();
+        let (down, _): (Vec<_>, Vec<_>) = (0..fleet.len()).partition(|vm| !feeders.contains(vm));
+        down.iter().for_each(|vm| fleet.power_off(*vm));
+        tokio::time::sleep(REST_TIME).await;
+        down.iter().for_each(|vm| fleet.power_on(*vm, false));
+        tokio::time::sleep(2 * REST_TIME).await;
+        (0..fleet.len()).for_each(|vm| assert_eq!(count_at(&fleet, vm), 8_000));
+        let calls = fleet.store.0.server_list_calls.get() - before;
+        assert_eq!(calls, 0, "lists by {} VMs", down.len());
+    });
+}
