fix(peers): VMs whose feeders have lost power look for another at all named VMs at once

Cause: a VM that has lost its feeder tries the VMs that its zone's record names one after the other, 150 ms each for one without power, and reads the store after 250 ms without a feeder. It holds while one or two of them are gone.

Change: once one has failed, links to all of them are tried at once, for 100 ms, and those that don't accept are passed over.

--- a/crates/kingcuploft-entry/src/store_sync/mod.rs
+++ b/crates/kingcuploft-entry/src/store_sync/mod.rs
@@ -43,6 +43,9 @@
 /// How long a VM that has lost its feeder looks for another before it reads the store meanwhile.
 const MAX_TIME_WITHOUT_FEEDER: Duration = Duration::from_millis(250);
 
+/// How long the VMs that a zone's record names may take to accept a link when a feeder has failed.
+const REACHABILITY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// How long a VM that has just started syncs from another VM before it relies on what the store holds.
 const INITIAL_SYNC_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -78,6 +81,7 @@
         network: &network,
         stored_version: Cell::default(),
         stored_at_rewind: Cell::default(),
+        has_lost_feeder: Cell::default(),
         vm_count: Cell::default(),
     };
     let fallback = store_fallback::read_store_if_uninformed(context.clone(), store_access.clone());
@@ -102,6 +106,8 @@
     stored_version: Cell<u64>,
     /// How many rewinds of the store were known when that was learned.
     stored_at_rewind: Cell<u32>,
+    /// Whether a VM that this one followed, or tried to, has failed since that was last asked.
+    has_lost_feeder: Cell<bool>,
     /// The count of the zone's VMs, kept while this VM leads the zone.
     vm_count: Cell<ZoneCount>,
 }
@@ -119,6 +125,9 @@
                     if self.follow(feeder).await == LinkOutcome::Fed {
                         fed_at = clock::now();
                     }
+                    if self.has_lost_feeder.take() && self.context.is_ready() {
+                        self.avoid_unreachable_vms().await;
+                    }
                     if clock::since(fed_at) >= MAX_TIME_WITHOUT_FEEDER && self.context.is_ready() {
                         self.store_access.start_reading();
                     }
@@ -266,6 +275,7 @@
                     tracing::info!(event = "reader_lost", reader = %feeder.name, why = %why);
                 }
             }
+            self.has_lost_feeder.set(true);
             let mut readers = self.context.readers.borrow_mut();
             readers.record_failure(clock::now(), &feeder.name);
             return outcome;
@@ -276,6 +286,32 @@
         LinkOutcome::NotFed
     }
 
+    /// Opens links to all VMs that the zone's record names, and avoids those that don't accept one.
+    ///
+    /// Failure: most VMs lose power at the same moment. Tried one after the other, each costs the time of a connection
+    /// that nobody accepts, and by then all that are left read the store.
+    async fn avoid_unreachable_vms(&self) {
+        let named = self.own_zone_record().map(|record| record.vms);
+        let others = named.into_iter().flatten();
+        let others = others.filter(|vm| vm.name != self.own.name);
+        let links: Vec<_> = others
+            .map(|vm| {
+                let network = self.network.clone();
+                tokio::task::spawn_local(async move {
+                    let dialing = network.dial(vm.address);
+                    let dialed = tokio::time::timeout(REACHABILITY_TIMEOUT, dialing).await;
+                    (vm, matches!(dialed, Ok(Ok(_))))
+                })
+            })
+            .collect();
+        for link in links {
+            if let Ok((vm, false)) = link.await {
+                let mut readers = self.context.readers.borrow_mut();
+                readers.record_failure(clock::now(), &vm.name);
+            }
+        }
+    }
+
     /// Returns once this VM would follow another VM than `first`, and either gets nothing of the store through the one
     /// it follows, or has followed it for its zone, which another VM leads by now.
     ///
--- a/crates/kingcuploft-entry/tests/links/servers.rs
+++ b/crates/kingcuploft-entry/tests/links/servers.rs
@@ -183,3 +183,36 @@
         assert_eq!(calls, 0, "lists by {} VMs", down.len());
     });
 }
+
+/// Guards against all VMs that are left reading the store when most have lost power.
+#[test]
+fn vms_whose_feeders_lost_power_find_others_before_they_read_the_store() {
+    simulate(async {
+        let fleet = Fleet::start(&[120], LINKS, 10, 1).await;
+        // Of those that the zone's record names, the last is left.
+        let named = fleet.store.0.zones.borrow()[0].vms.clone();
+        let place = |vm: &usize| {
+            let host = fleet.network.host(*vm).expect("a VM with power");
+            let name = &host.context.settings.vm;
+            named.iter().position(|other| other.name == *name)
+        };
+        let is_down = |vm: &usize| match place(vm) {
+            Some(place) => place + 1 < named.len(),
+            None => vm % 5 > 1,
+        };
+        let (down, left): (Vec<_>, Vec<_>) = (0..fleet.len()).partition(is_down);
+        down.iter().for_each(|vm| fleet.set_link_cut(*vm, true));
+        let mut readers = std::collections::HashSet::new();
+        let until = Instant::now() + REST_TIME;
+        while Instant::now() < until {
+            let hosts = left
+                .iter()
+                .filter_map(|vm| Some((*vm, fleet.network.host(*vm)?)));
+            let reading = hosts.filter(|(_, host)| host.store_access.is_reading());
+            readers.extend(reading.map(|(vm, _)| vm));
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let count = readers.len();
+        assert!(count <= 4, "{count} of {} VMs read the store", left.len());
+    });
+}
