--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -115,6 +115,8 @@
     pub reader_has_store: Cell<bool>,
     /// Whether a VM has promised to send this one a complete snapshot.
     pub feed_promised: Cell<bool>,
+    /// Whether a VM is sending this one a complete snapshot.
+    pub snapshot_begun: Cell<bool>,
     /// The VM that this one follows.
     pub feeder: RefCell<Option<VmEntry>>,
     /// When the VM started.
@@ -182,6 +184,7 @@
             feed_path: RefCell::default(),
             reader_has_store: Cell::new(true),
             feed_promised: Cell::new(false),
+            snapshot_begun: Cell::new(false),
             quarantine: RefCell::default(),
             rewinds: Rewinds::default(),
             evacuations: RefCell::default(),
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -88,6 +88,7 @@
         self.0.feeder.borrow_mut().take();
         self.0.feed_path.borrow_mut().clear();
         self.0.feed_promised.set(false);
+        self.0.snapshot_begun.set(false);
         self.0.reader_has_store.set(true);
     }
 }
@@ -190,7 +191,7 @@
                     true => apply_status(context, status),
                     false => {
                         // The snapshot is on its way, however long it takes.
-                        context.feed_promised.set(true);
+                        context.snapshot_begun.set(true);
                         pending_status = Some(status);
                     }
                 }
--- a/crates/kingcuploft-entry/src/store_fallback.rs
+++ b/crates/kingcuploft-entry/src/store_fallback.rs
@@ -28,7 +28,7 @@
             startup_delay::store_read_delay(
                 &context.settings.vm,
                 record,
-                context.feed_promised.get(),
+                context.feed_promised.get() || context.snapshot_begun.get(),
                 chance,
             )
         };
