--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod relay;
 pub mod rewinds;
 pub mod run;
+mod server_batch;
 pub mod server_updates;
 pub mod settings;
 pub mod store;
--- a/crates/kingcuploft-entry/src/peers/followers.rs
+++ b/crates/kingcuploft-entry/src/peers/followers.rs
@@ -11,6 +11,7 @@
 use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, VmName};
 use tokio::sync::{Notify, Semaphore, mpsc};
 
+pub use super::follower_queue::{Line, Outgoing, Queue};
 use super::frame::{
     FIRST_VERSION_WITH_EVACUATIONS, FIRST_VERSION_WITH_NOTICES, FIRST_VERSION_WITH_SERVERS_GONE,
     Frame, ProtocolVersion,
@@ -27,72 +28,6 @@
 /// The most long writes at a time. Followers that are written first already feed others while the last still wait.
 const MAX_LONG_WRITES: usize = 3;
 
-/// A line that is written to several followers, encoded once.
-pub type Line = Rc<Vec<u8>>;
-
-/// An entry in the queue of a follower.
-#[derive(Clone, Debug)]
-pub enum Outgoing {
-    /// A line that every follower understands.
-    Line(Line),
-    /// A heartbeat; the line is the whole status, for followers that do not understand `Frame::Alive`.
-    Alive(Line),
-    /// The news that a version of the configuration exists.
-    NewerVersion(ConfigurationVersion),
-    /// The changes that lead from the follower's configuration to the one in force, computed when they are written.
-    Configuration,
-    /// A line that followers understand from this version of the protocol on.
-    SinceVersion(ProtocolVersion, Line),
-    /// The same, and the lines that tell earlier ones the same.
-    ByVersion {
-        /// The first version that understands `line`.
-        since: ProtocolVersion,
-        /// The line.
-        line: Line,
-        /// The lines for earlier versions.
-        before: Line,
-    },
-}
-
-impl Outgoing {
-    /// Returns how many bytes of a queue it takes.
-    fn bytes(&self) -> usize {
-        match self {
-            Self::Line(line) | Self::Alive(line) | Self::SinceVersion(_, line) => line.len(),
-            Self::ByVersion { line, before, .. } => line.len().max(before.len()),
-            Self::NewerVersion(_) | Self::Configuration => 0,
-        }
-    }
-}
-
-/// The queue of one follower.
-#[derive(Debug)]
-pub struct Queue {
-    receiver: mpsc::Receiver<Outgoing>,
-    queued_bytes: Rc<Cell<usize>>,
-}
-
-impl Queue {
-    /// Returns the next entry, or `None` once the follower has been dropped.
-    pub async fn next(&mut self) -> Option<Outgoing> {
-        let next = self.receiver.recv().await;
-        self.subtract_bytes(next.as_ref());
-        next
-    }
-
-    /// Removes all entries.
-    pub fn clear(&mut self) {
-        while let Ok(outgoing) = self.receiver.try_recv() {
-            self.subtract_bytes(Some(&outgoing));
-        }
-    }
-
-    fn subtract_bytes(&self, outgoing: Option<&Outgoing>) {
-        let bytes = outgoing.map_or(0, Outgoing::bytes);
-        self.queued_bytes.set(self.queued_bytes.get() - bytes);
-    }
-}
-
 /// Identifies the link to a follower.
 type FollowerId = u64;
 
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -6,6 +6,7 @@
 mod feed;
 pub mod feeder;
 pub mod follower;
+mod follower_queue;
 pub mod followers;
 pub mod frame;
 mod line_writer;
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -10,15 +10,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
 use kingcuploft::entry::era::{Era, era_of};
 use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft::entry::zone_record::{MAX_NAMED_VMS, ZoneRecord};
 use kingcuploft::planted::{self, PlantedFault};
-use kingcuploft::utils::HashSet;
-use kingcuploft::world::ids::BackendServerName;
 
 use crate::clock;
 use crate::cold_servers;
@@ -30,6 +27,7 @@
 use crate::peers::frame::Frame;
 use crate::peers::sync_status::sync_status;
 use crate::rewinds::EraUpdate;
+use crate::server_batch::ServerBatch;
 use crate::server_updates;
 use crate::store::{Changes, Collection, Page, Record, Revision, Store, StoreChange, StoreError};
 use crate::store_access::StoreAccess;
@@ -285,39 +283,6 @@
     Ok(revision)
 }
 
-/// Changes of servers that are applied and forwarded together.
-#[derive(Default)]
-struct ServerBatch {
-    written: Vec<BackendServer>,
-    removed: Vec<BackendServerName>,
-    removed_set: HashSet<BackendServerName>,
-}
-
-impl ServerBatch {
-    fn add(&mut self, context: &Context, server: BackendServer) {
-        // Entries are applied before removals.
-        if self.removed_set.contains(&server.name) {
-            self.apply(context);
-        }
-        self.written.push(server);
-    }
-
-    fn remove(&mut self, name: BackendServerName) {
-        if self.removed_set.insert(name.clone()) {
-            self.removed.push(name);
-        }
-    }
-
-    fn apply(&mut self, context: &Context) {
-        let Self {
-            written, removed, ..
-        } = std::mem::take(self);
-        let now = clock::now();
-        server_updates::apply_servers(context, now, written);
-        server_updates::apply_removals(context, now, removed);
-    }
-}
-
 fn apply_record(context: &Context, record: Record) {
     match record {
         Record::Configuration(configuration) => adopt_configuration(context, *configuration),
--- a/crates/kingcuploft/src/entry/backend_servers.rs
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -7,85 +7,13 @@
 //! expire around an outage of the store stay in use for a short grace period after its return, and only then count as
 //! gone.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
+pub use super::backend_server::{BackendServer, StartedAt};
 use crate::planted::{self, PlantedFault};
 use crate::utils::{HashMap, digest};
-use crate::world::ids::{AvailabilityZone, BackendServerName, ServiceName};
-
-/// When a server's process started, as reported by the platform; greater is later.
-pub type StartedAt = u64;
-
-/// One backend server, as recorded in the platform's store.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-#[serde(from = "Row", into = "Row")]
-pub struct BackendServer {
-    /// Its name, new with each start.
-    pub name: BackendServerName,
-    /// Its service.
-    pub service: ServiceName,
-    /// The address that it listens on.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub zone: AvailabilityZone,
-    /// How many requests it runs at once.
-    pub slots: u32,
-    /// Whether it is draining.
-    pub draining: bool,
-    /// How much longer it is cold after its start.
-    pub cold_for: Duration,
-    /// When it started, if known.
-    pub started_at: Option<StartedAt>,
-}
-
-/// A server as VMs send it to each other: a row without field names, as a VM that joins is sent all of them. Name,
-/// service, address, zone, slots, whether it is draining, cold time in ms, start.
-#[derive(Deserialize, Serialize)]
-struct Row(
-    BackendServerName,
-    ServiceName,
-    SocketAddr,
-    AvailabilityZone,
-    u32,
-    bool,
-    u64,
-    Option<StartedAt>,
-);
-
-impl From<Row> for BackendServer {
-    fn from(row: Row) -> Self {
-        let Row(name, service, address, zone, slots, draining, cold_ms, started_at) = row;
-        Self {
-            name,
-            service,
-            address,
-            zone,
-            slots,
-            draining,
-            cold_for: Duration::from_millis(cold_ms),
-            started_at,
-        }
-    }
-}
-
-impl From<BackendServer> for Row {
-    fn from(server: BackendServer) -> Self {
-        Self(
-            server.name,
-            server.service,
-            server.address,
-            server.zone,
-            server.slots,
-            server.draining,
-            server.cold_for.as_millis() as u64,
-            server.started_at,
-        )
-    }
-}
+use crate::world::ids::BackendServerName;
 
 /// Grace period after the store's return for servers whose entries expired around an outage: the platform restores the
 /// entries of live servers within about 2 s.
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod account_replicas;
 pub mod attempts;
+mod backend_server;
 pub mod backend_servers;
 pub mod caller_timeouts;
 pub mod change_assembly;
