--- a/crates/kingcuploft-entry/src/usable_servers.rs
+++ b/crates/kingcuploft-entry/src/usable_servers.rs
@@ -188,7 +188,7 @@
         let evacuations = self.evacuations.borrow();
         let of_service = upstreams.by_service.get(service);
         let of_service = of_service.filter(|all| !all.is_empty());
-        // The servers of one zone, the own, come first.
+        // From the end, where zones alternate: those of the own zone come first, and may be a thousand.
         of_service.is_some_and(|all| {
             let mut all = all.iter().rev();
             all.all(|u| evacuations.is_evacuated(&u.server.zone))
--- a/crates/kingcuploft/src/entry/server_order.rs
+++ b/crates/kingcuploft/src/entry/server_order.rs
@@ -165,15 +165,6 @@
             .map(|ranked| &ranked.server)
     }
 
-    /// Returns the server at a place in the order.
-    pub fn get(&self, place: usize) -> Option<&S> {
-        let ranked = match place.checked_sub(self.near.len()) {
-            None => self.near.get(place),
-            Some(among_far) => self.far.get(among_far),
-        };
-        ranked.map(|ranked| &ranked.server)
-    }
-
     /// Returns the first servers that suit a request best. The number of servers that are looked at does not grow with
     /// the service, unless none of the first may get the request.
     pub fn shortlist(&self, judge: impl Fn(&S) -> Suitability) -> Shortlist<S> {
