feat(logs): a request that the exit of a stopping VM cuts is named as such

It said `stopped` with `callers_left` 1 and, of each lookup, `cancelled: the caller left, or another server answered first`, which fits three causes: the caller closed the connection, a hedge had won, or the VM exited under requests that it had taken. A request that was not at a server had no line at all.

Now `stopped` tells how many requests have no answer, each of them has a line `cut_by_exit`, its attempt says `the process exits`, and `kingcuploftctl trace` tells of it. The phases of a stop are one value (`shutdown`) in place of two fields of the context.

Behaviour unchanged.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -43,6 +43,7 @@
 use crate::reach::Reach;
 use crate::rewinds::Rewinds;
 use crate::settings::{Bounds, EntrySettings, WireNames};
+use crate::shutdown::Shutdown;
 use crate::store::{Collection, Revision};
 use crate::usable_servers::UsableServers;
 
@@ -57,8 +58,8 @@
     pub network: Rc<dyn Network>,
     /// Wakes tasks that wait for load reports.
     pub load_report_received: Notify,
-    /// Wakes tasks that wait for the graceful shutdown.
-    pub stop_requested: Notify,
+    /// The graceful shutdown of the VM.
+    pub shutdown: Shutdown,
     /// The VM's metrics.
     pub metrics: Metrics,
     /// The settings that may change while the VM runs.
@@ -101,6 +102,8 @@
     pub notice_writes: NoticeWriteQueue,
     /// How many connections of callers are open.
     pub caller_connections: Cell<usize>,
+    /// How many requests were read and have no answer yet.
+    pub unanswered_requests: Cell<usize>,
     positions: RefCell<HashMap<Collection, Revision>>,
     /// Wakes tasks that wait until this VM knows a later revision of the store.
     pub position_advanced: Notify,
@@ -121,8 +124,6 @@
     pub feeder: RefCell<Option<VmEntry>>,
     /// When the VM started.
     pub started_at: Instant,
-    stopping: Cell<Option<Instant>>,
-    is_closing_idle: Cell<bool>,
     pub(crate) servers: RefCell<BackendServers>,
     servers_listed: Cell<bool>,
     pub(crate) upstreams: RefCell<UsableServers>,
@@ -168,7 +169,7 @@
             wire_names,
             network,
             load_report_received: Notify::new(),
-            stop_requested: Notify::new(),
+            shutdown: Shutdown::default(),
             metrics: Metrics::default(),
             readers: RefCell::default(),
             peer_socket: OnceCell::new(),
@@ -195,9 +196,8 @@
             pending_turns: PendingTurns::default(),
             notice_writes: NoticeWriteQueue::default(),
             caller_connections: Cell::new(0),
+            unanswered_requests: Cell::new(0),
             started_at: clock::now(),
-            stopping: Cell::new(None),
-            is_closing_idle: Cell::new(false),
             active_configuration: ActiveConfiguration::default(),
             servers: RefCell::default(),
             servers_listed: Cell::new(false),
@@ -226,29 +226,7 @@
         let knows = self.active_configuration.version().is_some()
             && self.servers_listed.get()
             && knows_zones;
-        knows && !self.is_stopping()
-    }
-
-    /// Returns whether the graceful shutdown has begun.
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.get().is_some()
-    }
-
-    /// Begins the graceful shutdown.
-    pub fn begin_stop(&self, now: Instant) {
-        self.stopping.set(Some(now));
-        self.stop_requested.notify_waiters();
-    }
-
-    /// Returns whether idle connections of callers are being closed.
-    pub fn is_closing_idle(&self) -> bool {
-        self.is_closing_idle.get()
-    }
-
-    /// Closes connections of callers as soon as they are idle, from now on.
-    pub fn close_idle_connections(&self) {
-        self.is_closing_idle.set(true);
-        self.stop_requested.notify_waiters();
+        knows && !self.shutdown.is_stopping()
     }
 
     /// Calls `operation` with the table of backend servers and returns its result.
--- a/crates/kingcuploft-entry/src/edge/attempt.rs
+++ b/crates/kingcuploft-entry/src/edge/attempt.rs
@@ -10,6 +10,7 @@
 use super::suspect::SuspectRun;
 use crate::clock;
 use crate::limits;
+use crate::shutdown::ShutdownPhase;
 use crate::upstream::Upstream;
 use crate::upstream::exchange::{self, AttemptOutcome};
 use crate::upstream::server_signals::ServerSignals;
@@ -135,8 +136,12 @@
 impl Drop for AttemptRecord<'_> {
     fn drop(&mut self) {
         if self.is_pending {
-            let why = "the caller left, or another server answered first";
-            self.active.context.metrics.count_attempt("cancelled");
+            let context = self.active.context;
+            let why = match context.shutdown.phase() {
+                ShutdownPhase::Ended => "the process exits",
+                _ => "the caller left, or another server answered first",
+            };
+            context.metrics.count_attempt("cancelled");
             self.log(LoggedEnd {
                 end: "cancelled",
                 detail: why,
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -21,6 +21,7 @@
 use crate::http::body::{BodyError, BodyReader};
 use crate::http::head::{self, RequestHead};
 use crate::relay::wire;
+use crate::shutdown::ShutdownPhase;
 use kingcuploft::entry::configuration::Limits;
 
 /// The most requests of one connection that are served at the same time; later ones stay unread.
@@ -202,7 +203,7 @@
             return ReadOutcome::Stopping;
         }
         self.buffer.reserve(READ_BUFFER_BYTES);
-        let stop = self.context.stop_requested.notified();
+        let stop = self.context.shutdown.changed.notified();
         let wake = self.state.wake.notified();
         let reading = self.reader.read_buf(&mut self.buffer);
         tokio::select! {
@@ -221,7 +222,8 @@
     /// idle connections.
     fn must_stop_reading(&self) -> bool {
         let idle = self.state.unanswered.get() == 0;
-        self.state.closing.get() || (idle && self.context.is_closing_idle())
+        self.state.closing.get()
+            || (idle && self.context.shutdown.phase() == ShutdownPhase::Closing)
     }
 
     async fn read_body_and_serve(&mut self, head: RequestHead, limits: &Limits) -> Option<ReadEnd> {
@@ -348,7 +350,7 @@
         }
         let is_last = state.unanswered.get() == 1;
         let must_close =
-            answer.close || (is_last && (state.closing.get() || context.is_stopping()));
+            answer.close || (is_last && (state.closing.get() || context.shutdown.is_stopping()));
         if must_close {
             state.closing.set(true);
         }
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -35,6 +35,7 @@
     answer: oneshot::Sender<Answer>,
 ) {
     context.metrics.requests.inc();
+    let mut unanswered = UnansweredRequest::begin(&context, &request);
     if !ActiveRequest::can_begin(&context, &request) {
         let adopting = context.active_configuration.adopted_notify.notified();
         let _ = tokio::time::timeout(CONFIGURATION_WAIT, adopting).await;
@@ -46,7 +47,10 @@
                 true => tokio::select! {
                     biased;
                     answer = active.run(&disconnect) => answer,
-                    () = disconnect.wait() => return active.log_caller_left(),
+                    () = disconnect.wait() => {
+                        unanswered.end();
+                        return active.log_caller_left();
+                    }
                 },
                 false => active.run(&disconnect).await,
             };
@@ -60,9 +64,48 @@
     }
     let (route, took) = (route.as_deref(), clock::since(request.arrived));
     context.metrics.observe_answer(route, answered.status, took);
+    unanswered.end();
     let _ = answer.send(answered);
 }
 
+/// A request that has no answer yet. One that is dropped before its end is logged: the process exits under it.
+struct UnansweredRequest<'a> {
+    context: &'a Context,
+    request: &'a Request,
+    has_ended: bool,
+}
+
+impl<'a> UnansweredRequest<'a> {
+    fn begin(context: &'a Context, request: &'a Request) -> Self {
+        let unanswered = &context.unanswered_requests;
+        unanswered.set(unanswered.get() + 1);
+        Self {
+            context,
+            request,
+            has_ended: false,
+        }
+    }
+
+    /// Records that the request was answered, or needs no answer any more.
+    fn end(&mut self) {
+        self.has_ended = true;
+    }
+}
+
+impl Drop for UnansweredRequest<'_> {
+    fn drop(&mut self) {
+        let unanswered = &self.context.unanswered_requests;
+        unanswered.set(unanswered.get() - 1);
+        if !self.has_ended {
+            tracing::warn!(
+                event = "cut_by_exit",
+                request = self.request.id,
+                held_ms = clock::since(self.request.arrived).as_millis() as u64,
+            );
+        }
+    }
+}
+
 impl ActiveRequest<'_> {
     async fn run(&mut self, disconnect: &CallerDisconnect) -> Answer {
         if let Err(refusal) = self.take_quota().await {
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod server_batch;
 pub mod server_updates;
 pub mod settings;
+pub mod shutdown;
 pub mod store;
 pub mod store_access;
 mod store_fallback;
--- a/crates/kingcuploft-entry/src/quotas.rs
+++ b/crates/kingcuploft-entry/src/quotas.rs
@@ -291,7 +291,7 @@
     let around = Surroundings::of(context);
     let reply = context.quotas.keep(&around, deposit);
     if let (Some(mut reply), Some(socket)) = (reply, &around.socket) {
-        reply.is_leaving = context.is_stopping();
+        reply.is_leaving = context.shutdown.is_stopping();
         socket.send(&PeerMessage::QuotaConfirmation(reply), &[from]);
     }
 }
--- a/crates/kingcuploft-entry/src/reach.rs
+++ b/crates/kingcuploft-entry/src/reach.rs
@@ -215,7 +215,7 @@
     from: SocketAddr,
 ) {
     let known = context.configuration().map_or(0, |c| c.version);
-    if known < version || context.is_stopping() {
+    if known < version || context.shutdown.is_stopping() {
         return reply(context, service, from, false);
     }
     if may_relay(context, service) {
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -189,8 +189,8 @@
 /// send them; then it closes idle connections and answers the requests that were read.
 pub async fn stop(context: &Context, stop_accepting: impl FnOnce()) {
     let started_at = clock::now();
-    let last = started_at + context.bounds.get().stop_within.saturating_sub(EXIT_MARGIN);
-    context.begin_stop(started_at);
+    let ends_at = started_at + context.bounds.get().stop_within.saturating_sub(EXIT_MARGIN);
+    context.shutdown.begin(ends_at);
     tracing::info!(
         event = "stopping",
         callers = context.caller_connections.get()
@@ -200,13 +200,15 @@
     }
     tokio::time::sleep(ACCEPT_WHILE_STOPPING).await;
     stop_accepting();
-    context.close_idle_connections();
-    while context.caller_connections.get() > 0 && clock::now() < last {
+    context.shutdown.close_connections();
+    while context.caller_connections.get() > 0 && clock::now() < ends_at {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
+    context.shutdown.end();
     tracing::info!(
         event = "stopped",
-        callers_left = context.caller_connections.get()
+        callers_left = context.caller_connections.get(),
+        unanswered = context.unanswered_requests.get()
     );
 }
 
--- a/crates/kingcuploft-entry/src/store_fallback.rs
+++ b/crates/kingcuploft-entry/src/store_fallback.rs
@@ -21,7 +21,7 @@
     if context.settings.is_first_start {
         return;
     }
-    while !context.is_ready() && !context.is_stopping() {
+    while !context.is_ready() && !context.shutdown.is_stopping() {
         let delay = {
             let readers = context.readers.borrow();
             let record = readers.record(&context.settings.zone);
--- a/crates/kingcuploft-entry/src/store_sync/zone_leader.rs
+++ b/crates/kingcuploft-entry/src/store_sync/zone_leader.rs
@@ -20,7 +20,7 @@
     pub(super) async fn lead_zone(&self) {
         let mut leading_since: Option<Instant> = None;
         loop {
-            let is_leader = self.is_zone_leader() && !self.context.is_stopping();
+            let is_leader = self.is_zone_leader() && !self.context.shutdown.is_stopping();
             let has_store = !self.store_access.is_reading() || self.store_access.is_available();
             match is_leader {
                 true if has_store => {
--- a/crates/kingcuploft-entry/tests/entry/stopping.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping.rs
@@ -5,6 +5,11 @@
 use crate::server::Behavior;
 use crate::testbed::{Caller, Testbed, lookup, run_test, wait_until};
 
+/// Returns when a process that is asked to stop now exits at the latest.
+fn ends_at() -> std::time::Instant {
+    std::time::Instant::now() + Duration::from_secs(5)
+}
+
 async fn ready_status(testbed: &Testbed) -> u16 {
     let mut platform = Caller::connect(testbed.vm.readiness_address).await;
     platform
@@ -25,7 +30,7 @@
         wait_until(|| testbed.run_count() == 2).await;
         let context = testbed.vm.context.clone();
         assert_eq!(ready_status(&testbed).await, 200);
-        context.begin_stop(std::time::Instant::now());
+        context.shutdown.begin(ends_at());
         assert_eq!(ready_status(&testbed).await, 503);
         let stopping = tokio::task::spawn_local(testbed.vm.stop());
         let answer = busy.answer().await.unwrap();
@@ -52,7 +57,7 @@
             .send(&[lookup("r1"), lookup("r2"), lookup("r3")].concat())
             .await;
         wait_until(|| testbed.run_count() == 3).await;
-        testbed.vm.context.begin_stop(std::time::Instant::now());
+        testbed.vm.context.shutdown.begin(ends_at());
         for (id, closes) in [("r1", false), ("r2", false), ("r3", true)] {
             let answer = caller.answer().await.unwrap();
             assert_eq!(answer.status, 200, "{id}");
--- a/crates/kingcuploftctl/src/trace.rs
+++ b/crates/kingcuploftctl/src/trace.rs
@@ -128,6 +128,7 @@
         ),
         "refused" => format!("answered {} at once: {}", show("status"), show("reason")),
         "caller_left" => format!("the caller left after {} ms", show("held_ms")),
+        "cut_by_exit" => format!("the VM exited after {} ms", show("held_ms")),
         "crossed_answer" => format!("skipped an answer to request {}", show("answer")),
         other => format!("{other}: {}", line.fields),
     };
@@ -146,6 +147,7 @@
         ("attempt", "cancelled") => {
             "The only send was cancelled: the caller left, or the VM ended.\n"
         }
+        ("cut_by_exit", _) => "The VM exited before there was an answer.\n",
         ("attempt", _) => "No final line: the VM ended, or the line was left out.\n",
         ("crossed_answer", _) => "No line of the attempt's end: it was cancelled or left out.\n",
         _ => "",
