fix(shutdown): a connection that is never idle takes no further request once a stopping VM closes its connections

Cause: a stopping VM closed a connection only at a moment without an unanswered request: its reader asked whether to stop only when nothing was unanswered, and an answer announced the close only when no other request had been read behind it. Such a moment never comes on this connection, and the exit comes at its time.

Ruled out: the caller closing (the record shows it reading until the end), hedges (none sent), writes lost in the exit (answers written before it arrive).

Now the reader asks before each request (`ShutdownPhase::takes_request`), also where its bytes are here already. From the moment at which the listener closes (2.6 s after SIGTERM) a connection with unanswered requests takes no more: the last of them announces the close, and what the caller sent behind it is unread, which the caller knows and sends elsewhere. Until then such a connection is served on as before: closed earlier, its caller would connect to the same VM again, which the platform still names. A request that is arriving on an otherwise idle connection is still taken, and so is one that another VM passes on.

The callers of the tests send at once (no delayed acknowledgement in virtual time).

--- a/crates/kingcuploft-entry/src/edge/attempt.rs
+++ b/crates/kingcuploft-entry/src/edge/attempt.rs
@@ -5,12 +5,12 @@
 
 use kingcuploft::entry::attempts::AttemptEnd;
 use kingcuploft::entry::placement::{Candidate, LoadReport};
+use kingcuploft::entry::shutdown::ShutdownPhase;
 
 use super::active_request::ActiveRequest;
 use super::suspect::SuspectRun;
 use crate::clock;
 use crate::limits;
-use crate::shutdown::ShutdownPhase;
 use crate::upstream::Upstream;
 use crate::upstream::exchange::{self, AttemptOutcome};
 use crate::upstream::server_signals::ServerSignals;
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -2,8 +2,8 @@
 //!
 //! Requests are read and served as they arrive, also while earlier ones are unanswered, and answered in the order of
 //! their arrival. A caller that closes the connection is noticed at once, and work for it alone is cancelled. During a
-//! graceful shutdown, requests that were read are answered; the last answer announces that the connection closes, and
-//! nothing after it is read.
+//! graceful shutdown, requests that were taken are answered; the last answer announces that the connection closes, and
+//! nothing after it is taken.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -21,8 +21,8 @@
 use crate::http::body::{BodyError, BodyReader};
 use crate::http::head::{self, RequestHead};
 use crate::relay::wire;
-use crate::shutdown::ShutdownPhase;
 use kingcuploft::entry::configuration::Limits;
+use kingcuploft::entry::shutdown::ConnectionUse;
 
 /// The most requests of one connection that are served at the same time; later ones stay unread.
 const MAX_PIPELINED_REQUESTS: usize = 32;
@@ -141,15 +141,26 @@
 }
 
 enum ReadOutcome {
-    Some,
+    /// Bytes have arrived, or it may be that no further request is taken.
+    GoOn,
     CallerLeft,
     Idle,
-    Stopping,
+}
+
+/// What a read waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Awaited {
+    /// The first byte of a request.
+    Request,
+    /// More bytes of a request's head.
+    Head,
+    /// More bytes of a request's body.
+    Body,
 }
 
 impl<S: AsyncRead> RequestReader<S> {
     async fn read_requests(&mut self) -> ReadEnd {
-        loop {
+        while self.takes_request() {
             let limits = self.limits();
             let parsed = head::parse_request(&self.buffer);
             match parsed {
@@ -173,6 +184,7 @@
                 Err(error) => return self.refuse(400, &error.to_string()).await,
             }
         }
+        ReadEnd::Closing
     }
 
     fn limits(&self) -> Limits {
@@ -180,56 +192,58 @@
         configuration.map(|c| c.limits).unwrap_or_default()
     }
 
+    /// Returns whether a further request is taken: the last answer has not announced the close, and a graceful shutdown of
+    /// the VM lets it.
+    fn takes_request(&self) -> bool {
+        let phase = self.context.shutdown.phase();
+        !self.state.closing.get() && phase.takes_request(self.connection_use())
+    }
+
+    fn connection_use(&self) -> ConnectionUse {
+        // Another VM opens a connection for a request that it sends at once.
+        let is_arriving = !self.buffer.is_empty() || self.sender == Sender::Vm;
+        match (self.state.unanswered.get(), is_arriving) {
+            (0, false) => ConnectionUse::Idle,
+            (0, true) => ConnectionUse::RequestArriving,
+            _ => ConnectionUse::Unanswered,
+        }
+    }
+
     /// Reads more bytes of a request head, or waits for the first.
     async fn read_head_bytes(&mut self, limits: &Limits) -> Option<ReadEnd> {
-        let is_between_requests = self.buffer.is_empty();
-        let timeout = match is_between_requests {
-            true => limits.idle_timeout + IDLE_TIMEOUT_MARGIN,
-            false => limits.header_timeout,
+        let (awaited, timeout) = match self.buffer.is_empty() {
+            true => (Awaited::Request, limits.idle_timeout + IDLE_TIMEOUT_MARGIN),
+            false => (Awaited::Head, limits.header_timeout),
         };
-        match self.read(timeout, is_between_requests).await {
-            ReadOutcome::Some => None,
-            ReadOutcome::CallerLeft => Some(ReadEnd::CallerLeft),
-            ReadOutcome::Stopping => Some(ReadEnd::Closing),
-            ReadOutcome::Idle if is_between_requests && self.state.unanswered.get() > 0 => None,
-            ReadOutcome::Idle if is_between_requests => Some(ReadEnd::Closing),
-            ReadOutcome::Idle => Some(self.refuse(408, "the head took too long").await),
+        match (self.read(timeout, awaited).await, awaited) {
+            (ReadOutcome::GoOn, _) => None,
+            (ReadOutcome::CallerLeft, _) => Some(ReadEnd::CallerLeft),
+            (ReadOutcome::Idle, Awaited::Request) if self.state.unanswered.get() > 0 => None,
+            (ReadOutcome::Idle, Awaited::Request) => Some(ReadEnd::Closing),
+            (ReadOutcome::Idle, _) => Some(self.refuse(408, "the head took too long").await),
         }
     }
 
-    /// Reads more bytes. Between requests, a graceful shutdown of the VM ends the wait.
-    async fn read(&mut self, timeout: Duration, is_between_requests: bool) -> ReadOutcome {
-        if is_between_requests && self.must_stop_reading() {
-            return ReadOutcome::Stopping;
-        }
+    /// Reads more bytes. Unless these are of a body, the next phase of a graceful shutdown of the VM and an answer that
+    /// announces the close end the wait.
+    async fn read(&mut self, timeout: Duration, awaited: Awaited) -> ReadOutcome {
         self.buffer.reserve(READ_BUFFER_BYTES);
-        let stop = self.context.shutdown.changed.notified();
+        let shutdown = self.context.shutdown.changed.notified();
         let wake = self.state.wake.notified();
         let reading = self.reader.read_buf(&mut self.buffer);
         tokio::select! {
             biased;
             read = reading => match read {
                 Ok(0) | Err(_) => ReadOutcome::CallerLeft,
-                Ok(_) => ReadOutcome::Some,
+                Ok(_) => ReadOutcome::GoOn,
             },
-            () = stop, if is_between_requests => ReadOutcome::Some,
-            () = wake, if is_between_requests => ReadOutcome::Some,
+            () = shutdown, if awaited != Awaited::Body => ReadOutcome::GoOn,
+            () = wake, if awaited != Awaited::Body => ReadOutcome::GoOn,
             () = tokio::time::sleep(timeout) => ReadOutcome::Idle,
         }
     }
 
-    /// Returns whether no further request may be read: the last answer announced the close, or the VM's shutdown closes
-    /// idle connections.
-    fn must_stop_reading(&self) -> bool {
-        let idle = self.state.unanswered.get() == 0;
-        self.state.closing.get()
-            || (idle && self.context.shutdown.phase() == ShutdownPhase::Closing)
-    }
-
     async fn read_body_and_serve(&mut self, head: RequestHead, limits: &Limits) -> Option<ReadEnd> {
-        if self.state.closing.get() {
-            return Some(ReadEnd::Closing);
-        }
         let mut reader = match BodyReader::new(head.framing, limits.body_bytes) {
             Ok(reader) => reader,
             Err(_) => return Some(self.refuse(413, "the body is too long").await),
@@ -252,10 +266,10 @@
                 }
                 Err(error) => return Some(self.refuse(400, &error.to_string()).await),
             }
-            match self.read(limits.idle_timeout, false).await {
+            match self.read(limits.idle_timeout, Awaited::Body).await {
+                ReadOutcome::GoOn => {}
                 ReadOutcome::CallerLeft => return Some(ReadEnd::CallerLeft),
                 ReadOutcome::Idle => return Some(self.refuse(408, "the body took too long").await),
-                ReadOutcome::Some | ReadOutcome::Stopping => {}
             }
         }
         let relayed = match self.sender {
--- a/crates/kingcuploft-entry/src/shutdown.rs
+++ b/crates/kingcuploft-entry/src/shutdown.rs
@@ -3,22 +3,9 @@
 use std::cell::Cell;
 use std::time::Instant;
 
+use kingcuploft::entry::shutdown::ShutdownPhase;
 use tokio::sync::Notify;
 
-/// A phase of the graceful shutdown.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum ShutdownPhase {
-    /// The VM is not stopping.
-    #[default]
-    Running,
-    /// The VM reports that it is not ready, and callers still open connections.
-    Announced,
-    /// No new connection is accepted, and the open ones are closed.
-    Closing,
-    /// The process exits.
-    Ended,
-}
-
 /// The graceful shutdown of one VM.
 #[derive(Debug, Default)]
 pub struct Shutdown {
--- a/crates/kingcuploft-entry/tests/entry/stopping.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping.rs
@@ -1,9 +1,21 @@
 //! Planned stops drain connections and cut off no request.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
+use kingcuploft::entry::shutdown::ShutdownPhase;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+
 use crate::server::Behavior;
-use crate::testbed::{Caller, Testbed, lookup, run_test, wait_until};
+use crate::testbed::{Caller, Testbed, lookup, run_in_virtual_time, run_test, wait_until};
+
+/// How long a lookup takes at the servers of these tests.
+const WORK_TIME: Duration = Duration::from_millis(400);
+
+/// The time between two lookups of a caller that does not wait for answers.
+const PIPELINING_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Returns when a process that is asked to stop now exits at the latest.
 fn ends_at() -> std::time::Instant {
@@ -65,3 +77,67 @@
         }
     });
 }
+
+/// Sends a lookup after the other, without waiting for answers, until told to stop.
+async fn send_lookups(mut connection: OwnedWriteHalf, is_told_to_stop: Rc<Cell<bool>>) {
+    for number in 0.. {
+        let request = lookup(&format!("r{number}"));
+        if is_told_to_stop.get() || connection.write_all(request.as_bytes()).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(PIPELINING_INTERVAL).await;
+    }
+}
+
+/// Guards against a planned stop that goes on taking requests of a connection that is never idle, until its exit cuts them.
+#[test]
+fn a_planned_stop_cuts_no_request_of_a_connection_that_is_never_idle() {
+    run_in_virtual_time(async {
+        let testbed = Testbed::with(&[Behavior::AnswerAfter(WORK_TIME); 3]).await;
+        let (mut answers, requests) = testbed.caller().await.split();
+        let is_told_to_stop = Rc::new(Cell::new(false));
+        tokio::task::spawn_local(send_lookups(requests, is_told_to_stop.clone()));
+        let context = testbed.vm.context.clone();
+        let servers = testbed.servers;
+        let reading = tokio::task::spawn_local(async move {
+            let mut answered = 0;
+            while let Some(answer) = answers.answer().await {
+                assert_eq!(answer.status, 200);
+                answered += 1;
+                is_told_to_stop.set(answer.has("connection: close"));
+            }
+            (answered, is_told_to_stop.get())
+        });
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        testbed.vm.stop().await;
+        assert_eq!(context.unanswered_requests.get(), 0, "cut by the exit");
+        let ran: u32 = servers.iter().map(|server| server.runs.get()).sum();
+        assert_eq!(reading.await.unwrap(), (ran, true));
+    });
+}
+
+/// Guards against a planned stop that drops a request whose first bytes have come when it closes idle connections.
+#[test]
+fn a_planned_stop_answers_a_request_that_is_arriving_when_it_closes_idle_connections() {
+    run_in_virtual_time(async {
+        let testbed = Testbed::with(&[Behavior::AnswerAfter(WORK_TIME)]).await;
+        let mut caller = testbed.caller().await;
+        caller.send(&lookup("first")).await;
+        assert_eq!(caller.answer().await.unwrap().status, 200);
+        let context = testbed.vm.context.clone();
+        let stopping = tokio::task::spawn_local(testbed.vm.stop());
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let request = lookup("arriving");
+        let (begin, rest) = request.split_at(request.len() / 2);
+        caller.send(begin).await;
+        while context.shutdown.phase() != ShutdownPhase::Closing {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        caller.send(rest).await;
+        let answer = caller.answer().await.unwrap();
+        assert_eq!(answer.status, 200);
+        assert!(answer.has("connection: close"));
+        stopping.await.unwrap();
+        assert_eq!(context.unanswered_requests.get(), 0);
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/testbed.rs
+++ b/crates/kingcuploft-entry/tests/entry/testbed.rs
@@ -17,8 +17,9 @@
 use kingcuploft_entry::run::{self, Running};
 use kingcuploft_entry::settings::{Bounds, EntrySettings, WireNames};
 use kingcuploft_simulation::header_names;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
 use crate::server::{Behavior, TestServer};
 use crate::store::{StoreState, TestStore};
@@ -261,15 +262,17 @@
 }
 
 /// A caller's connection.
-pub(crate) struct Caller {
-    pub(crate) stream: TcpStream,
+pub(crate) struct Caller<S = TcpStream> {
+    pub(crate) stream: S,
     bytes: Vec<u8>,
 }
 
 impl Caller {
     pub(crate) async fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.unwrap();
+        stream.set_nodelay(true).unwrap();
         Self {
-            stream: TcpStream::connect(address).await.unwrap(),
+            stream,
             bytes: Vec::new(),
         }
     }
@@ -278,6 +281,15 @@
         self.stream.write_all(request.as_bytes()).await.unwrap();
     }
 
+    /// Splits the connection in one that reads answers and one that sends requests.
+    pub(crate) fn split(self) -> (Caller<OwnedReadHalf>, OwnedWriteHalf) {
+        let (stream, requests) = self.stream.into_split();
+        let bytes = self.bytes;
+        (Caller { stream, bytes }, requests)
+    }
+}
+
+impl<S: AsyncRead + Unpin> Caller<S> {
     /// Returns the next answer, or `None` if the connection ends before it.
     pub(crate) async fn answer(&mut self) -> Option<Answer> {
         loop {
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -45,6 +45,7 @@
 pub mod server_table;
 pub mod service_reach;
 pub mod service_time;
+pub mod shutdown;
 pub mod startup_delay;
 pub mod turned_away;
 pub mod vm_count;
--- /dev/null
+++ b/crates/kingcuploft/src/entry/shutdown.rs
@@ -0,0 +1,43 @@
+//! Graceful shutdown: which requests a stopping VM still takes from its callers' connections.
+//!
+//! Load pattern: callers that send the next request before the one ahead of it is answered. Their connections are never
+//! idle, so a VM that closes only idle connections takes requests until its exit and cuts the last ones. It must stop
+//! taking requests while it still has time to answer those that it has taken; what a caller sends behind them stays
+//! unread, and the caller sends it again on another connection.
+
+/// A phase of the graceful shutdown.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ShutdownPhase {
+    /// The VM is not stopping.
+    #[default]
+    Running,
+    /// The VM reports that it is not ready, and callers still open connections.
+    Announced,
+    /// No new connection is accepted, and the open ones are closed.
+    Closing,
+    /// The process exits.
+    Ended,
+}
+
+/// What a connection is in the middle of when it could take a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectionUse {
+    /// No request is unanswered, and none is arriving.
+    Idle,
+    /// No request is unanswered, and one is arriving: its caller may not know whether it was read if it is left.
+    RequestArriving,
+    /// Requests are unanswered. Whatever is behind them is unread for its caller once the last of them announces the close.
+    Unanswered,
+}
+
+impl ShutdownPhase {
+    /// Returns whether a connection takes a further request.
+    pub fn takes_request(self, connection: ConnectionUse) -> bool {
+        match (self, connection) {
+            (Self::Running | Self::Announced, _) => true,
+            (Self::Closing, ConnectionUse::RequestArriving) => true,
+            (Self::Closing, ConnectionUse::Idle | ConnectionUse::Unanswered) => false,
+            (Self::Ended, _) => false,
+        }
+    }
+}
