fix(shutdown): a request whose body arrives behind an announced close is not passed on

What callers see: a booking is sent behind a lookup on one connection, and its body takes its time. The VM is stopped, the answer to the lookup bears `Connection: close`, so that the caller takes the booking for unread and sends it again, whatever its kind, elsewhere. If the body arrives while that answer is still being written (a caller that reads slowly), the VM passes the booking on as well: it runs twice.

Now the reader asks once more when the body is whole, before anything knows of the request.

--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -199,6 +199,15 @@
         !self.state.closing.get() && phase.takes_request(self.connection_use())
     }
 
+    /// Returns whether a request whose body has arrived is behind an answer that announces the close, or will be: its
+    /// caller takes it for unread and sends it again, whatever it does.
+    fn is_behind_close(&self) -> bool {
+        let unanswered = self.state.unanswered.get() > 0;
+        let phase = self.context.shutdown.phase();
+        let is_cut = unanswered && !phase.takes_request(ConnectionUse::Unanswered);
+        self.state.closing.get() || is_cut
+    }
+
     fn connection_use(&self) -> ConnectionUse {
         // Another VM opens a connection for a request that it sends at once.
         let is_arriving = !self.buffer.is_empty() || self.sender == Sender::Vm;
@@ -272,6 +281,9 @@
                 ReadOutcome::Idle => return Some(self.refuse(408, "the body took too long").await),
             }
         }
+        if self.is_behind_close() {
+            return Some(ReadEnd::Closing);
+        }
         let relayed = match self.sender {
             Sender::Caller => None,
             Sender::Vm => match wire::decode(&head.headers) {
--- a/crates/kingcuploft-entry/tests/entry/stopping.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping.rs
@@ -5,15 +5,19 @@
 use std::time::Duration;
 
 use kingcuploft::entry::shutdown::ShutdownPhase;
-use tokio::io::AsyncWriteExt;
+use kingcuploft_entry::edge::connection;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedWriteHalf;
 
 use crate::server::Behavior;
-use crate::testbed::{Caller, Testbed, lookup, run_in_virtual_time, run_test, wait_until};
+use crate::testbed::{Caller, Testbed, booking, lookup, run_in_virtual_time, run_test, wait_until};
 
 /// How long a lookup takes at the servers of these tests.
 const WORK_TIME: Duration = Duration::from_millis(400);
 
+/// How many bytes a caller's connection holds that its caller has not read.
+const SHORT_BUFFER_BYTES: usize = 64;
+
 /// The time between two lookups of a caller that does not wait for answers.
 const PIPELINING_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -141,3 +145,28 @@
         assert_eq!(context.unanswered_requests.get(), 0);
     });
 }
+
+/// Guards against a booking that runs though its caller, to whom the answer ahead of it announces the close, sends it again.
+#[test]
+fn a_booking_whose_body_comes_behind_an_announced_close_does_not_run() {
+    run_in_virtual_time(async {
+        let testbed = Testbed::with(&[Behavior::AnswerAfter(WORK_TIME)]).await;
+        let context = testbed.vm.context.clone();
+        // The answer is longer than the caller's end holds: its last bytes wait until the caller reads.
+        let (mut caller, end) = tokio::io::duplex(SHORT_BUFFER_BYTES);
+        tokio::task::spawn_local(connection::serve(context.clone(), end));
+        let (lookup, booking) = (lookup("ahead"), booking("behind"));
+        let (head, body) = booking.split_at(booking.len() - 3);
+        let sent = [&lookup, head].concat();
+        caller.write_all(sent.as_bytes()).await.unwrap();
+        wait_until(|| testbed.run_count() == 1).await;
+        context.shutdown.begin(ends_at());
+        tokio::time::sleep(2 * WORK_TIME).await;
+        caller.write_all(body.as_bytes()).await.unwrap();
+        tokio::time::sleep(2 * WORK_TIME).await;
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.contains("Connection: close"));
+        assert_eq!(testbed.run_count(), 1);
+    });
+}
