fix(shutdown): a request that waits for a server is refused before the exit, not cut by it

What callers see: all servers of a service are gone or full when a VM is stopped. A lookup that was taken 2.5 s after SIGTERM waits for a server until shortly before its own deadline, 5 s later; the VM exits after 5.7 s and the connection ends without an answer, though no server had the request, so that its caller doesn't know whether it ran.

Before each choice it is asked whether a server that gets the request now is likely to answer before the exit (`shutdown::has_time_to_answer`, by the learned time of the work); if not, it is refused with `this VM stops`: a 503 where nothing can have run, with the usual time to come back, to another VM. Turns at servers with limits wait no longer either. A request that a server is at work on is left alone: its answer may still come.

--- a/crates/kingcuploft-entry/src/edge/limited_servers.rs
+++ b/crates/kingcuploft-entry/src/edge/limited_servers.rs
@@ -70,12 +70,14 @@
         Err(earliest.max(MIN_RETRY_AFTER))
     }
 
-    /// Returns how long the request can wait for a server and still be answered within the target latency. Where
-    /// callers ask for more than the limits allow, a request that waits longer is late and makes all requests behind it
-    /// late.
+    /// Returns how long the request can wait for a server and still be answered within the target latency, and before this
+    /// VM exits. Where callers ask for more than the limits allow, a request that waits longer is late and makes all
+    /// requests behind it late.
     pub(super) fn remaining_wait(&self) -> Duration {
         let work_ms = self.context.work_ms(&self.route, &self.service);
-        let left = self.target_at.saturating_duration_since(clock::now());
+        let exits_at = self.context.shutdown.ends_at();
+        let answer_by = exits_at.map_or(self.target_at, |at| at.min(self.target_at));
+        let left = answer_by.saturating_duration_since(clock::now());
         left.saturating_sub(Duration::from_secs_f64(work_ms * WORK_MARGIN / 1000.0))
     }
 }
--- a/crates/kingcuploft-entry/src/edge/refusal.rs
+++ b/crates/kingcuploft-entry/src/edge/refusal.rs
@@ -13,6 +13,8 @@
     NoKeeper,
     /// The caller has left.
     CallerLeft,
+    /// This VM exits before a server could answer.
+    Stopping,
     /// All servers that could take it want nothing for longer than it can wait.
     Paused,
     /// All servers of the service are in evacuated zones.
@@ -48,6 +50,7 @@
             Self::QuotaUsedUp => "the workspace's quota is used up",
             Self::NoKeeper => "no keeper of the workspace's quota answers",
             Self::CallerLeft => "the caller left",
+            Self::Stopping => "this VM stops",
             Self::Paused => "all servers want a pause",
             Self::Evacuated => "all servers are in evacuated zones",
             Self::Quarantined => "servers end under it",
@@ -62,6 +65,7 @@
             Self::QuotaUsedUp => Some(429),
             Self::NoKeeper
             | Self::CallerLeft
+            | Self::Stopping
             | Self::Paused
             | Self::Evacuated
             | Self::Quarantined
--- a/crates/kingcuploft-entry/src/edge/selection.rs
+++ b/crates/kingcuploft-entry/src/edge/selection.rs
@@ -9,6 +9,7 @@
 use kingcuploft::entry::probe_fanout::{MAX_PROBED_FIRST, probe_fanout};
 use kingcuploft::entry::server_order::{Shortlist, Suitability};
 use kingcuploft::entry::server_pauses::PauseDecision;
+use kingcuploft::entry::shutdown;
 
 use super::active_request::ActiveRequest;
 use super::caller_disconnect::CallerDisconnect;
@@ -156,6 +157,9 @@
         if disconnect.is_set() {
             return refuse(RefusalReason::CallerLeft, self.retry_after);
         }
+        if !self.has_time_until_exit() {
+            return refuse(RefusalReason::Stopping, self.retry_after);
+        }
         if let PauseDecision::Refuse(after) = self.check_pauses() {
             return refuse(RefusalReason::Paused, after);
         }
@@ -184,6 +188,16 @@
         }
     }
 
+    /// Returns whether a server that gets the request now is likely to answer before this VM exits, if it is stopping.
+    fn has_time_until_exit(&self) -> bool {
+        let Some(ends_at) = self.context.shutdown.ends_at() else {
+            return true;
+        };
+        let until_exit = ends_at.saturating_duration_since(clock::now());
+        let work_ms = self.context.work_ms(&self.route, &self.service);
+        shutdown::has_time_to_answer(until_exit, work_ms)
+    }
+
     /// Returns those of the candidates to which an open connection seems to work: a probe shows whether it does.
     fn connected_upstreams(
         &self,
--- a/crates/kingcuploft-entry/tests/entry/stopping.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping.rs
@@ -170,3 +170,22 @@
         assert_eq!(testbed.run_count(), 1);
     });
 }
+
+/// Guards against a request that waits for a server until the exit of its VM cuts it.
+#[test]
+fn a_request_that_waits_for_a_server_is_refused_before_the_exit() {
+    run_in_virtual_time(async {
+        let testbed = Testbed::with(&[]).await;
+        let context = testbed.vm.context.clone();
+        let mut caller = testbed.caller().await;
+        let stopping = tokio::task::spawn_local(testbed.vm.stop());
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        let request = lookup("waits").replace("x-deadline-ms: 4000", "x-deadline-ms: 5000");
+        caller.send(&request).await;
+        stopping.await.unwrap();
+        assert_eq!(context.unanswered_requests.get(), 0, "cut by the exit");
+        let answer = caller.answer().await.unwrap();
+        assert_eq!(answer.status, 503);
+        assert!(answer.has("retry-after"));
+    });
+}
--- a/crates/kingcuploft/src/entry/shutdown.rs
+++ b/crates/kingcuploft/src/entry/shutdown.rs
@@ -1,9 +1,16 @@
-//! Graceful shutdown: which requests a stopping VM still takes from its callers' connections.
+//! Graceful shutdown: which requests a stopping VM still takes from its callers' connections, and which it still sends to a
+//! backend server.
 //!
 //! Load pattern: callers that send the next request before the one ahead of it is answered. Their connections are never
 //! idle, so a VM that closes only idle connections takes requests until its exit and cuts the last ones. It must stop
 //! taking requests while it still has time to answer those that it has taken; what a caller sends behind them stays
 //! unread, and the caller sends it again on another connection.
+//!
+//! Load pattern: requests that wait for a server, as all are slow, full or gone. A VM that lets them wait until its exit
+//! cuts them without an answer, and their callers don't know whether they ran. One that can't be answered before the exit
+//! is refused while that can still be said.
+
+use std::time::Duration;
 
 /// A phase of the graceful shutdown.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -41,3 +48,9 @@
         }
     }
 }
+
+/// Returns whether a request that is sent to a server now is likely to be answered before the process exits, after
+/// `until_exit`. `work_ms` is how long its work usually takes.
+pub fn has_time_to_answer(until_exit: Duration, work_ms: f64) -> bool {
+    until_exit.as_secs_f64() * 1000.0 > work_ms
+}
