feat(logs): the return of the store names by what it was seen

`store_back` stood in the log seconds after the store's real return, and nothing told whether a probe, a call that had waited or another VM was the reason.

`store_back` has `seen_by` now. Behaviour unchanged.

--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -26,7 +26,7 @@
 use crate::server_updates;
 use crate::store::Collection;
 use crate::store_access::StoreAccess;
-use crate::store_watcher;
+use crate::store_watcher::{self, ReturnSource};
 
 /// How long opening a link may take for a VM that has recent knowledge of the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -346,7 +346,9 @@
         Frame::Evacuations(zones) => evacuation::apply_feeder_list(context, zones),
         Frame::Era(era) => store_watcher::note_era(context, era),
         Frame::ConfigurationRequest => context.feeder_outdated.notify_one(),
-        Frame::StoreReturned => store_watcher::note_store_return(context),
+        Frame::StoreReturned => {
+            store_watcher::note_store_return(context, ReturnSource::Feeder);
+        }
         Frame::Hello(_)
         | Frame::ZonesRequest
         | Frame::Descendants(_)
--- a/crates/kingcuploft-entry/src/store_liveness.rs
+++ b/crates/kingcuploft-entry/src/store_liveness.rs
@@ -16,7 +16,7 @@
 use crate::peers::sync_status::sync_status;
 use crate::store::{Collection, Revision, Store};
 use crate::store_access::StoreAccess;
-use crate::store_watcher;
+use crate::store_watcher::{self, ReturnSource};
 
 /// The time between two probes. With [`PROBE_TIMEOUT`] and [`OUTAGE_PROBE_INTERVAL`], a change is known within 2 s of
 /// the store's return, which is as long as a leaving server still serves.
@@ -58,7 +58,7 @@
             reached.is_some() || (answer.is_err() && received_bytes_since(&*store, asked_at));
         if store_access.set_available(is_available) {
             match is_available {
-                true => store_watcher::note_store_return(&context),
+                true => store_watcher::note_store_return(&context, ReturnSource::Probe),
                 false => tracing::warn!(event = "store_away"),
             }
             // Followers learn it at once, as one of them may still reach the store.
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -97,7 +97,7 @@
         };
         match outcome {
             Ok(revision) => {
-                backoff.answered(&context);
+                backoff.answered(&context, collection);
                 is_history_gone = false;
                 wait = WATCH_TIMEOUT;
                 context.set_position(collection, revision);
@@ -178,9 +178,9 @@
 }
 
 impl Backoff {
-    fn answered(&mut self, context: &Context) {
+    fn answered(&mut self, context: &Context, collection: Collection) {
         if self.failures > 0 {
-            note_store_return(context);
+            note_store_return(context, ReturnSource::Call(collection));
         }
         self.failures = 0;
     }
@@ -328,12 +328,34 @@
     }
 }
 
+/// By what this VM knows that the store answers again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReturnSource {
+    /// A probe of the store was answered.
+    Probe,
+    /// A list or a watch of a collection was answered after one that had failed.
+    Call(Collection),
+    /// The VM that this one follows says so.
+    Feeder,
+}
+
+impl ReturnSource {
+    /// Returns the name used in logs.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Probe => "probe",
+            Self::Call(collection) => collection.label(),
+            Self::Feeder => "feeder",
+        }
+    }
+}
+
 /// Records that the store answers again, and forwards that if it was unknown: a follower that has just joined may never
 /// have lost the store, and would keep a leaving server in use for the grace period of a lapsed entry.
-pub fn note_store_return(context: &Context) {
+pub fn note_store_return(context: &Context, source: ReturnSource) {
     let is_news = context.with_servers(|servers| servers.store_returned(clock::now()));
     if is_news {
-        tracing::info!(event = "store_back");
+        tracing::info!(event = "store_back", seen_by = source.label());
         context.followers.send(&Frame::StoreReturned);
     }
 }
