fix(store): a watch that answers after an earlier one failed does not tell the store's return

Cause: a list or a watch that was answered after one of its collection had failed counted as the store's return, told to all VMs.

Ruled out: late news (VMs logged `lapsed` 0.6 s after the first removal); a probe that fails meanwhile (none did).

Now the probes alone tell the store's return. They see it within half a second (a reader asks every 0.35 s while the store is away), and a watch that is cut is no outage. What the calls told beside them were outages too short for a probe to meet, under a second: no entry expires in one, as that takes three heartbeats of silence (4.5 s).

Tests: `servers_that_leave_seconds_after_a_watch_was_cut_are_out_of_use_in_time` and `servers_that_leave_after_an_outage_are_out_of_use_in_time` fail before (all seven VMs use a server 2.01 s after its removal).

--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -97,7 +97,7 @@
         };
         match outcome {
             Ok(revision) => {
-                backoff.answered(&context, collection);
+                backoff.answered();
                 is_history_gone = false;
                 wait = WATCH_TIMEOUT;
                 context.set_position(collection, revision);
@@ -178,10 +178,7 @@
 }
 
 impl Backoff {
-    fn answered(&mut self, context: &Context, collection: Collection) {
-        if self.failures > 0 {
-            note_store_return(context, ReturnSource::Call(collection));
-        }
+    fn answered(&mut self) {
         self.failures = 0;
     }
 
@@ -333,8 +330,6 @@
 pub enum ReturnSource {
     /// A probe of the store was answered.
     Probe,
-    /// A list or a watch of a collection was answered after one that had failed.
-    Call(Collection),
     /// The VM that this one follows says so.
     Feeder,
 }
@@ -344,7 +339,6 @@
     fn label(self) -> &'static str {
         match self {
             Self::Probe => "probe",
-            Self::Call(collection) => collection.label(),
             Self::Feeder => "feeder",
         }
     }
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/links/departures.rs
@@ -0,0 +1,102 @@
+//! Servers that leave by the removal of their entries, some time after faults of the store.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::fleet::{Fleet, Links, server, simulate};
+
+const LINKS: Links = Links {
+    large_mbit: 200,
+    small_mbit: 20,
+};
+
+/// The most that may pass from the removal of a server's entry until no VM uses it.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// From how long after the end of a fault of the store on removals bind the VMs in time.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+async fn fleet_with_servers(count: usize) -> Fleet {
+    let fleet = Fleet::start(&[4, 3], LINKS, 10, 1).await;
+    (0..count).for_each(|at| fleet.store.0.write_backend_server(server(&name(at))));
+    tokio::time::sleep(CONTACT_TIME).await;
+    fleet
+}
+
+fn name(at: usize) -> String {
+    format!("s{at}")
+}
+
+/// Returns whether a VM may send requests to a server.
+fn uses(fleet: &Fleet, vm: usize, server: &str) -> bool {
+    let host = fleet.network.host(vm).expect("a VM with power");
+    host.context
+        .with_servers(|servers| servers.takes_work(server))
+}
+
+/// Has all VMs lose the store for a time, with waiting watches cut.
+async fn lose_store(fleet: &Fleet, outage: Duration) {
+    fleet.reject_at_store(|_| true);
+    fleet.store.0.cut_watches();
+    tokio::time::sleep(outage).await;
+    fleet.reject_at_store(|_| false);
+}
+
+/// Removes the entries of servers, `interval` after each other; fails if one of `vms` uses one of them for longer than
+/// allowed.
+async fn remove_in_turn(fleet: &Fleet, interval: Duration, servers: &[String], vms: &[usize]) {
+    let mut removed: Vec<(Instant, &str)> = Vec::new();
+    let until = Instant::now() + interval * servers.len() as u32 + 2 * DRAIN_TIME;
+    let mut next_at = Instant::now();
+    while Instant::now() < until {
+        if removed.len() < servers.len() && Instant::now() >= next_at {
+            let server = &servers[removed.len()];
+            fleet.store.0.remove_backend_server(server);
+            removed.push((Instant::now(), server));
+            next_at += interval;
+        }
+        for (at, server) in &removed {
+            let users: Vec<_> = vms.iter().filter(|vm| uses(fleet, **vm, server)).collect();
+            assert!(
+                users.is_empty() || at.elapsed() <= DRAIN_TIME,
+                "{server} is used by {users:?} {:?} after its removal",
+                at.elapsed()
+            );
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Guards against a watch that was cut, without any outage, and whose late answer is taken for the store's return.
+#[test]
+fn servers_that_leave_seconds_after_a_watch_was_cut_are_out_of_use_in_time() {
+    simulate(async {
+        let fleet = fleet_with_servers(6).await;
+        let vms: Vec<usize> = (0..fleet.len()).collect();
+        for round in 0..3 {
+            fleet.store.0.cut_watches();
+            tokio::time::sleep(2 * CONTACT_TIME).await;
+            let servers = [name(2 * round), name(2 * round + 1)];
+            remove_in_turn(&fleet, Duration::from_millis(100), &servers, &vms).await;
+        }
+    });
+}
+
+/// Guards against an outage that is taken to have just ended when a watch from its time answers.
+#[test]
+fn servers_that_leave_after_an_outage_are_out_of_use_in_time() {
+    // The longer ones are those at which a watch ends that began when the store was back.
+    for after_s in [3, 4, 7, 12, 19, 20, 21] {
+        simulate(async {
+            let fleet = fleet_with_servers(8).await;
+            let vms: Vec<usize> = (0..fleet.len()).collect();
+            lose_store(&fleet, Duration::from_secs(1)).await;
+            tokio::time::sleep(Duration::from_secs(after_s)).await;
+            let servers: Vec<String> = (0..8).map(name).collect();
+            remove_in_turn(&fleet, Duration::from_millis(250), &servers, &vms).await;
+        });
+    }
+}
--- a/crates/kingcuploft-simulation/src/store.rs
+++ b/crates/kingcuploft-simulation/src/store.rs
@@ -51,6 +51,8 @@
     revision: Cell<u64>,
     /// How often the store was restored from a snapshot.
     era: Cell<Era>,
+    /// How often waiting watches were cut.
+    watch_cuts: Cell<u32>,
     /// Whether the store leaves out eras, so that revisions of another era pass for those of this one.
     pub ignores_eras: Cell<bool>,
     changed: Notify,
@@ -97,6 +99,12 @@
         );
     }
 
+    /// Cuts the watches that are waiting.
+    pub fn cut_watches(&self) {
+        self.watch_cuts.set(self.watch_cuts.get() + 1);
+        self.changed.notify_waiters();
+    }
+
     /// Returns a snapshot.
     pub fn snapshot(&self) -> Snapshot {
         Snapshot {
@@ -356,7 +364,7 @@
         self.check_admitted()?;
         state.hang_if_silent().await;
         state.watch_calls.set(state.watch_calls.get() + 1);
-        let started_in = state.era.get();
+        let (started_in, cuts) = (state.era.get(), state.watch_cuts.get());
         if revision_of(from) < state.compacted_until.get()
             || revision_of(from) > state.revision.get()
         {
@@ -368,6 +376,9 @@
             // A watch that waited while the store was silent never returns.
             state.hang_if_silent().await;
             self.check_admitted()?;
+            if state.watch_cuts.get() != cuts {
+                return Err(StoreError::NoAnswer("the watch was cut".into()));
+            }
             // A restore ends the waiting watches with an error, and a watch from another era gets the same error.
             let is_other = state.era.get() != started_in || era_of(from) != state.era.get();
             if is_other && !state.ignores_eras.get() {
