fix(store): a VM that loses the store alone does not make others believe that it was away

The VM that takes over learns of the removal within a second and a half, but keeps the server in use until 1.9 s after its first answer from the store, and so do all VMs that hear from it.

The log: `store_away` at the reader, then `store_back` by `probe` at each VM that took over, which had never asked before.

A VM that begins to read counted the store as away until its first answer, which then was the store's return. And whoever heard of a return believed it, also with the store before its eyes.

Now `entry/store_contact` decides. An outage whose end matters is one in which entries can have expired: this VM's own probes went unanswered for a heartbeat interval at least (entries expire after three of silence, so no shorter outage expires any). A VM that begins to read has seen none. A report of another VM counts only for one that is without the store itself, and having the store through a feeder ends what a VM's own failed calls said. `store_back` has `away_ms` and `may_expire` in place of `seen_by`.

Ruled out: believing a takeover's first answer if the old reader was gone for long: a real outage fails the probes of the VMs that ask in turn, so the one that sees its end has seen it itself.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -23,6 +23,7 @@
 use kingcuploft::entry::server_limits::ServerLimits;
 use kingcuploft::entry::server_pauses::ServerPauses;
 use kingcuploft::entry::service_time::ServiceTime;
+use kingcuploft::entry::store_contact::StoreContact;
 use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::planted::{self, PlantedFault};
@@ -84,6 +85,8 @@
     pub body_memory: BodyMemory,
     /// The requests during which servers have crashed.
     pub quarantine: RefCell<Quarantine>,
+    /// Whether this VM has contact with the store, itself or through the VM that it follows.
+    pub store_contact: Cell<StoreContact>,
     /// The store's era, and its latest rewind.
     pub rewinds: Rewinds,
     /// The evacuated availability zones, whose servers get no work.
@@ -187,6 +190,7 @@
             feed_promised: Cell::new(false),
             snapshot_begun: Cell::new(false),
             quarantine: RefCell::default(),
+            store_contact: Cell::default(),
             rewinds: Rewinds::default(),
             evacuations: RefCell::default(),
             limits: RefCell::new(ServerLimits::started_at(clock::now())),
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -26,7 +26,7 @@
 use crate::server_updates;
 use crate::store::Collection;
 use crate::store_access::StoreAccess;
-use crate::store_watcher::{self, ReturnSource};
+use crate::store_watcher;
 
 /// How long opening a link may take for a VM that has recent knowledge of the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -319,6 +319,9 @@
         context.set_position(Collection::Evacuations, revision);
     }
     context.reader_has_store.set(status.store_reachable);
+    let mut contact = context.store_contact.get();
+    contact.feeder_has_store(status.store_reachable);
+    context.store_contact.set(contact);
     *context.feed_path.borrow_mut() = status.path;
 }
 
@@ -346,9 +349,7 @@
         Frame::Evacuations(zones) => evacuation::apply_feeder_list(context, zones),
         Frame::Era(era) => store_watcher::note_era(context, era),
         Frame::ConfigurationRequest => context.feeder_outdated.notify_one(),
-        Frame::StoreReturned => {
-            store_watcher::note_store_return(context, ReturnSource::Feeder);
-        }
+        Frame::StoreReturned => store_watcher::apply_store_return(context),
         Frame::Hello(_)
         | Frame::ZonesRequest
         | Frame::Descendants(_)
--- a/crates/kingcuploft-entry/src/store_liveness.rs
+++ b/crates/kingcuploft-entry/src/store_liveness.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::era::era_of;
+use kingcuploft::entry::store_contact::StoreAnswer;
 
 use crate::clock;
 use crate::context::Context;
@@ -56,10 +57,11 @@
         // The answer may be queued behind another, long one.
         let is_available =
             reached.is_some() || (answer.is_err() && received_bytes_since(&*store, asked_at));
-        if store_access.set_available(is_available) {
-            match is_available {
-                true => store_watcher::note_store_return(&context, ReturnSource::Probe),
-                false => tracing::warn!(event = "store_away"),
+        let has_changed = store_access.set_available(is_available);
+        record_contact(&context, asked_at, is_available);
+        if has_changed {
+            if !is_available {
+                tracing::warn!(event = "store_away");
             }
             // Followers learn it at once, as one of them may still reach the store.
             let status = sync_status(&context, &store_access);
@@ -82,6 +84,38 @@
     }
 }
 
+/// Returns whether this VM follows one that has the store.
+fn has_store_by_feeder(context: &Context) -> bool {
+    context.feeder.borrow().is_some() && context.reader_has_store.get()
+}
+
+/// Records whether a probe was answered. The answer that ends an outage in which entries may have expired is told to the
+/// followers before anything else.
+fn record_contact(context: &Context, asked_at: Instant, is_available: bool) {
+    let mut contact = context.store_contact.get();
+    let heartbeat = context.bounds.get().heartbeat;
+    let answer = match is_available {
+        true => Some(contact.call_answered(clock::now(), heartbeat)),
+        // The probe began before the feeder had the store again.
+        false if has_store_by_feeder(context) => None,
+        false => {
+            contact.call_failed(asked_at);
+            None
+        }
+    };
+    context.store_contact.set(contact);
+    match answer {
+        None | Some(StoreAnswer::InContact) => {}
+        Some(StoreAnswer::BackSoon(away_for)) => {
+            let away_ms = away_for.as_millis() as u64;
+            tracing::info!(event = "store_back", away_ms, may_expire = false);
+        }
+        Some(StoreAnswer::BackAfterOutage(away_for)) => {
+            store_watcher::note_store_return(context, ReturnSource::Probe(away_for));
+        }
+    }
+}
+
 /// Returns whether bytes of any answer have arrived since a moment.
 fn received_bytes_since<S: Store>(store: &S, since: Instant) -> bool {
     let last_received = Collection::WATCHED
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -325,32 +325,35 @@
     }
 }
 
-/// By what this VM knows that the store answers again.
+/// By what this VM knows that an outage of the store has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReturnSource {
-    /// A probe of the store was answered.
-    Probe,
-    /// The VM that this one follows says so.
+    /// Its own probes went unanswered for this long, and one was answered.
+    Probe(Duration),
+    /// The VM that it follows says so.
     Feeder,
 }
 
-impl ReturnSource {
-    /// Returns the name used in logs.
-    fn label(self) -> &'static str {
-        match self {
-            Self::Probe => "probe",
-            Self::Feeder => "feeder",
-        }
+/// Records that an outage of the store has ended in which entries of servers may have expired, and forwards that if it was
+/// unknown.
+pub fn note_store_return(context: &Context, source: ReturnSource) {
+    let is_news = context.with_servers(|servers| servers.store_returned(clock::now()));
+    if !is_news {
+        return;
     }
+    let away_ms = match source {
+        ReturnSource::Probe(away_for) => Some(away_for.as_millis() as u64),
+        ReturnSource::Feeder => None,
+    };
+    tracing::info!(event = "store_back", away_ms, may_expire = true);
+    context.followers.send(&Frame::StoreReturned);
 }
 
-/// Records that the store answers again, and forwards that if it was unknown: a follower that has just joined may never
-/// have lost the store, and would keep a leaving server in use for the grace period of a lapsed entry.
-pub fn note_store_return(context: &Context, source: ReturnSource) {
-    let is_news = context.with_servers(|servers| servers.store_returned(clock::now()));
-    if is_news {
-        tracing::info!(event = "store_back", seen_by = source.label());
-        context.followers.send(&Frame::StoreReturned);
+/// Applies a feeder's report that an outage of the store has ended. A VM that was in contact with the store meanwhile, by
+/// another feeder or by itself, knows better: the feeder had lost the store alone.
+pub fn apply_store_return(context: &Context) {
+    if context.store_contact.get().is_lost() {
+        note_store_return(context, ReturnSource::Feeder);
     }
 }
 
--- a/crates/kingcuploft-entry/tests/links/departures.rs
+++ b/crates/kingcuploft-entry/tests/links/departures.rs
@@ -1,7 +1,8 @@
-//! Servers that leave by the removal of their entries, some time after faults of the store.
+//! Servers that leave by the removal of their entries, around faults of the store.
 
 use std::time::Duration;
 
+use kingcuploft::entry::zone_record::ZoneRecord;
 use tokio::time::Instant;
 
 use crate::fleet::{Fleet, Links, server, simulate};
@@ -37,6 +38,13 @@
         .with_servers(|servers| servers.takes_work(server))
 }
 
+/// Returns the VMs that read the store for others: the first that the zones' records name.
+fn readers(fleet: &Fleet) -> Vec<String> {
+    let zones = fleet.store.0.zones.borrow();
+    let first = |record: &ZoneRecord| record.vms.first().map(|vm| vm.name.to_string());
+    zones.iter().filter_map(first).collect()
+}
+
 /// Has all VMs lose the store for a time, with waiting watches cut.
 async fn lose_store(fleet: &Fleet, outage: Duration) {
     fleet.reject_at_store(|_| true);
@@ -100,3 +108,39 @@
         });
     }
 }
+
+/// Guards against a reader that has lost the store alone, and whose successor takes its first answer for the store's return.
+#[test]
+fn servers_that_leave_while_only_readers_have_lost_the_store_are_out_of_use_in_time() {
+    for after_ms in [0, 300, 600, 900, 1_200, 1_500] {
+        simulate(async {
+            let fleet = fleet_with_servers(4).await;
+            let readers = readers(&fleet);
+            let vms: Vec<usize> = (0..fleet.len()).collect();
+            fleet.reject_at_store(|vm| readers.iter().any(|reader| **reader == *vm.name));
+            tokio::time::sleep(Duration::from_millis(after_ms)).await;
+            let servers: Vec<String> = (0..4).map(name).collect();
+            remove_in_turn(&fleet, Duration::from_millis(200), &servers, &vms).await;
+        });
+    }
+}
+
+/// Guards against an outage that a VM remembers though it has followed a reader with the store since.
+#[test]
+fn servers_that_leave_while_readers_have_lost_the_store_long_after_an_outage_are_out_of_use_in_time()
+ {
+    for silent_ms in (600..3_000).step_by(100) {
+        simulate(async {
+            let fleet = fleet_with_servers(3).await;
+            let vms: Vec<usize> = (0..fleet.len()).collect();
+            fleet.store.0.silent.set(true);
+            tokio::time::sleep(Duration::from_millis(silent_ms)).await;
+            fleet.store.0.silent.set(false);
+            tokio::time::sleep(4 * CONTACT_TIME).await;
+            let readers = readers(&fleet);
+            fleet.reject_at_store(|vm| readers.iter().any(|reader| **reader == *vm.name));
+            let servers: Vec<String> = (0..3).map(name).collect();
+            remove_in_turn(&fleet, Duration::from_millis(300), &servers, &vms).await;
+        });
+    }
+}
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -47,6 +47,7 @@
 pub mod service_time;
 pub mod shutdown;
 pub mod startup_delay;
+pub mod store_contact;
 pub mod turned_away;
 pub mod vm_count;
 pub mod vm_entry;
