fix(peers): a VM that joins another just after an outage of the store learns that it has just ended

What callers see: the store is away for 9 s and entries of live servers expire. When it is back, VMs drop all servers, 27 of 27 or 39 of 39, and refuse their callers until the servers have written their entries again.

A VM that has just lost the store looks for another reader; if it links to one a moment after that one has seen the store's return, it is sent the table without the expired entries, and the return, told only to those that follow at that moment, never. So it takes the missing servers for gone.

VMs of the release before are told as before (protocol 6).

--- a/crates/kingcuploft-entry/src/peers/feed.rs
+++ b/crates/kingcuploft-entry/src/peers/feed.rs
@@ -15,10 +15,12 @@
 use super::followers::{Line, Outgoing, Queue};
 use super::frame::{
     FIRST_VERSION_WITH_EVACUATIONS, FIRST_VERSION_WITH_NOTICES, FIRST_VERSION_WITH_PARTS,
-    FIRST_VERSION_WITH_SERVERS_GONE, FIRST_VERSION_WITH_WORKSPACES, Frame, Hello, ProtocolVersion,
+    FIRST_VERSION_WITH_RETURNS, FIRST_VERSION_WITH_SERVERS_GONE, FIRST_VERSION_WITH_WORKSPACES,
+    Frame, Hello, ProtocolVersion,
 };
 use super::line_writer::{timed_out, write_line};
 use super::sync_status::sync_status;
+use crate::clock;
 use crate::context::Context;
 use crate::evacuation;
 use crate::notices;
@@ -129,6 +131,9 @@
         let mut snapshot = Frame::Status(own).to_line();
         let records = self.context.readers.borrow().records();
         snapshot.extend(Frame::Zones(records).to_line());
+        if let Some(ago) = self.outage_ended_ago() {
+            snapshot.extend(Frame::StoreReturnedAgo(ago.as_millis() as u64).to_line());
+        }
         if self.protocol_version >= FIRST_VERSION_WITH_EVACUATIONS {
             let frame = match planted::is_on(PlantedFault::JoinersLackEvacuations) {
                 true => Frame::Evacuations(Vec::new()),
@@ -154,6 +159,17 @@
         self.send(&Frame::SnapshotEnd).await
     }
 
+    /// Returns how long ago an outage of the store ended, if it has just ended and the follower understands it.
+    ///
+    /// Failure: a VM that joins at that moment takes servers that are missing in the table for gone, though their entries
+    /// have expired in the outage and they are about to write them again.
+    fn outage_ended_ago(&self) -> Option<Duration> {
+        let ago = self
+            .context
+            .with_servers(|servers| servers.returned_ago(clock::now()));
+        ago.filter(|_| self.protocol_version >= FIRST_VERSION_WITH_RETURNS)
+    }
+
     /// Returns what a follower lacks of the backend servers.
     fn missing_servers(&self, hello: &Hello) -> MissingServers {
         let context = self.context;
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -349,7 +349,10 @@
         Frame::Evacuations(zones) => evacuation::apply_feeder_list(context, zones),
         Frame::Era(era) => store_watcher::note_era(context, era),
         Frame::ConfigurationRequest => context.feeder_outdated.notify_one(),
-        Frame::StoreReturned => store_watcher::apply_store_return(context),
+        Frame::StoreReturned => store_watcher::apply_store_return(context, Duration::ZERO),
+        Frame::StoreReturnedAgo(ms) => {
+            store_watcher::apply_store_return(context, Duration::from_millis(ms));
+        }
         Frame::Hello(_)
         | Frame::ZonesRequest
         | Frame::Descendants(_)
--- a/crates/kingcuploft-entry/src/peers/followers.rs
+++ b/crates/kingcuploft-entry/src/peers/followers.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 use kingcuploft::entry::configuration::ConfigurationVersion;
 use kingcuploft::entry::configuration_change::ConfigurationChange;
@@ -13,8 +14,8 @@
 
 pub use super::follower_queue::{Line, Outgoing, Queue};
 use super::frame::{
-    FIRST_VERSION_WITH_EVACUATIONS, FIRST_VERSION_WITH_NOTICES, FIRST_VERSION_WITH_SERVERS_GONE,
-    Frame, ProtocolVersion,
+    FIRST_VERSION_WITH_EVACUATIONS, FIRST_VERSION_WITH_NOTICES, FIRST_VERSION_WITH_RETURNS,
+    FIRST_VERSION_WITH_SERVERS_GONE, Frame, ProtocolVersion,
 };
 
 /// The most frames in the queue of one follower. A follower that is further behind is dropped: it syncs sooner from
@@ -169,6 +170,15 @@
         self.send_since(FIRST_VERSION_WITH_EVACUATIONS, era);
     }
 
+    /// Tells all followers that an outage of the store ended this long ago; those of earlier releases that it ends now.
+    pub fn send_store_return(&self, ago: Duration) {
+        self.enqueue_all(&Outgoing::ByVersion {
+            since: FIRST_VERSION_WITH_RETURNS,
+            line: Rc::new(Frame::StoreReturnedAgo(ago.as_millis() as u64).to_line()),
+            before: Rc::new(Frame::StoreReturned.to_line()),
+        });
+    }
+
     fn send_since(&self, version: ProtocolVersion, frame: &Frame) {
         if !self.is_empty() {
             self.enqueue_all(&Outgoing::SinceVersion(version, Rc::new(frame.to_line())));
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -76,6 +76,8 @@
     ConfigurationRequest,
     /// The store answers the sender again after an outage.
     StoreReturned,
+    /// An outage of the store ended so many milliseconds ago: part of a snapshot.
+    StoreReturnedAgo(u64),
     /// The end of the snapshot: the sender has sent all that it knew when the link was opened.
     #[serde(rename = "Told")]
     SnapshotEnd,
@@ -106,8 +108,9 @@
     /// A digest of the backend servers that it knows.
     #[serde(default)]
     pub servers_digest: Option<u64>,
-    /// The version of the protocol that it understands: 5 understands all frames, 4 all but several removed servers at
-    /// once and the table of all servers in parts, 3 no workspaces either, 2 no evacuations either, 1 no notices either; 0 stands for the releases before these.
+    /// The version of the protocol that it understands: 6 understands all frames, 5 all but how long ago an outage ended, 4
+    /// neither several removed servers at once nor the table of all servers in parts, 3 no workspaces either, 2 no
+    /// evacuations either, 1 no notices either; 0 stands for the releases before these.
     #[serde(default, rename = "speaks")]
     pub protocol_version: ProtocolVersion,
 }
@@ -116,7 +119,7 @@
 pub type ProtocolVersion = u32;
 
 /// The version of the protocol that this release understands.
-pub const PROTOCOL_VERSION: ProtocolVersion = 5;
+pub const PROTOCOL_VERSION: ProtocolVersion = 6;
 
 /// The first version that takes a configuration in parts.
 pub const FIRST_VERSION_WITH_PARTS: ProtocolVersion = 1;
@@ -135,6 +138,9 @@
 /// The first version that takes several removed servers at once, and the table of all servers in parts.
 pub const FIRST_VERSION_WITH_SERVERS_GONE: ProtocolVersion = 5;
 
+/// The first version that takes how long ago an outage of the store ended.
+pub const FIRST_VERSION_WITH_RETURNS: ProtocolVersion = 6;
+
 /// How far a VM has replicated the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SyncStatus {
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -330,30 +330,32 @@
 pub enum ReturnSource {
     /// Its own probes went unanswered for this long, and one was answered.
     Probe(Duration),
-    /// The VM that it follows says so.
-    Feeder,
+    /// The VM that it follows says that it ended this long ago.
+    Feeder(Duration),
 }
 
 /// Records that an outage of the store has ended in which entries of servers may have expired, and forwards that if it was
 /// unknown.
 pub fn note_store_return(context: &Context, source: ReturnSource) {
-    let is_news = context.with_servers(|servers| servers.store_returned(clock::now()));
-    if !is_news {
+    let (ago, away_for) = match source {
+        ReturnSource::Probe(away_for) => (Duration::ZERO, Some(away_for)),
+        ReturnSource::Feeder(ago) => (ago, None),
+    };
+    let now = clock::now();
+    let returned_at = now.checked_sub(ago).unwrap_or(now);
+    if !context.with_servers(|servers| servers.store_returned(now, returned_at)) {
         return;
     }
-    let away_ms = match source {
-        ReturnSource::Probe(away_for) => Some(away_for.as_millis() as u64),
-        ReturnSource::Feeder => None,
-    };
+    let away_ms = away_for.map(|away_for| away_for.as_millis() as u64);
     tracing::info!(event = "store_back", away_ms, may_expire = true);
-    context.followers.send(&Frame::StoreReturned);
+    context.followers.send_store_return(ago);
 }
 
-/// Applies a feeder's report that an outage of the store has ended. A VM that was in contact with the store meanwhile, by
+/// Applies a feeder's report that an outage of the store ended this long ago. A VM that was in contact with the store meanwhile, by
 /// another feeder or by itself, knows better: the feeder had lost the store alone.
-pub fn apply_store_return(context: &Context) {
+pub fn apply_store_return(context: &Context, ago: Duration) {
     if context.store_contact.get().is_lost() {
-        note_store_return(context, ReturnSource::Feeder);
+        note_store_return(context, ReturnSource::Feeder(ago));
     }
 }
 
--- a/crates/kingcuploft-entry/tests/links/departures.rs
+++ b/crates/kingcuploft-entry/tests/links/departures.rs
@@ -1,4 +1,4 @@
-//! Servers that leave by the removal of their entries, around faults of the store.
+//! Servers that leave by the removal of their entries, and servers whose entries expire, around faults of the store.
 
 use std::time::Duration;
 
@@ -18,6 +18,12 @@
 /// From how long after the end of a fault of the store on removals bind the VMs in time.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
+/// How long the store is away: long enough for entries to expire.
+const OUTAGE: Duration = Duration::from_secs(5);
+
+/// Within which time of the store's return live servers have written their entries again.
+const REWRITE_TIME: Duration = Duration::from_millis(1500);
+
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 async fn fleet_with_servers(count: usize) -> Fleet {
@@ -144,3 +150,50 @@
         });
     }
 }
+
+/// Has the entries of servers expire while the store is away, and written again after its return; fails if a VM stops using
+/// one of them.
+async fn expire_entries(fleet: &Fleet, servers: &[String], returns_to: impl Fn(&str) -> bool) {
+    fleet.reject_at_store(|_| true);
+    fleet.store.0.cut_watches();
+    tokio::time::sleep(OUTAGE).await;
+    servers
+        .iter()
+        .for_each(|name| fleet.store.0.remove_backend_server(name));
+    fleet.reject_at_store(|vm| !returns_to(&vm.name));
+    let returned_at = Instant::now();
+    let mut is_written_again = false;
+    while returned_at.elapsed() < 2 * CONTACT_TIME {
+        if !is_written_again && returned_at.elapsed() >= REWRITE_TIME {
+            let entries = servers.iter().map(|name| server(name));
+            entries.for_each(|entry| fleet.store.0.write_backend_server(entry));
+            is_written_again = true;
+        }
+        for vm in 0..fleet.len() {
+            let dropped = servers.iter().find(|name| !uses(fleet, vm, name));
+            assert_eq!(dropped, None, "at VM {vm}, {:?}", returned_at.elapsed());
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Guards against live servers that get no requests as their entries expired while the store was away.
+#[test]
+fn servers_whose_entries_expire_in_an_outage_stay_in_use() {
+    simulate(async {
+        let fleet = fleet_with_servers(4).await;
+        let servers: Vec<String> = (0..4).map(name).collect();
+        expire_entries(&fleet, &servers, |_| true).await;
+    });
+}
+
+/// Guards against the same where the store comes back for all VMs but those that read it before.
+#[test]
+fn servers_whose_entries_expire_in_an_outage_stay_in_use_where_other_vms_see_its_end() {
+    simulate(async {
+        let fleet = fleet_with_servers(4).await;
+        let (readers, servers) = (readers(&fleet), (0..4).map(name).collect::<Vec<_>>());
+        let returns_to = |vm: &str| readers.iter().all(|reader| reader != vm);
+        expire_entries(&fleet, &servers, returns_to).await;
+    });
+}
--- a/crates/kingcuploft-entry/tests/links/joining.rs
+++ b/crates/kingcuploft-entry/tests/links/joining.rs
@@ -9,12 +9,13 @@
 use kingcuploft::entry::server_table::ServerTable;
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::entry::workspaces::{Workspace, Workspaces};
+use kingcuploft_entry::clock;
 use kingcuploft_entry::peers::dial::Dial;
 use kingcuploft_entry::peers::feeder;
 use kingcuploft_entry::peers::follower;
 use kingcuploft_entry::peers::frame::{
-    FIRST_VERSION_WITH_SERVERS_GONE, FIRST_VERSION_WITH_WORKSPACES, Frame, Hello, PROTOCOL_VERSION,
-    SyncStatus,
+    FIRST_VERSION_WITH_RETURNS, FIRST_VERSION_WITH_SERVERS_GONE, FIRST_VERSION_WITH_WORKSPACES,
+    Frame, Hello, PROTOCOL_VERSION, SyncStatus,
 };
 use kingcuploft_entry::peers::lines::Lines;
 use kingcuploft_entry::store::Collection;
@@ -263,6 +264,42 @@
     });
 }
 
+/// Guards against a VM of an earlier release that ends its link at a frame that it does not know, and against one of this
+/// release that starts the grace period of expired entries over.
+#[test]
+fn a_vm_of_the_release_before_is_told_that_the_store_is_back_and_not_since_when() {
+    simulate(async {
+        let (_fleet, host) = fleet_of_two().await;
+        let hello = hello_like(&host);
+        let now = clock::now();
+        host.context
+            .with_servers(|servers| servers.store_returned(now, now));
+        let mut told = Vec::new();
+        for protocol_version in [FIRST_VERSION_WITH_RETURNS - 1, PROTOCOL_VERSION] {
+            let mut joining = ScriptedPeer::join(&host);
+            let hello = Hello {
+                vm: entry(&format!("speaks {protocol_version}")),
+                protocol_version,
+                ..hello.clone()
+            };
+            joining.send(&Frame::Hello(hello)).await;
+            let in_snapshot = returns(&joining.frames().await);
+            host.context.followers.send_store_return(Duration::ZERO);
+            told.push((in_snapshot, returns(&joining.frames().await)));
+        }
+        assert_eq!(told, [(vec![], vec!["now"]), (vec!["ago"], vec!["ago"])]);
+    });
+}
+
+fn returns(frames: &[Frame]) -> Vec<&'static str> {
+    let returns = frames.iter().filter_map(|frame| match frame {
+        Frame::StoreReturned => Some("now"),
+        Frame::StoreReturnedAgo(_) => Some("ago"),
+        _ => None,
+    });
+    returns.collect()
+}
+
 /// Guards against a VM that joins and needs several times the memory of the table of all servers to read it, and against
 /// one that knew some servers and goes on using those that have left meanwhile.
 #[test]
--- a/crates/kingcuploft/src/entry/backend_servers.rs
+++ b/crates/kingcuploft/src/entry/backend_servers.rs
@@ -125,18 +125,24 @@
 }
 
 impl BackendServers {
-    /// Records that the store answers again after an outage; returns whether that is news.
+    /// Records that an outage of the store ended at `returned_at`; returns whether that is news.
     ///
-    /// Failure: each call that waited for the store notices its return, one after the other, and other VMs report
-    /// theirs. If the grace period of expired entries started over with each report, a server that left just after the
-    /// return would get new requests for longer than allowed. So reports within the grace period belong to the same
-    /// return.
-    pub fn store_returned(&mut self, now: Instant) -> bool {
-        let known = self.has_just_returned(now);
-        if !known {
-            self.store_returned_at = Some(now);
+    /// Failure: each VM that reads the store notices its return, one after the other, and reports it. If the grace period
+    /// of expired entries started over with each report, a server that left just after the return would get new requests
+    /// for longer than allowed. So reports within the grace period belong to the same return.
+    pub fn store_returned(&mut self, now: Instant, returned_at: Instant) -> bool {
+        let is_over = now.saturating_duration_since(returned_at) >= JUST_RETURNED_PERIOD;
+        if is_over || self.has_just_returned(now) {
+            return false;
         }
-        !known
+        self.store_returned_at = Some(returned_at);
+        true
+    }
+
+    /// Returns how long ago an outage of the store ended, if the store has just returned.
+    pub fn returned_ago(&self, now: Instant) -> Option<Duration> {
+        let ago = now.saturating_duration_since(self.store_returned_at?);
+        (ago < JUST_RETURNED_PERIOD).then_some(ago)
     }
 
     /// Records that the store was restored from a copy, in which entries that nobody renews expire after `lapse_after`.
@@ -156,8 +162,7 @@
     }
 
     fn has_just_returned(&self, now: Instant) -> bool {
-        let store_returned_at = self.store_returned_at;
-        store_returned_at.is_some_and(|at| now.saturating_duration_since(at) < JUST_RETURNED_PERIOD)
+        self.returned_ago(now).is_some()
     }
 
     fn expire_by(&mut self, at: Instant) {
--- a/crates/kingcuploft/tests/entry/backend_servers.rs
+++ b/crates/kingcuploft/tests/entry/backend_servers.rs
@@ -68,7 +68,7 @@
     let (mut servers, now) = (BackendServers::default(), Instant::now());
     servers.update(server("a"));
     servers.update(server("b"));
-    servers.store_returned(now);
+    servers.store_returned(now, now);
     let changes = servers.remove_missing(now, std::iter::empty()).changes;
     assert_eq!(changes.len(), 2);
     assert!(servers.takes_work("a") && servers.takes_work("b"));
@@ -86,9 +86,12 @@
 fn a_repeated_report_of_the_return_does_not_extend_the_grace_period() {
     let (mut servers, now) = (BackendServers::default(), Instant::now());
     servers.update(server("a"));
-    assert!(servers.store_returned(now));
+    assert!(servers.store_returned(now, now));
     let again = now + Duration::from_millis(620);
-    assert!(!servers.store_returned(again), "no news to followers");
+    assert!(
+        !servers.store_returned(again, again),
+        "no news to followers"
+    );
     servers.remove(again, "a");
     servers.expire(now + LAPSE_GRACE);
     assert!(!servers.takes_work("a"));
@@ -99,9 +102,9 @@
 fn the_return_from_a_later_outage_is_news() {
     let (mut servers, now) = (BackendServers::default(), Instant::now());
     servers.update(server("a"));
-    servers.store_returned(now);
+    servers.store_returned(now, now);
     let later = now + Duration::from_secs(5);
-    assert!(servers.store_returned(later));
+    assert!(servers.store_returned(later, later));
     servers.remove(later, "a");
     assert!(servers.takes_work("a"));
 }
@@ -112,7 +115,7 @@
     let (mut servers, now) = (BackendServers::default(), Instant::now());
     servers.update(server("a"));
     servers.update(draining_server("a"));
-    servers.store_returned(now);
+    servers.store_returned(now, now);
     assert_eq!(servers.remove(now, "a"), None);
     assert!(!servers.takes_work("a"));
 }
@@ -198,7 +201,7 @@
     let now = Instant::now();
     let mut servers = BackendServers::default();
     servers.update(server("a"));
-    servers.store_returned(now);
+    servers.store_returned(now, now);
     assert!(matches!(servers.remove(now, "a"), Some(Change::Lapsed(_))));
     assert!(servers.record_leaving("a", None).is_some());
     assert_eq!(servers.update(server("a")), None);
@@ -251,7 +254,7 @@
                 1 => drop(servers.update(draining_server(name))),
                 2 => drop(servers.remove(now, name)),
                 3 => drop(servers.remove_missing(now, [name].into_iter())),
-                4 => drop(servers.store_returned(now)),
+                4 => drop(servers.store_returned(now, now)),
                 5 => servers.store_rewound(now, Duration::from_secs(5)),
                 _ => now += Duration::from_secs(u.int_in_range(0..=400)?),
             }
@@ -270,7 +273,7 @@
     for name in ["a", "b"] {
         servers.update(server(name));
     }
-    servers.store_returned(now);
+    servers.store_returned(now, now);
     servers.remove(now, "a");
     let later = now + Duration::from_millis(500);
     servers.remove(later, "b");
--- a/crates/kingcuploft/tests/entry/store_contact.rs
+++ b/crates/kingcuploft/tests/entry/store_contact.rs
@@ -17,10 +17,7 @@
     let mut contact = StoreContact::default();
     contact.feeder_has_store(false);
     assert!(contact.is_lost());
-    assert_eq!(
-        answer(&mut contact, Instant::now()),
-        StoreAnswer::InContact
-    );
+    assert_eq!(answer(&mut contact, Instant::now()), StoreAnswer::InContact);
     assert!(!contact.is_lost());
 }
 
@@ -37,10 +34,7 @@
             false => StoreAnswer::BackSoon(away_for),
         };
         assert_eq!(answer(&mut contact, now + away_for), expected);
-        assert_eq!(
-            answer(&mut contact, now + away_for),
-            StoreAnswer::InContact
-        );
+        assert_eq!(answer(&mut contact, now + away_for), StoreAnswer::InContact);
     }
 }
 
