feat(logs): an answer that is ready and unwritten at the exit, and a task that panics, have lines of their own

Two of the hypotheses on LOST at SIGTERM could not be told apart by the log: an answer that is ready when the process exits, behind one that is missing or as its caller reads slowly, left no line at all; a request whose task had panicked was told as `cut_by_exit`. Nothing else changes.

--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -16,6 +16,7 @@
 use super::answer::Answer;
 use super::caller_disconnect::CallerDisconnect;
 use super::dispatch;
+use super::pending_answer::PendingAnswer;
 use super::request::Request;
 use crate::context::Context;
 use crate::http::body::{BodyError, BodyReader};
@@ -136,7 +137,7 @@
     reader: ReadHalf<S>,
     buffer: BytesMut,
     state: Rc<ConnectionState>,
-    answers: mpsc::Sender<oneshot::Receiver<Answer>>,
+    answers: mpsc::Sender<PendingAnswer>,
     disconnect: Rc<CallerDisconnect>,
 }
 
@@ -297,9 +298,8 @@
     }
 
     async fn serve_request(&mut self, request: Request) -> Option<ReadEnd> {
-        let (answer, pending) = oneshot::channel();
+        let (answer, pending) = self.expect_answer(request.id.clone());
         let is_last = !request.head.keep_alive;
-        self.state.request_started();
         let (context, disconnect) = (self.context.clone(), self.disconnect.clone());
         tokio::task::spawn_local(dispatch::serve(context, request, disconnect, answer));
         if self.answers.send(pending).await.is_err() {
@@ -311,11 +311,18 @@
         None
     }
 
+    /// Returns the two ends of an answer that is due from now on.
+    fn expect_answer(&self, request: Option<String>) -> (oneshot::Sender<Answer>, PendingAnswer) {
+        let (answer, receiver) = oneshot::channel();
+        self.state.request_started();
+        let pending = PendingAnswer::new(&self.context, request, receiver);
+        (answer, pending)
+    }
+
     /// Sends `100 Continue`. The writer is idle then, as callers that expect it wait for it; where the writer is busy,
     /// the caller sends the body without it.
     async fn send_continue(&mut self) {
-        let (answer, pending) = oneshot::channel();
-        self.state.request_started();
+        let (answer, pending) = self.expect_answer(None);
         if self.answers.send(pending).await.is_ok() {
             let _ = answer.send(Answer::interim());
         }
@@ -323,8 +330,7 @@
 
     async fn refuse(&mut self, status: u16, reason: &str) -> ReadEnd {
         tracing::info!(event = "unreadable_request", status, reason);
-        let (answer, pending) = oneshot::channel();
-        self.state.request_started();
+        let (answer, pending) = self.expect_answer(None);
         if self.answers.send(pending).await.is_ok() {
             let _ = answer.send(Answer::unreadable(status, reason));
         }
@@ -360,11 +366,11 @@
 async fn write_answers<S: AsyncWrite>(
     context: Rc<Context>,
     mut writer: WriteHalf<S>,
-    mut queue: mpsc::Receiver<oneshot::Receiver<Answer>>,
+    mut queue: mpsc::Receiver<PendingAnswer>,
     state: Rc<ConnectionState>,
 ) {
-    while let Some(pending) = queue.recv().await {
-        let Ok(answer) = pending.await else {
+    while let Some(mut pending) = queue.recv().await {
+        let Some(answer) = pending.receive().await else {
             break;
         };
         if answer.is_interim() {
@@ -372,6 +378,7 @@
             if writer.write_all(&answer.to_bytes(false)).await.is_err() {
                 return;
             }
+            pending.written();
             continue;
         }
         let is_last = state.unanswered.get() == 1;
@@ -387,6 +394,7 @@
         {
             return;
         }
+        pending.written();
         state.request_finished();
         if must_close {
             break;
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -5,6 +5,7 @@
 
 use kingcuploft::entry::attempts::{AttemptEnd, NextAction};
 use kingcuploft::entry::placement::ProbeScope;
+use kingcuploft::entry::shutdown::ShutdownPhase;
 use kingcuploft::entry::turned_away;
 use kingcuploft::world::contract::Contract;
 use tokio::sync::oneshot;
@@ -68,7 +69,8 @@
     let _ = answer.send(answered);
 }
 
-/// A request that has no answer yet. One that is dropped before its end is logged: the process exits under it.
+/// A request that has no answer yet. One that is dropped before its end is logged: the process exits under it, or the task
+/// that serves it has panicked.
 struct UnansweredRequest<'a> {
     context: &'a Context,
     request: &'a Request,
@@ -96,12 +98,14 @@
     fn drop(&mut self) {
         let unanswered = &self.context.unanswered_requests;
         unanswered.set(unanswered.get() - 1);
-        if !self.has_ended {
-            tracing::warn!(
-                event = "cut_by_exit",
-                request = self.request.id,
-                held_ms = clock::since(self.request.arrived).as_millis() as u64,
-            );
+        if self.has_ended {
+            return;
+        }
+        let request = &self.request.id;
+        let held_ms = clock::since(self.request.arrived).as_millis() as u64;
+        match self.context.shutdown.phase() {
+            ShutdownPhase::Ended => tracing::warn!(event = "cut_by_exit", request, held_ms),
+            _ => tracing::error!(event = "request_task_failed", request, held_ms),
         }
     }
 }
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -11,6 +11,7 @@
 mod hedge;
 mod limited_servers;
 mod paused_servers;
+mod pending_answer;
 pub mod readiness;
 mod refusal;
 mod relay;
--- a/crates/kingcuploftctl/src/trace.rs
+++ b/crates/kingcuploftctl/src/trace.rs
@@ -129,6 +129,8 @@
         "refused" => format!("answered {} at once: {}", show("status"), show("reason")),
         "caller_left" => format!("the caller left after {} ms", show("held_ms")),
         "cut_by_exit" => format!("the VM exited after {} ms", show("held_ms")),
+        "answer_cut_by_exit" => "the VM exited before its answer was written".to_owned(),
+        "request_task_failed" => format!("its task failed after {} ms", show("held_ms")),
         "crossed_answer" => format!("skipped an answer to request {}", show("answer")),
         other => format!("{other}: {}", line.fields),
     };
@@ -148,6 +150,8 @@
             "The only send was cancelled: the caller left, or the VM ended.\n"
         }
         ("cut_by_exit", _) => "The VM exited before there was an answer.\n",
+        ("answer_cut_by_exit", _) => "The VM exited before the answer was written.\n",
+        ("request_task_failed", _) => "The VM's program failed while it served the request.\n",
         ("attempt", _) => "No final line: the VM ended, or the line was left out.\n",
         ("crossed_answer", _) => "No line of the attempt's end: it was cancelled or left out.\n",
         _ => "",
