fix(edge): a request whose task fails is answered, and the requests behind it on its connection are not cut

What callers see: two lookups are sent on one connection. The task that serves the first one panics; the connection closes, and the second one, which a server may have run, has no answer either.

Cause: the writer of a connection took the end of a request's task for the end of the connection.

Now the guard that logs such an end also answers the request: 502, as it is unknown whether it ran. The writer goes on with the next one.

Test: `a_request_whose_task_fails_cuts_no_request_behind_it`; before: no answer at all, the connection had ended.

--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -36,7 +36,7 @@
     answer: oneshot::Sender<Answer>,
 ) {
     context.metrics.requests.inc();
-    let mut unanswered = UnansweredRequest::begin(&context, &request);
+    let mut unanswered = UnansweredRequest::begin(&context, &request, answer);
     if !ActiveRequest::can_begin(&context, &request) {
         let adopting = context.active_configuration.adopted_notify.notified();
         let _ = tokio::time::timeout(CONFIGURATION_WAIT, adopting).await;
@@ -49,7 +49,7 @@
                     biased;
                     answer = active.run(&disconnect) => answer,
                     () = disconnect.wait() => {
-                        unanswered.end();
+                        unanswered.abandon();
                         return active.log_caller_left();
                     }
                 },
@@ -65,32 +65,57 @@
     }
     let (route, took) = (route.as_deref(), clock::since(request.arrived));
     context.metrics.observe_answer(route, answered.status, took);
-    unanswered.end();
-    let _ = answer.send(answered);
+    unanswered.answer(answered);
 }
 
+/// The status of a request of which it is unknown whether it has run.
+const UNKNOWN_OUTCOME_STATUS: u16 = 502;
+
+/// The reason of a failure that the program is to blame for.
+const TASK_FAILED: &str = "internal error";
+
 /// A request that has no answer yet. One that is dropped before its end is logged: the process exits under it, or the task
-/// that serves it has panicked.
+/// that serves it has panicked. Then it is answered all the same, as the requests behind it on its connection wait for that.
 struct UnansweredRequest<'a> {
     context: &'a Context,
     request: &'a Request,
-    has_ended: bool,
+    /// Takes the answer, while one is due.
+    answer: Option<oneshot::Sender<Answer>>,
 }
 
 impl<'a> UnansweredRequest<'a> {
-    fn begin(context: &'a Context, request: &'a Request) -> Self {
+    fn begin(context: &'a Context, request: &'a Request, answer: oneshot::Sender<Answer>) -> Self {
         let unanswered = &context.unanswered_requests;
         unanswered.set(unanswered.get() + 1);
         Self {
             context,
             request,
-            has_ended: false,
+            answer: Some(answer),
         }
     }
 
-    /// Records that the request was answered, or needs no answer any more.
-    fn end(&mut self) {
-        self.has_ended = true;
+    /// Delivers the answer.
+    fn answer(&mut self, answered: Answer) {
+        if let Some(answer) = self.answer.take() {
+            let _ = answer.send(answered);
+        }
+    }
+
+    /// Records that nobody waits for an answer any more.
+    fn abandon(&mut self) {
+        self.answer = None;
+    }
+
+    fn failure(&self) -> Answer {
+        self.context.metrics.count_failure(TASK_FAILED);
+        let names = &self.context.wire_names;
+        Answer::generated(
+            self.request,
+            names,
+            UNKNOWN_OUTCOME_STATUS,
+            TASK_FAILED,
+            None,
+        )
     }
 }
 
@@ -98,14 +123,17 @@
     fn drop(&mut self) {
         let unanswered = &self.context.unanswered_requests;
         unanswered.set(unanswered.get() - 1);
-        if self.has_ended {
+        let Some(answer) = self.answer.take() else {
             return;
-        }
+        };
         let request = &self.request.id;
         let held_ms = clock::since(self.request.arrived).as_millis() as u64;
         match self.context.shutdown.phase() {
             ShutdownPhase::Ended => tracing::warn!(event = "cut_by_exit", request, held_ms),
-            _ => tracing::error!(event = "request_task_failed", request, held_ms),
+            _ => {
+                tracing::error!(event = "request_task_failed", request, held_ms);
+                let _ = answer.send(self.failure());
+            }
         }
     }
 }
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 use kingcuploft_simulation::store;
 
+mod absurd_figures;
 mod answers;
 mod callers;
 mod cold;
