fix(edge): a lookup whose deadline is beyond all time is served

Cause: the figure was turned into a duration by a function that panics beyond 2^64 seconds. It counts as the longest duration now; the route's own timeout bounds it as before.

Test: `a_lookup_with_an_absurd_deadline_is_served`; before: 502 for 1e30, the task had panicked with `cannot convert float seconds to Duration`.

--- a/crates/kingcuploft-entry/src/edge/request.rs
+++ b/crates/kingcuploft-entry/src/edge/request.rs
@@ -103,6 +103,6 @@
         let value = self.head.headers.get(wire_names.deadline_ms)?;
         let millis: f64 = value.parse().ok()?;
         let valid = millis.is_finite() && millis >= 0.0;
-        valid.then(|| Duration::from_secs_f64(millis / 1000.0))
+        valid.then(|| Duration::try_from_secs_f64(millis / 1000.0).unwrap_or(Duration::MAX))
     }
 }
--- a/crates/kingcuploft-entry/tests/entry/absurd_figures.rs
+++ b/crates/kingcuploft-entry/tests/entry/absurd_figures.rs
@@ -4,7 +4,22 @@
 use kingcuploft_entry::settings::WireNames;
 
 use crate::server::Behavior;
-use crate::testbed::{Caller, HEADER_NAMES, lookup, run_test, settings, start_servers, wait_until};
+use crate::testbed::{
+    Caller, HEADER_NAMES, Testbed, lookup, run_test, settings, start_servers, wait_until,
+};
+
+/// Guards against a deadline that is beyond all time and ends the task of its request.
+#[test]
+fn a_lookup_with_an_absurd_deadline_is_served() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Answer]).await;
+        for deadline in ["1e30", "1.9e22", "18446744073709551615", "1e308"] {
+            let request = lookup("r1").replace("x-deadline-ms: 4000", "x-deadline-ms: DEADLINE");
+            let answer = testbed.ask(&request.replace("DEADLINE", deadline)).await;
+            assert_eq!(answer.status, 200, "{deadline}");
+        }
+    });
+}
 
 /// Guards against a task that fails and takes the other requests of its connection along.
 #[test]
