fix(http): a server whose keep-alive time is no number ends no request

Cause: the bound to 0 to 3600 seconds lets NaN through, which no duration can hold. Such a time counts as not told now.

Test: `a_server_with_an_absurd_keep_alive_time_is_used`; before: 502 for nan, the task had panicked.

--- a/crates/kingcuploft-entry/src/http/client.rs
+++ b/crates/kingcuploft-entry/src/http/client.rs
@@ -293,5 +293,5 @@
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
     let seconds: f64 = timeout.trim().parse().ok()?;
-    Some(Duration::from_secs_f64(seconds.clamp(0.0, 3600.0) * 0.9))
+    Duration::try_from_secs_f64(seconds.clamp(0.0, 3600.0) * 0.9).ok()
 }
--- a/crates/kingcuploft-entry/tests/entry/absurd_figures.rs
+++ b/crates/kingcuploft-entry/tests/entry/absurd_figures.rs
@@ -42,3 +42,17 @@
         assert_eq!(caller.answer().await.expect("an answer").status, 404);
     });
 }
+
+/// Guards against a server whose keep-alive time is no number and ends the tasks of its requests.
+#[test]
+fn a_server_with_an_absurd_keep_alive_time_is_used() {
+    run_test(async {
+        for time in ["nan", "inf", "1e300", "-1e300", "-nan"] {
+            let testbed = Testbed::with(&[Behavior::KeepAlive(time)]).await;
+            for at in 0..3 {
+                let answer = testbed.ask(&lookup(&format!("r{at}"))).await;
+                assert_eq!(answer.status, 200, "{time}");
+            }
+        }
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -38,6 +38,8 @@
     NameLimit(u32),
     /// Runs it, answers, and names a limit that can't be parsed.
     NameInvalidLimit,
+    /// Runs it, answers, and says that it keeps the connection open for so many seconds.
+    KeepAlive(&'static str),
     /// Runs it and never answers.
     Hang,
     /// Crashes if the path contains `/crash`, runs and answers all else.
@@ -251,6 +253,10 @@
             Behavior::NameInvalidLimit => {
                 whole.replace("\r\n\r\n", "\r\nServer-Limit: few\r\n\r\n")
             }
+            Behavior::KeepAlive(time) => whole.replace(
+                "\r\n\r\n",
+                &format!("\r\nKeep-Alive: timeout={time}\r\n\r\n"),
+            ),
             Behavior::Hang => {
                 let mut byte = [0; 1];
                 let _ = stream.read(&mut byte).await;
