fix(store): one entry with an absurd time of its cold start does not end the following of all servers

What callers see: an entry in the store whose `coldRemainingS` is 2^63 - 1 ends the task that follows the servers in every VM: removed servers stay in use for good, and a VM that starts never becomes ready. Cause: the time was added to the present, which panics beyond what a clock holds.

--- a/crates/kingcuploft-entry/src/cold_servers.rs
+++ b/crates/kingcuploft-entry/src/cold_servers.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use kingcuploft::entry::cold_time;
 use kingcuploft::entry::configuration::ColdStart;
 use kingcuploft::entry::server_limits::ColdChange;
 use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, ServiceName};
@@ -69,6 +70,7 @@
 /// Limits a cold server to the rate that it bears; returns it if it was not known to be cold.
 fn mark_cold(context: &Context, upstream: &Upstream, cold_for: Duration) -> Option<NewlyCold> {
     let now = clock::now();
+    let cold_for = cold_time::bounded(cold_for);
     upstream.set_cold_until(now + cold_for);
     let cold_start = cold_start(context, &upstream.server.service)?;
     let server = &upstream.server.name;
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::backend_servers::BackendServer;
+use kingcuploft::entry::cold_time;
 use kingcuploft::entry::placement::{Candidate, LoadReport};
 use kingcuploft::utils::rendezvous::rendezvous;
 use kingcuploft::world::ids::VmName;
@@ -103,7 +104,7 @@
     pub fn new(server: Arc<BackendServer>, vm: &VmName, near: bool, now: Instant) -> Self {
         Self {
             rank: rendezvous(vm, &server.name),
-            cold_until: Cell::new(now + server.cold_for),
+            cold_until: Cell::new(now + cold_time::bounded(server.cold_for)),
             server,
             near,
             usage: OnceCell::new(),
--- a/crates/kingcuploft-entry/tests/entry/absurd_figures.rs
+++ b/crates/kingcuploft-entry/tests/entry/absurd_figures.rs
@@ -1,11 +1,15 @@
 //! Figures that no sound caller or server would send, and tasks that fail.
 
+use std::time::Duration;
+
+use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft_entry::run;
 use kingcuploft_entry::settings::WireNames;
 
 use crate::server::Behavior;
 use crate::testbed::{
-    Caller, HEADER_NAMES, Testbed, lookup, run_test, settings, start_servers, wait_until,
+    Caller, HEADER_NAMES, Testbed, entry, lookup, run_test, settings, start, start_servers,
+    wait_until,
 };
 
 /// Guards against a deadline that is beyond all time and ends the task of its request.
@@ -56,3 +60,19 @@
         }
     });
 }
+
+/// Guards against one entry with an absurd time that ends the following of all servers.
+#[test]
+fn a_server_that_is_cold_beyond_all_time_keeps_no_vm_from_the_others() {
+    run_test(async {
+        let (store, servers) = start_servers(&[Behavior::Answer; 2]).await;
+        store.0.write_backend_server(BackendServer {
+            cold_for: Duration::MAX,
+            ..entry(0, &servers[0])
+        });
+        let vm = start("vm", &store).await;
+        let mut caller = Caller::connect(vm.caller_address).await;
+        caller.send(&lookup("r1")).await;
+        assert_eq!(caller.answer().await.expect("an answer").status, 200);
+    });
+}
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -10,6 +10,7 @@
 pub mod caller_timeouts;
 pub mod change_assembly;
 pub mod change_log;
+pub mod cold_time;
 pub mod configuration;
 pub mod configuration_change;
 pub mod configuration_check;
