fix(shutdown): a stopping VM takes nothing behind a request that may outlast it

What callers see: two lookups are sent on one connection 2.4 s after SIGTERM, to which the VM still accepts connections. The first one's server takes longer than until the exit; the second one's answers at once. Answers go out in order, so that the exit cuts both. The first one is the work of a server that is still at it; the second one had run to its end and has no answer (LOST).

Now a connection with an unanswered request whose caller may wait beyond the exit takes no more from SIGTERM on (`ConnectionUse::MayOutlastProcess`); what is behind is unread for its caller, as the last answer announces the close. The state of a connection is a file of its own.

A lookup that was taken before SIGTERM, behind one that outlasts the whole stop, is still cut: callers that wait over 5.7 s.

--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -5,19 +5,20 @@
 //! graceful shutdown, requests that were taken are answered; the last answer announces that the connection closes, and
 //! nothing after it is taken.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 
 use super::answer::Answer;
 use super::caller_disconnect::CallerDisconnect;
+use super::connection_state::ConnectionState;
 use super::dispatch;
 use super::pending_answer::PendingAnswer;
 use super::request::Request;
+use crate::clock;
 use crate::context::Context;
 use crate::http::body::{BodyError, BodyReader};
 use crate::http::head::{self, RequestHead};
@@ -39,32 +40,6 @@
 /// before the caller has received that answer.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// The state of a connection, shared by its reader and its writer.
-#[derive(Debug, Default)]
-struct ConnectionState {
-    /// Whether no further request is accepted.
-    closing: Cell<bool>,
-    /// How many requests were read and are not answered.
-    unanswered: Cell<usize>,
-    /// Wakes the reader when the connection closes.
-    wake: Notify,
-}
-
-impl ConnectionState {
-    fn request_started(&self) {
-        self.unanswered.set(self.unanswered.get() + 1);
-    }
-
-    fn request_finished(&self) {
-        self.unanswered.set(self.unanswered.get() - 1);
-    }
-
-    fn close(&self) {
-        self.closing.set(true);
-        self.wake.notify_waiters();
-    }
-}
-
 /// Who sends the requests of a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Sender {
@@ -203,22 +178,28 @@
     /// Returns whether a request whose body has arrived is behind an answer that announces the close, or will be: its
     /// caller takes it for unread and sends it again, whatever it does.
     fn is_behind_close(&self) -> bool {
-        let unanswered = self.state.unanswered.get() > 0;
-        let phase = self.context.shutdown.phase();
-        let is_cut = unanswered && !phase.takes_request(ConnectionUse::Unanswered);
-        self.state.closing.get() || is_cut
+        let is_behind = self.state.unanswered() > 0;
+        self.state.closing.get() || (is_behind && !self.takes_request())
     }
 
     fn connection_use(&self) -> ConnectionUse {
         // Another VM opens a connection for a request that it sends at once.
         let is_arriving = !self.buffer.is_empty() || self.sender == Sender::Vm;
-        match (self.state.unanswered.get(), is_arriving) {
+        match (self.state.unanswered(), is_arriving) {
             (0, false) => ConnectionUse::Idle,
             (0, true) => ConnectionUse::RequestArriving,
+            _ if self.may_outlast_process() => ConnectionUse::MayOutlastProcess,
             _ => ConnectionUse::Unanswered,
         }
     }
 
+    /// Returns whether a request that is unanswered may be so still when a stopping process exits.
+    fn may_outlast_process(&self) -> bool {
+        let exits_at = self.context.shutdown.ends_at();
+        let answered_by = self.state.answered_by();
+        exits_at.is_some_and(|exits_at| answered_by > Some(exits_at))
+    }
+
     /// Reads more bytes of a request head, or waits for the first.
     async fn read_head_bytes(&mut self, limits: &Limits) -> Option<ReadEnd> {
         let (awaited, timeout) = match self.buffer.is_empty() {
@@ -228,7 +209,7 @@
         match (self.read(timeout, awaited).await, awaited) {
             (ReadOutcome::GoOn, _) => None,
             (ReadOutcome::CallerLeft, _) => Some(ReadEnd::CallerLeft),
-            (ReadOutcome::Idle, Awaited::Request) if self.state.unanswered.get() > 0 => None,
+            (ReadOutcome::Idle, Awaited::Request) if self.state.unanswered() > 0 => None,
             (ReadOutcome::Idle, Awaited::Request) => Some(ReadEnd::Closing),
             (ReadOutcome::Idle, _) => Some(self.refuse(408, "the head took too long").await),
         }
@@ -298,7 +279,8 @@
     }
 
     async fn serve_request(&mut self, request: Request) -> Option<ReadEnd> {
-        let (answer, pending) = self.expect_answer(request.id.clone());
+        let caller_timeout = request.caller_timeout(&self.context.wire_names);
+        let (answer, pending) = self.expect_answer(request.id.clone(), caller_timeout);
         let is_last = !request.head.keep_alive;
         let (context, disconnect) = (self.context.clone(), self.disconnect.clone());
         tokio::task::spawn_local(dispatch::serve(context, request, disconnect, answer));
@@ -312,9 +294,13 @@
     }
 
     /// Returns the two ends of an answer that is due from now on.
-    fn expect_answer(&self, request: Option<String>) -> (oneshot::Sender<Answer>, PendingAnswer) {
+    fn expect_answer(
+        &self,
+        request: Option<String>,
+        caller_timeout: Option<Duration>,
+    ) -> (oneshot::Sender<Answer>, PendingAnswer) {
         let (answer, receiver) = oneshot::channel();
-        self.state.request_started();
+        self.state.request_started(clock::now(), caller_timeout);
         let pending = PendingAnswer::new(&self.context, request, receiver);
         (answer, pending)
     }
@@ -322,7 +308,7 @@
     /// Sends `100 Continue`. The writer is idle then, as callers that expect it wait for it; where the writer is busy,
     /// the caller sends the body without it.
     async fn send_continue(&mut self) {
-        let (answer, pending) = self.expect_answer(None);
+        let (answer, pending) = self.expect_answer(None, Some(Duration::ZERO));
         if self.answers.send(pending).await.is_ok() {
             let _ = answer.send(Answer::interim());
         }
@@ -330,7 +316,7 @@
 
     async fn refuse(&mut self, status: u16, reason: &str) -> ReadEnd {
         tracing::info!(event = "unreadable_request", status, reason);
-        let (answer, pending) = self.expect_answer(None);
+        let (answer, pending) = self.expect_answer(None, Some(Duration::ZERO));
         if self.answers.send(pending).await.is_ok() {
             let _ = answer.send(Answer::unreadable(status, reason));
         }
@@ -344,7 +330,7 @@
         drop(std::mem::replace(&mut self.answers, sender));
         loop {
             self.buffer.clear();
-            let timeout = match self.state.unanswered.get() {
+            let timeout = match self.state.unanswered() {
                 0 => LINGER_TIMEOUT,
                 _ => Duration::from_secs(30),
             };
@@ -352,7 +338,7 @@
             let reading = self.reader.read_buf(&mut self.buffer);
             match tokio::time::timeout(timeout, reading).await {
                 Ok(Ok(read)) if read > 0 => {}
-                Ok(_) if self.state.unanswered.get() > 0 => {
+                Ok(_) if self.state.unanswered() > 0 => {
                     self.disconnect.set();
                     return;
                 }
@@ -381,7 +367,7 @@
             pending.written();
             continue;
         }
-        let is_last = state.unanswered.get() == 1;
+        let is_last = state.unanswered() == 1;
         let must_close =
             answer.close || (is_last && (state.closing.get() || context.shutdown.is_stopping()));
         if must_close {
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -7,6 +7,7 @@
 pub mod caller_disconnect;
 pub(crate) mod caller_key;
 pub mod connection;
+mod connection_state;
 pub mod dispatch;
 mod hedge;
 mod limited_servers;
--- a/crates/kingcuploft/src/entry/shutdown.rs
+++ b/crates/kingcuploft/src/entry/shutdown.rs
@@ -6,6 +6,9 @@
 //! taking requests while it still has time to answer those that it has taken; what a caller sends behind them stays
 //! unread, and the caller sends it again on another connection.
 //!
+//! Load pattern: a quick request that is sent behind a long one. Answers go out in order, so that the quick one is answered no
+//! sooner than the long one, and is cut with it if that outlasts the process. It is left unread instead.
+//!
 //! Load pattern: requests that wait for a server, as all are slow, full or gone. A VM that lets them wait until its exit
 //! cuts them without an answer, and their callers don't know whether they ran. One that can't be answered before the exit
 //! is refused while that can still be said.
@@ -35,15 +38,19 @@
     RequestArriving,
     /// Requests are unanswered. Whatever is behind them is unread for its caller once the last of them announces the close.
     Unanswered,
+    /// As [`Self::Unanswered`], and one of them may still be unanswered when the process exits.
+    MayOutlastProcess,
 }
 
 impl ShutdownPhase {
     /// Returns whether a connection takes a further request.
     pub fn takes_request(self, connection: ConnectionUse) -> bool {
         match (self, connection) {
-            (Self::Running | Self::Announced, _) => true,
+            (Self::Running, _) => true,
+            (Self::Announced, ConnectionUse::MayOutlastProcess) => false,
+            (Self::Announced, _) => true,
             (Self::Closing, ConnectionUse::RequestArriving) => true,
-            (Self::Closing, ConnectionUse::Idle | ConnectionUse::Unanswered) => false,
+            (Self::Closing, _) => false,
             (Self::Ended, _) => false,
         }
     }
