fix(shutdown): a request that may take longer than until the exit is refused, not sent and cut

What callers see: a lookup arrives slowly on a connection of a stopping VM and is whole 0.6 s before the exit; work takes 0.4 s as a rule. It is sent to a server, takes 0.8 s this time, and the exit cuts it (LOST: it was sent long after SIGTERM).

Cause: what is left until the exit was compared with the usual time of the work, which half of the requests exceed.

Now a request is sent only if three times the usual work, or what is left of its deadline, ends before the exit; else it is refused as not run. At the moment at which a stopping VM closes its connections (3.1 s before the exit) nothing is refused whose work takes up to 1 s as a rule.

Tests: `a_request_that_may_take_longer_than_until_the_exit_is_refused` (before: 1 request cut by the exit), and the decisions by themselves in kingcuploft's tests.

--- a/crates/kingcuploft-entry/src/edge/selection.rs
+++ b/crates/kingcuploft-entry/src/edge/selection.rs
@@ -188,14 +188,16 @@
         }
     }
 
-    /// Returns whether a server that gets the request now is likely to answer before this VM exits, if it is stopping.
+    /// Returns whether a server that gets the request now will answer before this VM exits, if it is stopping.
     fn has_time_until_exit(&self) -> bool {
         let Some(ends_at) = self.context.shutdown.ends_at() else {
             return true;
         };
-        let until_exit = ends_at.saturating_duration_since(clock::now());
+        let now = clock::now();
+        let until_exit = ends_at.saturating_duration_since(now);
+        let left = self.deadline.saturating_duration_since(now);
         let work_ms = self.context.work_ms(&self.route, &self.service);
-        shutdown::has_time_to_answer(until_exit, work_ms)
+        shutdown::has_time_to_answer(until_exit, left, work_ms)
     }
 
     /// Returns those of the candidates to which an open connection seems to work: a probe shows whether it does.
--- a/crates/kingcuploft-entry/tests/entry/stopping.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping.rs
@@ -209,3 +209,29 @@
         assert_eq!(run_count.get(), 1, "ran, and can't be answered");
     });
 }
+
+/// Guards against a lookup that arrives slowly, is sent to a server shortly before the exit, and is cut by it.
+#[test]
+fn a_request_that_may_take_longer_than_until_the_exit_is_refused() {
+    run_in_virtual_time(async {
+        let testbed = Testbed::with(&[Behavior::AnswerAfter(WORK_TIME)]).await;
+        let context = testbed.vm.context.clone();
+        for number in 0..20 {
+            let answer = testbed.ask(&lookup(&format!("usual-{number}"))).await;
+            assert_eq!(answer.status, 200);
+        }
+        let behavior = testbed.servers[0].behavior.clone();
+        let mut caller = testbed.caller().await;
+        let stopping = tokio::task::spawn_local(testbed.vm.stop());
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        let request = lookup("late");
+        let (begin, rest) = request.split_at(request.len() / 2);
+        caller.send(begin).await;
+        tokio::time::sleep(Duration::from_millis(2_600)).await;
+        behavior.set(Behavior::AnswerAfter(2 * WORK_TIME));
+        caller.send(rest).await;
+        stopping.await.unwrap();
+        assert_eq!(context.unanswered_requests.get(), 0, "cut by the exit");
+        assert_eq!(caller.answer().await.unwrap().status, 503);
+    });
+}
--- a/crates/kingcuploft/src/entry/shutdown.rs
+++ b/crates/kingcuploft/src/entry/shutdown.rs
@@ -10,8 +10,8 @@
 //! sooner than the long one, and is cut with it if that outlasts the process. It is left unread instead.
 //!
 //! Load pattern: requests that wait for a server, as all are slow, full or gone. A VM that lets them wait until its exit
-//! cuts them without an answer, and their callers don't know whether they ran. One that can't be answered before the exit
-//! is refused while that can still be said.
+//! cuts them without an answer, and their callers don't know whether they ran. One that may not be answered before the exit
+//! is refused while that can still be said, as is one that arrives slowly.
 
 use std::time::Duration;
 
@@ -56,8 +56,13 @@
     }
 }
 
-/// Returns whether a request that is sent to a server now is likely to be answered before the process exits, after
-/// `until_exit`. `work_ms` is how long its work usually takes.
-pub fn has_time_to_answer(until_exit: Duration, work_ms: f64) -> bool {
-    until_exit.as_secs_f64() * 1000.0 > work_ms
+/// The most times its usual duration that work is taken to last.
+const LONG_WORK_FACTOR: f64 = 3.0;
+
+/// Returns whether a request that is sent to a server now is answered before the process exits, after `until_exit`, unless its
+/// work takes much longer than the usual `work_ms`. `left` is how long its caller waits.
+pub fn has_time_to_answer(until_exit: Duration, left: Duration, work_ms: f64) -> bool {
+    let long_ms = work_ms * LONG_WORK_FACTOR;
+    let left_ms = left.as_secs_f64() * 1000.0;
+    until_exit.as_secs_f64() * 1000.0 >= left_ms.min(long_ms)
 }
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -26,6 +26,7 @@
 mod server_pauses;
 mod server_table;
 mod service_reach;
+mod shutdown;
 mod store_contact;
 mod turned_away;
 mod vm_count;
