fix(simulation): a cut between VMs and servers also holds for servers and VMs that start while it lasts

Cause: the simulation cut the VMs off from the servers that were there when the cut began. VMs that were cut off went on to reach the new ones, each by a single connection, while their new connections to all others hung: they took part in crashes, and could not tell an ended server from the cut, so they logged "silent" or "out of reach" and reported nothing.

The cuts in force are now kept in one place and applied to each server and VM that starts; of two cuts of one VM the later holds, and the end of one no longer ends the other. The rule and its check are unchanged. This was a fault of the rig, not of the product.

--- a/crates/kingcuploft-simulation/src/disruptions.rs
+++ b/crates/kingcuploft-simulation/src/disruptions.rs
@@ -173,18 +173,12 @@
     chosen.into_iter().cloned().collect()
 }
 
-/// Cuts VMs off from all present servers of a service, or of all services, for a while.
+/// Cuts VMs off from all servers of a service, or of all services, for a while.
 async fn cut_from_servers(simulation: &Simulation, vms: &[Rc<Vm>], disruption: &Disruption) {
-    let servers: Vec<_> = simulation.servers.borrow().clone();
-    let is_meant = |server: &Rc<Server>| {
-        let service = disruption.service.as_deref();
-        service.is_none_or(|service| server.service.name == service)
-    };
-    let servers: Vec<_> = servers.into_iter().filter(is_meant).collect();
     let from = simulation.history.now();
-    for vm in vms {
-        vm.cut_from_servers(&servers, Some(disruption.how));
-    }
+    let service = disruption.service.as_deref();
+    let cut = simulation.server_cuts.begin(vms, service, disruption.how);
+    simulation.apply_server_cuts(vms);
     let record = CutFromServers {
         vms: vms.iter().map(|vm| vm.index).collect(),
         service: disruption.service.clone(),
@@ -197,9 +191,8 @@
         .borrow_mut()
         .push(record);
     tokio::time::sleep(disruption.duration()).await;
-    for vm in vms {
-        vm.cut_from_servers(&servers, None);
-    }
+    simulation.server_cuts.end(cut);
+    simulation.apply_server_cuts(vms);
 }
 
 async fn restart_after(
@@ -214,6 +207,7 @@
     for vm in vms.iter().filter(|vm| !vm.is_running()) {
         simulation.history.record_disturbance(vm.index, cause);
         vm.start(false);
+        simulation.apply_server_cuts(std::slice::from_ref(vm));
     }
 }
 
--- a/crates/kingcuploft-simulation/src/lib.rs
+++ b/crates/kingcuploft-simulation/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod rules;
 pub mod search;
 pub mod server;
+pub mod server_cuts;
 pub mod shrink;
 pub mod simulation;
 pub mod store;
--- a/crates/kingcuploft-simulation/src/simulation.rs
+++ b/crates/kingcuploft-simulation/src/simulation.rs
@@ -19,6 +19,7 @@
 use crate::network::{Host, Location, Network};
 use crate::operator::{self, Operator, version_route_name};
 use crate::server::Server;
+use crate::server_cuts::ServerCuts;
 use crate::store::TestStore;
 use crate::vm::Vm;
 
@@ -81,6 +82,8 @@
     pub vms: Vec<Rc<Vm>>,
     /// All servers that were ever started, by index; stopped ones stay in the list.
     pub servers: RefCell<Vec<Rc<Server>>>,
+    /// The cuts between VMs and servers that are in force.
+    pub server_cuts: ServerCuts,
     /// The request rate as a multiple of the deployment's usual rate.
     pub load_factor: Cell<f64>,
     /// The requests of the first workspace as a multiple of its usual ones.
@@ -146,6 +149,7 @@
             balancer: Balancer::new(vms.clone()),
             callers: Rc::new(network.host(Location::External, None)),
             servers: RefCell::default(),
+            server_cuts: ServerCuts::default(),
             load_factor: Cell::new(1.0),
             workspace_factor: Cell::new(1.0),
             deadly_share: Cell::new(0.0),
@@ -241,10 +245,17 @@
             limits: Vec::new(),
         });
         self.servers.borrow_mut().push(server.clone());
+        let new = std::slice::from_ref(&server);
+        self.server_cuts.apply(&self.vms, new);
         self.operator.write_server(&server);
         Some(server)
     }
 
+    /// Sets the paths of VMs to all servers as the cuts in force say.
+    pub fn apply_server_cuts(&self, vms: &[Rc<Vm>]) {
+        self.server_cuts.apply(vms, &self.servers.borrow());
+    }
+
     /// Stops a server and closes its listening address.
     pub fn stop_server(&self, server: &Server) {
         server.stop();
--- a/crates/kingcuploft-simulation/src/vm.rs
+++ b/crates/kingcuploft-simulation/src/vm.rs
@@ -244,12 +244,10 @@
         }
     }
 
-    /// Cuts the VM off from servers, or ends the cut.
-    pub fn cut_from_servers(&self, servers: &[Rc<Server>], cut: Option<ServerCut>) {
+    /// Cuts the VM off from a server, or ends the cut.
+    pub fn cut_from_server(&self, server: &Server, cut: Option<ServerCut>) {
         if let Some(running) = &*self.running.borrow() {
-            for server in servers {
-                running.host.cut_from_server(server.address, cut);
-            }
+            running.host.cut_from_server(server.address, cut);
         }
     }
 
--- a/crates/kingcuploft-simulation/tests/world.rs
+++ b/crates/kingcuploft-simulation/tests/world.rs
@@ -41,3 +41,22 @@
         assert_eq!(run_day(&text).known_vms, vec![Some(19); 19], "seed {seed}");
     }
 }
+
+/// Guards against a cut that spares servers which start while it lasts.
+#[test]
+fn a_vm_that_is_cut_off_reaches_no_server_that_starts_meanwhile() {
+    const FIRST_SERVERS: usize = 30;
+    let result = run_day(
+        "deployment: 19-vms\nseed: 1\nlength_ms: 12000\ndisruptions:\n  \
+         - {at_ms: 1000, kind: vms_cut_from_servers, share: 0.6, for_ms: 7000, how: new_silent}\n  \
+         - {at_ms: 1500, kind: servers_start, share: 1.0}\n",
+    );
+    let cuts = result.history.cuts_from_servers.borrow();
+    let arrivals = result.history.arrivals.borrow();
+    let at_new = arrivals
+        .iter()
+        .filter(|arrival| arrival.server >= FIRST_SERVERS && cuts[0].vms.contains(&arrival.vm));
+    let (during, after): (Vec<_>, Vec<_>) = at_new.partition(|arrival| arrival.at < cuts[0].until);
+    assert_eq!(during.len(), 0);
+    assert!(!after.is_empty());
+}
