--- a/crates/kingcuploft-entry/src/store_liveness.rs
+++ b/crates/kingcuploft-entry/src/store_liveness.rs
@@ -10,6 +10,7 @@
 
 use kingcuploft::entry::era::era_of;
 use kingcuploft::entry::store_contact::StoreAnswer;
+use kingcuploft::planted::{self, PlantedFault};
 
 use crate::clock;
 use crate::context::Context;
@@ -59,6 +60,9 @@
             reached.is_some() || (answer.is_err() && received_bytes_since(&*store, asked_at));
         let has_changed = store_access.set_available(is_available);
         record_contact(&context, asked_at, is_available);
+        if has_changed && is_available && planted::is_on(PlantedFault::MistakesOutages) {
+            store_watcher::note_store_return(&context, ReturnSource::Probe(Duration::ZERO));
+        }
         if has_changed {
             if !is_available {
                 tracing::warn!(event = "store_away");
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -97,6 +97,9 @@
         };
         match outcome {
             Ok(revision) => {
+                if backoff.failures > 0 && planted::is_on(PlantedFault::MistakesOutages) {
+                    note_store_return(&context, ReturnSource::Probe(Duration::ZERO));
+                }
                 backoff.answered();
                 is_history_gone = false;
                 wait = WATCH_TIMEOUT;
@@ -354,7 +357,8 @@
 /// Applies a feeder's report that an outage of the store ended this long ago. A VM that was in contact with the store meanwhile, by
 /// another feeder or by itself, knows better: the feeder had lost the store alone.
 pub fn apply_store_return(context: &Context, ago: Duration) {
-    if context.store_contact.get().is_lost() {
+    let is_lost = context.store_contact.get().is_lost();
+    if is_lost || planted::is_on(PlantedFault::MistakesOutages) {
         note_store_return(context, ReturnSource::Feeder(ago));
     }
 }
--- a/crates/kingcuploft-simulation/src/day.rs
+++ b/crates/kingcuploft-simulation/src/day.rs
@@ -144,6 +144,9 @@
     ServersCrash,
     /// Servers announce that they drain and stop later; others start in their place.
     ServersLeave,
+    /// The entries of servers are removed, one shortly after the other; they say nothing and stop later; others start in
+    /// their place.
+    ServersRemoved,
     /// Cold servers start beside the present ones.
     ServersStart,
     /// Servers name a limit in their answers: how many requests a second (`strength`) they accept.
@@ -154,6 +157,10 @@
     StoreRewinds,
     /// The store answers no calls.
     StoreSilent,
+    /// The store cuts the watches that are waiting.
+    StoreCutsWatches,
+    /// The store turns entry VMs away; callers, servers and other VMs still reach them.
+    StoreTurnsAway,
     /// The request rate is multiplied by `strength`.
     Crowd,
     /// The operator writes a configuration with one more route.
@@ -171,7 +178,7 @@
 
 impl DisruptionKind {
     /// All kinds.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 24] = [
         Self::VmsKilled,
         Self::VmsLosePower,
         Self::VmsFrozen,
@@ -183,11 +190,14 @@
         Self::ServersSlow,
         Self::ServersCrash,
         Self::ServersLeave,
+        Self::ServersRemoved,
         Self::ServersStart,
         Self::ServersNameLimits,
         Self::DeadlyRequests,
         Self::StoreRewinds,
         Self::StoreSilent,
+        Self::StoreCutsWatches,
+        Self::StoreTurnsAway,
         Self::Crowd,
         Self::ConfigurationChange,
         Self::ZoneEvacuated,
--- a/crates/kingcuploft-simulation/src/disruptions.rs
+++ b/crates/kingcuploft-simulation/src/disruptions.rs
@@ -7,6 +7,7 @@
 use crate::history::{CutFromServers, DisturbanceCause};
 use crate::server::Server;
 use crate::simulation::Simulation;
+use crate::store_disruptions;
 use crate::vm::Vm;
 
 /// How long after its end a killed or stopped VM restarts at the earliest.
@@ -24,12 +25,12 @@
 /// How long after the end of a server another one starts in its place.
 const REPLACED_SERVER_AFTER: Duration = Duration::from_millis(3000);
 
-/// How long after a restore from a snapshot the operator and the servers write again what the store lacks.
-const REWRITE_DELAY: Duration = Duration::from_millis(600);
-
 /// The share of the requests that a server refuses that asks for pauses.
 const PAUSING_REFUSED_SHARE: f64 = 0.5;
 
+/// The time between the removals of two servers' entries.
+const REMOVAL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How often a draining server tries to write its entry while the store is silent.
 const DRAIN_WRITE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -135,10 +136,22 @@
             tokio::time::sleep(disruption.duration()).await;
             simulation.deadly_share.set(0.0);
         }
-        DisruptionKind::StoreRewinds => rewind_store(simulation, disruption.duration()).await,
+        DisruptionKind::StoreRewinds => {
+            store_disruptions::rewind(simulation, disruption.duration()).await
+        }
         DisruptionKind::ServersLeave => drain_servers(simulation, disruption).await,
+        DisruptionKind::ServersRemoved => remove_servers(simulation, disruption).await,
         DisruptionKind::ServersStart => start_servers(simulation, disruption),
-        DisruptionKind::StoreSilent => silence_store(simulation, disruption.duration()).await,
+        DisruptionKind::StoreSilent => {
+            store_disruptions::silence(simulation, disruption.duration()).await;
+        }
+        DisruptionKind::StoreCutsWatches => simulation.store.0.cut_watches(),
+        DisruptionKind::StoreTurnsAway => {
+            let vms = choose_vms(simulation, disruption.share);
+            let cause = DisturbanceCause::CutOff;
+            let turn_away = Vm::turn_away_at_store;
+            apply_to_vms(simulation, &vms, disruption.duration(), cause, turn_away).await;
+        }
         DisruptionKind::Crowd => {
             let previous = simulation.load_factor.replace(disruption.strength);
             tokio::time::sleep(disruption.duration()).await;
@@ -277,7 +290,9 @@
         let service = disruption.service.as_deref();
         service.is_none_or(|service| server.service.name == service)
     };
-    let is_serving = |server: &&Rc<Server>| !server.has_stopped.get() && !server.is_draining.get();
+    let is_serving = |server: &&Rc<Server>| {
+        !server.has_stopped.get() && !server.is_draining.get() && !server.is_removed.get()
+    };
     let all: Vec<_> = servers
         .iter()
         .filter(is_serving)
@@ -326,8 +341,7 @@
     for server in &servers {
         simulation.operator.write_server(server);
     }
-    let drain = Duration::from_millis(simulation.deployment.bounds.drain_ms);
-    tokio::time::sleep(drain + SERVES_AFTER_DRAIN).await;
+    tokio::time::sleep(drain_time(simulation) + SERVES_AFTER_DRAIN).await;
     for server in &servers {
         simulation.stop_server(server);
         simulation.store.0.remove_backend_server(&server.name);
@@ -335,23 +349,31 @@
     }
 }
 
-fn start_servers(simulation: &Simulation, disruption: &Disruption) {
+fn drain_time(simulation: &Simulation) -> Duration {
+    Duration::from_millis(simulation.deployment.bounds.drain_ms)
+}
+
+/// Removes the entries of servers, one shortly after the other; they say nothing, and serve on for a while.
+async fn remove_servers(simulation: &Rc<Simulation>, disruption: &Disruption) {
     for server in choose_servers(simulation, disruption) {
-        simulation.start_server(&server.service.name, server.zone, true);
+        while simulation.store.0.silent.get() {
+            tokio::time::sleep(DRAIN_WRITE_INTERVAL).await;
+        }
+        simulation.operator.remove_server(&server);
+        let simulation = simulation.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(drain_time(&simulation) + SERVES_AFTER_DRAIN).await;
+            simulation.stop_server(&server);
+            simulation.start_server(&server.service.name, server.zone, true);
+        });
+        tokio::time::sleep(REMOVAL_INTERVAL).await;
     }
 }
 
-async fn silence_store(simulation: &Simulation, duration: Duration) {
-    let from = simulation.history.now();
-    simulation.store.0.silent.set(true);
-    let at = {
-        let mut disturbances = simulation.history.store_disturbances.borrow_mut();
-        disturbances.push((from, Duration::MAX));
-        disturbances.len() - 1
-    };
-    tokio::time::sleep(duration).await;
-    simulation.store.0.silent.set(false);
-    simulation.history.store_disturbances.borrow_mut()[at].1 = simulation.history.now();
+fn start_servers(simulation: &Simulation, disruption: &Disruption) {
+    for server in choose_servers(simulation, disruption) {
+        simulation.start_server(&server.service.name, server.zone, true);
+    }
 }
 
 async fn name_limits(simulation: &Simulation, disruption: &Disruption) {
@@ -372,22 +394,3 @@
         }
     }
 }
-
-/// Restores the store from a snapshot of the given age; the operator and the servers then write again what it lacks.
-async fn rewind_store(simulation: &Simulation, age: Duration) {
-    let snapshot = simulation.store.0.snapshot();
-    tokio::time::sleep(age).await;
-    let from = simulation.history.now();
-    simulation.store.0.rewind(snapshot);
-    tokio::time::sleep(REWRITE_DELAY).await;
-    simulation.operator.rewrite();
-    let servers = simulation.servers.borrow().clone();
-    for server in &servers {
-        match server.has_stopped.get() {
-            true => simulation.store.0.remove_backend_server(&server.name),
-            false => simulation.operator.write_server(server),
-        }
-    }
-    let mut disturbances = simulation.history.store_disturbances.borrow_mut();
-    disturbances.push((from, simulation.history.now()));
-}
--- a/crates/kingcuploft-simulation/src/history.rs
+++ b/crates/kingcuploft-simulation/src/history.rs
@@ -83,8 +83,8 @@
 /// A write that the store accepted and that VMs must act on in time.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AcceptedWrite {
-    /// A server drains.
-    ServerDraining {
+    /// A server leaves: its entry says that it drains, or is removed.
+    ServerLeaving {
         /// The index of the server.
         server: usize,
     },
--- a/crates/kingcuploft-simulation/src/lib.rs
+++ b/crates/kingcuploft-simulation/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod simulation;
 pub mod store;
 pub mod store_client;
+mod store_disruptions;
 pub mod vm;
--- a/crates/kingcuploft-simulation/src/operator.rs
+++ b/crates/kingcuploft-simulation/src/operator.rs
@@ -138,19 +138,28 @@
             cold_for: server.cold_for(),
             started_at: None,
         });
-        let draining_write = AcceptedWrite::ServerDraining {
+        if server.is_draining.get() {
+            self.record_leaving(server);
+        }
+    }
+
+    /// Removes the entry of a server that serves on.
+    pub fn remove_server(&self, server: &Server) {
+        server.is_removed.set(true);
+        self.store.0.remove_backend_server(&server.name);
+        self.record_leaving(server);
+    }
+
+    /// Records that the store has accepted that a server leaves, if it had not before.
+    fn record_leaving(&self, server: &Server) {
+        let leaving = AcceptedWrite::ServerLeaving {
             server: server.index,
         };
-        let is_known = self
-            .history
-            .accepted_writes
-            .borrow()
-            .iter()
-            .any(|(_, write)| *write == draining_write);
-        if server.is_draining.get() && !is_known {
-            self.history.record_write(AcceptedWrite::ServerDraining {
-                server: server.index,
-            });
+        let writes = self.history.accepted_writes.borrow();
+        let is_known = writes.iter().any(|(_, write)| *write == leaving);
+        drop(writes);
+        if !is_known {
+            self.history.record_write(leaving);
         }
     }
 
--- a/crates/kingcuploft-simulation/src/rules/propagation.rs
+++ b/crates/kingcuploft-simulation/src/rules/propagation.rs
@@ -8,7 +8,7 @@
 /// A request that a VM sent just before the bound may still be in flight for this long.
 const IN_FLIGHT_TIME: Duration = Duration::from_millis(2);
 
-/// Returns how late the last arrival after an accepted write was, as a share of the bound, and when it was. Counts only
+/// Returns how late the last arrival after an accepted write was, as a share of the bound, and which it was. Counts only
 /// arrivals from VMs that had run undisturbed.
 fn lateness<'a>(
     history: &IndexedHistory<'_>,
@@ -16,7 +16,7 @@
     until: Duration,
     arrivals: impl Iterator<Item = &'a Arrival>,
     bound_ms: u64,
-) -> Option<(f64, Duration)> {
+) -> Option<(f64, &'a Arrival)> {
     let bound = Duration::from_millis(bound_ms);
     let undisturbed_time = history.deployment.bounds.undisturbed_time();
     let counted = arrivals.filter(|arrival| {
@@ -26,23 +26,24 @@
                 .raw
                 .was_undisturbed(arrival.vm, arrival.at, undisturbed_time)
     });
-    let last = counted.map(|arrival| arrival.at).max()?;
-    let late = last.saturating_sub(accepted + IN_FLIGHT_TIME);
+    let last = counted.max_by_key(|arrival| arrival.at)?;
+    let late = last.at.saturating_sub(accepted + IN_FLIGHT_TIME);
     Some((late.as_secs_f64() / bound.as_secs_f64(), last))
 }
 
-/// Returns for how long draining servers still got requests, as a share of the allowed time.
+/// Returns for how long leaving servers still got requests, as a share of the allowed time.
 pub(super) fn draining(history: &IndexedHistory<'_>) -> BoundUsage {
     let mut greatest = BoundUsage::none(Rule::Draining);
     for (at, accepted) in history.raw.accepted_writes.borrow().iter() {
-        let AcceptedWrite::ServerDraining { server } = accepted else {
+        let AcceptedWrite::ServerLeaving { server } = accepted else {
             continue;
         };
         let arrivals = history.arrivals.iter().filter(|a| a.server == *server);
         let bound_ms = history.deployment.bounds.drain_ms;
         if let Some((used, last)) = lateness(history, *at, Duration::MAX, arrivals, bound_ms) {
             greatest = greatest.or_greater(used, || {
-                format!("server {server} left at {at:?} and got a request at {last:?}")
+                let (id, vm, late_at) = (last.id, last.vm, last.at);
+                format!("server {server} left at {at:?} and got request {id:x} of VM {vm} at {late_at:?}")
             });
         }
     }
@@ -67,7 +68,8 @@
         let bound_ms = history.deployment.bounds.evacuation_ms;
         if let Some((used, last)) = lateness(history, *at, until, arrivals, bound_ms) {
             greatest = greatest.or_greater(used, || {
-                format!("zone {zone} was emptied at {at:?} and got a request at {last:?}")
+                let (id, vm, late_at) = (last.id, last.vm, last.at);
+                format!("zone {zone} was emptied at {at:?} and got request {id:x} of VM {vm} at {late_at:?}")
             });
         }
     }
--- a/crates/kingcuploft-simulation/src/server.rs
+++ b/crates/kingcuploft-simulation/src/server.rs
@@ -70,6 +70,8 @@
     pub has_stopped: Cell<bool>,
     /// Whether it drains.
     pub is_draining: Cell<bool>,
+    /// Whether its entry was removed while it serves on.
+    pub is_removed: Cell<bool>,
     kinds: Rc<Vec<RequestKind>>,
     history: Rc<History>,
     slots: Semaphore,
@@ -107,6 +109,7 @@
             cold_until: Cell::new(None),
             has_stopped: Cell::new(false),
             is_draining: Cell::new(false),
+            is_removed: Cell::new(false),
             kinds,
             history,
             slots: Semaphore::new(service.slots as usize),
--- /dev/null
+++ b/crates/kingcuploft-simulation/src/store_disruptions.rs
@@ -0,0 +1,41 @@
+//! Disruptions of the store.
+
+use std::time::Duration;
+
+use crate::simulation::Simulation;
+
+/// How long after a restore from a snapshot the operator and the servers write again what the store lacks.
+const REWRITE_DELAY: Duration = Duration::from_millis(600);
+
+/// Has the store answer no calls for a while.
+pub(crate) async fn silence(simulation: &Simulation, duration: Duration) {
+    let from = simulation.history.now();
+    simulation.store.0.silent.set(true);
+    let at = {
+        let mut disturbances = simulation.history.store_disturbances.borrow_mut();
+        disturbances.push((from, Duration::MAX));
+        disturbances.len() - 1
+    };
+    tokio::time::sleep(duration).await;
+    simulation.store.0.silent.set(false);
+    simulation.history.store_disturbances.borrow_mut()[at].1 = simulation.history.now();
+}
+
+/// Restores the store from a snapshot of the given age; the operator and the servers then write again what it lacks.
+pub(crate) async fn rewind(simulation: &Simulation, age: Duration) {
+    let snapshot = simulation.store.0.snapshot();
+    tokio::time::sleep(age).await;
+    let from = simulation.history.now();
+    simulation.store.0.rewind(snapshot);
+    tokio::time::sleep(REWRITE_DELAY).await;
+    simulation.operator.rewrite();
+    let servers = simulation.servers.borrow().clone();
+    for server in &servers {
+        match server.has_stopped.get() || server.is_removed.get() {
+            true => simulation.store.0.remove_backend_server(&server.name),
+            false => simulation.operator.write_server(server),
+        }
+    }
+    let mut disturbances = simulation.history.store_disturbances.borrow_mut();
+    disturbances.push((from, simulation.history.now()));
+}
--- a/crates/kingcuploft-simulation/src/vm.rs
+++ b/crates/kingcuploft-simulation/src/vm.rs
@@ -244,6 +244,11 @@
         }
     }
 
+    /// Has the store turn the VM away, or serve it again.
+    pub fn turn_away_at_store(&self, is_turned_away: bool) {
+        self.store.1.set(is_turned_away);
+    }
+
     /// Cuts the VM off from servers, or ends the cut.
     pub fn cut_from_servers(&self, servers: &[Rc<Server>], cut: Option<ServerCut>) {
         if let Some(running) = &*self.running.borrow() {
--- a/crates/kingcuploft-simulation/tests/corpus.rs
+++ b/crates/kingcuploft-simulation/tests/corpus.rs
@@ -4,7 +4,7 @@
 
 use kingcuploft_simulation::day::Day;
 use kingcuploft_simulation::planted_fault::{self, PlantedFault};
-use kingcuploft_simulation::rules::BoundUsage;
+use kingcuploft_simulation::rules::{BoundUsage, Rule};
 use kingcuploft_simulation::search::check_day;
 
 fn days(folder: &str) -> Vec<PathBuf> {
@@ -64,3 +64,14 @@
     assert_eq!(broken(&file, None), []);
     assert!(!broken(&file, Some(PlantedFault::ForgetsRepeats)).is_empty());
 }
+
+/// Guards against a watch that is cut and passes for an outage of the store when it is answered again.
+#[test]
+fn servers_removed_after_a_cut_watch_get_late_requests_only_if_it_passes_for_an_outage() {
+    let file = days(".").into_iter();
+    let mut file = file.filter(|file| file.ends_with("watch-cut-before-servers-are-removed.yaml"));
+    let file = file.next().expect("the day");
+    assert_eq!(broken(&file, None), []);
+    let broken = broken(&file, Some(PlantedFault::MistakesOutages));
+    assert!(broken.iter().any(|usage| usage.rule == Rule::Draining));
+}
--- a/crates/kingcuploft/src/planted.rs
+++ b/crates/kingcuploft/src/planted.rs
@@ -34,13 +34,16 @@
     SendsSuspects,
     /// A VM that reaches no server passes no request to another one.
     NeverRelays,
+    /// A VM takes its first answer from the store, and the first answer after a failed call, for the end of an outage in
+    /// which entries expire, and all VMs that hear of it believe it.
+    MistakesOutages,
     /// A VM keeps the first configuration that it receives and ignores newer ones.
     KeepsOldConfiguration,
 }
 
 impl PlantedFault {
     /// All faults.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::ForgetsRepeats,
         Self::CountsTooFew,
         Self::JoinersLackEvacuations,
@@ -56,6 +59,7 @@
         Self::IgnoresPauses,
         Self::SendsSuspects,
         Self::NeverRelays,
+        Self::MistakesOutages,
         Self::KeepsOldConfiguration,
     ];
 }
