fix(simulation): a request that a cut of its path has held up is not counted as late

Trace: all VMs are cut off from all servers, without a sign, from 13.830 s to 18.486 s. Server 7 leaves at 16.465 s, 2.6 s after the request was sent. At 18.495 s, 9 ms after the cut's end, the bytes that lay in the link reach it.

Now a request is left out if its VM was cut off from its server's service within the contact time before it arrived, and in no other case.

--- a/crates/kingcuploft-simulation/src/rules/propagation.rs
+++ b/crates/kingcuploft-simulation/src/rules/propagation.rs
@@ -8,8 +8,24 @@
 /// A request that a VM sent just before the bound may still be in flight for this long.
 const IN_FLIGHT_TIME: Duration = Duration::from_millis(2);
 
+/// Returns whether the path from a request's VM to its server was cut shortly before it arrived, so that the cut may have
+/// held it up.
+fn may_be_held_up(history: &IndexedHistory<'_>, arrival: &Arrival) -> bool {
+    let since = arrival
+        .at
+        .saturating_sub(Duration::from_millis(history.deployment.bounds.contact_ms));
+    let servers = history.raw.servers.borrow();
+    let service = servers.get(arrival.server).map(|server| &server.service);
+    let cuts = history.raw.cuts_from_servers.borrow();
+    cuts.iter().any(|cut| {
+        let is_of_path = cut.vms.contains(&arrival.vm)
+            && (cut.service.is_none() || cut.service.as_ref() == service);
+        is_of_path && cut.from <= arrival.at && cut.until >= since
+    })
+}
+
 /// Returns how late the last arrival after an accepted write was, as a share of the bound, and which it was. Counts only
-/// arrivals from VMs that had run undisturbed.
+/// arrivals from VMs that had run undisturbed, and that no cut has held up.
 fn lateness<'a>(
     history: &IndexedHistory<'_>,
     accepted: Duration,
@@ -25,6 +41,7 @@
             && history
                 .raw
                 .was_undisturbed(arrival.vm, arrival.at, undisturbed_time)
+            && !may_be_held_up(history, arrival)
     });
     let last = counted.max_by_key(|arrival| arrival.at)?;
     let late = last.at.saturating_sub(accepted + IN_FLIGHT_TIME);
