fix(reach): a server that has left is no sign of a cut from its service

What callers see: their VM takes a service for out of reach though its servers accept connections: it forgets what it knows of their load, passes requests to other VMs and offers these no way out, until two servers have accepted a new connection, asked for at first after 0.1 s.

Three servers in a row that accept no new connection mean a cut. The row ended only with a server that accepts one, and VMs that keep their connections open seldom open any: servers that had ended minutes apart, and had left or started anew since, added up.

Now a server that leaves or starts anew is no longer counted, nor is one to which a connection fails after it has left. The servers of a service that is cut off do not leave by that, so that a cut is seen as before.

Test: `servers_that_end_one_after_the_other_and_leave_are_no_cut` fails with the call of `forget_failures` taken out (`assertion failed: !context.reach.is_out_of_reach`), the eight others of `cut_off` pass with and without it.

What remains: while a VM opens no connection at all, a server that refused one and stays counts without a limit of time.

--- a/crates/kingcuploft-entry/src/reach.rs
+++ b/crates/kingcuploft-entry/src/reach.rs
@@ -9,7 +9,7 @@
 use kingcuploft::entry::service_reach::{ReachChange, ServiceReach};
 use kingcuploft::planted::{self, PlantedFault};
 use kingcuploft::utils::HashMap;
-use kingcuploft::world::ids::ServiceName;
+use kingcuploft::world::ids::{BackendServerName, ServiceName};
 use tokio::sync::Notify;
 
 use crate::clock;
@@ -71,6 +71,15 @@
         lost.count()
     }
 
+    /// Forgets that servers have not accepted a connection, as they have left or started anew.
+    pub fn forget_failures<'a>(&self, servers: impl Iterator<Item = &'a BackendServerName>) {
+        let mut services = self.services.borrow_mut();
+        for server in servers {
+            let all = services.values_mut();
+            all.for_each(|reach| reach.forget_failure(server));
+        }
+    }
+
     /// Records that a server has answered.
     pub fn record_contact(&self, service: &ServiceName) {
         self.with(service, |reach| reach.record_contact(clock::now()));
@@ -105,10 +114,11 @@
     let opened = upstream.open(&*context.network, share).await;
     let server = &upstream.server.name;
     let servers = context.upstream_count(service);
+    let is_in_use = context.upstream(server).is_some();
     let change = context.reach.with(service, |reach| match &opened {
         Ok(_) => reach.record_opened(clock::now(), server, servers),
-        Err(ConnectError::Io(_)) => reach.record_not_opened(server, servers),
-        Err(ConnectError::ShareInUse) => ReachChange::None,
+        Err(ConnectError::Io(_)) if is_in_use => reach.record_not_opened(server, servers),
+        Err(ConnectError::Io(_) | ConnectError::ShareInUse) => ReachChange::None,
     });
     match change {
         ReachChange::None => {}
--- a/crates/kingcuploft-entry/src/usable_servers.rs
+++ b/crates/kingcuploft-entry/src/usable_servers.rs
@@ -107,6 +107,7 @@
         if dropped.is_empty() {
             return;
         }
+        self.reach.forget_failures(dropped.iter().copied());
         let servers = self.servers.borrow();
         let added = added.into_iter().filter_map(|name| {
             let server = servers.get_shared(name)?;
--- a/crates/kingcuploft-entry/tests/entry/cut_off.rs
+++ b/crates/kingcuploft-entry/tests/entry/cut_off.rs
@@ -6,6 +6,7 @@
 
 use kingcuploft_entry::peers::load_reports;
 use kingcuploft_entry::peers::peer_socket::PeerMessage;
+use kingcuploft_entry::{reach, server_updates};
 use kingcuploft_soak::cuttable::ServerCut;
 
 use crate::cut_fleet::{CALLERS, DEADLINE, Fleet};
@@ -134,6 +135,23 @@
     });
 }
 
+/// Guards against a service that counts as out of reach since servers have ended one after the other, long ago or again.
+#[test]
+fn servers_that_end_one_after_the_other_and_leave_are_no_cut() {
+    run_test(async {
+        let fleet = Fleet::of(&["thun"], &[Behavior::Answer; 5]).await;
+        let context = &fleet.vms[0].context;
+        for (at, server) in fleet.servers.iter().take(3).enumerate() {
+            let name = format!("s{at}");
+            let upstream = context.upstream(&name).unwrap();
+            server.shut_down();
+            assert!(reach::connect(context, &upstream).await.is_err());
+            server_updates::apply_removals(context, Instant::now(), vec![name.into()]);
+        }
+        assert!(!context.reach.is_out_of_reach(&"trip".into()));
+    });
+}
+
 /// Guards against a request that all VMs refuse as one that crashes servers, since a cut reset it at several servers.
 #[test]
 fn connections_that_a_cut_resets_are_no_crashes_of_their_servers() {
--- a/crates/kingcuploft/src/entry/service_reach.rs
+++ b/crates/kingcuploft/src/entry/service_reach.rs
@@ -105,6 +105,12 @@
         ReachChange::Lost
     }
 
+    /// Forgets that a server has not accepted a connection, as it has left or started anew: that it had ended tells
+    /// nothing of the paths to the others.
+    pub fn forget_failure(&mut self, server: &BackendServerName) {
+        self.failed.retain(|failed| failed != server);
+    }
+
     /// Records that a server has answered, on whatever connection.
     pub fn record_contact(&mut self, now: Instant) {
         self.last_contact = Some(now);
