fix(upstream): an answer without a request's id does not count as the request's own

What callers saw: with upstreams that reject health checks when full and hand out an answer a second time, late, a hold ran twice, was answered 503 though it ran, or got 502. A lookup could get 502 too.

Cause: an answer without an id counted as the answer to any request, so the rejection of a probe, sent a second time in front of the next answer on that connection, said "not run" of a hold that was running. The probe itself took any response for its own: after an answer to a lookup that came again, the probe's own answer was left for the next request.

Fix: an answer belongs to a request only if it echoes the request's id; to a probe, or a request without an id, only if it has none (entry/answer_identity, upstream/own_answer). All others are skipped as crossed answers were, and their connection is not used again. The relay's answers go the same way.

--- a/crates/kingcuploft-entry/src/relay/send.rs
+++ b/crates/kingcuploft-entry/src/relay/send.rs
@@ -96,7 +96,7 @@
             return without_answer(AttemptEnd::Lost, "broke while sending to the other VM");
         }
     }
-    let received = exchange::receive_matching(context, &mut connection, request).await;
+    let received = exchange::receive_own(context, &mut connection, request).await;
     match received {
         Ok(response) => classify(context, response, told),
         Err((end, detail)) => without_answer(end, detail),
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -6,6 +6,7 @@
 use kingcuploft::entry::attempts::AttemptEnd;
 use kingcuploft::world::ids::BackendServerName;
 
+use super::own_answer::{self, AwaitedAnswer, NoOwnAnswer};
 use super::server_signals::{self, MISDIRECTED_STATUS};
 use super::{ConnectError, ReportSource, Upstream};
 use crate::clock;
@@ -25,9 +26,6 @@
 /// The statuses of a request that was served.
 pub(crate) const SERVED_STATUSES: std::ops::Range<u16> = 200..300;
 
-/// How many responses to other requests are skipped on one connection before the attempt fails.
-const MAX_SKIPPED_RESPONSES: usize = 3;
-
 /// How one attempt ended, with the response if it is complete.
 #[derive(Debug)]
 pub struct AttemptOutcome {
@@ -125,7 +123,7 @@
             );
         }
     }
-    let received = receive_matching(context, &mut connection, request).await;
+    let received = receive_own(context, &mut connection, request).await;
     let response = match received {
         Ok(response) => response,
         Err((end, detail)) => return AttemptOutcome::without_answer(end, detail, started_at),
@@ -157,31 +155,27 @@
     }
 }
 
-/// Receives the response with the request's id. A response to another request may come first: the server sent one
-/// response too many to the previous user of the connection.
-pub(crate) async fn receive_matching(
+/// Receives the answer that belongs to the request, or returns how the attempt has ended without it.
+pub(crate) async fn receive_own(
     context: &Context,
     connection: &mut Connection,
     request: &Request,
 ) -> Result<Response, (AttemptEnd, &'static str)> {
-    for _ in 0..MAX_SKIPPED_RESPONSES {
-        let received = connection.receive(&request.head.method, MAX_RESPONSE_BYTES);
-        let response = received.await.map_err(|error| match error {
-            ReceiveError::Closed => (AttemptEnd::Lost, "closed without an answer"),
-            ReceiveError::Failed(_) => (AttemptEnd::Lost, "connection failed"),
-            ReceiveError::Truncated => (AttemptEnd::Broken, "truncated answer"),
-            ReceiveError::Malformed => (AttemptEnd::Broken, "malformed answer"),
-        })?;
-        let echoed = response.head.headers.get(context.wire_names.request_id);
-        match (echoed, request.id.as_deref()) {
-            (Some(echoed), Some(id)) if echoed != id => {
-                connection.mark_unusable();
-                tracing::info!(event = "crossed_answer", request = id, answer = echoed);
-            }
-            _ => return Ok(response),
+    let awaited = AwaitedAnswer {
+        method: &request.head.method,
+        request_id: request.id.as_deref(),
+        max_bytes: MAX_RESPONSE_BYTES,
+    };
+    let received = own_answer::receive(context, connection, awaited).await;
+    received.map_err(|error| match error {
+        NoOwnAnswer::OnlyOthers => (AttemptEnd::Lost, "only answers to other requests"),
+        NoOwnAnswer::Receive(ReceiveError::Closed) => {
+            (AttemptEnd::Lost, "closed without an answer")
         }
-    }
-    Err((AttemptEnd::Lost, "only answers to other requests"))
+        NoOwnAnswer::Receive(ReceiveError::Failed(_)) => (AttemptEnd::Lost, "connection failed"),
+        NoOwnAnswer::Receive(ReceiveError::Truncated) => (AttemptEnd::Broken, "truncated answer"),
+        NoOwnAnswer::Receive(ReceiveError::Malformed) => (AttemptEnd::Broken, "malformed answer"),
+    })
 }
 
 fn classify(context: &Context, response: &Response) -> (AttemptEnd, &'static str) {
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod crash_check;
 pub mod exchange;
+pub mod own_answer;
 pub mod probe;
 mod probe_step;
 pub mod server_signals;
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use super::own_answer::{self, AwaitedAnswer};
 use super::probe_step::ProbeStep;
 use super::server_signals;
 use super::{ConnectError, ReportSource, Upstream};
@@ -143,10 +144,13 @@
         ProbeStep::New
     });
     connection.send(request).await.ok()?;
-    let response = connection
-        .receive("GET", MAX_PROBE_RESPONSE_BYTES)
-        .await
-        .ok()?;
+    let awaited = AwaitedAnswer {
+        method: "GET",
+        request_id: None,
+        max_bytes: MAX_PROBE_RESPONSE_BYTES,
+    };
+    let received = own_answer::receive(context, &mut connection, awaited).await;
+    let response = received.ok()?;
     upstream.release(connection);
     Some(response)
 }
--- a/crates/kingcuploft-entry/tests/entry/answers.rs
+++ b/crates/kingcuploft-entry/tests/entry/answers.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::server::Behavior;
+use crate::server::{Behavior, LateExtra};
 use crate::testbed::{Testbed, booking, lookup, run_test, wait_until};
 
 /// The most that an immediate refusal may take: far less than a request may wait for a server.
@@ -62,6 +62,32 @@
     });
 }
 
+/// Guards against a server that counts as silent as its answer to a lookup comes a second time, in front of its answer to
+/// a probe.
+#[test]
+fn an_answer_to_a_lookup_is_not_taken_for_a_probes() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Answer]).await;
+        let server = &testbed.servers[0];
+        server.late_extra.set(LateExtra::Answers);
+        let context = &testbed.vm.context;
+        let upstream = context.upstream("s0").unwrap();
+        let mut asked = 0;
+        while server.extras_before_probe_answers.get() < 3 {
+            let answer = testbed.ask(&lookup(&format!("r{asked}"))).await;
+            assert_eq!(answer.status, 200);
+            asked += 1;
+            assert!(asked < 100, "no answer came in front of a probe's");
+            upstream.forget_load_report();
+        }
+        let counters = context.metrics_text();
+        assert!(
+            !counters.contains("probes_total{reason=\"failed\"}"),
+            "{counters}"
+        );
+    });
+}
+
 #[test]
 fn a_failure_of_all_servers_is_forwarded_unchanged() {
     run_test(async {
--- a/crates/kingcuploft-entry/tests/entry/protected.rs
+++ b/crates/kingcuploft-entry/tests/entry/protected.rs
@@ -1,6 +1,6 @@
 //! Protected requests run at most once, and an answer that says "not run" is true.
 
-use crate::server::Behavior;
+use crate::server::{Behavior, LateExtra};
 use crate::testbed::{Testbed, booking, run_test};
 
 /// Guards against a booking that runs again because its first answer was lost.
@@ -43,6 +43,31 @@
     });
 }
 
+/// Guards against a booking that runs twice, or is refused though it runs, as a full server's refusal of a probe comes a
+/// second time in front of the booking's answer.
+#[test]
+fn a_refused_probe_is_no_proof_that_a_booking_did_not_run() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Answer, Behavior::Answer]).await;
+        for server in &testbed.servers {
+            server.late_extra.set(LateExtra::ProbeRefusals);
+        }
+        let extra_count = || -> u32 {
+            let counts = testbed.servers.iter();
+            counts
+                .map(|server| server.extras_before_answers.get())
+                .sum()
+        };
+        let mut asked = 0;
+        while extra_count() < 3 {
+            asked += 1;
+            let answer = testbed.ask(&booking(&format!("b{asked}"))).await;
+            assert_eq!((answer.status, testbed.run_count()), (200, asked));
+            assert!(asked < 100, "no refusal came in front of an answer");
+        }
+    });
+}
+
 #[test]
 fn a_failure_of_the_server_is_final_for_a_booking() {
     run_test(async {
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -58,6 +58,18 @@
     All,
 }
 
+/// Which of its answers a server sends a second time, late: in front of its next answer on the connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum LateExtra {
+    /// None.
+    #[default]
+    None,
+    /// Those to probes, all of which it refuses as it is full.
+    ProbeRefusals,
+    /// Those to requests.
+    Answers,
+}
+
 /// A request as the server received it.
 #[derive(Clone, Debug)]
 pub(crate) struct ReceivedRequest {
@@ -92,6 +104,12 @@
     pub(crate) probe_pause_ms: Rc<Cell<u32>>,
     /// In which answers it says that it leaves.
     pub(crate) leaving_notice: Rc<Cell<LeavingNotice>>,
+    /// Which answers it sends a second time.
+    pub(crate) late_extra: Rc<Cell<LateExtra>>,
+    /// In front of how many answers to requests it has sent another answer a second time.
+    pub(crate) extras_before_answers: Rc<Cell<u32>>,
+    /// In front of how many answers to probes it has sent another answer a second time.
+    pub(crate) extras_before_probe_answers: Rc<Cell<u32>>,
     connections: Rc<Cell<u32>>,
     /// How many connections were opened so far.
     pub(crate) opened_connections: Rc<Cell<u32>>,
@@ -118,6 +136,9 @@
             probe_delay: Rc::default(),
             probe_pause_ms: Rc::default(),
             leaving_notice: Rc::default(),
+            late_extra: Rc::default(),
+            extras_before_answers: Rc::default(),
+            extras_before_probe_answers: Rc::default(),
             connections: Rc::default(),
             opened_connections: Rc::default(),
             accept_delay: Rc::default(),
@@ -161,8 +182,21 @@
 
     async fn serve(&self, mut stream: TcpStream) {
         let mut bytes = Vec::new();
+        let mut extra: Option<String> = None;
         while let Some(request) = read_request(&mut stream, &mut bytes).await {
-            if request.text.starts_with("GET /health ") {
+            let is_probe = request.text.starts_with("GET /health ");
+            if let Some(extra) = extra.take() {
+                if stream.write_all(extra.as_bytes()).await.is_err() {
+                    return;
+                }
+                let count = match is_probe {
+                    true => &self.extras_before_probe_answers,
+                    false => &self.extras_before_answers,
+                };
+                count.update(|count| count + 1);
+            }
+            let late_extra = self.late_extra.get();
+            if is_probe {
                 self.probe_count.set(self.probe_count.get() + 1);
                 tokio::time::sleep(self.probe_delay.get()).await;
                 let cold = match self.cold_ms.get() {
@@ -174,6 +208,9 @@
                     LeavingNotice::None | LeavingNotice::Requests => "",
                 };
                 let (status, pause) = match self.probe_pause_ms.get() {
+                    _ if late_extra == LateExtra::ProbeRefusals => {
+                        ("503 Full", "x-not-run: 1\r\n".to_owned())
+                    }
                     0 => ("200 OK", String::new()),
                     ms => ("503 Full", pause_header(ms)),
                 };
@@ -183,18 +220,20 @@
                 if stream.write_all(answer.as_bytes()).await.is_err() {
                     return;
                 }
+                extra = (late_extra == LateExtra::ProbeRefusals).then_some(answer);
                 continue;
             }
             self.received.borrow_mut().push(request.clone());
             if !self.respond(&mut stream, &request).await {
                 return;
             }
+            extra = (late_extra == LateExtra::Answers).then(|| whole_answer(&request));
         }
     }
 
     /// Responds to a request; returns whether the connection stays open.
     async fn respond(&self, stream: &mut TcpStream, request: &ReceivedRequest) -> bool {
-        let id = request.header("x-id").unwrap_or_default().to_owned();
+        let id = request_id(request);
         let behavior = self.behavior.get();
         let is_refused = matches!(
             behavior,
@@ -206,9 +245,7 @@
         if !is_refused {
             self.runs.set(self.runs.get() + 1);
         }
-        let whole = format!(
-            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: s\r\nContent-Length: 5\r\n\r\nhello"
-        );
+        let whole = whole_answer(request);
         let answer = match behavior {
             Behavior::Answer => whole,
             Behavior::AnswerAfter(pause) => {
@@ -233,12 +270,14 @@
             Behavior::Unsigned => whole.replace("x-signed: s\r\n", ""),
             Behavior::Fail => whole.replace("200 OK", "500 Failed"),
             Behavior::Shed => {
-                "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
+                format!(
+                    "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n"
+                )
             }
-            Behavior::ShedAndPause(pause_ms) => refusal_with_pause("503 Full", pause_ms),
-            Behavior::ThrottleAndPause(pause_ms) => refusal_with_pause("429 Many", pause_ms),
+            Behavior::ShedAndPause(pause_ms) => refusal_with_pause("503 Full", id, pause_ms),
+            Behavior::ThrottleAndPause(pause_ms) => refusal_with_pause("429 Many", id, pause_ms),
             Behavior::Misdirected => {
-                "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n".to_owned()
+                format!("HTTP/1.1 421 Misdirected\r\nx-id: {id}\r\nContent-Length: 0\r\n\r\n")
             }
             Behavior::CrashOnMarkedPath if request.text.contains("/crash") => {
                 self.shut_down();
@@ -268,9 +307,18 @@
     }
 }
 
-fn refusal_with_pause(status: &str, pause_ms: u32) -> String {
+fn request_id(request: &ReceivedRequest) -> &str {
+    request.header("x-id").unwrap_or_default()
+}
+
+fn whole_answer(request: &ReceivedRequest) -> String {
+    let id = request_id(request);
+    format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: s\r\nContent-Length: 5\r\n\r\nhello")
+}
+
+fn refusal_with_pause(status: &str, id: &str, pause_ms: u32) -> String {
     let pause = pause_header(pause_ms);
-    format!("HTTP/1.1 {status}\r\nx-not-run: 1\r\n{pause}Content-Length: 0\r\n\r\n")
+    format!("HTTP/1.1 {status}\r\nx-id: {id}\r\nx-not-run: 1\r\n{pause}Content-Length: 0\r\n\r\n")
 }
 
 fn pause_header(pause_ms: u32) -> String {
--- a/crates/kingcuploft-simulation/src/server.rs
+++ b/crates/kingcuploft-simulation/src/server.rs
@@ -203,7 +203,8 @@
         let id = head.headers.get("x-id").unwrap_or_default().to_owned();
         let meant_for = head.headers.get("x-meant-for");
         if meant_for.is_some_and(|name| name != self.name) {
-            return write(end, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n").await;
+            let answer = format!("HTTP/1.1 421 Other\r\nx-id: {id}\r\nContent-Length: 0\r\n\r\n");
+            return write(end, &answer).await;
         }
         let Some(kind) = self.kind_of(&head.target) else {
             return write(end, &self.complete_answer(&id)).await;
@@ -226,7 +227,7 @@
         let is_full =
             self.running.get() + self.waiting.get() >= self.service.slots + self.service.queue;
         if is_full || fastrand::f64() < self.faults.refused_share.get() {
-            return write(end, &self.refusal(vm)).await;
+            return write(end, &self.refusal(&id, vm)).await;
         }
         if is_deadly {
             self.history.arrivals.borrow()[at].ran.set(true);
@@ -246,7 +247,7 @@
     }
 
     /// Returns the refusal of a VM's request.
-    fn refusal(&self, vm: usize) -> String {
+    fn refusal(&self, id: &str, vm: usize) -> String {
         let (load, leaving) = (self.load(), self.leaving_header());
         let pause = self.faults.pause.get().map_or_else(String::new, |pause| {
             self.history
@@ -261,7 +262,7 @@
             format!("Retry-After: {}\r\n", pause.as_secs_f64())
         });
         format!(
-            "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-load: {load}\r\n{leaving}{pause}Content-Length: 0\r\n\r\n"
+            "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\nx-load: {load}\r\n{leaving}{pause}Content-Length: 0\r\n\r\n"
         )
     }
 
