--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -19,6 +19,8 @@
 mod rewinds;
 mod server;
 mod stopping;
+mod stopping_cuts;
+mod stopping_search;
 mod store_faults;
 mod testbed;
 mod unused_servers;
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -277,7 +277,10 @@
     format!("Retry-After: {}\r\n", f64::from(pause_ms) / 1000.0)
 }
 
-async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<ReceivedRequest> {
+pub(crate) async fn read_request(
+    stream: &mut TcpStream,
+    bytes: &mut Vec<u8>,
+) -> Option<ReceivedRequest> {
     loop {
         if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
             let head: Vec<u8> = bytes.drain(..end + 4).collect();
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/entry/stopping_cuts.rs
@@ -0,0 +1,107 @@
+//! Requests that the exit of a stopping VM cuts, or whose callers can't know what became of them.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcuploft_entry::edge::connection;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use crate::server::Behavior;
+use crate::testbed::{Answer, Caller, Testbed, booking, lookup, run_in_virtual_time, wait_until};
+
+/// How long a lookup takes at the servers of these tests.
+const WORK_TIME: Duration = Duration::from_millis(400);
+
+/// How many bytes a caller's connection holds that its caller has not read.
+const BUFFER_BYTES: usize = 4096;
+
+/// Returns a booking whose caller waits so long that the exit of the VM comes first.
+fn long_booking(id: &str) -> String {
+    booking(id).replace("x-deadline-ms: 4000", "x-deadline-ms: 5000")
+}
+
+/// Collects the answers that a caller gets.
+fn collect_answers(
+    mut caller: Caller<impl tokio::io::AsyncRead + Unpin + 'static>,
+) -> Rc<RefCell<Vec<Answer>>> {
+    let answers = Rc::new(RefCell::new(Vec::new()));
+    let collected = answers.clone();
+    tokio::task::spawn_local(async move {
+        while let Some(answer) = caller.answer().await {
+            collected.borrow_mut().push(answer);
+        }
+    });
+    answers
+}
+
+/// Guards against an exit that cuts an answer that is ready, as it waits for the one ahead of it.
+#[test]
+fn an_answer_that_is_ready_behind_one_at_work_is_written_before_the_exit() {
+    run_in_virtual_time(async {
+        let testbed = Testbed::with(&[Behavior::Hang]).await;
+        let server = testbed.servers[0].clone();
+        let (answers, mut requests) = testbed.caller().await.split();
+        let answers = collect_answers(answers);
+        let stopping = tokio::task::spawn_local(testbed.vm.stop());
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let at_work = long_booking("at-work");
+        requests.write_all(at_work.as_bytes()).await.unwrap();
+        wait_until(|| server.runs.get() == 1).await;
+        server.behavior.set(Behavior::Answer);
+        let ready = long_booking("ready");
+        requests.write_all(ready.as_bytes()).await.unwrap();
+        wait_until(|| server.runs.get() == 2).await;
+        stopping.await.unwrap();
+        let answers = answers.borrow();
+        let own = answers.iter().find(|answer| answer.has("x-id: ready"));
+        assert_eq!(own.map(|answer| answer.status), Some(200), "{answers:?}");
+    });
+}
+
+/// Guards against an exit that cuts a request whose last bytes have come so late that no server had time for it.
+#[test]
+fn a_request_whose_body_comes_late_is_not_cut_by_the_exit() {
+    run_in_virtual_time(async {
+        let testbed = Testbed::with(&[Behavior::AnswerAfter(4 * WORK_TIME)]).await;
+        let context = testbed.vm.context.clone();
+        let (answers, mut requests) = testbed.caller().await.split();
+        let answers = collect_answers(answers);
+        let stopping = tokio::task::spawn_local(testbed.vm.stop());
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let booking = long_booking("late");
+        let (head, body) = booking.split_at(booking.len() - 3);
+        requests.write_all(head.as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        requests.write_all(body.as_bytes()).await.unwrap();
+        stopping.await.unwrap();
+        assert_eq!(context.unanswered_requests.get(), 0, "cut by the exit");
+        assert_eq!(answers.borrow().len(), 1);
+    });
+}
+
+/// Guards against a booking whose caller can't know that it was not read, as the answer ahead of it does not announce the close.
+#[test]
+fn an_answer_ahead_of_a_booking_that_expects_to_continue_announces_the_close() {
+    run_in_virtual_time(async {
+        let testbed = Testbed::with(&[Behavior::AnswerAfter(WORK_TIME)]).await;
+        let context = testbed.vm.context.clone();
+        let (mut caller, end) = tokio::io::duplex(BUFFER_BYTES);
+        tokio::task::spawn_local(connection::serve(context.clone(), end));
+        caller.write_all(lookup("ahead").as_bytes()).await.unwrap();
+        wait_until(|| testbed.run_count() == 1).await;
+        let booking = booking("behind").replace("x-id", "Expect: 100-continue\r\nx-id");
+        let (head, body) = booking.split_at(booking.len() - 3);
+        caller.write_all(head.as_bytes()).await.unwrap();
+        tokio::time::sleep(WORK_TIME / 4).await;
+        context
+            .shutdown
+            .begin(std::time::Instant::now() + Duration::from_secs(5));
+        context.shutdown.close_connections();
+        caller.write_all(body.as_bytes()).await.unwrap();
+        let mut read = String::new();
+        caller.read_to_string(&mut read).await.unwrap();
+        assert_eq!(testbed.run_count(), 1, "{read}");
+        assert!(read.contains("Connection: close"), "{read}");
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/testbed.rs
+++ b/crates/kingcuploft-entry/tests/entry/testbed.rs
@@ -222,10 +222,15 @@
 }
 
 pub(crate) fn entry(at: usize, server: &TestServer) -> BackendServer {
+    entry_at(at, server.address)
+}
+
+/// Returns the entry of the server at an address.
+pub(crate) fn entry_at(at: usize, address: SocketAddr) -> BackendServer {
     BackendServer {
         name: format!("s{at}").into(),
         service: "trip".into(),
-        address: server.address,
+        address,
         zone: "thun".into(),
         slots: 4,
         draining: false,
