test(shutdown): the search also plays VMs that pass requests to each other

Two or three VMs of a zone, of which one is cut off from the servers at a drawn moment and in a drawn way, and any of them stops. A caller of a VM that does not stop, whose request another one cut, counts too, as a violation of its own.

Requests bear the scenario's name, and callers open connections only while their VM accepts any.

--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -11,7 +11,7 @@
 use kingcuploft_entry::network::{Network, Tcp};
 use kingcuploft_entry::peers::followers::Followers;
 use kingcuploft_entry::peers::frame::Frame;
-use kingcuploft_entry::run::{self, Running};
+use kingcuploft_entry::run::{self, Running, StartError};
 use kingcuploft_entry::settings::EntrySettings;
 use kingcuploft_entry::store::Collection;
 
@@ -33,21 +33,30 @@
     name: &str,
     store: &TestStore,
 ) -> Running {
+    let started = try_start_with_network(network, zone, name, store).await;
+    started.unwrap()
+}
+
+/// As [`start_with_network`]; fails if another process has taken the datagram port of the drawn address.
+pub(crate) async fn try_start_with_network(
+    network: Rc<dyn Network>,
+    zone: &str,
+    name: &str,
+    store: &TestStore,
+) -> Result<Running, StartError> {
     let settings = EntrySettings {
         zone: zone.into(),
         peer_address: Some(([127, 0, 0, 1], 0).into()),
         ..settings(name)
     };
-    let vm = run::start_with_network(network, settings, HEADER_NAMES, store.clone())
-        .await
-        .unwrap();
+    let vm = run::start_with_network(network, settings, HEADER_NAMES, store.clone()).await?;
     vm.context.recover_repeats(&UsageReport {
         heard_ms: 1000,
         ..UsageReport::default()
     });
     assume_large_fleet(&vm);
     wait_until(|| vm.context.is_ready()).await;
-    vm
+    Ok(vm)
 }
 
 pub(crate) fn follower_count(vms: &[Running]) -> usize {
--- a/crates/kingcuploft-entry/tests/entry/stopping_search/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_search/callers.rs
@@ -41,7 +41,7 @@
     pace: Pace,
     /// The most requests that it sends at once.
     burst: usize,
-    /// The most time between two requests that it sends at once; without it they are one write.
+    /// The most time between two requests of a burst; without it nobody runs between them.
     spacing: Option<Duration>,
     /// The most time between two bursts, in milliseconds.
     gap_ms: u64,
@@ -96,12 +96,17 @@
 }
 
 /// Opens a connection at its time and uses it by its habit.
-pub(super) async fn run(history: Rc<History>, process: Rc<Process>, habit: Habit, seed: u64) {
+pub(super) async fn run(
+    history: Rc<History>,
+    (vm, process): (usize, Rc<Process>),
+    habit: Habit,
+    seed: u64,
+) {
     history.wait_until(habit.opens_at).await;
     let Some((reader, writer)) = open(&process, &habit).await else {
         return;
     };
-    let connection = history.open_connection();
+    let connection = history.open_connection(vm);
     if habit.slow_read.is_some() {
         let mut slow_readers = history.slow_readers.borrow_mut();
         slow_readers.insert(connection, Duration::ZERO);
@@ -121,6 +126,9 @@
 }
 
 async fn open(process: &Process, habit: &Habit) -> Option<(Reader, Writer)> {
+    if !process.accepts() {
+        return None;
+    }
     match habit.memory_bytes {
         Some(bytes) => {
             let stream = process.connect_in_memory(bytes)?;
@@ -196,48 +204,30 @@
         }
     }
 
-    /// Sends requests, in one write or one after the other; returns whether the connection takes more.
+    /// Sends requests, all at once or one after the other; returns whether the connection takes more.
     async fn send_burst(&self, writer: &mut Writer, rng: &mut Rng, count: usize) -> bool {
-        let mut joined = Vec::new();
-        let mut joined_ids = Vec::new();
         for _ in 0..count {
             let plan = RequestPlan::draw(rng, self.habit.bookings_in_100);
             let id = self.history.begin_request(self.connection, &plan);
             self.begun.borrow_mut().push(id);
-            match (self.habit.spacing, plan.is_at_once()) {
-                (None, true) => {
-                    joined.extend(plan.head(id));
-                    joined_ids.push(id);
-                }
-                _ => {
-                    if !self.flush(writer, &mut joined, &mut joined_ids).await
-                        || !self.send_slowly(writer, &plan, id).await
-                    {
-                        return false;
-                    }
-                    let spacing = self.habit.spacing.unwrap_or_default();
-                    tokio::time::sleep(spacing.mul_f64(rng.f64())).await;
-                }
+            if !self.send(writer, &plan, id).await {
+                return false;
+            }
+            if let Some(spacing) = self.habit.spacing {
+                tokio::time::sleep(spacing.mul_f64(rng.f64())).await;
             }
-        }
-        self.flush(writer, &mut joined, &mut joined_ids).await
-    }
-
-    async fn flush(&self, writer: &mut Writer, joined: &mut Vec<u8>, ids: &mut Vec<usize>) -> bool {
-        if writer.write_all(joined).await.is_err() {
-            return false;
-        }
-        joined.clear();
-        for id in ids.drain(..) {
-            self.history.finish_request(id);
         }
         true
     }
 
-    /// Sends a request whose body comes in parts; returns whether the connection takes more.
-    async fn send_slowly(&self, writer: &mut Writer, plan: &RequestPlan, id: usize) -> bool {
+    /// Sends a request; returns whether the connection takes more.
+    async fn send(&self, writer: &mut Writer, plan: &RequestPlan, id: usize) -> bool {
         let interim = self.interim.get();
-        if writer.write_all(&plan.head(id)).await.is_err() {
+        if writer
+            .write_all(&plan.head(&self.history.name_of(id)))
+            .await
+            .is_err()
+        {
             return false;
         }
         if plan.expects_continue() {
@@ -309,7 +299,8 @@
             status: answer.status,
             closes: answer.has("connection", "close"),
             is_of_server,
-            is_own: is_whole && (answer.has("x-id", &format!("r{id}")) || answer.is_unreadable()),
+            is_own: is_whole
+                && (answer.has("x-id", &self.history.name_of(id)) || answer.is_unreadable()),
         };
         if seen.closes {
             self.is_closing.set(true);
--- a/crates/kingcuploft-entry/tests/entry/stopping_search/check.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_search/check.rs
@@ -20,6 +20,9 @@
 /// How long after its last byte a request that was not passed on may be cut.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 
+/// How long after a cut of the paths to servers its last connection ends.
+const CUT_SLACK: Duration = Duration::from_millis(20);
+
 /// How a request was not handled as promised.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(super) enum Violation {
@@ -33,6 +36,8 @@
     LostWaiting,
     /// The VM's own answer stands for one at which a server was at work.
     Replaced,
+    /// A caller of a VM that does not stop got no server's answer, as another VM stopped that had passed the request on.
+    CutBehindOtherVm,
     /// A protected request ran though the answer ahead of it announced the close.
     RanBehindClose,
     /// A protected request ran twice.
@@ -100,6 +105,11 @@
         self.ahead.iter().any(closes)
     }
 
+    fn is_at_stopping_vm(&self) -> bool {
+        let vms = self.history.connection_vms.borrow();
+        vms[self.request.connection] == self.history.stopping_vm.get()
+    }
+
     fn has_run(&self) -> bool {
         self.run_count() > 0
     }
@@ -114,6 +124,9 @@
         if self.request.answer.is_some() || sent_at > closed_at || self.is_behind_close() {
             return None;
         }
+        if !self.is_at_stopping_vm() {
+            return Some(Violation::CutBehindOtherVm);
+        }
         if !self.has_run() {
             return self.lost_without_run(closed_at, sent_at);
         }
@@ -152,10 +165,20 @@
         let is_timed_out = ended_at + TIME_SLACK >= sent_at + request.allowed;
         let was_sent_soon = sent_at <= self.history.stop_at.get() + EXCUSED_UNTIL;
         request.runs.iter().any(has_broken_off)
+            || self.was_cut_off()
             || is_timed_out
             || was_sent_soon && self.is_at_work_at_exit()
     }
 
+    /// Returns whether the path to a server was cut while it was at work.
+    fn was_cut_off(&self) -> bool {
+        let Some(cut_at) = self.history.cut_at.get() else {
+            return false;
+        };
+        let mut runs = self.request.runs.iter();
+        runs.any(|run| run.was_at_work(cut_at, cut_at + CUT_SLACK))
+    }
+
     /// Returns whether the caller was reading the answer of this request, or one ahead of it, all the time.
     fn is_unread_by_caller(&self) -> bool {
         let slow_readers = self.history.slow_readers.borrow();
@@ -189,7 +212,10 @@
         if answer.is_of_server || !self.has_run() || is_excused {
             return None;
         }
-        Some(Violation::Replaced)
+        Some(match self.is_at_stopping_vm() {
+            true => Violation::Replaced,
+            false => Violation::CutBehindOtherVm,
+        })
     }
 
     fn ran(&self) -> Option<Violation> {
--- a/crates/kingcuploft-entry/tests/entry/stopping_search/events.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_search/events.rs
@@ -5,6 +5,7 @@
 
 use fastrand::Rng;
 use kingcuploft::entry::configuration::Configuration;
+use kingcuploft_soak::cuttable::{CuttableNetwork, ServerCut};
 
 use super::draw;
 use super::history::History;
@@ -87,3 +88,36 @@
     let routes = routes.cloned().collect();
     Configuration::new(version, routes, known.services.clone(), known.limits)
 }
+
+/// How and when a VM is cut off from the servers.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Cut {
+    at: Duration,
+    cut: ServerCut,
+    heals_at: Duration,
+}
+
+impl Cut {
+    pub(super) fn draw(rng: &mut Rng, until: Duration) -> Self {
+        let until_ms = until.as_millis() as u64;
+        let at_ms = draw::of(rng, &[(2, 0..1), (1, 0..until_ms)]);
+        let lasts_ms = draw::of(rng, &[(1, 0..until_ms), (3, until_ms..until_ms + 1)]);
+        Self {
+            at: Duration::from_millis(at_ms),
+            cut: draw::choose(rng, &ServerCut::ALL.map(|cut| (1, cut))),
+            heals_at: Duration::from_millis(at_ms + lasts_ms),
+        }
+    }
+}
+
+/// Cuts a VM off from the servers for a while.
+pub(super) async fn cut_off(history: Rc<History>, cut: Cut, network: Rc<CuttableNetwork>) {
+    history.wait_until(cut.at).await;
+    history.note(format!("vm 0 is cut off: {:?}", cut.cut));
+    if matches!(cut.cut, ServerCut::Reset | ServerCut::Silent) {
+        history.cut_at.set(Some(cut.at));
+    }
+    network.cut_all(Some(cut.cut));
+    history.wait_until(cut.heals_at).await;
+    network.heal();
+}
--- a/crates/kingcuploft-entry/tests/entry/stopping_search/history.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_search/history.rs
@@ -101,27 +101,49 @@
 #[derive(Debug)]
 pub(super) struct History {
     began_at: Instant,
+    /// What the ids of the scenario's requests begin with: a server can get a request of another test, whose server had the same
+    /// address before.
+    tag: String,
     /// When the VM was asked to stop.
     pub(super) stop_at: Cell<Duration>,
+    pub(super) stopping_vm: Cell<usize>,
+    /// When the open connections of a VM to the servers were cut.
+    pub(super) cut_at: Cell<Option<Duration>>,
     pub(super) requests: RefCell<Vec<SentRequest>>,
     pub(super) connections: RefCell<Vec<Option<(Duration, ConnectionEnd)>>>,
+    /// The VMs to which the connections lead.
+    pub(super) connection_vms: RefCell<Vec<usize>>,
     /// When the callers that read slowly, by their connections, last waited for bytes.
     pub(super) slow_readers: RefCell<BTreeMap<usize, Duration>>,
     pub(super) events: RefCell<Vec<String>>,
 }
 
 impl History {
-    pub(super) fn begin() -> Self {
+    pub(super) fn begin(seed: u64) -> Self {
         Self {
             began_at: Instant::now(),
+            tag: format!("{}-{seed}-r", std::process::id()),
             stop_at: Cell::default(),
+            stopping_vm: Cell::default(),
+            cut_at: Cell::default(),
             requests: RefCell::default(),
             connections: RefCell::default(),
+            connection_vms: RefCell::default(),
             slow_readers: RefCell::default(),
             events: RefCell::default(),
         }
     }
 
+    /// Returns what names a request in its header.
+    pub(super) fn name_of(&self, id: usize) -> String {
+        format!("{}{id}", self.tag)
+    }
+
+    /// Returns the id of the request with this name, if it is of this scenario.
+    pub(super) fn id_of(&self, name: &str) -> Option<usize> {
+        name.strip_prefix(&self.tag)?.parse().ok()
+    }
+
     pub(super) fn now(&self) -> Duration {
         self.began_at.elapsed()
     }
@@ -136,7 +158,8 @@
         self.events.borrow_mut().push(format!("{at:?} {event}"));
     }
 
-    pub(super) fn open_connection(&self) -> usize {
+    pub(super) fn open_connection(&self, vm: usize) -> usize {
+        self.connection_vms.borrow_mut().push(vm);
         let mut connections = self.connections.borrow_mut();
         connections.push(None);
         connections.len() - 1
@@ -211,8 +234,9 @@
                 None => writeln!(text, " no answer"),
             };
         }
+        let vm = self.connection_vms.borrow()[connection];
         let end = self.connections.borrow()[connection].map(|(at, end)| (ms(at), end));
-        let _ = writeln!(text, "  connection {connection} ended: {end:?}");
+        let _ = writeln!(text, "  connection {connection} to vm {vm} ended: {end:?}");
         text
     }
 }
--- a/crates/kingcuploft-entry/tests/entry/stopping_search/requests.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_search/requests.rs
@@ -65,22 +65,17 @@
             .map_or(self.timeout, |deadline| deadline.min(self.timeout))
     }
 
-    /// Returns whether it has no body that comes in parts.
-    pub(super) fn is_at_once(&self) -> bool {
-        self.body.is_none()
-    }
-
     pub(super) fn expects_continue(&self) -> bool {
         self.body.as_ref().is_some_and(|body| body.expects_continue)
     }
 
-    pub(super) fn head(&self, id: usize) -> Vec<u8> {
+    pub(super) fn head(&self, name: &str) -> Vec<u8> {
         let method = match self.body {
             Some(_) => "POST",
             None => "GET",
         };
         let mut head = format!(
-            "{method} {} HTTP/1.1\r\nHost: a.example\r\nx-id: r{id}\r\n",
+            "{method} {} HTTP/1.1\r\nHost: a.example\r\nx-id: {name}\r\n",
             self.path
         );
         if let Some(deadline) = self.deadline {
--- a/crates/kingcuploft-entry/tests/entry/stopping_search/scenario.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_search/scenario.rs
@@ -6,13 +6,12 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use tokio::task::LocalSet;
 
 use super::callers::{self, Habit};
 use super::check::{self, Violation};
-use super::events::{self, Events};
+use super::events::{self, Cut, Events};
 use super::history::History;
-use super::process::{self, Process};
+use super::process::Process;
 use super::servers::Server;
 use crate::store::TestStore;
 use crate::testbed;
@@ -20,6 +19,15 @@
 /// How long after the stop a scenario lasts.
 const LASTS_AFTER_STOP: Duration = Duration::from_secs(8);
 
+/// Which VMs there are.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Layout {
+    /// One.
+    Alone,
+    /// Some of one zone; one is cut off from the servers and passes its requests to the others.
+    CutOff,
+}
+
 /// A violation, with the history of its request's connection.
 #[derive(Clone, Debug)]
 pub(super) struct Report {
@@ -35,18 +43,18 @@
 }
 
 /// Plays the scenario of a seed; returns what was not handled as promised.
-pub(super) fn play(seed: u64) -> Vec<Report> {
+pub(super) fn play(seed: u64, layout: Layout) -> Vec<Report> {
     let reports = RefCell::default();
     testbed::run_in_virtual_time(async {
         fastrand::seed(seed);
         let mut rng = Rng::with_seed(seed);
-        reports.replace(run(seed, &mut rng).await);
+        reports.replace(run(seed, &mut rng, layout).await);
     });
     reports.into_inner()
 }
 
-async fn run(seed: u64, rng: &mut Rng) -> Vec<Report> {
-    let history = Rc::new(History::begin());
+async fn run(seed: u64, rng: &mut Rng, layout: Layout) -> Vec<Report> {
+    let history = Rc::new(History::begin(seed));
     let store = TestStore::default();
     store.0.write_configuration(testbed::configuration(1));
     let mut servers = Vec::new();
@@ -57,25 +65,29 @@
             .write_backend_server(testbed::entry_at(at, server.address));
         servers.push(server);
     }
-    let tasks = Rc::new(LocalSet::new());
-    let running = tasks.run_until(testbed::start("vm", &store)).await;
-    let process = Process::of(&tasks, &running);
+    let mut vm_rng = Rng::with_seed(!seed);
+    let vms = start_vms(&mut vm_rng, layout, &store).await;
+    let stopping = vm_rng.usize(0..vms.len());
     let stop_at = history.now() + Duration::from_millis(rng.u64(200..3_000));
     history.stop_at.set(stop_at);
+    history.stopping_vm.set(stopping);
     let ends_at = stop_at + LASTS_AFTER_STOP;
     let habits: Vec<_> = (0..rng.usize(2..9))
         .map(|_| Habit::draw(rng, ends_at))
         .collect();
     let events = Events::draw(rng, ends_at, servers.len());
     tokio::task::spawn_local(events::happen(history.clone(), events, store, servers));
+    if let Some(network) = vms[0].network.clone() {
+        let cut = Cut::draw(&mut vm_rng, ends_at);
+        tokio::task::spawn_local(events::cut_off(history.clone(), cut, network));
+    }
     for habit in habits.iter().cloned() {
-        let (history, process) = (history.clone(), process.clone());
-        let calling = callers::run(history, process, habit, rng.u64(..));
+        let vm = vm_rng.usize(0..vms.len());
+        let calling = callers::run(history.clone(), (vm, vms[vm].clone()), habit, rng.u64(..));
         tokio::task::spawn_local(calling);
     }
-    let asked = history.clone();
-    let asked = async move { asked.wait_until(stop_at).await };
-    tokio::task::spawn_local(process::run(tasks, running, asked));
+    history.wait_until(stop_at).await;
+    vms[stopping].terminate();
     history.wait_until(ends_at).await;
     let found = check::check(&history);
     found
@@ -84,6 +96,19 @@
         .collect()
 }
 
+async fn start_vms(rng: &mut Rng, layout: Layout, store: &TestStore) -> Vec<Rc<Process>> {
+    if layout == Layout::Alone {
+        return vec![Process::start_alone(store).await];
+    }
+    let count = rng.usize(2..4);
+    let mut vms = Vec::new();
+    for at in 0..count {
+        vms.push(Process::start_in_zone(at, store).await);
+    }
+    testbed::wait_until(|| vms.iter().all(|vm| vm.has_counted(count))).await;
+    vms
+}
+
 fn report(seed: u64, history: &History, violation: Violation, id: usize) -> Report {
     let connection = history.requests.borrow()[id].connection;
     let text = format!(
--- a/crates/kingcuploft-entry/tests/entry/stopping_search/servers.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_search/servers.rs
@@ -85,13 +85,13 @@
     }
 
     /// Returns the bytes of the whole answer to a request.
-    fn answer(&self, id: usize) -> Vec<u8> {
+    fn answer(&self, id: usize, name: &str) -> Vec<u8> {
         let body = body_of(id, self.body_bytes);
         let status = match self.outcome {
             Outcome::Fail => "500 Failed",
             _ => "200 OK",
         };
-        let head = format!("HTTP/1.1 {status}\r\nx-id: r{id}\r\nx-signed: s\r\nx-load: 0,0,4\r\n");
+        let head = format!("HTTP/1.1 {status}\r\nx-id: {name}\r\nx-signed: s\r\nx-load: 0,0,4\r\n");
         let rest = match self.framing {
             Framing::Length => format!("Content-Length: {}\r\n\r\n{body}", body.len()),
             Framing::Chunked if body.is_empty() => {
@@ -196,8 +196,10 @@
 
     /// Responds to a request; returns whether the connection stays open.
     async fn respond(&self, stream: &mut TcpStream, request: &ReceivedRequest) -> bool {
-        let id = request.header("x-id").unwrap_or_default();
-        let id: usize = id[1..].parse().unwrap();
+        let name = request.header("x-id").unwrap_or_default();
+        let Some(id) = self.history.id_of(name) else {
+            return false;
+        };
         let run = self.history.begin_run(id, self.index);
         let mut rng = Rng::with_seed(self.seed ^ (id as u64) << 8 ^ run as u64);
         let act = Act::draw(&mut rng, self.slowness);
@@ -209,7 +211,7 @@
         }
         self.running.update(|running| running + 1);
         let end = tokio::select! {
-            end = work(stream, id, &act) => end,
+            end = work(stream, (id, name), &act) => end,
             () = self.ended() => RunEnd::BrokeOff,
         };
         self.running.update(|running| running - 1);
@@ -219,11 +221,11 @@
 }
 
 /// Works on a request and answers it; returns how that ended.
-async fn work(stream: &mut TcpStream, id: usize, act: &Act) -> RunEnd {
+async fn work(stream: &mut TcpStream, (id, name): (usize, &str), act: &Act) -> RunEnd {
     if !pause(stream, act.work).await {
         return RunEnd::Cancelled;
     }
-    let mut answer = act.answer(id);
+    let mut answer = act.answer(id, name);
     match act.outcome {
         Outcome::BreakOff => return RunEnd::BrokeOff,
         Outcome::Truncate => answer.truncate(answer.len() / 2),
