test(shutdown): a request of short work that waits for a server is cut by the exit

Searches are 20 ms apart; one is made 15 ms before the exit, when the usual work of 4 ms still has time, and the next would come behind the exit. The request was not passed on and has no answer, 3.6 s after its last byte.

The test fails: cut by the exit, left: 1, right: 0. Where the last search falls on the exit itself, the refusal is made and not written any more (seen with a request 2.000 s after the stop: no answer at the end of the stop).

--- a/crates/kingcuploft-entry/tests/entry/stopping_cuts.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_cuts.rs
@@ -13,6 +13,12 @@
 /// How long a lookup takes at the servers of these tests.
 const WORK_TIME: Duration = Duration::from_millis(400);
 
+/// How long a booking takes at a server that is quick.
+const SHORT_WORK_TIME: Duration = Duration::from_millis(4);
+
+/// After how many requests the VM knows how long they usually take.
+const USUAL_REQUESTS: usize = 200;
+
 /// How many bytes a caller's connection holds that its caller has not read.
 const BUFFER_BYTES: usize = 4096;
 
@@ -105,3 +111,28 @@
         assert!(read.contains("Connection: close"), "{read}");
     });
 }
+
+/// Guards against a request that the exit cuts between two of its searches for a server, where work usually takes less time than
+/// lies between these.
+#[test]
+fn a_request_of_short_work_that_waits_for_a_server_is_refused_before_the_exit() {
+    run_in_virtual_time(async {
+        let testbed = Testbed::with(&[Behavior::AnswerAfter(SHORT_WORK_TIME)]).await;
+        for at in 0..USUAL_REQUESTS {
+            testbed.ask(&long_booking(&format!("usual-{at}"))).await;
+        }
+        let context = testbed.vm.context.clone();
+        testbed.store.remove_backend_server("s0");
+        wait_until(|| context.upstream("s0").is_none()).await;
+        let (answers, mut requests) = testbed.caller().await.split();
+        let answers = collect_answers(answers);
+        let stopping = tokio::task::spawn_local(testbed.vm.stop());
+        // The searches are repeated at times of which none is the exit's.
+        tokio::time::sleep(Duration::from_millis(2_010)).await;
+        let waits = long_booking("waits");
+        requests.write_all(waits.as_bytes()).await.unwrap();
+        stopping.await.unwrap();
+        assert_eq!(context.unanswered_requests.get(), 0, "cut by the exit");
+        assert_eq!(answers.borrow()[0].status, 503);
+    });
+}
