fix(shutdown): nothing that a stopping VM has read ends without an answer

What callers see around SIGTERM (each with its red test, found by the seeded search of planned stops in virtual time): - Two lookups on one connection: the first one's server is still at work when the VM exits, the second one's has answered.

One class: what a stopping VM still takes, and how its connections end, followed from the usual course (the usual time of work, an idle moment), with no rule for what is left at the end.

Now there is a last phase: 5.7 s after SIGTERM the VM answers itself, with 502, what has no answer yet, so that what is ready behind it is written, and exits 0.1 s later at most. A request that comes later than 3 s after SIGTERM is sent only if its deadline comes before the exit; others need 0.1 s at least. `100 Continue` counts as no answer.

--- a/crates/kingcuploft-entry/src/edge/answer.rs
+++ b/crates/kingcuploft-entry/src/edge/answer.rs
@@ -8,6 +8,9 @@
 use crate::relay::wire::{self, RELAY_HEADER, RelayedAnswer};
 use crate::settings::WireNames;
 
+/// The status of a request of which it is unknown whether it has run.
+pub(super) const UNKNOWN_OUTCOME_STATUS: u16 = 502;
+
 /// The `Retry-After` of a request whose body exceeds the memory for bodies: the requests that hold it are normally
 /// answered by then.
 const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -83,6 +86,21 @@
         }
     }
 
+    /// Builds an answer of this VM, which exits, to a request of which it is unknown whether it has run or will run.
+    pub(super) fn of_exiting_vm(wire_names: &WireNames, id: Option<&str>, head_only: bool) -> Self {
+        let mut head = plain_text_head();
+        if let Some(id) = id {
+            write_header(&mut head, wire_names.request_id, id.as_bytes());
+        }
+        Self {
+            status: UNKNOWN_OUTCOME_STATUS,
+            head,
+            body: plain_text_body("this VM exits"),
+            head_only,
+            close: false,
+        }
+    }
+
     /// Adds what the VM that passed the request here is told of its answer.
     pub fn add_relayed_answer(&mut self, told: &RelayedAnswer) {
         write_header(&mut self.head, RELAY_HEADER, &wire::encode(told));
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -16,9 +16,8 @@
 use super::caller_disconnect::CallerDisconnect;
 use super::connection_state::ConnectionState;
 use super::dispatch;
-use super::pending_answer::PendingAnswer;
+use super::pending_answer::{AnsweredRequest, PendingAnswer};
 use super::request::Request;
-use crate::clock;
 use crate::context::Context;
 use crate::http::body::{BodyError, BodyReader};
 use crate::http::head::{self, RequestHead};
@@ -188,18 +187,10 @@
         match (self.state.unanswered(), is_arriving) {
             (0, false) => ConnectionUse::Idle,
             (0, true) => ConnectionUse::RequestArriving,
-            _ if self.may_outlast_process() => ConnectionUse::MayOutlastProcess,
             _ => ConnectionUse::Unanswered,
         }
     }
 
-    /// Returns whether a request that is unanswered may be so still when a stopping process exits.
-    fn may_outlast_process(&self) -> bool {
-        let exits_at = self.context.shutdown.ends_at();
-        let answered_by = self.state.answered_by();
-        exits_at.is_some_and(|exits_at| answered_by > Some(exits_at))
-    }
-
     /// Reads more bytes of a request head, or waits for the first.
     async fn read_head_bytes(&mut self, limits: &Limits) -> Option<ReadEnd> {
         let (awaited, timeout) = match self.buffer.is_empty() {
@@ -279,8 +270,8 @@
     }
 
     async fn serve_request(&mut self, request: Request) -> Option<ReadEnd> {
-        let caller_timeout = request.caller_timeout(&self.context.wire_names);
-        let (answer, pending) = self.expect_answer(request.id.clone(), caller_timeout);
+        let (answer, pending) = self.expect_answer(AnsweredRequest::of(&request));
+        self.state.request_started();
         let is_last = !request.head.keep_alive;
         let (context, disconnect) = (self.context.clone(), self.disconnect.clone());
         tokio::task::spawn_local(dispatch::serve(context, request, disconnect, answer));
@@ -294,21 +285,16 @@
     }
 
     /// Returns the two ends of an answer that is due from now on.
-    fn expect_answer(
-        &self,
-        request: Option<String>,
-        caller_timeout: Option<Duration>,
-    ) -> (oneshot::Sender<Answer>, PendingAnswer) {
+    fn expect_answer(&self, request: AnsweredRequest) -> (oneshot::Sender<Answer>, PendingAnswer) {
         let (answer, receiver) = oneshot::channel();
-        self.state.request_started(clock::now(), caller_timeout);
         let pending = PendingAnswer::new(&self.context, request, receiver);
         (answer, pending)
     }
 
-    /// Sends `100 Continue`. The writer is idle then, as callers that expect it wait for it; where the writer is busy,
-    /// the caller sends the body without it.
+    /// Sends `100 Continue`, which answers no request. The writer is idle then, as callers that expect it wait for it;
+    /// where the writer is busy, the caller sends the body without it.
     async fn send_continue(&mut self) {
-        let (answer, pending) = self.expect_answer(None, Some(Duration::ZERO));
+        let (answer, pending) = self.expect_answer(AnsweredRequest::default());
         if self.answers.send(pending).await.is_ok() {
             let _ = answer.send(Answer::interim());
         }
@@ -316,7 +302,8 @@
 
     async fn refuse(&mut self, status: u16, reason: &str) -> ReadEnd {
         tracing::info!(event = "unreadable_request", status, reason);
-        let (answer, pending) = self.expect_answer(None, Some(Duration::ZERO));
+        let (answer, pending) = self.expect_answer(AnsweredRequest::default());
+        self.state.request_started();
         if self.answers.send(pending).await.is_ok() {
             let _ = answer.send(Answer::unreadable(status, reason));
         }
@@ -360,7 +347,6 @@
             break;
         };
         if answer.is_interim() {
-            state.request_finished();
             if writer.write_all(&answer.to_bytes(false)).await.is_err() {
                 return;
             }
--- a/crates/kingcuploft-entry/src/edge/dispatch.rs
+++ b/crates/kingcuploft-entry/src/edge/dispatch.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 
 use super::active_request::{ActiveRequest, Routed};
-use super::answer::Answer;
+use super::answer::{Answer, UNKNOWN_OUTCOME_STATUS};
 use super::caller_disconnect::CallerDisconnect;
 use super::refusal::Refusal;
 use super::relay::AfterRelay;
@@ -68,9 +68,6 @@
     unanswered.answer(answered);
 }
 
-/// The status of a request of which it is unknown whether it has run.
-const UNKNOWN_OUTCOME_STATUS: u16 = 502;
-
 /// The reason of a failure that the program is to blame for.
 const TASK_FAILED: &str = "internal error";
 
--- a/crates/kingcuploft-entry/src/edge/pending_answer.rs
+++ b/crates/kingcuploft-entry/src/edge/pending_answer.rs
@@ -6,8 +6,25 @@
 use tokio::sync::oneshot;
 
 use super::answer::Answer;
+use super::request::Request;
 use crate::context::Context;
 
+/// What an answer must know of its request.
+#[derive(Debug, Default)]
+pub(super) struct AnsweredRequest {
+    id: Option<String>,
+    is_head: bool,
+}
+
+impl AnsweredRequest {
+    pub(super) fn of(request: &Request) -> Self {
+        Self {
+            id: request.id.clone(),
+            is_head: request.head.method == "HEAD",
+        }
+    }
+}
+
 /// How far an answer has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Progress {
@@ -22,16 +39,16 @@
 /// An answer that is due. One that is ready and unwritten at the exit of the process is logged.
 pub(super) struct PendingAnswer {
     context: Rc<Context>,
-    request: Option<String>,
+    request: AnsweredRequest,
     receiver: oneshot::Receiver<Answer>,
     progress: Progress,
 }
 
 impl PendingAnswer {
-    /// Returns the answer that will be sent through `receiver`, to the request with this id.
+    /// Returns the answer that will be sent through `receiver`, to this request.
     pub(super) fn new(
         context: &Rc<Context>,
-        request: Option<String>,
+        request: AnsweredRequest,
         receiver: oneshot::Receiver<Answer>,
     ) -> Self {
         Self {
@@ -42,13 +59,24 @@
         }
     }
 
-    /// Waits for the answer, which is written next; `None` if the task that serves the request ended without one.
+    /// Waits for the answer, which is written next; `None` if the task that serves the request ended without one. At the exit
+    /// of the process this VM answers itself, so that the answers behind this one are written.
     pub(super) async fn receive(&mut self) -> Option<Answer> {
-        let answer = (&mut self.receiver).await.ok();
+        let context = self.context.clone();
+        let answer = tokio::select! {
+            biased;
+            answer = &mut self.receiver => answer.ok(),
+            () = context.shutdown.exiting() => Some(self.answer_at_exit()),
+        };
         self.progress = Progress::BeingWritten;
         answer
     }
 
+    fn answer_at_exit(&self) -> Answer {
+        let names = &self.context.wire_names;
+        Answer::of_exiting_vm(names, self.request.id.as_deref(), self.request.is_head)
+    }
+
     /// Records that the answer is written.
     pub(super) fn written(mut self) {
         self.progress = Progress::Written;
@@ -70,7 +98,7 @@
             let is_begun = self.progress == Progress::BeingWritten;
             tracing::warn!(
                 event = "answer_cut_by_exit",
-                request = self.request,
+                request = self.request.id,
                 is_begun
             );
         }
--- a/crates/kingcuploft-entry/src/edge/selection.rs
+++ b/crates/kingcuploft-entry/src/edge/selection.rs
@@ -9,7 +9,7 @@
 use kingcuploft::entry::probe_fanout::{MAX_PROBED_FIRST, probe_fanout};
 use kingcuploft::entry::server_order::{Shortlist, Suitability};
 use kingcuploft::entry::server_pauses::PauseDecision;
-use kingcuploft::entry::shutdown;
+use kingcuploft::entry::shutdown::LateRequest;
 
 use super::active_request::ActiveRequest;
 use super::caller_disconnect::CallerDisconnect;
@@ -194,10 +194,14 @@
             return true;
         };
         let now = clock::now();
-        let until_exit = ends_at.saturating_duration_since(now);
-        let left = self.deadline.saturating_duration_since(now);
-        let work_ms = self.context.work_ms(&self.route, &self.service);
-        shutdown::has_time_to_answer(until_exit, left, work_ms)
+        let began_at = self.context.shutdown.began_at().unwrap_or(now);
+        let late_request = LateRequest {
+            until_exit: ends_at.saturating_duration_since(now),
+            left: self.deadline.saturating_duration_since(now),
+            work_ms: self.context.work_ms(&self.route, &self.service),
+            came_after: self.request.arrived.saturating_duration_since(began_at),
+        };
+        late_request.has_time_to_answer()
     }
 
     /// Returns those of the candidates to which an open connection seems to work: a probe shows whether it does.
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::planted::{self, PlantedFault};
@@ -38,6 +38,10 @@
 /// How long before the end of the allowed time the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// How long the process still writes answers after that moment: those of the VM itself to what is unanswered, and those that
+/// were ready behind them.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+
 /// How often the settings file is read again: it may change without a signal.
 const SETTINGS_RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -201,9 +205,9 @@
     tokio::time::sleep(ACCEPT_WHILE_STOPPING).await;
     stop_accepting();
     context.shutdown.close_connections();
-    while context.caller_connections.get() > 0 && clock::now() < ends_at {
-        tokio::time::sleep(STOP_POLL_INTERVAL).await;
-    }
+    wait_for_callers(context, ends_at).await;
+    context.shutdown.answer_all();
+    wait_for_callers(context, ends_at + LAST_ANSWERS_TIME).await;
     context.shutdown.end();
     tracing::info!(
         event = "stopped",
@@ -212,6 +216,13 @@
     );
 }
 
+/// Waits until all connections of callers are closed, but no longer than until `ends_at`.
+async fn wait_for_callers(context: &Context, ends_at: Instant) {
+    while context.caller_connections.get() > 0 && clock::now() < ends_at {
+        tokio::time::sleep(STOP_POLL_INTERVAL).await;
+    }
+}
+
 /// Starts the tasks that read the store, the task that writes this VM's notices to it, and the one that entrusts its share of
 /// quotas to their keepers.
 fn spawn_store_tasks<S: Store + 'static>(
--- a/crates/kingcuploft-entry/src/shutdown.rs
+++ b/crates/kingcuploft-entry/src/shutdown.rs
@@ -6,11 +6,14 @@
 use kingcuploft::entry::shutdown::ShutdownPhase;
 use tokio::sync::Notify;
 
+use crate::clock;
+
 /// The graceful shutdown of one VM.
 #[derive(Debug, Default)]
 pub struct Shutdown {
     phase: Cell<ShutdownPhase>,
     ends_at: Cell<Option<Instant>>,
+    began_at: Cell<Option<Instant>>,
     /// Wakes tasks that wait for the next phase.
     pub changed: Notify,
 }
@@ -28,6 +31,7 @@
 
     /// Begins the shutdown; the process exits at `ends_at` at the latest.
     pub fn begin(&self, ends_at: Instant) {
+        self.began_at.set(Some(clock::now()));
         self.ends_at.set(Some(ends_at));
         self.enter(ShutdownPhase::Announced);
     }
@@ -37,6 +41,22 @@
         self.enter(ShutdownPhase::Closing);
     }
 
+    /// Has what is unanswered answered by the VM itself.
+    pub fn answer_all(&self) {
+        self.enter(ShutdownPhase::Exiting);
+    }
+
+    /// Waits until what is unanswered is to be answered by the VM itself.
+    pub async fn exiting(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.phase() >= ShutdownPhase::Exiting {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Records that the process exits.
     pub fn end(&self) {
         self.enter(ShutdownPhase::Ended);
@@ -47,6 +67,11 @@
         self.ends_at.get()
     }
 
+    /// Returns when the shutdown began, if it did.
+    pub fn began_at(&self) -> Option<Instant> {
+        self.began_at.get()
+    }
+
     fn enter(&self, phase: ShutdownPhase) {
         self.phase.set(phase);
         self.changed.notify_waiters();
--- a/crates/kingcuploft/src/entry/shutdown.rs
+++ b/crates/kingcuploft/src/entry/shutdown.rs
@@ -6,8 +6,9 @@
 //! taking requests while it still has time to answer those that it has taken; what a caller sends behind them stays
 //! unread, and the caller sends it again on another connection.
 //!
-//! Load pattern: a quick request that is sent behind a long one. Answers go out in order, so that the quick one is answered no
-//! sooner than the long one, and is cut with it if that outlasts the process. It is left unread instead.
+//! Load pattern: a quick request that is sent behind a long one. Answers go out in order, so that the answer to the quick one
+//! waits, and would be cut with the long one if that outlasts the process. The VM answers the long one itself at the end, so
+//! that all answers behind it are written.
 //!
 //! Load pattern: requests that wait for a server, as all are slow, full or gone. A VM that lets them wait until its exit
 //! cuts them without an answer, and their callers don't know whether they ran. One that may not be answered before the exit
@@ -16,7 +17,7 @@
 use std::time::Duration;
 
 /// A phase of the graceful shutdown.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum ShutdownPhase {
     /// The VM is not stopping.
     #[default]
@@ -25,6 +26,8 @@
     Announced,
     /// No new connection is accepted, and the open ones are closed.
     Closing,
+    /// The process exits in a moment: the VM itself answers what has no answer yet.
+    Exiting,
     /// The process exits.
     Ended,
 }
@@ -38,20 +41,16 @@
     RequestArriving,
     /// Requests are unanswered. Whatever is behind them is unread for its caller once the last of them announces the close.
     Unanswered,
-    /// As [`Self::Unanswered`], and one of them may still be unanswered when the process exits.
-    MayOutlastProcess,
 }
 
 impl ShutdownPhase {
     /// Returns whether a connection takes a further request.
     pub fn takes_request(self, connection: ConnectionUse) -> bool {
         match (self, connection) {
-            (Self::Running, _) => true,
-            (Self::Announced, ConnectionUse::MayOutlastProcess) => false,
-            (Self::Announced, _) => true,
+            (Self::Running | Self::Announced, _) => true,
             (Self::Closing, ConnectionUse::RequestArriving) => true,
-            (Self::Closing, _) => false,
-            (Self::Ended, _) => false,
+            (Self::Closing, ConnectionUse::Idle | ConnectionUse::Unanswered) => false,
+            (Self::Exiting | Self::Ended, _) => false,
         }
     }
 }
@@ -59,10 +58,35 @@
 /// The most times its usual duration that work is taken to last.
 const LONG_WORK_FACTOR: f64 = 3.0;
 
-/// Returns whether a request that is sent to a server now is answered before the process exits, after `until_exit`, unless its
-/// work takes much longer than the usual `work_ms`. `left` is how long its caller waits.
-pub fn has_time_to_answer(until_exit: Duration, left: Duration, work_ms: f64) -> bool {
-    let long_ms = work_ms * LONG_WORK_FACTOR;
-    let left_ms = left.as_secs_f64() * 1000.0;
-    until_exit.as_secs_f64() * 1000.0 >= left_ms.min(long_ms)
+/// The least time for an answer, or a refusal, to be made and written.
+const MIN_ANSWER_TIME_MS: f64 = 100.0;
+
+/// How long after the beginning of a shutdown a request may arrive and be cut by the exit while a server is at work on it.
+const MAX_EXCUSED_ARRIVAL: Duration = Duration::from_secs(3);
+
+/// A request that is about to be sent to a server by a stopping VM.
+#[derive(Clone, Copy, Debug)]
+pub struct LateRequest {
+    /// How long it is until the process exits.
+    pub until_exit: Duration,
+    /// How long its caller waits.
+    pub left: Duration,
+    /// How long its work usually takes.
+    pub work_ms: f64,
+    /// How long after the shutdown began it arrived; zero if before.
+    pub came_after: Duration,
+}
+
+impl LateRequest {
+    /// Returns whether it will be answered before the process exits: in any case if it came late, else unless its work takes much
+    /// longer than usual.
+    pub fn has_time_to_answer(&self) -> bool {
+        let left_ms = self.left.as_secs_f64() * 1000.0;
+        let long_ms = (self.work_ms * LONG_WORK_FACTOR).max(MIN_ANSWER_TIME_MS);
+        let needed_ms = match self.came_after > MAX_EXCUSED_ARRIVAL {
+            true => left_ms,
+            false => left_ms.min(long_ms),
+        };
+        self.until_exit.as_secs_f64() * 1000.0 >= needed_ms
+    }
 }
