fix(http): a body whose framing goes on without end is refused

What callers saw: a server sends chunks of one byte with long extensions, or trailer lines, without end. The body stays within its 16 MiB, and the answer is read until the caller's deadline.

Cause: only bytes of the body counted. Chunk lines and trailers had a bound on a line that has not ended, and none on their sum.

Now chunk lines and trailers may take 16 KiB and 8 bytes for each byte of the body, of requests too.

--- a/crates/kingcuploft-entry/src/http/body.rs
+++ b/crates/kingcuploft-entry/src/http/body.rs
@@ -16,6 +16,12 @@
 /// The most bytes of a line that gives a chunk's length.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
+/// The most bytes of chunk lines and trailers that a body may have whatever its length.
+const MAX_FRAMING_BYTES: usize = 16 * 1024;
+
+/// The most bytes of chunk lines for each byte of a body: chunks of one byte have five.
+const MAX_FRAMING_PER_BODY_BYTE: usize = 8;
+
 /// Why a body can't be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum BodyError {
@@ -25,6 +31,9 @@
     /// The body is longer than allowed.
     #[error("the body is too long")]
     TooLong,
+    /// Chunk lines and trailers are many times as long as the body.
+    #[error("the body has too little in its chunks")]
+    Framing,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -43,6 +52,7 @@
 pub struct BodyReader {
     state: State,
     max_bytes: usize,
+    framing_bytes: usize,
     body: Vec<u8>,
 }
 
@@ -63,6 +73,7 @@
         Ok(Self {
             state,
             max_bytes,
+            framing_bytes: 0,
             body: Vec::new(),
         })
     }
@@ -142,6 +153,10 @@
             };
         };
         let line = bytes.split_to(end + 2);
+        self.framing_bytes += line.len();
+        if self.framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self.body.len() {
+            return Err(BodyError::Framing);
+        }
         let line = &line[..end];
         self.state = match self.state {
             State::ChunkEnd if line.is_empty() => State::ChunkLine,
