fix(upstream): heads and interim responses without end are given up

What callers saw: a server sends interim responses without end, or a head that trickles.

Cause: `receive` skipped interim responses without bound on their number, and nothing bounded a head's time.

Now heads of a server's response take 64 KiB together, 500 ms together, each from its first byte on, and 32 interim responses at most. It ends as `broken`: a lookup goes on, a booking gets 502.

A bound of the time of a body was not taken: a head that is flushed early, before the work, and a long answer on a slow link look the same.

--- a/crates/kingcuploft-entry/src/http/client.rs
+++ b/crates/kingcuploft-entry/src/http/client.rs
@@ -1,5 +1,9 @@
 //! Client connections over HTTP/1.1, to backend servers and to the platform's store.
 
+mod receiving;
+
+pub use receiving::{GiveUpReason, ReceiveError};
+
 use std::cell::Cell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -10,8 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::body::BodyReader;
-use super::head::{self, ResponseHead};
+use super::head::ResponseHead;
 use crate::clock;
 use crate::network::{Connecting, Network, Stream};
 
@@ -26,9 +29,6 @@
 /// How long a connection may be silent before TCP keepalive checks the peer.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The most bytes of a response head.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// How many bytes are read at once; most responses fit.
 const READ_BUFFER_BYTES: usize = 4096;
 
@@ -52,23 +52,6 @@
     PartlySent(std::io::Error),
 }
 
-/// Why no complete response was received.
-#[derive(Debug, thiserror::Error)]
-pub enum ReceiveError {
-    /// The connection closed before a response began.
-    #[error("the connection ended without a response")]
-    Closed,
-    /// The connection closed within a response.
-    #[error("the connection ended within a response")]
-    Truncated,
-    /// The connection failed.
-    #[error("the connection failed: {0}")]
-    Failed(std::io::Error),
-    /// The bytes received are no valid response.
-    #[error("the bytes received are no HTTP response")]
-    Malformed,
-}
-
 /// Counts one open connection until it is dropped.
 #[derive(Debug)]
 pub struct ConnectionCount(Rc<Cell<usize>>);
@@ -195,74 +178,6 @@
         rest.map_err(SendError::PartlySent)
     }
 
-    /// Receives the response to a request with this method, and skips interim responses.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no complete response is received.
-    pub async fn receive(
-        &mut self,
-        method: &str,
-        max_bytes: usize,
-    ) -> Result<Response, ReceiveError> {
-        loop {
-            let head = self.receive_head(method).await?;
-            if head.status >= 200 {
-                return self.receive_body(head, max_bytes).await;
-            }
-        }
-    }
-
-    async fn receive_head(&mut self, method: &str) -> Result<ResponseHead, ReceiveError> {
-        loop {
-            let parsed = head::parse_response(&self.buffer, method);
-            match parsed.map_err(|_| ReceiveError::Malformed)? {
-                Some((head, length)) => {
-                    let _ = self.buffer.split_to(length);
-                    return Ok(head);
-                }
-                None if self.buffer.len() > MAX_HEAD_BYTES => return Err(ReceiveError::Malformed),
-                None => {}
-            }
-            let has_begun = !self.buffer.is_empty();
-            match (self.read().await?, has_begun) {
-                (0, true) => return Err(ReceiveError::Truncated),
-                (0, false) => return Err(ReceiveError::Closed),
-                _ => {}
-            }
-        }
-    }
-
-    async fn receive_body(
-        &mut self,
-        head: ResponseHead,
-        max_bytes: usize,
-    ) -> Result<Response, ReceiveError> {
-        let reader = BodyReader::new(head.framing, max_bytes);
-        let mut reader = reader.map_err(|_| ReceiveError::Malformed)?;
-        loop {
-            let whole = reader.read(&mut self.buffer);
-            if whole.map_err(|_| ReceiveError::Malformed)? {
-                break;
-            }
-            if self.read().await? == 0 {
-                match reader.is_complete_at_close() {
-                    true => break,
-                    false => return Err(ReceiveError::Truncated),
-                }
-            }
-        }
-        self.used = clock::now();
-        self.keepalive_timeout = keepalive_timeout(&head);
-        self.reusable = head.keep_alive && self.buffer.is_empty();
-        if self.buffer.is_empty() {
-            // Hundreds of idle connections are kept, and their buffers would take much memory.
-            self.buffer = BytesMut::new();
-        }
-        let body = reader.into_body();
-        Ok(Response { head, body })
-    }
-
     async fn read(&mut self) -> Result<usize, ReceiveError> {
         self.buffer.reserve(READ_BUFFER_BYTES);
         let read = self.stream.read_buf(&mut self.buffer).await;
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod evacuation;
 pub mod fields;
 mod gauges;
+mod given_up_answers;
 pub mod http;
 pub mod limits;
 pub mod logs;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -58,6 +58,7 @@
     probes: Family<Reason, Counter>,
     readers: Family<Reason, Counter>,
     relays: Family<Reason, Counter>,
+    answers_given_up: Family<Reason, Counter>,
     answers: Family<Answered, Histogram>,
     routes: RefCell<HashSet<String>>,
     workspace_requests: Family<WorkspaceOutcome, Counter>,
@@ -125,6 +126,7 @@
             probes: Family::default(),
             readers: Family::default(),
             relays: Family::default(),
+            answers_given_up: Family::default(),
             answers: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S)),
             routes: RefCell::default(),
             workspace_requests: Family::default(),
@@ -191,6 +193,8 @@
             "Requests passed to another VM by how they ended",
             self.relays.clone(),
         );
+        let help = "Answers of servers that were given up by why";
+        registry.register("answers_given_up", help, self.answers_given_up.clone());
         let help = "Requests of workspaces by what their quotas made of them";
         registry.register("workspace_requests", help, self.workspace_requests.clone());
         let help = "Requests that were given back to a quota";
@@ -290,6 +294,12 @@
         self.relays.get_or_create(&Reason { reason }).inc();
     }
 
+    /// Counts an answer of a server that was given up by why.
+    pub fn count_answer_given_up(&self, reason: &'static str) {
+        let label = Reason { reason };
+        self.answers_given_up.get_or_create(&label).inc();
+    }
+
     /// Counts a lost link to a feeder by why it ended.
     pub fn count_reader_lost(&self, reason: &'static str) {
         self.readers.get_or_create(&Reason { reason }).inc();
--- a/crates/kingcuploft-entry/src/relay/send.rs
+++ b/crates/kingcuploft-entry/src/relay/send.rs
@@ -96,7 +96,8 @@
             return without_answer(AttemptEnd::Lost, "broke while sending to the other VM");
         }
     }
-    let received = exchange::receive_matching(context, &mut connection, request).await;
+    let sender = address.to_string();
+    let received = exchange::receive_matching(context, &mut connection, &sender, request).await;
     match received {
         Ok(response) => classify(context, response, told),
         Err((end, detail)) => without_answer(end, detail),
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -125,7 +125,7 @@
             );
         }
     }
-    let received = receive_matching(context, &mut connection, request).await;
+    let received = receive_matching(context, &mut connection, &upstream.server.name, request).await;
     let response = match received {
         Ok(response) => response,
         Err((end, detail)) => return AttemptOutcome::without_answer(end, detail, started_at),
@@ -158,15 +158,22 @@
 }
 
 /// Receives the response with the request's id. A response to another request may come first: the server sent one
-/// response too many to the previous user of the connection.
+/// response too many to the previous user of the connection. `sender` names the server, or the VM, in logs.
 pub(crate) async fn receive_matching(
     context: &Context,
     connection: &mut Connection,
+    sender: &str,
     request: &Request,
 ) -> Result<Response, (AttemptEnd, &'static str)> {
     for _ in 0..MAX_SKIPPED_RESPONSES {
-        let received = connection.receive(&request.head.method, MAX_RESPONSE_BYTES);
+        let method = &request.head.method;
+        let received = connection.receive_from_server(method, MAX_RESPONSE_BYTES);
         let response = received.await.map_err(|error| match error {
+            ReceiveError::GivenUp { reason, bytes } => {
+                let id = request.id.as_deref();
+                context.record_answer_given_up(id, sender, reason, bytes);
+                (AttemptEnd::Broken, reason.label())
+            }
             ReceiveError::Closed => (AttemptEnd::Lost, "closed without an answer"),
             ReceiveError::Failed(_) => (AttemptEnd::Lost, "connection failed"),
             ReceiveError::Truncated => (AttemptEnd::Broken, "truncated answer"),
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -10,7 +10,7 @@
 use crate::clock;
 use crate::cold_servers;
 use crate::context::Context;
-use crate::http::client::Response;
+use crate::http::client::{ReceiveError, Response};
 use crate::http::headers::write_header;
 use crate::limits;
 use crate::pauses;
@@ -143,12 +143,18 @@
         ProbeStep::New
     });
     connection.send(request).await.ok()?;
-    let response = connection
-        .receive("GET", MAX_PROBE_RESPONSE_BYTES)
-        .await
-        .ok()?;
-    upstream.release(connection);
-    Some(response)
+    let received = connection.receive_from_server("GET", MAX_PROBE_RESPONSE_BYTES);
+    match received.await {
+        Ok(response) => {
+            upstream.release(connection);
+            Some(response)
+        }
+        Err(ReceiveError::GivenUp { reason, bytes }) => {
+            context.record_answer_given_up(None, &upstream.server.name, reason, bytes);
+            None
+        }
+        Err(_) => None,
+    }
 }
 
 fn request(upstream: &Upstream, health_path: &str) -> Vec<u8> {
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -7,6 +7,8 @@
 mod cold;
 mod cut_fleet;
 mod cut_off;
+mod endless;
+mod endless_answers;
 mod evacuation;
 mod following;
 mod leaving;
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -9,6 +9,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+use crate::endless::{self, Pace, Part};
+
 /// What a server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Behavior {
@@ -42,6 +44,8 @@
     Hang,
     /// Crashes if the path contains `/crash`, runs and answers all else.
     CrashOnMarkedPath,
+    /// Runs it and sends an answer without end.
+    AnswerWithoutEnd(Part, Pace),
 }
 
 /// In which of its answers a server says that it leaves.
@@ -90,6 +94,10 @@
     pub(crate) probe_delay: Rc<Cell<Duration>>,
     /// With which pause, in milliseconds, it refuses probes; 0 answers them.
     pub(crate) probe_pause_ms: Rc<Cell<u32>>,
+    /// Which part of its answers to probes has no end.
+    pub(crate) endless_probes: Rc<Cell<Option<(Part, Pace)>>>,
+    /// How many bytes of answers without end it has sent on connections that have closed since.
+    pub(crate) endless_bytes: Rc<Cell<u64>>,
     /// In which answers it says that it leaves.
     pub(crate) leaving_notice: Rc<Cell<LeavingNotice>>,
     connections: Rc<Cell<u32>>,
@@ -117,6 +125,8 @@
             cold_ms: Rc::default(),
             probe_delay: Rc::default(),
             probe_pause_ms: Rc::default(),
+            endless_probes: Rc::default(),
+            endless_bytes: Rc::default(),
             leaving_notice: Rc::default(),
             connections: Rc::default(),
             opened_connections: Rc::default(),
@@ -164,6 +174,10 @@
         while let Some(request) = read_request(&mut stream, &mut bytes).await {
             if request.text.starts_with("GET /health ") {
                 self.probe_count.set(self.probe_count.get() + 1);
+                if let Some((part, pace)) = self.endless_probes.get() {
+                    let load = "x-load: 0,0,4\r\n";
+                    return self.answer_without_end(&mut stream, load, part, pace).await;
+                }
                 tokio::time::sleep(self.probe_delay.get()).await;
                 let cold = match self.cold_ms.get() {
                     0 => String::new(),
@@ -192,6 +206,19 @@
         }
     }
 
+    /// Sends bytes of an answer until the connection closes.
+    async fn answer_without_end(
+        &self,
+        stream: &mut TcpStream,
+        headers: &str,
+        part: Part,
+        pace: Pace,
+    ) {
+        let sent = endless::send(stream, headers, part, pace).await;
+        self.endless_bytes.update(|bytes| bytes + sent);
+        self.cancelled.update(|cancelled| cancelled + 1);
+    }
+
     /// Responds to a request; returns whether the connection stays open.
     async fn respond(&self, stream: &mut TcpStream, request: &ReceivedRequest) -> bool {
         let id = request.header("x-id").unwrap_or_default().to_owned();
@@ -251,6 +278,11 @@
             Behavior::NameInvalidLimit => {
                 whole.replace("\r\n\r\n", "\r\nServer-Limit: few\r\n\r\n")
             }
+            Behavior::AnswerWithoutEnd(part, pace) => {
+                let headers = format!("x-id: {id}\r\nx-signed: s\r\n");
+                self.answer_without_end(stream, &headers, part, pace).await;
+                return false;
+            }
             Behavior::Hang => {
                 let mut byte = [0; 1];
                 let _ = stream.read(&mut byte).await;
--- a/crates/kingcuploft-entry/tests/entry/testbed.rs
+++ b/crates/kingcuploft-entry/tests/entry/testbed.rs
@@ -191,6 +191,21 @@
     )
 }
 
+/// Returns [`configuration`] with so many attempts for each request.
+pub(crate) fn with_most_attempts(version: u64, most_attempts: u32) -> Configuration {
+    let known = configuration(version);
+    let routes = known.routes().cloned().map(|route| Route {
+        most_attempts,
+        ..route
+    });
+    Configuration::new(
+        version,
+        routes.collect(),
+        known.services.clone(),
+        known.limits,
+    )
+}
+
 /// Returns [`configuration`] with workspaces, and lookups under `/open/` that need no key.
 pub(crate) fn with_workspaces(version: u64, workspaces: Vec<Workspace>) -> Configuration {
     let known = configuration(version);
--- a/crates/kingcuploft-entry/tests/key_secrecy.rs
+++ b/crates/kingcuploft-entry/tests/key_secrecy.rs
@@ -4,6 +4,9 @@
 use kingcuploft::entry::workspaces::Workspace;
 use kingcuploft_simulation::{log, store};
 
+#[expect(dead_code, reason = "shared with the tests of the entry VM")]
+#[path = "entry/endless.rs"]
+mod endless;
 #[expect(dead_code, reason = "shared with the tests of the entry VM")]
 #[path = "entry/server.rs"]
 mod server;
