fix(http): a head that arrives in small pieces is parsed a few times, not after each piece

A head of 60 KB that arrives byte by byte was parsed after each of them: the sum grows with the square of its length. Now it is parsed when its end arrives, and before that only when it has doubled, so that bytes that are no head are noticed early.

Tests: `the_bytes_of_a_slow_head_are_parsed_a_few_times_at_most` counts the bytes that are offered to the parser; `a_head_is_parsed_when_its_end_arrives`. There was nothing to count before the fix: read from the code, not measured.

--- a/crates/kingcuploft-entry/src/http/client/receiving.rs
+++ b/crates/kingcuploft-entry/src/http/client/receiving.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::http::body::{BodyError, BodyReader};
 use crate::http::head::{self, ResponseHead};
+use crate::http::head_scan::HeadScan;
 
 /// The most bytes of the heads of a response and of the interim responses before it.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -189,12 +190,16 @@
     }
 
     async fn next_head(&mut self, method: &str) -> Result<ResponseHead, Failure> {
+        let mut scan = HeadScan::default();
         let mut begun_at = None;
         loop {
             if self.skip_empty_lines() > 0 {
                 begun_at.get_or_insert_with(Instant::now);
             }
-            let parsed = head::parse_response(&self.connection.buffer, method);
+            let parsed = match scan.is_parse_due(&self.connection.buffer) {
+                true => head::parse_response(&self.connection.buffer, method),
+                false => Ok(None),
+            };
             let parsed = parsed.map_err(|_| ReceiveError::Malformed)?;
             let (head, length) = parsed.unzip();
             self.head_bytes += length.unwrap_or(0);
--- a/crates/kingcuploft-entry/src/http/mod.rs
+++ b/crates/kingcuploft-entry/src/http/mod.rs
@@ -6,4 +6,5 @@
 pub mod body;
 pub mod client;
 pub mod head;
+pub mod head_scan;
 pub mod headers;
--- a/crates/kingcuploft-entry/tests/messages.rs
+++ b/crates/kingcuploft-entry/tests/messages.rs
@@ -1,11 +1,50 @@
-//! HTTP messages whose framing goes on without end.
+//! HTTP messages that arrive in small pieces, or with framing that goes on without end.
 
 use bytes::BytesMut;
 use kingcuploft_entry::http::body::{BodyError, BodyReader, Framing};
+use kingcuploft_entry::http::head_scan::HeadScan;
+
+/// The length of a long head, in bytes.
+const LONG_HEAD_BYTES: usize = 60_000;
 
 /// The most bytes of a body.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
+/// Returns how many bytes are parsed in all while a head arrives byte by byte, and how many had arrived at the last time.
+fn parsed_bytes(head: &[u8]) -> (usize, usize) {
+    let mut scan = HeadScan::default();
+    let lengths = (1..=head.len()).filter(|length| scan.is_parse_due(&head[..*length]));
+    lengths.fold((0, 0), |(sum, _), length| (sum + length, length))
+}
+
+/// Guards against a processor that is busy with one head that arrives byte by byte.
+#[test]
+fn the_bytes_of_a_slow_head_are_parsed_a_few_times_at_most() {
+    let head = format!("HTTP/1.1 200 OK\r\nx: {}", "y".repeat(LONG_HEAD_BYTES));
+    let (parsed, _) = parsed_bytes(head.as_bytes());
+    assert!(parsed <= 3 * head.len(), "{parsed}");
+}
+
+/// Guards against a head that has arrived and is not noticed.
+#[test]
+fn a_head_is_parsed_when_its_end_arrives() {
+    for end in ["\r\n\r\n", "\n\n", "\n\r\n", "\r\n\n"] {
+        for value_length in 0..40 {
+            let value = "y".repeat(value_length);
+            let head = format!("HTTP/1.1 200 OK\r\nx: {value}{end}");
+            let (_, last) = parsed_bytes(head.as_bytes());
+            assert_eq!(last, head.len(), "{head:?}");
+        }
+    }
+}
+
+/// Guards against a head that arrives at once and is not parsed, as its end is at its beginning.
+#[test]
+fn a_head_that_arrives_at_once_is_parsed_at_once() {
+    assert!(HeadScan::default().is_parse_due(b"HTTP/1.1 200 OK\r\n\r\n"));
+    assert!(!HeadScan::default().is_parse_due(b""));
+}
+
 fn read_in_chunks(text: &str) -> Result<usize, BodyError> {
     let mut reader = BodyReader::new(Framing::Chunked, MAX_BODY_BYTES)?;
     let mut bytes = BytesMut::from(text);
