fix(upstream): answers of servers share one account of memory

What was seen: each answer may take 16 MiB, for itself. 24 lookups at once before 6 servers that send a body without end, on a VM with 64 MB: 282 MB resident at most (bookings 304 MB; VmHWM of the test program, a trial on a debug build).

Now all answers in receipt, or waiting for their callers, share a quarter of the VM's memory. Memory is reserved before it is taken; the reservation goes with the answer until it is written. When the account is full, the answer that holds most is given up, long ones of unknown length first; an answer whose announced length never fits at once. Up to 16 KiB do not count, and a quarter of the account is left to answers of up to 64 KiB, so that small answers do not suffer. Bodies above 16 KiB are written without a copy.

Tests: `answer_memory` (the decision), `endless_answers` (peak of the account, lookups, bookings, probes, relays, a long answer of 4 MiB beside 24 bookings that meet answers without end), `a_body_takes_no_more_memory_than_foretold`.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -34,6 +34,7 @@
 use crate::active_configuration::ActiveConfiguration;
 use crate::clock;
 use crate::edge::body_memory::BodyMemory;
+use crate::http::answer_account::AnswerAccount;
 use crate::metrics::Metrics;
 use crate::network::{Network, Tcp};
 use crate::notice_writes::NoticeWriteQueue;
@@ -83,6 +84,8 @@
     pub followers: Followers,
     /// The memory for request bodies.
     pub body_memory: BodyMemory,
+    /// The memory for answers of servers.
+    pub answer_memory: AnswerAccount,
     /// The requests during which servers have crashed.
     pub quarantine: RefCell<Quarantine>,
     /// Whether this VM has contact with the store, itself or through the VM that it follows.
@@ -168,6 +171,7 @@
             vm_count: Cell::new(vm_count),
             bounds: Cell::new(settings.bounds),
             body_memory: BodyMemory::new(settings.memory_bytes),
+            answer_memory: AnswerAccount::new(settings.memory_bytes),
             settings,
             wire_names,
             network,
--- a/crates/kingcuploft-entry/src/edge/answer.rs
+++ b/crates/kingcuploft-entry/src/edge/answer.rs
@@ -1,8 +1,12 @@
 //! Answers to callers: responses of backend servers that are passed on, and responses that this VM generates itself.
 
+use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::io::{AsyncWrite, AsyncWriteExt};
+
 use super::request::Request;
+use crate::http::answer_account::AnswerReservation;
 use crate::http::client::Response;
 use crate::http::headers::write_header;
 use crate::relay::wire::{self, RELAY_HEADER, RelayedAnswer};
@@ -12,6 +16,9 @@
 /// answered by then.
 const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Up to which length a body is copied behind its head, so that both are written at once.
+const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
+
 /// An answer, without the headers that concern its connection only.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -24,6 +31,8 @@
     head_only: bool,
     /// Whether the connection must be closed after the answer.
     pub close: bool,
+    /// The memory that is reserved for a server's response.
+    _reservation: Option<Rc<AnswerReservation>>,
 }
 
 impl Answer {
@@ -41,6 +50,7 @@
             body: response.body,
             head_only: request.head.method == "HEAD",
             close: !request.head.keep_alive,
+            _reservation: response.reservation,
         }
     }
 
@@ -65,6 +75,7 @@
             body: plain_text_body(reason),
             head_only: request.head.method == "HEAD",
             close: !request.head.keep_alive,
+            _reservation: None,
         }
     }
 
@@ -80,6 +91,7 @@
             body: plain_text_body(reason),
             head_only: false,
             close: true,
+            _reservation: None,
         }
     }
 
@@ -96,6 +108,7 @@
             body: Vec::new(),
             head_only: false,
             close: false,
+            _reservation: None,
         }
     }
 
@@ -104,9 +117,30 @@
         self.status < 200
     }
 
-    /// Returns the bytes of the answer as they are written to the connection.
-    pub fn to_bytes(&self, close: bool) -> Vec<u8> {
-        let mut out = Vec::with_capacity(self.head.len() + self.body.len() + 96);
+    /// Writes the answer to the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the connection's error.
+    pub async fn write_to<W>(&self, writer: &mut W, close: bool) -> std::io::Result<()>
+    where
+        W: AsyncWrite + Unpin,
+    {
+        let body: &[u8] = match self.head_only {
+            true => &[],
+            false => &self.body,
+        };
+        let mut head = self.head_bytes(close);
+        if body.len() <= MAX_COPIED_BODY_BYTES {
+            head.extend_from_slice(body);
+            return writer.write_all(&head).await;
+        }
+        writer.write_all(&head).await?;
+        writer.write_all(body).await
+    }
+
+    fn head_bytes(&self, close: bool) -> Vec<u8> {
+        let mut out = Vec::with_capacity(self.head.len() + 96);
         let line = format!(
             "HTTP/1.1 {} {}\r\n",
             self.status,
@@ -122,9 +156,6 @@
             write_header(&mut out, "Connection", b"close");
         }
         out.extend_from_slice(b"\r\n");
-        if !self.head_only {
-            out.extend_from_slice(&self.body);
-        }
         out
     }
 }
--- a/crates/kingcuploft-entry/src/edge/body_memory.rs
+++ b/crates/kingcuploft-entry/src/edge/body_memory.rs
@@ -7,8 +7,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// The share of the VM's memory that request bodies may take together. The rest is for responses, which are a few times
-/// as large, and for the VM's own state.
+/// The share of the VM's memory that request bodies may take together. Answers have a share of their own, and the rest is
+/// for the VM's own state.
 const VM_MEMORY_SHARE: f64 = 0.25;
 
 /// The memory that is reserved for request bodies, and its bound.
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -369,7 +369,7 @@
         };
         if answer.is_interim() {
             state.request_finished();
-            if writer.write_all(&answer.to_bytes(false)).await.is_err() {
+            if answer.write_to(&mut writer, false).await.is_err() {
                 return;
             }
             continue;
@@ -380,11 +380,7 @@
         if must_close {
             state.closing.set(true);
         }
-        if writer
-            .write_all(&answer.to_bytes(must_close))
-            .await
-            .is_err()
-        {
+        if answer.write_to(&mut writer, must_close).await.is_err() {
             return;
         }
         state.request_finished();
--- a/crates/kingcuploft-entry/src/gauges.rs
+++ b/crates/kingcuploft-entry/src/gauges.rs
@@ -16,6 +16,8 @@
             .set(self.caller_connections.get() as i64);
         let probes_left = (self.probe_budget_left() * 1000.0) as i64;
         self.metrics.probes_left.set(probes_left);
+        let answer_memory = self.answer_memory.reserved_bytes();
+        self.metrics.answer_memory.set(answer_memory as i64);
         let quarantined = self.quarantine.borrow().refused();
         self.metrics.quarantined.set(quarantined as i64);
         let unknown_ms = self.repeats_unknown_for().as_millis() as i64;
--- a/crates/kingcuploft-entry/src/http/body.rs
+++ b/crates/kingcuploft-entry/src/http/body.rs
@@ -70,6 +70,10 @@
             Framing::Chunked => State::ChunkLine,
             Framing::UntilClose => State::UntilClose,
         };
+        let max_bytes = match framing {
+            Framing::Length(length) => length,
+            Framing::Chunked | Framing::UntilClose => max_bytes,
+        };
         Ok(Self {
             state,
             max_bytes,
@@ -102,6 +106,20 @@
         self.body.len()
     }
 
+    /// Returns how many bytes the body takes at most in memory after so many more have been read.
+    pub fn capacity_with(&self, more_bytes: usize) -> usize {
+        let bytes = self.body.len() + more_bytes;
+        match bytes <= self.body.capacity() {
+            true => self.body.capacity(),
+            false => self.grown_capacity(bytes),
+        }
+    }
+
+    /// Returns the capacity to which the memory of the body grows when it must hold so many bytes.
+    fn grown_capacity(&self, bytes: usize) -> usize {
+        (2 * bytes).min(self.max_bytes).max(bytes)
+    }
+
     /// Returns the bytes of the body.
     pub fn into_body(self) -> Vec<u8> {
         self.body
@@ -140,6 +158,11 @@
         if self.body.len() + consumed > self.max_bytes {
             return Err(BodyError::TooLong);
         }
+        let filled = self.body.len() + consumed;
+        if filled > self.body.capacity() {
+            let grown = self.grown_capacity(filled);
+            self.body.reserve_exact(grown - self.body.len());
+        }
         self.body.extend_from_slice(&bytes[..consumed]);
         bytes.advance(consumed);
         Ok(left - consumed)
--- a/crates/kingcuploft-entry/src/http/client.rs
+++ b/crates/kingcuploft-entry/src/http/client.rs
@@ -14,6 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use super::answer_account::AnswerReservation;
 use super::head::ResponseHead;
 use crate::clock;
 use crate::network::{Connecting, Network, Stream};
@@ -39,6 +40,8 @@
     pub head: ResponseHead,
     /// The bytes of its body.
     pub body: Vec<u8>,
+    /// The memory that is reserved for it.
+    pub(crate) reservation: Option<Rc<AnswerReservation>>,
 }
 
 /// Why a request could not be sent.
--- a/crates/kingcuploft-entry/src/http/client/receiving.rs
+++ b/crates/kingcuploft-entry/src/http/client/receiving.rs
@@ -1,5 +1,6 @@
-//! Receives one response on a connection, within bounds on its length.
+//! Receives one response on a connection, within bounds on its memory.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
@@ -7,7 +8,8 @@
 
 use super::{Connection, Response, keepalive_timeout};
 use crate::clock;
-use crate::http::body::{BodyError, BodyReader};
+use crate::http::answer_account::{AnswerAccount, AnswerReservation, NoRoom};
+use crate::http::body::{BodyError, BodyReader, Framing};
 use crate::http::head::{self, ResponseHead};
 use crate::http::head_scan::HeadScan;
 
@@ -34,6 +36,8 @@
     BodyTooLong,
     /// The framing of its body is many times as long as the body.
     Framing,
+    /// The memory for responses is used up, and this one held most of it, or is announced to be longer.
+    NoRoom,
 }
 
 impl GiveUpReason {
@@ -45,6 +49,7 @@
             Self::SlowHead => "head too slow",
             Self::BodyTooLong => "body too long",
             Self::Framing => "framing without end",
+            Self::NoRoom => "no memory for the answer",
         }
     }
 }
@@ -90,6 +95,12 @@
     }
 }
 
+impl From<NoRoom> for Failure {
+    fn from(_: NoRoom) -> Self {
+        Self::GivenUp(GiveUpReason::NoRoom)
+    }
+}
+
 impl From<ReceiveError> for Failure {
     fn from(error: ReceiveError) -> Self {
         Self::Receive(error)
@@ -113,12 +124,12 @@
         method: &str,
         max_bytes: usize,
     ) -> Result<Response, ReceiveError> {
-        let receiving = Receiving::begin(self, None);
+        let receiving = Receiving::begin(self, None, None);
         receiving.receive(method, max_bytes).await
     }
 
-    /// Receives a server's response as [`Connection::receive`] does, with its heads in bounded
-    /// time.
+    /// Receives a server's response as [`Connection::receive`] does, with its memory reserved in an account, and its
+    /// head in bounded time.
     ///
     /// # Errors
     ///
@@ -127,8 +138,10 @@
         &mut self,
         method: &str,
         max_bytes: usize,
+        account: &AnswerAccount,
     ) -> Result<Response, ReceiveError> {
-        let receiving = Receiving::begin(self, Some(HEAD_TIMEOUT));
+        let reservation = Rc::new(account.reserve());
+        let receiving = Receiving::begin(self, Some(reservation), Some(HEAD_TIMEOUT));
         receiving.receive(method, max_bytes).await
     }
 
@@ -142,6 +155,7 @@
 /// A response in receipt.
 struct Receiving<'a> {
     connection: &'a mut Connection,
+    reservation: Option<Rc<AnswerReservation>>,
     /// How long the heads may still take, each from its first byte on.
     head_time_left: Option<Duration>,
     /// The bytes that have arrived.
@@ -151,10 +165,15 @@
 }
 
 impl<'a> Receiving<'a> {
-    fn begin(connection: &'a mut Connection, head_time_left: Option<Duration>) -> Self {
+    fn begin(
+        connection: &'a mut Connection,
+        reservation: Option<Rc<AnswerReservation>>,
+        head_time_left: Option<Duration>,
+    ) -> Self {
         Self {
             received_bytes: connection.buffer.len(),
             connection,
+            reservation,
             head_time_left,
             head_bytes: 0,
         }
@@ -175,8 +194,15 @@
     async fn response(&mut self, method: &str, max_bytes: usize) -> Result<Response, Failure> {
         let head = self.final_head(method).await?;
         let body = self.body(&head, max_bytes).await?;
+        if let Some(reservation) = &self.reservation {
+            reservation.complete();
+        }
         self.end(&head);
-        Ok(Response { head, body })
+        Ok(Response {
+            head,
+            body,
+            reservation: self.reservation.take(),
+        })
     }
 
     async fn final_head(&mut self, method: &str) -> Result<ResponseHead, Failure> {
@@ -247,6 +273,7 @@
 
     async fn read_head_bytes(&mut self, deadline: Option<Instant>) -> Result<(), Failure> {
         let has_begun = !self.connection.buffer.is_empty();
+        self.make_room(self.connection.buffer.capacity()).await?;
         let reading = self.read();
         let read = match deadline {
             None => reading.await?,
@@ -264,7 +291,13 @@
 
     async fn body(&mut self, head: &ResponseHead, max_bytes: usize) -> Result<Vec<u8>, Failure> {
         let mut reader = BodyReader::new(head.framing, max_bytes)?;
+        if let (Framing::Length(length), Some(reservation)) = (head.framing, &self.reservation) {
+            reservation.announce(length)?;
+        }
         loop {
+            let buffer = &self.connection.buffer;
+            let body_capacity = reader.capacity_with(buffer.len());
+            self.make_room(buffer.capacity() + body_capacity).await?;
             if reader.read(&mut self.connection.buffer)? {
                 break;
             }
@@ -290,8 +323,23 @@
         }
     }
 
+    /// Reserves memory for the heads and so many bytes more.
+    async fn make_room(&self, bytes: usize) -> Result<(), Failure> {
+        if let Some(reservation) = &self.reservation {
+            reservation.grow_to(self.head_bytes + bytes).await?;
+        }
+        Ok(())
+    }
+
     async fn read(&mut self) -> Result<usize, Failure> {
-        let read = self.connection.read().await?;
+        let read = match &self.reservation {
+            None => self.connection.read().await?,
+            Some(reservation) => tokio::select! {
+                biased;
+                read = self.connection.read() => read?,
+                () = reservation.given_up() => return Err(NoRoom.into()),
+            },
+        };
         self.received_bytes += read;
         Ok(read)
     }
--- a/crates/kingcuploft-entry/src/http/mod.rs
+++ b/crates/kingcuploft-entry/src/http/mod.rs
@@ -3,6 +3,7 @@
 //! The VM has its own implementation for two reasons: pipelined requests are read and served as they arrive, and it
 //! must be known to the byte whether any of a request was sent to a server. Both need access to the raw bytes.
 
+pub mod answer_account;
 pub mod body;
 pub mod client;
 pub mod head;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -75,6 +75,8 @@
     pub requests: Counter,
     /// Requests that another VM has passed to this one.
     pub relayed_requests: Counter,
+    /// Bytes that answers of servers take in memory.
+    pub answer_memory: Gauge,
     /// Services whose servers are out of this VM's reach.
     pub services_out_of_reach: Gauge,
     /// Store entries that could not be read.
@@ -137,6 +139,7 @@
             quota_depositors: Gauge::default(),
             requests: Counter::default(),
             relayed_requests: Counter::default(),
+            answer_memory: Gauge::default(),
             services_out_of_reach: Gauge::default(),
             unreadable_entries: Counter::default(),
             configuration: Gauge::default(),
@@ -195,6 +198,8 @@
         );
         let help = "Answers of servers that were given up by why";
         registry.register("answers_given_up", help, self.answers_given_up.clone());
+        let help = "Bytes that answers of servers take in memory";
+        registry.register("answer_memory_bytes", help, self.answer_memory.clone());
         let help = "Requests of workspaces by what their quotas made of them";
         registry.register("workspace_requests", help, self.workspace_requests.clone());
         let help = "Requests that were given back to a quota";
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -167,7 +167,8 @@
 ) -> Result<Response, (AttemptEnd, &'static str)> {
     for _ in 0..MAX_SKIPPED_RESPONSES {
         let method = &request.head.method;
-        let received = connection.receive_from_server(method, MAX_RESPONSE_BYTES);
+        let account = &context.answer_memory;
+        let received = connection.receive_from_server(method, MAX_RESPONSE_BYTES, account);
         let response = received.await.map_err(|error| match error {
             ReceiveError::GivenUp { reason, bytes } => {
                 let id = request.id.as_deref();
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -143,7 +143,8 @@
         ProbeStep::New
     });
     connection.send(request).await.ok()?;
-    let received = connection.receive_from_server("GET", MAX_PROBE_RESPONSE_BYTES);
+    let account = &context.answer_memory;
+    let received = connection.receive_from_server("GET", MAX_PROBE_RESPONSE_BYTES, account);
     match received.await {
         Ok(response) => {
             upstream.release(connection);
--- a/crates/kingcuploft-entry/tests/entry/endless_answers.rs
+++ b/crates/kingcuploft-entry/tests/entry/endless_answers.rs
@@ -1,4 +1,4 @@
-//! Answers of servers that have no end: they take bounded time, and no other request suffers.
+//! Answers of servers that have no end: they take bounded memory and time, and no other request suffers.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -11,7 +11,9 @@
 use crate::cut_fleet::Fleet;
 use crate::endless::{self, Pace, Part};
 use crate::server::{Behavior, TestServer};
-use crate::testbed::{Answer, Testbed, booking, lookup, run_test, wait_until, with_most_attempts};
+use crate::testbed::{
+    Answer, MEMORY_BYTES, Testbed, booking, lookup, run_test, wait_until, with_most_attempts,
+};
 
 /// How many requests are sent at the same time.
 const REQUESTS: usize = 24;
@@ -25,6 +27,12 @@
 /// How many lookups are served before a server begins to send answers without end, so that the VM knows their usual time.
 const SERVED_BEFORE: usize = 20;
 
+/// The memory of the VM.
+const VM_MEMORY_BYTES: usize = 64 << 20;
+
+/// The most memory that answers may take together: a quarter of the VM's.
+const MAX_ANSWER_BYTES: usize = VM_MEMORY_BYTES / 4;
+
 /// The most that a lookup may take that a good server answers at once: far less than its caller waits.
 const MAX_LOOKUP_TIME: Duration = Duration::from_millis(1_500);
 
@@ -37,11 +45,14 @@
 /// How many lookups are passed to another VM.
 const RELAYED: usize = 12;
 
+/// The length of a long answer, in bytes.
+const LONG_ANSWER_BYTES: usize = 4 << 20;
+
 /// Starts a VM in front of servers that send answers without end, and servers with other behaviors.
 async fn testbed(part: Part, pace: Pace, others: &[Behavior]) -> Testbed {
     let endless = [Behavior::AnswerWithoutEnd(part, pace); ENDLESS_SERVERS];
     let behaviors = [&endless[..], others].concat();
-    let testbed = Testbed::with(&behaviors).await;
+    let testbed = Testbed::with_memory(&behaviors, VM_MEMORY_BYTES).await;
     let context = &testbed.vm.context;
     context.vm_count.set(VmCount::Counted(1));
     let attempts = with_most_attempts(2, MOST_ATTEMPTS);
@@ -70,8 +81,12 @@
     (answers, started_at.elapsed())
 }
 
-/// Waits until each server that answers without end has seen its connections close.
-async fn wait_until_closed(testbed: &Testbed) {
+/// Checks that answers took no more memory than they may, give all of it back, and that each server has seen its
+/// connections close.
+async fn assert_bounded(testbed: &Testbed, case: &str) {
+    let memory = &testbed.vm.context.answer_memory;
+    assert!(memory.peak_bytes() <= MAX_ANSWER_BYTES, "{case}");
+    wait_until(|| memory.reserved_bytes() == 0).await;
     let is_closed = |server: &TestServer| {
         !matches!(server.behavior.get(), Behavior::AnswerWithoutEnd(..))
             || server.cancelled.get() == server.runs.get()
@@ -79,7 +94,7 @@
     wait_until(|| testbed.servers.iter().all(is_closed)).await;
 }
 
-/// Guards against a VM that holds lookups since many answers come without end.
+/// Guards against a VM that runs out of memory or holds lookups since many answers come without end.
 #[test]
 fn lookups_that_meet_answers_without_end_are_served_by_another_server() {
     for part in Part::ALL {
@@ -91,7 +106,7 @@
                 assert_eq!((answer.status, &*answer.body), (200, "hello"), "{case}");
             }
             assert!(took < MAX_LOOKUP_TIME, "{case}: {took:?}");
-            wait_until_closed(&testbed).await;
+            assert_bounded(&testbed, &case).await;
         });
     }
 }
@@ -115,7 +130,7 @@
             assert!(answers.iter().all(|answer| answer.status == 200), "{case}");
             assert!(took < MAX_LOOKUP_TIME, "{case}: {took:?}");
             assert!(server.runs.get() > 0, "{case}");
-            wait_until_closed(&testbed).await;
+            assert_bounded(&testbed, &case).await;
         });
     }
 }
@@ -135,7 +150,7 @@
             let (answers, took) = ask_at_once(&testbed, lookup, REQUESTS).await;
             assert!(answers.iter().all(|answer| answer.status == 200), "{case}");
             assert!(took < MAX_SLOW_LOOKUP_TIME, "{case}: {took:?}");
-            wait_until_closed(&testbed).await;
+            assert_bounded(&testbed, &case).await;
         });
     }
 }
@@ -165,7 +180,7 @@
     }
     assert!(testbed.run_count() as usize > REQUESTS / 2, "{case}");
     assert!(took < MAX_BOOKING_TIME, "{case}: {took:?}");
-    wait_until_closed(&testbed).await;
+    assert_bounded(&testbed, &case).await;
 }
 
 /// Guards against a protected request that runs twice, or is called not run, after an answer without end.
@@ -179,7 +194,7 @@
     }
 }
 
-/// Guards against probes whose answers have no end, and that keep lookups from good servers.
+/// Guards against probes whose answers have no end: they take memory, or keep lookups from good servers.
 #[test]
 fn probes_that_meet_answers_without_end_hold_no_lookup() {
     for part in Part::ALL {
@@ -195,6 +210,8 @@
                 let (answers, took) = ask_at_once(&testbed, lookup, REQUESTS).await;
                 assert!(answers.iter().all(|answer| answer.status == 200), "{case}");
                 assert!(took < MAX_LOOKUP_TIME, "{case}: {took:?}");
+                let memory = &testbed.vm.context.answer_memory;
+                assert!(memory.peak_bytes() <= MEMORY_BYTES / 4, "{case}");
                 let is_closed =
                     |server: &TestServer| server.cancelled.get() >= server.probe_count.get();
                 wait_until(|| endless.iter().all(is_closed)).await;
@@ -218,7 +235,7 @@
     address
 }
 
-/// Guards against answers without end of another VM, to which requests are passed: they hold requests.
+/// Guards against answers without end of another VM, to which requests are passed: they take memory, or hold requests.
 #[test]
 fn answers_without_end_of_another_vm_are_bounded() {
     for (part, pace) in [
@@ -248,6 +265,9 @@
                 let took = started_at.elapsed();
                 assert!(took < MAX_BOOKING_TIME, "{case}: {took:?}");
             }
+            let memory = &context.answer_memory;
+            assert!(memory.peak_bytes() <= context.settings.memory_bytes / 4);
+            wait_until(|| memory.reserved_bytes() == 0).await;
         });
     }
 }
@@ -274,6 +294,31 @@
             let status = fleet.ask(0, &booking("b")).await.status;
             assert!([502, 504].contains(&status), "{part:?}: {status}");
             assert_eq!(fleet.received("b").len(), 1, "{part:?}");
+            for vm in &fleet.vms {
+                let peak_bytes = vm.context.answer_memory.peak_bytes();
+                assert!(peak_bytes <= vm.context.settings.memory_bytes / 4);
+            }
         });
     }
 }
+
+/// Guards against a long honest answer that is given up, alone or beside answers without end.
+#[test]
+fn a_long_answer_on_a_slow_link_arrives_beside_answers_without_end() {
+    run_test(async {
+        let long = Behavior::AnswerAtLength(LONG_ANSWER_BYTES);
+        let alone = Testbed::with_memory(&[long], VM_MEMORY_BYTES).await;
+        let answer = alone.ask(&lookup("alone")).await;
+        assert_eq!((answer.status, answer.body.len()), (200, LONG_ANSWER_BYTES));
+        let testbed = testbed(Part::Chunks, Pace::Fast, &[long]).await;
+        let mut bookings = Vec::new();
+        for at in 0..REQUESTS {
+            let mut caller = testbed.caller().await;
+            caller.send(&booking(&format!("r{at}"))).await;
+            bookings.push(caller);
+        }
+        let answer = testbed.ask(&lookup("long")).await;
+        assert_eq!((answer.status, answer.body.len()), (200, LONG_ANSWER_BYTES));
+        assert_bounded(&testbed, "long").await;
+    });
+}
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -11,6 +11,12 @@
 
 use crate::endless::{self, Pace, Part};
 
+/// How many bytes of a long answer are sent at once.
+const SLOW_CHUNK_BYTES: usize = 64 * 1024;
+
+/// The pause between two chunks of a long answer.
+const SLOW_CHUNK_PAUSE: Duration = Duration::from_millis(10);
+
 /// What a server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Behavior {
@@ -46,6 +52,8 @@
     CrashOnMarkedPath,
     /// Runs it and sends an answer without end.
     AnswerWithoutEnd(Part, Pace),
+    /// Runs it, and answers a lookup slowly with a body of so many bytes.
+    AnswerAtLength(usize),
 }
 
 /// In which of its answers a server says that it leaves.
@@ -283,6 +291,10 @@
                 self.answer_without_end(stream, &headers, part, pace).await;
                 return false;
             }
+            Behavior::AnswerAtLength(_) if request.text.starts_with("POST") => whole,
+            Behavior::AnswerAtLength(length) => {
+                return answer_slowly(stream, &id, length).await.is_ok();
+            }
             Behavior::Hang => {
                 let mut byte = [0; 1];
                 let _ = stream.read(&mut byte).await;
@@ -300,6 +312,24 @@
     }
 }
 
+/// Answers with a body of so many bytes, in chunks with pauses between them.
+async fn answer_slowly(stream: &mut TcpStream, id: &str, length: usize) -> std::io::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: s\r\n");
+    let framing = "Transfer-Encoding: chunked\r\n\r\n";
+    stream.write_all((head + framing).as_bytes()).await?;
+    let mut left = length;
+    while left > 0 {
+        let chunk = left.min(SLOW_CHUNK_BYTES);
+        let line = format!("{chunk:x}\r\n");
+        stream.write_all(line.as_bytes()).await?;
+        stream.write_all(&vec![b'h'; chunk]).await?;
+        stream.write_all(b"\r\n").await?;
+        left -= chunk;
+        tokio::time::sleep(SLOW_CHUNK_PAUSE).await;
+    }
+    stream.write_all(b"0\r\n\r\n").await
+}
+
 fn refusal_with_pause(status: &str, pause_ms: u32) -> String {
     let pause = pause_header(pause_ms);
     format!("HTTP/1.1 {status}\r\nx-not-run: 1\r\n{pause}Content-Length: 0\r\n\r\n")
--- a/crates/kingcuploft-entry/tests/entry/testbed.rs
+++ b/crates/kingcuploft-entry/tests/entry/testbed.rs
@@ -55,6 +55,21 @@
         }
     }
 
+    /// Starts servers with these behaviors, and a VM with so much memory in front of them.
+    pub(crate) async fn with_memory(behaviors: &[Behavior], memory_bytes: usize) -> Self {
+        let (store, servers) = start_servers(behaviors).await;
+        let settings = EntrySettings {
+            memory_bytes,
+            ..settings("vm")
+        };
+        let vm = start_with(settings, &store).await;
+        Self {
+            vm,
+            store: store.0,
+            servers,
+        }
+    }
+
     pub(crate) async fn caller(&self) -> Caller {
         Caller::connect(self.vm.caller_address).await
     }
@@ -93,7 +108,11 @@
 
 /// Starts a VM, and waits until it knows the store's configuration and servers.
 pub(crate) async fn start(name: &str, store: &TestStore) -> Running {
-    let vm = run::start(settings(name), HEADER_NAMES, store.clone())
+    start_with(settings(name), store).await
+}
+
+async fn start_with(settings: EntrySettings, store: &TestStore) -> Running {
+    let vm = run::start(settings, HEADER_NAMES, store.clone())
         .await
         .unwrap();
     assume_large_fleet(&vm);
--- a/crates/kingcuploft-entry/tests/messages.rs
+++ b/crates/kingcuploft-entry/tests/messages.rs
@@ -74,3 +74,14 @@
     let text = format!("{chunks}0\r\n{trailers}\r\n");
     assert_eq!(read_in_chunks(&text), Ok(100_000));
 }
+
+/// Guards against a body that takes more memory than was reserved for it before it was read.
+#[test]
+fn a_body_takes_no_more_memory_than_foretold() {
+    let mut reader = BodyReader::new(Framing::UntilClose, MAX_BODY_BYTES).unwrap();
+    for length in [1, 7, 100, 3, 4096, 4096, 1, 30_000, 9, 200_000] {
+        let foretold = reader.capacity_with(length);
+        reader.read(&mut BytesMut::from(&*vec![0; length])).unwrap();
+        assert!(reader.capacity_with(0) <= foretold);
+    }
+}
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -4,6 +4,7 @@
 //! the same modules.
 
 pub mod account_replicas;
+pub mod answer_memory;
 pub mod attempts;
 mod backend_server;
 pub mod backend_servers;
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! The decisions of one entry VM, tested by their effects on callers and backend servers.
 
 mod account_replicas;
+mod answer_memory;
 mod attempts;
 mod backend_servers;
 mod caller_timeouts;
