fix(hedge): a server whose begun answer is overtaken counts as failed

What callers saw: a server that trickles bodies without end and answers probes is never found out: each lookup there waits for its hedge, whose answer cancels the attempt, and a cancelled attempt has no outcome.

Now the first send of a hedged lookup counts as failed if its answer had begun when the second one, sent later, ended. A first send without a byte, or a second one that is overtaken, counts as before.

--- a/crates/kingcuploft-entry/src/edge/attempt.rs
+++ b/crates/kingcuploft-entry/src/edge/attempt.rs
@@ -10,6 +10,7 @@
 use super::active_request::ActiveRequest;
 use super::suspect::SuspectRun;
 use crate::clock;
+use crate::http::client::LastArrival;
 use crate::limits;
 use crate::upstream::Upstream;
 use crate::upstream::exchange::{self, AttemptOutcome};
@@ -21,6 +22,16 @@
 impl ActiveRequest<'_> {
     /// Sends the request to a server and waits until the attempt ends.
     pub(super) async fn attempt(&self, upstream: &Rc<Upstream>) -> AttemptOutcome {
+        self.attempt_tracked(upstream, &LastArrival::default())
+            .await
+    }
+
+    /// Sends the request to a server as [`Self::attempt`] does, and records when bytes of the answer arrive.
+    pub(super) async fn attempt_tracked(
+        &self,
+        upstream: &Rc<Upstream>,
+        last_arrival: &LastArrival,
+    ) -> AttemptOutcome {
         let record = AttemptRecord::start(self, upstream);
         let remaining = record.remaining;
         let has_turn = |other: &Rc<Upstream>| Rc::ptr_eq(other, upstream);
@@ -28,7 +39,14 @@
             limits::count_sent(self.context, upstream, record.sent_at);
         }
         let run = SuspectRun::begin(self, upstream);
-        let outcome = exchange::attempt(self.context, upstream, self.request, remaining).await;
+        let outcome = exchange::attempt(
+            self.context,
+            upstream,
+            self.request,
+            last_arrival,
+            remaining,
+        )
+        .await;
         record.finish(&outcome);
         self.record_run_end(upstream, outcome.end, run.known_crashes)
             .await;
--- a/crates/kingcuploft-entry/src/edge/hedge.rs
+++ b/crates/kingcuploft-entry/src/edge/hedge.rs
@@ -11,6 +11,7 @@
 use super::active_request::ActiveRequest;
 use super::selection::LOAD_REPORT_POLL_INTERVAL;
 use crate::clock;
+use crate::http::client::LastArrival;
 use crate::upstream::Upstream;
 use crate::upstream::exchange::AttemptOutcome;
 use crate::upstream::probe::{self, PROBE_TIMEOUT};
@@ -36,7 +37,8 @@
         upstream: &Rc<Upstream>,
     ) -> (AttemptOutcome, Option<Rc<Upstream>>) {
         let expected_ms = self.expected_ms(upstream);
-        let mut first = std::pin::pin!(self.attempt(upstream));
+        let first_arrival = LastArrival::default();
+        let mut first = std::pin::pin!(self.attempt_tracked(upstream, &first_arrival));
         tokio::select! {
             biased;
             outcome = &mut first => return (outcome, None),
@@ -57,7 +59,14 @@
             outcome = &mut second => (outcome, Pending::First),
         };
         let outcome = match (outcome.end, pending) {
-            (AttemptEnd::Succeeded, _) => outcome,
+            (AttemptEnd::Succeeded, Pending::First) => {
+                if first_arrival.get().is_some() {
+                    // Its answer has begun, and a send that began later has ended before it.
+                    upstream.record_outcome(clock::now(), true);
+                }
+                outcome
+            }
+            (AttemptEnd::Succeeded, Pending::Second) => outcome,
             (_, Pending::First) => first.await,
             (_, Pending::Second) => second.await,
         };
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -12,7 +12,7 @@
 use crate::context::Context;
 use crate::edge::caller_key::KEY_HEADER;
 use crate::edge::request::{CallerIdentity, Request};
-use crate::http::client::{Connection, ReceiveError, Response, SendError};
+use crate::http::client::{Connection, LastArrival, ReceiveError, Response, SendError};
 use crate::http::headers::write_header;
 use crate::limits;
 use crate::peers::load_reports;
@@ -65,19 +65,23 @@
     }
 }
 
-/// Sends a request to a server and receives its response. Dropping the future cancels the attempt: its connection
+/// Sends a request to a server and receives its response; `last_arrival` tells when bytes of it arrive. Dropping the future cancels the attempt: its connection
 /// closes, and the server drops the work.
 pub async fn attempt(
     context: &Rc<Context>,
     upstream: &Rc<Upstream>,
     request: &Request,
+    last_arrival: &LastArrival,
     left: Duration,
 ) -> AttemptOutcome {
     let started_at = clock::now();
     let _in_flight = upstream.track_in_flight(started_at);
     load_reports::share_sent(context, &upstream.server.name);
-    let outcome =
-        tokio::time::timeout(left, run(context, upstream, request, left, started_at)).await;
+    let outcome = tokio::time::timeout(
+        left,
+        run(context, upstream, request, last_arrival, left, started_at),
+    )
+    .await;
     let timed_out =
         || AttemptOutcome::without_answer(AttemptEnd::TimedOut, "deadline passed", started_at);
     let outcome = outcome.unwrap_or_else(|_| timed_out());
@@ -90,6 +94,7 @@
     context: &Rc<Context>,
     upstream: &Rc<Upstream>,
     request: &Request,
+    last_arrival: &LastArrival,
     left: Duration,
     started_at: Instant,
 ) -> AttemptOutcome {
@@ -97,6 +102,7 @@
         Ok(connection) => connection,
         Err(error) => return AttemptOutcome::without_connection(&error, started_at),
     };
+    connection.track_arrivals(last_arrival);
     // Opening a connection may take a second, and the zone may have been evacuated meanwhile.
     if !context.takes_work(upstream) {
         upstream.release(connection);
--- a/crates/kingcuploft-entry/tests/entry/endless_answers.rs
+++ b/crates/kingcuploft-entry/tests/entry/endless_answers.rs
@@ -39,6 +39,15 @@
 /// The most that a lookup may take that meets several slow servers: less than its caller waits.
 const MAX_SLOW_LOOKUP_TIME: Duration = Duration::from_millis(3_000);
 
+/// How long a request takes at a server.
+const WORK_TIME: Duration = Duration::from_millis(20);
+
+/// How often each of eight callers sends a lookup.
+const OVERTAKEN_ROUNDS: usize = 25;
+
+/// The most of these lookups that may reach a server whose answers have no end: half of its share.
+const MAX_OVERTAKEN_RUNS: u32 = 12;
+
 /// The most that a booking may take: the time that its caller waits, with a margin.
 const MAX_BOOKING_TIME: Duration = Duration::from_millis(4_500);
 
@@ -155,6 +164,29 @@
     }
 }
 
+/// Guards against a server whose slow answers without end are always overtaken by another server's, and that is sent
+/// lookups as before.
+#[test]
+fn a_server_whose_answers_without_end_are_overtaken_gets_few_requests() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::AnswerAfter(WORK_TIME); 8]).await;
+        testbed.vm.context.vm_count.set(VmCount::Counted(1));
+        for _ in 0..SERVED_BEFORE {
+            testbed.ask(&lookup("before")).await;
+        }
+        let server = &testbed.servers[0];
+        server.runs.set(0);
+        let behavior = Behavior::AnswerWithoutEnd(Part::Chunks, Pace::Trickle);
+        server.behavior.set(behavior);
+        for _ in 0..OVERTAKEN_ROUNDS {
+            let (answers, _) = ask_at_once(&testbed, lookup, testbed.servers.len()).await;
+            assert!(answers.iter().all(|answer| answer.status == 200));
+        }
+        let runs = server.runs.get();
+        assert!((1..=MAX_OVERTAKEN_RUNS).contains(&runs), "{runs}");
+    });
+}
+
 async fn check_bookings(part: Part, pace: Pace) {
     let case = format!("{part:?} {pace:?}");
     let testbed = testbed(part, pace, &[]).await;
