--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -347,7 +347,7 @@
             break;
         };
         if answer.is_interim() {
-            if writer.write_all(&answer.to_bytes(false)).await.is_err() {
+            if answer.write_to(&mut writer, false).await.is_err() {
                 return;
             }
             pending.written();
@@ -359,11 +359,7 @@
         if must_close {
             state.closing.set(true);
         }
-        if writer
-            .write_all(&answer.to_bytes(must_close))
-            .await
-            .is_err()
-        {
+        if answer.write_to(&mut writer, must_close).await.is_err() {
             return;
         }
         pending.written();
--- a/crates/kingcuploft-entry/src/http/body.rs
+++ b/crates/kingcuploft-entry/src/http/body.rs
@@ -16,6 +16,12 @@
 /// The most bytes of a line that gives a chunk's length.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
+/// The most bytes of chunk lines and trailers that a body may have whatever its length.
+const MAX_FRAMING_BYTES: usize = 16 * 1024;
+
+/// The most bytes of chunk lines for each byte of a body: chunks of one byte have five.
+const MAX_FRAMING_PER_BODY_BYTE: usize = 8;
+
 /// Why a body can't be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum BodyError {
@@ -25,6 +31,9 @@
     /// The body is longer than allowed.
     #[error("the body is too long")]
     TooLong,
+    /// Chunk lines and trailers are many times as long as the body.
+    #[error("the body has too little in its chunks")]
+    Framing,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -43,6 +52,7 @@
 pub struct BodyReader {
     state: State,
     max_bytes: usize,
+    framing_bytes: usize,
     body: Vec<u8>,
 }
 
@@ -60,9 +70,14 @@
             Framing::Chunked => State::ChunkLine,
             Framing::UntilClose => State::UntilClose,
         };
+        let max_bytes = match framing {
+            Framing::Length(length) => length,
+            Framing::Chunked | Framing::UntilClose => max_bytes,
+        };
         Ok(Self {
             state,
             max_bytes,
+            framing_bytes: 0,
             body: Vec::new(),
         })
     }
@@ -91,6 +106,20 @@
         self.body.len()
     }
 
+    /// Returns how many bytes the body takes at most in memory after so many more have been read.
+    pub fn capacity_with(&self, more_bytes: usize) -> usize {
+        let bytes = self.body.len() + more_bytes;
+        match bytes <= self.body.capacity() {
+            true => self.body.capacity(),
+            false => self.grown_capacity(bytes),
+        }
+    }
+
+    /// Returns the capacity to which the memory of the body grows when it must hold so many bytes.
+    fn grown_capacity(&self, bytes: usize) -> usize {
+        (2 * bytes).min(self.max_bytes).max(bytes)
+    }
+
     /// Returns the bytes of the body.
     pub fn into_body(self) -> Vec<u8> {
         self.body
@@ -129,6 +158,11 @@
         if self.body.len() + consumed > self.max_bytes {
             return Err(BodyError::TooLong);
         }
+        let filled = self.body.len() + consumed;
+        if filled > self.body.capacity() {
+            let grown = self.grown_capacity(filled);
+            self.body.reserve_exact(grown - self.body.len());
+        }
         self.body.extend_from_slice(&bytes[..consumed]);
         bytes.advance(consumed);
         Ok(left - consumed)
@@ -142,6 +176,10 @@
             };
         };
         let line = bytes.split_to(end + 2);
+        self.framing_bytes += line.len();
+        if self.framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self.body.len() {
+            return Err(BodyError::Framing);
+        }
         let line = &line[..end];
         self.state = match self.state {
             State::ChunkEnd if line.is_empty() => State::ChunkLine,
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -13,7 +13,7 @@
 use crate::context::Context;
 use crate::edge::caller_key::KEY_HEADER;
 use crate::edge::request::{CallerIdentity, Request};
-use crate::http::client::{Connection, ReceiveError, Response, SendError};
+use crate::http::client::{Connection, LastArrival, ReceiveError, Response, SendError};
 use crate::http::headers::write_header;
 use crate::limits;
 use crate::peers::load_reports;
@@ -63,19 +63,23 @@
     }
 }
 
-/// Sends a request to a server and receives its response. Dropping the future cancels the attempt: its connection
+/// Sends a request to a server and receives its response; `last_arrival` tells when bytes of it arrive. Dropping the future cancels the attempt: its connection
 /// closes, and the server drops the work.
 pub async fn attempt(
     context: &Rc<Context>,
     upstream: &Rc<Upstream>,
     request: &Request,
+    last_arrival: &LastArrival,
     left: Duration,
 ) -> AttemptOutcome {
     let started_at = clock::now();
     let _in_flight = upstream.track_in_flight(started_at);
     load_reports::share_sent(context, &upstream.server.name);
-    let outcome =
-        tokio::time::timeout(left, run(context, upstream, request, left, started_at)).await;
+    let outcome = tokio::time::timeout(
+        left,
+        run(context, upstream, request, last_arrival, left, started_at),
+    )
+    .await;
     let timed_out =
         || AttemptOutcome::without_answer(AttemptEnd::TimedOut, "deadline passed", started_at);
     let outcome = outcome.unwrap_or_else(|_| timed_out());
@@ -88,6 +92,7 @@
     context: &Rc<Context>,
     upstream: &Rc<Upstream>,
     request: &Request,
+    last_arrival: &LastArrival,
     left: Duration,
     started_at: Instant,
 ) -> AttemptOutcome {
@@ -95,6 +100,7 @@
         Ok(connection) => connection,
         Err(error) => return AttemptOutcome::without_connection(&error, started_at),
     };
+    connection.track_arrivals(last_arrival);
     // Opening a connection may take a second, and the zone may have been evacuated meanwhile.
     if !context.takes_work(upstream) {
         upstream.release(connection);
@@ -123,7 +129,7 @@
             );
         }
     }
-    let received = receive_own(context, &mut connection, request).await;
+    let received = receive_own(context, &mut connection, &upstream.server.name, request).await;
     let response = match received {
         Ok(response) => response,
         Err((end, detail)) => return AttemptOutcome::without_answer(end, detail, started_at),
@@ -155,20 +161,26 @@
     }
 }
 
-/// Receives the answer that belongs to the request, or returns how the attempt has ended without it.
+/// Receives the answer that belongs to the request, or returns how the attempt has ended without it. `sender`
+/// names the server, or the VM, in logs.
 pub(crate) async fn receive_own(
     context: &Context,
     connection: &mut Connection,
+    sender: &str,
     request: &Request,
 ) -> Result<Response, (AttemptEnd, &'static str)> {
     let awaited = AwaitedAnswer {
         method: &request.head.method,
         request_id: request.id.as_deref(),
         max_bytes: MAX_RESPONSE_BYTES,
+        sender,
     };
     let received = own_answer::receive(context, connection, awaited).await;
     received.map_err(|error| match error {
         NoOwnAnswer::OnlyOthers => (AttemptEnd::Lost, "only answers to other requests"),
+        NoOwnAnswer::Receive(ReceiveError::GivenUp { reason, .. }) => {
+            (AttemptEnd::Broken, reason.label())
+        }
         NoOwnAnswer::Receive(ReceiveError::Closed) => {
             (AttemptEnd::Lost, "closed without an answer")
         }
--- a/crates/kingcuploft-entry/src/upstream/own_answer.rs
+++ b/crates/kingcuploft-entry/src/upstream/own_answer.rs
@@ -17,6 +17,8 @@
     pub request_id: Option<&'a str>,
     /// The most bytes of the answer's body.
     pub max_bytes: usize,
+    /// The name of the server, or of the VM, in logs.
+    pub sender: &'a str,
 }
 
 /// Why a request got no answer of its own.
@@ -42,9 +44,14 @@
     awaited: AwaitedAnswer<'_>,
 ) -> Result<Response, NoOwnAnswer> {
     for _ in 0..MAX_SKIPPED_ANSWERS {
-        let response = connection
-            .receive(awaited.method, awaited.max_bytes)
-            .await?;
+        let account = &context.answer_memory;
+        let received = connection.receive_from_server(awaited.method, awaited.max_bytes, account);
+        let received = received.await;
+        if let Err(ReceiveError::GivenUp { reason, bytes }) = &received {
+            let (id, sender) = (awaited.request_id, awaited.sender);
+            context.record_answer_given_up(id, sender, *reason, *bytes);
+        }
+        let response = received?;
         let echoed_id = response.head.headers.get(context.wire_names.request_id);
         if is_own_answer(awaited.request_id, echoed_id) {
             return Ok(response);
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -148,6 +148,7 @@
         method: "GET",
         request_id: None,
         max_bytes: MAX_PROBE_RESPONSE_BYTES,
+        sender: &upstream.server.name,
     };
     let received = own_answer::receive(context, &mut connection, awaited).await;
     let response = received.ok()?;
--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -33,7 +33,7 @@
     name: &str,
     store: &TestStore,
 ) -> Running {
-    let started = try_start_with_network(network, zone, name, store).await;
+    let started = try_start_with_network(network, zone, settings(name), store).await;
     started.unwrap()
 }
 
@@ -41,13 +41,13 @@
 pub(crate) async fn try_start_with_network(
     network: Rc<dyn Network>,
     zone: &str,
-    name: &str,
+    settings: EntrySettings,
     store: &TestStore,
 ) -> Result<Running, StartError> {
     let settings = EntrySettings {
         zone: zone.into(),
         peer_address: Some(([127, 0, 0, 1], 0).into()),
-        ..settings(name)
+        ..settings
     };
     let vm = run::start_with_network(network, settings, HEADER_NAMES, store.clone()).await?;
     vm.context.recover_repeats(&UsageReport {
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -9,6 +9,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+use crate::endless::{self, Pace, Part};
+
+/// How many bytes of a long answer are sent at once.
+const SLOW_CHUNK_BYTES: usize = 64 * 1024;
+
+/// The pause between two chunks of a long answer.
+const SLOW_CHUNK_PAUSE: Duration = Duration::from_millis(10);
+
 /// What a server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Behavior {
@@ -44,6 +52,10 @@
     Hang,
     /// Crashes if the path contains `/crash`, runs and answers all else.
     CrashOnMarkedPath,
+    /// Runs it and sends an answer without end.
+    AnswerWithoutEnd(Part, Pace),
+    /// Runs it, and answers a lookup slowly with a body of so many bytes.
+    AnswerAtLength(usize),
 }
 
 /// In which of its answers a server says that it leaves.
@@ -104,6 +116,10 @@
     pub(crate) probe_delay: Rc<Cell<Duration>>,
     /// With which pause, in milliseconds, it refuses probes; 0 answers them.
     pub(crate) probe_pause_ms: Rc<Cell<u32>>,
+    /// Which part of its answers to probes has no end.
+    pub(crate) endless_probes: Rc<Cell<Option<(Part, Pace)>>>,
+    /// How many bytes of answers without end it has sent on connections that have closed since.
+    pub(crate) endless_bytes: Rc<Cell<u64>>,
     /// In which answers it says that it leaves.
     pub(crate) leaving_notice: Rc<Cell<LeavingNotice>>,
     /// Which answers it sends a second time.
@@ -137,6 +153,8 @@
             cold_ms: Rc::default(),
             probe_delay: Rc::default(),
             probe_pause_ms: Rc::default(),
+            endless_probes: Rc::default(),
+            endless_bytes: Rc::default(),
             leaving_notice: Rc::default(),
             late_extra: Rc::default(),
             extras_before_answers: Rc::default(),
@@ -200,6 +218,10 @@
             let late_extra = self.late_extra.get();
             if is_probe {
                 self.probe_count.set(self.probe_count.get() + 1);
+                if let Some((part, pace)) = self.endless_probes.get() {
+                    let load = "x-load: 0,0,4\r\n";
+                    return self.answer_without_end(&mut stream, load, part, pace).await;
+                }
                 tokio::time::sleep(self.probe_delay.get()).await;
                 let cold = match self.cold_ms.get() {
                     0 => String::new(),
@@ -233,6 +255,19 @@
         }
     }
 
+    /// Sends bytes of an answer until the connection closes.
+    async fn answer_without_end(
+        &self,
+        stream: &mut TcpStream,
+        headers: &str,
+        part: Part,
+        pace: Pace,
+    ) {
+        let sent = endless::send(stream, headers, part, pace).await;
+        self.endless_bytes.update(|bytes| bytes + sent);
+        self.cancelled.update(|cancelled| cancelled + 1);
+    }
+
     /// Responds to a request; returns whether the connection stays open.
     async fn respond(&self, stream: &mut TcpStream, request: &ReceivedRequest) -> bool {
         let id = request_id(request);
@@ -296,6 +331,15 @@
                 "\r\n\r\n",
                 &format!("\r\nKeep-Alive: timeout={time}\r\n\r\n"),
             ),
+            Behavior::AnswerWithoutEnd(part, pace) => {
+                let headers = format!("x-id: {id}\r\nx-signed: s\r\n");
+                self.answer_without_end(stream, &headers, part, pace).await;
+                return false;
+            }
+            Behavior::AnswerAtLength(_) if request.text.starts_with("POST") => whole,
+            Behavior::AnswerAtLength(length) => {
+                return answer_slowly(stream, id, length).await.is_ok();
+            }
             Behavior::Hang => {
                 let mut byte = [0; 1];
                 let _ = stream.read(&mut byte).await;
@@ -322,6 +366,24 @@
     format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: s\r\nContent-Length: 5\r\n\r\nhello")
 }
 
+/// Answers with a body of so many bytes, in chunks with pauses between them.
+async fn answer_slowly(stream: &mut TcpStream, id: &str, length: usize) -> std::io::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: s\r\n");
+    let framing = "Transfer-Encoding: chunked\r\n\r\n";
+    stream.write_all((head + framing).as_bytes()).await?;
+    let mut left = length;
+    while left > 0 {
+        let chunk = left.min(SLOW_CHUNK_BYTES);
+        let line = format!("{chunk:x}\r\n");
+        stream.write_all(line.as_bytes()).await?;
+        stream.write_all(&vec![b'h'; chunk]).await?;
+        stream.write_all(b"\r\n").await?;
+        left -= chunk;
+        tokio::time::sleep(SLOW_CHUNK_PAUSE).await;
+    }
+    stream.write_all(b"0\r\n\r\n").await
+}
+
 fn refusal_with_pause(status: &str, id: &str, pause_ms: u32) -> String {
     let pause = pause_header(pause_ms);
     format!("HTTP/1.1 {status}\r\nx-id: {id}\r\nx-not-run: 1\r\n{pause}Content-Length: 0\r\n\r\n")
--- a/crates/kingcuploft-entry/tests/entry/stopping_search/process.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_search/process.rs
@@ -8,6 +8,7 @@
 use kingcuploft_entry::context::Context;
 use kingcuploft_entry::edge::connection;
 use kingcuploft_entry::run::Running;
+use kingcuploft_entry::settings::EntrySettings;
 use kingcuploft_soak::cuttable::CuttableNetwork;
 use tokio::io::DuplexStream;
 use tokio::sync::Notify;
@@ -27,11 +28,23 @@
     pub(super) network: Option<Rc<CuttableNetwork>>,
 }
 
+/// The memory of a small entry VM: the answers of these servers are no burden to it.
+const MEMORY_BYTES: usize = 160_000_000;
+
+fn settings(name: &str) -> EntrySettings {
+    EntrySettings {
+        memory_bytes: MEMORY_BYTES,
+        ..testbed::settings(name)
+    }
+}
+
 impl Process {
     /// Starts a VM without others.
     pub(super) async fn start_alone(store: &TestStore) -> Rc<Self> {
         let tasks = Rc::new(LocalSet::new());
-        let running = tasks.run_until(testbed::start("vm", store)).await;
+        let running = tasks
+            .run_until(testbed::start_with(settings("vm"), store))
+            .await;
         Self::live(tasks, running, None)
     }
 
@@ -41,7 +54,8 @@
         loop {
             let tasks = Rc::new(LocalSet::new());
             let network = Rc::new(CuttableNetwork::default());
-            let starting = following::try_start_with_network(network.clone(), "thun", &name, store);
+            let starting =
+                following::try_start_with_network(network.clone(), "thun", settings(&name), store);
             // Where the address is taken, the next attempt draws another.
             if let Ok(running) = tasks.run_until(starting).await {
                 return Self::live(tasks, running, Some(network));
--- a/crates/kingcuploft-entry/tests/entry/stopping_search/servers.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_search/servers.rs
@@ -220,6 +220,12 @@
     }
 }
 
+/// Returns how many bytes the head of an answer has: servers write it at once.
+fn head_bytes(answer: &[u8]) -> usize {
+    let end = answer.windows(4).position(|four| four == b"\r\n\r\n");
+    end.map_or(answer.len(), |end| end + 4)
+}
+
 /// Works on a request and answers it; returns how that ended.
 async fn work(stream: &mut TcpStream, (id, name): (usize, &str), act: &Act) -> RunEnd {
     if !pause(stream, act.work).await {
@@ -231,8 +237,12 @@
         Outcome::Truncate => answer.truncate(answer.len() / 2),
         Outcome::Answer | Outcome::Fail | Outcome::Refuse => {}
     }
-    let part_bytes = answer.len().div_ceil(act.parts);
-    for (at, part) in answer.chunks(part_bytes).enumerate() {
+    let (head, body) = answer.split_at(head_bytes(&answer));
+    if stream.write_all(head).await.is_err() {
+        return RunEnd::Cancelled;
+    }
+    let part_bytes = body.len().div_ceil(act.parts).max(1);
+    for (at, part) in body.chunks(part_bytes).enumerate() {
         if at > 0 && !pause(stream, act.gap).await {
             return RunEnd::Cancelled;
         }
--- a/crates/kingcuploft-entry/tests/stop_lines.rs
+++ b/crates/kingcuploft-entry/tests/stop_lines.rs
@@ -7,6 +7,9 @@
 use kingcuploft_simulation::{log, store};
 use tokio::io::AsyncWriteExt;
 
+#[expect(dead_code, reason = "shared with the tests of the entry VM")]
+#[path = "entry/endless.rs"]
+mod endless;
 #[expect(dead_code, reason = "shared with the tests of the entry VM")]
 #[path = "entry/server.rs"]
 mod server;
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod account_replicas;
 pub mod answer_identity;
+pub mod answer_memory;
 pub mod attempts;
 mod backend_server;
 pub mod backend_servers;
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod account_replicas;
 mod answer_identity;
+mod answer_memory;
 mod attempts;
 mod backend_servers;
 mod caller_timeouts;
