--- a/crates/kingcuploft-entry/src/edge/connection_state.rs
+++ b/crates/kingcuploft-entry/src/edge/connection_state.rs
@@ -1,6 +1,7 @@
 //! The state of a caller's connection, shared by its reader and its writer.
 
 use std::cell::Cell;
+
 use tokio::sync::Notify;
 
 /// The state of a connection.
