fix(store): each watch of the store is checked by itself

Cause: the revision that a probe returns was compared with the greatest position of all four watches. The collections share one revision, so a watch that kept up hid one whose answer was lost, until that call timed out.

Evidence: a trial with a line at each probe shows that probes were answered, that `configuration` stayed behind for 20 s while `servers` reached each revision, and that no watch was repeated.

Fix: a watch that stays 0.9 s behind what the store is known to have reached, by a probe or any other watch, is checked by a call about its collection, at a tenth of the price of a full one. Only a watch that has missed a change, or about which the store does not answer, is repeated. So no collection's progress says anything about another.

--- a/crates/kingcuploft-entry/src/http/mod.rs
+++ b/crates/kingcuploft-entry/src/http/mod.rs
@@ -4,6 +4,7 @@
 //! must be known to the byte whether any of a request was sent to a server. Both need access to the raw bytes.
 
 pub mod answer_account;
+pub mod arriving;
 pub mod body;
 pub mod client;
 pub mod head;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -41,6 +41,13 @@
     outcome: &'static str,
 }
 
+/// The label set of the checks of the store's watches.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct WatchCheck {
+    collection: &'static str,
+    outcome: &'static str,
+}
+
 /// The label set of the requests of a workspace.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct WorkspaceOutcome {
@@ -57,6 +64,7 @@
     failures: Family<Reason, Counter>,
     probes: Family<Reason, Counter>,
     readers: Family<Reason, Counter>,
+    watch_checks: Family<WatchCheck, Counter>,
     relays: Family<Reason, Counter>,
     answers_given_up: Family<Reason, Counter>,
     answers: Family<Answered, Histogram>,
@@ -127,6 +135,7 @@
             failures: Family::default(),
             probes: Family::default(),
             readers: Family::default(),
+            watch_checks: Family::default(),
             relays: Family::default(),
             answers_given_up: Family::default(),
             answers: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S)),
@@ -185,6 +194,11 @@
             "Links to a reader by why they ended",
             self.readers.clone(),
         );
+        registry.register(
+            "watch_checks",
+            "Checks whether a watch of the store is behind, by collection and outcome",
+            self.watch_checks.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time to an answer, by route and outcome",
@@ -310,6 +324,15 @@
         self.readers.get_or_create(&Reason { reason }).inc();
     }
 
+    /// Counts a check whether the watch of a collection is behind the store.
+    pub fn count_watch_check(&self, collection: &'static str, outcome: &'static str) {
+        let check = WatchCheck {
+            collection,
+            outcome,
+        };
+        self.watch_checks.get_or_create(&check).inc();
+    }
+
     /// Records the latency of an answer by route and outcome.
     pub fn observe_answer(&self, route: Option<&str>, status: u16, took: Duration) {
         let outcome = match status {
--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -97,6 +97,15 @@
     pub revision: Revision,
 }
 
+/// Whether a collection has changed since a revision.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ChangeCheck {
+    /// It has.
+    Changed,
+    /// It has not, up to this revision.
+    UnchangedUntil(Revision),
+}
+
 /// How a zone record is written.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ZoneWrite {
@@ -150,6 +159,15 @@
     /// seconds ago.
     fn probe_liveness(&self) -> impl Future<Output = Result<Revision, StoreError>>;
 
+    /// Returns whether a collection has changed since a revision, without waiting for a change and beside the watch of
+    /// the collection. With `stale` the answer may be some seconds old.
+    fn check_changes(
+        &self,
+        collection: Collection,
+        since: Revision,
+        stale: bool,
+    ) -> impl Future<Output = Result<ChangeCheck, StoreError>>;
+
     /// Returns when bytes of an answer about a collection last arrived.
     fn last_received_at(&self, collection: Collection) -> Option<Instant>;
 
--- a/crates/kingcuploft-entry/src/store_access.rs
+++ b/crates/kingcuploft-entry/src/store_access.rs
@@ -1,15 +1,19 @@
-//! Whether this VM reads the platform's store, and whether the store is available, as probed by
-//! [`crate::store_liveness`]. Watches wait here until they may run, must be given up, or must be repeated.
+//! Whether this VM reads the platform's store, and whether the store is available and which revision it has reached, as
+//! probed by [`crate::store_liveness`]. Watches wait here until they may run, must be given up, or must be repeated.
 
 use std::cell::Cell;
 
 use tokio::sync::Notify;
 
+use crate::store::Revision;
+
 /// Whether this VM reads the store, and whether the store is available, as last probed.
 #[derive(Debug)]
 pub struct StoreAccess {
     is_reading_store: Cell<bool>,
     is_store_available: Cell<bool>,
+    /// The greatest revision that a probe has returned.
+    reached: Cell<Option<Revision>>,
     changed: Notify,
     rewatch: Notify,
     probed: Notify,
@@ -20,6 +24,7 @@
         Self {
             is_reading_store: Cell::new(true),
             is_store_available: Cell::new(true),
+            reached: Cell::default(),
             changed: Notify::new(),
             rewatch: Notify::new(),
             probed: Notify::new(),
@@ -72,8 +77,19 @@
         self.is_store_available.get()
     }
 
-    /// Records that a probe of the store has ended.
-    pub fn probe_completed(&self) {
+    /// Returns the greatest revision that a probe has returned.
+    pub fn reached(&self) -> Option<Revision> {
+        self.reached.get()
+    }
+
+    /// Waits until a probe of the store has ended.
+    pub async fn wait_for_probe(&self) {
+        self.probed.notified().await;
+    }
+
+    /// Records that a probe of the store has ended, and which revision it returned if it was answered.
+    pub fn probe_completed(&self, reached: Option<Revision>) {
+        self.reached.set(self.reached.get().max(reached));
         self.probed.notify_waiters();
     }
 
--- a/crates/kingcuploft-entry/src/store_liveness.rs
+++ b/crates/kingcuploft-entry/src/store_liveness.rs
@@ -2,8 +2,8 @@
 //!
 //! Failure: the store, or the connection to it, stops answering, which looks the same as a watch that waits for a
 //! change. So the store is probed by a cheap call. When a probe fails the watches are given up, and resume from their
-//! revision when the store answers again. A probe also returns a revision that the store has reached: watches that stay
-//! behind it are repeated.
+//! revision when the store answers again. A probe also returns a revision that the store has reached, by which
+//! [`crate::watch_check`] finds watches that are behind.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,7 +16,7 @@
 use crate::context::Context;
 use crate::peers::frame::Frame;
 use crate::peers::sync_status::sync_status;
-use crate::store::{Collection, Revision, Store};
+use crate::store::{Collection, Store};
 use crate::store_access::StoreAccess;
 use crate::store_watcher::{self, ReturnSource};
 
@@ -37,13 +37,8 @@
 /// How long a probe waits for its answer: twice the slowest answer of a store that is slow but available.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// How long the watches may stay behind the store before they are repeated. For most of this time changes are gathered
-/// into batches.
-const MAX_WATCH_LAG: Duration = Duration::from_millis(900);
-
 /// Probes the store while this VM reads it, until the process ends.
 pub async fn monitor<S: Store>(context: Rc<Context>, store: Rc<S>, store_access: Rc<StoreAccess>) {
-    let mut lag = WatchLag::default();
     loop {
         store_access.wait_until_reading().await;
         let asked_at = clock::now();
@@ -71,11 +66,7 @@
             let status = sync_status(&context, &store_access);
             context.followers.send(&Frame::Status(status));
         }
-        store_access.probe_completed();
-        if reached.is_some_and(|reached| lag.is_too_long(clock::now(), reached, &context)) {
-            tracing::info!(event = "watches_behind", reached);
-            store_access.request_rewatch();
-        }
+        store_access.probe_completed(reached);
         let pause = match (is_available, context.followers.is_empty()) {
             (false, _) if will_be_fed(&context) => {
                 OUTAGE_PROBE_INTERVAL_WHEN_FED.mul_f64(1.0 + fastrand::f64())
@@ -142,36 +133,3 @@
     let is_named = record.is_some_and(|record| record.vms.iter().any(|vm| vm.name == settings.vm));
     !context.is_ready() && !is_seed && !is_named && !settings.seeds.is_empty()
 }
-
-/// How long the watches have been behind the store.
-#[derive(Debug, Default)]
-struct WatchLag {
-    since: Option<(Revision, Instant)>,
-    reported: Revision,
-}
-
-impl WatchLag {
-    /// Records a revision that the store has reached; returns whether the watches have been behind one for too long.
-    /// Each revision is reported once: changes of other collections advance the store as well.
-    ///
-    /// Load pattern: servers change all the time, and the store is always ahead of the batch that was read last. Only a
-    /// revision that the watches do not reach in time shows that they are behind.
-    fn is_too_long(&mut self, now: Instant, reached: Revision, context: &Context) -> bool {
-        let known = Collection::WATCHED
-            .into_iter()
-            .filter_map(|c| context.position(c))
-            .max();
-        if known.is_none_or(|known| known >= reached) || reached <= self.reported {
-            self.since = None;
-            return false;
-        }
-        self.since = self.since.filter(|(behind, _)| known < Some(*behind));
-        let (behind, since) = *self.since.get_or_insert((reached, now));
-        if now.saturating_duration_since(since) < MAX_WATCH_LAG {
-            return false;
-        }
-        self.reported = behind;
-        self.since = None;
-        true
-    }
-}
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -14,6 +14,7 @@
 use kingcuploft::entry::era::{Era, era_of};
 use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::vm_count::VmCount;
+use kingcuploft::entry::watch_lag::WatchLag;
 use kingcuploft::entry::zone_record::{MAX_NAMED_VMS, ZoneRecord};
 use kingcuploft::planted::{self, PlantedFault};
 
@@ -31,6 +32,7 @@
 use crate::server_updates;
 use crate::store::{Changes, Collection, Page, Record, Revision, Store, StoreChange, StoreError};
 use crate::store_access::StoreAccess;
+use crate::watch_check;
 
 /// How long a watch waits for a change.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
@@ -38,9 +40,6 @@
 /// The same for a watch that is repeated: its answer shows at once up to which revision this VM knows the store.
 const REWATCH_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// How recently bytes of an answer must have arrived for it to count as arriving.
-const RECENT_BYTES_AGE: Duration = Duration::from_millis(250);
-
 /// The step of the backoff after failed calls; random jitter up to the pause itself is added.
 const BACKOFF_STEP: Duration = Duration::from_millis(100);
 
@@ -74,6 +73,7 @@
     let mut backoff = Backoff::default();
     let mut is_history_gone = false;
     let mut wait = WATCH_TIMEOUT;
+    let mut lag = WatchLag::default();
     loop {
         store_access.wait_until_open().await;
         let from = context.position(collection).filter(|_| !is_history_gone);
@@ -86,10 +86,14 @@
                 () = store_access.wait_for_rewatch() => {
                     wait = REWATCH_TIMEOUT;
                     // An answer that is arriving would have to start again.
-                    if !is_arriving(&*store, collection) {
+                    if !watch_check::is_arriving(&*store, collection) {
                         break None;
                     }
                 }
+                () = watch_check::wait_until_behind(&context, &*store, &store_access, collection, &mut lag) => {
+                    wait = REWATCH_TIMEOUT;
+                    break None;
+                }
             }
         };
         let Some(outcome) = outcome else {
@@ -118,12 +122,6 @@
     }
 }
 
-/// Returns whether an answer about a collection is arriving.
-fn is_arriving<S: Store>(store: &S, collection: Collection) -> bool {
-    let last_received = store.last_received_at(collection);
-    last_received.is_some_and(|at| clock::now().saturating_duration_since(at) < RECENT_BYTES_AGE)
-}
-
 async fn list_or_watch<S: Store>(
     context: &Context,
     store: &S,
--- a/crates/kingcuploft-entry/tests/links/main.rs
+++ b/crates/kingcuploft-entry/tests/links/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod interleavings;
 mod joining;
+mod lost_answers;
 mod network;
 mod notices;
 mod repeats;
--- a/crates/kingcuploft-entry/tests/links/network.rs
+++ b/crates/kingcuploft-entry/tests/links/network.rs
@@ -13,7 +13,7 @@
 use kingcuploft_entry::peers::peer_socket::{PeerMessage, PeerSender};
 use kingcuploft_entry::peers::{feeder, load_reports};
 use kingcuploft_entry::store::{
-    Changes, Collection, Page, Revision, Store, StoreError, WriteOutcome, ZoneWrite,
+    ChangeCheck, Changes, Collection, Page, Revision, Store, StoreError, WriteOutcome, ZoneWrite,
 };
 use kingcuploft_entry::store_access::StoreAccess;
 use tokio::task::AbortHandle;
@@ -167,6 +167,17 @@
         Ok(revision)
     }
 
+    async fn check_changes(
+        &self,
+        collection: Collection,
+        since: Revision,
+        stale: bool,
+    ) -> Result<ChangeCheck, StoreError> {
+        let check = self.store.check_changes(collection, since, stale).await?;
+        self.receive(Collection::Zones, 1).await;
+        Ok(check)
+    }
+
     fn last_received_at(&self, _: Collection) -> Option<std::time::Instant> {
         let now = Instant::now();
         (now < self.receiving_until.get()).then(|| now.into_std())
--- a/crates/kingcuploft-simulation/src/store.rs
+++ b/crates/kingcuploft-simulation/src/store.rs
@@ -11,8 +11,8 @@
 use kingcuploft::entry::zone_record::ZoneRecord;
 use kingcuploft::world::ids::AvailabilityZone;
 use kingcuploft_entry::store::{
-    Changes, Collection, Page, Record, Revision, Store, StoreChange, StoreError, WriteOutcome,
-    ZoneWrite,
+    ChangeCheck, Changes, Collection, Page, Record, Revision, Store, StoreChange, StoreError,
+    WriteOutcome, ZoneWrite,
 };
 use tokio::sync::Notify;
 
@@ -51,6 +51,8 @@
     revision: Cell<u64>,
     /// How often the store was restored from a snapshot.
     era: Cell<Era>,
+    /// The changes of which the answers to watches that waited for them are lost: those calls never return.
+    lost_changes: RefCell<Vec<(u64, Collection)>>,
     /// How often waiting watches were cut.
     watch_cuts: Cell<u32>,
     /// Whether the store leaves out eras, so that revisions of another era pass for those of this one.
@@ -99,6 +101,12 @@
         );
     }
 
+    /// Loses the answers to the watches of a collection that wait for its next change. Calls that come later are answered.
+    pub fn lose_next_change(&self, collection: Collection) {
+        let next = self.revision.get() + 1;
+        self.lost_changes.borrow_mut().push((next, collection));
+    }
+
     /// Cuts the watches that are waiting.
     pub fn cut_watches(&self) {
         self.watch_cuts.set(self.watch_cuts.get() + 1);
@@ -203,6 +211,31 @@
         (held, up_to)
     }
 
+    /// Returns whether the answer is lost to a watch of a collection that has waited since a revision.
+    fn is_answer_lost(&self, collection: Collection, waits_since: u64) -> bool {
+        let reached = self.revision.get();
+        let lost = self.lost_changes.borrow();
+        let mut lost = lost.iter();
+        lost.any(|(at, of)| *of == collection && waits_since < *at && *at <= reached)
+    }
+
+    /// Fails if the store does not hold the history from a revision on.
+    fn check_history(&self, from: Revision) -> Result<(), StoreError> {
+        let from = revision_of(from);
+        match from < self.compacted_until.get() || from > self.revision.get() {
+            true => Err(StoreError::HistoryGone),
+            false => Ok(()),
+        }
+    }
+
+    /// Fails if a revision belongs to another era.
+    fn check_era(&self, from: Revision) -> Result<(), StoreError> {
+        match era_of(from) != self.era.get() && !self.ignores_eras.get() {
+            true => Err(StoreError::HistoryGone),
+            false => Ok(()),
+        }
+    }
+
     async fn hang_if_silent(&self) {
         if self.silent.get() {
             std::future::pending::<()>().await;
@@ -297,6 +330,24 @@
         Ok(self.0.current_revision())
     }
 
+    async fn check_changes(
+        &self,
+        collection: Collection,
+        since: Revision,
+        _stale: bool,
+    ) -> Result<ChangeCheck, StoreError> {
+        let state = &self.0;
+        self.check_admitted()?;
+        state.hang_if_silent().await;
+        state.check_history(since)?;
+        state.check_era(since)?;
+        let (changes, up_to) = state.changes_since(collection, revision_of(since));
+        Ok(match changes.is_empty() {
+            true => ChangeCheck::UnchangedUntil(state.with_era(up_to)),
+            false => ChangeCheck::Changed,
+        })
+    }
+
     fn last_received_at(&self, _: Collection) -> Option<std::time::Instant> {
         None
     }
@@ -365,25 +416,25 @@
         state.hang_if_silent().await;
         state.watch_calls.set(state.watch_calls.get() + 1);
         let (started_in, cuts) = (state.era.get(), state.watch_cuts.get());
-        if revision_of(from) < state.compacted_until.get()
-            || revision_of(from) > state.revision.get()
-        {
-            return Err(StoreError::HistoryGone);
-        }
+        let waits_since = state.revision.get();
+        state.check_history(from)?;
         let until = tokio::time::Instant::now() + wait;
         loop {
             let changed = state.changed.notified();
             // A watch that waited while the store was silent never returns.
             state.hang_if_silent().await;
+            if state.is_answer_lost(collection, waits_since) {
+                std::future::pending::<()>().await;
+            }
             self.check_admitted()?;
             if state.watch_cuts.get() != cuts {
                 return Err(StoreError::NoAnswer("the watch was cut".into()));
             }
-            // A restore ends the waiting watches with an error, and a watch from another era gets the same error.
-            let is_other = state.era.get() != started_in || era_of(from) != state.era.get();
-            if is_other && !state.ignores_eras.get() {
+            // A restore ends the waiting watches with an error.
+            if state.era.get() != started_in && !state.ignores_eras.get() {
                 return Err(StoreError::HistoryGone);
             }
+            state.check_era(from)?;
             let (changes, up_to) = state.changes_since(collection, revision_of(from));
             if !changes.is_empty() || tokio::time::Instant::now() >= until {
                 return Ok(Changes {
--- a/crates/kingcuploft-simulation/src/store_client.rs
+++ b/crates/kingcuploft-simulation/src/store_client.rs
@@ -6,7 +6,7 @@
 use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::zone_record::ZoneRecord;
 use kingcuploft_entry::store::{
-    Changes, Collection, Page, Revision, Store, StoreError, WriteOutcome, ZoneWrite,
+    ChangeCheck, Changes, Collection, Page, Revision, Store, StoreError, WriteOutcome, ZoneWrite,
 };
 
 use crate::network::Host;
@@ -73,6 +73,16 @@
         self.call(Duration::ZERO, self.store.probe_liveness()).await
     }
 
+    async fn check_changes(
+        &self,
+        collection: Collection,
+        since: Revision,
+        stale: bool,
+    ) -> Result<ChangeCheck, StoreError> {
+        let call = self.store.check_changes(collection, since, stale);
+        self.call(Duration::ZERO, call).await
+    }
+
     fn last_received_at(&self, _: Collection) -> Option<Instant> {
         None
     }
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -54,5 +54,6 @@
 pub mod turned_away;
 pub mod vm_count;
 pub mod vm_entry;
+pub mod watch_lag;
 pub mod workspaces;
 pub mod zone_record;
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -32,4 +32,5 @@
 mod store_contact;
 mod turned_away;
 mod vm_count;
+mod watch_lag;
 mod zone_record;
