fix(reach): a cut counts the servers that may be tried

Cause: a service was out of reach once min(3, its servers) servers had accepted no connection, and back once min(2, its servers) had. "Its servers" counted evacuated and paused ones, to which nothing is sent. With two left, the third never came. With one left, the second never came either, and the check for it opened one connection after the other.

Fix: the sets are compared and not their sizes: three servers, or all that may be tried now; two, or all. A check takes a server that has not just accepted a connection. Servers that failed and are evacuated since then do not stand for those that are left.

--- a/crates/kingcuploft-entry/src/reach.rs
+++ b/crates/kingcuploft-entry/src/reach.rs
@@ -71,12 +71,12 @@
         lost.count()
     }
 
-    /// Forgets that servers have not accepted a connection, as they have left or started anew.
-    pub fn forget_failures<'a>(&self, servers: impl Iterator<Item = &'a BackendServerName>) {
+    /// Forgets whether servers have accepted a connection, as they have left or started anew.
+    pub fn forget_servers<'a>(&self, servers: impl Iterator<Item = &'a BackendServerName>) {
         let mut services = self.services.borrow_mut();
         for server in servers {
             let all = services.values_mut();
-            all.for_each(|reach| reach.forget_failure(server));
+            all.for_each(|reach| reach.forget_server(server));
         }
     }
 
@@ -113,12 +113,15 @@
     let share = context.connection_share(service);
     let opened = upstream.open(&*context.network, share).await;
     let server = &upstream.server.name;
-    let servers = context.upstream_count(service);
     let is_in_use = context.upstream(server).is_some();
-    let change = context.reach.with(service, |reach| match &opened {
-        Ok(_) => reach.record_opened(clock::now(), server, servers),
-        Err(ConnectError::Io(_)) if is_in_use => reach.record_not_opened(server, servers),
-        Err(ConnectError::Io(_) | ConnectError::ShareInUse) => ReachChange::None,
+    let now = clock::now();
+    let change = context.with_unpaused_upstreams(service, now, |upstreams| {
+        let usable = upstreams.map(|u| &u.server.name);
+        context.reach.with(service, |reach| match &opened {
+            Ok(_) => reach.record_opened(now, server, usable),
+            Err(ConnectError::Io(_)) if is_in_use => reach.record_not_opened(server, usable),
+            Err(ConnectError::Io(_) | ConnectError::ShareInUse) => ReachChange::None,
+        })
     });
     match change {
         ReachChange::None => {}
@@ -151,9 +154,16 @@
     context.reach.with(&service, ServiceReach::end_checking);
 }
 
-/// Opens a connection to a server chosen at random; returns whether it was accepted.
+/// Opens a connection to a server chosen at random, one that has not just accepted one if there is such a server;
+/// returns whether it was accepted.
 async fn check_one(context: &Rc<Context>, service: &ServiceName) -> bool {
-    let Some(upstream) = fastrand::choice(context.upstreams(service)) else {
+    let (opened, others) = context.with_unpaused_upstreams(service, clock::now(), |usable| {
+        context.reach.with(service, |reach| {
+            let usable = usable.cloned();
+            usable.partition::<Vec<_>, _>(|u| reach.has_opened(&u.server.name))
+        })
+    });
+    let Some(upstream) = fastrand::choice(others).or_else(|| fastrand::choice(opened)) else {
         return false;
     };
     match open(context, &upstream).await {
--- a/crates/kingcuploft-entry/src/usable_servers.rs
+++ b/crates/kingcuploft-entry/src/usable_servers.rs
@@ -107,7 +107,7 @@
         if dropped.is_empty() {
             return;
         }
-        self.reach.forget_failures(dropped.iter().copied());
+        self.reach.forget_servers(dropped.iter().copied());
         let servers = self.servers.borrow();
         let added = added.into_iter().filter_map(|name| {
             let server = servers.get_shared(name)?;
@@ -137,6 +137,19 @@
         operation(&mut open)
     }
 
+    /// As [`Self::with_upstreams`], without the servers that want nothing from this VM now.
+    pub fn with_unpaused_upstreams<T>(
+        &self,
+        service: &ServiceName,
+        now: Instant,
+        operation: impl FnOnce(&mut dyn Iterator<Item = &Rc<Upstream>>) -> T,
+    ) -> T {
+        let is_unpaused = |u: &&Rc<Upstream>| !pauses::is_paused(self, now, &u.server.name);
+        self.with_upstreams(service, |upstreams| {
+            operation(&mut upstreams.filter(is_unpaused))
+        })
+    }
+
     /// Returns all servers of a service that may get work, in this VM's order.
     pub fn upstreams(&self, service: &ServiceName) -> Vec<Rc<Upstream>> {
         self.with_upstreams(service, |open| open.cloned().collect())
@@ -162,15 +175,6 @@
         })
     }
 
-    /// Returns how many servers a service has, in evacuated zones too.
-    pub fn upstream_count(&self, service: &ServiceName) -> usize {
-        let upstreams = self.upstreams.borrow();
-        upstreams
-            .by_service
-            .get(service)
-            .map_or(0, ServerOrder::len)
-    }
-
     /// Returns how many servers all services have, in evacuated zones too.
     pub fn total_upstream_count(&self) -> usize {
         self.upstreams.borrow().by_name.len()
--- a/crates/kingcuploft/src/entry/service_reach.rs
+++ b/crates/kingcuploft/src/entry/service_reach.rs
@@ -13,12 +13,12 @@
 
 use crate::world::ids::BackendServerName;
 
-/// How many servers must have failed to accept a connection, without one that did, to take a service for out of reach:
-/// one or two that are down are no cut.
+/// How many servers must have failed to accept a connection, without one that did, to take a service for out of reach,
+/// where it has more that may be tried: one or two that are down are no cut.
 const MIN_FAILED_SERVERS: usize = 3;
 
-/// How many servers in a row must accept a connection before the service is in reach again: a single one that the cut
-/// spares can't carry all requests.
+/// How many servers in a row must accept a connection before the service is in reach again, where it has more that may
+/// be tried: a single one that the cut spares can't carry all requests.
 const MIN_OPENED_SERVERS: usize = 2;
 
 /// How recent the last answer of a server must be for a VM to offer that it passes on requests: a cut may have begun
@@ -65,12 +65,12 @@
 }
 
 impl ServiceReach {
-    /// Records that a server has accepted a new connection; the service has `servers` servers.
-    pub fn record_opened(
+    /// Records that a server has accepted a new connection; connections are opened to the servers in `usable` only.
+    pub fn record_opened<'a>(
         &mut self,
         now: Instant,
         server: &BackendServerName,
-        servers: usize,
+        usable: impl Iterator<Item = &'a BackendServerName>,
     ) -> ReachChange {
         self.failed.clear();
         self.last_contact = Some(now);
@@ -80,7 +80,7 @@
         if !self.opened.contains(server) {
             self.opened.push(server.clone());
         }
-        if self.opened.len() < MIN_OPENED_SERVERS.min(servers) {
+        if !are_enough(&self.opened, MIN_OPENED_SERVERS, usable) {
             return ReachChange::None;
         }
         self.opened.clear();
@@ -89,8 +89,12 @@
         ReachChange::Regained
     }
 
-    /// Records that a server has not accepted a new connection; the service has `servers` servers.
-    pub fn record_not_opened(&mut self, server: &BackendServerName, servers: usize) -> ReachChange {
+    /// Records that a server has not accepted a new connection; connections are opened to the servers in `usable` only.
+    pub fn record_not_opened<'a>(
+        &mut self,
+        server: &BackendServerName,
+        usable: impl Iterator<Item = &'a BackendServerName>,
+    ) -> ReachChange {
         self.opened.clear();
         if self.is_out_of_reach {
             return ReachChange::None;
@@ -98,19 +102,25 @@
         if !self.failed.contains(server) {
             self.failed.push(server.clone());
         }
-        if self.failed.len() < MIN_FAILED_SERVERS.min(servers) {
+        if !are_enough(&self.failed, MIN_FAILED_SERVERS, usable) {
             return ReachChange::None;
         }
         self.is_out_of_reach = true;
         ReachChange::Lost
     }
 
-    /// Forgets that a server has not accepted a connection, as it has left or started anew: that it had ended tells
+    /// Forgets whether a server has accepted a connection, as it has left or started anew: that it had ended tells
     /// nothing of the paths to the others.
-    pub fn forget_failure(&mut self, server: &BackendServerName) {
+    pub fn forget_server(&mut self, server: &BackendServerName) {
+        self.opened.retain(|opened| opened != server);
         self.failed.retain(|failed| failed != server);
     }
 
+    /// Returns whether a server has accepted a connection, out of reach, since the last one that did not.
+    pub fn has_opened(&self, server: &BackendServerName) -> bool {
+        self.opened.contains(server)
+    }
+
     /// Records that a server has answered, on whatever connection.
     pub fn record_contact(&mut self, now: Instant) {
         self.last_contact = Some(now);
@@ -201,3 +211,17 @@
         }
     }
 }
+
+/// Returns whether these are `enough` servers, or all that may be tried: a bound that counts servers which nothing is sent
+/// to could not be reached.
+fn are_enough<'a>(
+    servers: &[BackendServerName],
+    enough: usize,
+    usable: impl Iterator<Item = &'a BackendServerName>,
+) -> bool {
+    if servers.len() >= enough {
+        return true;
+    }
+    let mut usable = usable.peekable();
+    usable.peek().is_some() && usable.all(|server| servers.contains(server))
+}
