fix(reach): a VM that is asked probes a server that may be probed

Cause: a VM that is asked and has no recent answer of the service probes the first server that answers probes. One that has asked for a pause is not probed, so the VM waited for nothing and said no. One server stood for all.

Fix: the first server that may be probed is taken.

--- a/crates/kingcuploft-entry/src/reach.rs
+++ b/crates/kingcuploft-entry/src/reach.rs
@@ -260,7 +260,7 @@
 /// Probes the first server of a service that answers probes, and waits for its answer for a moment.
 async fn probe_one(context: &Rc<Context>, service: &ServiceName) {
     let now = clock::now();
-    let responsive = context.with_upstreams(service, |upstreams| {
+    let responsive = context.with_unpaused_upstreams(service, now, |upstreams| {
         let mut responsive = upstreams.filter(|u| !u.is_unresponsive(now));
         responsive.next().cloned()
     });
--- a/crates/kingcuploft-entry/tests/entry/cut_off.rs
+++ b/crates/kingcuploft-entry/tests/entry/cut_off.rs
@@ -6,7 +6,7 @@
 
 use kingcuploft_entry::peers::load_reports;
 use kingcuploft_entry::peers::peer_socket::PeerMessage;
-use kingcuploft_entry::{reach, server_updates};
+use kingcuploft_entry::{pauses, reach, server_updates};
 use kingcuploft_soak::cuttable::ServerCut;
 
 use crate::cut_fleet::{CALLERS, DEADLINE, Fleet};
@@ -92,6 +92,9 @@
     });
 }
 
+/// The names of the servers beside the first two.
+const OTHER_SERVERS: [&str; 4] = ["s2", "s3", "s4", "s5"];
+
 /// Moves all servers but the first ones to an evacuated zone, and waits until all VMs know.
 async fn evacuate_all_but(fleet: &Fleet, count: usize) {
     let store = &fleet.store.0;
@@ -134,6 +137,21 @@
     });
 }
 
+/// Guards against a cut that is not noticed where all but two servers have asked for a pause.
+#[test]
+fn callers_of_a_vm_that_is_cut_off_while_servers_are_paused_are_served() {
+    run_test(async {
+        let fleet = Fleet::of(&["thun"; 3], &[Behavior::AnswerAfter(WORK_TIME); 6]).await;
+        for vm in &fleet.vms {
+            for server in OTHER_SERVERS {
+                let pause = 10 * CONTACT_TIME;
+                pauses::apply(&vm.context, Instant::now(), &server.into(), pause);
+            }
+        }
+        check_cut_with_two_usable_servers(fleet).await;
+    });
+}
+
 /// Guards against connections that are opened without a pause to the one server that is left, and against its service
 /// staying out of reach.
 #[test]
