--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -42,5 +42,5 @@
 pub mod store_watcher;
 pub mod upstream;
 mod usable_servers;
-mod watch_check;
+pub mod watch_check;
 mod zone_list;
