fix(relay): a VM that has no room still reaches the servers

Cause: "not sent" from the other VM stood for two things, no way to the servers and no room.

Fix: the answer says whether the VM reaches the service. One that does is kept, and its refusal ends the request at once, with its Retry-After, unless another VM is known that reaches the servers.

--- a/crates/kingcuploft-entry/src/edge/relay.rs
+++ b/crates/kingcuploft-entry/src/edge/relay.rs
@@ -112,6 +112,13 @@
                 self.retry_after = told.unwrap_or(self.retry_after);
                 AfterRelay::Answer(self.give_up(outcome.detail))
             }
+            (AttemptEnd::Unsent, Some(response)) if outcome.answer.reaches => {
+                self.retry_after = retry_after(&response).unwrap_or(self.retry_after);
+                match next {
+                    NextAction::Retry if self.has_another_relay() => AfterRelay::SelectAgain,
+                    _ => AfterRelay::Answer(self.give_up(outcome.detail)),
+                }
+            }
             (end, _) => {
                 let reach = &self.context.reach;
                 reach.record_relay_failed(&self.service, address);
@@ -125,12 +132,19 @@
         }
     }
 
+    /// Returns whether the request can be passed to a VM that it was not passed to yet.
+    fn has_another_relay(&self) -> bool {
+        let may_pass = self.tried_relays.len() < MAX_RELAYS;
+        may_pass && reach::knows_relay(self.context, &self.service, &self.tried_relays)
+    }
+
     /// Returns what the VM that passed the request here is told of the answer.
     pub(super) fn relayed_answer(&self) -> RelayedAnswer {
         RelayedAnswer {
             server: self.answered_by.clone(),
             arrived: self.attempts.arrived(),
             ran: self.attempts.ran(),
+            reaches: reach::may_take_requests(self.context, &self.service),
         }
     }
 
--- a/crates/kingcuploft-entry/src/relay/send.rs
+++ b/crates/kingcuploft-entry/src/relay/send.rs
@@ -45,6 +45,7 @@
             server: None,
             arrived: ran,
             ran,
+            reaches: false,
         };
         Self {
             end,
