fix(store): bytes that can't be read cost their own object alone

VMs that ran learned of no further change, VMs that started never got ready.

Cause: the objects of an answer are parsed one by one, but the parser checks the whole answer for UTF-8, control characters and escapes before that, and fails the call. It was the same in all collections, in lists and watches. A list page whose last object has no name began again without end.

Fix: where an answer can't be parsed it is parsed again from a copy in which what can't be read is marked, and an object that holds a mark is unreadable. So the structure decides where an object ends. An answer that can be parsed costs what it did. A list goes on after the last object with a name.

--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -144,6 +144,12 @@
     Unreadable(String),
 }
 
+impl From<serde_json::Error> for StoreError {
+    fn from(error: serde_json::Error) -> Self {
+        Self::Unreadable(error.to_string())
+    }
+}
+
 /// The platform's store.
 pub trait Store {
     /// Returns a page of a collection, from the first name after `after` on. With `stale` the page may be some seconds
--- a/crates/kingcuploft/src/utils/mod.rs
+++ b/crates/kingcuploft/src/utils/mod.rs
@@ -1,5 +1,6 @@
 //! Hash maps, hash sets and hash functions that several modules use.
 
+pub mod json_text;
 pub mod rendezvous;
 
 /// A hash map with a fast hasher. An attacker can construct colliding keys, so keys that callers choose need a bound on
