fix(membership): a VM that leads its zone again counts the others anew

What happens: a VM that leads its zone is cut off and sees itself alone; another VM leads. When that one stops half a minute later, the first leads again and replaces the zone's count at once by the VMs connected just then (6 of 7 in the test, 0.75 s after the stop). All VMs divide the bounds that they share by that count: repeats, probes, connections, quotas.

Cause: since when fewer VMs were seen was kept while the VM did not lead. One moment stood for a time in which nobody looked.

Evidence: a_vm_that_leads_its_zone_again_counts_the_others_anew failed before with 6 where 7 VMs are alive.

Fix: what a leader has seen of the zone ends with its leadership, and begins anew after a loss of the store, in which followers leave it.

--- a/crates/kingcuploft-entry/src/store_sync/mod.rs
+++ b/crates/kingcuploft-entry/src/store_sync/mod.rs
@@ -10,7 +10,7 @@
 use kingcuploft::entry::readers::Source;
 use kingcuploft::entry::startup_delay;
 use kingcuploft::entry::vm_entry::VmEntry;
-use kingcuploft::entry::zone_record::{self, ZoneCount, ZoneRecord};
+use kingcuploft::entry::zone_record::{self, ZoneRecord};
 
 use crate::clock;
 use crate::context::Context;
@@ -82,7 +82,6 @@
         stored_version: Cell::default(),
         stored_at_rewind: Cell::default(),
         has_lost_feeder: Cell::default(),
-        vm_count: Cell::default(),
     };
     let fallback = store_fallback::read_store_if_uninformed(context.clone(), store_access.clone());
     let fallback = tokio::task::spawn_local(fallback);
@@ -108,8 +107,6 @@
     stored_at_rewind: Cell<u32>,
     /// Whether a VM that this one followed, or tried to, has failed since that was last asked.
     has_lost_feeder: Cell<bool>,
-    /// The count of the zone's VMs, kept while this VM leads the zone.
-    vm_count: Cell<ZoneCount>,
 }
 
 impl<S: Store, D: Dial + Clone + 'static> StoreSync<'_, S, D> {
--- a/crates/kingcuploft-entry/src/store_sync/zone_leader.rs
+++ b/crates/kingcuploft-entry/src/store_sync/zone_leader.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use kingcuploft::entry::zone_record::{
-    self, SETTLE_TIME, ZoneRecord, ZoneView, handed_to_larger, refreshed,
+    self, SETTLE_TIME, ZoneCount, ZoneRecord, ZoneView, handed_to_larger, refreshed,
 };
 
 use super::{CATCH_UP_TIME, CHECK_INTERVAL, CLAIM_TIMEOUT, STORE_RETRY_DELAY, StoreSync};
@@ -14,24 +14,44 @@
 use crate::store_watcher;
 use crate::zone_list::Staleness;
 
+/// The time in which this VM leads its zone without a break: what it has seen of the zone before counts no more.
+struct Leadership {
+    since: Instant,
+    count: ZoneCount,
+}
+
+impl Leadership {
+    fn begin() -> Self {
+        Self {
+            since: clock::now(),
+            count: ZoneCount::default(),
+        }
+    }
+
+    fn forget_count(&mut self) {
+        self.count = ZoneCount::default();
+    }
+}
+
 impl<S: Store, D: Dial + Clone + 'static> StoreSync<'_, S, D> {
     /// Keeps the zone's record up to date whenever this VM leads its zone, whether it reads the store or follows the
     /// reader of another zone.
     pub(super) async fn lead_zone(&self) {
-        let mut leading_since: Option<Instant> = None;
+        let mut leadership: Option<Leadership> = None;
         loop {
             let is_leader = self.is_zone_leader() && !self.context.shutdown.is_stopping();
             let has_store = !self.store_access.is_reading() || self.store_access.is_available();
             match is_leader {
                 true if has_store => {
-                    if leading_since.is_none() {
+                    if leadership.is_none() {
                         self.publish_to_seeds();
                     }
-                    self.maintain_record(*leading_since.get_or_insert_with(clock::now))
-                        .await;
+                    let leadership = leadership.get_or_insert_with(Leadership::begin);
+                    self.maintain_record(leadership).await;
                 }
-                true => {}
-                false => leading_since = None,
+                // Its followers look for another feeder meanwhile.
+                true => leadership.iter_mut().for_each(Leadership::forget_count),
+                false => leadership = None,
             }
             tokio::time::sleep(CHECK_INTERVAL).await;
         }
@@ -39,7 +59,7 @@
 
     /// Creates the zone's record, hands the zone over to a larger VM, or replaces a record that no longer describes the
     /// zone.
-    async fn maintain_record(&self, leading_since: Instant) {
+    async fn maintain_record(&self, leadership: &mut Leadership) {
         let Some(old) = self.own_zone_record() else {
             return self.claim().await;
         };
@@ -56,10 +76,11 @@
             tokio::time::sleep(CATCH_UP_TIME).await;
             return followers.disconnect_all();
         }
-        let mut vm_count = self.vm_count.get();
-        let holds = vm_count.stable_count(clock::now(), old.count, seen.descendants + 1);
-        self.vm_count.set(vm_count);
-        let settled = old.settled || clock::since(leading_since) >= SETTLE_TIME;
+        let observed = seen.descendants + 1;
+        let holds = leadership
+            .count
+            .stable_count(clock::now(), old.count, observed);
+        let settled = old.settled || clock::since(leadership.since) >= SETTLE_TIME;
         // Zones that started at the same time are known before this zone counts as counted.
         if settled && !old.settled && !self.list_zones(Staleness::Allowed).await {
             return;
--- a/crates/kingcuploft-entry/tests/links/main.rs
+++ b/crates/kingcuploft-entry/tests/links/main.rs
@@ -4,6 +4,7 @@
 use kingcuploft_simulation::{link as pipe, store};
 
 mod configurations;
+mod counting;
 mod departures;
 mod evacuations;
 mod fleet;
