fix(relay): a refused request may still take an open connection

After a refusal the request now waits for servers with an open connection that works, for as long as it may wait for a server, and is refused at once where there is none.

--- a/crates/kingcuploft-entry/src/edge/relay.rs
+++ b/crates/kingcuploft-entry/src/edge/relay.rs
@@ -31,6 +31,8 @@
     Direct,
     /// The service is out of reach but for open connections; the VM at this address reaches it.
     OpenConnectionsOr(SocketAddr),
+    /// The service is out of reach but for open connections; a VM that reaches it has refused the request.
+    OpenConnections,
     /// The request came from another VM, and must not be passed on again.
     None,
 }
@@ -44,11 +46,15 @@
         if self.request.relayed.is_some() {
             return Path::None;
         }
+        let without_relay = match self.has_relay_refused {
+            true => Path::OpenConnections,
+            false => Path::Direct,
+        };
         if self.tried_relays.len() >= MAX_RELAYS {
-            return Path::Direct;
+            return without_relay;
         }
         let relay = reach::find_relay(self.context, &self.service, &self.tried_relays).await;
-        relay.map_or(Path::Direct, Path::OpenConnectionsOr)
+        relay.map_or(without_relay, Path::OpenConnectionsOr)
     }
 
     /// Passes the request to another VM.
@@ -114,8 +120,11 @@
             }
             (AttemptEnd::Unsent, Some(response)) if outcome.answer.reaches => {
                 self.retry_after = retry_after(&response).unwrap_or(self.retry_after);
+                self.has_relay_refused = true;
                 match next {
-                    NextAction::Retry if self.has_another_relay() => AfterRelay::SelectAgain,
+                    NextAction::Retry if self.may_try_again(disconnect, AttemptEnd::Unsent) => {
+                        AfterRelay::SelectAgain
+                    }
                     _ => AfterRelay::Answer(self.give_up(outcome.detail)),
                 }
             }
@@ -132,12 +141,6 @@
         }
     }
 
-    /// Returns whether the request can be passed to a VM that it was not passed to yet.
-    fn has_another_relay(&self) -> bool {
-        let may_pass = self.tried_relays.len() < MAX_RELAYS;
-        may_pass && reach::knows_relay(self.context, &self.service, &self.tried_relays)
-    }
-
     /// Returns what the VM that passed the request here is told of the answer.
     pub(super) fn relayed_answer(&self) -> RelayedAnswer {
         RelayedAnswer {
--- a/crates/kingcuploft-entry/src/reach.rs
+++ b/crates/kingcuploft-entry/src/reach.rs
@@ -204,15 +204,6 @@
     }
 }
 
-/// Returns whether another VM than those in `tried` has replied that it reaches a service.
-pub fn knows_relay(context: &Context, service: &ServiceName, tried: &[SocketAddr]) -> bool {
-    let now = clock::now();
-    let relay = context
-        .reach
-        .with(service, |reach| reach.pick_relay(now, tried, fastrand::f64));
-    relay.is_some()
-}
-
 /// Returns whether this VM may be passed the next request for a service.
 pub fn may_take_requests(context: &Context, service: &ServiceName) -> bool {
     !context.reach.is_out_of_reach(service) && !context.shutdown.is_stopping()
