--- a/crates/kingcuploft-entry/src/watch_check.rs
+++ b/crates/kingcuploft-entry/src/watch_check.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use kingcuploft::entry::watch_lag::WatchLag;
+use kingcuploft::planted::{self, PlantedFault};
 
 use crate::clock;
 use crate::context::Context;
@@ -53,6 +54,9 @@
         let Some(since) = lag.observe(clock::now(), watched, reached) else {
             continue;
         };
+        if planted::is_on(PlantedFault::OneWatchStandsForAll) && any_reaches(context, reached) {
+            continue;
+        }
         // An answer that is arriving would have to start again.
         if is_arriving(store, collection) {
             continue;
@@ -98,6 +102,11 @@
     watched.chain(store_access.reached()).max()
 }
 
+fn any_reaches(context: &Context, reached: Revision) -> bool {
+    let mut watched = Collection::WATCHED.into_iter();
+    watched.any(|collection| context.position(collection) >= Some(reached))
+}
+
 /// Returns whether an answer about a collection is arriving.
 pub(crate) fn is_arriving<S: Store>(store: &S, collection: Collection) -> bool {
     let last_received = store.last_received_at(collection);
--- a/crates/kingcuploft-simulation/src/day.rs
+++ b/crates/kingcuploft-simulation/src/day.rs
@@ -8,12 +8,16 @@
 use crate::deployment::Deployment;
 
 /// The deployments that a day can name, with the contents of their files.
-const DEPLOYMENTS: [(&str, &str); 5] = [
+const DEPLOYMENTS: [(&str, &str); 6] = [
     (
         "19-vms-workspaces",
         include_str!("../deployments/19-vms-workspaces.yaml"),
     ),
     ("4-vms", include_str!("../deployments/4-vms.yaml")),
+    (
+        "4-vms-few-servers",
+        include_str!("../deployments/4-vms-few-servers.yaml"),
+    ),
     ("19-vms", include_str!("../deployments/19-vms.yaml")),
     ("115-vms", include_str!("../deployments/115-vms.yaml")),
     ("312-vms", include_str!("../deployments/312-vms.yaml")),
@@ -159,6 +163,9 @@
     StoreSilent,
     /// The store cuts the watches that are waiting.
     StoreCutsWatches,
+    /// The store loses the answers to the watches that wait for the next change of one kind of entries, chosen at random,
+    /// if there is one within `for_ms`.
+    StoreLosesAnswers,
     /// The store turns entry VMs away; callers, servers and other VMs still reach them.
     StoreTurnsAway,
     /// The request rate is multiplied by `strength`.
@@ -178,7 +185,7 @@
 
 impl DisruptionKind {
     /// All kinds.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::VmsKilled,
         Self::VmsLosePower,
         Self::VmsFrozen,
@@ -197,6 +204,7 @@
         Self::StoreRewinds,
         Self::StoreSilent,
         Self::StoreCutsWatches,
+        Self::StoreLosesAnswers,
         Self::StoreTurnsAway,
         Self::Crowd,
         Self::ConfigurationChange,
--- a/crates/kingcuploft-simulation/src/disruptions.rs
+++ b/crates/kingcuploft-simulation/src/disruptions.rs
@@ -146,6 +146,9 @@
             store_disruptions::silence(simulation, disruption.duration()).await;
         }
         DisruptionKind::StoreCutsWatches => simulation.store.0.cut_watches(),
+        DisruptionKind::StoreLosesAnswers => {
+            store_disruptions::lose_answers(simulation, disruption.duration()).await;
+        }
         DisruptionKind::StoreTurnsAway => {
             let vms = choose_vms(simulation, disruption.share);
             let cause = DisturbanceCause::CutOff;
--- a/crates/kingcuploft-simulation/src/store.rs
+++ b/crates/kingcuploft-simulation/src/store.rs
@@ -51,6 +51,8 @@
     revision: Cell<u64>,
     /// How often the store was restored from a snapshot.
     era: Cell<Era>,
+    /// The collections of which the answers to watches that wait for the next change are to be lost.
+    losing: RefCell<Vec<Collection>>,
     /// The changes of which the answers to watches that waited for them are lost: those calls never return.
     lost_changes: RefCell<Vec<(u64, Collection)>>,
     /// How often waiting watches were cut.
@@ -103,8 +105,20 @@
 
     /// Loses the answers to the watches of a collection that wait for its next change. Calls that come later are answered.
     pub fn lose_next_change(&self, collection: Collection) {
-        let next = self.revision.get() + 1;
-        self.lost_changes.borrow_mut().push((next, collection));
+        self.losing.borrow_mut().push(collection);
+    }
+
+    /// Loses no more answers; returns whether the answers for the next change of this collection were still to be lost.
+    pub fn keep_answers(&self, collection: Collection) -> bool {
+        let mut losing = self.losing.borrow_mut();
+        let count = losing.len();
+        losing.retain(|of| *of != collection);
+        losing.len() < count
+    }
+
+    /// Returns whether the answers for the next change of a collection are still to be lost.
+    pub fn is_losing(&self, collection: Collection) -> bool {
+        self.losing.borrow().contains(&collection)
     }
 
     /// Cuts the watches that are waiting.
@@ -184,6 +198,9 @@
     fn record_change(&self, collection: Collection, change: StoreChange) {
         let revision = self.revision.get() + 1;
         self.revision.set(revision);
+        if self.keep_answers(collection) {
+            self.lost_changes.borrow_mut().push((revision, collection));
+        }
         self.changes
             .borrow_mut()
             .push((revision, collection, change));
--- a/crates/kingcuploft-simulation/src/store_disruptions.rs
+++ b/crates/kingcuploft-simulation/src/store_disruptions.rs
@@ -2,11 +2,32 @@
 
 use std::time::Duration;
 
+use kingcuploft_entry::store::Collection;
+
 use crate::simulation::Simulation;
 
 /// How long after a restore from a snapshot the operator and the servers write again what the store lacks.
 const REWRITE_DELAY: Duration = Duration::from_millis(600);
 
+/// How often it is checked whether answers were lost.
+const LOSS_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Loses the answers to the watches that wait for the next change of one collection, if it changes within this time.
+pub(crate) async fn lose_answers(simulation: &Simulation, within: Duration) {
+    let collection = Collection::WATCHED[fastrand::usize(0..Collection::WATCHED.len())];
+    let store = &simulation.store.0;
+    let until = simulation.history.now() + within;
+    store.lose_next_change(collection);
+    while store.is_losing(collection) && simulation.history.now() < until {
+        tokio::time::sleep(LOSS_POLL_INTERVAL).await;
+    }
+    if !store.keep_answers(collection) {
+        let now = simulation.history.now();
+        let mut disturbances = simulation.history.store_disturbances.borrow_mut();
+        disturbances.push((now, now));
+    }
+}
+
 /// Has the store answer no calls for a while.
 pub(crate) async fn silence(simulation: &Simulation, duration: Duration) {
     let from = simulation.history.now();
--- a/crates/kingcuploft/src/planted.rs
+++ b/crates/kingcuploft/src/planted.rs
@@ -37,13 +37,15 @@
     /// A VM takes its first answer from the store, and the first answer after a failed call, for the end of an outage in
     /// which entries expire, and all VMs that hear of it believe it.
     MistakesOutages,
+    /// A watch of the store that keeps up passes for all of them.
+    OneWatchStandsForAll,
     /// A VM keeps the first configuration that it receives and ignores newer ones.
     KeepsOldConfiguration,
 }
 
 impl PlantedFault {
     /// All faults.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::ForgetsRepeats,
         Self::CountsTooFew,
         Self::JoinersLackEvacuations,
@@ -60,6 +62,7 @@
         Self::SendsSuspects,
         Self::NeverRelays,
         Self::MistakesOutages,
+        Self::OneWatchStandsForAll,
         Self::KeepsOldConfiguration,
     ];
 }
