--- a/crates/kingcuploft-simulation/src/generator.rs
+++ b/crates/kingcuploft-simulation/src/generator.rs
@@ -16,6 +16,10 @@
 /// The greatest number of disruptions of a generated day.
 const MAX_GENERATED_DISRUPTIONS: usize = 4;
 
+/// How often servers start while the store loses answers, and which share of them each time.
+const CHANGES_DURING_LOSS: usize = 4;
+const SMALL_SHARE: f64 = 0.1;
+
 /// The greatest number of disruptions that a day reaches by mutation or splicing.
 const MAX_DISRUPTIONS: usize = 8;
 
@@ -25,7 +29,14 @@
 /// Generates a day for a deployment.
 pub fn generate(rng: &mut Rng, deployment: &str) -> Day {
     let count = rng.usize(1..=MAX_GENERATED_DISRUPTIONS);
-    let disruptions = (0..count).map(|_| disruption(rng, deployment)).collect();
+    let mut disruptions: Vec<_> = (0..count).map(|_| disruption(rng, deployment)).collect();
+    if let Some(loss) = disruptions
+        .iter()
+        .find(|d| d.kind == DisruptionKind::StoreLosesAnswers)
+    {
+        let changes = changes_during(rng, loss);
+        disruptions.extend(changes);
+    }
     ordered(Day {
         deployment: deployment.into(),
         seed: rng.u64(1..1_000_000),
@@ -34,6 +45,19 @@
     })
 }
 
+/// Returns changes of the store's entries while answers are lost: one that may be lost, and others that go on.
+fn changes_during(rng: &mut Rng, loss: &Disruption) -> Vec<Disruption> {
+    let mut kinds = vec![DisruptionKind::ServersStart; CHANGES_DURING_LOSS];
+    kinds.push(DisruptionKind::ConfigurationChange);
+    let changes = kinds.into_iter().map(|kind| Disruption {
+        at_ms: loss.at_ms + rng.u64(0..loss.for_ms),
+        kind,
+        share: SMALL_SHARE,
+        ..loss.clone()
+    });
+    changes.collect()
+}
+
 /// Returns the kinds of disruptions that a deployment has.
 fn kinds(deployment: &str) -> Vec<DisruptionKind> {
     let mut kinds = DisruptionKind::ALL.to_vec();
