revert(relay): a refusal of another VM does not end a request at once

So both are taken back but for one part: a VM that reaches the servers and has no room stays known, and gets the next request.

--- a/crates/kingcuploft-entry/src/edge/active_request.rs
+++ b/crates/kingcuploft-entry/src/edge/active_request.rs
@@ -53,8 +53,6 @@
     pub(super) tried_upstreams: Vec<Rc<Upstream>>,
     /// The VMs to which it was passed.
     pub(super) tried_relays: Vec<SocketAddr>,
-    /// Whether one of these reaches the servers and has refused it.
-    pub(super) has_relay_refused: bool,
     pub(super) last_failure: Option<Response>,
     /// The server whose answer the caller gets.
     pub(super) answered_by: Option<BackendServerName>,
@@ -165,7 +163,6 @@
             service,
             tried_upstreams: Vec::new(),
             tried_relays: Vec::new(),
-            has_relay_refused: false,
             last_failure: None,
             answered_by: None,
             retry_after: DEFAULT_RETRY_AFTER,
--- a/crates/kingcuploft-entry/src/edge/relay.rs
+++ b/crates/kingcuploft-entry/src/edge/relay.rs
@@ -31,8 +31,6 @@
     Direct,
     /// The service is out of reach but for open connections; the VM at this address reaches it.
     OpenConnectionsOr(SocketAddr),
-    /// The service is out of reach but for open connections; a VM that reaches it has refused the request.
-    OpenConnections,
     /// The request came from another VM, and must not be passed on again.
     None,
 }
@@ -46,15 +44,11 @@
         if self.request.relayed.is_some() {
             return Path::None;
         }
-        let without_relay = match self.has_relay_refused {
-            true => Path::OpenConnections,
-            false => Path::Direct,
-        };
         if self.tried_relays.len() >= MAX_RELAYS {
-            return without_relay;
+            return Path::Direct;
         }
         let relay = reach::find_relay(self.context, &self.service, &self.tried_relays).await;
-        relay.map_or(without_relay, Path::OpenConnectionsOr)
+        relay.map_or(Path::Direct, Path::OpenConnectionsOr)
     }
 
     /// Passes the request to another VM.
@@ -118,19 +112,12 @@
                 self.retry_after = told.unwrap_or(self.retry_after);
                 AfterRelay::Answer(self.give_up(outcome.detail))
             }
-            (AttemptEnd::Unsent, Some(response)) if outcome.answer.reaches => {
-                self.retry_after = retry_after(&response).unwrap_or(self.retry_after);
-                self.has_relay_refused = true;
-                match next {
-                    NextAction::Retry if self.may_try_again(disconnect, AttemptEnd::Unsent) => {
-                        AfterRelay::SelectAgain
-                    }
-                    _ => AfterRelay::Answer(self.give_up(outcome.detail)),
-                }
-            }
             (end, _) => {
-                let reach = &self.context.reach;
-                reach.record_relay_failed(&self.service, address);
+                // A VM that reaches the servers and has no room for this request gets the next one.
+                if !outcome.answer.reaches {
+                    let reach = &self.context.reach;
+                    reach.record_relay_failed(&self.service, address);
+                }
                 match next {
                     NextAction::Retry if self.may_try_again(disconnect, end) => {
                         AfterRelay::SelectAgain
--- a/crates/kingcuploft-entry/src/edge/selection.rs
+++ b/crates/kingcuploft-entry/src/edge/selection.rs
@@ -80,9 +80,7 @@
             };
             let now = clock::now();
             let upstreams = match path {
-                Path::OpenConnectionsOr(_) | Path::OpenConnections => {
-                    self.connected_upstreams(now, scope, most_near)
-                }
+                Path::OpenConnectionsOr(_) => self.connected_upstreams(now, scope, most_near),
                 Path::Direct | Path::None => self.candidate_upstreams(now, scope, most_near),
             };
             let has_limited = !limits::limited_upstreams(self.context, &self.service).is_empty();
@@ -181,14 +179,7 @@
             {
                 return BeforeSearch::End(Selection::Relay(address));
             }
-            Path::OpenConnections
-                if self
-                    .connected_upstreams(clock::now(), scope, most_near)
-                    .is_empty() =>
-            {
-                return refuse(RefusalReason::NoRoom, self.retry_after);
-            }
-            Path::Direct | Path::OpenConnectionsOr(_) | Path::OpenConnections => {}
+            Path::Direct | Path::OpenConnectionsOr(_) => {}
         }
         match self.check_quarantine().await {
             QuarantineDecision::Send => BeforeSearch::Search(path),
