--- a/crates/kingcuploft-entry/src/edge/relay.rs
+++ b/crates/kingcuploft-entry/src/edge/relay.rs
@@ -113,11 +113,8 @@
                 AfterRelay::Answer(self.give_up(outcome.detail))
             }
             (end, _) => {
-                // A VM that reaches the servers and has no room for this request gets the next one.
-                if !outcome.answer.reaches {
-                    let reach = &self.context.reach;
-                    reach.record_relay_failed(&self.service, address);
-                }
+                let reach = &self.context.reach;
+                reach.record_relay_failed(&self.service, address);
                 match next {
                     NextAction::Retry if self.may_try_again(disconnect, end) => {
                         AfterRelay::SelectAgain
@@ -134,7 +131,6 @@
             server: self.answered_by.clone(),
             arrived: self.attempts.arrived(),
             ran: self.attempts.ran(),
-            reaches: reach::may_take_requests(self.context, &self.service),
         }
     }
 
--- a/crates/kingcuploft-entry/src/reach.rs
+++ b/crates/kingcuploft-entry/src/reach.rs
@@ -204,11 +204,6 @@
     }
 }
 
-/// Returns whether this VM may be passed the next request for a service.
-pub fn may_take_requests(context: &Context, service: &ServiceName) -> bool {
-    !context.reach.is_out_of_reach(service) && !context.shutdown.is_stopping()
-}
-
 /// Asks other VMs, of the own zone and of others, whether they reach a service.
 fn ask(context: &Context, service: &ServiceName) {
     let Some(socket) = context.peer_socket.get() else {
--- a/crates/kingcuploft-entry/src/relay/send.rs
+++ b/crates/kingcuploft-entry/src/relay/send.rs
@@ -45,7 +45,6 @@
             server: None,
             arrived: ran,
             ran,
-            reaches: false,
         };
         Self {
             end,
--- a/crates/kingcuploft-entry/src/relay/wire.rs
+++ b/crates/kingcuploft-entry/src/relay/wire.rs
@@ -35,10 +35,6 @@
     pub arrived: u32,
     /// How many attempts may have run.
     pub ran: u32,
-    /// Whether the VM reaches the servers of the service, so that it can be passed the next request whatever became of
-    /// this one. VMs of an earlier release don't say.
-    #[serde(default)]
-    pub reaches: bool,
 }
 
 /// Encodes the value of the header.
