--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -113,7 +113,7 @@
             store: TestStore(self.store.0.clone(), self.is_rejected[at].clone()),
             nic: nic.clone(),
             configuration_bytes: self.configuration_bytes.clone(),
-            receiving_until: Cell::new(Instant::now()),
+            receiving_until: RefCell::default(),
         });
         let dialer = Dialer {
             network: self.network.clone(),
--- a/crates/kingcuploft-entry/tests/links/interleavings.rs
+++ b/crates/kingcuploft-entry/tests/links/interleavings.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::fleet::{Fleet, Links, server, simulate};
-use crate::store::Snapshot;
+use kingcuploft_simulation::store_snapshot::Snapshot;
 
 const LINKS: Links = Links {
     large_mbit: 200,
--- a/crates/kingcuploft-entry/tests/links/network.rs
+++ b/crates/kingcuploft-entry/tests/links/network.rs
@@ -1,6 +1,7 @@
 //! The simulated network of the VMs, and the store as one VM reaches it over its own link.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::io::{Error, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -127,8 +128,8 @@
     pub(crate) nic: Rc<Nic>,
     /// The size of the configuration in the store's answer.
     pub(crate) configuration_bytes: Rc<Cell<usize>>,
-    /// When the last of the store's answers has arrived.
-    pub(crate) receiving_until: Cell<Instant>,
+    /// When the last of the store's answers about each collection has arrived.
+    pub(crate) receiving_until: RefCell<HashMap<Collection, Instant>>,
 }
 
 impl LinkedStore {
@@ -141,7 +142,9 @@
             | Collection::Evacuations => 300 * changes,
         };
         let arrives = self.nic.receive(bytes, Instant::now() + STORE_DELAY);
-        self.receiving_until.set(arrives);
+        self.receiving_until
+            .borrow_mut()
+            .insert(collection, arrives);
         tokio::time::sleep_until(arrives).await;
         while self.nic.is_cut.get() {
             tokio::time::sleep(STORE_DELAY).await;
@@ -178,9 +181,12 @@
         Ok(check)
     }
 
-    fn last_received_at(&self, _: Collection) -> Option<std::time::Instant> {
+    fn last_received_at(&self, collection: Collection) -> Option<std::time::Instant> {
         let now = Instant::now();
-        (now < self.receiving_until.get()).then(|| now.into_std())
+        let receiving_until = self.receiving_until.borrow().get(&collection).copied();
+        receiving_until
+            .filter(|until| now < *until)
+            .map(|_| now.into_std())
     }
 
     async fn write_zone_record(
--- a/crates/kingcuploft-simulation/src/store.rs
+++ b/crates/kingcuploft-simulation/src/store.rs
@@ -16,6 +16,8 @@
 };
 use tokio::sync::Notify;
 
+use crate::lost_answers::LostAnswers;
+
 /// The contents of the store and its faults, shared between the clients and the test.
 #[derive(Debug, Default)]
 pub struct StoreState {
@@ -47,31 +49,17 @@
     pub server_list_calls: Cell<u32>,
     /// The number of calls that write a zone record.
     pub zone_write_calls: Cell<u32>,
-    changes: RefCell<Vec<(u64, Collection, StoreChange)>>,
-    revision: Cell<u64>,
+    pub(crate) changes: RefCell<Vec<(u64, Collection, StoreChange)>>,
+    pub(crate) revision: Cell<u64>,
     /// How often the store was restored from a snapshot.
-    era: Cell<Era>,
-    /// The collections of which the answers to watches that wait for the next change are to be lost.
-    losing: RefCell<Vec<Collection>>,
-    /// The changes of which the answers to watches that waited for them are lost: those calls never return.
-    lost_changes: RefCell<Vec<(u64, Collection)>>,
+    pub(crate) era: Cell<Era>,
+    /// The answers to watches that are lost.
+    pub lost_answers: LostAnswers,
     /// How often waiting watches were cut.
     watch_cuts: Cell<u32>,
     /// Whether the store leaves out eras, so that revisions of another era pass for those of this one.
     pub ignores_eras: Cell<bool>,
-    changed: Notify,
-}
-
-/// A snapshot of the store's contents.
-#[derive(Debug)]
-pub struct Snapshot {
-    configuration: Option<Configuration>,
-    servers: Vec<BackendServer>,
-    zones: Vec<ZoneRecord>,
-    notices: Vec<Notice>,
-    evacuations: Vec<AvailabilityZone>,
-    changes: Vec<(u64, Collection, StoreChange)>,
-    revision: u64,
+    pub(crate) changed: Notify,
 }
 
 impl StoreState {
@@ -103,56 +91,12 @@
         );
     }
 
-    /// Loses the answers to the watches of a collection that wait for its next change. Calls that come later are answered.
-    pub fn lose_next_change(&self, collection: Collection) {
-        self.losing.borrow_mut().push(collection);
-    }
-
-    /// Loses no more answers; returns whether the answers for the next change of this collection were still to be lost.
-    pub fn keep_answers(&self, collection: Collection) -> bool {
-        let mut losing = self.losing.borrow_mut();
-        let count = losing.len();
-        losing.retain(|of| *of != collection);
-        losing.len() < count
-    }
-
-    /// Returns whether the answers for the next change of a collection are still to be lost.
-    pub fn is_losing(&self, collection: Collection) -> bool {
-        self.losing.borrow().contains(&collection)
-    }
-
     /// Cuts the watches that are waiting.
     pub fn cut_watches(&self) {
         self.watch_cuts.set(self.watch_cuts.get() + 1);
         self.changed.notify_waiters();
     }
 
-    /// Returns a snapshot.
-    pub fn snapshot(&self) -> Snapshot {
-        Snapshot {
-            configuration: self.configuration.borrow().clone(),
-            servers: self.servers.borrow().clone(),
-            zones: self.zones.borrow().clone(),
-            notices: self.notices.borrow().clone(),
-            evacuations: self.evacuations.borrow().clone(),
-            changes: self.changes.borrow().clone(),
-            revision: self.revision.get(),
-        }
-    }
-
-    /// Restores a snapshot: what was written since is lost, and its revisions are assigned again.
-    pub fn rewind(&self, snapshot: Snapshot) {
-        self.configuration.replace(snapshot.configuration);
-        self.servers.replace(snapshot.servers);
-        self.zones.replace(snapshot.zones);
-        self.notices.replace(snapshot.notices);
-        self.evacuations.replace(snapshot.evacuations);
-        self.changes.replace(snapshot.changes);
-        self.revision.set(snapshot.revision);
-        self.era.set(self.era.get() + 1);
-        self.changed.notify_waiters();
-    }
-
     /// Returns whether the store holds this server, this evacuation and this configuration version.
     pub fn holds(&self, server: &str, zone: &str, version: u64) -> [bool; 3] {
         let configuration = self.configuration.borrow();
@@ -198,9 +142,7 @@
     fn record_change(&self, collection: Collection, change: StoreChange) {
         let revision = self.revision.get() + 1;
         self.revision.set(revision);
-        if self.keep_answers(collection) {
-            self.lost_changes.borrow_mut().push((revision, collection));
-        }
+        self.lost_answers.record_change(collection, revision);
         self.changes
             .borrow_mut()
             .push((revision, collection, change));
@@ -228,14 +170,6 @@
         (held, up_to)
     }
 
-    /// Returns whether the answer is lost to a watch of a collection that has waited since a revision.
-    fn is_answer_lost(&self, collection: Collection, waits_since: u64) -> bool {
-        let reached = self.revision.get();
-        let lost = self.lost_changes.borrow();
-        let mut lost = lost.iter();
-        lost.any(|(at, of)| *of == collection && waits_since < *at && *at <= reached)
-    }
-
     /// Fails if the store does not hold the history from a revision on.
     fn check_history(&self, from: Revision) -> Result<(), StoreError> {
         let from = revision_of(from);
@@ -440,7 +374,8 @@
             let changed = state.changed.notified();
             // A watch that waited while the store was silent never returns.
             state.hang_if_silent().await;
-            if state.is_answer_lost(collection, waits_since) {
+            let reached = state.revision.get();
+            if state.lost_answers.is_lost(collection, waits_since, reached) {
                 std::future::pending::<()>().await;
             }
             self.check_admitted()?;
--- a/crates/kingcuploft-simulation/src/store_disruptions.rs
+++ b/crates/kingcuploft-simulation/src/store_disruptions.rs
@@ -15,13 +15,13 @@
 /// Loses the answers to the watches that wait for the next change of one collection, if it changes within this time.
 pub(crate) async fn lose_answers(simulation: &Simulation, within: Duration) {
     let collection = Collection::WATCHED[fastrand::usize(0..Collection::WATCHED.len())];
-    let store = &simulation.store.0;
+    let answers = &simulation.store.0.lost_answers;
     let until = simulation.history.now() + within;
-    store.lose_next_change(collection);
-    while store.is_losing(collection) && simulation.history.now() < until {
+    answers.lose_next(collection);
+    while answers.is_losing(collection) && simulation.history.now() < until {
         tokio::time::sleep(LOSS_POLL_INTERVAL).await;
     }
-    if !store.keep_answers(collection) {
+    if !answers.stop_losing(collection) {
         let now = simulation.history.now();
         let mut disturbances = simulation.history.store_disturbances.borrow_mut();
         disturbances.push((now, now));
