test(reach): servers that are there and get nothing, with one and two left

Evacuated, paused, limited, cold and draining servers, with one and two of six left: cut, healed, cut again.

--- a/crates/kingcuploft-entry/tests/entry/cut_fleet.rs
+++ b/crates/kingcuploft-entry/tests/entry/cut_fleet.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft_entry::run::Running;
@@ -25,6 +25,12 @@
 /// How many callers ask at the same time: more than there are open connections.
 pub(crate) const CALLERS: usize = 6;
 
+/// How long after the begin of a cut first tries must be served again.
+pub(crate) const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// The least share of first tries that must be served then.
+pub(crate) const MIN_SERVED_SHARE: f64 = 2.0 / 3.0;
+
 /// VMs, each with a network of its own to the servers that they share.
 pub(crate) struct Fleet {
     pub(crate) vms: Vec<Running>,
@@ -96,6 +102,20 @@
         served / CALLERS as f64
     }
 
+    /// Cuts a VM off; returns the share of the first tries there that is served from three seconds on.
+    pub(crate) async fn served_while_cut(
+        self: &Rc<Self>,
+        vm: usize,
+        cut: ServerCut,
+        name: &str,
+    ) -> f64 {
+        self.cut(vm, cut);
+        let cut_at = Instant::now();
+        self.served_share(vm, &format!("{name}-soon")).await;
+        tokio::time::sleep(CONTACT_TIME.saturating_sub(cut_at.elapsed())).await;
+        self.served_by_callers(vm, name).await
+    }
+
     /// Cuts a VM off silently, and waits until it knows.
     pub(crate) async fn cut_and_notice(&self, vm: usize) {
         self.cut(vm, ServerCut::Silent);
--- a/crates/kingcuploft-entry/tests/entry/cut_off.rs
+++ b/crates/kingcuploft-entry/tests/entry/cut_off.rs
@@ -6,18 +6,12 @@
 
 use kingcuploft_entry::peers::load_reports;
 use kingcuploft_entry::peers::peer_socket::PeerMessage;
-use kingcuploft_entry::{pauses, reach, server_updates};
+use kingcuploft_entry::{reach, server_updates};
 use kingcuploft_soak::cuttable::ServerCut;
 
-use crate::cut_fleet::{CALLERS, DEADLINE, Fleet};
+use crate::cut_fleet::{CALLERS, CONTACT_TIME, DEADLINE, Fleet, MIN_SERVED_SHARE};
 use crate::server::Behavior;
-use crate::testbed::{booking, entry, lookup, run_test, wait_until};
-
-/// How long after the begin of a cut first tries must be served again.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
-
-/// The least share of first tries that must be served then.
-const MIN_SERVED_SHARE: f64 = 2.0 / 3.0;
+use crate::testbed::{booking, lookup, run_test, wait_until};
 
 /// How long a request takes at a server.
 const WORK_TIME: Duration = Duration::from_millis(5);
@@ -25,22 +19,12 @@
 /// How long it takes at a server whose slots are to be taken.
 const LONG_WORK_TIME: Duration = Duration::from_millis(20);
 
-/// For how long the checks of a service are counted that is to come back.
-const CHECKED_FOR: Duration = Duration::from_secs(1);
-
-/// The most checks of one server in that time: one in a tenth of a second.
-const MAX_CHECKS: u32 = 10;
-
 /// Cuts a VM among three of its zone off, and checks the first tries there from three seconds on.
 async fn check_lone_vm(cut: ServerCut) {
     let behaviors = [Behavior::AnswerAfter(LONG_WORK_TIME); 4];
     let fleet = Rc::new(Fleet::of(&["thun"; 3], &behaviors).await);
     assert_eq!(fleet.served_share(0, "before").await, 1.0);
-    fleet.cut(0, cut);
-    let cut_at = Instant::now();
-    fleet.served_share(0, "soon").await;
-    tokio::time::sleep(CONTACT_TIME.saturating_sub(cut_at.elapsed())).await;
-    let served = fleet.served_by_callers(0, "cut").await;
+    let served = fleet.served_while_cut(0, cut, "cut").await;
     assert!(served >= MIN_SERVED_SHARE, "{cut:?}: {served}");
     assert_eq!(fleet.run_twice(), 0);
 }
@@ -92,87 +76,6 @@
     });
 }
 
-/// The names of the servers beside the first two.
-const OTHER_SERVERS: [&str; 4] = ["s2", "s3", "s4", "s5"];
-
-/// Moves all servers but the first ones to an evacuated zone, and waits until all VMs know.
-async fn evacuate_all_but(fleet: &Fleet, count: usize) {
-    let store = &fleet.store.0;
-    store.set_evacuated("bern", true);
-    for (at, server) in fleet.servers.iter().enumerate().skip(count) {
-        store.remove_backend_server(&format!("s{at}"));
-        let mut moved = entry(at, server);
-        moved.name = format!("moved{at}").into();
-        moved.zone = "bern".into();
-        store.write_backend_server(moved);
-    }
-    for vm in &fleet.vms {
-        let context = &vm.context;
-        wait_until(|| context.upstreams(&"trip".into()).len() == count).await;
-        wait_until(|| context.all_upstreams().len() == fleet.servers.len()).await;
-    }
-}
-
-/// Cuts a VM off while requests may be sent to two of six servers only, and checks the first tries there from three
-/// seconds on.
-async fn check_cut_with_two_usable_servers(fleet: Fleet) {
-    let fleet = Rc::new(fleet);
-    assert_eq!(fleet.served_share(0, "before").await, 1.0);
-    fleet.cut(0, ServerCut::Silent);
-    let cut_at = Instant::now();
-    fleet.served_share(0, "soon").await;
-    tokio::time::sleep(CONTACT_TIME.saturating_sub(cut_at.elapsed())).await;
-    let served = fleet.served_by_callers(0, "cut").await;
-    assert!(served >= MIN_SERVED_SHARE, "{served}");
-    assert_eq!(fleet.run_twice(), 0);
-}
-
-/// Guards against a cut that is not noticed where all but two servers are in an evacuated zone.
-#[test]
-fn callers_of_a_vm_that_is_cut_off_while_a_zone_is_evacuated_are_served() {
-    run_test(async {
-        let fleet = Fleet::of(&["thun"; 3], &[Behavior::AnswerAfter(WORK_TIME); 6]).await;
-        evacuate_all_but(&fleet, 2).await;
-        check_cut_with_two_usable_servers(fleet).await;
-    });
-}
-
-/// Guards against a cut that is not noticed where all but two servers have asked for a pause.
-#[test]
-fn callers_of_a_vm_that_is_cut_off_while_servers_are_paused_are_served() {
-    run_test(async {
-        let fleet = Fleet::of(&["thun"; 3], &[Behavior::AnswerAfter(WORK_TIME); 6]).await;
-        for vm in &fleet.vms {
-            for server in OTHER_SERVERS {
-                let pause = 10 * CONTACT_TIME;
-                pauses::apply(&vm.context, Instant::now(), &server.into(), pause);
-            }
-        }
-        check_cut_with_two_usable_servers(fleet).await;
-    });
-}
-
-/// Guards against connections that are opened without a pause to the one server that is left, and against its service
-/// staying out of reach.
-#[test]
-fn a_service_with_one_server_left_comes_back_without_connections_in_a_row() {
-    run_test(async {
-        let fleet = Fleet::of(&["thun"], &[Behavior::Answer; 3]).await;
-        fleet.cut_and_notice(0).await;
-        // No connection that hangs now is accepted later.
-        fleet.cut(0, ServerCut::Reset);
-        evacuate_all_but(&fleet, 1).await;
-        fleet.networks[0].heal();
-        let opened = || fleet.servers[0].opened_connections.get();
-        let opened_before = opened();
-        tokio::time::sleep(CHECKED_FOR).await;
-        let checks = opened() - opened_before;
-        assert!((1..=MAX_CHECKS).contains(&checks), "{checks}");
-        let reach = &fleet.vms[0].context.reach;
-        assert!(!reach.is_out_of_reach(&"trip".into()));
-    });
-}
-
 /// Guards against a VM that sends to a server which it can't reach, since another VM of the zone tells that server's load.
 #[test]
 fn a_load_report_of_another_vm_does_not_stand_for_a_path_to_the_server() {
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod cold;
 mod cut_fleet;
 mod cut_off;
+mod cut_usable;
 mod endless;
 mod endless_answers;
 mod evacuation;
