feat(logs): a process that ends says why in its last line

What operators saw: a process that ended by itself left nothing in its log; the reason stood on standard error, or nowhere.

--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod active_configuration;
 pub mod edge;
+pub mod ending;
 pub mod evacuation;
 pub mod fields;
 mod gauges;
