fix(settings): a time that no clock can hold ends no process

What operators saw: a running VM that reads a time of 1.8e19 s or more (graceS, budgetWindowS, quotaWindowS, heartbeatS) ends with 101 within 5 s, without a signal too, and all its callers are cut; 1e19 ends its planned stop instead. All VMs read the same settings, so all of them end. Cause: seconds became a Duration by a conversion that panics, in the main task, whose panic ends the process; sums of Durations overflow in the same way. Why it works: the one function that reads times counts more than a year as a year, which every sum in the program can hold. A file with such a time stays usable: the figure says as long as you like.

--- a/crates/kingcuploft-entry/src/fields.rs
+++ b/crates/kingcuploft-entry/src/fields.rs
@@ -4,6 +4,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// The longest time that settings can name, in seconds: a year. Sums of a few of them stay within what clocks can hold.
+const MAX_TIME_S: f64 = 365.0 * 24.0 * 3600.0;
+
 /// Why settings can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -170,12 +173,14 @@
         })
     }
 
-    /// Returns a duration given in seconds, or `default` seconds if the field is missing.
+    /// Returns a duration given in seconds, or `default` seconds if the field is missing; a longer time than a year
+    /// counts as a year.
     ///
     /// # Errors
     ///
     /// Returns an error if the field holds anything but a number that is not negative.
     pub fn seconds(&self, field: &'static str, default: f64) -> Result<Duration, SettingsError> {
-        Ok(Duration::from_secs_f64(self.number(field, default)?))
+        let seconds = self.number(field, default)?;
+        Ok(Duration::from_secs_f64(seconds.min(MAX_TIME_S)))
     }
 }
