fix(process): signals are remembered from the first step of the process on

Cause: the handlers were installed by the event loop, after command line, log, settings and loop; whatever delayed these kept the window open, a settings file that is slow to read for as long as it takes. Evidence: a_hangup_while_the_settings_are_first_read_ends_no_process was red (signal 1), with the settings in a pipe that the test fills after the signal. Why it works: the first statement of main installs handlers that only set flags; they need no loop, descriptor or thread. The loop is woken by a socket pair, and polls the flags where the system has none left. tokio's own signal handling is out of the programs: it panics when descriptors are short. Result: the test passes. What is left lies before main, in the system's loader: a signal there has the default effect in any program.

--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -12,7 +12,6 @@
 
 pub mod active_configuration;
 pub mod edge;
-pub mod ending;
 pub mod evacuation;
 pub mod fields;
 mod gauges;
@@ -26,6 +25,7 @@
 pub mod notices;
 pub mod pauses;
 pub mod peers;
+pub mod process;
 pub mod quotas;
 pub mod reach;
 pub mod relay;
--- /dev/null
+++ b/crates/kingcuploft-entry/src/process/signals.rs
@@ -0,0 +1,121 @@
+//! The signals that the process receives, remembered from its first step on.
+//!
+//! The handlers only set flags, so they need no event loop, no descriptor and no thread. Once there is an event loop, a
+//! socket pair wakes it.
+
+use std::io;
+use std::os::unix::net::UnixStream as StdUnixStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use signal_hook::consts::{SIGHUP, SIGTERM};
+use tokio::io::AsyncReadExt;
+use tokio::net::UnixStream;
+
+/// How often the flags are read while nothing wakes the event loop.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A signal to the process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Signal {
+    /// SIGTERM: stop gracefully.
+    Terminate,
+    /// SIGHUP: the settings have changed.
+    HangUp,
+}
+
+/// The signals that the process has received.
+#[derive(Clone, Debug, Default)]
+pub struct Signals {
+    terminated: Arc<AtomicBool>,
+    hung_up: Arc<AtomicBool>,
+}
+
+impl Signals {
+    /// Installs the handlers. It is the first step of the process: a signal before it has the system's default effect.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if a handler can't be installed.
+    pub fn install() -> io::Result<Self> {
+        let signals = Self::default();
+        signal_hook::flag::register(SIGHUP, signals.hung_up.clone())?;
+        signal_hook::flag::register(SIGTERM, signals.terminated.clone())?;
+        Ok(signals)
+    }
+
+    /// Returns whether SIGTERM was received.
+    pub fn is_terminated(&self) -> bool {
+        self.terminated.load(Ordering::Acquire)
+    }
+
+    /// Returns a signal that was received and not returned before. SIGTERM holds until the process ends.
+    fn take(&self) -> Option<Signal> {
+        if self.is_terminated() {
+            return Some(Signal::Terminate);
+        }
+        let is_hung_up = self.hung_up.swap(false, Ordering::AcqRel);
+        is_hung_up.then_some(Signal::HangUp)
+    }
+
+    /// Has signals wake the event loop from now on.
+    pub fn watch(&self) -> SignalWatch {
+        let waker = Waker::open();
+        if let Err(error) = &waker {
+            tracing::warn!(event = "signals_polled", %error);
+        }
+        SignalWatch {
+            signals: self.clone(),
+            waker: waker.ok(),
+        }
+    }
+}
+
+/// Returns signals to tasks of the event loop.
+#[derive(Debug)]
+pub struct SignalWatch {
+    signals: Signals,
+    /// `None` where the system had no socket pair left; the flags are polled then.
+    waker: Option<Waker>,
+}
+
+impl SignalWatch {
+    /// Waits for the next signal.
+    pub async fn next(&mut self) -> Signal {
+        loop {
+            if let Some(signal) = self.signals.take() {
+                return signal;
+            }
+            match &mut self.waker {
+                Some(waker) => waker.wait().await,
+                None => tokio::time::sleep(POLL_INTERVAL).await,
+            }
+        }
+    }
+}
+
+/// A socket pair into which the handlers write.
+#[derive(Debug)]
+struct Waker {
+    receiver: UnixStream,
+}
+
+impl Waker {
+    fn open() -> io::Result<Self> {
+        let (receiver, sender) = StdUnixStream::pair()?;
+        receiver.set_nonblocking(true)?;
+        signal_hook::low_level::pipe::register(SIGHUP, sender.try_clone()?)?;
+        signal_hook::low_level::pipe::register(SIGTERM, sender)?;
+        let receiver = UnixStream::from_std(receiver)?;
+        Ok(Self { receiver })
+    }
+
+    async fn wait(&mut self) {
+        let mut bytes = [0; 64];
+        let read = self.receiver.read(&mut bytes).await;
+        if !matches!(read, Ok(1..)) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+}
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -7,7 +7,6 @@
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::planted::{self, PlantedFault};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
 
 use crate::clock;
@@ -20,6 +19,7 @@
 use crate::peers::load_reports;
 use crate::peers::peer_socket::PeerSocket;
 use crate::peers::repeat_replication;
+use crate::process::signals::{Signal, Signals};
 use crate::quotas;
 use crate::settings::{EntrySettings, WireNames};
 use crate::store::{Collection, Store};
@@ -54,9 +54,6 @@
     /// An address can't be bound.
     #[error("can't listen on {0}: {1}")]
     Listen(SocketAddr, std::io::Error),
-    /// The handlers of signals can't be installed.
-    #[error("can't receive signals: {0}")]
-    Signals(std::io::Error),
 }
 
 /// A VM that runs.
@@ -71,41 +68,29 @@
     accepting: JoinHandle<()>,
 }
 
-/// Runs a VM until a signal stops it gracefully. Settings are read again by `reread` at a hangup signal and every few
-/// seconds; changed bounds apply from then on.
+/// Runs a VM, which reaches backend servers through `network`, until a signal stops it gracefully. Settings are read again
+/// by `reread` at a hangup signal and every few seconds; changed bounds apply from then on.
 ///
 /// # Errors
 ///
 /// Returns an error if the VM can't start.
 pub async fn run<S: Store + 'static>(
-    settings: EntrySettings,
-    wire_names: WireNames,
-    store: S,
-    reread: impl Fn() -> Result<EntrySettings, String>,
-) -> Result<(), StartError> {
-    run_with_network(Rc::new(Tcp), settings, wire_names, store, reread).await
-}
-
-/// As [`run`], for a VM that reaches backend servers through `network`.
-///
-/// # Errors
-///
-/// Returns an error if the VM can't start.
-pub async fn run_with_network<S: Store + 'static>(
+    signals: &Signals,
     network: Rc<dyn Network>,
     settings: EntrySettings,
     wire_names: WireNames,
     store: S,
     reread: impl Fn() -> Result<EntrySettings, String>,
 ) -> Result<(), StartError> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
+    let mut signals = signals.watch();
     let running = start_with_network(network, settings, wire_names, store).await?;
     loop {
         tokio::select! {
             biased;
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => running.reload(&reread),
+            signal = signals.next() => match signal {
+                Signal::Terminate => break,
+                Signal::HangUp => running.reload(&reread),
+            },
             () = tokio::time::sleep(SETTINGS_RELOAD_INTERVAL) => running.reload(&reread),
         }
     }
