fix(process): settings that are late, cut short or wrong are waited for

Cause: the file was read once, as if it could not be read while it is written, and every error was taken for a final one. Why it works: the start reads the file each 50 ms until it can be used, and says what is wrong on standard error and in the log, at once, when that changes, and each 10 s; SIGTERM ends the wait with 0. A reload that fails is repeated after 0.25 s, and logged when its error changes. Not covered: a file cut at the end of a line behind the last field that is required can't be told from a whole one; its bounds are read again within 5 s.

--- a/crates/kingcuploft-entry/src/fields.rs
+++ b/crates/kingcuploft-entry/src/fields.rs
@@ -13,6 +13,9 @@
     /// The file can't be read.
     #[error("{}: {}", .0.display(), .1)]
     File(PathBuf, std::io::Error),
+    /// The last line has no end: the file may still be written.
+    #[error("{}: the last line has no end yet", .0.display())]
+    Unended(PathBuf),
     /// A line is not of the form `a.b=value`.
     #[error("{}:{}: not of the form a.b=value", .0.display(), .1)]
     Line(PathBuf, usize),
--- a/crates/kingcuploft-entry/src/process/ending.rs
+++ b/crates/kingcuploft-entry/src/process/ending.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use super::wait;
 use crate::logs;
 
 /// How long writing the last log lines may take. A graceful shutdown ends 300 ms before its deadline at the latest, so
@@ -18,8 +19,6 @@
 pub enum Ending {
     /// A signal stopped it gracefully.
     Stopped,
-    /// The settings can't be used.
-    Settings(String),
     /// It could not start.
     Start(String),
     /// It panicked; the line of the panic says where.
@@ -32,7 +31,6 @@
         match self {
             Self::Stopped => 0,
             Self::Start(_) => 1,
-            Self::Settings(_) => 2,
             Self::Panicked => PANIC_CODE,
         }
     }
@@ -41,14 +39,13 @@
         match self {
             Self::Stopped => "stopped by a signal",
             Self::Start(_) => "can't start",
-            Self::Settings(_) => "the settings can't be used",
             Self::Panicked => "panicked",
         }
     }
 
     fn detail(&self) -> &str {
         match self {
-            Self::Settings(error) | Self::Start(error) => error,
+            Self::Start(error) => error,
             Self::Stopped | Self::Panicked => "",
         }
     }
@@ -61,6 +58,9 @@
             Self::Stopped => tracing::info!(event = "ended", code, reason, detail),
             _ => tracing::error!(event = "ended", code, reason, detail),
         }
+        if let Self::Start(error) = self {
+            wait::tell(error);
+        }
         logs::drain(LOG_DRAIN_TIMEOUT);
         ExitCode::from(code)
     }
--- /dev/null
+++ b/crates/kingcuploft-entry/src/process/wait.rs
@@ -0,0 +1,80 @@
+//! Waiting at the start for what the process needs and is not there yet. It says what it waits for, and can be stopped.
+
+use std::fmt::Display;
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+use super::signals::Signals;
+use crate::clock;
+
+/// How often what is missing is tried again.
+pub const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How often the log says that the same is still missing.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Tries until it succeeds; returns `None` if a signal terminates the process before.
+pub fn retry<T, E: Display>(
+    signals: &Signals,
+    awaited: &'static str,
+    mut attempt: impl FnMut() -> Result<T, E>,
+) -> Option<T> {
+    let mut log = WaitLog::new(awaited);
+    while !signals.is_terminated() {
+        match attempt() {
+            Ok(found) => {
+                log.found();
+                return Some(found);
+            }
+            Err(error) => log.missing(&error.to_string()),
+        }
+        std::thread::sleep(RETRY_INTERVAL);
+    }
+    None
+}
+
+/// Logs what is missing: at first, when the reason changes, and every few seconds.
+#[derive(Debug)]
+pub struct WaitLog {
+    awaited: &'static str,
+    since: Instant,
+    last: Option<(String, Instant)>,
+}
+
+impl WaitLog {
+    /// Begins a wait.
+    pub fn new(awaited: &'static str) -> Self {
+        Self {
+            awaited,
+            since: clock::now(),
+            last: None,
+        }
+    }
+
+    /// Records that it is missing.
+    pub fn missing(&mut self, error: &str) {
+        let known = self.last.as_ref().filter(|(last, _)| last == error);
+        if known.is_some_and(|(_, at)| clock::since(*at) < LOG_INTERVAL) {
+            return;
+        }
+        let awaited = self.awaited;
+        tracing::warn!(event = "start_waits", awaited, error);
+        if known.is_none() {
+            tell(&format!("waits for {awaited}: {error}"));
+        }
+        self.last = Some((error.to_owned(), clock::now()));
+    }
+
+    /// Records that it is there.
+    pub fn found(&self) {
+        if self.last.is_some() {
+            let (awaited, waited_ms) = (self.awaited, clock::since(self.since).as_millis() as u64);
+            tracing::info!(event = "start_goes_on", awaited, waited_ms);
+        }
+    }
+}
+
+/// Writes a line to standard error, for those who start the program by hand; nobody may read it.
+pub fn tell(line: &str) {
+    let _ = writeln!(std::io::stderr(), "kingcuploft-front: {line}");
+}
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts one entry VM and shuts it down gracefully.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -21,7 +22,7 @@
 use crate::peers::repeat_replication;
 use crate::process::signals::{Signal, Signals};
 use crate::quotas;
-use crate::settings::{EntrySettings, WireNames};
+use crate::settings::{Bounds, EntrySettings, WireNames};
 use crate::store::{Collection, Store};
 use crate::store_access::StoreAccess;
 use crate::store_liveness;
@@ -45,6 +46,9 @@
 /// How often the settings file is read again: it may change without a signal.
 const SETTINGS_RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
+/// How soon it is read again if it can't be used: it may be being written.
+const SETTINGS_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// How often a stopping VM checks whether all connections are closed.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -66,6 +70,8 @@
     /// The address of the platform's readiness check.
     pub readiness_address: SocketAddr,
     accepting: JoinHandle<()>,
+    /// Why the settings could not be read again, since when they can't.
+    reload_error: RefCell<Option<String>>,
 }
 
 /// Runs a VM, which reaches backend servers through `network`, until a signal stops it gracefully. Settings are read again
@@ -84,15 +90,13 @@
 ) -> Result<(), StartError> {
     let mut signals = signals.watch();
     let running = start_with_network(network, settings, wire_names, store).await?;
+    let mut next_reload = SETTINGS_RELOAD_INTERVAL;
     loop {
-        tokio::select! {
-            biased;
-            signal = signals.next() => match signal {
-                Signal::Terminate => break,
-                Signal::HangUp => running.reload(&reread),
-            },
-            () = tokio::time::sleep(SETTINGS_RELOAD_INTERVAL) => running.reload(&reread),
+        let signal = tokio::time::timeout(next_reload, signals.next()).await;
+        if signal == Ok(Signal::Terminate) {
+            break;
         }
+        next_reload = running.reload(&reread);
     }
     running.stop().await;
     Ok(())
@@ -151,20 +155,34 @@
         caller_address: addresses.0,
         readiness_address: addresses.1,
         accepting,
+        reload_error: RefCell::default(),
     })
 }
 
 impl Running {
-    /// Reads the settings again and applies those that may change while the VM runs.
-    pub fn reload(&self, reread: &impl Fn() -> Result<EntrySettings, String>) {
-        let old = self.context.bounds.get();
-        match reread() {
-            Ok(settings) if settings.bounds == old => {}
+    /// Reads the settings again and applies those that may change while the VM runs; returns when to read them next.
+    pub fn reload(&self, reread: &impl Fn() -> Result<EntrySettings, String>) -> Duration {
+        let error = match reread() {
             Ok(settings) => {
-                self.context.bounds.set(settings.bounds);
-                tracing::info!(event = "reload", bounds = ?settings.bounds);
+                self.apply(settings.bounds);
+                None
+            }
+            Err(error) => Some(error),
+        };
+        let before = self.reload_error.replace(error.clone());
+        match error {
+            Some(error) if before.as_ref() != Some(&error) => {
+                tracing::warn!(event = "reload_failed", error);
+                SETTINGS_RETRY_INTERVAL
             }
-            Err(error) => tracing::warn!(event = "reload_failed", error),
+            Some(_) => SETTINGS_RETRY_INTERVAL,
+            None => SETTINGS_RELOAD_INTERVAL,
+        }
+    }
+
+    fn apply(&self, bounds: Bounds) {
+        if self.context.bounds.replace(bounds) != bounds {
+            tracing::info!(event = "reload", ?bounds);
         }
     }
 
--- a/crates/kingcuploft-entry/tests/entry/operating.rs
+++ b/crates/kingcuploft-entry/tests/entry/operating.rs
@@ -16,12 +16,12 @@
             Ok(settings)
         };
         let allowance = || testbed.vm.context.bounds.get().repeats.allowance;
-        testbed.vm.reload(&changed);
+        let next = testbed.vm.reload(&changed);
         assert!((allowance() - 7.0).abs() < 1e-9);
-        testbed
-            .vm
-            .reload(&|| Err("boot.conf:3: not of the form a.b=value".into()));
+        let broken = || Err("boot.conf:3: not of the form a.b=value".into());
+        let next_of_broken = testbed.vm.reload(&broken);
         assert!((allowance() - 7.0).abs() < 1e-9);
+        assert!(next_of_broken < next, "a file that is being written");
         assert_eq!(testbed.ask(&lookup("r1")).await.status, 200);
     });
 }
