fix(ports): a port that is in use is waited for

Cause: each port was opened once, in a row, and the first error ended the start. What is held for a moment was taken for what can never be had. Readiness is 503 while a port that serving needs is missing; the ports of metrics and seeds keep nobody waiting. The start can't fail any more, so StartError is gone, and SIGTERM ends a wait with 0 as it ends any VM. Where any port will do (tests), links and datagrams draw until both have one. Weighed: another port of the internal ones for peers; it would serve sooner, but the others know the VM by the address in its zone's record until that is written.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -1,6 +1,7 @@
 //! The state that all tasks of one entry VM share, built once and passed by reference.
 
 use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -41,6 +42,7 @@
 use crate::peers::followers::Followers;
 use crate::peers::peer_socket::PeerSender;
 use crate::peers::pending_turns::PendingTurns;
+use crate::ports::Port;
 use crate::quotas::Quotas;
 use crate::reach::Reach;
 use crate::rewinds::Rewinds;
@@ -106,6 +108,8 @@
     pub pending_turns: PendingTurns,
     /// The queue of notices that wait to be written to the store.
     pub notice_writes: NoticeWriteQueue,
+    /// The ports that could not be opened yet.
+    pub missing_ports: RefCell<BTreeSet<Port>>,
     /// How many connections of callers are open.
     pub caller_connections: Cell<usize>,
     /// How many requests were read and have no answer yet.
@@ -203,6 +207,7 @@
             quotas: Quotas::new(clock::now()),
             pending_turns: PendingTurns::default(),
             notice_writes: NoticeWriteQueue::default(),
+            missing_ports: RefCell::default(),
             caller_connections: Cell::new(0),
             unanswered_requests: Cell::new(0),
             started_at: clock::now(),
@@ -227,14 +232,19 @@
         self.active_configuration.current()
     }
 
-    /// Returns whether the VM can serve: it knows a configuration, the servers and the evacuated zones, and is not
-    /// stopping.
+    /// Returns whether the VM can serve: it knows a configuration, the servers and the evacuated zones, has the ports that
+    /// it needs, and is not stopping.
     pub fn is_ready(&self) -> bool {
+        let lacks_port = self
+            .missing_ports
+            .borrow()
+            .iter()
+            .any(|port| port.is_needed_to_serve());
         let knows_zones = self.position(Collection::Evacuations).is_some();
         let knows = self.active_configuration.version().is_some()
             && self.servers_listed.get()
             && knows_zones;
-        knows && !self.shutdown.is_stopping()
+        knows && !lacks_port && !self.shutdown.is_stopping()
     }
 
     /// Calls `operation` with the table of backend servers and returns its result.
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod notices;
 pub mod pauses;
 pub mod peers;
+pub mod ports;
 pub mod process;
 pub mod quotas;
 pub mod reach;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -103,6 +103,8 @@
     pub callers: Gauge,
     /// The fill of the probe budget, in thousandths.
     pub probes_left: Gauge,
+    /// Ports that could not be opened yet.
+    pub missing_ports: Gauge,
     /// Seconds since the configuration in force was adopted.
     pub configuration_age: Gauge,
     /// VMs that follow this one.
@@ -158,6 +160,7 @@
             vms: Gauge::default(),
             callers: Gauge::default(),
             probes_left: Gauge::default(),
+            missing_ports: Gauge::default(),
             configuration_age: Gauge::default(),
             followers: Gauge::default(),
             limited_servers: Gauge::default(),
@@ -253,6 +256,8 @@
         registry.register("vms", help, self.vms.clone());
         let help = "Open connections of callers";
         registry.register("callers", help, self.callers.clone());
+        let help = "Ports that could not be opened yet";
+        registry.register("missing_ports", help, self.missing_ports.clone());
         let help = "The part of the probe budget that is there, in thousandths";
         registry.register("probes_left_milli", help, self.probes_left.clone());
         let help = "Seconds since the configuration in force was adopted";
--- a/crates/kingcuploft-entry/src/peers/peer_socket.rs
+++ b/crates/kingcuploft-entry/src/peers/peer_socket.rs
@@ -127,8 +127,10 @@
     /// # Errors
     ///
     /// Returns the system's error if the address can't be bound.
-    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
-        let socket = UdpSocket::bind(address).await?;
+    pub fn open(address: SocketAddr) -> std::io::Result<Self> {
+        let socket = std::net::UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let socket = UdpSocket::from_std(socket)?;
         Ok(Self { socket })
     }
 
--- /dev/null
+++ b/crates/kingcuploft-entry/src/ports.rs
@@ -0,0 +1,134 @@
+//! The ports of a VM. One that can't be had at the start is waited for, and keeps no other from being opened: an outgoing
+//! connection, another process or this VM's own earlier process may hold it for a while.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::net::{TcpListener, TcpSocket};
+
+use crate::context::Context;
+use crate::peers::peer_socket::PeerSocket;
+use crate::process::wait::{RETRY_INTERVAL, WaitLog};
+
+/// The most new connections that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1024;
+
+/// How many ports are drawn where any port will do for links and datagrams together.
+const MAX_DRAWS: u32 = 16;
+
+/// A port of a VM.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Port {
+    /// Callers connect to it.
+    Callers,
+    /// The platform's readiness check connects to it.
+    Readiness,
+    /// Other VMs connect to it, and send datagrams to it.
+    Peers,
+    /// VMs that know this one as a seed connect to it.
+    Control,
+    /// Metrics are read from it.
+    Metrics,
+}
+
+impl Port {
+    /// Returns the name used in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Callers => "port of callers",
+            Self::Readiness => "port of readiness",
+            Self::Peers => "port of peers",
+            Self::Control => "port of seeds",
+            Self::Metrics => "port of metrics",
+        }
+    }
+
+    /// Returns whether the VM can't serve without it.
+    pub fn is_needed_to_serve(self) -> bool {
+        match self {
+            Self::Callers | Self::Readiness | Self::Peers => true,
+            Self::Control | Self::Metrics => false,
+        }
+    }
+}
+
+/// A listener, and the address at which it listens.
+#[derive(Debug)]
+pub struct Bound {
+    /// The listener.
+    pub listener: TcpListener,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// The port for other VMs.
+#[derive(Debug)]
+pub struct PeerPort {
+    /// Listens for links.
+    pub links: Bound,
+    /// Receives datagrams.
+    pub datagrams: PeerSocket,
+}
+
+/// Listens at an address.
+///
+/// # Errors
+///
+/// Returns the system's error.
+pub fn listen(address: SocketAddr) -> io::Result<Bound> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    let listener = socket.listen(LISTEN_BACKLOG)?;
+    let address = listener.local_addr()?;
+    Ok(Bound { listener, address })
+}
+
+/// Listens for links and datagrams of other VMs at the same address.
+///
+/// # Errors
+///
+/// Returns the system's error.
+pub fn listen_to_peers(address: SocketAddr) -> io::Result<PeerPort> {
+    let mut draws = match address.port() {
+        0 => MAX_DRAWS,
+        _ => 1,
+    };
+    loop {
+        draws -= 1;
+        let links = listen(address)?;
+        match PeerSocket::open(links.address) {
+            Ok(datagrams) => return Ok(PeerPort { links, datagrams }),
+            Err(error) if draws == 0 => return Err(error),
+            Err(_) => {}
+        }
+    }
+}
+
+/// Waits until a port that could not be opened at first is open. Until then it counts among the VM's missing ports.
+pub async fn wait_for<T>(
+    context: &Rc<Context>,
+    port: Port,
+    first: io::Result<T>,
+    open: impl Fn() -> io::Result<T>,
+) -> T {
+    let mut log = WaitLog::new(port.label());
+    let mut opened = first;
+    loop {
+        match opened {
+            Ok(found) => {
+                context.missing_ports.borrow_mut().remove(&port);
+                log.found();
+                return found;
+            }
+            Err(error) => log.missing(&error.to_string()),
+        }
+        context.missing_ports.borrow_mut().insert(port);
+        tokio::time::sleep(RETRY_INTERVAL).await;
+        opened = open();
+    }
+}
--- a/crates/kingcuploft-entry/src/process/mod.rs
+++ b/crates/kingcuploft-entry/src/process/mod.rs
@@ -48,10 +48,8 @@
         let Surroundings { network, store } = surroundings(&first);
         run::run(signals, network, first, wire_names, store, reread).await
     };
-    match LocalSet::new().block_on(&runtime, running) {
-        Ok(()) => Ending::Stopped,
-        Err(error) => Ending::Start(error.to_string()),
-    }
+    LocalSet::new().block_on(&runtime, running);
+    Ending::Stopped
 }
 
 fn event_loop() -> std::io::Result<Runtime> {
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -7,7 +7,7 @@
 
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::planted::{self, PlantedFault};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
 use crate::clock;
@@ -18,8 +18,8 @@
 use crate::peers::dial::{self, Dial};
 use crate::peers::feeder;
 use crate::peers::load_reports;
-use crate::peers::peer_socket::PeerSocket;
 use crate::peers::repeat_replication;
+use crate::ports::{self, PeerPort, Port};
 use crate::process::signals::{Signal, Signals};
 use crate::quotas;
 use crate::settings::{Bounds, EntrySettings, WireNames};
@@ -29,9 +29,6 @@
 use crate::store_sync;
 use crate::store_watcher;
 
-/// The most new connections that may wait to be accepted.
-const LISTEN_BACKLOG: u32 = 1024;
-
 /// How long new connections are accepted after the shutdown began: the platform checks readiness every second, and
 /// takes the VM out of rotation after two failed checks.
 const ACCEPT_WHILE_STOPPING: Duration = Duration::from_millis(2600);
@@ -52,14 +49,6 @@
 /// How often a stopping VM checks whether all connections are closed.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Why a VM could not start.
-#[derive(Debug, thiserror::Error)]
-pub enum StartError {
-    /// An address can't be bound.
-    #[error("can't listen on {0}: {1}")]
-    Listen(SocketAddr, std::io::Error),
-}
-
 /// A VM that runs.
 #[derive(Debug)]
 pub struct Running {
@@ -76,10 +65,6 @@
 
 /// Runs a VM, which reaches backend servers through `network`, until a signal stops it gracefully. Settings are read again
 /// by `reread` at a hangup signal and every few seconds; changed bounds apply from then on.
-///
-/// # Errors
-///
-/// Returns an error if the VM can't start.
 pub async fn run<S: Store + 'static>(
     signals: &Signals,
     network: Rc<dyn Network>,
@@ -87,9 +72,9 @@
     wire_names: WireNames,
     store: S,
     reread: impl Fn() -> Result<EntrySettings, String>,
-) -> Result<(), StartError> {
+) {
     let mut signals = signals.watch();
-    let running = start_with_network(network, settings, wire_names, store).await?;
+    let running = start_with_network(network, settings, wire_names, store);
     let mut next_reload = SETTINGS_RELOAD_INTERVAL;
     loop {
         let signal = tokio::time::timeout(next_reload, signals.next()).await;
@@ -99,64 +84,87 @@
         next_reload = running.reload(&reread);
     }
     running.stop().await;
-    Ok(())
 }
 
 /// Starts a VM; its tasks run in the current `LocalSet`.
-///
-/// # Errors
-///
-/// Returns an error if an address can't be bound.
-pub async fn start<S: Store + 'static>(
+pub fn start<S: Store + 'static>(
     settings: EntrySettings,
     wire_names: WireNames,
     store: S,
-) -> Result<Running, StartError> {
-    start_with_network(Rc::new(Tcp), settings, wire_names, store).await
+) -> Running {
+    start_with_network(Rc::new(Tcp), settings, wire_names, store)
 }
 
-/// Starts a VM that reaches backend servers through `network`; its tasks run in the current `LocalSet`.
-///
-/// # Errors
-///
-/// Returns an error if an address can't be bound.
-pub async fn start_with_network<S: Store + 'static>(
+/// Starts a VM that reaches backend servers through `network`; its tasks run in the current `LocalSet`. Ports that can't
+/// be opened yet are waited for; the VM is not ready without those that it needs.
+pub fn start_with_network<S: Store + 'static>(
     network: Rc<dyn Network>,
     settings: EntrySettings,
     wire_names: WireNames,
     store: S,
-) -> Result<Running, StartError> {
-    let callers = listen(settings.caller_address)?;
-    let ready = listen(settings.readiness_address)?;
-    let at = |listener: &TcpListener, requested| listener.local_addr().unwrap_or(requested);
-    let addresses = (
-        at(&callers, settings.caller_address),
-        at(&ready, settings.readiness_address),
-    );
+) -> Running {
     tracing::info!(event = "started", vm = %settings.vm, zone = %settings.zone);
     let context = Rc::new(Context::with_network(network, settings, wire_names));
+    let settings = &context.settings;
+    let wanted = settings.readiness_address;
+    let (readiness_address, _) = open(&context, Port::Readiness, wanted, readiness::serve);
+    if let Some(address) = settings.metrics_address {
+        open(&context, Port::Metrics, address, readiness::serve);
+    }
+    start_sync(&context, store);
+    let wanted = settings.caller_address;
+    let (caller_address, accepting) = open(&context, Port::Callers, wanted, accept);
+    Running {
+        caller_address,
+        readiness_address,
+        accepting,
+        reload_error: RefCell::default(),
+        context,
+    }
+}
+
+/// Opens a port and serves it in a task; returns its address, which is the wanted one while the port can't be opened.
+fn open<F: Future<Output = ()> + 'static>(
+    context: &Rc<Context>,
+    port: Port,
+    wanted: SocketAddr,
+    serve: impl FnOnce(Rc<Context>, TcpListener) -> F + 'static,
+) -> (SocketAddr, JoinHandle<()>) {
+    let first = ports::listen(wanted);
+    let address = first.as_ref().map_or(wanted, |bound| bound.address);
+    let context = context.clone();
+    let task = tokio::task::spawn_local(async move {
+        let open = || ports::listen(wanted);
+        let bound = ports::wait_for(&context, port, first, open).await;
+        serve(context, bound.listener).await;
+    });
+    (address, task)
+}
+
+/// Starts what keeps this VM synchronized with the store, through other VMs if there may be any.
+fn start_sync<S: Store + 'static>(context: &Rc<Context>, store: S) {
     let store = Rc::new(store);
     let store_access = Rc::new(StoreAccess::default());
-    tokio::task::spawn_local(readiness::serve(context.clone(), ready));
-    if let Some(address) = context.settings.metrics_address {
-        let listener = listen(address)?;
-        tokio::task::spawn_local(readiness::serve(context.clone(), listener));
+    let Some(wanted) = context.settings.peer_address else {
+        spawn_store_tasks(context, &store, &store_access);
+        return;
+    };
+    if let Some(address) = context.settings.control_address {
+        let access = store_access.clone();
+        let serve = move |context, listener| feeder::serve(context, access, listener);
+        open(context, Port::Control, address, serve);
     }
-    match context.settings.peer_address {
-        Some(address) => {
-            let address = listen_to_peers(&context, &store_access, address).await?;
-            join_peers(&context, &store, &store_access, address, dial::Tcp);
+    match ports::listen_to_peers(wanted) {
+        Ok(port) => join_through(context, &store, &store_access, port),
+        failed => {
+            let context = context.clone();
+            tokio::task::spawn_local(async move {
+                let open = || ports::listen_to_peers(wanted);
+                let port = ports::wait_for(&context, Port::Peers, failed, open).await;
+                join_through(&context, &store, &store_access, port);
+            });
         }
-        None => spawn_store_tasks(&context, &store, &store_access),
     }
-    let accepting = tokio::task::spawn_local(accept(context.clone(), callers));
-    Ok(Running {
-        context,
-        caller_address: addresses.0,
-        readiness_address: addresses.1,
-        accepting,
-        reload_error: RefCell::default(),
-    })
 }
 
 impl Running {
@@ -290,43 +298,20 @@
     tokio::task::spawn_local(keeping);
 }
 
-/// Listens for other VMs, for links and for datagrams; returns the address at which they reach this VM.
-async fn listen_to_peers(
+/// Serves the port for other VMs, and joins them.
+fn join_through<S: Store + 'static>(
     context: &Rc<Context>,
+    store: &Rc<S>,
     store_access: &Rc<StoreAccess>,
-    address: SocketAddr,
-) -> Result<SocketAddr, StartError> {
-    let listener = listen(address)?;
-    let address = listener.local_addr().unwrap_or(address);
-    let opened = PeerSocket::open(address).await;
-    let opened = opened.map_err(|error| StartError::Listen(address, error))?;
-    let socket = Rc::new(opened);
+    port: PeerPort,
+) {
+    let PeerPort { links, datagrams } = port;
+    let socket = Rc::new(datagrams);
     tokio::task::spawn_local(load_reports::receive(context.clone(), socket.clone()));
     let _ = context.peer_socket.set(socket);
-    tokio::task::spawn_local(feeder::serve(
-        context.clone(),
-        store_access.clone(),
-        listener,
-    ));
-    if let Some(address) = context.settings.control_address {
-        let listener = listen(address)?;
-        tokio::task::spawn_local(feeder::serve(
-            context.clone(),
-            store_access.clone(),
-            listener,
-        ));
-    }
-    Ok(address)
-}
-
-fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
-    let open = || {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(LISTEN_BACKLOG)
-    };
-    open().map_err(|error| StartError::Listen(address, error))
+    let serving = feeder::serve(context.clone(), store_access.clone(), links.listener);
+    tokio::task::spawn_local(serving);
+    join_peers(context, store, store_access, links.address, dial::Tcp);
 }
 
 async fn accept(context: Rc<Context>, listener: TcpListener) {
--- a/crates/kingcuploft-entry/tests/entry/absurd_figures.rs
+++ b/crates/kingcuploft-entry/tests/entry/absurd_figures.rs
@@ -35,9 +35,7 @@
             parse_load: |_| panic!("a fault of the program"),
             ..HEADER_NAMES
         };
-        let vm = run::start(settings("vm"), names, store.clone())
-            .await
-            .unwrap();
+        let vm = run::start(settings("vm"), names, store.clone());
         wait_until(|| vm.context.is_ready()).await;
         let mut caller = Caller::connect(vm.caller_address).await;
         let behind = lookup("behind").replace("/look/", "/unknown/");
--- a/crates/kingcuploft-entry/tests/entry/evacuation.rs
+++ b/crates/kingcuploft-entry/tests/entry/evacuation.rs
@@ -94,9 +94,7 @@
         let testbed = two_zones().await;
         testbed.store.set_evacuated("thun", true);
         let store = TestStore::client_of(&testbed.store);
-        let second = run::start(settings("second"), HEADER_NAMES, store)
-            .await
-            .unwrap();
+        let second = run::start(settings("second"), HEADER_NAMES, store);
         while !second.context.is_ready() {
             assert!(!second.context.evacuations.borrow().is_evacuated("thun"));
             tokio::task::yield_now().await;
--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -11,7 +11,7 @@
 use kingcuploft_entry::network::{Network, Tcp};
 use kingcuploft_entry::peers::followers::Followers;
 use kingcuploft_entry::peers::frame::Frame;
-use kingcuploft_entry::run::{self, Running, StartError};
+use kingcuploft_entry::run::{self, Running};
 use kingcuploft_entry::settings::EntrySettings;
 use kingcuploft_entry::store::Collection;
 
@@ -33,30 +33,29 @@
     name: &str,
     store: &TestStore,
 ) -> Running {
-    let started = try_start_with_network(network, zone, settings(name), store).await;
-    started.unwrap()
+    start_with_settings(network, zone, settings(name), store).await
 }
 
-/// As [`start_with_network`]; fails if another process has taken the datagram port of the drawn address.
-pub(crate) async fn try_start_with_network(
+/// As [`start_with_network`], with other settings than the usual ones.
+pub(crate) async fn start_with_settings(
     network: Rc<dyn Network>,
     zone: &str,
     settings: EntrySettings,
     store: &TestStore,
-) -> Result<Running, StartError> {
+) -> Running {
     let settings = EntrySettings {
         zone: zone.into(),
         peer_address: Some(([127, 0, 0, 1], 0).into()),
         ..settings
     };
-    let vm = run::start_with_network(network, settings, HEADER_NAMES, store.clone()).await?;
+    let vm = run::start_with_network(network, settings, HEADER_NAMES, store.clone());
     vm.context.recover_repeats(&UsageReport {
         heard_ms: 1000,
         ..UsageReport::default()
     });
     assume_large_fleet(&vm);
     wait_until(|| vm.context.is_ready()).await;
-    Ok(vm)
+    vm
 }
 
 pub(crate) fn follower_count(vms: &[Running]) -> usize {
@@ -165,7 +164,7 @@
         };
         let mut vms = Vec::new();
         for at in 0..12 {
-            vms.push(start(at).await.unwrap());
+            vms.push(start(at));
             tokio::time::sleep(Duration::from_millis(3)).await;
         }
         for _ in 0..40 {
@@ -228,9 +227,7 @@
         zone: zone.into(),
         ..settings(name)
     };
-    let vm = run::start(settings, HEADER_NAMES, store.clone())
-        .await
-        .unwrap();
+    let vm = run::start(settings, HEADER_NAMES, store.clone());
     wait_until(|| vm.context.is_ready()).await;
     vm
 }
@@ -302,9 +299,7 @@
             control_address: Some(control),
             ..settings("running")
         };
-        let running = run::start(running, HEADER_NAMES, store.clone())
-            .await
-            .unwrap();
+        let running = run::start(running, HEADER_NAMES, store.clone());
         wait_until(|| running.context.is_ready() && !store.0.zones.borrow().is_empty()).await;
         store.0.silent.set(true);
         let added = EntrySettings {
@@ -312,9 +307,7 @@
             seeds: vec![control],
             ..settings("added")
         };
-        let added = run::start(added, HEADER_NAMES, store.clone())
-            .await
-            .unwrap();
+        let added = run::start(added, HEADER_NAMES, store.clone());
         wait_until(|| added.context.is_ready()).await;
         assert_eq!(running.context.followers.len(), 1);
     });
--- a/crates/kingcuploft-entry/tests/entry/stopping_cuts.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_cuts.rs
@@ -139,8 +139,7 @@
         let (store, servers) = start_servers(&[Behavior::Answer]).await;
         let network = Rc::new(SlowToConnect(Duration::from_millis(250)));
         let settings = settings("vm");
-        let starting = run::start_with_network(network, settings, HEADER_NAMES, store.clone());
-        let vm = starting.await.unwrap();
+        let vm = run::start_with_network(network, settings, HEADER_NAMES, store.clone());
         assume_large_fleet(&vm);
         wait_until(|| vm.context.is_ready()).await;
         let mut caller = Caller::connect(vm.caller_address).await;
--- a/crates/kingcuploft-entry/tests/entry/stopping_search/process.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_search/process.rs
@@ -51,16 +51,12 @@
     /// Starts a VM of a zone, whose paths to the servers can be cut.
     pub(super) async fn start_in_zone(at: usize, store: &TestStore) -> Rc<Self> {
         let name = format!("vm-{at}");
-        loop {
-            let tasks = Rc::new(LocalSet::new());
-            let network = Rc::new(CuttableNetwork::default());
-            let starting =
-                following::try_start_with_network(network.clone(), "thun", settings(&name), store);
-            // Where the address is taken, the next attempt draws another.
-            if let Ok(running) = tasks.run_until(starting).await {
-                return Self::live(tasks, running, Some(network));
-            }
-        }
+        let tasks = Rc::new(LocalSet::new());
+        let network = Rc::new(CuttableNetwork::default());
+        let starting =
+            following::start_with_settings(network.clone(), "thun", settings(&name), store);
+        let running = tasks.run_until(starting).await;
+        Self::live(tasks, running, Some(network))
     }
 
     /// Has a VM run until it is asked to stop and exits.
--- a/crates/kingcuploft-entry/tests/entry/store_faults.rs
+++ b/crates/kingcuploft-entry/tests/entry/store_faults.rs
@@ -96,8 +96,7 @@
 fn a_vm_that_knows_no_configuration_refuses_and_is_not_ready() {
     run_test(async {
         let store = TestStore::default();
-        let started = run::start(settings("vm"), HEADER_NAMES, store);
-        let vm = started.await.unwrap();
+        let vm = run::start(settings("vm"), HEADER_NAMES, store);
         tokio::time::sleep(Duration::from_millis(100)).await;
         assert!(!vm.context.is_ready());
         let mut caller = crate::testbed::Caller::connect(vm.caller_address).await;
@@ -119,7 +118,7 @@
             peer_address: Some(([127, 0, 0, 1], 0).into()),
             ..settings("added")
         };
-        let added = run::start(settings, HEADER_NAMES, store).await.unwrap();
+        let added = run::start(settings, HEADER_NAMES, store);
         wait_until(|| added.context.is_ready()).await;
         testbed.store.refuses_writes.set(false);
         wait_until(|| !testbed.store.zones.borrow().is_empty()).await;
--- a/crates/kingcuploft-entry/tests/entry/testbed.rs
+++ b/crates/kingcuploft-entry/tests/entry/testbed.rs
@@ -112,9 +112,7 @@
 }
 
 pub(crate) async fn start_with(settings: EntrySettings, store: &TestStore) -> Running {
-    let vm = run::start(settings, HEADER_NAMES, store.clone())
-        .await
-        .unwrap();
+    let vm = run::start(settings, HEADER_NAMES, store.clone());
     assume_large_fleet(&vm);
     wait_until(|| vm.context.is_ready()).await;
     vm
