fix(process): a start that lacks descriptors or threads waits for them

The log's thread was tried once, and the log silent for good without it. Nothing is left by which the process ends but SIGTERM, SIGKILL, wrong words on the command line, and a panic of its main task, so the exit code 1 is gone. Not run: a system without threads (root is not held to its limit here).

--- a/crates/kingcuploft-entry/src/logs.rs
+++ b/crates/kingcuploft-entry/src/logs.rs
@@ -7,6 +7,7 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// The most lines that wait for the writer thread: some seconds of failures of one VM.
@@ -19,15 +20,14 @@
 static QUEUED: AtomicU64 = AtomicU64::new(0);
 static WRITTEN: AtomicU64 = AtomicU64::new(0);
 
+/// The lines, until the writer thread takes them.
+static UNCLAIMED: Mutex<Option<Receiver<Vec<u8>>>> = Mutex::new(None);
+
 /// Starts logging at this level and above.
 pub fn start(level: tracing::Level) {
     let (queue, lines) = sync_channel(MAX_QUEUED_LINES);
-    let writer = std::thread::Builder::new()
-        .name("logs".into())
-        .stack_size(64 * 1024);
-    if writer.spawn(move || write_lines(&lines)).is_err() {
-        return;
-    }
+    *UNCLAIMED.lock().unwrap_or_else(PoisonError::into_inner) = Some(lines);
+    ensure_writer();
     let subscriber = tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
@@ -42,6 +42,25 @@
     let _ = subscriber.try_init();
 }
 
+/// Starts the writer thread unless it has been started. The system may have no thread left for it; lines beyond the queue
+/// are dropped until it has.
+pub fn ensure_writer() {
+    let unclaimed = || UNCLAIMED.lock().unwrap_or_else(PoisonError::into_inner);
+    if unclaimed().is_none() {
+        return;
+    }
+    let writer = std::thread::Builder::new()
+        .name("logs".into())
+        .stack_size(64 * 1024);
+    let write = move || {
+        let lines = unclaimed().take();
+        lines.iter().for_each(write_lines);
+    };
+    if let Err(error) = writer.spawn(write) {
+        tracing::warn!(event = "log_writer_missing", %error);
+    }
+}
+
 /// Returns how many lines were dropped.
 pub fn dropped_lines() -> u64 {
     DROPPED.load(Ordering::Relaxed)
--- a/crates/kingcuploft-entry/src/process/ending.rs
+++ b/crates/kingcuploft-entry/src/process/ending.rs
@@ -4,7 +4,6 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use super::wait;
 use crate::logs;
 
 /// How long writing the last log lines may take. A graceful shutdown ends 300 ms before its deadline at the latest, so
@@ -15,51 +14,37 @@
 const PANIC_CODE: u8 = 101;
 
 /// Why the process ends.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ending {
     /// A signal stopped it gracefully.
     Stopped,
-    /// It could not start.
-    Start(String),
     /// It panicked; the line of the panic says where.
     Panicked,
 }
 
 impl Ending {
     /// Returns the exit code.
-    pub fn code(&self) -> u8 {
+    pub fn code(self) -> u8 {
         match self {
             Self::Stopped => 0,
-            Self::Start(_) => 1,
             Self::Panicked => PANIC_CODE,
         }
     }
 
-    fn reason(&self) -> &'static str {
+    fn reason(self) -> &'static str {
         match self {
             Self::Stopped => "stopped by a signal",
-            Self::Start(_) => "can't start",
             Self::Panicked => "panicked",
         }
     }
 
-    fn detail(&self) -> &str {
-        match self {
-            Self::Start(error) => error,
-            Self::Stopped | Self::Panicked => "",
-        }
-    }
-
     /// Writes the last line of the log, waits until it is written, and returns the exit code.
-    pub fn report(&self) -> ExitCode {
+    pub fn report(self) -> ExitCode {
         let code = self.code();
-        let (reason, detail) = (self.reason(), self.detail());
+        let reason = self.reason();
         match self {
-            Self::Stopped => tracing::info!(event = "ended", code, reason, detail),
-            _ => tracing::error!(event = "ended", code, reason, detail),
-        }
-        if let Self::Start(error) = self {
-            wait::tell(error);
+            Self::Stopped => tracing::info!(event = "ended", code, reason),
+            Self::Panicked => tracing::error!(event = "ended", code, reason),
         }
         logs::drain(LOG_DRAIN_TIMEOUT);
         ExitCode::from(code)
--- a/crates/kingcuploft-entry/src/process/mod.rs
+++ b/crates/kingcuploft-entry/src/process/mod.rs
@@ -39,9 +39,8 @@
     let Some(first) = wait::retry(signals, "settings", || settings.read()) else {
         return Ending::Stopped;
     };
-    let runtime = match event_loop() {
-        Ok(runtime) => runtime,
-        Err(error) => return Ending::Start(error.to_string()),
+    let Some(runtime) = wait::retry(signals, "event loop", event_loop) else {
+        return Ending::Stopped;
     };
     let reread = || settings.read().map_err(|error| error.to_string());
     let running = async {
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::context::Context;
 use crate::edge::{connection, readiness};
+use crate::logs;
 use crate::network::{Network, Tcp};
 use crate::notices;
 use crate::peers::dial::{self, Dial};
@@ -81,6 +82,7 @@
         if signal == Ok(Signal::Terminate) {
             break;
         }
+        logs::ensure_writer();
         next_reload = running.reload(&reread);
     }
     running.stop().await;
