fix(http): a response with a status that HTTP lacks is no answer

What callers saw: the body of a server's answer with status 000 (001, 099, 101, or 100 and 199 with a length) that looks like a whole signed 200 with the id of their request, as their answer; with signed 600 to 999, that status. The server counted as sound, its probes as answered. Cause: each status below 200 was read as an interim response, which has no body, so the body was read as the next head; above 299 nothing was out of range. Evidence: the four tests of invalid_statuses failed: a lookup and a booking got the forged body with 200, the probe counted as answered, the server stayed in use. heads_with_statuses_that_http_lacks_are_refused is new. Why it works: the one function that parses heads of responses, for servers, probes, other VMs and the store, refuses statuses outside 100 to 599, 101, and interim responses that announce a body; the attempt counts as broken, its connection is closed, a protected request gets 502.

--- a/crates/kingcuploft-entry/src/http/client/receiving.rs
+++ b/crates/kingcuploft-entry/src/http/client/receiving.rs
@@ -208,7 +208,7 @@
     async fn final_head(&mut self, method: &str) -> Result<ResponseHead, Failure> {
         for _ in 0..=MAX_INTERIM_RESPONSES {
             let head = self.next_head(method).await?;
-            if head.status >= 200 {
+            if !head.is_interim() {
                 return Ok(head);
             }
         }
--- a/crates/kingcuploft-entry/src/http/head.rs
+++ b/crates/kingcuploft-entry/src/http/head.rs
@@ -6,12 +6,24 @@
 /// The most headers of one message.
 const MAX_HEADERS: usize = 100;
 
+/// The statuses that a response can have.
+const STATUSES: std::ops::Range<u16> = 100..600;
+
+/// The statuses of interim responses, which have no body: a response follows.
+const INTERIM_STATUSES: std::ops::Range<u16> = 100..200;
+
+/// The status by which a connection changes to another protocol, which no request asks for.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Why a head can't be used.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum HeadError {
     /// The bytes are no HTTP/1 head.
     #[error("the head is not HTTP/1")]
     Malformed,
+    /// The status is none that a response here can have.
+    #[error("the status is invalid")]
+    Status,
     /// The length of the body is ambiguous.
     #[error("the length of the body is ambiguous")]
     Ambiguous,
@@ -48,6 +60,13 @@
     pub framing: Framing,
 }
 
+impl ResponseHead {
+    /// Returns whether another response to the same request follows.
+    pub fn is_interim(&self) -> bool {
+        INTERIM_STATUSES.contains(&self.status)
+    }
+}
+
 /// Parses the request head at the start of `bytes` and returns it with its length; `None` while it is incomplete.
 ///
 /// # Errors
@@ -98,8 +117,16 @@
     };
     let headers = collect(parsed.headers);
     let status = parsed.code.unwrap_or_default();
-    let has_no_body = method == "HEAD" || status == 204 || status == 304 || status < 200;
-    let framing = match (has_no_body, framing(&headers)?) {
+    if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(HeadError::Status);
+    }
+    let announced = framing(&headers)?;
+    let is_interim = INTERIM_STATUSES.contains(&status);
+    if is_interim && !matches!(announced, None | Some(Framing::Length(0))) {
+        return Err(HeadError::Ambiguous);
+    }
+    let has_no_body = method == "HEAD" || status == 204 || status == 304 || is_interim;
+    let framing = match (has_no_body, announced) {
         (true, _) => Framing::Length(0),
         (false, known) => known.unwrap_or(Framing::UntilClose),
     };
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -13,6 +13,7 @@
 mod endless_answers;
 mod evacuation;
 mod following;
+mod invalid_statuses;
 mod leaving;
 mod limits;
 mod operating;
--- a/crates/kingcuploft-entry/tests/entry/relaying.rs
+++ b/crates/kingcuploft-entry/tests/entry/relaying.rs
@@ -196,6 +196,8 @@
             "no http",
             "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
             "",
+            "HTTP/1.1 000 None\r\nContent-Length: 57\r\n\r\nHTTP/1.1 200 OK\r\nx-signed: s\r\nContent-Length: 5\r\n\r\nfalse",
+            "HTTP/1.1 999 High\r\nx-signed: s\r\nContent-Length: 0\r\n\r\n",
         ] {
             let (booking, lookup) = statuses_behind_false_vm(bytes).await;
             assert_eq!(booking, 502, "{bytes:?}: it may have run");
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -17,6 +17,9 @@
 /// The pause between two chunks of a long answer.
 const SLOW_CHUNK_PAUSE: Duration = Duration::from_millis(10);
 
+/// The body that no sound server sends, as long as that of a sound answer.
+pub(crate) const FORGED_BODY: &str = "false";
+
 /// What a server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Behavior {
@@ -54,6 +57,8 @@
     CrashOnMarkedPath,
     /// Runs it and sends an answer without end.
     AnswerWithoutEnd(Part, Pace),
+    /// Runs it, and answers with this status and a body that looks like a whole answer with another body.
+    ForgeBehind(&'static str),
     /// Runs it, and answers a lookup slowly with a body of so many bytes.
     AnswerAtLength(usize),
 }
@@ -116,6 +121,8 @@
     pub(crate) probe_delay: Rc<Cell<Duration>>,
     /// With which pause, in milliseconds, it refuses probes; 0 answers them.
     pub(crate) probe_pause_ms: Rc<Cell<u32>>,
+    /// The status with which it answers probes, before what looks like a sound answer to them.
+    pub(crate) probe_status: Rc<Cell<Option<&'static str>>>,
     /// Which part of its answers to probes has no end.
     pub(crate) endless_probes: Rc<Cell<Option<(Part, Pace)>>>,
     /// How many bytes of answers without end it has sent on connections that have closed since.
@@ -153,6 +160,7 @@
             cold_ms: Rc::default(),
             probe_delay: Rc::default(),
             probe_pause_ms: Rc::default(),
+            probe_status: Rc::default(),
             endless_probes: Rc::default(),
             endless_bytes: Rc::default(),
             leaving_notice: Rc::default(),
@@ -238,8 +246,12 @@
                     0 => ("200 OK", String::new()),
                     ms => ("503 Full", pause_header(ms)),
                 };
+                let forged = self.probe_status.get().map(|status| {
+                    format!("HTTP/1.1 {status}\r\nx-load: 0,0,4\r\nContent-Length: 52\r\n\r\n")
+                });
+                let forged = forged.unwrap_or_default();
                 let answer = format!(
-                    "HTTP/1.1 {status}\r\nx-load: 0,0,4\r\n{pause}{cold}{leaving}Content-Length: 0\r\n\r\n"
+                    "{forged}HTTP/1.1 {status}\r\nx-load: 0,0,4\r\n{pause}{cold}{leaving}Content-Length: 0\r\n\r\n"
                 );
                 if stream.write_all(answer.as_bytes()).await.is_err() {
                     return;
@@ -336,6 +348,16 @@
                 self.answer_without_end(stream, &headers, part, pace).await;
                 return false;
             }
+            Behavior::ForgeBehind(status) => {
+                let forged = whole.replace("hello", FORGED_BODY);
+                whole
+                    .replace("200 OK", status)
+                    .replace(
+                        "Content-Length: 5",
+                        &format!("Content-Length: {}", forged.len()),
+                    )
+                    .replace("hello", &forged)
+            }
             Behavior::AnswerAtLength(_) if request.text.starts_with("POST") => whole,
             Behavior::AnswerAtLength(length) => {
                 return answer_slowly(stream, id, length).await.is_ok();
--- a/crates/kingcuploft-entry/tests/messages.rs
+++ b/crates/kingcuploft-entry/tests/messages.rs
@@ -2,6 +2,7 @@
 
 use bytes::BytesMut;
 use kingcuploft_entry::http::body::{BodyError, BodyReader, Framing};
+use kingcuploft_entry::http::head;
 use kingcuploft_entry::http::head_scan::HeadScan;
 
 /// The length of a long head, in bytes.
@@ -85,3 +86,26 @@
         assert!(reader.capacity_with(0) <= foretold);
     }
 }
+
+/// Guards against heads that are no head of a response and are read as one.
+#[test]
+fn heads_with_statuses_that_http_lacks_are_refused() {
+    let is_refused = |head: &str| head::parse_response(head.as_bytes(), "GET").is_err();
+    for status in ["000", "001", "099", "101", "600", "700", "999"] {
+        let head = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+        assert!(is_refused(&head), "{status}");
+    }
+    for body in ["Content-Length: 5", "Transfer-Encoding: chunked"] {
+        let head = format!("HTTP/1.1 100 Continue\r\n{body}\r\n\r\n");
+        assert!(is_refused(&head), "an interim response with {body}");
+    }
+    for head in [
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 599 Late\r\nContent-Length: 0\r\n\r\n",
+    ] {
+        assert!(!is_refused(head), "{head}");
+    }
+}
