fix(edge): requests that wait for answers take a bounded share of the memory

Cause: bodies and answers had accounts of memory; requests without bodies, with the task that serves each, had none, up to 32 on each connection. Why it works: an account of an eighth of the memory holds the head and the task of each request, by the task's true size; long heads in receipt have another eighth, so that heads that stall take nothing from whole requests. What does not fit is refused with 503 and Retry-After before it is served, and its connection closed: its caller sends what is behind it elsewhere.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -34,7 +34,7 @@
 
 use crate::active_configuration::ActiveConfiguration;
 use crate::clock;
-use crate::edge::body_memory::BodyMemory;
+use crate::edge::memory_account::MemoryAccount;
 use crate::http::answer_account::AnswerAccount;
 use crate::metrics::Metrics;
 use crate::network::{Network, Tcp};
@@ -85,7 +85,11 @@
     /// The VMs that follow this one.
     pub followers: Followers,
     /// The memory for request bodies.
-    pub body_memory: BodyMemory,
+    pub body_memory: MemoryAccount,
+    /// The memory for long heads in receipt.
+    pub head_memory: MemoryAccount,
+    /// The memory for requests without their bodies, and the tasks that serve them.
+    pub request_memory: MemoryAccount,
     /// The memory for answers of servers.
     pub answer_memory: AnswerAccount,
     /// The requests during which servers have crashed.
@@ -174,7 +178,9 @@
         Self {
             vm_count: Cell::new(vm_count),
             bounds: Cell::new(settings.bounds),
-            body_memory: BodyMemory::new(settings.memory_bytes),
+            body_memory: MemoryAccount::of_bodies(settings.memory_bytes),
+            head_memory: MemoryAccount::of_heads(settings.memory_bytes),
+            request_memory: MemoryAccount::of_requests(settings.memory_bytes),
             answer_memory: AnswerAccount::new(settings.memory_bytes),
             settings,
             wire_names,
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -16,6 +16,7 @@
 use super::caller_disconnect::CallerDisconnect;
 use super::connection_state::ConnectionState;
 use super::dispatch;
+use super::memory_account::Reservation;
 use super::pending_answer::{AnsweredRequest, PendingAnswer};
 use super::request::Request;
 use crate::context::Context;
@@ -78,6 +79,7 @@
     let writing = tokio::task::spawn_local(writing);
     let mut reading = RequestReader {
         context: context.clone(),
+        head_memory: context.head_memory.reserve(),
         sender,
         reader,
         buffer: BytesMut::new(),
@@ -110,6 +112,8 @@
     sender: Sender,
     reader: ReadHalf<S>,
     buffer: BytesMut,
+    /// The memory that is reserved for a long head in receipt.
+    head_memory: Reservation,
     state: Rc<ConnectionState>,
     answers: mpsc::Sender<PendingAnswer>,
     disconnect: Rc<CallerDisconnect>,
@@ -122,6 +126,12 @@
     Idle,
 }
 
+/// The head of a request, and its length as it was read.
+struct ReadHead {
+    head: RequestHead,
+    length: usize,
+}
+
 /// What a read waits for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Awaited {
@@ -144,6 +154,8 @@
                 }
                 Ok(Some((head, length))) => {
                     let _ = self.buffer.split_to(length);
+                    self.head_memory = self.context.head_memory.reserve();
+                    let head = ReadHead { head, length };
                     if let Some(end) = self.read_body_and_serve(head, &limits).await {
                         return end;
                     }
@@ -151,6 +163,9 @@
                 Ok(None) if self.buffer.len() > limits.header_bytes => {
                     return self.refuse(431, "the head is too long").await;
                 }
+                Ok(None) if !self.has_memory_for_head() => {
+                    return self.refuse(503, "no memory for the head").await;
+                }
                 Ok(None) => {
                     if let Some(end) = self.read_head_bytes(&limits).await {
                         return end;
@@ -191,6 +206,12 @@
         }
     }
 
+    /// Reserves memory for a head that does not fit into the buffer that each connection has.
+    fn has_memory_for_head(&mut self) -> bool {
+        let is_long = self.buffer.len() >= READ_BUFFER_BYTES;
+        !is_long || self.head_memory.grow_to(self.buffer.capacity())
+    }
+
     /// Reads more bytes of a request head, or waits for the first.
     async fn read_head_bytes(&mut self, limits: &Limits) -> Option<ReadEnd> {
         let (awaited, timeout) = match self.buffer.is_empty() {
@@ -225,7 +246,8 @@
         }
     }
 
-    async fn read_body_and_serve(&mut self, head: RequestHead, limits: &Limits) -> Option<ReadEnd> {
+    async fn read_body_and_serve(&mut self, read: ReadHead, limits: &Limits) -> Option<ReadEnd> {
+        let ReadHead { head, length } = read;
         let mut reader = match BodyReader::new(head.framing, limits.body_bytes) {
             Ok(reader) => reader,
             Err(_) => return Some(self.refuse(413, "the body is too long").await),
@@ -266,15 +288,24 @@
         };
         let wire_names = &self.context.wire_names;
         let request = Request::new(head, reader.into_body(), reservation, wire_names, relayed);
-        self.serve_request(request).await
+        self.serve_request(request, length).await
     }
 
-    async fn serve_request(&mut self, request: Request) -> Option<ReadEnd> {
+    async fn serve_request(&mut self, request: Request, head_length: usize) -> Option<ReadEnd> {
         let (answer, pending) = self.expect_answer(AnsweredRequest::of(&request));
-        self.state.request_started();
         let is_last = !request.head.keep_alive;
         let (context, disconnect) = (self.context.clone(), self.disconnect.clone());
-        tokio::task::spawn_local(dispatch::serve(context, request, disconnect, answer));
+        let serving = dispatch::serve(context, request, disconnect, answer);
+        let mut reservation = self.context.request_memory.reserve();
+        if !reservation.grow_to(size_of_val(&serving) + head_length) {
+            drop(serving);
+            return Some(self.refuse(503, "no memory for the request").await);
+        }
+        self.state.request_started();
+        tokio::task::spawn_local(async move {
+            serving.await;
+            drop(reservation);
+        });
         if self.answers.send(pending).await.is_err() {
             return Some(ReadEnd::CallerLeft);
         }
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -3,7 +3,6 @@
 mod active_request;
 pub mod answer;
 mod attempt;
-pub mod body_memory;
 pub mod caller_disconnect;
 pub(crate) mod caller_key;
 pub mod connection;
@@ -11,6 +10,7 @@
 pub mod dispatch;
 mod hedge;
 mod limited_servers;
+pub mod memory_account;
 mod paused_servers;
 mod pending_answer;
 pub mod readiness;
--- a/crates/kingcuploft-entry/src/edge/request.rs
+++ b/crates/kingcuploft-entry/src/edge/request.rs
@@ -6,8 +6,8 @@
 use kingcuploft::entry::fingerprint::{Fingerprint, RequestIdentity};
 use kingcuploft::world::ids::WorkspaceName;
 
-use super::body_memory::BodyReservation;
 use super::caller_key::KEY_HEADER;
+use super::memory_account::Reservation;
 use crate::clock;
 use crate::http::head::RequestHead;
 use crate::relay::wire::RelayedRequest;
@@ -37,7 +37,7 @@
     /// What the VM that passed it here tells of it; `None` for a request that came from its caller.
     pub relayed: Option<RelayedRequest>,
     /// The memory that is reserved for its body.
-    _reservation: BodyReservation,
+    _reservation: Reservation,
     /// When its last byte was read.
     pub arrived: Instant,
     fingerprint: OnceCell<Fingerprint>,
@@ -49,7 +49,7 @@
     pub fn new(
         head: RequestHead,
         body: Vec<u8>,
-        reservation: BodyReservation,
+        reservation: Reservation,
         wire_names: &WireNames,
         relayed: Option<RelayedRequest>,
     ) -> Self {
--- a/crates/kingcuploft-entry/tests/entry/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -7,7 +7,7 @@
 use kingcuploft_entry::upstream::probe;
 
 use crate::server::Behavior;
-use crate::testbed::{Testbed, booking, lookup, run_test, wait_until};
+use crate::testbed::{MEMORY_BYTES, Testbed, booking, lookup, run_test, wait_until};
 
 /// Guards against pipelined lookups that wait until the ones before them have run.
 #[test]
@@ -202,6 +202,56 @@
     });
 }
 
+/// Guards against a VM that runs out of memory because of requests that wait for their servers.
+#[test]
+fn requests_beyond_the_memory_are_refused_and_others_answered() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Hang]).await;
+        let memory = &testbed.vm.context.request_memory;
+        let mut callers = Vec::new();
+        let mut refused = 0;
+        while refused < 3 {
+            let mut caller = testbed.caller().await;
+            caller.send(&lookup(&format!("r{}", callers.len()))).await;
+            let soon = tokio::time::timeout(Duration::from_millis(20), caller.answer());
+            if let Ok(answer) = soon.await {
+                let answer = answer.unwrap();
+                assert_eq!(answer.status, 503);
+                assert!(answer.has("retry-after: "));
+                refused += 1;
+            }
+            callers.push(caller);
+            assert!(memory.reserved_bytes() <= MEMORY_BYTES / 8);
+            assert!(callers.len() < 1_000, "nothing is refused");
+        }
+        assert!(callers.len() > 3, "all are refused");
+        drop(callers);
+        wait_until(|| memory.reserved_bytes() == 0).await;
+        testbed.servers[0].behavior.set(Behavior::Answer);
+        assert_eq!(testbed.ask(&lookup("after")).await.status, 200);
+    });
+}
+
+/// Guards against a VM that runs out of memory because of long heads that stall.
+#[test]
+fn heads_beyond_the_memory_are_refused() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Answer]).await;
+        let memory = &testbed.vm.context.head_memory;
+        let head = format!("GET /look/a HTTP/1.1\r\nx-long: {}", "y".repeat(12_000));
+        let mut callers = Vec::new();
+        for _ in 0..64 {
+            let mut caller = testbed.caller().await;
+            caller.send(&head).await;
+            callers.push(caller);
+        }
+        let last = callers.last_mut().unwrap();
+        assert_eq!(last.answer().await.unwrap().status, 503);
+        assert!(memory.reserved_bytes() <= MEMORY_BYTES / 8);
+        assert_eq!(testbed.ask(&lookup("r")).await.status, 200);
+    });
+}
+
 /// Guards against probes that are given up while a full server has not served their new connection yet, and are sent
 /// anew on another one.
 #[test]
