fix(duty): a long-lived task that panics is begun anew

What callers saw: a VM whose task panicked served on without it, in silence: by an old configuration, by servers that have left, deaf to new connections, or without telling the others. Only the text of the panic stood on standard error. Cause: the tasks were started and their ends thrown away. Weighed: to leave as a planned stop does and be started anew; all VMs meet the same entry, so all would leave together, again and again.

--- a/crates/kingcuploft-entry/src/edge/readiness.rs
+++ b/crates/kingcuploft-entry/src/edge/readiness.rs
@@ -19,7 +19,7 @@
 const MAX_REQUEST_BYTES: usize = 8 * 1024;
 
 /// Answers requests until the process ends.
-pub async fn serve(context: Rc<Context>, listener: TcpListener) {
+pub async fn serve(context: Rc<Context>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod context;
 
 pub mod active_configuration;
+mod duty;
 pub mod edge;
 pub mod evacuation;
 pub mod fields;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -67,6 +67,7 @@
     watch_checks: Family<WatchCheck, Counter>,
     relays: Family<Reason, Counter>,
     answers_given_up: Family<Reason, Counter>,
+    duties_failed: Family<Reason, Counter>,
     answers: Family<Answered, Histogram>,
     routes: RefCell<HashSet<String>>,
     workspace_requests: Family<WorkspaceOutcome, Counter>,
@@ -140,6 +141,7 @@
             watch_checks: Family::default(),
             relays: Family::default(),
             answers_given_up: Family::default(),
+            duties_failed: Family::default(),
             answers: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S)),
             routes: RefCell::default(),
             workspace_requests: Family::default(),
@@ -215,6 +217,8 @@
         );
         let help = "Answers of servers that were given up by why";
         registry.register("answers_given_up", help, self.answers_given_up.clone());
+        let help = "Panics of long-lived tasks, which were begun anew";
+        registry.register("duties_failed", help, self.duties_failed.clone());
         let help = "Bytes that answers of servers take in memory";
         registry.register("answer_memory_bytes", help, self.answer_memory.clone());
         let help = "Requests of workspaces by what their quotas made of them";
@@ -324,6 +328,11 @@
         self.answers_given_up.get_or_create(&label).inc();
     }
 
+    /// Counts a panic of a long-lived task, by its name.
+    pub fn count_duty_failed(&self, reason: &'static str) {
+        self.duties_failed.get_or_create(&Reason { reason }).inc();
+    }
+
     /// Counts a lost link to a feeder by why it ended.
     pub fn count_reader_lost(&self, reason: &'static str) {
         self.readers.get_or_create(&Reason { reason }).inc();
--- a/crates/kingcuploft-entry/src/notices.rs
+++ b/crates/kingcuploft-entry/src/notices.rs
@@ -10,7 +10,7 @@
 use kingcuploft::entry::notice_id::NoticeId;
 use kingcuploft::entry::quarantine::ReportStatus;
 use kingcuploft::utils::HashSet;
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, mpsc};
 
 use crate::clock;
 use crate::context::Context;
@@ -32,8 +32,9 @@
     context: Rc<Context>,
     store: Rc<S>,
     store_access: Rc<StoreAccess>,
-    mut writes: mpsc::Receiver<NoticeWrite>,
+    writes: Rc<Mutex<mpsc::Receiver<NoticeWrite>>>,
 ) {
+    let mut writes = writes.lock().await;
     let is_store_available = || sync_status(&context, &store_access).store_reachable;
     while let Some(write) = writes.recv().await {
         match write {
--- a/crates/kingcuploft-entry/src/peers/feeder.rs
+++ b/crates/kingcuploft-entry/src/peers/feeder.rs
@@ -23,7 +23,7 @@
 const READ_BUFFER_BYTES: usize = 256;
 
 /// Accepts connections of other VMs, until the process ends.
-pub async fn serve(context: Rc<Context>, store_access: Rc<StoreAccess>, listener: TcpListener) {
+pub async fn serve(context: Rc<Context>, store_access: Rc<StoreAccess>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -8,10 +8,12 @@
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::planted::{self, PlantedFault};
 use tokio::net::TcpListener;
+use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 
 use crate::clock;
 use crate::context::Context;
+use crate::duty;
 use crate::edge::{connection, readiness};
 use crate::logs;
 use crate::network::{Network, Tcp};
@@ -130,7 +132,7 @@
     context: &Rc<Context>,
     port: Port,
     wanted: SocketAddr,
-    serve: impl FnOnce(Rc<Context>, TcpListener) -> F + 'static,
+    serve: impl Fn(Rc<Context>, Rc<TcpListener>) -> F + 'static,
 ) -> (SocketAddr, JoinHandle<()>) {
     let first = ports::listen(wanted);
     let address = first.as_ref().map_or(wanted, |bound| bound.address);
@@ -138,7 +140,9 @@
     let task = tokio::task::spawn_local(async move {
         let open = || ports::listen(wanted);
         let bound = ports::wait_for(&context, port, first, open).await;
-        serve(context, bound.listener).await;
+        let listener = Rc::new(bound.listener);
+        let begin = || serve(context.clone(), listener.clone());
+        duty::run(context.clone(), port.label(), begin).await;
     });
     (address, task)
 }
@@ -153,7 +157,7 @@
     };
     if let Some(address) = context.settings.control_address {
         let access = store_access.clone();
-        let serve = move |context, listener| feeder::serve(context, access, listener);
+        let serve = move |context, listener| feeder::serve(context, access.clone(), listener);
         open(context, Port::Control, address, serve);
     }
     match ports::listen_to_peers(wanted) {
@@ -243,28 +247,33 @@
     store: &Rc<S>,
     store_access: &Rc<StoreAccess>,
 ) {
-    let monitoring = store_liveness::monitor(context.clone(), store.clone(), store_access.clone());
-    tokio::task::spawn_local(monitoring);
-    let waiting = context.notice_writes.open_queue();
-    let writing = notices::write_to_store(
-        context.clone(),
-        store.clone(),
-        store_access.clone(),
-        waiting,
-    );
-    tokio::task::spawn_local(writing);
-    tokio::task::spawn_local(notices::expire_outdated(
-        context.clone(),
-        store_access.clone(),
-    ));
+    let shared = || (context.clone(), store.clone(), store_access.clone());
+    let (own, store, access) = shared();
+    let begin = move || store_liveness::monitor(own.clone(), store.clone(), access.clone());
+    duty::start(context, "probe the store", begin);
+    let waiting = Rc::new(Mutex::new(context.notice_writes.open_queue()));
+    let (own, store, access) = shared();
+    let begin = move || {
+        let (own, store, access) = (own.clone(), store.clone(), access.clone());
+        notices::write_to_store(own, store, access, waiting.clone())
+    };
+    duty::start(context, "write notices", begin);
+    let (own, _, access) = shared();
+    let begin = move || notices::expire_outdated(own.clone(), access.clone());
+    duty::start(context, "expire notices", begin);
     for collection in Collection::WATCHED {
-        let (context, store) = (context.clone(), store.clone());
-        let following =
-            store_watcher::sync_collection(context, store, store_access.clone(), collection);
-        tokio::task::spawn_local(following);
+        let (own, store, access) = shared();
+        let begin = move || {
+            let (own, store, access) = (own.clone(), store.clone(), access.clone());
+            store_watcher::sync_collection(own, store, access, collection)
+        };
+        duty::start(context, "follow the store", begin);
     }
-    tokio::task::spawn_local(store_watcher::run_expiry(context.clone()));
-    tokio::task::spawn_local(quotas::run(context.clone()));
+    let own = context.clone();
+    let begin = move || store_watcher::run_expiry(own.clone());
+    duty::start(context, "expire servers", begin);
+    let own = context.clone();
+    duty::start(context, "keep quotas", move || quotas::run(own.clone()));
 }
 
 /// Joins the other VMs, which reach this one at `address`, and reads the store when this VM is the reader of its zone;
@@ -285,19 +294,18 @@
         address,
         cpu_milli: context.settings.cpu_milli,
     };
-    tokio::task::spawn_local(feeder::send_heartbeats(
-        context.clone(),
-        store_access.clone(),
-    ));
-    tokio::task::spawn_local(repeat_replication::run(context.clone()));
-    let keeping = store_sync::run(
-        context.clone(),
-        store.clone(),
-        store_access.clone(),
-        own,
-        network,
-    );
-    tokio::task::spawn_local(keeping);
+    let (shared, access) = (context.clone(), store_access.clone());
+    let begin = move || feeder::send_heartbeats(shared.clone(), access.clone());
+    duty::start(context, "send heartbeats", begin);
+    let shared = context.clone();
+    let begin = move || repeat_replication::run(shared.clone());
+    duty::start(context, "replicate repeats", begin);
+    let (shared, store, access) = (context.clone(), store.clone(), store_access.clone());
+    let begin = move || {
+        let (shared, store, access) = (shared.clone(), store.clone(), access.clone());
+        store_sync::run(shared, store, access, own.clone(), network.clone())
+    };
+    duty::start(context, "follow or read the store", begin);
 }
 
 /// Serves the port for other VMs, and joins them.
@@ -309,14 +317,18 @@
 ) {
     let PeerPort { links, datagrams } = port;
     let socket = Rc::new(datagrams);
-    tokio::task::spawn_local(load_reports::receive(context.clone(), socket.clone()));
-    let _ = context.peer_socket.set(socket);
-    let serving = feeder::serve(context.clone(), store_access.clone(), links.listener);
-    tokio::task::spawn_local(serving);
+    let _ = context.peer_socket.set(socket.clone());
+    let shared = context.clone();
+    let begin = move || load_reports::receive(shared.clone(), socket.clone());
+    duty::start(context, "receive datagrams", begin);
+    let (shared, access) = (context.clone(), store_access.clone());
+    let listener = Rc::new(links.listener);
+    let begin = move || feeder::serve(shared.clone(), access.clone(), listener.clone());
+    duty::start(context, Port::Peers.label(), begin);
     join_peers(context, store, store_access, links.address, dial::Tcp);
 }
 
-async fn accept(context: Rc<Context>, listener: TcpListener) {
+async fn accept(context: Rc<Context>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/kingcuploft-entry/tests/entry/store_faults.rs
+++ b/crates/kingcuploft-entry/tests/entry/store_faults.rs
@@ -185,3 +185,23 @@
         assert!(testbed.vm.context.upstream("short-lived").is_none());
     });
 }
+
+/// Guards against a VM that serves on by an old configuration, as the task that follows the store has panicked.
+#[test]
+fn a_task_that_panics_while_it_follows_the_store_is_begun_anew() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Answer]).await;
+        let version = || testbed.vm.context.configuration().map(|c| c.version);
+        for (panics, next) in [(1, 2), (5, 3)] {
+            testbed.store.watch_panics.set(panics);
+            // Wakes the watches, each of which panics at its next call.
+            testbed.store.write_configuration(configuration(next));
+            wait_until(|| testbed.store.watch_panics.get() == 0).await;
+            testbed.store.write_configuration(configuration(next + 10));
+            wait_until(|| version() == Some(next + 10)).await;
+        }
+        assert_eq!(testbed.ask(&lookup("r")).await.status, 200);
+        let text = testbed.vm.context.metrics.to_text();
+        assert!(text.contains("duties_failed_total{reason="), "{text}");
+    });
+}
--- a/crates/kingcuploft-entry/tests/events_page.rs
+++ b/crates/kingcuploft-entry/tests/events_page.rs
@@ -134,6 +134,7 @@
     metrics.count_probe("answered");
     metrics.count_reader_lost("silent");
     metrics.count_relay("succeeded");
+    metrics.count_duty_failed("accept callers");
     metrics.count_answer_given_up("body too long");
     metrics.count_workspace_request("north", "begun");
     metrics.observe_answer(None, 200, Duration::ZERO);
--- a/crates/kingcuploft-entry/tests/links/notices.rs
+++ b/crates/kingcuploft-entry/tests/links/notices.rs
@@ -11,6 +11,7 @@
 use kingcuploft_entry::notices;
 use kingcuploft_entry::store_access::StoreAccess;
 use kingcuploft_entry::store_liveness;
+use tokio::sync::Mutex;
 
 use crate::fleet::{settings, simulate};
 use crate::network::address;
@@ -37,7 +38,7 @@
         };
         let context = Rc::new(Context::new(settings(&vm, false), HEADER_NAMES));
         let store_access = Rc::new(StoreAccess::default());
-        let waiting = context.notice_writes.open_queue();
+        let waiting = Rc::new(Mutex::new(context.notice_writes.open_queue()));
         let client = Rc::new(store.clone());
         let watching =
             store_liveness::monitor(context.clone(), client.clone(), store_access.clone());
--- a/crates/kingcuploft-simulation/src/store.rs
+++ b/crates/kingcuploft-simulation/src/store.rs
@@ -33,6 +33,8 @@
     pub evacuations: RefCell<Vec<AvailabilityZone>>,
     /// Whether calls hang, waiting watches included; a call that hangs never returns, even after the fault has ended.
     pub silent: Cell<bool>,
+    /// How many more watch calls panic in the client.
+    pub watch_panics: Cell<u32>,
     /// Whether writes are refused.
     pub refuses_writes: Cell<bool>,
     /// Watches from before this revision are answered with "history gone".
@@ -187,6 +189,12 @@
         }
     }
 
+    fn panic_if_told(&self) {
+        let left = self.watch_panics.get();
+        self.watch_panics.set(left.saturating_sub(1));
+        assert!(left == 0, "a fault of the program");
+    }
+
     async fn hang_if_silent(&self) {
         if self.silent.get() {
             std::future::pending::<()>().await;
@@ -366,6 +374,7 @@
         self.check_admitted()?;
         state.hang_if_silent().await;
         state.watch_calls.set(state.watch_calls.get() + 1);
+        state.panic_if_told();
         let (started_in, cuts) = (state.era.get(), state.watch_cuts.get());
         let waits_since = state.revision.get();
         state.check_history(from)?;
