fix(edge): callers leave descriptors for servers, the store and readiness

What callers and operators saw: with 4,300 connections of callers at a VM of 4,100 descriptors its readiness check is not answered for as long as they last (timed out in 9 of 9 looks), no connection to a server or the store can be opened, and accept_failed is logged 50 times a second. Cause: nothing bounded the connections of callers but the system. Evidence: callers_beyond_the_descriptors_are_refused_at_once_and_others_served was red: the caller beyond three quarters was held without an answer.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -34,6 +34,7 @@
 
 use crate::active_configuration::ActiveConfiguration;
 use crate::clock;
+use crate::edge::caller_limit::CallerLimit;
 use crate::edge::memory_account::MemoryAccount;
 use crate::http::answer_account::AnswerAccount;
 use crate::metrics::Metrics;
@@ -114,6 +115,8 @@
     pub notice_writes: NoticeWriteQueue,
     /// The ports that could not be opened yet.
     pub missing_ports: RefCell<BTreeSet<Port>>,
+    /// The bound on connections of callers.
+    pub caller_limit: CallerLimit,
     /// How many connections of callers are open.
     pub caller_connections: Cell<usize>,
     /// How many requests were read and have no answer yet.
@@ -182,6 +185,7 @@
             head_memory: MemoryAccount::of_heads(settings.memory_bytes),
             request_memory: MemoryAccount::of_requests(settings.memory_bytes),
             answer_memory: AnswerAccount::new(settings.memory_bytes),
+            caller_limit: CallerLimit::new(settings.max_descriptors),
             settings,
             wire_names,
             network,
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 pub mod caller_disconnect;
 pub(crate) mod caller_key;
+pub mod caller_limit;
 pub mod connection;
 mod connection_state;
 pub mod dispatch;
--- a/crates/kingcuploft-entry/src/gauges.rs
+++ b/crates/kingcuploft-entry/src/gauges.rs
@@ -14,6 +14,8 @@
         self.metrics
             .callers
             .set(self.caller_connections.get() as i64);
+        let refused = self.caller_limit.refused();
+        self.metrics.refused_callers.set(refused as i64);
         let missing = self.missing_ports.borrow().len();
         self.metrics.missing_ports.set(missing as i64);
         let probes_left = (self.probe_budget_left() * 1000.0) as i64;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -106,6 +106,8 @@
     pub probes_left: Gauge,
     /// Ports that could not be opened yet.
     pub missing_ports: Gauge,
+    /// Connections of callers that were refused, as descriptors are short.
+    pub refused_callers: Gauge,
     /// Seconds since the configuration in force was adopted.
     pub configuration_age: Gauge,
     /// VMs that follow this one.
@@ -163,6 +165,7 @@
             callers: Gauge::default(),
             probes_left: Gauge::default(),
             missing_ports: Gauge::default(),
+            refused_callers: Gauge::default(),
             configuration_age: Gauge::default(),
             followers: Gauge::default(),
             limited_servers: Gauge::default(),
@@ -260,6 +263,8 @@
         registry.register("vms", help, self.vms.clone());
         let help = "Open connections of callers";
         registry.register("callers", help, self.callers.clone());
+        let help = "Connections of callers that were refused, as descriptors are short";
+        registry.register("refused_callers", help, self.refused_callers.clone());
         let help = "Ports that could not be opened yet";
         registry.register("missing_ports", help, self.missing_ports.clone());
         let help = "The part of the probe budget that is there, in thousandths";
--- a/crates/kingcuploft-entry/src/settings.rs
+++ b/crates/kingcuploft-entry/src/settings.rs
@@ -34,6 +34,8 @@
     pub cpu_milli: u32,
     /// The VM's memory, in bytes.
     pub memory_bytes: usize,
+    /// How many descriptors its process may have open.
+    pub max_descriptors: usize,
     /// Whether the whole fleet starts now, for the first time.
     pub is_first_start: bool,
     /// The settings that may change while the VM runs.
--- a/crates/kingcuploft-entry/tests/entry/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -4,10 +4,17 @@
 
 use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft_entry::reach;
+use kingcuploft_entry::settings::EntrySettings;
 use kingcuploft_entry::upstream::probe;
 
 use crate::server::Behavior;
-use crate::testbed::{MEMORY_BYTES, Testbed, booking, lookup, run_test, wait_until};
+use crate::testbed::{
+    Caller, MEMORY_BYTES, Testbed, booking, lookup, run_test, settings, start_servers, start_with,
+    wait_until,
+};
+
+/// The most that the refusal of a connection may take.
+const MAX_REFUSAL_TIME: Duration = Duration::from_millis(500);
 
 /// Guards against pipelined lookups that wait until the ones before them have run.
 #[test]
@@ -232,6 +239,42 @@
     });
 }
 
+/// Guards against a VM whose callers take the descriptors that it needs for servers, the store and readiness.
+#[test]
+fn callers_beyond_the_descriptors_are_refused_at_once_and_others_served() {
+    run_test(async {
+        let (store, _servers) = start_servers(&[Behavior::Answer]).await;
+        let few = EntrySettings {
+            max_descriptors: 16,
+            ..settings("vm")
+        };
+        let vm = start_with(few, &store).await;
+        let mut callers = Vec::new();
+        for at in 0..12 {
+            let mut caller = Caller::connect(vm.caller_address).await;
+            caller.send(&lookup(&format!("r{at}"))).await;
+            assert_eq!(caller.answer().await.unwrap().status, 200);
+            callers.push(caller);
+        }
+        let refused_at = Instant::now();
+        assert!(
+            Caller::connect(vm.caller_address)
+                .await
+                .answer()
+                .await
+                .is_none()
+        );
+        assert!(refused_at.elapsed() < MAX_REFUSAL_TIME);
+        callers[0].send(&lookup("kept")).await;
+        assert_eq!(callers[0].answer().await.unwrap().status, 200);
+        callers.pop();
+        wait_until(|| vm.context.caller_connections.get() < 12).await;
+        let mut next = Caller::connect(vm.caller_address).await;
+        next.send(&lookup("next")).await;
+        assert_eq!(next.answer().await.unwrap().status, 200);
+    });
+}
+
 /// Guards against a VM that runs out of memory because of long heads that stall.
 #[test]
 fn heads_beyond_the_memory_are_refused() {
--- a/crates/kingcuploft-entry/tests/entry/testbed.rs
+++ b/crates/kingcuploft-entry/tests/entry/testbed.rs
@@ -137,6 +137,7 @@
         store_address: any,
         cpu_milli: 200,
         memory_bytes: MEMORY_BYTES,
+        max_descriptors: 4_100,
         is_first_start: false,
         metrics_address: None,
         bounds: Bounds {
--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -326,6 +326,7 @@
         store_address: unused_address,
         cpu_milli: entry.cpu_milli,
         memory_bytes: 160_000_000,
+        max_descriptors: 4_100,
         is_first_start: all_start,
         metrics_address: None,
         bounds: Bounds {
--- a/crates/kingcuploft-simulation/src/vm.rs
+++ b/crates/kingcuploft-simulation/src/vm.rs
@@ -207,6 +207,7 @@
             store_address: self.caller_address,
             cpu_milli: self.cpu_milli,
             memory_bytes: MEMORY_BYTES,
+            max_descriptors: 4_100,
             is_first_start: all_start,
             metrics_address: None,
             bounds: self.bounds,
