--- a/crates/kingcuploft-entry/src/process/wait.rs
+++ b/crates/kingcuploft-entry/src/process/wait.rs
@@ -76,5 +76,6 @@
 
 /// Writes a line to standard error, for those who start the program by hand; nobody may read it.
 pub fn tell(line: &str) {
-    let _ = writeln!(std::io::stderr(), "kingcuploft-front: {line}");
+    let text = format!("kingcuploft-front: {line}\n");
+    let _ = std::io::stderr().write_all(text.as_bytes());
 }
