feat(readiness): a VM that is not ready says what it lacks

The body of the 503 has a line for each: a port, the configuration, the list of servers, the evacuated zones, or that the VM stops. The platform doesn't read it; who looks for a VM that doesn't serve does.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -245,16 +245,26 @@
     /// Returns whether the VM can serve: it knows a configuration, the servers and the evacuated zones, has the ports that
     /// it needs, and is not stopping.
     pub fn is_ready(&self) -> bool {
-        let lacks_port = self
-            .missing_ports
-            .borrow()
-            .iter()
-            .any(|port| port.is_needed_to_serve());
+        self.missing_to_serve().next().is_none()
+    }
+
+    /// Returns what the VM lacks to serve, for those who ask whether it is ready.
+    pub fn missing_to_serve(&self) -> impl Iterator<Item = &'static str> {
+        let ports = self.missing_ports.borrow();
+        let ports = ports.iter().filter(|port| port.is_needed_to_serve());
+        let ports: Vec<_> = ports.map(|port| port.label()).collect();
         let knows_zones = self.position(Collection::Evacuations).is_some();
-        let knows = self.active_configuration.version().is_some()
-            && self.servers_listed.get()
-            && knows_zones;
-        knows && !lacks_port && !self.shutdown.is_stopping()
+        let others = [
+            (self.shutdown.is_stopping(), "it stops"),
+            (
+                self.active_configuration.version().is_none(),
+                "configuration",
+            ),
+            (!self.servers_listed.get(), "list of servers"),
+            (!knows_zones, "evacuated zones"),
+        ];
+        let others = others.into_iter().filter(|(is_missing, _)| *is_missing);
+        ports.into_iter().chain(others.map(|(_, what)| what))
     }
 
     /// Calls `operation` with the table of backend servers and returns its result.
--- a/crates/kingcuploft-entry/src/edge/readiness.rs
+++ b/crates/kingcuploft-entry/src/edge/readiness.rs
@@ -36,6 +36,12 @@
     }
 }
 
+/// Returns what the VM lacks to serve, one a line, for those who ask by hand.
+fn what_is_missing(context: &Context) -> String {
+    let missing = context.missing_to_serve();
+    missing.map(|what| format!("missing: {what}\n")).collect()
+}
+
 /// Answers one request.
 ///
 /// # Errors
@@ -56,7 +62,7 @@
                         ("404 Not Found", String::new())
                     }
                     _ if context.is_ready() => ("200 OK", String::new()),
-                    _ => ("503 Service Unavailable", String::new()),
+                    _ => ("503 Service Unavailable", what_is_missing(context)),
                 };
                 let length = body.len();
                 let answer = format!(
--- a/crates/kingcuploft-entry/tests/entry/store_faults.rs
+++ b/crates/kingcuploft-entry/tests/entry/store_faults.rs
@@ -99,6 +99,13 @@
         let vm = run::start(settings("vm"), HEADER_NAMES, store);
         tokio::time::sleep(Duration::from_millis(100)).await;
         assert!(!vm.context.is_ready());
+        let mut asking = crate::testbed::Caller::connect(vm.readiness_address).await;
+        asking.send("GET /ready HTTP/1.1\r\nHost: vm\r\n\r\n").await;
+        let told = asking.answer().await.unwrap();
+        assert_eq!(
+            (told.status, told.body.as_str()),
+            (503, "missing: configuration\n")
+        );
         let mut caller = crate::testbed::Caller::connect(vm.caller_address).await;
         caller.send(&lookup("r1")).await;
         let answer = caller.answer().await.unwrap();
