fix(settings): a limit of zero names no limit

What callers would see: a VM whose settings have limits.maxFds=0 or memoryMb=0, as diskMb=0 stands for no disk, refuses every connection, or every request. Evidence: limits_of_zero_name_no_limit failed before (0 descriptors, 0 bytes). Why it works: 0 counts as a field that is missing.

--- a/crates/kingcuploft-entry/src/fields.rs
+++ b/crates/kingcuploft-entry/src/fields.rs
@@ -176,6 +176,19 @@
         })
     }
 
+    /// Returns a limit of the machine, or `default` if the field is missing or 0, which names no limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the field holds anything but a number that is not negative.
+    pub fn limit(&self, field: &'static str, default: f64) -> Result<f64, SettingsError> {
+        let limit = self.number(field, default)?;
+        Ok(match limit > 0.0 {
+            true => limit,
+            false => default,
+        })
+    }
+
     /// Returns a duration given in seconds, or `default` seconds if the field is missing; a longer time than a year
     /// counts as a year.
     ///
