--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -23,6 +23,7 @@
 mod relaying;
 mod rewinds;
 mod server;
+mod server_answers;
 mod stopping;
 mod stopping_cuts;
 mod stopping_search;
--- a/crates/kingcuploft-entry/tests/entry/server.rs
+++ b/crates/kingcuploft-entry/tests/entry/server.rs
@@ -10,12 +10,9 @@
 use tokio::sync::Notify;
 
 use crate::endless::{self, Pace, Part};
-
-/// How many bytes of a long answer are sent at once.
-const SLOW_CHUNK_BYTES: usize = 64 * 1024;
-
-/// The pause between two chunks of a long answer.
-const SLOW_CHUNK_PAUSE: Duration = Duration::from_millis(10);
+use crate::server_answers::{
+    answer_slowly, pause_header, refusal_with_pause, request_id, whole_answer,
+};
 
 /// The body that no sound server sends, as long as that of a sound answer.
 pub(crate) const FORGED_BODY: &str = "false";
@@ -379,42 +376,6 @@
     }
 }
 
-fn request_id(request: &ReceivedRequest) -> &str {
-    request.header("x-id").unwrap_or_default()
-}
-
-fn whole_answer(request: &ReceivedRequest) -> String {
-    let id = request_id(request);
-    format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: s\r\nContent-Length: 5\r\n\r\nhello")
-}
-
-/// Answers with a body of so many bytes, in chunks with pauses between them.
-async fn answer_slowly(stream: &mut TcpStream, id: &str, length: usize) -> std::io::Result<()> {
-    let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: s\r\n");
-    let framing = "Transfer-Encoding: chunked\r\n\r\n";
-    stream.write_all((head + framing).as_bytes()).await?;
-    let mut left = length;
-    while left > 0 {
-        let chunk = left.min(SLOW_CHUNK_BYTES);
-        let line = format!("{chunk:x}\r\n");
-        stream.write_all(line.as_bytes()).await?;
-        stream.write_all(&vec![b'h'; chunk]).await?;
-        stream.write_all(b"\r\n").await?;
-        left -= chunk;
-        tokio::time::sleep(SLOW_CHUNK_PAUSE).await;
-    }
-    stream.write_all(b"0\r\n\r\n").await
-}
-
-fn refusal_with_pause(status: &str, id: &str, pause_ms: u32) -> String {
-    let pause = pause_header(pause_ms);
-    format!("HTTP/1.1 {status}\r\nx-id: {id}\r\nx-not-run: 1\r\n{pause}Content-Length: 0\r\n\r\n")
-}
-
-fn pause_header(pause_ms: u32) -> String {
-    format!("Retry-After: {}\r\n", f64::from(pause_ms) / 1000.0)
-}
-
 pub(crate) async fn read_request(
     stream: &mut TcpStream,
     bytes: &mut Vec<u8>,
--- a/crates/kingcuploft-entry/tests/stop_lines.rs
+++ b/crates/kingcuploft-entry/tests/stop_lines.rs
@@ -13,6 +13,8 @@
 #[expect(dead_code, reason = "shared with the tests of the entry VM")]
 #[path = "entry/server.rs"]
 mod server;
+#[path = "entry/server_answers.rs"]
+mod server_answers;
 #[expect(dead_code, reason = "shared with the tests of the entry VM")]
 #[path = "entry/testbed.rs"]
 mod testbed;
