fix(peers): a datagram of any length that can be sent is received

What callers saw: VMs tell each other the quotas of up to 48 workspaces in one message; with names of some 80 bytes it is longer than 4,096 bytes, was cut on receipt and dropped, so that no request of that shard got its grant. Evidence: a_datagram_of_any_length_that_can_be_sent_is_received failed before at 5,000 bytes (no reply in 2 s). Why it works: the buffer holds more than a datagram can. What remains: a message above 65,507 bytes can't be sent; 48 names of 1,300 bytes.

--- a/crates/kingcuploft-entry/src/peers/load_reports.rs
+++ b/crates/kingcuploft-entry/src/peers/load_reports.rs
@@ -27,8 +27,8 @@
 /// all reports would cost more than it saves.
 const MAX_VMS: usize = 8;
 
-/// The most bytes of a datagram that are read.
-const MAX_DATAGRAM_BYTES: usize = 4096;
+/// The most bytes of a datagram that are read: more than one can hold.
+const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
 /// How old a load report may be when it arrives, counted from the probe of the VM that sent it.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(60);
--- a/crates/kingcuploft-entry/tests/entry/following.rs
+++ b/crates/kingcuploft-entry/tests/entry/following.rs
@@ -11,9 +11,11 @@
 use kingcuploft_entry::network::{Network, Tcp};
 use kingcuploft_entry::peers::followers::Followers;
 use kingcuploft_entry::peers::frame::Frame;
+use kingcuploft_entry::peers::peer_socket::PeerMessage;
 use kingcuploft_entry::run::{self, Running};
 use kingcuploft_entry::settings::EntrySettings;
 use kingcuploft_entry::store::Collection;
+use tokio::net::UdpSocket;
 
 use crate::server::{Behavior, TestServer};
 use crate::store::TestStore;
@@ -333,3 +335,33 @@
         wait_until(|| second.context.feeder.borrow().is_some()).await;
     });
 }
+
+/// Guards against a message that is cut on receipt and dropped, as the names in it are long.
+#[test]
+fn a_datagram_of_any_length_that_can_be_sent_is_received() {
+    run_test(async {
+        let store = TestStore::default();
+        store.0.write_configuration(configuration(1));
+        let _vm = start_in_zone("vm", &store).await;
+        wait_until(|| !store.0.zones.borrow().is_empty()).await;
+        let address = store.0.zones.borrow()[0].vms[0].address;
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        for length in [1, 5_000, 20_000, 60_000] {
+            let service = "s".repeat(length);
+            let asked = PeerMessage::ReachRequest {
+                service: service.as_str().into(),
+                configuration: u64::MAX,
+            };
+            let asked = serde_json::to_vec(&asked).unwrap();
+            socket.send_to(&asked, address).await.unwrap();
+            let mut buffer = vec![0; 65_536];
+            let receiving = socket.recv(&mut buffer);
+            let received = tokio::time::timeout(Duration::from_secs(2), receiving).await;
+            let received = received.expect("a reply").unwrap();
+            let reply = serde_json::from_slice(&buffer[..received]).unwrap();
+            assert!(
+                matches!(reply, PeerMessage::ReachReply { service: named, reaches: false } if *named == *service)
+            );
+        }
+    });
+}
