feat(process): the first line of the log tells the limits that the system sets

What operators saw: a process that the system ended for a limit left no line, and its log didn't say that there was one. Cause: nothing in the program asks which limits are set. Several of them end a process with a signal that can't be told from another's. The line system_limits comes before the settings are read. It can't tell which limit was passed; with the size of the log beside it, it can.

--- a/crates/kingcuploft-entry/src/process/mod.rs
+++ b/crates/kingcuploft-entry/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod ending;
 pub mod settings_file;
 pub mod signals;
+pub mod system_limits;
 pub mod wait;
 
 use std::rc::Rc;
@@ -36,6 +37,7 @@
     wire_names: WireNames,
     surroundings: impl FnOnce(&EntrySettings) -> Surroundings<S>,
 ) -> Ending {
+    system_limits::log();
     let Some(first) = wait::retry(signals, "settings", || settings.read()) else {
         return Ending::Stopped;
     };
