fix(process): a log file that may not grow ends no process

Cause: SIGXFSZ ends a process by default; and the log's thread ended for good at the first line that the output didn't take.

--- a/crates/kingcuploft-entry/src/logs.rs
+++ b/crates/kingcuploft-entry/src/logs.rs
@@ -106,21 +106,24 @@
     }
 }
 
+/// Writes lines as they come. A line that the output doesn't take counts as dropped: a file may be full until someone
+/// makes room.
 fn write_lines(lines: &Receiver<Vec<u8>>) {
     let mut reported = 0;
     let mut output = std::io::stdout();
     while let Ok(line) = lines.recv() {
         if output.write_all(&line).is_err() {
-            return;
+            DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         WRITTEN.fetch_add(1, Ordering::Release);
         let left_out = dropped_lines();
-        if left_out > reported {
-            let line = format!("{{\"event\":\"lines_left_out\",\"count\":{left_out}}}\n");
+        if left_out > reported && report_dropped(&mut output, left_out).is_ok() {
             reported = left_out;
-            if output.write_all(line.as_bytes()).is_err() {
-                return;
-            }
         }
     }
 }
+
+fn report_dropped(output: &mut impl Write, count: u64) -> std::io::Result<()> {
+    let line = format!("{{\"event\":\"lines_left_out\",\"count\":{count}}}\n");
+    output.write_all(line.as_bytes())
+}
--- a/crates/kingcuploft-entry/src/process/signals.rs
+++ b/crates/kingcuploft-entry/src/process/signals.rs
@@ -6,16 +6,20 @@
 use std::io;
 use std::os::unix::net::UnixStream as StdUnixStream;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use signal_hook::consts::{SIGHUP, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGXFSZ};
 use tokio::io::AsyncReadExt;
 use tokio::net::UnixStream;
 
 /// How often the flags are read while nothing wakes the event loop.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Signals that would end the process by default and that mean nothing to it. SIGXFSZ comes with each line of a log file
+/// that may not grow.
+const IGNORED: [i32; 1] = [SIGXFSZ];
+
 /// A signal to the process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Signal {
@@ -30,6 +34,8 @@
 pub struct Signals {
     terminated: Arc<AtomicBool>,
     hung_up: Arc<AtomicBool>,
+    /// The last of the ignored signals; 0 if there was none since it was taken.
+    ignored: Arc<AtomicUsize>,
 }
 
 impl Signals {
@@ -42,6 +48,10 @@
         let signals = Self::default();
         signal_hook::flag::register(SIGHUP, signals.hung_up.clone())?;
         signal_hook::flag::register(SIGTERM, signals.terminated.clone())?;
+        for signal in IGNORED {
+            let number = signal.unsigned_abs() as usize;
+            signal_hook::flag::register_usize(signal, signals.ignored.clone(), number)?;
+        }
         Ok(signals)
     }
 
@@ -59,6 +69,14 @@
         is_hung_up.then_some(Signal::HangUp)
     }
 
+    /// Logs the last signal that was ignored since this was called before.
+    pub fn log_ignored(&self) {
+        let signal = self.ignored.swap(0, Ordering::AcqRel);
+        if signal != 0 {
+            tracing::warn!(event = "signal_ignored", signal);
+        }
+    }
+
     /// Has signals wake the event loop from now on.
     pub fn watch(&self) -> SignalWatch {
         let waker = Waker::open();
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -76,15 +76,16 @@
     store: S,
     reread: impl Fn() -> Result<EntrySettings, String>,
 ) {
-    let mut signals = signals.watch();
+    let mut watch = signals.watch();
     let running = start_with_network(network, settings, wire_names, store);
     let mut next_reload = SETTINGS_RELOAD_INTERVAL;
     loop {
-        let signal = tokio::time::timeout(next_reload, signals.next()).await;
+        let signal = tokio::time::timeout(next_reload, watch.next()).await;
         if signal == Ok(Signal::Terminate) {
             break;
         }
         logs::ensure_writer();
+        signals.log_ignored();
         next_reload = running.reload(&reread);
     }
     running.stop().await;
