fix(process): signals without a meaning to the VM end no process

What operators saw: SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGXCPU ended the process, and cut its callers off, without a line. Cause: their default effect; only SIGHUP and SIGTERM had handlers. Evidence: endings::signals_without_a_meaning_end_no_process failed before at its first signal. Why it works: a handler keeps the last of them, and the main task logs it (signal_ignored) when it wakes, each 5 s at the latest. Left alone: real-time signals, which only those send who know the receiver, and those by which the system tells a fault of the program.

--- a/crates/kingcuploft-entry/src/process/signals.rs
+++ b/crates/kingcuploft-entry/src/process/signals.rs
@@ -9,7 +9,9 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use signal_hook::consts::{SIGHUP, SIGTERM, SIGXFSZ};
+use signal_hook::consts::{
+    SIGALRM, SIGHUP, SIGIO, SIGPROF, SIGTERM, SIGUSR1, SIGUSR2, SIGVTALRM, SIGXCPU, SIGXFSZ,
+};
 use tokio::io::AsyncReadExt;
 use tokio::net::UnixStream;
 
@@ -17,8 +19,13 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Signals that would end the process by default and that mean nothing to it. SIGXFSZ comes with each line of a log file
-/// that may not grow.
-const IGNORED: [i32; 1] = [SIGXFSZ];
+/// that may not grow; SIGXCPU each second once the processor time is used up that the system allows.
+const IGNORED: [i32; 9] = [
+    SIGXFSZ, SIGXCPU, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR,
+];
+
+/// The system's power fails.
+const SIGPWR: i32 = rustix::process::Signal::POWER.as_raw();
 
 /// A signal to the process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
