fix(process): an interrupt from a keyboard is a planned stop

What callers saw: SIGINT or SIGQUIT cut their connections off in the middle of answers. Cause: the signals had their default effect. Evidence: endings::an_interrupt_is_a_planned_stop failed before (signal 2 instead of exit 0). Why it works: they set the same flag as SIGTERM.

--- a/crates/kingcuploft-entry/src/process/signals.rs
+++ b/crates/kingcuploft-entry/src/process/signals.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use signal_hook::consts::{
-    SIGALRM, SIGHUP, SIGIO, SIGPROF, SIGTERM, SIGUSR1, SIGUSR2, SIGVTALRM, SIGXCPU, SIGXFSZ,
+    SIGALRM, SIGHUP, SIGINT, SIGIO, SIGPROF, SIGQUIT, SIGTERM, SIGUSR1, SIGUSR2, SIGVTALRM,
+    SIGXCPU, SIGXFSZ,
 };
 use tokio::io::AsyncReadExt;
 use tokio::net::UnixStream;
@@ -18,6 +19,9 @@
 /// How often the flags are read while nothing wakes the event loop.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Signals that ask the process to stop.
+const TERMINATING: [i32; 3] = [SIGTERM, SIGINT, SIGQUIT];
+
 /// Signals that would end the process by default and that mean nothing to it. SIGXFSZ comes with each line of a log file
 /// that may not grow; SIGXCPU each second once the processor time is used up that the system allows.
 const IGNORED: [i32; 9] = [
@@ -30,7 +34,7 @@
 /// A signal to the process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Signal {
-    /// SIGTERM: stop gracefully.
+    /// SIGTERM, or SIGINT or SIGQUIT from a keyboard: stop gracefully.
     Terminate,
     /// SIGHUP: the settings have changed.
     HangUp,
@@ -54,7 +58,9 @@
     pub fn install() -> io::Result<Self> {
         let signals = Self::default();
         signal_hook::flag::register(SIGHUP, signals.hung_up.clone())?;
-        signal_hook::flag::register(SIGTERM, signals.terminated.clone())?;
+        for signal in TERMINATING {
+            signal_hook::flag::register(signal, signals.terminated.clone())?;
+        }
         for signal in IGNORED {
             let number = signal.unsigned_abs() as usize;
             signal_hook::flag::register_usize(signal, signals.ignored.clone(), number)?;
@@ -62,12 +68,12 @@
         Ok(signals)
     }
 
-    /// Returns whether SIGTERM was received.
+    /// Returns whether the process was asked to stop.
     pub fn is_terminated(&self) -> bool {
         self.terminated.load(Ordering::Acquire)
     }
 
-    /// Returns a signal that was received and not returned before. SIGTERM holds until the process ends.
+    /// Returns a signal that was received and not returned before. A request to stop holds until the process ends.
     fn take(&self) -> Option<Signal> {
         if self.is_terminated() {
             return Some(Signal::Terminate);
@@ -130,8 +136,9 @@
     fn open() -> io::Result<Self> {
         let (receiver, sender) = StdUnixStream::pair()?;
         receiver.set_nonblocking(true)?;
-        signal_hook::low_level::pipe::register(SIGHUP, sender.try_clone()?)?;
-        signal_hook::low_level::pipe::register(SIGTERM, sender)?;
+        for signal in TERMINATING.into_iter().chain([SIGHUP]) {
+            signal_hook::low_level::pipe::register(signal, sender.try_clone()?)?;
+        }
         let receiver = UnixStream::from_std(receiver)?;
         Ok(Self { receiver })
     }
