fix(settings): a field that a VM can do without keeps it from starting no more

What callers saw: nothing served by any VM, for good, where one field of the settings had a value that the VM can't use and doesn't need: -1 for no limit, 1 for true, a name among the seeds, an unknown line. Cause: every field that can't be used failed the whole file, and the start waits for a file without errors. Evidence: endings::a_wrong_field_that_is_not_needed_keeps_no_vm_from_serving failed before at its first line, limits.memoryMb=-1. Why it works: such a field counts as missing; its error is kept and told (setting_left_out). A running VM takes new bounds beside another wrong field, which it did not before, and keeps its old bounds if one of these is wrong, as before. Still needed in order: the names, the addresses, and internalPorts.

--- a/crates/kingcuploft-entry/src/fields.rs
+++ b/crates/kingcuploft-entry/src/fields.rs
@@ -1,5 +1,7 @@
-//! Parses settings: lines of the form `a.b=value`, with errors that name file, line and field.
+//! Parses settings: lines of the form `a.b=value`, with errors that name file, line and field. A field that the VM can do
+//! without and that can't be used counts as missing, and its error is kept.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -43,26 +45,41 @@
 pub struct Fields<'a> {
     path: &'a Path,
     by_name: BTreeMap<&'a str, (usize, &'a str)>,
+    unusable: RefCell<Vec<SettingsError>>,
 }
 
 impl<'a> Fields<'a> {
     /// Parses the lines of `text`; `path` is used in errors only.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if a line is not of the form `a.b=value`.
-    pub fn parse(path: &'a Path, text: &'a str) -> Result<Self, SettingsError> {
+    pub fn parse(path: &'a Path, text: &'a str) -> Self {
         let mut by_name = BTreeMap::new();
+        let mut unusable = Vec::new();
         for (at, line) in text.lines().enumerate() {
             let line = line.trim();
             if line.is_empty() || line.starts_with('#') {
                 continue;
             }
-            let pair = line.split_once('=');
-            let (name, value) = pair.ok_or_else(|| SettingsError::Line(path.into(), at + 1))?;
-            by_name.insert(name.trim(), (at + 1, value.trim()));
+            match line.split_once('=') {
+                Some((name, value)) => {
+                    by_name.insert(name.trim(), (at + 1, value.trim()));
+                }
+                None => unusable.push(SettingsError::Line(path.into(), at + 1)),
+            }
         }
-        Ok(Self { path, by_name })
+        Self {
+            path,
+            by_name,
+            unusable: unusable.into(),
+        }
+    }
+
+    /// Returns why fields that were asked for since this was called before could not be used.
+    pub fn take_unusable(&self) -> Vec<SettingsError> {
+        self.unusable.take()
+    }
+
+    fn found(&self, field: &'static str) -> Option<(usize, &'a str)> {
+        let found = self.by_name.get(field).copied();
+        found.filter(|(_, value)| !value.is_empty())
     }
 
     /// Returns the text of a mandatory field.
@@ -71,39 +88,39 @@
     ///
     /// Returns an error if the field is missing or empty.
     pub fn required_text(&self, field: &'static str) -> Result<&'a str, SettingsError> {
-        let found = self
-            .by_name
-            .get(field)
-            .filter(|(_, value)| !value.is_empty());
         let missing = || SettingsError::Missing(self.path.into(), field);
-        found.map(|(_, value)| *value).ok_or_else(missing)
+        let found = self.found(field).ok_or_else(missing)?;
+        Ok(found.1)
     }
 
-    /// Returns the value of an optional field; `wanted` says in errors what the field should hold.
+    /// Returns the value of a field that may be missing but must be usable; `wanted` says in errors what it should hold.
     ///
     /// # Errors
     ///
     /// Returns an error if the value can't be parsed.
-    pub fn optional<T: std::str::FromStr>(
+    pub fn usable<T: std::str::FromStr>(
         &self,
         field: &'static str,
         wanted: &'static str,
     ) -> Result<Option<T>, SettingsError> {
-        let found = self
-            .by_name
-            .get(field)
-            .filter(|(_, value)| !value.is_empty());
-        let Some((line, value)) = found else {
-            return Ok(None);
+        let parse = |(line, value): (usize, &str)| {
+            let parsed = value.parse();
+            parsed.map_err(|_| self.wrong(line, field, value, wanted))
         };
-        let parsed = value.parse().map_err(|_| SettingsError::Value {
-            path: self.path.into(),
-            line: *line,
-            field,
-            value: (*value).into(),
-            wanted,
-        })?;
-        Ok(Some(parsed))
+        self.found(field).map(parse).transpose()
+    }
+
+    /// Returns the value of a field that the VM can do without.
+    pub fn optional<T: std::str::FromStr>(
+        &self,
+        field: &'static str,
+        wanted: &'static str,
+    ) -> Option<T> {
+        let value = self.usable(field, wanted);
+        value.unwrap_or_else(|error| {
+            self.unusable.borrow_mut().push(error);
+            None
+        })
     }
 
     /// Returns the value of a mandatory field.
@@ -116,34 +133,63 @@
         field: &'static str,
         wanted: &'static str,
     ) -> Result<T, SettingsError> {
-        let found = self.optional(field, wanted)?;
+        let found = self.usable(field, wanted)?;
         found.ok_or_else(|| SettingsError::Missing(self.path.into(), field))
     }
 
-    /// Returns the values of a comma-separated field; none if the field is missing.
+    /// Returns the values of a comma-separated field that must be usable; none if the field is missing.
     ///
     /// # Errors
     ///
     /// Returns an error if one of the values can't be parsed.
-    pub fn list<T: std::str::FromStr>(
+    pub fn usable_list<T: std::str::FromStr>(
         &self,
         field: &'static str,
         wanted: &'static str,
     ) -> Result<Vec<T>, SettingsError> {
-        let Some((line, value)) = self.by_name.get(field) else {
-            return Ok(Vec::new());
-        };
+        self.parsed_parts(field, wanted).collect()
+    }
+
+    /// Returns the values of a comma-separated field that can be used.
+    pub fn list<T: std::str::FromStr>(&self, field: &'static str, wanted: &'static str) -> Vec<T> {
+        let mut values = Vec::new();
+        for part in self.parsed_parts(field, wanted) {
+            match part {
+                Ok(value) => values.push(value),
+                Err(error) => self.unusable.borrow_mut().push(error),
+            }
+        }
+        values
+    }
+
+    fn parsed_parts<T: std::str::FromStr>(
+        &self,
+        field: &'static str,
+        wanted: &'static str,
+    ) -> impl Iterator<Item = Result<T, SettingsError>> {
+        let (line, value) = self.found(field).unwrap_or_default();
         let parts = value.split(',').map(str::trim);
-        let parsed = parts.filter(|part| !part.is_empty()).map(|part| {
-            part.parse().map_err(|_| SettingsError::Value {
-                path: self.path.into(),
-                line: *line,
-                field,
-                value: part.into(),
-                wanted,
-            })
-        });
-        parsed.collect()
+        let parts = parts.filter(|part| !part.is_empty());
+        parts.map(move |part| {
+            let parsed = part.parse();
+            parsed.map_err(|_| self.wrong(line, field, part, wanted))
+        })
+    }
+
+    fn wrong(
+        &self,
+        line: usize,
+        field: &'static str,
+        value: &str,
+        wanted: &'static str,
+    ) -> SettingsError {
+        SettingsError::Value {
+            path: self.path.into(),
+            line,
+            field,
+            value: value.into(),
+            wanted,
+        }
     }
 
     /// Returns the fields whose names begin with `prefix`: the rest of each name, and the value.
@@ -155,48 +201,32 @@
         under.collect::<Vec<_>>().into_iter()
     }
 
-    /// Returns a number that is not negative, or `default` if the field is missing.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the field holds anything else.
-    pub fn number(&self, field: &'static str, default: f64) -> Result<f64, SettingsError> {
+    /// Returns a number that is finite and not negative, or `default` if the field is missing or can't be used.
+    pub fn number(&self, field: &'static str, default: f64) -> f64 {
         let wanted = "a number that is not negative";
-        let number: f64 = self.optional(field, wanted)?.unwrap_or(default);
+        let number: f64 = self.optional(field, wanted).unwrap_or(default);
         if number.is_finite() && number >= 0.0 {
-            return Ok(number);
+            return number;
         }
-        let (line, value) = self.by_name[field];
-        Err(SettingsError::Value {
-            path: self.path.into(),
-            line,
-            field,
-            value: value.into(),
-            wanted,
-        })
+        let (line, value) = self.found(field).unwrap_or_default();
+        let error = self.wrong(line, field, value, wanted);
+        self.unusable.borrow_mut().push(error);
+        default
     }
 
-    /// Returns a limit of the machine, or `default` if the field is missing or 0, which names no limit.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the field holds anything but a number that is not negative.
-    pub fn limit(&self, field: &'static str, default: f64) -> Result<f64, SettingsError> {
-        let limit = self.number(field, default)?;
-        Ok(match limit > 0.0 {
+    /// Returns a limit of the machine, or `default` if the field is missing, can't be used, or is 0, which names no limit.
+    pub fn limit(&self, field: &'static str, default: f64) -> f64 {
+        let limit = self.number(field, default);
+        match limit > 0.0 {
             true => limit,
             false => default,
-        })
+        }
     }
 
-    /// Returns a duration given in seconds, or `default` seconds if the field is missing; a longer time than a year
-    /// counts as a year.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the field holds anything but a number that is not negative.
-    pub fn seconds(&self, field: &'static str, default: f64) -> Result<Duration, SettingsError> {
-        let seconds = self.number(field, default)?;
-        Ok(Duration::from_secs_f64(seconds.min(MAX_TIME_S)))
+    /// Returns a duration given in seconds, or `default` seconds if the field is missing or can't be used; a longer time
+    /// than a year counts as a year.
+    pub fn seconds(&self, field: &'static str, default: f64) -> Duration {
+        let seconds = self.number(field, default);
+        Duration::from_secs_f64(seconds.min(MAX_TIME_S))
     }
 }
--- a/crates/kingcuploft-entry/src/process/mod.rs
+++ b/crates/kingcuploft-entry/src/process/mod.rs
@@ -38,13 +38,13 @@
     surroundings: impl FnOnce(&EntrySettings) -> Surroundings<S>,
 ) -> Ending {
     system_limits::log();
-    let Some(first) = wait::retry(signals, "settings", || settings.read()) else {
+    let Some(first) = wait::retry(signals, "settings", || settings.read_first()) else {
         return Ending::Stopped;
     };
     let Some(runtime) = wait::retry(signals, "event loop", event_loop) else {
         return Ending::Stopped;
     };
-    let reread = || settings.read().map_err(|error| error.to_string());
+    let reread = || settings.read_again().map_err(|error| error.to_string());
     let running = async {
         let Surroundings { network, store } = surroundings(&first);
         run::run(signals, network, first, wire_names, store, reread).await
--- a/crates/kingcuploft-entry/src/process/settings_file.rs
+++ b/crates/kingcuploft-entry/src/process/settings_file.rs
@@ -1,4 +1,4 @@
-//! The settings file, which may be read while it is being written.
+//! The settings file, which may be read while it is being written, and of which a VM uses what it can.
 
 use std::cell::RefCell;
 use std::path::{Path, PathBuf};
@@ -6,26 +6,26 @@
 
 use crate::clock;
 use crate::fields::SettingsError;
-use crate::settings::EntrySettings;
+use crate::settings::{EntrySettings, ParsedSettings};
 
-/// How long a file without an end of its last line must stay the same to count as whole: many times what a writer takes
-/// between two lines.
+/// How long a file must stay the same to count as whole though its last line has no end or parts of it can't be used: many
+/// times what a writer takes between two lines.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
 
 /// Parses the text of a settings file; the path stands in errors only.
-pub type ParseSettings = fn(&Path, &str) -> Result<EntrySettings, SettingsError>;
+pub type ParseSettings = fn(&Path, &str) -> Result<ParsedSettings, SettingsError>;
 
 /// The settings file of a process.
 #[derive(Debug)]
 pub struct SettingsFile {
     path: PathBuf,
     parse: ParseSettings,
-    unended: RefCell<Option<Unended>>,
+    doubtful: RefCell<Option<Doubtful>>,
 }
 
-/// A text whose last line has no end, and since when the file holds it.
+/// A text that may not be whole, and since when the file holds it.
 #[derive(Debug)]
-struct Unended {
+struct Doubtful {
     text: String,
     since: Instant,
 }
@@ -36,30 +36,68 @@
         Self {
             path,
             parse,
-            unended: RefCell::default(),
+            doubtful: RefCell::default(),
         }
     }
 
-    /// Reads the file. A file whose last line has no end is being written until it has stayed the same for a while.
+    /// Reads the file once; every field must be usable.
     ///
     /// # Errors
     ///
     /// Returns an error that names the file, and where it can the line and the field.
-    pub fn read(&self) -> Result<EntrySettings, SettingsError> {
-        let text = std::fs::read_to_string(&self.path);
-        let text = text.map_err(|error| SettingsError::File(self.path.clone(), error))?;
-        if !text.ends_with('\n') && !self.has_settled(&text) {
-            return Err(SettingsError::Unended(self.path.clone()));
+    pub fn check(&self) -> Result<EntrySettings, SettingsError> {
+        (self.parse)(&self.path, &self.read_text()?)?.if_sound()
+    }
+
+    /// Reads the file for a VM that starts. A file of which the VM could do without the part that can't be used is being
+    /// written until it has stayed the same for a while; then that part is told, and left out.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, and where it can the line and the field.
+    pub fn read_first(&self) -> Result<EntrySettings, SettingsError> {
+        let text = self.read_ended_text()?;
+        let parsed = (self.parse)(&self.path, &text)?;
+        if parsed.is_sound() || !self.has_settled(&text) {
+            return parsed.if_sound();
+        }
+        for error in parsed.unusable.iter().chain(&parsed.unusable_bounds) {
+            tracing::warn!(event = "setting_left_out", %error);
+        }
+        Ok(parsed.settings)
+    }
+
+    /// Reads the file for a VM that runs. Only the bounds may change, so they must all be usable.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, and where it can the line and the field.
+    pub fn read_again(&self) -> Result<EntrySettings, SettingsError> {
+        let text = self.read_ended_text()?;
+        (self.parse)(&self.path, &text)?.if_bounds_are_sound()
+    }
+
+    /// Returns what the file holds. A file whose last line has no end is being written until it has stayed the same for a
+    /// while.
+    fn read_ended_text(&self) -> Result<String, SettingsError> {
+        let text = self.read_text()?;
+        match text.ends_with('\n') || self.has_settled(&text) {
+            true => Ok(text),
+            false => Err(SettingsError::Unended(self.path.clone())),
         }
-        (self.parse)(&self.path, &text)
+    }
+
+    fn read_text(&self) -> Result<String, SettingsError> {
+        let text = std::fs::read_to_string(&self.path);
+        text.map_err(|error| SettingsError::File(self.path.clone(), error))
     }
 
     fn has_settled(&self, text: &str) -> bool {
-        let mut unended = self.unended.borrow_mut();
-        if let Some(known) = unended.as_ref().filter(|known| known.text == text) {
+        let mut doubtful = self.doubtful.borrow_mut();
+        if let Some(known) = doubtful.as_ref().filter(|known| known.text == text) {
             return clock::since(known.since) >= SETTLE_TIME;
         }
-        *unended = Some(Unended {
+        *doubtful = Some(Doubtful {
             text: text.to_owned(),
             since: clock::now(),
         });
--- a/crates/kingcuploft-entry/src/settings.rs
+++ b/crates/kingcuploft-entry/src/settings.rs
@@ -7,6 +7,8 @@
 use kingcuploft::entry::repeat_budget::RepeatBounds;
 use kingcuploft::world::ids::{AvailabilityZone, VmName};
 
+use crate::fields::SettingsError;
+
 /// The settings of one entry VM.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -42,6 +44,44 @@
     pub bounds: Bounds,
 }
 
+/// The settings that a file holds, and why parts of it can't be used.
+#[derive(Debug)]
+pub struct ParsedSettings {
+    /// The settings; a field that the VM can do without and that can't be used has its default.
+    pub settings: EntrySettings,
+    /// Why fields of the bounds can't be used.
+    pub unusable_bounds: Vec<SettingsError>,
+    /// Why other fields and lines can't be used.
+    pub unusable: Vec<SettingsError>,
+}
+
+impl ParsedSettings {
+    /// Returns whether every field can be used.
+    pub fn is_sound(&self) -> bool {
+        self.unusable.is_empty() && self.unusable_bounds.is_empty()
+    }
+
+    /// Returns the settings if every field can be used.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the first field that can't be used can't.
+    pub fn if_sound(self) -> Result<EntrySettings, SettingsError> {
+        let mut errors = self.unusable.into_iter().chain(self.unusable_bounds);
+        errors.next().map_or(Ok(self.settings), Err)
+    }
+
+    /// Returns the settings if every field of the bounds can be used.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the first of them that can't be used can't.
+    pub fn if_bounds_are_sound(self) -> Result<EntrySettings, SettingsError> {
+        let mut errors = self.unusable_bounds.into_iter();
+        errors.next().map_or(Ok(self.settings), Err)
+    }
+}
+
 /// The settings that may change while the VM runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
