fix(settings): a byte order mark, and bytes that are no text in a field that isn't read, keep no VM from starting

What callers saw: nothing served, for good, where the writer of the settings begins them with a byte order mark or writes a name in another encoding in a field that the VM doesn't know. Cause: the mark was read as part of the first field's name; and the file was read only if all of it is text. Evidence: endings::bytes_that_are_no_part_of_a_known_field_keep_no_vm_from_serving failed before. Why it works: the mark is left out, bytes that are no text stand as a replacement character, and a name that holds one is refused.

--- a/crates/kingcuploft-entry/src/fields.rs
+++ b/crates/kingcuploft-entry/src/fields.rs
@@ -9,6 +9,9 @@
 /// The longest time that settings can name, in seconds: a year. Sums of a few of them stay within what clocks can hold.
 const MAX_TIME_S: f64 = 365.0 * 24.0 * 3600.0;
 
+/// A mark that some writers put before the first line.
+const BYTE_ORDER_MARK: char = '\u{feff}';
+
 /// Why settings can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -49,10 +52,11 @@
 }
 
 impl<'a> Fields<'a> {
-    /// Parses the lines of `text`; `path` is used in errors only.
+    /// Parses the lines of `text`, which may begin with a byte order mark; `path` is used in errors only.
     pub fn parse(path: &'a Path, text: &'a str) -> Self {
         let mut by_name = BTreeMap::new();
         let mut unusable = Vec::new();
+        let text = text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(text);
         for (at, line) in text.lines().enumerate() {
             let line = line.trim();
             if line.is_empty() || line.starts_with('#') {
@@ -89,8 +93,11 @@
     /// Returns an error if the field is missing or empty.
     pub fn required_text(&self, field: &'static str) -> Result<&'a str, SettingsError> {
         let missing = || SettingsError::Missing(self.path.into(), field);
-        let found = self.found(field).ok_or_else(missing)?;
-        Ok(found.1)
+        let (line, value) = self.found(field).ok_or_else(missing)?;
+        match value.contains(char::REPLACEMENT_CHARACTER) {
+            true => Err(self.wrong(line, field, value, "text")),
+            false => Ok(value),
+        }
     }
 
     /// Returns the value of a field that may be missing but must be usable; `wanted` says in errors what it should hold.
--- a/crates/kingcuploft-entry/src/process/settings_file.rs
+++ b/crates/kingcuploft-entry/src/process/settings_file.rs
@@ -88,8 +88,9 @@
     }
 
     fn read_text(&self) -> Result<String, SettingsError> {
-        let text = std::fs::read_to_string(&self.path);
-        text.map_err(|error| SettingsError::File(self.path.clone(), error))
+        let bytes = std::fs::read(&self.path);
+        let bytes = bytes.map_err(|error| SettingsError::File(self.path.clone(), error))?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
     }
 
     fn has_settled(&self, text: &str) -> bool {
