fix(edge): callers that connect at the same moment are counted before the next is let in

What callers saw: nothing from a VM to which a crowd connected at once: 176 of 150 allowed callers had connections where the system allows 200 descriptors, and neither servers nor readiness had any left. Cause: a connection counted only once its task ran; the listener takes up to 128 waiting ones before any task does. Evidence: callers::callers_that_connect_at_once_are_bounded_too failed before (none of 60 callers was refused where 12 are allowed). Why it works: the connection counts from the call on that serves it, before its task. A guard takes it off again, also if the task panics.

--- a/crates/kingcuploft-entry/src/edge/caller_limit.rs
+++ b/crates/kingcuploft-entry/src/edge/caller_limit.rs
@@ -5,9 +5,11 @@
 //! a caller beyond it is refused at once, unread, and tries another VM.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use crate::clock;
+use crate::context::Context;
 
 /// The share of the descriptors that callers may take.
 const CALLER_SHARE: f64 = 0.75;
@@ -58,3 +60,24 @@
         tracing::warn!(event = "callers_refused", callers, refused);
     }
 }
+
+/// A connection that counts among the VM's open ones until it is dropped, also by a task that panics.
+pub struct OpenConnection {
+    context: Rc<Context>,
+}
+
+impl OpenConnection {
+    /// Counts one more connection.
+    pub fn count(context: &Rc<Context>) -> Self {
+        context.caller_connections.update(|open| open + 1);
+        Self {
+            context: context.clone(),
+        }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.context.caller_connections.update(|open| open - 1);
+    }
+}
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -20,6 +20,7 @@
 use super::pending_answer::{AnsweredRequest, PendingAnswer};
 use super::request::Request;
 use crate::context::Context;
+use crate::edge::caller_limit::OpenConnection;
 use crate::http::body::{BodyError, BodyReader};
 use crate::http::head::{self, RequestHead};
 use crate::relay::wire;
@@ -49,12 +50,16 @@
     Vm,
 }
 
-/// Serves one connection of a caller until it is closed.
-pub async fn serve<S>(context: Rc<Context>, stream: S)
+/// Serves one connection of a caller until it is closed. It counts as open from this call on.
+pub fn serve<S>(context: Rc<Context>, stream: S) -> impl Future<Output = ()>
 where
     S: AsyncRead + AsyncWrite + 'static,
 {
-    serve_sender(context, stream, Sender::Caller).await;
+    let counted = OpenConnection::count(&context);
+    async move {
+        serve_sender(context, stream, Sender::Caller).await;
+        drop(counted);
+    }
 }
 
 /// Serves one connection over which another VM passes on a request, until it is closed.
@@ -62,6 +67,7 @@
 where
     S: AsyncRead + AsyncWrite + 'static,
 {
+    let _counted = OpenConnection::count(&context);
     serve_sender(context, stream, Sender::Vm).await;
 }
 
@@ -69,9 +75,6 @@
 where
     S: AsyncRead + AsyncWrite + 'static,
 {
-    context
-        .caller_connections
-        .set(context.caller_connections.get() + 1);
     let (reader, writer) = tokio::io::split(stream);
     let (answers, queue) = mpsc::channel(MAX_PIPELINED_REQUESTS);
     let state = Rc::new(ConnectionState::default());
@@ -97,9 +100,6 @@
     }
     drop(reading);
     let _ = writing.await;
-    context
-        .caller_connections
-        .set(context.caller_connections.get() - 1);
 }
 
 enum ReadEnd {
--- a/crates/kingcuploft-entry/tests/entry/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -275,6 +275,24 @@
     });
 }
 
+/// Guards against callers that connect at the same moment and are all let in, as none of them is counted yet.
+#[test]
+fn callers_that_connect_at_once_are_bounded_too() {
+    run_test(async {
+        let (store, _servers) = start_servers(&[Behavior::Answer]).await;
+        let few = EntrySettings {
+            max_descriptors: 16,
+            ..settings("vm")
+        };
+        let vm = start_with(few, &store).await;
+        let connect = |_| std::net::TcpStream::connect(vm.caller_address).unwrap();
+        let callers: Vec<_> = (0..60).map(connect).collect();
+        wait_until(|| vm.context.caller_limit.refused() > 0).await;
+        assert_eq!(vm.context.caller_connections.get(), 12);
+        drop(callers);
+    });
+}
+
 /// Guards against a VM that runs out of memory because of long heads that stall.
 #[test]
 fn heads_beyond_the_memory_are_refused() {
