fix(process): where the system allows less than the settings say, the system's limits hold

What callers saw: a process that ended by signal 6 under bodies of 60 kB of 200 callers, where the system allowed 150 MB of addresses and the settings named 260 MB; a VM that answered nobody, readiness neither, where the system allowed 200 descriptors and the settings named 4,100. Cause: the accounts of memory and the bound on callers followed the settings alone. Why it works: at the start the limits of the settings are lowered to what the system allows, addresses to what the process doesn't take yet.

--- a/crates/kingcuploft-entry/src/process/mod.rs
+++ b/crates/kingcuploft-entry/src/process/mod.rs
@@ -41,6 +41,7 @@
     let Some(first) = wait::retry(signals, "settings", || settings.read_first()) else {
         return Ending::Stopped;
     };
+    let first = system_limits::apply(first);
     let Some(runtime) = wait::retry(signals, "event loop", event_loop) else {
         return Ending::Stopped;
     };
