fix(ports): a VM whose first port for other VMs is held for good takes a further one

What callers saw: a VM that never serves, as another process on its machine has the first of internalPorts and keeps it. Cause: of the ports that are free for VMs only the first was used, and the start waits for it for good. Why it works: once the port has been held for as long as a planned stop may take, so that it is not the VM's own earlier process, the first further port is taken at which links and datagrams can be had. Other VMs read the address from the zone's record, so they learn it as they learn any; the line spare_port tells it.

--- a/crates/kingcuploft-entry/src/fields.rs
+++ b/crates/kingcuploft-entry/src/fields.rs
@@ -144,17 +144,19 @@
         found.ok_or_else(|| SettingsError::Missing(self.path.into(), field))
     }
 
-    /// Returns the values of a comma-separated field that must be usable; none if the field is missing.
+    /// Returns the ports from the first to the last that a comma-separated field names, which must be usable; none if the
+    /// field is missing.
     ///
     /// # Errors
     ///
-    /// Returns an error if one of the values can't be parsed.
-    pub fn usable_list<T: std::str::FromStr>(
-        &self,
-        field: &'static str,
-        wanted: &'static str,
-    ) -> Result<Vec<T>, SettingsError> {
-        self.parsed_parts(field, wanted).collect()
+    /// Returns an error if one of the values is no port.
+    pub fn usable_ports(&self, field: &'static str) -> Result<Vec<u16>, SettingsError> {
+        let wanted = "two ports, joined by a comma";
+        let named: Vec<u16> = self.parsed_parts(field, wanted).collect::<Result<_, _>>()?;
+        let ends = named.first().zip(named.last());
+        Ok(ends.map_or_else(Vec::new, |(first, last)| {
+            (*first..=*last.max(first)).collect()
+        }))
     }
 
     /// Returns the values of a comma-separated field that can be used.
--- a/crates/kingcuploft-entry/src/ports.rs
+++ b/crates/kingcuploft-entry/src/ports.rs
@@ -109,6 +109,29 @@
     }
 }
 
+/// Listens for other VMs at one of the spare ports if the wanted one can't be had and has been waited for long enough: an
+/// earlier process of the VM gives it back, another process may not.
+///
+/// # Errors
+///
+/// Returns the system's error for the wanted port.
+pub fn listen_to_peers_or_spare(
+    wanted: SocketAddr,
+    spare: &[u16],
+    is_waited_for: bool,
+) -> io::Result<PeerPort> {
+    let opened = listen_to_peers(wanted);
+    if opened.is_ok() || !is_waited_for {
+        return opened;
+    }
+    let mut spare = spare.iter().map(|port| (wanted.ip(), *port).into());
+    let Some(port) = spare.find_map(|address| listen_to_peers(address).ok()) else {
+        return opened;
+    };
+    tracing::warn!(event = "spare_port", %wanted, opened = %port.links.address);
+    Ok(port)
+}
+
 /// Waits until a port that could not be opened at first is open. Until then it counts among the VM's missing ports.
 pub async fn wait_for<T>(
     context: &Rc<Context>,
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -165,8 +165,11 @@
         Ok(port) => join_through(context, &store, &store_access, port),
         failed => {
             let context = context.clone();
+            let since = clock::now();
             tokio::task::spawn_local(async move {
-                let open = || ports::listen_to_peers(wanted);
+                let spare = &context.settings.spare_peer_ports;
+                let is_waited_for = || clock::since(since) >= context.bounds.get().stop_within;
+                let open = || ports::listen_to_peers_or_spare(wanted, spare, is_waited_for());
                 let port = ports::wait_for(&context, Port::Peers, failed, open).await;
                 join_through(&context, &store, &store_access, port);
             });
--- a/crates/kingcuploft-entry/src/settings.rs
+++ b/crates/kingcuploft-entry/src/settings.rs
@@ -26,6 +26,8 @@
     pub readiness_address: SocketAddr,
     /// The address for the links between VMs; `None` for a VM that runs alone.
     pub peer_address: Option<SocketAddr>,
+    /// Further ports for the links between VMs, where that of the address is held by another process.
+    pub spare_peer_ports: Vec<u16>,
     /// The address at which this VM answers VMs that know it as a seed from their settings; `None` if it is no seed.
     pub control_address: Option<SocketAddr>,
     /// The addresses of the seeds, which may be outdated or down.
--- a/crates/kingcuploft-entry/tests/entry/testbed.rs
+++ b/crates/kingcuploft-entry/tests/entry/testbed.rs
@@ -132,6 +132,7 @@
         caller_address: any,
         readiness_address: any,
         peer_address: None,
+        spare_peer_ports: Vec::new(),
         control_address: None,
         seeds: Vec::new(),
         store_address: any,
--- a/crates/kingcuploft-simulation/src/vm.rs
+++ b/crates/kingcuploft-simulation/src/vm.rs
@@ -202,6 +202,7 @@
             caller_address: self.caller_address,
             readiness_address: self.caller_address,
             peer_address: Some(self.peer_address),
+            spare_peer_ports: Vec::new(),
             control_address: None,
             seeds: Vec::new(),
             store_address: self.caller_address,
