--- a/crates/kingcuploft-entry/tests/links/fleet.rs
+++ b/crates/kingcuploft-entry/tests/links/fleet.rs
@@ -321,6 +321,7 @@
         caller_address: unused_address,
         readiness_address: unused_address,
         peer_address: Some(entry.address),
+        spare_peer_ports: Vec::new(),
         control_address: None,
         seeds: Vec::new(),
         store_address: unused_address,
