fix(process): a line on standard error that would have to wait is left out

What callers saw: a VM that never serves, or that stops serving, where standard error is a pipe that nobody reads and that is full: one process's own, or one that it shares with others, or with its log. Cause: what a start waits for, and panics, are written there by the thread that serves. Evidence: endings::a_standard_error_that_nobody_reads_stops_no_start failed before: its VM was not ready 2 s after its port was free. Why it works: the system is asked first whether a line can be written without waiting.

--- a/crates/kingcuploft-entry/src/process/ending.rs
+++ b/crates/kingcuploft-entry/src/process/ending.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use super::standard_error;
 use crate::logs;
 
 /// How long writing the last log lines may take. A graceful shutdown ends 300 ms before its deadline at the latest, so
@@ -60,7 +61,9 @@
         let at = panic.location().map(ToString::to_string);
         let message = panic.payload_as_str().unwrap_or_default();
         tracing::error!(event = "panicked", thread, at, message);
-        print(panic);
+        if standard_error::takes_a_line() {
+            print(panic);
+        }
     }));
 }
 
--- a/crates/kingcuploft-entry/src/process/mod.rs
+++ b/crates/kingcuploft-entry/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod ending;
 pub mod settings_file;
 pub mod signals;
+pub mod standard_error;
 pub mod system_limits;
 pub mod wait;
 
--- a/crates/kingcuploft-entry/src/process/wait.rs
+++ b/crates/kingcuploft-entry/src/process/wait.rs
@@ -1,10 +1,10 @@
 //! Waiting at the start for what the process needs and is not there yet. It says what it waits for, and can be stopped.
 
 use std::fmt::Display;
-use std::io::Write;
 use std::time::{Duration, Instant};
 
 use super::signals::Signals;
+use super::standard_error;
 use crate::clock;
 
 /// How often what is missing is tried again.
@@ -60,7 +60,7 @@
         let awaited = self.awaited;
         tracing::warn!(event = "start_waits", awaited, error);
         if known.is_none() {
-            tell(&format!("waits for {awaited}: {error}"));
+            standard_error::tell(&format!("waits for {awaited}: {error}"));
         }
         self.last = Some((error.to_owned(), clock::now()));
     }
@@ -73,9 +73,3 @@
         }
     }
 }
-
-/// Writes a line to standard error, for those who start the program by hand; nobody may read it.
-pub fn tell(line: &str) {
-    let text = format!("kingcuploft-front: {line}\n");
-    let _ = std::io::stderr().write_all(text.as_bytes());
-}
