--- a/crates/kingcuploft-entry/src/edge/caller_limit.rs
+++ b/crates/kingcuploft-entry/src/edge/caller_limit.rs
@@ -62,6 +62,7 @@
 }
 
 /// A connection that counts among the VM's open ones until it is dropped, also by a task that panics.
+#[derive(Debug)]
 pub struct OpenConnection {
     context: Rc<Context>,
 }
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -14,13 +14,13 @@
 
 use super::answer::Answer;
 use super::caller_disconnect::CallerDisconnect;
+use super::caller_limit::OpenConnection;
 use super::connection_state::ConnectionState;
 use super::dispatch;
 use super::memory_account::Reservation;
 use super::pending_answer::{AnsweredRequest, PendingAnswer};
 use super::request::Request;
 use crate::context::Context;
-use crate::edge::caller_limit::OpenConnection;
 use crate::http::body::{BodyError, BodyReader};
 use crate::http::head::{self, RequestHead};
 use crate::relay::wire;
