feat(log): a VM that isn't ready says what it lacks, whom it has asked, and where a list stopped

`list_stopped` names the collection, the name after which the list was to go on, and why; `not_ready` names, once a second, what is missing and which VM was last asked, with its answer.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -52,6 +52,15 @@
 use crate::store::{Collection, Revision};
 use crate::usable_servers::UsableServers;
 
+/// A VM that this one has asked to feed it, and what came of it.
+#[derive(Debug)]
+pub struct FeedRequest {
+    /// The VM.
+    pub vm: VmName,
+    /// What it has answered, or how the link to it ended.
+    pub answer: &'static str,
+}
+
 /// The shared state of one entry VM.
 #[derive(Debug)]
 pub struct Context {
@@ -137,6 +146,8 @@
     pub feed_promised: Cell<bool>,
     /// Whether a VM is sending this one a complete snapshot.
     pub snapshot_begun: Cell<bool>,
+    /// The VM that this one has last asked to feed it.
+    pub last_feed_request: RefCell<Option<FeedRequest>>,
     /// The VM that this one follows.
     pub feeder: RefCell<Option<VmEntry>>,
     /// When the VM started.
@@ -200,6 +211,7 @@
             followers: Followers::default(),
             positions: RefCell::default(),
             feeder: RefCell::default(),
+            last_feed_request: RefCell::default(),
             position_advanced: Notify::new(),
             feeder_outdated: Notify::new(),
             follower_ahead: Notify::new(),
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -20,7 +20,7 @@
 use super::lines::{LineError, Lines};
 use super::link_error::LinkError;
 use crate::clock;
-use crate::context::Context;
+use crate::context::{Context, FeedRequest};
 use crate::evacuation;
 use crate::notices;
 use crate::server_updates;
@@ -69,7 +69,13 @@
     network: &impl Dial,
 ) -> LinkEnd {
     let _guard = FollowingGuard(context);
+    note_answer(context, feeder, "none yet");
     let result = run_link(context, store_access, own, feeder, network).await;
+    note_answer(
+        context,
+        feeder,
+        result.as_ref().err().map_or("closed", LinkError::label),
+    );
     let outcome = match context.feeder.borrow().is_some() {
         true => LinkOutcome::Fed,
         false => LinkOutcome::NotFed,
@@ -93,6 +99,14 @@
     }
 }
 
+/// Records what a VM has answered to the request to feed this one.
+fn note_answer(context: &Context, feeder: &VmEntry, answer: &'static str) {
+    let vm = feeder.name.clone();
+    context
+        .last_feed_request
+        .replace(Some(FeedRequest { vm, answer }));
+}
+
 /// Opens a link and serves both of its directions until it ends.
 async fn run_link(
     context: &Rc<Context>,
@@ -181,7 +195,10 @@
         };
         match frame {
             Frame::Wait if context.is_ready() => return Err(LinkError::Behind),
-            Frame::Wait => context.feed_promised.set(true),
+            Frame::Wait => {
+                note_answer(context, feeder, "wait");
+                context.feed_promised.set(true);
+            }
             Frame::Status(status) => {
                 if let Some(era) = status.era() {
                     store_watcher::note_era(context, era);
@@ -202,6 +219,7 @@
                     apply_status(context, status);
                 }
                 has_snapshot = true;
+                note_answer(context, feeder, "fed");
                 store_access.stop_reading();
                 context.readers.borrow_mut().record_answer(&feeder.name);
                 *context.feeder.borrow_mut() = Some(feeder.clone());
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -6,6 +6,7 @@
 //! removed. A VM that follows another receives the same changes from it. While the store is not available, the VM
 //! serves by its last known state.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -57,7 +58,7 @@
 /// many answers, and a leaving server must not wait for them one pause after the other.
 const FULL_BATCH: usize = 64;
 
-/// How often a VM without a configuration says so.
+/// How often a VM that is not ready says so, and what it lacks.
 const WARNING_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How often the grace periods of lapsed entries are checked.
@@ -71,13 +72,15 @@
     collection: Collection,
 ) {
     let mut backoff = Backoff::default();
+    let list_log = ListLog::default();
     let mut is_history_gone = false;
     let mut wait = WATCH_TIMEOUT;
     let mut lag = WatchLag::default();
     loop {
         store_access.wait_until_open().await;
         let from = context.position(collection).filter(|_| !is_history_gone);
-        let mut request = std::pin::pin!(list_or_watch(&context, &*store, collection, from, wait));
+        let request = list_or_watch(&context, &*store, collection, from, wait, &list_log);
+        let mut request = std::pin::pin!(request);
         let outcome = loop {
             tokio::select! {
                 biased;
@@ -128,9 +131,10 @@
     collection: Collection,
     from: Option<Revision>,
     wait: Duration,
+    log: &ListLog,
 ) -> Result<Revision, StoreError> {
     match from {
-        None => list_all(context, store, collection).await,
+        None => list_all(context, store, collection, log).await,
         Some(revision) => watch(context, store, collection, revision, wait).await,
     }
 }
@@ -152,17 +156,17 @@
         changes
             .iter()
             .for_each(|change| server_updates::apply_change(&context, now, change));
-        warn_without_configuration(&context, now, &mut warned_at);
+        warn_not_ready(&context, now, &mut warned_at);
         evacuation::expire(&context, now);
         cold_servers::expire(&context, now);
         pauses::expire(&context, now);
     }
 }
 
-/// Warns, once a second, that this VM serves nothing as it knows no configuration.
-fn warn_without_configuration(context: &Context, now: Instant, warned_at: &mut Instant) {
+/// Warns, once a second, that this VM is not ready: what it lacks, and which other VM it has asked for it.
+fn warn_not_ready(context: &Context, now: Instant, warned_at: &mut Instant) {
     let is_due = now.saturating_duration_since(*warned_at) >= WARNING_INTERVAL;
-    if !is_due || context.active_configuration.version().is_some() {
+    if !is_due || context.is_ready() || context.shutdown.is_stopping() {
         return;
     }
     *warned_at = now;
@@ -170,7 +174,18 @@
         .saturating_duration_since(context.started_at)
         .as_millis() as u64;
     let unreadable_entries = context.metrics.unreadable_entries.get();
-    tracing::warn!(event = "without_configuration", up_ms, unreadable_entries);
+    if context.active_configuration.version().is_none() {
+        tracing::warn!(event = "without_configuration", up_ms, unreadable_entries);
+    }
+    let missing: Vec<_> = context.missing_to_serve().collect();
+    let asked = context.last_feed_request.borrow();
+    tracing::warn!(
+        event = "not_ready",
+        missing = missing.join(", "),
+        up_ms,
+        asked = asked.as_ref().map(|asked| &*asked.vm),
+        answer = asked.as_ref().map(|asked| asked.answer),
+    );
 }
 
 #[derive(Default)]
@@ -193,20 +208,56 @@
     }
 }
 
+/// Where and why a list could not go on.
+#[derive(Eq, PartialEq)]
+struct StoppedList {
+    /// The name after which it was to go on.
+    after: Option<String>,
+    /// The pages before.
+    pages: usize,
+    why: String,
+}
+
+/// Logs lists that can't go on.
+#[derive(Default)]
+struct ListLog {
+    last: RefCell<Option<StoppedList>>,
+}
+
+impl ListLog {
+    /// Logs a list that could not go on, unless the last one stopped in the same way.
+    fn stopped(&self, collection: Collection, stopped: StoppedList) {
+        let mut last = self.last.borrow_mut();
+        if last.as_ref() != Some(&stopped) {
+            let StoppedList { after, pages, why } = &stopped;
+            let collection = collection.label();
+            tracing::warn!(event = "list_stopped", collection, after, pages, why);
+        }
+        *last = Some(stopped);
+    }
+}
+
 async fn list_all<S: Store>(
     context: &Context,
     store: &S,
     collection: Collection,
+    log: &ListLog,
 ) -> Result<Revision, StoreError> {
     let (mut names, mut servers, mut zones) = (Vec::new(), Vec::new(), Vec::new());
     let mut after: Option<String> = None;
     let mut first = None;
+    let mut pages = 0;
     loop {
+        let page = store.list(collection, after.as_deref(), false).await;
         let Page {
             records,
             next,
             revision,
-        } = store.list(collection, after.as_deref(), false).await?;
+        } = page.inspect_err(|error| {
+            let (after, why) = (after.clone(), error.to_string());
+            log.stopped(collection, StoppedList { after, pages, why });
+        })?;
+        pages += 1;
         // The watch that follows starts at the first page's revision and brings what changes between two pages.
         let first = *first.get_or_insert(revision);
         if era_of(revision) != era_of(first) {
