fix(store): names go into the paths and queries of calls as RFC 3986 asks

Cause: a list that comes in pages goes on with `after=NAME`, and the name went into the query as it was, as did names in paths. The store reads another name, refuses the call, or gives the same page again; the list is never whole, and a VM without it is never ready. A line end in a name began a second call. Why it works: a target is built of parts, each of which is percent-encoded but for unreserved characters, whatever it holds; the store client can't build one otherwise. The connections that are kept between calls moved into the library, as they translate nothing.

--- a/crates/kingcuploft-entry/src/http/mod.rs
+++ b/crates/kingcuploft-entry/src/http/mod.rs
@@ -10,3 +10,5 @@
 pub mod head;
 pub mod head_scan;
 pub mod headers;
+pub mod kept_connections;
+pub mod target;
