fix(sync): a VM that lacks something asks each VM that may know it, not only the first of its zone

Cause: a VM that comes back follows the first VM of its zone's record, which came back too and says "wait"; that one asks the first other VM, once, which waits too. Each then reads the store, and if that does not list something, all wait for each other. Evidence: the log line `not_ready` with `asked` and `answer`: VM 1 asked 2, 2 asked 3, 3 and 4 asked 2, all "wait", none asked 5. A VM of the release before does not know the request and closes the link.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -13,6 +13,7 @@
 use kingcuploft::entry::configuration::{Configuration, Destination, Route, WeightedSelector};
 use kingcuploft::entry::evacuations::Evacuations;
 use kingcuploft::entry::good_share::GoodShare;
+use kingcuploft::entry::informants::Informants;
 use kingcuploft::entry::last_slot_slowdown::LastSlotSlowdown;
 use kingcuploft::entry::log_rate_limiter::LogRateLimiter;
 use kingcuploft::entry::placement::Slot;
@@ -131,6 +132,10 @@
     /// How many requests were read and have no answer yet.
     pub unanswered_requests: Cell<usize>,
     positions: RefCell<HashMap<Collection, Revision>>,
+    /// The collections of which entries may be missing, as the store's list of them could not be read to its end.
+    incomplete: RefCell<BTreeSet<Collection>>,
+    /// The VMs that this one asks while it lacks something.
+    pub informants: RefCell<Informants>,
     /// Wakes tasks that wait until this VM knows a later revision of the store.
     pub position_advanced: Notify,
     /// Wakes the task that sends the configuration to the feeder, which knows an older one.
@@ -210,6 +215,8 @@
             zone_peers: RefCell::default(),
             followers: Followers::default(),
             positions: RefCell::default(),
+            incomplete: RefCell::default(),
+            informants: RefCell::default(),
             feeder: RefCell::default(),
             last_feed_request: RefCell::default(),
             position_advanced: Notify::new(),
@@ -260,6 +267,14 @@
         self.missing_to_serve().next().is_none()
     }
 
+    /// Returns whether the VM knows all that requests are routed by.
+    pub fn knows_all(&self) -> bool {
+        let knows_zones = self.position(Collection::Evacuations).is_some();
+        let has_configuration = self.active_configuration.version().is_some();
+        let is_whole = self.incomplete.borrow().is_empty();
+        has_configuration && self.servers_listed.get() && knows_zones && is_whole
+    }
+
     /// Returns what the VM lacks to serve, for those who ask whether it is ready.
     pub fn missing_to_serve(&self) -> impl Iterator<Item = &'static str> {
         let ports = self.missing_ports.borrow();
@@ -289,6 +304,38 @@
         self.positions.borrow().get(&collection).copied()
     }
 
+    /// Returns the revision up to which a collection is known if none of its entries may be missing.
+    pub fn whole_position(&self, collection: Collection) -> Option<Revision> {
+        let is_whole = !self.incomplete.borrow().contains(&collection);
+        self.position(collection).filter(|_| is_whole)
+    }
+
+    /// Records that entries of a collection may be missing.
+    pub fn note_incomplete(&self, collection: Collection) {
+        if self.incomplete.borrow_mut().insert(collection) {
+            let collection = collection.label();
+            tracing::warn!(event = "collection_incomplete", collection);
+        }
+    }
+
+    /// Records that none of its entries is missing.
+    pub fn note_complete(&self, collection: Collection) {
+        if self.incomplete.borrow_mut().remove(&collection) {
+            let collection = collection.label();
+            tracing::info!(event = "collection_complete", collection);
+        }
+    }
+
+    /// Returns whether entries of a collection may be missing.
+    pub fn is_incomplete(&self, collection: Collection) -> bool {
+        self.incomplete.borrow().contains(&collection)
+    }
+
+    /// Returns the collections of which entries may be missing.
+    pub fn incomplete_collections(&self) -> Vec<Collection> {
+        self.incomplete.borrow().iter().copied().collect()
+    }
+
     /// Records the revision up to which a collection of the store is known.
     pub fn set_position(&self, collection: Collection, revision: Revision) {
         let mut positions = self.positions.borrow_mut();
--- a/crates/kingcuploft-entry/src/peers/feed.rs
+++ b/crates/kingcuploft-entry/src/peers/feed.rs
@@ -125,7 +125,7 @@
     }
 
     /// Sends all that the follower lacks.
-    async fn send_snapshot(&mut self, hello: &Hello) -> std::io::Result<()> {
+    pub(super) async fn send_snapshot(&mut self, hello: &Hello) -> std::io::Result<()> {
         let own = sync_status(self.context, self.store_access);
         let servers = self.missing_servers(hello);
         let mut snapshot = Frame::Status(own).to_line();
--- a/crates/kingcuploft-entry/src/peers/feeder.rs
+++ b/crates/kingcuploft-entry/src/peers/feeder.rs
@@ -91,6 +91,7 @@
             Ok(())
         }
         Ok(Frame::Hello(hello)) => feed(context, store_access, hello, lines, write).await,
+        Ok(Frame::SnapshotRequest(hello)) => inform(context, store_access, &hello, write).await,
         Ok(_) | Err(_) => Ok(()),
     }
 }
@@ -116,6 +117,12 @@
     if is_follower_ahead(&hello, &own) {
         refresh(context, store_access);
     }
+    if !own.is_complete() && hello.knows_all() {
+        context
+            .informants
+            .borrow_mut()
+            .record_informed(hello.vm.clone());
+    }
     let result = tokio::select! {
         biased;
         result = Feed::new(context, store_access, &hello, stream).run(&hello, queue) => result,
@@ -125,6 +132,22 @@
     result
 }
 
+/// Sends a VM a snapshot, or says that this VM has none.
+async fn inform(
+    context: &Rc<Context>,
+    store_access: &StoreAccess,
+    hello: &Hello,
+    mut stream: impl AsyncWrite + Unpin,
+) -> std::io::Result<()> {
+    match sync_status(context, store_access).is_complete() {
+        true => {
+            let mut feed = Feed::new(context, store_access, hello, stream);
+            feed.send_snapshot(hello).await
+        }
+        false => send(&mut stream, &Frame::Wait).await,
+    }
+}
+
 /// Returns whether a VM that asks to be fed knows a later revision of the store.
 fn is_follower_ahead(hello: &Hello, own: &SyncStatus) -> bool {
     let knows_more = hello.configuration > own.configuration
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -6,7 +6,6 @@
 
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::change_assembly::PartOutcome;
-use kingcuploft::entry::configuration::ConfigurationVersion;
 use kingcuploft::entry::configuration_change::ChangePart;
 use kingcuploft::entry::dissemination;
 use kingcuploft::entry::notice::Notice;
@@ -19,6 +18,7 @@
 use super::frame::{Frame, Hello, PROTOCOL_VERSION, SyncStatus};
 use super::lines::{LineError, Lines};
 use super::link_error::LinkError;
+use super::transfer::Transfer;
 use crate::clock;
 use crate::context::{Context, FeedRequest};
 use crate::evacuation;
@@ -115,30 +115,43 @@
     feeder: &VmEntry,
     network: &impl Dial,
 ) -> Result<(), LinkError> {
+    let stream = open_link(context, feeder, network).await?;
+    let (read, mut write) = tokio::io::split(stream);
+    let hello = Frame::Hello(hello(context, own));
+    write.write_all(&hello.to_line()).await?;
+    let lines = Lines::new(read);
+    tokio::select! {
+        biased;
+        result = receive(context, store_access, feeder, lines) => result,
+        result = report_to_feeder(context, write) => result,
+    }
+}
+
+pub(super) async fn open_link<D: Dial>(
+    context: &Context,
+    to: &VmEntry,
+    network: &D,
+) -> Result<D::Link, LinkError> {
     let timeout = match context.is_ready() {
         true => CONNECT_TIMEOUT,
         false => CONNECT_TIMEOUT_NOT_READY,
     };
-    let connecting = tokio::time::timeout(timeout, network.dial(feeder.address));
-    let stream = connecting.await.map_err(|_| LinkError::Unreachable)??;
-    let (read, mut write) = tokio::io::split(stream);
-    let hello = Frame::Hello(Hello {
+    let connecting = tokio::time::timeout(timeout, network.dial(to.address));
+    Ok(connecting.await.map_err(|_| LinkError::Unreachable)??)
+}
+
+/// Returns what this VM says of itself to one that it asks to feed it.
+pub(super) fn hello(context: &Context, own: &VmEntry) -> Hello {
+    Hello {
         vm: own.clone(),
-        configuration: context.position(Collection::Configuration),
-        servers: context.position(Collection::BackendServers),
-        evacuations: context.position(Collection::Evacuations),
+        configuration: context.whole_position(Collection::Configuration),
+        servers: context.whole_position(Collection::BackendServers),
+        evacuations: context.whole_position(Collection::Evacuations),
         descendants: context.followers.descendants(&context.settings.zone),
         version: context.active_configuration.delta_base(),
         arrived: context.active_configuration.arrival_progress(),
         servers_digest: Some(context.with_servers(|servers| servers.digest())),
         protocol_version: PROTOCOL_VERSION,
-    });
-    write.write_all(&hello.to_line()).await?;
-    let lines = Lines::new(read);
-    tokio::select! {
-        biased;
-        result = receive(context, store_access, feeder, lines) => result,
-        result = report_to_feeder(context, write) => result,
     }
 }
 
@@ -238,46 +251,10 @@
     }
 }
 
-/// The parts of a configuration that have arrived over one link, to be logged.
-#[derive(Debug, Default)]
-struct Transfer {
-    parts: u32,
-    bytes: usize,
-    started_at: Option<Instant>,
-}
-
-impl Transfer {
-    /// Counts the part in the line that was read last.
-    fn add_line<R: AsyncRead + Unpin>(&mut self, lines: &Lines<R>) {
-        let (bytes, duration) = lines.last_line();
-        let started_at = clock::now().checked_sub(duration);
-        self.started_at = self.started_at.or(started_at);
-        self.parts += 1;
-        self.bytes += bytes;
-    }
-
-    /// Logs that the configuration is complete, and begins anew.
-    fn log_complete(&mut self, version: ConfigurationVersion) {
-        let Self {
-            parts,
-            bytes,
-            started_at,
-        } = std::mem::take(self);
-        let duration =
-            started_at.map(|started_at| clock::now().saturating_duration_since(started_at));
-        let took_ms = duration.unwrap_or_default().as_millis() as u64;
-        tracing::info!(
-            event = "configuration_arrived",
-            version,
-            parts,
-            bytes,
-            took_ms
-        );
-    }
-}
-
 /// Returns the next frame, or `None` at the end of the link.
-async fn next_frame(lines: &mut Lines<impl AsyncRead + Unpin>) -> Result<Option<Frame>, LinkError> {
+pub(super) async fn next_frame(
+    lines: &mut Lines<impl AsyncRead + Unpin>,
+) -> Result<Option<Frame>, LinkError> {
     let frame = match lines.next(SILENCE_TIMEOUT).await {
         Ok(Some(line)) => serde_json::from_slice(line)?,
         Ok(None) => return Ok(None),
@@ -308,9 +285,9 @@
         return Err(LinkError::Cycle);
     }
     let own = SyncStatus {
-        configuration: context.position(Collection::Configuration),
-        servers: context.position(Collection::BackendServers),
-        evacuations: context.position(Collection::Evacuations),
+        configuration: context.whole_position(Collection::Configuration),
+        servers: context.whole_position(Collection::BackendServers),
+        evacuations: context.whole_position(Collection::Evacuations),
         knows_workspaces: true,
         store_reachable: true,
         path: Vec::new(),
@@ -327,15 +304,7 @@
 
 /// Adopts the feeder's revisions as this VM's own: all changes up to them have been applied.
 fn apply_status(context: &Context, status: SyncStatus) {
-    if let Some(revision) = status.configuration {
-        context.set_position(Collection::Configuration, revision);
-    }
-    if let Some(revision) = status.servers {
-        context.set_position(Collection::BackendServers, revision);
-    }
-    if let Some(revision) = status.evacuations {
-        context.set_position(Collection::Evacuations, revision);
-    }
+    adopt_positions(context, &status);
     context.reader_has_store.set(status.store_reachable);
     let mut contact = context.store_contact.get();
     contact.feeder_has_store(status.store_reachable);
@@ -343,7 +312,21 @@
     *context.feed_path.borrow_mut() = status.path;
 }
 
-fn apply(context: &Context, frame: Frame) -> Result<(), LinkError> {
+pub(super) fn adopt_positions(context: &Context, status: &SyncStatus) {
+    let told = [
+        (Collection::Configuration, status.configuration),
+        (Collection::BackendServers, status.servers),
+        (Collection::Evacuations, status.evacuations),
+    ];
+    for (collection, revision) in told {
+        if let Some(revision) = revision {
+            context.note_complete(collection);
+            context.set_position(collection, revision);
+        }
+    }
+}
+
+pub(super) fn apply(context: &Context, frame: Frame) -> Result<(), LinkError> {
     let now = clock::now();
     match frame {
         Frame::Configuration(configuration) => {
@@ -372,6 +355,7 @@
             store_watcher::apply_store_return(context, Duration::from_millis(ms));
         }
         Frame::Hello(_)
+        | Frame::SnapshotRequest(_)
         | Frame::ZonesRequest
         | Frame::Descendants(_)
         | Frame::FollowerAhead
@@ -385,7 +369,7 @@
     Ok(())
 }
 
-fn apply_part(
+pub(super) fn apply_part(
     context: &Context,
     part: ChangePart,
     transfer: &mut Transfer,
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -21,6 +21,8 @@
 pub enum Frame {
     /// Opens a link: the sender asks to be admitted as a follower.
     Hello(Hello),
+    /// Asks for a snapshot alone: the sender lacks something, and does not ask to be admitted as a follower.
+    SnapshotRequest(Hello),
     /// Asks for the records of all zones; the only frame that such a VM sends.
     #[serde(rename = "WhoReads")]
     ZonesRequest,
@@ -115,6 +117,13 @@
     pub protocol_version: ProtocolVersion,
 }
 
+impl Hello {
+    /// Returns whether the sender knows all that requests are routed by.
+    pub fn knows_all(&self) -> bool {
+        self.configuration.is_some() && self.servers.is_some() && self.evacuations.is_some()
+    }
+}
+
 /// A version of the protocol; each understands all frames of the ones before.
 pub type ProtocolVersion = u32;
 
--- a/crates/kingcuploft-entry/src/peers/mod.rs
+++ b/crates/kingcuploft-entry/src/peers/mod.rs
@@ -18,5 +18,7 @@
 pub mod reader_failover;
 pub mod repeat_replication;
 pub mod seeds;
+pub(crate) mod snapshot;
 pub mod sync_status;
+mod transfer;
 pub mod turns;
--- a/crates/kingcuploft-entry/src/peers/sync_status.rs
+++ b/crates/kingcuploft-entry/src/peers/sync_status.rs
@@ -10,9 +10,9 @@
     let mut path = context.feed_path.borrow().clone();
     path.push(context.settings.vm.clone());
     SyncStatus {
-        configuration: context.position(Collection::Configuration),
-        servers: context.position(Collection::BackendServers),
-        evacuations: context.position(Collection::Evacuations),
+        configuration: context.whole_position(Collection::Configuration),
+        servers: context.whole_position(Collection::BackendServers),
+        evacuations: context.whole_position(Collection::Evacuations),
         knows_workspaces: true,
         store_reachable: match store_access.is_reading() {
             true => store_access.is_available(),
--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -14,7 +14,7 @@
 pub type Revision = Moment;
 
 /// A collection of entries in the store.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Collection {
     /// The configuration.
     Configuration,
--- a/crates/kingcuploft-entry/src/store_sync/mod.rs
+++ b/crates/kingcuploft-entry/src/store_sync/mod.rs
@@ -1,6 +1,7 @@
 //! Keeps this VM synchronized with the platform's store: it discovers the VMs of its zone, follows one of them, or
 //! reads the store for them.
 
+mod informing;
 mod zone_leader;
 
 use std::cell::Cell;
@@ -85,12 +86,13 @@
     };
     let fallback = store_fallback::read_store_if_uninformed(context.clone(), store_access.clone());
     let fallback = tokio::task::spawn_local(fallback);
-    if context.settings.is_first_start {
-        tokio::time::sleep(startup_delay::claim_delay(&own, fastrand::f64())).await;
-    }
-    sync.discover_vms().await;
-    sync.claim_unrecorded_zone().await;
-    tokio::join!(sync.follow_or_read(), sync.lead_zone());
+    let informing = async {
+        // On the first start of all no VM knows more than another.
+        if !context.settings.is_first_start {
+            informing::run(&context, &own, &network).await;
+        }
+    };
+    tokio::join!(sync.start(), informing);
     fallback.abort();
 }
 
@@ -110,6 +112,17 @@
 }
 
 impl<S: Store, D: Dial + Clone + 'static> StoreSync<'_, S, D> {
+    /// Finds the other VMs, then follows one or reads the store, and leads the zone, until the process ends.
+    async fn start(&self) {
+        if self.context.settings.is_first_start {
+            let delay = startup_delay::claim_delay(self.own, fastrand::f64());
+            tokio::time::sleep(delay).await;
+        }
+        self.discover_vms().await;
+        self.claim_unrecorded_zone().await;
+        tokio::join!(self.follow_or_read(), self.lead_zone());
+    }
+
     /// Follows a feeder or reads the store, whichever this VM's source is, until the process ends.
     async fn follow_or_read(&self) {
         if !self.context.settings.is_first_start {
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -25,6 +25,7 @@
 pub mod fingerprint;
 pub mod good_share;
 pub mod hedging;
+pub mod informants;
 pub mod key_digest;
 mod known_limit;
 pub mod last_slot_slowdown;
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -14,6 +14,7 @@
 mod evacuations;
 mod good_share;
 mod hedging;
+mod informants;
 mod json_text;
 mod log_rate_limiter;
 mod placement;
