fix(store): a page that can't be had costs only what is on it and behind it

What callers saw: a VM that starts is never ready as one page of one list can't be had, whatever else it knows; and a VM that runs learns nothing new any more once the store has dropped its history and does not list a collection. Cause: a list counted only as a whole, and a watch only from a list on. Why it works: where a call would fail again (4xx but 408 and 429, or an answer that can't be read), the pages before are used, the collection counts as incomplete, and the watch goes on. The configuration is then read by its name. Without its history, a collection that the store does not list is followed from a revision that a probe has returned.

--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -144,6 +144,17 @@
     Unreadable(String),
 }
 
+impl StoreError {
+    /// Returns whether the same call would fail again: the store takes it for a wrong one, or its answer can't be read.
+    pub fn is_lasting(&self) -> bool {
+        match self {
+            Self::Refused(status) => (400..500).contains(status) && !matches!(status, 408 | 429),
+            Self::Unreadable(_) => true,
+            Self::HistoryGone | Self::NoAnswer(_) => false,
+        }
+    }
+}
+
 impl From<serde_json::Error> for StoreError {
     fn from(error: serde_json::Error) -> Self {
         Self::Unreadable(error.to_string())
@@ -161,6 +172,9 @@
         stale: bool,
     ) -> impl Future<Output = Result<Page, StoreError>>;
 
+    /// Returns the configuration by its name alone, without a list; `None` if there is none.
+    fn read_configuration(&self) -> impl Future<Output = Result<Option<Record>, StoreError>>;
+
     /// Checks that the store answers, as cheaply as it allows; returns a revision that the store had reached, possibly
     /// seconds ago.
     fn probe_liveness(&self) -> impl Future<Output = Result<Revision, StoreError>>;
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -6,14 +6,12 @@
 //! removed. A VM that follows another receives the same changes from it. While the store is not available, the VM
 //! serves by its last known state.
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::configuration::{Configuration, ConfigurationVersion};
-use kingcuploft::entry::era::{Era, era_of};
-use kingcuploft::entry::notice::Notice;
+use kingcuploft::entry::era::Era;
 use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft::entry::watch_lag::WatchLag;
 use kingcuploft::entry::zone_record::{MAX_NAMED_VMS, ZoneRecord};
@@ -28,11 +26,13 @@
 use crate::pauses;
 use crate::peers::frame::Frame;
 use crate::peers::sync_status::sync_status;
+use crate::relist::Relist;
 use crate::rewinds::EraUpdate;
 use crate::server_batch::ServerBatch;
 use crate::server_updates;
-use crate::store::{Changes, Collection, Page, Record, Revision, Store, StoreChange, StoreError};
+use crate::store::{Changes, Collection, Record, Revision, Store, StoreChange, StoreError};
 use crate::store_access::StoreAccess;
+use crate::store_list::{self, ListLog};
 use crate::watch_check;
 
 /// How long a watch waits for a change.
@@ -76,10 +76,18 @@
     let mut is_history_gone = false;
     let mut wait = WATCH_TIMEOUT;
     let mut lag = WatchLag::default();
+    let mut relist = Relist::default();
     loop {
         store_access.wait_until_open().await;
-        let from = context.position(collection).filter(|_| !is_history_gone);
-        let request = list_or_watch(&context, &*store, collection, from, wait, &list_log);
+        relist.check(context.is_incomplete(collection));
+        let lists = is_history_gone || relist.is_due(clock::now());
+        let from = context.position(collection).filter(|_| !lists);
+        let until_relist = relist.until(clock::now()).unwrap_or(wait);
+        let wait_now = wait.min(until_relist);
+        let reached = store_access.reached();
+        let request = list_or_watch(
+            &context, &*store, collection, from, wait_now, reached, &list_log,
+        );
         let mut request = std::pin::pin!(request);
         let outcome = loop {
             tokio::select! {
@@ -120,32 +128,48 @@
                 // A store that compacts its history faster than it is read must not be called without a pause.
                 tokio::time::sleep(BACKOFF_STEP).await;
             }
-            Err(error) => tokio::time::sleep(backoff.failed(collection, &error)).await,
+            Err(error) => {
+                let cannot_list = is_history_gone && error.is_lasting();
+                if cannot_list && follow_unlisted(&context, &store_access, collection) {
+                    is_history_gone = false;
+                    continue;
+                }
+                tokio::time::sleep(backoff.failed(collection, &error)).await;
+            }
         }
     }
 }
 
+/// Follows a collection whose history is gone and that the store does not list, from a revision that the store has reached:
+/// what has changed before is lost, what is new is not. Returns whether there is such a revision.
+fn follow_unlisted(context: &Context, store_access: &StoreAccess, collection: Collection) -> bool {
+    let known = context.position(collection);
+    let Some(reached) = store_access
+        .reached()
+        .filter(|reached| known.is_some_and(|known| known < *reached))
+    else {
+        return false;
+    };
+    context.note_incomplete(collection);
+    context.set_position(collection, reached);
+    true
+}
+
 async fn list_or_watch<S: Store>(
     context: &Context,
     store: &S,
     collection: Collection,
     from: Option<Revision>,
     wait: Duration,
+    reached: Option<Revision>,
     log: &ListLog,
 ) -> Result<Revision, StoreError> {
     match from {
-        None => list_all(context, store, collection, log).await,
+        None => store_list::list_all(context, store, collection, reached, log).await,
         Some(revision) => watch(context, store, collection, revision, wait).await,
     }
 }
 
-/// Returns whether a notice was withdrawn, and is back as the store was restored from an older copy.
-fn is_restored_withdrawal(context: &Context, notice: &Notice) -> bool {
-    context
-        .rewinds
-        .is_restored_withdrawal(clock::now(), &notice.id())
-}
-
 /// Ends the grace periods of lapsed entries when they run out.
 pub async fn run_expiry(context: Rc<Context>) {
     let mut warned_at = context.started_at;
@@ -208,88 +232,6 @@
     }
 }
 
-/// Where and why a list could not go on.
-#[derive(Eq, PartialEq)]
-struct StoppedList {
-    /// The name after which it was to go on.
-    after: Option<String>,
-    /// The pages before.
-    pages: usize,
-    why: String,
-}
-
-/// Logs lists that can't go on.
-#[derive(Default)]
-struct ListLog {
-    last: RefCell<Option<StoppedList>>,
-}
-
-impl ListLog {
-    /// Logs a list that could not go on, unless the last one stopped in the same way.
-    fn stopped(&self, collection: Collection, stopped: StoppedList) {
-        let mut last = self.last.borrow_mut();
-        if last.as_ref() != Some(&stopped) {
-            let StoppedList { after, pages, why } = &stopped;
-            let collection = collection.label();
-            tracing::warn!(event = "list_stopped", collection, after, pages, why);
-        }
-        *last = Some(stopped);
-    }
-}
-
-async fn list_all<S: Store>(
-    context: &Context,
-    store: &S,
-    collection: Collection,
-    log: &ListLog,
-) -> Result<Revision, StoreError> {
-    let (mut names, mut servers, mut zones) = (Vec::new(), Vec::new(), Vec::new());
-    let mut after: Option<String> = None;
-    let mut first = None;
-    let mut pages = 0;
-    loop {
-        let page = store.list(collection, after.as_deref(), false).await;
-        let Page {
-            records,
-            next,
-            revision,
-        } = page.inspect_err(|error| {
-            let (after, why) = (after.clone(), error.to_string());
-            log.stopped(collection, StoppedList { after, pages, why });
-        })?;
-        pages += 1;
-        // The watch that follows starts at the first page's revision and brings what changes between two pages.
-        let first = *first.get_or_insert(revision);
-        if era_of(revision) != era_of(first) {
-            return Err(StoreError::HistoryGone);
-        }
-        note_era(context, era_of(first));
-        for (name, record) in records {
-            match record {
-                Record::BackendServer(server) => servers.push(server),
-                Record::Notice(notice) if is_restored_withdrawal(context, &notice) => {
-                    notices::withdraw(context, notice.id());
-                }
-                Record::Evacuation(zone) => zones.push(zone),
-                other => apply_record(context, other),
-            }
-            names.push(name);
-        }
-        if next.is_none() {
-            match collection {
-                Collection::BackendServers => {
-                    server_updates::apply_full_list(context, clock::now(), servers, &names);
-                }
-                Collection::Notices => notices::apply_stored_ids(context, names.into_iter()),
-                Collection::Evacuations => evacuation::apply_full_list(context, zones.into_iter()),
-                Collection::Configuration | Collection::Zones => {}
-            }
-            return Ok(first);
-        }
-        after = next;
-    }
-}
-
 async fn watch<S: Store>(
     context: &Context,
     store: &S,
@@ -332,7 +274,7 @@
     Ok(revision)
 }
 
-fn apply_record(context: &Context, record: Record) {
+pub(crate) fn apply_record(context: &Context, record: Record) {
     match record {
         Record::Configuration(configuration) => adopt_configuration(context, *configuration),
         Record::BackendServer(server) => {
--- a/crates/kingcuploft-entry/tests/links/network.rs
+++ b/crates/kingcuploft-entry/tests/links/network.rs
@@ -14,7 +14,8 @@
 use kingcuploft_entry::peers::peer_socket::{PeerMessage, PeerSender};
 use kingcuploft_entry::peers::{feeder, load_reports};
 use kingcuploft_entry::store::{
-    ChangeCheck, Changes, Collection, Page, Revision, Store, StoreError, WriteOutcome, ZoneWrite,
+    ChangeCheck, Changes, Collection, Page, Record, Revision, Store, StoreError, WriteOutcome,
+    ZoneWrite,
 };
 use kingcuploft_entry::store_access::StoreAccess;
 use tokio::task::AbortHandle;
@@ -164,6 +165,12 @@
         Ok(page)
     }
 
+    async fn read_configuration(&self) -> Result<Option<Record>, StoreError> {
+        let record = self.store.read_configuration().await?;
+        self.receive(Collection::Configuration, 1).await;
+        Ok(record)
+    }
+
     async fn probe_liveness(&self) -> Result<Revision, StoreError> {
         let revision = self.store.probe_liveness().await?;
         self.receive(Collection::Zones, 1).await;
--- a/crates/kingcuploft-simulation/src/store.rs
+++ b/crates/kingcuploft-simulation/src/store.rs
@@ -283,6 +283,14 @@
         })
     }
 
+    async fn read_configuration(&self) -> Result<Option<Record>, StoreError> {
+        let state = &self.0;
+        self.check_admitted()?;
+        state.hang_if_silent().await;
+        let configuration = state.configuration.borrow().clone();
+        Ok(configuration.map(|c| Record::Configuration(Box::new(c))))
+    }
+
     async fn probe_liveness(&self) -> Result<Revision, StoreError> {
         self.check_admitted()?;
         self.0.hang_if_silent().await;
--- a/crates/kingcuploft-simulation/src/store_client.rs
+++ b/crates/kingcuploft-simulation/src/store_client.rs
@@ -6,7 +6,8 @@
 use kingcuploft::entry::notice::Notice;
 use kingcuploft::entry::zone_record::ZoneRecord;
 use kingcuploft_entry::store::{
-    ChangeCheck, Changes, Collection, Page, Revision, Store, StoreError, WriteOutcome, ZoneWrite,
+    ChangeCheck, Changes, Collection, Page, Record, Revision, Store, StoreError, WriteOutcome,
+    ZoneWrite,
 };
 
 use crate::network::Host;
@@ -69,6 +70,11 @@
         self.call(Duration::ZERO, call).await
     }
 
+    async fn read_configuration(&self) -> Result<Option<Record>, StoreError> {
+        self.call(Duration::ZERO, self.store.read_configuration())
+            .await
+    }
+
     async fn probe_liveness(&self) -> Result<Revision, StoreError> {
         self.call(Duration::ZERO, self.store.probe_liveness()).await
     }
