fix(sync): a VM that knows all and has no feeder says so to the first VMs of its zone's record

What callers saw: VMs that come back are refused for up to 4.4 s while one VM of their zone knows all. Cause: the zone's record names some VMs; those that come back can't find one that it does not name. That one leaves VMs that failed alone for 5 s, so it does not call them either. Why it works: a VM that can reach none of those that its record names calls the first three each 0.5 s to say that it knows all; one of them that does not asks it at once. The part that reads the store moved to a file of its own.

--- a/crates/kingcuploft-entry/src/peers/feeder.rs
+++ b/crates/kingcuploft-entry/src/peers/feeder.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kingcuploft::entry::vm_entry::VmEntry;
 use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncWrite, BufReader};
 use tokio::net::TcpListener;
 
@@ -90,6 +91,10 @@
             crate::store_watcher::apply_zone_records(context, records);
             Ok(())
         }
+        Ok(Frame::Informed(vm)) => {
+            note_informed(context, store_access, vm);
+            Ok(())
+        }
         Ok(Frame::Hello(hello)) => feed(context, store_access, hello, lines, write).await,
         Ok(Frame::SnapshotRequest(hello)) => inform(context, store_access, &hello, write).await,
         Ok(_) | Err(_) => Ok(()),
@@ -117,11 +122,8 @@
     if is_follower_ahead(&hello, &own) {
         refresh(context, store_access);
     }
-    if !own.is_complete() && hello.knows_all() {
-        context
-            .informants
-            .borrow_mut()
-            .record_informed(hello.vm.clone());
+    if hello.knows_all() {
+        note_informed(context, store_access, hello.vm.clone());
     }
     let result = tokio::select! {
         biased;
@@ -132,6 +134,13 @@
     result
 }
 
+/// Records that a VM knows all, if this one does not.
+fn note_informed(context: &Context, store_access: &StoreAccess, vm: VmEntry) {
+    if !sync_status(context, store_access).is_complete() {
+        context.informants.borrow_mut().record_informed(vm);
+    }
+}
+
 /// Sends a VM a snapshot, or says that this VM has none.
 async fn inform(
     context: &Rc<Context>,
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -356,6 +356,7 @@
         }
         Frame::Hello(_)
         | Frame::SnapshotRequest(_)
+        | Frame::Informed(_)
         | Frame::ZonesRequest
         | Frame::Descendants(_)
         | Frame::FollowerAhead
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -23,6 +23,8 @@
     Hello(Hello),
     /// Asks for a snapshot alone: the sender lacks something, and does not ask to be admitted as a follower.
     SnapshotRequest(Hello),
+    /// The sender knows all and has no feeder: the receiver may ask it for a snapshot. The only frame that such a VM sends.
+    Informed(VmEntry),
     /// Asks for the records of all zones; the only frame that such a VM sends.
     #[serde(rename = "WhoReads")]
     ZonesRequest,
--- a/crates/kingcuploft-entry/src/peers/seeds.rs
+++ b/crates/kingcuploft-entry/src/peers/seeds.rs
@@ -16,7 +16,7 @@
 /// ask.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(25);
 
-/// How long sending a record to a seed may take.
+/// How long sending a frame to another VM may take.
 const PUBLISH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Returns the records that the seeds know; none if no seed answers in time. All are asked at once, as each may be
@@ -45,11 +45,20 @@
 
 /// Sends a record to the seeds, for the VMs that ask them next.
 pub fn publish<D: Dial + Clone + 'static>(network: &D, seeds: Vec<SocketAddr>, record: ZoneRecord) {
-    let line = Frame::Zones(vec![record]).to_line();
-    for seed in seeds {
+    send_to_each(network, seeds, &Frame::Zones(vec![record]));
+}
+
+/// Sends a frame to each of these VMs; those that can't be reached soon are left out.
+pub fn send_to_each<D: Dial + Clone + 'static>(
+    network: &D,
+    addresses: impl IntoIterator<Item = SocketAddr>,
+    frame: &Frame,
+) {
+    let line = frame.to_line();
+    for address in addresses {
         let (line, network) = (line.clone(), network.clone());
         tokio::task::spawn_local(tokio::time::timeout(PUBLISH_TIMEOUT, async move {
-            let mut stream = network.dial(seed).await?;
+            let mut stream = network.dial(address).await?;
             stream.write_all(&line).await?;
             stream.shutdown().await
         }));
--- a/crates/kingcuploft-entry/src/store_sync/mod.rs
+++ b/crates/kingcuploft-entry/src/store_sync/mod.rs
@@ -2,11 +2,12 @@
 //! reads the store for them.
 
 mod informing;
+mod reading;
 mod zone_leader;
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use kingcuploft::entry::readers::Source;
 use kingcuploft::entry::startup_delay;
@@ -26,10 +27,6 @@
 use crate::store_watcher;
 use crate::zone_list::{Staleness, list_all};
 
-/// The time between two lists of the zones by a VM that reads the store. Other zones grow meanwhile, and what all VMs
-/// may use together is divided by the VMs counted.
-const LIST_INTERVAL: Duration = Duration::from_secs(3);
-
 /// How often a VM that reads the store checks whether it may follow another, and how often a leader checks its zone's
 /// record.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -56,10 +53,6 @@
 /// The pause after a failed call of the store; chance adds as much again.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// How long a VM can reach none of those that its zone's record names before it adds itself to the record; chance adds
-/// as much again.
-const UNREACHABLE_PEERS_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// How long a VM waits for the outcome of its claim to a zone that has no record before it reads the store.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -366,24 +359,4 @@
         let first = old.vms.first().unwrap_or(feeder);
         seeds::publish(self.network, vec![first.address, feeder.address], record);
     }
-
-    /// Reads the store until this VM is to follow another.
-    async fn read_store(&self, source: Source) {
-        self.store_access.start_reading();
-        let started_at = clock::now();
-        let append_delay = UNREACHABLE_PEERS_TIMEOUT.mul_f64(1.0 + fastrand::f64());
-        let mut listed_at: Option<Instant> = None;
-        while self.source() == source {
-            let is_list_due = listed_at.is_none_or(|at| clock::since(at) >= LIST_INTERVAL);
-            if self.store_access.is_available() && is_list_due && self.own_zone_record().is_some() {
-                self.list_zones(Staleness::Allowed).await;
-                listed_at = Some(clock::now());
-                continue;
-            }
-            if source == Source::StoreAlone && clock::since(started_at) >= append_delay {
-                self.append_self().await;
-            }
-            tokio::time::sleep(CHECK_INTERVAL).await;
-        }
-    }
 }
