fix(sync): seeds that come back are told the zone's record again

What callers saw: VMs that come back with all seeds, while the store lists nothing, are refused for 3.5 s or more. Cause: a VM that leads its zone told the seeds its record once, when it began to lead; seeds that were down then never heard it.

--- a/crates/kingcuploft-entry/src/store_sync/zone_leader.rs
+++ b/crates/kingcuploft-entry/src/store_sync/zone_leader.rs
@@ -1,6 +1,6 @@
 //! Keeps the record of a zone in the store up to date, on the VM that leads the zone.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use kingcuploft::entry::zone_record::{
     self, SETTLE_TIME, ZoneCount, ZoneRecord, ZoneView, handed_to_larger, refreshed,
@@ -14,6 +14,10 @@
 use crate::store_watcher;
 use crate::zone_list::Staleness;
 
+/// How long the seeds are sent the record again and again once this VM leads, or has lost followers: the seeds may be
+/// among the VMs that went, and are back later, without it.
+const REPUBLISH_TIME: Duration = Duration::from_secs(10);
+
 /// The time in which this VM leads its zone without a break: what it has seen of the zone before counts no more.
 struct Leadership {
     since: Instant,
@@ -38,12 +42,17 @@
     /// reader of another zone.
     pub(super) async fn lead_zone(&self) {
         let mut leadership: Option<Leadership> = None;
+        let (mut followers, mut changed_at) = (0, clock::now());
         loop {
+            let followers_before = std::mem::replace(&mut followers, self.context.followers.len());
+            if leadership.is_none() || followers < followers_before {
+                changed_at = clock::now();
+            }
             let is_leader = self.is_zone_leader() && !self.context.shutdown.is_stopping();
             let has_store = !self.store_access.is_reading() || self.store_access.is_available();
             match is_leader {
                 true if has_store => {
-                    if leadership.is_none() {
+                    if clock::since(changed_at) < REPUBLISH_TIME {
                         self.publish_to_seeds();
                     }
                     let leadership = leadership.get_or_insert_with(Leadership::begin);
