fix(store): a VM serves though the evacuated zones are never listed

What callers saw: all VMs refuse all callers, as the store refuses the list of evacuated zones (400) and no VM knows it. Cause: readiness needs that list, and had no way on without it. Why it works: after 3 s, in which the VMs that may know were asked, the VM follows what is new of it, serves, and says on readiness, in its log and metrics that entries may be missing. It goes on asking, and feeds nobody meanwhile. Servers and the configuration are still waited for: without them nothing can be served.

--- a/crates/kingcuploft-entry/src/edge/readiness.rs
+++ b/crates/kingcuploft-entry/src/edge/readiness.rs
@@ -42,6 +42,13 @@
     missing.map(|what| format!("missing: {what}\n")).collect()
 }
 
+/// Returns the collections of the store of which a VM that serves may lack entries, one a line.
+fn what_is_incomplete(context: &Context) -> String {
+    let incomplete = context.incomplete_collections().into_iter();
+    let lines = incomplete.map(|collection| format!("incomplete: {}\n", collection.label()));
+    lines.collect()
+}
+
 /// Answers one request.
 ///
 /// # Errors
@@ -61,7 +68,7 @@
                     path if path != context.wire_names.ready_path => {
                         ("404 Not Found", String::new())
                     }
-                    _ if context.is_ready() => ("200 OK", String::new()),
+                    _ if context.is_ready() => ("200 OK", what_is_incomplete(context)),
                     _ => ("503 Service Unavailable", what_is_missing(context)),
                 };
                 let length = body.len();
--- a/crates/kingcuploft-entry/src/gauges.rs
+++ b/crates/kingcuploft-entry/src/gauges.rs
@@ -18,6 +18,8 @@
         self.metrics.refused_callers.set(refused as i64);
         let missing = self.missing_ports.borrow().len();
         self.metrics.missing_ports.set(missing as i64);
+        let incomplete = self.incomplete_collections().len();
+        self.metrics.incomplete_collections.set(incomplete as i64);
         let probes_left = (self.probe_budget_left() * 1000.0) as i64;
         self.metrics.probes_left.set(probes_left);
         let answer_memory = self.answer_memory.reserved_bytes();
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -106,6 +106,8 @@
     pub probes_left: Gauge,
     /// Ports that could not be opened yet.
     pub missing_ports: Gauge,
+    /// Collections of the store of which entries may be missing.
+    pub incomplete_collections: Gauge,
     /// Connections of callers that were refused, as descriptors are short.
     pub refused_callers: Gauge,
     /// Seconds since the configuration in force was adopted.
@@ -165,6 +167,7 @@
             callers: Gauge::default(),
             probes_left: Gauge::default(),
             missing_ports: Gauge::default(),
+            incomplete_collections: Gauge::default(),
             refused_callers: Gauge::default(),
             configuration_age: Gauge::default(),
             followers: Gauge::default(),
@@ -265,6 +268,12 @@
         registry.register("callers", help, self.callers.clone());
         let help = "Connections of callers that were refused, as descriptors are short";
         registry.register("refused_callers", help, self.refused_callers.clone());
+        let help = "Collections of the store of which entries may be missing";
+        registry.register(
+            "incomplete_collections",
+            help,
+            self.incomplete_collections.clone(),
+        );
         let help = "Ports that could not be opened yet";
         registry.register("missing_ports", help, self.missing_ports.clone());
         let help = "The part of the probe budget that is there, in thousandths";
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -58,6 +58,10 @@
 /// many answers, and a leaving server must not wait for them one pause after the other.
 const FULL_BATCH: usize = 64;
 
+/// How long a VM waits for the list of evacuated zones where the store refuses it and no VM knows it: longer than it takes to
+/// ask those that may know. A VM that refuses all callers is worse for them than one that may use servers of such a zone.
+const WAIT_FOR_EVACUATIONS: Duration = Duration::from_secs(3);
+
 /// How often a VM that is not ready says so, and what it lacks.
 const WARNING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -129,7 +133,8 @@
                 tokio::time::sleep(BACKOFF_STEP).await;
             }
             Err(error) => {
-                let cannot_list = is_history_gone && error.is_lasting();
+                let can_watch = context.position(collection).is_some() && !is_history_gone;
+                let cannot_list = error.is_lasting() && !can_watch;
                 if cannot_list && follow_unlisted(&context, &store_access, collection) {
                     is_history_gone = false;
                     continue;
@@ -140,21 +145,34 @@
     }
 }
 
-/// Follows a collection whose history is gone and that the store does not list, from a revision that the store has reached:
-/// what has changed before is lost, what is new is not. Returns whether there is such a revision.
+/// Follows a collection that the store does not list, from a revision that the store has reached: what has changed before is
+/// lost, what is new is not. Returns whether it does.
 fn follow_unlisted(context: &Context, store_access: &StoreAccess, collection: Collection) -> bool {
     let known = context.position(collection);
-    let Some(reached) = store_access
-        .reached()
-        .filter(|reached| known.is_some_and(|known| known < *reached))
-    else {
+    let later = |reached: &Revision| known.is_none_or(|known| known < *reached);
+    let Some(reached) = store_access.reached().filter(later) else {
         return false;
     };
+    if known.is_none() && !can_serve_without(context, collection) {
+        return false;
+    }
     context.note_incomplete(collection);
     context.set_position(collection, reached);
     true
 }
 
+/// Returns whether this VM serves although it knows nothing of a collection, as it has waited long enough for it.
+fn can_serve_without(context: &Context, collection: Collection) -> bool {
+    match collection {
+        Collection::Evacuations => clock::since(context.started_at) >= WAIT_FOR_EVACUATIONS,
+        // Where there is no configuration or no server, nothing can be served; nobody waits for the rest.
+        Collection::Configuration
+        | Collection::BackendServers
+        | Collection::Notices
+        | Collection::Zones => false,
+    }
+}
+
 async fn list_or_watch<S: Store>(
     context: &Context,
     store: &S,
