fix(store): a probe that the store takes for a wrong call is an answer

What callers saw: no VM gets ready while the store refuses the kind that is probed with 400, though it answers all else. Why it works: a status is an answer; only 5xx, 408, 429 and silence count as away.

--- a/crates/kingcuploft-entry/src/store_liveness.rs
+++ b/crates/kingcuploft-entry/src/store_liveness.rs
@@ -50,9 +50,12 @@
         if let Some(reached) = reached {
             store_watcher::note_era(&context, era_of(reached));
         }
-        // The answer may be queued behind another, long one.
-        let is_available =
-            reached.is_some() || (answer.is_err() && received_bytes_since(&*store, asked_at));
+        // A store that takes the call for a wrong one has answered; and the answer may be queued behind another, long one.
+        let is_available = match &answer {
+            Ok(Ok(_)) => true,
+            Ok(Err(error)) => error.is_lasting(),
+            Err(_) => received_bytes_since(&*store, asked_at),
+        };
         let has_changed = store_access.set_available(is_available);
         record_contact(&context, asked_at, is_available);
         if has_changed && is_available && planted::is_on(PlantedFault::MistakesOutages) {
