--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -271,7 +271,9 @@
     pub fn knows_all(&self) -> bool {
         let knows_zones = self.position(Collection::Evacuations).is_some();
         let has_configuration = self.active_configuration.version().is_some();
-        let is_whole = self.incomplete.borrow().is_empty();
+        let is_whole = Collection::ROUTED_BY
+            .into_iter()
+            .all(|collection| !self.is_incomplete(collection));
         has_configuration && self.servers_listed.get() && knows_zones && is_whole
     }
 
@@ -306,8 +308,11 @@
 
     /// Returns the revision up to which a collection is known if none of its entries may be missing.
     pub fn whole_position(&self, collection: Collection) -> Option<Revision> {
-        let is_whole = !self.incomplete.borrow().contains(&collection);
-        self.position(collection).filter(|_| is_whole)
+        let is_whole = !self.is_incomplete(collection);
+        // A list without a configuration may have ended early.
+        let is_there = collection != Collection::Configuration
+            || self.active_configuration.version().is_some();
+        self.position(collection).filter(|_| is_whole && is_there)
     }
 
     /// Records that entries of a collection may be missing.
--- a/crates/kingcuploft-entry/src/peers/feeder.rs
+++ b/crates/kingcuploft-entry/src/peers/feeder.rs
@@ -148,7 +148,11 @@
     hello: &Hello,
     mut stream: impl AsyncWrite + Unpin,
 ) -> std::io::Result<()> {
-    match sync_status(context, store_access).is_complete() {
+    let own = sync_status(context, store_access);
+    if is_follower_ahead(hello, &own) {
+        refresh(context, store_access);
+    }
+    match own.is_complete() {
         true => {
             let mut feed = Feed::new(context, store_access, hello, stream);
             feed.send_snapshot(hello).await
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -29,7 +29,7 @@
 use crate::store_watcher;
 
 /// How long opening a link may take for a VM that has recent knowledge of the store.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// The same for a VM that is not ready and refuses callers meanwhile: a running VM of the zone answers within some
 /// milliseconds, and one without power does not even refuse the connection.
@@ -115,7 +115,11 @@
     feeder: &VmEntry,
     network: &impl Dial,
 ) -> Result<(), LinkError> {
-    let stream = open_link(context, feeder, network).await?;
+    let timeout = match context.is_ready() {
+        true => CONNECT_TIMEOUT,
+        false => CONNECT_TIMEOUT_NOT_READY,
+    };
+    let stream = open_link(feeder, network, timeout).await?;
     let (read, mut write) = tokio::io::split(stream);
     let hello = Frame::Hello(hello(context, own));
     write.write_all(&hello.to_line()).await?;
@@ -128,14 +132,10 @@
 }
 
 pub(super) async fn open_link<D: Dial>(
-    context: &Context,
     to: &VmEntry,
     network: &D,
+    timeout: Duration,
 ) -> Result<D::Link, LinkError> {
-    let timeout = match context.is_ready() {
-        true => CONNECT_TIMEOUT,
-        false => CONNECT_TIMEOUT_NOT_READY,
-    };
     let connecting = tokio::time::timeout(timeout, network.dial(to.address));
     Ok(connecting.await.map_err(|_| LinkError::Unreachable)??)
 }
@@ -312,14 +312,9 @@
     *context.feed_path.borrow_mut() = status.path;
 }
 
-pub(super) fn adopt_positions(context: &Context, status: &SyncStatus) {
-    let told = [
-        (Collection::Configuration, status.configuration),
-        (Collection::BackendServers, status.servers),
-        (Collection::Evacuations, status.evacuations),
-    ];
-    for (collection, revision) in told {
-        if let Some(revision) = revision {
+fn adopt_positions(context: &Context, status: &SyncStatus) {
+    for collection in Collection::ROUTED_BY {
+        if let Some(revision) = status.position(collection) {
             context.note_complete(collection);
             context.set_position(collection, revision);
         }
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -14,7 +14,7 @@
 use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, VmName};
 use serde::{Deserialize, Serialize};
 
-use crate::store::Revision;
+use crate::store::{Collection, Revision};
 
 /// One frame.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -174,6 +174,16 @@
 }
 
 impl SyncStatus {
+    /// Returns the latest revision of a collection that the sender knows; none of a collection that it does not tell.
+    pub fn position(&self, collection: Collection) -> Option<Revision> {
+        match collection {
+            Collection::Configuration => self.configuration,
+            Collection::BackendServers => self.servers,
+            Collection::Evacuations => self.evacuations,
+            Collection::Notices | Collection::Zones => None,
+        }
+    }
+
     /// Returns the latest era of the store that the sender knows, if any.
     pub fn era(&self) -> Option<Era> {
         let known = [self.configuration, self.servers, self.evacuations];
--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -37,6 +37,9 @@
         Self::Evacuations,
     ];
 
+    /// The collections that requests are routed by, which a snapshot of another VM brings.
+    pub const ROUTED_BY: [Self; 3] = [Self::Configuration, Self::BackendServers, Self::Evacuations];
+
     /// Returns the name used in logs.
     pub fn label(self) -> &'static str {
         match self {
@@ -145,6 +148,11 @@
 }
 
 impl StoreError {
+    /// Returns whether the collection must be listed again.
+    pub fn is_of_history(&self) -> bool {
+        matches!(self, Self::HistoryGone)
+    }
+
     /// Returns whether the same call would fail again: the store takes it for a wrong one, or its answer can't be read.
     pub fn is_lasting(&self) -> bool {
         match self {
