--- a/crates/kingcuploft-entry/src/store_sync/mod.rs
+++ b/crates/kingcuploft-entry/src/store_sync/mod.rs
@@ -56,6 +56,9 @@
 /// How long a VM waits for the outcome of its claim to a zone that has no record before it reads the store.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long a VM asks for the zones' records where the store refuses to list them.
+const MAX_DISCOVERY_TIME: Duration = Duration::from_secs(1);
+
 /// The time between two queries of the seeds by a VM that knows no other.
 const SEED_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -89,6 +92,17 @@
     fallback.abort();
 }
 
+/// Whether the store has listed the zones.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ZonesListed {
+    /// It has.
+    Whole,
+    /// It has not, and may do so later.
+    NotNow,
+    /// It has not, and would not if it were asked again.
+    Never,
+}
+
 /// The synchronization of one VM with the store.
 struct StoreSync<'a, S, D> {
     context: &'a Rc<Context>,
@@ -201,24 +215,34 @@
 
     /// Discovers the VMs: from the seeds, or from the store if the seeds know none.
     async fn discover_vms(&self) {
-        let settings = &self.context.settings;
+        let started_at = clock::now();
         loop {
-            let records =
-                seeds::query(self.network, &settings.seeds, settings.control_address).await;
-            store_watcher::apply_zone_records(self.context, records);
+            self.query_seeds().await;
             if self.own_zone_record().is_some() {
                 return;
             }
             // While the store is away, a VM that the store answers may still send a record to one of the seeds.
-            if self.store_access.is_available() && self.list_zones(Staleness::Allowed).await {
-                return;
+            if self.store_access.is_available() {
+                match self.list_zones(Staleness::Allowed).await {
+                    ZonesListed::Whole => return,
+                    // Each VM then reads the store by itself until another tells it the records.
+                    ZonesListed::Never if clock::since(started_at) >= MAX_DISCOVERY_TIME => return,
+                    ZonesListed::Never | ZonesListed::NotNow => {}
+                }
             }
             tokio::time::sleep(SEED_RETRY_INTERVAL).await;
         }
     }
 
-    /// Reads the records of the zones from the store; returns whether it answered.
-    async fn list_zones(&self, stale: Staleness) -> bool {
+    /// Asks the seeds for the records of the zones.
+    async fn query_seeds(&self) {
+        let settings = &self.context.settings;
+        let records = seeds::query(self.network, &settings.seeds, settings.control_address);
+        store_watcher::apply_zone_records(self.context, records.await);
+    }
+
+    /// Reads the records of the zones from the store.
+    async fn list_zones(&self, stale: Staleness) -> ZonesListed {
         match list_all(&**self.store, stale).await {
             Ok(records) => {
                 let own = records.iter().find(|record| record.zone == self.own.zone);
@@ -228,11 +252,14 @@
                         .set(self.stored_version.get().max(stored_version));
                 }
                 store_watcher::apply_zone_records(self.context, records);
-                true
+                ZonesListed::Whole
             }
             Err(error) => {
                 tracing::warn!(event = "zones_not_listed", %error);
-                false
+                match error.is_lasting() {
+                    true => ZonesListed::Never,
+                    false => ZonesListed::NotNow,
+                }
             }
         }
     }
--- a/crates/kingcuploft-entry/src/store_sync/zone_leader.rs
+++ b/crates/kingcuploft-entry/src/store_sync/zone_leader.rs
@@ -6,7 +6,9 @@
     self, SETTLE_TIME, ZoneCount, ZoneRecord, ZoneView, handed_to_larger, refreshed,
 };
 
-use super::{CATCH_UP_TIME, CHECK_INTERVAL, CLAIM_TIMEOUT, STORE_RETRY_DELAY, StoreSync};
+use super::{
+    CATCH_UP_TIME, CHECK_INTERVAL, CLAIM_TIMEOUT, STORE_RETRY_DELAY, StoreSync, ZonesListed,
+};
 use crate::clock;
 use crate::peers::dial::Dial;
 use crate::peers::seeds;
@@ -70,6 +72,7 @@
     /// zone.
     async fn maintain_record(&self, leadership: &mut Leadership) {
         let Some(old) = self.own_zone_record() else {
+            self.query_seeds().await;
             return self.claim().await;
         };
         let (followers, zone) = (&self.context.followers, &self.own.zone);
@@ -91,7 +94,10 @@
             .stable_count(clock::now(), old.count, observed);
         let settled = old.settled || clock::since(leadership.since) >= SETTLE_TIME;
         // Zones that started at the same time are known before this zone counts as counted.
-        if settled && !old.settled && !self.list_zones(Staleness::Allowed).await {
+        if settled
+            && !old.settled
+            && self.list_zones(Staleness::Allowed).await == ZonesListed::NotNow
+        {
             return;
         }
         if let Some(record) = refreshed(&old, &seen, holds, settled) {
