fix(store): a VM follows what is new though watches are refused or lists have no answer

What callers saw: a VM learns nothing any more where watches of a collection are refused or too large, where the history is gone and lists get no answer, or where its first list of the configuration ended early. Why it works: a watch that fails for good is followed by a list; a list that has no answer for 3 s by a watch from what the store has reached; without a configuration the list is asked for again.

--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -58,6 +58,9 @@
 /// many answers, and a leaving server must not wait for them one pause after the other.
 const FULL_BATCH: usize = 64;
 
+/// How long a VM whose history is gone waits for a list before it follows what is new without one.
+const WAIT_FOR_LIST: Duration = Duration::from_secs(3);
+
 /// How long a VM waits for the list of evacuated zones where the store refuses it and no VM knows it: longer than it takes to
 /// ask those that may know. A VM that refuses all callers is worse for them than one that may use servers of such a zone.
 const WAIT_FOR_EVACUATIONS: Duration = Duration::from_secs(3);
@@ -81,9 +84,11 @@
     let mut wait = WATCH_TIMEOUT;
     let mut lag = WatchLag::default();
     let mut relist = Relist::default();
+    let mut answered_at = clock::now();
     loop {
         store_access.wait_until_open().await;
-        relist.check(context.is_incomplete(collection));
+        let is_whole = context.whole_position(collection).is_some();
+        relist.check(!is_whole && context.position(collection).is_some());
         let lists = is_history_gone || relist.is_due(clock::now());
         let from = context.position(collection).filter(|_| !lists);
         let until_relist = relist.until(clock::now()).unwrap_or(wait);
@@ -98,6 +103,7 @@
                 biased;
                 outcome = &mut request => break Some(outcome),
                 () = store_access.wait_until_closed() => break None,
+                () = informed_meanwhile(&context, collection), if !lists && from.is_none() => break None,
                 () = store_access.wait_for_rewatch() => {
                     wait = REWATCH_TIMEOUT;
                     // An answer that is arriving would have to start again.
@@ -120,6 +126,7 @@
                     note_store_return(&context, ReturnSource::Probe(Duration::ZERO));
                 }
                 backoff.answered();
+                answered_at = clock::now();
                 is_history_gone = false;
                 wait = WATCH_TIMEOUT;
                 context.set_position(collection, revision);
@@ -134,17 +141,31 @@
             }
             Err(error) => {
                 let can_watch = context.position(collection).is_some() && !is_history_gone;
-                let cannot_list = error.is_lasting() && !can_watch;
+                let has_waited = clock::since(answered_at) >= WAIT_FOR_LIST;
+                let cannot_list = !can_watch && (error.is_lasting() || has_waited);
                 if cannot_list && follow_unlisted(&context, &store_access, collection) {
                     is_history_gone = false;
                     continue;
                 }
+                // A watch that is refused, or whose answer can't be read, tells nothing: a list does.
+                is_history_gone |= can_watch && error.is_lasting();
                 tokio::time::sleep(backoff.failed(collection, &error)).await;
             }
         }
     }
 }
 
+/// Returns once another VM has told this one all of a collection.
+async fn informed_meanwhile(context: &Context, collection: Collection) {
+    loop {
+        let advanced = context.position_advanced.notified();
+        if context.whole_position(collection).is_some() {
+            return;
+        }
+        advanced.await;
+    }
+}
+
 /// Follows a collection that the store does not list, from a revision that the store has reached: what has changed before is
 /// lost, what is new is not. Returns whether it does.
 fn follow_unlisted(context: &Context, store_access: &StoreAccess, collection: Collection) -> bool {
