fix(store): a list without an end is given up, and a page that is refused for now is asked for again

What callers saw: a VM reads pages without end and never serves (found by a test of this series, in which the process took all its processor time for a hundred thousand zones); and a list of more pages than the store's rate begins anew at each 429. Why it works: 100,000 entries are the most; a further page is asked for again for 3 s, then the pages before it are used; evacuations of a part of a list are applied at once.

--- a/crates/kingcuploft-entry/src/evacuation.rs
+++ b/crates/kingcuploft-entry/src/evacuation.rs
@@ -22,6 +22,14 @@
     });
 }
 
+/// Applies a part of the list of evacuations in the store, and forwards what is new: zones that are not in it may be
+/// evacuated too.
+pub fn apply_part_of_list(context: &Context, zones: impl Iterator<Item = AvailabilityZone>) {
+    apply(context, |evacuations| {
+        zones.filter_map(|zone| evacuations.add(zone)).collect()
+    });
+}
+
 /// Applies the end of a zone's evacuation, and forwards it if it is new.
 pub fn apply_end(context: &Context, zone: &str) {
     apply(context, |evacuations| {
--- a/crates/kingcuploft-entry/src/store_list.rs
+++ b/crates/kingcuploft-entry/src/store_list.rs
@@ -1,6 +1,7 @@
 //! Lists a collection of the store, which comes in pages.
 
 use std::cell::RefCell;
+use std::time::Duration;
 
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::era::era_of;
@@ -15,6 +16,35 @@
 use crate::store::{Collection, Page, Record, Revision, Store, StoreError};
 use crate::store_watcher::{apply_record, note_era};
 
+/// The most entries of a list: ten times as many as there are servers where there are most. A list of more counts as one
+/// without an end.
+const MAX_ENTRIES: usize = 100_000;
+
+/// How long a further page is asked for again.
+const PAGE_RETRY_TIME: Duration = Duration::from_secs(3);
+
+/// The pause before it is asked for again; chance adds as much.
+const PAGE_RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Counts the entries of a list, to give up one without an end.
+#[derive(Default)]
+pub(crate) struct EntryCount(usize);
+
+impl EntryCount {
+    /// Adds the entries of a page.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the list has no end.
+    pub(crate) fn add(&mut self, entries: usize) -> Result<(), StoreError> {
+        self.0 += entries;
+        match self.0 > MAX_ENTRIES {
+            true => Err(StoreError::Unreadable("the list has no end".into())),
+            false => Ok(()),
+        }
+    }
+}
+
 /// Where and why a list could not go on.
 #[derive(Eq, PartialEq)]
 struct StoppedList {
@@ -87,12 +117,13 @@
             server_updates::apply_servers(context, clock::now(), self.servers);
             context.set_servers_listed();
         }
-        let zones = self.zones.into_iter();
-        zones.for_each(|zone| evacuation::apply_begin(context, zone));
+        if collection == Collection::Evacuations {
+            evacuation::apply_part_of_list(context, self.zones.into_iter());
+        }
     }
 }
 
-/// Lists a collection. Where a page can't be had, and would not be had again either, the pages before it are used, and
+/// Lists a collection. Where a page can't be had, for a while or for good, the pages before it are used, and
 /// the collection counts as incomplete: one entry of another writer must not keep this VM from serving. The configuration
 /// is then read by its name, at a revision that the store has `reached` before.
 pub(crate) async fn list_all<S: Store>(
@@ -106,8 +137,11 @@
     let mut after: Option<String> = None;
     let mut first = None;
     let mut pages = 0;
+    let mut count = EntryCount::default();
     loop {
-        let page = store.list(collection, after.as_deref(), false).await;
+        let is_further = pages > 0;
+        let page = list_page(store, collection, after.as_deref(), is_further).await;
+        let page = page.and_then(|page| count.add(page.records.len()).map(|()| page));
         let Page {
             records,
             next,
@@ -117,7 +151,7 @@
             (Err(error), first) => {
                 let (after, why) = (after.clone(), error.to_string());
                 log.stopped(collection, StoppedList { after, pages, why });
-                if !error.is_lasting() {
+                if !error.is_lasting() && first.is_none() || error.is_of_history() {
                     return Err(error);
                 }
                 if collection == Collection::Configuration {
@@ -147,6 +181,28 @@
     }
 }
 
+/// Returns a page. A further one that can't be had for now is asked for again for a while, as the list would begin anew
+/// otherwise.
+async fn list_page<S: Store>(
+    store: &S,
+    collection: Collection,
+    after: Option<&str>,
+    is_further: bool,
+) -> Result<Page, StoreError> {
+    let started_at = clock::now();
+    loop {
+        let page = store.list(collection, after, false).await;
+        let may_work_later = |error: &StoreError| !error.is_lasting() && !error.is_of_history();
+        let is_retried = is_further && clock::since(started_at) < PAGE_RETRY_TIME;
+        match page {
+            Err(error) if is_retried && may_work_later(&error) => {
+                tokio::time::sleep(PAGE_RETRY_PAUSE.mul_f64(1.0 + fastrand::f64())).await;
+            }
+            page => return page,
+        }
+    }
+}
+
 async fn read_configuration<S: Store>(context: &Context, store: &S) -> Result<(), StoreError> {
     if let Some(record) = store.read_configuration().await? {
         apply_record(context, record);
