fix(edge): a server whose id no header can hold gets no requests

What callers saw: requests that reached servers with headers that nobody had sent, or with a second request behind them. Cause: the id of a server is the name of its object in the store, which may hold any bytes, and each request names the server that it is meant for in a header, into which the id went as it was: `i-1\r\nx-evil: 1` added a header to the requests of callers. An id with a blank at its end reached the server as another id, and one of 1 MB made heads that no server reads. Why it works: an id is parsed as the value of a header (RFC 9110, section 5.5; 1,024 bytes at most) where an entry comes in, and such an entry counts as unreadable: one line `entry_unreadable`, and nothing to use. No upstream can be made of a server with another id, so that one from a VM of an earlier release isn't used either; it is still passed on, and the other servers hold. A property draws names, writes them into a head and parses it again.

--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! The backend servers as this VM uses them: pooled connections, load reports, probes, and requests in flight.
 
+mod connect_error;
 pub mod crash_check;
 pub mod exchange;
 pub mod own_answer;
@@ -9,7 +10,6 @@
 mod usage;
 
 use std::cell::{Cell, OnceCell};
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,10 +18,12 @@
 use kingcuploft::entry::placement::{Candidate, LoadReport};
 use kingcuploft::utils::rendezvous::rendezvous;
 use kingcuploft::world::ids::VmName;
+use kingcuploft::world::wire_text::{HeaderText, WireTextError};
 
 use crate::clock;
 use crate::http::client::{Connection, ConnectionCount};
 use crate::network::Network;
+pub use connect_error::ConnectError;
 use probe_step::ProbeStep;
 use usage::{ColdReportRequired, Usage};
 
@@ -54,29 +56,6 @@
     Connection,
 }
 
-/// Why a call has no connection to a server.
-#[derive(Debug, thiserror::Error)]
-pub enum ConnectError {
-    /// All connections that this VM may have to the server are in use.
-    #[error("all connections of this VM's share are in use")]
-    ShareInUse,
-    /// No connection could be opened.
-    #[error("{0}")]
-    Io(#[from] std::io::Error),
-}
-
-impl ConnectError {
-    /// Returns the name used in logs.
-    pub fn label(&self) -> &'static str {
-        match self {
-            Self::ShareInUse => "share in use",
-            Self::Io(error) if error.kind() == ErrorKind::TimedOut => "timed out",
-            Self::Io(error) if error.kind() == ErrorKind::ConnectionRefused => "refused",
-            Self::Io(_) => "failed",
-        }
-    }
-}
-
 /// Who learned a load report from the server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReportSource {
@@ -102,14 +81,24 @@
 
 impl Upstream {
     /// Creates the upstream of a server, without connections or load reports.
-    pub fn new(server: Arc<BackendServer>, vm: &VmName, near: bool, now: Instant) -> Self {
-        Self {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no header can hold the server's name, so that no request can be meant for it.
+    pub fn new(
+        server: Arc<BackendServer>,
+        vm: &VmName,
+        near: bool,
+        now: Instant,
+    ) -> Result<Self, WireTextError> {
+        HeaderText::parse(&server.name)?;
+        Ok(Self {
             rank: rendezvous(vm, &server.name),
             cold_until: Cell::new(now + cold_time::bounded(server.cold_for)),
             server,
             near,
             usage: OnceCell::new(),
-        }
+        })
     }
 
     /// Returns whether this VM has used the server.
--- a/crates/kingcuploft-entry/src/usable_servers.rs
+++ b/crates/kingcuploft-entry/src/usable_servers.rs
@@ -113,7 +113,10 @@
             let server = servers.get_shared(name)?;
             let near = server.zone == self.settings.zone;
             let upstream = Upstream::new(server, &self.settings.vm, near, now);
-            Some(Rc::new(upstream))
+            upstream
+                .inspect_err(|why| self.record_unreadable(name, why))
+                .ok()
+                .map(Rc::new)
         });
         let added = added.collect();
         self.upstreams.borrow_mut().apply(&dropped, added);
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -29,5 +29,6 @@
 mod stopping_search;
 mod store_faults;
 mod testbed;
+mod unsendable;
 mod unused_servers;
 mod workspaces;
--- a/crates/kingcuploft-entry/tests/entry/unused_servers.rs
+++ b/crates/kingcuploft-entry/tests/entry/unused_servers.rs
@@ -23,7 +23,7 @@
         started_at: None,
     };
     let now = Instant::now();
-    let upstream = Upstream::new(server.into(), &"vm".into(), true, now);
+    let upstream = Upstream::new(server.into(), &"vm".into(), true, now).unwrap();
     assert!(upstream.has_connection_available(1));
     assert!(!upstream.has_connection_available(0));
     assert!(!upstream.is_unresponsive(now) && !upstream.is_running_suspect());
--- /dev/null
+++ b/crates/kingcuploft-entry/tests/outside_text/heads.rs
@@ -0,0 +1,52 @@
+//! Texts in the heads of requests.
+
+use kingcuploft::world::wire_text::{HeaderText, MAX_WIRE_TEXT_BYTES};
+use kingcuploft_entry::http::head::parse_request;
+use kingcuploft_entry::http::headers::write_header;
+
+use crate::drawn::{check, text};
+
+/// The headers of each request here, beside the one with the drawn text.
+const OTHER_HEADERS: usize = 2;
+
+/// Guards against a name that ends its header and begins another, or a request.
+#[test]
+fn a_header_holds_a_text_as_it_is_or_the_text_is_refused() {
+    check("header", |u| {
+        let drawn = text(u)?;
+        let Ok(value) = HeaderText::parse(&drawn) else {
+            return Ok(());
+        };
+        assert!(drawn.len() <= MAX_WIRE_TEXT_BYTES);
+        let mut bytes = b"GET /a HTTP/1.1\r\nHost: h\r\n".to_vec();
+        write_header(&mut bytes, "x-meant-for", value.as_str().as_bytes());
+        write_header(&mut bytes, "x-last", b"1");
+        bytes.extend(b"\r\n");
+        let (head, length) = parse_request(&bytes).unwrap().expect("a whole head");
+        assert_eq!(length, bytes.len());
+        let headers = head.headers;
+        let received: Vec<_> = headers.get_all("x-meant-for").collect();
+        assert_eq!(received, [drawn.as_bytes()]);
+        assert_eq!(headers.end_to_end().count(), OTHER_HEADERS + 1);
+        Ok(())
+    });
+}
+
+/// Guards against sound names that no request can be meant for.
+#[test]
+fn a_header_holds_every_visible_name() {
+    let names = [
+        "i-7f3a91c2",
+        "s0",
+        "a b",
+        "a\tb",
+        "a:b,c;d",
+        "\"quoted\\\"",
+        "%41",
+        "é",
+        "🦀",
+    ];
+    for name in names {
+        assert!(HeaderText::parse(name).is_ok(), "{name}");
+    }
+}
