fix(edge): a health path that is no path is left out, and the rest of its configuration holds

What callers saw: with a health path such as `/a HTTP/1.1\r\nx: 1\r\n\r\nGET /` in the configuration each probe carried a header or a second request to the servers, whose answers then stood in front of those of callers on kept connections. Cause: the path went into the request line as it was. Why it works: the configuration holds a path that was parsed (visible ASCII from a slash on, no fragment), or none; a probe can't be written from other text. VMs send each other the path as a text as before, empty for none; one that a VM of an earlier release sends is parsed again. Digests of a configuration whose paths are paths stay the same. The test of probes passes a parsed path now; nothing else in it changed.

--- a/crates/kingcuploft-entry/src/edge/hedge.rs
+++ b/crates/kingcuploft-entry/src/edge/hedge.rs
@@ -79,8 +79,9 @@
             return None;
         }
         let service = self.configuration.services.get(&self.service)?;
+        let health_path = service.health_path.as_ref()?;
         let asked_at = clock::now();
-        probe::start(self.context, upstream, &service.health_path);
+        probe::start(self.context, upstream, health_path);
         tokio::time::sleep(HEDGE_LOAD_REPORT_WAIT).await;
         let now = clock::now();
         let age = upstream.load_report(now).map(|(age, _)| age);
--- a/crates/kingcuploft-entry/src/edge/selection.rs
+++ b/crates/kingcuploft-entry/src/edge/selection.rs
@@ -284,10 +284,10 @@
 
     /// Probes a random sample of these servers; each is in it with probability `share`.
     pub(super) fn probe_upstreams(&self, upstreams: &[Rc<Upstream>], share: f64) {
-        let Some(service) = self.configuration.services.get(&self.service) else {
+        let service = self.configuration.services.get(&self.service);
+        let Some(health_path) = service.and_then(|service| service.health_path.as_ref()) else {
             return;
         };
-        let health_path = &service.health_path;
         let sampled = upstreams.iter().filter(|_| fastrand::f64() < share);
         sampled.for_each(|upstream| probe::start(self.context, upstream, health_path));
     }
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -43,7 +43,7 @@
 pub mod store_liveness;
 pub mod store_sync;
 pub mod store_watcher;
-mod unreadable;
+pub mod unreadable;
 pub mod upstream;
 mod usable_servers;
 pub mod watch_check;
--- a/crates/kingcuploft-entry/src/reach.rs
+++ b/crates/kingcuploft-entry/src/reach.rs
@@ -267,7 +267,7 @@
     let configuration = context.configuration();
     let health_path = configuration.and_then(|c| {
         let service = c.services.get(service)?;
-        Some(service.health_path.clone())
+        service.health_path.clone()
     });
     let (Some(upstream), Some(health_path)) = (responsive, health_path) else {
         return;
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use kingcuploft::world::wire_text::RequestPath;
+
 use super::own_answer::{self, AwaitedAnswer};
 use super::probe_step::ProbeStep;
 use super::server_signals;
@@ -29,7 +31,7 @@
 
 /// Starts a probe of a server, unless its last load report is fresh, a probe is in flight, it did not answer lately, or
 /// it wants nothing now.
-pub fn start(context: &Rc<Context>, upstream: &Rc<Upstream>, health_path: &str) {
+pub fn start(context: &Rc<Context>, upstream: &Rc<Upstream>, health_path: &RequestPath) {
     let now = clock::now();
     let fresh = upstream.has_fresh_load_report(now, context.max_load_report_age());
     if upstream.is_probe_in_flight() || fresh || upstream.is_unresponsive(now) {
@@ -156,9 +158,9 @@
     Some(response)
 }
 
-fn request(upstream: &Upstream, health_path: &str) -> Vec<u8> {
+fn request(upstream: &Upstream, health_path: &RequestPath) -> Vec<u8> {
     let mut out = Vec::with_capacity(96);
-    out.extend_from_slice(format!("GET {health_path} HTTP/1.1\r\n").as_bytes());
+    out.extend_from_slice(format!("GET {} HTTP/1.1\r\n", health_path.as_str()).as_bytes());
     write_header(
         &mut out,
         "Host",
--- a/crates/kingcuploft-entry/tests/entry/callers.rs
+++ b/crates/kingcuploft-entry/tests/entry/callers.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::vm_count::VmCount;
+use kingcuploft::world::wire_text::RequestPath;
 use kingcuploft_entry::reach;
 use kingcuploft_entry::settings::EntrySettings;
 use kingcuploft_entry::upstream::probe;
@@ -175,7 +176,8 @@
         for _ in 1..share {
             held.push(reach::connect(context, &upstream).await.unwrap());
         }
-        probe::start(context, &upstream, "/health");
+        let health_path = RequestPath::parse("/health").unwrap();
+        probe::start(context, &upstream, &health_path);
         held.push(reach::connect(context, &upstream).await.unwrap());
         wait_until(|| !upstream.is_probe_in_flight()).await;
         assert_eq!(testbed.servers[0].opened_connections.get() as usize, share);
--- a/crates/kingcuploft-entry/tests/entry/testbed.rs
+++ b/crates/kingcuploft-entry/tests/entry/testbed.rs
@@ -14,6 +14,7 @@
 use kingcuploft::entry::workspaces::{Workspace, Workspaces};
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::contract::Contract;
+use kingcuploft::world::wire_text::RequestPath;
 use kingcuploft_entry::run::{self, Running};
 use kingcuploft_entry::settings::{Bounds, EntrySettings, WireNames};
 use kingcuploft_simulation::header_names;
@@ -175,7 +176,7 @@
         route("short", "/short/", Contract::RetryFreely, 300),
     ];
     let service = Service {
-        health_path: "/health".into(),
+        health_path: RequestPath::parse("/health").ok(),
         most_connections: MAX_CONNECTIONS,
         cold_start: None,
     };
--- a/crates/kingcuploft-entry/tests/entry/unsendable.rs
+++ b/crates/kingcuploft-entry/tests/entry/unsendable.rs
@@ -1,9 +1,10 @@
 //! Names that come from outside and that no request can hold.
 
 use kingcuploft::entry::backend_servers::BackendServer;
+use kingcuploft_entry::unreadable::parse_health_path;
 
 use crate::server::{Behavior, TestServer};
-use crate::testbed::{Testbed, entry, lookup, run_test, wait_until};
+use crate::testbed::{Testbed, booking, configuration, entry, lookup, run_test, wait_until};
 
 /// Ids that would end their header, reach the server as another id, or be too long for any head.
 fn ids() -> Vec<String> {
@@ -42,3 +43,24 @@
         });
     }
 }
+
+/// Guards against requests that are refused as the servers of their service can't be probed.
+#[test]
+fn a_service_whose_health_path_is_no_path_is_served_without_probes() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Answer]).await;
+        let mut unprobed = configuration(2);
+        for service in unprobed.services.values_mut() {
+            service.health_path = parse_health_path("trip", "/health HTTP/1.1\r\nx-evil: 1\r\n");
+        }
+        testbed.store.write_configuration(unprobed);
+        let context = &testbed.vm.context;
+        wait_until(|| context.active_configuration.version() == Some(2)).await;
+        let probes = testbed.servers[0].probe_count.get();
+        for at in 0..8 {
+            assert_eq!(testbed.ask(&lookup(&format!("r{at}"))).await.status, 200);
+            assert_eq!(testbed.ask(&booking(&format!("b{at}"))).await.status, 200);
+        }
+        assert_eq!(testbed.servers[0].probe_count.get(), probes);
+    });
+}
--- a/crates/kingcuploft-entry/tests/links/configurations.rs
+++ b/crates/kingcuploft-entry/tests/links/configurations.rs
@@ -5,6 +5,7 @@
 use fastrand::Rng;
 use kingcuploft::entry::configuration::{Configuration, Destination, Limits, Route, Service};
 use kingcuploft::world::contract::Contract;
+use kingcuploft::world::wire_text::RequestPath;
 
 const SERVICES: [&str; 4] = ["lists", "adoptions", "catalogue", "stock"];
 
@@ -42,7 +43,7 @@
 pub(crate) fn configuration(version: u64, routes: &[Route]) -> Configuration {
     let services = SERVICES.iter().map(|name| {
         let service = Service {
-            health_path: "/health".into(),
+            health_path: RequestPath::parse("/health").ok(),
             most_connections: 980,
             cold_start: None,
         };
--- a/crates/kingcuploft-entry/tests/outside_text/drawn.rs
+++ b/crates/kingcuploft-entry/tests/outside_text/drawn.rs
@@ -7,6 +7,9 @@
 /// The environment variable with the number of inputs of each property, for runs by hand; without it each runs for a second.
 const INPUTS_VARIABLE: &str = "OUTSIDE_TEXT_INPUTS";
 
+/// The most bytes from which an input is drawn: enough for the longest one.
+const MAX_ENTROPY_BYTES: u32 = 512;
+
 /// How long a property is searched at a time, in milliseconds.
 const BUDGET_MS: u64 = 1000;
 
@@ -87,6 +90,7 @@
             Ok(())
         })
         .budget_ms(BUDGET_MS)
+        .size_max(MAX_ENTROPY_BYTES)
         .run();
         if inputs.get() >= wanted {
             break;
--- a/crates/kingcuploft-entry/tests/outside_text/heads.rs
+++ b/crates/kingcuploft-entry/tests/outside_text/heads.rs
@@ -1,6 +1,6 @@
 //! Texts in the heads of requests.
 
-use kingcuploft::world::wire_text::{HeaderText, MAX_WIRE_TEXT_BYTES};
+use kingcuploft::world::wire_text::{HeaderText, MAX_WIRE_TEXT_BYTES, RequestPath};
 use kingcuploft_entry::http::head::parse_request;
 use kingcuploft_entry::http::headers::write_header;
 
@@ -50,3 +50,21 @@
         assert!(HeaderText::parse(name).is_ok(), "{name}");
     }
 }
+
+/// Guards against a path that ends its request line and begins a header, or a request.
+#[test]
+fn a_request_line_holds_a_path_as_it_is_or_the_path_is_refused() {
+    check("path", |u| {
+        let drawn = format!("/{}", text(u)?);
+        let Ok(path) = RequestPath::parse(&drawn) else {
+            return Ok(());
+        };
+        let bytes = format!("GET {} HTTP/1.1\r\nHost: h\r\n\r\n", path.as_str());
+        let (head, length) = parse_request(bytes.as_bytes())
+            .unwrap()
+            .expect("a whole head");
+        assert_eq!((&*head.target, length), (&*drawn, bytes.len()));
+        assert_eq!(head.headers.end_to_end().count(), 1);
+        Ok(())
+    });
+}
--- a/crates/kingcuploft-simulation/src/operator.rs
+++ b/crates/kingcuploft-simulation/src/operator.rs
@@ -10,6 +10,7 @@
 };
 use kingcuploft::entry::workspaces::{Workspace, Workspaces};
 use kingcuploft::world::contract::Contract;
+use kingcuploft::world::wire_text::RequestPath;
 
 use crate::deployment::Deployment;
 use crate::history::{AcceptedWrite, History};
@@ -115,7 +116,7 @@
                 per_1000_s: (service.cold_per_s * 1000.0) as u64,
             });
             let service_settings = Service {
-                health_path: "/health".into(),
+                health_path: RequestPath::parse("/health").ok(),
                 most_connections: CONNECTIONS_PER_SERVER,
                 cold_start,
             };
--- a/crates/kingcuploft/src/entry/configuration.rs
+++ b/crates/kingcuploft/src/entry/configuration.rs
@@ -11,6 +11,7 @@
 use crate::utils::{HashMap, HashSet, digest};
 use crate::world::contract::Contract;
 use crate::world::ids::{RuleName, ServiceName};
+use crate::world::wire_text::{RequestPath, path_or_empty};
 
 /// The version number of a configuration; a greater one is newer.
 pub type ConfigurationVersion = u64;
@@ -58,8 +59,9 @@
 /// The properties of a service other than its backend servers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Service {
-    /// The path of its health and load endpoint.
-    pub health_path: String,
+    /// The path of its health and load endpoint; `None` if what was configured is no path, so that servers aren't probed.
+    #[serde(with = "path_or_empty")]
+    pub health_path: Option<RequestPath>,
     /// How many connections one backend server accepts from all callers together.
     pub most_connections: u32,
     /// The limits of its backend servers just after their start; none if they take full load at once.
@@ -70,7 +72,8 @@
 impl Hash for Service {
     /// Leaves out cold starts: VMs of earlier releases, which don't know them, compute the same digest.
     fn hash<H: Hasher>(&self, state: &mut H) {
-        self.health_path.hash(state);
+        let health_path = self.health_path.as_ref();
+        health_path.map_or("", RequestPath::as_str).hash(state);
         self.most_connections.hash(state);
     }
 }
--- a/crates/kingcuploft/tests/entry/configuration_change.rs
+++ b/crates/kingcuploft/tests/entry/configuration_change.rs
@@ -11,6 +11,7 @@
 use kingcuploft::entry::workspaces::{Workspace, Workspaces};
 use kingcuploft::utils::HashMap;
 use kingcuploft::world::contract::Contract;
+use kingcuploft::world::wire_text::RequestPath;
 
 fn route(number: u32, timeout_ms: u64) -> Route {
     Route {
@@ -32,7 +33,7 @@
 
 fn configuration_of(version: u64, routes: Vec<Route>) -> Configuration {
     let service = Service {
-        health_path: "/health".into(),
+        health_path: RequestPath::parse("/health").ok(),
         most_connections: 220,
         cold_start: None,
     };
