fix(store): a list goes on after a name whose bytes can't be read

What callers saw: a VM whose list of servers had a page that ends at an object of another writer with such a name (bytes that are no UTF-8, a control character, half of a character) was never ready: no name to go on from, again and again. Cause: what can't be read was marked with one and the same character, so that the name was lost.

--- a/crates/kingcuploft-entry/src/http/target.rs
+++ b/crates/kingcuploft-entry/src/http/target.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_encode};
 
 /// All characters but those that mean the same everywhere in a target (RFC 3986, section 2.3).
 const RESERVED: &AsciiSet = &NON_ALPHANUMERIC
@@ -30,11 +30,17 @@
 
     /// Appends a parameter to the query.
     #[must_use]
-    pub fn with_parameter(mut self, name: &str, value: impl fmt::Display) -> Self {
+    pub fn with_parameter(self, name: &str, value: impl fmt::Display) -> Self {
+        self.with_bytes(name, value.to_string().as_bytes())
+    }
+
+    /// Appends a parameter, whose value may be no text, to the query.
+    #[must_use]
+    pub fn with_bytes(mut self, name: &str, value: &[u8]) -> Self {
         self.text.push(if self.has_query { '&' } else { '?' });
         self.has_query = true;
-        let value = value.to_string();
-        self.text += &format!("{}={}", encoded(name), encoded(&value));
+        let value = percent_encode(value, RESERVED);
+        self.text += &format!("{}={value}", encoded(name));
         self
     }
 }
@@ -46,5 +52,5 @@
 }
 
 fn encoded(text: &str) -> impl fmt::Display + '_ {
-    utf8_percent_encode(text, RESERVED)
+    percent_encode(text.as_bytes(), RESERVED)
 }
