fix(log): a line stays short and in visible ASCII, whatever the names in it

What callers saw: nothing yet. What operators could see: lines of hundreds of kB for one entry that can't be used, lines that readers which split at U+2028 or U+0085 take for two, and control characters of names (U+009B, DEL, changes of direction) that their terminal obeys. Cause: names of objects may have any characters and the length of an object, and went into the line as JSON has them; JSON escapes only quotes, backslashes and characters below U+0020. 512 lines may wait for a reader: with names of 1 MB that is three times the memory of the smallest VM. Why it works: each line passes one place on its way to the queue, where characters beyond visible ASCII become the escapes that JSON has for them, and a text of more than 2,048 bytes is cut between two characters.

--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! platform's store holds. The platform's adapter supplies the names of headers and paths as [`settings::WireNames`]
 //! and the store's entries through [`store::Store`].
 
+pub mod ascii_json;
 mod budgets;
 pub mod clock;
 pub mod cold_servers;
--- a/crates/kingcuploft-entry/src/logs.rs
+++ b/crates/kingcuploft-entry/src/logs.rs
@@ -1,4 +1,4 @@
-//! Structured logs on standard output: one JSON object a line.
+//! Structured logs on standard output: one JSON object a line, in ASCII, its texts cut to a length.
 //!
 //! Failure: the process that reads the log stops reading, and writes to standard output block. The guard: lines go
 //! through a bounded queue to a thread of their own; lines that find the queue full are counted and dropped, so
@@ -10,9 +10,14 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::ascii_json::to_bounded_ascii;
+
 /// The most lines that wait for the writer thread: some seconds of failures of one VM.
 const MAX_QUEUED_LINES: usize = 512;
 
+/// The most bytes of one text in a line: a name may be as long as an object of the store.
+const MAX_TEXT_BYTES: usize = 2048;
+
 /// How often [`drain`] checks whether all lines are written.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -98,6 +103,12 @@
         if line.is_empty() {
             return;
         }
+        let line = match std::str::from_utf8(&line) {
+            Ok(json) => to_bounded_ascii(json, MAX_TEXT_BYTES)
+                .into_owned()
+                .into_bytes(),
+            Err(_) => line,
+        };
         QUEUED.fetch_add(1, Ordering::Release);
         if self.queue.try_send(line).is_err() {
             DROPPED.fetch_add(1, Ordering::Relaxed);
--- a/crates/kingcuploft-entry/tests/outside_text/main.rs
+++ b/crates/kingcuploft-entry/tests/outside_text/main.rs
@@ -2,3 +2,4 @@
 
 mod drawn;
 mod heads;
+mod lines;
