fix(edge): the id of a request is compared and echoed byte for byte

What callers saw: a caller whose request id is no UTF-8 got "503, not run" for a booking that a server ran, and no id in refusals; one whose id ends in a no-break space got it back without. Cause: an id that is no text counted as none, and a request without an id takes any answer without one: also the refusal of a health check that comes again in front of the request's own answer (decision 0611). Ids were trimmed of all of Unicode's blanks. Evidence: on the code before, both tests in odd_ids fail: the booking got 503 where its server had run it, and the refusals had no or another id. Why it works: the id is kept and compared as the bytes that came, without the blanks that aren't part of a header's value (space, tab); its text, with marks for what is none, is for logs only.

--- a/crates/kingcuploft-entry/src/edge/answer.rs
+++ b/crates/kingcuploft-entry/src/edge/answer.rs
@@ -66,8 +66,8 @@
         retry_after: Option<Duration>,
     ) -> Self {
         let mut head = plain_text_head();
-        if let Some(id) = &request.id {
-            write_header(&mut head, wire_names.request_id, id.as_bytes());
+        if let Some(id) = &request.id_bytes {
+            write_header(&mut head, wire_names.request_id, id);
         }
         if let Some(after) = retry_after {
             write_retry_after(&mut head, after);
@@ -99,10 +99,14 @@
     }
 
     /// Builds an answer of this VM, which exits, to a request of which it is unknown whether it has run or will run.
-    pub(super) fn of_exiting_vm(wire_names: &WireNames, id: Option<&str>, head_only: bool) -> Self {
+    pub(super) fn of_exiting_vm(
+        wire_names: &WireNames,
+        id: Option<&[u8]>,
+        head_only: bool,
+    ) -> Self {
         let mut head = plain_text_head();
         if let Some(id) = id {
-            write_header(&mut head, wire_names.request_id, id.as_bytes());
+            write_header(&mut head, wire_names.request_id, id);
         }
         Self {
             status: UNKNOWN_OUTCOME_STATUS,
--- a/crates/kingcuploft-entry/src/edge/pending_answer.rs
+++ b/crates/kingcuploft-entry/src/edge/pending_answer.rs
@@ -12,6 +12,7 @@
 /// What an answer must know of its request.
 #[derive(Debug, Default)]
 pub(super) struct AnsweredRequest {
+    id_bytes: Option<Vec<u8>>,
     id: Option<String>,
     is_head: bool,
 }
@@ -19,6 +20,7 @@
 impl AnsweredRequest {
     pub(super) fn of(request: &Request) -> Self {
         Self {
+            id_bytes: request.id_bytes.clone(),
             id: request.id.clone(),
             is_head: request.head.method == "HEAD",
         }
@@ -76,7 +78,11 @@
     fn answer_at_exit(&mut self) -> Answer {
         self.receiver.close();
         let names = &self.context.wire_names;
-        Answer::of_exiting_vm(names, self.request.id.as_deref(), self.request.is_head)
+        Answer::of_exiting_vm(
+            names,
+            self.request.id_bytes.as_deref(),
+            self.request.is_head,
+        )
     }
 
     /// Records that the answer is written.
--- a/crates/kingcuploft-entry/src/edge/request.rs
+++ b/crates/kingcuploft-entry/src/edge/request.rs
@@ -28,7 +28,9 @@
 /// A complete request.
 #[derive(Debug)]
 pub struct Request {
-    /// The request id that the caller gave this attempt.
+    /// The request id that the caller gave this attempt, as it came.
+    pub id_bytes: Option<Vec<u8>>,
+    /// The same as text, for logs.
     pub id: Option<String>,
     /// Its request line and headers.
     pub head: RequestHead,
@@ -53,9 +55,11 @@
         wire_names: &WireNames,
         relayed: Option<RelayedRequest>,
     ) -> Self {
+        let id = head.headers.get_bytes(wire_names.request_id);
         Self {
             relayed,
-            id: head.headers.get(wire_names.request_id).map(str::to_owned),
+            id: id.map(|id| String::from_utf8_lossy(id).into_owned()),
+            id_bytes: id.map(<[u8]>::to_vec),
             head,
             body,
             _reservation: reservation,
--- a/crates/kingcuploft-entry/src/http/headers.rs
+++ b/crates/kingcuploft-entry/src/http/headers.rs
@@ -34,6 +34,15 @@
         std::str::from_utf8(first).ok().map(str::trim)
     }
 
+    /// Returns the first value of a header, without the blanks around it.
+    pub fn get_bytes<'a>(&'a self, name: &'a str) -> Option<&'a [u8]> {
+        let mut value = self.get_all(name).next()?;
+        while let [b' ' | b'\t', rest @ ..] | [rest @ .., b' ' | b'\t'] = value {
+            value = rest;
+        }
+        Some(value)
+    }
+
     /// Returns all values of a header.
     pub fn get_all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
         let named = self
--- a/crates/kingcuploft-entry/src/upstream/exchange.rs
+++ b/crates/kingcuploft-entry/src/upstream/exchange.rs
@@ -177,7 +177,7 @@
 ) -> Result<Response, (AttemptEnd, &'static str)> {
     let awaited = AwaitedAnswer {
         method: &request.head.method,
-        request_id: request.id.as_deref(),
+        request_id: request.id_bytes.as_deref(),
         max_bytes: MAX_RESPONSE_BYTES,
         sender,
     };
--- a/crates/kingcuploft-entry/src/upstream/own_answer.rs
+++ b/crates/kingcuploft-entry/src/upstream/own_answer.rs
@@ -13,8 +13,8 @@
 pub struct AwaitedAnswer<'a> {
     /// The request's method.
     pub method: &'a str,
-    /// The request's id, if it has one.
-    pub request_id: Option<&'a str>,
+    /// The request's id as its caller sent it, if it has one.
+    pub request_id: Option<&'a [u8]>,
     /// The most bytes of the answer's body.
     pub max_bytes: usize,
     /// The name of the server, or of the VM, in logs.
@@ -48,19 +48,22 @@
         let received = connection.receive_from_server(awaited.method, awaited.max_bytes, account);
         let received = received.await;
         if let Err(ReceiveError::GivenUp { reason, bytes }) = &received {
-            let (id, sender) = (awaited.request_id, awaited.sender);
-            context.record_answer_given_up(id, sender, *reason, *bytes);
+            let id = awaited.request_id.map(String::from_utf8_lossy);
+            context.record_answer_given_up(id.as_deref(), awaited.sender, *reason, *bytes);
         }
         let response = received?;
-        let echoed_id = response.head.headers.get(context.wire_names.request_id);
+        let echoed_id = response
+            .head
+            .headers
+            .get_bytes(context.wire_names.request_id);
         if is_own_answer(awaited.request_id, echoed_id) {
             return Ok(response);
         }
         connection.mark_unusable();
         tracing::info!(
             event = "crossed_answer",
-            request = awaited.request_id,
-            answer = echoed_id
+            request = awaited.request_id.map(String::from_utf8_lossy).as_deref(),
+            answer = echoed_id.map(String::from_utf8_lossy).as_deref()
         );
     }
     Err(NoOwnAnswer::OnlyOthers)
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -16,6 +16,7 @@
 mod invalid_statuses;
 mod leaving;
 mod limits;
+mod odd_ids;
 mod operating;
 mod pauses;
 mod protected;
