fix(relay): what VMs tell each other of a request stands in visible ASCII

What callers saw: 503 or 502 at a VM that is cut off from the servers of a service whose name holds U+007F, where another VM serves them. Cause: the header by which a VM passes a request on holds JSON, which leaves U+007F as it is; no header may hold it, so the other VM refused the head. Evidence: on the code before, heads::what_vms_tell_each_other_of_a_relayed_request_holds_any_name fails (the head is malformed).

--- a/crates/kingcuploft-entry/src/relay/wire.rs
+++ b/crates/kingcuploft-entry/src/relay/wire.rs
@@ -3,6 +3,7 @@
 use kingcuploft::world::ids::{BackendServerName, ServiceName, WorkspaceName};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use crate::ascii_json::to_ascii;
 use crate::http::headers::Headers;
 
 /// The name of the header, both of the request and of the answer.
@@ -37,10 +38,11 @@
     pub ran: u32,
 }
 
-/// Encodes the value of the header.
+/// Encodes the value of the header, in visible ASCII: JSON may hold characters that a header can't.
 pub fn encode(value: &impl Serialize) -> Vec<u8> {
     // Structs of names and numbers always have a JSON form.
-    serde_json::to_vec(value).unwrap_or_default()
+    let json = serde_json::to_string(value).unwrap_or_default();
+    to_ascii(&json).into_owned().into_bytes()
 }
 
 /// Decodes the value of the header; returns `None` if it is missing or can't be decoded.
--- a/crates/kingcuploft-entry/tests/outside_text/heads.rs
+++ b/crates/kingcuploft-entry/tests/outside_text/heads.rs
@@ -1,9 +1,11 @@
 //! Texts in the heads of requests.
 
 use kingcuploft::world::wire_text::{HeaderText, MAX_WIRE_TEXT_BYTES, RequestPath};
-use kingcuploft_entry::http::head::parse_request;
+use kingcuploft_entry::http::head::{parse_request, parse_response};
 use kingcuploft_entry::http::headers::write_header;
 
+use kingcuploft_entry::relay::wire::{self, RELAY_HEADER, RelayedAnswer, RelayedRequest};
+
 use crate::drawn::{check, text};
 
 /// The headers of each request here, beside the one with the drawn text.
@@ -68,3 +70,36 @@
         Ok(())
     });
 }
+
+/// Guards against a relayed request that the other VM can't read, as the name of its service can't stand in a header.
+#[test]
+fn what_vms_tell_each_other_of_a_relayed_request_holds_any_name() {
+    check("relay", |u| {
+        let request = RelayedRequest {
+            service: text(u)?.into(),
+            configuration: 1,
+            waited_ms: 0,
+            is_caller_retry: false,
+            attempts: 2,
+            workspace: Some(text(u)?.into()),
+        };
+        let answer = RelayedAnswer {
+            server: Some(text(u)?.into()),
+            arrived: 1,
+            ran: 1,
+        };
+        let mut bytes = b"GET /a HTTP/1.1\r\nHost: h\r\n".to_vec();
+        write_header(&mut bytes, RELAY_HEADER, &wire::encode(&request));
+        bytes.extend(b"\r\n");
+        let (head, _) = parse_request(&bytes).unwrap().expect("a whole head");
+        assert_eq!(wire::decode(&head.headers), Some(request));
+        let mut bytes = b"HTTP/1.1 200 OK\r\n".to_vec();
+        write_header(&mut bytes, RELAY_HEADER, &wire::encode(&answer));
+        bytes.extend(b"\r\n");
+        let (head, _) = parse_response(&bytes, "GET")
+            .unwrap()
+            .expect("a whole head");
+        assert_eq!(wire::decode(&head.headers), Some(answer));
+        Ok(())
+    });
+}
