fix(quarantine): a notice is read only from the name that it would be written with

What callers saw: nothing by itself; a request that another writer's notice named stayed refused for longer than it should. Cause: the name of a notice is parsed, and composed again where the notice is deleted or found missing from a list. Names as `crash.FF.s1` or `crash.+1.s1` were read and composed to others: the object was never deleted, the notice was dropped at each list of the store and, after the store came back from a copy, written again under another name. Evidence: on the code before, notices::a_name_that_is_read_as_that_of_a_crash_report_is_the_name_of_that_report fails.

--- a/crates/kingcuploft-entry/tests/outside_text/main.rs
+++ b/crates/kingcuploft-entry/tests/outside_text/main.rs
@@ -3,3 +3,4 @@
 mod drawn;
 mod heads;
 mod lines;
+mod notices;
--- a/crates/kingcuploft/src/entry/crash_report.rs
+++ b/crates/kingcuploft/src/entry/crash_report.rs
@@ -27,9 +27,11 @@
         format!("{PREFIX}{:016x}.{}", self.fingerprint, self.of)
     }
 
-    /// Returns the request and the server or trial from a report's key, or `None` for other keys.
+    /// Returns the request and the server or trial from a report's key, or `None` for other keys. A key of another writer
+    /// that looks alike is none: what is read from it would have another key.
     pub fn parse_id(id: &str) -> Option<(Fingerprint, &str)> {
-        let (fingerprint, of) = id.strip_prefix(PREFIX)?.split_once('.')?;
-        Some((Fingerprint::from_str_radix(fingerprint, 16).ok()?, of))
+        let (digits, of) = id.strip_prefix(PREFIX)?.split_once('.')?;
+        let fingerprint = Fingerprint::from_str_radix(digits, 16).ok()?;
+        (digits == format!("{fingerprint:016x}")).then_some((fingerprint, of))
     }
 }
