fix(quarantine): a crash counts whatever the name of its server

What callers saw: a request that crashes servers was tried at one more server for each whose name begins with `trial-`. Cause: a report names the server that crashed or a trial, `trial-3`, in one field; crashes are counted by the reports of servers, and a server's name may begin like a trial's. Evidence: on the code before, notices::a_crash_counts_whatever_the_name_of_its_server fails with the name `trial-1`. Why it works: in reports, a mark stands before such a name, and before one that begins with the mark, so that no two names become one. The names of reports of all other servers stay as they are, also to VMs of earlier releases.

--- a/crates/kingcuploft-entry/tests/outside_text/notices.rs
+++ b/crates/kingcuploft-entry/tests/outside_text/notices.rs
@@ -1,6 +1,9 @@
 //! Texts in the names of notices, which are composed and parsed again.
 
+use std::time::Instant;
+
 use kingcuploft::entry::crash_report::CrashReport;
+use kingcuploft::entry::quarantine::Quarantine;
 use kingcuploft::entry::server_limits::LimitNotice;
 
 use crate::drawn::{check, text};
@@ -55,3 +58,15 @@
         Ok(())
     });
 }
+
+/// Guards against a crash that isn't counted, as the name of its server is that of a trial.
+#[test]
+fn a_crash_counts_whatever_the_name_of_its_server() {
+    check("crashes", |u| {
+        let server = format!("{}{}", u.choose(&["", "~", "trial-", "trial-1"])?, text(u)?);
+        let mut quarantine = Quarantine::default();
+        quarantine.record_crash(Instant::now(), 7, &server.as_str().into(), 0);
+        assert_eq!(quarantine.record_start(7), 1, "{server:?}");
+        Ok(())
+    });
+}
--- a/crates/kingcuploft/src/entry/quarantine.rs
+++ b/crates/kingcuploft/src/entry/quarantine.rs
@@ -30,6 +30,9 @@
 /// Prefix of a trial's name, which takes the place of the server's name in a report.
 const TRIAL_PREFIX: &str = "trial-";
 
+/// What stands before a server's name that begins like a trial's, or like this.
+const SERVER_MARK: &str = "~";
+
 /// Retry delay for a caller whose request another VM has just begun to try.
 const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -187,7 +190,7 @@
     ) -> CrashReport {
         let report = CrashReport {
             fingerprint,
-            of: server.clone(),
+            of: in_reports(server),
             in_a_row: known + 1,
         };
         self.add(now, &report, Source::Observed);
@@ -295,6 +298,14 @@
     }
 }
 
+/// Returns the name of a server as reports hold it, which differs from that of any trial.
+fn in_reports(server: &Arc<str>) -> Arc<str> {
+    match server.starts_with(TRIAL_PREFIX) || server.starts_with(SERVER_MARK) {
+        true => format!("{SERVER_MARK}{server}").into(),
+        false => server.clone(),
+    }
+}
+
 fn is_expired(now: Instant, suspect: &Suspect) -> bool {
     let age = now.saturating_duration_since(suspect.last_report_at);
     match suspect.is_refused() {
