fix(metrics): a label is short, whatever the name of its route

What callers saw: nothing. What a reader of metrics saw: one route with a name of 1 MB made them 14.7 MB long, and up to 64 such names, of one configuration after the other, stayed in memory. Cause: a name of a route became a label as it was, and a label stands in each line of its histogram. Evidence: on the code before, metrics::a_label_holds_a_text_as_it_is_or_the_text_has_no_label_of_its_own fails with 14,686,290 bytes. Why it works: names of more than 256 bytes share the label `other`, as those beyond the first 64 do. Routes and workspaces have the same code for it now, in a file of its own; requests without a route no longer take one of the 64 places.

--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod gauges;
 mod given_up_answers;
 pub mod http;
+mod label_names;
 pub mod limits;
 pub mod logs;
 pub mod metrics;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -1,8 +1,6 @@
 //! The VM's metrics, in the text format of Prometheus. The number of label sets does not grow with the number of
 //! servers.
 
-use std::cell::RefCell;
-use std::collections::HashSet;
 use std::time::Duration;
 
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -12,22 +10,11 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::label_names::{LabelNames, OTHER_NAMES};
+
 /// Upper bounds of the latency histogram, in seconds: from an immediate refusal to the longest route.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
 
-/// The most routes with histograms of their own; the others share one, so that the metrics stay bounded for any
-/// configuration.
-const MAX_LABELLED_ROUTES: usize = 64;
-
-/// The label of routes without a histogram of their own, and of requests without a route.
-const OTHER_ROUTES: &str = "other";
-
-/// The most workspaces with counters of their own; the others share one.
-const MAX_LABELLED_WORKSPACES: usize = 64;
-
-/// The label of workspaces without counters of their own.
-const OTHER_WORKSPACES: &str = "other";
-
 /// The label set of counters that are split by reason.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Reason {
@@ -69,9 +56,9 @@
     answers_given_up: Family<Reason, Counter>,
     duties_failed: Family<Reason, Counter>,
     answers: Family<Answered, Histogram>,
-    routes: RefCell<HashSet<String>>,
+    routes: LabelNames,
     workspace_requests: Family<WorkspaceOutcome, Counter>,
-    workspaces: RefCell<HashSet<String>>,
+    workspaces: LabelNames,
     /// Requests that were given back to a quota, as they had not run.
     pub quota_given_back: Counter,
     /// Workspaces of the configuration in force.
@@ -145,9 +132,9 @@
             answers_given_up: Family::default(),
             duties_failed: Family::default(),
             answers: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S)),
-            routes: RefCell::default(),
+            routes: LabelNames::default(),
             workspace_requests: Family::default(),
-            workspaces: RefCell::default(),
+            workspaces: LabelNames::default(),
             quota_given_back: Counter::default(),
             known_workspaces: Gauge::default(),
             known_keys: Gauge::default(),
@@ -361,36 +348,18 @@
             503 => "not_run",
             _ => "failed",
         };
-        let route = self.route_label(route.unwrap_or(OTHER_ROUTES));
+        let route = route.map_or_else(|| OTHER_NAMES.to_owned(), |route| self.routes.label(route));
         let histogram = self.answers.get_or_create(&Answered { route, outcome });
         histogram.observe(took.as_secs_f64());
     }
 
     /// Counts a request of a workspace by what its quota made of it.
     pub fn count_workspace_request(&self, workspace: &str, outcome: &'static str) {
-        let mut known = self.workspaces.borrow_mut();
-        if known.len() < MAX_LABELLED_WORKSPACES && !known.contains(workspace) {
-            known.insert(workspace.to_owned());
-        }
-        let workspace = match known.contains(workspace) {
-            true => workspace.to_owned(),
-            false => OTHER_WORKSPACES.to_owned(),
-        };
+        let workspace = self.workspaces.label(workspace);
         let label = WorkspaceOutcome { workspace, outcome };
         self.workspace_requests.get_or_create(&label).inc();
     }
 
-    fn route_label(&self, route: &str) -> String {
-        let mut routes = self.routes.borrow_mut();
-        if routes.len() < MAX_LABELLED_ROUTES && !routes.contains(route) {
-            routes.insert(route.to_owned());
-        }
-        match routes.contains(route) {
-            true => route.to_owned(),
-            false => OTHER_ROUTES.to_owned(),
-        }
-    }
-
     /// Returns all metrics as text.
     pub fn to_text(&self) -> String {
         let mut out = String::new();
--- a/crates/kingcuploft-entry/tests/outside_text/main.rs
+++ b/crates/kingcuploft-entry/tests/outside_text/main.rs
@@ -3,4 +3,5 @@
 mod drawn;
 mod heads;
 mod lines;
+mod metrics;
 mod notices;
