test(edge): any text goes into calls to the store, frames and datagrams as one value

Properties over drawn texts: a target is one request line with the segments and parameters that it was built of; a frame is one line and a datagram one message, and both come back as they were sent.

--- a/crates/kingcuploft-entry/tests/outside_text/main.rs
+++ b/crates/kingcuploft-entry/tests/outside_text/main.rs
@@ -3,5 +3,6 @@
 mod drawn;
 mod heads;
 mod lines;
+mod messages;
 mod metrics;
 mod notices;
