fix(ctl): an operator's terminal obeys no character of a name

What callers saw: nothing. What operators could see: a trace with lines that stood in no log, a screen that is cleared, text that seems to say something else. Cause: `trace` reads lines of JSON and printed their strings as they are, line ends and control characters of a server's name included; other commands print names too. Evidence: on the code before, visible::a_line_of_a_log_is_one_line_of_a_trace fails. Why it works: a line of a log becomes one line of a trace, and what goes to a terminal has such characters as the escapes of JSON, so that output in JSON means the same.

--- a/crates/kingcuploftctl/src/lib.rs
+++ b/crates/kingcuploftctl/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod run;
 pub mod status;
 pub mod trace;
+pub mod visible;
 pub mod workspaces;
--- a/crates/kingcuploftctl/src/trace.rs
+++ b/crates/kingcuploftctl/src/trace.rs
@@ -9,6 +9,7 @@
 use serde_json::Value;
 
 use crate::exit::{Code, Outcome};
+use crate::visible::visible_line;
 
 /// One log line about the request.
 struct Line {
@@ -134,7 +135,8 @@
         "crossed_answer" => format!("skipped an answer to request {}", show("answer")),
         other => format!("{other}: {}", line.fields),
     };
-    format!("{} {}  {what}\n", line.timestamp, line.origin)
+    let described = format!("{} {}  {what}", line.timestamp, line.origin);
+    format!("{}\n", visible_line(&described))
 }
 
 fn conclusion(lines: &[Line]) -> &'static str {
