test(edge): a header is written only with a value that a header can hold

All headers pass one place, which leaves out a value with a line end or another control character, and fails in debug builds, so that the next text that isn't parsed where it comes in is found by the first test that sends it.

--- a/crates/kingcuploft-entry/src/http/headers.rs
+++ b/crates/kingcuploft-entry/src/http/headers.rs
@@ -76,10 +76,26 @@
     }
 }
 
-/// Appends a header line to `out`.
+/// Appends a header line to `out`. A value that would end the line is never written: values are parsed where they come in,
+/// and a header whose value was not is left out.
+///
+/// # Panics
+///
+/// Panics in debug builds if the value is none that a header can hold.
 pub fn write_header(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    let is_value = is_header_value(value);
+    debug_assert!(is_value, "{name}: {}", value.escape_ascii());
+    if !is_value {
+        return;
+    }
     out.extend_from_slice(name.as_bytes());
     out.extend_from_slice(b": ");
     out.extend_from_slice(value);
     out.extend_from_slice(b"\r\n");
 }
+
+/// Returns whether a header can hold these bytes (RFC 9110, section 5.5).
+fn is_header_value(bytes: &[u8]) -> bool {
+    let is_allowed = |byte: &u8| *byte == b'\t' || !byte.is_ascii_control();
+    bytes.iter().all(is_allowed)
+}
--- a/crates/kingcuploft-entry/tests/outside_text/heads.rs
+++ b/crates/kingcuploft-entry/tests/outside_text/heads.rs
@@ -1,5 +1,7 @@
 //! Texts in the heads of requests.
 
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
 use kingcuploft::world::wire_text::{HeaderText, MAX_WIRE_TEXT_BYTES, RequestPath};
 use kingcuploft_entry::http::head::{parse_request, parse_response};
 use kingcuploft_entry::http::headers::write_header;
@@ -103,3 +105,44 @@
         Ok(())
     });
 }
+
+/// Guards against a header that ends early whatever is written into it.
+#[test]
+fn a_value_that_no_header_can_hold_is_not_written() {
+    for value in [&b"a\r\nx-evil: 1"[..], b"\n", b"a\0", b"\x7f"] {
+        let mut head = Vec::new();
+        let written = catch_unwind(AssertUnwindSafe(|| write_header(&mut head, "x", value)));
+        assert_eq!(written.is_err(), cfg!(debug_assertions));
+        assert_eq!(head, b"");
+    }
+}
+
+/// Guards against bytes of a caller that make one request into two, or one header into two, on the way to a server.
+#[test]
+fn a_head_that_was_parsed_is_written_as_one_with_the_same_headers() {
+    check("forwarded", |u| {
+        let mut received = format!("GET /{} HTTP/1.1\r\nHost: h\r\n", text(u)?).into_bytes();
+        for _ in 0..u.int_in_range(0..=3)? {
+            received.extend(text(u)?.bytes());
+            received.extend(u.choose(&[": ", ":", " : ", "\r\n "])?.bytes());
+            received.extend(u.arbitrary::<&[u8]>()?);
+            received.extend(text(u)?.bytes());
+            received.extend(b"\r\n");
+        }
+        received.extend(b"\r\n");
+        let Ok(Some((head, _))) = parse_request(&received) else {
+            return Ok(());
+        };
+        let mut sent = format!("GET {} HTTP/1.1\r\n", head.target).into_bytes();
+        for (name, value) in head.headers.end_to_end() {
+            write_header(&mut sent, name, value);
+        }
+        sent.extend(b"\r\n");
+        let (again, length) = parse_request(&sent).unwrap().expect("a whole head");
+        assert_eq!((length, &again.target), (sent.len(), &head.target));
+        let before: Vec<_> = head.headers.end_to_end().collect();
+        let after: Vec<_> = again.headers.end_to_end().collect();
+        assert_eq!(before, after);
+        Ok(())
+    });
+}
