refactor(store): the connections to the store write their requests

The adapter translates names; how a request is written is the library's, beside the connections that send it.

--- a/crates/kingcuploft-entry/src/http/kept_connections.rs
+++ b/crates/kingcuploft-entry/src/http/kept_connections.rs
@@ -8,6 +8,8 @@
 use kingcuploft::utils::HashMap;
 
 use super::client::{Connection, LastArrival, ReceiveError, Response, SendError};
+use super::headers::write_header;
+use super::target::Target;
 use crate::network::Tcp;
 
 /// Names what a connection is for.
@@ -52,6 +54,23 @@
         self.address
     }
 
+    /// Returns the bytes of a request to the address, with a body of JSON if there is one.
+    pub fn request(&self, method: &str, target: &Target, json: Option<&str>) -> Vec<u8> {
+        let mut out = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
+        write_header(&mut out, "Host", self.address.to_string().as_bytes());
+        if let Some(json) = json {
+            write_header(&mut out, "Content-Type", b"application/json");
+            write_header(
+                &mut out,
+                "Content-Length",
+                json.len().to_string().as_bytes(),
+            );
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(json.unwrap_or_default().as_bytes());
+        out
+    }
+
     /// Returns when bytes of an answer last arrived on the connection for this purpose.
     pub fn last_arrival_at(&self, purpose: Purpose) -> Option<Instant> {
         let arrivals = self.last_arrivals.borrow();
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -341,7 +341,10 @@
         Record::Evacuation(zone) => evacuation::apply_begin(context, zone),
         Record::Notice(notice) => notices::apply_notices(context, vec![notice]),
         Record::Zone(_) | Record::Other => {}
-        Record::Unreadable(name, why) => context.record_unreadable(&name, &why),
+        Record::Unreadable(name, why) => {
+            context.metrics.unreadable_entries.inc();
+            tracing::warn!(event = "entry_unreadable", name, why);
+        }
     }
 }
 
