--- a/crates/kingcuploft-entry/src/peers/feeder.rs
+++ b/crates/kingcuploft-entry/src/peers/feeder.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kingcuploft::entry::vm_entry::VmEntry;
 use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncWrite, BufReader};
 use tokio::net::TcpListener;
 
@@ -90,7 +91,12 @@
             crate::store_watcher::apply_zone_records(context, records);
             Ok(())
         }
+        Ok(Frame::Informed(vm)) => {
+            note_informed(context, store_access, vm);
+            Ok(())
+        }
         Ok(Frame::Hello(hello)) => feed(context, store_access, hello, lines, write).await,
+        Ok(Frame::SnapshotRequest(hello)) => inform(context, store_access, &hello, write).await,
         Ok(_) | Err(_) => Ok(()),
     }
 }
@@ -116,6 +122,9 @@
     if is_follower_ahead(&hello, &own) {
         refresh(context, store_access);
     }
+    if hello.knows_all() {
+        note_informed(context, store_access, hello.vm.clone());
+    }
     let result = tokio::select! {
         biased;
         result = Feed::new(context, store_access, &hello, stream).run(&hello, queue) => result,
@@ -125,6 +134,29 @@
     result
 }
 
+/// Records that a VM knows all, if this one does not.
+fn note_informed(context: &Context, store_access: &StoreAccess, vm: VmEntry) {
+    if !sync_status(context, store_access).is_complete() {
+        context.informants.borrow_mut().record_informed(vm);
+    }
+}
+
+/// Sends a VM a snapshot, or says that this VM has none.
+async fn inform(
+    context: &Rc<Context>,
+    store_access: &StoreAccess,
+    hello: &Hello,
+    mut stream: impl AsyncWrite + Unpin,
+) -> std::io::Result<()> {
+    match sync_status(context, store_access).is_complete() {
+        true => {
+            let mut feed = Feed::new(context, store_access, hello, stream);
+            feed.send_snapshot(hello).await
+        }
+        false => send(&mut stream, &Frame::Wait).await,
+    }
+}
+
 /// Returns whether a VM that asks to be fed knows a later revision of the store.
 fn is_follower_ahead(hello: &Hello, own: &SyncStatus) -> bool {
     let knows_more = hello.configuration > own.configuration
--- a/crates/kingcuploft-entry/src/store_sync/mod.rs
+++ b/crates/kingcuploft-entry/src/store_sync/mod.rs
@@ -1,11 +1,13 @@
 //! Keeps this VM synchronized with the platform's store: it discovers the VMs of its zone, follows one of them, or
 //! reads the store for them.
 
+mod informing;
+mod reading;
 mod zone_leader;
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use kingcuploft::entry::readers::Source;
 use kingcuploft::entry::startup_delay;
@@ -25,10 +27,6 @@
 use crate::store_watcher;
 use crate::zone_list::{Staleness, list_all};
 
-/// The time between two lists of the zones by a VM that reads the store. Other zones grow meanwhile, and what all VMs
-/// may use together is divided by the VMs counted.
-const LIST_INTERVAL: Duration = Duration::from_secs(3);
-
 /// How often a VM that reads the store checks whether it may follow another, and how often a leader checks its zone's
 /// record.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -55,10 +53,6 @@
 /// The pause after a failed call of the store; chance adds as much again.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// How long a VM can reach none of those that its zone's record names before it adds itself to the record; chance adds
-/// as much again.
-const UNREACHABLE_PEERS_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// How long a VM waits for the outcome of its claim to a zone that has no record before it reads the store.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -85,12 +79,13 @@
     };
     let fallback = store_fallback::read_store_if_uninformed(context.clone(), store_access.clone());
     let fallback = tokio::task::spawn_local(fallback);
-    if context.settings.is_first_start {
-        tokio::time::sleep(startup_delay::claim_delay(&own, fastrand::f64())).await;
-    }
-    sync.discover_vms().await;
-    sync.claim_unrecorded_zone().await;
-    tokio::join!(sync.follow_or_read(), sync.lead_zone());
+    let informing = async {
+        // On the first start of all no VM knows more than another.
+        if !context.settings.is_first_start {
+            informing::run(&context, &own, &network).await;
+        }
+    };
+    tokio::join!(sync.start(), informing);
     fallback.abort();
 }
 
@@ -110,6 +105,17 @@
 }
 
 impl<S: Store, D: Dial + Clone + 'static> StoreSync<'_, S, D> {
+    /// Finds the other VMs, then follows one or reads the store, and leads the zone, until the process ends.
+    async fn start(&self) {
+        if self.context.settings.is_first_start {
+            let delay = startup_delay::claim_delay(self.own, fastrand::f64());
+            tokio::time::sleep(delay).await;
+        }
+        self.discover_vms().await;
+        self.claim_unrecorded_zone().await;
+        tokio::join!(self.follow_or_read(), self.lead_zone());
+    }
+
     /// Follows a feeder or reads the store, whichever this VM's source is, until the process ends.
     async fn follow_or_read(&self) {
         if !self.context.settings.is_first_start {
@@ -353,24 +359,4 @@
         let first = old.vms.first().unwrap_or(feeder);
         seeds::publish(self.network, vec![first.address, feeder.address], record);
     }
-
-    /// Reads the store until this VM is to follow another.
-    async fn read_store(&self, source: Source) {
-        self.store_access.start_reading();
-        let started_at = clock::now();
-        let append_delay = UNREACHABLE_PEERS_TIMEOUT.mul_f64(1.0 + fastrand::f64());
-        let mut listed_at: Option<Instant> = None;
-        while self.source() == source {
-            let is_list_due = listed_at.is_none_or(|at| clock::since(at) >= LIST_INTERVAL);
-            if self.store_access.is_available() && is_list_due && self.own_zone_record().is_some() {
-                self.list_zones(Staleness::Allowed).await;
-                listed_at = Some(clock::now());
-                continue;
-            }
-            if source == Source::StoreAlone && clock::since(started_at) >= append_delay {
-                self.append_self().await;
-            }
-            tokio::time::sleep(CHECK_INTERVAL).await;
-        }
-    }
 }
