--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! platform's store holds. The platform's adapter supplies the names of headers and paths as [`settings::WireNames`]
 //! and the store's entries through [`store::Store`].
 
+pub mod ascii_json;
 mod budgets;
 pub mod clock;
 pub mod cold_servers;
@@ -18,6 +19,7 @@
 mod gauges;
 mod given_up_answers;
 pub mod http;
+mod label_names;
 pub mod limits;
 pub mod logs;
 pub mod metrics;
@@ -45,6 +47,7 @@
 pub mod store_liveness;
 pub mod store_sync;
 pub mod store_watcher;
+pub mod unreadable;
 pub mod upstream;
 mod usable_servers;
 pub mod watch_check;
