feat(simulation): lists in pages, entries of other writers, and lists of one collection that fail

The store of the simulation listed each collection in one page, held no entry of another writer and refused lists of all collections or of none.

- Each call of the store is recorded with its VM and time.

--- a/crates/kingcuploft-simulation/src/day.rs
+++ b/crates/kingcuploft-simulation/src/day.rs
@@ -6,9 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::deployment::Deployment;
+use crate::list_fault::{ListFault, ListedCollection};
 
 /// The deployments that a day can name, with the contents of their files.
-const DEPLOYMENTS: [(&str, &str); 6] = [
+const DEPLOYMENTS: [(&str, &str); 9] = [
     (
         "19-vms-workspaces",
         include_str!("../deployments/19-vms-workspaces.yaml"),
@@ -18,8 +19,11 @@
         "4-vms-few-servers",
         include_str!("../deployments/4-vms-few-servers.yaml"),
     ),
+    ("5-vms", include_str!("../deployments/5-vms.yaml")),
+    ("13-vms", include_str!("../deployments/13-vms.yaml")),
     ("19-vms", include_str!("../deployments/19-vms.yaml")),
     ("115-vms", include_str!("../deployments/115-vms.yaml")),
+    ("135-vms", include_str!("../deployments/135-vms.yaml")),
     ("312-vms", include_str!("../deployments/312-vms.yaml")),
 ];
 
@@ -88,6 +92,12 @@
     /// The service whose servers it affects; the servers of all services if none is named.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub service: Option<String>,
+    /// How lists of the store fail, for the kind that has them fail.
+    #[serde(default, skip_serializing_if = "ListFault::is_default")]
+    pub lists: ListFault,
+    /// The collection whose lists fail; drawn by the seed if none is named.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub collection: Option<ListedCollection>,
 }
 
 fn full() -> f64 {
@@ -168,6 +178,14 @@
     StoreLosesAnswers,
     /// The store turns entry VMs away; callers, servers and other VMs still reach them.
     StoreTurnsAway,
+    /// The store lists its entries in pages of at most `strength` entries.
+    StorePages,
+    /// Another writer writes `strength` entries to each collection of the store, for good.
+    ForeignEntries,
+    /// The lists of one collection of the store fail (`lists`).
+    StoreFailsLists,
+    /// As `VmsKilled`, for a share of the VMs of one zone.
+    ZoneKilled,
     /// The request rate is multiplied by `strength`.
     Crowd,
     /// The operator writes a configuration with one more route.
@@ -184,7 +202,7 @@
 }
 
 impl DisruptionKind {
-    /// All kinds.
+    /// The kinds that any deployment has, but for those about the store's lists.
     pub const ALL: [Self; 25] = [
         Self::VmsKilled,
         Self::VmsLosePower,
@@ -213,6 +231,14 @@
         Self::ZoneCutFromServers,
     ];
 
+    /// The kinds about the store's lists, and one that shows who needs them.
+    pub const OF_LISTS: [Self; 4] = [
+        Self::StorePages,
+        Self::ForeignEntries,
+        Self::StoreFailsLists,
+        Self::ZoneKilled,
+    ];
+
     /// The kinds that only a deployment with workspaces has.
     pub const OF_WORKSPACES: [Self; 3] =
         [Self::WorkspaceCrowd, Self::QuotasLowered, Self::KeysTaken];
@@ -230,6 +256,7 @@
             Self::ServersNameLimits => (0.5, 500.0),
             Self::ServersSlow => (1.0, 50.0),
             Self::ServersPause => (0.1, 60.0),
+            Self::StorePages | Self::ForeignEntries => (1.0, 200.0),
             Self::Crowd => (1.0, 5.0),
             Self::WorkspaceCrowd => (1.0, 50.0),
             Self::QuotasLowered => (0.01, 1.0),
--- a/crates/kingcuploft-simulation/src/deployment.rs
+++ b/crates/kingcuploft-simulation/src/deployment.rs
@@ -14,6 +14,9 @@
 pub struct Deployment {
     /// How many entry VMs each availability zone has.
     pub zones: Vec<usize>,
+    /// How many VMs of each zone all VMs are told of as seeds.
+    #[serde(default)]
+    pub seeds_per_zone: usize,
     /// The services.
     pub services: Vec<Service>,
     /// The kinds of requests.
@@ -147,6 +150,16 @@
         self.zones.iter().sum()
     }
 
+    /// Returns the indices of the VMs that all VMs are told of as seeds.
+    pub fn seeds(&self) -> impl Iterator<Item = usize> {
+        let first_of_zone = self.zones.iter().scan(0, |next, vms| {
+            let first = *next;
+            *next += vms;
+            Some((first, *vms))
+        });
+        first_of_zone.flat_map(|(first, vms)| first..first + vms.min(self.seeds_per_zone))
+    }
+
     /// Returns the service with a name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/crates/kingcuploft-simulation/src/disruptions.rs
+++ b/crates/kingcuploft-simulation/src/disruptions.rs
@@ -51,6 +51,12 @@
             )
             .await;
         }
+        DisruptionKind::ZoneKilled => {
+            let vms = choose_vms_of_a_zone(simulation, disruption.share);
+            vms.iter().for_each(|vm| vm.kill());
+            let restart_delay = disruption.duration().max(RESTART_DELAY);
+            restart_after(simulation, &vms, restart_delay, DisturbanceCause::Fault).await;
+        }
         DisruptionKind::VmsLosePower => {
             let vms = choose_vms(simulation, disruption.share);
             vms.iter().for_each(|vm| vm.lose_power());
@@ -149,6 +155,14 @@
         DisruptionKind::StoreLosesAnswers => {
             store_disruptions::lose_answers(simulation, disruption.duration()).await;
         }
+        DisruptionKind::StorePages => store_disruptions::page_lists(simulation, disruption).await,
+        DisruptionKind::ForeignEntries => {
+            let count = disruption.strength as usize;
+            simulation.store.0.write_foreign_entries(count);
+        }
+        DisruptionKind::StoreFailsLists => {
+            store_disruptions::fail_lists(simulation, disruption).await;
+        }
         DisruptionKind::StoreTurnsAway => {
             let vms = choose_vms(simulation, disruption.share);
             let cause = DisturbanceCause::CutOff;
@@ -212,7 +226,7 @@
 }
 
 async fn restart_after(
-    simulation: &Simulation,
+    simulation: &Rc<Simulation>,
     vms: &[Rc<Vm>],
     after: Duration,
     cause: DisturbanceCause,
--- a/crates/kingcuploft-simulation/src/generator.rs
+++ b/crates/kingcuploft-simulation/src/generator.rs
@@ -3,6 +3,7 @@
 use fastrand::Rng;
 
 use crate::day::{self, Day, Disruption, DisruptionKind, ServerCut};
+use crate::list_fault::{ListFault, ListedCollection};
 
 /// The length of a generated day, in milliseconds.
 const LENGTH_MS: u64 = 24_000;
@@ -20,6 +21,16 @@
 const CHANGES_DURING_LOSS: usize = 4;
 const SMALL_SHARE: f64 = 0.1;
 
+/// The chance of trouble with the store's lists in a generated day, and of each of its disruptions.
+const LIST_TROUBLE_CHANCE: f64 = 0.15;
+const LIST_DISRUPTION_CHANCE: f64 = 0.75;
+
+/// The duration of a disruption that lasts to the end of any generated day, in milliseconds.
+const FOR_GOOD_MS: u64 = 60_000;
+
+/// How long after trouble with lists has begun VMs are killed at the latest, and for how long at most, in milliseconds.
+const MAX_KILL_DELAY_MS: u64 = 2_000;
+
 /// The greatest number of disruptions that a day reaches by mutation or splicing.
 const MAX_DISRUPTIONS: usize = 8;
 
@@ -37,14 +48,52 @@
         let changes = changes_during(rng, loss);
         disruptions.extend(changes);
     }
+    let seed = rng.u64(1..1_000_000);
+    // Drawn last, so that all else of the day is the same with and without.
+    if rng.f64() < LIST_TROUBLE_CHANCE {
+        disruptions.extend(list_trouble(rng));
+    }
     ordered(Day {
         deployment: deployment.into(),
-        seed: rng.u64(1..1_000_000),
+        seed,
         length_ms: LENGTH_MS,
         disruptions,
     })
 }
 
+/// Returns trouble with the store's lists, and VMs killed meanwhile, which need the lists when they are back.
+fn list_trouble(rng: &mut Rng) -> Vec<Disruption> {
+    let at_ms = rng.u64(DISRUPTIONS_FROM_MS..DISRUPTIONS_UNTIL_MS);
+    let for_ms = [5_000, FOR_GOOD_MS][rng.usize(0..2)];
+    let trouble = DisruptionKind::OF_LISTS.map(|kind| Disruption {
+        at_ms: match kind {
+            DisruptionKind::ZoneKilled => at_ms + rng.u64(0..MAX_KILL_DELAY_MS),
+            _ => at_ms,
+        },
+        kind,
+        share: [0.3, 0.6, 0.8, 1.0][rng.usize(0..4)],
+        strength: strength(rng, kind),
+        for_ms: match kind {
+            DisruptionKind::ZoneKilled => rng.u64(500..MAX_KILL_DELAY_MS),
+            _ => for_ms,
+        },
+        how: ServerCut::default(),
+        service: None,
+        lists: match kind {
+            DisruptionKind::StoreFailsLists => ListFault::ALL[rng.usize(0..ListFault::ALL.len())],
+            _ => ListFault::default(),
+        },
+        collection: match kind {
+            DisruptionKind::StoreFailsLists => {
+                Some(ListedCollection::ALL[rng.usize(0..ListedCollection::ALL.len())])
+            }
+            _ => None,
+        },
+    });
+    let is_drawn = |_: &Disruption| rng.f64() < LIST_DISRUPTION_CHANCE;
+    trouble.into_iter().filter(is_drawn).collect()
+}
+
 /// Returns changes of the store's entries while answers are lost: one that may be lost, and others that go on.
 fn changes_during(rng: &mut Rng, loss: &Disruption) -> Vec<Disruption> {
     let mut kinds = vec![DisruptionKind::ServersStart; CHANGES_DURING_LOSS];
@@ -78,6 +127,8 @@
         for_ms: rng.u64(500..10_000),
         how: server_cut(rng, kind),
         service: None,
+        lists: ListFault::default(),
+        collection: None,
     }
 }
 
@@ -104,6 +155,9 @@
         DisruptionKind::Crowd => [1.5, 2.0, 3.0][rng.usize(0..3)],
         DisruptionKind::WorkspaceCrowd => [3.0, 8.0, 20.0][rng.usize(0..3)],
         DisruptionKind::QuotasLowered => [0.05, 0.3][rng.usize(0..2)],
+        DisruptionKind::StorePages | DisruptionKind::ForeignEntries => {
+            [1.0, 3.0, 10.0][rng.usize(0..3)]
+        }
         _ => 1.0,
     }
 }
--- a/crates/kingcuploft-simulation/src/history.rs
+++ b/crates/kingcuploft-simulation/src/history.rs
@@ -190,6 +190,21 @@
     pub cause: DisturbanceCause,
 }
 
+/// A start of a VM during the day, as checks of its readiness saw it.
+#[derive(Clone, Copy, Debug)]
+pub struct VmStart {
+    /// The VM.
+    pub vm: VmIndex,
+    /// When its process started.
+    pub at: Duration,
+    /// How long after that it was ready; `None` if it was not as long as it ran.
+    pub ready_after: Option<Duration>,
+    /// The longest time for which it was not ready while it could reach the same ready VM.
+    pub waited: Duration,
+    /// That VM, if there was one.
+    pub informed: Option<VmIndex>,
+}
+
 /// A time in which VMs were cut off from servers.
 #[derive(Clone, Debug)]
 pub struct CutFromServers {
@@ -233,6 +248,12 @@
     pub requested_pauses: RefCell<Vec<RequestedPause>>,
     /// The times in which VMs were cut off from servers.
     pub cuts_from_servers: RefCell<Vec<CutFromServers>>,
+    /// The starts of VMs during the day.
+    pub vm_starts: RefCell<Vec<VmStart>>,
+    /// The calls of the store: the VM, and when.
+    pub store_calls: RefCell<Vec<(VmIndex, Duration)>>,
+    /// When the day ended.
+    pub ended_at: Cell<Duration>,
     /// How many probes all servers got.
     pub probes: Cell<u64>,
     /// The sum of the times for which the servers were running, in seconds.
@@ -256,6 +277,9 @@
             leaving_answers: RefCell::default(),
             requested_pauses: RefCell::default(),
             cuts_from_servers: RefCell::default(),
+            vm_starts: RefCell::default(),
+            store_calls: RefCell::default(),
+            ended_at: Cell::default(),
             probes: Cell::new(0),
             server_seconds: Cell::new(0.0),
         }
@@ -266,6 +290,7 @@
     /// Starts the clock of the history at zero.
     pub fn start_clock(&self) {
         self.started_at.set(Instant::now());
+        self.store_calls.borrow_mut().clear();
     }
 
     /// Returns the time on the history's clock; zero before its start.
@@ -313,6 +338,11 @@
         of_day.map(|(at, _)| *at).next_back()
     }
 
+    /// Records a call of the store by a VM.
+    pub fn record_store_call(&self, vm: VmIndex) {
+        self.store_calls.borrow_mut().push((vm, self.now()));
+    }
+
     /// Records that a VM's operation is disturbed now.
     pub fn record_disturbance(&self, vm: VmIndex, cause: DisturbanceCause) {
         let at = self.now();
--- a/crates/kingcuploft-simulation/src/shrink.rs
+++ b/crates/kingcuploft-simulation/src/shrink.rs
@@ -1,7 +1,7 @@
 //! Shrinks a day that breaks a rule: to the fewest disruptions that still break it, with shorter durations and a
 //! shorter day.
 
-use crate::day::Day;
+use crate::day::{Day, DisruptionKind};
 use crate::rules::Rule;
 use crate::search::check_day;
 
@@ -30,6 +30,7 @@
             };
         }
     }
+    let smallest = with_fewer_entries(smallest, rule);
     let last = smallest
         .disruptions
         .iter()
@@ -57,3 +58,19 @@
     }
     smallest
 }
+
+/// Returns the day with one entry of other writers wherever that still breaks the rule.
+fn with_fewer_entries(day: Day, rule: Rule) -> Day {
+    let mut smallest = day;
+    for at in 0..smallest.disruptions.len() {
+        if smallest.disruptions[at].kind != DisruptionKind::ForeignEntries {
+            continue;
+        }
+        let mut fewer = smallest.clone();
+        fewer.disruptions[at].strength = 1.0;
+        if breaks(&fewer, rule) {
+            smallest = fewer;
+        }
+    }
+    smallest
+}
--- a/crates/kingcuploft-simulation/src/simulation.rs
+++ b/crates/kingcuploft-simulation/src/simulation.rs
@@ -140,9 +140,10 @@
         let history = Rc::new(History::default());
         let zones = deployment.zones.iter().enumerate();
         let zones = zones.flat_map(|(zone, vms)| std::iter::repeat_n(zone, *vms));
-        let vms = zones
-            .enumerate()
-            .map(|(index, zone)| Rc::new(Vm::new(index, zone, &deployment, &network, &store)));
+        let vms = zones.enumerate().map(|(index, zone)| {
+            let vm = Vm::new(index, zone, &deployment, &network, &store, &history);
+            Rc::new(vm)
+        });
         let vms: Vec<_> = vms.collect();
         Self {
             operator: Operator::new(deployment.clone(), store.clone(), history.clone()),
@@ -195,6 +196,7 @@
         self.generate_load(Duration::from_millis(day.length_ms))
             .await;
         tokio::time::sleep(WIND_DOWN).await;
+        self.history.ended_at.set(self.history.now());
         checking.abort();
         crashing.abort();
     }
--- a/crates/kingcuploft-simulation/src/store.rs
+++ b/crates/kingcuploft-simulation/src/store.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 
 use crate::lost_answers::LostAnswers;
+use crate::store_lists::StoreLists;
 
 /// The contents of the store and its faults, shared between the clients and the test.
 #[derive(Debug, Default)]
@@ -51,6 +52,8 @@
     pub server_list_calls: Cell<u32>,
     /// The number of calls that write a zone record.
     pub zone_write_calls: Cell<u32>,
+    /// How lists are answered.
+    pub lists: StoreLists,
     pub(crate) changes: RefCell<Vec<(u64, Collection, StoreChange)>>,
     pub(crate) revision: Cell<u64>,
     /// How often the store was restored from a snapshot.
@@ -110,7 +113,7 @@
     }
 
     /// Returns the current revision, together with the era unless eras are left out.
-    fn current_revision(&self) -> Revision {
+    pub(crate) fn current_revision(&self) -> Revision {
         self.with_era(self.revision.get())
     }
 
@@ -141,7 +144,7 @@
         self.revision.set(self.revision.get() + by);
     }
 
-    fn record_change(&self, collection: Collection, change: StoreChange) {
+    pub(crate) fn record_change(&self, collection: Collection, change: StoreChange) {
         let revision = self.revision.get() + 1;
         self.revision.set(revision);
         self.lost_answers.record_change(collection, revision);
@@ -222,6 +225,12 @@
         Self(other.0.clone(), Rc::default())
     }
 
+    /// Returns whether the store lists a collection for this client as it should.
+    pub fn lists_whole(&self, collection: Collection) -> bool {
+        let is_answered = !self.1.get() && !self.0.silent.get();
+        is_answered && self.0.lists.fault(collection).is_none()
+    }
+
     fn check_admitted(&self) -> Result<(), StoreError> {
         match self.1.get() {
             true => Err(StoreError::Refused(503)),
@@ -234,53 +243,24 @@
     async fn list(
         &self,
         collection: Collection,
-        _after: Option<&str>,
+        after: Option<&str>,
         _stale: bool,
     ) -> Result<Page, StoreError> {
         let state = &self.0;
         self.check_admitted()?;
         state.hang_if_silent().await;
         state.list_calls.set(state.list_calls.get() + 1);
-        let records = match collection {
-            Collection::Configuration => {
-                let configuration = state.configuration.borrow().clone();
-                let records = configuration.into_iter();
-                let records = records.map(|c| Record::Configuration(Box::new(c)));
-                records.map(|record| ("main".into(), record)).collect()
-            }
+        match collection {
             Collection::BackendServers => {
-                state
-                    .server_list_calls
-                    .set(state.server_list_calls.get() + 1);
-                let servers = state.servers.borrow().clone().into_iter();
-                let records = servers.map(|s| (s.name.to_string(), Record::BackendServer(s)));
-                records.collect()
-            }
-            Collection::Notices => {
-                let notices = state.notices.borrow().clone().into_iter();
-                let records = notices.map(|notice| (notice.id(), Record::Notice(notice)));
-                records.collect()
-            }
-            Collection::Evacuations => {
-                let zones = state.evacuations.borrow().clone().into_iter();
-                let records = zones.map(|zone| (zone.to_string(), Record::Evacuation(zone)));
-                records.collect()
+                let calls = state.server_list_calls.get();
+                state.server_list_calls.set(calls + 1);
             }
-            Collection::Zones => {
-                if state.zone_list_hangs.get() {
-                    std::future::pending::<()>().await;
-                }
-                let zones = state.zones.borrow().clone().into_iter();
-                zones
-                    .map(|record| (record.zone.to_string(), Record::Zone(record)))
-                    .collect()
+            Collection::Zones if state.zone_list_hangs.get() => {
+                std::future::pending::<()>().await;
             }
-        };
-        Ok(Page {
-            records,
-            next: None,
-            revision: state.current_revision(),
-        })
+            _ => {}
+        }
+        state.page(collection, after)
     }
 
     async fn probe_liveness(&self) -> Result<Revision, StoreError> {
--- a/crates/kingcuploft-simulation/src/store_client.rs
+++ b/crates/kingcuploft-simulation/src/store_client.rs
@@ -1,6 +1,7 @@
 //! One VM's client of the store: calls take time and need the host's link.
 
 use std::future::Future;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use kingcuploft::entry::notice::Notice;
@@ -9,6 +10,7 @@
     ChangeCheck, Changes, Collection, Page, Revision, Store, StoreError, WriteOutcome, ZoneWrite,
 };
 
+use crate::history::{History, VmIndex};
 use crate::network::Host;
 use crate::store::TestStore;
 
@@ -26,12 +28,19 @@
 pub struct StoreClient {
     store: TestStore,
     host: Host,
+    vm: VmIndex,
+    history: Rc<History>,
 }
 
 impl StoreClient {
-    /// Returns the client of a host.
-    pub fn new(store: TestStore, host: Host) -> Self {
-        Self { store, host }
+    /// Returns the client of a VM's host, whose calls are recorded.
+    pub fn new(store: TestStore, host: Host, vm: VmIndex, history: Rc<History>) -> Self {
+        Self {
+            store,
+            host,
+            vm,
+            history,
+        }
     }
 
     async fn call<T>(
@@ -39,6 +48,7 @@
         wait: Duration,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
+        self.history.record_store_call(self.vm);
         let calling = async {
             self.wait_until_connected().await;
             tokio::time::sleep(ROUND_TRIP / 2).await;
--- a/crates/kingcuploft-simulation/src/store_disruptions.rs
+++ b/crates/kingcuploft-simulation/src/store_disruptions.rs
@@ -4,6 +4,8 @@
 
 use kingcuploft_entry::store::Collection;
 
+use crate::day::Disruption;
+use crate::list_fault::ListedCollection;
 use crate::simulation::Simulation;
 
 /// How long after a restore from a snapshot the operator and the servers write again what the store lacks.
@@ -60,3 +62,31 @@
     let mut disturbances = simulation.history.store_disturbances.borrow_mut();
     disturbances.push((from, simulation.history.now()));
 }
+
+/// Has the store list its entries in pages for a while.
+pub(crate) async fn page_lists(simulation: &Simulation, disruption: &Disruption) {
+    let limit = disruption.strength as usize;
+    let lists = &simulation.store.0.lists;
+    lists.page_limit.set(limit);
+    tokio::time::sleep(disruption.duration()).await;
+    // A later disruption may have set another limit.
+    if lists.page_limit.get() == limit {
+        lists.page_limit.set(0);
+    }
+}
+
+/// Has the lists of one collection fail for a while.
+pub(crate) async fn fail_lists(simulation: &Simulation, disruption: &Disruption) {
+    let all = ListedCollection::ALL;
+    let drawn = || all[fastrand::usize(0..all.len())];
+    let collection = disruption.collection.unwrap_or_else(drawn).collection();
+    let from = simulation.history.now();
+    let lists = &simulation.store.0.lists;
+    lists.begin_fault(collection, disruption.lists);
+    tokio::time::sleep(disruption.duration()).await;
+    lists.end_fault(collection, disruption.lists);
+    if disruption.lists.hides_entries() {
+        let mut disturbances = simulation.history.store_disturbances.borrow_mut();
+        disturbances.push((from, simulation.history.now()));
+    }
+}
--- a/crates/kingcuploft-simulation/src/vm.rs
+++ b/crates/kingcuploft-simulation/src/vm.rs
@@ -13,6 +13,7 @@
 use kingcuploft_entry::peers::{feeder, load_reports};
 use kingcuploft_entry::run;
 use kingcuploft_entry::settings::{Bounds, EntrySettings};
+use kingcuploft_entry::store::Collection;
 use kingcuploft_entry::store_access::StoreAccess;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{AbortHandle, LocalSet};
@@ -20,7 +21,7 @@
 use crate::day::ServerCut;
 use crate::deployment::Deployment;
 use crate::header_names::HEADER_NAMES;
-use crate::history::VmIndex;
+use crate::history::{History, VmIndex};
 use crate::log;
 use crate::network::{Host, Location, Network};
 use crate::server::Server;
@@ -33,6 +34,16 @@
 /// How often backend servers write their entries.
 const HEARTBEAT: Duration = Duration::from_millis(1500);
 
+/// Returns the port of a VM.
+fn port(index: VmIndex) -> u16 {
+    1000 + index as u16
+}
+
+/// Returns the address at which other VMs reach a VM.
+fn peer_address(index: VmIndex) -> SocketAddr {
+    ([127, 0, 1, 1], port(index)).into()
+}
+
 /// Whether a process is frozen, and the waker that resumes it.
 #[derive(Debug, Default)]
 struct Freeze {
@@ -93,6 +104,9 @@
     store: TestStore,
     bounds: Bounds,
     cpu_milli: u32,
+    seeds: Vec<SocketAddr>,
+    history: Rc<History>,
+    starts: Cell<u32>,
     running: RefCell<Option<RunningVm>>,
 }
 
@@ -104,13 +118,13 @@
         deployment: &Deployment,
         network: &Network,
         store: &TestStore,
+        history: &Rc<History>,
     ) -> Self {
-        let port = 1000 + index as u16;
         Self {
             index,
             zone,
-            caller_address: ([127, 0, 0, 1], port).into(),
-            peer_address: ([127, 0, 1, 1], port).into(),
+            caller_address: ([127, 0, 0, 1], port(index)).into(),
+            peer_address: peer_address(index),
             network: network.clone(),
             store: TestStore::separate_client(store),
             bounds: Bounds {
@@ -121,12 +135,16 @@
                 probes_per_server_s: deployment.bounds.probes_per_s,
             },
             cpu_milli: 200 + (index % 3) as u32 * 100,
+            seeds: deployment.seeds().map(peer_address).collect(),
+            history: history.clone(),
+            starts: Cell::new(0),
             running: RefCell::default(),
         }
     }
 
     /// Starts the VM without any previous knowledge; `all_start` tells it whether the whole fleet starts.
     pub fn start(&self, all_start: bool) {
+        self.starts.set(self.starts.get() + 1);
         let host = self
             .network
             .host(Location::Zone(self.zone), Some(self.index));
@@ -141,7 +159,13 @@
         let context = Rc::new(context);
         let _ = context.peer_socket.set(network);
         let (freeze, stop) = (Rc::new(Freeze::default()), Rc::new(Notify::new()));
-        let store = Rc::new(StoreClient::new(self.store.clone(), host.clone()));
+        let store = StoreClient::new(
+            self.store.clone(),
+            host.clone(),
+            self.index,
+            self.history.clone(),
+        );
+        let store = Rc::new(store);
         let (process_context, stop_request, dial) = (context.clone(), stop.clone(), host.clone());
         let address = self.peer_address;
         let main = async move {
@@ -203,8 +227,8 @@
             readiness_address: self.caller_address,
             peer_address: Some(self.peer_address),
             spare_peer_ports: Vec::new(),
-            control_address: None,
-            seeds: Vec::new(),
+            control_address: (!self.seeds.is_empty()).then_some(self.peer_address),
+            seeds: self.seeds.clone(),
             store_address: self.caller_address,
             cpu_milli: self.cpu_milli,
             memory_bytes: MEMORY_BYTES,
@@ -273,6 +297,29 @@
             .is_some_and(|running| !running.process.is_finished())
     }
 
+    /// Returns how often the VM has been started.
+    pub fn starts(&self) -> u32 {
+        self.starts.get()
+    }
+
+    /// Returns whether the process runs, is not frozen or stopping, and reaches the other VMs.
+    pub fn is_in_contact(&self) -> bool {
+        let running = self.running.borrow();
+        let in_contact = |running: &RunningVm| {
+            !running.freeze.is_frozen.get()
+                && !running.context.shutdown.is_stopping()
+                && !running.host.is_cut_off()
+        };
+        running
+            .as_ref()
+            .is_some_and(|running| !running.process.is_finished() && in_contact(running))
+    }
+
+    /// Returns whether the store lists the zone records, which name the other VMs, for this one.
+    pub fn lists_zones(&self) -> bool {
+        self.store.lists_whole(Collection::Zones)
+    }
+
     /// Returns how many VMs this one counts in the fleet; `None` if it is not running.
     pub fn known_vms(&self) -> Option<usize> {
         let running = self.running.borrow();
