test(simulation): a VM that starts again serves within 2 s while it can reach one that knows all

What callers saw: VMs that were killed and came back refused them without end, beside a VM of their zone that was ready. Where neither the store lists the zones nor a seed is ready, it can't know of others, and nothing is counted.

--- a/crates/kingcuploft-simulation/src/disruptions.rs
+++ b/crates/kingcuploft-simulation/src/disruptions.rs
@@ -5,6 +5,7 @@
 
 use crate::day::{Disruption, DisruptionKind};
 use crate::history::{CutFromServers, DisturbanceCause};
+use crate::readiness;
 use crate::server::Server;
 use crate::simulation::Simulation;
 use crate::store_disruptions;
@@ -238,6 +239,8 @@
         simulation.history.record_disturbance(vm.index, cause);
         vm.start(false);
         simulation.apply_server_cuts(std::slice::from_ref(vm));
+        let watch = readiness::watch_start(simulation.clone(), vm.clone());
+        tokio::task::spawn_local(watch);
     }
 }
 
--- a/crates/kingcuploft-simulation/src/lib.rs
+++ b/crates/kingcuploft-simulation/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod operator;
 pub mod planted_fault;
 pub mod plot;
+mod readiness;
 pub mod rules;
 pub mod search;
 pub mod server;
--- a/crates/kingcuploft-simulation/src/main.rs
+++ b/crates/kingcuploft-simulation/src/main.rs
@@ -8,7 +8,8 @@
 use kingcuploft_simulation::planted_fault::{self, PlantedFault};
 use kingcuploft_simulation::rules::{self, BoundUsage, Rule};
 use kingcuploft_simulation::search::{Search, SearchResult, check_day};
-use kingcuploft_simulation::{plot, shrink, simulation};
+use kingcuploft_simulation::simulation::{self, DayResult};
+use kingcuploft_simulation::{plot, shrink};
 use lexopt::prelude::*;
 
 const HELP: &str = "\
@@ -147,19 +148,28 @@
             let written = std::fs::write(log, &result.lines);
             written.map_err(|error| CliError::File(log.clone(), error))?;
         }
-        print_result(options, path, rules::answered_share(&result), &usages);
+        print_result(options, path, &result, &usages);
     }
     Ok(any_broken)
 }
 
-fn print_result(options: &Options, path: &Path, served: f64, usages: &[BoundUsage]) {
+fn print_result(options: &Options, path: &Path, result: &DayResult, usages: &[BoundUsage]) {
     let name = path.display();
+    let served = rules::answered_share(result);
+    let restarts = rules::restarts(result);
     if options.json {
-        let json =
-            serde_json::json!({ "day": name.to_string(), "served": served, "rules": usages });
+        let json = serde_json::json!({ "day": name.to_string(), "served": served, "restarts": restarts, "rules": usages });
         return println!("{json}");
     }
     println!("{name}: served {served:.3}");
+    println!(
+        "  {} of {} starts ready, the last after {} ms; store calls of a VM and second: {:.2}, at most {}",
+        restarts.ready,
+        restarts.starts,
+        restarts.last_ready_after_ms,
+        restarts.store_calls_per_vm_s,
+        restarts.most_store_calls_in_s
+    );
     for usage in usages {
         print_bound_usage(usage);
     }
--- a/crates/kingcuploft-simulation/src/rules/mod.rs
+++ b/crates/kingcuploft-simulation/src/rules/mod.rs
@@ -7,6 +7,7 @@
 mod own_words;
 mod propagation;
 mod requests;
+mod restarts;
 mod workspaces;
 
 use std::time::Duration;
@@ -58,11 +59,13 @@
     TakenKeys,
     /// Callers of VMs that are cut off from servers are served about as often as the others.
     FirstTriesAtCutVms,
+    /// A VM that starts again serves callers soon if it can reach a VM that knows what it needs.
+    RestartedVmsServe,
 }
 
 impl Rule {
     /// All rules.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::RepeatBudget,
         Self::AtMostOnce,
         Self::TruthfulRefusals,
@@ -81,6 +84,7 @@
         Self::FirstTriesAtCutVms,
         Self::Quotas,
         Self::TakenKeys,
+        Self::RestartedVmsServe,
     ];
 }
 
@@ -183,6 +187,26 @@
     }
 }
 
+/// What is measured of a day beside the rules.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Restarts {
+    /// How many VMs started again.
+    pub starts: usize,
+    /// How many of them were ready before they ended or the day did.
+    pub ready: usize,
+    /// How long the last of these took, in milliseconds.
+    pub last_ready_after_ms: u64,
+    /// The calls of the store, for each VM and second of the day.
+    pub store_calls_per_vm_s: f64,
+    /// The most calls of one VM in any second.
+    pub most_store_calls_in_s: usize,
+}
+
+/// Measures how VMs that start again become ready, and what that costs the store.
+pub fn restarts(result: &DayResult) -> Restarts {
+    restarts::measure(result)
+}
+
 /// Checks a day against all rules.
 pub fn check(result: &DayResult) -> Vec<BoundUsage> {
     let history = IndexedHistory::of(result);
@@ -193,6 +217,7 @@
         Rule::WholeAnswers => requests::whole_answers(&history),
         Rule::PlannedStops => requests::planned_stops(&history),
         Rule::FirstTriesAtCutVms => cut_vms::first_tries(&history),
+        Rule::RestartedVmsServe => restarts::restarted_vms_serve(&history),
         Rule::Quotas => workspaces::quotas(&history),
         Rule::TakenKeys => workspaces::taken_keys(&history),
         Rule::Draining => propagation::draining(&history),
