--- a/crates/kingcuploft-simulation/src/lib.rs
+++ b/crates/kingcuploft-simulation/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod search;
 pub mod server;
 pub mod server_cuts;
+mod server_disruptions;
 pub mod shrink;
 pub mod simulation;
 pub mod store;
--- a/crates/kingcuploft-simulation/src/simulation.rs
+++ b/crates/kingcuploft-simulation/src/simulation.rs
@@ -20,6 +20,7 @@
 use crate::operator::{self, Operator, version_route_name};
 use crate::server::Server;
 use crate::server_cuts::ServerCuts;
+use crate::server_disruptions;
 use crate::store::TestStore;
 use crate::vm::Vm;
 
@@ -213,7 +214,7 @@
             if !server.has_stopped.get() {
                 let simulation = self.clone();
                 tokio::task::spawn_local(async move {
-                    disruptions::crash_servers(&simulation, &[server]).await
+                    server_disruptions::crash_servers(&simulation, &[server]).await
                 });
             }
         }
