test(simulation): a VM that starts again serves within 2 s while the store lists what it needs in part

RestartedVmsServe judged only VMs that could reach a ready VM, so a fleet that was killed as a whole was not judged, whatever the store listed.

--- a/crates/kingcuploft-simulation/src/history.rs
+++ b/crates/kingcuploft-simulation/src/history.rs
@@ -203,6 +203,8 @@
     pub waited: Duration,
     /// That VM, if there was one.
     pub informed: Option<VmIndex>,
+    /// The longest time for which it was not ready while the store listed to it what it needs, at least in part.
+    pub waited_for_store: Duration,
 }
 
 /// A time in which VMs were cut off from servers.
--- a/crates/kingcuploft-simulation/src/readiness.rs
+++ b/crates/kingcuploft-simulation/src/readiness.rs
@@ -22,10 +22,12 @@
             ready_after: None,
             waited: Duration::ZERO,
             informed: None,
+            waited_for_store: Duration::ZERO,
         });
         starts.len() - 1
     };
     let mut informed_since: Vec<Option<Duration>> = vec![None; simulation.vms.len()];
+    let mut store_since = None;
     while vm.is_running() && vm.starts() == start {
         if vm.is_ready() {
             let ready_after = history.now() - at;
@@ -34,6 +36,9 @@
         }
         note_informed(&simulation, &vm, &mut informed_since);
         note_wait(&simulation, entry, &informed_since);
+        let is_listed = vm.is_in_contact() && vm.lists_what_it_needs();
+        store_since = is_listed.then(|| store_since.unwrap_or(history.now()));
+        note_wait_for_store(&simulation, entry, store_since);
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
@@ -70,3 +75,10 @@
         (start.waited, start.informed) = (waited, Some(informed));
     }
 }
+
+/// Notes how long the VM of a start has waited while the store has listed what it needs.
+fn note_wait_for_store(simulation: &Simulation, entry: usize, since: Option<Duration>) {
+    let waited = since.map(|since| simulation.history.now() - since);
+    let start = &mut simulation.history.vm_starts.borrow_mut()[entry];
+    start.waited_for_store = start.waited_for_store.max(waited.unwrap_or_default());
+}
--- a/crates/kingcuploft-simulation/src/rules/restarts.rs
+++ b/crates/kingcuploft-simulation/src/rules/restarts.rs
@@ -7,11 +7,11 @@
 use super::{BoundUsage, IndexedHistory, Restarts, Rule};
 use crate::simulation::DayResult;
 
-/// How soon a VM that starts must be ready while it can reach one that is.
+/// How soon a VM that starts must be ready while it can reach one that is, or a store that lists what it needs.
 const READY_WITHIN: Duration = Duration::from_secs(2);
 
 /// Returns the longest time for which a VM that started again refused callers while it could reach one VM that knew all
-/// it lacked, as a share of the allowed time.
+/// it lacked, or a store that listed that at least in part, as a share of the allowed time.
 pub(super) fn restarted_vms_serve(history: &IndexedHistory<'_>) -> BoundUsage {
     let mut greatest = BoundUsage::none(Rule::RestartedVmsServe);
     for start in history.raw.vm_starts.borrow().iter() {
@@ -21,6 +21,11 @@
             let informed = start.informed.unwrap_or_default();
             format!("VM {vm} started at {at:?} and was not ready for {waited:?} while VM {informed} was and could be reached")
         });
+        let used = start.waited_for_store.as_secs_f64() / READY_WITHIN.as_secs_f64();
+        greatest = greatest.or_greater(used, || {
+            let (vm, at, waited) = (start.vm, start.at, start.waited_for_store);
+            format!("VM {vm} started at {at:?} and was not ready for {waited:?} while the store listed what it needs")
+        });
     }
     greatest
 }
--- a/crates/kingcuploft-simulation/src/vm.rs
+++ b/crates/kingcuploft-simulation/src/vm.rs
@@ -320,6 +320,16 @@
         self.store.lists_whole(Collection::Zones)
     }
 
+    /// Returns whether the store lists the zone records and, at least in part, all that this VM needs to serve.
+    pub fn lists_what_it_needs(&self) -> bool {
+        let needed = [
+            Collection::Configuration,
+            Collection::BackendServers,
+            Collection::Evacuations,
+        ];
+        self.lists_zones() && needed.into_iter().all(|of| self.store.begins_list(of))
+    }
+
     /// Returns how many VMs this one counts in the fleet; `None` if it is not running.
     pub fn known_vms(&self) -> Option<usize> {
         let running = self.running.borrow();
--- a/crates/kingcuploft-simulation/tests/restarts.rs
+++ b/crates/kingcuploft-simulation/tests/restarts.rs
@@ -52,7 +52,7 @@
 fn a_fleet_of_which_nobody_is_left_is_not_expected_to_serve() {
     let all_killed = ZONE_KILLED.replace("zone_killed, share: 0.8", "vms_killed, share: 1.0");
     let lists =
-        "  - {at_ms: 2000, kind: store_fails_lists, collection: evacuations, for_ms: 60000}\n";
+        "  - {at_ms: 2000, kind: store_fails_lists, collection: backend_servers, for_ms: 60000}\n";
     let result = run(&all_killed, 1, lists);
     assert_eq!(rules::restarts(&result).ready, 0);
     assert!(!usage(&result).is_broken());
