--- a/crates/kingcuploft-entry/src/store_list.rs
+++ b/crates/kingcuploft-entry/src/store_list.rs
@@ -5,6 +5,7 @@
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::era::era_of;
 use kingcuploft::entry::notice::Notice;
+use kingcuploft::planted::{self, PlantedFault};
 use kingcuploft::world::ids::AvailabilityZone;
 
 use crate::clock;
@@ -117,7 +118,8 @@
             (Err(error), first) => {
                 let (after, why) = (after.clone(), error.to_string());
                 log.stopped(collection, StoppedList { after, pages, why });
-                if !error.is_lasting() {
+                let is_dropped = planted::is_on(PlantedFault::DropsStoppedLists);
+                if !error.is_lasting() || is_dropped {
                     return Err(error);
                 }
                 if collection == Collection::Configuration {
--- a/crates/kingcuploft-simulation/src/generator.rs
+++ b/crates/kingcuploft-simulation/src/generator.rs
@@ -22,7 +22,7 @@
 const SMALL_SHARE: f64 = 0.1;
 
 /// The chance of trouble with the store's lists in a generated day, and of each of its disruptions.
-const LIST_TROUBLE_CHANCE: f64 = 0.15;
+const LIST_TROUBLE_CHANCE: f64 = 0.2;
 const LIST_DISRUPTION_CHANCE: f64 = 0.75;
 
 /// The duration of a disruption that lasts to the end of any generated day, in milliseconds.
@@ -65,33 +65,59 @@
 fn list_trouble(rng: &mut Rng) -> Vec<Disruption> {
     let at_ms = rng.u64(DISRUPTIONS_FROM_MS..DISRUPTIONS_UNTIL_MS);
     let for_ms = [5_000, FOR_GOOD_MS][rng.usize(0..2)];
-    let trouble = DisruptionKind::OF_LISTS.map(|kind| Disruption {
-        at_ms: match kind {
-            DisruptionKind::ZoneKilled => at_ms + rng.u64(0..MAX_KILL_DELAY_MS),
-            _ => at_ms,
-        },
+    let kinds = [
+        DisruptionKind::StorePages,
+        DisruptionKind::ForeignEntries,
+        DisruptionKind::StoreFailsLists,
+    ];
+    let mut trouble: Vec<_> = kinds
+        .into_iter()
+        .map(|kind| list_disruption(rng, kind, at_ms, for_ms))
+        .collect();
+    trouble.push(kill(rng, at_ms));
+    let is_drawn = |_: &Disruption| rng.f64() < LIST_DISRUPTION_CHANCE;
+    trouble.into_iter().filter(is_drawn).collect()
+}
+
+fn list_disruption(rng: &mut Rng, kind: DisruptionKind, at_ms: u64, for_ms: u64) -> Disruption {
+    let mut disruption = Disruption {
+        at_ms,
         kind,
-        share: [0.3, 0.6, 0.8, 1.0][rng.usize(0..4)],
+        share: 1.0,
         strength: strength(rng, kind),
-        for_ms: match kind {
-            DisruptionKind::ZoneKilled => rng.u64(500..MAX_KILL_DELAY_MS),
-            _ => for_ms,
-        },
+        for_ms,
         how: ServerCut::default(),
         service: None,
-        lists: match kind {
-            DisruptionKind::StoreFailsLists => ListFault::ALL[rng.usize(0..ListFault::ALL.len())],
-            _ => ListFault::default(),
-        },
-        collection: match kind {
-            DisruptionKind::StoreFailsLists => {
-                Some(ListedCollection::ALL[rng.usize(0..ListedCollection::ALL.len())])
-            }
-            _ => None,
-        },
-    });
-    let is_drawn = |_: &Disruption| rng.f64() < LIST_DISRUPTION_CHANCE;
-    trouble.into_iter().filter(is_drawn).collect()
+        lists: ListFault::default(),
+        collection: None,
+    };
+    draw_list_fault(rng, &mut disruption);
+    disruption
+}
+
+/// Draws how lists fail, and which, where a disruption has them fail.
+fn draw_list_fault(rng: &mut Rng, disruption: &mut Disruption) {
+    if disruption.kind == DisruptionKind::StoreFailsLists {
+        disruption.lists = ListFault::ALL[rng.usize(0..ListFault::ALL.len())];
+        let all = ListedCollection::ALL;
+        disruption.collection = Some(all[rng.usize(0..all.len())]);
+    }
+}
+
+/// Returns a disruption that kills most or all VMs of a zone, or of all zones, shortly after a moment.
+fn kill(rng: &mut Rng, after_ms: u64) -> Disruption {
+    let (kind, share) = [
+        (DisruptionKind::ZoneKilled, 0.8),
+        (DisruptionKind::ZoneKilled, 1.0),
+        (DisruptionKind::VmsKilled, 0.6),
+        (DisruptionKind::VmsKilled, 1.0),
+    ][rng.usize(0..4)];
+    let at_ms = after_ms + rng.u64(0..MAX_KILL_DELAY_MS);
+    let for_ms = rng.u64(500..MAX_KILL_DELAY_MS);
+    Disruption {
+        share,
+        ..list_disruption(rng, kind, at_ms, for_ms)
+    }
 }
 
 /// Returns changes of the store's entries while answers are lost: one that may be lost, and others that go on.
@@ -197,7 +223,10 @@
             chosen.at_ms = moved.clamp(least, most) as u64;
         }
         2 => chosen.share = share(rng),
-        3 => chosen.strength = strength(rng, chosen.kind),
+        3 => {
+            chosen.strength = strength(rng, chosen.kind);
+            draw_list_fault(rng, chosen);
+        }
         4 => chosen.for_ms = rng.u64(500..12_000),
         5 | 6 if count < MAX_DISRUPTIONS => {
             // A repetition of the same disruption soon after the first.
--- a/crates/kingcuploft/src/entry/informants.rs
+++ b/crates/kingcuploft/src/entry/informants.rs
@@ -11,6 +11,7 @@
 
 use super::readers::Readers;
 use super::vm_entry::VmEntry;
+use crate::planted::{self, PlantedFault};
 
 /// The pause after the first round; each further round adds as much.
 const PAUSE_STEP: Duration = Duration::from_millis(400);
@@ -46,6 +47,9 @@
 impl Informants {
     /// Records that a VM has said that it knows all; it is asked next.
     pub fn record_informed(&mut self, vm: VmEntry) {
+        if planted::is_on(PlantedFault::AsksFirstOfZone) {
+            return;
+        }
         self.informed.retain(|known| known.name != vm.name);
         if self.informed.len() == MAX_INFORMED {
             self.informed.remove(0);
@@ -86,6 +90,9 @@
         let far_count = far.len().min(MAX_OF_OTHER_ZONES);
         let far = far.into_iter().cycle().skip(skipped).take(far_count);
         self.to_ask = near.chain(far).cloned().collect();
+        if planted::is_on(PlantedFault::AsksFirstOfZone) {
+            self.to_ask.truncate(1);
+        }
         self.rounds = self.rounds.saturating_add(1);
         self.next_round_at = Some(now + (PAUSE_STEP * self.rounds).min(MAX_PAUSE));
     }
--- a/crates/kingcuploft/src/planted.rs
+++ b/crates/kingcuploft/src/planted.rs
@@ -41,11 +41,15 @@
     OneWatchStandsForAll,
     /// A VM keeps the first configuration that it receives and ignores newer ones.
     KeepsOldConfiguration,
+    /// A VM that lacks something asks only the first other VM that its zone's record names.
+    AsksFirstOfZone,
+    /// A list that can't go on is dropped, with what its pages have brought.
+    DropsStoppedLists,
 }
 
 impl PlantedFault {
     /// All faults.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 20] = [
         Self::ForgetsRepeats,
         Self::CountsTooFew,
         Self::JoinersLackEvacuations,
@@ -64,6 +68,8 @@
         Self::MistakesOutages,
         Self::OneWatchStandsForAll,
         Self::KeepsOldConfiguration,
+        Self::AsksFirstOfZone,
+        Self::DropsStoppedLists,
     ];
 }
 
