--- a/crates/kingcuploft-simulation/src/store_disruptions.rs
+++ b/crates/kingcuploft-simulation/src/store_disruptions.rs
@@ -32,16 +32,11 @@
 
 /// Has the store answer no calls for a while.
 pub(crate) async fn silence(simulation: &Simulation, duration: Duration) {
-    let from = simulation.history.now();
     simulation.store.0.silent.set(true);
-    let at = {
-        let mut disturbances = simulation.history.store_disturbances.borrow_mut();
-        disturbances.push((from, Duration::MAX));
-        disturbances.len() - 1
-    };
+    let at = begin_disturbance(simulation);
     tokio::time::sleep(duration).await;
     simulation.store.0.silent.set(false);
-    simulation.history.store_disturbances.borrow_mut()[at].1 = simulation.history.now();
+    end_disturbance(simulation, at);
 }
 
 /// Restores the store from a snapshot of the given age; the operator and the servers then write again what it lacks.
@@ -80,13 +75,27 @@
     let all = ListedCollection::ALL;
     let drawn = || all[fastrand::usize(0..all.len())];
     let collection = disruption.collection.unwrap_or_else(drawn).collection();
-    let from = simulation.history.now();
     let lists = &simulation.store.0.lists;
     lists.begin_fault(collection, disruption.lists);
+    // A VM that starts can't know of an evacuation that its list hides; all else it can notice or does without.
+    let is_hidden = collection == Collection::Evacuations && disruption.lists.hides_entries();
+    let hidden = is_hidden.then(|| begin_disturbance(simulation));
     tokio::time::sleep(disruption.duration()).await;
     lists.end_fault(collection, disruption.lists);
-    if disruption.lists.hides_entries() {
-        let mut disturbances = simulation.history.store_disturbances.borrow_mut();
-        disturbances.push((from, simulation.history.now()));
+    if let Some(at) = hidden {
+        end_disturbance(simulation, at);
     }
 }
+
+/// Records that the store is disturbed from now on; returns the index of the disturbance.
+fn begin_disturbance(simulation: &Simulation) -> usize {
+    let from = simulation.history.now();
+    let mut disturbances = simulation.history.store_disturbances.borrow_mut();
+    disturbances.push((from, Duration::MAX));
+    disturbances.len() - 1
+}
+
+/// Records that a disturbance of the store ends now.
+fn end_disturbance(simulation: &Simulation, at: usize) {
+    simulation.history.store_disturbances.borrow_mut()[at].1 = simulation.history.now();
+}
