--- a/crates/kingcuploft-simulation/src/store.rs
+++ b/crates/kingcuploft-simulation/src/store.rs
@@ -16,7 +16,6 @@
 };
 use tokio::sync::Notify;
 
-use crate::list_fault::ListFault;
 use crate::lost_answers::LostAnswers;
 use crate::store_lists::StoreLists;
 
@@ -226,19 +225,6 @@
         Self(other.0.clone(), Rc::default())
     }
 
-    /// Returns whether the store lists a collection for this client as it should.
-    pub fn lists_whole(&self, collection: Collection) -> bool {
-        let is_answered = !self.1.get() && !self.0.silent.get();
-        is_answered && self.0.lists.fault(collection).is_none()
-    }
-
-    /// Returns whether the store lists a collection for this client as it should, at least from its first page on.
-    pub fn begins_list(&self, collection: Collection) -> bool {
-        let is_answered = !self.1.get() && !self.0.silent.get();
-        let fault = self.0.lists.fault(collection);
-        is_answered && matches!(fault, None | Some(ListFault::Stops))
-    }
-
     fn check_admitted(&self) -> Result<(), StoreError> {
         match self.1.get() {
             true => Err(StoreError::Refused(503)),
--- a/crates/kingcuploft-simulation/src/store_lists.rs
+++ b/crates/kingcuploft-simulation/src/store_lists.rs
@@ -5,7 +5,7 @@
 use kingcuploft_entry::store::{Collection, Page, Record, StoreChange, StoreError};
 
 use crate::list_fault::ListFault;
-use crate::store::StoreState;
+use crate::store::{StoreState, TestStore};
 
 /// The status with which a list is refused.
 const REFUSED_STATUS: u16 = 400;
@@ -157,6 +157,21 @@
     }
 }
 
+impl TestStore {
+    /// Returns whether the store lists a collection for this client as it should.
+    pub fn lists_whole(&self, collection: Collection) -> bool {
+        let is_answered = !self.1.get() && !self.0.silent.get();
+        is_answered && self.0.lists.fault(collection).is_none()
+    }
+
+    /// Returns whether the store lists a collection for this client as it should, at least from its first page on.
+    pub fn begins_list(&self, collection: Collection) -> bool {
+        let is_answered = !self.1.get() && !self.0.silent.get();
+        let fault = self.0.lists.fault(collection);
+        is_answered && matches!(fault, None | Some(ListFault::Stops))
+    }
+}
+
 /// Returns an entry of another writer.
 fn foreign_entry(number: usize) -> (String, Record) {
     let odd = FOREIGN_NAMES[number % FOREIGN_NAMES.len()];
