--- a/crates/kingcuploft-entry/src/store_list.rs
+++ b/crates/kingcuploft-entry/src/store_list.rs
@@ -6,6 +6,7 @@
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::era::era_of;
 use kingcuploft::entry::notice::Notice;
+use kingcuploft::planted::{self, PlantedFault};
 use kingcuploft::world::ids::AvailabilityZone;
 
 use crate::clock;
@@ -151,7 +152,9 @@
             (Err(error), first) => {
                 let (after, why) = (after.clone(), error.to_string());
                 log.stopped(collection, StoppedList { after, pages, why });
-                if !error.is_lasting() && first.is_none() || error.is_of_history() {
+                let is_dropped = planted::is_on(PlantedFault::DropsStoppedLists);
+                let is_never_had = !error.is_lasting() && first.is_none();
+                if is_never_had || error.is_of_history() || is_dropped {
                     return Err(error);
                 }
                 if collection == Collection::Configuration {
