--- a/crates/kingcuploft-entry/src/http/kept_connections.rs
+++ b/crates/kingcuploft-entry/src/http/kept_connections.rs
@@ -38,6 +38,13 @@
     NotReceived(#[from] ReceiveError),
 }
 
+impl CallError {
+    /// Returns whether an answer came that is given up, as it would be if it came again.
+    pub fn is_given_up(&self) -> bool {
+        matches!(self, Self::NotReceived(ReceiveError::GivenUp { .. }))
+    }
+}
+
 impl KeptConnections {
     /// Creates connections to this address, which are kept idle for so long.
     pub fn new(address: SocketAddr, max_idle: Duration) -> Self {
