refactor(start): the start of a process is one state machine, explored over all orders

What the start waits for, when a VM is ready and when the process ends was decided in five places: the wait for settings, the event loop, each port, the settings file, the readiness check. No test could play the orders in which these meet.

`kingcuploft::entry::start` decides it now, without a clock, file or socket: `Start` has the stages settings, event loop, running, stopping and ended; `SettingsWait` says when a file that may be being written counts as whole; `may_open_spare` when a further port is opened. The process carries it out. A port counts as missing from the moment at which it is wanted, not from its first failed try on.

Tests begin the shutdown by `Context::begin_shutdown` in place of `Shutdown::begin`, which the start does not hear of; their checks are as before.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -1,7 +1,6 @@
 //! The state that all tasks of one entry VM share, built once and passed by reference.
 
 use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,6 +23,7 @@
 use kingcuploft::entry::server_limits::ServerLimits;
 use kingcuploft::entry::server_pauses::ServerPauses;
 use kingcuploft::entry::service_time::ServiceTime;
+use kingcuploft::entry::start::{Known, Start, StartEvent};
 use kingcuploft::entry::store_contact::StoreContact;
 use kingcuploft::entry::vm_count::VmCount;
 use kingcuploft::entry::vm_entry::VmEntry;
@@ -43,7 +43,6 @@
 use crate::peers::followers::Followers;
 use crate::peers::peer_socket::PeerSender;
 use crate::peers::pending_turns::PendingTurns;
-use crate::ports::Port;
 use crate::quotas::Quotas;
 use crate::reach::Reach;
 use crate::rewinds::Rewinds;
@@ -122,8 +121,8 @@
     pub pending_turns: PendingTurns,
     /// The queue of notices that wait to be written to the store.
     pub notice_writes: NoticeWriteQueue,
-    /// The ports that could not be opened yet.
-    pub missing_ports: RefCell<BTreeSet<Port>>,
+    /// The start of the process, which has its settings and its event loop.
+    pub(crate) start: RefCell<Start>,
     /// The bound on connections of callers.
     pub caller_limit: CallerLimit,
     /// How many connections of callers are open.
@@ -229,7 +228,7 @@
             quotas: Quotas::new(clock::now()),
             pending_turns: PendingTurns::default(),
             notice_writes: NoticeWriteQueue::default(),
-            missing_ports: RefCell::default(),
+            start: RefCell::new(Start::at_running()),
             caller_connections: Cell::new(0),
             unanswered_requests: Cell::new(0),
             started_at: clock::now(),
@@ -262,21 +261,31 @@
 
     /// Returns what the VM lacks to serve, for those who ask whether it is ready.
     pub fn missing_to_serve(&self) -> impl Iterator<Item = &'static str> {
-        let ports = self.missing_ports.borrow();
-        let ports = ports.iter().filter(|port| port.is_needed_to_serve());
-        let ports: Vec<_> = ports.map(|port| port.label()).collect();
-        let knows_zones = self.position(Collection::Evacuations).is_some();
-        let others = [
-            (self.shutdown.is_stopping(), "it stops"),
-            (
-                self.active_configuration.version().is_none(),
-                "configuration",
-            ),
-            (!self.servers_listed.get(), "list of servers"),
-            (!knows_zones, "evacuated zones"),
-        ];
-        let others = others.into_iter().filter(|(is_missing, _)| *is_missing);
-        ports.into_iter().chain(others.map(|(_, what)| what))
+        let known = Known {
+            configuration: self.active_configuration.version().is_some(),
+            servers: self.servers_listed.get(),
+            evacuated_zones: self.position(Collection::Evacuations).is_some(),
+        };
+        let start = self.start.borrow();
+        let missing: Vec<_> = start.missing_to_serve(known).collect();
+        missing.into_iter()
+    }
+
+    /// Records what has happened to the start, or the end, of the process.
+    pub(crate) fn apply_to_start(&self, event: StartEvent) {
+        self.start.borrow_mut().apply(event);
+    }
+
+    /// Begins the graceful shutdown; the process exits at `ends_at` at the latest.
+    pub fn begin_shutdown(&self, ends_at: Instant) {
+        self.shutdown.begin(ends_at);
+        self.apply_to_start(StartEvent::Terminated);
+    }
+
+    /// Records that the graceful shutdown is over.
+    pub(crate) fn end_shutdown(&self) {
+        self.shutdown.end();
+        self.apply_to_start(StartEvent::Stopped);
     }
 
     /// Calls `operation` with the table of backend servers and returns its result.
--- a/crates/kingcuploft-entry/src/gauges.rs
+++ b/crates/kingcuploft-entry/src/gauges.rs
@@ -16,7 +16,7 @@
             .set(self.caller_connections.get() as i64);
         let refused = self.caller_limit.refused();
         self.metrics.refused_callers.set(refused as i64);
-        let missing = self.missing_ports.borrow().len();
+        let missing = self.start.borrow().missing_port_count();
         self.metrics.missing_ports.set(missing as i64);
         let probes_left = (self.probe_budget_left() * 1000.0) as i64;
         self.metrics.probes_left.set(probes_left);
--- a/crates/kingcuploft-entry/src/ports.rs
+++ b/crates/kingcuploft-entry/src/ports.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use kingcuploft::entry::start::{Port, StartEvent};
 use tokio::net::{TcpListener, TcpSocket};
 
 use crate::context::Context;
@@ -17,42 +18,6 @@
 /// How many ports are drawn where any port will do for links and datagrams together.
 const MAX_DRAWS: u32 = 16;
 
-/// A port of a VM.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Port {
-    /// Callers connect to it.
-    Callers,
-    /// The platform's readiness check connects to it.
-    Readiness,
-    /// Other VMs connect to it, and send datagrams to it.
-    Peers,
-    /// VMs that know this one as a seed connect to it.
-    Control,
-    /// Metrics are read from it.
-    Metrics,
-}
-
-impl Port {
-    /// Returns the name used in logs.
-    pub fn label(self) -> &'static str {
-        match self {
-            Self::Callers => "port of callers",
-            Self::Readiness => "port of readiness",
-            Self::Peers => "port of peers",
-            Self::Control => "port of seeds",
-            Self::Metrics => "port of metrics",
-        }
-    }
-
-    /// Returns whether the VM can't serve without it.
-    pub fn is_needed_to_serve(self) -> bool {
-        match self {
-            Self::Callers | Self::Readiness | Self::Peers => true,
-            Self::Control | Self::Metrics => false,
-        }
-    }
-}
-
 /// A listener, and the address at which it listens.
 #[derive(Debug)]
 pub struct Bound {
@@ -109,8 +74,7 @@
     }
 }
 
-/// Listens for other VMs at one of the spare ports if the wanted one can't be had and has been waited for long enough: an
-/// earlier process of the VM gives it back, another process may not.
+/// Listens for other VMs at one of the spare ports if the wanted one can't be had and a spare one may be opened.
 ///
 /// # Errors
 ///
@@ -118,10 +82,10 @@
 pub fn listen_to_peers_or_spare(
     wanted: SocketAddr,
     spare: &[u16],
-    is_waited_for: bool,
+    may_open_spare: bool,
 ) -> io::Result<PeerPort> {
     let opened = listen_to_peers(wanted);
-    if opened.is_ok() || !is_waited_for {
+    if opened.is_ok() || !may_open_spare {
         return opened;
     }
     let mut spare = spare.iter().map(|port| (wanted.ip(), *port).into());
@@ -132,7 +96,7 @@
     Ok(port)
 }
 
-/// Waits until a port that could not be opened at first is open. Until then it counts among the VM's missing ports.
+/// Waits until a port is open that could or could not be opened at first. Until then it counts among the VM's missing ports.
 pub async fn wait_for<T>(
     context: &Rc<Context>,
     port: Port,
@@ -144,13 +108,12 @@
     loop {
         match opened {
             Ok(found) => {
-                context.missing_ports.borrow_mut().remove(&port);
+                context.apply_to_start(StartEvent::PortOpened(port));
                 log.found();
                 return found;
             }
             Err(error) => log.missing(&error.to_string()),
         }
-        context.missing_ports.borrow_mut().insert(port);
         tokio::time::sleep(RETRY_INTERVAL).await;
         opened = open();
     }
--- a/crates/kingcuploft-entry/src/process/mod.rs
+++ b/crates/kingcuploft-entry/src/process/mod.rs
@@ -10,6 +10,7 @@
 
 use std::rc::Rc;
 
+use kingcuploft::entry::start::{Start, StartEvent};
 use tokio::runtime::Runtime;
 use tokio::task::LocalSet;
 
@@ -39,11 +40,14 @@
     surroundings: impl FnOnce(&EntrySettings) -> Surroundings<S>,
 ) -> Ending {
     system_limits::log();
-    let Some(first) = wait::retry(signals, "settings", || settings.read_first()) else {
+    let mut start = Start::default();
+    let read = || settings.read_first();
+    let Some(first) = wait::retry(&mut start, signals, StartEvent::SettingsRead, read) else {
         return Ending::Stopped;
     };
     let first = system_limits::apply(first);
-    let Some(runtime) = wait::retry(signals, "event loop", event_loop) else {
+    let opened = StartEvent::EventLoopOpened;
+    let Some(runtime) = wait::retry(&mut start, signals, opened, event_loop) else {
         return Ending::Stopped;
     };
     let reread = || settings.read_again().map_err(|error| error.to_string());
--- a/crates/kingcuploft-entry/src/process/settings_file.rs
+++ b/crates/kingcuploft-entry/src/process/settings_file.rs
@@ -2,16 +2,13 @@
 
 use std::cell::RefCell;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
+
+use kingcuploft::entry::start::{SettingsQuality, SettingsVerdict, SettingsWait};
 
 use crate::clock;
 use crate::fields::SettingsError;
 use crate::settings::{EntrySettings, ParsedSettings};
 
-/// How long a file must stay the same to count as whole though its last line has no end or parts of it can't be used: many
-/// times what a writer takes between two lines.
-const SETTLE_TIME: Duration = Duration::from_millis(200);
-
 /// Parses the text of a settings file; the path stands in errors only.
 pub type ParseSettings = fn(&Path, &str) -> Result<ParsedSettings, SettingsError>;
 
@@ -20,14 +17,7 @@
 pub struct SettingsFile {
     path: PathBuf,
     parse: ParseSettings,
-    doubtful: RefCell<Option<Doubtful>>,
-}
-
-/// A text that may not be whole, and since when the file holds it.
-#[derive(Debug)]
-struct Doubtful {
-    text: String,
-    since: Instant,
+    wait: RefCell<SettingsWait>,
 }
 
 impl SettingsFile {
@@ -36,7 +26,7 @@
         Self {
             path,
             parse,
-            doubtful: RefCell::default(),
+            wait: RefCell::default(),
         }
     }
 
@@ -58,7 +48,12 @@
     pub fn read_first(&self) -> Result<EntrySettings, SettingsError> {
         let text = self.read_ended_text()?;
         let parsed = (self.parse)(&self.path, &text)?;
-        if parsed.is_sound() || !self.has_settled(&text) {
+        let quality = match parsed.is_sound() {
+            true => SettingsQuality::Sound,
+            false => SettingsQuality::PartlyUsable,
+        };
+        let verdict = self.wait.borrow_mut().judge(clock::now(), &text, quality);
+        if parsed.is_sound() || verdict == SettingsVerdict::Wait {
             return parsed.if_sound();
         }
         for error in parsed.unusable.iter().chain(&parsed.unusable_bounds) {
@@ -81,7 +76,8 @@
     /// while.
     fn read_ended_text(&self) -> Result<String, SettingsError> {
         let text = self.read_text()?;
-        match text.ends_with('\n') || self.has_settled(&text) {
+        let is_whole = self.wait.borrow_mut().is_whole(clock::now(), &text);
+        match is_whole {
             true => Ok(text),
             false => Err(SettingsError::Unended(self.path.clone())),
         }
@@ -92,16 +88,4 @@
         let bytes = bytes.map_err(|error| SettingsError::File(self.path.clone(), error))?;
         Ok(String::from_utf8_lossy(&bytes).into_owned())
     }
-
-    fn has_settled(&self, text: &str) -> bool {
-        let mut doubtful = self.doubtful.borrow_mut();
-        if let Some(known) = doubtful.as_ref().filter(|known| known.text == text) {
-            return clock::since(known.since) >= SETTLE_TIME;
-        }
-        *doubtful = Some(Doubtful {
-            text: text.to_owned(),
-            since: clock::now(),
-        });
-        false
-    }
 }
--- a/crates/kingcuploft-entry/src/process/wait.rs
+++ b/crates/kingcuploft-entry/src/process/wait.rs
@@ -3,6 +3,8 @@
 use std::fmt::Display;
 use std::time::{Duration, Instant};
 
+use kingcuploft::entry::start::{Stage, Start, StartEvent};
+
 use super::signals::Signals;
 use super::standard_error;
 use crate::clock;
@@ -13,24 +15,32 @@
 /// How often the log says that the same is still missing.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Tries until it succeeds; returns `None` if a signal terminates the process before.
+/// Tries to have what the start waits for at its stage, until that succeeds, which is the event `found`; returns `None` if a
+/// signal terminates the process before.
 pub fn retry<T, E: Display>(
+    start: &mut Start,
     signals: &Signals,
-    awaited: &'static str,
+    found: StartEvent,
     mut attempt: impl FnMut() -> Result<T, E>,
 ) -> Option<T> {
-    let mut log = WaitLog::new(awaited);
-    while !signals.is_terminated() {
+    let mut log = WaitLog::new(start.stage().awaited());
+    loop {
+        if signals.is_terminated() {
+            start.apply(StartEvent::Terminated);
+        }
+        if start.stage() == Stage::Ended {
+            return None;
+        }
         match attempt() {
-            Ok(found) => {
+            Ok(value) => {
+                start.apply(found);
                 log.found();
-                return Some(found);
+                return Some(value);
             }
             Err(error) => log.missing(&error.to_string()),
         }
         std::thread::sleep(RETRY_INTERVAL);
     }
-    None
 }
 
 /// Logs what is missing: at first, when the reason changes, and every few seconds.
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use kingcuploft::entry::start::{Port, StartEvent, may_open_spare};
 use kingcuploft::entry::vm_entry::VmEntry;
 use kingcuploft::planted::{self, PlantedFault};
 use tokio::net::TcpListener;
@@ -22,7 +23,7 @@
 use crate::peers::feeder;
 use crate::peers::load_reports;
 use crate::peers::repeat_replication;
-use crate::ports::{self, PeerPort, Port};
+use crate::ports::{self, PeerPort};
 use crate::process::signals::{Signal, Signals};
 use crate::quotas;
 use crate::settings::{Bounds, EntrySettings, WireNames};
@@ -135,6 +136,7 @@
     wanted: SocketAddr,
     serve: impl Fn(Rc<Context>, Rc<TcpListener>) -> F + 'static,
 ) -> (SocketAddr, JoinHandle<()>) {
+    context.apply_to_start(StartEvent::PortWanted(port));
     let first = ports::listen(wanted);
     let address = first.as_ref().map_or(wanted, |bound| bound.address);
     let context = context.clone();
@@ -166,10 +168,12 @@
         failed => {
             let context = context.clone();
             let since = clock::now();
+            context.apply_to_start(StartEvent::PortWanted(Port::Peers));
             tokio::task::spawn_local(async move {
                 let spare = &context.settings.spare_peer_ports;
-                let is_waited_for = || clock::since(since) >= context.bounds.get().stop_within;
-                let open = || ports::listen_to_peers_or_spare(wanted, spare, is_waited_for());
+                let longest_stop = || context.bounds.get().stop_within;
+                let may_open_spare = || may_open_spare(clock::since(since), longest_stop());
+                let open = || ports::listen_to_peers_or_spare(wanted, spare, may_open_spare());
                 let port = ports::wait_for(&context, Port::Peers, failed, open).await;
                 join_through(&context, &store, &store_access, port);
             });
@@ -215,7 +219,7 @@
 pub async fn stop(context: &Context, stop_accepting: impl FnOnce()) {
     let started_at = clock::now();
     let ends_at = started_at + context.bounds.get().stop_within.saturating_sub(EXIT_MARGIN);
-    context.shutdown.begin(ends_at);
+    context.begin_shutdown(ends_at);
     tracing::info!(
         event = "stopping",
         callers = context.caller_connections.get()
@@ -229,7 +233,7 @@
     wait_for_callers(context, ends_at).await;
     context.shutdown.answer_all();
     wait_for_callers(context, ends_at + LAST_ANSWERS_TIME).await;
-    context.shutdown.end();
+    context.end_shutdown();
     tracing::info!(
         event = "stopped",
         callers_left = context.caller_connections.get(),
--- a/crates/kingcuploft-entry/src/shutdown.rs
+++ b/crates/kingcuploft-entry/src/shutdown.rs
@@ -30,7 +30,7 @@
     }
 
     /// Begins the shutdown; the process exits at `ends_at` at the latest.
-    pub fn begin(&self, ends_at: Instant) {
+    pub(crate) fn begin(&self, ends_at: Instant) {
         self.began_at.set(Some(clock::now()));
         self.ends_at.set(Some(ends_at));
         self.enter(ShutdownPhase::Announced);
--- a/crates/kingcuploft-entry/tests/entry/stopping.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping.rs
@@ -46,7 +46,7 @@
         wait_until(|| testbed.run_count() == 2).await;
         let context = testbed.vm.context.clone();
         assert_eq!(ready_status(&testbed).await, 200);
-        context.shutdown.begin(ends_at());
+        context.begin_shutdown(ends_at());
         assert_eq!(ready_status(&testbed).await, 503);
         let stopping = tokio::task::spawn_local(testbed.vm.stop());
         let answer = busy.answer().await.unwrap();
@@ -73,7 +73,7 @@
             .send(&[lookup("r1"), lookup("r2"), lookup("r3")].concat())
             .await;
         wait_until(|| testbed.run_count() == 3).await;
-        testbed.vm.context.shutdown.begin(ends_at());
+        testbed.vm.context.begin_shutdown(ends_at());
         for (id, closes) in [("r1", false), ("r2", false), ("r3", true)] {
             let answer = caller.answer().await.unwrap();
             assert_eq!(answer.status, 200, "{id}");
@@ -160,7 +160,7 @@
         let sent = [&lookup, head].concat();
         caller.write_all(sent.as_bytes()).await.unwrap();
         wait_until(|| testbed.run_count() == 1).await;
-        context.shutdown.begin(ends_at());
+        context.begin_shutdown(ends_at());
         tokio::time::sleep(2 * WORK_TIME).await;
         caller.write_all(body.as_bytes()).await.unwrap();
         tokio::time::sleep(2 * WORK_TIME).await;
--- a/crates/kingcuploft-entry/tests/entry/stopping_cuts.rs
+++ b/crates/kingcuploft-entry/tests/entry/stopping_cuts.rs
@@ -106,9 +106,7 @@
         let (head, body) = booking.split_at(booking.len() - 3);
         caller.write_all(head.as_bytes()).await.unwrap();
         tokio::time::sleep(WORK_TIME / 4).await;
-        context
-            .shutdown
-            .begin(std::time::Instant::now() + Duration::from_secs(5));
+        context.begin_shutdown(std::time::Instant::now() + Duration::from_secs(5));
         context.shutdown.close_connections();
         caller.write_all(body.as_bytes()).await.unwrap();
         let mut read = String::new();
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -49,6 +49,7 @@
 pub mod service_reach;
 pub mod service_time;
 pub mod shutdown;
+pub mod start;
 pub mod startup_delay;
 pub mod store_contact;
 pub mod turned_away;
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -30,6 +30,7 @@
 mod server_table;
 mod service_reach;
 mod shutdown;
+mod start;
 mod store_contact;
 mod turned_away;
 mod vm_count;
