fix(start): a doubtful settings file counts as whole only if no reading in between found another

What callers could see: a VM that starts while its settings are rewritten runs with defaults, or with the part of an address that was written by then, until its next start. Cause: the time for which a doubtful text had stayed the same was kept over readings that found another text, or no file, as long as those were not doubtful themselves. Evidence: the new test plays all 390,625 orders of eight readings that find nothing, a short, cut, partly usable or sound text; on the code before, the verdict was wrong in 22,432, among them cut, nothing, nothing, nothing, cut. Why it works: each reading is recorded, a failed one too, and only one that finds the same text as the last keeps its time.

--- a/crates/kingcuploft-entry/src/process/settings_file.rs
+++ b/crates/kingcuploft-entry/src/process/settings_file.rs
@@ -52,7 +52,7 @@
             true => SettingsQuality::Sound,
             false => SettingsQuality::PartlyUsable,
         };
-        let verdict = self.wait.borrow_mut().judge(clock::now(), &text, quality);
+        let verdict = self.wait.borrow().judge(clock::now(), quality);
         if parsed.is_sound() || verdict == SettingsVerdict::Wait {
             return parsed.if_sound();
         }
@@ -75,9 +75,11 @@
     /// Returns what the file holds. A file whose last line has no end is being written until it has stayed the same for a
     /// while.
     fn read_ended_text(&self) -> Result<String, SettingsError> {
-        let text = self.read_text()?;
-        let is_whole = self.wait.borrow_mut().is_whole(clock::now(), &text);
-        match is_whole {
+        let mut wait = self.wait.borrow_mut();
+        let text = self.read_text().inspect_err(|_| wait.record_missing())?;
+        let now = clock::now();
+        wait.record_text(now, &text);
+        match wait.is_whole(now) {
             true => Ok(text),
             false => Err(SettingsError::Unended(self.path.clone())),
         }
--- a/crates/kingcuploft/src/entry/start.rs
+++ b/crates/kingcuploft/src/entry/start.rs
@@ -187,24 +187,35 @@
     Use,
 }
 
-/// A text of settings that may be being written, and since when the file has held it.
+/// The text that the file of the settings held at its last reading, and since when it has held it.
 #[derive(Debug, Default)]
 pub struct SettingsWait {
-    doubtful: Option<(String, Instant)>,
+    last: Option<(String, Instant)>,
 }
 
 impl SettingsWait {
-    /// Returns whether a text that was just read counts as whole: its last line has an end, or it has stayed the same for a
-    /// while.
-    pub fn is_whole(&mut self, now: Instant, text: &str) -> bool {
-        text.ends_with('\n') || self.has_settled(now, text)
+    /// Records that the file could not be read.
+    pub fn record_missing(&mut self) {
+        self.last = None;
     }
 
-    /// Returns whether a VM starts with a whole text that was just read.
-    pub fn judge(&mut self, now: Instant, text: &str, quality: SettingsQuality) -> SettingsVerdict {
+    /// Records the text that was just read.
+    pub fn record_text(&mut self, now: Instant, text: &str) {
+        if self.last.as_ref().is_none_or(|(last, _)| last != text) {
+            self.last = Some((text.to_owned(), now));
+        }
+    }
+
+    /// Returns whether the text counts as whole: its last line has an end, or it has stayed the same for a while.
+    pub fn is_whole(&self, now: Instant) -> bool {
+        self.ends_its_last_line() || self.has_settled(now)
+    }
+
+    /// Returns whether a VM starts with the text, which counts as whole.
+    pub fn judge(&self, now: Instant, quality: SettingsQuality) -> SettingsVerdict {
         let is_used = match quality {
             SettingsQuality::Unusable => false,
-            SettingsQuality::PartlyUsable => self.has_settled(now, text),
+            SettingsQuality::PartlyUsable => self.has_settled(now),
             SettingsQuality::Sound => true,
         };
         match is_used {
@@ -213,12 +224,14 @@
         }
     }
 
-    fn has_settled(&mut self, now: Instant, text: &str) -> bool {
-        if let Some((_, since)) = self.doubtful.as_ref().filter(|(known, _)| known == text) {
-            return now.saturating_duration_since(*since) >= SETTLE_TIME;
-        }
-        self.doubtful = Some((text.to_owned(), now));
-        false
+    fn ends_its_last_line(&self) -> bool {
+        let last = self.last.as_ref();
+        last.is_some_and(|(text, _)| text.ends_with('\n'))
+    }
+
+    fn has_settled(&self, now: Instant) -> bool {
+        let last = self.last.as_ref();
+        last.is_some_and(|(_, since)| now.saturating_duration_since(*since) >= SETTLE_TIME)
     }
 }
 
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -31,6 +31,7 @@
 mod service_reach;
 mod shutdown;
 mod start;
+mod start_settings;
 mod store_contact;
 mod turned_away;
 mod vm_count;
