fix(placement): a load beyond counting counts as full

What callers could see: 502 from each request for a service of which one server in trouble reports a load such as `4294967295,1,4` (in a build that checks sums); in one that doesn't, the sum is 0 and the server is taken for idle. Cause: the figures of a load report were added as they came, in four places. Evidence: absurd_figures::a_server_that_reports_a_load_beyond_counting_is_not_idle, 502 in place of 503 before ("attempt to add with overflow" in good_share.rs and placement.rs); it passes now. Why it works: the sum is made in one place, LoadReport::requests_with, and stops at the most that can be counted.

--- a/crates/kingcuploft-entry/tests/entry/absurd_figures.rs
+++ b/crates/kingcuploft-entry/tests/entry/absurd_figures.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use kingcuploft::entry::backend_servers::BackendServer;
+use kingcuploft::entry::placement::LoadReport;
 use kingcuploft_entry::run;
 use kingcuploft_entry::settings::WireNames;
 
@@ -74,3 +75,29 @@
         assert_eq!(caller.answer().await.expect("an answer").status, 200);
     });
 }
+
+/// Guards against a server that is taken for idle, or ends the task of its request, as it reports more load than can be counted.
+#[test]
+fn a_server_that_reports_a_load_beyond_counting_is_not_idle() {
+    run_test(async {
+        let (store, _servers) = start_servers(&[Behavior::Answer]).await;
+        let names = WireNames {
+            parse_load: |_| {
+                Some(LoadReport {
+                    running: u32::MAX,
+                    waiting: 1,
+                    slots: 4,
+                    slowness: 1.0,
+                })
+            },
+            ..HEADER_NAMES
+        };
+        let vm = run::start(settings("vm"), names, store.clone());
+        wait_until(|| vm.context.is_ready()).await;
+        let mut caller = Caller::connect(vm.caller_address).await;
+        caller
+            .send(&lookup("r1").replace("x-deadline-ms: 4000", "x-deadline-ms: 300"))
+            .await;
+        assert_eq!(caller.answer().await.expect("an answer").status, 503);
+    });
+}
--- a/crates/kingcuploft/src/entry/good_share.rs
+++ b/crates/kingcuploft/src/entry/good_share.rs
@@ -34,7 +34,7 @@
 impl GoodShare {
     /// Records a server's load report.
     pub fn record(&mut self, report: &LoadReport) {
-        let is_idle = report.running + report.waiting == 0;
+        let is_idle = report.requests_with(0) == 0;
         let is_good = is_idle && report.slowness <= GOOD_MULTIPLE;
         self.0 += WEIGHT * (f64::from(u8::from(is_good)) - self.0);
     }
--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -28,6 +28,15 @@
     pub slowness: f64,
 }
 
+impl LoadReport {
+    /// Returns how many requests the server has, with so many that were sent since its report; figures beyond counting count
+    /// as the most that can be counted.
+    pub fn requests_with(&self, sent_since: u32) -> u32 {
+        let reported = self.running.saturating_add(self.waiting);
+        reported.saturating_add(sent_since)
+    }
+}
+
 /// A backend server as a candidate for one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -192,7 +201,7 @@
     /// Returns how many requests the server has, or an estimate without a load report.
     fn busy(&self) -> f64 {
         match self.load_report {
-            Some(report) => f64::from(report.running + report.waiting + self.sent_since_report),
+            Some(report) => f64::from(report.requests_with(self.sent_since_report)),
             None => f64::from(self.own_in_flight) + f64::from(self.slots.max(1)) / 2.0,
         }
     }
@@ -200,7 +209,7 @@
     /// Returns how long a request that is sent now waits until it runs, in milliseconds.
     fn wait_ms(&self, report: &LoadReport, work_ms: f64) -> f64 {
         let slots = f64::from(report.slots.max(1));
-        let busy = f64::from(report.running + report.waiting + self.sent_since_report);
+        let busy = f64::from(report.requests_with(self.sent_since_report));
         queue_wait_ms(busy, slots, work_ms * report.slowness)
     }
 
@@ -213,7 +222,7 @@
 
     fn is_full(&self) -> bool {
         let report = self.load_report;
-        report.is_some_and(|r| r.running + r.waiting + self.sent_since_report >= r.slots.max(1))
+        report.is_some_and(|r| r.requests_with(self.sent_since_report) >= r.slots.max(1))
     }
 }
 
--- a/crates/kingcuploft/src/entry/turned_away.rs
+++ b/crates/kingcuploft/src/entry/turned_away.rs
@@ -18,7 +18,7 @@
 /// Returns the retry delay for a request with so much time left until its target, whose service time is `work_ms`, by the
 /// load of the server that has turned it away.
 pub fn retry_delay(report: Option<&LoadReport>, target_left_ms: f64, work_ms: f64) -> Duration {
-    let has_room = report.is_some_and(|r| r.running + r.waiting < r.slots);
+    let has_room = report.is_some_and(|r| r.requests_with(0) < r.slots);
     let soon_ms = SOON.as_secs_f64() * 1000.0;
     match has_room && target_left_ms >= soon_ms + work_ms * WORK_MARGIN {
         true => SOON,
