fix(edge): times of a configuration beyond all time end no request

What callers could see: 502 from each request of a route, or closed connections, once the operator's configuration names a time of more than some 1e11 years: they are read as what they say. Cause: `idleTimeoutS`, a route's time-out and its target, and the time of cold starts were added to other times, and such a sum panics beyond what a duration or the clock holds. Evidence: absurd_figures::lookups_are_served_whose_route_and_limits_have_absurd_times: before, "overflow when adding durations" ended the connection without an answer; it passes now. The same in all sums of times in edge, http, peers and upstream.

--- a/crates/kingcuploft-entry/src/edge/active_request.rs
+++ b/crates/kingcuploft-entry/src/edge/active_request.rs
@@ -14,6 +14,7 @@
 use super::answer::Answer;
 use super::caller_key::{KeyCheck, check_key};
 use super::request::{CallerIdentity, Request};
+use crate::clock;
 use crate::context::Context;
 use crate::http::client::Response;
 use crate::relay::wire::RelayedRequest;
@@ -145,8 +146,8 @@
             None => context.count_request(request.arrived, &service),
         }
         Routed::Active(Box::new(Self {
-            deadline: request.arrived + allowed,
-            target_at: (request.arrived + route.target)
+            deadline: clock::after(request.arrived, allowed),
+            target_at: clock::after(request.arrived, route.target)
                 .checked_sub(waited_before)
                 .unwrap_or(request.arrived),
             is_returning: match &request.relayed {
--- a/crates/kingcuploft-entry/src/edge/attempt.rs
+++ b/crates/kingcuploft-entry/src/edge/attempt.rs
@@ -139,7 +139,7 @@
             running = self.load_report.map(|(_, r)| r.running),
             waiting = self.load_report.map(|(_, r)| r.waiting),
             slowness = self.slowness(),
-            waited_ms = (self.sent_at - request.arrived).as_millis() as u64,
+            waited_ms = self.sent_at.saturating_duration_since(request.arrived).as_millis() as u64,
             took_ms = logged.took.as_millis() as u64,
             left_ms = self.remaining.as_millis() as u64,
             end = logged.end,
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -215,7 +215,10 @@
     /// Reads more bytes of a request head, or waits for the first.
     async fn read_head_bytes(&mut self, limits: &Limits) -> Option<ReadEnd> {
         let (awaited, timeout) = match self.buffer.is_empty() {
-            true => (Awaited::Request, limits.idle_timeout + IDLE_TIMEOUT_MARGIN),
+            true => (
+                Awaited::Request,
+                limits.idle_timeout.saturating_add(IDLE_TIMEOUT_MARGIN),
+            ),
             false => (Awaited::Head, limits.header_timeout),
         };
         match (self.read(timeout, awaited).await, awaited) {
--- a/crates/kingcuploft-entry/src/edge/hedge.rs
+++ b/crates/kingcuploft-entry/src/edge/hedge.rs
@@ -83,11 +83,13 @@
         probe::start(self.context, upstream, &service.health_path);
         tokio::time::sleep(HEDGE_LOAD_REPORT_WAIT).await;
         let now = clock::now();
+        let longest = self.context.max_load_report_age();
         let age = upstream.load_report(now).map(|(age, _)| age);
         let need = self.need(now, now, ProbeScope::Far);
         let check = HedgeCheck {
-            server_answers: age
-                .is_some_and(|age| age <= now - asked_at + self.context.max_load_report_age()),
+            server_answers: age.is_some_and(|age| {
+                age <= longest.saturating_add(now.saturating_duration_since(asked_at))
+            }),
             probe_budget_left: self.context.probe_budget_left(),
             deadline_left_ms: need.deadline_left_ms,
             work_ms: need.work_ms,
@@ -122,8 +124,9 @@
         loop {
             tokio::time::sleep(wait).await;
             let now = clock::now();
-            let waited = now - asked_at;
-            let max_age = self.context.max_load_report_age() + waited + LOAD_REPORT_POLL_INTERVAL;
+            let waited = now.saturating_duration_since(asked_at);
+            let max_age = self.context.max_load_report_age().saturating_add(waited);
+            let max_age = max_age.saturating_add(LOAD_REPORT_POLL_INTERVAL);
             let candidates = other_upstreams
                 .iter()
                 .map(|u| u.candidate(now, max_age, self.is_excluded(u, now)));
--- a/crates/kingcuploft-entry/src/edge/relay.rs
+++ b/crates/kingcuploft-entry/src/edge/relay.rs
@@ -70,7 +70,7 @@
             to = %address,
             server = outcome.answer.server.as_deref(),
             arrived = outcome.answer.arrived,
-            waited_ms = (started_at - self.request.arrived).as_millis() as u64,
+            waited_ms = started_at.saturating_duration_since(self.request.arrived).as_millis() as u64,
             took_ms = clock::since(started_at).as_millis() as u64,
             left_ms = left.as_millis() as u64,
             end = outcome.end.label(),
@@ -83,7 +83,8 @@
     }
 
     fn relayed_request(&self) -> RelayedRequest {
-        let waited = (clock::now() + self.route.target).saturating_duration_since(self.target_at);
+        let waited =
+            clock::after(clock::now(), self.route.target).saturating_duration_since(self.target_at);
         RelayedRequest {
             service: self.service.clone(),
             configuration: self.configuration.version,
--- a/crates/kingcuploft-entry/src/edge/selection.rs
+++ b/crates/kingcuploft-entry/src/edge/selection.rs
@@ -91,8 +91,9 @@
                 };
             }
             self.probe_upstreams(&upstreams, self.context.probe_share(rounds));
-            let max_age = self.context.max_load_report_age().max(now - search_began)
-                + LOAD_REPORT_POLL_INTERVAL;
+            let searched_for = now.saturating_duration_since(search_began);
+            let max_age = self.context.max_load_report_age().max(searched_for);
+            let max_age = max_age.saturating_add(LOAD_REPORT_POLL_INTERVAL);
             let candidates: Vec<Candidate> = upstreams
                 .iter()
                 .map(|u| u.candidate(now, max_age, self.is_excluded(u, now)))
@@ -301,15 +302,18 @@
     ) -> PlacementNeed {
         let millis = |d: Duration| d.as_secs_f64() * 1000.0;
         let left = |until: Instant| match until >= now {
-            true => millis(until - now),
-            false => -millis(now - until),
+            true => millis(until.saturating_duration_since(now)),
+            false => -millis(now.saturating_duration_since(until)),
         };
         let usual = self.context.near_probe_latency.get().usual();
         PlacementNeed {
             work_ms: self.context.work_ms(&self.route, &self.service),
             target_left_ms: left(self.target_at),
             deadline_left_ms: left(self.deadline),
-            probe_wait_ms: millis((now - search_began).saturating_sub(usual)),
+            probe_wait_ms: millis(
+                now.saturating_duration_since(search_began)
+                    .saturating_sub(usual),
+            ),
             scope,
             last_slot_slowdown: self.context.last_slot_factor(&self.service),
             probe_budget_left: self.context.probe_budget_left(),
--- a/crates/kingcuploft-entry/src/http/arriving.rs
+++ b/crates/kingcuploft-entry/src/http/arriving.rs
@@ -14,12 +14,12 @@
     last_arrival: impl Fn() -> Option<Instant>,
 ) -> Option<T> {
     let mut answer = std::pin::pin!(answer);
-    let mut until = clock::now() + timeout;
+    let mut until = clock::after(clock::now(), timeout);
     loop {
         if let Ok(answer) = tokio::time::timeout_at(until.into(), &mut answer).await {
             return Some(answer);
         }
-        let limit = last_arrival().map(|at| at + max_pause);
+        let limit = last_arrival().map(|at| clock::after(at, max_pause));
         until = limit.filter(|limit| *limit > clock::now())?;
     }
 }
--- a/crates/kingcuploft-entry/src/peers/repeat_replication.rs
+++ b/crates/kingcuploft-entry/src/peers/repeat_replication.rs
@@ -8,7 +8,7 @@
 use kingcuploft::entry::account_replicas::replica_holders;
 use kingcuploft::entry::repeat_account::UsageReport;
 use kingcuploft::world::ids::VmName;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 use super::peer_socket::PeerMessage;
 use crate::clock;
@@ -78,7 +78,7 @@
         };
         tokio::select! {
             biased;
-            () = context.repeat_taken.notified() => sleep_until(sent_at + MIN_SEND_INTERVAL).await,
+            () = context.repeat_taken.notified() => sleep(MIN_SEND_INTERVAL.saturating_sub(sent_at.elapsed())).await,
             () = sleep(pause) => {}
         }
     }
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -105,7 +105,7 @@
     pub fn new(server: Arc<BackendServer>, vm: &VmName, near: bool, now: Instant) -> Self {
         Self {
             rank: rendezvous(vm, &server.name),
-            cold_until: Cell::new(now + cold_time::bounded(server.cold_for)),
+            cold_until: Cell::new(clock::after(now, cold_time::bounded(server.cold_for))),
             server,
             near,
             usage: OnceCell::new(),
@@ -249,7 +249,7 @@
         let usage = self.usage();
         usage.cold_report_required.set(Some(ColdReportRequired {
             from: now,
-            until: now + max_cold_time,
+            until: clock::after(now, max_cold_time),
         }));
         usage.last_load_report.set(None);
     }
@@ -285,7 +285,7 @@
 
     fn probe_failed(&self, now: Instant, step: ProbeStep, took: Duration) {
         let before = self.usage().probe_backoff.get();
-        let pause = before.map_or(FIRST_PROBE_BACKOFF, |(_, pause)| pause * 2);
+        let pause = before.map_or(FIRST_PROBE_BACKOFF, |(_, pause)| pause.saturating_mul(2));
         let pause = pause.min(MAX_PROBE_BACKOFF);
         if before.is_none() {
             let age = self
@@ -303,7 +303,9 @@
                 connections = self.usage().open_connections.get()
             );
         }
-        self.usage().probe_backoff.set(Some((now + pause, pause)));
+        self.usage()
+            .probe_backoff
+            .set(Some((clock::after(now, pause), pause)));
         self.usage().last_load_report.set(None);
     }
 
--- a/crates/kingcuploft-entry/src/upstream/probe.rs
+++ b/crates/kingcuploft-entry/src/upstream/probe.rs
@@ -116,7 +116,7 @@
         }
         None => {
             context.metrics.count_probe("failed");
-            upstream.probe_failed(now, step.get(), now - started_at);
+            upstream.probe_failed(now, step.get(), now.saturating_duration_since(started_at));
             tracing::debug!(event = "probe_failed", server = %upstream.server.name);
         }
     }
--- a/crates/kingcuploft-entry/tests/entry/absurd_figures.rs
+++ b/crates/kingcuploft-entry/tests/entry/absurd_figures.rs
@@ -3,14 +3,15 @@
 use std::time::Duration;
 
 use kingcuploft::entry::backend_servers::BackendServer;
+use kingcuploft::entry::configuration::{Configuration, Limits, Route};
 use kingcuploft::entry::placement::LoadReport;
 use kingcuploft_entry::run;
 use kingcuploft_entry::settings::WireNames;
 
 use crate::server::Behavior;
 use crate::testbed::{
-    Caller, HEADER_NAMES, Testbed, entry, lookup, run_test, settings, start, start_servers,
-    wait_until,
+    Caller, HEADER_NAMES, Testbed, configuration, entry, lookup, run_test, settings, start,
+    start_servers, wait_until,
 };
 
 /// Guards against a deadline that is beyond all time and ends the task of its request.
@@ -76,6 +77,35 @@
     });
 }
 
+/// Guards against times of a configuration that are beyond all time and end the task of each request.
+#[test]
+fn lookups_are_served_whose_route_and_limits_have_absurd_times() {
+    run_test(async {
+        let testbed = Testbed::with(&[Behavior::Answer]).await;
+        let known = configuration(2);
+        let routes = known.routes().cloned().map(|route| Route {
+            target: Duration::MAX,
+            timeout: Duration::MAX,
+            ..route
+        });
+        let limits = Limits {
+            header_timeout: Duration::MAX,
+            idle_timeout: Duration::MAX,
+            ..known.limits
+        };
+        let (routes, services) = (routes.collect(), known.services.clone());
+        let absurd = Configuration::new(2, routes, services, limits);
+        testbed.store.write_configuration(absurd);
+        let context = &testbed.vm.context;
+        wait_until(|| context.active_configuration.version() == Some(2)).await;
+        for deadline in ["x-deadline-ms: 4000\r\n", ""] {
+            let request = lookup("r1").replace("x-deadline-ms: 4000\r\n", deadline);
+            let answer = testbed.ask(&request).await;
+            assert_eq!(answer.status, 200, "{deadline}");
+        }
+    });
+}
+
 /// Guards against a server that is taken for idle, or ends the task of its request, as it reports more load than can be counted.
 #[test]
 fn a_server_that_reports_a_load_beyond_counting_is_not_idle() {
