fix(repeats): a window that can't be divided ends no report

What callers could see: a VM whose settings name a `bounds.budgetWindowS` of under 20 ns stops reporting its repeats, as that task panics at each try; a little more and the report grows with the ratio of old times to the step. Cause: the index of a step is an age divided by the step's length, without a bound. Evidence: repeat_budget::a_window_of_no_length_is_reported, "attempt to add with overflow" before; it passes now. Why it works: the index stops at the oldest step that counts, the 23rd; counts that another VM reports are added up to what can be counted.

--- a/crates/kingcuploft/src/entry/repeat_account.rs
+++ b/crates/kingcuploft/src/entry/repeat_account.rs
@@ -10,6 +10,9 @@
 /// Number of time steps that a window is divided into.
 const STEPS: u32 = 20;
 
+/// The index of the oldest step that is counted: that of a repeat, which counts for a tenth longer than the window.
+const LAST_STEP: usize = 22;
+
 /// One VM's requests for a service and their repeats, counted per time step, the latest step first.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Account {
@@ -50,10 +53,13 @@
 
 fn add(counts: &mut Vec<u32>, age: Duration, bounds: &RepeatBounds, count: u32) {
     let index = (age.as_secs_f64() / step(bounds).as_secs_f64()) as usize;
+    let index = index.min(LAST_STEP);
     if counts.len() <= index {
         counts.resize(index + 1, 0);
     }
-    counts[index] += count;
+    if let Some(counted) = counts.get_mut(index) {
+        *counted = counted.saturating_add(count);
+    }
 }
 
 fn step(bounds: &RepeatBounds) -> Duration {
--- a/crates/kingcuploft/tests/entry/repeat_budget.rs
+++ b/crates/kingcuploft/tests/entry/repeat_budget.rs
@@ -186,3 +186,18 @@
     assert!(!first.recover(now, &heard(3_500, 0)));
     assert!(first.unknown_for(now) > SECOND);
 }
+
+/// Guards against a window that is too short to be divided into steps and ends the report of what was used.
+#[test]
+fn a_window_of_no_length_is_reported() {
+    let bounds = RepeatBounds {
+        window: Duration::from_nanos(10),
+        ..BOUNDS
+    };
+    let mut budget = RepeatBudget::for_first_start();
+    let now = Instant::now();
+    budget.record_request(now, &"trip".into());
+    budget.try_take(now, &"trip".into(), &bounds, 1);
+    let report = budget.report(now + Duration::from_nanos(5), &bounds);
+    assert_eq!(report.accounts.len(), 1);
+}
