feat(edge): idle connections give way where descriptors are short

What callers saw: callers who open connections and say nothing, or keep them for later, had all others refused once they held three quarters of the descriptors. Now: once connections hold 0.8 of the descriptors (or those of callers three quarters), idle connections to servers give way to a new caller first, those of other zones before near ones; then callers that have had no request for 1 s, the longest idle first; then the new caller is refused at once. `descriptors_short` (in place of `callers_refused`) and six metrics tell who holds them. `kingcuploft::entry::descriptors` decides; connections that are closed this way don't linger. The writer of answers and the pool of a server's connections moved to files of their own, unchanged.

--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -35,6 +35,7 @@
 use crate::active_configuration::ActiveConfiguration;
 use crate::clock;
 use crate::edge::caller_limit::CallerLimit;
+use crate::edge::idle_callers::IdleCallers;
 use crate::edge::memory_account::MemoryAccount;
 use crate::http::answer_account::AnswerAccount;
 use crate::metrics::Metrics;
@@ -125,6 +126,10 @@
     pub(crate) start: RefCell<Start>,
     /// The bound on connections of callers.
     pub caller_limit: CallerLimit,
+    /// How many connections to servers are open.
+    pub server_connections: Rc<Cell<usize>>,
+    /// The connections of callers that have no request.
+    pub idle_callers: IdleCallers,
     /// How many connections of callers are open.
     pub caller_connections: Cell<usize>,
     /// How many requests were read and have no answer yet.
@@ -229,6 +234,8 @@
             pending_turns: PendingTurns::default(),
             notice_writes: NoticeWriteQueue::default(),
             start: RefCell::new(Start::at_running()),
+            server_connections: Rc::default(),
+            idle_callers: IdleCallers::default(),
             caller_connections: Cell::new(0),
             unanswered_requests: Cell::new(0),
             started_at: clock::now(),
--- a/crates/kingcuploft-entry/src/edge/connection.rs
+++ b/crates/kingcuploft-entry/src/edge/connection.rs
@@ -9,14 +9,16 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadHalf};
 use tokio::sync::{mpsc, oneshot};
 
 use super::answer::Answer;
+use super::answer_writer::write_answers;
 use super::caller_disconnect::CallerDisconnect;
 use super::caller_limit::OpenConnection;
 use super::connection_state::ConnectionState;
 use super::dispatch;
+use super::idle_callers::IdleGuard;
 use super::memory_account::Reservation;
 use super::pending_answer::{AnsweredRequest, PendingAnswer};
 use super::request::Request;
@@ -97,6 +99,7 @@
             writing.abort();
         }
         ReadEnd::Closing => reading.drain().await,
+        ReadEnd::GivesWay => {}
     }
     drop(reading);
     let _ = writing.await;
@@ -105,6 +108,8 @@
 enum ReadEnd {
     CallerLeft,
     Closing,
+    /// The connection is idle and closed at once, as others need its descriptor.
+    GivesWay,
 }
 
 struct RequestReader<S> {
@@ -221,7 +226,14 @@
             ),
             false => (Awaited::Head, limits.header_timeout),
         };
-        match (self.read(timeout, awaited).await, awaited) {
+        let waiting = self.count_if_waiting(awaited);
+        let outcome = self.read(timeout, awaited).await;
+        drop(waiting);
+        let gives_way = self.state.take_gives_way();
+        match (outcome, awaited) {
+            (ReadOutcome::GoOn, _) if gives_way && self.buffer.is_empty() => {
+                Some(ReadEnd::GivesWay)
+            }
             (ReadOutcome::GoOn, _) => None,
             (ReadOutcome::CallerLeft, _) => Some(ReadEnd::CallerLeft),
             (ReadOutcome::Idle, Awaited::Request) if self.state.unanswered() > 0 => None,
@@ -230,6 +242,12 @@
         }
     }
 
+    /// Counts a caller's connection among those that may give way once they are idle, while it waits for a request.
+    fn count_if_waiting(&self, awaited: Awaited) -> Option<IdleGuard> {
+        let may_be_idle = awaited == Awaited::Request && self.sender == Sender::Caller;
+        may_be_idle.then(|| IdleGuard::count(&self.context, &self.state))
+    }
+
     /// Reads more bytes. Unless these are of a body, the next phase of a graceful shutdown of the VM and an answer that
     /// announces the close end the wait.
     async fn read(&mut self, timeout: Duration, awaited: Awaited) -> ReadOutcome {
@@ -368,40 +386,3 @@
         }
     }
 }
-
-/// Writes answers in the order of their requests.
-async fn write_answers<S: AsyncWrite>(
-    context: Rc<Context>,
-    mut writer: WriteHalf<S>,
-    mut queue: mpsc::Receiver<PendingAnswer>,
-    state: Rc<ConnectionState>,
-) {
-    while let Some(mut pending) = queue.recv().await {
-        let Some(answer) = pending.receive().await else {
-            break;
-        };
-        if answer.is_interim() {
-            if answer.write_to(&mut writer, false).await.is_err() {
-                return;
-            }
-            pending.written();
-            continue;
-        }
-        let is_last = state.unanswered() == 1;
-        let must_close =
-            answer.close || (is_last && (state.closing.get() || context.shutdown.is_stopping()));
-        if must_close {
-            state.closing.set(true);
-        }
-        if answer.write_to(&mut writer, must_close).await.is_err() {
-            return;
-        }
-        pending.written();
-        state.request_finished();
-        if must_close {
-            break;
-        }
-    }
-    let _ = writer.shutdown().await;
-    state.close();
-}
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -4,6 +4,7 @@
 
 mod active_request;
 pub mod answer;
+mod answer_writer;
 mod attempt;
 pub mod caller_disconnect;
 pub(crate) mod caller_key;
@@ -12,6 +13,7 @@
 mod connection_state;
 pub mod dispatch;
 mod hedge;
+pub mod idle_callers;
 mod limited_servers;
 pub mod memory_account;
 mod paused_servers;
--- a/crates/kingcuploft-entry/src/gauges.rs
+++ b/crates/kingcuploft-entry/src/gauges.rs
@@ -54,6 +54,7 @@
         self.metrics
             .log_lines_left_out
             .set(crate::logs::dropped_lines() as i64);
+        self.metrics.connections.update(self);
         self.metrics.to_text()
     }
 }
--- a/crates/kingcuploft-entry/src/http/client.rs
+++ b/crates/kingcuploft-entry/src/http/client.rs
@@ -55,21 +55,29 @@
     PartlySent(std::io::Error),
 }
 
-/// Counts one open connection until it is dropped.
+/// Counts one open connection until it is dropped, among those to one server and among those to all.
 #[derive(Debug)]
-pub struct ConnectionCount(Rc<Cell<usize>>);
+pub struct ConnectionCount {
+    of_server: Rc<Cell<usize>>,
+    of_all: Rc<Cell<usize>>,
+}
 
 impl ConnectionCount {
-    /// Increments a count of open connections.
-    pub fn increment(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count.clone())
+    /// Increments both counts of open connections.
+    pub fn increment(of_server: &Rc<Cell<usize>>, of_all: &Rc<Cell<usize>>) -> Self {
+        of_server.update(|open| open + 1);
+        of_all.update(|open| open + 1);
+        Self {
+            of_server: of_server.clone(),
+            of_all: of_all.clone(),
+        }
     }
 }
 
 impl Drop for ConnectionCount {
     fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
+        self.of_server.update(|open| open.saturating_sub(1));
+        self.of_all.update(|open| open.saturating_sub(1));
     }
 }
 
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod clock;
 pub mod cold_servers;
 pub mod command_line;
+mod connection_metrics;
 pub mod context;
 
 pub mod active_configuration;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::connection_metrics::ConnectionMetrics;
+
 /// Upper bounds of the latency histogram, in seconds: from an immediate refusal to the longest route.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
 
@@ -72,6 +74,7 @@
     routes: RefCell<HashSet<String>>,
     workspace_requests: Family<WorkspaceOutcome, Counter>,
     workspaces: RefCell<HashSet<String>>,
+    pub(crate) connections: ConnectionMetrics,
     /// Requests that were given back to a quota, as they had not run.
     pub quota_given_back: Counter,
     /// Workspaces of the configuration in force.
@@ -148,6 +151,7 @@
             routes: RefCell::default(),
             workspace_requests: Family::default(),
             workspaces: RefCell::default(),
+            connections: ConnectionMetrics::default(),
             quota_given_back: Counter::default(),
             known_workspaces: Gauge::default(),
             known_keys: Gauge::default(),
@@ -185,6 +189,7 @@
 impl Metrics {
     fn register(&mut self) {
         let registry = &mut self.registry;
+        self.connections.register(registry);
         registry.register(
             "attempts",
             "Attempts by how they ended",
--- a/crates/kingcuploft-entry/src/reach.rs
+++ b/crates/kingcuploft-entry/src/reach.rs
@@ -111,7 +111,7 @@
 async fn open(context: &Rc<Context>, upstream: &Upstream) -> Result<Connection, ConnectError> {
     let service = &upstream.server.service;
     let share = context.connection_share(service);
-    let opened = upstream.open(&*context.network, share).await;
+    let opened = upstream.open(context, share).await;
     let server = &upstream.server.name;
     let is_in_use = context.upstream(server).is_some();
     let now = clock::now();
--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -339,10 +339,7 @@
 async fn accept(context: Rc<Context>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
-            Ok(_)
-                if !context
-                    .caller_limit
-                    .admits(context.caller_connections.get()) => {}
+            Ok(_) if !context.caller_limit.admits(&context) => {}
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
                 tokio::task::spawn_local(connection::serve(context.clone(), stream));
--- a/crates/kingcuploft-entry/src/upstream/mod.rs
+++ b/crates/kingcuploft-entry/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 pub mod crash_check;
 pub mod exchange;
 pub mod own_answer;
+mod pool;
 pub mod probe;
 mod probe_step;
 pub mod server_signals;
@@ -22,19 +23,11 @@
 use kingcuploft::world::ids::VmName;
 
 use crate::clock;
+use crate::context::Context;
 use crate::http::client::{Connection, ConnectionCount};
-use crate::network::Network;
 use probe_step::ProbeStep;
 use usage::{ColdReportRequired, Usage};
 
-/// The most idle connections that are pooled for one server: VMs share a server's connections, and one VM rarely has
-/// more than two requests in flight at one server.
-const MAX_IDLE_CONNECTIONS: usize = 3;
-
-/// How long a connection may be idle and still be reused, whatever the server announces: servers close idle connections
-/// after 10 s at all sites, and some drop them sooner.
-const MAX_IDLE_AGE: Duration = Duration::from_secs(9);
-
 /// How long a request that another VM has sent to a server is remembered: longer than the greatest age of a load report
 /// by which a server is selected.
 const PEER_SEND_RETENTION: Duration = Duration::from_millis(50);
@@ -143,39 +136,17 @@
     ///
     /// Returns [`ConnectError::ShareInUse`] if this VM has as many, and the system's error, or a timeout, if no
     /// connection could be opened.
-    pub async fn open(
-        &self,
-        network: &dyn Network,
-        share: usize,
-    ) -> Result<Connection, ConnectError> {
+    pub async fn open(&self, context: &Context, share: usize) -> Result<Connection, ConnectError> {
         if self.usage().open_connections.get() >= share {
             return Err(ConnectError::ShareInUse);
         }
-        let counted = ConnectionCount::increment(&self.usage().open_connections);
-        let opened = Connection::open_counted(network, self.server.address, counted).await;
+        let of_server = &self.usage().open_connections;
+        let counted = ConnectionCount::increment(of_server, &context.server_connections);
+        let opened =
+            Connection::open_counted(&*context.network, self.server.address, counted).await;
         opened.map_err(ConnectError::Io)
     }
 
-    /// Takes a reusable connection from the pool.
-    pub fn take_idle(&self) -> Option<Connection> {
-        let now = clock::now();
-        let mut idle = self.known_usage()?.idle_connections.borrow_mut();
-        while let Some(mut connection) = idle.pop() {
-            if connection.is_reusable(now, MAX_IDLE_AGE) {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    /// Returns a connection to the pool, if it can be reused and the pool is not full.
-    pub fn release(&self, mut connection: Connection) {
-        let mut idle = self.usage().idle_connections.borrow_mut();
-        if idle.len() < MAX_IDLE_CONNECTIONS && connection.is_reusable(clock::now(), MAX_IDLE_AGE) {
-            idle.push(connection);
-        }
-    }
-
     /// Records a load report of the server. One that another VM got does not count while this VM's own probes fail: it
     /// says nothing of the path from here.
     pub fn record_load_report(&self, now: Instant, reading: LoadReport, source: ReportSource) {
@@ -279,12 +250,6 @@
         usage.awaits_late_answer.get() || backoff.is_some_and(|(until, _)| now < until)
     }
 
-    /// Returns whether the pool has a connection.
-    pub fn has_idle_connection(&self) -> bool {
-        self.known_usage()
-            .is_some_and(|usage| !usage.idle_connections.borrow().is_empty())
-    }
-
     fn probe_failed(&self, now: Instant, step: ProbeStep, took: Duration) {
         let before = self.usage().probe_backoff.get();
         let pause = before.map_or(FIRST_PROBE_BACKOFF, |(_, pause)| pause.saturating_mul(2));
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -24,6 +24,7 @@
 mod rewinds;
 mod server;
 mod server_answers;
+mod short_descriptors;
 mod stopping;
 mod stopping_cuts;
 mod stopping_search;
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -27,6 +27,7 @@
 pub mod configuration_check;
 pub mod connections;
 pub mod crash_report;
+pub mod descriptors;
 pub mod dissemination;
 pub mod era;
 pub mod evacuations;
--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod configuration_change;
 mod connections;
+mod descriptors;
 mod dissemination;
 mod evacuations;
 mod good_share;
