feat(ctl): `connections` tells who holds the descriptors of each entry VM

It asks the VMs at --vm for the metrics that `descriptors_short` is about, one line a VM or as JSON; it ends with 1 if one was not reached. Test: entry_vms::who_holds_the_descriptors_of_each_vm_is_told.

--- a/crates/kingcuploftctl/src/args.rs
+++ b/crates/kingcuploftctl/src/args.rs
@@ -59,6 +59,8 @@
     Workspaces(Option<String>),
     /// Print where a version of the configuration, or the newest, is not in force yet.
     InForce(Option<u64>),
+    /// Print who holds the descriptors of entry VMs.
+    Connections,
     /// Print a request's history, from log files or standard input.
     Trace(String, Vec<PathBuf>),
 }
@@ -228,6 +230,7 @@
                 let version = version.map_err(|_| format!("`{digits}` is no version"))?;
                 (Command::InForce(Some(version)), &[])
             }
+            ["connections"] => (Command::Connections, &[]),
             ["trace", request, ref files @ ..] => {
                 let files = files.iter().map(PathBuf::from).collect();
                 (Command::Trace(request.into(), files), &[])
--- a/crates/kingcuploftctl/src/help.rs
+++ b/crates/kingcuploftctl/src/help.rs
@@ -29,6 +29,7 @@
   workspaces [NAME]              requests of workspaces by what their quotas made of them, summed
                                  over the entry VMs at --vm (their metrics ports), and where refused
   in-force [VERSION]             on which of the entry VMs at --vm a configuration is not in force yet
+  connections                    who holds the descriptors of the entry VMs at --vm, and who gave way
   trace REQUEST [LOG...]         a request's way, from the logs of kingcuploft-front (or stdin)
 
 Options
--- a/crates/kingcuploftctl/src/lib.rs
+++ b/crates/kingcuploftctl/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod apply;
 pub mod args;
 pub mod claim;
+pub mod connections;
 pub mod context;
 pub mod diff;
 pub mod drain;
--- a/crates/kingcuploftctl/src/run.rs
+++ b/crates/kingcuploftctl/src/run.rs
@@ -4,13 +4,16 @@
 use crate::context::Context;
 use crate::exit::{Code, Outcome};
 use crate::{
-    apply, claim, diff, drain, entry_metrics, explain, help, in_force, list, manifest, status,
-    trace, workspaces,
+    apply, claim, connections, diff, drain, entry_metrics, explain, help, in_force, list, manifest,
+    status, trace, workspaces,
 };
 
 /// Runs a command and returns its outcome.
 pub fn run(args: &Args) -> Outcome {
-    let asks_entry_vms = matches!(args.command, Command::Workspaces(_) | Command::InForce(_));
+    let asks_entry_vms = matches!(
+        args.command,
+        Command::Workspaces(_) | Command::InForce(_) | Command::Connections
+    );
     if asks_entry_vms && args.vms.is_empty() {
         let why = "kingcuploftctl: --vm is needed: the metrics ports of entry VMs";
         return Outcome::failure(Code::InvalidInput, why);
@@ -43,6 +46,10 @@
             let vms = entry_metrics::fetch_all(&args.vms);
             Ok(in_force::in_force(*version, &vms, args.json))
         }
+        Command::Connections => {
+            let vms = entry_metrics::fetch_all(&args.vms);
+            Ok(connections::connections(&vms, args.json))
+        }
         Command::Trace(request, files) => trace::trace(request, files),
     };
     ended.unwrap_or_else(|outcome| outcome)
--- a/crates/kingcuploftctl/tests/entry_vms.rs
+++ b/crates/kingcuploftctl/tests/entry_vms.rs
@@ -1,4 +1,4 @@
-//! `workspaces` and `in-force`: what the metrics of entry VMs say.
+//! `workspaces`, `in-force` and `connections`: what the metrics of entry VMs say.
 
 use std::io::{Read, Write};
 use std::net::TcpListener;
@@ -89,6 +89,23 @@
     assert_eq!(code, Code::Success);
 }
 
+/// Guards against an operator who does not see on which VM descriptors are short, or takes silence for room.
+#[test]
+fn who_holds_the_descriptors_of_each_vm_is_told() {
+    let held = "kingcuploft_entry_connections_bound 160\nkingcuploft_entry_callers 150\n\
+                kingcuploft_entry_idle_callers 90\nkingcuploft_entry_refused_callers 7\n";
+    let (a, silent) = (serve(held.into()), nobody());
+    let (code, out) = ctl(&[a.clone(), silent.clone()], &["connections"]);
+    assert_eq!(code, Code::Failed);
+    let wanted = "160 connections_bound, 150 callers, 90 idle_callers, 7 refused_callers";
+    assert!(out.contains(&format!("{a}: {wanted}\n")), "{out}");
+    assert!(out.contains(&format!("{silent}: not reached")), "{out}");
+    let (code, out) = ctl(&[serve(held.into())], &["--json", "connections"]);
+    assert_eq!(code, Code::Success);
+    let told: serde_json::Value = serde_json::from_str(&out).unwrap();
+    assert_eq!(told["vms"][0]["connections"]["idle_callers"], 90);
+}
+
 #[test]
 fn a_version_that_is_none_and_missing_vms_are_refused() {
     let words = |words: &[&str]| words.iter().map(|word| (*word).into()).collect::<Vec<_>>();
