--- a/crates/kingcuploft/tests/entry/main.rs
+++ b/crates/kingcuploft/tests/entry/main.rs
@@ -30,6 +30,7 @@
 mod server_pauses;
 mod server_table;
 mod service_reach;
+mod service_time;
 mod shutdown;
 mod start;
 mod start_settings;
