--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -13,6 +13,7 @@
     clippy::unwrap_used
 )]
 
+pub mod ascii_json;
 mod budgets;
 pub mod clock;
 pub mod cold_servers;
@@ -28,6 +29,7 @@
 mod gauges;
 mod given_up_answers;
 pub mod http;
+mod label_names;
 pub mod limits;
 pub mod logs;
 pub mod metrics;
@@ -41,6 +43,7 @@
 pub mod quotas;
 pub mod reach;
 pub mod relay;
+mod relist;
 pub mod rewinds;
 pub mod run;
 mod server_batch;
@@ -50,9 +53,11 @@
 pub mod store;
 pub mod store_access;
 mod store_fallback;
+mod store_list;
 pub mod store_liveness;
 pub mod store_sync;
 pub mod store_watcher;
+pub mod unreadable;
 pub mod upstream;
 mod usable_servers;
 pub mod watch_check;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -1,8 +1,6 @@
 //! The VM's metrics, in the text format of Prometheus. The number of label sets does not grow with the number of
 //! servers.
 
-use std::cell::RefCell;
-use std::collections::HashSet;
 use std::time::Duration;
 
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -13,23 +11,11 @@
 use prometheus_client::registry::Registry;
 
 use crate::connection_metrics::ConnectionMetrics;
+use crate::label_names::{LabelNames, OTHER_NAMES};
 
 /// Upper bounds of the latency histogram, in seconds: from an immediate refusal to the longest route.
 const LATENCY_BOUNDS_S: [f64; 10] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
 
-/// The most routes with histograms of their own; the others share one, so that the metrics stay bounded for any
-/// configuration.
-const MAX_LABELLED_ROUTES: usize = 64;
-
-/// The label of routes without a histogram of their own, and of requests without a route.
-const OTHER_ROUTES: &str = "other";
-
-/// The most workspaces with counters of their own; the others share one.
-const MAX_LABELLED_WORKSPACES: usize = 64;
-
-/// The label of workspaces without counters of their own.
-const OTHER_WORKSPACES: &str = "other";
-
 /// The label set of counters that are split by reason.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct Reason {
@@ -71,9 +57,9 @@
     answers_given_up: Family<Reason, Counter>,
     duties_failed: Family<Reason, Counter>,
     answers: Family<Answered, Histogram>,
-    routes: RefCell<HashSet<String>>,
+    routes: LabelNames,
     workspace_requests: Family<WorkspaceOutcome, Counter>,
-    workspaces: RefCell<HashSet<String>>,
+    workspaces: LabelNames,
     pub(crate) connections: ConnectionMetrics,
     /// Requests that were given back to a quota, as they had not run.
     pub quota_given_back: Counter,
@@ -109,6 +95,8 @@
     pub probes_left: Gauge,
     /// Ports that could not be opened yet.
     pub missing_ports: Gauge,
+    /// Collections of the store of which entries may be missing.
+    pub incomplete_collections: Gauge,
     /// Connections of callers that were refused, as descriptors are short.
     pub refused_callers: Gauge,
     /// Seconds since the configuration in force was adopted.
@@ -148,9 +136,9 @@
             answers_given_up: Family::default(),
             duties_failed: Family::default(),
             answers: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S)),
-            routes: RefCell::default(),
+            routes: LabelNames::default(),
             workspace_requests: Family::default(),
-            workspaces: RefCell::default(),
+            workspaces: LabelNames::default(),
             connections: ConnectionMetrics::default(),
             quota_given_back: Counter::default(),
             known_workspaces: Gauge::default(),
@@ -169,6 +157,7 @@
             callers: Gauge::default(),
             probes_left: Gauge::default(),
             missing_ports: Gauge::default(),
+            incomplete_collections: Gauge::default(),
             refused_callers: Gauge::default(),
             configuration_age: Gauge::default(),
             followers: Gauge::default(),
@@ -270,6 +259,12 @@
         registry.register("callers", help, self.callers.clone());
         let help = "Connections of callers that were refused, as descriptors are short";
         registry.register("refused_callers", help, self.refused_callers.clone());
+        let help = "Collections of the store of which entries may be missing";
+        registry.register(
+            "incomplete_collections",
+            help,
+            self.incomplete_collections.clone(),
+        );
         let help = "Ports that could not be opened yet";
         registry.register("missing_ports", help, self.missing_ports.clone());
         let help = "The part of the probe budget that is there, in thousandths";
@@ -366,36 +361,18 @@
             503 => "not_run",
             _ => "failed",
         };
-        let route = self.route_label(route.unwrap_or(OTHER_ROUTES));
+        let route = route.map_or_else(|| OTHER_NAMES.to_owned(), |route| self.routes.label(route));
         let histogram = self.answers.get_or_create(&Answered { route, outcome });
         histogram.observe(took.as_secs_f64());
     }
 
     /// Counts a request of a workspace by what its quota made of it.
     pub fn count_workspace_request(&self, workspace: &str, outcome: &'static str) {
-        let mut known = self.workspaces.borrow_mut();
-        if known.len() < MAX_LABELLED_WORKSPACES && !known.contains(workspace) {
-            known.insert(workspace.to_owned());
-        }
-        let workspace = match known.contains(workspace) {
-            true => workspace.to_owned(),
-            false => OTHER_WORKSPACES.to_owned(),
-        };
+        let workspace = self.workspaces.label(workspace);
         let label = WorkspaceOutcome { workspace, outcome };
         self.workspace_requests.get_or_create(&label).inc();
     }
 
-    fn route_label(&self, route: &str) -> String {
-        let mut routes = self.routes.borrow_mut();
-        if routes.len() < MAX_LABELLED_ROUTES && !routes.contains(route) {
-            routes.insert(route.to_owned());
-        }
-        match routes.contains(route) {
-            true => route.to_owned(),
-            false => OTHER_ROUTES.to_owned(),
-        }
-    }
-
     /// Returns all metrics as text.
     pub fn to_text(&self) -> String {
         let mut out = String::new();
--- a/crates/kingcuploft-entry/src/peers/follower.rs
+++ b/crates/kingcuploft-entry/src/peers/follower.rs
@@ -6,7 +6,6 @@
 
 use kingcuploft::entry::backend_servers::BackendServer;
 use kingcuploft::entry::change_assembly::PartOutcome;
-use kingcuploft::entry::configuration::ConfigurationVersion;
 use kingcuploft::entry::configuration_change::ChangePart;
 use kingcuploft::entry::dissemination;
 use kingcuploft::entry::notice::Notice;
@@ -19,6 +18,7 @@
 use super::frame::{Frame, Hello, PROTOCOL_VERSION, SyncStatus};
 use super::lines::{LineError, Lines};
 use super::link_error::LinkError;
+use super::transfer::Transfer;
 use crate::clock;
 use crate::context::{Context, FeedRequest};
 use crate::evacuation;
@@ -29,7 +29,7 @@
 use crate::store_watcher;
 
 /// How long opening a link may take for a VM that has recent knowledge of the store.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// The same for a VM that is not ready and refuses callers meanwhile: a running VM of the zone answers within some
 /// milliseconds, and one without power does not even refuse the connection.
@@ -119,20 +119,9 @@
         true => CONNECT_TIMEOUT,
         false => CONNECT_TIMEOUT_NOT_READY,
     };
-    let connecting = tokio::time::timeout(timeout, network.dial(feeder.address));
-    let stream = connecting.await.map_err(|_| LinkError::Unreachable)??;
+    let stream = open_link(feeder, network, timeout).await?;
     let (read, mut write) = tokio::io::split(stream);
-    let hello = Frame::Hello(Hello {
-        vm: own.clone(),
-        configuration: context.position(Collection::Configuration),
-        servers: context.position(Collection::BackendServers),
-        evacuations: context.position(Collection::Evacuations),
-        descendants: context.followers.descendants(&context.settings.zone),
-        version: context.active_configuration.delta_base(),
-        arrived: context.active_configuration.arrival_progress(),
-        servers_digest: Some(context.with_servers(|servers| servers.digest())),
-        protocol_version: PROTOCOL_VERSION,
-    });
+    let hello = Frame::Hello(hello(context, own));
     write.write_all(&hello.to_line()).await?;
     let lines = Lines::new(read);
     tokio::select! {
@@ -142,6 +131,30 @@
     }
 }
 
+pub(super) async fn open_link<D: Dial>(
+    to: &VmEntry,
+    network: &D,
+    timeout: Duration,
+) -> Result<D::Link, LinkError> {
+    let connecting = tokio::time::timeout(timeout, network.dial(to.address));
+    Ok(connecting.await.map_err(|_| LinkError::Unreachable)??)
+}
+
+/// Returns what this VM says of itself to one that it asks to feed it.
+pub(super) fn hello(context: &Context, own: &VmEntry) -> Hello {
+    Hello {
+        vm: own.clone(),
+        configuration: context.whole_position(Collection::Configuration),
+        servers: context.whole_position(Collection::BackendServers),
+        evacuations: context.whole_position(Collection::Evacuations),
+        descendants: context.followers.descendants(&context.settings.zone),
+        version: context.active_configuration.delta_base(),
+        arrived: context.active_configuration.arrival_progress(),
+        servers_digest: Some(context.with_servers(|servers| servers.digest())),
+        protocol_version: PROTOCOL_VERSION,
+    }
+}
+
 /// Reports to the feeder, until the link fails: how many VMs are fed through this one, each time that changes; this
 /// VM's configuration, if the feeder asks for it; and that a follower is ahead.
 async fn report_to_feeder(
@@ -238,46 +251,10 @@
     }
 }
 
-/// The parts of a configuration that have arrived over one link, to be logged.
-#[derive(Debug, Default)]
-struct Transfer {
-    parts: u32,
-    bytes: usize,
-    started_at: Option<Instant>,
-}
-
-impl Transfer {
-    /// Counts the part in the line that was read last.
-    fn add_line<R: AsyncRead + Unpin>(&mut self, lines: &Lines<R>) {
-        let (bytes, duration) = lines.last_line();
-        let started_at = clock::now().checked_sub(duration);
-        self.started_at = self.started_at.or(started_at);
-        self.parts += 1;
-        self.bytes += bytes;
-    }
-
-    /// Logs that the configuration is complete, and begins anew.
-    fn log_complete(&mut self, version: ConfigurationVersion) {
-        let Self {
-            parts,
-            bytes,
-            started_at,
-        } = std::mem::take(self);
-        let duration =
-            started_at.map(|started_at| clock::now().saturating_duration_since(started_at));
-        let took_ms = duration.unwrap_or_default().as_millis() as u64;
-        tracing::info!(
-            event = "configuration_arrived",
-            version,
-            parts,
-            bytes,
-            took_ms
-        );
-    }
-}
-
 /// Returns the next frame, or `None` at the end of the link.
-async fn next_frame(lines: &mut Lines<impl AsyncRead + Unpin>) -> Result<Option<Frame>, LinkError> {
+pub(super) async fn next_frame(
+    lines: &mut Lines<impl AsyncRead + Unpin>,
+) -> Result<Option<Frame>, LinkError> {
     let frame = match lines.next(SILENCE_TIMEOUT).await {
         Ok(Some(line)) => serde_json::from_slice(line)?,
         Ok(None) => return Ok(None),
@@ -308,9 +285,9 @@
         return Err(LinkError::Cycle);
     }
     let own = SyncStatus {
-        configuration: context.position(Collection::Configuration),
-        servers: context.position(Collection::BackendServers),
-        evacuations: context.position(Collection::Evacuations),
+        configuration: context.whole_position(Collection::Configuration),
+        servers: context.whole_position(Collection::BackendServers),
+        evacuations: context.whole_position(Collection::Evacuations),
         knows_workspaces: true,
         store_reachable: true,
         path: Vec::new(),
@@ -327,15 +304,7 @@
 
 /// Adopts the feeder's revisions as this VM's own: all changes up to them have been applied.
 fn apply_status(context: &Context, status: SyncStatus) {
-    if let Some(revision) = status.configuration {
-        context.set_position(Collection::Configuration, revision);
-    }
-    if let Some(revision) = status.servers {
-        context.set_position(Collection::BackendServers, revision);
-    }
-    if let Some(revision) = status.evacuations {
-        context.set_position(Collection::Evacuations, revision);
-    }
+    adopt_positions(context, &status);
     context.reader_has_store.set(status.store_reachable);
     let mut contact = context.store_contact.get();
     contact.feeder_has_store(status.store_reachable);
@@ -343,7 +312,16 @@
     *context.feed_path.borrow_mut() = status.path;
 }
 
-fn apply(context: &Context, frame: Frame) -> Result<(), LinkError> {
+fn adopt_positions(context: &Context, status: &SyncStatus) {
+    for collection in Collection::ROUTED_BY {
+        if let Some(revision) = status.position(collection) {
+            context.note_complete(collection);
+            context.set_position(collection, revision);
+        }
+    }
+}
+
+pub(super) fn apply(context: &Context, frame: Frame) -> Result<(), LinkError> {
     let now = clock::now();
     match frame {
         Frame::Configuration(configuration) => {
@@ -372,6 +350,8 @@
             store_watcher::apply_store_return(context, Duration::from_millis(ms));
         }
         Frame::Hello(_)
+        | Frame::SnapshotRequest(_)
+        | Frame::Informed(_)
         | Frame::ZonesRequest
         | Frame::Descendants(_)
         | Frame::FollowerAhead
@@ -385,7 +365,7 @@
     Ok(())
 }
 
-fn apply_part(
+pub(super) fn apply_part(
     context: &Context,
     part: ChangePart,
     transfer: &mut Transfer,
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -14,13 +14,17 @@
 use kingcuploft::world::ids::{AvailabilityZone, BackendServerName, VmName};
 use serde::{Deserialize, Serialize};
 
-use crate::store::Revision;
+use crate::store::{Collection, Revision};
 
 /// One frame.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Frame {
     /// Opens a link: the sender asks to be admitted as a follower.
     Hello(Hello),
+    /// Asks for a snapshot alone: the sender lacks something, and does not ask to be admitted as a follower.
+    SnapshotRequest(Hello),
+    /// The sender knows all and has no feeder: the receiver may ask it for a snapshot. The only frame that such a VM sends.
+    Informed(VmEntry),
     /// Asks for the records of all zones; the only frame that such a VM sends.
     #[serde(rename = "WhoReads")]
     ZonesRequest,
@@ -115,6 +119,13 @@
     pub protocol_version: ProtocolVersion,
 }
 
+impl Hello {
+    /// Returns whether the sender knows all that requests are routed by.
+    pub fn knows_all(&self) -> bool {
+        self.configuration.is_some() && self.servers.is_some() && self.evacuations.is_some()
+    }
+}
+
 /// A version of the protocol; each understands all frames of the ones before.
 pub type ProtocolVersion = u32;
 
@@ -163,6 +174,16 @@
 }
 
 impl SyncStatus {
+    /// Returns the latest revision of a collection that the sender knows; none of a collection that it does not tell.
+    pub fn position(&self, collection: Collection) -> Option<Revision> {
+        match collection {
+            Collection::Configuration => self.configuration,
+            Collection::BackendServers => self.servers,
+            Collection::Evacuations => self.evacuations,
+            Collection::Notices | Collection::Zones => None,
+        }
+    }
+
     /// Returns the latest era of the store that the sender knows, if any.
     pub fn era(&self) -> Option<Era> {
         let known = [self.configuration, self.servers, self.evacuations];
--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -14,7 +14,7 @@
 pub type Revision = Moment;
 
 /// A collection of entries in the store.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Collection {
     /// The configuration.
     Configuration,
@@ -37,6 +37,9 @@
         Self::Evacuations,
     ];
 
+    /// The collections that requests are routed by, which a snapshot of another VM brings.
+    pub const ROUTED_BY: [Self; 3] = [Self::Configuration, Self::BackendServers, Self::Evacuations];
+
     /// Returns the name used in logs.
     pub fn label(self) -> &'static str {
         match self {
@@ -144,6 +147,22 @@
     Unreadable(String),
 }
 
+impl StoreError {
+    /// Returns whether the collection must be listed again.
+    pub fn is_of_history(&self) -> bool {
+        matches!(self, Self::HistoryGone)
+    }
+
+    /// Returns whether the same call would fail again: the store takes it for a wrong one, or its answer can't be read.
+    pub fn is_lasting(&self) -> bool {
+        match self {
+            Self::Refused(status) => (400..500).contains(status) && !matches!(status, 408 | 429),
+            Self::Unreadable(_) => true,
+            Self::HistoryGone | Self::NoAnswer(_) => false,
+        }
+    }
+}
+
 impl From<serde_json::Error> for StoreError {
     fn from(error: serde_json::Error) -> Self {
         Self::Unreadable(error.to_string())
@@ -161,6 +180,9 @@
         stale: bool,
     ) -> impl Future<Output = Result<Page, StoreError>>;
 
+    /// Returns the configuration by its name alone, without a list; `None` if there is none.
+    fn read_configuration(&self) -> impl Future<Output = Result<Option<Record>, StoreError>>;
+
     /// Checks that the store answers, as cheaply as it allows; returns a revision that the store had reached, possibly
     /// seconds ago.
     fn probe_liveness(&self) -> impl Future<Output = Result<Revision, StoreError>>;
--- a/crates/kingcuploft-entry/src/store_sync/zone_leader.rs
+++ b/crates/kingcuploft-entry/src/store_sync/zone_leader.rs
@@ -1,12 +1,14 @@
 //! Keeps the record of a zone in the store up to date, on the VM that leads the zone.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use kingcuploft::entry::zone_record::{
     self, SETTLE_TIME, ZoneCount, ZoneRecord, ZoneView, handed_to_larger, refreshed,
 };
 
-use super::{CATCH_UP_TIME, CHECK_INTERVAL, CLAIM_TIMEOUT, STORE_RETRY_DELAY, StoreSync};
+use super::{
+    CATCH_UP_TIME, CHECK_INTERVAL, CLAIM_TIMEOUT, STORE_RETRY_DELAY, StoreSync, ZonesListed,
+};
 use crate::clock;
 use crate::peers::dial::Dial;
 use crate::peers::seeds;
@@ -14,6 +16,10 @@
 use crate::store_watcher;
 use crate::zone_list::Staleness;
 
+/// How long the seeds are sent the record again and again once this VM leads, or has lost followers: the seeds may be
+/// among the VMs that went, and are back later, without it.
+const REPUBLISH_TIME: Duration = Duration::from_secs(10);
+
 /// The time in which this VM leads its zone without a break: what it has seen of the zone before counts no more.
 struct Leadership {
     since: Instant,
@@ -38,12 +44,17 @@
     /// reader of another zone.
     pub(super) async fn lead_zone(&self) {
         let mut leadership: Option<Leadership> = None;
+        let (mut followers, mut changed_at) = (0, clock::now());
         loop {
+            let followers_before = std::mem::replace(&mut followers, self.context.followers.len());
+            if leadership.is_none() || followers < followers_before {
+                changed_at = clock::now();
+            }
             let is_leader = self.is_zone_leader() && !self.context.shutdown.is_stopping();
             let has_store = !self.store_access.is_reading() || self.store_access.is_available();
             match is_leader {
                 true if has_store => {
-                    if leadership.is_none() {
+                    if clock::since(changed_at) < REPUBLISH_TIME {
                         self.publish_to_seeds();
                     }
                     let leadership = leadership.get_or_insert_with(Leadership::begin);
@@ -61,6 +72,7 @@
     /// zone.
     async fn maintain_record(&self, leadership: &mut Leadership) {
         let Some(old) = self.own_zone_record() else {
+            self.query_seeds().await;
             return self.claim().await;
         };
         let (followers, zone) = (&self.context.followers, &self.own.zone);
@@ -82,7 +94,10 @@
             .stable_count(clock::now(), old.count, observed);
         let settled = old.settled || clock::since(leadership.since) >= SETTLE_TIME;
         // Zones that started at the same time are known before this zone counts as counted.
-        if settled && !old.settled && !self.list_zones(Staleness::Allowed).await {
+        if settled
+            && !old.settled
+            && self.list_zones(Staleness::Allowed).await == ZonesListed::NotNow
+        {
             return;
         }
         if let Some(record) = refreshed(&old, &seen, holds, settled) {
--- a/crates/kingcuploft-simulation/src/generator.rs
+++ b/crates/kingcuploft-simulation/src/generator.rs
@@ -3,6 +3,7 @@
 use fastrand::Rng;
 
 use crate::day::{self, Day, Disruption, DisruptionKind, ServerCut};
+use crate::list_fault::{ListFault, ListedCollection};
 
 /// The length of a generated day, in milliseconds.
 const LENGTH_MS: u64 = 24_000;
@@ -20,6 +21,16 @@
 const CHANGES_DURING_LOSS: usize = 4;
 const SMALL_SHARE: f64 = 0.1;
 
+/// The chance of trouble with the store's lists in a generated day, and of each of its disruptions.
+const LIST_TROUBLE_CHANCE: f64 = 0.2;
+const LIST_DISRUPTION_CHANCE: f64 = 0.75;
+
+/// The duration of a disruption that lasts to the end of any generated day, in milliseconds.
+const FOR_GOOD_MS: u64 = 60_000;
+
+/// How long after trouble with lists has begun VMs are killed at the latest, and for how long at most, in milliseconds.
+const MAX_KILL_DELAY_MS: u64 = 2_000;
+
 /// The greatest number of disruptions that a day reaches by mutation or splicing.
 const MAX_DISRUPTIONS: usize = 8;
 
@@ -37,14 +48,78 @@
         let changes = changes_during(rng, loss);
         disruptions.extend(changes);
     }
+    let seed = rng.u64(1..1_000_000);
+    // Drawn last, so that all else of the day is the same with and without.
+    if rng.f64() < LIST_TROUBLE_CHANCE {
+        disruptions.extend(list_trouble(rng));
+    }
     ordered(Day {
         deployment: deployment.into(),
-        seed: rng.u64(1..1_000_000),
+        seed,
         length_ms: LENGTH_MS,
         disruptions,
     })
 }
 
+/// Returns trouble with the store's lists, and VMs killed meanwhile, which need the lists when they are back.
+fn list_trouble(rng: &mut Rng) -> Vec<Disruption> {
+    let at_ms = rng.u64(DISRUPTIONS_FROM_MS..DISRUPTIONS_UNTIL_MS);
+    let for_ms = [5_000, FOR_GOOD_MS][rng.usize(0..2)];
+    let kinds = [
+        DisruptionKind::StorePages,
+        DisruptionKind::ForeignEntries,
+        DisruptionKind::StoreFailsLists,
+    ];
+    let mut trouble: Vec<_> = kinds
+        .into_iter()
+        .map(|kind| list_disruption(rng, kind, at_ms, for_ms))
+        .collect();
+    trouble.push(kill(rng, at_ms));
+    let is_drawn = |_: &Disruption| rng.f64() < LIST_DISRUPTION_CHANCE;
+    trouble.into_iter().filter(is_drawn).collect()
+}
+
+fn list_disruption(rng: &mut Rng, kind: DisruptionKind, at_ms: u64, for_ms: u64) -> Disruption {
+    let mut disruption = Disruption {
+        at_ms,
+        kind,
+        share: 1.0,
+        strength: strength(rng, kind),
+        for_ms,
+        how: ServerCut::default(),
+        service: None,
+        lists: ListFault::default(),
+        collection: None,
+    };
+    draw_list_fault(rng, &mut disruption);
+    disruption
+}
+
+/// Draws how lists fail, and which, where a disruption has them fail.
+fn draw_list_fault(rng: &mut Rng, disruption: &mut Disruption) {
+    if disruption.kind == DisruptionKind::StoreFailsLists {
+        disruption.lists = ListFault::ALL[rng.usize(0..ListFault::ALL.len())];
+        let all = ListedCollection::ALL;
+        disruption.collection = Some(all[rng.usize(0..all.len())]);
+    }
+}
+
+/// Returns a disruption that kills most or all VMs of a zone, or of all zones, shortly after a moment.
+fn kill(rng: &mut Rng, after_ms: u64) -> Disruption {
+    let (kind, share) = [
+        (DisruptionKind::ZoneKilled, 0.8),
+        (DisruptionKind::ZoneKilled, 1.0),
+        (DisruptionKind::VmsKilled, 0.6),
+        (DisruptionKind::VmsKilled, 1.0),
+    ][rng.usize(0..4)];
+    let at_ms = after_ms + rng.u64(0..MAX_KILL_DELAY_MS);
+    let for_ms = rng.u64(500..MAX_KILL_DELAY_MS);
+    Disruption {
+        share,
+        ..list_disruption(rng, kind, at_ms, for_ms)
+    }
+}
+
 /// Returns changes of the store's entries while answers are lost: one that may be lost, and others that go on.
 fn changes_during(rng: &mut Rng, loss: &Disruption) -> Vec<Disruption> {
     let mut kinds = vec![DisruptionKind::ServersStart; CHANGES_DURING_LOSS];
@@ -78,6 +153,8 @@
         for_ms: rng.u64(500..10_000),
         how: server_cut(rng, kind),
         service: None,
+        lists: ListFault::default(),
+        collection: None,
     }
 }
 
@@ -104,6 +181,9 @@
         DisruptionKind::Crowd => [1.5, 2.0, 3.0][rng.usize(0..3)],
         DisruptionKind::WorkspaceCrowd => [3.0, 8.0, 20.0][rng.usize(0..3)],
         DisruptionKind::QuotasLowered => [0.05, 0.3][rng.usize(0..2)],
+        DisruptionKind::StorePages | DisruptionKind::ForeignEntries => {
+            [1.0, 3.0, 10.0][rng.usize(0..3)]
+        }
         _ => 1.0,
     }
 }
@@ -143,7 +223,10 @@
             chosen.at_ms = moved.clamp(least, most) as u64;
         }
         2 => chosen.share = share(rng),
-        3 => chosen.strength = strength(rng, chosen.kind),
+        3 => {
+            chosen.strength = strength(rng, chosen.kind);
+            draw_list_fault(rng, chosen);
+        }
         4 => chosen.for_ms = rng.u64(500..12_000),
         5 | 6 if count < MAX_DISRUPTIONS => {
             // A repetition of the same disruption soon after the first.
--- a/crates/kingcuploft-simulation/src/simulation.rs
+++ b/crates/kingcuploft-simulation/src/simulation.rs
@@ -20,6 +20,7 @@
 use crate::operator::{self, Operator, version_route_name};
 use crate::server::Server;
 use crate::server_cuts::ServerCuts;
+use crate::server_disruptions;
 use crate::store::TestStore;
 use crate::vm::Vm;
 
@@ -140,9 +141,10 @@
         let history = Rc::new(History::default());
         let zones = deployment.zones.iter().enumerate();
         let zones = zones.flat_map(|(zone, vms)| std::iter::repeat_n(zone, *vms));
-        let vms = zones
-            .enumerate()
-            .map(|(index, zone)| Rc::new(Vm::new(index, zone, &deployment, &network, &store)));
+        let vms = zones.enumerate().map(|(index, zone)| {
+            let vm = Vm::new(index, zone, &deployment, &network, &store, &history);
+            Rc::new(vm)
+        });
         let vms: Vec<_> = vms.collect();
         Self {
             operator: Operator::new(deployment.clone(), store.clone(), history.clone()),
@@ -195,6 +197,7 @@
         self.generate_load(Duration::from_millis(day.length_ms))
             .await;
         tokio::time::sleep(WIND_DOWN).await;
+        self.history.ended_at.set(self.history.now());
         checking.abort();
         crashing.abort();
     }
@@ -211,7 +214,7 @@
             if !server.has_stopped.get() {
                 let simulation = self.clone();
                 tokio::task::spawn_local(async move {
-                    disruptions::crash_servers(&simulation, &[server]).await
+                    server_disruptions::crash_servers(&simulation, &[server]).await
                 });
             }
         }
