--- a/crates/kingcuploft-entry/src/ascii_json.rs
+++ b/crates/kingcuploft-entry/src/ascii_json.rs
@@ -38,8 +38,8 @@
             '\\' => escape_bytes(rest),
             _ => character.len_utf8(),
         };
-        let unit = &rest[..length];
-        rest = &rest[length..];
+        let (unit, after) = rest.split_at_checked(length).unwrap_or((rest, ""));
+        rest = after;
         if character == '"' {
             string_from = match string_from {
                 None => Some(out.len() + 1),
--- a/crates/kingcuploft-entry/src/edge/mod.rs
+++ b/crates/kingcuploft-entry/src/edge/mod.rs
@@ -1,7 +1,10 @@
 //! The side of the VM that faces callers: connections, pipelined requests, selection of servers, attempts and answers.
 
+#![deny(clippy::arithmetic_side_effects)]
+
 mod active_request;
 pub mod answer;
+mod answer_writer;
 mod attempt;
 pub mod caller_disconnect;
 pub(crate) mod caller_key;
@@ -10,6 +13,7 @@
 mod connection_state;
 pub mod dispatch;
 mod hedge;
+pub mod idle_callers;
 mod limited_servers;
 pub mod memory_account;
 mod paused_servers;
--- a/crates/kingcuploft-entry/src/gauges.rs
+++ b/crates/kingcuploft-entry/src/gauges.rs
@@ -16,7 +16,7 @@
             .set(self.caller_connections.get() as i64);
         let refused = self.caller_limit.refused();
         self.metrics.refused_callers.set(refused as i64);
-        let missing = self.missing_ports.borrow().len();
+        let missing = self.start.borrow().missing_port_count();
         self.metrics.missing_ports.set(missing as i64);
         let incomplete = self.incomplete_collections().len();
         self.metrics.incomplete_collections.set(incomplete as i64);
@@ -56,6 +56,7 @@
         self.metrics
             .log_lines_left_out
             .set(crate::logs::dropped_lines() as i64);
+        self.metrics.connections.update(self);
         self.metrics.to_text()
     }
 }
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -4,11 +4,21 @@
 //! platform's store holds. The platform's adapter supplies the names of headers and paths as [`settings::WireNames`]
 //! and the store's entries through [`store::Store`].
 
+#![deny(
+    clippy::expect_used,
+    clippy::indexing_slicing,
+    clippy::panic,
+    clippy::string_slice,
+    clippy::unreachable,
+    clippy::unwrap_used
+)]
+
 pub mod ascii_json;
 mod budgets;
 pub mod clock;
 pub mod cold_servers;
 pub mod command_line;
+mod connection_metrics;
 pub mod context;
 
 pub mod active_configuration;
--- a/crates/kingcuploft-entry/src/metrics.rs
+++ b/crates/kingcuploft-entry/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::connection_metrics::ConnectionMetrics;
 use crate::label_names::{LabelNames, OTHER_NAMES};
 
 /// Upper bounds of the latency histogram, in seconds: from an immediate refusal to the longest route.
@@ -59,6 +60,7 @@
     routes: LabelNames,
     workspace_requests: Family<WorkspaceOutcome, Counter>,
     workspaces: LabelNames,
+    pub(crate) connections: ConnectionMetrics,
     /// Requests that were given back to a quota, as they had not run.
     pub quota_given_back: Counter,
     /// Workspaces of the configuration in force.
@@ -137,6 +139,7 @@
             routes: LabelNames::default(),
             workspace_requests: Family::default(),
             workspaces: LabelNames::default(),
+            connections: ConnectionMetrics::default(),
             quota_given_back: Counter::default(),
             known_workspaces: Gauge::default(),
             known_keys: Gauge::default(),
@@ -175,6 +178,7 @@
 impl Metrics {
     fn register(&mut self) {
         let registry = &mut self.registry;
+        self.connections.register(registry);
         registry.register(
             "attempts",
             "Attempts by how they ended",
--- a/crates/kingcuploft-entry/tests/entry/main.rs
+++ b/crates/kingcuploft-entry/tests/entry/main.rs
@@ -25,6 +25,7 @@
 mod rewinds;
 mod server;
 mod server_answers;
+mod short_descriptors;
 mod stopping;
 mod stopping_cuts;
 mod stopping_search;
--- a/crates/kingcuploft/src/entry/mod.rs
+++ b/crates/kingcuploft/src/entry/mod.rs
@@ -3,6 +3,15 @@
 //! The event-driven entry (`kingcuploft-entry`) calls these modules and carries out what they decide; the tests call
 //! the same modules.
 
+#![deny(
+    clippy::expect_used,
+    clippy::indexing_slicing,
+    clippy::panic,
+    clippy::string_slice,
+    clippy::unreachable,
+    clippy::unwrap_used
+)]
+
 pub mod account_replicas;
 pub mod answer_identity;
 pub mod answer_memory;
@@ -18,6 +27,7 @@
 pub mod configuration_check;
 pub mod connections;
 pub mod crash_report;
+pub mod descriptors;
 pub mod dissemination;
 pub mod era;
 pub mod evacuations;
@@ -50,6 +60,7 @@
 pub mod service_reach;
 pub mod service_time;
 pub mod shutdown;
+pub mod start;
 pub mod startup_delay;
 pub mod store_contact;
 pub mod turned_away;
--- a/crates/kingcuploft/src/entry/placement.rs
+++ b/crates/kingcuploft/src/entry/placement.rs
@@ -13,6 +13,11 @@
 //! A request that can't be answered in time any more takes a free slot, or is refused at once if there is none. It does
 //! not queue at a server: under overload it would make all requests behind it late as well.
 
+#![expect(
+    clippy::indexing_slicing,
+    reason = "candidates are chosen by their own positions"
+)]
+
 use std::time::Duration;
 
 /// A backend server's answer to a probe.
@@ -28,6 +33,15 @@
     pub slowness: f64,
 }
 
+impl LoadReport {
+    /// Returns how many requests the server has, with so many that were sent since its report; figures beyond counting count
+    /// as the most that can be counted.
+    pub fn requests_with(&self, sent_since: u32) -> u32 {
+        let reported = self.running.saturating_add(self.waiting);
+        reported.saturating_add(sent_since)
+    }
+}
+
 /// A backend server as a candidate for one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -192,7 +206,7 @@
     /// Returns how many requests the server has, or an estimate without a load report.
     fn busy(&self) -> f64 {
         match self.load_report {
-            Some(report) => f64::from(report.running + report.waiting + self.sent_since_report),
+            Some(report) => f64::from(report.requests_with(self.sent_since_report)),
             None => f64::from(self.own_in_flight) + f64::from(self.slots.max(1)) / 2.0,
         }
     }
@@ -200,7 +214,7 @@
     /// Returns how long a request that is sent now waits until it runs, in milliseconds.
     fn wait_ms(&self, report: &LoadReport, work_ms: f64) -> f64 {
         let slots = f64::from(report.slots.max(1));
-        let busy = f64::from(report.running + report.waiting + self.sent_since_report);
+        let busy = f64::from(report.requests_with(self.sent_since_report));
         queue_wait_ms(busy, slots, work_ms * report.slowness)
     }
 
@@ -213,7 +227,7 @@
 
     fn is_full(&self) -> bool {
         let report = self.load_report;
-        report.is_some_and(|r| r.running + r.waiting + self.sent_since_report >= r.slots.max(1))
+        report.is_some_and(|r| r.requests_with(self.sent_since_report) >= r.slots.max(1))
     }
 }
 
