--- a/crates/kingcuploft-entry/src/context.rs
+++ b/crates/kingcuploft-entry/src/context.rs
@@ -138,7 +138,7 @@
     pub unanswered_requests: Cell<usize>,
     positions: RefCell<HashMap<Collection, Revision>>,
     /// The collections of which entries may be missing, as the store's list of them could not be read to its end.
-    incomplete: RefCell<BTreeSet<Collection>>,
+    pub(crate) incomplete: RefCell<BTreeSet<Collection>>,
     /// The VMs that this one asks while it lacks something.
     pub informants: RefCell<Informants>,
     /// Wakes tasks that wait until this VM knows a later revision of the store.
@@ -163,7 +163,7 @@
     /// When the VM started.
     pub started_at: Instant,
     pub(crate) servers: RefCell<BackendServers>,
-    servers_listed: Cell<bool>,
+    pub(crate) servers_listed: Cell<bool>,
     pub(crate) upstreams: RefCell<UsableServers>,
     selectors: RefCell<HashMap<RuleName, WeightedSelector>>,
     service_times: RefCell<HashMap<(RuleName, ServiceName), ServiceTime>>,
@@ -274,16 +274,6 @@
         self.missing_to_serve().next().is_none()
     }
 
-    /// Returns whether the VM knows all that requests are routed by.
-    pub fn knows_all(&self) -> bool {
-        let knows_zones = self.position(Collection::Evacuations).is_some();
-        let has_configuration = self.active_configuration.version().is_some();
-        let is_whole = Collection::ROUTED_BY
-            .into_iter()
-            .all(|collection| !self.is_incomplete(collection));
-        has_configuration && self.servers_listed.get() && knows_zones && is_whole
-    }
-
     /// Returns what the VM lacks to serve, for those who ask whether it is ready.
     pub fn missing_to_serve(&self) -> impl Iterator<Item = &'static str> {
         let known = Known {
@@ -323,41 +313,6 @@
         self.positions.borrow().get(&collection).copied()
     }
 
-    /// Returns the revision up to which a collection is known if none of its entries may be missing.
-    pub fn whole_position(&self, collection: Collection) -> Option<Revision> {
-        let is_whole = !self.is_incomplete(collection);
-        // A list without a configuration may have ended early.
-        let is_there = collection != Collection::Configuration
-            || self.active_configuration.version().is_some();
-        self.position(collection).filter(|_| is_whole && is_there)
-    }
-
-    /// Records that entries of a collection may be missing.
-    pub fn note_incomplete(&self, collection: Collection) {
-        if self.incomplete.borrow_mut().insert(collection) {
-            let collection = collection.label();
-            tracing::warn!(event = "collection_incomplete", collection);
-        }
-    }
-
-    /// Records that none of its entries is missing.
-    pub fn note_complete(&self, collection: Collection) {
-        if self.incomplete.borrow_mut().remove(&collection) {
-            let collection = collection.label();
-            tracing::info!(event = "collection_complete", collection);
-        }
-    }
-
-    /// Returns whether entries of a collection may be missing.
-    pub fn is_incomplete(&self, collection: Collection) -> bool {
-        self.incomplete.borrow().contains(&collection)
-    }
-
-    /// Returns the collections of which entries may be missing.
-    pub fn incomplete_collections(&self) -> Vec<Collection> {
-        self.incomplete.borrow().iter().copied().collect()
-    }
-
     /// Records the revision up to which a collection of the store is known.
     pub fn set_position(&self, collection: Collection, revision: Revision) {
         let mut positions = self.positions.borrow_mut();
--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod clock;
 pub mod cold_servers;
 pub mod command_line;
+mod completeness;
 mod connection_metrics;
 pub mod context;
 
--- a/crates/kingcuploft-entry/src/peers/frame.rs
+++ b/crates/kingcuploft-entry/src/peers/frame.rs
@@ -129,7 +129,8 @@
 /// A version of the protocol; each understands all frames of the ones before.
 pub type ProtocolVersion = u32;
 
-/// The version of the protocol that this release understands.
+/// The version of the protocol that this release understands. It also understands the frames by which a VM asks for a
+/// snapshot alone; one of an earlier release closes such a link.
 pub const PROTOCOL_VERSION: ProtocolVersion = 6;
 
 /// The first version that takes a configuration in parts.
--- a/crates/kingcuploft-entry/src/store.rs
+++ b/crates/kingcuploft-entry/src/store.rs
@@ -10,6 +10,8 @@
 use kingcuploft::entry::zone_record::ZoneRecord;
 use kingcuploft::world::ids::AvailabilityZone;
 
+use crate::http::kept_connections::CallError;
+
 /// A position in the store's history, over all its eras; a greater one is later.
 pub type Revision = Moment;
 
@@ -163,6 +165,15 @@
     }
 }
 
+impl From<CallError> for StoreError {
+    fn from(error: CallError) -> Self {
+        match error.is_given_up() {
+            true => Self::Unreadable(error.to_string()),
+            false => Self::NoAnswer(error.to_string()),
+        }
+    }
+}
+
 impl From<serde_json::Error> for StoreError {
     fn from(error: serde_json::Error) -> Self {
         Self::Unreadable(error.to_string())
