fix(process): a signal that was ignored is told also where the process stops before its next wake

What operators saw: no line on a stray signal that came shortly before a planned stop. Cause: what was ignored since the last wake of the main task was told only at a wake that is no stop. Why it works: the line is written before the stop begins.

--- a/crates/kingcuploft-entry/src/run.rs
+++ b/crates/kingcuploft-entry/src/run.rs
@@ -82,11 +82,11 @@
     let mut next_reload = SETTINGS_RELOAD_INTERVAL;
     loop {
         let signal = tokio::time::timeout(next_reload, watch.next()).await;
+        signals.log_ignored();
         if signal == Ok(Signal::Terminate) {
             break;
         }
         logs::ensure_writer();
-        signals.log_ignored();
         next_reload = running.reload(&reread);
     }
     running.stop().await;
