--- a/crates/kingcuploft-entry/src/lib.rs
+++ b/crates/kingcuploft-entry/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod store_liveness;
 pub mod store_sync;
 pub mod store_watcher;
+mod unlisted;
 pub mod unreadable;
 pub mod upstream;
 mod usable_servers;
--- a/crates/kingcuploft-entry/src/store_watcher.rs
+++ b/crates/kingcuploft-entry/src/store_watcher.rs
@@ -33,6 +33,7 @@
 use crate::store::{Changes, Collection, Record, Revision, Store, StoreChange, StoreError};
 use crate::store_access::StoreAccess;
 use crate::store_list::{self, ListLog};
+use crate::unlisted::{follow_unlisted, informed_meanwhile};
 use crate::watch_check;
 
 /// How long a watch waits for a change.
@@ -61,10 +62,6 @@
 /// How long a VM whose history is gone waits for a list before it follows what is new without one.
 const WAIT_FOR_LIST: Duration = Duration::from_secs(3);
 
-/// How long a VM waits for the list of evacuated zones where the store refuses it and no VM knows it: longer than it takes to
-/// ask those that may know. A VM that refuses all callers is worse for them than one that may use servers of such a zone.
-const WAIT_FOR_EVACUATIONS: Duration = Duration::from_secs(3);
-
 /// How often a VM that is not ready says so, and what it lacks.
 const WARNING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -155,45 +152,6 @@
     }
 }
 
-/// Returns once another VM has told this one all of a collection.
-async fn informed_meanwhile(context: &Context, collection: Collection) {
-    loop {
-        let advanced = context.position_advanced.notified();
-        if context.whole_position(collection).is_some() {
-            return;
-        }
-        advanced.await;
-    }
-}
-
-/// Follows a collection that the store does not list, from a revision that the store has reached: what has changed before is
-/// lost, what is new is not. Returns whether it does.
-fn follow_unlisted(context: &Context, store_access: &StoreAccess, collection: Collection) -> bool {
-    let known = context.position(collection);
-    let later = |reached: &Revision| known.is_none_or(|known| known < *reached);
-    let Some(reached) = store_access.reached().filter(later) else {
-        return false;
-    };
-    if known.is_none() && !can_serve_without(context, collection) {
-        return false;
-    }
-    context.note_incomplete(collection);
-    context.set_position(collection, reached);
-    true
-}
-
-/// Returns whether this VM serves although it knows nothing of a collection, as it has waited long enough for it.
-fn can_serve_without(context: &Context, collection: Collection) -> bool {
-    match collection {
-        Collection::Evacuations => clock::since(context.started_at) >= WAIT_FOR_EVACUATIONS,
-        // Where there is no configuration or no server, nothing can be served; nobody waits for the rest.
-        Collection::Configuration
-        | Collection::BackendServers
-        | Collection::Notices
-        | Collection::Zones => false,
-    }
-}
-
 async fn list_or_watch<S: Store>(
     context: &Context,
     store: &S,
--- a/crates/kingcuploft/src/entry/service_time.rs
+++ b/crates/kingcuploft/src/entry/service_time.rs
@@ -12,7 +12,7 @@
 const UNMEASURED_SHARE: f64 = 0.35;
 
 /// The most that is assumed before any answer: a route whose target is far beyond what its callers wait would have all its
-/// requests refused as too long, and never be measured.
+/// requests refused as too long, so that nothing is learned of it.
 const MAX_UNMEASURED_MS: f64 = 2_000.0;
 
 /// Minimum number of answers from servers with spare slots before the mean serves as the reference for last slots.
